Add the HTTP accept loop, peer transport, logs, metrics and traces of the entry daemon

Parts that do not depend on decisions: bounded accept loop with graceful shutdown, h2 calls between daemons that drop a connection without answers, JSON-line logs, statsd metrics and spans carried by traceparent.

--- /dev/null
+++ b/crates/entry/src/front/body.rs
@@ -0,0 +1,59 @@
+//! Reading of request bodies within limits.
+
+use anvilgw_core::{ErrorKind, Failure, Stage};
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use http::HeaderMap;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use std::time::Duration;
+
+/// Reads a body of at most `max_bytes` within `read_time`.
+///
+/// # Errors
+///
+/// A failure at stage `Received` if the body is too large, too slow or cut.
+pub(crate) async fn read(
+    body: Body,
+    max_bytes: usize,
+    read_time: Duration,
+) -> Result<Bytes, Failure> {
+    let collected = tokio::time::timeout(read_time, Limited::new(body, max_bytes).collect()).await;
+    match collected {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Failure::new(
+            ErrorKind::BodyTooLarge,
+            Stage::Received,
+            format!("the body is larger than {max_bytes} bytes"),
+        )),
+        Ok(Err(error)) => Err(Failure::new(
+            ErrorKind::BadRequest,
+            Stage::Received,
+            format!("the body ended early: {error}"),
+        )),
+        Err(_) => Err(Failure::new(
+            ErrorKind::RequestTimeout,
+            Stage::Received,
+            format!("the body was not sent within {} ms", read_time.as_millis()),
+        )),
+    }
+}
+
+/// Refuses headers over the limit.
+///
+/// # Errors
+///
+/// A failure at stage `Received` if names and values together are larger than `max_bytes`.
+pub(crate) fn check_headers(headers: &HeaderMap, max_bytes: usize) -> Result<(), Failure> {
+    let bytes: usize = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    if bytes <= max_bytes {
+        return Ok(());
+    }
+    Err(Failure::new(
+        ErrorKind::HeadersTooLarge,
+        Stage::Received,
+        format!("the headers are larger than {max_bytes} bytes"),
+    ))
+}
--- /dev/null
+++ b/crates/entry/src/front/server.rs
@@ -0,0 +1,105 @@
+//! Accept loop of the callers' address.
+
+use gotham::router::Router;
+use gotham::service::call_handler;
+use gotham::state::State;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+
+/// hyper refuses smaller read buffers.
+const MIN_READ_BUFFER_BYTES: usize = 8192;
+/// The handler refuses headers over the limit with a complete answer. hyper's own limit is larger, so
+/// that only grossly oversized headers end in its answer without a body.
+const READ_BUFFER_PER_HEADER_LIMIT: usize = 4;
+/// Pause after a failed accept, such as one for lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Limits of the accept loop.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServerLimits {
+    /// Size of all headers of a request.
+    pub(crate) header_bytes: usize,
+    /// Time for a caller to send the headers.
+    pub(crate) header_read: Duration,
+    /// Open connections.
+    pub(crate) connections: usize,
+}
+
+/// Serves connections until `stop` turns true, then lets running requests finish.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    router: Router,
+    limits: ServerLimits,
+    mut stop: watch::Receiver<bool>,
+) {
+    let router = Arc::new(router);
+    let slots = Arc::new(Semaphore::new(limits.connections));
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = accept(&listener, &slots) => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        let Some((stream, address, slot)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // Small frames of a stream must not wait for an acknowledgement.
+        let _ = stream.set_nodelay(true);
+        let connection = connect(stream, address, Arc::clone(&router), limits);
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            // Errors here are protocol errors of the caller or a closed connection.
+            let _ = connection.await;
+            drop(slot);
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+async fn accept(
+    listener: &TcpListener,
+    slots: &Arc<Semaphore>,
+) -> Option<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
+    let slot = Arc::clone(slots).acquire_owned().await.ok()?;
+    let (stream, address) = listener.accept().await.ok()?;
+    Some((stream, address, slot))
+}
+
+fn connect(
+    stream: TcpStream,
+    address: SocketAddr,
+    router: Arc<Router>,
+    limits: ServerLimits,
+) -> http1::Connection<
+    TokioIo<TcpStream>,
+    impl hyper::service::Service<
+        Request<Incoming>,
+        Response = Response<gotham::helpers::http::Body>,
+        Error = gotham::anyhow::Error,
+        Future = impl Future<Output = gotham::anyhow::Result<Response<gotham::helpers::http::Body>>> + Send,
+    >,
+> {
+    let service = service_fn(move |request: Request<Incoming>| {
+        let state = State::from_request(request, address);
+        call_handler(Arc::clone(&router), AssertUnwindSafe(state))
+    });
+    let buffer_bytes =
+        (limits.header_bytes * READ_BUFFER_PER_HEADER_LIMIT).max(MIN_READ_BUFFER_BYTES);
+    http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_read)
+        .max_buf_size(buffer_bytes)
+        .serve_connection(TokioIo::new(stream), service)
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,5 @@
-//! The entry daemon: HTTP front, dispatch, streaming, peer RPC and duties.
+//! The entry daemon: HTTP front end, dispatch, streaming, peer RPC and duties.
+
+mod front;
+pub mod observe;
+mod peer;
--- /dev/null
+++ b/crates/entry/src/observe/metrics.rs
@@ -0,0 +1,62 @@
+//! Counters and timers, sent as statsd datagrams.
+
+use cadence::{Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::time::Duration;
+
+const PREFIX: &str = "anvilgw";
+/// Metrics that may wait for the sending thread. Further ones are dropped rather than delay requests.
+const QUEUE_CAPACITY: usize = 8192;
+
+/// The metrics of a daemon.
+pub struct Metrics {
+    client: StatsdClient,
+}
+
+impl Metrics {
+    /// Sends metrics to a statsd address, or nowhere.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no UDP socket can be opened.
+    pub fn new(statsd: Option<SocketAddr>, daemon_index: u32) -> io::Result<Self> {
+        let builder = match statsd {
+            Some(address) => {
+                let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
+                socket.set_nonblocking(true)?;
+                let sink = UdpMetricSink::from(address, socket).map_err(io::Error::other)?;
+                let sink = QueuingMetricSink::with_capacity(sink, QUEUE_CAPACITY);
+                StatsdClient::builder(PREFIX, sink)
+            }
+            None => StatsdClient::builder(PREFIX, NopMetricSink),
+        };
+        let client = builder
+            .with_tag("daemon", daemon_index.to_string())
+            .build();
+        Ok(Self { client })
+    }
+
+    /// Adds to a counter. A metric that cannot be sent is dropped.
+    pub fn count(&self, name: &str, by: u64, tag: &str) {
+        let _ = self
+            .client
+            .count_with_tags(name, by)
+            .with_tag("kind", tag)
+            .try_send();
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, name: &str, value: u64) {
+        let _ = self.client.gauge(name, value);
+    }
+
+    /// Records a duration.
+    pub fn time(&self, name: &str, duration: Duration, tag: &str) {
+        let _ = self
+            .client
+            .time_with_tags(name, duration)
+            .with_tag("kind", tag)
+            .try_send();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/observe/trace.rs
@@ -0,0 +1,148 @@
+//! Trace spans, one for each hop, carried by the `traceparent` header.
+
+use opentelemetry::propagation::{Extractor, Injector, TextMapPropagator};
+use opentelemetry::trace::{
+    SpanKind, TraceContextExt, Tracer as _, TracerProvider as _,
+};
+use opentelemetry::{Context, KeyValue};
+use opentelemetry_sdk::error::OTelSdkResult;
+use opentelemetry_sdk::propagation::TraceContextPropagator;
+use opentelemetry_sdk::trace::{SdkTracer, SdkTracerProvider, Span, SpanData, SpanExporter};
+use spdlog::Logger;
+use std::sync::Arc;
+use std::time::SystemTime;
+
+/// Creates spans and exports finished ones as log lines.
+pub struct Tracing {
+    provider: SdkTracerProvider,
+    tracer: SdkTracer,
+    propagator: TraceContextPropagator,
+}
+
+impl Tracing {
+    /// Creates the tracer of a daemon. Without a logger, spans carry identifiers but are not exported.
+    #[must_use]
+    pub fn new(export_to: Option<Arc<Logger>>) -> Self {
+        let mut builder = SdkTracerProvider::builder();
+        if let Some(logger) = export_to {
+            builder = builder.with_batch_exporter(LogExporter { logger });
+        }
+        let provider = builder.build();
+        let tracer = provider.tracer("anvilgw");
+        Self {
+            provider,
+            tracer,
+            propagator: TraceContextPropagator::new(),
+        }
+    }
+
+    /// Starts the span of a hop below the caller's trace context, if the headers carry one.
+    #[must_use]
+    pub fn hop(&self, name: &'static str, headers: &http::HeaderMap) -> Hop {
+        let parent = self.propagator.extract(&HeaderReader(headers));
+        self.start(name, SpanKind::Server, &parent)
+    }
+
+    /// Starts the span of a hop below another span of this daemon.
+    #[must_use]
+    pub fn child(&self, name: &'static str, parent: &Hop) -> Hop {
+        self.start(name, SpanKind::Client, &parent.context)
+    }
+
+    fn start(&self, name: &'static str, kind: SpanKind, parent: &Context) -> Hop {
+        let span: Span = self
+            .tracer
+            .span_builder(name)
+            .with_kind(kind)
+            .start_with_context(&self.tracer, parent);
+        Hop {
+            context: parent.with_span(span),
+        }
+    }
+
+    /// The `traceparent` value for a request that continues the trace below `hop`.
+    #[must_use]
+    pub fn traceparent(&self, hop: &Hop) -> String {
+        let mut value = HeaderWriter::default();
+        self.propagator.inject_context(&hop.context, &mut value);
+        value.traceparent
+    }
+
+    /// Exports spans that are still buffered.
+    pub fn shutdown(&self) {
+        let _ = self.provider.shutdown();
+    }
+}
+
+/// A running span. It ends when dropped.
+#[derive(Clone)]
+pub struct Hop {
+    context: Context,
+}
+
+impl Hop {
+    /// Identifier of the trace, as 32 hexadecimal digits.
+    #[must_use]
+    pub fn trace_id(&self) -> String {
+        self.context.span().span_context().trace_id().to_string()
+    }
+
+    /// Adds an attribute.
+    pub fn set(&self, key: &'static str, value: impl Into<opentelemetry::Value>) {
+        self.context.span().set_attribute(KeyValue::new(key, value));
+    }
+
+    /// Ends the span now.
+    pub fn end(&self) {
+        self.context.span().end_with_timestamp(SystemTime::now());
+    }
+}
+
+struct HeaderReader<'a>(&'a http::HeaderMap);
+
+impl Extractor for HeaderReader<'_> {
+    fn get(&self, key: &str) -> Option<&str> {
+        self.0.get(key).and_then(|value| value.to_str().ok())
+    }
+
+    fn keys(&self) -> Vec<&str> {
+        self.0.keys().map(http::HeaderName::as_str).collect()
+    }
+}
+
+#[derive(Default)]
+struct HeaderWriter {
+    traceparent: String,
+}
+
+impl Injector for HeaderWriter {
+    fn set(&mut self, key: &str, value: String) {
+        if key == "traceparent" {
+            self.traceparent = value;
+        }
+    }
+}
+
+#[derive(Debug)]
+struct LogExporter {
+    logger: Arc<Logger>,
+}
+
+impl SpanExporter for LogExporter {
+    async fn export(&self, batch: Vec<SpanData>) -> OTelSdkResult {
+        for span in batch {
+            let duration_us = span
+                .end_time
+                .duration_since(span.start_time)
+                .map_or(0, |duration| duration.as_micros() as u64);
+            spdlog::info!(logger: self.logger, "span", kv: {
+                name = &*span.name,
+                trace_id = span.span_context.trace_id().to_string().as_str(),
+                span_id = span.span_context.span_id().to_string().as_str(),
+                parent_span_id = span.parent_span_id.to_string().as_str(),
+                duration_us,
+            });
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peer/mod.rs
@@ -0,0 +1,3 @@
+//! Messages between daemons.
+
+mod transport;
