--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,49 @@
 //! KV block keys, prompt index, pricing and selection of backend servers.
+//!
+//! The crate decides and does nothing else: time is an argument, random numbers come from a
+//! generator that the caller passes, and every result is a value. [`Router`] holds what one daemon
+//! knows about backend servers and links; [`IndexShard`] is its part of the prompt index.
+
+mod breaker;
+mod cold;
+mod events;
+mod index;
+mod inflight;
+mod kv;
+mod load;
+mod matches;
+mod placement;
+mod price;
+mod recent;
+mod retry;
+mod select;
+mod table;
+
+pub use breaker::{Breaker, BreakerSettings, BreakerState};
+pub use cold::{ColdCause, ColdSettings, LoadRefusal, Temperature, TemperatureChange, WeightLoads};
+pub use events::{BlockChange, CacheEvent};
+pub use index::{Hint, Holder, IndexCounters, IndexShard, Listing, Location, Tier};
+pub use inflight::{
+    ImportEnd, ImportKey, ImportRole, Imports, LinkLedger, LinkRefusal, Reservation, ReservationId,
+    WaiterId,
+};
+pub use kv::{
+    AdapterId, BlockHeader, BlockKey, Generation, KeyScope, Mismatch, ShortKey, WeightVersion,
+    block_keys, digest, verify,
+};
+pub use load::{LoadReport, ServerLoad};
+pub use matches::{HolderMatch, PrefixMatch, hints_of};
+pub use placement::{
+    Placement, PlacementAction, PlacementSettings, ReturnPattern, SealedBlock, StoreState,
+};
+pub use price::{
+    BlockSizes, CostWeights, EngineRates, Import, LinkRates, LinkView, Price, PricedPlan, Pricer,
+    ServePlan,
+};
+pub use recent::RecentBlocks;
+pub use retry::{FailedAttempt, RetryBudget, RetryRefusal, RetrySettings};
+pub use select::{
+    Candidate, Choice, Decision, Excluded, Exclusion, Explanation, NEAR_EQUAL_SHARE, NoCandidate,
+    RouteRequest,
+};
+pub use table::{Router, RouterSettings, SendOutcome, ServerChange, ServerSpec};
--- /dev/null
+++ b/crates/router/src/table.rs
@@ -0,0 +1,471 @@
+//! Everything the router knows about backend servers and links, and the decision over it.
+
+use crate::breaker::{Breaker, BreakerSettings, BreakerState};
+use crate::cold::{ColdCause, ColdSettings, Temperature, TemperatureChange};
+use crate::index::Holder;
+use crate::inflight::{LinkLedger, LinkRefusal, Reservation, ReservationId};
+use crate::kv::{AdapterId, WeightVersion};
+use crate::load::{LoadReport, ServerLoad};
+use crate::matches::PrefixMatch;
+use crate::price::{BlockSizes, CostWeights, EngineRates, Import, LinkRates, LinkView, Pricer};
+use crate::select::{
+    Candidate, Choice, Decision, Excluded, Exclusion, Explanation, NoCandidate, RouteRequest,
+    choose,
+};
+use anvilgw_core::{DomainId, ModelId, ServerId};
+use indexmap::{IndexMap, IndexSet};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Time after the end of its slot at which a reservation without an end is dropped.
+const RESERVATION_GRACE: Duration = Duration::from_secs(5);
+
+/// Settings of the router.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RouterSettings {
+    /// Weights of the deployment.
+    pub weights: CostWeights,
+    /// Circuit breakers of servers.
+    pub server_breaker: BreakerSettings,
+    /// Circuit breakers of links.
+    pub link_breaker: BreakerSettings,
+    /// Longest wait of an import for its link, above which the blocks are recomputed.
+    pub link_wait_max: Duration,
+}
+
+impl Default for RouterSettings {
+    fn default() -> Self {
+        Self {
+            weights: CostWeights::default(),
+            server_breaker: BreakerSettings::default(),
+            link_breaker: BreakerSettings::default(),
+            link_wait_max: Duration::from_secs(2),
+        }
+    }
+}
+
+/// A backend server as configured.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServerSpec {
+    /// The server.
+    pub id: ServerId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Model that it serves.
+    pub model: ModelId,
+    /// Version of the weights that it holds.
+    pub weight_version: WeightVersion,
+    /// Adapters that it holds.
+    pub adapters: Vec<AdapterId>,
+    /// Its speeds.
+    pub rates: EngineRates,
+    /// Sizes of the blocks of its model.
+    pub sizes: BlockSizes,
+    /// How it starts.
+    pub cold: ColdSettings,
+}
+
+/// Outcome of a request for the state of its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SendOutcome {
+    /// The answer was complete.
+    Completed,
+    /// The server refused the request or failed in a way typical of overload.
+    Overloaded,
+    /// The connection failed or went silent, or the server answered with another error.
+    Failed,
+    /// The caller or the daemon cancelled it; says nothing about the server.
+    Cancelled,
+}
+
+/// Changes of state that an outcome or a report caused, for the journal.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerChange {
+    /// Change of temperature.
+    pub temperature: Option<TemperatureChange>,
+    /// New state of the circuit breaker.
+    pub breaker: Option<BreakerState>,
+}
+
+#[derive(Clone, Debug)]
+struct Server {
+    spec: ServerSpec,
+    in_service: bool,
+    load: ServerLoad,
+    temperature: Temperature,
+    breaker: Breaker,
+    cold_permits_free: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Link {
+    rates: LinkRates,
+    ledger: LinkLedger,
+    breaker: Breaker,
+}
+
+/// State of all backend servers and links, as one daemon sees it.
+#[derive(Clone, Debug)]
+pub struct Router {
+    settings: RouterSettings,
+    servers: IndexMap<ServerId, Server>,
+    by_model: IndexMap<ModelId, Vec<usize>>,
+    domains_out: IndexSet<DomainId>,
+    links: IndexMap<Holder, Link>,
+}
+
+struct LinksAt<'a> {
+    router: &'a Router,
+    now: Duration,
+}
+
+impl LinkView for LinksAt<'_> {
+    fn rates(&self, holder: Holder) -> Option<LinkRates> {
+        let link = self.router.links.get(&holder)?;
+        let wait = link.ledger.wait(self.now);
+        let usable = link.rates.usable
+            && link.rates.bytes_per_s > 0.0
+            && link.breaker.allows(self.now)
+            && wait <= self.router.settings.link_wait_max;
+        Some(LinkRates {
+            usable,
+            ..link.rates
+        })
+    }
+
+    fn wait_ms(&self, holder: Holder) -> f64 {
+        let link = self.router.links.get(&holder);
+        link.map_or(0.0, |link| link.ledger.wait(self.now).as_secs_f64() * 1e3)
+    }
+}
+
+impl Router {
+    /// Creates a router without servers.
+    #[must_use]
+    pub fn new(settings: RouterSettings) -> Self {
+        Self {
+            settings,
+            servers: IndexMap::new(),
+            by_model: IndexMap::new(),
+            domains_out: IndexSet::new(),
+            links: IndexMap::new(),
+        }
+    }
+
+    /// Adds a server or changes its configuration. Its load and temperature are kept, unless it now
+    /// holds other weights: then it starts cold.
+    pub fn set_server(&mut self, spec: ServerSpec) {
+        let reloaded = self.servers.get(&spec.id).is_none_or(|known| {
+            (known.spec.model, known.spec.weight_version) != (spec.model, spec.weight_version)
+        });
+        if reloaded {
+            let server = Server {
+                in_service: true,
+                load: ServerLoad::default(),
+                temperature: Temperature::new(spec.cold),
+                breaker: Breaker::new(self.settings.server_breaker),
+                cold_permits_free: 0,
+                spec,
+            };
+            self.servers.insert(server.spec.id, server);
+        } else if let Some(known) = self.servers.get_mut(&spec.id) {
+            known.spec = spec;
+        }
+        self.group_by_model();
+    }
+
+    /// Removes a server that is no longer configured.
+    pub fn remove_server(&mut self, server: ServerId) {
+        self.servers.shift_remove(&server);
+        self.links.shift_remove(&Holder::Server(server));
+        self.group_by_model();
+    }
+
+    /// Takes a server in or out of service, by an operator or because its instance leaves.
+    pub fn set_in_service(&mut self, server: ServerId, in_service: bool) {
+        if let Some(server) = self.servers.get_mut(&server) {
+            server.in_service = in_service;
+        }
+    }
+
+    /// Takes a failure domain in or out of service.
+    pub fn set_domain_in_service(&mut self, domain: DomainId, in_service: bool) {
+        if in_service {
+            self.domains_out.shift_remove(&domain);
+        } else {
+            self.domains_out.insert(domain);
+        }
+    }
+
+    /// Sets the permits for a cold server that this daemon holds and does not use.
+    pub fn set_cold_permits(&mut self, server: ServerId, free: u32) {
+        if let Some(server) = self.servers.get_mut(&server) {
+            server.cold_permits_free = free;
+        }
+    }
+
+    /// Adds the export link of a server or store, or changes its rates and share.
+    pub fn set_link(&mut self, holder: Holder, rates: LinkRates) {
+        let breaker = Breaker::new(self.settings.link_breaker);
+        let link = self.links.entry(holder).or_insert_with(|| Link {
+            rates,
+            ledger: LinkLedger::new(rates.bytes_per_s, RESERVATION_GRACE),
+            breaker,
+        });
+        link.rates = rates;
+        link.ledger.set_share(rates.bytes_per_s);
+    }
+
+    /// Takes a load report.
+    pub fn on_report(
+        &mut self,
+        server: ServerId,
+        report: LoadReport,
+        now: Duration,
+    ) -> ServerChange {
+        let Some(server) = self.servers.get_mut(&server) else {
+            return ServerChange::default();
+        };
+        let temperature = server.temperature.on_report(&report);
+        if temperature == Some(TemperatureChange::Cold(ColdCause::Restarted)) {
+            server.load.on_restart(now);
+        }
+        server.load.on_report(report, &server.spec.rates);
+        ServerChange {
+            temperature,
+            breaker: None,
+        }
+    }
+
+    /// Notes that a request is being sent to a server.
+    pub fn on_sent(&mut self, server: ServerId, prefill_tokens: u64, now: Duration) {
+        if let Some(server) = self.servers.get_mut(&server) {
+            server.load.on_sent(prefill_tokens, now, &server.spec.rates);
+            server.breaker.on_sent(now);
+        }
+    }
+
+    /// Notes the end of a request that was sent.
+    pub fn on_ended(
+        &mut self,
+        server: ServerId,
+        outcome: SendOutcome,
+        now: Duration,
+    ) -> ServerChange {
+        let mut change = ServerChange::default();
+        let Some(server) = self.servers.get_mut(&server) else {
+            return change;
+        };
+        server.load.on_ended();
+        match outcome {
+            SendOutcome::Completed => {
+                let closed = server.breaker.on_success(now);
+                change.breaker = closed.then_some(BreakerState::Closed);
+            }
+            SendOutcome::Overloaded => change.temperature = server.temperature.on_overload(),
+            SendOutcome::Failed => {
+                let opened = server.breaker.on_failure(now);
+                change.breaker = opened.then_some(BreakerState::Open);
+            }
+            SendOutcome::Cancelled => {}
+        }
+        change
+    }
+
+    /// Reserves the link bytes of an import.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkRefusal`] if the share does not allow it; the blocks are recomputed then.
+    pub fn reserve_import(
+        &mut self,
+        import: &Import,
+        bytes: u64,
+        now: Duration,
+    ) -> Result<Reservation, LinkRefusal> {
+        let wait_max = self.settings.link_wait_max;
+        let link = self
+            .links
+            .get_mut(&import.from)
+            .ok_or(LinkRefusal::NoShare)?;
+        link.breaker.on_sent(now);
+        link.ledger.reserve(bytes, now, wait_max)
+    }
+
+    /// Notes the end of an import. Returns the new state of the link's circuit breaker on a change.
+    pub fn on_import_ended(
+        &mut self,
+        from: Holder,
+        reservation: ReservationId,
+        success: bool,
+        now: Duration,
+    ) -> Option<BreakerState> {
+        let link = self.links.get_mut(&from)?;
+        link.ledger.release(reservation, now);
+        if success {
+            let closed = link.breaker.on_success(now);
+            return closed.then_some(BreakerState::Closed);
+        }
+        let opened = link.breaker.on_failure(now);
+        opened.then_some(BreakerState::Open)
+    }
+
+    /// Drops reservations whose import never ended. Called at least every second.
+    pub fn tick(&mut self, now: Duration) {
+        for link in self.links.values_mut() {
+            link.ledger.expire(now);
+        }
+    }
+
+    /// Size of the fleet-wide budget of concurrent requests on a server.
+    #[must_use]
+    pub fn capacity(&self, server: ServerId) -> Option<u32> {
+        Some(self.servers.get(&server)?.temperature.capacity())
+    }
+
+    /// Why a server is cold, if it is.
+    #[must_use]
+    pub fn cold_cause(&self, server: ServerId) -> Option<ColdCause> {
+        self.servers.get(&server)?.temperature.cold_cause()
+    }
+
+    /// Requests of this daemon on a server.
+    #[must_use]
+    pub fn own_running(&self, server: ServerId) -> u32 {
+        let server = self.servers.get(&server);
+        server.map_or(0, |server| server.load.own_running())
+    }
+
+    /// Selects a server for a request. Nothing is sent without a candidate.
+    #[must_use]
+    pub fn select(
+        &self,
+        request: &RouteRequest,
+        prefix: &PrefixMatch,
+        now: Duration,
+        rng: &mut impl Rng,
+    ) -> Decision {
+        let of_model: &[usize] = self.by_model.get(&request.model).map_or(&[], Vec::as_slice);
+        let mut candidates = Vec::with_capacity(of_model.len());
+        let mut excluded = Vec::new();
+        let mut pricer: Option<(BlockSizes, Pricer<'_>)> = None;
+        for &at in of_model {
+            let server = &self.servers[at];
+            if let Some(reason) = self.exclusion(server, request, now) {
+                excluded.push(Excluded {
+                    server: server.spec.id,
+                    reason,
+                });
+                continue;
+            }
+            let sizes = server.spec.sizes;
+            let (_, pricer) = match &mut pricer {
+                Some(known) if known.0 == sizes => known,
+                other => other.insert((sizes, self.pricer(sizes, request, prefix, now))),
+            };
+            candidates.push(candidate(server, pricer, now));
+        }
+        let selected = choose(&mut candidates, rng);
+        let outcome = selected
+            .map(|at| choice(&candidates[at]))
+            .ok_or_else(|| no_candidate(&excluded));
+        Decision {
+            outcome,
+            explanation: Explanation {
+                model: request.model,
+                weight_version: request.weight_version,
+                prompt_tokens: request.prompt_tokens,
+                prefix: prefix.clone(),
+                weights: self.settings.weights,
+                selected: selected.map(|at| candidates[at].server),
+                candidates,
+                excluded,
+            },
+        }
+    }
+
+    fn pricer<'a>(
+        &'a self,
+        sizes: BlockSizes,
+        request: &RouteRequest,
+        prefix: &'a PrefixMatch,
+        now: Duration,
+    ) -> Pricer<'a> {
+        let links = LinksAt { router: self, now };
+        Pricer::new(
+            sizes,
+            &self.settings.weights,
+            request.prompt_tokens,
+            prefix,
+            &links,
+        )
+    }
+
+    fn exclusion(
+        &self,
+        server: &Server,
+        request: &RouteRequest,
+        now: Duration,
+    ) -> Option<Exclusion> {
+        let spec = &server.spec;
+        if spec.weight_version != request.weight_version {
+            return Some(Exclusion::WeightVersion);
+        }
+        if request
+            .adapter
+            .is_some_and(|adapter| !spec.adapters.contains(&adapter))
+        {
+            return Some(Exclusion::Adapter);
+        }
+        if !server.in_service {
+            return Some(Exclusion::OutOfService);
+        }
+        if self.domains_out.contains(&spec.domain) {
+            return Some(Exclusion::DomainOut);
+        }
+        if request.tried.contains(&spec.id) {
+            return Some(Exclusion::Tried);
+        }
+        if !server.breaker.allows(now) {
+            return Some(Exclusion::BreakerOpen);
+        }
+        let cold = server.temperature.cold_cause().is_some();
+        (cold && server.cold_permits_free == 0).then_some(Exclusion::ColdLimit)
+    }
+
+    fn group_by_model(&mut self) {
+        self.by_model.clear();
+        for (at, server) in self.servers.values().enumerate() {
+            self.by_model.entry(server.spec.model).or_default().push(at);
+        }
+    }
+}
+
+fn candidate(server: &Server, pricer: &Pricer<'_>, now: Duration) -> Candidate {
+    let rates = &server.spec.rates;
+    let queue_ms = server.load.queue_ms(now, rates);
+    Candidate {
+        server: server.spec.id,
+        domain: server.spec.domain,
+        cold: server.temperature.cold_cause(),
+        priced: pricer.cheapest(server.spec.id, queue_ms, rates),
+        probability: 0.0,
+    }
+}
+
+fn choice(candidate: &Candidate) -> Choice {
+    Choice {
+        server: candidate.server,
+        plan: candidate.priced.plan,
+        ttft_ms: candidate.priced.price.ttft_ms,
+        needs_cold_permit: candidate.cold.is_some(),
+    }
+}
+
+fn no_candidate(excluded: &[Excluded]) -> NoCandidate {
+    let closest = excluded.iter().map(|excluded| excluded.reason).max();
+    closest.map_or(NoCandidate::UnknownModel, |closest| {
+        NoCandidate::AllExcluded(closest, excluded.len())
+    })
+}
