--- /dev/null
+++ b/crates/entry/src/duties/mod.rs
@@ -0,0 +1,5 @@
+//! Duties of the daemon: one thread each, reached through bounded rings.
+
+pub(crate) mod admission;
+mod deliver;
+pub(crate) mod routing;
--- a/crates/kernel/src/ring.rs
+++ b/crates/kernel/src/ring.rs
@@ -48,6 +48,22 @@
         })
     }
 
+    /// Puts a message into the ring without waiting and returns it if it was not taken, together with
+    /// whether the receiving duty has ended. For messages that the sender tries again.
+    ///
+    /// # Errors
+    ///
+    /// The message that was not taken; the refusal is counted.
+    pub fn offer(&self, message: T) -> Result<(), (T, bool)> {
+        self.inner.try_send(message).map_err(|error| {
+            self.refused.fetch_add(1, Ordering::Relaxed);
+            match error {
+                TrySendError::Full(message) => (message, false),
+                TrySendError::Disconnected(message) => (message, true),
+            }
+        })
+    }
+
     /// Number of messages refused so far.
     #[must_use]
     pub fn refused(&self) -> u64 {
