Add the log service, the plain service and their clients

Daemons have to know truthfully whether a failed call had an effect: a claim that was never appended must not stay open, and a switch-on that may have happened must not be reported as not executed.

The clients use HTTP/1.1 connections that count the bytes written and record the last progress. The connection is closed before the counter is read, so nothing can be written after an exchange was reported as not sent. The stand-ins inject outages, refused, cut, late and silent answers; the log is also available in memory behind the same interface.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,20 @@
 //! Clients for the outside systems, with byte counting and silence detection.
+//!
+//! All clients share one kind of connection: HTTP/1.1 over an I/O wrapper that counts the bytes
+//! written and records when the last byte moved. A failed exchange therefore knows truthfully
+//! whether anything was sent, and a connection that goes silent is closed while new work uses a new
+//! one.
+
+mod connection;
+mod error;
+mod exchange;
+mod log;
+mod pool;
+mod service;
+
+pub use connection::ConnectionSettings;
+pub use error::{Cause, TransportError};
+pub use exchange::CallOptions;
+pub use log::{HttpLogService, LogClientSettings};
+pub use pool::PoolCounters;
+pub use service::{ServiceAnswer, ServiceCall, ServiceClient};
--- /dev/null
+++ b/crates/platform/src/service.rs
@@ -0,0 +1,118 @@
+//! Client of plain services: one attempt of one call.
+
+use crate::connection::ConnectionSettings;
+use crate::exchange::{CallOptions, request};
+use crate::pool::{Pool, PoolCounters};
+use anvilgw_core::Failure;
+use bytes::Bytes;
+use http::header::{self, HeaderName};
+use http::{HeaderMap, Method, StatusCode};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Headers that belong to one connection and are not passed on.
+const HOP_HEADERS: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::HOST,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+];
+
+/// A call of a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceCall {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path_and_query: String,
+    /// Headers to pass on. Those that belong to one connection are left out.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Options of the exchange.
+    pub options: CallOptions,
+}
+
+impl ServiceCall {
+    /// Creates a call without headers and with default options.
+    #[must_use]
+    pub fn new(method: Method, path_and_query: impl Into<String>, body: Bytes) -> Self {
+        Self {
+            method,
+            path_and_query: path_and_query.into(),
+            headers: HeaderMap::new(),
+            body,
+            options: CallOptions::default(),
+        }
+    }
+}
+
+/// The complete answer of a plain service, whatever its status.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers without those that belong to one connection.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Client of one server of a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceClient {
+    pool: Arc<Pool>,
+}
+
+impl ServiceClient {
+    /// Creates a client. Connections are opened on demand.
+    #[must_use]
+    pub fn new(addr: SocketAddr, settings: ConnectionSettings) -> Self {
+        Self {
+            pool: Arc::new(Pool::new(addr, settings)),
+        }
+    }
+
+    /// Makes one attempt of a call. It is never repeated after the first byte was written.
+    ///
+    /// # Errors
+    ///
+    /// A [`Failure`] whose stage is [`Connecting`] if no byte was written,
+    /// [`AnswerLost`] or [`Written`] (time limit) if any was, and [`AnswerStarted`] if a successful
+    /// answer was cut.
+    ///
+    /// [`Connecting`]: anvilgw_core::Stage::Connecting
+    /// [`Written`]: anvilgw_core::Stage::Written
+    /// [`AnswerLost`]: anvilgw_core::Stage::AnswerLost
+    /// [`AnswerStarted`]: anvilgw_core::Stage::AnswerStarted
+    pub async fn call(&self, call: ServiceCall) -> Result<ServiceAnswer, Failure> {
+        let mut request = request(call.method, &call.path_and_query, call.body)?;
+        *request.headers_mut() = call.headers;
+        remove_hop_headers(request.headers_mut());
+        let answer = self.pool.exchange(request, &call.options).await?;
+        let mut headers = answer.headers;
+        remove_hop_headers(&mut headers);
+        Ok(ServiceAnswer {
+            status: answer.status,
+            headers,
+            body: answer.body.collect().await?,
+        })
+    }
+
+    /// Counters of the connections.
+    #[must_use]
+    pub fn counters(&self) -> PoolCounters {
+        self.pool.counters()
+    }
+}
+
+fn remove_hop_headers(headers: &mut HeaderMap) {
+    for name in &HOP_HEADERS {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/all/log.rs
@@ -0,0 +1,228 @@
+//! The log client against the log stand-in.
+
+use crate::loopback;
+use anvilgw_core::{LogError, LogService, Offset};
+use anvilgw_platform::{HttpLogService, LogClientSettings};
+use anvilgw_standin::{ConnectionFaults, LogConfig, LogFaults, LogStandin, MemoryLog, Running};
+use std::net::TcpListener;
+use std::time::Duration;
+use tokio::runtime::Runtime;
+
+struct Fixture {
+    runtime: Runtime,
+    standin: Running<LogStandin>,
+    client: HttpLogService,
+}
+
+fn start(config: LogConfig) -> Fixture {
+    let runtime = Runtime::new().unwrap();
+    let standin = runtime
+        .block_on(LogStandin::start(config, loopback()))
+        .unwrap();
+    let settings = LogClientSettings {
+        answer_ms: 300,
+        ..LogClientSettings::default()
+    };
+    let client = HttpLogService::new(standin.addr(), settings).unwrap();
+    Fixture {
+        runtime,
+        standin,
+        client,
+    }
+}
+
+/// What the client reports about an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Report {
+    Appended,
+    Unavailable,
+    AnswerLost,
+}
+
+fn report(result: &Result<Offset, LogError>) -> Report {
+    match result {
+        Ok(_) => Report::Appended,
+        Err(LogError::Unavailable(_)) => Report::Unavailable,
+        Err(LogError::AnswerLost(_)) => Report::AnswerLost,
+        Err(other) => panic!("unexpected {other}"),
+    }
+}
+
+struct AppendCase {
+    name: &'static str,
+    faults: LogFaults,
+    connections: ConnectionFaults,
+    appends_per_s: u32,
+    report: Report,
+    records: usize,
+}
+
+impl Default for AppendCase {
+    fn default() -> Self {
+        Self {
+            name: "no fault",
+            faults: LogFaults::default(),
+            connections: ConnectionFaults::default(),
+            appends_per_s: 0,
+            report: Report::Appended,
+            records: 2,
+        }
+    }
+}
+
+fn append_cases() -> Vec<AppendCase> {
+    vec![
+        AppendCase::default(),
+        AppendCase {
+            name: "outage",
+            faults: LogFaults {
+                outage: true,
+                ..LogFaults::default()
+            },
+            report: Report::Unavailable,
+            records: 1,
+            ..AppendCase::default()
+        },
+        AppendCase {
+            name: "over the rate",
+            appends_per_s: 1,
+            report: Report::Unavailable,
+            records: 1,
+            ..AppendCase::default()
+        },
+        AppendCase {
+            name: "answer lost after taking effect",
+            faults: LogFaults {
+                lose_next_answers: 1,
+                ..LogFaults::default()
+            },
+            report: Report::AnswerLost,
+            ..AppendCase::default()
+        },
+        AppendCase {
+            name: "request lost",
+            faults: LogFaults {
+                lose_request_probability: 1.0,
+                ..LogFaults::default()
+            },
+            report: Report::AnswerLost,
+            records: 1,
+            ..AppendCase::default()
+        },
+        AppendCase {
+            name: "slower than the limit",
+            faults: LogFaults {
+                slow_ms: 2_000,
+                ..LogFaults::default()
+            },
+            report: Report::AnswerLost,
+            records: 1,
+            ..AppendCase::default()
+        },
+        AppendCase {
+            name: "open connection silent",
+            connections: ConnectionFaults {
+                silence_open: true,
+                ..ConnectionFaults::default()
+            },
+            report: Report::AnswerLost,
+            records: 1,
+            ..AppendCase::default()
+        },
+    ]
+}
+
+/// Guards against an append that may have taken effect being reported as certainly without effect,
+/// and against the opposite.
+#[test]
+fn appends_are_reported_truthfully() {
+    for case in append_cases() {
+        let fixture = start(LogConfig {
+            appends_per_s: case.appends_per_s,
+            ..LogConfig::default()
+        });
+        let first = fixture.client.append("config", b"first");
+        assert_eq!(first, Ok(Offset(0)), "{}", case.name);
+        fixture.standin.set_faults(case.faults);
+        fixture.standin.set_connection_faults(&case.connections);
+        let second = fixture.client.append("config", b"second");
+        assert_eq!(report(&second), case.report, "{}: {second:?}", case.name);
+        let records = fixture.standin.records("config").len();
+        assert_eq!(records, case.records, "{}", case.name);
+    }
+}
+
+/// Guards against a log that cannot be reached being reported as a lost answer, which would leave a
+/// claim open that was never made.
+#[test]
+fn unreachable_log_is_unavailable() {
+    // The listener is dropped, so the port refuses connections.
+    let addr = TcpListener::bind(loopback())
+        .and_then(|listener| listener.local_addr())
+        .unwrap();
+    let client = HttpLogService::new(addr, LogClientSettings::default()).unwrap();
+    assert_eq!(report(&client.append("config", b"x")), Report::Unavailable);
+}
+
+/// Guards against a client that stays on a connection after the log service has closed it.
+#[test]
+fn restart_is_survived() {
+    let fixture = start(LogConfig::default());
+    assert_eq!(fixture.client.append("config", b"a"), Ok(Offset(0)));
+    fixture.standin.disconnect();
+    let refused = loop {
+        // The listener closes asynchronously, so the first appends may still be accepted.
+        if let Err(error) = fixture.client.append("config", b"b") {
+            break error;
+        }
+    };
+    assert!(matches!(
+        refused,
+        LogError::Unavailable(_) | LogError::AnswerLost(_)
+    ));
+    fixture.standin.restore();
+    while fixture.client.append("config", b"c").is_err() {}
+    assert!(fixture.standin.records("config").len() >= 2);
+}
+
+/// Guards against gaps being skipped when records were dropped.
+#[test]
+fn trimmed_records_are_an_error() {
+    let fixture = start(LogConfig {
+        retention_records: 2,
+        ..LogConfig::default()
+    });
+    for payload in [b"a", b"b", b"c"] {
+        fixture.client.append("config", payload).unwrap();
+    }
+    let read = |from| {
+        fixture
+            .client
+            .read("config", Offset(from), 10, Duration::ZERO)
+    };
+    assert_eq!(read(0), Err(LogError::Trimmed(Offset(1), Offset(3))));
+    let slice = read(1).unwrap();
+    assert_eq!(slice.first_offset, Offset(1));
+    assert_eq!(slice.next_offset, Offset(3));
+    let payloads: Vec<_> = slice.records.into_iter().map(|r| r.payload).collect();
+    assert_eq!(payloads, [b"b", b"c"]);
+    assert_eq!(read(3).unwrap().records, []);
+}
+
+/// Guards against a waiting read that misses the append it waits for.
+#[test]
+fn waiting_read_sees_the_append() {
+    let fixture = start(LogConfig::default());
+    let log: &MemoryLog = &fixture.standin;
+    let log = log.clone();
+    fixture.runtime.spawn_blocking(move || {
+        // Appends only when the read waits.
+        while log.counters().reads == 0 {
+            std::thread::yield_now();
+        }
+        log.append("claims-00", b"x")
+    });
+    let wait = Duration::from_secs(60);
+    let slice = fixture.client.read("claims-00", Offset(0), 10, wait);
+    assert_eq!(slice.unwrap().records[0].payload, b"x");
+}
--- /dev/null
+++ b/crates/platform/tests/all/main.rs
@@ -0,0 +1,11 @@
+//! Failure tests of the clients against the stand-ins.
+
+mod log;
+mod service;
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// A free port on the loopback interface.
+fn loopback() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
--- /dev/null
+++ b/crates/platform/tests/all/service.rs
@@ -0,0 +1,251 @@
+//! The service client against the plain service stand-in and against broken servers.
+
+use crate::loopback;
+use anvilgw_core::{ErrorKind, Executed, Failure, Stage};
+use anvilgw_platform::{
+    CallOptions, ConnectionSettings, ServiceAnswer, ServiceCall, ServiceClient,
+};
+use anvilgw_standin::{ConnectionFaults, ServiceConfig, ServiceFaults, ServiceStandin};
+use bytes::Bytes;
+use http::{HeaderValue, Method};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+fn client(addr: SocketAddr) -> ServiceClient {
+    let settings = ConnectionSettings {
+        silence_ms: 300,
+        ..ConnectionSettings::default()
+    };
+    ServiceClient::new(addr, settings)
+}
+
+async fn call(
+    client: &ServiceClient,
+    key: &'static str,
+    options: CallOptions,
+) -> Result<ServiceAnswer, Failure> {
+    let mut call = ServiceCall::new(Method::POST, "/switch", Bytes::from_static(b"on"));
+    call.headers
+        .insert("idempotency-key", HeaderValue::from_static(key));
+    call.options = options;
+    client.call(call).await
+}
+
+struct Case {
+    name: &'static str,
+    faults: ServiceFaults,
+    connections: ConnectionFaults,
+    options: CallOptions,
+    expected: Option<(ErrorKind, Stage)>,
+    executions: u64,
+}
+
+impl Default for Case {
+    fn default() -> Self {
+        Self {
+            name: "no fault",
+            faults: ServiceFaults::default(),
+            connections: ConnectionFaults::default(),
+            options: CallOptions::default(),
+            expected: None,
+            executions: 1,
+        }
+    }
+}
+
+fn service_cases() -> Vec<Case> {
+    vec![
+        Case::default(),
+        Case {
+            name: "cut before execution",
+            faults: ServiceFaults {
+                cut_before_probability: 1.0,
+                ..ServiceFaults::default()
+            },
+            expected: Some((ErrorKind::BackendFailed, Stage::AnswerLost)),
+            executions: 0,
+            ..Case::default()
+        },
+        Case {
+            name: "cut after execution",
+            faults: ServiceFaults {
+                cut_after_probability: 1.0,
+                ..ServiceFaults::default()
+            },
+            expected: Some((ErrorKind::BackendFailed, Stage::AnswerLost)),
+            ..Case::default()
+        },
+        Case {
+            name: "silent after execution",
+            faults: ServiceFaults {
+                silence_after_probability: 1.0,
+                ..ServiceFaults::default()
+            },
+            expected: Some((ErrorKind::BackendSilent, Stage::AnswerLost)),
+            ..Case::default()
+        },
+        Case {
+            name: "answer after the time limit",
+            faults: ServiceFaults {
+                late_probability: 1.0,
+                late_ms: 60_000,
+                ..ServiceFaults::default()
+            },
+            options: CallOptions {
+                time_limit: Some(Duration::from_millis(100)),
+                ..CallOptions::default()
+            },
+            expected: Some((ErrorKind::DeadlineExceeded, Stage::Written)),
+            ..Case::default()
+        },
+    ]
+}
+
+fn connection_cases() -> Vec<Case> {
+    let silent = ConnectionFaults {
+        silence_open: true,
+        ..ConnectionFaults::default()
+    };
+    vec![
+        Case {
+            name: "idle connection silent",
+            connections: silent.clone(),
+            expected: Some((ErrorKind::BackendSilent, Stage::AnswerLost)),
+            executions: 0,
+            ..Case::default()
+        },
+        Case {
+            name: "idle connection silent, new one asked for",
+            connections: silent,
+            options: CallOptions {
+                fresh_connection: true,
+                ..CallOptions::default()
+            },
+            ..Case::default()
+        },
+    ]
+}
+
+/// Guards against untrue statements on whether a call was executed.
+#[tokio::test]
+async fn stage_of_a_failed_call_is_true() {
+    for case in service_cases().into_iter().chain(connection_cases()) {
+        let standin = ServiceStandin::start(ServiceConfig::default(), loopback())
+            .await
+            .unwrap();
+        let client = client(standin.addr());
+        call(&client, "warm-up", CallOptions::default())
+            .await
+            .unwrap();
+        standin.set_faults(case.faults);
+        standin.set_connection_faults(&case.connections);
+        let result = call(&client, "key", case.options).await;
+        let failure = result
+            .err()
+            .map(|failure| (failure.kind(), failure.stage()));
+        assert_eq!(failure, case.expected, "{}", case.name);
+        assert_eq!(standin.executions("key"), case.executions, "{}", case.name);
+    }
+}
+
+/// Guards against a refused connection being reported as possibly executed.
+#[tokio::test]
+async fn refused_connection_was_not_executed() {
+    let addr = TcpListener::bind(loopback())
+        .await
+        .and_then(|listener| listener.local_addr())
+        .unwrap();
+    let failure = call(&client(addr), "key", CallOptions::default()).await;
+    let failure = failure.unwrap_err();
+    assert_eq!(failure.stage(), Stage::Connecting);
+    assert_eq!(failure.executed(), Executed::No);
+}
+
+/// Guards against new work waiting for, or being sent on, a connection that has gone silent.
+#[tokio::test]
+async fn new_work_after_silence_uses_a_new_connection() {
+    let standin = ServiceStandin::start(ServiceConfig::default(), loopback())
+        .await
+        .unwrap();
+    let client = client(standin.addr());
+    call(&client, "a", CallOptions::default()).await.unwrap();
+    standin.set_connection_faults(&ConnectionFaults {
+        silence_open: true,
+        ..ConnectionFaults::default()
+    });
+    call(&client, "b", CallOptions::default())
+        .await
+        .unwrap_err();
+    call(&client, "b", CallOptions::default()).await.unwrap();
+    assert_eq!(standin.executions("b"), 1);
+    let counters = client.counters();
+    assert_eq!((counters.opened, counters.silent), (2, 1));
+}
+
+struct BrokenAnswer {
+    name: &'static str,
+    bytes: &'static str,
+    expected: Option<(ErrorKind, Stage)>,
+}
+
+const BROKEN_ANSWERS: [BrokenAnswer; 7] = [
+    BrokenAnswer {
+        name: "complete",
+        bytes: "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+        expected: None,
+    },
+    BrokenAnswer {
+        name: "complete chunks",
+        bytes: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        expected: None,
+    },
+    BrokenAnswer {
+        name: "cut in the head",
+        bytes: "HTTP/1.1 200 OK\r\ncontent-le",
+        expected: Some((ErrorKind::BackendFailed, Stage::AnswerLost)),
+    },
+    BrokenAnswer {
+        name: "shorter than its length",
+        bytes: "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok",
+        expected: Some((ErrorKind::AnswerBroken, Stage::AnswerStarted)),
+    },
+    BrokenAnswer {
+        name: "last chunk missing",
+        bytes: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n",
+        expected: Some((ErrorKind::AnswerBroken, Stage::AnswerStarted)),
+    },
+    BrokenAnswer {
+        name: "no framing",
+        bytes: "HTTP/1.1 200 OK\r\n\r\nok",
+        expected: Some((ErrorKind::AnswerBroken, Stage::AnswerStarted)),
+    },
+    BrokenAnswer {
+        name: "refusal cut",
+        bytes: "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 9\r\n\r\nno",
+        expected: Some((ErrorKind::AnswerBroken, Stage::AnswerLost)),
+    },
+];
+
+/// Guards against a cut answer being taken for a complete one.
+#[tokio::test]
+async fn broken_answers_are_detected() {
+    for case in BROKEN_ANSWERS {
+        let listener = TcpListener::bind(loopback()).await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let server = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut request = vec![0; 4096];
+            let _ = stream.read(&mut request).await.unwrap();
+            stream.write_all(case.bytes.as_bytes()).await.unwrap();
+            stream.shutdown().await.unwrap();
+        });
+        let result = call(&client(addr), "key", CallOptions::default()).await;
+        let failure = result
+            .err()
+            .map(|failure| (failure.kind(), failure.stage()));
+        assert_eq!(failure, case.expected, "{}", case.name);
+        server.await.unwrap();
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,18 @@
 //! Small stand-ins for the outside systems, with seeded faults, for tests and the demo.
+//!
+//! Each stand-in speaks the protocol of one outside system over HTTP/1.1 on a loopback address, in
+//! the process of the test or as `anvilgw-standin KIND --listen ADDR`. Faults are set by typed calls
+//! or by `POST /control/faults`; whatever is left to chance is drawn from a seeded generator.
+
+mod dice;
+mod limits;
+mod log;
+mod memory_log;
+mod server;
+mod service;
+mod wire;
+
+pub use log::LogStandin;
+pub use memory_log::{LogConfig, LogCounters, LogFaults, MemoryLog};
+pub use server::{ConnectionFaults, Running};
+pub use service::{ServiceConfig, ServiceFaults, ServiceLoad, ServiceStandin};
--- /dev/null
+++ b/crates/standin/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the stand-ins' own behaviour.
+
+mod memory_log;
