Add the settings file with a check that reports all faults

Daemons learn everything from one INI file, and an operator who repairs it needs to see every fault at once. One table of keys decides what is accepted, which default and example a key has and what a fault message says. Each line is parsed separately, since rust-ini stops at the first error and keeps no line numbers. Contradictions are reported only between values that are good by themselves.

--- /dev/null
+++ b/crates/config/src/settings/parse.rs
@@ -0,0 +1,296 @@
+//! From INI text to settings.
+
+use super::contradictions::{self, Contradiction};
+use super::{
+    BudgetSettings, ClaimSettings, DaemonSettings, DomainSettings, InstanceListSettings, KeyHash,
+    LimitSettings, LogSettings, LoggingSettings, MetricsSettings, ModelSettings, Output, PathRule,
+    ServerSettings, ServiceServer, ServiceSettings, Settings, StoreSettings, TraceSettings,
+    UndatedKeys, WeightSettings,
+};
+use crate::fault::Faults;
+use crate::ini::{Document, Section};
+use crate::spec::{SETTINGS, Validated, Values, parse_service_server, split_list};
+use indexmap::IndexMap;
+
+pub(super) fn parse(text: &str) -> Result<Settings, Faults> {
+    let Validated { document, faults } = Validated::new(text, SETTINGS);
+    let validated = Validated { document, faults };
+    let settings = extract(&validated.document);
+    let is_sound = |contradiction: &Contradiction| {
+        let mut involved = contradiction.involved.iter();
+        !involved.any(|(section, key)| validated.is_faulty(section, key))
+    };
+    let found: Vec<_> = contradictions::find(&settings)
+        .into_iter()
+        .filter(is_sound)
+        .collect();
+    let mut faults = validated.faults;
+    for mut contradiction in found {
+        let fault = &mut contradiction.fault;
+        fault.line = validated.document.line_of(&fault.section, &fault.key);
+        faults.push(contradiction.fault);
+    }
+    Faults::into_result(faults).map(|()| settings)
+}
+
+/// The times of `[daemon]` as the defaults give them; the other fields are empty.
+pub(super) fn default_daemon() -> DaemonSettings {
+    daemon(&Values::new(SETTINGS, "daemon", None))
+}
+
+/// The defaults of `[log]`, without addresses.
+pub(super) fn default_log() -> LogSettings {
+    log(&Values::new(SETTINGS, "log", None))
+}
+
+macro_rules! defaults {
+    ($($section:literal => $read:ident: $settings:ty;)*) => {
+        $(impl Default for $settings {
+            fn default() -> Self {
+                $read(&Values::new(SETTINGS, $section, None))
+            }
+        })*
+    };
+}
+
+// The table of keys is the only place that holds defaults.
+defaults! {
+    "limits" => limits: LimitSettings;
+    "instances" => instances: InstanceListSettings;
+    "domain" => domain: DomainSettings;
+    "weights" => weights: WeightSettings;
+    "budgets" => budgets: BudgetSettings;
+    "claims" => claims: ClaimSettings;
+    "logging" => logging: LoggingSettings;
+    "trace" => trace: TraceSettings;
+    "metrics" => metrics: MetricsSettings;
+}
+
+fn extract(document: &Document) -> Settings {
+    let single = |kind: &'static str| {
+        let section = document
+            .sections
+            .iter()
+            .find(|section| section.header == kind);
+        Values::new(SETTINGS, kind, section)
+    };
+    Settings {
+        daemon: daemon(&single("daemon")),
+        limits: limits(&single("limits")),
+        log: log(&single("log")),
+        instances: instances(&single("instances")),
+        domains: named(document, "domain", domain),
+        models: named(document, "model", model),
+        servers: named(document, "server", server),
+        services: named(document, "service", service),
+        stores: named(document, "store", store),
+        weights: weights(&single("weights")),
+        budgets: budgets(&single("budgets")),
+        claims: claims(&single("claims")),
+        keys: key_hashes(document, "keys"),
+        operators: key_hashes(document, "operators"),
+        logging: logging(&single("logging")),
+        trace: trace(&single("trace")),
+        metrics: metrics(&single("metrics")),
+    }
+}
+
+fn named<T>(
+    document: &Document,
+    kind: &'static str,
+    read: impl Fn(&Values<'_>) -> T,
+) -> IndexMap<String, T> {
+    document
+        .sections
+        .iter()
+        .filter(|section| section.kind() == kind)
+        .filter_map(|section| {
+            let values = Values::new(SETTINGS, kind, Some(section));
+            section.name().map(|name| (name.to_owned(), read(&values)))
+        })
+        .collect()
+}
+
+fn key_hashes(document: &Document, kind: &str) -> IndexMap<String, Vec<KeyHash>> {
+    let section = document
+        .sections
+        .iter()
+        .find(|section| section.header == kind);
+    let entries = section.map_or(&[][..], |section: &Section| &section.entries);
+    entries
+        .iter()
+        .map(|entry| {
+            let hashes = split_list(&entry.value).filter_map(|hash| KeyHash::from_hex(hash).ok());
+            (entry.key.clone(), hashes.collect())
+        })
+        .collect()
+}
+
+fn daemon(values: &Values<'_>) -> DaemonSettings {
+    let peer_listen = values.address("peer_listen");
+    DaemonSettings {
+        index: values.integer("index"),
+        instance: values.string("instance"),
+        failure_domain: values.string("failure_domain"),
+        listen: values.address("listen"),
+        admin_listen: values.address("admin_listen"),
+        peer_listen,
+        advertise: values.optional_address("advertise").unwrap_or(peer_listen),
+        deadline_default_ms: values.integer("deadline_default_ms"),
+        deadline_max_ms: values.integer("deadline_max_ms"),
+        drain_ms: values.integer("drain_ms"),
+        balancer_lag_ms: values.integer("balancer_lag_ms"),
+    }
+}
+
+fn limits(values: &Values<'_>) -> LimitSettings {
+    LimitSettings {
+        header_bytes: values.integer("header_bytes"),
+        body_bytes: values.integer("body_bytes"),
+        request_read_ms: values.integer("request_read_ms"),
+        connections: values.integer("connections"),
+        connections_per_workspace: values.integer("connections_per_workspace"),
+        streams_per_workspace: values.integer("streams_per_workspace"),
+        queue_ms: values.integer("queue_ms"),
+        silence_ms: values.integer("silence_ms"),
+    }
+}
+
+fn log(values: &Values<'_>) -> LogSettings {
+    LogSettings {
+        addresses: values.addresses("addresses"),
+        streams_prefix: values.string("streams_prefix"),
+        retention_s: values.integer("retention_s"),
+        appends_per_s: values.integer("appends_per_s"),
+        request_ms: values.integer("request_ms"),
+    }
+}
+
+fn instances(values: &Values<'_>) -> InstanceListSettings {
+    InstanceListSettings {
+        addresses: values.addresses("addresses"),
+        seeds: values.addresses("seeds"),
+        poll_ms: values.integer("poll_ms"),
+    }
+}
+
+fn domain(values: &Values<'_>) -> DomainSettings {
+    DomainSettings {
+        region: values.string("region"),
+    }
+}
+
+fn model(values: &Values<'_>) -> ModelSettings {
+    ModelSettings {
+        weight_version: values.string("weight_version"),
+        block_tokens: values.integer("block_tokens"),
+        bytes_per_token: values.integer("bytes_per_token"),
+        kv_bytes_per_token: values.integer("kv_bytes_per_token"),
+        prefill_tokens_per_s: values.integer("prefill_tokens_per_s"),
+        decode_ms_per_token: values.number("decode_ms_per_token"),
+        adapters: values.names("adapters"),
+    }
+}
+
+fn server(values: &Values<'_>) -> ServerSettings {
+    ServerSettings {
+        address: values.address("address"),
+        failure_domain: values.string("failure_domain"),
+        models: values.names("models"),
+        capacity_concurrency: values.integer("capacity_concurrency"),
+        cold_concurrency: values.integer("cold_concurrency"),
+        checks_fencing: values.yes("checks_fencing"),
+        link_bytes_per_s: values.integer("link_bytes_per_s"),
+    }
+}
+
+fn service(values: &Values<'_>) -> ServiceSettings {
+    let rules = |key| {
+        split_list(values.text(key))
+            .filter_map(PathRule::parse)
+            .collect()
+    };
+    let servers = split_list(values.text("servers")).filter_map(|item| {
+        let (address, domain) = parse_service_server(item).ok()?;
+        Some(ServiceServer {
+            address,
+            failure_domain: domain.to_owned(),
+        })
+    });
+    ServiceSettings {
+        servers: servers.collect(),
+        capacity_concurrency: values.integer("capacity_concurrency"),
+        cold_concurrency: values.integer("cold_concurrency"),
+        reports_load: values.yes("reports_load"),
+        idempotent: rules("idempotent"),
+        non_idempotent: rules("non_idempotent"),
+    }
+}
+
+fn store(values: &Values<'_>) -> StoreSettings {
+    StoreSettings {
+        address: values.address("address"),
+        failure_domain: values.string("failure_domain"),
+        link_bytes_per_s: values.integer("link_bytes_per_s"),
+    }
+}
+
+fn weights(values: &Values<'_>) -> WeightSettings {
+    WeightSettings {
+        ttft: values.number("ttft"),
+        recompute: values.number("recompute"),
+        link: values.number("link"),
+    }
+}
+
+fn budgets(values: &Values<'_>) -> BudgetSettings {
+    BudgetSettings {
+        weight_loads: values.integer("weight_loads"),
+        retries_per_s: values.integer("retries_per_s"),
+    }
+}
+
+fn claims(values: &Values<'_>) -> ClaimSettings {
+    ClaimSettings {
+        partitions: values.integer("partitions"),
+        min_interval_ms: values.integer("min_interval_ms"),
+        lifetime_s: values.integer("lifetime_s"),
+        margin_s: values.integer("margin_s"),
+        undated_keys: match values.text("undated_keys") {
+            "accept" => UndatedKeys::Accept,
+            _ => UndatedKeys::Refuse,
+        },
+        grace_ms: values.integer("grace_ms"),
+        appends_per_s: values.integer("appends_per_s"),
+    }
+}
+
+fn output(text: &str) -> Output {
+    match text {
+        "none" => Output::None,
+        "stderr" => Output::Stderr,
+        path => Output::File(path.into()),
+    }
+}
+
+fn logging(values: &Values<'_>) -> LoggingSettings {
+    LoggingSettings {
+        level: values.string("level"),
+        output: output(values.text("output")),
+    }
+}
+
+fn trace(values: &Values<'_>) -> TraceSettings {
+    TraceSettings {
+        output: output(values.text("output")),
+        sample_percent: values.number("sample_percent"),
+    }
+}
+
+fn metrics(values: &Values<'_>) -> MetricsSettings {
+    MetricsSettings {
+        statsd_address: values.optional_address("statsd_address"),
+        prefix: values.string("prefix"),
+        interval_ms: values.integer("interval_ms"),
+    }
+}
--- /dev/null
+++ b/crates/config/src/spec/values.rs
@@ -0,0 +1,75 @@
+//! Typed access to the values of one section.
+
+use super::kind::parse_integer;
+use super::{Schema, parse_number, split_list};
+use crate::ini::Section;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+/// Values of a section with the defaults of its schema filled in.
+///
+/// A value that is missing or has a fault reads as zero or empty. The faults were reported by the
+/// validation before, and settings with a fault are never handed out.
+pub(crate) struct Values<'a> {
+    schema: Schema,
+    kind: &'a str,
+    section: Option<&'a Section>,
+}
+
+impl<'a> Values<'a> {
+    pub(crate) fn new(schema: Schema, kind: &'a str, section: Option<&'a Section>) -> Self {
+        Self {
+            schema,
+            kind,
+            section,
+        }
+    }
+
+    pub(crate) fn text(&self, key: &str) -> &'a str {
+        let written = self.section.and_then(|section| section.entry(key));
+        written
+            .map(|entry| entry.value.as_str())
+            .unwrap_or_else(|| {
+                let spec = self.schema.iter().find(|spec| spec.kind == self.kind);
+                spec.and_then(|spec| spec.key(key))
+                    .and_then(|key| key.default)
+                    .unwrap_or("")
+            })
+    }
+
+    pub(crate) fn string(&self, key: &str) -> String {
+        self.text(key).to_owned()
+    }
+
+    pub(crate) fn integer<T: TryFrom<u64> + Default>(&self, key: &str) -> T {
+        parse_integer(self.text(key))
+            .and_then(|number| T::try_from(number).ok())
+            .unwrap_or_default()
+    }
+
+    pub(crate) fn number(&self, key: &str) -> f64 {
+        parse_number(self.text(key)).unwrap_or_default()
+    }
+
+    pub(crate) fn yes(&self, key: &str) -> bool {
+        self.text(key) == "yes"
+    }
+
+    pub(crate) fn names(&self, key: &str) -> Vec<String> {
+        split_list(self.text(key)).map(str::to_owned).collect()
+    }
+
+    pub(crate) fn address(&self, key: &str) -> SocketAddr {
+        self.optional_address(key)
+            .unwrap_or(SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0))
+    }
+
+    pub(crate) fn optional_address(&self, key: &str) -> Option<SocketAddr> {
+        self.text(key).parse().ok()
+    }
+
+    pub(crate) fn addresses(&self, key: &str) -> Vec<SocketAddr> {
+        split_list(self.text(key))
+            .filter_map(|item| item.parse().ok())
+            .collect()
+    }
+}
