--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -95,6 +95,8 @@
     queued_tokens: u64,
     running: u32,
     refused: u64,
+    /// Time from start to end of a request, on average.
+    service_s: f64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -108,6 +110,7 @@
 struct Running {
     workspace: WorkspaceId,
     cost_tokens: u64,
+    started: Duration,
 }
 
 /// Admission of one daemon.
@@ -161,6 +164,7 @@
             queued_tokens: 0,
             running: 0,
             refused: 0,
+            service_s: 0.0,
         };
         self.workspaces.insert(workspace, added);
     }
@@ -252,7 +256,8 @@
         let Some(workspace) = self.workspaces.get_mut(&running.workspace) else {
             return;
         };
-        workspace.running -= 1;
+        workspace.running = workspace.running.saturating_sub(1);
+        workspace.observe_service(now.saturating_sub(running.started));
         let difference = actual_tokens as f64 - running.cost_tokens as f64;
         workspace.tokens.take(difference, now);
         let class_at = workspace.limits.priority.index();
@@ -327,6 +332,11 @@
             return Some(refuse(ErrorKind::PlanLimit, detail, limit_wait));
         }
         let wait = self.queue_wait(workspace);
+        let concurrency_wait = workspace.concurrency_wait();
+        if concurrency_wait > time_left {
+            let detail = "the plan's concurrency allows no start before the deadline";
+            return Some(refuse(ErrorKind::PlanLimit, detail, concurrency_wait));
+        }
         if wait > time_left {
             let detail = "the queue allows no start before the deadline";
             return Some(refuse(ErrorKind::Overloaded, detail, wait));
@@ -405,6 +415,7 @@
         let running = Running {
             workspace: id,
             cost_tokens,
+            started: now,
         };
         self.running.insert(request, running);
         Some(Action::Start {
@@ -444,6 +455,8 @@
 
 /// Shortest retry hint, so that refused callers do not return at once.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
+/// Weight of the newest observation in the average service time.
+const SERVICE_SMOOTHING: f64 = 0.1;
 /// Retry hint without a share: shares are moved to where they are used within this time.
 const RETRY_WITHOUT_SHARE: Duration = Duration::from_secs(3);
 
@@ -461,6 +474,25 @@
         Some(requests.max(tokens))
     }
 
+    fn observe_service(&mut self, service: Duration) {
+        let service_s = service.as_secs_f64();
+        if self.service_s == 0.0 {
+            self.service_s = service_s;
+        }
+        self.service_s += SERVICE_SMOOTHING * (service_s - self.service_s);
+    }
+
+    /// Expected wait behind the own queue while the concurrency is used up. Half a service time less
+    /// than the time until the queue has passed, since the requests in execution are under way.
+    fn concurrency_wait(&self) -> Duration {
+        let concurrency = self.limits.share.concurrency;
+        if self.running < concurrency {
+            return Duration::ZERO;
+        }
+        let rounds = (self.queue.len() as f64 + 0.5) / f64::from(concurrency.max(1));
+        Duration::try_from_secs_f64(rounds * self.service_s).unwrap_or(Duration::MAX)
+    }
+
     /// Time until a new request is within the rates, behind those that wait.
     fn limit_wait_behind_queue(&self, offer: &Offer, now: Duration) -> Option<Duration> {
         let requests = self.requests.wait(1.0, self.queue.len() as f64, now)?;
--- a/crates/router/src/price.rs
+++ b/crates/router/src/price.rs
@@ -95,7 +95,7 @@
     pub in_place_blocks: u32,
     /// Blocks imported after them.
     pub import: Option<Import>,
-    /// Tokens recomputed although an earlier request computed them, or new.
+    /// Tokens that the server computes: new ones and those that are not reused.
     pub prefill_tokens: u64,
 }
 
--- /dev/null
+++ b/crates/router/tests/state.rs
@@ -0,0 +1,466 @@
+//! Temperature, circuit breakers, retry budget, imports, link reservations and placement.
+
+use anvilgw_core::{DomainId, ServerId, StoreId, WorkspaceId};
+use anvilgw_router::{
+    Breaker, BreakerSettings, BreakerState, ColdCause, ColdSettings, FailedAttempt, Generation,
+    ImportKey, ImportRole, Imports, LinkLedger, LinkRefusal, LoadRefusal, LoadReport, Placement,
+    PlacementAction, PlacementSettings, RetryBudget, RetryRefusal, RetrySettings, SealedBlock,
+    ShortKey, StoreState, Temperature, TemperatureChange, Tier, WaiterId, WeightLoads,
+};
+use quickcheck::quickcheck;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::time::Duration;
+
+const fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn report(started_ms: u64, at_s: u64, completed: u64, cached_blocks: u64) -> LoadReport {
+    LoadReport {
+        started_ms,
+        measured_at: seconds(at_s),
+        completed,
+        cached_blocks,
+        ..LoadReport::default()
+    }
+}
+
+struct ColdCase {
+    what: &'static str,
+    next: LoadReport,
+    expected: Option<TemperatureChange>,
+    capacity: u32,
+}
+
+/// Guards against full load on a server that became cold without an announcement.
+#[test]
+fn reports_show_when_a_server_becomes_cold() {
+    let settings = ColdSettings {
+        cold_concurrency: 2,
+        full_concurrency: 10,
+        completions_per_step: 2.0,
+    };
+    let cold = |cause| Some(TemperatureChange::Cold(cause));
+    let cases = [
+        ColdCase {
+            what: "more work",
+            next: report(1, 2, 200, 9),
+            expected: None,
+            capacity: 10,
+        },
+        ColdCase {
+            what: "restart",
+            next: report(2, 2, 4, 3),
+            expected: cold(ColdCause::Restarted),
+            capacity: 4,
+        },
+        ColdCase {
+            what: "empty cache",
+            next: report(1, 2, 200, 0),
+            expected: cold(ColdCause::CacheLost),
+            capacity: 2,
+        },
+        ColdCase {
+            what: "overload",
+            next: LoadReport {
+                overloads: 1,
+                ..report(1, 2, 200, 9)
+            },
+            expected: cold(ColdCause::Overloaded),
+            capacity: 2,
+        },
+        ColdCase {
+            what: "report of the earlier process",
+            next: report(0, 2, 1, 0),
+            expected: None,
+            capacity: 10,
+        },
+        ColdCase {
+            what: "late report",
+            next: report(1, 0, 1, 0),
+            expected: None,
+            capacity: 10,
+        },
+    ];
+    for case in cases {
+        let mut temperature = Temperature::new(settings);
+        assert_eq!(temperature.capacity(), 2, "cold before the first report");
+        temperature.on_report(&report(1, 1, 100, 9));
+        assert_eq!(temperature.cold_cause(), None);
+        assert_eq!(
+            temperature.on_report(&case.next),
+            case.expected,
+            "{}",
+            case.what
+        );
+        assert_eq!(temperature.capacity(), case.capacity, "{}", case.what);
+    }
+}
+
+/// Guards against capacity that grows with time instead of completions.
+#[test]
+fn capacity_grows_with_completions_only() {
+    let settings = ColdSettings {
+        cold_concurrency: 2,
+        full_concurrency: 10,
+        completions_per_step: 2.0,
+    };
+    let mut temperature = Temperature::new(settings);
+    temperature.on_report(&report(1, 1, 0, 0));
+    temperature.on_report(&report(1, 1_000, 0, 0));
+    assert_eq!(temperature.capacity(), 2);
+    temperature.on_report(&report(1, 1_001, 7, 1));
+    assert_eq!(temperature.capacity(), 5);
+    assert_eq!(
+        temperature.on_report(&report(1, 1_002, 16, 1)),
+        Some(TemperatureChange::Warm)
+    );
+    temperature.on_overload();
+    assert_eq!(temperature.capacity(), 2);
+}
+
+/// Guards against more weight loads at once than the weight store bears, and against a limit that a
+/// lost end keeps used up.
+#[test]
+fn weight_loads_are_limited() {
+    let mut loads = WeightLoads::new(WeightLoads::DEFAULT_LIMIT, seconds(60));
+    for id in 0..3 {
+        assert_eq!(loads.start(ServerId(id), seconds(0)), Ok(()));
+    }
+    assert_eq!(
+        loads.start(ServerId(0), seconds(1)),
+        Err(LoadRefusal::Running)
+    );
+    assert_eq!(
+        loads.start(ServerId(3), seconds(1)),
+        Err(LoadRefusal::Limit)
+    );
+    loads.end(ServerId(1));
+    assert_eq!(loads.start(ServerId(3), seconds(1)), Ok(()));
+    assert_eq!(
+        loads.start(ServerId(4), seconds(60)),
+        Ok(()),
+        "two loads never ended"
+    );
+}
+
+/// Guards against a breaker that never opens, never closes, or lets a herd through when half-open.
+#[test]
+fn breaker_opens_probes_and_closes() {
+    let settings = BreakerSettings {
+        failures_to_open: 2,
+        open_time: seconds(1),
+        open_time_max: seconds(3),
+    };
+    let mut breaker = Breaker::new(settings);
+    assert!(!breaker.on_failure(seconds(0)));
+    breaker.on_success(seconds(0));
+    assert!(
+        !breaker.on_failure(seconds(0)),
+        "only consecutive failures count"
+    );
+    assert!(breaker.on_failure(seconds(0)));
+    assert!(!breaker.allows(seconds(0)));
+    assert!(
+        !breaker.on_success(seconds(0)),
+        "answer to an earlier request"
+    );
+    assert_eq!(breaker.state(seconds(1)), BreakerState::HalfOpen);
+    assert!(breaker.allows(seconds(1)));
+    breaker.on_sent(seconds(1));
+    assert!(!breaker.allows(seconds(1)), "one probe at a time");
+    assert!(breaker.on_failure(seconds(1)));
+    assert!(!breaker.allows(seconds(2)), "open time doubled");
+    breaker.on_sent(seconds(3));
+    assert!(breaker.on_success(seconds(3)));
+    assert!(breaker.allows(seconds(3)));
+}
+
+struct RetryCase {
+    what: &'static str,
+    attempt: FailedAttempt,
+    share_per_s: f64,
+    expected: Result<(), RetryRefusal>,
+}
+
+/// Guards against retries that execute a request twice, exceed the budget or miss the deadline.
+#[test]
+fn retries_need_idempotence_time_and_budget() {
+    let attempt = FailedAttempt {
+        attempts: 1,
+        idempotent: true,
+        deadline: seconds(100),
+    };
+    let cases = [
+        RetryCase {
+            what: "allowed",
+            attempt,
+            share_per_s: 1.0,
+            expected: Ok(()),
+        },
+        RetryCase {
+            what: "not idempotent",
+            attempt: FailedAttempt {
+                idempotent: false,
+                ..attempt
+            },
+            share_per_s: 1.0,
+            expected: Err(RetryRefusal::NotIdempotent),
+        },
+        RetryCase {
+            what: "last attempt",
+            attempt: FailedAttempt {
+                attempts: 3,
+                ..attempt
+            },
+            share_per_s: 1.0,
+            expected: Err(RetryRefusal::Attempts),
+        },
+        RetryCase {
+            what: "after the deadline",
+            attempt: FailedAttempt {
+                deadline: seconds(10),
+                ..attempt
+            },
+            share_per_s: 1.0,
+            expected: Err(RetryRefusal::Deadline),
+        },
+        RetryCase {
+            what: "no share",
+            attempt,
+            share_per_s: 0.0,
+            expected: Err(RetryRefusal::Budget),
+        },
+    ];
+    for case in cases {
+        let mut rng = StdRng::seed_from_u64(1);
+        let mut budget = RetryBudget::new(RetrySettings::default(), case.share_per_s, seconds(0));
+        let found = budget.retry(&case.attempt, seconds(10), &mut rng);
+        assert_eq!(found.map(|_| ()), case.expected, "{}", case.what);
+    }
+}
+
+quickcheck! {
+    /// Guards against a retry storm: retries stay within the share plus its burst.
+    fn retries_stay_within_the_share(steps: Vec<u8>) -> bool {
+        let mut rng = StdRng::seed_from_u64(1);
+        let mut budget = RetryBudget::new(RetrySettings::default(), 2.0, Duration::ZERO);
+        let mut now = Duration::ZERO;
+        let mut granted = 0.0;
+        for step in steps {
+            now += Duration::from_millis(u64::from(step));
+            let attempt = FailedAttempt { attempts: 1, idempotent: true, deadline: now + seconds(9) };
+            granted += f64::from(u8::from(budget.retry(&attempt, now, &mut rng).is_ok()));
+        }
+        granted <= now.as_secs_f64() * 2.0 + 4.0
+    }
+
+    /// Guards against a link over its budget: transfers never overlap at the rate of the share.
+    fn transfers_keep_to_the_share(steps: Vec<(u8, u16, bool)>) -> bool {
+        let mut ledger = LinkLedger::new(1_000.0, seconds(5));
+        let mut now = Duration::ZERO;
+        let mut free_at = 0.0_f64;
+        let mut last = None;
+        let mut kept = true;
+        for (step, bytes, release) in steps {
+            now += Duration::from_millis(u64::from(step));
+            if let Some((id, start, before)) = last.take_if(|_| release) {
+                ledger.release(id, now);
+                if now <= start {
+                    free_at = before;
+                }
+            }
+            if let Ok(granted) = ledger.reserve(u64::from(bytes), now, seconds(2)) {
+                let start = granted.start.as_secs_f64();
+                kept &= start >= free_at - 1e-6;
+                last = Some((granted.id, granted.start, free_at));
+                free_at = start + f64::from(bytes) / 1_000.0;
+            }
+        }
+        kept
+    }
+}
+
+/// Guards against reservations that block a link for good, and against unbounded waits.
+#[test]
+fn reservations_expire_and_waits_are_bounded() {
+    let mut ledger = LinkLedger::new(100.0, seconds(5));
+    ledger.reserve(300, seconds(0), seconds(1)).unwrap();
+    assert_eq!(
+        ledger.reserve(1, seconds(0), seconds(1)),
+        Err(LinkRefusal::Wait(seconds(3)))
+    );
+    assert_eq!(ledger.expire(seconds(7)), 0);
+    assert_eq!(ledger.expire(seconds(8)), 1);
+    assert_eq!(ledger.reserved_bytes(), 0);
+    assert_eq!(ledger.wait(seconds(8)), Duration::ZERO);
+    ledger.set_share(0.0);
+    assert_eq!(
+        ledger.reserve(1, seconds(8), seconds(1)),
+        Err(LinkRefusal::NoShare)
+    );
+}
+
+/// Guards against a second import of a block that is on its way, and against waiters without an end.
+#[test]
+fn one_import_serves_all_waiters() {
+    let mut imports = Imports::default();
+    let key = ImportKey {
+        server: ServerId(1),
+        block: ShortKey(7),
+    };
+    assert_eq!(
+        imports.join(key, WaiterId(1), seconds(5)),
+        ImportRole::Importer
+    );
+    assert_eq!(
+        imports.join(key, WaiterId(2), seconds(5)),
+        ImportRole::Waiter
+    );
+    assert_eq!(
+        imports.join(key, WaiterId(3), seconds(5)),
+        ImportRole::Waiter
+    );
+    imports.leave(key, WaiterId(2));
+    assert!(imports.expire(seconds(4)).is_empty());
+    let late = imports.expire(seconds(5));
+    assert!(!late[0].usable);
+    assert_eq!(late[0].waiters, [WaiterId(3)]);
+    assert!(imports.is_empty());
+    assert_eq!(imports.end(key, true), None, "end after the expiry");
+}
+
+fn store(id: u16, domain: u16) -> StoreState {
+    StoreState {
+        store: StoreId(id),
+        domain: DomainId(domain),
+        memory_free_bytes: 1_000,
+        disk_free_bytes: 10_000,
+        usable: true,
+    }
+}
+
+struct PlacementCase {
+    what: &'static str,
+    prompt_blocks: u32,
+    kept: &'static [StoreId],
+    stores: Vec<StoreState>,
+    /// Targets of the export and of the copy.
+    expected: (Option<StoreId>, Option<StoreId>),
+}
+
+fn placement_cases() -> Vec<PlacementCase> {
+    let full = StoreState {
+        memory_free_bytes: 0,
+        disk_free_bytes: 0,
+        ..store(1, 0)
+    };
+    let unusable = StoreState {
+        usable: false,
+        ..store(1, 0)
+    };
+    let both = || vec![store(1, 0), store(2, 1)];
+    let first = Some(StoreId(1));
+    let second = Some(StoreId(2));
+    let case = |what, prompt_blocks, kept, stores, expected| PlacementCase {
+        what,
+        prompt_blocks,
+        kept,
+        stores,
+        expected,
+    };
+    vec![
+        case("cheap prompt", 1, &[], both(), (first, None)),
+        case("costly prompt", 20, &[], both(), (first, second)),
+        case("kept", 20, &[StoreId(1)], both(), (None, second)),
+        case(
+            "kept twice",
+            20,
+            &[StoreId(1), StoreId(2)],
+            both(),
+            (None, None),
+        ),
+        case(
+            "full store",
+            1,
+            &[],
+            vec![full, store(2, 1)],
+            (second, None),
+        ),
+        case(
+            "store out of use",
+            1,
+            &[],
+            vec![unusable, store(2, 1)],
+            (second, None),
+        ),
+        case(
+            "one failure domain",
+            20,
+            &[],
+            vec![store(1, 0), store(2, 0)],
+            (second, None),
+        ),
+    ]
+}
+
+/// Guards against lost prompts, copies of cheap prompts and copies in the same failure domain.
+#[test]
+fn sealed_blocks_are_kept() {
+    let cases = placement_cases();
+    let placement = Placement::new(PlacementSettings::default());
+    for case in cases {
+        let actions = placement.decide(&block(case.prompt_blocks), 100, case.kept, &case.stores);
+        let export = actions.iter().find_map(|action| match action {
+            PlacementAction::Export { store, .. } => Some(*store),
+            _ => None,
+        });
+        let copy = actions.iter().find_map(|action| match action {
+            PlacementAction::Copy { to, .. } => Some(*to),
+            _ => None,
+        });
+        assert_eq!(export, case.expected.0, "{}", case.what);
+        assert_eq!(copy, case.expected.1, "{}", case.what);
+    }
+}
+
+fn block(prompt_blocks: u32) -> SealedBlock {
+    SealedBlock {
+        key: ShortKey(1),
+        generation: Generation(1),
+        workspace: WorkspaceId(1),
+        position: 0,
+        prompt_blocks,
+        server: ServerId(1),
+        domain: DomainId(0),
+    }
+}
+
+/// Guards against accelerator memory held for callers who return after the eviction, and against
+/// exports for callers who never return.
+#[test]
+fn placement_follows_the_returns() {
+    let stores = [store(1, 0)];
+    let mut placement = Placement::new(PlacementSettings::default());
+    placement.on_evicted(ServerId(1), seconds(60));
+    placement.on_return(WorkspaceId(1), Some(seconds(600)));
+    let actions = placement.decide(&block(1), 100, &[], &stores);
+    assert!(matches!(
+        actions[0],
+        PlacementAction::Export {
+            tier: Tier::Memory,
+            ..
+        }
+    ));
+    assert!(matches!(actions[1], PlacementAction::EvictFirst { .. }));
+    for _ in 0..100 {
+        placement.on_return(WorkspaceId(1), None);
+    }
+    let actions = placement.decide(&block(1), 100, &[], &stores);
+    assert!(
+        !actions
+            .iter()
+            .any(|action| matches!(action, PlacementAction::Export { .. }))
+    );
+}
