--- a/crates/entry/src/duties/mod.rs
+++ b/crates/entry/src/duties/mod.rs
@@ -1,5 +1,6 @@
 //! Duties of the daemon: one thread each, reached through bounded rings.
 
 pub(crate) mod admission;
+pub(crate) mod claims;
 mod deliver;
 pub(crate) mod routing;
