--- /dev/null
+++ b/crates/fleet/src/allowance.rs
@@ -0,0 +1,44 @@
+//! Bound on the bytes a daemon sends.
+
+use std::time::Duration;
+
+/// Rate at which the allowance grows. The rest up to 2 KB/s is left to the mandatory datagrams that
+/// are sent while the allowance is used up.
+const BYTES_PER_S: f64 = 1_850.0;
+
+/// Most bytes that can accumulate, for the burst that spreads news.
+const BURST_BYTES: f64 = 4_000.0;
+
+/// IPv4 and UDP headers of a datagram.
+const HEADER_BYTES: usize = 28;
+
+/// Token bucket over all bytes sent. Probes and answers are always sent and may overdraw it; updates,
+/// gossip and pages are sent only while it is positive.
+#[derive(Clone, Debug)]
+pub(crate) struct Allowance {
+    bytes: f64,
+    filled_at: Duration,
+}
+
+impl Allowance {
+    pub(crate) fn new(now: Duration) -> Self {
+        Self {
+            bytes: BURST_BYTES,
+            filled_at: now,
+        }
+    }
+
+    pub(crate) fn refill(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.filled_at);
+        self.bytes = (self.bytes + elapsed.as_secs_f64() * BYTES_PER_S).min(BURST_BYTES);
+        self.filled_at = self.filled_at.max(now);
+    }
+
+    pub(crate) fn is_positive(&self) -> bool {
+        self.bytes > 0.0
+    }
+
+    pub(crate) fn spend(&mut self, payload_bytes: usize) {
+        self.bytes -= (payload_bytes + HEADER_BYTES) as f64;
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/budgets/share.rs
@@ -0,0 +1,131 @@
+//! Share of one daemon in one budget.
+
+use super::{BudgetId, Split};
+use crate::GROWTH_WAIT;
+use crate::epoch::Epoch;
+use crate::rendezvous::{Ownership, owner_of};
+use anvilgw_core::DaemonId;
+use std::time::Duration;
+
+/// Half of the time over which use is observed. A share unused for one to two of these is idle.
+const USE_WINDOW: Duration = Duration::from_millis(500);
+
+#[derive(Clone, Debug)]
+pub(super) struct Budget {
+    pub(super) split: Split,
+    pub(super) capacity: u64,
+    /// Larger capacity that is used from the given time on.
+    pub(super) growth: Option<(u64, Duration)>,
+    /// Until the time given, the base share of a new epoch counts only up to the limit.
+    pub(super) wait: Option<(u64, Duration)>,
+    pub(super) received: u64,
+    pub(super) received_transfers: u64,
+    pub(super) given: u64,
+    pub(super) in_use: u64,
+    pub(super) wanted: u64,
+    pub(super) window_from: Duration,
+    pub(super) peak: u64,
+    pub(super) last_peak: u64,
+    pub(super) last_ask: Option<Duration>,
+}
+
+pub(super) fn base_share(
+    own: DaemonId,
+    epoch: &Epoch,
+    id: BudgetId,
+    split: Split,
+    capacity: u64,
+) -> u64 {
+    let Some(rank) = epoch.members.iter().position(|&member| member == own) else {
+        return 0;
+    };
+    match split {
+        Split::Owner => {
+            let owner = owner_of(Ownership::Budget(id.0), &epoch.members);
+            if owner == Some(own) { capacity } else { 0 }
+        }
+        Split::Even => {
+            let members = epoch.members.len() as u64;
+            // Rotating by the budget's number spreads the remainders of many budgets.
+            let place = (rank as u64 + u64::from(id.0)) % members;
+            capacity / members + u64::from(place < capacity % members)
+        }
+    }
+}
+
+impl Budget {
+    pub(super) fn new(split: Split, now: Duration) -> Self {
+        Self {
+            split,
+            capacity: 0,
+            growth: None,
+            wait: None,
+            received: 0,
+            received_transfers: 0,
+            given: 0,
+            in_use: 0,
+            wanted: 0,
+            window_from: now,
+            peak: 0,
+            last_peak: 0,
+            last_ask: None,
+        }
+    }
+
+    pub(super) fn capacity(&self, now: Duration) -> u64 {
+        match self.growth {
+            Some((capacity, from)) if now >= from => capacity,
+            _ => self.capacity,
+        }
+    }
+
+    pub(super) fn share(&self, base: u64, now: Duration) -> u64 {
+        let base = match self.wait {
+            Some((limit, until)) if now < until => base.min(limit),
+            _ => base,
+        };
+        (base + self.received).saturating_sub(self.given)
+    }
+
+    pub(super) fn is_waiting(&self, now: Duration) -> bool {
+        self.wait.is_some_and(|(_, until)| now < until)
+    }
+
+    /// Use within the last one to two windows.
+    pub(super) fn recent_use(&self) -> u64 {
+        self.in_use
+            .max(self.peak)
+            .max(self.last_peak)
+            .max(self.wanted)
+    }
+
+    pub(super) fn observe(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.window_from);
+        if elapsed >= USE_WINDOW {
+            self.last_peak = if elapsed < USE_WINDOW * 2 {
+                self.peak
+            } else {
+                0
+            };
+            self.peak = 0;
+            self.window_from = now;
+        }
+        self.peak = self.peak.max(self.in_use);
+    }
+
+    pub(super) fn set_capacity(&mut self, capacity: u64, now: Duration) {
+        let current = self.capacity(now);
+        self.capacity = current;
+        self.growth = None;
+        if capacity >= current {
+            if capacity > current {
+                self.growth = Some((capacity, now + GROWTH_WAIT));
+            }
+            return;
+        }
+        let scaled = u128::from(self.received) * u128::from(capacity) / u128::from(current);
+        let scaled = u64::try_from(scaled).unwrap_or(u64::MAX);
+        self.received = scaled.saturating_sub(self.received_transfers);
+        self.capacity = capacity;
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/freshness.rs
@@ -0,0 +1,384 @@
+//! How old a daemon's view of the configuration is.
+
+use crate::FRESHNESS_LIMIT;
+use crate::epoch::Epoch;
+use crate::majority::Majority;
+use crate::membership::PeerReport;
+use crate::wire::Vitals;
+use anvilgw_core::DaemonId;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+/// How much more the clocks of peers may have advanced than the own one.
+const CLOCK_STOP_MS: i64 = 500;
+
+/// Time after which the reference for comparing clocks is renewed. Clock rates differ by up to about
+/// 100 ppm, which is 12 ms in this time.
+const CLOCK_WINDOW: Duration = Duration::from_secs(120);
+
+/// Peers heard within this time take part in the comparison of clocks.
+const RECENT: Duration = Duration::from_secs(2);
+
+/// Allowance for the difference of clock rates when the send time of a message is derived from the
+/// sender's uptime and an answer up to [`CLOCK_WINDOW`] old.
+const RATE_MARGIN_MS: i64 = 25;
+
+/// Most peers whose clocks are compared.
+const MAX_PEERS: usize = 4_096;
+
+/// Reads of the log per second by the whole fleet.
+const FLEET_READS_PER_S: f64 = 40.0;
+
+/// Shortest time between two reads by one daemon.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Age of the view at which a daemon reads the log before its turn. In a large fleet the turn comes
+/// every 10 s and the evidence of peers now and then takes longer than the freshness limit.
+const EARLY_READ_AGE: Duration = Duration::from_millis(1_300);
+
+/// Why a daemon takes no new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum StaleReason {
+    /// It has neither read the log nor heard from a peer with a fresh view.
+    NoEvidence,
+    /// Its evidence is too old, and it does not exchange datagrams with a majority of the last epoch
+    /// that does not reach the log either.
+    Isolated,
+    /// A peer has a later configuration or epoch.
+    Behind,
+    /// Its clock stopped for a while, so all evidence was discarded.
+    ClockStopped,
+}
+
+/// The view is too old to take new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stale {
+    /// Why it is.
+    pub reason: StaleReason,
+    /// Age of the view, if there is any evidence.
+    pub age: Option<Duration>,
+}
+
+impl fmt::Display for Stale {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let reason = match self.reason {
+            StaleReason::NoEvidence => "no evidence of the current configuration",
+            StaleReason::Isolated => "neither the log nor a majority of the fleet reached",
+            StaleReason::Behind => "a peer has a later configuration or epoch",
+            StaleReason::ClockStopped => "the clock of this machine stopped",
+        };
+        match self.age {
+            Some(age) => write!(f, "view of {} ms is stale: {reason}", age.as_millis()),
+            None => write!(f, "view is stale: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for Stale {}
+
+/// What a peer's report means for this daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerVerdict {
+    /// The peer knows nothing newer.
+    Current,
+    /// The peer has a later configuration or epoch, to be fetched from it or from the log.
+    Behind {
+        /// Configuration version of the peer.
+        config_version: u64,
+        /// Epoch of the peer.
+        epoch: u64,
+    },
+    /// This daemon's clock stopped. Leases and everything else that rests on time has to be dropped.
+    ClockStopped,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PeerClock {
+    /// Least difference of own and peer uptime on arrival in this and the last window.
+    least_ms: i64,
+    last_least_ms: i64,
+    window_from: Duration,
+    heard: Duration,
+    /// The own clock lags behind this peer's.
+    lags: bool,
+    /// Lower bound of the difference of the uptimes, from an answer to a probe sent at the given time.
+    answered: Option<(Duration, i64)>,
+}
+
+/// The age of a daemon's view, and whether it may take new work.
+#[derive(Clone, Debug)]
+pub struct Freshness {
+    own: DaemonId,
+    config_version: u64,
+    epoch: u64,
+    newest_config_version: u64,
+    newest_epoch: u64,
+    fresh_as_of: Option<Duration>,
+    last_read: Option<Duration>,
+    last_attempt: Option<Duration>,
+    log_failing: bool,
+    clock_stopped: bool,
+    clock_stops: u64,
+    peers: BTreeMap<DaemonId, PeerClock>,
+    majority: Majority,
+}
+
+fn millis(time: Duration) -> i64 {
+    i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
+}
+
+impl Freshness {
+    /// Creates the freshness of a daemon without evidence.
+    #[must_use]
+    pub fn new(own: DaemonId) -> Self {
+        Self {
+            own,
+            config_version: 0,
+            epoch: 0,
+            newest_config_version: 0,
+            newest_epoch: 0,
+            fresh_as_of: None,
+            last_read: None,
+            last_attempt: None,
+            log_failing: false,
+            clock_stopped: false,
+            clock_stops: 0,
+            peers: BTreeMap::new(),
+            majority: Majority::default(),
+        }
+    }
+
+    /// Notes the configuration version that the daemon has applied.
+    pub fn set_config_version(&mut self, version: u64) {
+        self.config_version = self.config_version.max(version);
+        self.newest_config_version = self.newest_config_version.max(version);
+    }
+
+    /// Notes the epoch that the daemon has folded.
+    pub fn set_epoch(&mut self, epoch: &Epoch) {
+        if epoch.number > self.epoch {
+            self.epoch = epoch.number;
+            self.newest_epoch = self.newest_epoch.max(epoch.number);
+            self.majority.set_epoch(epoch);
+        }
+    }
+
+    /// Notes that reads of the streams `config` and `epochs` which began at `began` reached the end,
+    /// after everything they returned was applied.
+    pub fn on_log_read(&mut self, began: Duration) {
+        self.last_attempt = self.last_attempt.max(Some(began));
+        self.last_read = self.last_read.max(Some(began));
+        self.log_failing = false;
+        self.confirm(began);
+    }
+
+    /// Notes that a read of the log failed.
+    pub fn on_log_failure(&mut self, began: Duration) {
+        self.last_attempt = self.last_attempt.max(Some(began));
+        self.log_failing = true;
+    }
+
+    /// Takes a peer's report about itself into account.
+    pub fn on_peer(&mut self, now: Duration, report: &PeerReport) -> PeerVerdict {
+        if self.compare_clocks(now, report) {
+            self.discard();
+            return PeerVerdict::ClockStopped;
+        }
+        let vitals = &report.vitals;
+        let said_at = report.probe_sent.or_else(|| self.send_time(now, report));
+        if let Some(said_at) = said_at {
+            self.majority.note(report.peer, vitals.reaches_log, said_at);
+            self.majority
+                .merge(vitals.epoch, &vitals.witnesses, said_at);
+        }
+        self.newest_config_version = self.newest_config_version.max(vitals.config_version);
+        self.newest_epoch = self.newest_epoch.max(vitals.epoch);
+        if vitals.config_version > self.config_version || vitals.epoch > self.epoch {
+            return PeerVerdict::Behind {
+                config_version: vitals.config_version,
+                epoch: vitals.epoch,
+            };
+        }
+        if let (Some(said_at), Some(age_ms)) = (said_at, vitals.view_age_ms)
+            && let Some(as_of) = said_at.checked_sub(Duration::from_millis(age_ms.into()))
+        {
+            self.confirm(as_of);
+        }
+        PeerVerdict::Current
+    }
+
+    /// Age of the view, without regard to the majority rule.
+    #[must_use]
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        self.fresh_as_of.map(|as_of| now.saturating_sub(as_of))
+    }
+
+    /// Whether the daemon may start new work. Called when work arrives and again directly before it
+    /// is sent to a backend server. It compares a few numbers and counts the members of the epoch
+    /// only during an outage of the log.
+    ///
+    /// # Errors
+    ///
+    /// The reason and the age of the view if it is too old.
+    pub fn may_take_new_work(&self, now: Duration) -> Result<(), Stale> {
+        let age = self.age(now);
+        if age.is_some_and(|age| age <= FRESHNESS_LIMIT) {
+            return Ok(());
+        }
+        let reason = if self.clock_stopped {
+            StaleReason::ClockStopped
+        } else if self.is_behind() {
+            StaleReason::Behind
+        } else if self.has_majority(now) {
+            return Ok(());
+        } else if age.is_none() {
+            StaleReason::NoEvidence
+        } else {
+            StaleReason::Isolated
+        };
+        Err(Stale { reason, age })
+    }
+
+    /// Whether a peer has a later configuration or epoch.
+    #[must_use]
+    pub fn is_behind(&self) -> bool {
+        self.newest_config_version > self.config_version || self.newest_epoch > self.epoch
+    }
+
+    /// Members of the last epoch that said within the freshness limit that they do not reach the log,
+    /// this daemon included, and the number of members.
+    #[must_use]
+    pub fn without_log(&self, now: Duration) -> (usize, usize) {
+        let mut majority = self.majority.clone();
+        majority.note(self.own, self.reaches_log(now), now);
+        (majority.count(now, FRESHNESS_LIMIT), majority.members())
+    }
+
+    /// How often the clock was found to have stopped.
+    #[must_use]
+    pub fn clock_stops(&self) -> u64 {
+        self.clock_stops
+    }
+
+    /// The report about this daemon for its datagrams.
+    #[must_use]
+    pub fn vitals(&self, now: Duration) -> Vitals {
+        let mut majority = self.majority.clone();
+        majority.note(self.own, self.reaches_log(now), now);
+        Vitals {
+            config_version: self.config_version,
+            view_age_ms: self.age(now).map(|age| {
+                // Rounded up: the view must never look younger than it is.
+                u32::try_from(age.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
+            }),
+            reaches_log: self.reaches_log(now),
+            epoch: self.epoch,
+            uptime_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
+            witnesses: majority.encode(now),
+        }
+    }
+
+    /// Whether to read the log now, given the number of live members and a random number from 0 to 1
+    /// that the caller draws anew after each read.
+    #[must_use]
+    pub fn is_log_read_due(&self, now: Duration, members: usize, jitter: f64) -> bool {
+        let Some(last) = self.last_attempt else {
+            return true;
+        };
+        let turn = Duration::from_secs_f64(members as f64 / FLEET_READS_PER_S);
+        let turn = turn
+            .max(MIN_READ_INTERVAL)
+            .mul_f64(0.75 + jitter.clamp(0.0, 1.0) / 2.0);
+        let early = !self.log_failing && self.age(now).is_none_or(|age| age >= EARLY_READ_AGE);
+        let wait = if early || self.is_behind() {
+            MIN_READ_INTERVAL
+        } else {
+            turn
+        };
+        now.saturating_sub(last) >= wait
+    }
+
+    fn reaches_log(&self, now: Duration) -> bool {
+        self.last_read
+            .is_some_and(|began| now.saturating_sub(began) <= FRESHNESS_LIMIT)
+    }
+
+    fn has_majority(&self, now: Duration) -> bool {
+        let (without_log, members) = self.without_log(now);
+        members > 0 && without_log * 2 > members
+    }
+
+    fn confirm(&mut self, as_of: Duration) {
+        self.fresh_as_of = self.fresh_as_of.max(Some(as_of));
+        self.clock_stopped = false;
+    }
+
+    fn discard(&mut self) {
+        self.fresh_as_of = None;
+        self.last_read = None;
+        self.last_attempt = None;
+        self.clock_stopped = true;
+        self.clock_stops += 1;
+        self.peers.clear();
+        self.majority.clear();
+    }
+
+    /// Earliest time at which the peer can have made a report that answers no probe: its uptime then,
+    /// moved by the least difference of the clocks that an earlier answer allows. A datagram that was
+    /// queued for long, for example while this daemon was paused, gets its true, old time.
+    fn send_time(&self, now: Duration, report: &PeerReport) -> Option<Duration> {
+        let clock = self.peers.get(&report.peer)?;
+        let (_, difference_ms) = clock
+            .answered
+            .filter(|(at, _)| now.saturating_sub(*at) <= CLOCK_WINDOW)?;
+        let uptime_ms = i64::try_from(report.vitals.uptime_ms).ok()?;
+        let said_ms = uptime_ms
+            .checked_add(difference_ms)?
+            .checked_sub(RATE_MARGIN_MS)?;
+        let said_at = Duration::from_millis(u64::try_from(said_ms).ok()?);
+        Some(said_at.min(now))
+    }
+
+    /// Compares the advance of the clocks. Returns whether the own one has stopped.
+    fn compare_clocks(&mut self, now: Duration, report: &PeerReport) -> bool {
+        let Ok(uptime_ms) = i64::try_from(report.vitals.uptime_ms) else {
+            return false;
+        };
+        let difference_ms = millis(now).saturating_sub(uptime_ms);
+        if self.peers.len() >= MAX_PEERS {
+            self.peers
+                .retain(|_, clock| now.saturating_sub(clock.heard) <= RECENT);
+        }
+        let clock = self.peers.entry(report.peer).or_insert(PeerClock {
+            least_ms: difference_ms,
+            last_least_ms: difference_ms,
+            window_from: now,
+            heard: now,
+            lags: false,
+            answered: None,
+        });
+        clock.heard = now;
+        let least_ms = clock.least_ms.min(clock.last_least_ms);
+        clock.lags = difference_ms < least_ms.saturating_sub(CLOCK_STOP_MS);
+        if !clock.lags {
+            if now.saturating_sub(clock.window_from) >= CLOCK_WINDOW {
+                clock.last_least_ms = clock.least_ms;
+                clock.least_ms = difference_ms;
+                clock.window_from = now;
+            }
+            clock.least_ms = clock.least_ms.min(difference_ms);
+            if let Some(sent) = report.probe_sent {
+                clock.answered = Some((sent, millis(sent).saturating_sub(uptime_ms)));
+            }
+        }
+        let recent = || {
+            self.peers
+                .values()
+                .filter(|clock| now.saturating_sub(clock.heard) <= RECENT)
+        };
+        let heard = recent().count();
+        let lagging = recent().filter(|clock| clock.lags).count();
+        lagging * 2 > heard && (lagging >= 2 || heard == 1)
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,1 +1,45 @@
 //! Membership, view freshness, epochs, leases and shared budgets as pure state machines.
+//!
+//! Nothing here opens a socket, starts a thread or reads a clock. The daemon passes messages and the
+//! current uptime in and carries out the actions that come back, so tests, experiments and the model
+//! checker run exactly the code of the daemon.
+
+mod allowance;
+mod budgets;
+mod epoch;
+mod freshness;
+mod gossip;
+mod health;
+mod lease;
+mod majority;
+mod members;
+mod membership;
+mod probe;
+mod record;
+mod rendezvous;
+mod wire;
+
+pub use budgets::{BudgetAction, BudgetId, Budgets, Split, Transfer, TransferError};
+pub use epoch::{
+    Epoch, EpochAction, EpochFold, EpochKeeper, EpochRecord, EpochStatus, EpochVerdict,
+};
+pub use freshness::{Freshness, PeerVerdict, Stale, StaleReason};
+pub use lease::{
+    Duty, Lease, LeaseAction, LeaseFold, LeaseHolder, LeaseRecord, LeaseStatus, LeaseTimes,
+    LeaseVerdict,
+};
+pub use members::{MemberState, MemberView, RemovalCause};
+pub use membership::{Action, MemberEvent, Membership, PeerReport};
+pub use record::{FoldError, RecordId};
+pub use rendezvous::{Ownership, OwnershipWait, owner_of};
+pub use wire::{Contact, Datagram, DecodeError, MAX_DATAGRAM_BYTES, Message, Update, Vitals};
+
+use std::time::Duration;
+
+/// Age of the view up to which a daemon takes new work.
+pub const FRESHNESS_LIMIT: Duration = Duration::from_secs(2);
+
+/// Time for which a daemon knows an epoch or a capacity before it uses what grew with it: the
+/// freshness limit, after which a daemon that missed the change has stopped, and a margin for clock
+/// rates and for the time between the last check and the use.
+pub const GROWTH_WAIT: Duration = Duration::from_millis(2_500);
--- /dev/null
+++ b/crates/fleet/src/majority.rs
@@ -0,0 +1,102 @@
+//! Which members of the epoch recently said that they do not reach the log.
+//!
+//! A daemon exchanges datagrams with only a few members a second. Each datagram therefore passes on
+//! for every member of the epoch how old its last such report is, so that a majority can be counted
+//! in a large fleet too.
+
+use crate::epoch::Epoch;
+use crate::wire::MAX_WITNESS_BYTES;
+use anvilgw_core::DaemonId;
+use std::time::Duration;
+
+/// Resolution of the ages passed on. Fifteen steps cover the freshness limit.
+const STEP: Duration = Duration::from_millis(140);
+
+/// Value for "not heard, or too long ago".
+const UNKNOWN: u8 = 15;
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Majority {
+    epoch: u64,
+    members: Vec<u32>,
+    /// Uptime of this daemon at or after which the member made its last report.
+    reported: Vec<Option<Duration>>,
+}
+
+impl Majority {
+    pub(crate) fn set_epoch(&mut self, epoch: &Epoch) {
+        let members: Vec<u32> = epoch.members.iter().map(|member| member.index).collect();
+        self.reported = members
+            .iter()
+            .map(|index| self.rank(*index).and_then(|rank| self.reported[rank]))
+            .collect();
+        self.members = members;
+        self.epoch = epoch.number;
+    }
+
+    fn rank(&self, index: u32) -> Option<usize> {
+        self.members.binary_search(&index).ok()
+    }
+
+    pub(crate) fn clear(&mut self) {
+        self.reported.fill(None);
+    }
+
+    /// Notes that a member reported at `as_of` whether it reaches the log.
+    pub(crate) fn note(&mut self, member: DaemonId, reaches_log: bool, as_of: Duration) {
+        let Some(rank) = self.rank(member.index) else {
+            return;
+        };
+        if !reaches_log {
+            self.reported[rank] = self.reported[rank].max(Some(as_of));
+        }
+    }
+
+    /// Merges the list of a peer that made it at `as_of`.
+    pub(crate) fn merge(&mut self, epoch: u64, witnesses: &[u8], as_of: Duration) {
+        // Positions in the list only have a meaning within one epoch.
+        if epoch != self.epoch || witnesses.len() != self.encoded_len() {
+            return;
+        }
+        for (rank, reported) in self.reported.iter_mut().enumerate() {
+            let steps = (witnesses[rank / 2] >> (4 * (rank % 2))) & UNKNOWN;
+            if steps != UNKNOWN
+                && let Some(at) = as_of.checked_sub(STEP * u32::from(steps))
+            {
+                *reported = (*reported).max(Some(at));
+            }
+        }
+    }
+
+    fn encoded_len(&self) -> usize {
+        self.members.len().div_ceil(2)
+    }
+
+    /// The list to send. Empty if the epoch has more members than a datagram has room for.
+    pub(crate) fn encode(&self, now: Duration) -> Vec<u8> {
+        if self.encoded_len() > MAX_WITNESS_BYTES {
+            return Vec::new();
+        }
+        let mut bytes = vec![0xff; self.encoded_len()];
+        for (rank, reported) in self.reported.iter().enumerate() {
+            let steps = reported.map_or(UNKNOWN.into(), |at| {
+                // Rounded up: a report must never look younger than it is.
+                now.saturating_sub(at).as_nanos().div_ceil(STEP.as_nanos())
+            });
+            let steps = u8::try_from(steps).unwrap_or(UNKNOWN).min(UNKNOWN);
+            let shift = 4 * (rank % 2);
+            bytes[rank / 2] &= !(UNKNOWN << shift) | (steps << shift);
+        }
+        bytes
+    }
+
+    /// Members of the epoch that reported within `window`.
+    pub(crate) fn count(&self, now: Duration, window: Duration) -> usize {
+        let recent = |at: &&Option<Duration>| at.is_some_and(|at| now.saturating_sub(at) <= window);
+        self.reported.iter().filter(recent).count()
+    }
+
+    pub(crate) fn members(&self) -> usize {
+        self.members.len()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/members.rs
@@ -0,0 +1,282 @@
+//! The table of members.
+
+use crate::wire::{Claim, Contact, Update};
+use anvilgw_core::DaemonId;
+use rand::RngExt;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Most members and tombstones held. Ten times the design size; it bounds memory against a flood of
+/// invented members.
+const MAX_ENTRIES: usize = 4_096;
+
+/// Time for which a removed member is remembered. Older news about it is refused that long, and it is
+/// contacted in case a partition has ended. Partitions last minutes.
+const TOMBSTONE_TIME: Duration = Duration::from_secs(3_600);
+
+/// What a daemon thinks of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum MemberState {
+    /// It answers.
+    Alive,
+    /// It did not answer a probe and may still refute that it failed.
+    Suspect,
+    /// It did not refute in time.
+    Failed,
+    /// It said that it leaves.
+    Left,
+}
+
+/// A member as seen by one daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemberView {
+    /// Number, address and failure domain.
+    pub contact: Contact,
+    /// Current state.
+    pub state: MemberState,
+    /// Uptime at which the state began.
+    pub since: Duration,
+    /// Uptime at which a datagram of the member itself last arrived.
+    pub heard: Option<Duration>,
+}
+
+/// Why a member is no longer one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RemovalCause {
+    /// It stopped answering.
+    Failed,
+    /// It left.
+    Left,
+    /// A later process took its number.
+    Replaced,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Entry {
+    pub(crate) update: Update,
+    pub(crate) since: Duration,
+    pub(crate) heard: Option<Duration>,
+    /// Pings sent since the member is suspected.
+    pub(crate) last_pings: u32,
+}
+
+impl Entry {
+    pub(crate) fn is_live(&self) -> bool {
+        matches!(self.update.claim, Claim::Alive | Claim::Suspect)
+    }
+
+    fn view(&self) -> MemberView {
+        MemberView {
+            contact: self.update.contact,
+            state: match self.update.claim {
+                Claim::Alive => MemberState::Alive,
+                Claim::Suspect => MemberState::Suspect,
+                Claim::Dead => MemberState::Failed,
+                Claim::Left => MemberState::Left,
+            },
+            since: self.since,
+            heard: self.heard,
+        }
+    }
+}
+
+/// Effect of an update on the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Change {
+    Joined(Contact),
+    Suspected(DaemonId),
+    Recovered(DaemonId),
+    Removed(Contact, RemovalCause),
+    Replaced {
+        old: Contact,
+        new: Contact,
+    },
+    /// News that changes nothing visible, such as a higher refutation number.
+    Noted,
+}
+
+/// Members by number, with the ring and the list of live ones.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Table {
+    entries: BTreeMap<u32, Entry>,
+    /// Live members by the hash of their number, so that neighbours seldom share a failure domain.
+    ring: BTreeMap<u64, u32>,
+    live: Vec<u32>,
+    /// Members still to be probed in this round, in random order.
+    round: Vec<u32>,
+}
+
+pub(crate) fn ring_position(index: u32) -> u64 {
+    let hash = blake3::hash(&index.to_le_bytes());
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(bytes)
+}
+
+impl Table {
+    /// Applies an update. `None` if it is not news.
+    pub(crate) fn apply(&mut self, update: Update, now: Duration) -> Option<Change> {
+        let index = update.contact.id.index;
+        let live = matches!(update.claim, Claim::Alive | Claim::Suspect);
+        let old = self.entries.get(&index).copied();
+        let change = match &old {
+            None if self.entries.len() >= MAX_ENTRIES => return None,
+            None if live => Change::Joined(update.contact),
+            None => Change::Noted,
+            Some(old) if old.update.precedence() >= update.precedence() => return None,
+            Some(old) => Self::transition(old, &update, live),
+        };
+        let same_claim = old.is_some_and(|o| {
+            o.update.claim == update.claim && o.update.contact.id == update.contact.id
+        });
+        let entry = Entry {
+            update,
+            since: match &old {
+                // A suspicion with a higher refutation number is a new one with its own time to refute.
+                Some(old) if same_claim && update.claim != Claim::Suspect => old.since,
+                _ => now,
+            },
+            heard: old.and_then(|o| o.heard.filter(|_| o.update.contact.id == update.contact.id)),
+            last_pings: 0,
+        };
+        self.entries.insert(index, entry);
+        if old.is_some_and(|old| old.is_live()) != live {
+            self.set_live(index, live);
+        }
+        Some(change)
+    }
+
+    fn transition(old: &Entry, update: &Update, live: bool) -> Change {
+        let contact = update.contact;
+        let same_process = old.update.contact.id == contact.id;
+        match (old.is_live(), live) {
+            (true, true) if !same_process => Change::Replaced {
+                old: old.update.contact,
+                new: contact,
+            },
+            (true, true) => match (old.update.claim, update.claim) {
+                (Claim::Alive, Claim::Suspect) => Change::Suspected(contact.id),
+                (Claim::Suspect, Claim::Alive) => Change::Recovered(contact.id),
+                _ => Change::Noted,
+            },
+            (true, false) => Change::Removed(
+                old.update.contact,
+                if !same_process {
+                    RemovalCause::Replaced
+                } else if update.claim == Claim::Left {
+                    RemovalCause::Left
+                } else {
+                    RemovalCause::Failed
+                },
+            ),
+            (false, true) => Change::Joined(contact),
+            (false, false) => Change::Noted,
+        }
+    }
+
+    fn set_live(&mut self, index: u32, live: bool) {
+        if live {
+            self.ring.insert(ring_position(index), index);
+            self.live.push(index);
+        } else {
+            self.ring.remove(&ring_position(index));
+            self.live.retain(|&other| other != index);
+        }
+    }
+
+    pub(crate) fn get(&self, index: u32) -> Option<&Entry> {
+        self.entries.get(&index)
+    }
+
+    pub(crate) fn get_mut(&mut self, index: u32) -> Option<&mut Entry> {
+        self.entries.get_mut(&index)
+    }
+
+    pub(crate) fn live_count(&self) -> usize {
+        self.live.len()
+    }
+
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    pub(crate) fn entries_from(&self, index: u32) -> impl Iterator<Item = &Entry> {
+        self.entries.range(index..).map(|(_, entry)| entry)
+    }
+
+    pub(crate) fn views(&self) -> impl Iterator<Item = MemberView> + '_ {
+        self.entries.values().map(Entry::view)
+    }
+
+    pub(crate) fn suspects(&mut self) -> impl Iterator<Item = &mut Entry> {
+        self.entries
+            .values_mut()
+            .filter(|entry| entry.update.claim == Claim::Suspect)
+    }
+
+    /// The next member on the ring after `own` that is not suspected.
+    pub(crate) fn ring_successor(&self, own: u32) -> Option<u32> {
+        let position = ring_position(own);
+        let after = self.ring.range(position..).filter(|&(&p, _)| p != position);
+        let alive = |&&index: &&u32| {
+            self.entries
+                .get(&index)
+                .is_some_and(|e| e.update.claim == Claim::Alive)
+        };
+        after
+            .chain(self.ring.range(..position))
+            .map(|(_, index)| index)
+            .find(alive)
+            .copied()
+    }
+
+    /// The next member in a random order in which each live one occurs once a round.
+    pub(crate) fn next_in_round(&mut self, rng: &mut StdRng) -> Option<u32> {
+        loop {
+            if self.round.is_empty() {
+                if self.live.is_empty() {
+                    return None;
+                }
+                self.round.clone_from(&self.live);
+                self.round.shuffle(rng);
+            }
+            let index = self.round.pop()?;
+            if self.entries.get(&index).is_some_and(Entry::is_live) {
+                return Some(index);
+            }
+        }
+    }
+
+    /// Up to `count` different live members other than `except`.
+    pub(crate) fn sample(
+        &self,
+        count: usize,
+        except: Option<u32>,
+        rng: &mut StdRng,
+    ) -> Vec<Contact> {
+        let mut chosen: Vec<u32> = Vec::with_capacity(count);
+        // A few more draws than members wanted make up for repeated ones.
+        for _ in 0..count * 3 {
+            if chosen.len() == count || self.live.is_empty() {
+                break;
+            }
+            let index = self.live[rng.random_range(0..self.live.len())];
+            if Some(index) != except && !chosen.contains(&index) {
+                chosen.push(index);
+            }
+        }
+        chosen
+            .iter()
+            .filter_map(|index| self.entries.get(index))
+            .map(|entry| entry.update.contact)
+            .collect()
+    }
+
+    /// Drops tombstones that are old enough.
+    pub(crate) fn expire(&mut self, now: Duration) {
+        self.entries
+            .retain(|_, entry| entry.is_live() || now.saturating_sub(entry.since) < TOMBSTONE_TIME);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/membership.rs
@@ -0,0 +1,460 @@
+//! Failure detection and the list of members.
+//!
+//! The protocol is SWIM with suspicion. Every second probe goes to the successor on a hash ring and
+//! the others to a random member: random probing alone leaves a dead member unprobed for several
+//! seconds now and then, while the ring bounds that time by two probe periods. News is passed on at
+//! once to a few random members and afterwards on probes and answers, within a bound on the bytes
+//! sent.
+
+mod detect;
+mod join;
+mod send;
+
+use crate::allowance::Allowance;
+use crate::gossip::GossipQueue;
+use crate::health::LocalHealth;
+use crate::members::{Change, MemberState, MemberView, RemovalCause, Table};
+use crate::probe::Probes;
+use crate::wire::{Claim, Contact, Datagram, Message, Update, Vitals};
+use anvilgw_core::DaemonId;
+use indexmap::IndexSet;
+use rand::RngExt;
+use rand::rngs::StdRng;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time between two probes.
+const PROBE_PERIOD: Duration = Duration::from_millis(500);
+
+/// Members told of a leave.
+const LEAVE_FANOUT: usize = 6;
+
+/// Time in which a suspect can refute. With the wait for the ring probe (1 s) and the probe itself
+/// (0.5 s) it keeps detection under 3 s.
+const SUSPICION_TIME: Duration = Duration::from_millis(1_200);
+
+/// Times after the start of a suspicion at which each member pings the suspect once more. They catch
+/// a refutation that was lost on its way to this member.
+const LAST_PINGS: [Duration; 2] = [Duration::from_millis(700), Duration::from_millis(950)];
+
+/// Time between two pages of the member list fetched from a random member. They repair lost news.
+const SYNC_PERIOD: Duration = Duration::from_secs(10);
+
+/// A tick later than this means that the process or machine was paused; its timers say nothing
+/// about others.
+const PAUSE_LIMIT: Duration = Duration::from_millis(250);
+
+/// Most addresses remembered as hints.
+const MAX_HINTS: usize = 1_024;
+
+/// What the daemon has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a datagram.
+    Send {
+        /// Receiver.
+        to: SocketAddr,
+        /// Content.
+        bytes: Vec<u8>,
+    },
+    /// Take note of an event.
+    Event(MemberEvent),
+}
+
+/// Something that happened to the view.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MemberEvent {
+    /// A member joined or came back.
+    Joined(Contact),
+    /// A member is suspected.
+    Suspected(DaemonId),
+    /// A suspected member refuted.
+    Recovered(DaemonId),
+    /// A member is none any more.
+    Removed(Contact, RemovalCause),
+    /// A datagram of a member arrived; input for [`Freshness`](crate::Freshness).
+    Heard(PeerReport),
+    /// A later process has this daemon's number. This one must stop: either its number is used
+    /// twice, or its start time is earlier than that of the process before it.
+    Superseded(DaemonId),
+}
+
+/// What a member said about itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerReport {
+    /// The member.
+    pub peer: DaemonId,
+    /// Its report.
+    pub vitals: Vitals,
+    /// Uptime at which the probe was sent that this report answers, if it answers one.
+    pub probe_sent: Option<Duration>,
+}
+
+/// One daemon's part in failure detection.
+#[derive(Debug)]
+pub struct Membership {
+    own: Contact,
+    refutation: u32,
+    leaving: bool,
+    superseded: Option<DaemonId>,
+    table: Table,
+    gossip: GossipQueue,
+    allowance: Allowance,
+    health: LocalHealth,
+    probes: Probes,
+    hints: IndexSet<SocketAddr>,
+    rng: StdRng,
+    has_news: bool,
+    has_full_list: bool,
+    ring_next: bool,
+    next_probe: Duration,
+    next_contact: Duration,
+    next_sync: Duration,
+    sync_cursor: u32,
+    dropped_datagrams: u64,
+}
+
+/// Context of one call: the time, the report about this daemon and the actions so far.
+struct Turn<'a> {
+    now: Duration,
+    vitals: &'a Vitals,
+    actions: Vec<Action>,
+}
+
+impl Turn<'_> {
+    fn event(&mut self, event: MemberEvent) {
+        self.actions.push(Action::Event(event));
+    }
+}
+
+impl Membership {
+    /// Creates a member that knows nobody. `hints` are addresses at which members may be found.
+    #[must_use]
+    pub fn new(own: Contact, hints: &[SocketAddr], mut rng: StdRng, now: Duration) -> Self {
+        // A random first probe keeps daemons that start together from probing in step.
+        let first = PROBE_PERIOD.mul_f64(rng.random::<f64>());
+        let mut membership = Self {
+            own,
+            refutation: 0,
+            leaving: false,
+            superseded: None,
+            table: Table::default(),
+            gossip: GossipQueue::default(),
+            allowance: Allowance::new(now),
+            health: LocalHealth::default(),
+            probes: Probes::default(),
+            hints: IndexSet::new(),
+            rng,
+            has_news: false,
+            has_full_list: false,
+            ring_next: true,
+            next_probe: now + first,
+            next_contact: now,
+            next_sync: now + SYNC_PERIOD,
+            sync_cursor: 0,
+            dropped_datagrams: 0,
+        };
+        membership.add_hints(hints);
+        membership
+    }
+
+    /// Adds addresses from the settings or from the platform's list of instances. They are only
+    /// contacted: neither an entry nor its absence changes the state of a member.
+    pub fn add_hints(&mut self, addresses: &[SocketAddr]) {
+        for &address in addresses {
+            if self.hints.len() < MAX_HINTS && address != self.own.address {
+                self.hints.insert(address);
+            }
+        }
+    }
+
+    /// This daemon.
+    #[must_use]
+    pub fn own(&self) -> Contact {
+        self.own
+    }
+
+    /// Members and removed members, this daemon excluded, by number.
+    pub fn members(&self) -> impl Iterator<Item = MemberView> + '_ {
+        self.table.views()
+    }
+
+    /// Ids of this daemon and of the members that are alive or suspected, sorted.
+    #[must_use]
+    pub fn live(&self) -> Vec<DaemonId> {
+        let mut live: Vec<DaemonId> = self
+            .members()
+            .filter(|view| matches!(view.state, MemberState::Alive | MemberState::Suspect))
+            .map(|view| view.contact.id)
+            .chain((!self.leaving).then_some(self.own.id))
+            .collect();
+        live.sort_unstable();
+        live
+    }
+
+    /// Number of live members, this daemon included.
+    #[must_use]
+    pub fn live_count(&self) -> usize {
+        self.table.live_count() + 1
+    }
+
+    /// Score of evidence that this daemon itself is slow; 0 is healthy, 7 the highest.
+    #[must_use]
+    pub fn local_health(&self) -> u32 {
+        self.health.score()
+    }
+
+    /// Number of datagrams dropped because they could not be decoded.
+    #[must_use]
+    pub fn dropped_datagrams(&self) -> u64 {
+        self.dropped_datagrams
+    }
+
+    /// The process that has this daemon's number, if a later one exists.
+    #[must_use]
+    pub fn superseded(&self) -> Option<DaemonId> {
+        self.superseded
+    }
+
+    /// When to call [`Membership::tick`] at the latest.
+    #[must_use]
+    pub fn next_tick(&self) -> Duration {
+        let suspects = self
+            .table
+            .entries()
+            .filter(|entry| entry.update.claim == Claim::Suspect)
+            .map(|entry| match LAST_PINGS.get(entry.last_pings as usize) {
+                Some(&after) => entry.since + after,
+                None => entry.since + SUSPICION_TIME * self.health.factor(),
+            });
+        suspects
+            .chain(self.probes.next_due())
+            .chain([self.next_probe, self.next_contact, self.next_sync])
+            .min()
+            .unwrap_or(self.next_probe)
+    }
+
+    /// Handles a datagram.
+    #[must_use]
+    pub fn handle(
+        &mut self,
+        now: Duration,
+        source: SocketAddr,
+        bytes: &[u8],
+        vitals: &Vitals,
+    ) -> Vec<Action> {
+        let Ok(datagram) = Datagram::decode(bytes) else {
+            self.dropped_datagrams += 1;
+            return Vec::new();
+        };
+        if datagram.from.id == self.own.id || self.superseded.is_some() {
+            return Vec::new();
+        }
+        let mut turn = self.turn(now, vitals);
+        let is_page = matches!(datagram.message, Message::Page { .. });
+        let sender = Update {
+            contact: datagram.from,
+            refutation: datagram.refutation,
+            claim: Claim::Alive,
+        };
+        self.apply(sender, true, &mut turn);
+        for update in &datagram.updates {
+            // Pages repeat what is known for long; passing them on would flood the queues.
+            self.apply(*update, !is_page, &mut turn);
+        }
+        if self.superseded.is_none() {
+            self.handle_message(source, datagram, &mut turn);
+            self.spread(&mut turn);
+        }
+        turn.actions
+    }
+
+    /// Does what is due.
+    #[must_use]
+    pub fn tick(&mut self, now: Duration, vitals: &Vitals) -> Vec<Action> {
+        let mut turn = self.turn(now, vitals);
+        if self.leaving || self.superseded.is_some() {
+            return turn.actions;
+        }
+        if now > self.next_tick() + PAUSE_LIMIT {
+            self.restart_timers(now);
+        }
+        self.probes_due(&mut turn);
+        self.suspicions_due(&mut turn);
+        if now >= self.next_probe {
+            self.next_probe = now + PROBE_PERIOD;
+            self.probe_next(&mut turn);
+        }
+        if now >= self.next_contact {
+            self.contact_hint(&mut turn);
+        }
+        if now >= self.next_sync {
+            self.next_sync = now + SYNC_PERIOD;
+            self.table.expire(now);
+            self.sync_random(&mut turn);
+        }
+        self.spread(&mut turn);
+        turn.actions
+    }
+
+    /// Leaves the fleet. It answers nothing afterwards and needs no more ticks.
+    #[must_use]
+    pub fn leave(&mut self, now: Duration, vitals: &Vitals) -> Vec<Action> {
+        let mut turn = self.turn(now, vitals);
+        if self.leaving {
+            return turn.actions;
+        }
+        self.leaving = true;
+        let update = self.about_self(Claim::Left);
+        self.gossip.push(update);
+        for contact in self.table.sample(LEAVE_FANOUT, None, &mut self.rng) {
+            self.send(
+                &mut turn,
+                contact.address,
+                Some(contact.id.index),
+                Message::Gossip,
+            );
+        }
+        turn.actions
+    }
+
+    fn turn<'a>(&mut self, now: Duration, vitals: &'a Vitals) -> Turn<'a> {
+        self.allowance.refill(now);
+        Turn {
+            now,
+            vitals,
+            actions: Vec::new(),
+        }
+    }
+
+    fn about_self(&self, claim: Claim) -> Update {
+        Update {
+            contact: self.own,
+            refutation: self.refutation,
+            claim,
+        }
+    }
+
+    /// Applies news from a datagram or from this daemon's own probes.
+    fn apply(&mut self, update: Update, pass_on: bool, turn: &mut Turn<'_>) {
+        if update.contact.id.index == self.own.id.index {
+            self.apply_about_self(update, turn);
+            return;
+        }
+        let Some(change) = self.table.apply(update, turn.now) else {
+            return;
+        };
+        if pass_on {
+            self.gossip.push(update);
+            self.has_news |= change != Change::Noted;
+        }
+        match change {
+            Change::Joined(contact) => turn.event(MemberEvent::Joined(contact)),
+            Change::Suspected(id) => turn.event(MemberEvent::Suspected(id)),
+            Change::Recovered(id) => turn.event(MemberEvent::Recovered(id)),
+            Change::Removed(contact, cause) => turn.event(MemberEvent::Removed(contact, cause)),
+            Change::Replaced { old, new } => {
+                turn.event(MemberEvent::Removed(old, RemovalCause::Replaced));
+                turn.event(MemberEvent::Joined(new));
+            }
+            Change::Noted => {}
+        }
+    }
+
+    fn apply_about_self(&mut self, update: Update, turn: &mut Turn<'_>) {
+        let id = update.contact.id;
+        if id.incarnation > self.own.id.incarnation {
+            if self.superseded.is_none() {
+                self.superseded = Some(id);
+                turn.event(MemberEvent::Superseded(id));
+            }
+            return;
+        }
+        let accused = id == self.own.id && update.claim != Claim::Alive;
+        if !accused || self.leaving || update.refutation < self.refutation {
+            return;
+        }
+        let Some(next) = update.refutation.checked_add(1) else {
+            return;
+        };
+        self.refutation = next;
+        self.health.worsen();
+        let refutation = self.about_self(Claim::Alive);
+        self.gossip.push(refutation);
+        self.has_news = true;
+    }
+
+    fn handle_message(&mut self, source: SocketAddr, datagram: Datagram, turn: &mut Turn<'_>) {
+        let from = datagram.from.id;
+        if let Some(entry) = self.table.get_mut(from.index)
+            && entry.update.contact.id == from
+        {
+            entry.heard = Some(turn.now);
+        }
+        let mut probe_sent = None;
+        match datagram.message {
+            Message::Ping { seq } if !self.leaving => {
+                self.send(turn, source, Some(from.index), Message::Ack { seq });
+            }
+            Message::Ack { seq } => probe_sent = self.handle_ack(seq, from, turn),
+            Message::PingRequest { seq, target } => self.handle_request(source, seq, target, turn),
+            Message::RelayedAck { seq, target } => {
+                // The answer came through others: the direct path is bad, not this daemon.
+                self.probes.answered(seq, target);
+            }
+            Message::Sync { from_index } if !self.leaving => {
+                self.send_page(source, from_index, turn);
+            }
+            Message::Page { next_index } => self.handle_page(source, from, next_index, turn),
+            Message::Ping { .. } | Message::Sync { .. } | Message::Gossip => {}
+        }
+        turn.event(MemberEvent::Heard(PeerReport {
+            peer: from,
+            vitals: datagram.vitals,
+            probe_sent,
+        }));
+    }
+
+    fn handle_ack(&mut self, seq: u32, from: DaemonId, turn: &mut Turn<'_>) -> Option<Duration> {
+        if let Some((probe, late)) = self.probes.answered(seq, from) {
+            if late {
+                self.health.worsen();
+            } else {
+                self.health.improve();
+            }
+            return Some(probe.sent);
+        }
+        let relay = self.probes.relay_answered(seq, from)?;
+        let answer = Message::RelayedAck {
+            seq: relay.origin_seq,
+            target: relay.target,
+        };
+        self.send(turn, relay.origin, None, answer);
+        None
+    }
+
+    fn handle_request(
+        &mut self,
+        source: SocketAddr,
+        seq: u32,
+        target: DaemonId,
+        turn: &mut Turn<'_>,
+    ) {
+        // Only known members are pinged, so a forged request can't direct traffic elsewhere.
+        let contact = self
+            .table
+            .get(target.index)
+            .map(|entry| entry.update.contact);
+        let Some(contact) = contact.filter(|contact| contact.id == target && !self.leaving) else {
+            return;
+        };
+        if let Some(seq) = self.probes.relay(source, seq, target, turn.now) {
+            self.send(
+                turn,
+                contact.address,
+                Some(target.index),
+                Message::Ping { seq },
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/membership/send.rs
@@ -0,0 +1,81 @@
+//! Composition of datagrams.
+
+use super::{Action, Membership, Turn};
+use crate::wire::{Claim, Datagram, MAX_DATAGRAM_BYTES, Message};
+use std::net::SocketAddr;
+
+/// Random members that get news at once.
+const FANOUT: usize = 3;
+
+impl Membership {
+    /// Passes news on at once.
+    pub(super) fn spread(&mut self, turn: &mut Turn<'_>) {
+        if !std::mem::take(&mut self.has_news) || self.gossip.is_empty() {
+            return;
+        }
+        for contact in self.table.sample(FANOUT, None, &mut self.rng) {
+            if self.allowance.is_positive() {
+                self.send(
+                    turn,
+                    contact.address,
+                    Some(contact.id.index),
+                    Message::Gossip,
+                );
+            }
+        }
+    }
+
+    pub(super) fn datagram(&self, turn: &Turn<'_>, message: Message) -> Datagram {
+        let mut vitals = turn.vitals.clone();
+        if !matches!(message, Message::Ping { .. } | Message::Ack { .. }) {
+            vitals.witnesses = Vec::new();
+        }
+        Datagram {
+            from: self.own,
+            refutation: self.refutation,
+            vitals,
+            message,
+            updates: Vec::new(),
+        }
+    }
+
+    pub(super) fn send(
+        &mut self,
+        turn: &mut Turn<'_>,
+        to: SocketAddr,
+        index: Option<u32>,
+        message: Message,
+    ) {
+        let mut datagram = self.datagram(turn, message);
+        // What is said about the receiver goes first, so that it can refute.
+        let about_receiver = index
+            .and_then(|index| self.table.get(index))
+            .map(|entry| entry.update)
+            .filter(|update| update.claim != Claim::Alive);
+        let room = MAX_DATAGRAM_BYTES.saturating_sub(datagram.encoded_len());
+        let carries_news = matches!(
+            message,
+            Message::Ping { .. } | Message::Ack { .. } | Message::Gossip
+        );
+        if carries_news && self.allowance.is_positive() {
+            let members = self.live_count();
+            datagram.updates = self.gossip.take(room, members, about_receiver);
+        } else {
+            datagram
+                .updates
+                .extend(about_receiver.filter(|u| u.encoded_len() <= room));
+        }
+        self.push_datagram(turn, to, &datagram);
+    }
+
+    pub(super) fn push_datagram(
+        &mut self,
+        turn: &mut Turn<'_>,
+        to: SocketAddr,
+        datagram: &Datagram,
+    ) {
+        let bytes = datagram.encode();
+        self.allowance.spend(bytes.len());
+        turn.actions.push(Action::Send { to, bytes });
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/probe.rs
@@ -0,0 +1,171 @@
+//! Probes under way.
+
+use anvilgw_core::DaemonId;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time for a direct answer before other members are asked to probe. Members are at most some tens of
+/// milliseconds apart.
+const DIRECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time from the ping to the suspicion.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time for which a failed probe is remembered, so that a late answer is recognised.
+const LATE_TIME: Duration = Duration::from_secs(3);
+
+/// Most pings made for others at a time.
+const MAX_RELAYS: usize = 64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    Direct,
+    Indirect,
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Probe {
+    pub(crate) seq: u32,
+    pub(crate) target: DaemonId,
+    pub(crate) sent: Duration,
+    phase: Phase,
+    /// A ping to a suspect. Its failure has no further effect.
+    last_chance: bool,
+    factor: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Relay {
+    pub(crate) seq: u32,
+    pub(crate) origin: SocketAddr,
+    pub(crate) origin_seq: u32,
+    pub(crate) target: DaemonId,
+    sent: Duration,
+}
+
+/// What a deadline asks for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Due {
+    AskOthers(Probe),
+    Suspect(DaemonId),
+}
+
+/// Probes of this daemon and those made for others.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Probes {
+    probes: Vec<Probe>,
+    relays: Vec<Relay>,
+    last_seq: u32,
+}
+
+impl Probes {
+    fn next_seq(&mut self) -> u32 {
+        self.last_seq = self.last_seq.wrapping_add(1);
+        self.last_seq
+    }
+
+    pub(crate) fn start(
+        &mut self,
+        target: DaemonId,
+        now: Duration,
+        factor: u32,
+        last_chance: bool,
+    ) -> u32 {
+        let seq = self.next_seq();
+        self.probes.push(Probe {
+            seq,
+            target,
+            sent: now,
+            phase: Phase::Direct,
+            last_chance,
+            factor,
+        });
+        seq
+    }
+
+    /// Starts a ping for another member; `None` if too many are under way.
+    pub(crate) fn relay(
+        &mut self,
+        origin: SocketAddr,
+        origin_seq: u32,
+        target: DaemonId,
+        now: Duration,
+    ) -> Option<u32> {
+        if self.relays.len() >= MAX_RELAYS {
+            return None;
+        }
+        let seq = self.next_seq();
+        self.relays.push(Relay {
+            seq,
+            origin,
+            origin_seq,
+            target,
+            sent: now,
+        });
+        Some(seq)
+    }
+
+    /// Ends the probe that `from` answered.
+    pub(crate) fn answered(&mut self, seq: u32, from: DaemonId) -> Option<(Probe, bool)> {
+        let at = self
+            .probes
+            .iter()
+            .position(|probe| probe.seq == seq && probe.target == from)?;
+        let probe = self.probes.swap_remove(at);
+        let late = probe.phase == Phase::Failed;
+        Some((probe, late))
+    }
+
+    /// Ends the relayed ping that `from` answered.
+    pub(crate) fn relay_answered(&mut self, seq: u32, from: DaemonId) -> Option<Relay> {
+        let at = self
+            .relays
+            .iter()
+            .position(|relay| relay.seq == seq && relay.target == from)?;
+        Some(self.relays.swap_remove(at))
+    }
+
+    pub(crate) fn due(&mut self, now: Duration) -> Vec<Due> {
+        let mut due = Vec::new();
+        for probe in &mut self.probes {
+            let elapsed = now.saturating_sub(probe.sent);
+            if probe.phase == Phase::Direct && elapsed >= DIRECT_TIMEOUT * probe.factor {
+                probe.phase = Phase::Indirect;
+                if !probe.last_chance {
+                    due.push(Due::AskOthers(*probe));
+                }
+            }
+            if probe.phase == Phase::Indirect && elapsed >= PROBE_TIMEOUT * probe.factor {
+                probe.phase = Phase::Failed;
+                if !probe.last_chance {
+                    due.push(Due::Suspect(probe.target));
+                }
+            }
+        }
+        self.probes.retain(|probe| {
+            now.saturating_sub(probe.sent) < LATE_TIME + PROBE_TIMEOUT * probe.factor
+        });
+        self.relays
+            .retain(|relay| now.saturating_sub(relay.sent) < PROBE_TIMEOUT);
+        due
+    }
+
+    /// The next time at which [`Probes::due`] has something to do.
+    pub(crate) fn next_due(&self) -> Option<Duration> {
+        self.probes
+            .iter()
+            .filter_map(|probe| match probe.phase {
+                Phase::Direct => Some(probe.sent + DIRECT_TIMEOUT * probe.factor),
+                Phase::Indirect => Some(probe.sent + PROBE_TIMEOUT * probe.factor),
+                Phase::Failed => None,
+            })
+            .min()
+    }
+
+    /// Forgets all probes of this daemon, whose answers can't be judged after a pause.
+    pub(crate) fn clear(&mut self) {
+        self.probes.clear();
+        self.relays.clear();
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/rendezvous.rs
@@ -0,0 +1,103 @@
+//! Ownership by rendezvous hashing.
+
+use crate::GROWTH_WAIT;
+use crate::epoch::Epoch;
+use anvilgw_core::DaemonId;
+use std::time::Duration;
+
+/// What can be owned: a kind of thing and its number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Ownership {
+    /// Claim partition.
+    ClaimPartition(u32),
+    /// Shard of the prompt index.
+    IndexShard(u32),
+    /// Shared budget.
+    Budget(u32),
+}
+
+impl Ownership {
+    fn bytes(self) -> [u8; 5] {
+        let (kind, number) = match self {
+            Self::ClaimPartition(number) => (0, number),
+            Self::IndexShard(number) => (1, number),
+            Self::Budget(number) => (2, number),
+        };
+        let [a, b, c, d] = number.to_le_bytes();
+        [kind, a, b, c, d]
+    }
+}
+
+/// The member that owns `what`: the one with the highest hash of member number and thing. The start
+/// time of the process is left out, so a restart doesn't move ownership.
+#[must_use]
+pub fn owner_of(what: Ownership, members: &[DaemonId]) -> Option<DaemonId> {
+    members.iter().copied().max_by_key(|member| {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&what.bytes());
+        hasher.update(&member.index.to_le_bytes());
+        (*hasher.finalize().as_bytes(), *member)
+    })
+}
+
+/// Ownership of one daemon across epochs. What an epoch adds is used after [`GROWTH_WAIT`]; what the
+/// daemon owned before and still owns is used without a break.
+#[derive(Clone, Debug)]
+pub struct OwnershipWait {
+    own: DaemonId,
+    /// The epochs known for less than the wait and the one before them, oldest first.
+    known: Vec<Known>,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    epoch: Epoch,
+    since: Duration,
+}
+
+impl OwnershipWait {
+    /// Creates the ownership of a daemon that knows no epoch.
+    #[must_use]
+    pub fn new(own: DaemonId) -> Self {
+        Self {
+            own,
+            known: Vec::new(),
+        }
+    }
+
+    /// Notes an epoch that the daemon has folded.
+    pub fn on_epoch(&mut self, epoch: &Epoch, now: Duration) {
+        if self
+            .known
+            .last()
+            .is_some_and(|last| last.epoch.number >= epoch.number)
+        {
+            return;
+        }
+        let waited = |known: &Known| now.saturating_sub(known.since) >= GROWTH_WAIT;
+        let keep_from = self.known.iter().rposition(waited).unwrap_or(0);
+        self.known.drain(..keep_from);
+        self.known.push(Known {
+            epoch: epoch.clone(),
+            since: now,
+        });
+    }
+
+    /// The member that owns `what` in the current epoch, to which requests are sent.
+    #[must_use]
+    pub fn owner(&self, what: Ownership) -> Option<DaemonId> {
+        owner_of(what, &self.known.last()?.epoch.members)
+    }
+
+    /// Whether this daemon may act as the owner. The caller also checks that its view is fresh.
+    #[must_use]
+    pub fn may_act(&self, what: Ownership, now: Duration) -> bool {
+        let waited = |known: &Known| now.saturating_sub(known.since) >= GROWTH_WAIT;
+        let Some(from) = self.known.iter().rposition(waited) else {
+            return false;
+        };
+        self.known[from..]
+            .iter()
+            .all(|known| owner_of(what, &known.epoch.members) == Some(self.own))
+    }
+}
