--- /dev/null
+++ b/crates/entry/src/duties/control/configuration.rs
@@ -0,0 +1,198 @@
+//! The configuration part of the control duty.
+
+use super::ChangeAnswer;
+use super::log_io::ConfigRead;
+use anvilgw_config::{
+    ConfigFold, ConfigRecord, ConfigState, Folded, Outcome, PeerUpdate, RecordId, Snapshot,
+};
+use anvilgw_core::Offset;
+use anvilgw_kernel::{EventKind, Journal};
+use indexmap::IndexMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Time after which a change without a verdict is appended again. The record id makes that harmless.
+const RETRY_TIME: Duration = Duration::from_millis(1_500);
+/// Changes whose authors wait.
+const MAX_PENDING: usize = 64;
+
+struct Pending {
+    payload: Vec<u8>,
+    appended: Duration,
+    reply: oneshot::Sender<ChangeAnswer>,
+}
+
+/// Fold of the configuration and the changes whose outcome is awaited.
+pub(super) struct Configuration {
+    fold: Option<ConfigFold>,
+    needs_restart: bool,
+    pending: IndexMap<RecordId, Pending>,
+    journal: Arc<Journal>,
+}
+
+impl Configuration {
+    pub(super) fn new(journal: Arc<Journal>) -> Self {
+        Self {
+            fold: None,
+            needs_restart: false,
+            pending: IndexMap::new(),
+            journal,
+        }
+    }
+
+    /// Offset to read next; `None` for a new start from a snapshot.
+    pub(super) fn next_offset(&self) -> Option<Offset> {
+        if self.needs_restart {
+            return None;
+        }
+        self.fold.as_ref().and_then(ConfigFold::next_offset)
+    }
+
+    pub(super) fn current(&self) -> Option<Arc<ConfigState>> {
+        self.fold.as_ref().map(ConfigFold::current)
+    }
+
+    pub(super) fn version(&self) -> u64 {
+        self.current().map_or(0, |state| state.version)
+    }
+
+    pub(super) fn snapshot(&self) -> Option<Snapshot> {
+        self.fold.as_ref().and_then(ConfigFold::snapshot)
+    }
+
+    pub(super) fn update_since(&self, version: u64) -> PeerUpdate {
+        self.fold
+            .as_ref()
+            .map_or(PeerUpdate::Nothing, |fold| fold.update_since(version))
+    }
+
+    /// Applies what was read. Returns whether the configuration is complete up to the end of the
+    /// stream.
+    pub(super) fn on_read(&mut self, read: ConfigRead, wall_ms: u64) -> bool {
+        let tail = match read {
+            ConfigRead::Tail(slice) => slice,
+            ConfigRead::Restart {
+                bootstrap,
+                first_offset,
+                tail,
+            } => {
+                let restarted = match &mut self.fold {
+                    Some(fold) => fold.restart(bootstrap, first_offset),
+                    None => bootstrap
+                        .start(first_offset)
+                        .map(|fold| self.fold = Some(fold)),
+                };
+                if let Err(error) = restarted {
+                    self.note(wall_ms, EventKind::ConfigRejected, &error.to_string());
+                    return false;
+                }
+                self.needs_restart = false;
+                tail
+            }
+        };
+        let Some(fold) = &mut self.fold else {
+            return false;
+        };
+        let journal = Arc::clone(&self.journal);
+        let result = fold.fold_slice(&tail, |folded| note_folded(&journal, wall_ms, &folded));
+        if let Err(error) = result {
+            self.needs_restart = true;
+            self.note(wall_ms, EventKind::ConfigRejected, &error.to_string());
+            return false;
+        }
+        self.settle();
+        true
+    }
+
+    /// Applies an update from a peer.
+    pub(super) fn on_peer_update(&mut self, update: PeerUpdate, wall_ms: u64) {
+        let result = match (&mut self.fold, update) {
+            (Some(fold), update) => fold.apply_update(update).map(|_| ()),
+            (None, PeerUpdate::Full { state, digest }) if state.digest() == digest => {
+                self.fold = Some(ConfigFold::from_peer(state));
+                Ok(())
+            }
+            (None, _) => Ok(()),
+        };
+        if let Err(error) = result {
+            self.note(wall_ms, EventKind::ConfigRejected, &error.to_string());
+        }
+    }
+
+    /// Takes a change; the payload is to be appended now.
+    pub(super) fn submit(
+        &mut self,
+        record: &ConfigRecord,
+        reply: oneshot::Sender<ChangeAnswer>,
+        now: Duration,
+    ) -> Option<Vec<u8>> {
+        if self.pending.len() >= MAX_PENDING {
+            let _ = reply.send(ChangeAnswer::Undecided);
+            return None;
+        }
+        let payload = record.encode();
+        let pending = Pending {
+            payload: payload.clone(),
+            appended: now,
+            reply,
+        };
+        self.pending.insert(record.record_id, pending);
+        Some(payload)
+    }
+
+    /// Payloads to append again because no verdict arrived. Authors that have gone are forgotten.
+    pub(super) fn retries(&mut self, now: Duration) -> Vec<Vec<u8>> {
+        self.pending.retain(|_, pending| !pending.reply.is_closed());
+        self.pending
+            .values_mut()
+            .filter(|pending| now.saturating_sub(pending.appended) >= RETRY_TIME)
+            .map(|pending| {
+                pending.appended = now;
+                pending.payload.clone()
+            })
+            .collect()
+    }
+
+    /// Whether an author waits for a verdict.
+    pub(super) fn has_pending(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    fn settle(&mut self) {
+        let Some(fold) = &self.fold else { return };
+        let decided: Vec<_> = self
+            .pending
+            .keys()
+            .filter_map(|id| fold.outcome(*id).cloned())
+            .collect();
+        for outcome in decided {
+            let Some(pending) = self.pending.swap_remove(&outcome.record_id) else {
+                continue;
+            };
+            let answer = match outcome.outcome {
+                Outcome::Accepted { version } => ChangeAnswer::Accepted(version),
+                Outcome::Rejected(rejection) => ChangeAnswer::Rejected(rejection),
+            };
+            let _ = pending.reply.send(answer);
+        }
+    }
+
+    fn note(&self, wall_ms: u64, kind: EventKind, cause: &str) {
+        self.journal.record(wall_ms, kind, "configuration", cause);
+    }
+}
+
+fn note_folded(journal: &Journal, wall_ms: u64, folded: &Folded) {
+    let (kind, cause) = match folded {
+        Folded::Decided(outcome) => match &outcome.outcome {
+            Outcome::Accepted { version } => {
+                (EventKind::ConfigApplied, format!("version {version}"))
+            }
+            Outcome::Rejected(rejection) => (EventKind::ConfigRejected, rejection.to_string()),
+        },
+        Folded::Unreadable(error) => (EventKind::ConfigRejected, error.to_string()),
+        Folded::Duplicate(_) | Folded::AlreadyFolded => return,
+    };
+    journal.record(wall_ms, kind, "configuration", cause);
+}
--- /dev/null
+++ b/crates/entry/src/duties/control/worker.rs
@@ -0,0 +1,593 @@
+//! The thread of the control duty.
+
+use super::agreement::{Agreement, Append, Standing};
+use super::budgets::SharedBudgets;
+use super::configuration::Configuration;
+use super::log_io::{LogCalls, LogEvent, ReadFrom, Streams};
+use super::{ControlService, Member, Message, View, datagrams};
+use crate::duties::deliver::deliver;
+use crate::peer::{PeerAnswer, PeerClient, PeerRequest, decode, encode};
+use anvilgw_config::ConfigState;
+use anvilgw_core::{Clock, DaemonId, LogService};
+use anvilgw_fleet::{
+    Action, BudgetAction, Contact, Duty as FleetDuty, Epoch, Freshness, MemberEvent, MemberState,
+    Membership, OwnershipWait, PeerReport, PeerVerdict, RemovalCause,
+};
+use anvilgw_kernel::{Duty, EventKind, Journal, Receiver, RecvTimeoutError, Sender, Stop, ring};
+use indexmap::IndexMap;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+
+/// Messages that may wait: datagrams of a few hundred members in a burst.
+const RING_CAPACITY: usize = 2048;
+/// Longest sleep of the duty.
+const WAKEUP_MAX: Duration = Duration::from_millis(25);
+/// Interval of moving shares and of publishing the members.
+const SLOW_TICK: Duration = Duration::from_millis(100);
+/// Least time between two fetches of the configuration from peers.
+const FETCH_INTERVAL: Duration = Duration::from_millis(200);
+/// Time limit of calls to peers.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What the duty needs to know.
+pub(crate) struct ControlSetup {
+    /// Number, address and failure domain of this daemon.
+    pub(crate) own: Contact,
+    /// Addresses at which members may be found.
+    pub(crate) hints: Vec<SocketAddr>,
+    /// Names of the log streams.
+    pub(crate) streams: Streams,
+    /// Retention of the log.
+    pub(crate) retention: Duration,
+    /// Seed of random choices.
+    pub(crate) seed: u64,
+}
+
+/// Parts of the daemon that the duty uses.
+pub(crate) struct ControlParts {
+    /// The log service.
+    pub(crate) log: Arc<dyn LogService>,
+    /// Socket of the membership protocol.
+    pub(crate) socket: UdpSocket,
+    /// Calls to other daemons.
+    pub(crate) peers: Arc<PeerClient>,
+    /// Runtime for the calls.
+    pub(crate) runtime: Handle,
+    /// The clock.
+    pub(crate) clock: Arc<dyn Clock>,
+    /// The journal.
+    pub(crate) journal: Arc<Journal>,
+}
+
+/// The started duty.
+pub(crate) struct Started {
+    /// Handle for the other services.
+    pub(crate) service: ControlService,
+    /// Shares of the budgets.
+    pub(crate) budgets: Arc<SharedBudgets>,
+    /// The threads.
+    pub(crate) duties: Vec<Duty>,
+}
+
+struct Publish {
+    config: watch::Sender<Arc<ConfigState>>,
+    ready: watch::Sender<bool>,
+    freshness: watch::Sender<Freshness>,
+    view: watch::Sender<Arc<View>>,
+}
+
+struct Worker {
+    membership: Membership,
+    freshness: Freshness,
+    configuration: Configuration,
+    agreement: Agreement,
+    ownership: OwnershipWait,
+    budgets: Arc<SharedBudgets>,
+    config_versions: IndexMap<DaemonId, u64>,
+    left: Vec<DaemonId>,
+    log: LogCalls,
+    reading: bool,
+    log_failing: bool,
+    jitter: f64,
+    was_fresh: bool,
+    next_slow_tick: Duration,
+    last_fetch: Option<Duration>,
+    last_snapshot: Option<Duration>,
+    rng: StdRng,
+    streams: Streams,
+    retention: Duration,
+    socket: UdpSocket,
+    peers: Arc<PeerClient>,
+    runtime: Handle,
+    clock: Arc<dyn Clock>,
+    journal: Arc<Journal>,
+    messages: Sender<Message>,
+    publish: Publish,
+}
+
+impl ControlService {
+    /// Starts the duty with its threads.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the operating system refuses a thread or the socket.
+    pub(crate) fn start(
+        setup: ControlSetup,
+        parts: ControlParts,
+        stop: &Stop,
+    ) -> io::Result<Started> {
+        let (messages, receiver) = ring(RING_CAPACITY);
+        let own = setup.own.id;
+        let (config, config_seen) = watch::channel(Arc::new(ConfigState::default()));
+        let (ready, ready_seen) = watch::channel(false);
+        let (freshness, freshness_seen) = watch::channel(Freshness::new(own));
+        let view = View {
+            members: Vec::new(),
+            epoch: Epoch::default(),
+            ownership: OwnershipWait::new(own),
+            duties: Vec::new(),
+        };
+        let (view, view_seen) = watch::channel(Arc::new(view));
+        let clock = Arc::clone(&parts.clock);
+        let budgets = Arc::new(SharedBudgets::new(
+            own,
+            freshness_seen.clone(),
+            Arc::clone(&clock),
+        ));
+        let publish = Publish {
+            config,
+            ready,
+            freshness,
+            view,
+        };
+        let duties = start_threads(
+            setup,
+            parts,
+            stop,
+            (&messages, receiver),
+            publish,
+            &budgets,
+        )?;
+        let service = Self {
+            messages,
+            config: config_seen,
+            ready: ready_seen,
+            freshness: freshness_seen,
+            view: view_seen,
+            clock,
+        };
+        Ok(Started {
+            service,
+            budgets,
+            duties,
+        })
+    }
+}
+
+fn start_threads(
+    setup: ControlSetup,
+    parts: ControlParts,
+    stop: &Stop,
+    (messages, receiver): (&Sender<Message>, Receiver<Message>),
+    publish: Publish,
+    budgets: &Arc<SharedBudgets>,
+) -> io::Result<Vec<Duty>> {
+    let datagram_messages = messages.clone();
+    let mut duties = vec![datagrams::receive(&parts.socket, stop, move |source, bytes| {
+        // A lost datagram is like one lost on the way.
+        let _ = datagram_messages.send(Message::Datagram(source, bytes));
+    })?];
+    let log_messages = messages.clone();
+    let (log, log_duties) = LogCalls::start(&parts.log, &setup.streams, stop, move |event| {
+        deliver(&log_messages, Message::Log(event));
+    })?;
+    duties.extend(log_duties);
+    let worker = Worker::new(setup, parts, messages.clone(), log, publish, budgets);
+    duties.push(Duty::spawn("control", stop.clone(), move |stop| {
+        worker.run(&receiver, &stop);
+    })?);
+    Ok(duties)
+}
+
+impl Worker {
+    fn new(
+        setup: ControlSetup,
+        parts: ControlParts,
+        messages: Sender<Message>,
+        log: LogCalls,
+        publish: Publish,
+        budgets: &Arc<SharedBudgets>,
+    ) -> Self {
+        let own = setup.own.id;
+        let now = parts.clock.uptime();
+        let mut rng = StdRng::seed_from_u64(setup.seed);
+        let member_rng = StdRng::seed_from_u64(rng.random());
+        Self {
+            membership: Membership::new(setup.own, &setup.hints, member_rng, now),
+            freshness: Freshness::new(own),
+            configuration: Configuration::new(Arc::clone(&parts.journal)),
+            agreement: Agreement::new(own, now),
+            ownership: OwnershipWait::new(own),
+            budgets: Arc::clone(budgets),
+            config_versions: IndexMap::new(),
+            left: Vec::new(),
+            log,
+            reading: false,
+            log_failing: false,
+            jitter: rng.random(),
+            was_fresh: false,
+            next_slow_tick: now,
+            last_fetch: None,
+            last_snapshot: None,
+            rng,
+            streams: setup.streams,
+            retention: setup.retention,
+            socket: parts.socket,
+            peers: parts.peers,
+            runtime: parts.runtime,
+            clock: parts.clock,
+            journal: parts.journal,
+            messages,
+            publish,
+        }
+    }
+
+    fn run(mut self, messages: &Receiver<Message>, stop: &Stop) {
+        while !stop.is_raised() {
+            let pause = self
+                .membership
+                .next_tick()
+                .saturating_sub(self.clock.uptime())
+                .min(WAKEUP_MAX);
+            match messages.recv_timeout(pause) {
+                Ok(message) => self.handle(message),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            while let Ok(message) = messages.try_recv() {
+                self.handle(message);
+            }
+            self.tick();
+        }
+    }
+
+    fn handle(&mut self, message: Message) {
+        let now = self.clock.uptime();
+        match message {
+            Message::Datagram(source, bytes) => {
+                let vitals = self.freshness.vitals(now);
+                let actions = self.membership.handle(now, source, &bytes, &vitals);
+                self.act(actions, now);
+            }
+            Message::Log(event) => self.on_log(event, now),
+            Message::Change { record, reply } => {
+                if let Some(payload) = self.configuration.submit(&record, reply, now) {
+                    self.log.append(&self.streams.config, payload);
+                }
+            }
+            Message::ConfigSince { version, reply } => {
+                let _ = reply.send(self.configuration.update_since(version));
+            }
+            Message::PeerUpdate(update) => {
+                let wall_ms = self.clock.wall_ms();
+                self.configuration.on_peer_update(update, wall_ms);
+                self.apply_config();
+            }
+            Message::Hints(addresses) => self.membership.add_hints(&addresses),
+            Message::Leave(reply) => {
+                let vitals = self.freshness.vitals(now);
+                let actions = self.membership.leave(now, &vitals);
+                self.act(actions, now);
+                let releases = self.agreement.release(now, &mut self.rng);
+                self.append(releases);
+                let _ = reply.send(());
+            }
+        }
+    }
+
+    fn act(&mut self, actions: Vec<Action>, now: Duration) {
+        for action in actions {
+            match action {
+                // A datagram that cannot be sent counts as lost.
+                Action::Send { to, bytes } => {
+                    let _ = self.socket.send_to(&bytes, to);
+                }
+                Action::Event(event) => self.on_member(event, now),
+            }
+        }
+    }
+
+    fn on_member(&mut self, event: MemberEvent, now: Duration) {
+        match event {
+            MemberEvent::Heard(report) => self.on_heard(&report, now),
+            MemberEvent::Joined(contact) => {
+                self.left.retain(|id| *id != contact.id);
+                self.note(EventKind::MemberJoined, contact.id, "it answers");
+            }
+            MemberEvent::Suspected(id) => {
+                self.note(EventKind::MemberSuspected, id, "no answer to probes");
+            }
+            MemberEvent::Recovered(id) => self.note(EventKind::MemberJoined, id, "it refuted"),
+            MemberEvent::Removed(contact, cause) => {
+                if cause != RemovalCause::Failed {
+                    self.left.push(contact.id);
+                }
+                self.config_versions.swap_remove(&contact.id);
+                self.note(EventKind::MemberRemoved, contact.id, &format!("{cause:?}"));
+            }
+            MemberEvent::Superseded(by) => self.note(
+                EventKind::InvariantViolated,
+                by,
+                "a later process has the number of this daemon",
+            ),
+        }
+    }
+
+    fn on_heard(&mut self, report: &PeerReport, now: Duration) {
+        self.config_versions
+            .insert(report.peer, report.vitals.config_version);
+        match self.freshness.on_peer(now, report) {
+            PeerVerdict::Current => {}
+            PeerVerdict::Behind { config_version, .. } => {
+                if config_version > self.configuration.version() {
+                    self.fetch_config(report.peer, now);
+                }
+            }
+            PeerVerdict::ClockStopped => {
+                self.agreement.on_clock_stopped(now);
+                let cause = "clocks of peers advanced more";
+                self.note(EventKind::ClockStopped, report.peer, cause);
+            }
+        }
+        self.publish.freshness.send_replace(self.freshness.clone());
+    }
+
+    fn fetch_config(&mut self, peer: DaemonId, now: Duration) {
+        let too_early = self
+            .last_fetch
+            .is_some_and(|last| now.saturating_sub(last) < FETCH_INTERVAL);
+        let address = self.address_of(peer);
+        let Some(address) = address.filter(|_| !too_early) else {
+            return;
+        };
+        self.last_fetch = Some(now);
+        let version = self.configuration.version();
+        let request = encode(&PeerRequest::ConfigSince { version });
+        let (peers, messages) = (Arc::clone(&self.peers), self.messages.clone());
+        self.runtime.spawn(async move {
+            let Ok(answer) = peers.call(address, request, CALL_TIMEOUT).await else {
+                return;
+            };
+            if let Some(PeerAnswer::Config(json)) = decode(&answer)
+                && let Ok(update) = serde_json::from_slice(&json)
+            {
+                deliver(&messages, Message::PeerUpdate(update));
+            }
+        });
+    }
+
+    fn address_of(&self, id: DaemonId) -> Option<SocketAddr> {
+        self.membership
+            .members()
+            .find(|member| member.contact.id == id)
+            .map(|member| member.contact.address)
+    }
+
+    fn on_log(&mut self, event: LogEvent, now: Duration) {
+        let LogEvent::Read { began, result } = event else {
+            return;
+        };
+        self.reading = false;
+        self.jitter = self.rng.random();
+        match result {
+            Ok(read) => {
+                let budgets = Arc::clone(&self.budgets);
+                let (ownership, freshness) = (&mut self.ownership, &mut self.freshness);
+                let journal = &self.journal;
+                let wall_ms = self.clock.wall_ms();
+                self.agreement
+                    .on_read(&read.epochs, &read.leases, now, |epoch| {
+                        budgets.on_epoch(epoch);
+                        ownership.on_epoch(epoch, now);
+                        freshness.set_epoch(epoch);
+                        let subject = format!("epoch {}", epoch.number);
+                        let cause = format!("{} members", epoch.members.len());
+                        journal.record(wall_ms, EventKind::EpochApplied, subject, cause);
+                    });
+                let complete = self.configuration.on_read(read.config, wall_ms);
+                self.apply_config();
+                if complete {
+                    self.freshness.on_log_read(began);
+                }
+                self.note_log(false, "the log service answers");
+            }
+            Err(error) => {
+                self.freshness.on_log_failure(began);
+                self.note_log(true, &error.to_string());
+            }
+        }
+        self.publish.freshness.send_replace(self.freshness.clone());
+    }
+
+    fn note_log(&mut self, failing: bool, cause: &str) {
+        if failing != self.log_failing {
+            self.log_failing = failing;
+            let kind = match failing {
+                true => EventKind::LogUnavailable,
+                false => EventKind::LogAvailable,
+            };
+            self.journal
+                .record(self.clock.wall_ms(), kind, "log service", cause);
+        }
+    }
+
+    fn apply_config(&mut self) {
+        let Some(state) = self.configuration.current() else {
+            return;
+        };
+        assert!(
+            state.version >= self.publish.config.borrow().version,
+            "the configuration never goes back"
+        );
+        self.freshness.set_config_version(state.version);
+        self.publish.config.send_replace(state);
+        self.publish.ready.send_replace(true);
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.uptime();
+        let vitals = self.freshness.vitals(now);
+        let actions = self.membership.tick(now, &vitals);
+        self.act(actions, now);
+        self.read_log(now);
+        let fresh = self.note_freshness(now);
+        let live = self.membership.live();
+        let standing = Standing {
+            live: &live,
+            left: &self.left,
+            fresh,
+        };
+        let appends = self.agreement.tick(now, &standing, &mut self.rng);
+        self.append(appends);
+        for payload in self.configuration.retries(now) {
+            self.log.append(&self.streams.config, payload);
+        }
+        if now >= self.next_slow_tick {
+            self.next_slow_tick = now + SLOW_TICK;
+            self.write_snapshot(now);
+            self.move_shares(&live);
+            self.publish_view(now);
+        }
+    }
+
+    fn read_log(&mut self, now: Duration) {
+        let members = self.membership.live_count();
+        let due = self
+            .freshness
+            .is_log_read_due(now, members, self.jitter)
+            || self.configuration.has_pending();
+        if self.reading || !due {
+            return;
+        }
+        let from = ReadFrom {
+            config: self.configuration.next_offset(),
+            epochs: self.agreement.next_epoch_offset(),
+            leases: self.agreement.next_lease_offset(),
+        };
+        self.reading = self.log.read(now, from);
+    }
+
+    fn note_freshness(&mut self, now: Duration) -> bool {
+        let result = self.freshness.may_take_new_work(now);
+        let fresh = result.is_ok();
+        if fresh != self.was_fresh {
+            self.was_fresh = fresh;
+            let (kind, cause) = match result {
+                Ok(()) => (EventKind::ViewFresh, "new evidence".to_owned()),
+                Err(stale) => (EventKind::ViewStale, stale.to_string()),
+            };
+            self.journal
+                .record(self.clock.wall_ms(), kind, "view", cause);
+        }
+        fresh
+    }
+
+    fn append(&self, appends: Vec<Append>) {
+        for append in appends {
+            // A record that finds no room is appended again by its state machine.
+            let _ = match append {
+                Append::Epoch(payload) => self.log.append(&self.streams.epochs, payload),
+                Append::Lease(payload) => self.log.append(&self.streams.leases, payload),
+            };
+        }
+    }
+
+    fn write_snapshot(&mut self, now: Duration) {
+        let due = self
+            .last_snapshot
+            .is_none_or(|last| now.saturating_sub(last) >= self.retention / 4);
+        if !due || self.agreement.token(FleetDuty::Snapshot, now).is_none() {
+            return;
+        }
+        if let Some(snapshot) = self.configuration.snapshot()
+            && self.log.append(&self.streams.snapshots, snapshot.encode())
+        {
+            self.last_snapshot = Some(now);
+        }
+    }
+
+    fn move_shares(&self, live: &[DaemonId]) {
+        for action in self.budgets.tick(|member| live.contains(&member)) {
+            let (to, request) = match action {
+                BudgetAction::Send(transfer) => {
+                    (transfer.receiver, PeerRequest::Transfer(transfer))
+                }
+                BudgetAction::Ask { to, budget, amount } => {
+                    let from = self.membership.own().id;
+                    let budget = budget.0;
+                    (to, PeerRequest::AskBudget { from, budget, amount })
+                }
+            };
+            let Some(address) = self.address_of(to) else {
+                continue;
+            };
+            let (peers, budgets) = (Arc::clone(&self.peers), Arc::clone(&self.budgets));
+            self.runtime.spawn(async move {
+                let answer = peers.call(address, encode(&request), CALL_TIMEOUT).await;
+                let answer = answer.ok().and_then(|answer| decode(&answer));
+                if let Some(PeerAnswer::Share(Some(transfer))) = answer {
+                    // A refused transfer is counted by the budgets and lost until the next epoch.
+                    let _ = budgets.on_transfer(&transfer);
+                }
+            });
+        }
+    }
+
+    fn publish_view(&mut self, now: Duration) {
+        let own = self.membership.own();
+        let version = self.configuration.version();
+        let own_member = member(own, "self", Some(version));
+        let others = self.membership.members().map(|known| {
+            let version = self.config_versions.get(&known.contact.id).copied();
+            member(known.contact, state_name(known.state), version)
+        });
+        let view = View {
+            members: std::iter::once(own_member).chain(others).collect(),
+            epoch: self.agreement.epoch().cloned().unwrap_or_default(),
+            ownership: self.ownership.clone(),
+            duties: self.agreement.status(now),
+        };
+        self.publish.view.send_replace(Arc::new(view));
+    }
+
+    fn note(&self, kind: EventKind, subject: DaemonId, cause: &str) {
+        let subject = format!("daemon {subject}");
+        self.journal
+            .record(self.clock.wall_ms(), kind, subject, cause);
+    }
+}
+
+fn member(contact: Contact, state: &'static str, config_version: Option<u64>) -> Member {
+    Member {
+        index: contact.id.index,
+        incarnation: contact.id.incarnation,
+        address: contact.address,
+        state,
+        config_version,
+    }
+}
+
+fn state_name(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Alive => "alive",
+        MemberState::Suspect => "suspect",
+        MemberState::Failed => "failed",
+        MemberState::Left => "left",
+    }
+}
--- a/crates/entry/src/duties/mod.rs
+++ b/crates/entry/src/duties/mod.rs
@@ -2,5 +2,6 @@
 
 pub(crate) mod admission;
 pub(crate) mod claims;
+pub(crate) mod control;
 mod deliver;
 pub(crate) mod routing;
--- a/crates/entry/src/peer/mod.rs
+++ b/crates/entry/src/peer/mod.rs
@@ -1,3 +1,7 @@
-//! Messages between daemons.
+//! Calls between daemons.
 
+mod messages;
 mod transport;
+
+pub(crate) use messages::{PeerAnswer, PeerRequest, decode, encode};
+pub(crate) use transport::{CallError, PeerClient, PeerHandler, serve};
