Add the engine and its client

A caller must get exactly its own complete answer, so the client checks request id, attempt, position and end marker of every event: foreign and repeated events are dropped and counted, a gap, a wrong token count or a missing end marker is a typed error.

The engine batches continuously, keeps a bounded prefix cache, imports and exports blocks, fails above its load while cold, and sends a comment while a stream has no token, so that a long prefill is told apart from a silent connection.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,15 +6,21 @@
 //! one.
 
 mod connection;
+mod engine;
 mod error;
 mod exchange;
+mod kv;
 mod log;
 mod pool;
 mod service;
 
 pub use connection::ConnectionSettings;
+pub use engine::{
+    DroppedEvents, EngineClient, EngineError, EngineEvent, EngineRequest, EngineStream, EngineUsage,
+};
 pub use error::{Cause, TransportError};
 pub use exchange::CallOptions;
+pub use kv::{KvBlock, KvImport, KvSource};
 pub use log::{HttpLogService, LogClientSettings};
 pub use pool::PoolCounters;
 pub use service::{ServiceAnswer, ServiceCall, ServiceClient};
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -66,6 +66,10 @@
         }
     }
 
+    pub(crate) fn idle_connections(&self) -> usize {
+        self.idle.lock().expect("pool lock").len()
+    }
+
     /// Takes the most recently used idle connection that is still usable, or opens one.
     pub(crate) async fn take(&self, fresh: bool) -> Result<Connection, TransportError> {
         if !fresh && let Some(connection) = self.take_idle() {
--- a/crates/platform/tests/all/main.rs
+++ b/crates/platform/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Failure tests of the clients against the stand-ins.
 
+mod engine;
 mod log;
 mod service;
 
--- /dev/null
+++ b/crates/standin/src/engine/completion.rs
@@ -0,0 +1,173 @@
+//! Completion requests: parsing, import of blocks, and the answer as JSON or as a stream.
+
+use super::answer::{AnswerKey, prompt_of, token_count};
+use super::batch::{Job, Position};
+use super::protocol::{Extension, Usage};
+use super::stream::{EventStream, StreamFault};
+use super::{EngineStandin, InFlight};
+use crate::server::{Call, Reply};
+use http::StatusCode;
+use serde_json::{Value, json};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::sync::watch;
+
+/// Number of requests that came without an identifier of their own.
+static UNNAMED_REQUESTS: AtomicU64 = AtomicU64::new(0);
+
+/// A parsed completion request.
+#[derive(Debug)]
+pub(crate) struct Completion {
+    pub(crate) extension: Extension,
+    pub(crate) answer: AnswerKey,
+    pub(crate) prompt_tokens: u64,
+    /// Position after the last token of the answer.
+    pub(crate) end: u64,
+    pub(crate) finish_reason: &'static str,
+    is_stream: bool,
+    is_chat: bool,
+}
+
+impl Completion {
+    fn parse(engine: &EngineStandin, call: &Call, is_chat: bool) -> Result<Self, String> {
+        let body: Value = serde_json::from_slice(&call.body).map_err(|error| error.to_string())?;
+        let prompt = prompt_of(&body).ok_or("no prompt")?;
+        let extension = body.get("anvilgw").cloned().map(serde_json::from_value);
+        let mut extension: Extension = extension
+            .transpose()
+            .map_err(|error| error.to_string())?
+            .unwrap_or_default();
+        if extension.request_id.is_empty() {
+            let number = UNNAMED_REQUESTS.fetch_add(1, Ordering::Relaxed);
+            extension.request_id = format!("unnamed-{number}");
+        }
+        extension.block_tokens = extension.block_tokens.max(1);
+        let max_tokens = body.get("max_tokens").and_then(Value::as_u64);
+        let end = max_tokens.unwrap_or(engine.config.default_tokens);
+        if extension.resume_from > end {
+            return Err("resume_from lies after the end of the answer".to_owned());
+        }
+        Ok(Self {
+            extension,
+            answer: AnswerKey::new(&prompt),
+            prompt_tokens: token_count(&prompt),
+            end,
+            finish_reason: if max_tokens.is_some() {
+                "length"
+            } else {
+                "stop"
+            },
+            is_stream: body.get("stream").and_then(Value::as_bool) == Some(true),
+            is_chat,
+        })
+    }
+
+    /// Imports the blocks offered and queues the request.
+    pub(crate) async fn start(
+        &self,
+        engine: &Arc<EngineStandin>,
+        in_flight: &InFlight,
+    ) -> watch::Receiver<Position> {
+        let imported_tokens = engine.import_for(&self.extension, self.prompt_tokens).await;
+        let resume_from = self.extension.resume_from;
+        let (position, receiver) = watch::channel(Position {
+            produced: resume_from,
+            ..Position::default()
+        });
+        let job = Job {
+            keys: self.extension.blocks.clone(),
+            block_tokens: self.extension.block_tokens,
+            priority: self.extension.priority,
+            end: self.end,
+            usage: Usage {
+                prompt_tokens: self.prompt_tokens,
+                completion_tokens: resume_from,
+                imported_tokens,
+                ..Usage::default()
+            },
+            prefill_left: 0.0,
+            decode_credit_ms: 0.0,
+            is_decoding: false,
+            position,
+        };
+        engine.submit(job, in_flight);
+        receiver
+    }
+
+    /// The whole answer as JSON.
+    fn json(&self, usage: &Usage) -> Value {
+        let text = self.answer.text(self.extension.resume_from, self.end);
+        let mut choice = json!({"index": 0, "finish_reason": self.finish_reason});
+        if self.is_chat {
+            choice["message"] = json!({"role": "assistant", "content": text});
+        } else {
+            choice["text"] = text.into();
+        }
+        json!({
+            "id": self.extension.request_id,
+            "attempt": self.extension.attempt,
+            "object": if self.is_chat { "chat.completion" } else { "text_completion" },
+            "choices": [choice],
+            "usage": usage,
+        })
+    }
+}
+
+/// Answers a completion request.
+pub(crate) async fn complete(engine: Arc<EngineStandin>, call: Call, is_chat: bool) -> Reply {
+    let completion = match Completion::parse(&engine, &call, is_chat) {
+        Ok(completion) => completion,
+        Err(message) => return Reply::error(StatusCode::BAD_REQUEST, &message),
+    };
+    if let Some(refusal) = refusal(&engine, &call, &completion.extension) {
+        return refusal;
+    }
+    let Some(in_flight) = engine.enter() else {
+        return Reply::Cut;
+    };
+    let faults = engine.state().faults.clone();
+    let fault = StreamFault::draw(&faults, &engine.dice);
+    if completion.is_stream {
+        let after = completion.extension.resume_from + faults.after_tokens;
+        return EventStream::start(engine, completion, in_flight, (fault, after), call.wire);
+    }
+    let mut position = completion.start(&engine, &in_flight).await;
+    let ended = match position.wait_for(|position| position.ended).await {
+        Ok(position) => *position,
+        // The engine has crashed.
+        Err(_) => return Reply::Cut,
+    };
+    match fault {
+        StreamFault::Cut => Reply::Cut,
+        StreamFault::Silence => Reply::Silence,
+        _ => Reply::ok(&completion.json(&ended.usage)),
+    }
+}
+
+fn refusal(engine: &EngineStandin, call: &Call, extension: &Extension) -> Option<Reply> {
+    let mut state = engine.state();
+    let traceparent = call.headers.get("traceparent");
+    state.traceparent = traceparent.and_then(|value| Some(value.to_str().ok()?.to_owned()));
+    let version = extension.weight_version;
+    if state.faults.refuse {
+        Some(Reply::error(StatusCode::SERVICE_UNAVAILABLE, "refused"))
+    } else if state.orders.loading {
+        let message = "weights are being loaded";
+        Some(Reply::error(StatusCode::SERVICE_UNAVAILABLE, message))
+    } else if version != 0 && version != state.orders.weight_version {
+        let message = format!("weight version is {}", state.orders.weight_version);
+        Some(Reply::error(StatusCode::CONFLICT, &message))
+    } else {
+        refuse_model(&state.orders.models, &call.body)
+    }
+}
+
+fn refuse_model(models: &[String], body: &[u8]) -> Option<Reply> {
+    if models.is_empty() {
+        return None;
+    }
+    let body: Value = serde_json::from_slice(body).ok()?;
+    let model = body.get("model").and_then(Value::as_str).unwrap_or("");
+    (!models.iter().any(|served| served == model))
+        .then(|| Reply::error(StatusCode::NOT_FOUND, "the model is not loaded"))
+}
--- /dev/null
+++ b/crates/standin/src/engine/kv.rs
@@ -0,0 +1,228 @@
+//! Export and import of KV blocks.
+
+use super::EngineStandin;
+use super::answer::kv_content;
+use super::protocol::{Extension, ImportBlock};
+use crate::server::{Call, Reply};
+use futures_util::future::join_all;
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use tokio::time::sleep_until;
+
+/// Content of a block that was exported wrongly.
+const WRONG_CONTENT: &str = "wrong";
+
+/// A KV block as engines and stores pass it on. The content stands for the real one, whose size is
+/// `bytes`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct KvBlock {
+    /// Key.
+    pub key: String,
+    /// Generation in the store; 0 from an engine.
+    pub generation: u64,
+    /// Tokens.
+    pub tokens: u64,
+    /// Size that counts for links and tiers.
+    pub bytes: u64,
+    /// Content.
+    pub content: String,
+    /// blake3 of the content when the block was sealed, in hexadecimal digits.
+    pub digest: String,
+}
+
+impl KvBlock {
+    /// Whether this is the complete block that was asked for.
+    #[must_use]
+    pub fn matches(&self, key: &str, generation: u64) -> bool {
+        self.key == key
+            && self.generation == generation
+            && self.digest == blake3::hash(self.content.as_bytes()).to_hex().as_str()
+    }
+}
+
+#[derive(Deserialize)]
+struct ExportBody {
+    keys: Vec<String>,
+    /// Store to write the blocks to. Without it they are returned.
+    to: Option<SocketAddr>,
+    #[serde(default)]
+    tier: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct ExportAnswer {
+    blocks: Vec<KvBlock>,
+}
+
+#[derive(Deserialize)]
+struct ImportBody {
+    blocks: Vec<ImportBlock>,
+}
+
+#[derive(Deserialize)]
+struct Prepared {
+    generation: u64,
+}
+
+impl EngineStandin {
+    /// Imports the blocks that a request offers and the cache lacks. Returns their tokens.
+    pub(super) async fn import_for(&self, extension: &Extension, prompt_tokens: u64) -> u64 {
+        let wanted = extension.import.iter().filter(|import| {
+            extension.blocks.contains(&import.key) && !self.has_block(&import.key)
+        });
+        let imports = wanted.map(|import| async {
+            let index = extension.blocks.iter().position(|k| *k == import.key)?;
+            let start = index as u64 * extension.block_tokens;
+            let tokens = prompt_tokens
+                .saturating_sub(start)
+                .min(extension.block_tokens);
+            self.import_block(import, Some(tokens)).await.ok()
+        });
+        join_all(imports).await.into_iter().flatten().sum()
+    }
+
+    /// Fetches a block, checks it and adds it to the cache. Returns its tokens.
+    async fn import_block(&self, import: &ImportBlock, tokens: Option<u64>) -> Result<u64, String> {
+        let fetched = self.fetch(import).await.and_then(|block| {
+            let is_checked = self.config.verify_imports;
+            if is_checked && !block.matches(&import.key, import.generation) {
+                return Err("the block is another or incomplete".to_owned());
+            }
+            Ok(block)
+        });
+        let mut state = self.state();
+        let state = &mut *state;
+        let block = fetched.inspect_err(|_| state.counters.imports_refused += 1)?;
+        if block.content != kv_content(&import.key) {
+            state.counters.wrong_blocks += 1;
+        }
+        let tokens = tokens.unwrap_or(block.tokens);
+        let changes = state
+            .cache
+            .store(&import.key, tokens, self.config.cache_tokens);
+        self.record(&mut state.events, changes);
+        Ok(tokens)
+    }
+
+    async fn fetch(&self, import: &ImportBlock) -> Result<KvBlock, String> {
+        let (kind, addr) = import.source.split_once(':').ok_or("source without kind")?;
+        let addr: SocketAddr = addr.parse().map_err(|_| "source without address")?;
+        match kind {
+            "engine" => {
+                let body = json!({"keys": [import.key]});
+                let answer: ExportAnswer =
+                    self.fetcher.post(addr, "/control/kv/export", &body).await?;
+                let block = answer.blocks.into_iter().next();
+                block.ok_or_else(|| "the engine does not hold the block".to_owned())
+            }
+            "store" => {
+                let path = format!("/blocks/{}?generation={}", import.key, import.generation);
+                self.fetcher.get(addr, &path).await
+            }
+            _ => Err("unknown kind of source".to_owned()),
+        }
+    }
+
+    /// `POST /control/kv/import`
+    pub(super) async fn import(&self, call: &Call) -> Reply {
+        let Ok(body) = serde_json::from_slice::<ImportBody>(&call.body) else {
+            return Reply::error(StatusCode::BAD_REQUEST, "no list of blocks");
+        };
+        let (mut imported, mut refused) = (Vec::new(), Vec::new());
+        for block in &body.blocks {
+            match self.import_block(block, None).await {
+                Ok(_) => imported.push(&block.key),
+                Err(reason) => refused.push(json!({"key": block.key, "reason": reason})),
+            }
+        }
+        Reply::ok(&json!({"imported": imported, "refused": refused}))
+    }
+
+    /// `POST /control/kv/export`
+    pub(super) async fn export(&self, call: &Call) -> Reply {
+        let Ok(body) = serde_json::from_slice::<ExportBody>(&call.body) else {
+            return Reply::error(StatusCode::BAD_REQUEST, "no list of keys");
+        };
+        let (mut blocks, mut missing) = (Vec::new(), Vec::new());
+        for key in body.keys {
+            match self.read_block(&key) {
+                Some(block) => blocks.push(block),
+                None => missing.push(key),
+            }
+        }
+        self.transmit(blocks.iter().map(|block| block.bytes).sum())
+            .await;
+        if let Some(store) = body.to {
+            let tier = body.tier.as_deref().unwrap_or("memory");
+            for block in &mut blocks {
+                match self.write_to_store(store, tier, block).await {
+                    Ok(generation) => block.generation = generation,
+                    Err(reason) => return Reply::error(StatusCode::BAD_GATEWAY, &reason),
+                }
+            }
+        }
+        Reply::ok(&json!({"blocks": blocks, "missing": missing}))
+    }
+
+    fn read_block(&self, key: &str) -> Option<KvBlock> {
+        let state = self.state();
+        let tokens = state.cache.tokens_of(key)?;
+        let content = kv_content(key);
+        let digest = blake3::hash(content.as_bytes()).to_hex().to_string();
+        let is_wrong = self.dice.chance(state.faults.wrong_kv_probability);
+        Some(KvBlock {
+            key: key.to_owned(),
+            generation: 0,
+            tokens,
+            bytes: tokens * self.config.kv_bytes_per_token,
+            content: if is_wrong {
+                WRONG_CONTENT.to_owned()
+            } else {
+                content
+            },
+            digest,
+        })
+    }
+
+    /// Takes the time that the bytes need on the engine's link.
+    async fn transmit(&self, bytes: u64) {
+        let slowed = self.state().faults.link_bytes_per_s;
+        let rate = if slowed > 0 {
+            slowed
+        } else {
+            self.config.link_bytes_per_s
+        };
+        let end = self.link.lock().expect("link lock").reserve(bytes, rate);
+        sleep_until(end).await;
+        self.state().counters.exported_bytes += bytes;
+    }
+
+    async fn write_to_store(
+        &self,
+        store: SocketAddr,
+        tier: &str,
+        block: &KvBlock,
+    ) -> Result<u64, String> {
+        let path = format!("/blocks/{}", block.key);
+        let body = json!({"tier": tier, "bytes": block.bytes, "tokens": block.tokens});
+        let prepared: Prepared = self
+            .fetcher
+            .post(store, &format!("{path}/prepare"), &body)
+            .await?;
+        let generation = prepared.generation;
+        let body = json!({"generation": generation, "content": block.content});
+        let _: Value = self
+            .fetcher
+            .post(store, &format!("{path}/write"), &body)
+            .await?;
+        let body = json!({"generation": generation});
+        let _: Value = self
+            .fetcher
+            .post(store, &format!("{path}/seal"), &body)
+            .await?;
+        Ok(generation)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/mod.rs
@@ -0,0 +1,388 @@
+//! A model engine.
+//!
+//! The engine computes no model. It takes the time that prefill and decode would take, keeps a prefix
+//! cache of KV block keys, and answers with words derived from the prompt.
+
+mod answer;
+mod batch;
+mod cache;
+mod completion;
+mod config;
+mod kv;
+mod orders;
+mod protocol;
+mod stream;
+
+pub use answer::{AnswerKey, answer_text, kv_content, prompt_of, token_count};
+pub use config::{EngineConfig, EngineCounters, EngineFaults};
+pub use kv::KvBlock;
+pub use protocol::{
+    CacheChange, CacheEvent, CacheEvents, EngineLoad, Extension, FencedOrder, ImportBlock, Order,
+    OrderState, Usage,
+};
+
+use crate::dice::Dice;
+use crate::fetch::Fetcher;
+use crate::link::Link;
+use crate::server::{Call, Reply, Running, Server, Standin};
+use anvilgw_core::{Clock, SystemClock};
+use batch::{Batch, Job, Speed};
+use cache::{EventLog, PrefixCache};
+use http::{Method, StatusCode};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::runtime::Handle;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep};
+
+/// Stand-in of a model engine.
+#[derive(Debug)]
+pub struct EngineStandin {
+    config: EngineConfig,
+    server: Arc<Server>,
+    dice: Dice,
+    state: Mutex<State>,
+    link: Mutex<Link>,
+    fetcher: Fetcher,
+    work: Notify,
+    /// Orders are executed one after the other.
+    order_turn: tokio::sync::Mutex<()>,
+    runtime: Handle,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    start_ms: u64,
+    is_warm: bool,
+    completed: u64,
+    completed_cold: u64,
+    in_flight: u64,
+    batch: Batch,
+    cache: PrefixCache,
+    events: EventLog,
+    faults: EngineFaults,
+    counters: EngineCounters,
+    orders: OrderState,
+    reported: EngineLoad,
+    traceparent: Option<String>,
+}
+
+/// A request that counts towards the load until it is dropped.
+#[derive(Debug)]
+pub(crate) struct InFlight {
+    engine: Arc<EngineStandin>,
+    start_ms: u64,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let mut state = self.engine.state();
+        // A crash has already reset the count.
+        if state.start_ms == self.start_ms {
+            state.in_flight -= 1;
+        }
+    }
+}
+
+impl EngineStandin {
+    /// Starts the stand-in.
+    ///
+    /// # Errors
+    ///
+    /// The error of binding the address.
+    pub async fn start(config: EngineConfig, addr: SocketAddr) -> io::Result<Running<Self>> {
+        let seed = config.seed;
+        let running = Server::start(addr, seed, |server| {
+            let engine = Arc::new(Self {
+                state: Mutex::new(Self::first_state(&config)),
+                dice: Dice::new(seed),
+                server: Arc::clone(server),
+                link: Mutex::default(),
+                fetcher: Fetcher::new(Duration::from_millis(config.import_limit_ms)),
+                work: Notify::new(),
+                order_turn: tokio::sync::Mutex::default(),
+                runtime: Handle::current(),
+                config,
+            });
+            tokio::spawn(Arc::clone(&engine).run_until_stopped());
+            engine
+        });
+        running.await
+    }
+
+    /// Replaces the faults. Orders to crash or to become cold are executed at once.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        let mut state = self.state();
+        if faults.crash {
+            self.crash(&mut state);
+        }
+        if faults.become_cold {
+            state.is_warm = false;
+            state.completed_cold = 0;
+            self.clear_cache(&mut state);
+        }
+        state.faults = faults;
+    }
+
+    /// Counters over all restarts.
+    #[must_use]
+    pub fn counters(&self) -> EngineCounters {
+        self.state().counters
+    }
+
+    /// Current load, without the lag of the report.
+    #[must_use]
+    pub fn load(&self) -> EngineLoad {
+        load_of(&self.state())
+    }
+
+    /// State of the orders.
+    #[must_use]
+    pub fn orders(&self) -> OrderState {
+        self.state().orders.clone()
+    }
+
+    /// Whether the prefix cache holds a block.
+    #[must_use]
+    pub fn has_block(&self, key: &str) -> bool {
+        self.state().cache.contains(key)
+    }
+
+    /// `traceparent` of the last completion request.
+    #[must_use]
+    pub fn last_traceparent(&self) -> Option<String> {
+        self.state().traceparent.clone()
+    }
+
+    fn first_state(config: &EngineConfig) -> State {
+        let mut state = State {
+            start_ms: SystemClock.wall_ms(),
+            is_warm: config.starts_warm,
+            faults: config.faults.clone(),
+            orders: OrderState {
+                models: config.models.clone(),
+                weight_version: config.weight_version,
+                ..OrderState::default()
+            },
+            ..State::default()
+        };
+        state.reported = load_of(&state);
+        state
+    }
+
+    /// Counts a request, or crashes if a cold engine cannot sustain it.
+    pub(crate) fn enter(self: &Arc<Self>) -> Option<InFlight> {
+        let mut state = self.state();
+        state.in_flight += 1;
+        state.counters.accepted += 1;
+        if !state.is_warm {
+            state.counters.peak_cold = state.counters.peak_cold.max(state.in_flight);
+            if state.in_flight > self.config.cold_concurrency as u64 {
+                state.counters.cold_crashes += 1;
+                self.crash(&mut state);
+                return None;
+            }
+        }
+        Some(InFlight {
+            engine: Arc::clone(self),
+            start_ms: state.start_ms,
+        })
+    }
+
+    /// Queues a job. A job of a process that has crashed since is dropped, which ends its answer.
+    fn submit(&self, job: Job, in_flight: &InFlight) {
+        let mut state = self.state();
+        if state.start_ms == in_flight.start_ms {
+            state.batch.submit(job);
+            self.work.notify_one();
+        }
+    }
+
+    /// Drops everything, refuses connections, and starts again cold after a while.
+    fn crash(&self, state: &mut State) {
+        // Two starts never look the same, even within a millisecond.
+        state.start_ms = SystemClock.wall_ms().max(state.start_ms + 1);
+        state.is_warm = false;
+        state.completed = 0;
+        state.completed_cold = 0;
+        state.in_flight = 0;
+        state.batch = Batch::default();
+        state.cache.clear();
+        state.events = EventLog::default();
+        state.orders.loading = false;
+        state.counters.crashes += 1;
+        state.reported = load_of(state);
+        self.server.down();
+        let server = Arc::clone(&self.server);
+        let restart = Duration::from_millis(self.config.restart_ms);
+        self.runtime.spawn(async move {
+            sleep(restart).await;
+            server.up();
+        });
+    }
+
+    async fn run_until_stopped(self: Arc<Self>) {
+        let lag = Duration::from_millis(self.config.load_lag_ms);
+        tokio::select! {
+            () = self.run() => {}
+            () = self.report_load(lag) => {}
+            () = self.server.until_stopped() => {}
+        }
+    }
+
+    async fn run(&self) {
+        let step = Duration::from_millis(self.config.step_ms.max(1));
+        let mut last = Instant::now();
+        loop {
+            if self.state().batch.is_idle() {
+                self.work.notified().await;
+                last = Instant::now();
+            } else {
+                sleep(step).await;
+            }
+            let now = Instant::now();
+            self.step((now - last).as_secs_f64());
+            last = now;
+        }
+    }
+
+    async fn report_load(&self, lag: Duration) {
+        if lag.is_zero() {
+            return std::future::pending().await;
+        }
+        let mut interval = tokio::time::interval(lag);
+        loop {
+            interval.tick().await;
+            let mut state = self.state();
+            state.reported = load_of(&state);
+        }
+    }
+
+    fn step(&self, elapsed_s: f64) {
+        let mut state = self.state();
+        let slowdown = state.faults.slowdown.max(1.0);
+        let speed = Speed {
+            prefill_tokens_per_s: self.config.prefill_tokens_per_s / slowdown,
+            decode_ms: self.config.decode_ms * slowdown,
+        };
+        let capacity = self.config.cache_tokens;
+        let State {
+            batch,
+            cache,
+            events,
+            counters,
+            ..
+        } = &mut *state;
+        batch.admit(self.config.max_running, |job| {
+            begin_prefill(job, cache, capacity, counters);
+        });
+        let ended = batch.advance(elapsed_s, speed, |job| {
+            for (index, key) in job.keys.iter().enumerate() {
+                let changes = cache.store(key, job.block_len(index), capacity);
+                self.record(events, changes);
+            }
+        });
+        state.completed += ended;
+        state.counters.completed += ended;
+        if !state.is_warm {
+            state.completed_cold += ended;
+            state.is_warm = state.completed_cold >= self.config.warm_completions;
+        }
+    }
+
+    fn record(&self, events: &mut EventLog, changes: Vec<CacheChange>) {
+        for change in changes {
+            let is_lost = self.dice.chance(self.config.event_gap_probability);
+            events.record(change, is_lost, self.config.events_kept);
+        }
+    }
+
+    fn clear_cache(&self, state: &mut State) {
+        state.cache.clear();
+        self.record(&mut state.events, vec![CacheChange::Cleared]);
+    }
+
+    fn read_load(&self) -> EngineLoad {
+        let state = self.state();
+        if self.config.load_lag_ms == 0 {
+            load_of(&state)
+        } else {
+            state.reported.clone()
+        }
+    }
+
+    fn read_events(&self, from: u64) -> CacheEvents {
+        let state = self.state();
+        let delay = Duration::from_millis(self.config.event_lag_ms);
+        state.events.read(state.start_ms, from, delay)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("engine lock")
+    }
+}
+
+fn load_of(state: &State) -> EngineLoad {
+    let running = state.batch.running() as u64;
+    EngineLoad {
+        start_ms: state.start_ms,
+        running,
+        queued: state.in_flight.saturating_sub(running),
+        prefill_tokens: state.batch.prefill_tokens(),
+        warm: state.is_warm,
+        weight_version: state.orders.weight_version,
+        loading: state.orders.loading,
+        role: state.orders.role.clone(),
+        cached_tokens: state.cache.tokens(),
+        completed: state.completed,
+    }
+}
+
+/// Finds out how much of the prompt the cache holds and sets the rest as prefill.
+fn begin_prefill(
+    job: &mut Job,
+    cache: &mut PrefixCache,
+    capacity: u64,
+    counters: &mut EngineCounters,
+) {
+    let held: Vec<_> = job.keys.iter().map_while(|k| cache.tokens_of(k)).collect();
+    for (key, tokens) in job.keys.iter().zip(&held) {
+        cache.store(key, *tokens, capacity);
+    }
+    let usage = &mut job.usage;
+    let held = held.iter().sum::<u64>().min(usage.prompt_tokens);
+    usage.imported_tokens = usage.imported_tokens.min(held);
+    usage.reused_tokens = held - usage.imported_tokens;
+    // The tokens before `resume_from` were generated elsewhere, so their KV cache is missing too.
+    usage.recomputed_tokens = usage.prompt_tokens - held + usage.completion_tokens;
+    job.prefill_left = usage.recomputed_tokens as f64;
+    counters.reused_tokens += usage.reused_tokens;
+    counters.imported_tokens += usage.imported_tokens;
+    counters.recomputed_tokens += usage.recomputed_tokens;
+}
+
+impl Standin for EngineStandin {
+    async fn handle(self: Arc<Self>, call: Call) -> Reply {
+        match (&call.method, call.path.as_str()) {
+            (&Method::POST, "/v1/completions") => completion::complete(self, call, false).await,
+            (&Method::POST, "/v1/chat/completions") => completion::complete(self, call, true).await,
+            (&Method::GET, "/control/load") => Reply::ok(&self.read_load()),
+            (&Method::GET, "/control/events") => {
+                Reply::ok(&self.read_events(call.number("from").unwrap_or(0)))
+            }
+            (&Method::POST, "/control/kv/export") => self.export(&call).await,
+            (&Method::POST, "/control/kv/import") => self.import(&call).await,
+            (&Method::POST, "/control/orders") => self.take_order(&call),
+            (&Method::GET, "/control/orders") => Reply::ok(&self.orders()),
+            (&Method::GET, "/control/counters") => Reply::ok(&self.counters()),
+            _ => Reply::error(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    fn replace_faults(&self, faults: serde_json::Value) -> Result<(), serde_json::Error> {
+        self.set_faults(serde_json::from_value(faults)?);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/stream.rs
@@ -0,0 +1,225 @@
+//! The answer as server-sent events.
+
+use super::batch::Position;
+use super::completion::Completion;
+use super::config::EngineFaults;
+use super::{EngineStandin, InFlight};
+use crate::dice::Dice;
+use crate::server::Reply;
+use crate::wire::Wire;
+use bytes::Bytes;
+use futures_util::stream;
+use http::{Response, header};
+use http_body::Frame;
+use http_body_util::StreamBody;
+use http_body_util::combinators::UnsyncBoxBody;
+use serde_json::json;
+use std::fmt::Write as _;
+use std::future::Future;
+use std::io;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, interval_at};
+
+/// Parts of an answer that wait for a slow reader.
+const PARTS_IN_FLIGHT: usize = 16;
+/// Event at the end of a complete answer.
+const END_MARKER: &str = "data: [DONE]\n\n";
+/// Comment that only shows that the connection is alive.
+const PING: &str = ": ping\n\n";
+
+/// Fault of one stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StreamFault {
+    None,
+    Cut,
+    Silence,
+    Foreign,
+    Repeat,
+    Skip,
+    NoEnd,
+}
+
+impl StreamFault {
+    pub(crate) fn draw(faults: &EngineFaults, dice: &Dice) -> Self {
+        let table = [
+            (faults.cut_probability, Self::Cut),
+            (faults.silence_probability, Self::Silence),
+            (faults.foreign_probability, Self::Foreign),
+            (faults.repeat_probability, Self::Repeat),
+            (faults.skip_probability, Self::Skip),
+            (faults.no_end_probability, Self::NoEnd),
+        ];
+        table
+            .into_iter()
+            .find_map(|(probability, fault)| dice.chance(probability).then_some(fault))
+            .unwrap_or(Self::None)
+    }
+}
+
+type Part = io::Result<Frame<Bytes>>;
+
+/// Task that writes the events of one answer.
+pub(crate) struct EventStream {
+    engine: Arc<EngineStandin>,
+    completion: Completion,
+    /// Beginning of each event: `data: {"id":...,"attempt":...`.
+    head: String,
+    parts: mpsc::Sender<Part>,
+    fault: StreamFault,
+    /// Position at which the fault takes effect.
+    fault_at: u64,
+    wire: Arc<Wire>,
+}
+
+/// The caller has gone away or the stream was broken on purpose.
+struct Ended;
+
+impl EventStream {
+    /// Answers with a stream of events.
+    pub(crate) fn start(
+        engine: Arc<EngineStandin>,
+        completion: Completion,
+        in_flight: InFlight,
+        (fault, fault_at): (StreamFault, u64),
+        wire: Arc<Wire>,
+    ) -> Reply {
+        let (parts, receiver) = mpsc::channel(PARTS_IN_FLIGHT);
+        let id = serde_json::Value::from(completion.extension.request_id.as_str());
+        let stream = Self {
+            head: format!(
+                "data: {{\"id\":{id},\"attempt\":{}",
+                completion.extension.attempt
+            ),
+            engine,
+            completion,
+            parts,
+            fault,
+            fault_at,
+            wire,
+        };
+        tokio::spawn(async move {
+            // An error is the early end of the stream, which the caller sees as well.
+            let _ = stream.run(&in_flight).await;
+        });
+        let body = stream::unfold(receiver, |mut receiver| async {
+            Some((receiver.recv().await?, receiver))
+        });
+        Reply::Answer(
+            Response::builder()
+                .header(header::CONTENT_TYPE, "text/event-stream")
+                .body(UnsyncBoxBody::new(StreamBody::new(body)))
+                .expect("constant headers are valid"),
+        )
+    }
+
+    async fn run(&self, in_flight: &InFlight) -> Result<(), Ended> {
+        let start = self.completion.start(&self.engine, in_flight);
+        let mut position = self.ping_while(start).await?;
+        let mut sent = self.completion.extension.resume_from;
+        loop {
+            if self.ping_while(position.changed()).await?.is_err() {
+                // The engine has crashed.
+                return self.cut().await;
+            }
+            let now = *position.borrow_and_update();
+            let mut text = String::new();
+            while sent < now.produced {
+                if sent == self.fault_at {
+                    self.apply_fault(&mut text, sent).await?;
+                }
+                if self.fault != StreamFault::Skip || sent != self.fault_at {
+                    self.token(&mut text, sent);
+                }
+                sent += 1;
+            }
+            if now.ended {
+                self.finish(&mut text, &now);
+                return self.send(text).await;
+            }
+            self.send(text).await?;
+        }
+    }
+
+    async fn apply_fault(&self, text: &mut String, index: u64) -> Result<(), Ended> {
+        match self.fault {
+            StreamFault::Cut => {
+                self.send(std::mem::take(text)).await?;
+                self.cut().await
+            }
+            StreamFault::Silence => {
+                self.send(std::mem::take(text)).await?;
+                self.wire.silence();
+                Ok(())
+            }
+            StreamFault::Foreign => {
+                text.push_str("data: {\"id\":\"foreign\",\"attempt\":0");
+                self.token_fields(text, index);
+                Ok(())
+            }
+            StreamFault::Repeat => {
+                self.token(text, index);
+                Ok(())
+            }
+            StreamFault::None | StreamFault::Skip | StreamFault::NoEnd => Ok(()),
+        }
+    }
+
+    fn token(&self, text: &mut String, index: u64) {
+        text.push_str(&self.head);
+        self.token_fields(text, index);
+    }
+
+    fn token_fields(&self, text: &mut String, index: u64) {
+        // Words of the answer need no escaping.
+        let token = self.completion.answer.token(index);
+        write!(text, ",\"index\":{index},\"text\":\"{token}\"}}\n\n")
+            .expect("writing to a string succeeds");
+    }
+
+    fn finish(&self, text: &mut String, position: &Position) {
+        let reason = self.completion.finish_reason;
+        let usage = json!(position.usage);
+        let head = &self.head;
+        write!(
+            text,
+            "{head},\"finish_reason\":\"{reason}\",\"usage\":{usage}}}\n\n"
+        )
+        .expect("writing to a string succeeds");
+        if self.fault != StreamFault::NoEnd {
+            text.push_str(END_MARKER);
+        }
+    }
+
+    async fn send(&self, text: String) -> Result<(), Ended> {
+        if text.is_empty() {
+            return Ok(());
+        }
+        let part = Ok(Frame::data(Bytes::from(text)));
+        self.parts.send(part).await.map_err(|_| Ended)
+    }
+
+    async fn cut(&self) -> Result<(), Ended> {
+        let error = io::ErrorKind::ConnectionAborted.into();
+        // The caller may have gone away first.
+        let _ = self.parts.send(Err(error)).await;
+        Err(Ended)
+    }
+
+    /// Waits for something and sends pings meanwhile.
+    async fn ping_while<T>(&self, wait: impl Future<Output = T>) -> Result<T, Ended> {
+        let mut wait = pin!(wait);
+        let period = Duration::from_millis(self.engine.config.ping_ms.max(1));
+        let mut pings = interval_at(Instant::now() + period, period);
+        loop {
+            tokio::select! {
+                biased;
+                result = &mut wait => return Ok(result),
+                () = self.parts.closed() => return Err(Ended),
+                _ = pings.tick() => self.send(PING.to_owned()).await?,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/fetch.rs
@@ -0,0 +1,89 @@
+//! Requests of one stand-in to another.
+
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Longest duration of a request that takes long by its nature, such as a load of weights.
+const SLOW_LIMIT: Duration = Duration::from_secs(600);
+
+/// HTTP client of a stand-in.
+#[derive(Clone, Debug)]
+pub(crate) struct Fetcher {
+    client: Client<HttpConnector, Full<Bytes>>,
+    limit: Duration,
+}
+
+impl Fetcher {
+    pub(crate) fn new(limit: Duration) -> Self {
+        Self {
+            client: Client::builder(TokioExecutor::new()).build_http(),
+            limit,
+        }
+    }
+
+    pub(crate) async fn get<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+    ) -> Result<T, String> {
+        self.send(addr, path, None, self.limit).await
+    }
+
+    pub(crate) async fn get_slowly<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+    ) -> Result<T, String> {
+        self.send(addr, path, None, SLOW_LIMIT).await
+    }
+
+    pub(crate) async fn post<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        body: &Value,
+    ) -> Result<T, String> {
+        self.send(addr, path, Some(body), self.limit).await
+    }
+
+    async fn send<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        body: Option<&Value>,
+        limit: Duration,
+    ) -> Result<T, String> {
+        let method = if body.is_some() {
+            Method::POST
+        } else {
+            Method::GET
+        };
+        let body = body.map_or_else(Bytes::new, |body| Bytes::from(body.to_string()));
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{addr}{path}"))
+            .body(Full::new(body))
+            .map_err(|error| error.to_string())?;
+        let exchange = async {
+            let answer = self.client.request(request).await;
+            let (head, body) = answer.map_err(|error| error.to_string())?.into_parts();
+            let body = body.collect().await.map_err(|error| error.to_string())?;
+            if !head.status.is_success() {
+                return Err(format!("status {}", head.status));
+            }
+            serde_json::from_slice(&body.to_bytes()).map_err(|error| error.to_string())
+        };
+        timeout(limit, exchange)
+            .await
+            .unwrap_or_else(|_| Err("no answer in time".to_owned()))
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,13 +5,21 @@
 //! or by `POST /control/faults`; whatever is left to chance is drawn from a seeded generator.
 
 mod dice;
+mod engine;
+mod fetch;
 mod limits;
+mod link;
 mod log;
 mod memory_log;
 mod server;
 mod service;
 mod wire;
 
+pub use engine::{
+    AnswerKey, CacheChange, CacheEvent, CacheEvents, EngineConfig, EngineCounters, EngineFaults,
+    EngineLoad, EngineStandin, Extension, FencedOrder, ImportBlock, KvBlock, Order, OrderState,
+    Usage, answer_text, kv_content, prompt_of, token_count,
+};
 pub use log::LogStandin;
 pub use memory_log::{LogConfig, LogCounters, LogFaults, MemoryLog};
 pub use server::{ConnectionFaults, Running};
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -55,6 +55,7 @@
     pub(crate) query: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    pub(crate) wire: Arc<Wire>,
 }
 
 impl Call {
@@ -353,6 +354,7 @@
         query: parts.uri.query().unwrap_or_default().to_owned(),
         headers: parts.headers,
         body: body.map_err(io::Error::other)?.to_bytes(),
+        wire: Arc::clone(&wire),
     };
     let is_control = call.path.starts_with(CONTROL_PREFIX);
     let silence_probability = *server.silence_probability.lock().expect("fault lock");
