Add the operators' lists and the fold of the configuration stream

Operators need compare-and-swap over a log without conditional append, and daemons need the same configuration whichever way it reaches them. The fold decides a record from the state at its offset alone. A state received from a peer is kept beside the position in the log, so that rejections stay exact, and digests are compared when the log catches up.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,10 +4,16 @@
 
 mod fault;
 mod ini;
+mod lists;
 mod settings;
 mod spec;
+mod stream;
 
 pub use fault::{Fault, Faults};
+pub use lists::{
+    Difference, Entitlement, Entitlements, ListRow, ListValue, OperatorList, Plan, Plans, Priority,
+    contradictions,
+};
 pub use settings::{
     BackendServer, BudgetSettings, ClaimSettings, DaemonSettings, DomainSettings,
     InstanceListSettings, KeyHash, LimitSettings, LogSettings, LoggingSettings, MetricsSettings,
@@ -15,3 +21,8 @@
     StoreSettings, TraceSettings, UndatedKeys, WeightSettings,
 };
 pub use spec::reference_markdown;
+pub use stream::{
+    AcceptedChange, Bootstrap, BootstrapError, ConfigChange, ConfigDigest, ConfigFold,
+    ConfigRecord, ConfigState, FoldError, Folded, Outcome, PeerError, PeerUpdate, RecordError,
+    RecordId, RecordOutcome, Rejection, Snapshot, SnapshotError,
+};
--- /dev/null
+++ b/crates/config/src/lists/entitlements.rs
@@ -0,0 +1,91 @@
+//! The entitlements list.
+
+use super::{ListRow, ListValue, OperatorList, parse_workspaces};
+use crate::fault::Faults;
+use crate::spec::ENTITLEMENTS;
+use crate::stream::{ConfigChange, ConfigState};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+/// What the plan of one workspace may use.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entitlement {
+    /// Names of models.
+    pub models: Vec<String>,
+    /// Names of adapters.
+    pub adapters: Vec<String>,
+    /// Names of services.
+    pub services: Vec<String>,
+}
+
+/// The entitlements of all workspaces. A workspace that is not listed may use nothing.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Entitlements {
+    /// Entitlement of each workspace.
+    pub workspaces: IndexMap<String, Entitlement>,
+}
+
+impl Entitlements {
+    /// Whether a workspace may use a model.
+    #[must_use]
+    pub fn allows_model(&self, workspace: &str, model: &str) -> bool {
+        self.allows(workspace, model, |entitlement| &entitlement.models)
+    }
+
+    /// Whether a workspace may use an adapter.
+    #[must_use]
+    pub fn allows_adapter(&self, workspace: &str, adapter: &str) -> bool {
+        self.allows(workspace, adapter, |entitlement| &entitlement.adapters)
+    }
+
+    /// Whether a workspace may call a service.
+    #[must_use]
+    pub fn allows_service(&self, workspace: &str, service: &str) -> bool {
+        self.allows(workspace, service, |entitlement| &entitlement.services)
+    }
+
+    fn allows(&self, workspace: &str, name: &str, list: fn(&Entitlement) -> &Vec<String>) -> bool {
+        self.workspaces
+            .get(workspace)
+            .is_some_and(|entitlement| list(entitlement).iter().any(|allowed| allowed == name))
+    }
+}
+
+impl OperatorList for Entitlements {
+    const NAME: &'static str = "entitlements";
+
+    fn parse(text: &str) -> Result<Self, Faults> {
+        parse_workspaces(text, ENTITLEMENTS, |values| Entitlement {
+            models: values.names("models"),
+            adapters: values.names("adapters"),
+            services: values.names("services"),
+        })
+        .map(|workspaces| Self { workspaces })
+    }
+
+    fn rows(&self) -> Vec<ListRow> {
+        let list = |key, names: &[String]| ListValue {
+            key,
+            value: names.join(", "),
+        };
+        let rows = self.workspaces.iter().map(|(name, entitlement)| ListRow {
+            workspace: name.clone(),
+            values: vec![
+                list("models", &entitlement.models),
+                list("adapters", &entitlement.adapters),
+                list("services", &entitlement.services),
+            ],
+        });
+        rows.collect()
+    }
+
+    fn of(state: &ConfigState) -> &Self {
+        &state.entitlements
+    }
+
+    fn into_change(self) -> ConfigChange {
+        ConfigChange::Entitlements(self)
+    }
+}
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -101,6 +101,16 @@
         }
     }
 
+    /// Name by which the instance of the server is taken out of service: the name of a model server,
+    /// the address of a server of a service.
+    #[must_use]
+    pub fn instance(&self) -> String {
+        match self {
+            Self::Model { name, .. } => (*name).to_owned(),
+            Self::Service { server, .. } => server.address.to_string(),
+        }
+    }
+
     /// Requests that it runs at once when warm.
     #[must_use]
     pub fn capacity_concurrency(&self) -> u32 {
--- a/crates/config/src/spec.rs
+++ b/crates/config/src/spec.rs
@@ -11,7 +11,7 @@
 pub(crate) use kind::Kind;
 pub use reference::reference_markdown;
 
-pub(crate) use kind::{parse_number, parse_service_server, split_list};
+pub(crate) use kind::{check_name, parse_number, parse_service_server, split_list};
 pub(crate) use list::{ENTITLEMENTS, PLANS};
 pub(crate) use settings::SETTINGS;
 pub(crate) use validate::{Schema, Validated};
--- /dev/null
+++ b/crates/config/src/stream.rs
@@ -0,0 +1,25 @@
+//! The configuration stream: changes, the state that they lead to, and the fold between them.
+
+mod bootstrap;
+mod change;
+mod fold;
+mod peer;
+mod snapshot;
+mod state;
+
+pub use bootstrap::{Bootstrap, BootstrapError};
+pub use change::{ConfigChange, ConfigRecord, RecordError, RecordId};
+pub use fold::{ConfigFold, FoldError, Folded};
+pub use peer::{AcceptedChange, PeerError, PeerUpdate};
+pub use snapshot::{Snapshot, SnapshotError};
+pub use state::{ConfigDigest, ConfigState, Outcome, RecordOutcome, Rejection};
+
+use serde::Serialize;
+
+/// Canonical bytes of a value, the input of all digests.
+///
+/// JSON of these types is canonical: maps keep their order, sets are sorted, and there are no
+/// floating point numbers.
+fn canonical<T: Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).expect("types of the configuration stream have text keys only")
+}
