Add the stores, the instance list, engine control and the stand-in binary

Tests wait without limit for steps that succeed and use a short silence limit only where a connection is silent; ports that refuse connections stay bound. The log client's default limit for an answer falls from 5 s to 2 s, since an append on a silent connection otherwise blocks claims for longer than the 2 s allowed for new work after silence.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,21 +6,32 @@
 //! one.
 
 mod connection;
+mod control;
 mod engine;
 mod error;
 mod exchange;
+mod instances;
+mod json;
 mod kv;
 mod log;
 mod pool;
 mod service;
+mod store;
 
 pub use connection::ConnectionSettings;
+pub use control::{
+    CacheChange, CacheEvent, CacheEvents, EngineControl, EngineLoad, ExportResult, ImportResult,
+    Order, OrderAnswer, OrderState, RefusedImport,
+};
 pub use engine::{
     DroppedEvents, EngineClient, EngineError, EngineEvent, EngineRequest, EngineStream, EngineUsage,
 };
 pub use error::{Cause, TransportError};
 pub use exchange::CallOptions;
+pub use instances::{InstanceEntry, InstanceList, InstanceListClient, InstanceState};
+pub use json::PlatformError;
 pub use kv::{KvBlock, KvImport, KvSource};
 pub use log::{HttpLogService, LogClientSettings};
 pub use pool::PoolCounters;
-pub use service::{ServiceAnswer, ServiceCall, ServiceClient};
+pub use service::{ServiceAnswer, ServiceCall, ServiceClient, ServiceLoad};
+pub use store::{StoreClient, StoreError, StoreListing, StoredBlock, Tier};
--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -33,7 +33,7 @@
     fn default() -> Self {
         Self {
             connection: ConnectionSettings::default(),
-            answer_ms: 5_000,
+            answer_ms: 2_000,
         }
     }
 }
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -2,25 +2,29 @@
 
 use crate::connection::ConnectionSettings;
 use crate::exchange::{CallOptions, request};
+use crate::json::{JsonClient, PlatformError};
 use crate::pool::{Pool, PoolCounters};
 use anvilgw_core::Failure;
 use bytes::Bytes;
 use http::header::{self, HeaderName};
 use http::{HeaderMap, Method, StatusCode};
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Headers that belong to one connection and are not passed on.
-const HOP_HEADERS: [HeaderName; 9] = [
+const HOP_HEADERS: [HeaderName; 11] = [
     header::CONNECTION,
     header::CONTENT_LENGTH,
     header::HOST,
     HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
     header::TE,
     header::TRAILER,
     header::TRANSFER_ENCODING,
+    header::UPGRADE,
 ];
 
 /// A call of a plain service.
@@ -63,6 +67,15 @@
     pub body: Bytes,
 }
 
+/// Load report of a plain service. It describes a moment in the past.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceLoad {
+    /// Calls in execution.
+    pub running: u64,
+    /// Calls executed since the start.
+    pub executed: u64,
+}
+
 /// Client of one server of a plain service.
 #[derive(Clone, Debug)]
 pub struct ServiceClient {
@@ -104,6 +117,17 @@
         })
     }
 
+    /// Reads the load report.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError`] if there is no valid answer.
+    pub async fn load(&self) -> Result<ServiceLoad, PlatformError> {
+        JsonClient::over(Arc::clone(&self.pool))
+            .get("/control/load", &CallOptions::default())
+            .await
+    }
+
     /// Counters of the connections.
     #[must_use]
     pub fn counters(&self) -> PoolCounters {
@@ -112,6 +136,16 @@
 }
 
 fn remove_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in &named {
+        headers.remove(name);
+    }
     for name in &HOP_HEADERS {
         headers.remove(name);
     }
--- a/crates/platform/tests/all/engine.rs
+++ b/crates/platform/tests/all/engine.rs
@@ -1,17 +1,17 @@
 //! The engine client against the engine stand-in.
 
-use crate::loopback;
+use crate::{PATIENCE_MS, SILENCE, loopback, settings, silent};
 use anvilgw_core::{AttemptId, RequestId, Stage};
 use anvilgw_platform::{
-    CallOptions, Cause, ConnectionSettings, EngineClient, EngineError, EngineEvent, EngineRequest,
-    EngineUsage, KvImport, KvSource, TransportError,
+    CallOptions, Cause, EngineClient, EngineError, EngineEvent, EngineRequest, EngineUsage,
+    KvImport, KvSource, TransportError,
 };
 use anvilgw_standin::{
     AnswerKey, ConnectionFaults, EngineConfig, EngineCounters, EngineFaults, EngineStandin,
     Running, answer_text,
 };
 use http::HeaderValue;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::net::SocketAddr;
 
 const TOKENS: u64 = 20;
@@ -21,6 +21,7 @@
         prefill_tokens_per_s: 1e6,
         decode_ms: 0.5,
         ping_ms: 50,
+        import_limit_ms: PATIENCE_MS,
         ..EngineConfig::default()
     }
 }
@@ -30,11 +31,7 @@
 }
 
 fn client(addr: SocketAddr) -> EngineClient {
-    let settings = ConnectionSettings {
-        silence_ms: 300,
-        ..ConnectionSettings::default()
-    };
-    EngineClient::new(addr, settings)
+    EngineClient::new(addr, settings())
 }
 
 fn prompt() -> String {
@@ -51,6 +48,18 @@
     }
 }
 
+/// Runs a completion to its end.
+pub(crate) async fn complete(addr: SocketAddr, body: &Value) {
+    let extension = &body["anvilgw"];
+    let request = EngineRequest {
+        blocks: serde_json::from_value(extension["blocks"].clone()).unwrap(),
+        block_tokens: extension["block_tokens"].as_u64().unwrap(),
+        body: body.as_object().unwrap().clone(),
+        ..EngineRequest::default()
+    };
+    run(&client(addr), &request).await.usage.unwrap();
+}
+
 /// Text and end of one attempt.
 struct Outcome {
     text: String,
@@ -167,16 +176,20 @@
         after_tokens: 5,
         ..EngineFaults::default()
     };
-    let silent = EngineFaults {
+    let silence = EngineFaults {
         silence_probability: 1.0,
         after_tokens: 5,
         ..EngineFaults::default()
     };
-    for faults in [cut, silent] {
+    for faults in [cut, silence] {
         let is_silent = faults.silence_probability > 0.0;
         let engine = start(EngineConfig { faults, ..fast() }).await;
         let client = client(engine.addr());
-        let first = run(&client, &attempt(1)).await;
+        let mut request = attempt(1);
+        if is_silent {
+            request.options = silent();
+        }
+        let first = run(&client, &request).await;
         let Err(EngineError::Transport(TransportError::Failed(cause, stage))) = first.usage else {
             panic!("unexpected {:?}", first.usage);
         };
@@ -216,13 +229,14 @@
 /// Guards against a long prefill being taken for a silent connection.
 #[tokio::test]
 async fn pings_keep_a_waiting_stream_open() {
-    // The prefill takes 600 ms, twice the silence limit.
     let engine = start(EngineConfig {
-        prefill_tokens_per_s: 40.0 / 0.6,
+        prefill_tokens_per_s: 40.0 / (3 * SILENCE).as_secs_f64(),
         ..fast()
     })
     .await;
-    let outcome = run(&client(engine.addr()), &attempt(1)).await;
+    let mut request = attempt(1);
+    request.options = silent();
+    let outcome = run(&client(engine.addr()), &request).await;
     assert_eq!(outcome.usage.unwrap().completion_tokens, TOKENS);
 }
 
@@ -363,7 +377,9 @@
         silence_open: true,
         ..ConnectionFaults::default()
     });
-    run(&client, &attempt(9)).await.usage.unwrap_err();
+    let mut request = attempt(9);
+    request.options = silent();
+    run(&client, &request).await.usage.unwrap_err();
     run(&client, &attempt(10)).await.usage.unwrap();
 }
 
--- a/crates/platform/tests/all/log.rs
+++ b/crates/platform/tests/all/log.rs
@@ -1,11 +1,11 @@
 //! The log client against the log stand-in.
 
-use crate::loopback;
-use anvilgw_core::{LogError, LogService, Offset};
+use crate::{PATIENCE_MS, loopback, refusing, settings};
+use anvilgw_core::{LogError, LogService, ManualClock, Offset};
 use anvilgw_platform::{HttpLogService, LogClientSettings};
 use anvilgw_standin::{ConnectionFaults, LogConfig, LogFaults, LogStandin, MemoryLog, Running};
-use std::net::TcpListener;
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
 use tokio::runtime::Runtime;
 
 struct Fixture {
@@ -15,13 +15,20 @@
 }
 
 fn start(config: LogConfig) -> Fixture {
+    start_with(config, PATIENCE_MS)
+}
+
+fn start_with(config: LogConfig, answer_ms: u64) -> Fixture {
     let runtime = Runtime::new().unwrap();
+    // Time stands still, so that the rate limit does not depend on the speed of the machine.
+    let clock = Arc::new(ManualClock::new(SystemTime::UNIX_EPOCH));
+    let log = MemoryLog::with_clock(config, clock);
     let standin = runtime
-        .block_on(LogStandin::start(config, loopback()))
+        .block_on(LogStandin::start_with(log, loopback()))
         .unwrap();
     let settings = LogClientSettings {
-        answer_ms: 300,
-        ..LogClientSettings::default()
+        connection: settings(),
+        answer_ms,
     };
     let client = HttpLogService::new(standin.addr(), settings).unwrap();
     Fixture {
@@ -53,6 +60,7 @@
     faults: LogFaults,
     connections: ConnectionFaults,
     appends_per_s: u32,
+    answer_ms: u64,
     report: Report,
     records: usize,
 }
@@ -64,6 +72,7 @@
             faults: LogFaults::default(),
             connections: ConnectionFaults::default(),
             appends_per_s: 0,
+            answer_ms: PATIENCE_MS,
             report: Report::Appended,
             records: 2,
         }
@@ -109,12 +118,18 @@
             records: 1,
             ..AppendCase::default()
         },
+    ]
+}
+
+fn silent_cases() -> Vec<AppendCase> {
+    vec![
         AppendCase {
             name: "slower than the limit",
             faults: LogFaults {
-                slow_ms: 2_000,
+                slow_ms: 2 * PATIENCE_MS,
                 ..LogFaults::default()
             },
+            answer_ms: 500,
             report: Report::AnswerLost,
             records: 1,
             ..AppendCase::default()
@@ -125,6 +140,7 @@
                 silence_open: true,
                 ..ConnectionFaults::default()
             },
+            answer_ms: 500,
             report: Report::AnswerLost,
             records: 1,
             ..AppendCase::default()
@@ -136,11 +152,12 @@
 /// and against the opposite.
 #[test]
 fn appends_are_reported_truthfully() {
-    for case in append_cases() {
-        let fixture = start(LogConfig {
+    for case in append_cases().into_iter().chain(silent_cases()) {
+        let config = LogConfig {
             appends_per_s: case.appends_per_s,
             ..LogConfig::default()
-        });
+        };
+        let fixture = start_with(config, case.answer_ms);
         let first = fixture.client.append("config", b"first");
         assert_eq!(first, Ok(Offset(0)), "{}", case.name);
         fixture.standin.set_faults(case.faults);
@@ -156,10 +173,9 @@
 /// claim open that was never made.
 #[test]
 fn unreachable_log_is_unavailable() {
-    // The listener is dropped, so the port refuses connections.
-    let addr = TcpListener::bind(loopback())
-        .and_then(|listener| listener.local_addr())
-        .unwrap();
+    let runtime = Runtime::new().unwrap();
+    let _context = runtime.enter();
+    let (_socket, addr) = refusing();
     let client = HttpLogService::new(addr, LogClientSettings::default()).unwrap();
     assert_eq!(report(&client.append("config", b"x")), Report::Unavailable);
 }
--- a/crates/platform/tests/all/service.rs
+++ b/crates/platform/tests/all/service.rs
@@ -1,12 +1,11 @@
 //! The service client against the plain service stand-in and against broken servers.
 
-use crate::loopback;
+use crate::{loopback, refusing, settings, silent};
 use anvilgw_core::{ErrorKind, Executed, Failure, Stage};
-use anvilgw_platform::{
-    CallOptions, ConnectionSettings, ServiceAnswer, ServiceCall, ServiceClient,
-};
+use anvilgw_platform::{CallOptions, ServiceAnswer, ServiceCall, ServiceClient};
 use anvilgw_standin::{ConnectionFaults, ServiceConfig, ServiceFaults, ServiceStandin};
 use bytes::Bytes;
+use futures_util::{StreamExt, stream};
 use http::{HeaderValue, Method};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,11 +13,7 @@
 use tokio::net::TcpListener;
 
 fn client(addr: SocketAddr) -> ServiceClient {
-    let settings = ConnectionSettings {
-        silence_ms: 300,
-        ..ConnectionSettings::default()
-    };
-    ServiceClient::new(addr, settings)
+    ServiceClient::new(addr, settings())
 }
 
 async fn call(
@@ -83,6 +78,7 @@
                 silence_after_probability: 1.0,
                 ..ServiceFaults::default()
             },
+            options: silent(),
             expected: Some((ErrorKind::BackendSilent, Stage::AnswerLost)),
             ..Case::default()
         },
@@ -104,21 +100,22 @@
 }
 
 fn connection_cases() -> Vec<Case> {
-    let silent = ConnectionFaults {
+    let all_silent = ConnectionFaults {
         silence_open: true,
         ..ConnectionFaults::default()
     };
     vec![
         Case {
             name: "idle connection silent",
-            connections: silent.clone(),
+            connections: all_silent.clone(),
+            options: silent(),
             expected: Some((ErrorKind::BackendSilent, Stage::AnswerLost)),
             executions: 0,
             ..Case::default()
         },
         Case {
             name: "idle connection silent, new one asked for",
-            connections: silent,
+            connections: all_silent,
             options: CallOptions {
                 fresh_connection: true,
                 ..CallOptions::default()
@@ -153,10 +150,7 @@
 /// Guards against a refused connection being reported as possibly executed.
 #[tokio::test]
 async fn refused_connection_was_not_executed() {
-    let addr = TcpListener::bind(loopback())
-        .await
-        .and_then(|listener| listener.local_addr())
-        .unwrap();
+    let (_socket, addr) = refusing();
     let failure = call(&client(addr), "key", CallOptions::default()).await;
     let failure = failure.unwrap_err();
     assert_eq!(failure.stage(), Stage::Connecting);
@@ -175,9 +169,7 @@
         silence_open: true,
         ..ConnectionFaults::default()
     });
-    call(&client, "b", CallOptions::default())
-        .await
-        .unwrap_err();
+    call(&client, "b", silent()).await.unwrap_err();
     call(&client, "b", CallOptions::default()).await.unwrap();
     assert_eq!(standin.executions("b"), 1);
     let counters = client.counters();
@@ -249,3 +241,76 @@
         server.await.unwrap();
     }
 }
+
+/// Guards against untrue statements under many faults at the same time, and against a call that is
+/// executed twice.
+#[tokio::test]
+async fn statements_hold_under_mixed_faults() {
+    let config = ServiceConfig {
+        seed: 42,
+        faults: ServiceFaults {
+            cut_before_probability: 0.1,
+            cut_after_probability: 0.1,
+            silence_after_probability: 0.02,
+            ..ServiceFaults::default()
+        },
+        ..ServiceConfig::default()
+    };
+    let standin = ServiceStandin::start(config, loopback()).await.unwrap();
+    let client = client(standin.addr());
+    let calls = (0..300).map(|number: u32| {
+        let (client, standin) = (&client, &standin);
+        async move {
+            let key = format!("key-{number}");
+            let mut call = ServiceCall::new(Method::POST, "/switch", Bytes::new());
+            let value = HeaderValue::try_from(&key).unwrap();
+            call.headers.insert("idempotency-key", value);
+            call.options = silent();
+            if number % 50 == 49 {
+                standin.set_connection_faults(&ConnectionFaults {
+                    cut_open: true,
+                    ..ConnectionFaults::default()
+                });
+            }
+            let result = client.call(call).await;
+            let executed = result
+                .as_ref()
+                .map_or_else(Failure::executed, |_| Executed::Yes);
+            let executions = standin.executions(&key);
+            match executed {
+                Executed::No => assert_eq!(executions, 0, "{key}: {result:?}"),
+                Executed::Yes => assert_eq!(executions, 1, "{key}: {result:?}"),
+                Executed::Unknown => assert!(executions <= 1, "{key}: {result:?}"),
+            }
+            u32::from(result.is_ok())
+        }
+    });
+    let answered: Vec<u32> = stream::iter(calls).buffer_unordered(8).collect().await;
+    assert!(answered.iter().sum::<u32>() > 150);
+}
+
+/// Guards against lost trace context, and against headers of the caller's connection reaching the
+/// service.
+#[tokio::test]
+async fn headers_are_passed_on() {
+    let standin = ServiceStandin::start(ServiceConfig::default(), loopback())
+        .await
+        .unwrap();
+    let trace = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    let mut call = ServiceCall::new(Method::GET, "/status?court=1", Bytes::new());
+    call.headers
+        .insert("transfer-encoding", HeaderValue::from_static("chunked"));
+    call.headers
+        .insert("content-length", HeaderValue::from_static("99"));
+    call.headers
+        .insert("connection", HeaderValue::from_static("idempotency-key"));
+    call.headers
+        .insert("idempotency-key", HeaderValue::from_static("key"));
+    call.options.traceparent = Some(HeaderValue::from_static(trace));
+    let answer = client(standin.addr()).call(call).await.unwrap();
+    let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+    assert_eq!(body["traceparent"], trace);
+    assert_eq!(body["path"], "/status");
+    assert_eq!(body["key"], "");
+    assert_eq!(client(standin.addr()).load().await.unwrap().executed, 1);
+}
--- a/crates/standin/src/engine/config.rs
+++ b/crates/standin/src/engine/config.rs
@@ -5,7 +5,7 @@
 
 /// Settings of an engine. Times are scaled by setting other speeds.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(default, deny_unknown_fields)]
 pub struct EngineConfig {
     /// Models served; empty for any.
     pub models: Vec<String>,
--- a/crates/standin/src/engine/orders.rs
+++ b/crates/standin/src/engine/orders.rs
@@ -9,10 +9,8 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Pause after the weight store has refused a load because of its rate limit.
+/// Pause after the weight store has refused a load.
 const STORE_BUSY_PAUSE: Duration = Duration::from_millis(50);
-/// Loads tried before an order is given up.
-const LOAD_TRIES: usize = 100;
 
 impl EngineStandin {
     /// `POST /control/orders`. The order is executed after the answer.
@@ -45,8 +43,8 @@
         if !self.set_loading(is_exclusive, start_ms) {
             return;
         }
-        let is_loaded = self.load_weights(&order).await;
-        if !self.set_loading(false, start_ms) || !is_loaded {
+        self.load_weights(&order, start_ms).await;
+        if !self.set_loading(false, start_ms) {
             return;
         }
         let mut state = self.state();
@@ -71,27 +69,26 @@
         is_same_process
     }
 
-    async fn load_weights(&self, order: &Order) -> bool {
+    /// Loads weights, however often the store refuses, until the process has crashed.
+    async fn load_weights(&self, order: &Order, start_ms: u64) {
         let name = match order {
             Order::LoadModel { model } => model.clone(),
             Order::LoadAdapter { adapter } => adapter.clone(),
             Order::LoadVersion { version } => version.to_string(),
-            Order::SetRole { .. } => return true,
+            Order::SetRole { .. } => return,
         };
         let Some(store) = self.config.weight_store else {
-            sleep(Duration::from_millis(self.config.weight_load_ms)).await;
-            return true;
+            return sleep(Duration::from_millis(self.config.weight_load_ms)).await;
         };
-        for _ in 0..LOAD_TRIES {
+        while self.state().start_ms == start_ms {
             let loaded: Result<Value, _> = self
                 .fetcher
                 .get_slowly(store, &format!("/weights/{name}"))
                 .await;
             if loaded.is_ok() {
-                return true;
+                return;
             }
             sleep(STORE_BUSY_PAUSE).await;
         }
-        false
     }
 }
--- /dev/null
+++ b/crates/standin/src/instances.rs
@@ -0,0 +1,154 @@
+//! The lagging list of instances.
+
+use crate::server::{Call, Reply, Running, Server, Standin};
+use http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// State of an instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum InstanceState {
+    /// In use.
+    #[default]
+    Live,
+    /// About to be taken away.
+    Leaving,
+}
+
+/// Entry of the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceEntry {
+    /// Name of the instance.
+    pub name: String,
+    /// What runs on it, such as `entry`, `engine`, `store` or `service`.
+    pub kind: String,
+    /// Address of the process.
+    pub addr: SocketAddr,
+    /// Failure domain.
+    pub domain: String,
+    /// State.
+    #[serde(default)]
+    pub state: InstanceState,
+}
+
+/// Settings of the list.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct InstanceListConfig {
+    /// Time after which a change becomes visible.
+    pub lag_ms: u64,
+    /// Entries at start, visible at once.
+    pub instances: Vec<InstanceEntry>,
+    /// Seed of the faults of chance.
+    pub seed: u64,
+    /// Faults at start.
+    pub faults: InstanceListFaults,
+}
+
+/// Faults of the list.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct InstanceListFaults {
+    /// All reads are refused.
+    pub outage: bool,
+    /// Changes do not become visible.
+    pub frozen: bool,
+}
+
+#[derive(Debug)]
+struct State {
+    faults: InstanceListFaults,
+    version: u64,
+    visible: Vec<InstanceEntry>,
+    /// Changes that are not visible yet.
+    pending: VecDeque<(Instant, Vec<InstanceEntry>)>,
+}
+
+/// Stand-in of the list of instances.
+#[derive(Debug)]
+pub struct InstanceListStandin {
+    lag: Duration,
+    state: Mutex<State>,
+}
+
+impl InstanceListStandin {
+    /// Starts the stand-in.
+    ///
+    /// # Errors
+    ///
+    /// The error of binding the address.
+    pub async fn start(config: InstanceListConfig, addr: SocketAddr) -> io::Result<Running<Self>> {
+        let standin = Arc::new(Self {
+            lag: Duration::from_millis(config.lag_ms),
+            state: Mutex::new(State {
+                faults: config.faults,
+                version: 1,
+                visible: config.instances,
+                pending: VecDeque::new(),
+            }),
+        });
+        Server::start(addr, config.seed, |_| standin).await
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: InstanceListFaults) {
+        self.state().faults = faults;
+    }
+
+    /// Replaces the list. The change becomes visible after the lag.
+    pub fn set_instances(&self, instances: Vec<InstanceEntry>) {
+        let visible_at = Instant::now() + self.lag;
+        self.state().pending.push_back((visible_at, instances));
+    }
+
+    fn list(&self) -> Reply {
+        let mut state = self.state();
+        if state.faults.outage {
+            return Reply::error(StatusCode::SERVICE_UNAVAILABLE, "outage");
+        }
+        let now = Instant::now();
+        while !state.faults.frozen
+            && let Some((_, instances)) = state.pending.pop_front_if(|(at, _)| *at <= now)
+        {
+            state.visible = instances;
+            state.version += 1;
+        }
+        Reply::ok(&json!({"version": state.version, "instances": state.visible}))
+    }
+
+    fn replace(&self, call: &Call) -> Reply {
+        match serde_json::from_slice(&call.body) {
+            Ok(instances) => {
+                self.set_instances(instances);
+                Reply::ok(&json!({}))
+            }
+            Err(error) => Reply::error(StatusCode::BAD_REQUEST, &error.to_string()),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("instance list lock")
+    }
+}
+
+impl Standin for InstanceListStandin {
+    async fn handle(self: Arc<Self>, call: Call) -> Reply {
+        match (&call.method, call.path.as_str()) {
+            (&Method::GET, "/instances") => self.list(),
+            (&Method::POST, "/control/instances") => self.replace(&call),
+            _ => Reply::error(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    fn replace_faults(&self, faults: serde_json::Value) -> Result<(), serde_json::Error> {
+        self.set_faults(serde_json::from_value(faults)?);
+        Ok(())
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,12 +7,15 @@
 mod dice;
 mod engine;
 mod fetch;
+mod instances;
 mod limits;
 mod link;
 mod log;
 mod memory_log;
 mod server;
 mod service;
+mod store;
+mod weights;
 mod wire;
 
 pub use engine::{
@@ -20,7 +23,12 @@
     EngineLoad, EngineStandin, Extension, FencedOrder, ImportBlock, KvBlock, Order, OrderState,
     Usage, answer_text, kv_content, prompt_of, token_count,
 };
+pub use instances::{
+    InstanceEntry, InstanceListConfig, InstanceListFaults, InstanceListStandin, InstanceState,
+};
 pub use log::LogStandin;
 pub use memory_log::{LogConfig, LogCounters, LogFaults, MemoryLog};
 pub use server::{ConnectionFaults, Running};
 pub use service::{ServiceConfig, ServiceFaults, ServiceLoad, ServiceStandin};
+pub use store::{StoreConfig, StoreCounters, StoreFaults, StoreStandin, StoredBlock, Tier};
+pub use weights::{WeightStoreConfig, WeightStoreCounters, WeightStoreFaults, WeightStoreStandin};
--- a/crates/standin/src/memory_log.rs
+++ b/crates/standin/src/memory_log.rs
@@ -13,7 +13,7 @@
 
 /// Settings of the log service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(default, deny_unknown_fields)]
 pub struct LogConfig {
     /// Appends accepted in any second over all streams; 0 for no limit.
     pub appends_per_s: u32,
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -16,7 +16,7 @@
 
 /// Settings of a plain service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(default, deny_unknown_fields)]
 pub struct ServiceConfig {
     /// Name, repeated in each answer.
     pub name: String,
@@ -171,11 +171,7 @@
     /// Executes a call. It counts as executed from its beginning, since part of its effect may be
     /// visible if it is broken off.
     async fn execute(&self, call: &Call, faults: &ServiceFaults) -> Option<Reply> {
-        let key = call
-            .headers
-            .get(IDEMPOTENCY_KEY)
-            .and_then(|key| key.to_str().ok())
-            .unwrap_or_default();
+        let key = header(call, IDEMPOTENCY_KEY);
         tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
         let execution = self.begin(key)?;
         let _running = RunningCall { service: self };
@@ -184,6 +180,7 @@
             "service": self.config.name,
             "path": call.path,
             "key": key,
+            "traceparent": header(call, "traceparent"),
             "execution": execution,
             "body_digest": blake3::hash(&call.body).to_hex().as_str(),
         })))
@@ -207,6 +204,13 @@
     }
 }
 
+fn header<'a>(call: &'a Call, name: &str) -> &'a str {
+    let value = call.headers.get(name);
+    value
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+}
+
 /// Counts a call as running until it ends or its connection is closed.
 struct RunningCall<'a> {
     service: &'a ServiceStandin,
--- /dev/null
+++ b/crates/standin/src/weights.rs
@@ -0,0 +1,195 @@
+//! The weight store, from which engines load weights at a limited rate.
+
+use crate::limits::RequestLimit;
+use crate::server::{Call, Reply, Running, Server, Standin};
+use anvilgw_core::{Clock, SystemClock};
+use http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Steps in which the progress of a load is computed, so that loads that begin or end meanwhile
+/// change its speed.
+const STEPS_PER_LOAD: u32 = 50;
+
+/// Settings of the weight store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct WeightStoreConfig {
+    /// Time of a load while no more than `full_speed_loads` run.
+    pub load_ms: u64,
+    /// Loads that run at full speed. More share the same bandwidth.
+    pub full_speed_loads: u32,
+    /// Loads started in any second; more are answered with status 429. 0 for no limit.
+    pub loads_per_s: u32,
+    /// Seed of the faults of chance.
+    pub seed: u64,
+    /// Faults at start.
+    pub faults: WeightStoreFaults,
+}
+
+impl Default for WeightStoreConfig {
+    fn default() -> Self {
+        Self {
+            load_ms: 1_000,
+            full_speed_loads: 3,
+            loads_per_s: 0,
+            seed: 1,
+            faults: WeightStoreFaults::default(),
+        }
+    }
+}
+
+/// Faults of the weight store.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct WeightStoreFaults {
+    /// All loads are refused.
+    pub outage: bool,
+    /// Factor by which loads are slower; 0 and 1 stand for normal speed.
+    pub slowdown: f64,
+}
+
+/// Counters of the weight store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightStoreCounters {
+    /// Loads that run now.
+    pub loading: u32,
+    /// Largest number of loads at the same time.
+    pub peak_loading: u32,
+    /// Present speed of each load in thousandths of full speed.
+    pub speed_permille: u32,
+    /// Loads completed.
+    pub loaded: u64,
+    /// Loads refused because of the rate limit.
+    pub over_rate: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    faults: WeightStoreFaults,
+    counters: WeightStoreCounters,
+    limit: RequestLimit,
+}
+
+/// Stand-in of the weight store.
+#[derive(Debug)]
+pub struct WeightStoreStandin {
+    config: WeightStoreConfig,
+    state: Mutex<State>,
+}
+
+/// A running load.
+struct Loading<'a> {
+    store: &'a WeightStoreStandin,
+}
+
+impl Drop for Loading<'_> {
+    fn drop(&mut self) {
+        self.store.state().counters.loading -= 1;
+    }
+}
+
+impl WeightStoreStandin {
+    /// Starts the stand-in.
+    ///
+    /// # Errors
+    ///
+    /// The error of binding the address.
+    pub async fn start(config: WeightStoreConfig, addr: SocketAddr) -> io::Result<Running<Self>> {
+        let seed = config.seed;
+        let state = State {
+            faults: config.faults.clone(),
+            ..State::default()
+        };
+        let standin = Arc::new(Self {
+            config,
+            state: Mutex::new(state),
+        });
+        Server::start(addr, seed, |_| standin).await
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: WeightStoreFaults) {
+        self.state().faults = faults;
+    }
+
+    /// Counters since the start.
+    #[must_use]
+    pub fn counters(&self) -> WeightStoreCounters {
+        let speed_permille = (self.speed() * 1_000.0).round() as u32;
+        WeightStoreCounters {
+            speed_permille,
+            ..self.state().counters
+        }
+    }
+
+    /// `GET /weights/{name}`
+    async fn load(&self, name: &str) -> Reply {
+        let loading = match self.begin() {
+            Ok(loading) => loading,
+            Err((status, message)) => return Reply::error(status, message),
+        };
+        let full = Duration::from_millis(self.config.load_ms);
+        let step = full / STEPS_PER_LOAD;
+        let mut left = full;
+        while !left.is_zero() {
+            let speed = self.speed();
+            let start = Instant::now();
+            sleep(step.min(left.div_f64(speed))).await;
+            left = left.saturating_sub(start.elapsed().mul_f64(speed));
+        }
+        drop(loading);
+        self.state().counters.loaded += 1;
+        Reply::ok(&json!({"name": name}))
+    }
+
+    fn begin(&self) -> Result<Loading<'_>, (StatusCode, &'static str)> {
+        let mut state = self.state();
+        if state.faults.outage {
+            return Err((StatusCode::SERVICE_UNAVAILABLE, "outage"));
+        }
+        if !state
+            .limit
+            .admit(SystemClock.uptime(), self.config.loads_per_s)
+        {
+            state.counters.over_rate += 1;
+            return Err((StatusCode::TOO_MANY_REQUESTS, "over the rate of loads"));
+        }
+        let counters = &mut state.counters;
+        counters.loading += 1;
+        counters.peak_loading = counters.peak_loading.max(counters.loading);
+        Ok(Loading { store: self })
+    }
+
+    /// Speed of each load relative to full speed.
+    fn speed(&self) -> f64 {
+        let state = self.state();
+        let full = f64::from(self.config.full_speed_loads.max(1));
+        let share = (full / f64::from(state.counters.loading.max(1))).min(1.0);
+        share / state.faults.slowdown.max(1.0)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("weight store lock")
+    }
+}
+
+impl Standin for WeightStoreStandin {
+    async fn handle(self: Arc<Self>, call: Call) -> Reply {
+        match (&call.method, call.segments().as_slice()) {
+            (&Method::GET, ["weights", name]) => self.load(name).await,
+            (&Method::GET, ["control", "counters"]) => Reply::ok(&self.counters()),
+            _ => Reply::error(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    fn replace_faults(&self, faults: serde_json::Value) -> Result<(), serde_json::Error> {
+        self.set_faults(serde_json::from_value(faults)?);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/all/binary.rs
@@ -0,0 +1,176 @@
+//! The stand-ins as processes.
+
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::process::{Child, Command, Output, Stdio};
+
+fn command(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_anvilgw-standin"));
+    command.args(arguments);
+    command
+}
+
+/// A process that ends with the test.
+struct Process {
+    child: Child,
+    addr: String,
+}
+
+impl Process {
+    fn start(kind: &str, settings: &[&str]) -> Self {
+        let mut arguments = vec![kind, "--listen", "127.0.0.1:0"];
+        arguments.extend_from_slice(settings);
+        let mut child = command(&arguments).stdout(Stdio::piped()).spawn().unwrap();
+        let mut line = String::new();
+        let output = child.stdout.take().unwrap();
+        BufReader::new(output).read_line(&mut line).unwrap();
+        let addr = line.trim().strip_prefix("listening on ").unwrap();
+        Self {
+            child,
+            addr: addr.to_owned(),
+        }
+    }
+
+    /// Sends a request and returns the status and the JSON answer.
+    fn send(&self, method: &str, path: &str, body: &str) -> (u16, Value) {
+        let mut stream = TcpStream::connect(&self.addr).unwrap();
+        let length = body.len();
+        write!(
+            stream,
+            "{method} {path} HTTP/1.1\r\nhost: standin\r\nconnection: close\r\n\
+             content-length: {length}\r\n\r\n{body}"
+        )
+        .unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        let status = answer.split(' ').nth(1).unwrap().parse().unwrap();
+        let (_, body) = answer.split_once("\r\n\r\n").unwrap();
+        (status, serde_json::from_str(body).unwrap())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself, which the test has then noticed.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+struct KindCase {
+    kind: &'static str,
+    settings: &'static [&'static str],
+    path: &'static str,
+}
+
+const KINDS: [KindCase; 6] = [
+    KindCase {
+        kind: "engine",
+        settings: &["--set", "decode_ms=1", "--set", "faults.slowdown=2"],
+        path: "/control/load",
+    },
+    KindCase {
+        kind: "log",
+        settings: &["--set", "appends_per_s=300"],
+        path: "/streams/config/records",
+    },
+    KindCase {
+        kind: "store",
+        settings: &["--set", "memory_bytes=1000"],
+        path: "/blocks",
+    },
+    KindCase {
+        kind: "weights",
+        settings: &["--set", "load_ms=1"],
+        path: "/weights/1",
+    },
+    KindCase {
+        kind: "instances",
+        settings: &["--set", "lag_ms=10"],
+        path: "/instances",
+    },
+    KindCase {
+        kind: "service",
+        settings: &["--set", "name=courts"],
+        path: "/status",
+    },
+];
+
+/// Guards against a kind of stand-in that cannot be started as a process.
+#[test]
+fn every_kind_serves() {
+    for case in KINDS {
+        let process = Process::start(case.kind, case.settings);
+        let (status, _) = process.send("GET", case.path, "");
+        assert_eq!(status, 200, "{}", case.kind);
+    }
+}
+
+/// Guards against faults that are accepted and have no effect, and against misspelt ones.
+#[test]
+fn faults_are_set_by_request() {
+    let log = Process::start("log", &[]);
+    let append = || log.send("POST", "/streams/config/records", r#"{"payload": "eA=="}"#);
+    assert_eq!(append(), (200, json!({"offset": 0})));
+    let set = |faults: &str| log.send("POST", "/control/faults", faults).0;
+    assert_eq!(set(r#"{"outage": true}"#), 200);
+    assert_eq!(append().0, 503);
+    assert_eq!(set(r#"{"outtage": true}"#), 400);
+    assert_eq!(set(r#"{"connections": {"cut_open": true}}"#), 200);
+    assert_eq!(append(), (200, json!({"offset": 1})));
+}
+
+struct UsageCase {
+    arguments: &'static [&'static str],
+    code: i32,
+    text: &'static str,
+}
+
+const USAGES: [UsageCase; 6] = [
+    UsageCase {
+        arguments: &["--help"],
+        code: 0,
+        text: "Usage:",
+    },
+    UsageCase {
+        arguments: &["--listen", "127.0.0.1:0"],
+        code: 2,
+        text: "kind of stand-in is missing",
+    },
+    UsageCase {
+        arguments: &["engine"],
+        code: 2,
+        text: "--listen is missing",
+    },
+    UsageCase {
+        arguments: &["queue", "--listen", "127.0.0.1:0"],
+        code: 2,
+        text: "known kind",
+    },
+    UsageCase {
+        arguments: &["log", "--listen", "127.0.0.1:0", "--set", "speed=1"],
+        code: 2,
+        text: "unknown field `speed`",
+    },
+    UsageCase {
+        arguments: &["log", "--listen", "nowhere"],
+        code: 2,
+        text: "nowhere",
+    },
+];
+
+/// Guards against a wrong command line that starts something or fails without a reason.
+#[test]
+fn command_line_is_checked() {
+    for case in USAGES {
+        let Output {
+            status,
+            stdout,
+            stderr,
+        } = command(case.arguments).output().unwrap();
+        let text = String::from_utf8([stdout, stderr].concat()).unwrap();
+        assert_eq!(status.code(), Some(case.code), "{text}");
+        assert!(text.contains(case.text), "{text}");
+    }
+}
--- a/crates/standin/tests/all/main.rs
+++ b/crates/standin/tests/all/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the stand-ins' own behaviour.
 
+mod binary;
 mod memory_log;
