Add the operators' command line

Operators change plans, entitlements and what is in service with compare-and-swap, so each outcome needs its own exit code: a lost race, a change that is not in force everywhere yet, and an answer that was lost. A lost answer is repeated with the same record id. Replacing a list needs the version that the file was made from, because the current one would undo changes made in between.

--- /dev/null
+++ b/crates/cli/src/commands.rs
@@ -0,0 +1,65 @@
+//! The subcommands, one file each.
+
+mod check;
+mod demo;
+mod domain;
+mod entitlements;
+mod explain;
+mod instance;
+mod key;
+mod list;
+mod plans;
+mod serve;
+mod status;
+mod switch;
+
+use crate::error::CliError;
+use lexopt::Parser;
+use std::process::ExitCode;
+
+/// A subcommand.
+pub(crate) struct Command {
+    pub(crate) name: &'static str,
+    pub(crate) about: &'static str,
+    pub(crate) run: fn(&mut Parser) -> Result<ExitCode, CliError>,
+}
+
+const fn command(
+    name: &'static str,
+    about: &'static str,
+    run: fn(&mut Parser) -> Result<ExitCode, CliError>,
+) -> Command {
+    Command { name, about, run }
+}
+
+/// All subcommands, in the order of the help text.
+pub(crate) const COMMANDS: &[Command] = &[
+    command("check", "report all faults of a settings file", check::run),
+    command(
+        "plans",
+        "show, compare or replace the plans list",
+        plans::run,
+    ),
+    command(
+        "entitlements",
+        "show, compare or replace the entitlements list",
+        entitlements::run,
+    ),
+    command(
+        "domain",
+        "take a failure domain out of service or return it",
+        domain::run,
+    ),
+    command(
+        "instance",
+        "take an instance out of service or return it",
+        instance::run,
+    ),
+    command(
+        "status",
+        "show the state of the fleet as one daemon sees it",
+        status::run,
+    ),
+    command("explain", "show what happened to one request", explain::run),
+    command("key", "make a bearer key", key::run),
+];
--- /dev/null
+++ b/crates/cli/src/commands/serve.rs
@@ -0,0 +1,1 @@
+//! `anvilgw serve`: runs the entry daemon.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Everything here is pure: texts, records and states go in, typed values and typed errors come out.
 
+mod admin;
 mod fault;
 mod ini;
 mod lists;
@@ -9,6 +10,7 @@
 mod spec;
 mod stream;
 
+pub use admin::{ChangeAnswer, ChangeRequest, ConfigReport, InForce, Verdict};
 pub use fault::{Fault, Faults};
 pub use lists::{
     Difference, Entitlement, Entitlements, ListRow, ListValue, OperatorList, Plan, Plans, Priority,
