--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -1,5 +1,13 @@
 //! The experiments, one file each.
 
+mod first_token;
+mod link;
+mod model;
+mod reuse;
+mod simulation;
+mod strategies;
+mod workload;
+
 use crate::report::Report;
 
 /// Options of a run.
@@ -22,4 +30,20 @@
 }
 
 /// All experiments in the order of the listing.
-pub(crate) const ALL: &[Experiment] = &[];
+pub(crate) const ALL: &[Experiment] = &[
+    Experiment {
+        name: "reuse",
+        about: "share of prompt work that is recomputed",
+        run: reuse::experiment,
+    },
+    Experiment {
+        name: "link",
+        about: "bytes over store links per reused token",
+        run: link::experiment,
+    },
+    Experiment {
+        name: "first-token",
+        about: "time to first token at 80% load",
+        run: first_token::experiment,
+    },
+];
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -44,6 +44,6 @@
 pub use retry::{FailedAttempt, RetryBudget, RetryRefusal, RetrySettings};
 pub use select::{
     Candidate, Choice, Decision, Excluded, Exclusion, Explanation, NEAR_EQUAL_SHARE, NoCandidate,
-    RouteRequest,
+    PrefillPriority, RouteRequest,
 };
 pub use table::{Router, RouterSettings, SendOutcome, ServerChange, ServerSpec};
--- a/crates/router/src/price.rs
+++ b/crates/router/src/price.rs
@@ -184,7 +184,9 @@
         prefix: &PrefixMatch,
         links: &impl LinkView,
     ) -> Self {
+        let importable = prefix.importing_from.unwrap_or(u32::MAX);
         let offers = prefix.holders.iter().filter_map(|&matched| {
+            let matched = cut(matched, importable);
             let rates = links.rates(matched.holder).filter(|rates| rates.usable)?;
             Some(Offer {
                 matched,
@@ -319,6 +321,18 @@
     }
 }
 
+/// Shortens a match to its leading blocks. Later blocks are the ones on disk, if any are.
+fn cut(matched: HolderMatch, blocks: u32) -> HolderMatch {
+    let blocks = matched.blocks.min(blocks);
+    let removed = matched.blocks - blocks;
+    HolderMatch {
+        blocks,
+        disk_blocks: matched.disk_blocks.saturating_sub(removed),
+        doubtful_blocks: matched.doubtful_blocks.min(blocks),
+        ..matched
+    }
+}
+
 fn trust(matched: &HolderMatch) -> f64 {
     let doubtful = f64::from(matched.doubtful_blocks) / f64::from(matched.blocks.max(1));
     1.0 - doubtful * (1.0 - DOUBTFUL_TRUST)
--- a/crates/router/src/select.rs
+++ b/crates/router/src/select.rs
@@ -95,6 +95,17 @@
     pub selected: Option<ServerId>,
 }
 
+/// Priority that an engine gives to the prefill of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PrefillPriority {
+    /// The default.
+    Normal,
+    /// The prefill is long and yields to shorter ones, which it would delay by many times their own
+    /// length.
+    Low,
+}
+
 /// Where and how a request is served.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Choice {
@@ -104,6 +115,8 @@
     pub plan: ServePlan,
     /// Expected time to first token.
     pub ttft_ms: f64,
+    /// Priority of the prefill.
+    pub priority: PrefillPriority,
     /// Whether a permit for a cold server is needed before sending.
     pub needs_cold_permit: bool,
 }
--- a/crates/router/src/table.rs
+++ b/crates/router/src/table.rs
@@ -9,8 +9,8 @@
 use crate::matches::PrefixMatch;
 use crate::price::{BlockSizes, CostWeights, EngineRates, Import, LinkRates, LinkView, Pricer};
 use crate::select::{
-    Candidate, Choice, Decision, Excluded, Exclusion, Explanation, NoCandidate, RouteRequest,
-    choose,
+    Candidate, Choice, Decision, Excluded, Exclusion, Explanation, NoCandidate, PrefillPriority,
+    RouteRequest, choose,
 };
 use anvilgw_core::{DomainId, ModelId, ServerId};
 use indexmap::{IndexMap, IndexSet};
@@ -32,6 +32,10 @@
     pub link_breaker: BreakerSettings,
     /// Longest wait of an import for its link, above which the blocks are recomputed.
     pub link_wait_max: Duration,
+    /// Length of a prefill above which it has low priority on the engine.
+    pub long_prefill: Duration,
+    /// Time by which transfers may run ahead of the share of the link budget.
+    pub link_burst: Duration,
 }
 
 impl Default for RouterSettings {
@@ -41,6 +45,8 @@
             server_breaker: BreakerSettings::default(),
             link_breaker: BreakerSettings::default(),
             link_wait_max: Duration::from_secs(2),
+            long_prefill: Duration::from_millis(200),
+            link_burst: Duration::from_millis(500),
         }
     }
 }
@@ -208,9 +214,10 @@
     /// Adds the export link of a server or store, or changes its rates and share.
     pub fn set_link(&mut self, holder: Holder, rates: LinkRates) {
         let breaker = Breaker::new(self.settings.link_breaker);
+        let burst = self.settings.link_burst;
         let link = self.links.entry(holder).or_insert_with(|| Link {
             rates,
-            ledger: LinkLedger::new(rates.bytes_per_s, RESERVATION_GRACE),
+            ledger: LinkLedger::new(rates.bytes_per_s, burst, RESERVATION_GRACE),
             breaker,
         });
         link.rates = rates;
@@ -368,7 +375,7 @@
         }
         let selected = choose(&mut candidates, rng);
         let outcome = selected
-            .map(|at| choice(&candidates[at]))
+            .map(|at| self.choice(&candidates[at]))
             .ok_or_else(|| no_candidate(&excluded));
         Decision {
             outcome,
@@ -434,6 +441,22 @@
         (cold && server.cold_permits_free == 0).then_some(Exclusion::ColdLimit)
     }
 
+    fn choice(&self, candidate: &Candidate) -> Choice {
+        let price = &candidate.priced.price;
+        let long = price.prefill_ms > self.settings.long_prefill.as_secs_f64() * 1e3;
+        Choice {
+            server: candidate.server,
+            plan: candidate.priced.plan,
+            ttft_ms: price.ttft_ms,
+            priority: if long {
+                PrefillPriority::Low
+            } else {
+                PrefillPriority::Normal
+            },
+            needs_cold_permit: candidate.cold.is_some(),
+        }
+    }
+
     fn group_by_model(&mut self) {
         self.by_model.clear();
         for (at, server) in self.servers.values().enumerate() {
@@ -454,15 +477,6 @@
     }
 }
 
-fn choice(candidate: &Candidate) -> Choice {
-    Choice {
-        server: candidate.server,
-        plan: candidate.priced.plan,
-        ttft_ms: candidate.priced.price.ttft_ms,
-        needs_cold_permit: candidate.cold.is_some(),
-    }
-}
-
 fn no_candidate(excluded: &[Excluded]) -> NoCandidate {
     let closest = excluded.iter().map(|excluded| excluded.reason).max();
     closest.map_or(NoCandidate::UnknownModel, |closest| {
