Test the fleet crate and correct what the tests found

The decoder counted list entries by their size in memory and refused datagrams with more than a few updates, so members did not find each other. News of a forming fleet used up the byte allowance that pages need. A daemon whose clock had stopped took answers to earlier probes as new evidence, and the majority rule came into force only after the last evidence had expired.

Decoding has its own memory limit; news is passed on at most every 100 ms and leaves a reserve; evidence from before a stop is refused; a failed log read counts at once, and a small fleet without the log probes twice as often. A suspect that still sends gets twice the time to refute.

--- a/crates/fleet/src/allowance.rs
+++ b/crates/fleet/src/allowance.rs
@@ -12,8 +12,15 @@
 /// IPv4 and UDP headers of a datagram.
 const HEADER_BYTES: usize = 28;
 
-/// Token bucket over all bytes sent. Probes and answers are always sent and may overdraw it; updates,
-/// gossip and pages are sent only while it is positive.
+/// Balance above which news is passed on at once. The rest is kept for updates on probes and answers.
+const GOSSIP_RESERVE_BYTES: f64 = 1_000.0;
+
+/// Balance down to which pages are sent. They repair a view that lacks members, so gossip must not
+/// use up what they need.
+const PAGE_OVERDRAFT_BYTES: f64 = -2_000.0;
+
+/// Token bucket over all bytes sent. Probes and answers are always sent and may overdraw it; updates
+/// are sent only while it is positive.
 #[derive(Clone, Debug)]
 pub(crate) struct Allowance {
     bytes: f64,
@@ -38,6 +45,14 @@
         self.bytes > 0.0
     }
 
+    pub(crate) fn allows_gossip(&self) -> bool {
+        self.bytes > GOSSIP_RESERVE_BYTES
+    }
+
+    pub(crate) fn allows_pages(&self) -> bool {
+        self.bytes > PAGE_OVERDRAFT_BYTES
+    }
+
     pub(crate) fn spend(&mut self, payload_bytes: usize) {
         self.bytes -= (payload_bytes + HEADER_BYTES) as f64;
     }
--- a/crates/fleet/src/budgets.rs
+++ b/crates/fleet/src/budgets.rs
@@ -331,7 +331,8 @@
             return None;
         }
         budget.last_ask = Some(now);
-        let amount = budget.wanted - share;
+        // At least as much again as is in use, so that a rising load needs few requests.
+        let amount = (budget.wanted - share).max(budget.in_use);
         // A request that was given up must not keep asking.
         budget.wanted = 0;
         Some(BudgetAction::Ask {
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -24,6 +24,10 @@
 /// sender's uptime and an answer up to [`CLOCK_WINDOW`] old.
 const RATE_MARGIN_MS: i64 = 25;
 
+/// Longest round trip of an answer from which a comparison starts. A datagram that waited for long
+/// would make the peer's clock look late, and the next one would make the own clock look stopped.
+const CLOCK_ANSWER_TIME: Duration = Duration::from_millis(250);
+
 /// Most peers whose clocks are compared.
 const MAX_PEERS: usize = 4_096;
 
@@ -120,6 +124,8 @@
     log_failing: bool,
     clock_stopped: bool,
     clock_stops: u64,
+    /// When the clock was last found to have stopped. What began before is no evidence.
+    discarded_at: Option<Duration>,
     peers: BTreeMap<DaemonId, PeerClock>,
     majority: Majority,
 }
@@ -144,6 +150,7 @@
             log_failing: false,
             clock_stopped: false,
             clock_stops: 0,
+            discarded_at: None,
             peers: BTreeMap::new(),
             majority: Majority::default(),
         }
@@ -168,6 +175,9 @@
     /// after everything they returned was applied.
     pub fn on_log_read(&mut self, began: Duration) {
         self.last_attempt = self.last_attempt.max(Some(began));
+        if Some(began) <= self.discarded_at {
+            return;
+        }
         self.last_read = self.last_read.max(Some(began));
         self.log_failing = false;
         self.confirm(began);
@@ -182,11 +192,14 @@
     /// Takes a peer's report about itself into account.
     pub fn on_peer(&mut self, now: Duration, report: &PeerReport) -> PeerVerdict {
         if self.compare_clocks(now, report) {
-            self.discard();
+            self.discard(now);
             return PeerVerdict::ClockStopped;
         }
         let vitals = &report.vitals;
-        let said_at = report.probe_sent.or_else(|| self.send_time(now, report));
+        let said_at = match report.probe_sent {
+            Some(sent) => Some(sent).filter(|_| Some(sent) > self.discarded_at),
+            None => self.send_time(now, report),
+        };
         if let Some(said_at) = said_at {
             self.majority.note(report.peer, vitals.reaches_log, said_at);
             self.majority
@@ -299,9 +312,12 @@
         now.saturating_sub(last) >= wait
     }
 
+    /// A failed read counts at once: the majority rule has to be met before the last evidence expires.
     fn reaches_log(&self, now: Duration) -> bool {
-        self.last_read
-            .is_some_and(|began| now.saturating_sub(began) <= FRESHNESS_LIMIT)
+        !self.log_failing
+            && self
+                .last_read
+                .is_some_and(|began| now.saturating_sub(began) <= FRESHNESS_LIMIT)
     }
 
     fn has_majority(&self, now: Duration) -> bool {
@@ -314,7 +330,8 @@
         self.clock_stopped = false;
     }
 
-    fn discard(&mut self) {
+    fn discard(&mut self, now: Duration) {
+        self.discarded_at = Some(now);
         self.fresh_as_of = None;
         self.last_read = None;
         self.last_attempt = None;
@@ -340,24 +357,37 @@
         Some(said_at.min(now))
     }
 
-    /// Compares the advance of the clocks. Returns whether the own one has stopped.
-    fn compare_clocks(&mut self, now: Duration, report: &PeerReport) -> bool {
-        let Ok(uptime_ms) = i64::try_from(report.vitals.uptime_ms) else {
-            return false;
-        };
-        let difference_ms = millis(now).saturating_sub(uptime_ms);
+    fn add_clock(&mut self, now: Duration, peer: DaemonId, difference_ms: i64) {
         if self.peers.len() >= MAX_PEERS {
             self.peers
                 .retain(|_, clock| now.saturating_sub(clock.heard) <= RECENT);
         }
-        let clock = self.peers.entry(report.peer).or_insert(PeerClock {
+        let clock = PeerClock {
             least_ms: difference_ms,
             last_least_ms: difference_ms,
             window_from: now,
             heard: now,
             lags: false,
             answered: None,
+        };
+        self.peers.insert(peer, clock);
+    }
+
+    /// Compares the advance of the clocks. Returns whether the own one has stopped.
+    fn compare_clocks(&mut self, now: Duration, report: &PeerReport) -> bool {
+        let Ok(uptime_ms) = i64::try_from(report.vitals.uptime_ms) else {
+            return false;
+        };
+        let difference_ms = millis(now).saturating_sub(uptime_ms);
+        let answer = report.probe_sent.filter(|sent| {
+            Some(*sent) > self.discarded_at && now.saturating_sub(*sent) <= CLOCK_ANSWER_TIME
         });
+        if answer.is_some() && !self.peers.contains_key(&report.peer) {
+            self.add_clock(now, report.peer, difference_ms);
+        }
+        let Some(clock) = self.peers.get_mut(&report.peer) else {
+            return false;
+        };
         clock.heard = now;
         let least_ms = clock.least_ms.min(clock.last_least_ms);
         clock.lags = difference_ms < least_ms.saturating_sub(CLOCK_STOP_MS);
@@ -368,7 +398,7 @@
                 clock.window_from = now;
             }
             clock.least_ms = clock.least_ms.min(difference_ms);
-            if let Some(sent) = report.probe_sent {
+            if let Some(sent) = answer {
                 clock.answered = Some((sent, millis(sent).saturating_sub(uptime_ms)));
             }
         }
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -16,6 +16,10 @@
     sent: u32,
 }
 
+/// Least member count assumed for the number of transmissions. While a fleet forms, members know only
+/// a few of those that news has to reach.
+const MIN_MEMBERS: usize = 64;
+
 /// Updates ordered by the number of transmissions, the least sent first.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct GossipQueue {
@@ -50,6 +54,7 @@
         members: usize,
         first: Option<Update>,
     ) -> Vec<Update> {
+        let members = members.max(MIN_MEMBERS);
         let limit = usize::BITS - members.leading_zeros() + EXTRA_TRANSMISSIONS;
         let mut room = room;
         let mut taken: Vec<Update> = Vec::new();
@@ -70,8 +75,4 @@
         self.queue.sort_by_key(|queued| queued.sent);
         taken
     }
-
-    pub(crate) fn is_empty(&self) -> bool {
-        self.queue.is_empty()
-    }
 }
--- a/crates/fleet/src/majority.rs
+++ b/crates/fleet/src/majority.rs
@@ -9,11 +9,37 @@
 use anvilgw_core::DaemonId;
 use std::time::Duration;
 
-/// Resolution of the ages passed on. Fifteen steps cover the freshness limit.
-const STEP: Duration = Duration::from_millis(140);
+/// Epochs of up to this many members use a byte for each age, larger ones half a byte.
+pub(crate) const MAX_BYTE_MEMBERS: usize = 128;
 
-/// Value for "not heard, or too long ago".
-const UNKNOWN: u8 = 15;
+/// How ages are written. An age is rounded up at every hop, so a fine resolution leaves more time to
+/// pass it on; the coarse one keeps the list of a large epoch in one datagram.
+#[derive(Clone, Copy, Debug)]
+struct Scale {
+    step: Duration,
+    /// Value for "not heard, or too long ago".
+    unknown: u8,
+    per_byte: usize,
+}
+
+impl Scale {
+    /// Bits by which the value of a member is shifted within its byte.
+    fn shift(self, rank: usize) -> usize {
+        rank % self.per_byte * 4
+    }
+}
+
+const FINE: Scale = Scale {
+    step: Duration::from_millis(8),
+    unknown: 255,
+    per_byte: 1,
+};
+
+const COARSE: Scale = Scale {
+    step: Duration::from_millis(140),
+    unknown: 15,
+    per_byte: 2,
+};
 
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Majority {
@@ -58,10 +84,11 @@
         if epoch != self.epoch || witnesses.len() != self.encoded_len() {
             return;
         }
+        let scale = self.scale();
         for (rank, reported) in self.reported.iter_mut().enumerate() {
-            let steps = (witnesses[rank / 2] >> (4 * (rank % 2))) & UNKNOWN;
-            if steps != UNKNOWN
-                && let Some(at) = as_of.checked_sub(STEP * u32::from(steps))
+            let steps = (witnesses[rank / scale.per_byte] >> scale.shift(rank)) & scale.unknown;
+            if steps != scale.unknown
+                && let Some(at) = as_of.checked_sub(scale.step * u32::from(steps))
             {
                 *reported = (*reported).max(Some(at));
             }
@@ -69,7 +96,15 @@
     }
 
     fn encoded_len(&self) -> usize {
-        self.members.len().div_ceil(2)
+        self.members.len().div_ceil(self.scale().per_byte)
+    }
+
+    fn scale(&self) -> Scale {
+        if self.members.len() <= MAX_BYTE_MEMBERS {
+            FINE
+        } else {
+            COARSE
+        }
     }
 
     /// The list to send. Empty if the epoch has more members than a datagram has room for.
@@ -77,15 +112,18 @@
         if self.encoded_len() > MAX_WITNESS_BYTES {
             return Vec::new();
         }
+        let scale = self.scale();
         let mut bytes = vec![0xff; self.encoded_len()];
         for (rank, reported) in self.reported.iter().enumerate() {
-            let steps = reported.map_or(UNKNOWN.into(), |at| {
+            let steps = reported.map_or(scale.unknown.into(), |at| {
                 // Rounded up: a report must never look younger than it is.
-                now.saturating_sub(at).as_nanos().div_ceil(STEP.as_nanos())
+                now.saturating_sub(at)
+                    .as_nanos()
+                    .div_ceil(scale.step.as_nanos())
             });
-            let steps = u8::try_from(steps).unwrap_or(UNKNOWN).min(UNKNOWN);
-            let shift = 4 * (rank % 2);
-            bytes[rank / 2] &= !(UNKNOWN << shift) | (steps << shift);
+            let steps = u8::try_from(steps).unwrap_or(u8::MAX).min(scale.unknown);
+            let shift = scale.shift(rank);
+            bytes[rank / scale.per_byte] &= !(scale.unknown << shift) | (steps << shift);
         }
         bytes
     }
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -67,6 +67,13 @@
         matches!(self.update.claim, Claim::Alive | Claim::Suspect)
     }
 
+    /// When a suspect that has `limit` to refute is removed. Whoever still sends is slow rather than
+    /// dead, unless it receives nothing; it gets twice the time.
+    pub(crate) fn removal_at(&self, limit: Duration) -> Duration {
+        let still_sends = self.heard.is_some_and(|heard| heard > self.since);
+        self.since + if still_sends { limit * 2 } else { limit }
+    }
+
     fn view(&self) -> MemberView {
         MemberView {
             contact: self.update.contact,
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -13,6 +13,7 @@
 use crate::allowance::Allowance;
 use crate::gossip::GossipQueue;
 use crate::health::LocalHealth;
+use crate::majority::MAX_BYTE_MEMBERS;
 use crate::members::{Change, MemberState, MemberView, RemovalCause, Table};
 use crate::probe::Probes;
 use crate::wire::{Claim, Contact, Datagram, Message, Update, Vitals};
@@ -40,6 +41,12 @@
 /// Time between two pages of the member list fetched from a random member. They repair lost news.
 const SYNC_PERIOD: Duration = Duration::from_secs(10);
 
+/// The same within [`CHANGE_TIME`] after members came or went.
+const CHANGE_SYNC_PERIOD: Duration = Duration::from_secs(1);
+
+/// Time after a change in which lost news is looked for more often.
+const CHANGE_TIME: Duration = Duration::from_secs(10);
+
 /// A tick later than this means that the process or machine was paused; its timers say nothing
 /// about others.
 const PAUSE_LIMIT: Duration = Duration::from_millis(250);
@@ -47,6 +54,16 @@
 /// Most addresses remembered as hints.
 const MAX_HINTS: usize = 1_024;
 
+/// Time to the next probe. A small fleet without the log probes twice as often, since each daemon has
+/// to hear of a majority within the freshness limit; a large one would exceed its bytes.
+fn probe_period(vitals: &Vitals) -> Duration {
+    if !vitals.reaches_log && vitals.witnesses.len() <= MAX_BYTE_MEMBERS {
+        PROBE_PERIOD / 2
+    } else {
+        PROBE_PERIOD
+    }
+}
+
 /// What the daemon has to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -105,11 +122,13 @@
     hints: IndexSet<SocketAddr>,
     rng: StdRng,
     has_news: bool,
+    next_spread: Duration,
     has_full_list: bool,
     ring_next: bool,
     next_probe: Duration,
     next_contact: Duration,
     next_sync: Duration,
+    last_change: Duration,
     sync_cursor: u32,
     dropped_datagrams: u64,
 }
@@ -146,11 +165,13 @@
             hints: IndexSet::new(),
             rng,
             has_news: false,
+            next_spread: now,
             has_full_list: false,
             ring_next: true,
             next_probe: now + first,
             next_contact: now,
-            next_sync: now + SYNC_PERIOD,
+            next_sync: now + CHANGE_SYNC_PERIOD,
+            last_change: now,
             sync_cursor: 0,
             dropped_datagrams: 0,
         };
@@ -225,10 +246,11 @@
             .filter(|entry| entry.update.claim == Claim::Suspect)
             .map(|entry| match LAST_PINGS.get(entry.last_pings as usize) {
                 Some(&after) => entry.since + after,
-                None => entry.since + SUSPICION_TIME * self.health.factor(),
+                None => entry.removal_at(SUSPICION_TIME * self.health.factor()),
             });
         suspects
             .chain(self.probes.next_due())
+            .chain(self.has_news.then_some(self.next_spread))
             .chain([self.next_probe, self.next_contact, self.next_sync])
             .min()
             .unwrap_or(self.next_probe)
@@ -282,14 +304,20 @@
         self.probes_due(&mut turn);
         self.suspicions_due(&mut turn);
         if now >= self.next_probe {
-            self.next_probe = now + PROBE_PERIOD;
+            self.next_probe = now + probe_period(vitals);
             self.probe_next(&mut turn);
         }
         if now >= self.next_contact {
             self.contact_hint(&mut turn);
         }
         if now >= self.next_sync {
-            self.next_sync = now + SYNC_PERIOD;
+            let is_changing = now.saturating_sub(self.last_change) < CHANGE_TIME;
+            self.next_sync = now
+                + if is_changing {
+                    CHANGE_SYNC_PERIOD
+                } else {
+                    SYNC_PERIOD
+                };
             self.table.expire(now);
             self.sync_random(&mut turn);
         }
@@ -348,6 +376,13 @@
             self.gossip.push(update);
             self.has_news |= change != Change::Noted;
         }
+        if !matches!(
+            change,
+            Change::Noted | Change::Suspected(_) | Change::Recovered(_)
+        ) {
+            self.last_change = turn.now;
+            self.next_sync = self.next_sync.min(turn.now + CHANGE_SYNC_PERIOD);
+        }
         match change {
             Change::Joined(contact) => turn.event(MemberEvent::Joined(contact)),
             Change::Suspected(id) => turn.event(MemberEvent::Suspected(id)),
--- a/crates/fleet/src/membership/detect.rs
+++ b/crates/fleet/src/membership/detect.rs
@@ -63,7 +63,7 @@
         let mut dead = Vec::new();
         for entry in self.table.suspects() {
             let elapsed = turn.now.saturating_sub(entry.since);
-            if elapsed >= limit {
+            if turn.now >= entry.removal_at(limit) {
                 dead.push(Update {
                     claim: Claim::Dead,
                     ..entry.update
--- a/crates/fleet/src/membership/join.rs
+++ b/crates/fleet/src/membership/join.rs
@@ -32,7 +32,7 @@
     }
 
     pub(super) fn send_page(&mut self, to: SocketAddr, from_index: u32, turn: &mut Turn<'_>) {
-        if !self.allowance.is_positive() {
+        if !self.allowance.allows_pages() {
             return;
         }
         let mut datagram = self.datagram(
--- a/crates/fleet/src/membership/send.rs
+++ b/crates/fleet/src/membership/send.rs
@@ -3,18 +3,25 @@
 use super::{Action, Membership, Turn};
 use crate::wire::{Claim, Datagram, MAX_DATAGRAM_BYTES, Message};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Random members that get news at once.
 const FANOUT: usize = 3;
 
+/// Shortest time between two such rounds. The news of many members that come or go together is
+/// passed on in a few full datagrams.
+const SPREAD_INTERVAL: Duration = Duration::from_millis(100);
+
 impl Membership {
     /// Passes news on at once.
     pub(super) fn spread(&mut self, turn: &mut Turn<'_>) {
-        if !std::mem::take(&mut self.has_news) || self.gossip.is_empty() {
+        if !self.has_news || turn.now < self.next_spread {
             return;
         }
+        self.has_news = false;
+        self.next_spread = turn.now + SPREAD_INTERVAL;
         for contact in self.table.sample(FANOUT, None, &mut self.rng) {
-            if self.allowance.is_positive() {
+            if self.allowance.allows_gossip() {
                 self.send(
                     turn,
                     contact.address,
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -12,7 +12,7 @@
 /// Most updates in one datagram. The smallest update has 10 bytes.
 const MAX_UPDATES: usize = MAX_DATAGRAM_BYTES / 10;
 
-/// Longest witness list: two members of the epoch a byte.
+/// Longest witness list.
 pub(crate) const MAX_WITNESS_BYTES: usize = 256;
 
 /// Where a daemon is reached and what it fails with.
@@ -33,14 +33,14 @@
     pub config_version: u64,
     /// Age of the sender's view in milliseconds; `None` without any evidence.
     pub view_age_ms: Option<u32>,
-    /// Whether a log read of the sender that began within the freshness limit succeeded.
+    /// Whether the last log read of the sender succeeded and began within the freshness limit.
     pub reaches_log: bool,
     /// Epoch that the sender has folded.
     pub epoch: u64,
     /// Uptime of the sender in milliseconds.
     pub uptime_ms: u64,
-    /// For each member of the epoch, half a byte with the age of its last report that it does not
-    /// reach the log. Written and read by [`Freshness`](crate::Freshness).
+    /// For each member of the epoch, the age of its last report that it does not reach the log, in a
+    /// byte or half a byte. Written and read by [`Freshness`](crate::Freshness).
     pub witnesses: Vec<u8>,
 }
 
@@ -152,8 +152,12 @@
     }
 }
 
+/// Most memory that decoding may claim. It counts the entries of lists with their size in memory,
+/// which is larger than their encoding.
+const DECODE_LIMIT: usize = 8 * 1024;
+
 fn bincode_config() -> impl bincode::config::Config {
-    bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>()
+    bincode::config::standard().with_limit::<DECODE_LIMIT>()
 }
 
 fn encoded_len<T: Serialize>(value: &T) -> usize {
--- /dev/null
+++ b/crates/fleet/tests/all/epoch.rs
@@ -0,0 +1,215 @@
+//! Epochs: racing writers, repeated and missing records, and who may propose.
+
+use crate::driver::{daemon, ms, secs};
+use anvilgw_core::{DaemonId, Offset};
+use anvilgw_fleet::{
+    EpochAction, EpochFold, EpochKeeper, EpochRecord, EpochStatus, EpochVerdict, FoldError,
+    Ownership, OwnershipWait, RecordId, owner_of,
+};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+fn record(id: u128, expected: u64, members: &[u32]) -> EpochRecord {
+    EpochRecord {
+        id: RecordId(id),
+        expected,
+        members: members.iter().copied().map(daemon).collect(),
+        proposer: daemon(members[0]),
+    }
+}
+
+/// Guards against two epochs with one number, a repeated append that counts twice, and unreadable
+/// records that stop the fold.
+#[test]
+fn the_first_record_with_the_expected_epoch_wins() {
+    let mut fold = EpochFold::new();
+    let first = record(1, 0, &[1, 2, 3]);
+    let steps = [
+        (first.encode(), EpochVerdict::Accepted, 1),
+        (record(2, 0, &[4]).encode(), EpochVerdict::Lost, 1),
+        (first.encode(), EpochVerdict::Lost, 1),
+        (vec![0xff; 40], EpochVerdict::NoRecord, 1),
+        (record(3, 1, &[1, 2]).encode(), EpochVerdict::Accepted, 2),
+        (record(4, 1, &[1]).encode(), EpochVerdict::Lost, 2),
+        (record(5, u64::MAX, &[1]).encode(), EpochVerdict::Lost, 2),
+    ];
+    for (at, (payload, verdict, number)) in steps.iter().enumerate() {
+        assert_eq!(
+            fold.apply(Offset(at as u64), payload).as_ref(),
+            Ok(verdict),
+            "step {at}"
+        );
+        assert_eq!(fold.number(), *number, "step {at}");
+    }
+    let gap = fold.apply(Offset(9), &record(6, 2, &[1]).encode());
+    assert_eq!(gap, Err(FoldError::Gap(Offset(7), Offset(9))));
+    assert_eq!(
+        fold.apply(Offset(0), &first.encode()),
+        Ok(EpochVerdict::Known)
+    );
+    assert_eq!(fold.number(), 2);
+}
+
+/// Guards against members that are listed twice after a restart, which would give them two shares.
+#[test]
+fn of_two_processes_with_one_number_the_later_is_the_member() {
+    let mut fold = EpochFold::new();
+    let later = DaemonId {
+        index: 2,
+        incarnation: 5_000,
+    };
+    let mut both = record(1, 0, &[2, 1]);
+    both.members.push(later);
+    fold.apply(Offset(0), &both.encode()).unwrap();
+    assert_eq!(fold.current().unwrap().members, [daemon(1), later]);
+}
+
+struct Keeper {
+    keeper: EpochKeeper,
+    rng: StdRng,
+}
+
+impl Keeper {
+    fn new() -> Self {
+        Self {
+            keeper: EpochKeeper::new(daemon(0)),
+            rng: StdRng::seed_from_u64(1),
+        }
+    }
+
+    fn tick(
+        &mut self,
+        at_ms: u64,
+        fold: &EpochFold,
+        live: &[u32],
+        lease: bool,
+    ) -> Option<EpochRecord> {
+        let live: Vec<_> = live.iter().copied().map(daemon).collect();
+        let action = self
+            .keeper
+            .tick(ms(at_ms), fold, &live, &[daemon(9)], lease, &mut self.rng);
+        action.map(|EpochAction::Append(record)| record)
+    }
+}
+
+/// Guards against epochs for every short change, proposals without the lease, and a second record
+/// when the answer to the first append was lost.
+#[test]
+fn the_keeper_proposes_settled_changes_once() {
+    let mut fold = EpochFold::new();
+    let mut keeper = Keeper::new();
+    assert!(keeper.tick(1_000, &fold, &[0, 1, 2], false).is_none());
+    assert!(
+        keeper.tick(1_500, &fold, &[0, 1, 2], true).is_none(),
+        "not settled"
+    );
+    let first = keeper
+        .tick(2_000, &fold, &[0, 1, 2], true)
+        .expect("settled");
+    assert!(
+        keeper.tick(2_100, &fold, &[0, 1, 2], true).is_none(),
+        "already on its way"
+    );
+    assert_eq!(
+        keeper.tick(4_000, &fold, &[0, 1, 2], true),
+        Some(first.clone()),
+        "lost answer"
+    );
+    fold.apply(Offset(0), &first.encode()).unwrap();
+    fold.apply(Offset(1), &first.encode()).unwrap();
+    assert!(keeper.tick(4_100, &fold, &[0, 1, 2], true).is_none());
+    assert_eq!(keeper.keeper.status(), EpochStatus::Settled);
+    assert!(keeper.tick(5_000, &fold, &[0, 1], true).is_none());
+    assert!(
+        keeper.tick(8_000, &fold, &[0, 1], true).is_none(),
+        "too soon after the last epoch"
+    );
+    let second = keeper
+        .tick(9_200, &fold, &[0, 1], true)
+        .expect("settled again");
+    assert_eq!((second.expected, second.members.len()), (1, 2));
+}
+
+/// Guards against an epoch without members that may run with their shares beyond a partition.
+#[test]
+fn no_epoch_without_a_majority_of_the_last_one() {
+    struct Case {
+        live: &'static [u32],
+        accounted: usize,
+    }
+    let cases = [
+        Case {
+            live: &[0, 1, 20, 21, 22, 23],
+            accounted: 3,
+        },
+        Case {
+            live: &[0, 20, 21, 22, 23],
+            accounted: 2,
+        },
+        Case {
+            live: &[0, 1, 2],
+            accounted: 4,
+        },
+    ];
+    for case in cases {
+        let mut fold = EpochFold::new();
+        fold.apply(Offset(0), &record(1, 0, &[0, 1, 2, 3, 4, 9]).encode())
+            .unwrap();
+        let mut keeper = Keeper::new();
+        keeper.tick(0, &fold, case.live, true);
+        let proposed = keeper.tick(20_000, &fold, case.live, true).is_some();
+        assert_eq!(proposed, case.accounted > 3, "{:?}", case.live);
+        if !proposed {
+            let expected = EpochStatus::NoMajority {
+                accounted: case.accounted,
+                members: 6,
+            };
+            assert_eq!(keeper.keeper.status(), expected);
+            keeper.keeper.force_next();
+            assert!(
+                keeper.tick(20_100, &fold, case.live, true).is_some(),
+                "forced by an operator"
+            );
+        }
+    }
+}
+
+/// Guards against ownership that moves more than needed, and against an owner that acts before the
+/// one before it is certain to have stopped.
+#[test]
+fn grown_ownership_waits_and_kept_ownership_does_not() {
+    let members: Vec<_> = (0..18).map(daemon).collect();
+    let without: Vec<_> = members.iter().copied().filter(|m| m.index != 5).collect();
+    let things: Vec<_> = (0..64).map(Ownership::ClaimPartition).collect();
+    for &thing in &things {
+        let before = owner_of(thing, &members);
+        let moved = before != owner_of(thing, &without);
+        assert_eq!(moved, before == Some(daemon(5)), "only what 5 owned moves");
+    }
+    let epoch = |number, members: &[DaemonId]| anvilgw_fleet::Epoch {
+        number,
+        members: members.to_vec(),
+        record: RecordId(number.into()),
+    };
+    for own in without.iter().copied() {
+        let mut wait = OwnershipWait::new(own);
+        wait.on_epoch(&epoch(1, &members), secs(1));
+        for &thing in &things {
+            assert!(!wait.may_act(thing, secs(3)), "first epoch waits");
+            let owns = owner_of(thing, &members) == Some(own);
+            assert_eq!(wait.may_act(thing, ms(3_500)), owns);
+        }
+        wait.on_epoch(&epoch(2, &without), secs(10));
+        wait.on_epoch(&epoch(3, &without), secs(11));
+        for &thing in &things {
+            let owned = owner_of(thing, &members) == Some(own);
+            let owns = owner_of(thing, &without) == Some(own);
+            assert_eq!(wait.may_act(thing, secs(12)), owned && owns, "kept at once");
+            assert_eq!(
+                wait.may_act(thing, ms(12_600)),
+                owns,
+                "grown after the wait"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/all/lease.rs
@@ -0,0 +1,276 @@
+//! Leases: racing challengers, lost answers, paused holders and outages of the log.
+
+use crate::driver::{daemon, ms, secs};
+use anvilgw_core::Offset;
+use anvilgw_fleet::{
+    Duty, FoldError, LeaseAction, LeaseFold, LeaseHolder, LeaseRecord, LeaseStatus, LeaseTimes,
+    LeaseVerdict, RecordId,
+};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::time::Duration;
+
+fn record(id: u128, holder: u32, replaces: Option<u64>) -> LeaseRecord {
+    LeaseRecord {
+        id: RecordId(id),
+        duty: Duty::Orders,
+        holder: daemon(holder),
+        replaces: replaces.map(Offset),
+        duration_ms: 6_000,
+    }
+}
+
+/// Guards against two leases that replace the same one, and against leases that block a duty.
+#[test]
+fn the_first_record_that_replaces_the_current_lease_wins() {
+    let mut fold = LeaseFold::new();
+    let accepted = LeaseVerdict::Accepted(Duty::Orders);
+    let lost = LeaseVerdict::Lost(Duty::Orders);
+    let too_long = LeaseRecord {
+        duration_ms: 600_000,
+        ..record(6, 3, Some(3))
+    };
+    let steps = [
+        (record(1, 1, None), accepted),
+        (record(2, 2, None), lost),
+        (record(1, 1, None), lost),
+        (record(3, 2, Some(0)), accepted),
+        (record(4, 3, Some(0)), lost),
+        (record(5, 3, Some(99)), lost),
+        (too_long, lost),
+    ];
+    for (at, (record, verdict)) in steps.iter().enumerate() {
+        assert_eq!(
+            fold.apply(Offset(at as u64), &record.encode()),
+            Ok(*verdict),
+            "step {at}"
+        );
+    }
+    assert_eq!(fold.current(Duty::Orders).unwrap().token, Offset(3));
+    assert_eq!(fold.current(Duty::Epoch), None);
+    let gap = fold.apply(Offset(8), &record(7, 1, Some(3)).encode());
+    assert_eq!(gap, Err(FoldError::Gap(Offset(7), Offset(8))));
+    assert_eq!(fold.apply(Offset(7), b"noise"), Ok(LeaseVerdict::NoRecord));
+}
+
+struct Candidate {
+    holder: LeaseHolder,
+    fold: LeaseFold,
+    rng: StdRng,
+    paused_until: Duration,
+}
+
+/// A log and the candidates of one duty.
+struct Duties {
+    now: Duration,
+    log: Vec<Vec<u8>>,
+    log_up: bool,
+    /// The next append takes effect but its answer is lost, and so is the writer's next read.
+    lose_answers: bool,
+    candidates: Vec<Candidate>,
+    last_token: Option<Offset>,
+}
+
+impl Duties {
+    fn new(count: u32) -> Self {
+        let candidate = |index| Candidate {
+            holder: LeaseHolder::new(daemon(index), Duty::Orders, LeaseTimes::default(), ms(0)),
+            fold: LeaseFold::new(),
+            rng: StdRng::seed_from_u64(index.into()),
+            paused_until: ms(0),
+        };
+        Self {
+            now: ms(0),
+            log: Vec::new(),
+            log_up: true,
+            lose_answers: false,
+            candidates: (0..count).map(candidate).collect(),
+            last_token: None,
+        }
+    }
+
+    fn holders(&self) -> Vec<(usize, Offset)> {
+        let tokens = self.candidates.iter().map(|c| c.holder.token(self.now));
+        tokens
+            .enumerate()
+            .filter_map(|(at, token)| Some((at, token?)))
+            .collect()
+    }
+
+    /// Runs, checking after each step that at most one candidate holds the duty, paused ones
+    /// included, and that tokens never go back.
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += ms(50);
+            for (rank, candidate) in self.candidates.iter_mut().enumerate() {
+                if candidate.paused_until > self.now {
+                    continue;
+                }
+                let read = self.log_up && !(self.lose_answers && rank == 0);
+                if read {
+                    let known = candidate.fold.next_offset().map_or(0, |offset| offset.0);
+                    for at in known..self.log.len() as u64 {
+                        candidate
+                            .fold
+                            .apply(Offset(at), &self.log[at as usize])
+                            .unwrap();
+                    }
+                    candidate.holder.on_log_read(self.now, &candidate.fold);
+                }
+                let rank = Some(rank as u32);
+                let action = candidate
+                    .holder
+                    .tick(self.now, rank, true, &mut candidate.rng);
+                if let Some(LeaseAction::Append(record)) = action
+                    && self.log_up
+                {
+                    self.log.push(record.encode());
+                }
+            }
+            let holders = self.holders();
+            assert!(
+                holders.len() <= 1,
+                "two holders at {:?}: {holders:?}",
+                self.now
+            );
+            if let Some(&(_, token)) = holders.first() {
+                assert!(Some(token) >= self.last_token, "token went back");
+                self.last_token = Some(token);
+            }
+        }
+    }
+}
+
+/// Guards against several holders at the start and against a lease that is lost by its renewal.
+#[test]
+fn one_candidate_holds_and_renews() {
+    let mut duties = Duties::new(5);
+    duties.run(secs(3));
+    assert_eq!(duties.holders()[0].0, 0);
+    duties.run(secs(60));
+    assert_eq!(duties.holders()[0].0, 0);
+    assert!(duties.log.len() < 40, "{} appends", duties.log.len());
+}
+
+/// Guards against a paused holder that acts after its lease was taken over.
+#[test]
+fn a_paused_holder_is_replaced_and_stops() {
+    let mut duties = Duties::new(3);
+    duties.run(secs(5));
+    duties.candidates[0].paused_until = duties.now + secs(30);
+    duties.run(secs(10));
+    assert_eq!(duties.holders()[0].0, 1);
+    duties.run(secs(30));
+    assert_eq!(duties.holders()[0].0, 1);
+}
+
+/// Guards against a holder that counts its lease from the time at which it learned of it.
+#[test]
+fn a_lost_append_answer_shortens_the_lease_and_is_harmless() {
+    let mut duties = Duties::new(1);
+    duties.lose_answers = true;
+    duties.run(secs(4));
+    assert!(duties.holders().is_empty());
+    assert!(duties.log.len() > 1, "appended again");
+    duties.lose_answers = false;
+    duties.run(ms(50));
+    assert_eq!(duties.holders(), [(0, Offset(0))]);
+    let token = |at| duties.candidates[0].holder.token(at);
+    assert_eq!(
+        token(ms(5_040)),
+        Some(Offset(0)),
+        "5 s after the first append"
+    );
+    assert_eq!(token(ms(5_060)), None);
+    duties.run(secs(3));
+    assert_eq!(duties.holders().len(), 1);
+}
+
+/// Guards against a duty that looks held or vacant while nobody can hold it, and against a holder
+/// that goes on without the log.
+#[test]
+fn an_outage_of_the_log_ends_the_lease_and_shows_in_the_status() {
+    let mut duties = Duties::new(3);
+    duties.run(secs(5));
+    duties.log_up = false;
+    let since = duties.now;
+    duties.run(secs(8));
+    assert!(duties.holders().is_empty());
+    for candidate in &duties.candidates {
+        assert_eq!(
+            candidate.holder.status(duties.now),
+            LeaseStatus::CannotBeHeld { since }
+        );
+    }
+    duties.log_up = true;
+    duties.run(secs(10));
+    assert_eq!(duties.holders().len(), 1);
+}
+
+/// Guards against a lease that is used after a release or after the clock stopped.
+#[test]
+fn a_release_or_a_stopped_clock_ends_the_lease_at_once() {
+    let mut duties = Duties::new(2);
+    duties.run(secs(5));
+    let now = duties.now;
+    let mut stopped = duties.candidates[0].holder.clone();
+    stopped.on_clock_stopped(now);
+    assert_eq!(stopped.token(now), None);
+    let candidate = &mut duties.candidates[0];
+    let action = candidate.holder.release(now, &mut candidate.rng);
+    assert_eq!(candidate.holder.token(now), None);
+    let Some(LeaseAction::Append(record)) = action else {
+        panic!("a held lease is given up in the log");
+    };
+    duties.log.push(record.encode());
+    duties.run(ms(500));
+    assert_eq!(
+        duties.holders()[0].0,
+        1,
+        "taken over without waiting for the expiry"
+    );
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Disturbance {
+    Pause(u8, u8),
+    Log(bool),
+    LoseAnswers(bool),
+    Wait(u8),
+}
+
+impl Arbitrary for Disturbance {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 5 {
+            0 => Self::Pause(u8::arbitrary(g), u8::arbitrary(g)),
+            1 => Self::Log(bool::arbitrary(g)),
+            2 => Self::LoseAnswers(bool::arbitrary(g)),
+            _ => Self::Wait(u8::arbitrary(g)),
+        }
+    }
+}
+
+/// Guards against two holders at an instant under any order of pauses, outages and lost answers.
+#[test]
+fn there_is_never_a_second_holder() {
+    fn check(disturbances: Vec<Disturbance>) -> bool {
+        let mut duties = Duties::new(4);
+        for disturbance in disturbances {
+            match disturbance {
+                Disturbance::Pause(which, tenths) => {
+                    let until = duties.now + ms(u64::from(tenths) * 100);
+                    duties.candidates[usize::from(which) % 4].paused_until = until;
+                }
+                Disturbance::Log(up) => duties.log_up = up,
+                Disturbance::LoseAnswers(lose) => duties.lose_answers = lose,
+                Disturbance::Wait(tenths) => duties.run(ms(u64::from(tenths) * 40)),
+            }
+        }
+        true
+    }
+    QuickCheck::new()
+        .tests(150)
+        .quickcheck(check as fn(Vec<Disturbance>) -> bool);
+}
--- /dev/null
+++ b/crates/fleet/tests/all/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the fleet crate, in one binary so that linking happens once.
+
+mod budgets;
+mod driver;
+mod epoch;
+mod freshness;
+mod lease;
+mod membership;
+mod wire;
--- /dev/null
+++ b/crates/fleet/tests/all/wire.rs
@@ -0,0 +1,134 @@
+//! Datagrams from the network: no input may cause a panic or an oversized answer.
+
+use crate::driver::{contact, ms};
+use anvilgw_core::{DaemonId, DomainId};
+use anvilgw_fleet::{
+    Action, Contact, Datagram, DecodeError, MAX_DATAGRAM_BYTES, Membership, Message, Vitals,
+};
+use quickcheck::QuickCheck;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::net::{Ipv6Addr, SocketAddr};
+
+fn member() -> Membership {
+    let hints = [contact(2, 1).address];
+    Membership::new(contact(1, 1), &hints, StdRng::seed_from_u64(1), ms(0))
+}
+
+fn largest() -> Datagram {
+    let from = Contact {
+        id: DaemonId {
+            index: u32::MAX,
+            incarnation: u64::MAX,
+        },
+        address: SocketAddr::from((Ipv6Addr::from(u128::MAX), u16::MAX)),
+        domain: DomainId(u16::MAX),
+    };
+    let vitals = Vitals {
+        config_version: u64::MAX,
+        view_age_ms: Some(u32::MAX),
+        reaches_log: true,
+        epoch: u64::MAX,
+        uptime_ms: u64::MAX,
+        witnesses: vec![0xff; 256],
+    };
+    Datagram {
+        from,
+        refutation: u32::MAX,
+        vitals,
+        message: Message::Ping { seq: u32::MAX },
+        updates: Vec::new(),
+    }
+}
+
+/// Guards against a datagram that the sender makes but the receiver refuses, or that is too long.
+#[test]
+fn the_largest_probe_fits_and_survives_the_round_trip() {
+    let datagram = largest();
+    let bytes = datagram.encode();
+    assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
+    assert_eq!(Datagram::decode(&bytes), Ok(datagram));
+}
+
+/// Guards against datagrams that are accepted although no member sends them.
+#[test]
+fn damaged_datagrams_are_refused_with_the_reason() {
+    let good = largest().encode();
+    let mut trailing = good.clone();
+    trailing.push(0);
+    let cut = &good[..good.len() - 1];
+    assert_eq!(
+        Datagram::decode(&trailing),
+        Err(DecodeError::TrailingBytes(1))
+    );
+    assert!(matches!(
+        Datagram::decode(cut),
+        Err(DecodeError::Malformed(_))
+    ));
+    let long = vec![0; MAX_DATAGRAM_BYTES + 1];
+    assert_eq!(
+        Datagram::decode(&long),
+        Err(DecodeError::TooLong(long.len()))
+    );
+}
+
+/// Guards against lists whose claimed length makes the decoder reserve memory.
+#[test]
+fn a_claimed_list_length_is_bounded() {
+    let mut datagram = largest();
+    datagram.vitals.witnesses = vec![0; 257];
+    datagram.from = contact(1, 1);
+    datagram.vitals.config_version = 0;
+    let bytes = datagram.encode();
+    assert_eq!(Datagram::decode(&bytes), Err(DecodeError::ListTooLong(1)));
+    let mut huge = contact_prefix();
+    huge.extend([0xfd, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff]);
+    assert!(matches!(
+        Datagram::decode(&huge),
+        Err(DecodeError::Malformed(_))
+    ));
+}
+
+/// An encoded datagram up to the length of the witness list.
+fn contact_prefix() -> Vec<u8> {
+    let datagram = Datagram {
+        vitals: Vitals::default(),
+        from: contact(1, 1),
+        refutation: 0,
+        message: Message::Gossip,
+        updates: Vec::new(),
+    };
+    let bytes = datagram.encode();
+    // Behind the witness list follow the message and the list of updates, one byte each.
+    bytes[..bytes.len() - 3].to_vec()
+}
+
+/// Guards against panics on input from the network: random bytes and datagrams with changed bytes.
+#[test]
+fn no_input_panics() {
+    fn check(noise: Vec<u8>, changes: Vec<(usize, u8)>) -> bool {
+        let mut member = member();
+        let mut changed = Datagram {
+            from: contact(2, 7),
+            ..largest()
+        }
+        .encode();
+        for (at, value) in changes {
+            let len = changed.len();
+            changed[at % len] = value;
+        }
+        let source = contact(2, 7).address;
+        let inputs = [noise, changed];
+        inputs.iter().all(|input| {
+            let actions = member.handle(ms(5), source, input, &Vitals::default());
+            let later = member.tick(ms(700), &Vitals::default());
+            actions.iter().chain(&later).all(|action| match action {
+                Action::Send { bytes, .. } => bytes.len() <= MAX_DATAGRAM_BYTES,
+                Action::Event(_) => true,
+            })
+        })
+    }
+    QuickCheck::new()
+        .tests(3_000)
+        .quickcheck(check as fn(Vec<u8>, Vec<(usize, u8)>) -> bool);
+}
