--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -34,6 +34,12 @@
 
 /// All subcommands, in the order of the help text.
 pub(crate) const COMMANDS: &[Command] = &[
+    command("serve", "run the entry daemon", serve::run),
+    command(
+        "demo",
+        "run daemons with stand-ins and show a mixed load",
+        demo::run,
+    ),
     command("check", "report all faults of a settings file", check::run),
     command(
         "plans",
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -43,6 +43,8 @@
     pub(crate) wait: Option<Duration>,
     pub(crate) ini: bool,
     pub(crate) reference: bool,
+    pub(crate) config: Option<PathBuf>,
+    pub(crate) seconds: Option<u64>,
     pub(crate) plans: Option<PathBuf>,
     pub(crate) entitlements: Option<PathBuf>,
 }
@@ -74,6 +76,8 @@
             "reference" => self.reference = true,
             "wait" => self.wait = self.wait.or(Some(DEFAULT_WAIT)),
             "wait-s" => self.wait = Some(Duration::from_secs(parser.value()?.parse()?)),
+            "config" => self.config = Some(parser.value()?.into()),
+            "seconds" => self.seconds = Some(parser.value()?.parse()?),
             "admin" => self.admin.push(parser.value()?.parse()?),
             "key-file" => self.key_file = Some(parser.value()?.into()),
             "expect" => self.expect = Some(parser.value()?.parse()?),
--- /dev/null
+++ b/crates/entry/src/context.rs
@@ -0,0 +1,167 @@
+//! What every request handler can reach.
+
+use crate::backends::{Backend, Backends};
+use crate::duties::admission::AdmissionService;
+use crate::duties::claims::ClaimsService;
+use crate::duties::control::{BudgetKind, ControlService, SharedBudgets};
+use crate::duties::routing::RoutingService;
+use crate::explain::ExplainStore;
+use crate::front::KeyTable;
+use crate::observe::{Hop, Metrics, Tracing};
+use crate::peer::PeerClient;
+use anvilgw_config::{ConfigState, Settings};
+use anvilgw_core::{
+    AttemptId, Clock, DaemonId, ErrorKind, Failure, RequestId, Stage, WorkspaceId,
+};
+use anvilgw_kernel::Journal;
+use anvilgw_router::{FailedAttempt, RetryBudget, RetrySettings};
+use spdlog::Logger;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Services and settings of the daemon.
+pub(crate) struct Context {
+    /// This daemon.
+    pub(crate) daemon: DaemonId,
+    /// Settings.
+    pub(crate) settings: Arc<Settings>,
+    /// Clock.
+    pub(crate) clock: Arc<dyn Clock>,
+    /// Journal.
+    pub(crate) journal: Arc<Journal>,
+    /// Metrics.
+    pub(crate) metrics: Arc<Metrics>,
+    /// Traces.
+    pub(crate) tracing: Arc<Tracing>,
+    /// Log.
+    pub(crate) logger: Arc<Logger>,
+    /// Keys of the workspaces.
+    pub(crate) workspace_keys: KeyTable,
+    /// Keys of the operators.
+    pub(crate) operator_keys: KeyTable,
+    /// Backend servers.
+    pub(crate) backends: Backends,
+    /// Admission.
+    pub(crate) admission: Arc<AdmissionService>,
+    /// Routing.
+    pub(crate) routing: Arc<RoutingService>,
+    /// Claims.
+    pub(crate) claims: Arc<ClaimsService>,
+    /// Control.
+    pub(crate) control: Arc<ControlService>,
+    /// Shares of the budgets.
+    pub(crate) budgets: Arc<SharedBudgets>,
+    /// Calls to other daemons.
+    pub(crate) peers: Arc<PeerClient>,
+    /// Explanations of recent requests.
+    pub(crate) explain: ExplainStore,
+    /// Retry budget.
+    pub(crate) retries: Mutex<RetryBudget>,
+    /// Numbers of attempts.
+    pub(crate) attempts: AtomicU64,
+    /// Requests from their receipt to the end of their answer.
+    pub(crate) open: Arc<AtomicUsize>,
+    /// Whether the daemon drains.
+    pub(crate) draining: AtomicBool,
+}
+
+/// A request on its way through the daemon.
+#[derive(Clone)]
+pub(crate) struct Call {
+    /// Identifier.
+    pub(crate) id: RequestId,
+    /// Workspace.
+    pub(crate) workspace: WorkspaceId,
+    /// Uptime after which the request is given up.
+    pub(crate) deadline: Duration,
+    /// Span of the entry hop.
+    pub(crate) hop: Hop,
+}
+
+/// Counts a request as open until it is dropped.
+pub(crate) struct OpenRequest(Arc<AtomicUsize>);
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Context {
+    /// Counts a request as open.
+    pub(crate) fn open_request(&self) -> OpenRequest {
+        self.open.fetch_add(1, Ordering::AcqRel);
+        OpenRequest(Arc::clone(&self.open))
+    }
+
+    /// Name of a workspace.
+    pub(crate) fn workspace_name(&self, workspace: WorkspaceId) -> &str {
+        self.settings
+            .keys
+            .get_index(workspace.0 as usize)
+            .map_or("", |(name, _)| name)
+    }
+
+    /// A new attempt number.
+    pub(crate) fn next_attempt(&self) -> AttemptId {
+        AttemptId(self.attempts.fetch_add(1, Ordering::Relaxed) + 1)
+    }
+
+    /// The configuration, if the daemon may take new work.
+    ///
+    /// # Errors
+    ///
+    /// A failure at the given stage if the daemon has no configuration or its view is too old.
+    pub(crate) fn config_for_new_work(&self, stage: Stage) -> Result<Arc<ConfigState>, Failure> {
+        if !self.control.has_config() {
+            let detail = "no configuration was read yet";
+            return Err(Failure::new(ErrorKind::NotReady, stage, detail));
+        }
+        self.control
+            .may_take_new_work()
+            .map_err(|stale| Failure::new(ErrorKind::StaleView, stage, stale.to_string()))?;
+        Ok(self.control.config())
+    }
+
+    /// Checks directly before sending that the view is fresh and the server in service.
+    ///
+    /// # Errors
+    ///
+    /// A failure at stage `Connecting`, so that the caller learns that nothing was executed.
+    pub(crate) fn check_before_send(&self, backend: &Backend) -> Result<(), Failure> {
+        let config = self.config_for_new_work(Stage::Connecting)?;
+        if config.is_in_service(&backend.domain, &backend.name) {
+            return Ok(());
+        }
+        Err(Failure::new(
+            ErrorKind::NoBackend,
+            Stage::Connecting,
+            format!("backend server {} was taken out of service", backend.name),
+        ))
+    }
+
+    /// Whether a failed attempt is tried again, and after which wait.
+    pub(crate) fn retry(&self, attempts: u32, deadline: Duration) -> Option<Duration> {
+        let attempt = FailedAttempt {
+            attempts,
+            idempotent: true,
+            deadline,
+        };
+        let now = self.clock.uptime();
+        let share = self.budgets.share(BudgetKind::Retries) as f64;
+        let mut retries = self.retries.lock().expect("retry budget lock");
+        retries.set_share(share, now);
+        retries.retry(&attempt, now, &mut rand::rng()).ok()
+    }
+
+    /// Time until a deadline.
+    pub(crate) fn remaining(&self, deadline: Duration) -> Duration {
+        deadline.saturating_sub(self.clock.uptime())
+    }
+}
+
+/// The retry budget of a new daemon.
+pub(crate) fn retry_budget(now: Duration) -> Mutex<RetryBudget> {
+    Mutex::new(RetryBudget::new(RetrySettings::default(), 0.0, now))
+}
--- a/crates/entry/src/duties/admission.rs
+++ b/crates/entry/src/duties/admission.rs
@@ -1,7 +1,7 @@
 //! The admission duty: owns the queue and the plan limits of this daemon.
 
 use super::deliver::deliver;
-use anvilgw_admission::{Action, Admission, AdmissionSettings, Offer, PlanLimits, WorkspaceStatus};
+use anvilgw_admission::{Action, Admission, AdmissionSettings, Offer, PlanLimits};
 use anvilgw_core::{Clock, ErrorKind, Failure, RequestId, Stage, WorkspaceId};
 use anvilgw_kernel::{Duty, Receiver, RecvTimeoutError, Sender, Stop, ring};
 use indexmap::IndexMap;
@@ -31,10 +31,22 @@
         request: RequestId,
     },
     Limits(Vec<(WorkspaceId, PlanLimits)>),
-    Status {
-        workspace: WorkspaceId,
-        reply: oneshot::Sender<Option<WorkspaceStatus>>,
-    },
+    Usage(oneshot::Sender<Vec<(WorkspaceId, Usage)>>),
+}
+
+/// Use of a plan since the last question, and what waits.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Usage {
+    /// Requests taken.
+    pub(crate) requests: u64,
+    /// Their estimated tokens.
+    pub(crate) tokens: u64,
+    /// Requests that run.
+    pub(crate) running: u64,
+    /// Requests that wait.
+    pub(crate) queued: u64,
+    /// Their estimated tokens.
+    pub(crate) queued_tokens: u64,
 }
 
 /// Handle of the admission duty.
@@ -102,6 +114,7 @@
             Worker {
                 admission: Admission::new(settings),
                 waiting: IndexMap::new(),
+                started: IndexMap::new(),
                 clock,
             }
             .run(&receiver, &stop);
@@ -150,19 +163,20 @@
         deliver(&self.messages, Message::Limits(limits));
     }
 
-    /// State of a workspace.
-    pub(crate) async fn status(&self, workspace: WorkspaceId) -> Option<WorkspaceStatus> {
+    /// Use of all plans since the last call.
+    pub(crate) async fn usage(&self) -> Vec<(WorkspaceId, Usage)> {
         let (reply, answer) = oneshot::channel();
-        self.messages
-            .send(Message::Status { workspace, reply })
-            .ok()?;
-        answer.await.ok()?
+        if self.messages.send(Message::Usage(reply)).is_err() {
+            return Vec::new();
+        }
+        answer.await.unwrap_or_default()
     }
 }
 
 struct Worker {
     admission: Admission,
     waiting: IndexMap<RequestId, oneshot::Sender<Result<Duration, Failure>>>,
+    started: IndexMap<WorkspaceId, Usage>,
     clock: Arc<dyn Clock>,
 }
 
@@ -192,6 +206,9 @@
         match message {
             Message::Offer { offer, reply } => match self.admission.offer(offer, now) {
                 Ok(()) => {
+                    let usage = self.started.entry(offer.workspace).or_default();
+                    usage.requests += 1;
+                    usage.tokens += offer.cost_tokens;
                     self.waiting.insert(offer.request, reply);
                 }
                 Err(failure) => {
@@ -211,15 +228,33 @@
             }
             Message::Limits(limits) => {
                 for (workspace, limits) in limits {
+                    self.started.entry(workspace).or_default();
                     self.admission.set_limits(workspace, limits, now);
                 }
             }
-            Message::Status { workspace, reply } => {
-                let _ = reply.send(self.admission.status(workspace));
+            Message::Usage(reply) => {
+                let _ = reply.send(self.usage());
             }
         }
     }
 
+    fn usage(&mut self) -> Vec<(WorkspaceId, Usage)> {
+        let admission = &self.admission;
+        self.started
+            .iter_mut()
+            .map(|(&workspace, usage)| {
+                let status = admission.status(workspace);
+                let mut usage = std::mem::take(usage);
+                if let Some(status) = status {
+                    usage.running = status.running.into();
+                    usage.queued = status.queued as u64;
+                    usage.queued_tokens = status.queued_tokens;
+                }
+                (workspace, usage)
+            })
+            .collect()
+    }
+
     fn poll(&mut self) {
         let now = self.clock.uptime();
         for action in self.admission.poll(now) {
--- /dev/null
+++ b/crates/entry/src/duties/apply.rs
@@ -0,0 +1,167 @@
+//! Puts the configuration in force: limits of workspaces, budgets and what is out of service.
+
+use super::admission::Usage;
+use crate::context::Context;
+use crate::duties::control::BudgetKind;
+use anvilgw_admission::{PlanLimits, PlanShare, Priority};
+use anvilgw_config::{ConfigState, Plan, Priority as PlanPriority};
+use anvilgw_core::{ServerId, WorkspaceId};
+use anvilgw_fleet::Split;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// Interval in which shares of plans are passed on to admission.
+const SHARE_INTERVAL: Duration = Duration::from_millis(200);
+/// Thousandths per unit, for rates below one unit per daemon.
+const MILLI: u64 = 1_000;
+
+/// Starts following the configuration. Ends when `stop` turns true.
+pub(crate) fn start(context: &Arc<Context>, stop: &watch::Receiver<bool>) {
+    let context = Arc::clone(context);
+    let mut stop = stop.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = follow(&context) => {}
+            _ = stop.wait_for(|stop| *stop) => {}
+        }
+    });
+}
+
+async fn follow(context: &Context) {
+    let mut changes = context.control.watch_config();
+    loop {
+        let config = Arc::clone(&changes.borrow_and_update());
+        apply(context, &config);
+        let mut unchanged = true;
+        while unchanged {
+            note_usage(context, &config).await;
+            set_limits(context, &config);
+            tokio::select! {
+                changed = changes.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    unchanged = false;
+                }
+                () = tokio::time::sleep(SHARE_INTERVAL) => {}
+            }
+        }
+    }
+}
+
+fn apply(context: &Context, config: &ConfigState) {
+    let settings = &context.settings;
+    let domains_out = config
+        .domains_out
+        .iter()
+        .filter_map(|name| settings.domain_id(name))
+        .collect();
+    let servers_out = context
+        .backends
+        .iter()
+        .filter(|backend| config.instances_out.contains(&backend.name))
+        .map(|backend| backend.id)
+        .collect::<Vec<ServerId>>();
+    context.routing.set_out_of_service(domains_out, servers_out);
+    let retries = settings.budgets.retries_per_s.into();
+    context
+        .budgets
+        .set_capacity(BudgetKind::Retries, Split::Even, retries);
+    for (workspace, plan) in plans(context, config) {
+        let requests = u64::from(plan.requests_per_s) * MILLI;
+        let tokens = plan.tokens_per_s.into();
+        let concurrency = plan.concurrency.into();
+        let budgets = &context.budgets;
+        budgets.set_capacity(BudgetKind::PlanRequests(workspace.0), Split::Even, requests);
+        budgets.set_capacity(BudgetKind::PlanTokens(workspace.0), Split::Even, tokens);
+        budgets.set_capacity(
+            BudgetKind::PlanConcurrency(workspace.0),
+            Split::Even,
+            concurrency,
+        );
+    }
+}
+
+fn plans<'a>(
+    context: &'a Context,
+    config: &'a ConfigState,
+) -> impl Iterator<Item = (WorkspaceId, &'a Plan)> {
+    config.plans.workspaces.iter().filter_map(|(name, plan)| {
+        let index = context.settings.keys.get_index_of(name)?;
+        Some((WorkspaceId(u32::try_from(index).ok()?), plan))
+    })
+}
+
+/// Tells the budgets what the plans need here, so that idle share moves to where the demand is.
+async fn note_usage(context: &Context, config: &ConfigState) {
+    let usage = context.admission.usage().await;
+    let members = context.control.view().epoch.members.len().max(1) as u64;
+    for (workspace, plan) in plans(context, config) {
+        let used = usage.iter().find(|(known, _)| *known == workspace);
+        let used = used.map_or_else(Usage::default, |(_, usage)| *usage);
+        let index = workspace.0;
+        let rate = |count: u64| count * MILLI / SHARE_INTERVAL.as_millis() as u64;
+        let note = |kind, whole: u64, used: u64, queued: u64| {
+            // Half of an equal part stays, so that the first request after a pause finds some.
+            let kept = whole / members / 2;
+            let wanted = used + used / 4 + queued;
+            context.budgets.note_rate(kind, used.max(kept), wanted);
+        };
+        note(
+            BudgetKind::PlanRequests(index),
+            u64::from(plan.requests_per_s) * MILLI,
+            rate(used.requests) * MILLI,
+            used.queued * MILLI,
+        );
+        note(
+            BudgetKind::PlanTokens(index),
+            plan.tokens_per_s.into(),
+            rate(used.tokens),
+            used.queued_tokens,
+        );
+        note(
+            BudgetKind::PlanConcurrency(index),
+            plan.concurrency.into(),
+            used.running,
+            used.queued,
+        );
+    }
+}
+
+fn set_limits(context: &Context, config: &ConfigState) {
+    let limits = plans(context, config)
+        .map(|(workspace, plan)| (workspace, limits(context, workspace, plan)))
+        .collect();
+    context.admission.set_limits(limits);
+}
+
+/// This daemon's part of a plan.
+fn limits(context: &Context, workspace: WorkspaceId, plan: &Plan) -> PlanLimits {
+    let share = |kind| context.budgets.share(kind) as f64;
+    let requests_per_s = share(BudgetKind::PlanRequests(workspace.0)) / MILLI as f64;
+    let tokens_per_s = share(BudgetKind::PlanTokens(workspace.0));
+    let concurrency = context
+        .budgets
+        .share(BudgetKind::PlanConcurrency(workspace.0));
+    let part = |share: f64, whole: u32| share / f64::from(whole.max(1));
+    let burst_requests = f64::from(plan.burst_requests) * part(requests_per_s, plan.requests_per_s);
+    let burst_tokens = f64::from(plan.burst_tokens) * part(tokens_per_s, plan.tokens_per_s);
+    PlanLimits {
+        weight: plan.weight,
+        priority: match plan.priority {
+            PlanPriority::Interactive => Priority::Interactive,
+            PlanPriority::Batch => Priority::Batch,
+        },
+        share: PlanShare {
+            requests_per_s,
+            tokens_per_s,
+            burst_requests,
+            burst_tokens,
+            // One request always runs: with fewer permits than daemons most would have none, and a
+            // small workspace would wait for a transfer. The fleet's bound is therefore the plan's
+            // concurrency plus one per daemon.
+            concurrency: u32::try_from(concurrency).unwrap_or(u32::MAX).max(1),
+        },
+    }
+}
--- a/crates/entry/src/duties/control/log_io.rs
+++ b/crates/entry/src/duties/control/log_io.rs
@@ -72,8 +72,8 @@
         /// What was read.
         result: Result<ReadResult, LogError>,
     },
-    /// An append ended.
-    Appended(Result<Offset, LogError>),
+    /// An append failed. Whether it took effect is learned by reading.
+    AppendFailed(LogError),
 }
 
 /// Calls for the two threads.
@@ -110,7 +110,9 @@
             let log = Arc::clone(log);
             Duty::spawn("log-appends", stop.clone(), move |stop| {
                 each(&append_calls, &stop, |(stream, payload)| {
-                    events(LogEvent::Appended(log.append(&stream, &payload)));
+                    if let Err(error) = log.append(&stream, &payload) {
+                        events(LogEvent::AppendFailed(error));
+                    }
                 });
             })?
         };
--- a/crates/entry/src/duties/control/worker.rs
+++ b/crates/entry/src/duties/control/worker.rs
@@ -380,8 +380,15 @@
     }
 
     fn on_log(&mut self, event: LogEvent, now: Duration) {
-        let LogEvent::Read { began, result } = event else {
-            return;
+        let (began, result) = match event {
+            LogEvent::Read { began, result } => (began, result),
+            LogEvent::AppendFailed(error) => {
+                let cause = error.to_string();
+                let wall_ms = self.clock.wall_ms();
+                self.journal
+                    .record(wall_ms, EventKind::LogUnavailable, "append", cause);
+                return;
+            }
         };
         self.reading = false;
         self.jitter = self.rng.random();
--- /dev/null
+++ b/crates/entry/src/duties/polls.rs
@@ -0,0 +1,173 @@
+//! Tasks that poll backend servers and the list of instances.
+//!
+//! Polling is I/O without decisions, so it runs as tasks of the HTTP clients' runtime and hands what
+//! it reads to the duties.
+
+use crate::backends::BackendKind;
+use crate::context::Context;
+use anvilgw_core::ServerId;
+use anvilgw_platform::{
+    CacheChange, CacheEvents, ConnectionSettings, EngineControl, EngineLoad, InstanceListClient,
+    InstanceState,
+};
+use anvilgw_router::{
+    BlockChange, BlockKey, CacheEvent, Generation, Listing, LoadReport, Location,
+};
+use rand::RngExt;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// Interval of load reports. The daemon corrects them by its own sends in between.
+const LOAD_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval of cache events.
+const EVENTS_INTERVAL: Duration = Duration::from_millis(500);
+/// Jitter, as a part of the interval, so that daemons do not poll in step.
+const JITTER: f64 = 0.2;
+/// Kind of entry in the list of instances under which daemons are listed.
+const DAEMON_KIND: &str = "entry";
+
+/// Starts all polls. They end when `stop` turns true.
+pub(crate) fn start(context: &Arc<Context>, stop: &watch::Receiver<bool>) {
+    for backend in context.backends.iter() {
+        match &backend.kind {
+            BackendKind::Engine { control, .. } => {
+                let (id, block_tokens) = (backend.id, block_tokens(context, backend.id));
+                spawn(
+                    poll_load(Arc::clone(context), id, control.clone(), block_tokens),
+                    stop,
+                );
+                spawn(poll_events(Arc::clone(context), id, control.clone()), stop);
+            }
+            BackendKind::Service { .. } => {}
+        }
+    }
+    if let Some(&address) = context.settings.instances.addresses.first() {
+        let client = InstanceListClient::new(address, ConnectionSettings::default());
+        spawn(poll_instances(Arc::clone(context), client), stop);
+    }
+}
+
+fn spawn(task: impl Future<Output = ()> + Send + 'static, stop: &watch::Receiver<bool>) {
+    let mut stop = stop.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = task => {}
+            _ = stop.wait_for(|stop| *stop) => {}
+        }
+    });
+}
+
+fn block_tokens(context: &Context, server: ServerId) -> u64 {
+    let settings = &context.settings;
+    settings
+        .servers
+        .get_index(server.0 as usize)
+        .and_then(|(_, server)| server.models.first())
+        .and_then(|model| settings.models.get(model))
+        .map_or(1, |model| model.block_tokens.into())
+}
+
+async fn pause(interval: Duration) {
+    let factor = 1.0 + JITTER * (rand::rng().random::<f64>() - 0.5);
+    tokio::time::sleep(interval.mul_f64(factor)).await;
+}
+
+async fn poll_load(
+    context: Arc<Context>,
+    server: ServerId,
+    control: EngineControl,
+    block_tokens: u64,
+) {
+    loop {
+        let measured_at = context.clock.uptime();
+        // A failed poll leaves the last report in place; breakers see the failing requests.
+        if let Ok(load) = control.load().await {
+            let report = report(&load, measured_at, block_tokens);
+            context.routing.report(server, report);
+        }
+        pause(LOAD_INTERVAL).await;
+    }
+}
+
+fn report(load: &EngineLoad, measured_at: Duration, block_tokens: u64) -> LoadReport {
+    LoadReport {
+        started_ms: load.start_ms,
+        measured_at,
+        queued_prefill_tokens: load.prefill_tokens,
+        running: u32::try_from(load.running).unwrap_or(u32::MAX),
+        waiting: u32::try_from(load.queued).unwrap_or(u32::MAX),
+        completed: load.completed,
+        overloads: 0,
+        cached_blocks: load.cached_tokens / block_tokens.max(1),
+    }
+}
+
+async fn poll_events(context: Arc<Context>, server: ServerId, control: EngineControl) {
+    let location = Location::Server(server);
+    let mut next = 0;
+    let mut started_ms = 0;
+    loop {
+        if let Ok(events) = control.events(next).await {
+            if events.start_ms != started_ms {
+                started_ms = events.start_ms;
+                next = 0;
+            }
+            deliver(&context, location, &events);
+            next = next.max(events.next);
+        }
+        pause(EVENTS_INTERVAL).await;
+    }
+}
+
+fn deliver(context: &Context, location: Location, events: &CacheEvents) {
+    let mut changes = Vec::with_capacity(events.events.len());
+    for event in &events.events {
+        let (key, change) = match &event.change {
+            CacheChange::Stored { key } => (key, BlockChange::Stored),
+            CacheChange::Evicted { key } => (key, BlockChange::Removed),
+            CacheChange::Cleared => {
+                changes.clear();
+                let listing = Listing {
+                    started_ms: events.start_ms,
+                    next_sequence: event.sequence + 1,
+                    blocks: Vec::new(),
+                };
+                context.routing.listing(location, listing);
+                continue;
+            }
+        };
+        let Some(key) = block_key(key) else { continue };
+        changes.push(CacheEvent {
+            started_ms: events.start_ms,
+            sequence: event.sequence,
+            key: key.short(),
+            generation: Generation(0),
+            change,
+        });
+    }
+    if !changes.is_empty() {
+        context.routing.events(location, changes);
+    }
+}
+
+fn block_key(hex: &str) -> Option<BlockKey> {
+    let hash = blake3::Hash::from_hex(hex).ok()?;
+    Some(BlockKey(*hash.as_bytes()))
+}
+
+async fn poll_instances(context: Arc<Context>, client: InstanceListClient) {
+    let interval = Duration::from_millis(context.settings.instances.poll_ms);
+    loop {
+        if let Ok(list) = client.list().await {
+            let daemons = list
+                .instances
+                .into_iter()
+                .filter(|entry| entry.kind == DAEMON_KIND && entry.state == InstanceState::Live)
+                .map(|entry| entry.addr)
+                .collect();
+            context.control.add_hints(daemons);
+        }
+        pause(interval).await;
+    }
+}
--- a/crates/entry/src/duties/routing.rs
+++ b/crates/entry/src/duties/routing.rs
@@ -1,5 +1,6 @@
 //! The routing duty: owns the router, the index shard and the circuit breakers of this daemon.
 
+use super::control::{BudgetKind, SharedBudgets};
 use super::deliver::deliver;
 use anvilgw_core::{Clock, DomainId, ErrorKind, Failure, ServerId, Stage};
 use anvilgw_kernel::{Duty, EventKind, Journal, Receiver, RecvTimeoutError, Sender, Stop, ring};
@@ -8,7 +9,7 @@
     LoadReport, Location, PrefixMatch, RecentBlocks, ReservationId, RouteRequest, Router,
     SendOutcome, ServerChange, ServerSpec, TemperatureChange, hints_of,
 };
-use indexmap::IndexMap;
+use anvilgw_fleet::Split;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::io;
@@ -99,18 +100,18 @@
         domains_out: Vec<DomainId>,
         servers_out: Vec<ServerId>,
     },
-    ColdShare(ServerId, u32),
     Status(oneshot::Sender<Vec<ServerStatus>>),
 }
 
 /// State of one backend server, for `status`.
 #[derive(Clone, Debug, serde::Serialize)]
 pub(crate) struct ServerStatus {
-    server: ServerId,
+    /// Number of the server.
+    pub(crate) server: ServerId,
     capacity: u32,
     own_running: u32,
     cold: Option<anvilgw_router::ColdCause>,
-    cold_share: u32,
+    cold_share: u64,
 }
 
 /// Handle of the routing duty.
@@ -126,6 +127,7 @@
     /// Fails if the operating system refuses a thread.
     pub(crate) fn start(
         setup: RoutingSetup,
+        budgets: Arc<SharedBudgets>,
         clock: Arc<dyn Clock>,
         journal: Arc<Journal>,
         stop: Stop,
@@ -133,7 +135,7 @@
         let (messages, receiver) = ring(RING_CAPACITY);
         let own_messages = messages.clone();
         let duty = Duty::spawn("routing", stop, move |stop| {
-            Worker::new(setup, clock, journal, own_messages).run(&receiver, &stop);
+            Worker::new(setup, budgets, clock, journal, own_messages).run(&receiver, &stop);
         })?;
         Ok((Self { messages }, duty))
     }
@@ -196,11 +198,6 @@
         deliver(&self.messages, message);
     }
 
-    /// Sets how many requests this daemon may run on a cold server.
-    pub(crate) fn set_cold_share(&self, server: ServerId, share: u32) {
-        deliver(&self.messages, Message::ColdShare(server, share));
-    }
-
     /// State of all servers.
     pub(crate) async fn status(&self) -> Vec<ServerStatus> {
         let (reply, answer) = oneshot::channel();
@@ -231,8 +228,7 @@
     domains: Vec<DomainId>,
     index: IndexShard,
     recent: RecentBlocks,
-    cold_share: IndexMap<ServerId, u32>,
-    cold_used: IndexMap<ServerId, u32>,
+    budgets: Arc<SharedBudgets>,
     rng: SmallRng,
     clock: Arc<dyn Clock>,
     journal: Arc<Journal>,
@@ -242,6 +238,7 @@
 impl Worker {
     fn new(
         setup: RoutingSetup,
+        budgets: Arc<SharedBudgets>,
         clock: Arc<dyn Clock>,
         journal: Arc<Journal>,
         messages: Sender<Message>,
@@ -256,8 +253,7 @@
             domains: setup.domains,
             index: IndexShard::new(setup.index_capacity),
             recent: RecentBlocks::new(RECENT_CAPACITY, RECENT_LIFETIME),
-            cold_share: IndexMap::new(),
-            cold_used: IndexMap::new(),
+            budgets,
             rng: SmallRng::seed_from_u64(setup.seed),
             clock,
             journal,
@@ -278,6 +274,7 @@
                 next_tick = now + TICK;
                 self.router.tick(now);
                 self.index.tick(now);
+                self.update_cold_budgets();
             }
         }
     }
@@ -304,10 +301,6 @@
                 domains_out,
                 servers_out,
             } => self.set_out_of_service(&domains_out, &servers_out),
-            Message::ColdShare(server, share) => {
-                self.cold_share.insert(server, share);
-                self.update_permits(server);
-            }
             Message::Status(reply) => {
                 let _ = reply.send(self.status());
             }
@@ -321,21 +314,10 @@
     ) -> Result<Selected, (Failure, Explanation)> {
         let hints = self.hints(&query.keys, now);
         let prefix = PrefixMatch::assemble(&hints);
-        let decision = self
-            .router
-            .select(&query.request, &prefix, now, &mut self.rng);
-        let explanation = decision.explanation;
-        let choice = match decision.outcome {
-            Ok(choice) => choice,
-            Err(none) => return Err((none.failure(Stage::Queued), explanation)),
-        };
+        let (choice, explanation) = self.choose(&query.request, &prefix, now)?;
         let (imports, reservation) = self.reserve_import(&choice, &query.keys, &hints, now);
         let server = choice.server;
         self.router.on_sent(server, choice.plan.prefill_tokens, now);
-        if choice.needs_cold_permit {
-            *self.cold_used.entry(server).or_default() += 1;
-            self.update_permits(server);
-        }
         let short: Vec<_> = query.keys.iter().map(BlockKey::short).collect();
         self.recent.note(server, &short, now);
         Ok(Selected {
@@ -355,6 +337,49 @@
         })
     }
 
+    /// Chooses a server and takes a permit if it is cold. A permit that went away since the last tick
+    /// takes the server out of the choice.
+    fn choose(
+        &mut self,
+        request: &RouteRequest,
+        prefix: &PrefixMatch,
+        now: Duration,
+    ) -> Result<(Choice, Explanation), (Failure, Explanation)> {
+        loop {
+            let decision = self.router.select(request, prefix, now, &mut self.rng);
+            let choice = match decision.outcome {
+                Ok(choice) => choice,
+                Err(none) => {
+                    self.ask_for_permits(request);
+                    return Err((none.failure(Stage::Queued), decision.explanation));
+                }
+            };
+            let kind = BudgetKind::Cold(choice.server);
+            if !choice.needs_cold_permit || self.budgets.try_take(kind, 1) {
+                if choice.needs_cold_permit {
+                    self.update_permits(choice.server);
+                }
+                return Ok((choice, decision.explanation));
+            }
+            self.router.set_cold_permits(choice.server, 0);
+        }
+    }
+
+    /// Failed attempts to take a permit make the budgets ask other members for share.
+    fn ask_for_permits(&mut self, request: &RouteRequest) {
+        let cold = self
+            .servers
+            .iter()
+            .filter(|spec| spec.model == request.model)
+            .filter(|spec| self.router.cold_cause(spec.id).is_some());
+        for spec in cold {
+            let kind = BudgetKind::Cold(spec.id);
+            if self.budgets.free(kind) == 0 && self.budgets.try_take(kind, 1) {
+                self.budgets.release(kind, 1);
+            }
+        }
+    }
+
     fn hints(&mut self, keys: &[BlockKey], now: Duration) -> Vec<Option<Vec<Hint>>> {
         keys.iter()
             .map(|key| {
@@ -401,9 +426,7 @@
         let change = self.router.on_ended(end.server, end.outcome, now);
         self.note_change(end.server, change, "outcome of a request");
         if end.cold_permit {
-            if let Some(used) = self.cold_used.get_mut(&end.server) {
-                *used = used.saturating_sub(1);
-            }
+            self.budgets.release(BudgetKind::Cold(end.server), 1);
             self.update_permits(end.server);
         }
         if let Some((holder, reservation)) = end.reservation {
@@ -437,10 +460,21 @@
     }
 
     fn update_permits(&mut self, server: ServerId) {
-        let share = self.cold_share.get(&server).copied().unwrap_or(0);
-        let used = self.cold_used.get(&server).copied().unwrap_or(0);
-        self.router
-            .set_cold_permits(server, share.saturating_sub(used));
+        let free = self.budgets.free(BudgetKind::Cold(server));
+        let free = u32::try_from(free).unwrap_or(u32::MAX);
+        self.router.set_cold_permits(server, free);
+    }
+
+    /// The capacity of a cold server follows its reports, which all daemons read.
+    fn update_cold_budgets(&mut self) {
+        let servers: Vec<_> = self.servers.iter().map(|spec| spec.id).collect();
+        for server in servers {
+            let capacity = self.router.capacity(server).unwrap_or(0);
+            let kind = BudgetKind::Cold(server);
+            self.budgets
+                .set_capacity(kind, Split::Owner, capacity.into());
+            self.update_permits(server);
+        }
     }
 
     fn note_change(&self, server: ServerId, change: ServerChange, evidence: &str) {
@@ -473,7 +507,7 @@
                 capacity: self.router.capacity(spec.id).unwrap_or(0),
                 own_running: self.router.own_running(spec.id),
                 cold: self.router.cold_cause(spec.id),
-                cold_share: self.cold_share.get(&spec.id).copied().unwrap_or(0),
+                cold_share: self.budgets.share(BudgetKind::Cold(spec.id)),
             })
             .collect()
     }
--- /dev/null
+++ b/crates/entry/src/front/handlers.rs
@@ -0,0 +1,264 @@
+//! Routes of the callers' address.
+
+use super::{body, respond, sse};
+use crate::context::{Call, Context};
+use crate::dispatch::completion::Completion;
+use crate::dispatch::prompt::Prompt;
+use crate::dispatch::service::{self, ServiceRequest};
+use anvilgw_core::{ErrorKind, Failure, RequestId, Stage, WorkspaceId};
+use bytes::Bytes;
+use gotham::handler::HandlerResult;
+use gotham::helpers::http::Body;
+use gotham::middleware::state::StateMiddleware;
+use gotham::pipeline::{new_pipeline, single_pipeline};
+use gotham::prelude::{DefineSingleRoute, DrawRoutes, StateData};
+use gotham::router::builder::build_router;
+use gotham::router::Router;
+use gotham::state::State;
+use http::header::{AUTHORIZATION, HeaderName};
+use http::{HeaderMap, Method, Response, StatusCode, Uri};
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// Time that the caller gives the request, in milliseconds from its receipt.
+const DEADLINE: HeaderName = HeaderName::from_static("x-anvilgw-deadline-ms");
+const SERVICES_PREFIX: &str = "/services/";
+
+/// The context in the state of a request.
+#[derive(Clone, StateData)]
+struct Shared(Arc<AssertUnwindSafe<Arc<Context>>>);
+
+/// An authenticated request with its body.
+struct Incoming {
+    context: Arc<Context>,
+    call: Call,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Builds the router.
+pub(crate) fn router(context: Arc<Context>) -> Router {
+    let shared = StateMiddleware::new(Shared(Arc::new(AssertUnwindSafe(context))));
+    let (chain, pipelines) = single_pipeline(new_pipeline().add(shared).build());
+    build_router(chain, pipelines, |route| {
+        route.get("/healthz").to(healthz);
+        route.get("/readyz").to(readyz);
+        route.get("/v1/models").to_async(models);
+        route.post("/v1/completions").to_async(completions);
+        route
+            .post("/v1/chat/completions")
+            .to_async(chat_completions);
+        let methods = vec![
+            Method::GET,
+            Method::HEAD,
+            Method::POST,
+            Method::PUT,
+            Method::PATCH,
+            Method::DELETE,
+        ];
+        route
+            .request(methods, "/services/*")
+            .to_async(services);
+    })
+}
+
+fn healthz(state: State) -> (State, Response<Body>) {
+    let response = respond::json(StatusCode::OK, br#"{"status":"alive"}"#.to_vec());
+    (state, response)
+}
+
+fn readyz(state: State) -> (State, Response<Body>) {
+    let context = context(&state);
+    let result = if context.draining.load(Ordering::Acquire) {
+        Err(shutting_down())
+    } else {
+        context.config_for_new_work(Stage::Received).map(|_| ())
+    };
+    let response = match result {
+        Ok(()) => respond::json(StatusCode::OK, br#"{"status":"ready"}"#.to_vec()),
+        Err(failure) => respond::failure(new_request_id(), &failure),
+    };
+    (state, response)
+}
+
+fn shutting_down() -> Failure {
+    let detail = "the daemon is draining";
+    Failure::new(ErrorKind::ShuttingDown, Stage::Received, detail)
+}
+
+fn context(state: &State) -> Arc<Context> {
+    Arc::clone(&state.borrow::<Shared>().0.0)
+}
+
+fn new_request_id() -> RequestId {
+    RequestId(uuid::Uuid::now_v7().as_u128())
+}
+
+async fn completions(state: State) -> HandlerResult {
+    respond_with(state, |incoming| complete(incoming, false)).await
+}
+
+async fn chat_completions(state: State) -> HandlerResult {
+    respond_with(state, |incoming| complete(incoming, true)).await
+}
+
+async fn services(state: State) -> HandlerResult {
+    respond_with(state, call_service).await
+}
+
+async fn models(state: State) -> HandlerResult {
+    respond_with(state, list_models).await
+}
+
+/// Reads and authenticates the request, runs `run` and turns a failure into an answer.
+async fn respond_with<F>(
+    mut state: State,
+    run: impl FnOnce(Incoming) -> F + Send,
+) -> HandlerResult
+where
+    F: Future<Output = Result<Response<Body>, Failure>> + Send,
+{
+    let id = new_request_id();
+    let context = context(&state);
+    let started = context.clock.uptime();
+    let result = match receive(&mut state, Arc::clone(&context), id).await {
+        Ok(incoming) => run(incoming).await,
+        Err(failure) => Err(failure),
+    };
+    let mut response = result.unwrap_or_else(|failure| {
+        let code = failure.kind().answer().code;
+        context.metrics.count("failures", 1, code);
+        spdlog::info!(logger: context.logger, "request failed", kv: {
+            request_id = id.to_string().as_str(),
+            code,
+            executed = failure.executed().as_str(),
+            detail = failure.detail(),
+        });
+        respond::failure(id, &failure)
+    });
+    respond::tag(&mut response, id);
+    let took = context.clock.uptime().saturating_sub(started);
+    context
+        .metrics
+        .time("request.first_byte", took, response.status().as_str());
+    Ok((state, response))
+}
+
+async fn receive(
+    state: &mut State,
+    context: Arc<Context>,
+    id: RequestId,
+) -> Result<Incoming, Failure> {
+    let mut headers = state.take::<HeaderMap>();
+    let limits = &context.settings.limits;
+    body::check_headers(&headers, limits.header_bytes)?;
+    let holder = context.workspace_keys.holder(&headers).ok_or_else(|| {
+        let detail = "the authorization header carries no valid workspace key";
+        Failure::new(ErrorKind::Unauthenticated, Stage::Received, detail)
+    })?;
+    headers.remove(AUTHORIZATION);
+    if context.draining.load(Ordering::Acquire) && !context.control.has_config() {
+        return Err(shutting_down());
+    }
+    let requested = headers
+        .get(DEADLINE)
+        .map(|value| deadline_ms(value).map(Duration::from_millis))
+        .transpose()?;
+    let deadline = context.clock.uptime() + context.settings.daemon.deadline(requested);
+    let hop = context.tracing.hop("entry", &headers);
+    hop.set("request_id", id.to_string());
+    let read_time = Duration::from_millis(limits.request_read_ms);
+    let body = body::read(state.take::<Body>(), limits.body_bytes, read_time).await?;
+    Ok(Incoming {
+        call: Call {
+            id,
+            workspace: WorkspaceId(holder),
+            deadline,
+            hop,
+        },
+        method: state.take::<Method>(),
+        uri: state.take::<Uri>(),
+        headers,
+        body,
+        context,
+    })
+}
+
+fn deadline_ms(value: &http::HeaderValue) -> Result<u64, Failure> {
+    let ms = value.to_str().ok().and_then(|text| text.parse().ok());
+    ms.ok_or_else(|| {
+        let detail = "x-anvilgw-deadline-ms must be a number of milliseconds";
+        Failure::new(ErrorKind::BadRequest, Stage::Received, detail)
+    })
+}
+
+async fn complete(incoming: Incoming, is_chat: bool) -> Result<Response<Body>, Failure> {
+    let Incoming {
+        context,
+        call,
+        body,
+        ..
+    } = incoming;
+    let prompt = Prompt::parse(&context.settings, call.workspace, is_chat, &body)?;
+    let is_stream = prompt.is_stream;
+    let completion = Completion::start(context, call, prompt).await?;
+    if is_stream {
+        sse::stream(completion).await
+    } else {
+        sse::collect(completion).await
+    }
+}
+
+async fn list_models(incoming: Incoming) -> Result<Response<Body>, Failure> {
+    let context = &incoming.context;
+    let config = context.config_for_new_work(Stage::Received)?;
+    let workspace = context.workspace_name(incoming.call.workspace);
+    let models: Vec<_> = context
+        .settings
+        .models
+        .keys()
+        .filter(|model| config.entitlements.allows_model(workspace, model))
+        .map(|model| serde_json::json!({"id": model, "object": "model", "owned_by": "operator"}))
+        .collect();
+    let list = serde_json::json!({"object": "list", "data": models});
+    Ok(respond::json(StatusCode::OK, list.to_string().into_bytes()))
+}
+
+async fn call_service(incoming: Incoming) -> Result<Response<Body>, Failure> {
+    let (service, name, path_and_query) = service_path(&incoming)?;
+    let request = ServiceRequest {
+        service,
+        name,
+        method: incoming.method,
+        path_and_query,
+        headers: incoming.headers,
+        body: incoming.body,
+    };
+    let answer = service::run(incoming.context, incoming.call, request).await?;
+    let mut response = Response::new(respond::full(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    Ok(response)
+}
+
+/// Splits `/services/NAME/rest?query`.
+fn service_path(incoming: &Incoming) -> Result<(usize, String, String), Failure> {
+    let path = incoming.uri.path();
+    let rest = path.strip_prefix(SERVICES_PREFIX).unwrap_or_default();
+    let (name, rest) = rest.split_once('/').unwrap_or((rest, ""));
+    let service = incoming.context.settings.services.get_index_of(name);
+    let service = service.ok_or_else(|| {
+        let detail = format!("there is no service {name:?}");
+        Failure::new(ErrorKind::NotFound, Stage::Received, detail)
+    })?;
+    let query = incoming.uri.query();
+    let path_and_query = match query {
+        Some(query) => format!("/{rest}?{query}"),
+        None => format!("/{rest}"),
+    };
+    Ok((service, name.to_owned(), path_and_query))
+}
--- a/crates/entry/src/observe/logging.rs
+++ b/crates/entry/src/observe/logging.rs
@@ -27,7 +27,7 @@
 
 /// Where log lines go.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum LogTarget {
+pub(crate) enum LogTarget {
     /// Standard error.
     Stderr,
     /// A file that is rotated at 64 MiB.
@@ -41,7 +41,7 @@
 /// # Errors
 ///
 /// Fails if the target cannot be opened.
-pub fn logger(name: &str, level: Level, target: &LogTarget) -> Result<Arc<Logger>, LoggingError> {
+pub(crate) fn logger(name: &str, level: Level, target: &LogTarget) -> Result<Arc<Logger>, LoggingError> {
     let sink: Option<Arc<dyn Sink>> = match target {
         LogTarget::Stderr => Some(stderr_sink()?),
         LogTarget::File(path) => Some(file_sink(path)?),
--- a/crates/entry/src/observe/metrics.rs
+++ b/crates/entry/src/observe/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters and timers, sent as statsd datagrams.
 
-use cadence::{Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
+use cadence::{Counted, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::time::Duration;
@@ -10,7 +10,7 @@
 const QUEUE_CAPACITY: usize = 8192;
 
 /// The metrics of a daemon.
-pub struct Metrics {
+pub(crate) struct Metrics {
     client: StatsdClient,
 }
 
@@ -20,7 +20,7 @@
     /// # Errors
     ///
     /// Fails if no UDP socket can be opened.
-    pub fn new(statsd: Option<SocketAddr>, daemon_index: u32) -> io::Result<Self> {
+    pub(crate) fn new(statsd: Option<SocketAddr>, daemon_index: u32) -> io::Result<Self> {
         let builder = match statsd {
             Some(address) => {
                 let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
@@ -38,7 +38,7 @@
     }
 
     /// Adds to a counter. A metric that cannot be sent is dropped.
-    pub fn count(&self, name: &str, by: u64, tag: &str) {
+    pub(crate) fn count(&self, name: &str, by: u64, tag: &str) {
         let _ = self
             .client
             .count_with_tags(name, by)
@@ -46,13 +46,8 @@
             .try_send();
     }
 
-    /// Sets a gauge.
-    pub fn gauge(&self, name: &str, value: u64) {
-        let _ = self.client.gauge(name, value);
-    }
-
     /// Records a duration.
-    pub fn time(&self, name: &str, duration: Duration, tag: &str) {
+    pub(crate) fn time(&self, name: &str, duration: Duration, tag: &str) {
         let _ = self
             .client
             .time_with_tags(name, duration)
--- a/crates/entry/src/observe/mod.rs
+++ b/crates/entry/src/observe/mod.rs
@@ -4,6 +4,6 @@
 mod metrics;
 mod trace;
 
-pub use logging::{LogTarget, LoggingError, logger};
-pub use metrics::Metrics;
-pub use trace::{Hop, Tracing};
+pub(crate) use logging::{LogTarget, LoggingError, logger};
+pub(crate) use metrics::Metrics;
+pub(crate) use trace::{Hop, Tracing};
--- a/crates/entry/src/observe/trace.rs
+++ b/crates/entry/src/observe/trace.rs
@@ -13,7 +13,7 @@
 use std::time::SystemTime;
 
 /// Creates spans and exports finished ones as log lines.
-pub struct Tracing {
+pub(crate) struct Tracing {
     provider: SdkTracerProvider,
     tracer: SdkTracer,
     propagator: TraceContextPropagator,
@@ -22,7 +22,7 @@
 impl Tracing {
     /// Creates the tracer of a daemon. Without a logger, spans carry identifiers but are not exported.
     #[must_use]
-    pub fn new(export_to: Option<Arc<Logger>>) -> Self {
+    pub(crate) fn new(export_to: Option<Arc<Logger>>) -> Self {
         let mut builder = SdkTracerProvider::builder();
         if let Some(logger) = export_to {
             builder = builder.with_batch_exporter(LogExporter { logger });
@@ -38,14 +38,14 @@
 
     /// Starts the span of a hop below the caller's trace context, if the headers carry one.
     #[must_use]
-    pub fn hop(&self, name: &'static str, headers: &http::HeaderMap) -> Hop {
+    pub(crate) fn hop(&self, name: &'static str, headers: &http::HeaderMap) -> Hop {
         let parent = self.propagator.extract(&HeaderReader(headers));
         self.start(name, SpanKind::Server, &parent)
     }
 
     /// Starts the span of a hop below another span of this daemon.
     #[must_use]
-    pub fn child(&self, name: &'static str, parent: &Hop) -> Hop {
+    pub(crate) fn child(&self, name: &'static str, parent: &Hop) -> Hop {
         self.start(name, SpanKind::Client, &parent.context)
     }
 
@@ -62,38 +62,38 @@
 
     /// The `traceparent` value for a request that continues the trace below `hop`.
     #[must_use]
-    pub fn traceparent(&self, hop: &Hop) -> String {
+    pub(crate) fn traceparent(&self, hop: &Hop) -> String {
         let mut value = HeaderWriter::default();
         self.propagator.inject_context(&hop.context, &mut value);
         value.traceparent
     }
 
     /// Exports spans that are still buffered.
-    pub fn shutdown(&self) {
+    pub(crate) fn shutdown(&self) {
         let _ = self.provider.shutdown();
     }
 }
 
 /// A running span. It ends when dropped.
 #[derive(Clone)]
-pub struct Hop {
+pub(crate) struct Hop {
     context: Context,
 }
 
 impl Hop {
     /// Identifier of the trace, as 32 hexadecimal digits.
     #[must_use]
-    pub fn trace_id(&self) -> String {
+    pub(crate) fn trace_id(&self) -> String {
         self.context.span().span_context().trace_id().to_string()
     }
 
     /// Adds an attribute.
-    pub fn set(&self, key: &'static str, value: impl Into<opentelemetry::Value>) {
+    pub(crate) fn set(&self, key: &'static str, value: impl Into<opentelemetry::Value>) {
         self.context.span().set_attribute(KeyValue::new(key, value));
     }
 
     /// Ends the span now.
-    pub fn end(&self) {
+    pub(crate) fn end(&self) {
         self.context.span().end_with_timestamp(SystemTime::now());
     }
 }
--- /dev/null
+++ b/crates/entry/src/peer/handler.rs
@@ -0,0 +1,74 @@
+//! Answers to calls of other daemons.
+
+use super::messages::{PeerAnswer, PeerRequest, decode, encode};
+use super::transport::PeerHandler;
+use crate::duties::claims::ClaimsService;
+use crate::duties::control::{ControlService, SharedBudgets};
+use anvilgw_claims::{Record, Submission};
+use bytes::Bytes;
+use std::pin::Pin;
+use std::sync::Arc;
+
+/// Services that calls of other daemons reach.
+pub(crate) struct Handler {
+    /// Claims.
+    pub(crate) claims: Arc<ClaimsService>,
+    /// Control.
+    pub(crate) control: Arc<ControlService>,
+    /// Shares.
+    pub(crate) budgets: Arc<SharedBudgets>,
+}
+
+impl PeerHandler for Handler {
+    fn handle(&self, message: Bytes) -> Pin<Box<dyn Future<Output = Option<Vec<u8>>> + Send + '_>> {
+        Box::pin(async move {
+            let request = decode(&message)?;
+            Some(encode(&self.answer(request).await))
+        })
+    }
+}
+
+impl Handler {
+    async fn answer(&self, request: PeerRequest) -> PeerAnswer {
+        match request {
+            PeerRequest::ConfigSince { version } => {
+                let update = self.control.config_since(version).await;
+                match update.map(|update| serde_json::to_vec(&update)) {
+                    Some(Ok(json)) => PeerAnswer::Config(json),
+                    _ => PeerAnswer::Unavailable,
+                }
+            }
+            PeerRequest::Claim(claim) => PeerAnswer::Verdict(self.claims.claim(claim).await),
+            PeerRequest::Record(record) => self.record(record),
+            PeerRequest::AskBudget {
+                from,
+                budget,
+                amount,
+            } => PeerAnswer::Share(self.budgets.on_ask(from, budget, amount)),
+            PeerRequest::Transfer(transfer) => match self.budgets.on_transfer(&transfer) {
+                Ok(()) => PeerAnswer::Taken,
+                Err(_) => PeerAnswer::Unavailable,
+            },
+        }
+    }
+
+    fn record(&self, record: Record) -> PeerAnswer {
+        let submission = match record {
+            // Claims need a verdict and have a message of their own.
+            Record::Claim(_) => return PeerAnswer::Unavailable,
+            Record::Outcome {
+                key,
+                attempt,
+                answer,
+            } => Submission::Outcome {
+                key,
+                attempt,
+                answer,
+            },
+            Record::Abandon { key, attempt } => Submission::Abandon { key, attempt },
+            Record::Expire { key, attempt } => Submission::Expire { key, attempt },
+        };
+        self.claims.record(submission);
+        PeerAnswer::Taken
+    }
+}
--- a/crates/entry/src/peer/mod.rs
+++ b/crates/entry/src/peer/mod.rs
@@ -1,7 +1,9 @@
 //! Calls between daemons.
 
+mod handler;
 mod messages;
 mod transport;
 
+pub(crate) use handler::Handler;
 pub(crate) use messages::{PeerAnswer, PeerRequest, decode, encode};
-pub(crate) use transport::{CallError, PeerClient, PeerHandler, serve};
+pub(crate) use transport::{CallError, PeerClient, serve};
--- a/crates/entry/src/peer/transport.rs
+++ b/crates/entry/src/peer/transport.rs
@@ -26,7 +26,6 @@
 quick_error! {
     /// Why a call to another daemon failed.
     #[derive(Debug)]
-    #[expect(unreachable_pub, reason = "quick_error knows no narrower visibility")]
     pub enum CallError {
         /// No connection: the peer did not see the call.
         Connect(detail: String) { display("peer cannot be reached: {}", detail) }
--- /dev/null
+++ b/crates/testbed/src/caller.rs
@@ -0,0 +1,345 @@
+//! A caller of the daemons that checks what it gets.
+
+use crate::layout::{MODEL, OPERATOR_KEY, SERVICE, workspace_key};
+use anvilgw_core::Executed;
+use anvilgw_standin::answer_text;
+use bytes::Bytes;
+use http::header::AUTHORIZATION;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use quick_error::quick_error;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+quick_error! {
+    /// Why a call has no complete answer.
+    #[derive(Debug)]
+    pub enum CallerError {
+        /// The daemon could not be reached or the connection broke.
+        Connection(detail: String) { display("connection: {}", detail) }
+        /// The daemon refused the request or it failed.
+        Refused(status: u16, code: String, executed: Option<Executed>) {
+            display("refused with {} {}, executed: {:?}", status, code, executed)
+        }
+        /// A stream ended with an error event.
+        Broken(code: String) { display("stream broke: {}", code) }
+        /// The answer was shown as complete but is not the answer of this prompt.
+        Wrong(detail: String) { display("wrong answer: {}", detail) }
+    }
+}
+
+/// A complete and checked answer of a completion.
+#[derive(Clone, Debug)]
+pub struct CompletionAnswer {
+    /// Identifier of the request.
+    pub request_id: String,
+    /// Time to first token.
+    pub first_token: Duration,
+    /// Time to the end.
+    pub total: Duration,
+    /// Generated tokens.
+    pub tokens: u64,
+}
+
+/// The answer of a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceResponse {
+    /// Status.
+    pub status: StatusCode,
+    /// Body.
+    pub body: Bytes,
+    /// Whether the answer was recorded by an earlier request with the same key.
+    pub replayed: bool,
+}
+
+/// Calls daemons as one of the workspaces.
+#[derive(Clone)]
+pub struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    daemons: Vec<SocketAddr>,
+    admins: Vec<SocketAddr>,
+}
+
+impl Caller {
+    pub(crate) fn new(daemons: Vec<SocketAddr>, admins: Vec<SocketAddr>) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_secs(1)));
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            daemons,
+            admins,
+        }
+    }
+
+    /// Sends a request.
+    ///
+    /// # Errors
+    ///
+    /// [`CallerError::Connection`] if there is no answer.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> Result<http::Response<hyper::body::Incoming>, CallerError> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .body(Full::new(body))
+            .map_err(|error| CallerError::Connection(error.to_string()))?;
+        request.headers_mut().extend(headers);
+        let response = self.client.request(request).await;
+        response.map_err(|error| CallerError::Connection(error.to_string()))
+    }
+
+    /// Streams a completion and checks that it is the complete answer to this prompt.
+    ///
+    /// # Errors
+    ///
+    /// [`CallerError`]; [`CallerError::Wrong`] must never happen.
+    pub async fn complete(
+        &self,
+        daemon: usize,
+        workspace: usize,
+        prompt: &str,
+        max_tokens: u64,
+    ) -> Result<CompletionAnswer, CallerError> {
+        let body = json!({
+            "model": MODEL, "prompt": prompt, "max_tokens": max_tokens, "stream": true,
+        });
+        let started = Instant::now();
+        let response = self
+            .send(
+                self.daemons[daemon],
+                Method::POST,
+                "/v1/completions",
+                bearer(&workspace_key(workspace)),
+                body.to_string().into(),
+            )
+            .await?;
+        if response.status() != StatusCode::OK {
+            return Err(refusal(response).await);
+        }
+        let request_id = header(response.headers(), "x-request-id");
+        let mut stream = StreamedText::new(started);
+        let mut body = response.into_body();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| CallerError::Connection(error.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                stream.push(&data)?;
+            }
+        }
+        let text = stream.finish()?;
+        if text.0 != answer_text(prompt, max_tokens) {
+            let detail = format!("{} tokens of another text", text.1);
+            return Err(CallerError::Wrong(detail));
+        }
+        Ok(CompletionAnswer {
+            request_id,
+            first_token: stream.first_token.unwrap_or_default(),
+            total: started.elapsed(),
+            tokens: text.1,
+        })
+    }
+
+    /// Calls the plain service. Without a key the daemon makes one for a non-idempotent call.
+    ///
+    /// # Errors
+    ///
+    /// [`CallerError`] if the call was refused or failed.
+    pub async fn call_service(
+        &self,
+        daemon: usize,
+        workspace: usize,
+        method: Method,
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> Result<ServiceResponse, CallerError> {
+        let mut headers = bearer(&workspace_key(workspace));
+        if let Some(key) = key.and_then(|key| key.parse().ok()) {
+            headers.insert("idempotency-key", key);
+        }
+        let path = format!("/services/{SERVICE}{path}");
+        let body = Bytes::from(body.to_owned());
+        let response = self
+            .send(self.daemons[daemon], method, &path, headers, body)
+            .await?;
+        if response.headers().contains_key("x-anvilgw-executed") {
+            return Err(refusal(response).await);
+        }
+        let status = response.status();
+        let replayed = response.headers().contains_key("idempotent-replayed");
+        let body = collect(response).await?;
+        Ok(ServiceResponse {
+            status,
+            body,
+            replayed,
+        })
+    }
+
+    /// Calls an operator endpoint and returns its JSON.
+    ///
+    /// # Errors
+    ///
+    /// [`CallerError`] if the daemon does not answer with JSON.
+    pub async fn admin(
+        &self,
+        daemon: usize,
+        method: Method,
+        path: &str,
+        body: &Value,
+    ) -> Result<Value, CallerError> {
+        let headers = bearer(OPERATOR_KEY);
+        let body = match method {
+            Method::GET => Bytes::new(),
+            _ => body.to_string().into(),
+        };
+        let response = self
+            .send(self.admins[daemon], method, path, headers, body)
+            .await?;
+        let body = collect(response).await?;
+        serde_json::from_slice(&body).map_err(|error| CallerError::Connection(error.to_string()))
+    }
+
+    /// Publishes a configuration change through a daemon. The change is written as the operators'
+    /// API takes it. Returns the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`CallerError`] if the daemon does not answer.
+    pub async fn change(
+        &self,
+        daemon: usize,
+        expected_version: u64,
+        change: &Value,
+    ) -> Result<Value, CallerError> {
+        let body = json!({
+            "expected_version": expected_version,
+            "record_id": uuid::Uuid::now_v7(),
+            "change": change,
+        });
+        self.admin(daemon, Method::POST, "/admin/config", &body)
+            .await
+    }
+}
+
+fn bearer(key: &str) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    if let Ok(value) = format!("Bearer {key}").parse() {
+        headers.insert(AUTHORIZATION, value);
+    }
+    headers
+}
+
+fn header(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+async fn collect(response: http::Response<hyper::body::Incoming>) -> Result<Bytes, CallerError> {
+    let collected = response.into_body().collect().await;
+    collected
+        .map(|collected| collected.to_bytes())
+        .map_err(|error| CallerError::Connection(error.to_string()))
+}
+
+async fn refusal(response: http::Response<hyper::body::Incoming>) -> CallerError {
+    let status = response.status().as_u16();
+    let executed = match header(response.headers(), "x-anvilgw-executed").as_str() {
+        "no" => Some(Executed::No),
+        "yes" => Some(Executed::Yes),
+        "unknown" => Some(Executed::Unknown),
+        _ => None,
+    };
+    let body = match collect(response).await {
+        Ok(body) => body,
+        Err(error) => return error,
+    };
+    let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let code = body["error"]["code"].as_str().unwrap_or_default();
+    CallerError::Refused(status, code.to_owned(), executed)
+}
+
+/// Text of a streamed answer as it arrives.
+struct StreamedText {
+    started: Instant,
+    buffer: String,
+    text: String,
+    tokens: u64,
+    first_token: Option<Duration>,
+    complete: bool,
+    error: Option<String>,
+}
+
+impl StreamedText {
+    fn new(started: Instant) -> Self {
+        Self {
+            started,
+            buffer: String::new(),
+            text: String::new(),
+            tokens: 0,
+            first_token: None,
+            complete: false,
+            error: None,
+        }
+    }
+
+    fn push(&mut self, bytes: &[u8]) -> Result<(), CallerError> {
+        let text = std::str::from_utf8(bytes);
+        let text = text.map_err(|error| CallerError::Wrong(error.to_string()))?;
+        self.buffer.push_str(text);
+        while let Some(end) = self.buffer.find("\n\n") {
+            let event: String = self.buffer.drain(..end + 2).collect();
+            self.event(event.trim_end())?;
+        }
+        Ok(())
+    }
+
+    fn event(&mut self, event: &str) -> Result<(), CallerError> {
+        if let Some(data) = event.strip_prefix("event: error\ndata: ") {
+            self.error = Some(data.to_owned());
+            return Ok(());
+        }
+        let Some(data) = event.strip_prefix("data: ") else {
+            return Ok(());
+        };
+        if data == "[DONE]" {
+            self.complete = true;
+            return Ok(());
+        }
+        let chunk: Value =
+            serde_json::from_str(data).map_err(|error| CallerError::Wrong(error.to_string()))?;
+        let choice = &chunk["choices"][0];
+        let Some(index) = choice["token_index"].as_u64() else {
+            return Ok(());
+        };
+        if index != self.tokens {
+            let detail = format!("token {index} in place of {}", self.tokens);
+            return Err(CallerError::Wrong(detail));
+        }
+        self.first_token
+            .get_or_insert_with(|| self.started.elapsed());
+        self.tokens += 1;
+        self.text.push_str(choice["text"].as_str().unwrap_or_default());
+        Ok(())
+    }
+
+    fn finish(&mut self) -> Result<(String, u64), CallerError> {
+        if let Some(error) = self.error.take() {
+            return Err(CallerError::Broken(error));
+        }
+        if !self.complete {
+            let detail = "the stream ended without the end marker";
+            return Err(CallerError::Connection(detail.to_owned()));
+        }
+        Ok((std::mem::take(&mut self.text), self.tokens))
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/layout.rs
@@ -0,0 +1,274 @@
+//! What a bed consists of, and the settings of its daemons.
+
+use anvilgw_config::{
+    DaemonSettings, DomainSettings, Entitlement, Entitlements, LogSettings, ModelSettings, Output,
+    Plan, Plans, Priority, ServerSettings, ServiceServer, ServiceSettings, Settings, StoreSettings,
+};
+use anvilgw_standin::{EngineConfig, LogConfig, ServiceConfig, StoreConfig};
+use std::net::SocketAddr;
+
+/// Name of the model.
+pub const MODEL: &str = "lumen";
+/// Name of the plain service.
+pub const SERVICE: &str = "courts";
+/// Bearer key of the operator.
+pub const OPERATOR_KEY: &str = "operator-key-of-the-test-bed";
+
+const BLOCK_TOKENS: u32 = 64;
+/// Bytes per token: a word of the stand-in's answers with its space.
+const BYTES_PER_TOKEN: u32 = 6;
+const KV_BYTES_PER_TOKEN: u64 = 1_000;
+const WEIGHT_VERSION: u64 = 1;
+const LINK_BYTES_PER_S: u64 = 200_000_000;
+
+/// Size and speeds of a bed.
+#[derive(Clone, Debug)]
+pub struct BedConfig {
+    /// Number of failure domains.
+    pub domains: usize,
+    /// Daemons, spread over the domains.
+    pub daemons: usize,
+    /// Model engines, spread over the domains.
+    pub engines: usize,
+    /// Servers of the plain service, spread over the domains.
+    pub service_servers: usize,
+    /// Stores of kept KV cache.
+    pub stores: usize,
+    /// Workspaces. The first is large, the others are small.
+    pub workspaces: usize,
+    /// Template of the engines.
+    pub engine: EngineConfig,
+    /// Requests that an engine runs at once.
+    pub engine_concurrency: u32,
+    /// Template of the plain service.
+    pub service: ServiceConfig,
+    /// Template of the stores.
+    pub store: StoreConfig,
+    /// The log service.
+    pub log: LogConfig,
+    /// Retention that the daemons assume, in seconds.
+    pub retention_s: u64,
+    /// Longest time of a request in milliseconds.
+    pub deadline_ms: u64,
+    /// Time for the balancer to notice that a daemon drains, in milliseconds.
+    pub balancer_lag_ms: u64,
+    /// Time without progress after which a connection counts as silent, in milliseconds.
+    pub silence_ms: u64,
+    /// Least time between two appends of a claim partition, in milliseconds.
+    pub claim_interval_ms: u64,
+    /// Number of claim partitions.
+    pub partitions: u16,
+    /// Requests per second of a small workspace's plan.
+    pub small_requests_per_s: u32,
+    /// Where daemons write their logs.
+    pub logging: Output,
+}
+
+impl Default for BedConfig {
+    fn default() -> Self {
+        let engine = EngineConfig {
+            models: vec![MODEL.to_owned()],
+            weight_version: WEIGHT_VERSION,
+            kv_bytes_per_token: KV_BYTES_PER_TOKEN,
+            ..EngineConfig::default()
+        };
+        Self {
+            domains: 3,
+            daemons: 3,
+            engines: 6,
+            service_servers: 3,
+            stores: 2,
+            workspaces: 4,
+            engine_concurrency: 32,
+            engine,
+            service: ServiceConfig {
+                name: SERVICE.to_owned(),
+                ..ServiceConfig::default()
+            },
+            store: StoreConfig::default(),
+            log: LogConfig {
+                appends_per_s: 400,
+                ..LogConfig::default()
+            },
+            retention_s: 3_600,
+            deadline_ms: 20_000,
+            balancer_lag_ms: 100,
+            silence_ms: 1_000,
+            claim_interval_ms: 10,
+            partitions: 2,
+            small_requests_per_s: 1_000,
+            logging: Output::None,
+        }
+    }
+}
+
+/// Addresses of the stand-ins.
+pub(crate) struct Addresses {
+    pub(crate) log: SocketAddr,
+    pub(crate) instances: SocketAddr,
+    pub(crate) engines: Vec<SocketAddr>,
+    pub(crate) services: Vec<SocketAddr>,
+    pub(crate) stores: Vec<SocketAddr>,
+}
+
+/// Addresses of one daemon.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DaemonAddresses {
+    pub(crate) listen: SocketAddr,
+    pub(crate) admin: SocketAddr,
+    pub(crate) peer: SocketAddr,
+}
+
+/// Name of a failure domain.
+pub(crate) fn domain_name(index: usize) -> String {
+    format!("domain-{index}")
+}
+
+/// Name of an engine.
+pub(crate) fn engine_name(index: usize) -> String {
+    format!("engine-{index}")
+}
+
+/// Name of a workspace. Number 0 is the large one.
+#[must_use]
+pub fn workspace_name(index: usize) -> String {
+    format!("workspace-{index}")
+}
+
+/// Bearer key of a workspace.
+#[must_use]
+pub fn workspace_key(index: usize) -> String {
+    format!("workspace-key-{index}")
+}
+
+/// The settings of a daemon.
+pub(crate) fn settings(
+    config: &BedConfig,
+    addresses: &Addresses,
+    daemons: &[DaemonAddresses],
+    index: usize,
+) -> Settings {
+    let own = daemons[index];
+    let domain = |index: usize| domain_name(index % config.domains);
+    let number = u32::try_from(index).unwrap_or(u32::MAX);
+    let instance = format!("entry-{index}");
+    let mut daemon = DaemonSettings::new(
+        number,
+        &instance,
+        &domain(index),
+        own.listen,
+        own.admin,
+        own.peer,
+    );
+    daemon.deadline_default_ms = config.deadline_ms;
+    daemon.deadline_max_ms = config.deadline_ms;
+    daemon.drain_ms = config.deadline_ms + 1_000;
+    daemon.balancer_lag_ms = config.balancer_lag_ms;
+    let mut log = LogSettings::new(vec![addresses.log]);
+    log.retention_s = config.retention_s;
+    let mut settings = Settings::new(daemon, log);
+    settings.limits.silence_ms = config.silence_ms;
+    settings.instances.addresses = vec![addresses.instances];
+    settings.instances.seeds = daemons.iter().map(|daemon| daemon.peer).collect();
+    settings.claims.min_interval_ms = config.claim_interval_ms;
+    settings.claims.partitions = config.partitions;
+    settings.logging.output = config.logging.clone();
+    for index in 0..config.domains {
+        settings = settings.with_domain(&domain_name(index), DomainSettings::default());
+    }
+    settings = with_backends(settings, config, addresses);
+    for index in 0..config.workspaces {
+        let hash = blake3::hash(workspace_key(index).as_bytes());
+        settings = settings.with_key(&workspace_name(index), hash);
+    }
+    settings.with_operator("operator", blake3::hash(OPERATOR_KEY.as_bytes()))
+}
+
+fn with_backends(mut settings: Settings, config: &BedConfig, addresses: &Addresses) -> Settings {
+    let domain = |index: usize| domain_name(index % config.domains);
+    let model = ModelSettings {
+        weight_version: WEIGHT_VERSION.to_string(),
+        block_tokens: BLOCK_TOKENS,
+        bytes_per_token: BYTES_PER_TOKEN,
+        kv_bytes_per_token: KV_BYTES_PER_TOKEN,
+        prefill_tokens_per_s: config.engine.prefill_tokens_per_s as u32,
+        decode_ms_per_token: config.engine.decode_ms,
+        adapters: Vec::new(),
+    };
+    settings = settings.with_model(MODEL, model);
+    for (index, address) in addresses.engines.iter().enumerate() {
+        let server = ServerSettings {
+            address: *address,
+            failure_domain: domain(index),
+            models: vec![MODEL.to_owned()],
+            capacity_concurrency: config.engine_concurrency,
+            cold_concurrency: config.engine.cold_concurrency as u32,
+            checks_fencing: config.engine.obeys_fencing,
+            link_bytes_per_s: LINK_BYTES_PER_S,
+        };
+        settings = settings.with_server(&engine_name(index), server);
+    }
+    let servers = addresses
+        .services
+        .iter()
+        .enumerate()
+        .map(|(index, address)| ServiceServer {
+            address: *address,
+            failure_domain: domain(index),
+        })
+        .collect();
+    let service = ServiceSettings {
+        servers,
+        capacity_concurrency: 1_000,
+        cold_concurrency: 1_000,
+        reports_load: true,
+        idempotent: Vec::new(),
+        non_idempotent: Vec::new(),
+    };
+    settings = settings.with_service(SERVICE, service);
+    for (index, address) in addresses.stores.iter().enumerate() {
+        let store = StoreSettings {
+            address: *address,
+            failure_domain: domain(index),
+            link_bytes_per_s: LINK_BYTES_PER_S,
+        };
+        settings = settings.with_store(&format!("store-{index}"), store);
+    }
+    settings
+}
+
+/// The plans of a bed: one large workspace beside small ones.
+pub(crate) fn plans(config: &BedConfig) -> Plans {
+    let mut plans = Plans::default();
+    for index in 0..config.workspaces {
+        let scale = if index == 0 { 10 } else { 1 };
+        let requests_per_s = config.small_requests_per_s * scale;
+        let plan = Plan {
+            requests_per_s,
+            tokens_per_s: requests_per_s * 1_000,
+            burst_requests: requests_per_s,
+            burst_tokens: requests_per_s * 2_000,
+            concurrency: 500 * scale,
+            weight: 10 * scale,
+            priority: Priority::Interactive,
+        };
+        plans.workspaces.insert(workspace_name(index), plan);
+    }
+    plans
+}
+
+/// The entitlements of a bed: everything to everybody.
+pub(crate) fn entitlements(config: &BedConfig) -> Entitlements {
+    let mut entitlements = Entitlements::default();
+    for index in 0..config.workspaces {
+        let entitlement = Entitlement {
+            models: vec![MODEL.to_owned()],
+            adapters: Vec::new(),
+            services: vec![SERVICE.to_owned()],
+        };
+        entitlements
+            .workspaces
+            .insert(workspace_name(index), entitlement);
+    }
+    entitlements
+}
