Refuse comments behind paths and records that no daemon would decode

An output of 'stderr ; note' was taken for a file of that name, and a record above 1 MiB could be appended although every daemon ignores it.

--- a/crates/cli/tests/cli/standin.rs
+++ b/crates/cli/tests/cli/standin.rs
@@ -29,7 +29,7 @@
     fn append(&mut self, record: &ConfigRecord) {
         let record = LogRecord {
             offset: Offset(self.appended),
-            payload: record.encode(),
+            payload: record.encode().expect("a small record"),
         };
         self.fold.fold(&record).expect("no gap");
         self.appended += 1;
--- a/crates/config/src/settings/contradictions.rs
+++ b/crates/config/src/settings/contradictions.rs
@@ -95,7 +95,7 @@
         &max.to_string(),
     );
     let (claims, retention) = (&settings.claims, settings.log.retention_s);
-    let needed = claims.lifetime_s + claims.margin_s;
+    let needed = claims.lifetime_s.saturating_add(claims.margin_s);
     finder.require(
         needed <= retention,
         &[
@@ -111,7 +111,7 @@
         },
         &retention.saturating_sub(claims.margin_s).max(1).to_string(),
     );
-    let open_s = (max + claims.grace_ms).div_ceil(1000);
+    let open_s = max.saturating_add(claims.grace_ms).div_ceil(1000);
     finder.require(
         claims.lifetime_s >= open_s,
         &[
--- a/crates/config/src/spec/kind.rs
+++ b/crates/config/src/spec/kind.rs
@@ -38,8 +38,8 @@
     PathRules,
     /// blake3 hashes as 64 hexadecimal digits, separated by commas, at least one.
     KeyHashes,
-    /// Any text.
-    Text,
+    /// `none`, `stderr` or the absolute path of a file.
+    Output,
 }
 
 impl Kind {
@@ -62,8 +62,7 @@
             }
             Self::PathRules => check_list(value, false, check_path_rule),
             Self::KeyHashes => check_list(value, true, check_hash),
-            Self::Text if value.is_empty() => Err("the value is empty".to_owned()),
-            Self::Text => Ok(()),
+            Self::Output => check_output(value),
         }
     }
 }
@@ -85,7 +84,7 @@
             Self::ServiceServers => f.write_str("list of IP:port@failure_domain"),
             Self::PathRules => f.write_str("list of METHOD /path, may be empty"),
             Self::KeyHashes => f.write_str("list of blake3 hashes in hexadecimal"),
-            Self::Text => f.write_str("text"),
+            Self::Output => f.write_str("`none`, `stderr` or an absolute path"),
         }
     }
 }
@@ -233,6 +232,19 @@
     })
 }
 
+fn check_output(value: &str) -> Result<(), String> {
+    if value.contains([';', '#']) {
+        // A path with these characters is most likely a comment behind the value.
+        Err("the value contains a comment; comments need a line of their own".to_owned())
+    } else if matches!(value, "none" | "stderr") || value.starts_with('/') {
+        Ok(())
+    } else {
+        Err(format!(
+            "{value:?} is neither `none` nor `stderr` nor an absolute path"
+        ))
+    }
+}
+
 fn check_list(
     value: &str,
     required: bool,
--- a/crates/config/src/spec/list.rs
+++ b/crates/config/src/spec/list.rs
@@ -4,6 +4,9 @@
 use super::{Keys, Occurrence, SectionSpec, keys};
 
 /// The plans list.
+///
+/// The fold of the configuration stream applies the rules of both lists. Daemons of two versions decide
+/// alike only if the rules stay the same, so a stricter or looser rule needs a new record format.
 pub(crate) const PLANS: &[SectionSpec] = &[SectionSpec {
     kind: "workspace",
     occurrence: Occurrence::Named,
--- a/crates/config/src/spec/settings.rs
+++ b/crates/config/src/spec/settings.rs
@@ -207,11 +207,11 @@
 
 keys! { LOGGING =>
     default "level", OneOf(&["off", "error", "warn", "info", "debug", "trace"]), "info", "Least important level that is written.";
-    default "output", Text, "stderr", "`stderr` or the path of a file.";
+    default "output", Output, "stderr", "Where the lines are written; a file is appended to.";
 }
 
 keys! { TRACE =>
-    default "output", Text, "none", "`none`, `stderr` or the path of a file.";
+    default "output", Output, "none", "Where the spans are written; a file is appended to.";
     default "sample_percent", Number(0.0, 100.0), "100", "Share of requests whose spans are written.";
 }
 
--- a/crates/config/src/stream/change.rs
+++ b/crates/config/src/stream/change.rs
@@ -14,7 +14,7 @@
 /// Format of the records that this version writes and the newest that it reads.
 const FORMAT: u32 = 1;
 
-/// Size above which a record is not decoded. The full lists at 280 workspaces take about 60 KB.
+/// Size above which a record is not decoded. A plans list of 280 workspaces takes 44 KB.
 const RECORD_MAX_BYTES: usize = 1 << 20;
 
 /// Identifier that its author gives to a change, so that appending it twice has no further effect.
@@ -173,12 +173,19 @@
 
 impl ConfigRecord {
     /// Encodes the record for the log.
-    #[must_use]
-    pub fn encode(&self) -> Vec<u8> {
-        canonical(&Envelope {
+    ///
+    /// # Errors
+    ///
+    /// [`RecordError::TooLarge`] if no daemon would decode the record.
+    pub fn encode(&self) -> Result<Vec<u8>, RecordError> {
+        let payload = canonical(&Envelope {
             format: FORMAT,
             record: self,
-        })
+        });
+        match payload.len() {
+            bytes if bytes > RECORD_MAX_BYTES => Err(RecordError::TooLarge(bytes)),
+            _ => Ok(payload),
+        }
     }
 
     /// Decodes a record.
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -91,6 +91,8 @@
     "model without server": "[server a]" => "[model ember]\nweight_version = v1\nkv_bytes_per_token = 1\nprefill_tokens_per_s = 1\ndecode_ms_per_token = 1\n[server a]", Some(18), "model ember", "", "no server runs";
     "unreachable peer address": "peer_listen = 127.0.0.1" => "peer_listen = 0.0.0.0", Some(1), "daemon", "advertise", "unspecified";
     "address used twice": "127.0.0.1:9301" => "127.0.0.1:9200", Some(25), "service courts", "servers", "also address of [server a]";
+    "comment behind a path": "[keys]" => "[logging]\noutput = stderr ; for now\n[keys]", Some(29), "logging", "output", "comments need a line";
+    "relative path": "[keys]" => "[trace]\noutput = spans.json\n[keys]", Some(29), "trace", "output", "nor an absolute path";
     "key of two owners": "[keys]" => "[operators]\nana = af1349b9f5f9a1a6a0404dea36dcc9499bcb25c9adc112b7cc9a93cae41f3262\n[keys]", Some(28), "operators", "", "also the key of foz";
 }
 
--- a/crates/config/tests/stream.rs
+++ b/crates/config/tests/stream.rs
@@ -47,9 +47,15 @@
         let payload = match how % 8 {
             0 if !payloads.is_empty() => payloads[usize::from(kind) % payloads.len()].clone(),
             1 => vec![kind; usize::from(how)],
-            2 => record(index as u128, version.saturating_sub(1), change(kind)).encode(),
-            3 => record(index as u128, version + 1, change(kind)).encode(),
-            _ => record(index as u128, version, change(kind)).encode(),
+            2 => record(index as u128, version.saturating_sub(1), change(kind))
+                .encode()
+                .unwrap(),
+            3 => record(index as u128, version + 1, change(kind))
+                .encode()
+                .unwrap(),
+            _ => record(index as u128, version, change(kind))
+                .encode()
+                .unwrap(),
         };
         let offset = Offset(index as u64);
         fold.fold(&LogRecord {
@@ -136,7 +142,7 @@
         let before = fold.current();
         let log_record = LogRecord {
             offset: Offset(offset),
-            payload: record.encode(),
+            payload: record.encode().unwrap(),
         };
         let folded = fold.fold(&log_record).unwrap();
         match expected {
@@ -229,7 +235,9 @@
         } else {
             ConfigChange::DomainIn(name)
         };
-        record(u128::from(version), version, change).encode()
+        record(u128::from(version), version, change)
+            .encode()
+            .unwrap()
     };
     let fold = folded(&log((0..100).map(payload)));
     assert_eq!(fold.update_since(100), PeerUpdate::Nothing);
@@ -369,7 +377,7 @@
 /// Guards against an older daemon that decides differently about a record it cannot read.
 #[test]
 fn newer_formats_stop_the_fold() {
-    let text = String::from_utf8(record(1, 0, change(0)).encode()).unwrap();
+    let text = String::from_utf8(record(1, 0, change(0)).encode().unwrap()).unwrap();
     let newer = text.replacen("\"format\":1", "\"format\":2", 1);
     assert_eq!(
         ConfigRecord::decode(newer.as_bytes()),
@@ -382,6 +390,9 @@
     };
     assert_eq!(fold.fold(&newer), Err(FoldError::NewerFormat(Offset(0), 2)));
     assert_eq!(fold.next_offset(), Some(Offset(0)));
+    let name = "x".repeat(1 << 20);
+    let too_large = record(1, 0, ConfigChange::DomainOut(name)).encode();
+    assert!(matches!(too_large, Err(RecordError::TooLarge(_))));
     let huge = vec![b' '; (1 << 20) + 1];
     assert!(matches!(
         ConfigRecord::decode(&huge),
@@ -402,7 +413,7 @@
         let at = position % payload.len();
         payload[at] = value;
         let damaged = Snapshot::decode(&payload).is_ok_and(|snapshot| snapshot != good);
-        let mut payload = record(1, 0, change(0)).encode();
+        let mut payload = record(1, 0, change(0)).encode().unwrap();
         let at = position % payload.len();
         payload.truncate(at);
         let mut fold = ConfigFold::new();
