Serve the whole path: wait for capacity instead of failing, report warmth, show status

Cause of the failed demo: without an epoch a daemon had no share of any plan, and plain services never left the unknown temperature because nobody polled them. Half of an equal part of a plan is now used without a share, requests wait for a permit until they must have started, services are polled, and an engine's own word about its warmth counts for the first report.

--- a/crates/cli/src/commands/demo.rs
+++ b/crates/cli/src/commands/demo.rs
@@ -110,7 +110,10 @@
     let bed = Bed::start(BedConfig::default())
         .await
         .map_err(|error| CliError::Failed(error.to_string()))?;
-    say("all daemons are ready");
+    say("all daemons are ready; waiting for the first epoch");
+    bed.wait_settled()
+        .await
+        .map_err(|error| CliError::Failed(error.to_string()))?;
     let counts = Arc::new(Counts::default());
     let stop = Arc::new(AtomicBool::new(false));
     let mut callers = Vec::new();
@@ -153,7 +156,7 @@
         .admin(0, Method::GET, "/admin/config", &Value::Null)
         .await
         .map_err(fail)?;
-    let version = config["version"].as_u64().unwrap_or_default();
+    let version = config["state"]["version"].as_u64().unwrap_or_default();
     let answer = operator
         .change(0, version, &json!({ change: domain }))
         .await
--- a/crates/config/src/admin.rs
+++ b/crates/config/src/admin.rs
@@ -100,6 +100,52 @@
     pub servers: Vec<ServerStatus>,
     /// Workspaces with open or waiting requests.
     pub workspaces: Vec<WorkspaceStatus>,
+    /// Duties that one daemon of the fleet holds, as seen by this one.
+    #[serde(default)]
+    pub duties: Vec<DutyStatus>,
+    /// Claim partitions that this daemon has read.
+    #[serde(default)]
+    pub claim_partitions: Vec<PartitionStatus>,
+    /// What the daemon did on its own, oldest first.
+    #[serde(default)]
+    pub events: Vec<EventReport>,
+}
+
+/// A duty that only one daemon has at a time.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DutyStatus {
+    /// Name of the duty.
+    pub duty: String,
+    /// Who holds it, or why it cannot be held.
+    pub state: String,
+}
+
+/// A partition of the idempotency claims.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartitionStatus {
+    /// Number.
+    pub partition: u16,
+    /// Whether the daemon has read the stream to its end.
+    pub caught_up: bool,
+    /// Offset that is read next.
+    pub next_offset: u64,
+    /// Keys within retention.
+    pub keys: u64,
+}
+
+/// An event with its cause.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EventReport {
+    /// Position, counted from the start of the daemon.
+    pub sequence: u64,
+    /// Wall clock time in milliseconds since 1970.
+    pub wall_ms: u64,
+    /// What happened.
+    pub kind: String,
+    /// What it happened to.
+    pub subject: String,
+    /// Why, with the evidence.
+    pub cause: String,
 }
 
 /// One daemon of the fleet.
@@ -130,6 +176,12 @@
     pub breaker: String,
     /// Requests of this daemon that it runs.
     pub running: u64,
+    /// Requests that it sustains now, over all daemons.
+    #[serde(default)]
+    pub capacity: u64,
+    /// This daemon's share of that while the server is cold.
+    #[serde(default)]
+    pub cold_share: u64,
 }
 
 /// One workspace.
--- a/crates/entry/src/backends.rs
+++ b/crates/entry/src/backends.rs
@@ -36,6 +36,8 @@
     Service {
         /// Client for calls.
         client: ServiceClient,
+        /// Whether the server reports its load.
+        reports_load: bool,
     },
 }
 
@@ -43,7 +45,7 @@
 pub(crate) struct Backend {
     /// Number.
     pub(crate) id: ServerId,
-    /// Name in the settings.
+    /// Name under which its instance is taken out of service.
     pub(crate) name: String,
     /// Name of its failure domain.
     pub(crate) domain: String,
@@ -95,24 +97,19 @@
     control: ConnectionSettings,
 ) -> Backend {
     let address = server.address();
-    let (name, kind) = match server {
-        BackendServer::Model { name, .. } => (
-            (*name).to_owned(),
-            BackendKind::Engine {
-                client: EngineClient::new(address, connection),
-                control: EngineControl::new(address, control),
-            },
-        ),
-        BackendServer::Service { service, .. } => (
-            format!("{service}@{address}"),
-            BackendKind::Service {
-                client: ServiceClient::new(address, connection),
-            },
-        ),
+    let kind = match server {
+        BackendServer::Model { .. } => BackendKind::Engine {
+            client: EngineClient::new(address, connection),
+            control: EngineControl::new(address, control),
+        },
+        BackendServer::Service { settings, .. } => BackendKind::Service {
+            client: ServiceClient::new(address, connection),
+            reports_load: settings.reports_load,
+        },
     };
     Backend {
         id,
-        name,
+        name: server.instance(),
         domain: server.failure_domain().to_owned(),
         address,
         kind,
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -14,12 +14,17 @@
     AttemptId, Clock, DaemonId, ErrorKind, Failure, RequestId, Stage, WorkspaceId,
 };
 use anvilgw_kernel::Journal;
+use rand::RngExt;
 use anvilgw_router::{FailedAttempt, RetryBudget, RetrySettings};
 use spdlog::Logger;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+/// Mean pause between two looks for a backend server with capacity. Permits of cold servers move
+/// between daemons within a few hundred milliseconds.
+const CAPACITY_PAUSE: Duration = Duration::from_millis(20);
+
 /// Services and settings of the daemon.
 pub(crate) struct Context {
     /// This daemon.
@@ -155,6 +160,25 @@
         retries.retry(&attempt, now, &mut rand::rng()).ok()
     }
 
+    /// Waits a moment for a backend server to have capacity.
+    ///
+    /// # Errors
+    ///
+    /// The given failure if the request must have started by then. It tells the caller when to come
+    /// back.
+    pub(crate) async fn wait_for_capacity(
+        &self,
+        start_by: Duration,
+        failure: Failure,
+    ) -> Result<(), Failure> {
+        let pause = CAPACITY_PAUSE.mul_f64(0.5 + rand::rng().random::<f64>());
+        if self.clock.uptime() + pause >= start_by {
+            return Err(failure);
+        }
+        tokio::time::sleep(pause).await;
+        Ok(())
+    }
+
     /// Time until a deadline.
     pub(crate) fn remaining(&self, deadline: Duration) -> Duration {
         deadline.saturating_sub(self.clock.uptime())
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -199,6 +199,13 @@
         self.context.control.config().version
     }
 
+    /// Members of the current epoch. A daemon uses shares of fleet-wide budgets, such as permits for
+    /// cold backend servers, some seconds after it learns of the epoch.
+    #[must_use]
+    pub fn epoch_members(&self) -> usize {
+        self.context.control.view().epoch.members.len()
+    }
+
     /// Drains and stops: readiness off, the balancer's lag, open requests, membership. `abort` turning
     /// true ends the drain early.
     pub async fn shutdown(self, mut abort: watch::Receiver<bool>) -> Shutdown {
--- a/crates/entry/src/dispatch/completion.rs
+++ b/crates/entry/src/dispatch/completion.rs
@@ -27,6 +27,7 @@
     next_index: u64,
     attempts: u32,
     tried: Vec<ServerId>,
+    start_by: Duration,
     _open: OpenRequest,
 }
 
@@ -69,6 +70,7 @@
             cost_tokens: prompt.cost_tokens(),
             start_by: call.deadline.min(context.clock.uptime() + queue),
         };
+        let start_by = offer.start_by;
         let permit = context.admission.admit(offer).await.inspect_err(|failure| {
             note_result(&context, &call, &failure.to_string());
         })?;
@@ -85,6 +87,7 @@
             next_index: 0,
             attempts: 0,
             tried: Vec::new(),
+            start_by,
             _open: open,
         };
         completion.ensure_running().await?;
@@ -231,9 +234,15 @@
                         note_result(&self.context, &self.call, &failure.to_string());
                         return Err(failure);
                     }
-                    if self.attempts > 1 && failure.kind() == ErrorKind::NoBackend {
-                        // Every server was tried; the first ones may have recovered.
+                    if failure.kind() == ErrorKind::NoBackend {
+                        // Nothing was sent, so this is a wait for capacity and no retry. Servers that
+                        // were tried may have recovered meanwhile.
+                        self.attempts -= 1;
                         self.tried.clear();
+                        self.context
+                            .wait_for_capacity(self.start_by, failure)
+                            .await?;
+                        continue;
                     }
                     self.wait_for_retry(failure).await?;
                 }
@@ -361,9 +370,7 @@
     }
 
     fn note_attempt(&self, attempt: Attempt) {
-        self.context
-            .explain
-            .update(self.call.id, |record| record.attempts.push(attempt));
+        self.context.explain.attempt(self.call.id, attempt);
     }
 }
 
--- a/crates/entry/src/dispatch/service.rs
+++ b/crates/entry/src/dispatch/service.rs
@@ -13,7 +13,7 @@
     Unavailable, Verdict,
 };
 use anvilgw_config::UndatedKeys;
-use anvilgw_core::{ErrorKind, Failure, ServerId, Stage};
+use anvilgw_core::{ErrorKind, Executed, Failure, ServerId, Stage};
 use anvilgw_platform::{CallOptions, ServiceAnswer, ServiceCall, ServiceClient};
 use anvilgw_router::{RouteRequest, SendOutcome, WeightVersion};
 use bytes::Bytes;
@@ -111,13 +111,18 @@
     })
 }
 
-async fn admit(context: &Context, call: &Call) -> Result<Permit, Failure> {
+/// Latest time at which a call must have started.
+fn start_by(context: &Context, call: &Call) -> Duration {
     let queue = Duration::from_millis(context.settings.limits.queue_ms);
+    call.deadline.min(context.clock.uptime() + queue)
+}
+
+async fn admit(context: &Context, call: &Call, start_by: Duration) -> Result<Permit, Failure> {
     let offer = Offer {
         request: call.id,
         workspace: call.workspace,
         cost_tokens: CALL_COST_TOKENS,
-        start_by: call.deadline.min(context.clock.uptime() + queue),
+        start_by,
     };
     context.admission.admit(offer).await
 }
@@ -128,7 +133,8 @@
     request: &ServiceRequest,
     _open: OpenRequest,
 ) -> Result<ServiceAnswer, Failure> {
-    let _permit = admit(context, call).await?;
+    let start_by = start_by(context, call);
+    let _permit = admit(context, call, start_by).await?;
     let mut tried = Vec::new();
     let mut attempts = 0;
     loop {
@@ -137,6 +143,12 @@
             Ok(answer) => return Ok(answer),
             Err(failure) => failure,
         };
+        if failure.kind() == ErrorKind::NoBackend && failure.executed() == Executed::No {
+            attempts -= 1;
+            tried.clear();
+            context.wait_for_capacity(start_by, failure).await?;
+            continue;
+        }
         let is_final = matches!(
             failure.kind(),
             ErrorKind::StaleView | ErrorKind::NotReady | ErrorKind::DeadlineExceeded
@@ -145,9 +157,6 @@
         let Some(wait) = wait.filter(|_| !is_final) else {
             return Err(failure);
         };
-        if failure.kind() == ErrorKind::NoBackend {
-            tried.clear();
-        }
         context
             .metrics
             .count("retries", 1, failure.kind().answer().code);
@@ -221,13 +230,11 @@
             Err(failure)
         }
     };
-    context
-        .explain
-        .update(call.id, |record| record.attempts.push(attempt));
+    context.explain.attempt(call.id, attempt);
     let (choice, dispatch) = result?;
     let backend = context.backends.get(choice.server);
     match backend.map(|backend| (backend, &backend.kind)) {
-        Some((backend, BackendKind::Service { client })) => Ok(Target {
+        Some((backend, BackendKind::Service { client, .. })) => Ok(Target {
             backend,
             client,
             dispatch,
@@ -342,7 +349,8 @@
     claim: Claim,
     _open: OpenRequest,
 ) -> Result<ServiceAnswer, Failure> {
-    let _permit = admit(context, call).await?;
+    let start_by = start_by(context, call);
+    let _permit = admit(context, call, start_by).await?;
     let mut run = ClaimedRun {
         context,
         sender: ClaimSender::new(claim.request, call.deadline),
@@ -351,7 +359,7 @@
     };
     run.step(SenderEvent::Admitted).await;
     if run.reply.is_none() {
-        run.execute(call, request, &claim.key).await;
+        run.execute(call, request, &claim.key, start_by).await;
     }
     context.explain.update(call.id, |record| {
         record.claim = Some(claim.request.key.to_string());
@@ -400,10 +408,20 @@
         }
     }
 
-    async fn execute(&mut self, call: &Call, request: &ServiceRequest, key: &str) {
-        let mut target = match select(self.context, call, request, &[]).await {
-            Ok(target) => target,
-            Err(failure) => {
+    async fn execute(
+        &mut self,
+        call: &Call,
+        request: &ServiceRequest,
+        key: &str,
+        start_by: Duration,
+    ) {
+        let context = self.context;
+        let mut target = loop {
+            let failure = match select(context, call, request, &[]).await {
+                Ok(target) => break target,
+                Err(failure) => failure,
+            };
+            if let Err(failure) = context.wait_for_capacity(start_by, failure).await {
                 self.step(SenderEvent::GiveUp(failure.kind())).await;
                 return;
             }
--- a/crates/entry/src/duties/admission.rs
+++ b/crates/entry/src/duties/admission.rs
@@ -31,7 +31,11 @@
         request: RequestId,
     },
     Limits(Vec<(WorkspaceId, PlanLimits)>),
-    Usage(oneshot::Sender<Vec<(WorkspaceId, Usage)>>),
+    Usage {
+        /// Whether the counts of started requests begin anew.
+        take: bool,
+        reply: oneshot::Sender<Vec<(WorkspaceId, Usage)>>,
+    },
 }
 
 /// Use of a plan since the last question, and what waits.
@@ -164,9 +168,18 @@
     }
 
     /// Use of all plans since the last call.
-    pub(crate) async fn usage(&self) -> Vec<(WorkspaceId, Usage)> {
+    pub(crate) async fn take_usage(&self) -> Vec<(WorkspaceId, Usage)> {
+        self.ask_usage(true).await
+    }
+
+    /// Use of all plans, without a new beginning of the counts.
+    pub(crate) async fn usage_now(&self) -> Vec<(WorkspaceId, Usage)> {
+        self.ask_usage(false).await
+    }
+
+    async fn ask_usage(&self, take: bool) -> Vec<(WorkspaceId, Usage)> {
         let (reply, answer) = oneshot::channel();
-        if self.messages.send(Message::Usage(reply)).is_err() {
+        if self.messages.send(Message::Usage { take, reply }).is_err() {
             return Vec::new();
         }
         answer.await.unwrap_or_default()
@@ -232,19 +245,22 @@
                     self.admission.set_limits(workspace, limits, now);
                 }
             }
-            Message::Usage(reply) => {
-                let _ = reply.send(self.usage());
+            Message::Usage { take, reply } => {
+                let _ = reply.send(self.usage(take));
             }
         }
     }
 
-    fn usage(&mut self) -> Vec<(WorkspaceId, Usage)> {
+    fn usage(&mut self, take: bool) -> Vec<(WorkspaceId, Usage)> {
         let admission = &self.admission;
         self.started
             .iter_mut()
             .map(|(&workspace, usage)| {
                 let status = admission.status(workspace);
-                let mut usage = std::mem::take(usage);
+                let mut usage = match take {
+                    true => std::mem::take(usage),
+                    false => *usage,
+                };
                 if let Some(status) = status {
                     usage.running = status.running.into();
                     usage.queued = status.queued as u64;
--- a/crates/entry/src/duties/apply.rs
+++ b/crates/entry/src/duties/apply.rs
@@ -95,8 +95,8 @@
 
 /// Tells the budgets what the plans need here, so that idle share moves to where the demand is.
 async fn note_usage(context: &Context, config: &ConfigState) {
-    let usage = context.admission.usage().await;
-    let members = context.control.view().epoch.members.len().max(1) as u64;
+    let usage = context.admission.take_usage().await;
+    let members = u64::from(fleet_size(context));
     for (workspace, plan) in plans(context, config) {
         let used = usage.iter().find(|(known, _)| *known == workspace);
         let used = used.map_or_else(Usage::default, |(_, usage)| *usage);
@@ -137,16 +137,23 @@
 }
 
 /// This daemon's part of a plan.
+///
+/// Half of an equal part is used even without a share: before the first epoch no daemon has a share,
+/// and idle share has moved to another daemon. Daemons keep that half of their shares (see
+/// [`note_usage`]), so the sum stays within the plan while an epoch is known, and is half of the plan
+/// before.
 fn limits(context: &Context, workspace: WorkspaceId, plan: &Plan) -> PlanLimits {
-    let share = |kind| context.budgets.share(kind) as f64;
-    let requests_per_s = share(BudgetKind::PlanRequests(workspace.0)) / MILLI as f64;
-    let tokens_per_s = share(BudgetKind::PlanTokens(workspace.0));
-    let concurrency = context
-        .budgets
-        .share(BudgetKind::PlanConcurrency(workspace.0));
+    let index = workspace.0;
+    let parts = f64::from(fleet_size(context)) * 2.0;
+    let share = |kind, whole: f64| (context.budgets.share(kind) as f64).max(whole / parts);
+    let requests = share(
+        BudgetKind::PlanRequests(index),
+        f64::from(plan.requests_per_s) * MILLI as f64,
+    );
+    let requests_per_s = requests / MILLI as f64;
+    let tokens_per_s = share(BudgetKind::PlanTokens(index), plan.tokens_per_s.into());
+    let concurrency = share(BudgetKind::PlanConcurrency(index), plan.concurrency.into());
     let part = |share: f64, whole: u32| share / f64::from(whole.max(1));
-    let burst_requests = f64::from(plan.burst_requests) * part(requests_per_s, plan.requests_per_s);
-    let burst_tokens = f64::from(plan.burst_tokens) * part(tokens_per_s, plan.tokens_per_s);
     PlanLimits {
         weight: plan.weight,
         priority: match plan.priority {
@@ -156,12 +163,25 @@
         share: PlanShare {
             requests_per_s,
             tokens_per_s,
-            burst_requests,
-            burst_tokens,
+            burst_requests: f64::from(plan.burst_requests)
+                * part(requests_per_s, plan.requests_per_s),
+            burst_tokens: f64::from(plan.burst_tokens) * part(tokens_per_s, plan.tokens_per_s),
             // One request always runs: with fewer permits than daemons most would have none, and a
             // small workspace would wait for a transfer. The fleet's bound is therefore the plan's
             // concurrency plus one per daemon.
-            concurrency: u32::try_from(concurrency).unwrap_or(u32::MAX).max(1),
+            concurrency: (concurrency as u32).max(1),
         },
     }
 }
+
+/// Number of daemons, counted generously: a missing member must not enlarge the parts of the others.
+fn fleet_size(context: &Context) -> u32 {
+    let view = context.control.view();
+    let size = view
+        .members
+        .len()
+        .max(view.epoch.members.len())
+        .max(context.settings.instances.seeds.len())
+        .max(1);
+    u32::try_from(size).unwrap_or(u32::MAX)
+}
--- a/crates/entry/src/duties/claims.rs
+++ b/crates/entry/src/duties/claims.rs
@@ -8,6 +8,7 @@
     AgeRule, AppendFailure, Attempt, ClaimOwner, ClaimRequest, Now, OwnerAction, OwnerConfig,
     OwnerEvent, Submission, SubmitError, Unavailable, Verdict,
 };
+use anvilgw_config::PartitionStatus;
 use anvilgw_core::{Clock, DaemonId, LogError, LogService, Offset};
 use anvilgw_kernel::{
     Duty, EventKind, Journal, Receiver, RecvTimeoutError, RingFull, Sender, Stop, ring,
@@ -46,15 +47,6 @@
     Read(Offset),
 }
 
-/// State of one partition, for `status`.
-#[derive(Clone, Debug, serde::Serialize)]
-pub(crate) struct PartitionStatus {
-    partition: u16,
-    caught_up: bool,
-    next_offset: u64,
-    keys: usize,
-}
-
 /// What the duty needs to know.
 #[derive(Clone)]
 pub(crate) struct ClaimsSetup {
@@ -347,7 +339,7 @@
                 partition: *partition,
                 caught_up: known.owner.is_caught_up(),
                 next_offset: known.owner.fold().next_offset().0,
-                keys: known.owner.fold().len(),
+                keys: known.owner.fold().len() as u64,
             })
             .collect()
     }
--- a/crates/entry/src/duties/control/configuration.rs
+++ b/crates/entry/src/duties/control/configuration.rs
@@ -131,7 +131,11 @@
             let _ = reply.send(ChangeAnswer::Undecided);
             return None;
         }
-        let payload = record.encode();
+        let Ok(payload) = record.encode() else {
+            // The endpoint has checked the change, so this is a record of another program.
+            let _ = reply.send(ChangeAnswer::Undecided);
+            return None;
+        };
         let pending = Pending {
             payload: payload.clone(),
             appended: now,
--- a/crates/entry/src/duties/control/mod.rs
+++ b/crates/entry/src/duties/control/mod.rs
@@ -15,10 +15,9 @@
 pub(crate) use worker::{ControlParts, ControlSetup};
 
 use anvilgw_config::{ConfigRecord, ConfigState, PeerUpdate, Rejection};
-use anvilgw_core::{Clock, DaemonId};
+use anvilgw_core::{Clock, DaemonId, DomainId};
 use anvilgw_fleet::{Epoch, Freshness, Ownership, OwnershipWait, Stale};
 use anvilgw_kernel::Sender;
-use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,7 +38,7 @@
 }
 
 /// A live member, for `status` and for calls.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
 pub(crate) struct Member {
     /// Number of the daemon.
     pub(crate) index: u32,
@@ -47,6 +46,8 @@
     pub(crate) incarnation: u64,
     /// Address for datagrams and calls.
     pub(crate) address: SocketAddr,
+    /// Failure domain.
+    pub(crate) domain: DomainId,
     /// State in this daemon's view.
     pub(crate) state: &'static str,
     /// Configuration version that it last reported.
@@ -128,6 +129,12 @@
         self.freshness.borrow().may_take_new_work(now)
     }
 
+    /// Whether the last read of the log succeeded.
+    pub(crate) fn reaches_log(&self) -> bool {
+        let now = self.clock.uptime();
+        self.freshness.borrow().vitals(now).reaches_log
+    }
+
     /// Age of the view.
     pub(crate) fn view_age(&self) -> Option<Duration> {
         let now = self.clock.uptime();
--- a/crates/entry/src/duties/control/worker.rs
+++ b/crates/entry/src/duties/control/worker.rs
@@ -559,7 +559,7 @@
     fn publish_view(&mut self, now: Duration) {
         let own = self.membership.own();
         let version = self.configuration.version();
-        let own_member = member(own, "self", Some(version));
+        let own_member = member(own, "alive", Some(version));
         let others = self.membership.members().map(|known| {
             let version = self.config_versions.get(&known.contact.id).copied();
             member(known.contact, state_name(known.state), version)
@@ -585,6 +585,7 @@
         index: contact.id.index,
         incarnation: contact.id.incarnation,
         address: contact.address,
+        domain: contact.domain,
         state,
         config_version,
     }
@@ -594,7 +595,7 @@
     match state {
         MemberState::Alive => "alive",
         MemberState::Suspect => "suspect",
-        MemberState::Failed => "failed",
-        MemberState::Left => "left",
+        MemberState::Failed => "dead",
+        MemberState::Left => "leaving",
     }
 }
--- a/crates/entry/src/duties/polls.rs
+++ b/crates/entry/src/duties/polls.rs
@@ -8,7 +8,7 @@
 use anvilgw_core::ServerId;
 use anvilgw_platform::{
     CacheChange, CacheEvents, ConnectionSettings, EngineControl, EngineLoad, InstanceListClient,
-    InstanceState,
+    InstanceState, ServiceClient,
 };
 use anvilgw_router::{
     BlockChange, BlockKey, CacheEvent, Generation, Listing, LoadReport, Location,
@@ -39,7 +39,18 @@
                 );
                 spawn(poll_events(Arc::clone(context), id, control.clone()), stop);
             }
-            BackendKind::Service { .. } => {}
+            BackendKind::Service {
+                client,
+                reports_load,
+            } => {
+                let task = poll_service(
+                    Arc::clone(context),
+                    backend.id,
+                    client.clone(),
+                    *reports_load,
+                );
+                spawn(task, stop);
+            }
         }
     }
     if let Some(&address) = context.settings.instances.addresses.first() {
@@ -100,6 +111,34 @@
         completed: load.completed,
         overloads: 0,
         cached_blocks: load.cached_tokens / block_tokens.max(1),
+        reported_warm: Some(load.warm),
+    }
+}
+
+/// Plain services report only how many calls they run and have run. Services without reports count as
+/// started and idle, so that their temperature follows from the settings.
+async fn poll_service(
+    context: Arc<Context>,
+    server: ServerId,
+    client: ServiceClient,
+    reports_load: bool,
+) {
+    if !reports_load {
+        context.routing.report(server, LoadReport::default());
+        return;
+    }
+    loop {
+        let measured_at = context.clock.uptime();
+        if let Ok(load) = client.load().await {
+            let report = LoadReport {
+                measured_at,
+                running: u32::try_from(load.running).unwrap_or(u32::MAX),
+                completed: load.executed,
+                ..LoadReport::default()
+            };
+            context.routing.report(server, report);
+        }
+        pause(LOAD_INTERVAL).await;
     }
 }
 
--- a/crates/entry/src/duties/routing.rs
+++ b/crates/entry/src/duties/routing.rs
@@ -104,14 +104,20 @@
 }
 
 /// State of one backend server, for `status`.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
 pub(crate) struct ServerStatus {
     /// Number of the server.
     pub(crate) server: ServerId,
-    capacity: u32,
-    own_running: u32,
-    cold: Option<anvilgw_router::ColdCause>,
-    cold_share: u64,
+    /// Requests that it sustains now.
+    pub(crate) capacity: u32,
+    /// Requests of this daemon that it runs.
+    pub(crate) own_running: u32,
+    /// Why it is cold.
+    pub(crate) cold: Option<anvilgw_router::ColdCause>,
+    /// This daemon's permits while it is cold.
+    pub(crate) cold_share: u64,
+    /// State of its circuit breaker.
+    pub(crate) breaker: &'static str,
 }
 
 /// Handle of the routing duty.
@@ -500,6 +506,7 @@
     }
 
     fn status(&self) -> Vec<ServerStatus> {
+        let now = self.clock.uptime();
         self.servers
             .iter()
             .map(|spec| ServerStatus {
@@ -508,6 +515,11 @@
                 own_running: self.router.own_running(spec.id),
                 cold: self.router.cold_cause(spec.id),
                 cold_share: self.budgets.share(BudgetKind::Cold(spec.id)),
+                breaker: match self.router.breaker_state(spec.id, now) {
+                    Some(BreakerState::Open) => "open",
+                    Some(BreakerState::HalfOpen) => "half-open",
+                    _ => "closed",
+                },
             })
             .collect()
     }
--- a/crates/entry/src/explain.rs
+++ b/crates/entry/src/explain.rs
@@ -67,6 +67,18 @@
         }
     }
 
+    /// Adds an attempt. It replaces the last one if that found no server, because a request that waits
+    /// for capacity looks many times.
+    pub(crate) fn attempt(&self, id: RequestId, attempt: Attempt) {
+        self.update(id, |record| {
+            record.attempts.pop_if(|last| {
+                let decision = last.decision.as_ref();
+                decision.is_some_and(|decision| decision.selected.is_none())
+            });
+            record.attempts.push(attempt);
+        });
+    }
+
     /// The record of a request as JSON.
     pub(crate) fn get(&self, id: RequestId) -> Option<serde_json::Value> {
         let record = self.records.lock().expect("explain lock").get(&id)?.clone();
--- a/crates/router/src/cold.rs
+++ b/crates/router/src/cold.rs
@@ -108,8 +108,13 @@
     /// Takes a load report.
     pub fn on_report(&mut self, report: &LoadReport) -> Option<TemperatureChange> {
         let Some(known) = self.known.replace(*report) else {
-            // Without a history the completions since the start show how warm the server is.
+            // Without a history the server's own word counts, or else its completions since the
+            // start. Later reports can only show that it became cold again.
             self.completed_base = 0;
+            if report.reported_warm == Some(true) {
+                self.cause = None;
+                return Some(TemperatureChange::Warm);
+            }
             self.cause = Some(ColdCause::Started);
             return self.warm_if_full();
         };
--- a/crates/router/src/load.rs
+++ b/crates/router/src/load.rs
@@ -27,6 +27,8 @@
     pub overloads: u64,
     /// Blocks in the prefix cache.
     pub cached_blocks: u64,
+    /// Whether the server says that it is warm, if it says anything about it.
+    pub reported_warm: Option<bool>,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/router/src/table.rs
+++ b/crates/router/src/table.rs
@@ -337,6 +337,12 @@
         self.servers.get(&server)?.temperature.cold_cause()
     }
 
+    /// State of a server's circuit breaker.
+    #[must_use]
+    pub fn breaker_state(&self, server: ServerId, now: Duration) -> Option<BreakerState> {
+        Some(self.servers.get(&server)?.breaker.state(now))
+    }
+
     /// Requests of this daemon on a server.
     #[must_use]
     pub fn own_running(&self, server: ServerId) -> u32 {
--- a/crates/testbed/src/bed.rs
+++ b/crates/testbed/src/bed.rs
@@ -21,6 +21,8 @@
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 /// Longest wait for daemons to become ready.
 const READY_LIMIT: Duration = Duration::from_secs(20);
+/// Time after which all daemons use the shares of an epoch: the growth wait of 2.5 s and a margin.
+const SHARE_WAIT: Duration = Duration::from_millis(3_000);
 const READY_TICK: Duration = Duration::from_millis(20);
 /// Attempts to find a port that is free for both TCP and UDP.
 const PORT_ATTEMPTS: usize = 100;
@@ -163,7 +165,10 @@
                 expected_version: version,
                 change,
             };
-            self.log.append(&stream, &record.encode())?;
+            let payload = record.encode().map_err(|error| {
+                BedError::Io(io::Error::other(error.to_string()))
+            })?;
+            self.log.append(&stream, &payload)?;
         }
         Ok(())
     }
@@ -227,6 +232,32 @@
         })
     }
 
+    /// Waits until an epoch has all running daemons as members and its shares are in use. Cold
+    /// backend servers take no requests before.
+    ///
+    /// # Errors
+    ///
+    /// [`BedError::NotReady`] if there is no such epoch within 20 s.
+    pub async fn wait_settled(&self) -> Result<(), BedError> {
+        let running = self.daemons.iter().flatten().count();
+        let unsettled = || {
+            self.daemons.iter().position(|daemon| {
+                daemon
+                    .as_ref()
+                    .is_some_and(|daemon| daemon.epoch_members() != running)
+            })
+        };
+        let settled = async {
+            while unsettled().is_some() {
+                tokio::time::sleep(READY_TICK).await;
+            }
+        };
+        let result = tokio::time::timeout(READY_LIMIT, settled).await;
+        result.map_err(|_| BedError::NotReady(unsettled().unwrap_or_default()))?;
+        tokio::time::sleep(SHARE_WAIT).await;
+        Ok(())
+    }
+
     /// Newest configuration version of any daemon.
     #[must_use]
     pub fn newest_config_version(&self) -> u64 {
