Check the claim and order protocols exhaustively within bounds

The claim and order state machines must hold under every interleaving, so the explorer drives the same code breadth first through crashes, lost, late and refused appends, lost answers, stale views, trimming and passing time. The first searches showed two faults in the order issuer, both fixed: two orders to one engine could overtake each other, and a daemon that lost and regained the lease did not wait for its own earlier orders.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -1,5 +1,7 @@
 //! The experiments, one file each.
 
+mod model_check;
+
 use crate::report::Report;
 
 /// Options of a run.
@@ -22,4 +24,4 @@
 }
 
 /// All experiments in the order of the listing.
-pub(crate) const ALL: &[Experiment] = &[];
+pub(crate) const ALL: &[Experiment] = &[model_check::EXPERIMENT];
--- a/crates/claims/src/orders.rs
+++ b/crates/claims/src/orders.rs
@@ -6,8 +6,7 @@
 
 use crate::mutation::Flaw;
 use anvilgw_core::{ModelId, Offset, ServerId};
-use indexmap::IndexMap;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Identifier of an order; an order is sent once.
@@ -96,7 +95,7 @@
 /// Settings of an issuer.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct IssuerConfig {
-    /// Longest time from the check before sending until an order takes effect or never will.
+    /// Longer than any time from the check before sending until an order takes effect.
     pub max_flight: Duration,
     /// Time between two attempts to read an engine's state.
     pub retry_interval: Duration,
@@ -211,12 +210,14 @@
 }
 
 /// State machine of the daemon that issues orders.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct OrderIssuer {
     config: IssuerConfig,
     flaw: Option<Flaw>,
     lease: Option<LeaseGrant>,
-    open: IndexMap<OrderId, Open>,
+    open: Vec<Open>,
+    /// When the last order was sent under a lease that is lost.
+    lost_at: Option<Duration>,
     ended: VecDeque<OrderId>,
 }
 
@@ -228,7 +229,8 @@
             config,
             flaw: None,
             lease: None,
-            open: IndexMap::new(),
+            open: Vec::new(),
+            lost_at: None,
             ended: VecDeque::new(),
         }
     }
@@ -268,9 +270,11 @@
 
     fn lease_held(&mut self, lease: LeaseGrant) {
         // A renewal has no previous holder but this daemon, so an earlier wait goes on.
+        // Orders that this daemon sent under a lost lease may be in flight like another holder's.
         let previous_until = lease
             .previous_until
-            .max(self.lease.and_then(|held| held.previous_until));
+            .max(self.lease.and_then(|held| held.previous_until))
+            .max(self.lost_at);
         self.lease = Some(LeaseGrant {
             previous_until,
             ..lease
@@ -279,18 +283,20 @@
 
     fn lease_lost(&mut self, actions: &mut Vec<IssuerAction>) {
         self.lease = None;
-        let ids: Vec<_> = self.open.keys().copied().collect();
-        for id in ids {
-            let end = match self.open[&id].step {
+        for open in self.open.clone() {
+            let end = match open.step {
                 Step::Waiting { .. } | Step::Reading => OrderEnd::NotSent,
-                Step::Sent { .. } | Step::Checking { .. } => OrderEnd::Unknown,
+                Step::Sent { at, .. } | Step::Checking { sent_at: at } => {
+                    self.lost_at = self.lost_at.max(Some(at));
+                    OrderEnd::Unknown
+                }
             };
-            self.end(id, end, actions);
+            self.end(open.order.id, end, actions);
         }
     }
 
     fn submit(&mut self, order: Order, obeys_tokens: bool, actions: &mut Vec<IssuerAction>) {
-        let is_known = self.open.contains_key(&order.id) || self.ended.contains(&order.id);
+        let is_known = self.find(order.id).is_some() || self.ended.contains(&order.id);
         let end = if is_known || self.open.len() >= self.config.max_orders {
             OrderEnd::NotTaken
         } else if self.lease.is_none() {
@@ -299,21 +305,18 @@
             let step = Step::Waiting {
                 not_before: Duration::ZERO,
             };
-            self.open.insert(
-                order.id,
-                Open {
-                    order,
-                    obeys_tokens,
-                    step,
-                },
-            );
+            self.open.push(Open {
+                order,
+                obeys_tokens,
+                step,
+            });
             return;
         };
         actions.push(IssuerAction::Ended { id: order.id, end });
     }
 
     fn answered(&mut self, id: OrderId, answer: SendAnswer, actions: &mut Vec<IssuerAction>) {
-        let Some(open) = self.open.get_mut(&id) else {
+        let Some(open) = self.find(id) else {
             return;
         };
         let Step::Sent { at, .. } = open.step else {
@@ -341,7 +344,8 @@
         now: Duration,
         actions: &mut Vec<IssuerAction>,
     ) {
-        let Some(open) = self.open.get_mut(&id) else {
+        let (max_flight, retry_interval) = (self.config.max_flight, self.config.retry_interval);
+        let Some(open) = self.find(id) else {
             return;
         };
         let in_effect = state.map(|state| open.order.change.is_in_effect(state));
@@ -351,19 +355,17 @@
             }
             (Step::Reading, Some(false)) => self.send(id, now, actions),
             (Step::Reading, None) => {
-                let not_before = now + self.config.retry_interval;
+                let not_before = now + retry_interval;
                 open.step = Step::Waiting { not_before };
             }
-            (Step::Checking { sent_at }, Some(false))
-                if now >= sent_at + self.config.max_flight =>
-            {
+            (Step::Checking { sent_at }, Some(false)) if now >= sent_at + max_flight => {
                 self.end(id, OrderEnd::NotInEffect, actions);
             }
             (Step::Checking { sent_at }, _) => {
-                let lands_at = sent_at + self.config.max_flight;
+                let lands_at = sent_at + max_flight;
                 open.step = Step::Sent {
                     at: sent_at,
-                    check_at: lands_at.max(now + self.config.retry_interval),
+                    check_at: lands_at.max(now + retry_interval),
                 };
             }
             (Step::Waiting { .. } | Step::Sent { .. }, _) => {}
@@ -378,17 +380,15 @@
         if now >= lease.valid_until && self.flaw != Some(Flaw::LeaseNotRechecked) {
             return self.end(id, OrderEnd::NotSent, actions);
         }
-        let Some(open) = self.open.get_mut(&id) else {
+        let check_at = now + self.config.max_flight;
+        let Some(open) = self.find(id) else {
             return;
         };
         assert!(
             matches!(open.step, Step::Reading),
             "an order is sent only once"
         );
-        open.step = Step::Sent {
-            at: now,
-            check_at: now + self.config.max_flight,
-        };
+        open.step = Step::Sent { at: now, check_at };
         actions.push(IssuerAction::Send {
             order: open.order,
             token: lease.token,
@@ -405,10 +405,15 @@
             .previous_until
             .is_none_or(|until| now >= until + max_flight);
         let skips_wait = self.flaw == Some(Flaw::NoWaitOut);
-        for open in self.open.values_mut() {
+        // One order per engine at a time: two in flight could arrive in the other order.
+        let mut busy = BTreeSet::new();
+        for open in &mut self.open {
+            let is_first = busy.insert(open.order.server);
             match open.step {
                 Step::Waiting { not_before }
-                    if now >= not_before && (waited_out || open.obeys_tokens || skips_wait) =>
+                    if is_first
+                        && now >= not_before
+                        && (waited_out || open.obeys_tokens || skips_wait) =>
                 {
                     open.step = Step::Reading;
                     actions.push(IssuerAction::ReadState(open.order));
@@ -425,10 +430,12 @@
         }
     }
 
+    fn find(&mut self, id: OrderId) -> Option<&mut Open> {
+        self.open.iter_mut().find(|open| open.order.id == id)
+    }
+
     fn end(&mut self, id: OrderId, end: OrderEnd, actions: &mut Vec<IssuerAction>) {
-        if self.open.shift_remove(&id).is_none() {
-            return;
-        }
+        self.open.retain(|open| open.order.id != id);
         if self.ended.len() >= self.config.max_ended {
             self.ended.pop_front();
         }
--- a/crates/claims/src/owner.rs
+++ b/crates/claims/src/owner.rs
@@ -274,13 +274,7 @@
                 });
             }
         }
-        if self
-            .flight
-            .as_ref()
-            .is_some_and(|flight| flight.batch.id == batch.id)
-        {
-            self.flight = None;
-        }
+        self.flight_folded(batch.id);
     }
 
     fn holds(&self, claim: &ClaimRequest) -> bool {
--- a/crates/claims/src/owner/flight.rs
+++ b/crates/claims/src/owner/flight.rs
@@ -32,6 +32,8 @@
 pub(super) enum FlightState {
     /// The append was not answered yet.
     Sent,
+    /// The append was not answered yet, but a read has shown the batch.
+    Seen,
     /// The append was answered, but records in front of it are not folded.
     Appended,
     /// The answer was lost: a read shows whether the batch is in the stream.
@@ -150,17 +152,39 @@
         }
     }
 
+    /// The append that an answer belongs to, unless nothing is left to do for it.
+    fn answered_flight(&mut self, batch: BatchId) -> Option<&mut Flight> {
+        let is_seen =
+            |flight: &mut Flight| flight.batch.id == batch && flight.state == FlightState::Seen;
+        self.flight.take_if(is_seen);
+        self.flight
+            .as_mut()
+            .filter(|flight| flight.batch.id == batch)
+    }
+
+    /// Notes that a batch was folded. An append that is not answered yet stays in flight.
+    pub(super) fn flight_folded(&mut self, batch: BatchId) {
+        let Some(flight) = self
+            .flight
+            .as_mut()
+            .filter(|flight| flight.batch.id == batch)
+        else {
+            return;
+        };
+        if flight.state == FlightState::Sent {
+            flight.state = FlightState::Seen;
+        } else {
+            self.flight = None;
+        }
+    }
+
     pub(super) fn appended(
         &mut self,
         batch: BatchId,
         offset: Offset,
         actions: &mut Vec<OwnerAction>,
     ) {
-        let Some(flight) = self
-            .flight
-            .as_mut()
-            .filter(|flight| flight.batch.id == batch)
-        else {
+        let Some(flight) = self.answered_flight(batch) else {
             return;
         };
         flight.state = FlightState::Appended;
@@ -199,14 +223,10 @@
         now: Now,
         actions: &mut Vec<OwnerAction>,
     ) {
-        let Some(flight) = self
-            .flight
-            .as_mut()
-            .filter(|flight| flight.batch.id == batch)
-        else {
+        self.append_not_before = now.uptime + self.config.retry_interval;
+        let Some(flight) = self.answered_flight(batch) else {
             return;
         };
-        self.append_not_before = now.uptime + self.config.retry_interval;
         // A repeated batch may be in the stream through its earlier append.
         if failure == AppendFailure::NotAppended && flight.repeats == 0 {
             self.unseen.remove(batch.sequence);
--- a/crates/explorer/src/lib.rs
+++ b/crates/explorer/src/lib.rs
@@ -1,1 +1,17 @@
 //! Model checker over the decision code, with mutants.
+//!
+//! Each family of protocols has a module with a small state machine around the decision code that
+//! the daemon runs: everything that the network, the log service, crashes and clocks may do is a
+//! step. [`search`] explores all of it breadth first, so a trace to a violation is a shortest one.
+//! A mutant plants a fault that the invariants have to catch.
+
+mod claims;
+mod mutant;
+mod orders;
+pub mod search;
+mod shared;
+
+pub use claims::{ClaimBounds, claims_model};
+pub use mutant::Mutant;
+pub use orders::{OrderBounds, orders_model};
+pub use search::{Outcome, Trace};
