Test the claim crate with tables and random schedules

Encoding, fold, owner, sender, keys and orders had only the model checker behind them, which reaches few records at a time.

--- /dev/null
+++ b/crates/claims/tests/common/mod.rs
@@ -0,0 +1,66 @@
+//! Builders for tests.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use anvilgw_claims::{
+    AgeRule, Attempt, Batch, BatchId, BodyDigest, ClaimKey, ClaimRequest, KeyTime, Now, Record,
+};
+use anvilgw_core::{AttemptId, DaemonId};
+use quickcheck::{Gen, QuickCheck, Testable};
+use std::time::Duration;
+
+/// Every run of CI has the same verdict.
+const SEED: u64 = 20;
+
+pub(crate) fn quick<T: Testable>(tests: u64, property: T) {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(64, SEED))
+        .tests(tests)
+        .quickcheck(property);
+}
+
+pub(crate) fn rule() -> AgeRule {
+    AgeRule::default()
+}
+
+pub(crate) fn daemon(index: u32) -> DaemonId {
+    DaemonId {
+        index,
+        incarnation: 1,
+    }
+}
+
+pub(crate) fn attempt(holder: u32, number: u64) -> Attempt {
+    Attempt {
+        holder: daemon(holder),
+        number: AttemptId(number),
+    }
+}
+
+pub(crate) fn claim(key: u64, holder: u32, number: u64) -> ClaimRequest {
+    ClaimRequest {
+        key: ClaimKey(u128::from(key)),
+        body: BodyDigest([0; 32]),
+        attempt: attempt(holder, number),
+        deadline_ms: 60_000,
+        key_time: KeyTime(0),
+    }
+}
+
+pub(crate) fn batch(sequence: u64, wall_ms: u64, records: Vec<Record>) -> Batch {
+    Batch {
+        id: BatchId {
+            writer: daemon(0),
+            sequence,
+        },
+        wall_ms,
+        records,
+    }
+}
+
+pub(crate) fn now(ms: u64) -> Now {
+    Now {
+        uptime: Duration::from_millis(ms),
+        wall_ms: ms,
+    }
+}
--- /dev/null
+++ b/crates/claims/tests/fold.rs
@@ -0,0 +1,244 @@
+//! Fold of a claim stream.
+
+mod common;
+
+use anvilgw_claims::{
+    Applied, Batch, ClaimKey, FoldError, KeyState, PartitionFold, Record, RecordedAnswer, Verdict,
+};
+use anvilgw_core::{LogRecord, Offset};
+use common::{attempt, batch, claim, quick, rule};
+
+fn fold_of(first: u64, batches: &[Batch]) -> PartitionFold {
+    let mut fold = PartitionFold::new(rule(), Offset(first));
+    for (index, batch) in batches.iter().enumerate() {
+        let record = LogRecord {
+            offset: Offset(first + index as u64),
+            payload: batch.encode().unwrap(),
+        };
+        fold.apply(&record).unwrap();
+    }
+    fold
+}
+
+fn answer(status: u16) -> RecordedAnswer {
+    RecordedAnswer::new(status, "", b"", 100)
+}
+
+/// Record `kind` about key `key` of attempt `number`.
+fn record(kind: u8, key: u64, number: u64) -> Record {
+    let (key_hash, attempt) = (ClaimKey(u128::from(key)), attempt(0, number));
+    match kind % 4 {
+        0 => Record::Claim(claim(key, 0, number)),
+        1 => Record::Outcome {
+            key: key_hash,
+            attempt,
+            answer: answer(200 + number as u16),
+        },
+        2 => Record::Abandon {
+            key: key_hash,
+            attempt,
+        },
+        _ => Record::Expire {
+            key: key_hash,
+            attempt,
+        },
+    }
+}
+
+/// One run over a key: pairs of record kind and attempt number.
+struct Transition {
+    name: &'static str,
+    records: &'static [(u8, u64)],
+    expected: Verdict,
+}
+
+fn transition_cases() -> Vec<Transition> {
+    let case = |name, records, expected| Transition {
+        name,
+        records,
+        expected,
+    };
+    let done = || Verdict::Done(answer(201));
+    vec![
+        case("free", &[], Verdict::Granted),
+        case("claimed", &[(0, 1)], Verdict::InProgress),
+        case("abandoned", &[(0, 1), (2, 1)], Verdict::Granted),
+        case(
+            "abandoned by the loser",
+            &[(0, 1), (0, 2), (2, 2)],
+            Verdict::InProgress,
+        ),
+        case("expired", &[(0, 1), (3, 1)], Verdict::Unknown),
+        case(
+            "abandoned after expiry",
+            &[(0, 1), (3, 1), (2, 1)],
+            Verdict::Unknown,
+        ),
+        case("done", &[(0, 1), (1, 1)], done()),
+        case("done late", &[(0, 1), (3, 1), (1, 1)], done()),
+        case("abandoned after done", &[(0, 1), (1, 1), (2, 1)], done()),
+        case(
+            "outcome of the loser",
+            &[(0, 1), (0, 2), (1, 2)],
+            Verdict::InProgress,
+        ),
+        case("outcome without claim", &[(1, 1)], Verdict::Granted),
+    ]
+}
+
+/// Guards against each wrong transition of a key.
+#[test]
+fn transitions() {
+    for case in transition_cases() {
+        let batches: Vec<_> = case
+            .records
+            .iter()
+            .enumerate()
+            .map(|(sequence, (kind, number))| {
+                batch(sequence as u64, 0, vec![record(*kind, 7, *number)])
+            })
+            .collect();
+        let fold = fold_of(0, &batches);
+        assert_eq!(
+            fold.verdict(&claim(7, 0, 9), 0),
+            case.expected,
+            "{}",
+            case.name
+        );
+    }
+    let mut other_body = claim(7, 0, 9);
+    other_body.body.0[0] = 1;
+    let fold = fold_of(0, &[batch(0, 0, vec![record(0, 7, 1), record(1, 7, 1)])]);
+    assert_eq!(fold.verdict(&other_body, 0), Verdict::KeyReused);
+}
+
+/// Guards against skipped records.
+#[test]
+fn gaps_are_errors() {
+    let mut fold = fold_of(0, &[batch(0, 0, vec![])]);
+    let late = LogRecord {
+        offset: Offset(2),
+        payload: Vec::new(),
+    };
+    assert_eq!(fold.apply(&late), Err(FoldError::Gap(Offset(1), Offset(2))));
+    assert_eq!(
+        fold.retain_from(Offset(2)),
+        Err(FoldError::Gap(Offset(1), Offset(2)))
+    );
+    assert_eq!(fold.next_offset(), Offset(1));
+}
+
+/// Guards against a batch that takes effect twice: its claim would be back after the abandon.
+#[test]
+fn repeated_batch_has_no_effect() {
+    let claims = batch(0, 0, vec![record(0, 7, 1)]);
+    let abandon = batch(1, 0, vec![record(2, 7, 1)]);
+    let mut fold = fold_of(0, &[claims.clone(), abandon]);
+    let again = LogRecord {
+        offset: Offset(2),
+        payload: claims.encode().unwrap(),
+    };
+    assert_eq!(fold.apply(&again), Ok(Applied::Repeated(claims.id)));
+    assert!(fold.is_empty());
+}
+
+/// Guards against a grant for a key whose records may have been trimmed, or from the far future.
+#[test]
+fn age_limits() {
+    struct Case {
+        first: u64,
+        key_ms: u64,
+        expected: Verdict,
+    }
+    let cases = [
+        Case {
+            first: 0,
+            key_ms: 0,
+            expected: Verdict::Granted,
+        },
+        Case {
+            first: 1,
+            key_ms: 1_119_999,
+            expected: Verdict::TooOld,
+        },
+        Case {
+            first: 1,
+            key_ms: 1_120_000,
+            expected: Verdict::Granted,
+        },
+        Case {
+            first: 1,
+            key_ms: 2_060_000,
+            expected: Verdict::Granted,
+        },
+        Case {
+            first: 1,
+            key_ms: 2_060_001,
+            expected: Verdict::FromFuture,
+        },
+    ];
+    for case in cases {
+        let fold = fold_of(case.first, &[batch(0, 1_000_000, vec![])]);
+        let mut claim = claim(7, 0, 1);
+        claim.key_time.0 = case.key_ms;
+        assert_eq!(
+            fold.verdict(&claim, 2_000_000),
+            case.expected,
+            "{}",
+            case.key_ms
+        );
+    }
+    // The fold refuses a key from the future too, whatever the writer did.
+    let mut early = claim(7, 0, 1);
+    early.key_time.0 = 60_001;
+    assert!(fold_of(0, &[batch(0, 0, vec![Record::Claim(early)])]).is_empty());
+}
+
+/// Guards against memory that grows beyond the retained records, and against a fold that started
+/// later and grants what an older fold knows as claimed.
+#[test]
+fn trimmed_fold_agrees_with_a_fresh_one() {
+    fn property(kinds: Vec<(u8, u8, u8)>, cut: u8) -> bool {
+        let batches: Vec<_> = kinds
+            .into_iter()
+            .enumerate()
+            .map(|(sequence, (kind, key, number))| {
+                let change = record(kind, u64::from(key % 4), u64::from(number % 4));
+                batch(sequence as u64, 10 * sequence as u64, vec![change])
+            })
+            .collect();
+        let first = u64::from(cut) % (batches.len() as u64 + 1);
+        let mut trimmed = fold_of(0, &batches);
+        let all = trimmed.clone();
+        trimmed.retain_from(Offset(first)).unwrap();
+        let fresh = fold_of(first, &batches[first as usize..]);
+        let is_claimed = |key| all.entry(ClaimKey(key)).is_some();
+        let retained = batches.len() - first as usize;
+        (0..4).all(|key| {
+            let request = claim(key, 1, 99);
+            let verdicts = [fresh.verdict(&request, 0), trimmed.verdict(&request, 0)];
+            !is_claimed(u128::from(key)) || !verdicts.contains(&Verdict::Granted)
+        }) && trimmed.len() <= retained
+            && fresh.len() <= retained
+    }
+    quick(3_000, property as fn(Vec<(u8, u8, u8)>, u8) -> bool);
+}
+
+/// Guards against an open claim that is never expired because the deadline index lost it.
+#[test]
+fn open_claims_are_those_without_an_end() {
+    fn property(kinds: Vec<(u8, u8, u8)>) -> bool {
+        let records = kinds
+            .into_iter()
+            .map(|(kind, key, number)| record(kind, u64::from(key % 8), u64::from(number % 3)))
+            .take(512)
+            .collect();
+        let fold = fold_of(0, &[batch(0, 0, records)]);
+        let open = fold.open_claims().count();
+        let claimed = (0..8)
+            .filter_map(|key| fold.entry(ClaimKey(key)))
+            .filter(|entry| entry.state == KeyState::Claimed);
+        open == claimed.count()
+    }
+    quick(2_000, property as fn(Vec<(u8, u8, u8)>) -> bool);
+}
