--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -3,6 +3,7 @@
 mod first_token;
 mod link;
 mod model;
+mod model_check;
 mod reuse;
 mod simulation;
 mod strategies;
@@ -46,4 +47,5 @@
         about: "time to first token at 80% load",
         run: first_token::experiment,
     },
+    model_check::EXPERIMENT,
 ];
--- a/crates/bench/src/experiments/model.rs
+++ b/crates/bench/src/experiments/model.rs
@@ -389,6 +389,7 @@
             completed: 1_000_000 + engine.completed,
             overloads: 0,
             cached_blocks: 1 + engine.cache.stamps.len() as u64,
+            reported_warm: None,
         }
     }
 
--- a/crates/entry/src/admin/mod.rs
+++ b/crates/entry/src/admin/mod.rs
@@ -94,8 +94,7 @@
 }
 
 async fn change(call: Call) -> Answer {
-    let bad_request =
-        |detail: String| Failure::new(ErrorKind::BadRequest, Stage::Received, detail);
+    let bad_request = |detail: String| Failure::new(ErrorKind::BadRequest, Stage::Received, detail);
     let request: ChangeRequest = serde_json::from_slice(&call.body)
         .map_err(|error| bad_request(format!("the change cannot be read: {error}")))?;
     request
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -10,12 +10,10 @@
 use crate::observe::{Hop, Metrics, Tracing};
 use crate::peer::PeerClient;
 use anvilgw_config::{ConfigState, Settings};
-use anvilgw_core::{
-    AttemptId, Clock, DaemonId, ErrorKind, Failure, RequestId, Stage, WorkspaceId,
-};
+use anvilgw_core::{AttemptId, Clock, DaemonId, ErrorKind, Failure, RequestId, Stage, WorkspaceId};
 use anvilgw_kernel::Journal;
-use rand::RngExt;
 use anvilgw_router::{FailedAttempt, RetryBudget, RetrySettings};
+use rand::RngExt;
 use spdlog::Logger;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -325,7 +325,7 @@
         Arc::clone(&base.log),
         Arc::clone(&base.clock),
         Arc::clone(&base.journal),
-        base.stop.clone(),
+        &base.stop,
     )?;
     duties.push(duty);
     Ok(Services {
@@ -470,9 +470,11 @@
 }
 
 fn key_table(keys: &IndexMap<String, Vec<KeyHash>>) -> KeyTable {
-    KeyTable::new((0..).zip(keys.values()).flat_map(|(holder, hashes)| {
-        hashes.iter().map(move |hash| (*hash, holder))
-    }))
+    KeyTable::new(
+        (0..)
+            .zip(keys.values())
+            .flat_map(|(holder, hashes)| hashes.iter().map(move |hash| (*hash, holder))),
+    )
 }
 
 fn serve(
--- a/crates/entry/src/dispatch/completion.rs
+++ b/crates/entry/src/dispatch/completion.rs
@@ -4,11 +4,11 @@
 use crate::backends::BackendKind;
 use crate::context::{Call, Context, OpenRequest};
 use crate::duties::admission::Permit;
-use crate::duties::routing::{Dispatch, ImportBlock, Query};
+use crate::duties::routing::{Dispatch, ImportBlock, Query, Selected};
 use crate::explain::{Attempt, Record};
 use crate::observe::Hop;
 use anvilgw_admission::Offer;
-use anvilgw_core::{ErrorKind, Failure, ServerId, Stage};
+use anvilgw_core::{AttemptId, ErrorKind, Failure, ServerId, Stage};
 use anvilgw_platform::{
     CallOptions, EngineError, EngineEvent, EngineRequest, EngineStream, KvImport, KvSource,
 };
@@ -71,9 +71,13 @@
             start_by: call.deadline.min(context.clock.uptime() + queue),
         };
         let start_by = offer.start_by;
-        let permit = context.admission.admit(offer).await.inspect_err(|failure| {
-            note_result(&context, &call, &failure.to_string());
-        })?;
+        let permit = context
+            .admission
+            .admit(offer)
+            .await
+            .inspect_err(|failure| {
+                note_result(&context, &call, &failure.to_string());
+            })?;
         let queued_ms = permit.waited.as_secs_f64() * 1e3;
         context
             .explain
@@ -253,35 +257,7 @@
 
     async fn open_attempt(&mut self) -> Result<Running, Failure> {
         let context = Arc::clone(&self.context);
-        let query = Query {
-            request: RouteRequest {
-                model: self.prompt.model,
-                adapter: self.prompt.adapter,
-                weight_version: self.prompt.weight_version,
-                prompt_tokens: self.prompt.prompt_tokens,
-                tried: self.tried.clone(),
-            },
-            keys: self.prompt.keys.clone(),
-        };
-        let selected = context.routing.select(query).await;
-        let number = context.next_attempt();
-        let mut attempt = Attempt {
-            number: number.0,
-            decision: None,
-            imported_blocks: 0,
-            outcome: None,
-        };
-        let selected = match selected {
-            Ok(selected) => selected,
-            Err((failure, explanation)) => {
-                attempt.decision = explanation;
-                self.note_attempt(attempt);
-                return Err(failure);
-            }
-        };
-        attempt.decision = Some(selected.explanation);
-        attempt.imported_blocks = selected.imports.len();
-        self.note_attempt(attempt);
+        let (number, selected) = self.select().await?;
         let mut dispatch = selected.dispatch;
         let backend = context.backends.get(selected.choice.server);
         let Some((backend, BackendKind::Engine { client, .. })) =
@@ -319,9 +295,42 @@
         }
     }
 
+    /// Chooses a server and notes why.
+    async fn select(&self) -> Result<(AttemptId, Selected), Failure> {
+        let query = Query {
+            request: RouteRequest {
+                model: self.prompt.model,
+                adapter: self.prompt.adapter,
+                weight_version: self.prompt.weight_version,
+                prompt_tokens: self.prompt.prompt_tokens,
+                tried: self.tried.clone(),
+            },
+            keys: self.prompt.keys.clone(),
+        };
+        let selected = self.context.routing.select(query).await;
+        let number = self.context.next_attempt();
+        let (decision, imported_blocks) = match &selected {
+            Ok(selected) => (Some(selected.explanation.clone()), selected.imports.len()),
+            Err(refused) => (refused.explanation.clone(), 0),
+        };
+        self.context.explain.attempt(
+            self.call.id,
+            Attempt {
+                number: number.0,
+                decision,
+                imported_blocks,
+                outcome: None,
+            },
+        );
+        match selected {
+            Ok(selected) => Ok((number, selected)),
+            Err(refused) => Err(refused.failure),
+        }
+    }
+
     fn engine_request(
         &self,
-        number: anvilgw_core::AttemptId,
+        number: AttemptId,
         imports: &[ImportBlock],
         hop: &Hop,
     ) -> EngineRequest {
@@ -354,11 +363,7 @@
                 KvSource::Engine(self.context.backends.get(server)?.address)
             }
             Location::Store(store, _) => {
-                let (_, settings) = self
-                    .context
-                    .settings
-                    .stores
-                    .get_index(store.0.into())?;
+                let (_, settings) = self.context.settings.stores.get_index(store.0.into())?;
                 KvSource::Store(settings.address)
             }
         };
@@ -368,10 +373,6 @@
             generation: import.hint.generation.0.into(),
         })
     }
-
-    fn note_attempt(&self, attempt: Attempt) {
-        self.context.explain.attempt(self.call.id, attempt);
-    }
 }
 
 /// A key as engines and stores write it.
--- a/crates/entry/src/dispatch/prompt.rs
+++ b/crates/entry/src/dispatch/prompt.rs
@@ -151,10 +151,7 @@
     }
 }
 
-fn adapter(
-    body: &Map<String, Value>,
-    model: &ModelSettings,
-) -> Result<Option<AdapterId>, Failure> {
+fn adapter(body: &Map<String, Value>, model: &ModelSettings) -> Result<Option<AdapterId>, Failure> {
     let Some(name) = body.get("adapter").filter(|value| !value.is_null()) else {
         return Ok(None);
     };
--- a/crates/entry/src/dispatch/service.rs
+++ b/crates/entry/src/dispatch/service.rs
@@ -104,7 +104,8 @@
     }
     let claim = claim_request(&context, &call, &request)?;
     // The call goes on when its caller disconnects: a claimed request must reach an outcome.
-    let task = tokio::spawn(async move { run_claimed(&context, &call, &request, claim, open).await });
+    let task =
+        tokio::spawn(async move { run_claimed(&context, &call, &request, claim, open).await });
     task.await.unwrap_or_else(|error| {
         let detail = format!("the call ended unexpectedly: {error}");
         Err(Failure::new(ErrorKind::Internal, Stage::Written, detail))
@@ -225,9 +226,9 @@
             attempt.decision = Some(selected.explanation);
             Ok((selected.choice, selected.dispatch))
         }
-        Err((failure, explanation)) => {
-            attempt.decision = explanation;
-            Err(failure)
+        Err(refused) => {
+            attempt.decision = refused.explanation;
+            Err(refused.failure)
         }
     };
     context.explain.attempt(call.id, attempt);
@@ -510,7 +511,8 @@
     let request = encode(&PeerRequest::Claim(claim));
     match context.peers.call(address, request, OWNER_TIMEOUT).await {
         Ok(answer) => match decode(&answer)? {
-            PeerAnswer::Verdict(Verdict::Unavailable(Unavailable::Owner)) | PeerAnswer::Unavailable => {
+            PeerAnswer::Verdict(Verdict::Unavailable(Unavailable::Owner))
+            | PeerAnswer::Unavailable => {
                 // The owner did not take the claim. Claims are correct wherever they are appended.
                 Some(context.claims.claim(claim).await)
             }
--- a/crates/entry/src/duties/claims.rs
+++ b/crates/entry/src/duties/claims.rs
@@ -99,7 +99,7 @@
         log: Arc<dyn LogService>,
         clock: Arc<dyn Clock>,
         journal: Arc<Journal>,
-        stop: Stop,
+        stop: &Stop,
     ) -> io::Result<(Self, Duty)> {
         let (messages, receiver) = ring(RING_CAPACITY);
         let partitions = setup.partitions;
--- a/crates/entry/src/duties/control/mod.rs
+++ b/crates/entry/src/duties/control/mod.rs
@@ -159,7 +159,11 @@
     /// Publishes a configuration change and waits until its outcome is known.
     pub(crate) async fn change(&self, record: ConfigRecord) -> ChangeAnswer {
         let (reply, answer) = oneshot::channel();
-        if self.messages.send(Message::Change { record, reply }).is_err() {
+        if self
+            .messages
+            .send(Message::Change { record, reply })
+            .is_err()
+        {
             return ChangeAnswer::Undecided;
         }
         match tokio::time::timeout(CHANGE_TIMEOUT, answer).await {
--- a/crates/entry/src/duties/control/worker.rs
+++ b/crates/entry/src/duties/control/worker.rs
@@ -146,14 +146,7 @@
             freshness,
             view,
         };
-        let duties = start_threads(
-            setup,
-            parts,
-            stop,
-            (&messages, receiver),
-            publish,
-            &budgets,
-        )?;
+        let duties = start_threads(setup, parts, stop, (&messages, receiver), publish, &budgets)?;
         let service = Self {
             messages,
             config: config_seen,
@@ -179,10 +172,14 @@
     budgets: &Arc<SharedBudgets>,
 ) -> io::Result<Vec<Duty>> {
     let datagram_messages = messages.clone();
-    let mut duties = vec![datagrams::receive(&parts.socket, stop, move |source, bytes| {
-        // A lost datagram is like one lost on the way.
-        let _ = datagram_messages.send(Message::Datagram(source, bytes));
-    })?];
+    let mut duties = vec![datagrams::receive(
+        &parts.socket,
+        stop,
+        move |source, bytes| {
+            // A lost datagram is like one lost on the way.
+            let _ = datagram_messages.send(Message::Datagram(source, bytes));
+        },
+    )?];
     let log_messages = messages.clone();
     let (log, log_duties) = LogCalls::start(&parts.log, &setup.streams, stop, move |event| {
         deliver(&log_messages, Message::Log(event));
@@ -475,9 +472,7 @@
 
     fn read_log(&mut self, now: Duration) {
         let members = self.membership.live_count();
-        let due = self
-            .freshness
-            .is_log_read_due(now, members, self.jitter)
+        let due = self.freshness.is_log_read_due(now, members, self.jitter)
             || self.configuration.has_pending();
         if self.reading || !due {
             return;
@@ -538,7 +533,14 @@
                 BudgetAction::Ask { to, budget, amount } => {
                     let from = self.membership.own().id;
                     let budget = budget.0;
-                    (to, PeerRequest::AskBudget { from, budget, amount })
+                    (
+                        to,
+                        PeerRequest::AskBudget {
+                            from,
+                            budget,
+                            amount,
+                        },
+                    )
                 }
             };
             let Some(address) = self.address_of(to) else {
--- a/crates/entry/src/duties/routing.rs
+++ b/crates/entry/src/duties/routing.rs
@@ -3,13 +3,13 @@
 use super::control::{BudgetKind, SharedBudgets};
 use super::deliver::deliver;
 use anvilgw_core::{Clock, DomainId, ErrorKind, Failure, ServerId, Stage};
+use anvilgw_fleet::Split;
 use anvilgw_kernel::{Duty, EventKind, Journal, Receiver, RecvTimeoutError, Sender, Stop, ring};
 use anvilgw_router::{
     BlockKey, BreakerState, CacheEvent, Choice, Explanation, Hint, Holder, IndexShard, Listing,
     LoadReport, Location, PrefixMatch, RecentBlocks, ReservationId, RouteRequest, Router,
     SendOutcome, ServerChange, ServerSpec, TemperatureChange, hints_of,
 };
-use anvilgw_fleet::Split;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::io;
@@ -55,6 +55,14 @@
     pub(crate) dispatch: Dispatch,
 }
 
+/// No server can take the request.
+pub(crate) struct Refused {
+    /// What the caller is told.
+    pub(crate) failure: Failure,
+    /// Why, unless the duty did not answer.
+    pub(crate) explanation: Option<Explanation>,
+}
+
 /// A request that counts as running on its server until this is dropped.
 pub(crate) struct Dispatch {
     messages: Sender<Message>,
@@ -90,7 +98,7 @@
 enum Message {
     Select {
         query: Query,
-        reply: oneshot::Sender<Result<Selected, (Failure, Explanation)>>,
+        reply: oneshot::Sender<Result<Selected, Box<Refused>>>,
     },
     Ended(End),
     Report(ServerId, LoadReport),
@@ -151,27 +159,20 @@
     /// # Errors
     ///
     /// A failure at stage `Queued` if no server can take the request.
-    pub(crate) async fn select(
-        &self,
-        query: Query,
-    ) -> Result<Selected, (Failure, Option<Explanation>)> {
+    pub(crate) async fn select(&self, query: Query) -> Result<Selected, Box<Refused>> {
         let (reply, answer) = oneshot::channel();
         let sent = self.messages.send(Message::Select { query, reply });
         let answer = match sent {
             Ok(()) => answer.await.ok(),
             Err(_) => None,
         };
-        match answer {
-            Some(answer) => answer.map_err(|(failure, why)| (failure, Some(why))),
-            None => Err((
-                Failure::new(
-                    ErrorKind::Overloaded,
-                    Stage::Queued,
-                    "routing does not keep up",
-                ),
-                None,
-            )),
-        }
+        answer.unwrap_or_else(|| {
+            let detail = "routing does not keep up";
+            Err(Box::new(Refused {
+                failure: Failure::new(ErrorKind::Overloaded, Stage::Queued, detail),
+                explanation: None,
+            }))
+        })
     }
 
     /// Passes on a load report.
@@ -292,7 +293,7 @@
                 // A caller that has gone drops the dispatch, which ends it again.
                 let _ = reply.send(self.select(query, now));
             }
-            Message::Ended(end) => self.ended(end, now),
+            Message::Ended(end) => self.ended(&end, now),
             Message::Report(server, report) => {
                 let change = self.router.on_report(server, report, now);
                 self.note_change(server, change, "load report");
@@ -313,11 +314,7 @@
         }
     }
 
-    fn select(
-        &mut self,
-        query: Query,
-        now: Duration,
-    ) -> Result<Selected, (Failure, Explanation)> {
+    fn select(&mut self, query: Query, now: Duration) -> Result<Selected, Box<Refused>> {
         let hints = self.hints(&query.keys, now);
         let prefix = PrefixMatch::assemble(&hints);
         let (choice, explanation) = self.choose(&query.request, &prefix, now)?;
@@ -350,14 +347,17 @@
         request: &RouteRequest,
         prefix: &PrefixMatch,
         now: Duration,
-    ) -> Result<(Choice, Explanation), (Failure, Explanation)> {
+    ) -> Result<(Choice, Explanation), Box<Refused>> {
         loop {
             let decision = self.router.select(request, prefix, now, &mut self.rng);
             let choice = match decision.outcome {
                 Ok(choice) => choice,
                 Err(none) => {
                     self.ask_for_permits(request);
-                    return Err((none.failure(Stage::Queued), decision.explanation));
+                    return Err(Box::new(Refused {
+                        failure: none.failure(Stage::Queued),
+                        explanation: Some(decision.explanation),
+                    }));
                 }
             };
             let kind = BudgetKind::Cold(choice.server);
@@ -428,7 +428,7 @@
         (blocks, Some((import.from, reservation.id)))
     }
 
-    fn ended(&mut self, end: End, now: Duration) {
+    fn ended(&mut self, end: &End, now: Duration) {
         let change = self.router.on_ended(end.server, end.outcome, now);
         self.note_change(end.server, change, "outcome of a request");
         if end.cold_permit {
@@ -441,7 +441,11 @@
                 .router
                 .on_import_ended(holder, reservation, completed, now);
             if change == Some(BreakerState::Open) {
-                self.note(EventKind::BreakerOpened, &format!("link {holder:?}"), "failed imports");
+                self.note(
+                    EventKind::BreakerOpened,
+                    &format!("link {holder:?}"),
+                    "failed imports",
+                );
             }
         }
         match end.outcome {
--- a/crates/entry/src/front/handlers.rs
+++ b/crates/entry/src/front/handlers.rs
@@ -12,8 +12,8 @@
 use gotham::middleware::state::StateMiddleware;
 use gotham::pipeline::{new_pipeline, single_pipeline};
 use gotham::prelude::{DefineSingleRoute, DrawRoutes, StateData};
-use gotham::router::builder::build_router;
 use gotham::router::Router;
+use gotham::router::builder::build_router;
 use gotham::state::State;
 use http::header::{AUTHORIZATION, HeaderName};
 use http::{HeaderMap, Method, Response, StatusCode, Uri};
@@ -60,9 +60,7 @@
             Method::PATCH,
             Method::DELETE,
         ];
-        route
-            .request(methods, "/services/*")
-            .to_async(services);
+        route.request(methods, "/services/*").to_async(services);
     })
 }
 
@@ -115,10 +113,7 @@
 }
 
 /// Reads and authenticates the request, runs `run` and turns a failure into an answer.
-async fn respond_with<F>(
-    mut state: State,
-    run: impl FnOnce(Incoming) -> F + Send,
-) -> HandlerResult
+async fn respond_with<F>(mut state: State, run: impl FnOnce(Incoming) -> F + Send) -> HandlerResult
 where
     F: Future<Output = Result<Response<Body>, Failure>> + Send,
 {
--- a/crates/entry/src/front/respond.rs
+++ b/crates/entry/src/front/respond.rs
@@ -80,7 +80,10 @@
         .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = json(status, ErrorBody::new(request_id, failure).to_json());
     let headers = response.headers_mut();
-    headers.insert(EXECUTED, HeaderValue::from_static(failure.executed().as_str()));
+    headers.insert(
+        EXECUTED,
+        HeaderValue::from_static(failure.executed().as_str()),
+    );
     if let Some(after) = failure.retry_after() {
         headers.insert(RETRY_AFTER, HeaderValue::from(whole_seconds(after)));
     }
--- a/crates/entry/src/front/server.rs
+++ b/crates/entry/src/front/server.rs
@@ -3,12 +3,12 @@
 use gotham::router::Router;
 use gotham::service::call_handler;
 use gotham::state::State;
+use hyper::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
@@ -56,11 +56,15 @@
         };
         // Small frames of a stream must not wait for an acknowledgement.
         let _ = stream.set_nodelay(true);
-        let connection = connect(stream, address, Arc::clone(&router), limits);
-        let connection = graceful.watch(connection);
+        let connection = run_connection(
+            stream,
+            address,
+            Arc::clone(&router),
+            limits,
+            graceful.watcher(),
+        );
         tokio::spawn(async move {
-            // Errors here are protocol errors of the caller or a closed connection.
-            let _ = connection.await;
+            connection.await;
             drop(slot);
         });
     }
@@ -77,29 +81,25 @@
     Some((stream, address, slot))
 }
 
-fn connect(
+/// Serves one connection until it ends or `graceful` lets its last request finish.
+async fn run_connection(
     stream: TcpStream,
     address: SocketAddr,
     router: Arc<Router>,
     limits: ServerLimits,
-) -> http1::Connection<
-    TokioIo<TcpStream>,
-    impl hyper::service::Service<
-        Request<Incoming>,
-        Response = Response<gotham::helpers::http::Body>,
-        Error = gotham::anyhow::Error,
-        Future = impl Future<Output = gotham::anyhow::Result<Response<gotham::helpers::http::Body>>> + Send,
-    >,
-> {
+    graceful: Watcher,
+) {
     let service = service_fn(move |request: Request<Incoming>| {
         let state = State::from_request(request, address);
         call_handler(Arc::clone(&router), AssertUnwindSafe(state))
     });
     let buffer_bytes =
         (limits.header_bytes * READ_BUFFER_PER_HEADER_LIMIT).max(MIN_READ_BUFFER_BYTES);
-    http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_read)
         .max_buf_size(buffer_bytes)
-        .serve_connection(TokioIo::new(stream), service)
+        .serve_connection(TokioIo::new(stream), service);
+    // Errors here are protocol errors of the caller or a closed connection.
+    let _ = graceful.watch(connection).await;
 }
--- a/crates/entry/src/observe/logging.rs
+++ b/crates/entry/src/observe/logging.rs
@@ -41,7 +41,11 @@
 /// # Errors
 ///
 /// Fails if the target cannot be opened.
-pub(crate) fn logger(name: &str, level: Level, target: &LogTarget) -> Result<Arc<Logger>, LoggingError> {
+pub(crate) fn logger(
+    name: &str,
+    level: Level,
+    target: &LogTarget,
+) -> Result<Arc<Logger>, LoggingError> {
     let sink: Option<Arc<dyn Sink>> = match target {
         LogTarget::Stderr => Some(stderr_sink()?),
         LogTarget::File(path) => Some(file_sink(path)?),
--- a/crates/entry/src/observe/metrics.rs
+++ b/crates/entry/src/observe/metrics.rs
@@ -31,9 +31,7 @@
             }
             None => StatsdClient::builder(PREFIX, NopMetricSink),
         };
-        let client = builder
-            .with_tag("daemon", daemon_index.to_string())
-            .build();
+        let client = builder.with_tag("daemon", daemon_index.to_string()).build();
         Ok(Self { client })
     }
 
--- a/crates/entry/src/observe/trace.rs
+++ b/crates/entry/src/observe/trace.rs
@@ -1,9 +1,7 @@
 //! Trace spans, one for each hop, carried by the `traceparent` header.
 
 use opentelemetry::propagation::{Extractor, Injector, TextMapPropagator};
-use opentelemetry::trace::{
-    SpanKind, TraceContextExt, Tracer as _, TracerProvider as _,
-};
+use opentelemetry::trace::{SpanKind, TraceContextExt, Tracer as _, TracerProvider as _};
 use opentelemetry::{Context, KeyValue};
 use opentelemetry_sdk::error::OTelSdkResult;
 use opentelemetry_sdk::propagation::TraceContextPropagator;
--- a/crates/entry/src/peer/transport.rs
+++ b/crates/entry/src/peer/transport.rs
@@ -157,19 +157,28 @@
 
     async fn try_call(&self, peer: SocketAddr, message: Vec<u8>) -> Result<Bytes, CallError> {
         let sender = self.connection(peer).await?;
-        let mut sender = sender.ready().await.map_err(connect_error)?;
+        let mut sender = sender
+            .ready()
+            .await
+            .map_err(|error| connect_error(&error))?;
         let request = Request::builder()
             .method(Method::POST)
             .uri(format!("http://{peer}/"))
             .body(())
             .map_err(|error| CallError::Connect(error.to_string()))?;
-        let (response, stream) = sender.send_request(request, false).map_err(connect_error)?;
-        write_body(stream, message.into()).await.map_err(broken)?;
-        let response = response.await.map_err(broken)?;
+        let (response, stream) = sender
+            .send_request(request, false)
+            .map_err(|error| connect_error(&error))?;
+        write_body(stream, message.into())
+            .await
+            .map_err(|error| broken(&error))?;
+        let response = response.await.map_err(|error| broken(&error))?;
         if response.status() != StatusCode::OK {
             return Err(CallError::Broken(format!("status {}", response.status())));
         }
-        let answer = read_body(response.into_body()).await.map_err(broken)?;
+        let answer = read_body(response.into_body())
+            .await
+            .map_err(|error| broken(&error))?;
         answer.ok_or_else(|| CallError::Broken("the answer is too large".to_owned()))
     }
 
@@ -182,7 +191,9 @@
             .map_err(|_| CallError::Connect("connecting timed out".to_owned()))?
             .map_err(|error| CallError::Connect(error.to_string()))?;
         let _ = stream.set_nodelay(true);
-        let (sender, connection) = h2::client::handshake(stream).await.map_err(connect_error)?;
+        let (sender, connection) = h2::client::handshake(stream)
+            .await
+            .map_err(|error| connect_error(&error))?;
         tokio::spawn(async move {
             // Calls on the connection see its error themselves.
             let _ = connection.await;
@@ -200,10 +211,10 @@
     }
 }
 
-fn connect_error(error: h2::Error) -> CallError {
+fn connect_error(error: &h2::Error) -> CallError {
     CallError::Connect(error.to_string())
 }
 
-fn broken(error: h2::Error) -> CallError {
+fn broken(error: &h2::Error) -> CallError {
     CallError::Broken(error.to_string())
 }
--- a/crates/testbed/src/bed.rs
+++ b/crates/testbed/src/bed.rs
@@ -165,9 +165,9 @@
                 expected_version: version,
                 change,
             };
-            let payload = record.encode().map_err(|error| {
-                BedError::Io(io::Error::other(error.to_string()))
-            })?;
+            let payload = record
+                .encode()
+                .map_err(|error| BedError::Io(io::Error::other(error.to_string())))?;
             self.log.append(&stream, &payload)?;
         }
         Ok(())
--- a/crates/testbed/src/caller.rs
+++ b/crates/testbed/src/caller.rs
@@ -328,7 +328,8 @@
         self.first_token
             .get_or_insert_with(|| self.started.elapsed());
         self.tokens += 1;
-        self.text.push_str(choice["text"].as_str().unwrap_or_default());
+        self.text
+            .push_str(choice["text"].as_str().unwrap_or_default());
         Ok(())
     }
 
