Skip pauses of zero in the stand-ins

A sleep of zero lasts until the next millisecond of the timer, so each call of a plain service without a configured delay took three of them.

--- a/crates/platform/tests/all/service.rs
+++ b/crates/platform/tests/all/service.rs
@@ -269,6 +269,7 @@
             if number % 50 == 49 {
                 standin.set_connection_faults(&ConnectionFaults {
                     cut_open: true,
+                    silence_probability: 0.02,
                     ..ConnectionFaults::default()
                 });
             }
--- a/crates/standin/src/engine/kv.rs
+++ b/crates/standin/src/engine/kv.rs
@@ -3,13 +3,13 @@
 use super::EngineStandin;
 use super::answer::kv_content;
 use super::protocol::{Extension, ImportBlock};
+use crate::pause::pause_until;
 use crate::server::{Call, Reply};
 use futures_util::future::join_all;
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
-use tokio::time::sleep_until;
 
 /// Content of a block that was exported wrongly.
 const WRONG_CONTENT: &str = "wrong";
@@ -196,7 +196,7 @@
             self.config.link_bytes_per_s
         };
         let end = self.link.lock().expect("link lock").reserve(bytes, rate);
-        sleep_until(end).await;
+        pause_until(end).await;
         self.state().counters.exported_bytes += bytes;
     }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 mod link;
 mod log;
 mod memory_log;
+mod pause;
 mod server;
 mod service;
 mod store;
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -1,6 +1,7 @@
 //! The log service over HTTP.
 
 use crate::memory_log::{Appended, LogConfig, MemoryLog};
+use crate::pause::pause;
 use crate::server::{Call, Reply, Running, Server, Standin};
 use anvilgw_core::{LogError, LogSlice, Offset};
 use base64::Engine as _;
@@ -56,7 +57,7 @@
         let Some(payload) = payload else {
             return Reply::error(StatusCode::BAD_REQUEST, "the payload is not base64 in JSON");
         };
-        tokio::time::sleep(self.log.slow()).await;
+        pause(self.log.slow()).await;
         match self.log.try_append(stream, &payload) {
             Appended::At(offset) => Reply::ok(&json!({"offset": offset})),
             Appended::OverRate => {
@@ -69,7 +70,7 @@
 
     async fn read(&self, stream: &str, call: &Call) -> Reply {
         self.log.count_read();
-        tokio::time::sleep(self.log.slow()).await;
+        pause(self.log.slow()).await;
         let from = Offset(call.number("from").unwrap_or(0));
         let max = call.number("max").unwrap_or(DEFAULT_MAX_RECORDS) as usize;
         let wait = Duration::from_millis(call.number("wait_ms").unwrap_or(0));
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -1,6 +1,7 @@
 //! A plain service that counts how often each call was executed.
 
 use crate::dice::Dice;
+use crate::pause::pause;
 use crate::server::{Call, Reply, Running, Server, Standin};
 use http::{Method, StatusCode};
 use indexmap::IndexMap;
@@ -163,7 +164,7 @@
             return Reply::error(StatusCode::SERVICE_UNAVAILABLE, "too many calls");
         };
         if is_late {
-            tokio::time::sleep(Duration::from_millis(faults.late_ms)).await;
+            pause(Duration::from_millis(faults.late_ms)).await;
         }
         reply.unwrap_or(answer)
     }
@@ -172,10 +173,10 @@
     /// visible if it is broken off.
     async fn execute(&self, call: &Call, faults: &ServiceFaults) -> Option<Reply> {
         let key = header(call, IDEMPOTENCY_KEY);
-        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        pause(Duration::from_millis(faults.delay_ms)).await;
         let execution = self.begin(key)?;
         let _running = RunningCall { service: self };
-        tokio::time::sleep(Duration::from_millis(self.config.work_ms)).await;
+        pause(Duration::from_millis(self.config.work_ms)).await;
         Some(Reply::ok(&json!({
             "service": self.config.name,
             "path": call.path,
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -2,6 +2,7 @@
 
 use crate::engine::KvBlock;
 use crate::link::Link;
+use crate::pause::pause_until;
 use crate::server::{Call, Reply, Running, Server, Standin};
 use anvilgw_core::{Clock, SystemClock};
 use http::{Method, StatusCode};
@@ -13,7 +14,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::runtime::Handle;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::sleep;
 
 /// Blocks of one listing if the caller sets no maximum.
 const DEFAULT_MAX_BLOCKS: u64 = 1_000;
@@ -277,7 +278,7 @@
             *moved += bytes;
             link.reserve(bytes, (rate as f64 / slowdown) as u64)
         };
-        sleep_until(end).await;
+        pause_until(end).await;
     }
 
     /// `POST /blocks/{key}/prepare`. A block under the same key is replaced.
--- a/crates/standin/tests/all/binary.rs
+++ b/crates/standin/tests/all/binary.rs
@@ -1,5 +1,6 @@
 //! The stand-ins as processes.
 
+use anvilgw_standin::{answer_text, prompt_of};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
@@ -107,6 +108,26 @@
     }
 }
 
+/// Guards against JSON answers that differ from the streams of the same prompt.
+#[test]
+fn completions_answer_in_json() {
+    let engine = Process::start("engine", &["--set", "decode_ms=0.1"]);
+    let chat = json!({"messages": [{"role": "user", "content": "is it safe"}], "max_tokens": 5});
+    let plain = json!({"prompt": "is it safe", "max_tokens": 5});
+    let cases = [
+        ("/v1/chat/completions", chat, "/choices/0/message/content"),
+        ("/v1/completions", plain, "/choices/0/text"),
+    ];
+    for (path, body, text) in cases {
+        let (status, answer) = engine.send("POST", path, &body.to_string());
+        assert_eq!(status, 200, "{answer}");
+        let expected = answer_text(&prompt_of(&body).unwrap(), 5);
+        assert_eq!(answer.pointer(text), Some(&json!(expected)));
+        assert_eq!(answer["usage"]["completion_tokens"], 5);
+    }
+    assert_eq!(engine.send("POST", "/v1/completions", "{}").0, 400);
+}
+
 /// Guards against faults that are accepted and have no effect, and against misspelt ones.
 #[test]
 fn faults_are_set_by_request() {
