--- a/crates/bench/src/experiments/workload.rs
+++ b/crates/bench/src/experiments/workload.rs
@@ -193,8 +193,7 @@
     fn start(&mut self, now: f64, workspace: Option<usize>, tokens: u64) -> usize {
         // A few workspaces are large: their sizes fall with their rank.
         let drawn = self.rng.random::<f64>();
-        let workspace =
-            workspace.unwrap_or_else(|| ((drawn * drawn) * BATCH_WORKSPACE as f64) as usize);
+        let workspace = workspace.unwrap_or(((drawn * drawn) * BATCH_WORKSPACE as f64) as usize);
         let manual = manual_blocks(workspace) * BLOCK_TOKENS;
         self.conversations.push(Conversation {
             id: self.conversations.len() as u64,
--- a/crates/cli/src/commands/demo.rs
+++ b/crates/cli/src/commands/demo.rs
@@ -217,7 +217,7 @@
         let body = format!("{{\"court\": {number}, \"light\": \"on\"}}");
         counts.requests.fetch_add(1, Ordering::Relaxed);
         counts.service_calls.fetch_add(1, Ordering::Relaxed);
-        if number % 3 == 0 {
+        if number.is_multiple_of(3) {
             let (caller, key, body) = (caller.clone(), key.clone(), body.clone());
             let daemon = rng.random_range(0..3);
             tokio::spawn(async move {
