--- a/crates/claims/src/owner.rs
+++ b/crates/claims/src/owner.rs
@@ -125,11 +125,9 @@
         let mut actions = Vec::new();
         match submission {
             Submission::Claim(claim) => self.submit_claim(claim, now, &mut actions)?,
-            Submission::Abandon { key, attempt } if self.waiting.remove(&attempt).is_some() => {
+            Submission::Abandon { attempt, .. } if self.waiting.remove(&attempt).is_some() => {
                 // A claim in flight is abandoned when its batch is folded.
-                self.pending.retain(
-                    |record| !matches!(record, Record::Claim(claim) if claim.attempt == attempt && claim.key == key),
-                );
+                self.drop_pending_claims(|claim| claim.attempt == attempt);
             }
             Submission::Abandon { key, attempt } => {
                 self.enqueue(Record::Abandon { key, attempt })?;
@@ -155,7 +153,7 @@
         now: Now,
         actions: &mut Vec<OwnerAction>,
     ) -> Result<(), SubmitError> {
-        let known = if self.halted || claim.deadline_ms <= now.wall_ms {
+        let known = if self.halted {
             Verdict::Unavailable(Unavailable::Log)
         } else if self.caught_up {
             self.fold.verdict(&claim, now.wall_ms)
@@ -286,21 +284,28 @@
     fn refuse_overdue(&mut self, now: Now, actions: &mut Vec<OwnerAction>) {
         let max_wait = self.config.max_wait;
         let overdue = self.waiting.extract_if(.., |_, waiting| {
-            now.uptime >= waiting.since + max_wait || waiting.claim.deadline_ms <= now.wall_ms
+            // Not by the claim's deadline, which is wall time of another daemon: a clock that is
+            // ahead would refuse every claim. The holder checks its deadline itself.
+            now.uptime >= waiting.since + max_wait
         });
         let overdue: BTreeMap<_, _> = overdue.collect();
         if overdue.is_empty() {
             return;
         }
-        self.pending.retain(
-            |record| !matches!(record, Record::Claim(claim) if overdue.contains_key(&claim.attempt)),
-        );
+        self.drop_pending_claims(|claim| overdue.contains_key(&claim.attempt));
         for waiting in overdue.values() {
             let verdict = Verdict::Unavailable(Unavailable::Log);
             actions.push(verdict_action(&waiting.claim, verdict));
         }
     }
 
+    fn drop_pending_claims(&mut self, is_dropped: impl Fn(&ClaimRequest) -> bool) {
+        self.pending.retain(|record| match record {
+            Record::Claim(claim) => !is_dropped(claim),
+            Record::Outcome { .. } | Record::Abandon { .. } | Record::Expire { .. } => true,
+        });
+    }
+
     fn advance(&mut self, now: Now, actions: &mut Vec<OwnerAction>) {
         if self.halted {
             return;
--- a/crates/claims/src/owner/messages.rs
+++ b/crates/claims/src/owner/messages.rs
@@ -13,7 +13,7 @@
     /// The owning daemon.
     pub daemon: DaemonId,
     /// Sequence of the first batch. An owner that is created again within one incarnation continues
-    /// at the previous owner's [`ClaimOwner::next_sequence`].
+    /// at the previous owner's [`next_sequence`](crate::ClaimOwner::next_sequence).
     pub first_sequence: u64,
     /// Least time between two appends of the partition.
     pub min_interval: Duration,
