--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -58,6 +58,8 @@
     NotEntitled => 403, "not_entitled", Retry::Never;
     /// The path, model or service does not exist.
     NotFound => 404, "not_found", Retry::Never;
+    /// The path does not take the method.
+    MethodNotAllowed => 405, "method_not_allowed", Retry::Never;
     /// The caller took too long to send the request.
     RequestTimeout => 408, "request_timeout", Retry::AfterMs(0);
     /// An earlier request with the same idempotency key is still running.
--- a/crates/entry/src/duties/apply.rs
+++ b/crates/entry/src/duties/apply.rs
@@ -6,7 +6,7 @@
 use anvilgw_admission::{PlanLimits, PlanShare, Priority};
 use anvilgw_config::{ConfigState, Plan, Priority as PlanPriority};
 use anvilgw_core::{ServerId, WorkspaceId};
-use anvilgw_fleet::Split;
+use anvilgw_fleet::{Ownership, Split};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -37,6 +37,7 @@
         while unchanged {
             note_usage(context, &config).await;
             set_limits(context, &config);
+            context.claims.set_owned(owned_partitions(context));
             tokio::select! {
                 changed = changes.changed() => {
                     if changed.is_err() {
@@ -129,6 +130,17 @@
     }
 }
 
+fn owned_partitions(context: &Context) -> Vec<u16> {
+    let view = context.control.view();
+    let owner = |partition: u16| {
+        let what = Ownership::ClaimPartition(partition.into());
+        view.ownership.owner(what)
+    };
+    (0..context.claims.partitions())
+        .filter(|partition| owner(*partition) == Some(context.daemon))
+        .collect()
+}
+
 fn set_limits(context: &Context, config: &ConfigState) {
     let limits = plans(context, config)
         .map(|(workspace, plan)| (workspace, limits(context, workspace, plan)))
--- a/crates/entry/src/duties/claims.rs
+++ b/crates/entry/src/duties/claims.rs
@@ -27,6 +27,10 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Shortest sleep, so that a due batch does not spin.
 const WAKEUP_MIN: Duration = Duration::from_micros(100);
+/// Interval of looking for partitions to close.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// Time after which a partition that another daemon owns is closed here.
+const UNUSED_LIMIT: Duration = Duration::from_secs(30);
 /// Records of one read.
 const READ_MAX: usize = 512;
 
@@ -39,6 +43,7 @@
         partition: u16,
         event: OwnerEvent,
     },
+    Own(Vec<u16>),
     Status(oneshot::Sender<Vec<PartitionStatus>>),
 }
 
@@ -113,6 +118,9 @@
                 messages: own_messages,
                 partitions: IndexMap::new(),
                 replies: IndexMap::new(),
+                owned: Vec::new(),
+                sequences: IndexMap::new(),
+                next_sweep: Duration::ZERO,
                 stop: stop.clone(),
             }
             .run(&receiver, &stop);
@@ -155,6 +163,13 @@
         deliver(&self.messages, message);
     }
 
+    /// Tells which partitions this daemon owns by the current epoch. Their streams are read ahead, so
+    /// that the first claim does not wait for it.
+    pub(crate) fn set_owned(&self, partitions: Vec<u16>) {
+        // The next epoch check repeats a message that finds no room.
+        let _ = self.messages.send(Message::Own(partitions));
+    }
+
     /// State of the partitions.
     pub(crate) async fn status(&self) -> Vec<PartitionStatus> {
         let (reply, answer) = oneshot::channel();
@@ -169,6 +184,8 @@
 struct Partition {
     owner: ClaimOwner,
     calls: Sender<Call>,
+    /// When the last submission arrived.
+    used: Duration,
     _worker: Duty,
 }
 
@@ -180,15 +197,16 @@
     messages: Sender<Message>,
     partitions: IndexMap<u16, Partition>,
     replies: IndexMap<Attempt, oneshot::Sender<Verdict>>,
+    owned: Vec<u16>,
+    /// Sequences at which owners that are opened again continue, so that no batch number is used
+    /// twice.
+    sequences: IndexMap<u16, u64>,
+    next_sweep: Duration,
     stop: Stop,
 }
 
 impl Worker {
     fn run(mut self, messages: &Receiver<Message>, stop: &Stop) {
-        // Owners read their streams at the start, so that the first claim does not wait for it.
-        for partition in 0..self.setup.partitions {
-            self.open(partition);
-        }
         while !stop.is_raised() {
             match messages.recv_timeout(self.pause()) {
                 Ok(message) => self.handle(message),
@@ -223,6 +241,12 @@
                     self.act(partition, actions);
                 }
             }
+            Message::Own(partitions) => {
+                self.owned = partitions;
+                for at in 0..self.owned.len() {
+                    self.open(self.owned[at]);
+                }
+            }
             Message::Status(reply) => {
                 let _ = reply.send(self.status());
             }
@@ -238,9 +262,11 @@
         };
         let partition = key.partition(self.setup.partitions);
         let now = Now::read(&*self.clock);
+        self.open(partition);
         let Some(known) = self.partitions.get_mut(&partition) else {
             return;
         };
+        known.used = now.uptime;
         if let Some(reply) = reply {
             self.replies.insert(attempt, reply);
         }
@@ -254,14 +280,33 @@
 
     fn tick(&mut self) {
         let now = Now::read(&*self.clock);
-        for partition in 0..self.setup.partitions {
-            if let Some(known) = self.partitions.get_mut(&partition) {
-                let actions = known.owner.handle(OwnerEvent::Tick, now);
-                self.act(partition, actions);
-            }
+        if now.uptime >= self.next_sweep {
+            self.next_sweep = now.uptime + SWEEP_INTERVAL;
+            self.close_unused(now.uptime);
+        }
+        for at in 0..self.partitions.len() {
+            let Some((&partition, known)) = self.partitions.get_index_mut(at) else {
+                return;
+            };
+            let actions = known.owner.handle(OwnerEvent::Tick, now);
+            self.act(partition, actions);
         }
     }
 
+    /// Closes partitions that belong to other daemons now and have nothing under way.
+    fn close_unused(&mut self, now: Duration) {
+        let (owned, sequences) = (&self.owned, &mut self.sequences);
+        self.partitions.retain(|partition, known| {
+            let in_use = owned.contains(partition)
+                || !known.owner.is_idle()
+                || now.saturating_sub(known.used) < UNUSED_LIMIT;
+            if !in_use {
+                sequences.insert(*partition, known.owner.next_sequence());
+            }
+            in_use
+        });
+    }
+
     fn act(&mut self, partition: u16, actions: Vec<OwnerAction>) {
         for action in actions {
             match action {
@@ -297,6 +342,9 @@
     }
 
     fn open(&mut self, partition: u16) {
+        if self.partitions.contains_key(&partition) {
+            return;
+        }
         let (calls, receiver) = ring(CALLS_CAPACITY);
         let log = Arc::clone(&self.log);
         let stream = self.setup.stream(partition);
@@ -315,10 +363,15 @@
         });
         match worker {
             Ok(worker) => {
-                let owner = ClaimOwner::new(self.setup.owner_config());
+                let first_sequence = self.sequences.get(&partition).copied().unwrap_or(0);
+                let config = OwnerConfig {
+                    first_sequence,
+                    ..self.setup.owner_config()
+                };
                 let opened = Partition {
-                    owner,
+                    owner: ClaimOwner::new(config),
                     calls,
+                    used: self.clock.uptime(),
                     _worker: worker,
                 };
                 self.partitions.insert(partition, opened);
--- a/crates/entry/src/front/handlers.rs
+++ b/crates/entry/src/front/handlers.rs
@@ -120,8 +120,12 @@
     let id = new_request_id();
     let context = context(&state);
     let started = context.clock.uptime();
+    let mut trace_id = String::new();
     let result = match receive(&mut state, Arc::clone(&context), id).await {
-        Ok(incoming) => run(incoming).await,
+        Ok(incoming) => {
+            trace_id = incoming.call.hop.trace_id();
+            run(incoming).await
+        }
         Err(failure) => Err(failure),
     };
     let mut response = result.unwrap_or_else(|failure| {
@@ -129,6 +133,7 @@
         context.metrics.count("failures", 1, code);
         spdlog::info!(logger: context.logger, "request failed", kv: {
             request_id = id.to_string().as_str(),
+            trace_id = trace_id.as_str(),
             code,
             executed = failure.executed().as_str(),
             detail = failure.detail(),
--- a/crates/entry/src/front/server.rs
+++ b/crates/entry/src/front/server.rs
@@ -1,12 +1,16 @@
 //! Accept loop of the callers' address.
 
+use super::respond;
+use anvilgw_core::{ErrorKind, Failure, RequestId, Stage};
+use gotham::helpers::http::Body;
 use gotham::router::Router;
 use gotham::service::call_handler;
 use gotham::state::State;
-use hyper::Request;
+use http::header::CONTENT_TYPE;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
 use std::net::SocketAddr;
@@ -91,7 +95,8 @@
 ) {
     let service = service_fn(move |request: Request<Incoming>| {
         let state = State::from_request(request, address);
-        call_handler(Arc::clone(&router), AssertUnwindSafe(state))
+        let handled = call_handler(Arc::clone(&router), AssertUnwindSafe(state));
+        async move { handled.await.map(explain_refusal) }
     });
     let buffer_bytes =
         (limits.header_bytes * READ_BUFFER_PER_HEADER_LIMIT).max(MIN_READ_BUFFER_BYTES);
@@ -103,3 +108,27 @@
     // Errors here are protocol errors of the caller or a closed connection.
     let _ = graceful.watch(connection).await;
 }
+
+/// Gives the answers of gotham itself, for unknown paths and methods and for panics, the body that all
+/// other refusals have.
+fn explain_refusal(response: Response<Body>) -> Response<Body> {
+    if response.headers().contains_key(CONTENT_TYPE) {
+        return response;
+    }
+    let (kind, detail) = match response.status() {
+        StatusCode::NOT_FOUND => (ErrorKind::NotFound, "there is nothing under this path"),
+        StatusCode::METHOD_NOT_ALLOWED => (
+            ErrorKind::MethodNotAllowed,
+            "the path does not take this method",
+        ),
+        StatusCode::INTERNAL_SERVER_ERROR => (ErrorKind::Internal, "the request handler failed"),
+        _ => return response,
+    };
+    // A handler that panicked may have sent the request.
+    let stage = match kind {
+        ErrorKind::Internal => Stage::Written,
+        _ => Stage::Received,
+    };
+    let id = RequestId(uuid::Uuid::now_v7().as_u128());
+    respond::failure(id, &Failure::new(kind, stage, detail))
+}
