--- /dev/null
+++ b/tests/all/http.rs
@@ -0,0 +1,207 @@
+//! Bad input at the callers' address: a clear error of the closed list, never a panic.
+
+use anvilgw_testbed::{Bed, BedConfig, workspace_key};
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use http_body_util::BodyExt;
+use serde_json::Value;
+
+struct Case {
+    /// What is wrong with the request.
+    name: &'static str,
+    method: Method,
+    path: &'static str,
+    headers: Vec<(&'static str, String)>,
+    body: Vec<u8>,
+    status: u16,
+    code: &'static str,
+}
+
+fn authorized() -> Vec<(&'static str, String)> {
+    vec![("authorization", format!("Bearer {}", workspace_key(1)))]
+}
+
+fn with(name: &'static str, value: &str) -> Vec<(&'static str, String)> {
+    let mut headers = authorized();
+    headers.push((name, value.to_owned()));
+    headers
+}
+
+fn completion(name: &'static str, body: &str, status: u16, code: &'static str) -> Case {
+    Case {
+        name,
+        method: Method::POST,
+        path: "/v1/completions",
+        headers: authorized(),
+        body: body.as_bytes().to_vec(),
+        status,
+        code,
+    }
+}
+
+fn call(name: &'static str, headers: Vec<(&'static str, String)>, code: &'static str) -> Case {
+    Case {
+        name,
+        method: Method::POST,
+        path: "/services/courts/on",
+        headers,
+        body: b"{}".to_vec(),
+        status: 400,
+        code,
+    }
+}
+
+fn cases() -> Vec<Case> {
+    let good = r#"{"model":"lumen","prompt":"a"}"#;
+    let mut cases = vec![
+        completion("no JSON", "{", 400, "bad_request"),
+        completion("no object", "[1]", 400, "bad_request"),
+        completion("not UTF-8", "\u{0}\u{1}", 400, "bad_request"),
+        completion("no model", r#"{"prompt":"a"}"#, 400, "bad_request"),
+        completion("no prompt", r#"{"model":"lumen"}"#, 400, "bad_request"),
+        completion(
+            "prompt of another type",
+            r#"{"model":"lumen","prompt":3}"#,
+            400,
+            "bad_request",
+        ),
+        completion(
+            "zero tokens",
+            r#"{"model":"lumen","prompt":"a","max_tokens":0}"#,
+            400,
+            "bad_request",
+        ),
+        completion(
+            "stream of another type",
+            r#"{"model":"lumen","prompt":"a","stream":"yes"}"#,
+            400,
+            "bad_request",
+        ),
+        completion(
+            "unknown model",
+            r#"{"model":"other","prompt":"a"}"#,
+            404,
+            "not_found",
+        ),
+        completion(
+            "unknown adapter",
+            r#"{"model":"lumen","prompt":"a","adapter":"x"}"#,
+            404,
+            "not_found",
+        ),
+        call(
+            "key without time",
+            with("idempotency-key", "abc"),
+            "idempotency_key_undated",
+        ),
+        call("empty key", with("idempotency-key", ""), "bad_request"),
+    ];
+    let mut bad_time = with("idempotency-key", "abc");
+    bad_time.push(("idempotency-key-time", "yesterday".to_owned()));
+    cases.push(call("key time without number", bad_time, "bad_request"));
+    cases.extend([
+        Case {
+            headers: Vec::new(),
+            ..completion("no key", good, 401, "unauthenticated")
+        },
+        Case {
+            headers: vec![("authorization", "Bearer wrong".to_owned())],
+            ..completion("wrong key", good, 401, "unauthenticated")
+        },
+        Case {
+            headers: vec![("authorization", "Basic abc".to_owned())],
+            ..completion("other scheme", good, 401, "unauthenticated")
+        },
+        Case {
+            headers: with("x-anvilgw-deadline-ms", "soon"),
+            ..completion("deadline without number", good, 400, "bad_request")
+        },
+        Case {
+            headers: with("x-long", &"a".repeat(20_000)),
+            ..completion("headers too large", good, 431, "headers_too_large")
+        },
+        Case {
+            body: vec![b' '; 9_000_000],
+            ..completion("body too large", "", 413, "body_too_large")
+        },
+        Case {
+            path: "/v1/nothing",
+            ..completion("unknown path", good, 404, "not_found")
+        },
+        Case {
+            method: Method::DELETE,
+            ..completion("wrong method", "", 405, "method_not_allowed")
+        },
+        Case {
+            path: "/services/none/on",
+            ..completion("unknown service", "{}", 404, "not_found")
+        },
+    ]);
+    cases
+}
+
+/// Guards against requests that are answered without a code, without `executed` or by a panic.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_requests_get_clear_errors() {
+    let config = BedConfig {
+        daemons: 1,
+        engines: 1,
+        service_servers: 1,
+        stores: 0,
+        ..BedConfig::default()
+    };
+    let bed = Bed::start(config).await.unwrap();
+    let caller = bed.caller();
+    for case in cases() {
+        let mut headers = HeaderMap::new();
+        for (name, value) in &case.headers {
+            headers.insert(*name, value.parse().unwrap());
+        }
+        let body = Bytes::from(case.body);
+        let response = caller
+            .send(bed.listen(0), case.method, case.path, headers, body)
+            .await
+            .unwrap_or_else(|error| panic!("{}: {error}", case.name));
+        assert_eq!(response.status().as_u16(), case.status, "{}", case.name);
+        let executed = response.headers()["x-anvilgw-executed"].clone();
+        assert_eq!(executed, "no", "{}", case.name);
+        assert!(response.headers().contains_key("x-request-id"));
+        let body = response.into_body().collect().await.unwrap().to_bytes();
+        let body: Value = serde_json::from_slice(&body).unwrap();
+        assert_eq!(body["error"]["code"], case.code, "{}", case.name);
+        assert_eq!(body["error"]["executed"], "no", "{}", case.name);
+    }
+    bed.stop().await;
+}
+
+/// Guards against operator endpoints that take a workspace's key or none.
+#[tokio::test(flavor = "multi_thread")]
+async fn operator_endpoints_need_an_operator() {
+    let config = BedConfig {
+        daemons: 1,
+        engines: 1,
+        service_servers: 1,
+        stores: 0,
+        ..BedConfig::default()
+    };
+    let bed = Bed::start(config).await.unwrap();
+    let caller = bed.caller();
+    for key in [None, Some(workspace_key(0))] {
+        let mut headers = HeaderMap::new();
+        if let Some(key) = key {
+            headers.insert("authorization", format!("Bearer {key}").parse().unwrap());
+        }
+        let path = "/admin/status";
+        let response = caller
+            .send(bed.admin(0), Method::GET, path, headers, Bytes::new())
+            .await
+            .unwrap();
+        assert_eq!(response.status(), 401);
+    }
+    let status = caller
+        .admin(0, Method::GET, "/admin/status", &Value::Null)
+        .await
+        .unwrap();
+    assert_eq!(status["ready"], true);
+    bed.stop().await;
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,3 +1,6 @@
 //! One integration test binary, so that linking happens once.
 
+mod configuration;
+mod http;
 mod kernel;
+mod whole_path;
--- /dev/null
+++ b/tests/all/whole_path.rs
@@ -0,0 +1,250 @@
+//! Requests from caller to backend server and back, under failure.
+
+use anvilgw_core::Executed;
+use anvilgw_standin::{EngineFaults, LogFaults, ServiceFaults};
+use anvilgw_testbed::{Bed, BedConfig, CallerError};
+use http::Method;
+use std::collections::HashSet;
+
+const ANSWER_TOKENS: u64 = 16;
+
+fn prompt(number: usize) -> String {
+    (0..200).map(|word| format!("w{number}x{word} ")).collect()
+}
+
+fn key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
+fn executions(bed: &Bed, key: &str) -> u64 {
+    bed.services
+        .iter()
+        .map(|service| service.executions(key))
+        .sum()
+}
+
+struct StreamFault {
+    /// What the engine does to a stream after four tokens.
+    name: &'static str,
+    faults: EngineFaults,
+}
+
+fn stream_faults() -> Vec<StreamFault> {
+    let after_four = EngineFaults {
+        after_tokens: 4,
+        ..EngineFaults::default()
+    };
+    let fault = |name, faults| StreamFault { name, faults };
+    vec![
+        fault(
+            "cut",
+            EngineFaults {
+                cut_probability: 0.5,
+                ..after_four.clone()
+            },
+        ),
+        fault(
+            "event of another request",
+            EngineFaults {
+                foreign_probability: 0.5,
+                ..after_four.clone()
+            },
+        ),
+        fault(
+            "repeated token",
+            EngineFaults {
+                repeat_probability: 0.5,
+                ..after_four.clone()
+            },
+        ),
+        fault(
+            "missing token",
+            EngineFaults {
+                skip_probability: 0.5,
+                ..after_four.clone()
+            },
+        ),
+        fault(
+            "missing end marker",
+            EngineFaults {
+                no_end_probability: 0.5,
+                ..after_four
+            },
+        ),
+    ]
+}
+
+/// Guards against partial, crossed or doubled answers that are shown as complete. The caller checks
+/// each answer against the prompt.
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_streams_are_resumed_or_end_with_an_error() {
+    let bed = Bed::start(BedConfig::default()).await.unwrap();
+    let caller = bed.caller();
+    let mut complete = 0;
+    for case in stream_faults() {
+        for engine in &bed.engines {
+            engine.set_faults(case.faults.clone());
+        }
+        for number in 0..20 {
+            let answer = caller
+                .complete(number % 3, 1, &prompt(number), ANSWER_TOKENS)
+                .await;
+            match answer {
+                Ok(_) => complete += 1,
+                Err(CallerError::Wrong(detail)) => panic!("{}: {detail}", case.name),
+                Err(CallerError::Broken(_) | CallerError::Refused(..)) => {}
+                Err(error) => panic!("{}: {error}", case.name),
+            }
+        }
+    }
+    assert!(complete > 0, "no stream was resumed");
+    bed.stop().await;
+}
+
+/// Guards against a second execution when the same key arrives through several daemons at once, and
+/// against repeats that get another answer than the first.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_key_runs_once_through_all_daemons() {
+    let bed = Bed::start(BedConfig::default()).await.unwrap();
+    let caller = bed.caller();
+    for _ in 0..10 {
+        let key = key();
+        let calls: Vec<_> = (0..3)
+            .map(|daemon| {
+                let (caller, key) = (caller.clone(), key.clone());
+                tokio::spawn(async move {
+                    let body = "{\"court\":1}";
+                    let call =
+                        caller.call_service(daemon, 1, Method::POST, "/on", Some(&key), body);
+                    call.await
+                })
+            })
+            .collect();
+        let mut answers = HashSet::new();
+        for call in calls {
+            match call.await.unwrap() {
+                Ok(answer) => {
+                    answers.insert(answer.body);
+                }
+                Err(CallerError::Refused(409, _, Some(Executed::Unknown))) => {}
+                Err(error) => panic!("{error}"),
+            }
+        }
+        assert_eq!(answers.len(), 1, "one answer for one key");
+        assert_eq!(executions(&bed, &key), 1);
+    }
+    bed.stop().await;
+}
+
+/// Guards against a key that is accepted with another body.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_belongs_to_one_body() {
+    let bed = Bed::start(BedConfig::default()).await.unwrap();
+    let caller = bed.caller();
+    let key = key();
+    let first = caller
+        .call_service(0, 1, Method::POST, "/on", Some(&key), "{\"court\":1}")
+        .await;
+    assert!(first.is_ok());
+    let second = caller
+        .call_service(1, 1, Method::POST, "/on", Some(&key), "{\"court\":2}")
+        .await;
+    assert!(matches!(
+        second,
+        Err(CallerError::Refused(422, _, Some(Executed::No)))
+    ));
+    // The same key of another workspace is another key.
+    let other = caller
+        .call_service(1, 2, Method::POST, "/on", Some(&key), "{\"court\":2}")
+        .await;
+    assert!(other.is_ok());
+    bed.stop().await;
+}
+
+/// Guards against calls that run without a claim, and refusals that say "not run" of a call that ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn without_the_log_calls_are_refused_truthfully() {
+    let bed = Bed::start(BedConfig::default()).await.unwrap();
+    let caller = bed.caller();
+    bed.log.set_faults(LogFaults {
+        outage: true,
+        ..LogFaults::default()
+    });
+    let key = key();
+    let refused = caller
+        .call_service(0, 1, Method::POST, "/on", Some(&key), "{}")
+        .await;
+    assert!(
+        matches!(
+            &refused,
+            Err(CallerError::Refused(503, _, Some(Executed::No)))
+        ),
+        "{refused:?}"
+    );
+    assert_eq!(executions(&bed, &key), 0);
+    // Idempotent work goes on.
+    let read = caller
+        .call_service(0, 1, Method::GET, "/status", None, "")
+        .await;
+    assert!(read.is_ok(), "{read:?}");
+    let answer = caller.complete(0, 1, &prompt(1), ANSWER_TOKENS).await;
+    assert!(answer.is_ok(), "{answer:?}");
+    bed.stop().await;
+}
+
+/// Guards against a call that is sent again after its connection was cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_call_is_not_sent_again() {
+    let bed = Bed::start(BedConfig::default()).await.unwrap();
+    let caller = bed.caller();
+    for service in &bed.services {
+        service.set_faults(ServiceFaults {
+            cut_after_probability: 1.0,
+            ..ServiceFaults::default()
+        });
+    }
+    let key = key();
+    for daemon in 0..3 {
+        let answer = caller
+            .call_service(daemon, 1, Method::POST, "/on", Some(&key), "{}")
+            .await;
+        assert!(
+            matches!(
+                &answer,
+                Err(CallerError::Refused(_, _, Some(Executed::Unknown)))
+            ),
+            "{answer:?}"
+        );
+    }
+    assert_eq!(executions(&bed, &key), 1);
+    bed.stop().await;
+}
+
+/// Guards against requests that are cut by a graceful shutdown.
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_shutdown_finishes_open_streams() {
+    let mut bed = Bed::start(BedConfig::default()).await.unwrap();
+    let caller = bed.caller();
+    let streams: Vec<_> = (0..8)
+        .map(|number| {
+            let caller = caller.clone();
+            tokio::spawn(async move { caller.complete(0, 1, &prompt(number), 60).await })
+        })
+        .collect();
+    // The shutdown begins once all streams are open.
+    while bed
+        .engines
+        .iter()
+        .map(|e| e.counters().accepted)
+        .sum::<u64>()
+        < 8
+    {
+        tokio::task::yield_now().await;
+    }
+    let shutdown = bed.shutdown_daemon(0).await.unwrap();
+    assert_eq!(shutdown.interrupted, 0);
+    for stream in streams {
+        stream.await.unwrap().unwrap();
+    }
+    bed.stop().await;
+}
