Test the clients against scripted answers and keep ports while down

The stand-ins send few of the wrong answers that a client may meet, so scripted servers add events of older attempts, split events, wrong counts, gaps in log slices and answers that leave an append open. Calls that are given up at the moment of their first byte are checked against the executions.

In one of 20 test runs, four at a time, a scripted server lost its only connection. The probable cause is a caller of a stand-in that was down: its port was free meanwhile and could be given to another listener.

--- /dev/null
+++ b/crates/platform/tests/all/engine_events.rs
@@ -0,0 +1,191 @@
+//! The engine client against scripted events.
+
+use crate::scripted::{answer, scripted, scripted_series};
+use crate::settings;
+use anvilgw_core::{AttemptId, RequestId};
+use anvilgw_platform::{DroppedEvents, EngineClient, EngineError, EngineEvent, EngineRequest};
+
+/// Step between the sizes of the parts in which events are sent. Each size takes a connection.
+const PART_STEP: usize = 7;
+/// Events of the request with id 7 and attempt 2.
+const OWN: &str = "\"id\":\"00000000000000000000000000000007\",\"attempt\":2";
+
+fn token(index: u64) -> String {
+    format!("data: {{{OWN},\"index\":{index},\"text\":\"t{index}\"}}\n\n")
+}
+
+fn finish(tokens: u64) -> String {
+    format!(
+        "data: {{{OWN},\"finish_reason\":\"stop\",\"usage\":{{\"completion_tokens\":{tokens}}}}}\n\n"
+    )
+}
+
+fn done() -> String {
+    "data: [DONE]\n\n".to_owned()
+}
+
+/// Text of a complete answer.
+type Text = Result<&'static str, EngineError>;
+
+struct Case {
+    name: &'static str,
+    events: Vec<String>,
+    text: Text,
+    foreign: u64,
+    repeated: u64,
+}
+
+fn case(name: &'static str, events: Vec<String>, text: Text) -> Case {
+    Case {
+        name,
+        events,
+        text,
+        foreign: 0,
+        repeated: 0,
+    }
+}
+
+fn complete_cases() -> Vec<Case> {
+    let old_attempt = token(0).replace("\"attempt\":2", "\"attempt\":1");
+    let old_finish = finish(9).replace("\"attempt\":2", "\"attempt\":1");
+    let unnamed_finish = finish(1).replace(&format!("{OWN},"), "");
+    let crlf = [token(0), finish(1), done()].concat().replace('\n', "\r\n");
+    vec![
+        case("plain", vec![token(0), finish(1), done()], Ok("t0")),
+        case("empty", vec![finish(0), done()], Ok("")),
+        case(
+            "finish without id",
+            vec![token(0), unnamed_finish, done()],
+            Ok("t0"),
+        ),
+        case("CRLF", vec![crlf], Ok("t0")),
+        case(
+            "comments and other fields",
+            vec![
+                ": ping\n\nevent: token\nid: 1\n".to_owned(),
+                token(0),
+                finish(1),
+                done(),
+            ],
+            Ok("t0"),
+        ),
+        Case {
+            foreign: 2,
+            ..case(
+                "events of an older attempt",
+                vec![old_attempt, token(0), old_finish, finish(1), done()],
+                Ok("t0"),
+            )
+        },
+        Case {
+            repeated: 1,
+            ..case(
+                "token repeated",
+                vec![token(0), token(0), token(1), finish(2), done()],
+                Ok("t0t1"),
+            )
+        },
+    ]
+}
+
+fn broken_cases() -> Vec<Case> {
+    vec![
+        case("no events", vec![], Err(EngineError::NoEnd)),
+        case("no finish", vec![token(0), done()], Err(EngineError::NoEnd)),
+        case(
+            "no end marker",
+            vec![token(0), finish(1)],
+            Err(EngineError::NoEnd),
+        ),
+        case(
+            "first token missing",
+            vec![token(1), finish(2), done()],
+            Err(EngineError::Gap(0, 1)),
+        ),
+        case(
+            "last token missing",
+            vec![token(0), finish(2), done()],
+            Err(EngineError::WrongCount(1, 2)),
+        ),
+        case(
+            "token after the finish",
+            vec![token(0), finish(1), token(1), done()],
+            Err(EngineError::Gap(1, 1)),
+        ),
+        case(
+            "neither token nor finish",
+            vec![format!("data: {{{OWN}}}\n\n")],
+            Err(EngineError::Malformed(
+                "neither a token nor the finish".to_owned(),
+            )),
+        ),
+    ]
+}
+
+async fn read(client: &EngineClient) -> Result<String, EngineError> {
+    let attempt = EngineRequest {
+        request: RequestId(7),
+        attempt: AttemptId(2),
+        ..EngineRequest::default()
+    };
+    let mut stream = client.stream(&attempt).await?;
+    let mut text = String::new();
+    while let Some(event) = stream.next().await? {
+        match event {
+            EngineEvent::Token { text: token, .. } => text.push_str(&token),
+            EngineEvent::Finish { .. } => return Ok(text),
+        }
+    }
+    panic!("neither finish nor error");
+}
+
+/// Guards against a wrong, foreign or partial answer being presented as complete, whatever the engine
+/// sends.
+#[tokio::test]
+async fn events_are_checked() {
+    for case in complete_cases().into_iter().chain(broken_cases()) {
+        let addr = scripted(answer(200, &case.events.concat()));
+        let client = EngineClient::new(addr, settings());
+        let text = read(&client).await;
+        assert_eq!(text, case.text.map(str::to_owned), "{}", case.name);
+        let dropped = DroppedEvents {
+            foreign: case.foreign,
+            repeated: case.repeated,
+        };
+        assert_eq!(client.dropped(), dropped, "{}", case.name);
+    }
+}
+
+/// Guards against events that are lost or joined at the boundaries of the parts in which they arrive.
+#[tokio::test]
+async fn events_may_be_split_anywhere() {
+    let events = [token(0), token(1), finish(2), done()].concat();
+    let parts: Vec<usize> = (1..events.len()).step_by(PART_STEP).collect();
+    let answers = parts.iter().map(|part| {
+        let chunks = events.as_bytes().chunks(*part).map(|chunk| {
+            let text = String::from_utf8(chunk.to_vec()).unwrap();
+            format!("{:x}\r\n{text}\r\n", chunk.len())
+        });
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        let body: String = chunks.collect();
+        format!("{head}{body}0\r\n\r\n").into_bytes()
+    });
+    let addr = scripted_series(answers.collect());
+    for part in parts {
+        let text = read(&EngineClient::new(addr, settings())).await;
+        assert_eq!(text, Ok("t0t1".to_owned()), "parts of {part} bytes");
+    }
+}
+
+/// Guards against a malformed event ending the process or being skipped.
+#[tokio::test]
+async fn malformed_events_are_an_error() {
+    for event in ["data: {\n\n", "data: 7\n\n", "data:\n\n"] {
+        let addr = scripted(answer(200, &[event, &finish(0), &done()].concat()));
+        let error = read(&EngineClient::new(addr, settings())).await;
+        assert!(
+            matches!(error, Err(EngineError::Malformed(_))),
+            "{event:?}: {error:?}"
+        );
+    }
+}
--- a/crates/platform/tests/all/log.rs
+++ b/crates/platform/tests/all/log.rs
@@ -1,5 +1,6 @@
 //! The log client against the log stand-in.
 
+use crate::scripted::{answer, scripted};
 use crate::{PATIENCE_MS, loopback, refusing, settings};
 use anvilgw_core::{LogError, LogService, ManualClock, Offset};
 use anvilgw_platform::{HttpLogService, LogClientSettings};
@@ -242,3 +243,74 @@
     let slice = fixture.client.read("claims-00", Offset(0), 10, wait);
     assert_eq!(slice.unwrap().records[0].payload, b"x");
 }
+
+struct AnswerCase {
+    name: &'static str,
+    status: u16,
+    body: &'static str,
+    append: Report,
+}
+
+const APPEND_ANSWERS: [AnswerCase; 4] = [
+    AnswerCase {
+        name: "accepted",
+        status: 200,
+        body: r#"{"offset": 3}"#,
+        append: Report::Appended,
+    },
+    AnswerCase {
+        name: "accepted at an unknown offset",
+        status: 200,
+        body: "{}",
+        append: Report::AnswerLost,
+    },
+    AnswerCase {
+        name: "failed at an unknown point",
+        status: 500,
+        body: "{}",
+        append: Report::AnswerLost,
+    },
+    AnswerCase {
+        name: "refused without a body",
+        status: 429,
+        body: "",
+        append: Report::Unavailable,
+    },
+];
+
+fn scripted_client(status: u16, body: &str) -> HttpLogService {
+    let settings = LogClientSettings {
+        connection: settings(),
+        answer_ms: PATIENCE_MS,
+    };
+    HttpLogService::new(scripted(answer(status, body)), settings).unwrap()
+}
+
+/// Guards against an answer that leaves the outcome of an append open being taken for a refusal.
+#[test]
+fn append_answers_are_read_truthfully() {
+    for case in APPEND_ANSWERS {
+        let result = scripted_client(case.status, case.body).append("config", b"x");
+        assert_eq!(report(&result), case.append, "{}", case.name);
+    }
+}
+
+/// Guards against gaps and wrong offsets in an answer reaching a fold.
+#[test]
+fn malformed_slices_are_refused() {
+    let bodies = [
+        r#"{"first_offset": 0, "next_offset": 9, "records": [{"offset": 6, "payload": ""}]}"#,
+        r#"{"first_offset": 0, "next_offset": 9, "records":
+            [{"offset": 5, "payload": ""}, {"offset": 7, "payload": ""}]}"#,
+        r#"{"first_offset": 0, "next_offset": 5, "records": [{"offset": 5, "payload": ""}]}"#,
+        r#"{"first_offset": 0, "next_offset": 9, "records": [{"offset": 5, "payload": "?"}]}"#,
+        r#"{"first_offset": 0, "next_offset": 9}"#,
+    ];
+    for body in bodies {
+        let slice = scripted_client(200, body).read("config", Offset(5), 9, Duration::ZERO);
+        assert!(matches!(slice, Err(LogError::Protocol(_))), "{body}");
+    }
+    let trimmed = r#"{"first_offset": 7, "next_offset": 9, "records": []}"#;
+    let slice = scripted_client(200, trimmed).read("config", Offset(5), 9, Duration::ZERO);
+    assert_eq!(slice, Err(LogError::Trimmed(Offset(7), Offset(9))));
+}
--- a/crates/platform/tests/all/main.rs
+++ b/crates/platform/tests/all/main.rs
@@ -2,8 +2,10 @@
 
 mod control;
 mod engine;
+mod engine_events;
 mod instances;
 mod log;
+mod scripted;
 mod service;
 mod store;
 
--- a/crates/platform/tests/all/service.rs
+++ b/crates/platform/tests/all/service.rs
@@ -1,5 +1,6 @@
 //! The service client against the plain service stand-in and against broken servers.
 
+use crate::scripted::scripted;
 use crate::{loopback, refusing, settings, silent};
 use anvilgw_core::{ErrorKind, Executed, Failure, Stage};
 use anvilgw_platform::{CallOptions, ServiceAnswer, ServiceCall, ServiceClient};
@@ -9,8 +10,6 @@
 use http::{HeaderValue, Method};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
 
 fn client(addr: SocketAddr) -> ServiceClient {
     ServiceClient::new(addr, settings())
@@ -157,6 +156,65 @@
     assert_eq!(failure.executed(), Executed::No);
 }
 
+/// Guards against a call that is written after it was reported as not executed: the connection is
+/// given up between the hand-over of the call and its first byte.
+#[tokio::test]
+async fn call_given_up_before_its_first_byte_was_not_executed() {
+    let standin = ServiceStandin::start(ServiceConfig::default(), loopback())
+        .await
+        .unwrap();
+    let client = client(standin.addr());
+    let options = CallOptions {
+        silence: Some(Duration::ZERO),
+        ..CallOptions::default()
+    };
+    // The runtime has one thread, so the task that writes has not run yet.
+    let failure = call(&client, "key", options).await.unwrap_err();
+    assert_eq!(failure.stage(), Stage::Connecting);
+    call(&client, "next", CallOptions::default()).await.unwrap();
+    assert_eq!(standin.executions("key"), 0);
+}
+
+/// Guards against the same where the task that writes runs on another thread at the same moment.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn calls_given_up_while_being_written_are_reported_truthfully() {
+    let standin = ServiceStandin::start(ServiceConfig::default(), loopback())
+        .await
+        .unwrap();
+    let client = client(standin.addr());
+    let calls = (0..100).map(|number: u32| {
+        let client = &client;
+        async move {
+            let key = format!("key-{number}");
+            let mut call = ServiceCall::new(Method::POST, "/switch", Bytes::new());
+            let value = HeaderValue::try_from(&key).unwrap();
+            call.headers.insert("idempotency-key", value);
+            call.options.silence = Some(Duration::ZERO);
+            let executed = client.call(call).await;
+            (
+                key,
+                executed.map_or_else(|f| f.executed(), |_| Executed::Yes),
+            )
+        }
+    });
+    let calls: Vec<_> = stream::iter(calls).buffer_unordered(16).collect().await;
+    call_until_served(&client).await;
+    for (key, executed) in calls {
+        let executions = standin.executions(&key);
+        let allowed = if executed == Executed::No { 0 } else { 1 };
+        assert!(executions <= allowed, "{key}: {executed}, {executions}");
+    }
+}
+
+/// Makes a call on a connection accepted after all others, so that their bytes have arrived.
+async fn call_until_served(client: &ServiceClient) {
+    let options = CallOptions {
+        fresh_connection: true,
+        ..CallOptions::default()
+    };
+    call(client, "last", options).await.unwrap();
+}
+
 /// Guards against new work waiting for, or being sent on, a connection that has gone silent.
 #[tokio::test]
 async fn new_work_after_silence_uses_a_new_connection() {
@@ -164,7 +222,11 @@
         .await
         .unwrap();
     let client = client(standin.addr());
-    call(&client, "a", CallOptions::default()).await.unwrap();
+    let (one, other) = tokio::join!(
+        call(&client, "a", CallOptions::default()),
+        call(&client, "a", CallOptions::default())
+    );
+    one.and(other).unwrap();
     standin.set_connection_faults(&ConnectionFaults {
         silence_open: true,
         ..ConnectionFaults::default()
@@ -173,7 +235,8 @@
     call(&client, "b", CallOptions::default()).await.unwrap();
     assert_eq!(standin.executions("b"), 1);
     let counters = client.counters();
-    assert_eq!((counters.opened, counters.silent), (2, 1));
+    // The second idle connection was not tried.
+    assert_eq!((counters.opened, counters.silent), (3, 1));
 }
 
 struct BrokenAnswer {
@@ -224,21 +287,12 @@
 #[tokio::test]
 async fn broken_answers_are_detected() {
     for case in BROKEN_ANSWERS {
-        let listener = TcpListener::bind(loopback()).await.unwrap();
-        let addr = listener.local_addr().unwrap();
-        let server = tokio::spawn(async move {
-            let (mut stream, _) = listener.accept().await.unwrap();
-            let mut request = vec![0; 4096];
-            let _ = stream.read(&mut request).await.unwrap();
-            stream.write_all(case.bytes.as_bytes()).await.unwrap();
-            stream.shutdown().await.unwrap();
-        });
+        let addr = scripted(case.bytes);
         let result = call(&client(addr), "key", CallOptions::default()).await;
         let failure = result
             .err()
             .map(|failure| (failure.kind(), failure.stage()));
         assert_eq!(failure, case.expected, "{}", case.name);
-        server.await.unwrap();
     }
 }
 
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -18,7 +18,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
 /// Body of an answer.
@@ -26,8 +26,10 @@
 
 /// Largest request body that a stand-in reads.
 const MAX_BODY_BYTES: usize = 64 << 20;
-/// Pause before the address is bound again, if it is still in use.
-const REBIND_PAUSE: Duration = Duration::from_millis(10);
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// Pause before listening or accepting is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(10);
 /// Path on which faults are set.
 const FAULTS_PATH: &str = "/control/faults";
 /// Prefix of the paths that faults of chance leave alone.
@@ -136,6 +138,9 @@
 #[derive(Debug)]
 pub(crate) struct Server {
     addr: SocketAddr,
+    /// Keeps the port while nothing listens, so that no other process is given it meanwhile and the
+    /// callers of a stand-in that is down meet a refusal and not a stranger.
+    _port: TcpSocket,
     phase: watch::Sender<Phase>,
     wires: Mutex<Vec<Weak<Wire>>>,
     silence_probability: Mutex<f64>,
@@ -150,9 +155,14 @@
         seed: u64,
         build: impl FnOnce(&Arc<Self>) -> Arc<S>,
     ) -> io::Result<Running<S>> {
-        let listener = TcpListener::bind(addr).await?;
+        // The shared binding below would not notice that the address is in use.
+        drop(TcpListener::bind(addr).await?);
+        let port = bind_shared(addr)?;
+        let addr = port.local_addr()?;
+        let listener = listen(addr)?;
         let server = Arc::new(Self {
-            addr: listener.local_addr()?,
+            addr,
+            _port: port,
             phase: watch::Sender::new(Phase::Up),
             wires: Mutex::default(),
             silence_probability: Mutex::new(0.0),
@@ -283,10 +293,10 @@
             (Phase::Stopped, _) => return,
             (Phase::Down, _) => listener = None,
             (Phase::Up, Some(_)) => {}
-            (Phase::Up, None) => match TcpListener::bind(server.addr).await {
+            (Phase::Up, None) => match listen(server.addr) {
                 Ok(bound) => listener = Some(bound),
                 Err(_) => {
-                    tokio::time::sleep(REBIND_PAUSE).await;
+                    tokio::time::sleep(RETRY_PAUSE).await;
                     continue;
                 }
             },
@@ -300,6 +310,22 @@
     }
 }
 
+/// Binds an address in a way that lets another socket of this process bind it too.
+fn bind_shared(addr: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = if addr.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseport(true)?;
+    socket.bind(addr)?;
+    Ok(socket)
+}
+
+fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    bind_shared(addr)?.listen(BACKLOG)
+}
+
 async fn next_connection(listener: Option<&TcpListener>) -> TcpStream {
     let Some(listener) = listener else {
         return pending().await;
@@ -308,7 +334,7 @@
         match listener.accept().await {
             Ok((stream, _)) => return stream,
             // Out of file descriptors: accepting again at once would spin.
-            Err(_) => tokio::time::sleep(REBIND_PAUSE).await,
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
         }
     }
 }
--- a/crates/standin/tests/all/main.rs
+++ b/crates/standin/tests/all/main.rs
@@ -2,3 +2,4 @@
 
 mod binary;
 mod memory_log;
+mod server;
