--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -7,6 +7,7 @@
 mod fair;
 mod plan;
 mod queue;
+mod workspace;
 
 pub use plan::{PlanLimits, PlanShare, Priority};
 pub use queue::{Action, Admission, AdmissionSettings, Offer, WorkspaceStatus};
--- a/crates/admission/src/plan.rs
+++ b/crates/admission/src/plan.rs
@@ -96,6 +96,9 @@
     /// Time until `amount` can be taken, counting `ahead` that others take first. `None` if never.
     /// An amount above the burst needs a full bucket and overdraws it.
     pub(crate) fn wait(&self, amount: f64, ahead: f64, now: Duration) -> Option<Duration> {
+        if self.burst <= 0.0 {
+            return None;
+        }
         let elapsed_s = now.saturating_sub(self.updated).as_secs_f64();
         let level = (self.level + elapsed_s * self.rate_per_s).min(self.burst);
         let missing = amount.min(self.burst) + ahead - level;
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -2,8 +2,9 @@
 
 use crate::fair::Flow;
 use crate::plan::{Bucket, PlanLimits, Priority};
+use crate::workspace::{Waiting, Workspace};
 use anvilgw_core::{ErrorKind, Failure, RequestId, Stage, WorkspaceId};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -79,24 +80,6 @@
     pub refused: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Waiting {
-    offer: Offer,
-    since: Duration,
-}
-
-#[derive(Clone, Debug)]
-struct Workspace {
-    limits: PlanLimits,
-    requests: Bucket,
-    tokens: Bucket,
-    flow: Flow,
-    queue: VecDeque<Waiting>,
-    queued_tokens: u64,
-    running: u32,
-    refused: u64,
-}
-
 #[derive(Clone, Copy, Debug, Default)]
 struct Class {
     flow: Flow,
@@ -108,6 +91,7 @@
 struct Running {
     workspace: WorkspaceId,
     cost_tokens: u64,
+    started: Duration,
 }
 
 /// Admission of one daemon.
@@ -115,6 +99,8 @@
 pub struct Admission {
     settings: AdmissionSettings,
     workspaces: IndexMap<WorkspaceId, Workspace>,
+    /// Workspaces with waiting requests. Most of the 280 have none at any time.
+    backlogged: IndexSet<WorkspaceId>,
     classes: [Class; 3],
     /// Virtual time among the classes.
     virtual_time: f64,
@@ -128,6 +114,7 @@
         Self {
             settings,
             workspaces: IndexMap::new(),
+            backlogged: IndexSet::new(),
             classes: [Class::default(); 3],
             virtual_time: 0.0,
             running: IndexMap::new(),
@@ -161,6 +148,7 @@
             queued_tokens: 0,
             running: 0,
             refused: 0,
+            service_s: 0.0,
         };
         self.workspaces.insert(workspace, added);
     }
@@ -210,6 +198,7 @@
         }
         workspace.queued_tokens += offer.cost_tokens;
         workspace.queue.push_back(Waiting { offer, since: now });
+        self.backlogged.insert(offer.workspace);
         Ok(())
     }
 
@@ -252,7 +241,8 @@
         let Some(workspace) = self.workspaces.get_mut(&running.workspace) else {
             return;
         };
-        workspace.running -= 1;
+        workspace.running = workspace.running.saturating_sub(1);
+        workspace.observe_service(now.saturating_sub(running.started));
         let difference = actual_tokens as f64 - running.cost_tokens as f64;
         workspace.tokens.take(difference, now);
         let class_at = workspace.limits.priority.index();
@@ -271,9 +261,8 @@
     #[must_use]
     pub fn next_wakeup(&self, now: Duration) -> Option<Duration> {
         let free = self.running.len() < self.settings.slots as usize;
-        self.workspaces
-            .values()
-            .filter_map(|workspace| {
+        self.backlogged()
+            .filter_map(|(_, workspace)| {
                 let late = workspace.queue.iter().map(|w| w.offer.start_by).min()?;
                 let wait = workspace.limit_wait(now).filter(|_| free);
                 let start = wait.map(|wait| now + wait);
@@ -306,6 +295,19 @@
         })
     }
 
+    fn backlogged(&self) -> impl Iterator<Item = (WorkspaceId, &Workspace)> {
+        self.backlogged
+            .iter()
+            .filter_map(|id| Some((*id, self.workspaces.get(id)?)))
+            .filter(|(_, workspace)| !workspace.queue.is_empty())
+    }
+
+    fn forget_empty(&mut self) {
+        let workspaces = &self.workspaces;
+        self.backlogged
+            .retain(|id| workspaces.get(id).is_some_and(|w| !w.queue.is_empty()));
+    }
+
     fn refusal(&self, offer: &Offer, now: Duration) -> Option<Failure> {
         let workspace = self.workspaces.get(&offer.workspace)?;
         let time_left = offer.start_by.saturating_sub(now);
@@ -327,6 +329,11 @@
             return Some(refuse(ErrorKind::PlanLimit, detail, limit_wait));
         }
         let wait = self.queue_wait(workspace);
+        let concurrency_wait = workspace.concurrency_wait();
+        if concurrency_wait > time_left {
+            let detail = "the plan's concurrency allows no start before the deadline";
+            return Some(refuse(ErrorKind::PlanLimit, detail, concurrency_wait));
+        }
         if wait > time_left {
             let detail = "the queue allows no start before the deadline";
             return Some(refuse(ErrorKind::Overloaded, detail, wait));
@@ -342,11 +349,9 @@
         let class = workspace.limits.priority;
         let mut class_weight = 0.0;
         let mut active = [false; 3];
-        active[class.index()] = true;
-        for other in self.workspaces.values() {
-            if other.queue.is_empty() && !std::ptr::eq(other, workspace) {
-                continue;
-            }
+        let others = self.backlogged().map(|(_, other)| other);
+        let others = others.filter(|other| !std::ptr::eq(*other, workspace));
+        for other in others.chain([workspace]) {
             active[other.limits.priority.index()] = true;
             if other.limits.priority == class {
                 class_weight += f64::from(other.limits.weight.max(1));
@@ -368,7 +373,7 @@
     /// The eligible workspace with the smallest start tag in the class with the smallest start tag.
     fn next_workspace(&self, now: Duration) -> Option<WorkspaceId> {
         let mut best: [Option<(f64, WorkspaceId)>; 3] = [None; 3];
-        for (&id, workspace) in &self.workspaces {
+        for (id, workspace) in self.backlogged() {
             if workspace.limit_wait(now) != Some(Duration::ZERO) {
                 continue;
             }
@@ -405,6 +410,7 @@
         let running = Running {
             workspace: id,
             cost_tokens,
+            started: now,
         };
         self.running.insert(request, running);
         Some(Action::Start {
@@ -415,7 +421,11 @@
     }
 
     fn refuse_late(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        for workspace in self.workspaces.values_mut() {
+        self.forget_empty();
+        for id in &self.backlogged {
+            let Some(workspace) = self.workspaces.get_mut(id) else {
+                continue;
+            };
             if workspace.queue.iter().all(|w| w.offer.start_by > now) {
                 continue;
             }
@@ -446,26 +456,3 @@
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
 /// Retry hint without a share: shares are moved to where they are used within this time.
 const RETRY_WITHOUT_SHARE: Duration = Duration::from_secs(3);
-
-impl Workspace {
-    /// Time until the first waiting request is within the limits. `None` without one, without a
-    /// rate, or while the concurrency is used up.
-    fn limit_wait(&self, now: Duration) -> Option<Duration> {
-        let first = self.queue.front()?;
-        if self.running >= self.limits.share.concurrency {
-            return None;
-        }
-        let requests = self.requests.wait(1.0, 0.0, now)?;
-        let cost = first.offer.cost_tokens as f64;
-        let tokens = self.tokens.wait(cost, 0.0, now)?;
-        Some(requests.max(tokens))
-    }
-
-    /// Time until a new request is within the rates, behind those that wait.
-    fn limit_wait_behind_queue(&self, offer: &Offer, now: Duration) -> Option<Duration> {
-        let requests = self.requests.wait(1.0, self.queue.len() as f64, now)?;
-        let cost = offer.cost_tokens as f64;
-        let tokens = self.tokens.wait(cost, self.queued_tokens as f64, now)?;
-        (self.limits.share.concurrency > 0).then_some(requests.max(tokens))
-    }
-}
--- /dev/null
+++ b/crates/admission/tests/admission.rs
@@ -0,0 +1,440 @@
+//! Plan limits, fairness, refusal and correction of costs.
+
+use anvilgw_admission::{
+    Action, Admission, AdmissionSettings, Offer, PlanLimits, PlanShare, Priority,
+};
+use anvilgw_core::{ErrorKind, RequestId, Stage, WorkspaceId};
+use quickcheck::quickcheck;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+const OPEN: PlanShare = PlanShare {
+    requests_per_s: 1e6,
+    tokens_per_s: 1e9,
+    burst_requests: 1e6,
+    burst_tokens: 1e9,
+    concurrency: 1_000,
+};
+
+fn limits(weight: u32, priority: Priority, share: PlanShare) -> PlanLimits {
+    PlanLimits {
+        weight,
+        priority,
+        share,
+    }
+}
+
+fn offer(request: u128, workspace: u32, cost_tokens: u64, start_by: Duration) -> Offer {
+    Offer {
+        request: RequestId(request),
+        workspace: WorkspaceId(workspace),
+        cost_tokens,
+        start_by,
+    }
+}
+
+fn admission(slots: u32) -> Admission {
+    Admission::new(AdmissionSettings {
+        slots,
+        service_tokens_per_s: 1e9,
+        queued_per_workspace_max: 10_000,
+        ..AdmissionSettings::default()
+    })
+}
+
+fn started(actions: &[Action]) -> Vec<RequestId> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Start { request, .. } => Some(*request),
+            Action::Refuse { .. } => None,
+        })
+        .collect()
+}
+
+/// Serves one request at a time and counts the tokens per workspace.
+fn serve(
+    admission: &mut Admission,
+    rounds: usize,
+    costs: &BTreeMap<u32, u64>,
+) -> BTreeMap<u32, u64> {
+    let mut served = BTreeMap::new();
+    for round in 0..rounds {
+        let now = ms(round as u64);
+        for action in admission.poll(now) {
+            let Action::Start {
+                request, workspace, ..
+            } = action
+            else {
+                continue;
+            };
+            *served.entry(workspace.0).or_insert(0) += costs[&workspace.0];
+            admission.on_ended(request, costs[&workspace.0], now);
+        }
+    }
+    served
+}
+
+struct FairCase {
+    what: &'static str,
+    /// Workspace, weight, class and cost of each request.
+    workspaces: &'static [(u32, u32, Priority, u64)],
+    /// Expected part of the served tokens per workspace, in per cent.
+    expected: &'static [(u32, u64)],
+}
+
+/// Guards against parts of the capacity that follow the number or size of requests, and against
+/// classes that starve.
+#[test]
+fn capacity_is_divided_by_weight_and_class() {
+    use Priority::{Batch, Interactive, Normal};
+    let cases = [
+        FairCase {
+            what: "equal weights, unequal sizes",
+            workspaces: &[(1, 1, Normal, 100), (2, 1, Normal, 1_000)],
+            expected: &[(1, 50), (2, 50)],
+        },
+        FairCase {
+            what: "weights",
+            workspaces: &[(1, 3, Normal, 100), (2, 1, Normal, 100)],
+            expected: &[(1, 75), (2, 25)],
+        },
+        FairCase {
+            what: "classes",
+            workspaces: &[(1, 1, Interactive, 100), (2, 1, Batch, 100)],
+            expected: &[(1, 94), (2, 6)],
+        },
+        FairCase {
+            what: "many of a low class gain nothing",
+            workspaces: &[
+                (1, 1, Interactive, 100),
+                (2, 1, Batch, 100),
+                (3, 9, Batch, 100),
+            ],
+            expected: &[(1, 94), (2, 1), (3, 5)],
+        },
+        FairCase {
+            what: "one alone gets all",
+            workspaces: &[(1, 1, Batch, 100)],
+            expected: &[(1, 100)],
+        },
+    ];
+    for case in cases {
+        let mut admission = admission(1);
+        let mut costs = BTreeMap::new();
+        for &(id, weight, priority, cost) in case.workspaces {
+            admission.set_limits(WorkspaceId(id), limits(weight, priority, OPEN), ms(0));
+            costs.insert(id, cost);
+            for request in 0..4_000 {
+                let request = u128::from(id) * 1_000_000 + request;
+                admission
+                    .offer(offer(request, id, cost, ms(1_000_000)), ms(0))
+                    .unwrap();
+            }
+        }
+        let served = serve(&mut admission, 2_000, &costs);
+        let total: u64 = served.values().sum();
+        for (id, expected) in case.expected {
+            let part = served[id] * 100 / total;
+            assert!(
+                part.abs_diff(*expected) <= 1,
+                "{}: {id} got {part}",
+                case.what
+            );
+        }
+    }
+}
+
+/// Guards against a flood that delays a small workspace by more than the request in execution.
+#[test]
+fn a_flood_does_not_delay_a_small_workspace() {
+    let mut admission = admission(1);
+    for id in [1, 2] {
+        admission.set_limits(WorkspaceId(id), limits(1, Priority::Normal, OPEN), ms(0));
+    }
+    for request in 0..5_000 {
+        admission
+            .offer(offer(request, 1, 100, ms(100_000)), ms(0))
+            .unwrap();
+    }
+    for at in 0..50 {
+        let running = started(&admission.poll(ms(at)));
+        admission.on_ended(running[0], 100, ms(at));
+    }
+    admission.poll(ms(50));
+    admission
+        .offer(offer(9_999, 2, 100, ms(100_000)), ms(50))
+        .unwrap();
+    admission.on_ended(RequestId(50), 100, ms(51));
+    assert_eq!(started(&admission.poll(ms(51))), [RequestId(9_999)]);
+}
+
+struct LimitCase {
+    what: &'static str,
+    share: PlanShare,
+    /// Requests of 100 tokens that may start of ten offered at time zero.
+    at_once: usize,
+    /// Requests that may have started 1.01 s later, if none ended. Wake-ups are rounded up.
+    after_1_s: usize,
+}
+
+const LIMIT_CASES: &[LimitCase] = &[
+    LimitCase {
+        what: "open",
+        share: OPEN,
+        at_once: 10,
+        after_1_s: 10,
+    },
+    LimitCase {
+        what: "requests",
+        share: PlanShare {
+            requests_per_s: 2.0,
+            burst_requests: 3.0,
+            ..OPEN
+        },
+        at_once: 3,
+        after_1_s: 5,
+    },
+    LimitCase {
+        what: "tokens",
+        share: PlanShare {
+            tokens_per_s: 200.0,
+            burst_tokens: 300.0,
+            ..OPEN
+        },
+        at_once: 3,
+        after_1_s: 5,
+    },
+    LimitCase {
+        what: "request above the burst",
+        share: PlanShare {
+            tokens_per_s: 100.0,
+            burst_tokens: 50.0,
+            ..OPEN
+        },
+        at_once: 1,
+        after_1_s: 2,
+    },
+    LimitCase {
+        what: "concurrency",
+        share: PlanShare {
+            concurrency: 4,
+            ..OPEN
+        },
+        at_once: 4,
+        after_1_s: 4,
+    },
+];
+
+/// Guards against limits of a plan that are not enforced or that never let go.
+#[test]
+fn each_limit_of_a_plan_holds() {
+    for case in LIMIT_CASES {
+        let mut admission = admission(100);
+        admission.set_limits(
+            WorkspaceId(1),
+            limits(1, Priority::Normal, case.share),
+            ms(0),
+        );
+        for request in 0..10 {
+            admission
+                .offer(offer(request, 1, 100, ms(60_000)), ms(0))
+                .unwrap();
+        }
+        let mut count = started(&admission.poll(ms(0))).len();
+        assert_eq!(count, case.at_once, "{}", case.what);
+        let mut now = ms(0);
+        while let Some(next) = admission.next_wakeup(now).filter(|next| *next <= ms(1_010)) {
+            assert!(next > now, "{}: wake-up without progress", case.what);
+            now = next;
+            count += started(&admission.poll(now)).len();
+        }
+        assert_eq!(count, case.after_1_s, "{}", case.what);
+    }
+}
+
+struct RefusalCase {
+    what: &'static str,
+    share: PlanShare,
+    slots: u32,
+    service_tokens_per_s: f64,
+    queued: u128,
+    kind: ErrorKind,
+}
+
+const REFUSAL_CASES: &[RefusalCase] = &[
+    RefusalCase {
+        what: "no share",
+        share: PlanShare {
+            tokens_per_s: 0.0,
+            burst_tokens: 0.0,
+            ..OPEN
+        },
+        slots: 10,
+        service_tokens_per_s: 1e9,
+        queued: 0,
+        kind: ErrorKind::PlanLimit,
+    },
+    RefusalCase {
+        what: "rate",
+        share: PlanShare {
+            requests_per_s: 0.5,
+            burst_requests: 1.0,
+            ..OPEN
+        },
+        slots: 10,
+        service_tokens_per_s: 1e9,
+        queued: 1,
+        kind: ErrorKind::PlanLimit,
+    },
+    RefusalCase {
+        what: "queue",
+        share: OPEN,
+        slots: 1,
+        service_tokens_per_s: 100.0,
+        queued: 2,
+        kind: ErrorKind::Overloaded,
+    },
+];
+
+/// Guards against requests that wait for a deadline they cannot meet, and against refusals without a
+/// useful retry hint.
+#[test]
+fn requests_that_cannot_start_in_time_are_refused_at_once() {
+    for case in REFUSAL_CASES {
+        let mut admission = admission(case.slots);
+        admission.set_capacity(case.slots, case.service_tokens_per_s);
+        admission.set_limits(
+            WorkspaceId(1),
+            limits(1, Priority::Normal, case.share),
+            ms(0),
+        );
+        for request in 0..case.queued {
+            admission
+                .offer(offer(request, 1, 200, ms(60_000)), ms(0))
+                .unwrap();
+        }
+        admission.poll(ms(0));
+        let failure = admission
+            .offer(offer(99, 1, 200, ms(1_000)), ms(0))
+            .unwrap_err();
+        assert_eq!(failure.kind(), case.kind, "{}", case.what);
+        assert_eq!(failure.stage(), Stage::Queued, "{}", case.what);
+        assert_eq!(failure.executed().as_str(), "no", "{}", case.what);
+        let retry_after = failure.retry_after().unwrap();
+        assert!(
+            (ms(50)..ms(10_000)).contains(&retry_after),
+            "{}: {retry_after:?}",
+            case.what
+        );
+    }
+}
+
+/// Guards against callers that are held back until the deadline while all slots are taken, and
+/// against requests that start after it.
+#[test]
+fn the_deadline_ends_the_wait() {
+    let mut admission = admission(1);
+    admission.set_limits(WorkspaceId(1), limits(1, Priority::Normal, OPEN), ms(0));
+    for request in 0..3 {
+        admission
+            .offer(offer(request, 1, 100, ms(100)), ms(0))
+            .unwrap();
+    }
+    assert_eq!(started(&admission.poll(ms(0))).len(), 1);
+    assert_eq!(admission.next_wakeup(ms(0)), Some(ms(100)));
+    let refused = admission.poll(ms(100));
+    assert_eq!(refused.len(), 2);
+    assert!(started(&refused).is_empty());
+    assert_eq!(admission.status(WorkspaceId(1)).unwrap().queued_tokens, 0);
+}
+
+/// Guards against a workspace that pays less by understating its costs, and against one that pays
+/// for tokens it did not use.
+#[test]
+fn real_costs_replace_estimates() {
+    let share = PlanShare {
+        tokens_per_s: 100.0,
+        burst_tokens: 1_000.0,
+        ..OPEN
+    };
+    let mut admission = admission(10);
+    admission.set_limits(WorkspaceId(1), limits(1, Priority::Normal, share), ms(0));
+    admission.offer(offer(1, 1, 1, ms(1_000)), ms(0)).unwrap();
+    assert_eq!(started(&admission.poll(ms(0))).len(), 1);
+    admission.on_ended(RequestId(1), 2_000, ms(0));
+    let refused = admission.offer(offer(2, 1, 1, ms(1_000)), ms(0));
+    assert_eq!(refused.unwrap_err().kind(), ErrorKind::PlanLimit);
+    admission
+        .offer(offer(3, 1, 900, ms(60_000)), ms(20_000))
+        .unwrap();
+    assert_eq!(started(&admission.poll(ms(20_000))).len(), 1);
+    admission.on_ended(RequestId(3), 0, ms(20_000));
+    admission
+        .offer(offer(4, 1, 900, ms(21_000)), ms(20_000))
+        .unwrap();
+    assert_eq!(
+        started(&admission.poll(ms(20_000))).len(),
+        1,
+        "unused tokens came back"
+    );
+}
+
+/// Guards against tokens that appear when shares move between daemons.
+#[test]
+fn moving_a_share_creates_no_tokens() {
+    let full = PlanShare {
+        requests_per_s: 1.0,
+        burst_requests: 10.0,
+        ..OPEN
+    };
+    let half = PlanShare {
+        burst_requests: 5.0,
+        ..full
+    };
+    let mut admission = admission(100);
+    admission.set_limits(WorkspaceId(1), limits(1, Priority::Normal, full), ms(0));
+    for _ in 0..20 {
+        admission.set_limits(WorkspaceId(1), limits(1, Priority::Normal, half), ms(0));
+        admission.set_limits(WorkspaceId(1), limits(1, Priority::Normal, full), ms(0));
+    }
+    for request in 0..20 {
+        admission
+            .offer(offer(request, 1, 1, ms(60_000)), ms(0))
+            .unwrap();
+    }
+    assert_eq!(started(&admission.poll(ms(0))).len(), 10);
+}
+
+quickcheck! {
+    /// Guards against idle slots while a request could start, lost requests and double starts.
+    fn every_request_ends_once_and_slots_are_used(steps: Vec<(u8, u8, bool)>) -> bool {
+        let mut admission = admission(3);
+        for id in 0..4 {
+            admission.set_limits(WorkspaceId(id), limits(id + 1, Priority::Normal, OPEN), ms(0));
+        }
+        let mut running = Vec::new();
+        let mut ended = 0;
+        let mut offered = 0;
+        for (at, (workspace, cost, end)) in steps.iter().enumerate() {
+            let now = ms(at as u64);
+            if *end && !running.is_empty() {
+                admission.on_ended(running.remove(0), u64::from(*cost), now);
+                ended += 1;
+            } else {
+                let workspace = u32::from(workspace % 4);
+                let offer = offer(at as u128, workspace, u64::from(*cost), ms(60_000));
+                offered += usize::from(admission.offer(offer, now).is_ok());
+            }
+            running.extend(started(&admission.poll(now)));
+            if admission.queued() > 0 && running.len() < 3 {
+                return false;
+            }
+        }
+        running.len() == admission.running() && ended + running.len() + admission.queued() == offered
+    }
+}
--- a/crates/router/src/breaker.rs
+++ b/crates/router/src/breaker.rs
@@ -72,11 +72,14 @@
     /// Whether a request may pass now.
     #[must_use]
     pub fn allows(&self, now: Duration) -> bool {
-        match self.state(now) {
-            BreakerState::Closed => true,
-            BreakerState::Open => false,
-            BreakerState::HalfOpen => self.probe_until.is_none_or(|until| now >= until),
-        }
+        now >= self.blocked_until()
+    }
+
+    /// Time before which [`Self::allows`] is false.
+    #[must_use]
+    pub fn blocked_until(&self) -> Duration {
+        let open_until = self.open_until.unwrap_or_default();
+        open_until.max(self.probe_until.unwrap_or_default())
     }
 
     /// Notes that a request is sent. In the half-open state it is the probe; a probe without an
--- a/crates/router/src/cold.rs
+++ b/crates/router/src/cold.rs
@@ -46,6 +46,8 @@
     CacheLost,
     /// The server failed requests in a way typical of overload.
     Overloaded,
+    /// A request broke, as it does when a server restarts. A report measured later decides.
+    Suspected,
 }
 
 /// A change of temperature, for the journal.
@@ -66,6 +68,7 @@
     /// Completions in the report at which the server became cold.
     completed_base: u64,
     known: Option<LoadReport>,
+    suspected_at: Option<Duration>,
 }
 
 impl Temperature {
@@ -77,6 +80,7 @@
             cause: Some(ColdCause::Unknown),
             completed_base: 0,
             known: None,
+            suspected_at: None,
         }
     }
 
@@ -130,7 +134,30 @@
         if report.cached_blocks == 0 && known.cached_blocks > 0 {
             return self.cool(ColdCause::CacheLost, report.completed);
         }
-        self.warm_if_full()
+        self.clear_suspicion(report).or_else(|| self.warm_if_full())
+    }
+
+    /// Notes that a request of this daemon broke. Reports lag, so a server that restarted would get
+    /// full load until the first report of the new process; it counts as cold until a report that
+    /// was measured after the failure shows that the process is the same.
+    pub fn on_broken(&mut self, now: Duration) -> Option<TemperatureChange> {
+        if self.cause.is_none() {
+            let completed = self.known.map_or(0, |report| report.completed);
+            let change = self.cool(ColdCause::Suspected, completed);
+            self.suspected_at = Some(now);
+            return change;
+        }
+        if self.suspected_at.is_some() {
+            self.suspected_at = Some(now);
+        }
+        None
+    }
+
+    fn clear_suspicion(&mut self, report: &LoadReport) -> Option<TemperatureChange> {
+        self.suspected_at
+            .take_if(|suspected_at| report.measured_at > *suspected_at)?;
+        self.cause = None;
+        Some(TemperatureChange::Warm)
     }
 
     /// Notes an error typical of overload that a request of this daemon met.
@@ -142,6 +169,7 @@
     fn cool(&mut self, cause: ColdCause, completed_base: u64) -> Option<TemperatureChange> {
         self.completed_base = completed_base;
         self.cause = Some(cause);
+        self.suspected_at = None;
         // A restarted server may have completed enough by the time of its first report.
         self.warm_if_full()
             .is_none()
@@ -152,6 +180,7 @@
         let full = self.cause.is_some() && self.capacity() >= self.settings.full_concurrency;
         full.then(|| {
             self.cause = None;
+            self.suspected_at = None;
             TemperatureChange::Warm
         })
     }
--- a/crates/router/src/inflight.rs
+++ b/crates/router/src/inflight.rs
@@ -141,20 +141,23 @@
 struct Reserved {
     bytes: u64,
     start: Duration,
+    slot: Duration,
     end: Duration,
     expires: Duration,
 }
 
 /// Reservations of one link against this daemon's share of its budget.
 ///
-/// Transfers are lined up one after the other at the rate of the share, so the bytes of any interval
-/// exceed the share by at most one transfer. Time that a transfer does not use is lost, unless it is
-/// released before its start and nothing was lined up behind it: later reservations already hold
-/// start times.
+/// Transfers are lined up at the rate of the share and may run ahead of it by `burst`, so the bytes of
+/// an interval are at most the share times the interval and the burst, plus one transfer. Bytes that
+/// a transfer does not use are lost, unless it is released before its start and nothing was lined up
+/// behind it: later reservations already hold start times.
 #[derive(Clone, Debug)]
 pub struct LinkLedger {
     share_bytes_per_s: f64,
+    /// Time at which the reserved bytes have passed at the rate of the share.
     busy_until: Duration,
+    burst: Duration,
     grace: Duration,
     reserved: SlotMap<ReservationId, Reserved>,
 }
@@ -162,10 +165,11 @@
 impl LinkLedger {
     /// Creates a ledger. A reservation expires `grace` after the end of its slot.
     #[must_use]
-    pub fn new(share_bytes_per_s: f64, grace: Duration) -> Self {
+    pub fn new(share_bytes_per_s: f64, burst: Duration, grace: Duration) -> Self {
         Self {
             share_bytes_per_s,
             busy_until: Duration::ZERO,
+            burst,
             grace,
             reserved: SlotMap::with_key(),
         }
@@ -185,7 +189,7 @@
     /// Time until a new transfer may start.
     #[must_use]
     pub fn wait(&self, now: Duration) -> Duration {
-        self.busy_until.saturating_sub(now)
+        self.busy_until.saturating_sub(now + self.burst)
     }
 
     /// Bytes reserved and not yet ended.
@@ -213,11 +217,13 @@
             return Err(LinkRefusal::Wait(wait));
         }
         let start = now + wait;
-        let end = start + Duration::from_secs_f64(bytes as f64 / self.share_bytes_per_s);
+        let slot = self.busy_until.max(now);
+        let end = slot + Duration::from_secs_f64(bytes as f64 / self.share_bytes_per_s);
         self.busy_until = end;
         let id = self.reserved.insert(Reserved {
             bytes,
             start,
+            slot,
             end,
             expires: end + self.grace,
         });
@@ -230,7 +236,7 @@
             return;
         };
         if now <= reserved.start && reserved.end == self.busy_until {
-            self.busy_until = reserved.start;
+            self.busy_until = reserved.slot;
         }
     }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,6 +17,7 @@
 mod recent;
 mod retry;
 mod select;
+mod server;
 mod table;
 
 pub use breaker::{Breaker, BreakerSettings, BreakerState};
@@ -44,6 +45,7 @@
 pub use retry::{FailedAttempt, RetryBudget, RetryRefusal, RetrySettings};
 pub use select::{
     Candidate, Choice, Decision, Excluded, Exclusion, Explanation, NEAR_EQUAL_SHARE, NoCandidate,
-    RouteRequest,
+    PrefillPriority, RouteRequest,
 };
-pub use table::{Router, RouterSettings, SendOutcome, ServerChange, ServerSpec};
+pub use server::ServerSpec;
+pub use table::{Router, RouterSettings, SendOutcome, ServerChange};
--- a/crates/router/src/load.rs
+++ b/crates/router/src/load.rs
@@ -138,14 +138,28 @@
     /// Expected time until a new request starts its prefill, in milliseconds.
     #[must_use]
     pub fn queue_ms(&self, now: Duration, rates: &EngineRates) -> f64 {
-        let prefill_ms = self.backlog_tokens(now, rates) / rates.prefill_tokens_per_s * 1e3;
-        // A full batch accepts the next request when one of its requests ends.
+        let backlog_ms = self.backlog_tokens(now, rates) / rates.prefill_tokens_per_s * 1e3;
+        backlog_ms + self.slot_ms(rates)
+    }
+
+    /// Time to compute the backlog as it was known last.
+    pub(crate) fn backlog_ms(&self, rates: &EngineRates) -> f64 {
+        self.backlog_tokens / rates.prefill_tokens_per_s * 1e3
+    }
+
+    /// Time at which that backlog is computed.
+    pub(crate) fn backlog_end_ms(&self, rates: &EngineRates) -> f64 {
+        self.backlog_at.as_secs_f64() * 1e3 + self.backlog_ms(rates)
+    }
+
+    /// Wait for a place in a full batch, which accepts the next request when one of its requests
+    /// ends.
+    pub(crate) fn slot_ms(&self, rates: &EngineRates) -> f64 {
         let ahead = self
             .requests()
             .saturating_sub(rates.max_concurrency.saturating_sub(1));
-        let slot_ms = f64::from(ahead) * rates.mean_decode_tokens * rates.decode_ms_per_token
-            / f64::from(rates.max_concurrency.max(1));
-        prefill_ms + slot_ms
+        f64::from(ahead) * rates.mean_decode_tokens * rates.decode_ms_per_token
+            / f64::from(rates.max_concurrency.max(1))
     }
 
     fn add(&mut self, send: Send, rates: &EngineRates) {
--- a/crates/router/src/matches.rs
+++ b/crates/router/src/matches.rs
@@ -23,6 +23,9 @@
     pub holders: Vec<HolderMatch>,
     /// Whether a shard did not answer, so that more blocks may exist than stated.
     pub incomplete: bool,
+    /// First block that is on its way to a server. Imports to other servers end before it, so there
+    /// is one import of a block at a time.
+    pub importing_from: Option<u32>,
 }
 
 impl PrefixMatch {
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -22,6 +22,9 @@
     pub copy_rebuild_time: Duration,
     /// Return probability below which a block is not worth the link bytes of an export.
     pub return_probability_min: f64,
+    /// Probability of a return before the eviction below which a block leaves accelerator memory
+    /// first.
+    pub resident_return_min: f64,
     /// Weight of the newest observation in the averages.
     pub smoothing: f64,
 }
@@ -33,18 +36,40 @@
             block_tokens: 4_000,
             copy_rebuild_time: Duration::from_secs(3),
             return_probability_min: 0.05,
+            resident_return_min: 0.02,
             smoothing: 0.05,
         }
     }
 }
 
+/// Gaps are counted in classes that double from one second; the last class is 12 days and more.
+const GAP_CLASSES: usize = 21;
+
 /// How the callers of a workspace return.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct ReturnPattern {
     /// Share of prompts that return at all.
     pub probability: f64,
-    /// Time until the return, on average.
-    pub gap_s: f64,
+    /// Share of returns per class of gaps.
+    gaps: [f64; GAP_CLASSES],
+}
+
+impl ReturnPattern {
+    /// Probability that a prompt returns within a time.
+    #[must_use]
+    pub fn returns_within(&self, time: Duration) -> f64 {
+        let class = gap_class(time);
+        let whole: f64 = self.gaps[..class].iter().sum();
+        // Gaps are taken as evenly spread over the logarithm within a class.
+        let start_s = (1_u64 << class) as f64;
+        let part = (time.as_secs_f64() / start_s).max(1.0).log2().min(1.0);
+        self.probability * (whole + part * self.gaps[class])
+    }
+}
+
+fn gap_class(gap: Duration) -> usize {
+    let class = gap.as_secs().max(1).ilog2() as usize;
+    class.min(GAP_CLASSES - 1)
 }
 
 /// A sealed block on an engine whose request ended.
@@ -60,6 +85,8 @@
     pub position: u32,
     /// Number of complete blocks of the prompt.
     pub prompt_blocks: u32,
+    /// Whether the request found it in the cache of the engine.
+    pub reused: bool,
     /// Engine that holds it.
     pub server: ServerId,
     /// Failure domain of the engine.
@@ -141,14 +168,20 @@
     pub fn on_return(&mut self, workspace: WorkspaceId, gap: Option<Duration>) {
         let weight = self.settings.smoothing;
         // Without observations a prompt counts as returning, which is what the system is for.
-        let pattern = self.patterns.entry(workspace).or_insert(ReturnPattern {
-            probability: 1.0,
-            gap_s: gap.unwrap_or_default().as_secs_f64(),
+        let pattern = self.patterns.entry(workspace).or_insert_with(|| {
+            let mut gaps = [0.0; GAP_CLASSES];
+            gaps[gap.map_or(GAP_CLASSES - 1, gap_class)] = 1.0;
+            ReturnPattern {
+                probability: 1.0,
+                gaps,
+            }
         });
         let returned = f64::from(u8::from(gap.is_some()));
         pattern.probability += weight * (returned - pattern.probability);
-        if let Some(gap) = gap {
-            pattern.gap_s += weight * (gap.as_secs_f64() - pattern.gap_s);
+        let Some(gap) = gap else { return };
+        for (class, share) in pattern.gaps.iter_mut().enumerate() {
+            let observed = f64::from(u8::from(class == gap_class(gap)));
+            *share += weight * (observed - *share);
         }
     }
 
@@ -241,15 +274,15 @@
         Duration::from_secs_f64(tokens / self.settings.prefill_tokens_per_s)
     }
 
+    /// Whether the caller returns only after the eviction, or never. A block that was read again
+    /// while it was resident belongs to a prefix that many prompts share.
     fn returns_after_eviction(&self, block: &SealedBlock) -> bool {
-        let gap_s = self
-            .patterns
-            .get(&block.workspace)
-            .map(|pattern| pattern.gap_s);
+        let pattern = self.patterns.get(&block.workspace);
         let residency_s = self.residency_s.get(&block.server);
-        gap_s
-            .zip(residency_s)
-            .is_some_and(|(gap_s, residency_s)| gap_s > *residency_s)
+        let probability = pattern.zip(residency_s).map(|(pattern, residency_s)| {
+            pattern.returns_within(Duration::from_secs_f64(*residency_s))
+        });
+        !block.reused && probability.is_some_and(|known| known < self.settings.resident_return_min)
     }
 }
 
--- a/crates/router/src/price.rs
+++ b/crates/router/src/price.rs
@@ -59,7 +59,7 @@
 }
 
 /// Sizes that are the same for all servers of a model.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct BlockSizes {
     /// Tokens per KV block.
     pub block_tokens: u32,
@@ -95,7 +95,7 @@
     pub in_place_blocks: u32,
     /// Blocks imported after them.
     pub import: Option<Import>,
-    /// Tokens recomputed although an earlier request computed them, or new.
+    /// Tokens that the server computes: new ones and those that are not reused.
     pub prefill_tokens: u64,
 }
 
@@ -166,6 +166,30 @@
     offers: Vec<Offer>,
 }
 
+/// A plan on a server that holds no block, reduced to what its cost depends on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AwayPlan {
+    import_ms: f64,
+    cost_per_wait_ms: f64,
+    fixed_cost: f64,
+}
+
+impl AwayPlan {
+    /// Cost of the cheapest of several plans on a server with the given queue.
+    #[inline]
+    pub(crate) fn lowest_cost(plans: &[Self], queue_ms: f64) -> f64 {
+        let mut lowest = f64::INFINITY;
+        for plan in plans {
+            let wait_ms = queue_ms.max(plan.import_ms);
+            let cost = wait_ms * plan.cost_per_wait_ms + plan.fixed_cost;
+            if cost < lowest {
+                lowest = cost;
+            }
+        }
+        lowest
+    }
+}
+
 /// Share of doubtful blocks that are assumed to exist. A doubtful block that turns out to be missing
 /// costs a recompute after the failed read, so a doubtful match must promise a clear gain.
 const DOUBTFUL_TRUST: f64 = 0.5;
@@ -184,7 +208,9 @@
         prefix: &PrefixMatch,
         links: &impl LinkView,
     ) -> Self {
+        let importable = prefix.importing_from.unwrap_or(u32::MAX);
         let offers = prefix.holders.iter().filter_map(|&matched| {
+            let matched = cut(matched, importable);
             let rates = links.rates(matched.holder).filter(|rates| rates.usable)?;
             Some(Offer {
                 matched,
@@ -230,6 +256,32 @@
         self.offers = kept;
     }
 
+    /// Servers that hold a block of the prompt.
+    pub(crate) fn holding_servers(&self) -> impl Iterator<Item = ServerId> + '_ {
+        self.in_place.iter().filter_map(|known| match known.holder {
+            Holder::Server(server) => Some(server),
+            Holder::Store(_) => None,
+        })
+    }
+
+    /// Plans on a server that holds no block. Most servers hold none, so what is the same for all of
+    /// them is computed once.
+    pub(crate) fn away_plans(&self, engine: &EngineRates) -> Vec<AwayPlan> {
+        let offers = self.offers.iter().filter(|offer| offer.matched.blocks > 0);
+        std::iter::once(None)
+            .chain(offers.map(Some))
+            .map(|offer| {
+                let price = self.price(0, 1.0, offer, 0.0, engine).price;
+                let cost_per_wait_ms = self.weights.per_ttft_s / 1e3;
+                AwayPlan {
+                    import_ms: price.import_ms,
+                    cost_per_wait_ms,
+                    fixed_cost: price.cost - price.import_ms * cost_per_wait_ms,
+                }
+            })
+            .collect()
+    }
+
     /// Cheapest plan on a server with the given queue.
     #[must_use]
     pub fn cheapest(&self, server: ServerId, queue_ms: f64, engine: &EngineRates) -> PricedPlan {
@@ -319,6 +371,18 @@
     }
 }
 
+/// Shortens a match to its leading blocks. Later blocks are the ones on disk, if any are.
+fn cut(matched: HolderMatch, blocks: u32) -> HolderMatch {
+    let blocks = matched.blocks.min(blocks);
+    let removed = matched.blocks - blocks;
+    HolderMatch {
+        blocks,
+        disk_blocks: matched.disk_blocks.saturating_sub(removed),
+        doubtful_blocks: matched.doubtful_blocks.min(blocks),
+        ..matched
+    }
+}
+
 fn trust(matched: &HolderMatch) -> f64 {
     let doubtful = f64::from(matched.doubtful_blocks) / f64::from(matched.blocks.max(1));
     1.0 - doubtful * (1.0 - DOUBTFUL_TRUST)
--- a/crates/router/src/recent.rs
+++ b/crates/router/src/recent.rs
@@ -7,7 +7,7 @@
 use crate::index::{Hint, Location};
 use crate::kv::{Generation, ShortKey};
 use anvilgw_core::ServerId;
-use indexmap::IndexMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 /// Bounded table of own recent requests.
@@ -15,7 +15,17 @@
 pub struct RecentBlocks {
     capacity: usize,
     lifetime: Duration,
-    blocks: IndexMap<ShortKey, (ServerId, Duration)>,
+    blocks: HashMap<ShortKey, Recent>,
+    /// Keys by the time of their note, oldest first. A key that was noted again has several entries,
+    /// of which only the newest one drops it.
+    order: VecDeque<(ShortKey, Duration)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Recent {
+    server: ServerId,
+    noted: Duration,
+    import_until: Duration,
 }
 
 impl RecentBlocks {
@@ -26,33 +36,78 @@
         Self {
             capacity: capacity.max(1),
             lifetime,
-            blocks: IndexMap::new(),
+            blocks: HashMap::new(),
+            order: VecDeque::new(),
         }
     }
 
     /// Notes that a server computes or imports these blocks.
     pub fn note(&mut self, server: ServerId, keys: &[ShortKey], now: Duration) {
+        self.insert(server, keys, now, Duration::ZERO);
+    }
+
+    /// Notes that a server imports these blocks until the given time.
+    pub fn note_import(
+        &mut self,
+        server: ServerId,
+        keys: &[ShortKey],
+        now: Duration,
+        until: Duration,
+    ) {
+        self.insert(server, keys, now, until);
+    }
+
+    fn insert(&mut self, server: ServerId, keys: &[ShortKey], now: Duration, until: Duration) {
         for &key in keys {
-            if self.blocks.len() >= self.capacity && !self.blocks.contains_key(&key) {
-                self.blocks.swap_remove_index(0);
+            // A later reader of a block on its way does not end the import.
+            let known = self.blocks.get(&key);
+            let import = known.filter(|known| known.import_until > now.max(until));
+            let recent = import.copied().unwrap_or(Recent {
+                server,
+                noted: now,
+                import_until: until,
+            });
+            self.blocks.insert(key, recent);
+            self.order.push_back((key, recent.noted));
+        }
+        self.drop_oldest();
+    }
+
+    fn drop_oldest(&mut self) {
+        while self.order.len() > self.capacity {
+            let Some((key, noted)) = self.order.pop_front() else {
+                return;
+            };
+            if self
+                .blocks
+                .get(&key)
+                .is_some_and(|known| known.noted == noted)
+            {
+                self.blocks.remove(&key);
             }
-            self.blocks.insert(key, (server, now));
         }
     }
 
+    /// Server to which a block is on its way, if it is.
+    #[must_use]
+    pub fn importing(&self, key: ShortKey, now: Duration) -> Option<ServerId> {
+        let recent = self.blocks.get(&key)?;
+        (recent.import_until > now).then_some(recent.server)
+    }
+
     /// Forgets what was noted about a server that failed or restarted.
     pub fn forget_server(&mut self, server: ServerId) {
-        self.blocks.retain(|_, (known, _)| *known != server);
+        self.blocks.retain(|_, known| known.server != server);
     }
 
     /// Adds what is known about a block to the hints of the index.
     pub fn extend(&self, key: ShortKey, hints: &mut Vec<Hint>, now: Duration) {
-        let Some(&(server, noted)) = self.blocks.get(&key) else {
+        let Some(recent) = self.blocks.get(&key) else {
             return;
         };
-        let location = Location::Server(server);
+        let location = Location::Server(recent.server);
         let known = hints.iter().any(|hint| hint.location == location);
-        if !known && now.saturating_sub(noted) < self.lifetime {
+        if !known && now.saturating_sub(recent.noted) < self.lifetime {
             hints.push(Hint {
                 location,
                 // Engines match prefixes in place by content and need no generation.
--- a/crates/router/src/select.rs
+++ b/crates/router/src/select.rs
@@ -14,6 +14,8 @@
 pub const NEAR_EQUAL_SHARE: f64 = 0.10;
 /// Smallest cost in the random choice, which keeps the proportions finite.
 const COST_FLOOR: f64 = 1e-6;
+/// Candidates listed in an explanation. The details of all of 600 would take 100 KB per request.
+const EXPLAINED_MAX: usize = 16;
 
 /// A request to route.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -87,14 +89,29 @@
     pub prefix: PrefixMatch,
     /// Weights of the deployment.
     pub weights: CostWeights,
-    /// Servers that were considered.
+    /// The cheapest of the servers that were considered, and the selected one, by cost.
     pub candidates: Vec<Candidate>,
+    /// Number of servers that were considered.
+    pub considered: usize,
+    /// Highest cost of a server that was considered.
+    pub highest_cost: f64,
     /// Servers of the model that were not considered.
     pub excluded: Vec<Excluded>,
     /// Selected server, if any.
     pub selected: Option<ServerId>,
 }
 
+/// Priority that an engine gives to the prefill of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PrefillPriority {
+    /// The default.
+    Normal,
+    /// The prefill is long and yields to shorter ones, which it would delay by many times their own
+    /// length.
+    Low,
+}
+
 /// Where and how a request is served.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Choice {
@@ -104,6 +121,8 @@
     pub plan: ServePlan,
     /// Expected time to first token.
     pub ttft_ms: f64,
+    /// Priority of the prefill.
+    pub priority: PrefillPriority,
     /// Whether a permit for a cold server is needed before sending.
     pub needs_cold_permit: bool,
 }
@@ -138,27 +157,78 @@
     pub explanation: Explanation,
 }
 
-/// Selects among near-equal candidates in proportion to the inverse of their cost and writes the
-/// probabilities into them.
-pub(crate) fn choose(candidates: &mut [Candidate], rng: &mut impl Rng) -> Option<usize> {
-    let cost = |candidate: &Candidate| candidate.priced.price.cost.max(COST_FLOOR);
-    let lowest = candidates.iter().map(cost).min_by(f64::total_cmp)?;
+/// A candidate before its plan is worked out.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Scored {
+    /// Position in the table of servers.
+    pub(crate) at: usize,
+    pub(crate) queue_ms: f64,
+    pub(crate) cost: f64,
+    pub(crate) probability: f64,
+}
+
+/// Selects among near-equal candidates in proportion to the inverse of their cost, writes the
+/// probabilities into them and returns the position of the selected one.
+pub(crate) fn choose(scored: &mut [Scored], rng: &mut impl Rng) -> Option<usize> {
+    let cost = |scored: &Scored| {
+        if scored.cost > COST_FLOOR {
+            scored.cost
+        } else {
+            COST_FLOOR
+        }
+    };
+    let mut lowest = cost(scored.first()?);
+    for candidate in scored.iter() {
+        if cost(candidate) < lowest {
+            lowest = cost(candidate);
+        }
+    }
     let limit = lowest * (1.0 + NEAR_EQUAL_SHARE);
-    let share = |candidate: &Candidate| {
+    let mut total = 0.0;
+    for candidate in scored.iter_mut() {
         let cost = cost(candidate);
-        if cost <= limit { lowest / cost } else { 0.0 }
-    };
-    let total: f64 = candidates.iter().map(share).sum();
+        candidate.probability = if cost <= limit { lowest / cost } else { 0.0 };
+        total += candidate.probability;
+    }
     let mut remaining = rng.random::<f64>() * total;
     let mut selected = None;
-    for (at, candidate) in candidates.iter_mut().enumerate() {
-        let share = share(candidate);
-        candidate.probability = share / total;
-        if share > 0.0 && remaining >= 0.0 {
-            // Keeps the last near-equal candidate if rounding leaves a remainder.
-            selected = Some(at);
-            remaining -= share;
+    for (at, candidate) in scored.iter_mut().enumerate() {
+        if candidate.probability > 0.0 {
+            if remaining >= 0.0 {
+                // Keeps the last near-equal candidate if rounding leaves a remainder.
+                selected = Some(at);
+                remaining -= candidate.probability;
+            }
+            candidate.probability /= total;
         }
     }
     selected
 }
+
+/// Reduces candidates to those that an explanation lists: the cheapest and the selected one, in the
+/// order of their cost. Returns the highest cost of all.
+pub(crate) fn keep_explained(scored: &mut Vec<Scored>, selected: Option<usize>) -> f64 {
+    let mut highest = 0.0;
+    let mut kept: Vec<Scored> = Vec::with_capacity(EXPLAINED_MAX + 1);
+    for candidate in scored.iter() {
+        if candidate.cost > highest {
+            highest = candidate.cost;
+        }
+        let full = kept.len() == EXPLAINED_MAX;
+        if full && kept.last().is_some_and(|last| candidate.cost >= last.cost) {
+            continue;
+        }
+        if full {
+            kept.pop();
+        }
+        let position = kept.partition_point(|known| known.cost <= candidate.cost);
+        kept.insert(position, *candidate);
+    }
+    let selected = selected.map(|at| scored[at]);
+    let listed = |selected: &Scored| kept.iter().any(|known| known.at == selected.at);
+    if let Some(selected) = selected.filter(|selected| !listed(selected)) {
+        kept.push(selected);
+    }
+    *scored = kept;
+    highest
+}
--- a/crates/router/src/table.rs
+++ b/crates/router/src/table.rs
@@ -1,19 +1,19 @@
 //! Everything the router knows about backend servers and links, and the decision over it.
 
 use crate::breaker::{Breaker, BreakerSettings, BreakerState};
-use crate::cold::{ColdCause, ColdSettings, Temperature, TemperatureChange};
+use crate::cold::{ColdCause, Temperature, TemperatureChange};
 use crate::index::Holder;
 use crate::inflight::{LinkLedger, LinkRefusal, Reservation, ReservationId};
-use crate::kv::{AdapterId, WeightVersion};
 use crate::load::{LoadReport, ServerLoad};
 use crate::matches::PrefixMatch;
-use crate::price::{BlockSizes, CostWeights, EngineRates, Import, LinkRates, LinkView, Pricer};
+use crate::price::{AwayPlan, CostWeights, EngineRates, Import, LinkRates, LinkView, Pricer};
 use crate::select::{
-    Candidate, Choice, Decision, Excluded, Exclusion, Explanation, NoCandidate, RouteRequest,
-    choose,
+    Candidate, Choice, Decision, Excluded, Exclusion, Explanation, NoCandidate, PrefillPriority,
+    RouteRequest, Scored, choose, keep_explained,
 };
+use crate::server::{Server, ServerSpec, Summary};
 use anvilgw_core::{DomainId, ModelId, ServerId};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -32,6 +32,10 @@
     pub link_breaker: BreakerSettings,
     /// Longest wait of an import for its link, above which the blocks are recomputed.
     pub link_wait_max: Duration,
+    /// Length of a prefill above which it has low priority on the engine.
+    pub long_prefill: Duration,
+    /// Time by which transfers may run ahead of the share of the link budget.
+    pub link_burst: Duration,
 }
 
 impl Default for RouterSettings {
@@ -41,31 +45,12 @@
             server_breaker: BreakerSettings::default(),
             link_breaker: BreakerSettings::default(),
             link_wait_max: Duration::from_secs(2),
+            long_prefill: Duration::from_millis(200),
+            link_burst: Duration::from_millis(500),
         }
     }
 }
 
-/// A backend server as configured.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ServerSpec {
-    /// The server.
-    pub id: ServerId,
-    /// Its failure domain.
-    pub domain: DomainId,
-    /// Model that it serves.
-    pub model: ModelId,
-    /// Version of the weights that it holds.
-    pub weight_version: WeightVersion,
-    /// Adapters that it holds.
-    pub adapters: Vec<AdapterId>,
-    /// Its speeds.
-    pub rates: EngineRates,
-    /// Sizes of the blocks of its model.
-    pub sizes: BlockSizes,
-    /// How it starts.
-    pub cold: ColdSettings,
-}
-
 /// Outcome of a request for the state of its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SendOutcome {
@@ -88,16 +73,6 @@
     pub breaker: Option<BreakerState>,
 }
 
-#[derive(Clone, Debug)]
-struct Server {
-    spec: ServerSpec,
-    in_service: bool,
-    load: ServerLoad,
-    temperature: Temperature,
-    breaker: Breaker,
-    cold_permits_free: u32,
-}
-
 #[derive(Clone, Debug)]
 struct Link {
     rates: LinkRates,
@@ -110,8 +85,12 @@
 pub struct Router {
     settings: RouterSettings,
     servers: IndexMap<ServerId, Server>,
+    /// Summaries in the order of `servers`.
+    summaries: Vec<Summary>,
+    /// Distinct speeds of engines.
+    speeds: Vec<EngineRates>,
     by_model: IndexMap<ModelId, Vec<usize>>,
-    domains_out: IndexSet<DomainId>,
+    domains_out: Vec<DomainId>,
     links: IndexMap<Holder, Link>,
 }
 
@@ -147,8 +126,10 @@
         Self {
             settings,
             servers: IndexMap::new(),
+            summaries: Vec::new(),
+            speeds: Vec::new(),
             by_model: IndexMap::new(),
-            domains_out: IndexSet::new(),
+            domains_out: Vec::new(),
             links: IndexMap::new(),
         }
     }
@@ -172,45 +153,41 @@
         } else if let Some(known) = self.servers.get_mut(&spec.id) {
             known.spec = spec;
         }
-        self.group_by_model();
+        self.rebuild();
     }
 
     /// Removes a server that is no longer configured.
     pub fn remove_server(&mut self, server: ServerId) {
         self.servers.shift_remove(&server);
         self.links.shift_remove(&Holder::Server(server));
-        self.group_by_model();
+        self.rebuild();
     }
 
     /// Takes a server in or out of service, by an operator or because its instance leaves.
     pub fn set_in_service(&mut self, server: ServerId, in_service: bool) {
-        if let Some(server) = self.servers.get_mut(&server) {
-            server.in_service = in_service;
-        }
+        self.update(server, |server| server.in_service = in_service);
     }
 
     /// Takes a failure domain in or out of service.
     pub fn set_domain_in_service(&mut self, domain: DomainId, in_service: bool) {
-        if in_service {
-            self.domains_out.shift_remove(&domain);
-        } else {
-            self.domains_out.insert(domain);
+        self.domains_out.retain(|known| *known != domain);
+        if !in_service {
+            self.domains_out.push(domain);
         }
     }
 
     /// Sets the permits for a cold server that this daemon holds and does not use.
     pub fn set_cold_permits(&mut self, server: ServerId, free: u32) {
-        if let Some(server) = self.servers.get_mut(&server) {
-            server.cold_permits_free = free;
-        }
+        self.update(server, |server| server.cold_permits_free = free);
     }
 
     /// Adds the export link of a server or store, or changes its rates and share.
     pub fn set_link(&mut self, holder: Holder, rates: LinkRates) {
         let breaker = Breaker::new(self.settings.link_breaker);
+        let burst = self.settings.link_burst;
         let link = self.links.entry(holder).or_insert_with(|| Link {
             rates,
-            ledger: LinkLedger::new(rates.bytes_per_s, RESERVATION_GRACE),
+            ledger: LinkLedger::new(rates.bytes_per_s, burst, RESERVATION_GRACE),
             breaker,
         });
         link.rates = rates;
@@ -224,26 +201,27 @@
         report: LoadReport,
         now: Duration,
     ) -> ServerChange {
-        let Some(server) = self.servers.get_mut(&server) else {
-            return ServerChange::default();
-        };
-        let temperature = server.temperature.on_report(&report);
-        if temperature == Some(TemperatureChange::Cold(ColdCause::Restarted)) {
-            server.load.on_restart(now);
-        }
-        server.load.on_report(report, &server.spec.rates);
-        ServerChange {
-            temperature,
-            breaker: None,
-        }
+        let change = self.update(server, |server| {
+            let temperature = server.temperature.on_report(&report);
+            if temperature == Some(TemperatureChange::Cold(ColdCause::Restarted)) {
+                server.load.on_restart(now);
+            }
+            server.load.on_report(report, &server.spec.rates);
+            ServerChange {
+                temperature,
+                breaker: None,
+            }
+        });
+        change.unwrap_or_default()
     }
 
     /// Notes that a request is being sent to a server.
     pub fn on_sent(&mut self, server: ServerId, prefill_tokens: u64, now: Duration) {
-        if let Some(server) = self.servers.get_mut(&server) {
-            server.load.on_sent(prefill_tokens, now, &server.spec.rates);
+        self.update(server, |server| {
+            let rates = &server.spec.rates;
+            server.load.on_sent(prefill_tokens, now, rates);
             server.breaker.on_sent(now);
-        }
+        });
     }
 
     /// Notes the end of a request that was sent.
@@ -253,24 +231,25 @@
         outcome: SendOutcome,
         now: Duration,
     ) -> ServerChange {
-        let mut change = ServerChange::default();
-        let Some(server) = self.servers.get_mut(&server) else {
-            return change;
-        };
-        server.load.on_ended();
-        match outcome {
-            SendOutcome::Completed => {
-                let closed = server.breaker.on_success(now);
-                change.breaker = closed.then_some(BreakerState::Closed);
-            }
-            SendOutcome::Overloaded => change.temperature = server.temperature.on_overload(),
-            SendOutcome::Failed => {
-                let opened = server.breaker.on_failure(now);
-                change.breaker = opened.then_some(BreakerState::Open);
+        let change = self.update(server, |server| {
+            server.load.on_ended();
+            let mut change = ServerChange::default();
+            match outcome {
+                SendOutcome::Completed => {
+                    let closed = server.breaker.on_success(now);
+                    change.breaker = closed.then_some(BreakerState::Closed);
+                }
+                SendOutcome::Overloaded => change.temperature = server.temperature.on_overload(),
+                SendOutcome::Failed => {
+                    let opened = server.breaker.on_failure(now);
+                    change.breaker = opened.then_some(BreakerState::Open);
+                    change.temperature = server.temperature.on_broken(now);
+                }
+                SendOutcome::Cancelled => {}
             }
-            SendOutcome::Cancelled => {}
-        }
-        change
+            change
+        });
+        change.unwrap_or_default()
     }
 
     /// Reserves the link bytes of an import.
@@ -347,28 +326,49 @@
         rng: &mut impl Rng,
     ) -> Decision {
         let of_model: &[usize] = self.by_model.get(&request.model).map_or(&[], Vec::as_slice);
-        let mut candidates = Vec::with_capacity(of_model.len());
+        let links = LinksAt { router: self, now };
+        let weights = &self.settings.weights;
+        let sizes = of_model.first().map(|&at| self.servers[at].spec.sizes);
+        let sizes = sizes.unwrap_or_default();
+        let pricer = Pricer::new(sizes, weights, request.prompt_tokens, prefix, &links);
+        let mut scored = Vec::with_capacity(of_model.len());
         let mut excluded = Vec::new();
-        let mut pricer: Option<(BlockSizes, Pricer<'_>)> = None;
+        let mut plans = Vec::new();
+        let mut plans_for = u16::MAX;
+        let now_ms = now.as_secs_f64() * 1e3;
         for &at in of_model {
-            let server = &self.servers[at];
-            if let Some(reason) = self.exclusion(server, request, now) {
-                excluded.push(Excluded {
-                    server: server.spec.id,
-                    reason,
-                });
+            let summary = &self.summaries[at];
+            let server = summary.server;
+            if let Some(reason) = self.exclusion(at, request, now) {
+                excluded.push(Excluded { server, reason });
                 continue;
             }
-            let sizes = server.spec.sizes;
-            let (_, pricer) = match &mut pricer {
-                Some(known) if known.0 == sizes => known,
-                other => other.insert((sizes, self.pricer(sizes, request, prefix, now))),
-            };
-            candidates.push(candidate(server, pricer, now));
+            if summary.speeds != plans_for {
+                plans_for = summary.speeds;
+                plans = pricer.away_plans(&self.speeds[usize::from(plans_for)]);
+            }
+            let queue_ms = summary.queue_ms(now_ms);
+            scored.push(Scored {
+                at,
+                queue_ms,
+                cost: AwayPlan::lowest_cost(&plans, queue_ms),
+                probability: 0.0,
+            });
         }
-        let selected = choose(&mut candidates, rng);
-        let outcome = selected
-            .map(|at| choice(&candidates[at]))
+        self.price_holders(&pricer, &mut scored);
+        let considered = scored.len();
+        let selected = choose(&mut scored, rng);
+        let selected_at = selected.map(|position| scored[position].at);
+        let highest_cost = keep_explained(&mut scored, selected);
+        let candidates: Vec<_> = scored
+            .iter()
+            .map(|scored| candidate(&self.servers[scored.at], scored, &pricer))
+            .collect();
+        let chosen = selected_at.map(|at| self.servers[at].spec.id);
+        let outcome = candidates
+            .iter()
+            .find(|candidate| Some(candidate.server) == chosen)
+            .map(|candidate| self.choice(candidate))
             .ok_or_else(|| no_candidate(&excluded));
         Decision {
             outcome,
@@ -377,89 +377,96 @@
                 weight_version: request.weight_version,
                 prompt_tokens: request.prompt_tokens,
                 prefix: prefix.clone(),
-                weights: self.settings.weights,
-                selected: selected.map(|at| candidates[at].server),
+                weights: *weights,
                 candidates,
+                considered,
+                highest_cost,
                 excluded,
+                selected: chosen,
             },
         }
     }
 
-    fn pricer<'a>(
-        &'a self,
-        sizes: BlockSizes,
-        request: &RouteRequest,
-        prefix: &'a PrefixMatch,
-        now: Duration,
-    ) -> Pricer<'a> {
-        let links = LinksAt { router: self, now };
-        Pricer::new(
-            sizes,
-            &self.settings.weights,
-            request.prompt_tokens,
-            prefix,
-            &links,
-        )
+    /// Replaces the costs of the servers that hold blocks of the prompt.
+    fn price_holders(&self, pricer: &Pricer<'_>, scored: &mut [Scored]) {
+        for server in pricer.holding_servers() {
+            let at = self.servers.get_index_of(&server);
+            let position = at.and_then(|at| scored.binary_search_by_key(&at, |s| s.at).ok());
+            if let Some(known) = position.map(|position| &mut scored[position]) {
+                let rates = &self.servers[known.at].spec.rates;
+                known.cost = pricer.cheapest(server, known.queue_ms, rates).price.cost;
+            }
+        }
     }
 
-    fn exclusion(
-        &self,
-        server: &Server,
-        request: &RouteRequest,
-        now: Duration,
-    ) -> Option<Exclusion> {
-        let spec = &server.spec;
-        if spec.weight_version != request.weight_version {
-            return Some(Exclusion::WeightVersion);
-        }
-        if request
-            .adapter
-            .is_some_and(|adapter| !spec.adapters.contains(&adapter))
-        {
-            return Some(Exclusion::Adapter);
-        }
-        if !server.in_service {
-            return Some(Exclusion::OutOfService);
+    #[inline]
+    fn exclusion(&self, at: usize, request: &RouteRequest, now: Duration) -> Option<Exclusion> {
+        let summary = &self.summaries[at];
+        let reason = summary.exclusion(request.weight_version, &self.domains_out, now);
+        if request.adapter.is_none() && request.tried.is_empty() {
+            return reason;
         }
-        if self.domains_out.contains(&spec.domain) {
-            return Some(Exclusion::DomainOut);
-        }
-        if request.tried.contains(&spec.id) {
-            return Some(Exclusion::Tried);
-        }
-        if !server.breaker.allows(now) {
-            return Some(Exclusion::BreakerOpen);
+        let held = &self.servers[at].spec.adapters;
+        let lacks = request.adapter.filter(|adapter| !held.contains(adapter));
+        let tried = request.tried.contains(&summary.server);
+        let own = lacks
+            .map(|_| Exclusion::Adapter)
+            .or(tried.then_some(Exclusion::Tried));
+        // The reasons are in the order of the checks; the first one is given.
+        reason.into_iter().chain(own).min()
+    }
+
+    fn choice(&self, candidate: &Candidate) -> Choice {
+        let price = &candidate.priced.price;
+        let long = price.prefill_ms > self.settings.long_prefill.as_secs_f64() * 1e3;
+        Choice {
+            server: candidate.server,
+            plan: candidate.priced.plan,
+            ttft_ms: price.ttft_ms,
+            priority: if long {
+                PrefillPriority::Low
+            } else {
+                PrefillPriority::Normal
+            },
+            needs_cold_permit: candidate.cold.is_some(),
         }
-        let cold = server.temperature.cold_cause().is_some();
-        (cold && server.cold_permits_free == 0).then_some(Exclusion::ColdLimit)
     }
 
-    fn group_by_model(&mut self) {
+    /// Rebuilds what is derived from the configuration of the servers.
+    fn rebuild(&mut self) {
         self.by_model.clear();
+        self.speeds.clear();
+        self.summaries.clear();
         for (at, server) in self.servers.values().enumerate() {
-            self.by_model.entry(server.spec.model).or_default().push(at);
+            let spec = &server.spec;
+            self.by_model.entry(spec.model).or_default().push(at);
+            let known = self.speeds.iter().position(|rates| *rates == spec.rates);
+            let speeds = known.unwrap_or_else(|| {
+                self.speeds.push(spec.rates);
+                self.speeds.len() - 1
+            });
+            self.summaries.push(Summary::new(server, speeds as u16));
         }
     }
-}
 
-fn candidate(server: &Server, pricer: &Pricer<'_>, now: Duration) -> Candidate {
-    let rates = &server.spec.rates;
-    let queue_ms = server.load.queue_ms(now, rates);
-    Candidate {
-        server: server.spec.id,
-        domain: server.spec.domain,
-        cold: server.temperature.cold_cause(),
-        priced: pricer.cheapest(server.spec.id, queue_ms, rates),
-        probability: 0.0,
+    /// Changes the state of a server and its summary.
+    fn update<R>(&mut self, server: ServerId, change: impl FnOnce(&mut Server) -> R) -> Option<R> {
+        let (at, _, server) = self.servers.get_full_mut(&server)?;
+        let result = change(server);
+        let speeds = self.summaries[at].speeds;
+        self.summaries[at] = Summary::new(server, speeds);
+        Some(result)
     }
 }
 
-fn choice(candidate: &Candidate) -> Choice {
-    Choice {
-        server: candidate.server,
-        plan: candidate.priced.plan,
-        ttft_ms: candidate.priced.price.ttft_ms,
-        needs_cold_permit: candidate.cold.is_some(),
+fn candidate(server: &Server, scored: &Scored, pricer: &Pricer<'_>) -> Candidate {
+    let spec = &server.spec;
+    Candidate {
+        server: spec.id,
+        domain: spec.domain,
+        cold: server.temperature.cold_cause(),
+        priced: pricer.cheapest(spec.id, scored.queue_ms, &spec.rates),
+        probability: scored.probability,
     }
 }
 
--- /dev/null
+++ b/crates/router/tests/decision.rs
@@ -0,0 +1,376 @@
+//! Prices and selection.
+
+use anvilgw_core::{DomainId, ModelId, ServerId, Stage, StoreId};
+use anvilgw_router::{
+    AdapterId, BlockSizes, ColdSettings, CostWeights, Decision, EngineRates, Exclusion,
+    Explanation, Holder, HolderMatch, LinkRates, LoadReport, NoCandidate, PrefixMatch,
+    RouteRequest, Router, RouterSettings, SendOutcome, ServerSpec, WeightVersion,
+};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(100);
+const RATES: EngineRates = EngineRates {
+    prefill_tokens_per_s: 10_000.0,
+    decode_ms_per_token: 20.0,
+    mean_decode_tokens: 100.0,
+    max_concurrency: 32,
+};
+const SIZES: BlockSizes = BlockSizes {
+    block_tokens: 4_000,
+    kv_bytes_per_token: 10_000,
+};
+
+fn spec(id: u32) -> ServerSpec {
+    ServerSpec {
+        id: ServerId(id),
+        domain: DomainId(id as u16 % 2),
+        model: ModelId(0),
+        weight_version: WeightVersion(1),
+        adapters: vec![AdapterId(1)],
+        rates: RATES,
+        sizes: SIZES,
+        cold: ColdSettings::default(),
+    }
+}
+
+fn report(at: Duration) -> LoadReport {
+    LoadReport {
+        started_ms: 1,
+        measured_at: at,
+        completed: 1_000,
+        cached_blocks: 10,
+        ..LoadReport::default()
+    }
+}
+
+fn router(servers: u32) -> Router {
+    let mut router = Router::new(RouterSettings::default());
+    for id in 0..servers {
+        router.set_server(spec(id));
+        router.on_report(ServerId(id), report(NOW), NOW);
+    }
+    router
+}
+
+fn link(bytes_per_s: f64) -> LinkRates {
+    LinkRates {
+        bytes_per_s,
+        transfer_bytes_per_s: bytes_per_s,
+        latency_ms: 1.0,
+        disk_bytes_per_s: bytes_per_s / 10.0,
+        usable: true,
+    }
+}
+
+fn request(prompt_tokens: u64) -> RouteRequest {
+    RouteRequest {
+        model: ModelId(0),
+        adapter: None,
+        weight_version: WeightVersion(1),
+        prompt_tokens,
+        tried: Vec::new(),
+    }
+}
+
+fn held(holder: Holder, blocks: u32, disk_blocks: u32, doubtful_blocks: u32) -> PrefixMatch {
+    PrefixMatch {
+        holders: vec![HolderMatch {
+            holder,
+            blocks,
+            disk_blocks,
+            doubtful_blocks,
+        }],
+        incomplete: false,
+        importing_from: None,
+    }
+}
+
+fn decide(router: &Router, request: &RouteRequest, prefix: &PrefixMatch, seed: u64) -> Decision {
+    router.select(request, prefix, NOW, &mut StdRng::seed_from_u64(seed))
+}
+
+/// Guards against a choice that ignores where the blocks are.
+#[test]
+fn the_holder_of_the_prefix_is_selected() {
+    let router = router(6);
+    let prefix = held(Holder::Server(ServerId(3)), 5, 0, 0);
+    let choice = decide(&router, &request(21_000), &prefix, 1)
+        .outcome
+        .unwrap();
+    assert_eq!(choice.server, ServerId(3));
+    assert_eq!(choice.plan.in_place_blocks, 5);
+    assert_eq!(choice.plan.prefill_tokens, 1_000);
+    assert_eq!(choice.plan.import, None);
+}
+
+struct ImportCase {
+    what: &'static str,
+    rates: LinkRates,
+    disk_blocks: u32,
+    imported_blocks: u32,
+}
+
+fn import_cases() -> Vec<ImportCase> {
+    let fast = link(10e9);
+    vec![
+        ImportCase {
+            what: "fast memory",
+            rates: fast,
+            disk_blocks: 0,
+            imported_blocks: 5,
+        },
+        ImportCase {
+            what: "fast disk",
+            rates: fast,
+            disk_blocks: 5,
+            imported_blocks: 5,
+        },
+        ImportCase {
+            what: "slow link",
+            rates: link(0.05e9),
+            disk_blocks: 0,
+            imported_blocks: 0,
+        },
+        ImportCase {
+            what: "slow disk",
+            rates: LinkRates {
+                disk_bytes_per_s: 0.05e9,
+                ..fast
+            },
+            disk_blocks: 5,
+            imported_blocks: 0,
+        },
+        ImportCase {
+            what: "link out of use",
+            rates: LinkRates {
+                usable: false,
+                ..fast
+            },
+            disk_blocks: 0,
+            imported_blocks: 0,
+        },
+        ImportCase {
+            what: "no share of the link budget",
+            rates: LinkRates {
+                bytes_per_s: 0.0,
+                ..fast
+            },
+            disk_blocks: 0,
+            imported_blocks: 0,
+        },
+    ]
+}
+
+/// Guards against imports that take longer than the recompute, and recomputes of what is near.
+#[test]
+fn import_or_recompute_by_price() {
+    let cases = import_cases();
+    let store = Holder::Store(StoreId(0));
+    for case in cases {
+        let mut router = router(3);
+        router.set_link(store, case.rates);
+        let prefix = held(store, 5, case.disk_blocks, 0);
+        let choice = decide(&router, &request(21_000), &prefix, 1)
+            .outcome
+            .unwrap();
+        let imported = choice.plan.import.map_or(0, |import| import.blocks);
+        assert_eq!(imported, case.imported_blocks, "{}", case.what);
+        let expected = 21_000 - u64::from(imported) * 4_000;
+        assert_eq!(choice.plan.prefill_tokens, expected, "{}", case.what);
+    }
+}
+
+/// Guards against readers that wait behind a link whose budget is used up.
+#[test]
+fn reserved_link_bytes_raise_the_price() {
+    let store = Holder::Store(StoreId(0));
+    let mut router = router(1);
+    router.set_link(store, link(1e9));
+    let prefix = held(store, 5, 0, 0);
+    let mut imports = 0;
+    for _ in 0..20 {
+        let choice = decide(&router, &request(21_000), &prefix, 1)
+            .outcome
+            .unwrap();
+        if let Some(import) = choice.plan.import {
+            imports += 1;
+            router
+                .reserve_import(&import, SIZES.bytes(import.blocks), NOW)
+                .unwrap();
+        }
+    }
+    // Each import takes 0.2 s of the share; the last one may start after 2 s and runs 0.5 s ahead.
+    assert!((2..=13).contains(&imports), "{imports} imports");
+    let choice = decide(&router, &request(21_000), &prefix, 1)
+        .outcome
+        .unwrap();
+    assert_eq!(choice.plan.import, None);
+}
+
+/// Guards against a second import of blocks that are on their way to another server.
+#[test]
+fn blocks_on_their_way_are_not_imported_again() {
+    let store = Holder::Store(StoreId(0));
+    let mut router = router(2);
+    router.set_link(store, link(10e9));
+    let mut prefix = held(store, 5, 0, 0);
+    prefix.importing_from = Some(2);
+    let choice = decide(&router, &request(21_000), &prefix, 1);
+    let import = choice.outcome.unwrap().plan.import.unwrap();
+    assert_eq!((import.first_block, import.blocks), (0, 2));
+    prefix.importing_from = Some(0);
+    let choice = decide(&router, &request(21_000), &prefix, 1);
+    assert_eq!(choice.outcome.unwrap().plan.import, None);
+}
+
+struct ExcludedCase {
+    what: &'static str,
+    change: fn(&mut Router, &mut RouteRequest),
+    expected: NoCandidate,
+}
+
+fn exclusion_cases() -> Vec<ExcludedCase> {
+    let both = |reason| NoCandidate::AllExcluded(reason, 2);
+    vec![
+        ExcludedCase {
+            what: "unknown model",
+            change: |_, request| request.model = ModelId(7),
+            expected: NoCandidate::UnknownModel,
+        },
+        ExcludedCase {
+            what: "other weights",
+            change: |_, request| request.weight_version = WeightVersion(2),
+            expected: both(Exclusion::WeightVersion),
+        },
+        ExcludedCase {
+            what: "no adapter",
+            change: |_, request| request.adapter = Some(AdapterId(5)),
+            expected: both(Exclusion::Adapter),
+        },
+        ExcludedCase {
+            what: "out of service",
+            change: |router, _| (0..2).for_each(|id| router.set_in_service(ServerId(id), false)),
+            expected: both(Exclusion::OutOfService),
+        },
+        ExcludedCase {
+            what: "domains out",
+            change: |router, _| {
+                (0..2).for_each(|id| router.set_domain_in_service(DomainId(id), false));
+            },
+            expected: both(Exclusion::DomainOut),
+        },
+        ExcludedCase {
+            what: "tried",
+            change: |_, request| request.tried = vec![ServerId(0), ServerId(1)],
+            expected: both(Exclusion::Tried),
+        },
+        ExcludedCase {
+            what: "open breakers",
+            change: |router, _| {
+                for id in [0, 0, 0, 1, 1, 1] {
+                    router.on_ended(ServerId(id), SendOutcome::Failed, NOW);
+                }
+            },
+            expected: both(Exclusion::BreakerOpen),
+        },
+        ExcludedCase {
+            what: "cold without permits",
+            change: |router, _| {
+                for id in 0..2 {
+                    router.on_ended(ServerId(id), SendOutcome::Overloaded, NOW);
+                }
+            },
+            expected: both(Exclusion::ColdLimit),
+        },
+    ]
+}
+
+/// Guards against sends to servers that must not get the request, and against untyped refusals.
+#[test]
+fn each_exclusion_has_its_reason() {
+    let cases = exclusion_cases();
+    for case in cases {
+        let mut router = router(2);
+        let mut request = request(1_000);
+        (case.change)(&mut router, &mut request);
+        let decision = decide(&router, &request, &PrefixMatch::default(), 1);
+        assert_eq!(decision.outcome, Err(case.expected), "{}", case.what);
+        let failure = case.expected.failure(Stage::Queued);
+        assert_eq!(failure.executed().as_str(), "no", "{}", case.what);
+    }
+}
+
+/// Guards against a cold server that stays out although permits are free, or is used without one.
+#[test]
+fn a_cold_server_is_used_with_a_permit() {
+    let mut router = router(1);
+    router.on_ended(ServerId(0), SendOutcome::Overloaded, NOW);
+    router.set_cold_permits(ServerId(0), 1);
+    let choice = decide(&router, &request(1_000), &PrefixMatch::default(), 1)
+        .outcome
+        .unwrap();
+    assert!(choice.needs_cold_permit);
+}
+
+/// Guards against daemons that all pick the same of several equal servers.
+#[test]
+fn near_equal_servers_share_the_load() {
+    let router = router(8);
+    let mut counts = [0_u32; 8];
+    for seed in 0..800 {
+        let decision = decide(&router, &request(1_000), &PrefixMatch::default(), seed);
+        counts[decision.outcome.unwrap().server.0 as usize] += 1;
+        let total: f64 = decision
+            .explanation
+            .candidates
+            .iter()
+            .map(|c| c.probability)
+            .sum();
+        assert!((total - 1.0).abs() < 1e-9);
+    }
+    assert!(
+        counts.iter().all(|count| (50..=150).contains(count)),
+        "{counts:?}"
+    );
+}
+
+/// Guards against a daemon that floods one server between two of its load reports.
+#[test]
+fn own_sends_count_until_a_report_includes_them() {
+    let mut router = router(2);
+    for _ in 0..4 {
+        router.on_sent(ServerId(0), 20_000, NOW);
+    }
+    let first = decide(&router, &request(1_000), &PrefixMatch::default(), 1);
+    assert_eq!(first.outcome.unwrap().server, ServerId(1));
+    let older = report(NOW - Duration::from_millis(500));
+    router.on_report(ServerId(0), older, NOW);
+    let queue = |router: &Router| {
+        let decision = decide(router, &request(1_000), &PrefixMatch::default(), 1);
+        let mut candidates = decision.explanation.candidates.iter();
+        let first = candidates.find(|candidate| candidate.server == ServerId(0));
+        first.unwrap().priced.price.queue_ms
+    };
+    assert!(queue(&router) >= 8_000.0, "a report from before the sends");
+    let newer = report(NOW + Duration::from_millis(500));
+    router.on_report(ServerId(0), newer, NOW);
+    assert!(queue(&router) < 1.0, "a report from after the sends");
+}
+
+/// Guards against explanations that lose what `explain` shows.
+#[test]
+fn explanations_survive_json() {
+    let mut router = router(3);
+    router.set_in_service(ServerId(2), false);
+    router.set_link(Holder::Store(StoreId(0)), link(10e9));
+    let prefix = held(Holder::Store(StoreId(0)), 5, 2, 1);
+    let explanation = decide(&router, &request(21_000), &prefix, 1).explanation;
+    assert_eq!(explanation.excluded[0].reason, Exclusion::OutOfService);
+    let text = serde_json::to_string(&explanation).unwrap();
+    let read: Explanation = serde_json::from_str(&text).unwrap();
+    assert_eq!(read.selected, explanation.selected);
+    assert_eq!(read.candidates.len(), 2);
+    assert_eq!(read.weights, CostWeights::default());
+}
--- /dev/null
+++ b/crates/router/tests/index.rs
@@ -0,0 +1,262 @@
+//! The index under events that are late, duplicated, reordered or lost.
+
+use anvilgw_core::{ServerId, StoreId};
+use anvilgw_router::{
+    BlockChange, CacheEvent, Generation, Hint, Holder, IndexShard, Listing, Location, PrefixMatch,
+    ShortKey, Tier, hints_of,
+};
+use quickcheck::{TestResult, quickcheck};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const SERVER: Location = Location::Server(ServerId(1));
+const OTHER: Location = Location::Server(ServerId(2));
+const NOW: Duration = Duration::from_secs(10);
+const LATER: Duration = Duration::from_secs(20);
+
+fn event(sequence: u64, key: u64, change: BlockChange) -> CacheEvent {
+    CacheEvent {
+        started_ms: 1,
+        sequence,
+        key: ShortKey(key),
+        generation: Generation(sequence as u32),
+        change,
+    }
+}
+
+fn hints(shard: &mut IndexShard, key: u64) -> Vec<Hint> {
+    shard.lookup(ShortKey(key)).collect()
+}
+
+quickcheck! {
+    /// Guards against an index whose content depends on the order or number of deliveries.
+    fn any_delivery_order_gives_the_same_content(
+        changes: Vec<(u8, bool)>,
+        order: Vec<u8>
+    ) -> TestResult {
+        if changes.is_empty() || changes.len() > 100 {
+            return TestResult::discard();
+        }
+        let events: Vec<_> = changes.iter().enumerate().map(|(at, (key, stored))| {
+            let change = if *stored { BlockChange::Stored } else { BlockChange::Removed };
+            event(at as u64, u64::from(*key % 8), change)
+        }).collect();
+        let mut expected = BTreeMap::new();
+        for event in &events {
+            match event.change {
+                BlockChange::Stored => expected.insert(event.key, event.generation),
+                BlockChange::Removed => expected.remove(&event.key),
+            };
+        }
+        let mut shard = IndexShard::new(1_000);
+        // The first event goes first, since a stream that starts later has a gap by definition.
+        shard.apply(SERVER, events[0], NOW);
+        let mut shuffled = events.clone();
+        for (at, swap) in order.iter().enumerate() {
+            let len = shuffled.len();
+            shuffled.swap(at % len, usize::from(*swap) % len);
+        }
+        for event in shuffled.iter().chain(&events) {
+            shard.apply(SERVER, *event, NOW);
+        }
+        let same = (0..8).all(|key| {
+            let found = hints(&mut shard, key);
+            let expected = expected.get(&ShortKey(key)).copied();
+            found.first().map(|hint| hint.generation) == expected
+                && found.iter().all(|hint| !hint.doubtful)
+        });
+        TestResult::from_bool(same && shard.counters().gaps == 0)
+    }
+
+    /// Guards against a full shard that grows, loses track of its slots or keeps stale chains.
+    fn a_full_shard_stays_bounded(keys: Vec<u16>) -> bool {
+        let mut shard = IndexShard::new(16);
+        for (at, key) in keys.iter().enumerate() {
+            shard.apply(SERVER, event(at as u64, u64::from(*key), BlockChange::Stored), NOW);
+        }
+        let last_found = keys.last().is_none_or(|key| {
+            hints(&mut shard, u64::from(*key)).len() == 1
+        });
+        shard.len() <= 16 && last_found
+    }
+}
+
+/// Guards against hints that are presented as certain although events were lost.
+#[test]
+fn a_gap_makes_entries_of_its_source_doubtful_only() {
+    let mut shard = IndexShard::new(100);
+    shard.apply(SERVER, event(0, 1, BlockChange::Stored), NOW);
+    shard.apply(OTHER, event(0, 1, BlockChange::Stored), NOW);
+    shard.apply(SERVER, event(2, 2, BlockChange::Stored), NOW);
+    assert!(
+        hints(&mut shard, 2).is_empty(),
+        "held until the gap is certain"
+    );
+    shard.tick(LATER);
+    assert_eq!(shard.counters().gaps, 1);
+    let doubtful: BTreeMap<_, _> = hints(&mut shard, 1)
+        .iter()
+        .map(|hint| (hint.location, hint.doubtful))
+        .collect();
+    assert_eq!(doubtful, BTreeMap::from([(SERVER, true), (OTHER, false)]));
+    assert!(!hints(&mut shard, 2)[0].doubtful, "newer than the gap");
+}
+
+/// Guards against a gap that is never detected because later events keep arriving.
+#[test]
+fn a_full_window_ends_the_wait_for_a_lost_event() {
+    let mut shard = IndexShard::new(1_000);
+    shard.apply(SERVER, event(0, 0, BlockChange::Stored), NOW);
+    for sequence in 2..300 {
+        shard.apply(SERVER, event(sequence, sequence, BlockChange::Stored), NOW);
+    }
+    assert_eq!(shard.counters().gaps, 1);
+    assert!(!hints(&mut shard, 299).is_empty());
+}
+
+/// Guards against entries that survive the restart of their source or a listing without them.
+#[test]
+fn restart_and_listing_remove_what_is_gone() {
+    let mut shard = IndexShard::new(100);
+    shard.apply(SERVER, event(0, 1, BlockChange::Stored), NOW);
+    let restarted = CacheEvent {
+        started_ms: 2,
+        ..event(0, 2, BlockChange::Stored)
+    };
+    shard.apply(SERVER, restarted, NOW);
+    assert!(hints(&mut shard, 1).is_empty());
+    shard.apply(SERVER, event(1, 3, BlockChange::Stored), NOW);
+    assert!(
+        hints(&mut shard, 3).is_empty(),
+        "event of the earlier process"
+    );
+    assert_eq!(shard.counters().outdated, 1);
+    let listing = Listing {
+        started_ms: 2,
+        next_sequence: 5,
+        blocks: vec![(ShortKey(4), Generation(7))],
+    };
+    shard.apply_listing(SERVER, &listing);
+    assert!(hints(&mut shard, 2).is_empty());
+    assert_eq!(hints(&mut shard, 4)[0].generation, Generation(7));
+    let late = CacheEvent {
+        started_ms: 2,
+        ..event(4, 4, BlockChange::Removed)
+    };
+    shard.apply(SERVER, late, NOW);
+    assert_eq!(
+        hints(&mut shard, 4).len(),
+        1,
+        "the listing includes the event"
+    );
+    let next = CacheEvent {
+        started_ms: 2,
+        generation: Generation(7),
+        ..event(5, 4, BlockChange::Removed)
+    };
+    shard.apply(SERVER, next, NOW);
+    assert!(hints(&mut shard, 4).is_empty());
+}
+
+/// Guards against a lost hint after more gaps than an epoch counter can count.
+#[test]
+fn epochs_wrap_without_false_certainty() {
+    let mut shard = IndexShard::new(100);
+    shard.apply(SERVER, event(0, 1, BlockChange::Stored), NOW);
+    for _ in 0..70_000 {
+        shard.remove_source(SERVER);
+        assert!(hints(&mut shard, 1).is_empty());
+    }
+}
+
+fn hint(location: Location, doubtful: bool) -> Hint {
+    Hint {
+        location,
+        generation: Generation(1),
+        doubtful,
+    }
+}
+
+struct Case {
+    what: &'static str,
+    blocks: Vec<Option<Vec<Hint>>>,
+    expected: Vec<(Holder, u32, u32, u32)>,
+    incomplete: bool,
+}
+
+fn prefix_cases() -> Vec<Case> {
+    let store = StoreId(1);
+    let memory = hint(Location::Store(store, Tier::Memory), false);
+    let disk = hint(Location::Store(store, Tier::Disk), false);
+    let server = hint(SERVER, false);
+    vec![
+        Case {
+            what: "nothing known",
+            blocks: vec![Some(vec![])],
+            expected: vec![],
+            incomplete: false,
+        },
+        Case {
+            what: "hole in the middle",
+            blocks: vec![
+                Some(vec![server, memory]),
+                Some(vec![memory]),
+                Some(vec![server]),
+            ],
+            expected: vec![
+                (Holder::Server(ServerId(1)), 1, 0, 0),
+                (Holder::Store(store), 2, 0, 0),
+            ],
+            incomplete: false,
+        },
+        Case {
+            what: "both tiers of a store, in either order",
+            blocks: vec![
+                Some(vec![disk, memory]),
+                Some(vec![memory, disk]),
+                Some(vec![disk]),
+            ],
+            expected: vec![(Holder::Store(store), 3, 1, 0)],
+            incomplete: false,
+        },
+        Case {
+            what: "doubtful hint",
+            blocks: vec![Some(vec![hint(SERVER, true)]), Some(vec![server])],
+            expected: vec![(Holder::Server(ServerId(1)), 2, 0, 1)],
+            incomplete: false,
+        },
+        Case {
+            what: "shard without an answer",
+            blocks: vec![Some(vec![server]), None, Some(vec![server])],
+            expected: vec![(Holder::Server(ServerId(1)), 1, 0, 0)],
+            incomplete: true,
+        },
+    ]
+}
+
+/// Guards against matches that skip a missing block or trust a shard that did not answer.
+#[test]
+fn prefix_matches_are_consecutive() {
+    let cases = prefix_cases();
+    for case in cases {
+        let found = PrefixMatch::assemble(&case.blocks);
+        let holders: Vec<_> = found
+            .holders
+            .iter()
+            .map(|known| {
+                (
+                    known.holder,
+                    known.blocks,
+                    known.disk_blocks,
+                    known.doubtful_blocks,
+                )
+            })
+            .collect();
+        assert_eq!(holders, case.expected, "{}", case.what);
+        assert_eq!(found.incomplete, case.incomplete, "{}", case.what);
+        for known in found.holders {
+            let usable = hints_of(known.holder, &case.blocks);
+            assert!(usable.len() >= known.blocks as usize, "{}", case.what);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/tests/kv.rs
@@ -0,0 +1,118 @@
+//! Block keys and the check of blocks that were read.
+
+use anvilgw_core::{ModelId, WorkspaceId};
+use anvilgw_router::{
+    AdapterId, BlockHeader, Generation, KeyScope, Mismatch, WeightVersion, block_keys, digest,
+    verify,
+};
+use quickcheck::quickcheck;
+
+const SCOPE: KeyScope = KeyScope {
+    workspace: WorkspaceId(1),
+    model: ModelId(2),
+    adapter: None,
+    weight_version: WeightVersion(3),
+};
+
+/// Guards against reuse across workspaces, models, adapters or weight versions.
+#[test]
+fn every_field_of_the_scope_changes_all_keys() {
+    let others = [
+        KeyScope {
+            workspace: WorkspaceId(9),
+            ..SCOPE
+        },
+        KeyScope {
+            model: ModelId(9),
+            ..SCOPE
+        },
+        KeyScope {
+            adapter: Some(AdapterId(0)),
+            ..SCOPE
+        },
+        KeyScope {
+            adapter: Some(AdapterId(1)),
+            ..SCOPE
+        },
+        KeyScope {
+            weight_version: WeightVersion(9),
+            ..SCOPE
+        },
+    ];
+    let prompt = [7; 64];
+    let keys = block_keys(&SCOPE, &prompt, 16);
+    assert_eq!(keys.len(), 4);
+    for other in others {
+        for (a, b) in keys.iter().zip(block_keys(&other, &prompt, 16)) {
+            assert_ne!(*a, b, "{other:?}");
+        }
+    }
+}
+
+quickcheck! {
+    /// Guards against a key that depends on what follows its block, or not on what precedes it.
+    fn keys_agree_exactly_on_the_common_prefix(a: Vec<u8>, b: Vec<u8>) -> bool {
+        let common = a.iter().zip(&b).take_while(|(a, b)| a == b).count();
+        let keys_a = block_keys(&SCOPE, &a, 4);
+        let keys_b = block_keys(&SCOPE, &b, 4);
+        let equal = keys_a.iter().zip(&keys_b).take_while(|(a, b)| a == b).count();
+        let later_equal = keys_a.iter().zip(&keys_b).skip(equal).any(|(a, b)| a == b);
+        equal == (common / 4).min(keys_a.len()).min(keys_b.len()) && !later_equal
+    }
+}
+
+struct Case {
+    what: &'static str,
+    change: fn(&mut BlockHeader, &mut Vec<u8>),
+    expected: fn(&Result<(), Mismatch>) -> bool,
+}
+
+/// Guards against the use of freed, foreign, partly written or damaged blocks.
+#[test]
+fn verify_finds_each_mismatch() {
+    let cases = [
+        Case {
+            what: "intact block",
+            change: |_, _| {},
+            expected: |found| found.is_ok(),
+        },
+        Case {
+            what: "block of another prompt",
+            change: |header, _| header.key.0[31] ^= 1,
+            expected: |found| matches!(found, Err(Mismatch::Key(_))),
+        },
+        Case {
+            what: "slot freed and written again",
+            change: |header, _| header.generation = Generation(6),
+            expected: |found| *found == Err(Mismatch::Generation(5, 6)),
+        },
+        Case {
+            what: "partly written block",
+            change: |header, _| header.sealed = false,
+            expected: |found| *found == Err(Mismatch::Unsealed),
+        },
+        Case {
+            what: "damaged content",
+            change: |_, content| content[3] ^= 0x10,
+            expected: |found| *found == Err(Mismatch::Digest),
+        },
+        Case {
+            what: "truncated content",
+            change: |_, content| content.truncate(4),
+            expected: |found| *found == Err(Mismatch::Digest),
+        },
+    ];
+    let key = block_keys(&SCOPE, &[1; 16], 16)[0];
+    for case in cases {
+        let mut content = vec![5; 32];
+        let mut header = BlockHeader {
+            key,
+            generation: Generation(5),
+            sealed: true,
+            digest: digest(&content),
+        };
+        (case.change)(&mut header, &mut content);
+        let found = verify(&key, Some(Generation(5)), &header, &content);
+        assert!((case.expected)(&found), "{}: {found:?}", case.what);
+    }
+}
