--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -1,5 +1,17 @@
 //! The experiments, one file each.
 
+mod cold_start;
+mod decide_cost;
+mod first_token;
+mod link;
+mod model;
+mod noisy_neighbour;
+mod reuse;
+mod simulation;
+mod stale_hints;
+mod strategies;
+mod workload;
+
 use crate::report::Report;
 
 /// Options of a run.
@@ -22,4 +34,40 @@
 }
 
 /// All experiments in the order of the listing.
-pub(crate) const ALL: &[Experiment] = &[];
+pub(crate) const ALL: &[Experiment] = &[
+    Experiment {
+        name: "reuse",
+        about: "share of prompt work that is recomputed",
+        run: reuse::experiment,
+    },
+    Experiment {
+        name: "link",
+        about: "bytes over store links per reused token",
+        run: link::experiment,
+    },
+    Experiment {
+        name: "first-token",
+        about: "time to first token at 80% load",
+        run: first_token::experiment,
+    },
+    Experiment {
+        name: "noisy-neighbour",
+        about: "latency of a small workspace beside a flooding one",
+        run: noisy_neighbour::experiment,
+    },
+    Experiment {
+        name: "cold-start",
+        about: "load on cold servers and time to full capacity",
+        run: cold_start::experiment,
+    },
+    Experiment {
+        name: "stale-hints",
+        about: "blocks read through outdated hints",
+        run: stale_hints::experiment,
+    },
+    Experiment {
+        name: "decide-cost",
+        about: "processor time of one routing decision",
+        run: decide_cost::experiment,
+    },
+];
