Close four gaps in the state of the router

A listing older than the events applied replaced their effect: entries removed since came back as certain ones. Such a listing is now refused and counted. Changed cold-start settings had no effect on a known server. A refused reservation used up the probe of a half-open circuit breaker. Tests now also cover the priority of prefills, the bound of explanations, cancelled requests and removed workspaces.

--- a/crates/admission/tests/admission.rs
+++ b/crates/admission/tests/admission.rs
@@ -384,6 +384,34 @@
     );
 }
 
+/// Guards against requests of callers who are gone or of removed workspaces that still start.
+#[test]
+fn cancelled_and_removed_requests_do_not_start() {
+    let mut admission = admission(10);
+    for id in [1, 2] {
+        admission.set_limits(WorkspaceId(id), limits(1, Priority::Normal, OPEN), ms(0));
+    }
+    for (request, workspace) in [(1, 1), (2, 1), (3, 2)] {
+        let offer = offer(request, workspace, 100, ms(1_000));
+        admission.offer(offer, ms(0)).unwrap();
+    }
+    assert!(admission.cancel(WorkspaceId(1), RequestId(1)));
+    assert!(!admission.cancel(WorkspaceId(1), RequestId(1)));
+    let refused = admission.remove(WorkspaceId(2));
+    assert!(matches!(
+        &refused[..],
+        [Action::Refuse {
+            request: RequestId(3),
+            ..
+        }]
+    ));
+    assert_eq!(started(&admission.poll(ms(0))), [RequestId(2)]);
+    let unknown = admission
+        .offer(offer(4, 2, 100, ms(1_000)), ms(0))
+        .unwrap_err();
+    assert_eq!(unknown.kind(), ErrorKind::NotEntitled);
+}
+
 /// Guards against tokens that appear when shares move between daemons.
 #[test]
 fn moving_a_share_creates_no_tokens() {
--- a/crates/router/src/cold.rs
+++ b/crates/router/src/cold.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Changes the settings; the temperature is kept.
+    pub fn set_settings(&mut self, settings: ColdSettings) {
+        self.settings = settings;
+    }
+
     /// Whether the server is cold, and why.
     #[must_use]
     pub fn cold_cause(&self) -> Option<ColdCause> {
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -56,10 +56,15 @@
 }
 
 impl Sequencer {
-    /// Continues after a listing that includes all events before `next`.
-    pub(crate) fn resume_at(&mut self, next: u64) {
-        self.next = Some(next.max(self.next.unwrap_or(0)));
+    /// Continues after a listing that includes all events before `next`. Returns false, without any
+    /// change, if later events were applied already: the listing lacks their effect.
+    pub(crate) fn resume_at(&mut self, next: u64) -> bool {
+        if self.next.is_some_and(|applied| applied > next) {
+            return false;
+        }
+        self.next = Some(next);
         self.held = self.held.split_off(&next);
+        true
     }
 
     pub(crate) fn take(&mut self, event: CacheEvent, now: Duration) -> Ordered {
--- a/crates/router/src/index.rs
+++ b/crates/router/src/index.rs
@@ -129,7 +129,8 @@
     pub gaps: u64,
     /// Entries dropped because the shard was full.
     pub evicted: u64,
-    /// Events of an earlier incarnation of their source.
+    /// Events and listings of an earlier incarnation of their source, and listings older than the
+    /// events applied.
     pub outdated: u64,
 }
 
@@ -208,15 +209,17 @@
         }
     }
 
-    /// Replaces all entries of a source by a listing.
+    /// Replaces all entries of a source by a listing. A listing that is older than what was applied
+    /// from events is counted as outdated and has no effect; the caller asks for a newer one.
     pub fn apply_listing(&mut self, location: Location, listing: &Listing) {
         let at = self.source_index(location, listing.started_ms);
-        if listing.started_ms < self.sources[at].started_ms {
+        let source = &mut self.sources[at];
+        let outdated = listing.started_ms < source.started_ms;
+        if outdated || !source.sequencer.resume_at(listing.next_sequence) {
             self.counters.outdated += 1;
             return;
         }
         self.advance_epoch(at, true);
-        self.sources[at].sequencer.resume_at(listing.next_sequence);
         for &(key, generation) in &listing.blocks {
             self.insert(at, key, generation);
         }
--- a/crates/router/src/table.rs
+++ b/crates/router/src/table.rs
@@ -151,6 +151,7 @@
             };
             self.servers.insert(server.spec.id, server);
         } else if let Some(known) = self.servers.get_mut(&spec.id) {
+            known.temperature.set_settings(spec.cold);
             known.spec = spec;
         }
         self.rebuild();
@@ -268,8 +269,10 @@
             .links
             .get_mut(&import.from)
             .ok_or(LinkRefusal::NoShare)?;
+        let reserved = link.ledger.reserve(bytes, now, wait_max)?;
+        // A refused reservation is no probe of a half-open breaker.
         link.breaker.on_sent(now);
-        link.ledger.reserve(bytes, now, wait_max)
+        Ok(reserved)
     }
 
     /// Notes the end of an import. Returns the new state of the link's circuit breaker on a change.
--- a/crates/router/tests/decision.rs
+++ b/crates/router/tests/decision.rs
@@ -2,9 +2,9 @@
 
 use anvilgw_core::{DomainId, ModelId, ServerId, Stage, StoreId};
 use anvilgw_router::{
-    AdapterId, BlockSizes, ColdSettings, CostWeights, Decision, EngineRates, Exclusion,
-    Explanation, Holder, HolderMatch, LinkRates, LoadReport, NoCandidate, PrefixMatch,
-    RouteRequest, Router, RouterSettings, SendOutcome, ServerSpec, WeightVersion,
+    AdapterId, BlockSizes, ColdCause, ColdSettings, CostWeights, Decision, EngineRates, Exclusion,
+    Explanation, Holder, HolderMatch, LinkRates, LoadReport, NoCandidate, PrefillPriority,
+    PrefixMatch, RouteRequest, Router, RouterSettings, SendOutcome, ServerSpec, WeightVersion,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -359,6 +359,53 @@
     assert!(queue(&router) < 1.0, "a report from after the sends");
 }
 
+/// Guards against long prefills that delay short ones, and against short ones that yield.
+#[test]
+fn long_prefills_have_low_priority() {
+    let router = router(1);
+    for (prompt_tokens, expected) in [
+        (1_900, PrefillPriority::Normal),
+        (2_100, PrefillPriority::Low),
+    ] {
+        let decision = decide(&router, &request(prompt_tokens), &PrefixMatch::default(), 1);
+        assert_eq!(
+            decision.outcome.unwrap().priority,
+            expected,
+            "{prompt_tokens}"
+        );
+    }
+}
+
+/// Guards against explanations that grow with the fleet or leave out the selected server.
+#[test]
+fn explanations_are_bounded_and_name_the_selected_server() {
+    let router = router(100);
+    for seed in 0..50 {
+        let decision = decide(&router, &request(1_000), &PrefixMatch::default(), seed);
+        let explanation = decision.explanation;
+        assert_eq!(explanation.considered, 100);
+        assert!(explanation.candidates.len() <= 17);
+        let mut listed = explanation.candidates.iter().map(|known| known.server);
+        assert_eq!(explanation.selected, Some(decision.outcome.unwrap().server));
+        assert!(listed.any(|server| Some(server) == explanation.selected));
+    }
+}
+
+/// Guards against settings that have no effect until a restart, and against a loss of what is known
+/// about a server when only its settings change.
+#[test]
+fn a_change_of_settings_keeps_the_state() {
+    let mut router = router(1);
+    router.on_ended(ServerId(0), SendOutcome::Overloaded, NOW);
+    let mut changed = spec(0);
+    changed.cold.cold_concurrency = 5;
+    router.set_server(changed.clone());
+    assert_eq!(router.capacity(ServerId(0)), Some(5));
+    changed.weight_version = WeightVersion(2);
+    router.set_server(changed);
+    assert_eq!(router.cold_cause(ServerId(0)), Some(ColdCause::Unknown));
+}
+
 /// Guards against explanations that lose what `explain` shows.
 #[test]
 fn explanations_survive_json() {
--- a/crates/router/tests/index.rs
+++ b/crates/router/tests/index.rs
@@ -158,6 +158,25 @@
     assert!(hints(&mut shard, 4).is_empty());
 }
 
+/// Guards against a listing that undoes events which it does not include yet.
+#[test]
+fn a_listing_older_than_the_events_has_no_effect() {
+    let mut shard = IndexShard::new(100);
+    for sequence in 0..4 {
+        shard.apply(SERVER, event(sequence, sequence, BlockChange::Stored), NOW);
+    }
+    shard.apply(SERVER, event(4, 0, BlockChange::Removed), NOW);
+    let listing = Listing {
+        started_ms: 1,
+        next_sequence: 2,
+        blocks: vec![(ShortKey(0), Generation(0)), (ShortKey(1), Generation(1))],
+    };
+    shard.apply_listing(SERVER, &listing);
+    assert!(hints(&mut shard, 0).is_empty(), "removed after the listing");
+    assert_eq!(hints(&mut shard, 3).len(), 1, "stored after the listing");
+    assert_eq!(shard.counters().outdated, 1);
+}
+
 /// Guards against a lost hint after more gaps than an epoch counter can count.
 #[test]
 fn epochs_wrap_without_false_certainty() {
