--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -2,8 +2,9 @@
 
 use crate::fair::Flow;
 use crate::plan::{Bucket, PlanLimits, Priority};
+use crate::workspace::{Waiting, Workspace};
 use anvilgw_core::{ErrorKind, Failure, RequestId, Stage, WorkspaceId};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -79,26 +80,6 @@
     pub refused: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Waiting {
-    offer: Offer,
-    since: Duration,
-}
-
-#[derive(Clone, Debug)]
-struct Workspace {
-    limits: PlanLimits,
-    requests: Bucket,
-    tokens: Bucket,
-    flow: Flow,
-    queue: VecDeque<Waiting>,
-    queued_tokens: u64,
-    running: u32,
-    refused: u64,
-    /// Time from start to end of a request, on average.
-    service_s: f64,
-}
-
 #[derive(Clone, Copy, Debug, Default)]
 struct Class {
     flow: Flow,
@@ -118,6 +99,8 @@
 pub struct Admission {
     settings: AdmissionSettings,
     workspaces: IndexMap<WorkspaceId, Workspace>,
+    /// Workspaces with waiting requests. Most of the 280 have none at any time.
+    backlogged: IndexSet<WorkspaceId>,
     classes: [Class; 3],
     /// Virtual time among the classes.
     virtual_time: f64,
@@ -131,6 +114,7 @@
         Self {
             settings,
             workspaces: IndexMap::new(),
+            backlogged: IndexSet::new(),
             classes: [Class::default(); 3],
             virtual_time: 0.0,
             running: IndexMap::new(),
@@ -214,6 +198,7 @@
         }
         workspace.queued_tokens += offer.cost_tokens;
         workspace.queue.push_back(Waiting { offer, since: now });
+        self.backlogged.insert(offer.workspace);
         Ok(())
     }
 
@@ -276,9 +261,8 @@
     #[must_use]
     pub fn next_wakeup(&self, now: Duration) -> Option<Duration> {
         let free = self.running.len() < self.settings.slots as usize;
-        self.workspaces
-            .values()
-            .filter_map(|workspace| {
+        self.backlogged()
+            .filter_map(|(_, workspace)| {
                 let late = workspace.queue.iter().map(|w| w.offer.start_by).min()?;
                 let wait = workspace.limit_wait(now).filter(|_| free);
                 let start = wait.map(|wait| now + wait);
@@ -311,6 +295,19 @@
         })
     }
 
+    fn backlogged(&self) -> impl Iterator<Item = (WorkspaceId, &Workspace)> {
+        self.backlogged
+            .iter()
+            .filter_map(|id| Some((*id, self.workspaces.get(id)?)))
+            .filter(|(_, workspace)| !workspace.queue.is_empty())
+    }
+
+    fn forget_empty(&mut self) {
+        let workspaces = &self.workspaces;
+        self.backlogged
+            .retain(|id| workspaces.get(id).is_some_and(|w| !w.queue.is_empty()));
+    }
+
     fn refusal(&self, offer: &Offer, now: Duration) -> Option<Failure> {
         let workspace = self.workspaces.get(&offer.workspace)?;
         let time_left = offer.start_by.saturating_sub(now);
@@ -352,11 +349,9 @@
         let class = workspace.limits.priority;
         let mut class_weight = 0.0;
         let mut active = [false; 3];
-        active[class.index()] = true;
-        for other in self.workspaces.values() {
-            if other.queue.is_empty() && !std::ptr::eq(other, workspace) {
-                continue;
-            }
+        let others = self.backlogged().map(|(_, other)| other);
+        let others = others.filter(|other| !std::ptr::eq(*other, workspace));
+        for other in others.chain([workspace]) {
             active[other.limits.priority.index()] = true;
             if other.limits.priority == class {
                 class_weight += f64::from(other.limits.weight.max(1));
@@ -378,7 +373,7 @@
     /// The eligible workspace with the smallest start tag in the class with the smallest start tag.
     fn next_workspace(&self, now: Duration) -> Option<WorkspaceId> {
         let mut best: [Option<(f64, WorkspaceId)>; 3] = [None; 3];
-        for (&id, workspace) in &self.workspaces {
+        for (id, workspace) in self.backlogged() {
             if workspace.limit_wait(now) != Some(Duration::ZERO) {
                 continue;
             }
@@ -426,7 +421,11 @@
     }
 
     fn refuse_late(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        for workspace in self.workspaces.values_mut() {
+        self.forget_empty();
+        for id in &self.backlogged {
+            let Some(workspace) = self.workspaces.get_mut(id) else {
+                continue;
+            };
             if workspace.queue.iter().all(|w| w.offer.start_by > now) {
                 continue;
             }
@@ -455,49 +454,5 @@
 
 /// Shortest retry hint, so that refused callers do not return at once.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
-/// Weight of the newest observation in the average service time.
-const SERVICE_SMOOTHING: f64 = 0.1;
 /// Retry hint without a share: shares are moved to where they are used within this time.
 const RETRY_WITHOUT_SHARE: Duration = Duration::from_secs(3);
-
-impl Workspace {
-    /// Time until the first waiting request is within the limits. `None` without one, without a
-    /// rate, or while the concurrency is used up.
-    fn limit_wait(&self, now: Duration) -> Option<Duration> {
-        let first = self.queue.front()?;
-        if self.running >= self.limits.share.concurrency {
-            return None;
-        }
-        let requests = self.requests.wait(1.0, 0.0, now)?;
-        let cost = first.offer.cost_tokens as f64;
-        let tokens = self.tokens.wait(cost, 0.0, now)?;
-        Some(requests.max(tokens))
-    }
-
-    fn observe_service(&mut self, service: Duration) {
-        let service_s = service.as_secs_f64();
-        if self.service_s == 0.0 {
-            self.service_s = service_s;
-        }
-        self.service_s += SERVICE_SMOOTHING * (service_s - self.service_s);
-    }
-
-    /// Expected wait behind the own queue while the concurrency is used up. Half a service time less
-    /// than the time until the queue has passed, since the requests in execution are under way.
-    fn concurrency_wait(&self) -> Duration {
-        let concurrency = self.limits.share.concurrency;
-        if self.running < concurrency {
-            return Duration::ZERO;
-        }
-        let rounds = (self.queue.len() as f64 + 0.5) / f64::from(concurrency.max(1));
-        Duration::try_from_secs_f64(rounds * self.service_s).unwrap_or(Duration::MAX)
-    }
-
-    /// Time until a new request is within the rates, behind those that wait.
-    fn limit_wait_behind_queue(&self, offer: &Offer, now: Duration) -> Option<Duration> {
-        let requests = self.requests.wait(1.0, self.queue.len() as f64, now)?;
-        let cost = offer.cost_tokens as f64;
-        let tokens = self.tokens.wait(cost, self.queued_tokens as f64, now)?;
-        (self.limits.share.concurrency > 0).then_some(requests.max(tokens))
-    }
-}
--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -1,11 +1,15 @@
 //! The experiments, one file each.
 
+mod cold_start;
+mod decide_cost;
 mod first_token;
 mod link;
 mod model;
 mod model_check;
+mod noisy_neighbour;
 mod reuse;
 mod simulation;
+mod stale_hints;
 mod strategies;
 mod workload;
 
@@ -47,5 +51,25 @@
         about: "time to first token at 80% load",
         run: first_token::experiment,
     },
+    Experiment {
+        name: "noisy-neighbour",
+        about: "latency of a small workspace beside a flooding one",
+        run: noisy_neighbour::experiment,
+    },
+    Experiment {
+        name: "cold-start",
+        about: "load on cold servers and time to full capacity",
+        run: cold_start::experiment,
+    },
+    Experiment {
+        name: "stale-hints",
+        about: "blocks read through outdated hints",
+        run: stale_hints::experiment,
+    },
+    Experiment {
+        name: "decide-cost",
+        about: "processor time of one routing decision",
+        run: decide_cost::experiment,
+    },
     model_check::EXPERIMENT,
 ];
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,6 +17,7 @@
 mod recent;
 mod retry;
 mod select;
+mod server;
 mod table;
 
 pub use breaker::{Breaker, BreakerSettings, BreakerState};
@@ -46,4 +47,5 @@
     Candidate, Choice, Decision, Excluded, Exclusion, Explanation, NEAR_EQUAL_SHARE, NoCandidate,
     PrefillPriority, RouteRequest,
 };
-pub use table::{Router, RouterSettings, SendOutcome, ServerChange, ServerSpec};
+pub use server::ServerSpec;
+pub use table::{Router, RouterSettings, SendOutcome, ServerChange};
