Date claim streams by what their writers had read

An append can take effect long after it was made. As the oldest retained batch it would date the stream by its old wall time, and a daemon that starts then would accept keys whose records were trimmed behind it: a second execution. Batches now carry the offset up to which their writer had folded, and only a batch whose writer had read up to the start of a fold dates what was trimmed.

The model with three requests per key showed that an expiry could overtake a queued abandon, so a claim that was never sent ended as unknown; the expiry now gives way.

--- a/crates/claims/src/fold.rs
+++ b/crates/claims/src/fold.rs
@@ -13,8 +13,8 @@
 /// How old or new a key may be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct AgeRule {
-    /// Once records were trimmed, a key has to be at least this much newer than the oldest retained
-    /// batch. It covers the difference between the clocks of callers and writers.
+    /// Once records were trimmed, a key has to be at least this much newer than the trimmed batches
+    /// can be. It covers the difference between the clocks of callers and writers.
     pub margin_ms: u64,
     /// A key may be this much newer than the batch that claims it. A key from the far future would
     /// still look new after its records were trimmed, so this is less than the margin; the rest of
@@ -88,14 +88,15 @@
     wall_ms: u64,
 }
 
-/// Fold of one claim stream. Two folds that started at the same offset and read up to the same
-/// offset are equal.
+/// Fold of one claim stream. Two folds that started at the same offset, have read up to the same
+/// offset and know the same first offset are equal.
 ///
 /// Memory is bounded by the stream's retention: what was derived from a trimmed record is dropped.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct PartitionFold {
     rule: AgeRule,
     flaw: Option<Flaw>,
+    start: Offset,
     first: Offset,
     next: Offset,
     keys: BTreeMap<ClaimKey, KeyEntry>,
@@ -104,7 +105,10 @@
     open: BTreeSet<(u64, ClaimKey)>,
     batches: VecDeque<DatedBatch>,
     batch_ids: BTreeSet<BatchId>,
-    trimmed_wall_ms: Option<u64>,
+    /// Bound for the wall time of everything below the offset at which the fold started. Not known
+    /// until a batch was folded whose writer had read up to there.
+    start_bound_ms: Option<u64>,
+    trimmed_wall_ms: u64,
     skipped: u64,
 }
 
@@ -115,6 +119,7 @@
         Self {
             rule,
             flaw: None,
+            start: first,
             first,
             next: first,
             keys: BTreeMap::new(),
@@ -122,7 +127,8 @@
             open: BTreeSet::new(),
             batches: VecDeque::new(),
             batch_ids: BTreeSet::new(),
-            trimmed_wall_ms: None,
+            start_bound_ms: (first == Offset(0)).then_some(0),
+            trimmed_wall_ms: 0,
             skipped: 0,
         }
     }
@@ -178,23 +184,31 @@
             .map(|entry| &entry.claim)
     }
 
-    /// Wall time of the oldest retained batch, or of the newest trimmed one if none is retained.
+    /// Wall time of the oldest retained batch.
     #[must_use]
     pub fn oldest_wall_ms(&self) -> Option<u64> {
-        // Clocks of writers differ; the later of both bounds is the safe one.
-        self.batches
-            .front()
-            .map(|batch| batch.wall_ms)
-            .max(self.trimmed_wall_ms)
+        self.batches.front().map(|batch| batch.wall_ms)
     }
 
     /// Wall time of the newest batch.
     #[must_use]
     pub fn newest_wall_ms(&self) -> Option<u64> {
-        self.batches
-            .back()
-            .map(|batch| batch.wall_ms)
-            .or(self.trimmed_wall_ms)
+        self.batches.back().map(|batch| batch.wall_ms)
+    }
+
+    /// Whether it is known how new a trimmed record can be.
+    #[must_use]
+    pub fn is_dated(&self) -> bool {
+        self.start_bound_ms.is_some()
+    }
+
+    /// Latest wall time that a trimmed batch can have.
+    ///
+    /// The wall time of the oldest retained batch is no such bound: its append may have taken effect
+    /// long after it was made, with newer batches in front of it that are trimmed by now.
+    fn trimmed_until_ms(&self) -> Option<u64> {
+        self.start_bound_ms
+            .map(|bound| bound.max(self.trimmed_wall_ms))
     }
 
     /// Folds a record.
@@ -229,6 +243,9 @@
             id: batch.id,
             wall_ms: batch.wall_ms,
         });
+        if self.start_bound_ms.is_none() && batch.after >= self.start {
+            self.start_bound_ms = Some(batch.wall_ms);
+        }
         for change in &batch.records {
             self.change(change, record.offset, batch.wall_ms);
         }
@@ -312,7 +329,7 @@
         self.first = self.first.max(first);
         while let Some(batch) = self.batches.pop_front_if(|batch| batch.offset < first) {
             self.batch_ids.remove(&batch.id);
-            self.trimmed_wall_ms = self.trimmed_wall_ms.max(Some(batch.wall_ms));
+            self.trimmed_wall_ms = self.trimmed_wall_ms.max(batch.wall_ms);
         }
         while let Some((offset, key)) = self.claims.pop_front_if(|(offset, _)| *offset < first) {
             // An abandoned key may have been claimed again at a later offset.
@@ -358,9 +375,9 @@
         if self.first == Offset(0) || self.flaw == Some(Flaw::AgeIgnored) {
             return Verdict::Granted;
         }
-        match self.oldest_wall_ms() {
+        match self.trimmed_until_ms() {
             None => Verdict::Unavailable(Unavailable::Undated),
-            Some(oldest) if claim.key_time.0 < oldest.saturating_add(self.rule.margin_ms) => {
+            Some(until) if claim.key_time.0 < until.saturating_add(self.rule.margin_ms) => {
                 Verdict::TooOld
             }
             Some(_) => Verdict::Granted,
--- a/crates/claims/src/owner/flight.rs
+++ b/crates/claims/src/owner/flight.rs
@@ -108,6 +108,7 @@
                 sequence: self.next_sequence,
             },
             wall_ms: now.wall_ms,
+            after: self.fold.next_offset(),
             records,
         };
         self.next_sequence += 1;
@@ -127,8 +128,11 @@
             .pending
             .iter()
             .filter_map(|record| match record {
-                Record::Expire { key, .. } | Record::Outcome { key, .. } => Some(*key),
-                Record::Claim(_) | Record::Abandon { .. } => None,
+                // Each ends the claim, and an abandon better than an expiry.
+                Record::Expire { key, .. }
+                | Record::Outcome { key, .. }
+                | Record::Abandon { key, .. } => Some(*key),
+                Record::Claim(_) => None,
             })
             .collect();
         let grace_ms = self.config.grace_ms;
@@ -145,11 +149,8 @@
     }
 
     fn is_heartbeat_due(&self, now: Now) -> bool {
-        match self.fold.newest_wall_ms() {
-            Some(newest) => newest.saturating_add(self.config.heartbeat_ms) <= now.wall_ms,
-            // Nothing was trimmed from a stream that begins at its first offset.
-            None => self.fold.first_offset() > Offset(0),
-        }
+        let is_old = |newest: u64| newest.saturating_add(self.config.heartbeat_ms) <= now.wall_ms;
+        !self.fold.is_dated() || self.fold.newest_wall_ms().is_some_and(is_old)
     }
 
     /// The append that an answer belongs to, unless nothing is left to do for it.
--- a/crates/claims/src/record.rs
+++ b/crates/claims/src/record.rs
@@ -1,7 +1,7 @@
 //! Records of the claim streams and the messages around them.
 
 use crate::key::{BodyDigest, ClaimKey, KeyTime};
-use anvilgw_core::{AttemptId, Clock, DaemonId};
+use anvilgw_core::{AttemptId, Clock, DaemonId, Offset};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -145,6 +145,10 @@
     pub id: BatchId,
     /// The writer's wall clock time in milliseconds since 1970.
     pub wall_ms: u64,
+    /// Offset up to which the writer had folded the stream when it made the batch: everything below
+    /// is older than `wall_ms`. The batch's own offset does not show that, since an append can take
+    /// effect long after it was made.
+    pub after: Offset,
     /// The records, applied in this order. An empty batch only dates the stream.
     pub records: Vec<Record>,
 }
--- a/crates/claims/tests/common/mod.rs
+++ b/crates/claims/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use anvilgw_claims::{
     AgeRule, Attempt, Batch, BatchId, BodyDigest, ClaimKey, ClaimRequest, KeyTime, Now, Record,
 };
-use anvilgw_core::{AttemptId, DaemonId};
+use anvilgw_core::{AttemptId, DaemonId, Offset};
 use quickcheck::{Gen, QuickCheck, Testable};
 use std::time::Duration;
 
@@ -54,6 +54,7 @@
             sequence,
         },
         wall_ms,
+        after: Offset(sequence),
         records,
     }
 }
--- a/crates/explorer/src/claims/step.rs
+++ b/crates/explorer/src/claims/step.rs
@@ -213,7 +213,12 @@
         Step::Clock => {
             world.time += 1;
             for daemon in 0..world.daemons.len() {
+                let was_caught_up = world.daemons[daemon].owner.is_caught_up();
                 world.tell_owner(model, daemon, OwnerEvent::Tick);
+                // The periodic read of an owner that has begun is served at once.
+                if was_caught_up {
+                    world.read_log(model, daemon);
+                }
             }
         }
         Step::Crash(daemon) => world.crash(model, daemon),
