Take a peer's changes as the first configuration

Cause: a daemon that started during an outage of the log ignored updates from peers unless they were a full state, so it never became ready. Peers send the changes alone while they still hold all of them. Such an update is now applied to the empty configuration of version 0.

--- a/crates/entry/src/duties/control/configuration.rs
+++ b/crates/entry/src/duties/control/configuration.rs
@@ -107,13 +107,16 @@
 
     /// Applies an update from a peer.
     pub(super) fn on_peer_update(&mut self, update: PeerUpdate, wall_ms: u64) {
-        let result = match (&mut self.fold, update) {
-            (Some(fold), update) => fold.apply_update(update).map(|_| ()),
-            (None, PeerUpdate::Full { state, digest }) if state.digest() == digest => {
-                self.fold = Some(ConfigFold::from_peer(state));
-                Ok(())
+        // Without an own state the update is applied to the empty configuration of version 0, which
+        // all daemons share.
+        let result = match &mut self.fold {
+            Some(fold) => fold.apply_update(update).map(|_| ()),
+            None => {
+                let mut fold = ConfigFold::from_peer(ConfigState::default());
+                fold.apply_update(update).map(|newer| {
+                    self.fold = newer.then_some(fold);
+                })
             }
-            (None, _) => Ok(()),
         };
         if let Err(error) = result {
             self.note(wall_ms, EventKind::ConfigRejected, &error.to_string());
--- a/tests/all/configuration.rs
+++ b/tests/all/configuration.rs
@@ -5,6 +5,11 @@
 use anvilgw_testbed::{Bed, BedConfig, CallerError};
 use http::Method;
 use serde_json::{Value, json};
+use std::time::Duration;
+
+/// Ends a test that would wait forever. Much longer than the 9 s that are promised, because test
+/// machines are busy.
+const SETTLE_LIMIT: Duration = Duration::from_secs(60);
 
 async fn version(bed: &Bed, daemon: usize) -> u64 {
     let report = bed
@@ -15,13 +20,19 @@
     report["state"]["version"].as_u64().unwrap()
 }
 
-/// Waits until all daemons have the version of the newest.
+/// Waits until all daemons have a version.
 async fn settle(bed: &Bed, version: u64) {
-    for daemon in 0..bed.config().daemons {
-        while bed.daemon(daemon).unwrap().config_version() < version {
-            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    let is_behind = || {
+        (0..bed.config().daemons)
+            .any(|daemon| bed.daemon(daemon).unwrap().config_version() < version)
+    };
+    let settled = async {
+        while is_behind() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
         }
-    }
+    };
+    let result = tokio::time::timeout(SETTLE_LIMIT, settled).await;
+    result.expect("version in force at all daemons");
 }
 
 /// Guards against racing operators who overwrite each other, and versions that differ.
--- a/tests/all/http.rs
+++ b/tests/all/http.rs
@@ -51,82 +51,75 @@
     }
 }
 
-fn cases() -> Vec<Case> {
-    let good = r#"{"model":"lumen","prompt":"a"}"#;
-    let mut cases = vec![
-        completion("no JSON", "{", 400, "bad_request"),
-        completion("no object", "[1]", 400, "bad_request"),
-        completion("not UTF-8", "\u{0}\u{1}", 400, "bad_request"),
-        completion("no model", r#"{"prompt":"a"}"#, 400, "bad_request"),
-        completion("no prompt", r#"{"model":"lumen"}"#, 400, "bad_request"),
-        completion(
-            "prompt of another type",
-            r#"{"model":"lumen","prompt":3}"#,
-            400,
-            "bad_request",
-        ),
-        completion(
+const GOOD: &str = r#"{"model":"lumen","prompt":"a"}"#;
+
+fn bad_bodies() -> Vec<Case> {
+    let bad = |name, body| completion(name, body, 400, "bad_request");
+    let unknown = |name, body| completion(name, body, 404, "not_found");
+    vec![
+        bad("no JSON", "{"),
+        bad("no object", "[1]"),
+        bad("control characters", "\u{0}\u{1}"),
+        bad("no model", r#"{"prompt":"a"}"#),
+        bad("no prompt", r#"{"model":"lumen"}"#),
+        bad("prompt of another type", r#"{"model":"lumen","prompt":3}"#),
+        bad(
             "zero tokens",
             r#"{"model":"lumen","prompt":"a","max_tokens":0}"#,
-            400,
-            "bad_request",
         ),
-        completion(
+        bad(
             "stream of another type",
             r#"{"model":"lumen","prompt":"a","stream":"yes"}"#,
-            400,
-            "bad_request",
         ),
-        completion(
-            "unknown model",
-            r#"{"model":"other","prompt":"a"}"#,
-            404,
-            "not_found",
-        ),
-        completion(
+        unknown("unknown model", r#"{"model":"other","prompt":"a"}"#),
+        unknown(
             "unknown adapter",
             r#"{"model":"lumen","prompt":"a","adapter":"x"}"#,
-            404,
-            "not_found",
-        ),
-        call(
-            "key without time",
-            with("idempotency-key", "abc"),
-            "idempotency_key_undated",
         ),
-        call("empty key", with("idempotency-key", ""), "bad_request"),
-    ];
-    let mut bad_time = with("idempotency-key", "abc");
-    bad_time.push(("idempotency-key-time", "yesterday".to_owned()));
-    cases.push(call("key time without number", bad_time, "bad_request"));
-    cases.extend([
         Case {
-            headers: Vec::new(),
-            ..completion("no key", good, 401, "unauthenticated")
-        },
-        Case {
-            headers: vec![("authorization", "Bearer wrong".to_owned())],
-            ..completion("wrong key", good, 401, "unauthenticated")
-        },
-        Case {
-            headers: vec![("authorization", "Basic abc".to_owned())],
-            ..completion("other scheme", good, 401, "unauthenticated")
+            body: vec![b' '; 9_000_000],
+            ..completion("body too large", "", 413, "body_too_large")
         },
+    ]
+}
+
+fn bad_keys() -> Vec<Case> {
+    let mut bad_time = with("idempotency-key", "abc");
+    bad_time.push(("idempotency-key-time", "yesterday".to_owned()));
+    let undated = with("idempotency-key", "abc");
+    vec![
+        call("key without time", undated, "idempotency_key_undated"),
+        call("empty key", with("idempotency-key", ""), "bad_request"),
+        call("key time without number", bad_time, "bad_request"),
+    ]
+}
+
+fn bad_headers() -> Vec<Case> {
+    let unauthenticated = |name, headers| Case {
+        headers,
+        ..completion(name, GOOD, 401, "unauthenticated")
+    };
+    let wrong = |value: &str| vec![("authorization", value.to_owned())];
+    vec![
+        unauthenticated("no key", Vec::new()),
+        unauthenticated("wrong key", wrong("Bearer wrong")),
+        unauthenticated("other scheme", wrong("Basic abc")),
         Case {
             headers: with("x-anvilgw-deadline-ms", "soon"),
-            ..completion("deadline without number", good, 400, "bad_request")
+            ..completion("deadline without number", GOOD, 400, "bad_request")
         },
         Case {
             headers: with("x-long", &"a".repeat(20_000)),
-            ..completion("headers too large", good, 431, "headers_too_large")
-        },
-        Case {
-            body: vec![b' '; 9_000_000],
-            ..completion("body too large", "", 413, "body_too_large")
+            ..completion("headers too large", GOOD, 431, "headers_too_large")
         },
+    ]
+}
+
+fn bad_paths() -> Vec<Case> {
+    vec![
         Case {
             path: "/v1/nothing",
-            ..completion("unknown path", good, 404, "not_found")
+            ..completion("unknown path", GOOD, 404, "not_found")
         },
         Case {
             method: Method::DELETE,
@@ -136,8 +129,7 @@
             path: "/services/none/on",
             ..completion("unknown service", "{}", 404, "not_found")
         },
-    ]);
-    cases
+    ]
 }
 
 /// Guards against requests that are answered without a code, without `executed` or by a panic.
@@ -152,7 +144,8 @@
     };
     let bed = Bed::start(config).await.unwrap();
     let caller = bed.caller();
-    for case in cases() {
+    let cases = [bad_bodies(), bad_keys(), bad_headers(), bad_paths()];
+    for case in cases.into_iter().flatten() {
         let mut headers = HeaderMap::new();
         for (name, value) in &case.headers {
             headers.insert(*name, value.parse().unwrap());
--- a/tests/all/whole_path.rs
+++ b/tests/all/whole_path.rs
@@ -165,6 +165,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn without_the_log_calls_are_refused_truthfully() {
     let bed = Bed::start(BedConfig::default()).await.unwrap();
+    // Daemons vouch for their view without the log only as members of an epoch.
+    bed.wait_settled().await.unwrap();
     let caller = bed.caller();
     bed.log.set_faults(LogFaults {
         outage: true,
