Keep the timeouts of a slow member long while its answers are slow

A member whose datagrams are handled 0.3 s late fell back to short timeouts after each answer, so it asked others to probe and suspected peers, up to 57 requests in 10 s. An answer that is in time only because the timeouts are doubled now leaves them doubled, and one after the direct timeout counts as late.

--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -14,7 +14,7 @@
 use crate::gossip::GossipQueue;
 use crate::health::LocalHealth;
 use crate::members::{Change, MemberState, MemberView, RemovalCause, Table};
-use crate::probe::Probes;
+use crate::probe::{Probes, Timing};
 use crate::wire::{Claim, Contact, Datagram, Message, Update, Vitals};
 use anvilgw_core::DaemonId;
 use indexmap::IndexSet;
@@ -436,7 +436,7 @@
             Message::PingRequest { seq, target } => self.handle_request(source, seq, target, turn),
             Message::RelayedAck { seq, target } => {
                 // The answer came through others: the direct path is bad, not this daemon.
-                self.probes.answered(seq, target);
+                self.probes.answered(seq, target, turn.now);
             }
             Message::Sync { from_index } if !self.leaving => {
                 self.send_page(source, from_index, turn);
@@ -452,11 +452,11 @@
     }
 
     fn handle_ack(&mut self, seq: u32, from: DaemonId, turn: &mut Turn<'_>) -> Option<Duration> {
-        if let Some((probe, late)) = self.probes.answered(seq, from) {
-            if late {
-                self.health.worsen();
-            } else {
-                self.health.improve();
+        if let Some((probe, timing)) = self.probes.answered(seq, from, turn.now) {
+            match timing {
+                Timing::InTime => self.health.improve(),
+                Timing::Slow => {}
+                Timing::Late => self.health.worsen(),
             }
             return Some(probe.sent);
         }
--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -44,6 +44,15 @@
     sent: Duration,
 }
 
+/// When a probe was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Timing {
+    InTime,
+    /// In time only because the timeouts are lengthened, so they have to stay so.
+    Slow,
+    Late,
+}
+
 /// What a deadline asks for.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Due {
@@ -107,14 +116,24 @@
     }
 
     /// Ends the probe that `from` answered.
-    pub(crate) fn answered(&mut self, seq: u32, from: DaemonId) -> Option<(Probe, bool)> {
+    pub(crate) fn answered(
+        &mut self,
+        seq: u32,
+        from: DaemonId,
+        now: Duration,
+    ) -> Option<(Probe, Timing)> {
         let at = self
             .probes
             .iter()
             .position(|probe| probe.seq == seq && probe.target == from)?;
         let probe = self.probes.swap_remove(at);
-        let late = probe.phase == Phase::Failed;
-        Some((probe, late))
+        let elapsed = now.saturating_sub(probe.sent);
+        let timing = match probe.phase {
+            Phase::Direct if elapsed < DIRECT_TIMEOUT => Timing::InTime,
+            Phase::Direct => Timing::Slow,
+            Phase::Indirect | Phase::Failed => Timing::Late,
+        };
+        Some((probe, timing))
     }
 
     /// Ends the relayed ping that `from` answered.
