Give each test bed a loopback address of its own

Cause: daemons keep their ports over restarts, and ports of 127.0.0.1 that the operating system had handed out were taken by outgoing connections of other processes in between (AddrInUse in a_daemon_joins_during_an_outage_of_the_log under load). Beds now listen on 127.x.y.z made of process number and counter. The input table uses a connection per case, because a refusal before the end of a body closes it.

--- a/crates/testbed/src/bed.rs
+++ b/crates/testbed/src/bed.rs
@@ -13,8 +13,9 @@
 };
 use quick_error::quick_error;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -24,8 +25,8 @@
 /// Time after which all daemons use the shares of an epoch: the growth wait of 2.5 s and a margin.
 const SHARE_WAIT: Duration = Duration::from_millis(3_000);
 const READY_TICK: Duration = Duration::from_millis(20);
-/// Attempts to find a port that is free for both TCP and UDP.
-const PORT_ATTEMPTS: usize = 100;
+/// Port of the first daemon's first address.
+const FIRST_PORT: u16 = 8_000;
 
 quick_error! {
     /// Why a bed does not run.
@@ -127,9 +128,7 @@
             services: services.iter().map(Running::addr).collect(),
             stores: stores.iter().map(Running::addr).collect(),
         };
-        let daemon_addresses = (0..config.daemons)
-            .map(|_| daemon_addresses())
-            .collect::<io::Result<Vec<_>>>()?;
+        let daemon_addresses = daemon_addresses(config.daemons);
         let system: Arc<dyn Clock> = Arc::new(SystemClock);
         Ok(Self {
             daemons: (0..config.daemons).map(|_| None).collect(),
@@ -334,22 +333,28 @@
     }
 }
 
-fn daemon_addresses() -> io::Result<DaemonAddresses> {
-    Ok(DaemonAddresses {
-        listen: free_address()?,
-        admin: free_address()?,
-        peer: free_address()?,
-    })
-}
+/// Beds started by this process.
+static BEDS: AtomicU8 = AtomicU8::new(0);
 
-/// An address that is free for TCP and UDP. Daemons have to know their peers' addresses before they
-/// start, so the ports cannot be chosen when they bind.
-fn free_address() -> io::Result<SocketAddr> {
-    for _ in 0..PORT_ATTEMPTS {
-        let address = TcpListener::bind(ANY)?.local_addr()?;
-        if UdpSocket::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-    Err(io::Error::other("no port is free for both TCP and UDP"))
+/// Addresses of the daemons of a new bed.
+///
+/// Daemons have to know their peers' addresses before they start and keep them over restarts. Ports
+/// of 127.0.0.1 that the operating system hands out could be taken by outgoing connections in between,
+/// so each bed has a loopback address of its own, made of the process number and a counter.
+fn daemon_addresses(count: usize) -> Vec<DaemonAddresses> {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let bed = BEDS.fetch_add(1, Ordering::Relaxed);
+    // 127.0.0.0/16 is left to everything else on the machine.
+    let ip = Ipv4Addr::new(127, high | 0x80, low, bed.wrapping_add(1));
+    (0..count)
+        .map(|index| {
+            let first = FIRST_PORT + 3 * index as u16;
+            let address = |offset| SocketAddr::new(ip.into(), first + offset);
+            DaemonAddresses {
+                listen: address(0),
+                admin: address(1),
+                peer: address(2),
+            }
+        })
+        .collect()
 }
--- a/tests/all/http.rs
+++ b/tests/all/http.rs
@@ -143,9 +143,10 @@
         ..BedConfig::default()
     };
     let bed = Bed::start(config).await.unwrap();
-    let caller = bed.caller();
     let cases = [bad_bodies(), bad_keys(), bad_headers(), bad_paths()];
     for case in cases.into_iter().flatten() {
+        // A refusal before the end of the body closes the connection, so each case has its own.
+        let caller = bed.caller();
         let mut headers = HeaderMap::new();
         for (name, value) in &case.headers {
             headers.insert(*name, value.parse().unwrap());
--- a/tests/all/whole_path.rs
+++ b/tests/all/whole_path.rs
@@ -79,6 +79,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn broken_streams_are_resumed_or_end_with_an_error() {
     let bed = Bed::start(BedConfig::default()).await.unwrap();
+    // A server with a broken stream counts as cold until its next report and needs permits.
+    bed.wait_settled().await.unwrap();
     let caller = bed.caller();
     let mut complete = 0;
     for case in stream_faults() {
