Open the connection before a non-idempotent call uses its claim

Cause: dispatch asked the claim sender for the permit to send before the connection to the service was open. A refused connection therefore ended as `unknown`, although nothing had been sent, and the key could not be used again. The freshness check also came up to a second (the time limit of connecting) before the first byte.

Change: ServiceClient::connect opens a connection and returns a ReadyCall; ReadyCall::send makes the one attempt on it. Dispatch reports a failed connection to the claim sender, which abandons the claim, and checks freshness between connecting and sending.

Test: claims::refused_connection_is_not_executed fails without the change (the refusal says `unknown`) and passes with it: the refusal says `executed: no`, and a repeat with the same key is executed once.

--- a/crates/entry/src/dispatch/service.rs
+++ b/crates/entry/src/dispatch/service.rs
@@ -269,7 +269,6 @@
     service_call.options = CallOptions {
         traceparent: HeaderValue::from_str(&traceparent).ok(),
         time_limit: Some(context.remaining(call.deadline)),
-        fresh_connection: key.is_some(),
         ..CallOptions::default()
     };
     service_call
@@ -427,12 +426,23 @@
                 return;
             }
         };
-        let is_fresh = self.context.check_before_send(target.backend).is_ok();
+        // Connecting can take a second, so the checks before sending follow it.
+        let remaining = context.remaining(call.deadline);
+        let ready = match target.client.connect(Some(remaining)).await {
+            Ok(ready) => ready,
+            Err(failure) => {
+                target.dispatch.set_outcome(SendOutcome::Failed);
+                note_outcome(context, call, &Err(failure));
+                self.step(SenderEvent::ConnectFailed).await;
+                return;
+            }
+        };
+        let is_fresh = context.check_before_send(target.backend).is_ok();
         if !self.step(SenderEvent::ReadyToSend { is_fresh }).await {
             return;
         }
-        let service_call = service_call(self.context, call, request, Some(key));
-        let result = target.client.call(service_call).await;
+        let result = ready.send(service_call(context, call, request, Some(key)));
+        let result = result.await;
         target.dispatch.set_outcome(outcome(&result));
         note_outcome(self.context, call, &result);
         match result {
--- a/crates/platform/src/exchange.rs
+++ b/crates/platform/src/exchange.rs
@@ -95,6 +95,22 @@
     stage: Stage,
 }
 
+/// An exchange without an answer.
+struct Unanswered {
+    error: TransportError,
+    /// The request, if no byte of it was written.
+    unsent: Option<Request<Full<Bytes>>>,
+}
+
+impl From<TransportError> for Unanswered {
+    fn from(error: TransportError) -> Self {
+        Self {
+            error,
+            unsent: None,
+        }
+    }
+}
+
 impl Pool {
     /// Sends a request and waits for the head of the answer.
     pub(crate) async fn exchange(
@@ -103,44 +119,92 @@
         options: &CallOptions,
     ) -> Result<Answer, TransportError> {
         self.complete_headers(&mut request, options);
-        let silence = Duration::from_millis(self.settings().silence_ms);
-        let limits = Limits {
-            silence: options.silence.unwrap_or(silence),
-            end: options.time_limit.map(|limit| Instant::now() + limit),
-        };
+        let limits = self.limits(options);
         let mut connection = self.connect(options, limits.end).await?;
         loop {
-            let written_before = connection.progress.written_bytes();
-            let sent = connection.sender.try_send_request(request).boxed();
-            match limits.apply(&connection, sent).await {
-                Ok(Ok(response)) => {
-                    let (parts, incoming) = response.into_parts();
-                    return check_framing(self, connection, limits, parts, incoming).await;
+            let was_used = connection.progress.written_bytes() > 0;
+            match self.send_on(connection, limits, request).await {
+                Ok(answer) => return Ok(answer),
+                // The idle connection was closed by the server before anything was sent.
+                Err(Unanswered {
+                    unsent: Some(message),
+                    ..
+                }) if was_used => {
+                    request = message;
+                    connection = self.connect(&fresh(options), limits.end).await?;
                 }
-                Ok(Err(mut error)) => {
-                    let unsent = error.take_message();
-                    let detail = error.into_error().to_string();
-                    let is_unsent = connection.close().await == written_before;
-                    match unsent {
-                        // The idle connection was closed by the server before anything was sent.
-                        Some(message) if is_unsent && written_before > 0 => {
-                            request = message;
-                            connection = self.connect(&fresh(options), limits.end).await?;
-                        }
-                        _ => return Err(failed(Cause::Closed(detail), is_unsent)),
-                    }
-                }
-                Err(expired) => {
-                    if matches!(expired, Expired::Silent) {
-                        self.went_silent();
-                    }
-                    let is_unsent = connection.close().await == written_before;
-                    return Err(failed(limits.cause(&expired), is_unsent));
+                Err(unanswered) => return Err(unanswered.error),
+            }
+        }
+    }
+
+    /// Opens a new connection for one exchange, which [`Pool::exchange_on`] makes.
+    pub(crate) async fn open(
+        &self,
+        time_limit: Option<Duration>,
+    ) -> Result<Connection, TransportError> {
+        let options = CallOptions {
+            fresh_connection: true,
+            ..CallOptions::default()
+        };
+        let end = time_limit.map(|limit| Instant::now() + limit);
+        self.connect(&options, end).await
+    }
+
+    /// Sends a request on an open connection and waits for the head of the answer. Nothing is
+    /// repeated on another connection.
+    pub(crate) async fn exchange_on(
+        self: &Arc<Self>,
+        connection: Connection,
+        mut request: Request<Full<Bytes>>,
+        options: &CallOptions,
+    ) -> Result<Answer, TransportError> {
+        self.complete_headers(&mut request, options);
+        let sent = self.send_on(connection, self.limits(options), request);
+        sent.await.map_err(|unanswered| unanswered.error)
+    }
+
+    async fn send_on(
+        self: &Arc<Self>,
+        mut connection: Connection,
+        limits: Limits,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Answer, Unanswered> {
+        let written_before = connection.progress.written_bytes();
+        let sent = connection.sender.try_send_request(request).boxed();
+        match limits.apply(&connection, sent).await {
+            Ok(Ok(response)) => {
+                let (parts, incoming) = response.into_parts();
+                let answer = check_framing(self, connection, limits, parts, incoming).await;
+                answer.map_err(Unanswered::from)
+            }
+            Ok(Err(mut error)) => {
+                let unsent = error.take_message();
+                let detail = error.into_error().to_string();
+                let is_unsent = connection.close().await == written_before;
+                Err(Unanswered {
+                    error: failed(Cause::Closed(detail), is_unsent),
+                    unsent: unsent.filter(|_| is_unsent),
+                })
+            }
+            Err(expired) => {
+                if matches!(expired, Expired::Silent) {
+                    self.went_silent();
                 }
+                let is_unsent = connection.close().await == written_before;
+                Err(failed(limits.cause(&expired), is_unsent).into())
             }
         }
     }
 
+    fn limits(&self, options: &CallOptions) -> Limits {
+        let silence = Duration::from_millis(self.settings().silence_ms);
+        Limits {
+            silence: options.silence.unwrap_or(silence),
+            end: options.time_limit.map(|limit| Instant::now() + limit),
+        }
+    }
+
     fn complete_headers(&self, request: &mut Request<Full<Bytes>>, options: &CallOptions) {
         let host = HeaderValue::try_from(self.addr().to_string())
             .expect("a socket address is a valid header value");
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -33,5 +33,5 @@
 pub use kv::{KvBlock, KvImport, KvSource};
 pub use log::{HttpLogService, LogClientSettings};
 pub use pool::PoolCounters;
-pub use service::{ServiceAnswer, ServiceCall, ServiceClient, ServiceLoad};
+pub use service::{ReadyCall, ServiceAnswer, ServiceCall, ServiceClient, ServiceLoad};
 pub use store::{StoreClient, StoreError, StoreListing, StoredBlock, Tier};
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -1,16 +1,19 @@
 //! Client of plain services: one attempt of one call.
 
-use crate::connection::ConnectionSettings;
-use crate::exchange::{CallOptions, request};
+use crate::connection::{Connection, ConnectionSettings};
+use crate::exchange::{Answer, CallOptions, request};
 use crate::json::{JsonClient, PlatformError};
 use crate::pool::{Pool, PoolCounters};
 use anvilgw_core::Failure;
 use bytes::Bytes;
+use http::Request;
 use http::header::{self, HeaderName};
 use http::{HeaderMap, Method, StatusCode};
+use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Headers that belong to one connection and are not passed on.
 const HOP_HEADERS: [HeaderName; 11] = [
@@ -104,16 +107,22 @@
     /// [`AnswerLost`]: anvilgw_core::Stage::AnswerLost
     /// [`AnswerStarted`]: anvilgw_core::Stage::AnswerStarted
     pub async fn call(&self, call: ServiceCall) -> Result<ServiceAnswer, Failure> {
-        let mut request = request(call.method, &call.path_and_query, call.body)?;
-        *request.headers_mut() = call.headers;
-        remove_hop_headers(request.headers_mut());
-        let answer = self.pool.exchange(request, &call.options).await?;
-        let mut headers = answer.headers;
-        remove_hop_headers(&mut headers);
-        Ok(ServiceAnswer {
-            status: answer.status,
-            headers,
-            body: answer.body.collect().await?,
+        let options = call.options.clone();
+        let answer = self.pool.exchange(prepare(call)?, &options).await?;
+        complete(answer).await
+    }
+
+    /// Opens a new connection for one call, so that the caller can decide after that whether to send
+    /// it.
+    ///
+    /// # Errors
+    ///
+    /// A [`Failure`] at stage [`Connecting`](anvilgw_core::Stage::Connecting) if the connection does
+    /// not open in time.
+    pub async fn connect(&self, time_limit: Option<Duration>) -> Result<ReadyCall, Failure> {
+        Ok(ReadyCall {
+            connection: self.pool.open(time_limit).await?,
+            pool: Arc::clone(&self.pool),
         })
     }
 
@@ -135,6 +144,45 @@
     }
 }
 
+/// An open connection on which one call can be sent. Dropping it closes the connection.
+#[derive(Debug)]
+pub struct ReadyCall {
+    connection: Connection,
+    pool: Arc<Pool>,
+}
+
+impl ReadyCall {
+    /// Makes one attempt of a call on this connection. `fresh_connection` of its options has no
+    /// effect.
+    ///
+    /// # Errors
+    ///
+    /// As [`ServiceClient::call`].
+    pub async fn send(self, call: ServiceCall) -> Result<ServiceAnswer, Failure> {
+        let options = call.options.clone();
+        let request = prepare(call)?;
+        let sent = self.pool.exchange_on(self.connection, request, &options);
+        complete(sent.await?).await
+    }
+}
+
+fn prepare(call: ServiceCall) -> Result<Request<Full<Bytes>>, Failure> {
+    let mut request = request(call.method, &call.path_and_query, call.body)?;
+    *request.headers_mut() = call.headers;
+    remove_hop_headers(request.headers_mut());
+    Ok(request)
+}
+
+async fn complete(answer: Answer) -> Result<ServiceAnswer, Failure> {
+    let mut headers = answer.headers;
+    remove_hop_headers(&mut headers);
+    Ok(ServiceAnswer {
+        status: answer.status,
+        headers,
+        body: answer.body.collect().await?,
+    })
+}
+
 fn remove_hop_headers(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
--- /dev/null
+++ b/tests/all/claims.rs
@@ -0,0 +1,59 @@
+//! Non-idempotent calls through a daemon.
+
+use anvilgw_core::Executed;
+use anvilgw_testbed::{Bed, BedConfig, CallerError};
+use http::{Method, StatusCode};
+use std::time::Duration;
+use uuid::Uuid;
+
+/// Time between two repeats of a call, and between looks for a stand-in that stops listening.
+const REPEAT_PAUSE: Duration = Duration::from_millis(50);
+/// Number of repeats, after which the call counts as lost.
+const REPEATS: usize = 400;
+
+/// Guards against a refused connection that uses up the claim: the caller would be told `unknown`
+/// although nothing was sent, and could not repeat the call.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn refused_connection_is_not_executed() {
+    let config = BedConfig {
+        daemons: 1,
+        engines: 0,
+        service_servers: 1,
+        stores: 0,
+        ..BedConfig::default()
+    };
+    let bed = Bed::start(config).await.unwrap();
+    bed.wait_settled().await.unwrap();
+    let caller = bed.caller();
+    let key = Uuid::now_v7().to_string();
+    let call = || caller.call_service(0, 0, Method::POST, "/switch", Some(&key), "on");
+    bed.services[0].disconnect();
+    while tokio::net::TcpStream::connect(bed.services[0].addr())
+        .await
+        .is_ok()
+    {
+        tokio::time::sleep(REPEAT_PAUSE).await;
+    }
+    match call().await {
+        Err(CallerError::Refused(_, code, executed)) => {
+            assert_eq!(executed, Some(Executed::No), "{code}");
+        }
+        other => panic!("{other:?}"),
+    }
+    bed.services[0].restore();
+    for _ in 0..REPEATS {
+        match call().await {
+            Ok(answer) => {
+                assert_eq!(answer.status, StatusCode::OK);
+                assert_eq!(bed.services[0].executions(&key), 1);
+                return bed.stop().await;
+            }
+            // The abandonment of the first attempt may not be in the log yet, and the daemon may
+            // still take the server for unreachable.
+            Err(CallerError::Refused(_, code, _)) if code != "outcome_unknown" => {}
+            Err(error) => panic!("{error}"),
+        }
+        tokio::time::sleep(REPEAT_PAUSE).await;
+    }
+    panic!("no repeat was answered");
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,3 +1,4 @@
 //! One integration test binary, so that linking happens once.
 
+mod claims;
 mod kernel;
