--- /dev/null
+++ b/tests/all/retries.rs
@@ -0,0 +1,73 @@
+//! Retries of idempotent work.
+
+use anvilgw_standin::{ConnectionFaults, ServiceFaults};
+use anvilgw_testbed::{Bed, BedConfig};
+use http::{Method, StatusCode};
+
+const CALLS_PER_DAEMON: usize = 8;
+
+async fn settled(daemons: usize, engines: usize, service_servers: usize) -> Bed {
+    let config = BedConfig {
+        daemons,
+        engines,
+        service_servers,
+        stores: 0,
+        ..BedConfig::default()
+    };
+    let bed = Bed::start(config).await.unwrap();
+    bed.wait_settled().await.unwrap();
+    bed
+}
+
+async fn read_status(bed: &Bed, daemon: usize) {
+    let caller = bed.caller();
+    let answer = caller.call_service(daemon, 0, Method::GET, "/status", None, "");
+    match answer.await {
+        Ok(answer) => assert_eq!(answer.status, StatusCode::OK),
+        Err(error) => panic!("daemon {daemon}: {error}"),
+    }
+}
+
+/// Guards against a retry budget whose share moves away from daemons while nothing fails, and whose
+/// tokens accrue only after the first failure.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn every_daemon_retries_at_once() {
+    let bed = settled(3, 0, 2).await;
+    bed.services[0].set_faults(ServiceFaults {
+        cut_before_probability: 1.0,
+        ..ServiceFaults::default()
+    });
+    for daemon in 0..3 {
+        for _ in 0..CALLS_PER_DAEMON {
+            read_status(&bed, daemon).await;
+        }
+    }
+    bed.stop().await;
+}
+
+/// Guards against retries on idle connections that went silent together with the first one: with more
+/// engines than attempts, a call would run out of attempts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn retry_avoids_idle_connections() {
+    let bed = settled(1, 6, 0).await;
+    let caller = bed.caller();
+    // Every engine gets an idle connection.
+    while bed.engines.iter().any(|e| e.counters().accepted == 0) {
+        let calls = (0..2 * bed.engines.len()).map(|index| {
+            let caller = caller.clone();
+            tokio::spawn(async move { caller.complete(0, 0, &format!("{index}"), 4).await })
+        });
+        for call in calls.collect::<Vec<_>>() {
+            call.await.unwrap().unwrap();
+        }
+    }
+    let silence = ConnectionFaults {
+        silence_open: true,
+        ..ConnectionFaults::default()
+    };
+    let engines = bed.engines.iter();
+    engines.for_each(|engine| engine.set_connection_faults(&silence));
+    let answer = caller.complete(0, 0, "after the silence", 4).await;
+    assert!(answer.is_ok(), "{answer:?}");
+    bed.stop().await;
+}
