--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,6 +1,8 @@
 //! One integration test binary, so that linking happens once.
 
+mod claims;
 mod configuration;
 mod http;
 mod kernel;
+mod retries;
 mod whole_path;
