--- a/crates/entry/src/duties/control/mod.rs
+++ b/crates/entry/src/duties/control/mod.rs
@@ -8,11 +8,12 @@
 mod configuration;
 mod datagrams;
 mod log_io;
+mod start;
 mod worker;
 
 pub(crate) use budgets::{BudgetKind, SharedBudgets};
 pub(crate) use log_io::Streams;
-pub(crate) use worker::{ControlParts, ControlSetup};
+pub(crate) use start::{ControlParts, ControlSetup};
 
 use anvilgw_config::{ConfigRecord, ConfigState, PeerUpdate, Rejection};
 use anvilgw_core::{Clock, DaemonId, DomainId};
--- a/crates/entry/src/duties/control/worker.rs
+++ b/crates/entry/src/duties/control/worker.rs
@@ -4,28 +4,26 @@
 use super::budgets::SharedBudgets;
 use super::configuration::Configuration;
 use super::log_io::{LogCalls, LogEvent, ReadFrom, Streams};
-use super::{ControlService, Member, Message, View, datagrams};
+use super::start::{ControlParts, ControlSetup};
+use super::{Member, Message, View};
 use crate::duties::deliver::deliver;
 use crate::peer::{PeerAnswer, PeerClient, PeerRequest, decode, encode};
 use anvilgw_config::ConfigState;
-use anvilgw_core::{Clock, DaemonId, LogService};
+use anvilgw_core::{Clock, DaemonId};
 use anvilgw_fleet::{
-    Action, BudgetAction, Contact, Duty as FleetDuty, Epoch, Freshness, MemberEvent, MemberState,
+    Action, BudgetAction, Contact, Duty as FleetDuty, Freshness, MemberEvent, MemberState,
     Membership, OwnershipWait, PeerReport, PeerVerdict, RemovalCause,
 };
-use anvilgw_kernel::{Duty, EventKind, Journal, Receiver, RecvTimeoutError, Sender, Stop, ring};
+use anvilgw_kernel::{EventKind, Journal, Receiver, RecvTimeoutError, Sender, Stop};
 use indexmap::IndexMap;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::Handle;
 use tokio::sync::watch;
 
-/// Messages that may wait: datagrams of a few hundred members in a burst.
-const RING_CAPACITY: usize = 2048;
 /// Longest sleep of the duty.
 const WAKEUP_MAX: Duration = Duration::from_millis(25);
 /// Interval of moving shares and of publishing the members.
@@ -35,54 +33,16 @@
 /// Time limit of calls to peers.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// What the duty needs to know.
-pub(crate) struct ControlSetup {
-    /// Number, address and failure domain of this daemon.
-    pub(crate) own: Contact,
-    /// Addresses at which members may be found.
-    pub(crate) hints: Vec<SocketAddr>,
-    /// Names of the log streams.
-    pub(crate) streams: Streams,
-    /// Retention of the log.
-    pub(crate) retention: Duration,
-    /// Seed of random choices.
-    pub(crate) seed: u64,
+/// What other services follow.
+pub(super) struct Publish {
+    pub(super) config: watch::Sender<Arc<ConfigState>>,
+    pub(super) ready: watch::Sender<bool>,
+    pub(super) freshness: watch::Sender<Freshness>,
+    pub(super) view: watch::Sender<Arc<View>>,
 }
 
-/// Parts of the daemon that the duty uses.
-pub(crate) struct ControlParts {
-    /// The log service.
-    pub(crate) log: Arc<dyn LogService>,
-    /// Socket of the membership protocol.
-    pub(crate) socket: UdpSocket,
-    /// Calls to other daemons.
-    pub(crate) peers: Arc<PeerClient>,
-    /// Runtime for the calls.
-    pub(crate) runtime: Handle,
-    /// The clock.
-    pub(crate) clock: Arc<dyn Clock>,
-    /// The journal.
-    pub(crate) journal: Arc<Journal>,
-}
-
-/// The started duty.
-pub(crate) struct Started {
-    /// Handle for the other services.
-    pub(crate) service: ControlService,
-    /// Shares of the budgets.
-    pub(crate) budgets: Arc<SharedBudgets>,
-    /// The threads.
-    pub(crate) duties: Vec<Duty>,
-}
-
-struct Publish {
-    config: watch::Sender<Arc<ConfigState>>,
-    ready: watch::Sender<bool>,
-    freshness: watch::Sender<Freshness>,
-    view: watch::Sender<Arc<View>>,
-}
-
-struct Worker {
+/// State of the duty.
+pub(super) struct Worker {
     membership: Membership,
     freshness: Freshness,
     configuration: Configuration,
@@ -111,89 +71,8 @@
     publish: Publish,
 }
 
-impl ControlService {
-    /// Starts the duty with its threads.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the operating system refuses a thread or the socket.
-    pub(crate) fn start(
-        setup: ControlSetup,
-        parts: ControlParts,
-        stop: &Stop,
-    ) -> io::Result<Started> {
-        let (messages, receiver) = ring(RING_CAPACITY);
-        let own = setup.own.id;
-        let (config, config_seen) = watch::channel(Arc::new(ConfigState::default()));
-        let (ready, ready_seen) = watch::channel(false);
-        let (freshness, freshness_seen) = watch::channel(Freshness::new(own));
-        let view = View {
-            members: Vec::new(),
-            epoch: Epoch::default(),
-            ownership: OwnershipWait::new(own),
-            duties: Vec::new(),
-        };
-        let (view, view_seen) = watch::channel(Arc::new(view));
-        let clock = Arc::clone(&parts.clock);
-        let budgets = Arc::new(SharedBudgets::new(
-            own,
-            freshness_seen.clone(),
-            Arc::clone(&clock),
-        ));
-        let publish = Publish {
-            config,
-            ready,
-            freshness,
-            view,
-        };
-        let duties = start_threads(setup, parts, stop, (&messages, receiver), publish, &budgets)?;
-        let service = Self {
-            messages,
-            config: config_seen,
-            ready: ready_seen,
-            freshness: freshness_seen,
-            view: view_seen,
-            clock,
-        };
-        Ok(Started {
-            service,
-            budgets,
-            duties,
-        })
-    }
-}
-
-fn start_threads(
-    setup: ControlSetup,
-    parts: ControlParts,
-    stop: &Stop,
-    (messages, receiver): (&Sender<Message>, Receiver<Message>),
-    publish: Publish,
-    budgets: &Arc<SharedBudgets>,
-) -> io::Result<Vec<Duty>> {
-    let datagram_messages = messages.clone();
-    let mut duties = vec![datagrams::receive(
-        &parts.socket,
-        stop,
-        move |source, bytes| {
-            // A lost datagram is like one lost on the way.
-            let _ = datagram_messages.send(Message::Datagram(source, bytes));
-        },
-    )?];
-    let log_messages = messages.clone();
-    let (log, log_duties) = LogCalls::start(&parts.log, &setup.streams, stop, move |event| {
-        deliver(&log_messages, Message::Log(event));
-    })?;
-    duties.extend(log_duties);
-    let worker = Worker::new(setup, parts, messages.clone(), log, publish, budgets);
-    duties.push(Duty::spawn("control", stop.clone(), move |stop| {
-        worker.run(&receiver, &stop);
-    })?);
-    Ok(duties)
-}
-
 impl Worker {
-    fn new(
+    pub(super) fn new(
         setup: ControlSetup,
         parts: ControlParts,
         messages: Sender<Message>,
@@ -235,7 +114,7 @@
         }
     }
 
-    fn run(mut self, messages: &Receiver<Message>, stop: &Stop) {
+    pub(super) fn run(mut self, messages: &Receiver<Message>, stop: &Stop) {
         while !stop.is_raised() {
             let pause = self
                 .membership
