Measure the control plane at the two-year size; find owners once an epoch

Cause: Budgets looked up the owner of each budget by rendezvous hashing on every tick: 1,440 budgets x 410 members, ten times a second. Change: owners and the daemon's rank are kept until the next epoch; claim ownership is passed on once an epoch too. New experiment capacity.

Conclusion: ownership must not be derived on hot paths.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -1,6 +1,7 @@
 //! The experiments, one file each.
 
 mod budgets;
+mod capacity;
 mod cold_start;
 mod decide_cost;
 mod first_token;
@@ -75,6 +76,7 @@
         run: decide_cost::experiment,
     },
     model_check::EXPERIMENT,
+    capacity::EXPERIMENT,
     Experiment {
         name: "membership",
         about: "detection time, false removals, traffic, processor time and memory by fleet size",
--- a/crates/entry/src/duties/apply.rs
+++ b/crates/entry/src/duties/apply.rs
@@ -30,6 +30,8 @@
 
 async fn follow(context: &Context) {
     let mut changes = context.control.watch_config();
+    // Finding the owners takes a hash for each member and partition, so it is done once an epoch.
+    let mut owned_in = 0;
     loop {
         let config = Arc::clone(&changes.borrow_and_update());
         apply(context, &config);
@@ -37,7 +39,11 @@
         while unchanged {
             note_usage(context, &config).await;
             set_limits(context, &config);
-            context.claims.set_owned(owned_partitions(context));
+            let epoch = context.control.view().epoch.number;
+            if owned_in != epoch {
+                owned_in = epoch;
+                context.claims.set_owned(owned_partitions(context));
+            }
             tokio::select! {
                 changed = changes.changed() => {
                     if changed.is_err() {
--- a/crates/entry/src/duties/claims.rs
+++ b/crates/entry/src/duties/claims.rs
@@ -166,8 +166,7 @@
     /// Tells which partitions this daemon owns by the current epoch. Their streams are read ahead, so
     /// that the first claim does not wait for it.
     pub(crate) fn set_owned(&self, partitions: Vec<u16>) {
-        // The next epoch check repeats a message that finds no room.
-        let _ = self.messages.send(Message::Own(partitions));
+        deliver(&self.messages, Message::Own(partitions));
     }
 
     /// State of the partitions.
--- a/crates/fleet/src/budgets.rs
+++ b/crates/fleet/src/budgets.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
-use share::{Budget, base_share};
+use share::{Budget, Place};
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -117,6 +117,7 @@
 pub struct Budgets {
     own: DaemonId,
     epoch: Epoch,
+    place: Place,
     budgets: IndexMap<BudgetId, Budget>,
     seen: HashSet<(DaemonId, u64)>,
     last_id: u64,
@@ -130,6 +131,7 @@
         Self {
             own,
             epoch: Epoch::default(),
+            place: Place::default(),
             budgets: IndexMap::new(),
             seen: HashSet::new(),
             last_id: 0,
@@ -140,10 +142,11 @@
     /// Adds a budget or changes its capacity, from the configuration or, for a budget whose owner
     /// decides, from the owner. A decrease counts at once, an increase after [`GROWTH_WAIT`].
     pub fn set_capacity(&mut self, id: BudgetId, split: Split, capacity: u64, now: Duration) {
+        let members = &self.epoch.members;
         let budget = self
             .budgets
             .entry(id)
-            .or_insert_with(|| Budget::new(split, now));
+            .or_insert_with(|| Budget::new(split, owner_in(members, id), now));
         debug_assert_eq!(budget.split, split, "the split of a budget is fixed");
         budget.set_capacity(capacity, now);
     }
@@ -160,11 +163,16 @@
             return;
         }
         let follows = epoch.number == self.epoch.number + 1;
+        let (own, old_place) = (self.own, self.place);
+        self.place = Place::new(own, epoch);
         for (&id, budget) in &mut self.budgets {
             let capacity = budget.capacity(now);
-            let old = base_share(self.own, &self.epoch, id, budget.split, capacity);
+            let old = old_place.base_share(own, id, budget.split, budget.owner, capacity);
             let old = budget.share(old, now);
-            let base = base_share(self.own, epoch, id, budget.split, capacity);
+            budget.owner = owner_in(&epoch.members, id);
+            let base = self
+                .place
+                .base_share(own, id, budget.split, budget.owner, capacity);
             let limit = if follows { old.min(base) } else { 0 };
             budget.wait = Some((limit, now + GROWTH_WAIT));
             budget.received = 0;
@@ -193,7 +201,7 @@
     /// The member that decides on a budget and collects its idle share.
     #[must_use]
     pub fn owner(&self, id: BudgetId) -> Option<DaemonId> {
-        owner_of(Ownership::Budget(id.0), &self.epoch.members)
+        self.budgets.get(&id)?.owner
     }
 
     /// Transfers refused so far.
@@ -344,11 +352,11 @@
     }
 
     fn base(&self, id: BudgetId, budget: &Budget, now: Duration) -> u64 {
-        base_share(
+        self.place.base_share(
             self.own,
-            &self.epoch,
             id,
             budget.split,
+            budget.owner,
             budget.capacity(now),
         )
     }
@@ -419,3 +427,7 @@
         Ok(true)
     }
 }
+
+fn owner_in(members: &[DaemonId], id: BudgetId) -> Option<DaemonId> {
+    owner_of(Ownership::Budget(id.0), members)
+}
--- a/crates/fleet/src/budgets/share.rs
+++ b/crates/fleet/src/budgets/share.rs
@@ -3,7 +3,6 @@
 use super::{BudgetId, Split};
 use crate::GROWTH_WAIT;
 use crate::epoch::Epoch;
-use crate::rendezvous::{Ownership, owner_of};
 use anvilgw_core::DaemonId;
 use std::time::Duration;
 
@@ -13,6 +12,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Budget {
     pub(super) split: Split,
+    /// Owner in the current epoch. Kept, because finding it takes a hash for each member.
+    pub(super) owner: Option<DaemonId>,
     pub(super) capacity: u64,
     /// Larger capacity that is used from the given time on.
     pub(super) growth: Option<(u64, Duration)>,
@@ -29,34 +30,57 @@
     pub(super) last_ask: Option<Duration>,
 }
 
-pub(super) fn base_share(
-    own: DaemonId,
-    epoch: &Epoch,
-    id: BudgetId,
-    split: Split,
-    capacity: u64,
-) -> u64 {
-    let Some(rank) = epoch.members.iter().position(|&member| member == own) else {
-        return 0;
-    };
-    match split {
-        Split::Owner => {
-            let owner = owner_of(Ownership::Budget(id.0), &epoch.members);
-            if owner == Some(own) { capacity } else { 0 }
+/// This daemon's place among the members of an epoch.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Place {
+    /// Position in the sorted list; `None` if the daemon is no member.
+    pub(super) rank: Option<u64>,
+    pub(super) members: u64,
+}
+
+impl Place {
+    pub(super) fn new(own: DaemonId, epoch: &Epoch) -> Self {
+        let rank = epoch.members.iter().position(|&member| member == own);
+        Self {
+            rank: rank.map(|rank| rank as u64),
+            members: epoch.members.len() as u64,
         }
-        Split::Even => {
-            let members = epoch.members.len() as u64;
-            // Rotating by the budget's number spreads the remainders of many budgets.
-            let place = (rank as u64 + u64::from(id.0)) % members;
-            capacity / members + u64::from(place < capacity % members)
+    }
+
+    /// Base share of a budget with the given owner.
+    pub(super) fn base_share(
+        &self,
+        own: DaemonId,
+        id: BudgetId,
+        split: Split,
+        owner: Option<DaemonId>,
+        capacity: u64,
+    ) -> u64 {
+        let Some(rank) = self.rank else {
+            return 0;
+        };
+        match split {
+            Split::Owner => {
+                if owner == Some(own) {
+                    capacity
+                } else {
+                    0
+                }
+            }
+            Split::Even => {
+                // Rotating by the budget's number spreads the remainders of many budgets.
+                let place = (rank + u64::from(id.0)) % self.members;
+                capacity / self.members + u64::from(place < capacity % self.members)
+            }
         }
     }
 }
 
 impl Budget {
-    pub(super) fn new(split: Split, now: Duration) -> Self {
+    pub(super) fn new(split: Split, owner: Option<DaemonId>, now: Duration) -> Self {
         Self {
             split,
+            owner,
             capacity: 0,
             growth: None,
             wait: None,
