Answer a repeat from a reported outcome before it is in the log

Cause: between the answer of a non-idempotent call and the append of its outcome, a repeat got 409 in_progress, although the owner had the answer. Change: the owner answers from outcomes of the claim's holder that wait or are in flight. An execution has one answer whether or not its record arrives.

--- a/crates/claims/src/owner.rs
+++ b/crates/claims/src/owner.rs
@@ -8,7 +8,8 @@
 use crate::key::ClaimKey;
 use crate::mutation::Flaw;
 use crate::record::{
-    AnswerBody, Attempt, Batch, BatchId, ClaimRequest, Now, Record, Unavailable, Verdict,
+    AnswerBody, Attempt, Batch, BatchId, ClaimRequest, Now, Record, RecordedAnswer, Unavailable,
+    Verdict,
 };
 use anvilgw_core::{LogSlice, Offset};
 use flight::{Flight, Unseen};
@@ -156,7 +157,12 @@
         let known = if self.halted {
             Verdict::Unavailable(Unavailable::Log)
         } else if self.caught_up {
-            self.fold.verdict(&claim, now.wall_ms)
+            match self.fold.verdict(&claim, now.wall_ms) {
+                Verdict::InProgress => self
+                    .unfolded_answer(claim.key)
+                    .map_or(Verdict::InProgress, Verdict::Done),
+                verdict => verdict,
+            }
         } else {
             Verdict::Granted
         };
@@ -176,6 +182,23 @@
         Ok(())
     }
 
+    /// The answer that the holder of a claim has reported and that is on its way to the log. It is the
+    /// answer of the one execution, whether or not its record arrives there.
+    fn unfolded_answer(&self, key: ClaimKey) -> Option<RecordedAnswer> {
+        let holder = self.fold.entry(key)?.claim.attempt;
+        let in_flight = self.flight.iter().flat_map(|flight| &flight.batch.records);
+        in_flight
+            .chain(&self.pending)
+            .find_map(|record| match record {
+                Record::Outcome {
+                    key: known,
+                    attempt,
+                    answer,
+                } if *known == key && *attempt == holder => Some(answer.clone()),
+                _ => None,
+            })
+    }
+
     fn enqueue(&mut self, record: Record) -> Result<(), SubmitError> {
         if self.pending.len() >= self.config.max_queue {
             return Err(SubmitError::QueueFull);
--- a/crates/claims/tests/owner.rs
+++ b/crates/claims/tests/owner.rs
@@ -4,7 +4,8 @@
 
 use anvilgw_claims::{
     AppendFailure, Attempt, Batch, BatchId, ClaimOwner, ClaimRequest, KeyState, OwnerAction,
-    OwnerConfig, OwnerEvent, PartitionFold, Record, Submission, SubmitError, Unavailable, Verdict,
+    OwnerConfig, OwnerEvent, PartitionFold, Record, RecordedAnswer, Submission, SubmitError,
+    Unavailable, Verdict,
 };
 use anvilgw_core::{LogRecord, LogSlice, Offset};
 use common::{attempt, claim, daemon, now, quick, rule};
@@ -333,3 +334,29 @@
             .is_none_or(|at| at <= Duration::from_millis(10))
     );
 }
+
+/// Guards against a repeat that is told to come back although the answer is already known here, and
+/// against the answer of another attempt.
+#[test]
+fn a_reported_answer_is_repeated_before_it_is_in_the_log() {
+    let mut harness = Harness::new(1);
+    harness.read(0, 0);
+    harness.ask(0, 0);
+    harness.append(0, 0);
+    let answer = RecordedAnswer::new(200, "text/plain", b"on", 100);
+    let key = claim(0, 0, 0).key;
+    for (holder, expected) in [
+        (attempt(7, 99), Verdict::InProgress),
+        (attempt(7, 0), Verdict::Done(answer.clone())),
+    ] {
+        let outcome = Submission::Outcome {
+            key,
+            attempt: holder,
+            answer: answer.clone(),
+        };
+        harness.submit(0, outcome);
+        harness.ask(0, 0);
+        let asked = harness.asked.last().unwrap().attempt;
+        assert_eq!(harness.verdicts[&asked], [expected]);
+    }
+}
