--- a/crates/entry/src/duties/polls.rs
+++ b/crates/entry/src/duties/polls.rs
@@ -18,10 +18,14 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// Interval of load reports. The daemon corrects them by its own sends in between.
+/// Interval of load reports while the fleet is small. The daemon corrects them by its own sends in
+/// between.
 const LOAD_INTERVAL: Duration = Duration::from_millis(250);
-/// Interval of cache events.
+/// Interval of cache events while the fleet is small.
 const EVENTS_INTERVAL: Duration = Duration::from_millis(500);
+/// Most polls of one kind that a server answers per second, from all daemons together. Above it the
+/// intervals grow with the fleet.
+const POLLS_PER_SERVER_PER_S: f64 = 80.0;
 /// Jitter, as a part of the interval, so that daemons do not poll in step.
 const JITTER: f64 = 0.2;
 /// Kind of entry in the list of instances under which daemons are listed.
@@ -79,6 +83,13 @@
         .map_or(1, |model| model.block_tokens.into())
 }
 
+/// Waits until the next poll of a backend server.
+async fn pause_in_fleet(context: &Context, interval: Duration) {
+    let daemons = context.control.view().members.len() as f64;
+    let turn = Duration::from_secs_f64(daemons / POLLS_PER_SERVER_PER_S);
+    pause(interval.max(turn)).await;
+}
+
 async fn pause(interval: Duration) {
     let factor = 1.0 + JITTER * (rand::rng().random::<f64>() - 0.5);
     tokio::time::sleep(interval.mul_f64(factor)).await;
@@ -97,7 +108,7 @@
             let report = report(&load, measured_at, block_tokens);
             context.routing.report(server, report);
         }
-        pause(LOAD_INTERVAL).await;
+        pause_in_fleet(&context, LOAD_INTERVAL).await;
     }
 }
 
@@ -138,7 +149,7 @@
             };
             context.routing.report(server, report);
         }
-        pause(LOAD_INTERVAL).await;
+        pause_in_fleet(&context, LOAD_INTERVAL).await;
     }
 }
 
@@ -155,7 +166,7 @@
             deliver(&context, location, &events);
             next = next.max(events.next);
         }
-        pause(EVENTS_INTERVAL).await;
+        pause_in_fleet(&context, EVENTS_INTERVAL).await;
     }
 }
 
