Let an operator allow an epoch after most daemons are gone for good

The epoch duty refuses an epoch without a majority of the last one, since the missing members may run behind a partition with their shares. There was no way to say that they do not run. `anvilgw epoch force` tells the holder of the duty.

Test: two of three daemons killed, the duty shows NoMajority and keeps the epoch of three until it is forced.

--- a/crates/cli/src/admin.rs
+++ b/crates/cli/src/admin.rs
@@ -2,7 +2,7 @@
 
 use crate::error::CliError;
 use crate::options::Options;
-use anvilgw_config::{ChangeAnswer, ChangeRequest, ConfigReport};
+use anvilgw_config::{ChangeAnswer, ChangeRequest, ConfigReport, EpochForced};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::{Method, Request, StatusCode, header};
@@ -99,6 +99,30 @@
         }
     }
 
+    /// `POST /admin/epoch` at every address, until one holds the duty of epochs.
+    pub(crate) fn force_epoch(&self) -> Result<bool, CliError> {
+        let mut answered = Err(CliError::Failed("no address".to_owned()));
+        for address in &self.addresses {
+            let exchange = self.exchange(*address, &Method::POST, "/admin/epoch", Bytes::new());
+            answered = match self.runtime.block_on(exchange) {
+                Ok(answer) if answer.status.is_success() => {
+                    let answer: EpochForced = from_json(&answer.body).map_err(CliError::Failed)?;
+                    if answer.forced {
+                        return Ok(true);
+                    }
+                    Ok(false)
+                }
+                Ok(answer) => Err(CliError::Failed(explain_refusal(&answer))),
+                Err(
+                    ExchangeError::NotSent(detail)
+                    | ExchangeError::AnswerLost(detail)
+                    | ExchangeError::Refused(detail),
+                ) => Err(CliError::Failed(detail)),
+            };
+        }
+        answered
+    }
+
     /// Tries all addresses in turn. An answer that was lost once decides what is reported if no
     /// later attempt is answered.
     fn call(&self, method: &Method, path: &str, body: &Bytes) -> Result<Answer, ExchangeError> {
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod domain;
 mod entitlements;
+mod epoch;
 mod explain;
 mod instance;
 mod key;
@@ -66,6 +67,11 @@
         "show the state of the fleet as one daemon sees it",
         status::run,
     ),
+    command(
+        "epoch",
+        "allow an epoch after most daemons are gone for good",
+        epoch::run,
+    ),
     command("explain", "show what happened to one request", explain::run),
     command("key", "make a bearer key", key::run),
 ];
--- a/crates/config/src/admin.rs
+++ b/crates/config/src/admin.rs
@@ -194,3 +194,10 @@
     /// Requests that wait at this daemon.
     pub queued: u64,
 }
+
+/// Answer to `POST /admin/epoch`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EpochForced {
+    /// Whether the daemon holds the duty of epochs. Only that daemon can propose one.
+    pub forced: bool,
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -11,8 +11,8 @@
 mod stream;
 
 pub use admin::{
-    ChangeAnswer, ChangeRequest, ConfigReport, DutyStatus, EventReport, InForce, MemberStatus,
-    PartitionStatus, ServerStatus, StatusReport, Verdict, WorkspaceStatus,
+    ChangeAnswer, ChangeRequest, ConfigReport, DutyStatus, EpochForced, EventReport, InForce,
+    MemberStatus, PartitionStatus, ServerStatus, StatusReport, Verdict, WorkspaceStatus,
 };
 pub use fault::{Fault, Faults};
 pub use lists::{
--- a/crates/entry/src/admin/mod.rs
+++ b/crates/entry/src/admin/mod.rs
@@ -6,9 +6,11 @@
 use crate::duties::control::ChangeAnswer as Decided;
 use crate::front::{failure, json, read_body};
 use anvilgw_config::{
-    ChangeAnswer, ChangeRequest, ConfigRecord, ConfigReport, ConfigState, Rejection, Verdict,
+    ChangeAnswer, ChangeRequest, ConfigRecord, ConfigReport, ConfigState, EpochForced, Rejection,
+    Verdict,
 };
 use anvilgw_core::{ErrorKind, Failure, RequestId, Stage};
+use anvilgw_kernel::EventKind;
 use bytes::Bytes;
 use gotham::handler::HandlerResult;
 use gotham::helpers::http::Body;
@@ -58,6 +60,9 @@
         route
             .post("/admin/config")
             .to_async(|state| answer(state, change));
+        route
+            .post("/admin/epoch")
+            .to_async(|state| answer(state, force_epoch));
     })
 }
 
@@ -117,6 +122,21 @@
     verdict(&call.context, decided)
 }
 
+/// The daemon cannot see whether the missing members run on the other side of a partition, so only an
+/// operator who knows may do this.
+async fn force_epoch(call: Call) -> Answer {
+    let forced = call.context.control.force_epoch().await;
+    if forced {
+        let cause = format!("forced by {}", call.operator);
+        let context = &call.context;
+        let wall_ms = context.clock.wall_ms();
+        context
+            .journal
+            .record(wall_ms, EventKind::EpochForced, "next epoch", cause);
+    }
+    to_json(StatusCode::OK, &EpochForced { forced })
+}
+
 fn verdict(context: &Context, decided: Decided) -> Answer {
     let in_force = report::in_force(context);
     match decided {
--- a/crates/entry/src/duties/control/agreement.rs
+++ b/crates/entry/src/duties/control/agreement.rs
@@ -136,6 +136,15 @@
             .and_then(|(_, holder)| holder.token(now))
     }
 
+    /// Allows the next epoch without a majority of the last one, if this daemon holds the duty.
+    pub(super) fn force_epoch(&mut self, now: Duration) -> bool {
+        let holds = self.token(Duty::Epoch, now).is_some();
+        if holds {
+            self.keeper.force_next();
+        }
+        holds
+    }
+
     pub(super) fn on_clock_stopped(&mut self, now: Duration) {
         for (_, holder) in &mut self.holders {
             holder.on_clock_stopped(now);
--- a/crates/entry/src/duties/control/mod.rs
+++ b/crates/entry/src/duties/control/mod.rs
@@ -91,6 +91,7 @@
     },
     PeerUpdate(PeerUpdate),
     Hints(Vec<SocketAddr>),
+    ForceEpoch(oneshot::Sender<bool>),
     Leave(oneshot::Sender<()>),
 }
 
@@ -188,6 +189,14 @@
         let _ = self.messages.send(Message::Hints(addresses));
     }
 
+    /// Lets the next epoch be proposed although most members of the last one are neither alive nor
+    /// known to have left. Returns false if this daemon does not hold the duty.
+    pub(crate) async fn force_epoch(&self) -> bool {
+        let (reply, answer) = oneshot::channel();
+        let sent = self.messages.send(Message::ForceEpoch(reply)).is_ok();
+        sent && answer.await.unwrap_or(false)
+    }
+
     /// Leaves the fleet.
     pub(crate) async fn leave(&self) {
         let (reply, answer) = oneshot::channel();
--- a/crates/entry/src/duties/control/worker.rs
+++ b/crates/entry/src/duties/control/worker.rs
@@ -156,6 +156,9 @@
                 self.apply_config();
             }
             Message::Hints(addresses) => self.membership.add_hints(&addresses),
+            Message::ForceEpoch(reply) => {
+                let _ = reply.send(self.agreement.force_epoch(now));
+            }
             Message::Leave(reply) => {
                 let vitals = self.freshness.vitals(now);
                 let actions = self.membership.leave(now, &vitals);
--- a/crates/kernel/src/journal.rs
+++ b/crates/kernel/src/journal.rs
@@ -26,6 +26,8 @@
     MemberRemoved,
     /// A new epoch is in force.
     EpochApplied,
+    /// An operator allowed an epoch without a majority of the last one.
+    EpochForced,
     /// A lease was acquired.
     LeaseAcquired,
     /// A lease was lost or given up.
--- /dev/null
+++ b/tests/all/epochs.rs
@@ -0,0 +1,58 @@
+//! Epochs after most daemons are gone.
+
+use anvilgw_testbed::{Bed, BedConfig, Caller};
+use http::Method;
+use serde_json::Value;
+use std::time::Duration;
+
+/// Ends a wait that would be endless. Detection, the lease of a dead holder and the settling of the
+/// members take about 15 s on an idle machine.
+const LIMIT: Duration = Duration::from_secs(120);
+
+async fn duty_state(caller: &Caller, daemon: usize, duty: &str) -> String {
+    let status = caller
+        .admin(daemon, Method::GET, "/admin/status", &Value::Null)
+        .await
+        .unwrap();
+    let duties = status["duties"].as_array().unwrap();
+    let known = duties.iter().find(|known| known["duty"] == duty).unwrap();
+    known["state"].as_str().unwrap().to_owned()
+}
+
+async fn wait_for(what: &str, mut is_done: impl AsyncFnMut() -> bool) {
+    let wait = async {
+        while !is_done().await {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    };
+    let result = tokio::time::timeout(LIMIT, wait).await;
+    assert!(result.is_ok(), "{what}");
+}
+
+/// Guards against an epoch that a minority makes by itself while the others may use their shares, and
+/// against a fleet that cannot shrink to a minority even by an operator's word.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_minority_needs_an_operator_for_the_next_epoch() {
+    let mut bed = Bed::start(BedConfig::default()).await.unwrap();
+    bed.wait_settled().await.unwrap();
+    bed.kill_daemon(1).await;
+    bed.kill_daemon(2).await;
+    let caller = bed.caller();
+    wait_for("the epoch duty has no majority", async || {
+        let state = duty_state(&caller, 0, "Epochs").await;
+        state.starts_with("NoMajority")
+    })
+    .await;
+    let daemon = bed.daemon(0).unwrap();
+    assert_eq!(daemon.epoch_members(), 3);
+    let answer = caller
+        .admin(0, Method::POST, "/admin/epoch", &Value::Null)
+        .await
+        .unwrap();
+    assert_eq!(answer["forced"], true);
+    wait_for("the epoch has one member", async || {
+        bed.daemon(0).unwrap().epoch_members() == 1
+    })
+    .await;
+    bed.stop().await;
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod configuration;
+mod epochs;
 mod http;
 mod kernel;
 mod retries;
