Let daemons use their shares of retries and plans

Cause: three faults left every daemon without a retry budget. 1. Budget::set_capacity restarted the wait of 2.5 s for a larger capacity whenever it was called, also with the same capacity. The configuration is applied after every read of the log (0.5 s), so no capacity set from the configuration ever came into force. Plans fell back to half an equal part. 2. The use of the retry budget was never noted, so its share counted as idle and moved to the budget's owner. 3. Tokens accrued only from the first failure on, which was therefore never retried. Retries per second as whole numbers would also leave most of 410 daemons with a share of 0.

Change: a repeated capacity keeps the running wait; each daemon keeps its equal part of the retries, counted in thousandths; the share is passed to the retry budget every 200 ms.

Test: retries::every_daemon_retries_at_once fails without the change to set_capacity.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -2,6 +2,7 @@
 
 use crate::backends::{Backend, Backends};
 use crate::duties::admission::AdmissionService;
+use crate::duties::apply::MILLI;
 use crate::duties::claims::ClaimsService;
 use crate::duties::control::{BudgetKind, ControlService, SharedBudgets};
 use crate::duties::routing::RoutingService;
@@ -151,13 +152,21 @@
             idempotent: true,
             deadline,
         };
+        self.update_retry_share();
         let now = self.clock.uptime();
-        let share = self.budgets.share(BudgetKind::Retries) as f64;
         let mut retries = self.retries.lock().expect("retry budget lock");
-        retries.set_share(share, now);
         retries.retry(&attempt, now, &mut rand::rng()).ok()
     }
 
+    /// Passes this daemon's share of the retries on. Tokens accrue at the share known so far, so it
+    /// must be known before the first failure.
+    pub(crate) fn update_retry_share(&self) {
+        let share = self.budgets.share(BudgetKind::Retries) as f64 / MILLI as f64;
+        let now = self.clock.uptime();
+        let mut retries = self.retries.lock().expect("retry budget lock");
+        retries.set_share(share, now);
+    }
+
     /// Waits a moment for a backend server to have capacity.
     ///
     /// # Errors
--- a/crates/entry/src/duties/apply.rs
+++ b/crates/entry/src/duties/apply.rs
@@ -14,7 +14,7 @@
 /// Interval in which shares of plans are passed on to admission.
 const SHARE_INTERVAL: Duration = Duration::from_millis(200);
 /// Thousandths per unit, for rates below one unit per daemon.
-const MILLI: u64 = 1_000;
+pub(crate) const MILLI: u64 = 1_000;
 
 /// Starts following the configuration. Ends when `stop` turns true.
 pub(crate) fn start(context: &Arc<Context>, stop: &watch::Receiver<bool>) {
@@ -64,10 +64,9 @@
         .map(|backend| backend.id)
         .collect::<Vec<ServerId>>();
     context.routing.set_out_of_service(domains_out, servers_out);
-    let retries = settings.budgets.retries_per_s.into();
     context
         .budgets
-        .set_capacity(BudgetKind::Retries, Split::Even, retries);
+        .set_capacity(BudgetKind::Retries, Split::Even, retries(context));
     for (workspace, plan) in plans(context, config) {
         let requests = u64::from(plan.requests_per_s) * MILLI;
         let tokens = plan.tokens_per_s.into();
@@ -83,6 +82,11 @@
     }
 }
 
+/// The fleet's retries in thousandths per second.
+fn retries(context: &Context) -> u64 {
+    u64::from(context.settings.budgets.retries_per_s) * MILLI
+}
+
 fn plans<'a>(
     context: &'a Context,
     config: &'a ConfigState,
@@ -97,6 +101,11 @@
 async fn note_usage(context: &Context, config: &ConfigState) {
     let usage = context.admission.take_usage().await;
     let members = u64::from(fleet_size(context));
+    // Failures come in bursts without warning, so a daemon keeps its equal part of the retries: share
+    // that had moved away as idle would come back too late.
+    let kept = retries(context).div_ceil(members);
+    context.budgets.note_rate(BudgetKind::Retries, kept, 0);
+    context.update_retry_share();
     for (workspace, plan) in plans(context, config) {
         let used = usage.iter().find(|(known, _)| *known == workspace);
         let used = used.map_or_else(Usage::default, |(_, usage)| *usage);
--- a/crates/entry/src/duties/control/budgets.rs
+++ b/crates/entry/src/duties/control/budgets.rs
@@ -16,7 +16,7 @@
 pub(crate) enum BudgetKind {
     /// Concurrent requests on a cold backend server.
     Cold(ServerId),
-    /// Retries per second.
+    /// Thousandths of retries per second.
     Retries,
     /// Thousandths of requests per second of a workspace's plan.
     PlanRequests(u32),
--- a/crates/fleet/src/budgets/share.rs
+++ b/crates/fleet/src/budgets/share.rs
@@ -116,6 +116,14 @@
     pub(super) fn set_capacity(&mut self, capacity: u64, now: Duration) {
         let current = self.capacity(now);
         self.capacity = current;
+        // Setting the same capacity again must not restart the wait: the configuration is applied
+        // more often than the wait is long.
+        if self
+            .growth
+            .is_some_and(|(pending, from)| pending == capacity && now < from)
+        {
+            return;
+        }
         self.growth = None;
         if capacity >= current {
             if capacity > current {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,3 +2,4 @@
 
 mod claims;
 mod kernel;
+mod retries;
