Retry idempotent work on new connections only

Cause: when a middlebox drops its state, the idle connections of all servers are silent at once. A retry took an idle connection of the next server and waited for the silence limit again, until the request had used its three attempts.

Change: the second and later attempts of completions and idempotent service calls open a new connection.

Test: retries::retry_avoids_idle_connections (six engines with idle silent connections) fails without the change with backend_silent.

--- a/crates/entry/src/dispatch/completion.rs
+++ b/crates/entry/src/dispatch/completion.rs
@@ -352,6 +352,8 @@
             options: CallOptions {
                 traceparent: HeaderValue::from_str(&traceparent).ok(),
                 time_limit: Some(self.context.remaining(self.call.deadline)),
+                // What silenced one connection may have silenced all idle ones.
+                fresh_connection: self.attempts > 1,
                 ..CallOptions::default()
             },
         }
--- a/crates/entry/src/dispatch/service.rs
+++ b/crates/entry/src/dispatch/service.rs
@@ -173,7 +173,9 @@
 ) -> Result<ServiceAnswer, Failure> {
     let mut target = select(context, call, request, tried).await?;
     context.check_before_send(target.backend)?;
-    let service_call = service_call(context, call, request, None);
+    let mut service_call = service_call(context, call, request, None);
+    // What silenced one connection may have silenced all idle ones.
+    service_call.options.fresh_connection = !tried.is_empty();
     let result = target.client.call(service_call).await;
     tried.push(target.backend.id);
     target.dispatch.set_outcome(outcome(&result));
--- a/tests/all/retries.rs
+++ b/tests/all/retries.rs
@@ -1,6 +1,6 @@
 //! Retries of idempotent work.
 
-use anvilgw_standin::ServiceFaults;
+use anvilgw_standin::{ConnectionFaults, ServiceFaults};
 use anvilgw_testbed::{Bed, BedConfig};
 use http::{Method, StatusCode};
 
@@ -44,3 +44,30 @@
     }
     bed.stop().await;
 }
+
+/// Guards against retries on idle connections that went silent together with the first one: with more
+/// engines than attempts, a call would run out of attempts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn retry_avoids_idle_connections() {
+    let bed = settled(1, 6, 0).await;
+    let caller = bed.caller();
+    // Every engine gets an idle connection.
+    while bed.engines.iter().any(|e| e.counters().accepted == 0) {
+        let calls = (0..2 * bed.engines.len()).map(|index| {
+            let caller = caller.clone();
+            tokio::spawn(async move { caller.complete(0, 0, &format!("{index}"), 4).await })
+        });
+        for call in calls.collect::<Vec<_>>() {
+            call.await.unwrap().unwrap();
+        }
+    }
+    let silence = ConnectionFaults {
+        silence_open: true,
+        ..ConnectionFaults::default()
+    };
+    let engines = bed.engines.iter();
+    engines.for_each(|engine| engine.set_connection_faults(&silence));
+    let answer = caller.complete(0, 0, "after the silence", 4).await;
+    assert!(answer.is_ok(), "{answer:?}");
+    bed.stop().await;
+}
