Add the experiment once

Non-idempotent calls over four daemons, each with a runtime and a clock of its own, so that killing one ends its tasks and a stopped clock blocks all its threads. During the load daemons are killed and restarted or paused for 1.5 s, the log is slow (400 ms) and open connections to a service server go silent; throughout, 0.5% of the appends and 0.5% of their answers are lost and the service cuts, silences or delays some calls. 20% of the keys reach another daemon within 30 ms and 20% within 5 s. Callers repeat a call with its key after a broken connection and after `in_progress`. What they were told is compared with the service's own count, and each unknown outcome with the faults that its calls met. The baseline sends the same calls to the service and repeats them on any failure.

The stand-in of the plain service notes which keys its faults of chance hit, and the test bed can start a daemon on another runtime.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -2,8 +2,10 @@
 
 mod first_token;
 mod link;
+mod load;
 mod model;
 mod model_check;
+mod once;
 mod reuse;
 mod simulation;
 mod strategies;
@@ -48,4 +50,5 @@
         run: first_token::experiment,
     },
     model_check::EXPERIMENT,
+    once::EXPERIMENT,
 ];
--- /dev/null
+++ b/crates/bench/src/experiments/once.rs
@@ -0,0 +1,342 @@
+//! Non-idempotent calls under faults: at most one execution per key, and only true refusals.
+//!
+//! Each daemon has a runtime and a clock of its own. Ending the runtime ends the daemon as the death
+//! of its process would, and a stopped clock blocks every thread of the daemon that reads it.
+
+mod faults;
+mod history;
+
+use super::load::{Latencies, block_on, figures, not_run, open_loop, poisson};
+use super::{Experiment, RunOptions};
+use crate::report::Report;
+use anvilgw_core::Executed;
+use anvilgw_standin::{
+    LogConfig, LogFaults, Running, ServiceConfig, ServiceFaults, ServiceStandin,
+};
+use anvilgw_testbed::{BedConfig, BedError, Caller, CallerError, SERVICE};
+use bytes::Bytes;
+use faults::{Event, FaultyBed};
+use history::{Attempt, CallRecord, Ending, Verdicts};
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use indexmap::IndexMap;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::{Value, json};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout};
+use uuid::Uuid;
+
+pub(super) const EXPERIMENT: Experiment = Experiment {
+    name: "once",
+    about: "executions per key and truth of refusals while daemons, log and connections fail",
+    run,
+};
+
+const DAEMONS: usize = 4;
+const SERVICE_SERVERS: usize = 3;
+/// Poisson arrivals of new keys per second.
+const KEYS_PER_S: f64 = 500.0;
+const SHORT: Duration = Duration::from_secs(32);
+const LONG: Duration = Duration::from_secs(600);
+const CALLS_MIN: usize = 20_000;
+const UNKNOWN_MAX: f64 = 0.005;
+/// Part of the keys that a second daemon gets at the same time.
+const SAME_TIME: f64 = 0.2;
+/// Part of the keys that a second daemon gets later.
+const LATER: f64 = 0.2;
+const SAME_TIME_MS: f64 = 30.0;
+const LATER_MS: f64 = 5_000.0;
+const WORK_MS: u64 = 5;
+const DEADLINE_MS: u64 = 3_000;
+/// Time for which a caller repeats a call that has no final answer: the deadline, the grace period of
+/// claims without a holder (5 s) and a margin for the log.
+const PATIENCE: Duration = Duration::from_secs(14);
+/// Longest wait for one answer: the deadline and a pause of the daemon.
+const ANSWER_LIMIT: Duration = Duration::from_secs(7);
+const REPEAT_PAUSE: Duration = Duration::from_millis(250);
+const BASELINE_ATTEMPTS: usize = 5;
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// One call of the load.
+#[derive(Clone, Copy, Debug)]
+struct Planned {
+    at: Duration,
+    key: usize,
+    daemon: usize,
+}
+
+struct Load {
+    keys: Vec<Uuid>,
+    /// Sorted by time.
+    calls: Vec<Planned>,
+    duration: Duration,
+}
+
+fn load(options: RunOptions) -> Load {
+    let mut rng = StdRng::seed_from_u64(options.seed);
+    let duration = if options.long { LONG } else { SHORT };
+    let arrivals = poisson(&mut rng, KEYS_PER_S, duration);
+    let mut calls = Vec::new();
+    for (key, at) in arrivals.iter().copied().enumerate() {
+        let daemon = rng.random_range(0..DAEMONS);
+        calls.push(Planned { at, key, daemon });
+        let kind = rng.random::<f64>();
+        let gap_ms = match kind {
+            kind if kind < SAME_TIME => rng.random::<f64>() * SAME_TIME_MS,
+            kind if kind < SAME_TIME + LATER => rng.random::<f64>() * LATER_MS,
+            _ => continue,
+        };
+        calls.push(Planned {
+            at: at + Duration::from_secs_f64(gap_ms / 1e3),
+            key,
+            daemon: (daemon + rng.random_range(1..DAEMONS)) % DAEMONS,
+        });
+    }
+    calls.sort_by_key(|call| call.at);
+    Load {
+        keys: arrivals.iter().map(|_| Uuid::now_v7()).collect(),
+        calls,
+        duration,
+    }
+}
+
+fn service_config(seed: u64) -> ServiceConfig {
+    ServiceConfig {
+        name: SERVICE.to_owned(),
+        work_ms: WORK_MS,
+        seed,
+        faults: ServiceFaults {
+            cut_before_probability: 0.0003,
+            cut_after_probability: 0.0003,
+            silence_after_probability: 0.0003,
+            late_probability: 0.002,
+            late_ms: 500,
+            ..ServiceFaults::default()
+        },
+        ..ServiceConfig::default()
+    }
+}
+
+fn bed_config(seed: u64) -> BedConfig {
+    let log = LogConfig {
+        appends_per_s: 400,
+        seed,
+        faults: LogFaults {
+            lose_answer_probability: 0.005,
+            lose_request_probability: 0.005,
+            slow_ms: 2,
+            ..LogFaults::default()
+        },
+        ..LogConfig::default()
+    };
+    BedConfig {
+        daemons: DAEMONS,
+        engines: 0,
+        stores: 0,
+        service_servers: SERVICE_SERVERS,
+        service: service_config(seed),
+        log,
+        deadline_ms: DEADLINE_MS,
+        ..BedConfig::default()
+    }
+}
+
+fn run(options: RunOptions) -> Report {
+    block_on(measure(options)).unwrap_or_else(|error| not_run(EXPERIMENT.name, options, &error))
+}
+
+async fn measure(options: RunOptions) -> Result<Report, BedError> {
+    let load = Arc::new(load(options));
+    let mut bed = FaultyBed::start(bed_config(options.seed)).await?;
+    let caller = bed.bed.caller();
+    let direct = start_baseline(options.seed).await?;
+    let start = Instant::now();
+    let (events, calls, baseline) = tokio::join!(
+        bed.inject(start, load.duration, options.seed),
+        product(start, &load, caller),
+        baseline(start, &load, &direct),
+    );
+    let latencies: Latencies = calls.iter().filter_map(CallRecord::latency).collect();
+    let executions = executions(&load, &bed.bed.services);
+    let faulted = faulted(&load, &bed.bed.services);
+    let verdicts = history::check(load.keys.len(), &calls, &executions, &faulted, &events?);
+    let baseline = baseline_figures(&load, &executions_of(&load, &direct), baseline);
+    bed.stop().await;
+    let mut report = report(options, load.calls.len(), &verdicts, baseline);
+    report
+        .product
+        .insert("answered_latency".to_owned(), latencies.figures());
+    Ok(report)
+}
+
+fn report(options: RunOptions, calls: usize, verdicts: &Verdicts, baseline: Value) -> Report {
+    let unknown_share = verdicts.unknown as f64 / calls as f64;
+    let pass = calls >= CALLS_MIN
+        && verdicts.over_once == 0
+        && verdicts.untrue_no == 0
+        && verdicts.untrue_yes == 0
+        && verdicts.wrong_answers == 0
+        && verdicts.unexplained == 0
+        && unknown_share <= UNKNOWN_MAX;
+    if !pass {
+        let long = if options.long { " --long" } else { "" };
+        eprintln!(
+            "repeat with: cargo run --release --bin anvilgw-bench -- run once --seed {}{long} --json",
+            options.seed
+        );
+        verdicts.details.iter().for_each(|line| eprintln!("{line}"));
+    }
+    Report {
+        experiment: EXPERIMENT.name,
+        seed: options.seed,
+        target: figures(json!({
+            "calls_min": CALLS_MIN, "keys_executed_more_than_once": 0, "untrue_no": 0,
+            "untrue_yes": 0, "unknown_share_max": UNKNOWN_MAX, "unknown_unexplained": 0,
+        })),
+        baseline: figures(baseline),
+        product: figures(verdicts.figures(calls, unknown_share)),
+        ratio: figures(json!({})),
+        pass,
+    }
+}
+
+/// Sends the load through the daemons.
+async fn product(start: Instant, load: &Arc<Load>, caller: Caller) -> Vec<CallRecord> {
+    let arrivals: Vec<_> = load.calls.iter().map(|call| call.at).collect();
+    open_loop(start, &arrivals, |index, intended| {
+        let (load, caller) = (Arc::clone(load), caller.clone());
+        async move {
+            let planned = load.calls[index];
+            let key = load.keys[planned.key].to_string();
+            call(&caller, start, planned, &key, intended).await
+        }
+    })
+    .await
+}
+
+/// Repeats a call with its key until it has a final answer, as a caller behind a load balancer does.
+async fn call(
+    caller: &Caller,
+    start: Instant,
+    planned: Planned,
+    key: &str,
+    intended: Instant,
+) -> CallRecord {
+    let mut record = CallRecord::new(planned.key, planned.at);
+    let mut daemon = planned.daemon;
+    while intended.elapsed() < PATIENCE {
+        let began = start.elapsed();
+        let body = "on";
+        let answer = caller.call_service(daemon, 0, Method::POST, "/switch", Some(key), body);
+        let answer = timeout(ANSWER_LIMIT, answer).await;
+        let ending = match answer {
+            Err(_) | Ok(Err(CallerError::Connection(_))) => Ending::Broken,
+            Ok(Ok(answer)) => {
+                let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+                let is_own = body["key"] == key && body["execution"] == 1;
+                Ending::Answered { is_own }
+            }
+            Ok(Err(CallerError::Refused(_, code, executed))) => match executed {
+                Some(Executed::No) => Ending::No(code),
+                Some(Executed::Yes) => Ending::Yes(code),
+                _ if code == "in_progress" => Ending::InProgress,
+                _ => Ending::Unknown(code),
+            },
+            Ok(Err(error)) => Ending::Unknown(error.to_string()),
+        };
+        let is_final = !matches!(ending, Ending::Broken | Ending::InProgress);
+        record.attempts.push(Attempt {
+            daemon,
+            began,
+            ended: start.elapsed(),
+            ending,
+        });
+        if is_final {
+            return record;
+        }
+        daemon = (daemon + 1) % DAEMONS;
+        sleep(REPEAT_PAUSE).await;
+    }
+    record
+}
+
+fn executions(load: &Load, services: &[Running<ServiceStandin>]) -> Vec<u64> {
+    let all: Vec<_> = services.iter().map(|s| s.all_executions()).collect();
+    let sum = |key: &Uuid| all.iter().filter_map(|e| e.get(&key.to_string())).sum();
+    load.keys.iter().map(sum).collect()
+}
+
+fn executions_of(load: &Load, service: &Running<ServiceStandin>) -> Vec<u64> {
+    executions(load, std::slice::from_ref(service))
+}
+
+fn faulted(load: &Load, services: &[Running<ServiceStandin>]) -> Vec<Option<&'static str>> {
+    let mut all = IndexMap::new();
+    services.iter().for_each(|s| all.extend(s.faulted()));
+    let fault = |key: &Uuid| all.get(&key.to_string()).copied();
+    load.keys.iter().map(fault).collect()
+}
+
+async fn start_baseline(seed: u64) -> Result<Running<ServiceStandin>, BedError> {
+    Ok(ServiceStandin::start(service_config(seed), ANY).await?)
+}
+
+/// Sends the load to the service itself and repeats each call on any failure. Returns the number of
+/// calls without an answer.
+async fn baseline(start: Instant, load: &Arc<Load>, service: &Running<ServiceStandin>) -> usize {
+    let arrivals: Vec<_> = load.calls.iter().map(|call| call.at).collect();
+    let client: Client<HttpConnector, Full<Bytes>> =
+        Client::builder(TokioExecutor::new()).build_http();
+    let url = format!("http://{}/switch", service.addr());
+    let answered = open_loop(start, &arrivals, |index, _| {
+        let (load, client, url) = (Arc::clone(load), client.clone(), url.clone());
+        async move {
+            let key = load.keys[load.calls[index].key].to_string();
+            for _ in 0..BASELINE_ATTEMPTS {
+                let request = Request::post(&url)
+                    .header("idempotency-key", &key)
+                    .body(Full::new(Bytes::from_static(b"on")))
+                    .expect("the address is a valid URI");
+                let answer = async {
+                    client
+                        .request(request)
+                        .await?
+                        .into_body()
+                        .collect()
+                        .await
+                        .map_err(Box::<dyn std::error::Error + Send + Sync>::from)
+                };
+                if matches!(timeout(Duration::from_secs(1), answer).await, Ok(Ok(_))) {
+                    return true;
+                }
+            }
+            false
+        }
+    });
+    answered.await.iter().filter(|answered| !**answered).count()
+}
+
+fn baseline_figures(load: &Load, executions: &[u64], unanswered: usize) -> Value {
+    let mut calls_of = vec![0_u64; load.keys.len()];
+    load.calls.iter().for_each(|call| calls_of[call.key] += 1);
+    let over = executions.iter().filter(|count| **count > 1).count();
+    let single = executions.iter().zip(&calls_of);
+    let single = single.filter(|(count, calls)| **calls == 1 && **count > 1);
+    json!({
+        "calls": load.calls.len(),
+        "keys_executed_more_than_once": over,
+        "keys_called_once_executed_more_than_once": single.count(),
+        "unanswered": unanswered,
+    })
+}
+
+/// Whether an event can explain an attempt without a known outcome.
+fn overlaps(event: &Event, attempt: &Attempt) -> bool {
+    attempt.began <= event.until && event.from <= attempt.ended
+}
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -80,6 +80,7 @@
 struct State {
     faults: ServiceFaults,
     executions: IndexMap<String, u64>,
+    faulted: IndexMap<String, &'static str>,
     load: ServiceLoad,
     reported: ServiceLoad,
 }
@@ -135,6 +136,17 @@
         self.state().executions.clone()
     }
 
+    /// Faults of chance that hit calls, by idempotency key.
+    #[must_use]
+    pub fn faulted(&self) -> IndexMap<String, &'static str> {
+        self.state().faulted.clone()
+    }
+
+    fn note_fault(&self, call: &Call, fault: &'static str) {
+        let key = header(call, IDEMPOTENCY_KEY).to_owned();
+        self.state().faulted.insert(key, fault);
+    }
+
     fn load(&self) -> ServiceLoad {
         let state = self.state();
         if self.config.load_lag_ms == 0 {
@@ -150,11 +162,14 @@
             return Reply::error(StatusCode::SERVICE_UNAVAILABLE, "refused");
         }
         if self.dice.chance(faults.cut_before_probability) {
+            self.note_fault(call, "cut before execution");
             return Reply::Cut;
         }
         let reply = if self.dice.chance(faults.cut_after_probability) {
+            self.note_fault(call, "cut after execution");
             Some(Reply::Cut)
         } else if self.dice.chance(faults.silence_after_probability) {
+            self.note_fault(call, "silent after execution");
             Some(Reply::Silence)
         } else {
             None
--- a/crates/testbed/src/bed.rs
+++ b/crates/testbed/src/bed.rs
@@ -16,6 +16,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::runtime::Handle;
 use tokio::sync::watch;
 
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
@@ -202,6 +203,23 @@
         Ok(())
     }
 
+    /// Starts a daemon on another runtime. Shutting that runtime down ends all its tasks, as the death
+    /// of the process would, and blocking its threads does not block the stand-ins.
+    ///
+    /// # Errors
+    ///
+    /// [`BedError::Daemon`] if it does not start.
+    pub async fn start_daemon_on(
+        &mut self,
+        index: usize,
+        runtime: &Handle,
+    ) -> Result<(), BedError> {
+        let clock = Arc::clone(&self.clocks[index]);
+        let started = runtime.spawn(Daemon::start(self.settings(index), clock));
+        self.daemons[index] = Some(started.await.map_err(io::Error::other)??);
+        Ok(())
+    }
+
     /// A running daemon.
     #[must_use]
     pub fn daemon(&self, index: usize) -> Option<&Daemon> {
