--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -6,11 +6,13 @@
 mod decide_cost;
 mod first_token;
 mod link;
+mod load;
 mod member_net;
 mod membership;
 mod model;
 mod model_check;
 mod noisy_neighbour;
+mod once;
 mod reuse;
 mod simulation;
 mod stale_hints;
@@ -87,4 +89,5 @@
         about: "sum of shares under partitions and kills, and reclaim of idle share",
         run: budgets::run,
     },
+    once::EXPERIMENT,
 ];
