Give each daemon its part of the fleet's slots

Cause: each daemon admitted as many requests as all backend servers sustain together. With several daemons the rest queued at the servers, where fair queueing between workspaces has no say.

--- a/crates/entry/src/duties/admission.rs
+++ b/crates/entry/src/duties/admission.rs
@@ -31,6 +31,10 @@
         request: RequestId,
     },
     Limits(Vec<(WorkspaceId, PlanLimits)>),
+    Capacity {
+        slots: u32,
+        service_tokens_per_s: f64,
+    },
     Usage {
         /// Whether the counts of started requests begin anew.
         take: bool,
@@ -167,6 +171,15 @@
         deliver(&self.messages, Message::Limits(limits));
     }
 
+    /// Sets this daemon's part of the fleet's capacity.
+    pub(crate) fn set_capacity(&self, slots: u32, service_tokens_per_s: f64) {
+        let message = Message::Capacity {
+            slots,
+            service_tokens_per_s,
+        };
+        deliver(&self.messages, message);
+    }
+
     /// Use of all plans since the last call.
     pub(crate) async fn take_usage(&self) -> Vec<(WorkspaceId, Usage)> {
         self.ask_usage(true).await
@@ -245,6 +258,10 @@
                     self.admission.set_limits(workspace, limits, now);
                 }
             }
+            Message::Capacity {
+                slots,
+                service_tokens_per_s,
+            } => self.admission.set_capacity(slots, service_tokens_per_s),
             Message::Usage { take, reply } => {
                 let _ = reply.send(self.usage(take));
             }
--- a/crates/entry/src/duties/apply.rs
+++ b/crates/entry/src/duties/apply.rs
@@ -4,7 +4,7 @@
 use crate::context::Context;
 use crate::duties::control::BudgetKind;
 use anvilgw_admission::{PlanLimits, PlanShare, Priority};
-use anvilgw_config::{ConfigState, Plan, Priority as PlanPriority};
+use anvilgw_config::{BackendServer, ConfigState, Plan, Priority as PlanPriority};
 use anvilgw_core::{ServerId, WorkspaceId};
 use anvilgw_fleet::{Ownership, Split};
 use std::sync::Arc;
@@ -39,6 +39,7 @@
         while unchanged {
             note_usage(context, &config).await;
             set_limits(context, &config);
+            set_capacity(context, &config);
             let epoch = context.control.view().epoch.number;
             if owned_in != epoch {
                 owned_in = epoch;
@@ -74,6 +75,10 @@
     context
         .budgets
         .set_capacity(BudgetKind::Retries, Split::Even, retries(context));
+    let slots = capacity(context, config).slots;
+    context
+        .budgets
+        .set_capacity(BudgetKind::Slots, Split::Even, slots.into());
     for (workspace, plan) in plans(context, config) {
         let requests = u64::from(plan.requests_per_s) * MILLI;
         let tokens = plan.tokens_per_s.into();
@@ -94,6 +99,50 @@
     u64::from(context.settings.budgets.retries_per_s) * MILLI
 }
 
+/// What the backend servers in service sustain together.
+struct Capacity {
+    slots: u32,
+    service_tokens_per_s: f64,
+}
+
+fn capacity(context: &Context, config: &ConfigState) -> Capacity {
+    let settings = &context.settings;
+    let in_service = || {
+        settings
+            .backend_servers()
+            .filter(|(_, server)| config.is_in_service(server.failure_domain(), &server.instance()))
+    };
+    let tokens_per_s = |server: &BackendServer<'_>| match server {
+        BackendServer::Model { settings: own, .. } => {
+            let model = own
+                .models
+                .first()
+                .and_then(|name| settings.models.get(name));
+            model.map_or(0.0, |model| model.prefill_tokens_per_s.into())
+        }
+        BackendServer::Service { .. } => 0.0,
+    };
+    Capacity {
+        slots: in_service()
+            .map(|(_, server)| server.capacity_concurrency())
+            .sum(),
+        service_tokens_per_s: in_service().map(|(_, server)| tokens_per_s(&server)).sum(),
+    }
+}
+
+/// Sets this daemon's part of the capacity. Without it each daemon would admit as much as all servers
+/// sustain, requests would queue at the servers, and fair queueing would have nothing to decide.
+fn set_capacity(context: &Context, config: &ConfigState) {
+    let whole = capacity(context, config);
+    // As for plans, half of an equal part is used even without a share.
+    let least = f64::from(whole.slots) / f64::from(fleet_size(context)) / 2.0;
+    let slots = (context.budgets.share(BudgetKind::Slots) as f64).max(least);
+    // The rate stays that of the whole fleet: kept prompts cost far less than their estimate, and a
+    // refusal that comes too early is worse than a wait that ends in one.
+    let rate = whole.service_tokens_per_s.max(1.0);
+    context.admission.set_capacity((slots as u32).max(1), rate);
+}
+
 fn plans<'a>(
     context: &'a Context,
     config: &'a ConfigState,
@@ -113,6 +162,13 @@
     let kept = retries(context).div_ceil(members);
     context.budgets.note_rate(BudgetKind::Retries, kept, 0);
     context.update_retry_share();
+    let running: u64 = usage.iter().map(|(_, usage)| usage.running).sum();
+    let queued: u64 = usage.iter().map(|(_, usage)| usage.queued).sum();
+    let kept = u64::from(capacity(context, config).slots) / members / 2;
+    let wanted = running + running / 4 + queued;
+    context
+        .budgets
+        .note_rate(BudgetKind::Slots, running.max(kept), wanted);
     for (workspace, plan) in plans(context, config) {
         let used = usage.iter().find(|(known, _)| *known == workspace);
         let used = used.map_or_else(Usage::default, |(_, usage)| *usage);
--- a/crates/entry/src/duties/control/budgets.rs
+++ b/crates/entry/src/duties/control/budgets.rs
@@ -24,6 +24,8 @@
     PlanTokens(u32),
     /// Concurrent requests of a workspace's plan.
     PlanConcurrency(u32),
+    /// Concurrent requests on all backend servers together.
+    Slots,
 }
 
 impl BudgetKind {
@@ -35,6 +37,7 @@
             Self::PlanRequests(workspace) => (3, workspace),
             Self::PlanTokens(workspace) => (4, workspace),
             Self::PlanConcurrency(workspace) => (5, workspace),
+            Self::Slots => (6, 0),
         };
         BudgetId(kind << KIND_SHIFT | index)
     }
