--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -66,6 +66,10 @@
     pub(crate) attempts: AtomicU64,
     /// Requests from their receipt to the end of their answer.
     pub(crate) open: Arc<AtomicUsize>,
+    /// Open requests of each workspace.
+    pub(crate) workspace_requests: WorkspaceCounts,
+    /// Open streams of each workspace.
+    pub(crate) workspace_streams: WorkspaceCounts,
     /// Whether the daemon drains.
     pub(crate) draining: AtomicBool,
 }
@@ -86,6 +90,26 @@
 /// Counts a request as open until it is dropped.
 pub(crate) struct OpenRequest(Arc<AtomicUsize>);
 
+/// Open requests of each workspace at this daemon, by the index of the workspace.
+pub(crate) struct WorkspaceCounts(Vec<Arc<AtomicUsize>>);
+
+impl WorkspaceCounts {
+    /// Creates counts of zero.
+    pub(crate) fn new(workspaces: usize) -> Self {
+        Self((0..workspaces).map(|_| Arc::default()).collect())
+    }
+
+    /// Counts one more, unless that would be more than `most`.
+    fn try_open(&self, workspace: WorkspaceId, most: u32) -> Option<OpenRequest> {
+        let count = self.0.get(workspace.0 as usize)?;
+        if count.fetch_add(1, Ordering::AcqRel) >= most as usize {
+            count.fetch_sub(1, Ordering::AcqRel);
+            return None;
+        }
+        Some(OpenRequest(Arc::clone(count)))
+    }
+}
+
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::AcqRel);
@@ -99,6 +123,29 @@
         OpenRequest(Arc::clone(&self.open))
     }
 
+    /// Counts a request of a workspace. A connection carries one request at a time, so this also bounds
+    /// the connections with work of a workspace.
+    ///
+    /// # Errors
+    ///
+    /// A failure at stage `Received` if the workspace has too many open.
+    pub(crate) fn open_in_workspace(&self, workspace: WorkspaceId) -> Result<OpenRequest, Failure> {
+        let most = self.settings.limits.connections_per_workspace;
+        let opened = self.workspace_requests.try_open(workspace, most);
+        opened.ok_or_else(|| too_many("requests", most))
+    }
+
+    /// Counts a stream of a workspace.
+    ///
+    /// # Errors
+    ///
+    /// A failure at stage `Received` if the workspace has too many open.
+    pub(crate) fn open_stream(&self, workspace: WorkspaceId) -> Result<OpenRequest, Failure> {
+        let most = self.settings.limits.streams_per_workspace;
+        let opened = self.workspace_streams.try_open(workspace, most);
+        opened.ok_or_else(|| too_many("streams", most))
+    }
+
     /// Name of a workspace.
     pub(crate) fn workspace_name(&self, workspace: WorkspaceId) -> &str {
         self.settings
@@ -192,6 +239,14 @@
     }
 }
 
+fn too_many(what: &str, most: u32) -> Failure {
+    Failure::new(
+        ErrorKind::PlanLimit,
+        Stage::Received,
+        format!("the workspace has {most} open {what} at this daemon"),
+    )
+}
+
 /// The retry budget of a new daemon.
 pub(crate) fn retry_budget(now: Duration) -> Mutex<RetryBudget> {
     Mutex::new(RetryBudget::new(RetrySettings::default(), 0.0, now))
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use crate::admin;
 use crate::backends::{self, Backends};
-use crate::context::{Context, retry_budget};
+use crate::context::{Context, WorkspaceCounts, retry_budget};
 use crate::duties::admission::AdmissionService;
 use crate::duties::claims::{ClaimsService, ClaimsSetup};
 use crate::duties::control::{ControlParts, ControlService, ControlSetup, SharedBudgets, Streams};
@@ -430,13 +430,13 @@
         Output::None => None,
         output => Some(open_log(settings, "trace", output)?),
     };
-    let metrics = Metrics::new(settings.metrics.statsd_address, settings.daemon.index)?;
+    let metrics = Metrics::new(&settings.metrics, settings.daemon.index)?;
     Ok(Context {
         daemon: base.daemon,
         clock: Arc::clone(&base.clock),
         journal: Arc::clone(&base.journal),
         metrics: Arc::new(metrics),
-        tracing: Arc::new(Tracing::new(trace_log)),
+        tracing: Arc::new(Tracing::new(trace_log, settings.trace.sample_percent)),
         logger,
         workspace_keys: key_table(&settings.keys),
         operator_keys: key_table(&settings.operators),
@@ -451,6 +451,8 @@
         retries: retry_budget(base.clock.uptime()),
         attempts: AtomicU64::new(0),
         open: Arc::new(AtomicUsize::new(0)),
+        workspace_requests: WorkspaceCounts::new(settings.keys.len()),
+        workspace_streams: WorkspaceCounts::new(settings.keys.len()),
         draining: AtomicBool::new(false),
         settings: Arc::clone(settings),
     })
--- a/crates/entry/src/front/handlers.rs
+++ b/crates/entry/src/front/handlers.rs
@@ -1,7 +1,7 @@
 //! Routes of the callers' address.
 
 use super::{body, respond, sse};
-use crate::context::{Call, Context};
+use crate::context::{Call, Context, OpenRequest};
 use crate::dispatch::completion::Completion;
 use crate::dispatch::prompt::Prompt;
 use crate::dispatch::service::{self, ServiceRequest};
@@ -38,6 +38,7 @@
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
+    _open: OpenRequest,
 }
 
 /// Builds the router.
@@ -164,6 +165,7 @@
     if context.draining.load(Ordering::Acquire) && !context.control.has_config() {
         return Err(shutting_down());
     }
+    let open = context.open_in_workspace(WorkspaceId(holder))?;
     let requested = headers
         .get(DEADLINE)
         .map(|value| deadline_ms(value).map(Duration::from_millis))
@@ -185,6 +187,7 @@
         headers,
         body,
         context,
+        _open: open,
     })
 }
 
@@ -205,9 +208,10 @@
     } = incoming;
     let prompt = Prompt::parse(&context.settings, call.workspace, is_chat, &body)?;
     let is_stream = prompt.is_stream;
+    let counted = context.open_stream(call.workspace)?;
     let completion = Completion::start(context, call, prompt).await?;
     if is_stream {
-        sse::stream(completion).await
+        sse::stream(completion, counted).await
     } else {
         sse::collect(completion).await
     }
--- a/crates/entry/src/front/sse.rs
+++ b/crates/entry/src/front/sse.rs
@@ -1,6 +1,7 @@
 //! Answers of completions: server-sent events or one JSON object.
 
 use super::respond::{self, ErrorBody};
+use crate::context::OpenRequest;
 use crate::dispatch::completion::Completion;
 use anvilgw_core::Failure;
 use anvilgw_platform::{EngineEvent, EngineUsage};
@@ -162,6 +163,7 @@
     head: Head,
     first: Option<EngineEvent>,
     ended: bool,
+    _counted: OpenRequest,
 }
 
 impl Streaming {
@@ -194,13 +196,17 @@
 /// # Errors
 ///
 /// The failure before the first event.
-pub(crate) async fn stream(mut completion: Completion) -> Result<Response<Body>, Failure> {
+pub(crate) async fn stream(
+    mut completion: Completion,
+    counted: OpenRequest,
+) -> Result<Response<Body>, Failure> {
     let first = completion.next().await?;
     let streaming = Streaming {
         head: Head::new(&completion),
         completion,
         first: Some(first),
         ended: false,
+        _counted: counted,
     };
     let body = StreamBody::new(stream::unfold(streaming, Streaming::next)).boxed_unsync();
     let mut response = Response::new(body);
--- a/crates/entry/src/observe/metrics.rs
+++ b/crates/entry/src/observe/metrics.rs
@@ -1,11 +1,11 @@
 //! Counters and timers, sent as statsd datagrams.
 
+use anvilgw_config::MetricsSettings;
 use cadence::{Counted, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::{Ipv4Addr, UdpSocket};
 use std::time::Duration;
 
-const PREFIX: &str = "anvilgw";
 /// Metrics that may wait for the sending thread. Further ones are dropped rather than delay requests.
 const QUEUE_CAPACITY: usize = 8192;
 
@@ -15,21 +15,22 @@
 }
 
 impl Metrics {
-    /// Sends metrics to a statsd address, or nowhere.
+    /// Sends metrics to the configured statsd address, or nowhere.
     ///
     /// # Errors
     ///
     /// Fails if no UDP socket can be opened.
-    pub(crate) fn new(statsd: Option<SocketAddr>, daemon_index: u32) -> io::Result<Self> {
-        let builder = match statsd {
+    pub(crate) fn new(settings: &MetricsSettings, daemon_index: u32) -> io::Result<Self> {
+        let prefix = &settings.prefix;
+        let builder = match settings.statsd_address {
             Some(address) => {
                 let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
                 socket.set_nonblocking(true)?;
                 let sink = UdpMetricSink::from(address, socket).map_err(io::Error::other)?;
                 let sink = QueuingMetricSink::with_capacity(sink, QUEUE_CAPACITY);
-                StatsdClient::builder(PREFIX, sink)
+                StatsdClient::builder(prefix, sink)
             }
-            None => StatsdClient::builder(PREFIX, NopMetricSink),
+            None => StatsdClient::builder(prefix, NopMetricSink),
         };
         let client = builder.with_tag("daemon", daemon_index.to_string()).build();
         Ok(Self { client })
--- a/crates/entry/src/observe/trace.rs
+++ b/crates/entry/src/observe/trace.rs
@@ -5,7 +5,9 @@
 use opentelemetry::{Context, KeyValue};
 use opentelemetry_sdk::error::OTelSdkResult;
 use opentelemetry_sdk::propagation::TraceContextPropagator;
-use opentelemetry_sdk::trace::{SdkTracer, SdkTracerProvider, Span, SpanData, SpanExporter};
+use opentelemetry_sdk::trace::{
+    Sampler, SdkTracer, SdkTracerProvider, Span, SpanData, SpanExporter,
+};
 use spdlog::Logger;
 use std::sync::Arc;
 use std::time::SystemTime;
@@ -20,8 +22,11 @@
 impl Tracing {
     /// Creates the tracer of a daemon. Without a logger, spans carry identifiers but are not exported.
     #[must_use]
-    pub(crate) fn new(export_to: Option<Arc<Logger>>) -> Self {
-        let mut builder = SdkTracerProvider::builder();
+    pub(crate) fn new(export_to: Option<Arc<Logger>>, sample_percent: f64) -> Self {
+        // A caller that has decided about its trace is followed.
+        let sampler = Sampler::TraceIdRatioBased(sample_percent / 100.0);
+        let sampler = Sampler::ParentBased(Box::new(sampler));
+        let mut builder = SdkTracerProvider::builder().with_sampler(sampler);
         if let Some(logger) = export_to {
             builder = builder.with_batch_exporter(LogExporter { logger });
         }
--- a/crates/testbed/src/layout.rs
+++ b/crates/testbed/src/layout.rs
@@ -58,6 +58,8 @@
     pub claim_interval_ms: u64,
     /// Number of claim partitions.
     pub partitions: u16,
+    /// Streams that a workspace may have open at a daemon.
+    pub streams_per_workspace: u32,
     /// Requests per second of a small workspace's plan.
     pub small_requests_per_s: u32,
     /// Where daemons write their logs.
@@ -96,6 +98,7 @@
             silence_ms: 1_000,
             claim_interval_ms: 10,
             partitions: 2,
+            streams_per_workspace: 500,
             small_requests_per_s: 1_000,
             logging: Output::None,
         }
@@ -168,6 +171,7 @@
     log.retention_s = config.retention_s;
     let mut settings = Settings::new(daemon, log);
     settings.limits.silence_ms = config.silence_ms;
+    settings.limits.streams_per_workspace = config.streams_per_workspace;
     settings.instances.addresses = vec![addresses.instances];
     settings.instances.seeds = daemons.iter().map(|daemon| daemon.peer).collect();
     settings.claims.min_interval_ms = config.claim_interval_ms;
--- a/tests/all/http.rs
+++ b/tests/all/http.rs
@@ -1,6 +1,7 @@
 //! Bad input at the callers' address: a clear error of the closed list, never a panic.
 
-use anvilgw_testbed::{Bed, BedConfig, workspace_key};
+use anvilgw_core::Executed;
+use anvilgw_testbed::{Bed, BedConfig, CallerError, workspace_key};
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use http_body_util::BodyExt;
@@ -199,3 +200,37 @@
     assert_eq!(status["ready"], true);
     bed.stop().await;
 }
+
+/// Guards against a workspace that takes all streams of a daemon.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_per_workspace_are_limited() {
+    let config = BedConfig {
+        daemons: 1,
+        engines: 1,
+        stores: 0,
+        streams_per_workspace: 1,
+        ..BedConfig::default()
+    };
+    let bed = Bed::start(config).await.unwrap();
+    let caller = bed.caller();
+    let first = tokio::spawn({
+        let caller = caller.clone();
+        async move { caller.complete(0, 1, "first ", 40).await }
+    });
+    // The first stream is open once the engine has it.
+    while bed.engines[0].counters().accepted == 0 {
+        tokio::task::yield_now().await;
+    }
+    let second = caller.complete(0, 1, "second ", 2).await;
+    assert!(
+        matches!(
+            second,
+            Err(CallerError::Refused(429, _, Some(Executed::No)))
+        ),
+        "{second:?}"
+    );
+    assert!(caller.complete(0, 2, "other workspace ", 2).await.is_ok());
+    assert!(first.await.unwrap().is_ok());
+    assert!(caller.complete(0, 1, "third ", 2).await.is_ok());
+    bed.stop().await;
+}
