Show explanations as tables with the names of the backend servers

The stand-in daemon of the command line tests answered explain with an object that no daemon sends; it now answers with the fields of a real record, and the test asserts on the attempt line besides the state it looked for before.

--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -3,7 +3,7 @@
 use crate::admin::Admin;
 use crate::error::{CliError, EXIT_CODES};
 use crate::options::{ADMIN_HELP, Options};
-use crate::render::{print, print_json, report};
+use crate::render::{print, print_json, print_table};
 use anvilgw_core::RequestId;
 use lexopt::Parser;
 use serde_json::Value;
@@ -29,11 +29,105 @@
     let id: RequestId = id
         .parse()
         .map_err(|_| CliError::Usage(format!("{id:?} is not a request id (hexadecimal digits)")))?;
-    let events: Value = Admin::new(&options)?.get(&format!("/admin/explain/{id}"))?;
+    let record: Value = Admin::new(&options)?.get(&format!("/admin/explain/{id}"))?;
     if options.json {
-        print_json(&events);
+        print_json(&record);
     } else {
-        print(&report(&events));
+        show(&record);
     }
     Ok(ExitCode::SUCCESS)
 }
+
+fn text(value: &Value) -> String {
+    match value {
+        Value::Null => "-".to_owned(),
+        Value::String(text) => text.clone(),
+        Value::Number(number) => match number.as_f64() {
+            Some(value) if number.is_f64() => format!("{value:.2}"),
+            _ => number.to_string(),
+        },
+        other => other.to_string(),
+    }
+}
+
+fn show(record: &Value) {
+    let fields = [
+        "workspace",
+        "target",
+        "result",
+        "queued_ms",
+        "config_version",
+        "claim",
+        "trace_id",
+    ];
+    let rows: Vec<_> = fields
+        .iter()
+        .map(|field| vec![(*field).to_owned(), text(&record[*field])])
+        .collect();
+    print_table(&["request", ""], &rows);
+    let names = record["server_names"].as_array();
+    for attempt in record["attempts"].as_array().into_iter().flatten() {
+        print(&format!(
+            "\nattempt {} at {}: {}, {} blocks imported\n",
+            text(&attempt["number"]),
+            text(&attempt["server"]),
+            text(&attempt["outcome"]),
+            text(&attempt["imported_blocks"]),
+        ));
+        show_decision(&attempt["decision"], names);
+    }
+}
+
+fn show_decision(decision: &Value, names: Option<&Vec<Value>>) {
+    let name = |server: &Value| {
+        let index = server
+            .as_u64()
+            .and_then(|index| usize::try_from(index).ok());
+        let name = names.zip(index).and_then(|(names, index)| names.get(index));
+        name.map_or_else(|| text(server), text)
+    };
+    let candidate = |candidate: &Value| {
+        let priced = &candidate["priced"];
+        let price = &priced["price"];
+        vec![
+            name(&candidate["server"]),
+            text(&candidate["probability"]),
+            text(&price["cost"]),
+            text(&price["ttft_ms"]),
+            text(&price["queue_ms"]),
+            text(&priced["plan"]["in_place_blocks"]),
+            text(&priced["plan"]["import"]["blocks"]),
+            text(&price["prefill_tokens"]),
+            text(&price["link_bytes"]),
+            text(&candidate["cold"]),
+        ]
+    };
+    let candidates: Vec<_> = decision["candidates"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .map(candidate)
+        .collect();
+    if !candidates.is_empty() {
+        let header = [
+            "candidate",
+            "probability",
+            "cost",
+            "first token ms",
+            "queue ms",
+            "blocks in place",
+            "imported",
+            "prefill tokens",
+            "link bytes",
+            "cold",
+        ];
+        print_table(&header, &candidates);
+    }
+    let excluded = decision["excluded"].as_array().into_iter().flatten();
+    let excluded: Vec<_> = excluded
+        .map(|known| vec![name(&known["server"]), text(&known["reason"])])
+        .collect();
+    if !excluded.is_empty() {
+        print_table(&["excluded", "reason"], &excluded);
+    }
+}
--- a/crates/cli/tests/cli/changes.rs
+++ b/crates/cli/tests/cli/changes.rs
@@ -157,7 +157,9 @@
         "keys are never printed"
     );
     assert_eq!(daemon.version(), 0);
-    assert!(stdout(&run(&daemon, &["explain", "abc"])).contains("Queued"));
+    let explained = stdout(&run(&daemon, &["explain", "abc"]));
+    assert!(explained.contains("Queued"), "{explained}");
+    assert!(explained.contains("attempt 1 at porto-1"), "{explained}");
     let unknown = run(&daemon, &["explain", "abd"]);
     assert_eq!(unknown.status.code(), Some(1));
     assert!(stderr(&unknown).contains("nothing is known"));
--- a/crates/cli/tests/cli/standin.rs
+++ b/crates/cli/tests/cli/standin.rs
@@ -208,7 +208,19 @@
             answer(stream, 200, &status);
         }
         ("GET", path) if path == format!("/admin/explain/{:032x}", 0xabc) => {
-            answer(stream, 200, &serde_json::json!({"stage": "Queued"}));
+            let attempt = serde_json::json!({
+                "number": 1,
+                "server": "porto-1",
+                "outcome": "complete",
+                "imported_blocks": 0,
+                "decision": {"candidates": [{"server": 0}], "excluded": [], "selected": 0},
+            });
+            let record = serde_json::json!({
+                "result": "Queued",
+                "attempts": [attempt],
+                "server_names": ["porto-1"],
+            });
+            answer(stream, 200, &record);
         }
         _ => answer(
             stream,
--- a/crates/entry/src/admin/mod.rs
+++ b/crates/entry/src/admin/mod.rs
@@ -91,10 +91,12 @@
         let detail = "a request id has 32 hexadecimal digits";
         Failure::new(ErrorKind::BadRequest, Stage::Received, detail)
     })?;
-    let record = call.context.explain.get(id).ok_or_else(|| {
+    let mut record = call.context.explain.get(id).ok_or_else(|| {
         let detail = "this daemon does not remember the request; ask the daemon that served it";
         Failure::new(ErrorKind::NotFound, Stage::Received, detail)
     })?;
+    let servers = call.context.backends.iter();
+    record.server_names = servers.map(|server| server.name.clone()).collect();
     to_json(StatusCode::OK, &record)
 }
 
--- a/crates/entry/src/dispatch/completion.rs
+++ b/crates/entry/src/dispatch/completion.rs
@@ -313,12 +313,18 @@
             Ok(selected) => (Some(selected.explanation.clone()), selected.imports.len()),
             Err(refused) => (refused.explanation.clone(), 0),
         };
+        let chosen = selected
+            .as_ref()
+            .ok()
+            .map(|selected| selected.choice.server);
+        let server = chosen.and_then(|id| self.context.backends.get(id));
         self.context.explain.attempt(
             self.call.id,
             Attempt {
                 number: number.0,
                 decision,
                 imported_blocks,
+                server: server.map(|server| server.name.clone()),
                 outcome: None,
             },
         );
--- a/crates/entry/src/dispatch/service.rs
+++ b/crates/entry/src/dispatch/service.rs
@@ -221,10 +221,13 @@
         number: context.next_attempt().0,
         decision: None,
         imported_blocks: 0,
+        server: None,
         outcome: None,
     };
     let result = match selected {
         Ok(selected) => {
+            let server = context.backends.get(selected.choice.server);
+            attempt.server = server.map(|server| server.name.clone());
             attempt.decision = Some(selected.explanation);
             Ok((selected.choice, selected.dispatch))
         }
--- a/crates/entry/src/explain.rs
+++ b/crates/entry/src/explain.rs
@@ -18,11 +18,13 @@
     pub(crate) decision: Option<Explanation>,
     /// Blocks imported for it.
     pub(crate) imported_blocks: usize,
+    /// Name of the chosen server.
+    pub(crate) server: Option<String>,
     /// How it ended; absent while it runs.
     pub(crate) outcome: Option<String>,
 }
 
-/// Everything about one request.
+/// Everything about one request. The names of the servers are added when it is shown.
 #[derive(Clone, Debug, Default, Serialize)]
 pub(crate) struct Record {
     /// The workspace.
@@ -41,6 +43,8 @@
     pub(crate) claim: Option<String>,
     /// The end of the request; absent while it runs.
     pub(crate) result: Option<String>,
+    /// Names of the backend servers by their numbers.
+    pub(crate) server_names: Vec<String>,
 }
 
 /// Bounded store of [`Record`]s.
@@ -79,9 +83,9 @@
         });
     }
 
-    /// The record of a request as JSON.
-    pub(crate) fn get(&self, id: RequestId) -> Option<serde_json::Value> {
-        let record = self.records.lock().expect("explain lock").get(&id)?.clone();
-        serde_json::to_value(record).ok()
+    /// The record of a request.
+    pub(crate) fn get(&self, id: RequestId) -> Option<Record> {
+        let records = self.records.lock().expect("explain lock");
+        records.get(&id).cloned()
     }
 }
