--- a/crates/cli/tests/cli/standin.rs
+++ b/crates/cli/tests/cli/standin.rs
@@ -166,6 +166,21 @@
     })
 }
 
+fn explanation() -> serde_json::Value {
+    let attempt = serde_json::json!({
+        "number": 1,
+        "server": "porto-1",
+        "outcome": "complete",
+        "imported_blocks": 0,
+        "decision": {"candidates": [{"server": 0}], "excluded": [], "selected": 0},
+    });
+    serde_json::json!({
+        "result": "Queued",
+        "attempts": [attempt],
+        "server_names": ["porto-1"],
+    })
+}
+
 fn serve(stream: &TcpStream, state: &mut State) {
     let Some(request) = read_request(stream) else {
         return;
@@ -208,19 +223,7 @@
             answer(stream, 200, &status);
         }
         ("GET", path) if path == format!("/admin/explain/{:032x}", 0xabc) => {
-            let attempt = serde_json::json!({
-                "number": 1,
-                "server": "porto-1",
-                "outcome": "complete",
-                "imported_blocks": 0,
-                "decision": {"candidates": [{"server": 0}], "excluded": [], "selected": 0},
-            });
-            let record = serde_json::json!({
-                "result": "Queued",
-                "attempts": [attempt],
-                "server_names": ["porto-1"],
-            });
-            answer(stream, 200, &record);
+            answer(stream, 200, &explanation());
         }
         _ => answer(
             stream,
