Cut the open connections of a killed daemon

Daemon::kill promises to stop as a crash would, but connections ran as detached tasks that outlived it: open streams went on to their end. Experiments and tests that kill a daemon therefore met no crash.

The connections now end with the stop signal. A graceful shutdown waits up to 1 s for the callers' connections to close first, so that the end of the last answer is not cut: the count of open requests reaches 0 before its last bytes are written.

a_killed_daemon_cuts_its_streams fails without the change (the stream ends whole) and passes with it; graceful_shutdown_finishes_open_streams still passes.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -39,6 +39,10 @@
 const INDEX_CAPACITY: usize = 2_000_000;
 /// Interval in which a draining daemon looks for open requests.
 const DRAIN_TICK: Duration = Duration::from_millis(20);
+/// Longest wait for the connections of a drained daemon to close.
+const FLUSH_LIMIT: Duration = Duration::from_secs(1);
+/// Position of the callers' server.
+const CALLERS: usize = 0;
 
 quick_error! {
     /// Why a daemon did not start.
@@ -208,7 +212,7 @@
 
     /// Drains and stops: readiness off, the balancer's lag, open requests, membership. `abort` turning
     /// true ends the drain early.
-    pub async fn shutdown(self, mut abort: watch::Receiver<bool>) -> Shutdown {
+    pub async fn shutdown(mut self, mut abort: watch::Receiver<bool>) -> Shutdown {
         let context = Arc::clone(&self.context);
         context.draining.store(true, Ordering::Release);
         let wall_ms = context.clock.wall_ms();
@@ -225,6 +229,11 @@
         }
         let interrupted = context.open.load(Ordering::Acquire);
         context.control.leave().await;
+        if interrupted == 0 {
+            // The ends of the last answers may still be on their way to the callers.
+            let callers = self.servers.remove(CALLERS);
+            let _ = tokio::time::timeout(FLUSH_LIMIT, callers).await;
+        }
         self.halt().await;
         Shutdown { interrupted }
     }
@@ -502,8 +511,15 @@
             caller_routes,
             limits,
             accepting.clone(),
+            stopping.clone(),
+        )),
+        tokio::spawn(front::serve(
+            admin,
+            admin_routes,
+            limits,
+            stopping.clone(),
+            stopping.clone(),
         )),
-        tokio::spawn(front::serve(admin, admin_routes, limits, stopping.clone())),
         tokio::spawn(peer::serve(peers, handler, stopping.clone())),
     ]
 }
--- a/crates/entry/src/front/server.rs
+++ b/crates/entry/src/front/server.rs
@@ -39,12 +39,14 @@
     pub(crate) connections: usize,
 }
 
-/// Serves connections until `stop` turns true, then lets running requests finish.
+/// Serves connections until `drain` turns true, then lets running requests finish. `stop` turning
+/// true cuts the open connections, as the end of the process would.
 pub(crate) async fn serve(
     listener: TcpListener,
     router: Router,
     limits: ServerLimits,
-    mut stop: watch::Receiver<bool>,
+    mut drain: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
 ) {
     let router = Arc::new(router);
     let slots = Arc::new(Semaphore::new(limits.connections));
@@ -52,7 +54,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = accept(&listener, &slots) => accepted,
-            _ = stop.wait_for(|stop| *stop) => break,
+            _ = drain.wait_for(|drain| *drain) => break,
         };
         let Some((stream, address, slot)) = accepted else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -67,8 +69,12 @@
             limits,
             graceful.watcher(),
         );
+        let mut stop = stop.clone();
         tokio::spawn(async move {
-            connection.await;
+            tokio::select! {
+                () = connection => {}
+                _ = stop.wait_for(|stop| *stop) => {}
+            }
             drop(slot);
         });
     }
--- a/tests/all/whole_path.rs
+++ b/tests/all/whole_path.rs
@@ -248,3 +248,28 @@
     }
     bed.stop().await;
 }
+
+/// Guards against a killed daemon that goes on serving its open connections, which no crash does. Tests
+/// of crashes would then pass without a crash.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_daemon_cuts_its_streams() {
+    let mut bed = Bed::start(BedConfig::default()).await.unwrap();
+    let caller = bed.caller();
+    let stream = tokio::spawn(async move { caller.complete(0, 1, &prompt(1), 400).await });
+    while bed
+        .engines
+        .iter()
+        .map(|engine| engine.counters().accepted)
+        .sum::<u64>()
+        == 0
+    {
+        tokio::task::yield_now().await;
+    }
+    bed.kill_daemon(0).await;
+    let answer = stream.await.unwrap();
+    assert!(
+        matches!(answer, Err(CallerError::Connection(_))),
+        "{answer:?}"
+    );
+    bed.stop().await;
+}
