Let a daemon join from the changes that a peer sends

A daemon that starts during an outage of the log asks its peers for everything since version 0. A peer that still holds all changes since then (up to 64) answers with the changes and not with the full state, and the new daemon, which had no configuration to apply them to, dropped the answer. It became ready only when the log returned.

Without a configuration a daemon now applies the update to version 0, the start of the stream; digests are checked as for every update.

a_daemon_joins_during_an_outage_of_the_log does not end without the change (it was stopped after 15 s) and passes with it.

--- a/crates/entry/src/duties/control/configuration.rs
+++ b/crates/entry/src/duties/control/configuration.rs
@@ -109,11 +109,16 @@
     pub(super) fn on_peer_update(&mut self, update: PeerUpdate, wall_ms: u64) {
         let result = match (&mut self.fold, update) {
             (Some(fold), update) => fold.apply_update(update).map(|_| ()),
-            (None, PeerUpdate::Full { state, digest }) if state.digest() == digest => {
-                self.fold = Some(ConfigFold::from_peer(state));
-                Ok(())
+            (None, update) => {
+                // A daemon without a configuration is at version 0, the start of the stream. A peer
+                // that still holds all changes since then sends them in place of the full state.
+                let mut fold = ConfigFold::from_peer(ConfigState::default());
+                fold.apply_update(update).map(|rose| {
+                    if rose {
+                        self.fold = Some(fold);
+                    }
+                })
             }
-            (None, _) => Ok(()),
         };
         if let Err(error) = result {
             self.note(wall_ms, EventKind::ConfigRejected, &error.to_string());
