Add the experiment of a failure domain taken out and returned

domain-out runs six daemons over loopback, engines in three failure domains and a Poisson load of 60% of the engines' slots (143 requests/s, 400 prompt tokens, 40 answer tokens). Latencies count from the intended send time; callers try once. The baseline shuts the engines off and leaves it to health checks every second.

The daemon cut off from log and peers is not part of the run yet: the test bed cannot cut a daemon off from its peers.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -2,7 +2,11 @@
 
 mod cold_start;
 mod decide_cost;
+mod domain;
+mod domain_out;
+mod drive;
 mod first_token;
+mod health_checks;
 mod link;
 mod model;
 mod model_check;
@@ -72,4 +76,5 @@
         run: decide_cost::experiment,
     },
     model_check::EXPERIMENT,
+    domain_out::EXPERIMENT,
 ];
