--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -4,7 +4,11 @@
 mod capacity;
 mod cold_start;
 mod decide_cost;
+mod domain;
+mod domain_out;
+mod drive;
 mod first_token;
+mod health_checks;
 mod link;
 mod load;
 mod member_net;
@@ -90,4 +94,5 @@
         run: budgets::run,
     },
     once::EXPERIMENT,
+    domain_out::EXPERIMENT,
 ];
