Add the overhead experiment

overhead sends the same Poisson arrivals to an engine directly and through one daemon, with one client and one reading of the stream for both. The daemon has a runtime of its own with 2 named workers; its processor time is the sum over these and its duty threads from /proc/self/task/*/schedstat, so it includes the idle cost of the control duties.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -11,6 +11,7 @@
 mod model;
 mod model_check;
 mod noisy_neighbour;
+mod overhead;
 mod reuse;
 mod simulation;
 mod stale_hints;
@@ -76,5 +77,6 @@
         run: decide_cost::experiment,
     },
     model_check::EXPERIMENT,
+    overhead::EXPERIMENT,
     domain_out::EXPERIMENT,
 ];
--- /dev/null
+++ b/crates/bench/src/experiments/overhead.rs
@@ -0,0 +1,258 @@
+//! Cost of the entry daemon: latency added to a direct call of an engine, and processor time.
+//!
+//! The daemon runs on a runtime of its own. Its processor time is the sum over the workers of that
+//! runtime and its duty threads, read from the scheduler's accounts of each thread.
+
+use super::drive::{Load, Sample, failures, note_requests, prompt, quantile_ms, runtime};
+use super::health_checks::{HttpClient, client, completion, stream};
+use super::{Experiment, RunOptions};
+use crate::report::{Figures, Report};
+use anvilgw_standin::EngineConfig;
+use anvilgw_testbed::{Bed, BedConfig};
+use serde_json::json;
+use std::fs;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::runtime::{Builder, Runtime};
+
+pub(super) const EXPERIMENT: Experiment = Experiment {
+    name: "overhead",
+    about: "latency added by the entry daemon, and work per core of its processor time",
+    run,
+};
+
+const ADDED_P99_LIMIT_MS: f64 = 1.0;
+const REQUESTS_PER_CORE_S: f64 = 2_000.0;
+const TOKENS_PER_CORE_S: f64 = 100_000.0;
+/// Name of the workers of the daemon's runtime.
+const WORKERS: &str = "entry-worker";
+/// Daemons run on small instances. Idle workers of a large runtime cost processor time for looking for
+/// work.
+const WORKER_COUNT: usize = 2;
+/// Names of the threads of a daemon outside its runtime.
+const DUTIES: [&str; 8] = [
+    "control",
+    "routing",
+    "admission",
+    "claims",
+    "claim-log",
+    "datagrams",
+    "log-reads",
+    "log-appends",
+];
+/// One engine takes the whole load, so that both ways lead to the same queue.
+const ENGINE_CONCURRENCY: usize = 2_048;
+const PROMPT_WORDS: usize = 20;
+const WARM_UP: Duration = Duration::from_secs(2);
+
+/// One kind of load.
+#[derive(Clone, Copy)]
+struct Phase {
+    rate_per_s: f64,
+    tokens: u64,
+    duration: Duration,
+}
+
+/// 500 streaming requests/s, for the latency.
+const STREAMS: Phase = Phase {
+    rate_per_s: 500.0,
+    tokens: 16,
+    duration: Duration::from_secs(8),
+};
+/// Requests of one token, for the processor time of a request.
+const SHORT: Phase = Phase {
+    rate_per_s: 1_000.0,
+    tokens: 1,
+    duration: Duration::from_secs(5),
+};
+/// Long streams, for the processor time of a token: 40,000 tokens/s.
+const TOKENS: Phase = Phase {
+    rate_per_s: 80.0,
+    tokens: 500,
+    duration: Duration::from_secs(5),
+};
+
+fn run(options: RunOptions) -> Report {
+    let load_runtime = runtime();
+    let daemon_runtime = Builder::new_multi_thread()
+        .worker_threads(WORKER_COUNT)
+        .thread_name(WORKERS)
+        .enable_all()
+        .build()
+        .expect("the operating system gives threads");
+    let bed = start(&load_runtime, &daemon_runtime);
+    let direct = Path::new(bed.engines[0].addr());
+    let entry = Path::new(bed.listen(0));
+    let warm = Phase {
+        duration: WARM_UP,
+        ..STREAMS
+    };
+    let drive = |path: &Path, phase| load_runtime.block_on(path.drive(options.seed, phase));
+    drive(&direct, warm);
+    drive(&entry, warm);
+    let straight = drive(&direct, STREAMS);
+    let (streams_s, through) = busy(|| drive(&entry, STREAMS));
+    let (short_s, short) = busy(|| drive(&entry, SHORT));
+    let (tokens_s, tokens) = busy(|| drive(&entry, TOKENS));
+    let report = report(
+        options,
+        &straight,
+        [
+            (streams_s, &through),
+            (short_s, &short),
+            (tokens_s, &tokens),
+        ],
+    );
+    daemon_runtime.block_on(bed.stop());
+    report
+}
+
+fn start(load_runtime: &Runtime, daemon_runtime: &Runtime) -> Bed {
+    let config = BedConfig {
+        daemons: 1,
+        domains: 1,
+        engines: 1,
+        service_servers: 1,
+        stores: 0,
+        engine_concurrency: ENGINE_CONCURRENCY as u32,
+        engine: EngineConfig {
+            decode_ms: 2.0,
+            max_running: ENGINE_CONCURRENCY,
+            prefill_tokens_per_s: 10_000_000.0,
+            ..BedConfig::default().engine
+        },
+        ..BedConfig::default()
+    };
+    let mut bed = load_runtime
+        .block_on(Bed::start_standins(config))
+        .expect("stand-ins start");
+    bed.publish_lists().expect("the log takes the lists");
+    daemon_runtime
+        .block_on(async {
+            bed.start_daemon(0).await?;
+            bed.wait_ready().await?;
+            bed.wait_settled().await
+        })
+        .expect("the daemon starts");
+    bed
+}
+
+/// One way to an engine. Both ways have the same client and the same reading of the stream.
+struct Path {
+    client: HttpClient,
+    address: SocketAddr,
+}
+
+impl Path {
+    fn new(address: SocketAddr) -> Self {
+        Self {
+            client: client(),
+            address,
+        }
+    }
+
+    async fn drive(&self, seed: u64, phase: Phase) -> Vec<Sample> {
+        let load = Load {
+            seed,
+            rate_per_s: phase.rate_per_s,
+            duration: phase.duration,
+        };
+        let (client, address) = (self.client.clone(), self.address);
+        let samples = load.start(move |number, intended| {
+            let prompt = prompt(seed, number, PROMPT_WORDS);
+            let request = completion(address, &prompt, phase.tokens);
+            stream(client.clone(), request, intended)
+        });
+        samples.await.expect("the load does not panic")
+    }
+}
+
+/// Runs `work` and tells the processor seconds that the daemon used meanwhile.
+fn busy<T>(work: impl FnOnce() -> T) -> (f64, T) {
+    let before = daemon_cpu();
+    let result = work();
+    ((daemon_cpu() - before).as_secs_f64(), result)
+}
+
+/// Processor time of the daemon's threads. Threads of the daemon live as long as it does.
+fn daemon_cpu() -> Duration {
+    let tasks = fs::read_dir("/proc/self/task").expect("the kernel lists threads");
+    let of_daemon = tasks.flatten().filter(|task| {
+        let name = fs::read_to_string(task.path().join("comm")).unwrap_or_default();
+        name.trim_end() == WORKERS || DUTIES.contains(&name.trim_end())
+    });
+    of_daemon
+        .filter_map(|task| {
+            let account = fs::read_to_string(task.path().join("schedstat")).ok()?;
+            account.split_whitespace().next()?.parse().ok()
+        })
+        .map(Duration::from_nanos)
+        .sum()
+}
+
+fn first(samples: &[Sample], quantile: f64) -> f64 {
+    quantile_ms(samples.iter().map(|s| s.answered.first_token), quantile)
+}
+
+fn total(samples: &[Sample], quantile: f64) -> f64 {
+    quantile_ms(samples.iter().map(|s| s.answered.total), quantile)
+}
+
+fn latencies(samples: &[Sample]) -> Figures {
+    let mut figures = Figures::new();
+    for (name, quantile) in [("p50", 0.5), ("p95", 0.95), ("p99", 0.99)] {
+        let key = |what| format!("{what}_{name}_ms");
+        figures.insert(key("first_token"), json!(first(samples, quantile)));
+        figures.insert(key("total"), json!(total(samples, quantile)));
+    }
+    note_requests(&mut figures, samples);
+    figures
+}
+
+fn report(options: RunOptions, direct: &[Sample], entry: [(f64, &Vec<Sample>); 3]) -> Report {
+    let [(streams_s, streams), (short_s, short), (tokens_s, tokens)] = entry;
+    let added_p99_ms = first(streams, 0.99) - first(direct, 0.99);
+    let requests_per_core_s = short.len() as f64 / short_s;
+    let tokens_per_core_s = (tokens.len() as u64 * TOKENS.tokens) as f64 / tokens_s;
+    let failed = failures(direct) + failures(streams) + failures(short) + failures(tokens);
+    let mut product = latencies(streams);
+    for (name, value) in [
+        ("added_first_token_p99_ms", added_p99_ms),
+        (
+            "added_first_token_p50_ms",
+            first(streams, 0.5) - first(direct, 0.5),
+        ),
+        (
+            "added_total_p99_ms",
+            total(streams, 0.99) - total(direct, 0.99),
+        ),
+        ("short_requests_per_core_s", requests_per_core_s),
+        ("tokens_per_core_s", tokens_per_core_s),
+        (
+            "cores_at_500_streams_per_s",
+            streams_s / STREAMS.duration.as_secs_f64(),
+        ),
+        ("failures", failed as f64),
+    ] {
+        product.insert(name.to_owned(), json!(value));
+    }
+    let ratio = first(streams, 0.99) / first(direct, 0.99);
+    let target = json!({
+        "added_first_token_p99_ms": ADDED_P99_LIMIT_MS,
+        "short_requests_per_core_s": REQUESTS_PER_CORE_S,
+        "tokens_per_core_s": TOKENS_PER_CORE_S,
+        "failures": 0,
+    });
+    Report {
+        experiment: EXPERIMENT.name,
+        seed: options.seed,
+        target: target.as_object().cloned().unwrap_or_default(),
+        baseline: latencies(direct),
+        product,
+        ratio: Figures::from_iter([("first_token_p99".to_owned(), json!(ratio))]),
+        pass: added_p99_ms <= ADDED_P99_LIMIT_MS
+            && requests_per_core_s >= REQUESTS_PER_CORE_S
+            && tokens_per_core_s >= TOKENS_PER_CORE_S
+            && failed == 0,
+    }
+}
