Add the configuration experiment

config runs 18 daemons while two operators at a time send changes for the same version through daemons drawn at random: 200 changes, of which 100 can win. The log answers after 40 ms and loses one append answer in ten, has an outage of 3 s, and one daemon is killed and joins again during it. An auditor folds the records of the log and checks every verdict. The baseline polls the log every 0.5 s beside the product and hears nothing from others.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -1,6 +1,7 @@
 //! The experiments, one file each.
 
 mod cold_start;
+mod config;
 mod decide_cost;
 mod domain;
 mod domain_out;
@@ -78,5 +79,6 @@
     },
     model_check::EXPERIMENT,
     overhead::EXPERIMENT,
+    config::EXPERIMENT,
     domain_out::EXPERIMENT,
 ];
