Add the experiment of a failure domain that dies

domain-loss kills the engines, service servers and daemons of one of three domains at 60% load without notice. Callers try idempotent requests up to four times through the balancer, which probes readiness every 0.5 s. The baseline sends to engines in turn with health checks every second and tries nothing again. Requests that may be open at the loss count neither as before nor as after it.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -4,6 +4,7 @@
 mod config;
 mod decide_cost;
 mod domain;
+mod domain_loss;
 mod domain_out;
 mod drive;
 mod first_token;
@@ -81,4 +82,5 @@
     overhead::EXPERIMENT,
     config::EXPERIMENT,
     domain_out::EXPERIMENT,
+    domain_loss::EXPERIMENT,
 ];
