Add the recovery experiment

recovery kills all six daemons and starts them together, first with the log up and then during an outage of it. A daemon serves when it is ready and has answered a completion. The baseline starts them one after another.

The times begin with the start of the daemons in one process, so they hold no start of a program or an instance.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -14,6 +14,7 @@
 mod model_check;
 mod noisy_neighbour;
 mod overhead;
+mod recovery;
 mod reuse;
 mod simulation;
 mod stale_hints;
@@ -83,4 +84,5 @@
     config::EXPERIMENT,
     domain_out::EXPERIMENT,
     domain_loss::EXPERIMENT,
+    recovery::EXPERIMENT,
 ];
--- /dev/null
+++ b/crates/bench/src/experiments/recovery.rs
@@ -0,0 +1,177 @@
+//! All daemons die and start again, with the log service up and with it down.
+//!
+//! The baseline restarts the daemons one after another, each when the one before is ready.
+
+use super::drive::{prompt, runtime};
+use super::{Experiment, RunOptions};
+use crate::report::{Figures, Report};
+use anvilgw_standin::LogFaults;
+use anvilgw_testbed::{Bed, BedConfig, CallerError};
+use http::Method;
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+
+pub(super) const EXPERIMENT: Experiment = Experiment {
+    name: "recovery",
+    about: "all daemons are killed and started again, with the log up and with it down",
+    run,
+};
+
+const DAEMONS: usize = 6;
+const SERVING_LIMIT_S: f64 = 3.0;
+const WORDS: usize = 50;
+const TOKENS: u64 = 4;
+/// Pause between two attempts of a caller.
+const LOOK: Duration = Duration::from_millis(20);
+/// Time that the daemons run with the log down.
+const OUTAGE: Duration = Duration::from_secs(6);
+const LIMIT: Duration = Duration::from_secs(30);
+
+fn run(options: RunOptions) -> Report {
+    let runtime = runtime();
+    let report = runtime.block_on(measure(options));
+    runtime.shutdown_background();
+    report
+}
+
+async fn measure(options: RunOptions) -> Report {
+    let mut bed = Bed::start(BedConfig {
+        daemons: DAEMONS,
+        ..BedConfig::default()
+    })
+    .await
+    .expect("the bed starts");
+    bed.wait_settled().await.expect("the fleet settles");
+    let one_by_one = restart_one_by_one(&mut bed, options.seed).await;
+    kill_all(&mut bed).await;
+    let started = Instant::now();
+    start_all(&mut bed).await;
+    let together = serving(&bed, options.seed, started).await;
+    let without_log = without_log(&mut bed, options.seed).await;
+    bed.stop().await;
+    let [first, all] = together;
+    let mut product = Figures::from_iter([
+        ("first_completion_s".to_owned(), json!(first.as_secs_f64())),
+        ("all_daemons_serve_s".to_owned(), json!(all.as_secs_f64())),
+    ]);
+    product.extend(without_log);
+    let [baseline_first, baseline_all] = one_by_one.map(|time| time.as_secs_f64());
+    Report {
+        experiment: EXPERIMENT.name,
+        seed: options.seed,
+        target: Figures::from_iter([("all_daemons_serve_s".to_owned(), json!(SERVING_LIMIT_S))]),
+        baseline: Figures::from_iter([
+            ("first_completion_s".to_owned(), json!(baseline_first)),
+            ("all_daemons_serve_s".to_owned(), json!(baseline_all)),
+        ]),
+        product,
+        ratio: Figures::from_iter([(
+            "all_daemons_serve".to_owned(),
+            json!(all.as_secs_f64() / baseline_all),
+        )]),
+        pass: all.as_secs_f64() <= SERVING_LIMIT_S,
+    }
+}
+
+async fn kill_all(bed: &mut Bed) {
+    for index in 0..DAEMONS {
+        bed.kill_daemon(index).await;
+    }
+}
+
+async fn start_all(bed: &mut Bed) {
+    for index in 0..DAEMONS {
+        bed.start_daemon(index).await.expect("a daemon starts");
+    }
+}
+
+async fn restart_one_by_one(bed: &mut Bed, seed: u64) -> [Duration; 2] {
+    kill_all(bed).await;
+    let started = Instant::now();
+    let mut first = None;
+    for index in 0..DAEMONS {
+        bed.start_daemon(index).await.expect("a daemon starts");
+        until_served(bed, index, seed).await;
+        first.get_or_insert_with(|| started.elapsed());
+    }
+    [first.unwrap_or_default(), started.elapsed()]
+}
+
+/// Times until the first and until each daemon has answered a completion and is ready.
+async fn serving(bed: &Bed, seed: u64, started: Instant) -> [Duration; 2] {
+    let waits = (0..DAEMONS).map(|index| async move {
+        until_served(bed, index, seed).await;
+        started.elapsed()
+    });
+    let times = futures_util::future::join_all(waits).await;
+    let first = times.iter().min().copied().unwrap_or_default();
+    [first, times.into_iter().max().unwrap_or_default()]
+}
+
+async fn until_served(bed: &Bed, index: usize, seed: u64) {
+    let caller = bed.caller();
+    let text = prompt(seed, index, WORDS);
+    let served = async {
+        while !bed
+            .daemon(index)
+            .is_some_and(anvilgw_entry::Daemon::is_ready)
+            || caller.complete(index, 0, &text, TOKENS).await.is_err()
+        {
+            tokio::time::sleep(LOOK).await;
+        }
+    };
+    let served = tokio::time::timeout(LIMIT, served).await;
+    served.expect("a daemon serves within 30 s of its start");
+}
+
+/// Restarts everything during an outage of the log and tells what is served, and how soon after the
+/// outage all is served again.
+async fn without_log(bed: &mut Bed, seed: u64) -> Figures {
+    kill_all(bed).await;
+    bed.log.set_faults(LogFaults {
+        outage: true,
+        ..LogFaults::default()
+    });
+    start_all(bed).await;
+    tokio::time::sleep(OUTAGE).await;
+    let caller = bed.caller();
+    let (mut ready, mut completions, mut refusals) = (0, 0, indexmap::IndexMap::new());
+    let mut status = 0;
+    for index in 0..DAEMONS {
+        ready += u32::from(
+            bed.daemon(index)
+                .is_some_and(anvilgw_entry::Daemon::is_ready),
+        );
+        let text = prompt(seed, index, WORDS);
+        match caller.complete(index, 0, &text, TOKENS).await {
+            Ok(_) => completions += 1,
+            Err(error) => *refusals.entry(refusal(&error)).or_insert(0) += 1,
+        }
+        let call = caller.call_service(index, 0, Method::POST, "/on", None, "{}");
+        if let Err(error) = call.await {
+            let cause = format!("service call: {}", refusal(&error));
+            *refusals.entry(cause).or_insert(0) += 1;
+        }
+        let report = caller
+            .admin(index, Method::GET, "/admin/status", &Value::Null)
+            .await;
+        status += u32::from(report.is_ok());
+    }
+    bed.log.set_faults(LogFaults::default());
+    let returned = Instant::now();
+    let [_, all] = serving(bed, seed, returned).await;
+    Figures::from_iter([
+        ("log_down_daemons_ready".to_owned(), json!(ready)),
+        ("log_down_completions_served".to_owned(), json!(completions)),
+        ("log_down_refusals".to_owned(), json!(refusals)),
+        ("log_down_status_answered".to_owned(), json!(status)),
+        (
+            "all_serve_after_log_returns_s".to_owned(),
+            json!(all.as_secs_f64()),
+        ),
+    ])
+}
+
+fn refusal(error: &CallerError) -> String {
+    error.to_string()
+}
