Add the shutdown experiment

shutdown replaces six daemons one after another at 60% load. The balancer probes readiness every 0.5 s and a draining daemon takes work for another 1.2 s. Callers try once, so every cut request counts. The baseline kills the daemons without a drain.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -16,6 +16,7 @@
 mod overhead;
 mod recovery;
 mod reuse;
+mod shutdown;
 mod simulation;
 mod stale_hints;
 mod strategies;
@@ -85,4 +86,5 @@
     domain_out::EXPERIMENT,
     domain_loss::EXPERIMENT,
     recovery::EXPERIMENT,
+    shutdown::EXPERIMENT,
 ];
