Add a page with plots of experiment results

`anvilgw-bench report DIR` reads the last line of each DIR/*.json and writes DIR/report.html: a table of all figures per experiment, and a bar plot of baseline, product and target for each figure that has a target. The plots are SVG in the page, which loads nothing from elsewhere.

--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -1,7 +1,9 @@
 //! Command line of the tool.
 
 use crate::experiments::{ALL, Experiment, RunOptions};
+use crate::plots::write_page;
 use lexopt::{Arg, Parser, ValueExt};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 const HELP: &str = "\
@@ -10,6 +12,7 @@
 Usage:
   anvilgw-bench list
   anvilgw-bench run NAME [--seed N] [--long] [--json]
+  anvilgw-bench report DIR   write DIR/report.html from the results in DIR/*.json
 
 Options:
   --seed N   seed of every random choice (default 1)
@@ -24,6 +27,7 @@
 enum Command {
     Help,
     List,
+    Report(PathBuf),
     Run {
         name: String,
         options: RunOptions,
@@ -44,6 +48,16 @@
             }
             ExitCode::SUCCESS
         }
+        Ok(Command::Report(directory)) => match write_page(&directory) {
+            Ok(page) => {
+                println!("{}", page.display());
+                ExitCode::SUCCESS
+            }
+            Err(error) => {
+                eprintln!("anvilgw-bench: {error}");
+                ExitCode::FAILURE
+            }
+        },
         Ok(Command::Run {
             name,
             options,
@@ -77,12 +91,13 @@
     let words: Vec<_> = words.iter().map(String::as_str).collect();
     match words.as_slice() {
         ["list"] => Ok(Command::List),
+        ["report", directory] => Ok(Command::Report(directory.into())),
         ["run", name] => Ok(Command::Run {
             name: (*name).to_owned(),
             options,
             json,
         }),
-        _ => Err("expected `list` or `run NAME`".into()),
+        _ => Err("expected `list`, `run NAME` or `report DIR`".into()),
     }
 }
 
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,6 +5,7 @@
 
 mod cli;
 mod experiments;
+mod plots;
 mod report;
 
 use std::process::ExitCode;
