--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -3,8 +3,10 @@
 mod budgets;
 mod capacity;
 mod cold_start;
+mod config;
 mod decide_cost;
 mod domain;
+mod domain_loss;
 mod domain_out;
 mod drive;
 mod first_token;
@@ -17,7 +19,10 @@
 mod model_check;
 mod noisy_neighbour;
 mod once;
+mod overhead;
+mod recovery;
 mod reuse;
+mod shutdown;
 mod simulation;
 mod stale_hints;
 mod strategies;
@@ -94,5 +99,10 @@
         run: budgets::run,
     },
     once::EXPERIMENT,
+    overhead::EXPERIMENT,
+    config::EXPERIMENT,
     domain_out::EXPERIMENT,
+    domain_loss::EXPERIMENT,
+    recovery::EXPERIMENT,
+    shutdown::EXPERIMENT,
 ];
