Let a partition append claims at once after a quiet time

Cause: two appends of a claim partition were always at least the minimum interval (80 ms) apart. The outcome of a call is appended soon after its claim, so the next claim of the partition waited for the outcome's interval.

Change: the interval holds on average. A partition may append a few times more at once: as many as keep all partitions within the claims' appends per second in any second, which is 2 with the default settings. Without that allowance (append_burst 0, as in the model checker) nothing changes.

Test: burst_is_bounded.

--- a/crates/claims/src/owner.rs
+++ b/crates/claims/src/owner.rs
@@ -47,6 +47,8 @@
     reading: Option<bool>,
     last_read: Option<Duration>,
     append_not_before: Duration,
+    /// Time until which the appends made so far use up the rate of one per `min_interval`.
+    paced_until: Duration,
     read_not_before: Duration,
 }
 
@@ -67,6 +69,7 @@
             reading: None,
             last_read: None,
             append_not_before: Duration::ZERO,
+            paced_until: Duration::ZERO,
             read_not_before: Duration::ZERO,
             config,
         }
--- a/crates/claims/src/owner/flight.rs
+++ b/crates/claims/src/owner/flight.rs
@@ -75,7 +75,7 @@
                 None => return,
             },
         };
-        self.append_not_before = now.uptime + self.config.min_interval;
+        self.pace(now);
         let payload = batch
             .encode()
             .expect("a batch is kept within the limits while it is filled");
@@ -85,6 +85,19 @@
         });
     }
 
+    /// Decides when the next append may follow one that is made now. Calls come in pairs of a claim
+    /// and its outcome, and strict spacing would make the next claim wait for the outcome's interval.
+    fn pace(&mut self, now: Now) {
+        let interval = self.config.min_interval;
+        if self.config.append_burst == 0 {
+            self.append_not_before = now.uptime + interval;
+            return;
+        }
+        self.paced_until = self.paced_until.max(now.uptime) + interval;
+        let credit = interval * self.config.append_burst;
+        self.append_not_before = self.paced_until.saturating_sub(credit);
+    }
+
     fn next_batch(&mut self, now: Now) -> Option<Batch> {
         if !self.caught_up {
             return None;
--- a/crates/claims/src/owner/messages.rs
+++ b/crates/claims/src/owner/messages.rs
@@ -15,8 +15,11 @@
     /// Sequence of the first batch. An owner that is created again within one incarnation continues
     /// at the previous owner's [`ClaimOwner::next_sequence`](crate::ClaimOwner::next_sequence).
     pub first_sequence: u64,
-    /// Least time between two appends of the partition.
+    /// Mean time between two appends of the partition under load.
     pub min_interval: Duration,
+    /// Appends that a partition may make at once beyond `min_interval` after a quiet time. In any
+    /// time `t` it makes at most `1 + append_burst + t / min_interval`.
+    pub append_burst: u32,
     /// Time after a failed call to the log service before the next one.
     pub retry_interval: Duration,
     /// Longest time without a read. Reads tell what was trimmed.
@@ -48,6 +51,7 @@
             daemon,
             first_sequence: 0,
             min_interval: Duration::from_millis(10),
+            append_burst: 0,
             retry_interval: Duration::from_millis(200),
             read_interval: Duration::from_secs(10),
             max_wait: Duration::from_secs(2),
--- a/crates/claims/tests/owner.rs
+++ b/crates/claims/tests/owner.rs
@@ -333,3 +333,51 @@
             .is_none_or(|at| at <= Duration::from_millis(10))
     );
 }
+
+/// Appends that follow each other at once in an owner with this burst, and the most in any second.
+fn appends(append_burst: u32) -> (u64, u64) {
+    let config = OwnerConfig {
+        min_interval: Duration::from_millis(80),
+        append_burst,
+        ..OwnerConfig::new(daemon(0))
+    };
+    let mut harness = Harness::new(1);
+    harness.owners[0] = ClaimOwner::new(config);
+    harness.tell(0, OwnerEvent::Tick);
+    let empty = LogSlice {
+        first_offset: Offset(0),
+        next_offset: Offset(0),
+        records: Vec::new(),
+    };
+    harness.tell(0, OwnerEvent::Read(empty));
+    let (mut offset, mut at_once) = (0, 0);
+    for step in 0..1_000 {
+        let request = Submission::Claim(claim(step, 7, step));
+        let actions = harness.owners[0].submit(request, now(10_000 + step));
+        let appended = actions
+            .unwrap()
+            .into_iter()
+            .find_map(|action| match action {
+                OwnerAction::Append { batch, .. } => Some(batch),
+                _ => None,
+            });
+        if let Some(batch) = appended {
+            at_once += u64::from(offset == step);
+            let appended = OwnerEvent::Appended {
+                batch,
+                offset: Offset(offset),
+            };
+            offset += 1;
+            harness.owners[0].handle(appended, now(10_000 + step));
+        }
+    }
+    (at_once, offset)
+}
+
+/// Guards against a claim that waits for the interval of the outcome before it, and against bursts
+/// beyond the partition's part of the log service's rate.
+#[test]
+fn burst_is_bounded() {
+    assert_eq!(appends(0), (1, 13));
+    assert_eq!(appends(2), (3, 15));
+}
--- a/crates/config/src/settings/model.rs
+++ b/crates/config/src/settings/model.rs
@@ -258,7 +258,7 @@
 pub struct ClaimSettings {
     /// Number of claim streams.
     pub partitions: u16,
-    /// Shortest time between two appends to one partition.
+    /// Mean time between two appends to one partition under load.
     pub min_interval_ms: u64,
     /// Age up to which an idempotency key is accepted.
     pub lifetime_s: u64,
--- a/crates/config/src/spec/settings.rs
+++ b/crates/config/src/spec/settings.rs
@@ -197,7 +197,7 @@
 
 keys! { CLAIMS =>
     default "partitions", Integer(1, 100), "16", "Number of claim streams. Must not change while claims are retained.";
-    default "min_interval_ms", Integer(1, MINUTE_MS), "80", "Shortest time between two appends to one partition.";
+    default "min_interval_ms", Integer(1, MINUTE_MS), "80", "Mean time between two appends to one partition under load.";
     default "lifetime_s", Integer(1, 3_650 * DAY_S), "86400", "Age up to which an idempotency key is accepted.";
     default "margin_s", Integer(1, DAY_S), "120", "Allowed difference between the clocks of callers and daemons.";
     default "undated_keys", OneOf(&["refuse", "accept"]), "refuse", "What happens to an idempotency key that carries no time.";
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -4,7 +4,7 @@
 use crate::backends::{self, Backends};
 use crate::context::{Context, retry_budget};
 use crate::duties::admission::AdmissionService;
-use crate::duties::claims::{ClaimsService, ClaimsSetup};
+use crate::duties::claims::{ClaimsService, ClaimsSetup, append_burst};
 use crate::duties::control::{ControlParts, ControlService, ControlSetup, SharedBudgets, Streams};
 use crate::duties::routing::{RoutingService, RoutingSetup};
 use crate::duties::{apply, polls};
@@ -399,6 +399,7 @@
         partitions: claims.partitions.max(1),
         stream_prefix: base.settings.log.stream("claims"),
         min_interval: Duration::from_millis(claims.min_interval_ms),
+        append_burst: append_burst(claims),
         grace_ms: claims.grace_ms,
         age: AgeRule {
             margin_ms,
--- a/crates/entry/src/duties/claims.rs
+++ b/crates/entry/src/duties/claims.rs
@@ -8,7 +8,7 @@
     AgeRule, AppendFailure, Attempt, ClaimOwner, ClaimRequest, Now, OwnerAction, OwnerConfig,
     OwnerEvent, Submission, SubmitError, Unavailable, Verdict,
 };
-use anvilgw_config::PartitionStatus;
+use anvilgw_config::{ClaimSettings, PartitionStatus};
 use anvilgw_core::{Clock, DaemonId, LogError, LogService, Offset};
 use anvilgw_kernel::{
     Duty, EventKind, Journal, Receiver, RecvTimeoutError, RingFull, Sender, Stop, ring,
@@ -58,6 +58,8 @@
     pub(crate) stream_prefix: String,
     /// Template of the owners' settings.
     pub(crate) min_interval: Duration,
+    /// Appends of a partition that may exceed the interval after a quiet time.
+    pub(crate) append_burst: u32,
     /// Time after a claim's deadline before it ends as unknown.
     pub(crate) grace_ms: u64,
     /// How old keys may be.
@@ -74,6 +76,7 @@
     fn owner_config(&self) -> OwnerConfig {
         OwnerConfig {
             min_interval: self.min_interval,
+            append_burst: self.append_burst,
             grace_ms: self.grace_ms,
             age: self.age,
             heartbeat_ms: (self.retention / 4).as_millis() as u64,
@@ -82,6 +85,14 @@
     }
 }
 
+/// Appends per partition beyond the interval, so that all partitions together stay within the claims'
+/// appends in any second.
+pub(crate) fn append_burst(claims: &ClaimSettings) -> u32 {
+    let most = u64::from(claims.appends_per_s) / u64::from(claims.partitions.max(1));
+    let spaced = 1_000_u64.div_ceil(claims.min_interval_ms.max(1));
+    u32::try_from(most.saturating_sub(spaced)).unwrap_or(0)
+}
+
 /// Handle of the claims duty.
 pub(crate) struct ClaimsService {
     messages: Sender<Message>,
