Choose the test bed's ports outside the range of outgoing connections

Cause: daemons bind their ports after the bed has chosen and released them. Ports chosen by the operating system come from the range of outgoing connections, so one of those could take the port in between: a run of whole-answer ended with "address already in use".

Change: ports are drawn at random from 10,000 to 31,999 and tried. No test: the fault depends on what else runs on the machine.

--- a/crates/testbed/src/bed.rs
+++ b/crates/testbed/src/bed.rs
@@ -12,8 +12,10 @@
     Running, ServiceConfig, ServiceStandin, StoreStandin,
 };
 use quick_error::quick_error;
+use rand::RngExt;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::Handle;
@@ -27,6 +29,7 @@
 const READY_TICK: Duration = Duration::from_millis(20);
 /// Attempts to find a port that is free for both TCP and UDP.
 const PORT_ATTEMPTS: usize = 100;
+const PORTS: Range<u16> = 10_000..32_000;
 
 quick_error! {
     /// Why a bed does not run.
@@ -361,11 +364,13 @@
 }
 
 /// An address that is free for TCP and UDP. Daemons have to know their peers' addresses before they
-/// start, so the ports cannot be chosen when they bind.
+/// start, so the ports cannot be chosen when they bind. They lie below the range from which the
+/// operating system takes ports of outgoing connections, which could be in use by then.
 fn free_address() -> io::Result<SocketAddr> {
     for _ in 0..PORT_ATTEMPTS {
-        let address = TcpListener::bind(ANY)?.local_addr()?;
-        if UdpSocket::bind(address).is_ok() {
+        let port = rand::rng().random_range(PORTS);
+        let address = SocketAddr::new(ANY.ip(), port);
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return Ok(address);
         }
     }
