Add the experiment once-cost

Open loop, Poisson arrivals of 2 non-idempotent and 2 idempotent calls/s for each daemon, beside 20 direct appends/s; the log stand-in answers after 10 ms. The latency of the claim is that of non-idempotent calls less that of idempotent ones.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -6,6 +6,7 @@
 mod model;
 mod model_check;
 mod once;
+mod once_cost;
 mod reuse;
 mod simulation;
 mod strategies;
@@ -51,4 +52,5 @@
     },
     model_check::EXPERIMENT,
     once::EXPERIMENT,
+    once_cost::EXPERIMENT,
 ];
