Add the experiment whole-answer

Open loop, Poisson arrivals of 250 streamed completions/s over three daemons and six engines. Of the attempts, 4% are cut, 15% get an event of another request, 15% repeat a token, 4% leave one out, 4% lack the end marker and 0.3% go silent, each after five tokens. The baseline calls the engines directly and shows every answer whose body ends regularly.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -10,6 +10,7 @@
 mod reuse;
 mod simulation;
 mod strategies;
+mod whole_answer;
 mod workload;
 
 use crate::report::Report;
@@ -53,4 +54,5 @@
     model_check::EXPERIMENT,
     once::EXPERIMENT,
     once_cost::EXPERIMENT,
+    whole_answer::EXPERIMENT,
 ];
