Add the experiment silent-connection

Open loop, Poisson arrivals of 200 calls/s, 30% streamed completions and 70% status reads, over three daemons. Every 3 s all open connections to the six engines and three service servers go silent. The baseline reads the status over kept connections without detection of silence and with a limit of 10 s.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -8,6 +8,7 @@
 mod once;
 mod once_cost;
 mod reuse;
+mod silent_connection;
 mod simulation;
 mod strategies;
 mod whole_answer;
@@ -55,4 +56,5 @@
     once::EXPERIMENT,
     once_cost::EXPERIMENT,
     whole_answer::EXPERIMENT,
+    silent_connection::EXPERIMENT,
 ];
