--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -13,19 +13,23 @@
 mod health_checks;
 mod link;
 mod load;
+mod log_outage;
 mod member_net;
 mod membership;
 mod model;
 mod model_check;
 mod noisy_neighbour;
 mod once;
+mod once_cost;
 mod overhead;
 mod recovery;
 mod reuse;
 mod shutdown;
+mod silent_connection;
 mod simulation;
 mod stale_hints;
 mod strategies;
+mod whole_answer;
 mod workload;
 
 use crate::report::Report;
@@ -105,4 +109,8 @@
     domain_loss::EXPERIMENT,
     recovery::EXPERIMENT,
     shutdown::EXPERIMENT,
+    once_cost::EXPERIMENT,
+    whole_answer::EXPERIMENT,
+    silent_connection::EXPERIMENT,
+    log_outage::EXPERIMENT,
 ];
