Model configuration, freshness, leases and budgets in the explorer

The explorer covered claims and orders only. Four further models drive ConfigFold, Bootstrap, peer updates, Freshness, LeaseHolder, EpochFold and Budgets through races, lost and repeated appends, trimming, outages, stopped clocks and late answers. State parts are compared by a digest of their Debug output; Budgets therefore keeps the seen transfers in an ordered set.

Ten mutants are options of the models or hidden hooks of the decision code.

--- a/crates/bench/src/experiments/model_check.rs
+++ b/crates/bench/src/experiments/model_check.rs
@@ -2,7 +2,11 @@
 
 use super::{Experiment, RunOptions};
 use crate::report::{Figures, Report};
-use anvilgw_explorer::{ClaimBounds, Mutant, OrderBounds, Outcome, claims_model, orders_model};
+use anvilgw_explorer::{
+    BudgetBounds, ClaimBounds, ConfigBounds, FreshnessBounds, LeaseBounds, Mutant, OrderBounds,
+    Outcome, budgets_model, claims_model, config_model, freshness_model, leases_model,
+    orders_model,
+};
 use serde_json::json;
 use std::thread;
 use std::time::Instant;
@@ -25,24 +29,27 @@
 }
 
 impl Run {
-    fn claims(name: &str, bounds: ClaimBounds, mutant: Option<Mutant>) -> Self {
+    fn holds(name: &str, search: impl FnOnce(Option<Mutant>) -> Outcome + Send + 'static) -> Self {
         Self {
             name: name.to_owned(),
-            mutant,
-            search: Box::new(move || claims_model(bounds, mutant)),
+            mutant: None,
+            search: Box::new(move || search(None)),
         }
     }
 
-    fn orders(name: &str, bounds: OrderBounds, mutant: Option<Mutant>) -> Self {
-        Self {
-            name: name.to_owned(),
-            mutant,
-            search: Box::new(move || orders_model(bounds, mutant)),
-        }
+    fn mutants(
+        mutants: &'static [Mutant],
+        search: fn(Option<Mutant>) -> Outcome,
+    ) -> impl Iterator<Item = Self> {
+        mutants.iter().map(move |&mutant| Self {
+            name: format!("{mutant:?}"),
+            mutant: Some(mutant),
+            search: Box::new(move || search(Some(mutant))),
+        })
     }
 }
 
-fn models(long: bool) -> Vec<Run> {
+fn claim_models(long: bool) -> Vec<Vec<Run>> {
     let (claims, orders) = if long {
         (ClaimBounds::long(), OrderBounds::long())
     } else {
@@ -53,29 +60,66 @@
         ..orders
     };
     vec![
-        Run::claims("claims", claims, None),
-        Run::orders("orders", orders, None),
-        Run::orders("orders_tokens_obeyed", obeying, None),
+        vec![Run::holds("claims", move |m| claims_model(claims, m))],
+        vec![Run::holds("orders", move |m| orders_model(orders, m))],
+        vec![Run::holds("orders_tokens_obeyed", move |m| {
+            orders_model(obeying, m)
+        })],
     ]
 }
 
+/// The searches within the short bounds share a thread, and so do the deeper ones of a long run.
+fn fleet_models(long: bool) -> Vec<Vec<Run>> {
+    let config = |name, bounds| Run::holds(name, move |m| config_model(bounds, m));
+    let freshness = |name, bounds| Run::holds(name, move |m| freshness_model(bounds, m));
+    let leases = |name, bounds| Run::holds(name, move |m| leases_model(bounds, m));
+    let budgets = |name, bounds| Run::holds(name, move |m| budgets_model(bounds, m));
+    let mut groups = vec![vec![
+        config("config", ConfigBounds::short()),
+        config("config_peers", ConfigBounds::short_peers()),
+        freshness("freshness", FreshnessBounds::short()),
+        freshness("freshness_outage", FreshnessBounds::short_outage()),
+        freshness("freshness_clock", FreshnessBounds::short_clock()),
+        freshness("freshness_late", FreshnessBounds::short_late()),
+        leases("leases", LeaseBounds::short()),
+        budgets("budgets", BudgetBounds::short()),
+        budgets("budgets_transfers", BudgetBounds::short_transfers()),
+    ]];
+    if long {
+        groups.push(vec![
+            config("config_long", ConfigBounds::long()),
+            freshness("freshness_long", FreshnessBounds::long()),
+            leases("leases_long", LeaseBounds::long()),
+            budgets("budgets_long", BudgetBounds::long()),
+        ]);
+    }
+    groups
+}
+
 fn mutants() -> Vec<Run> {
-    let claims = Mutant::CLAIMS
-        .iter()
-        .map(|&mutant| Run::claims(&format!("{mutant:?}"), ClaimBounds::short(), Some(mutant)));
-    let orders = Mutant::ORDERS
-        .iter()
-        .map(|&mutant| Run::orders(&format!("{mutant:?}"), OrderBounds::short(), Some(mutant)));
-    claims.chain(orders).collect()
+    let claims = Run::mutants(Mutant::CLAIMS, |m| claims_model(ClaimBounds::short(), m));
+    let orders = Run::mutants(Mutant::ORDERS, |m| orders_model(OrderBounds::short(), m));
+    let config = Run::mutants(Mutant::CONFIG, |m| {
+        let bounds = match m {
+            Some(Mutant::OlderUpdateApplied) => ConfigBounds::short_peers(),
+            _ => ConfigBounds::short(),
+        };
+        config_model(bounds, m)
+    });
+    let freshness = Run::mutants(Mutant::FRESHNESS, |m| {
+        freshness_model(FreshnessBounds::short(), m)
+    });
+    let leases = Run::mutants(Mutant::LEASES, |m| leases_model(LeaseBounds::short(), m));
+    let budgets = Run::mutants(Mutant::BUDGETS, |m| budgets_model(BudgetBounds::short(), m));
+    let fleet = config.chain(freshness).chain(leases).chain(budgets);
+    claims.chain(orders).chain(fleet).collect()
 }
 
 fn run(options: RunOptions) -> Report {
     let begin = Instant::now();
     // The mutants share a thread, since most of them are caught within a few seconds together.
-    let mut groups: Vec<_> = models(options.long)
-        .into_iter()
-        .map(|run| vec![run])
-        .collect();
+    let mut groups = claim_models(options.long);
+    groups.extend(fleet_models(options.long));
     groups.push(mutants());
     let searched = thread::scope(|scope| {
         let threads: Vec<_> = groups
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -26,6 +26,8 @@
     StoreSettings, TraceSettings, UndatedKeys, WeightSettings,
 };
 pub use spec::reference_markdown;
+#[doc(hidden)]
+pub use stream::Flaw;
 pub use stream::{
     AcceptedChange, Bootstrap, BootstrapError, ConfigChange, ConfigDigest, ConfigFold,
     ConfigRecord, ConfigState, FoldError, Folded, Outcome, PeerError, PeerUpdate, RecordError,
--- a/crates/config/src/stream.rs
+++ b/crates/config/src/stream.rs
@@ -3,6 +3,7 @@
 mod bootstrap;
 mod change;
 mod fold;
+mod mutation;
 mod peer;
 mod snapshot;
 mod state;
@@ -10,6 +11,8 @@
 pub use bootstrap::{Bootstrap, BootstrapError};
 pub use change::{ConfigChange, ConfigRecord, RecordError, RecordId};
 pub use fold::{ConfigFold, FoldError, Folded};
+#[doc(hidden)]
+pub use mutation::Flaw;
 pub use peer::{AcceptedChange, PeerError, PeerUpdate};
 pub use snapshot::{Snapshot, SnapshotError};
 pub use state::{ConfigDigest, ConfigState, Outcome, RecordOutcome, Rejection};
--- a/crates/config/src/stream/bootstrap.rs
+++ b/crates/config/src/stream/bootstrap.rs
@@ -1,6 +1,7 @@
 //! Start of a daemon from the newest good snapshot and the records after it.
 
 use super::fold::{ConfigFold, LogPosition};
+use super::mutation::Flaw;
 use super::snapshot::{Snapshot, SnapshotError};
 use anvilgw_core::{LogRecord, Offset};
 use quick_error::quick_error;
@@ -30,6 +31,7 @@
 pub struct Bootstrap {
     newest: Option<Snapshot>,
     bad_snapshots: usize,
+    flaw: Option<Flaw>,
 }
 
 impl Bootstrap {
@@ -39,6 +41,14 @@
         Self::default()
     }
 
+    /// Plants a fault for the model checker.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn with_flaw(mut self, flaw: Option<Flaw>) -> Self {
+        self.flaw = flaw;
+        self
+    }
+
     /// Looks at a record of the `config-snapshot` stream. A damaged one is counted and otherwise
     /// ignored, since an older good one serves as well.
     ///
@@ -46,8 +56,11 @@
     ///
     /// [`SnapshotError`] for the log; the bootstrap can go on.
     pub fn add(&mut self, record: &LogRecord) -> Result<(), SnapshotError> {
-        let snapshot =
-            Snapshot::decode(&record.payload).inspect_err(|_| self.bad_snapshots += 1)?;
+        let decoded = match self.flaw {
+            Some(Flaw::SnapshotUnchecked) => Snapshot::parse(&record.payload).map(|(any, _)| any),
+            _ => Snapshot::decode(&record.payload),
+        };
+        let snapshot = decoded.inspect_err(|_| self.bad_snapshots += 1)?;
         let newest = self.newest.as_ref().map(|newest| newest.through_offset);
         if newest.is_none_or(|newest| newest < snapshot.through_offset) {
             self.newest = Some(snapshot);
@@ -69,7 +82,9 @@
     ///
     /// [`BootstrapError`] if records between the snapshot and that offset are gone.
     pub fn start(self, first_offset: Offset) -> Result<ConfigFold, BootstrapError> {
-        self.position(first_offset).map(ConfigFold::at)
+        let flaw = self.flaw;
+        self.position(first_offset)
+            .map(|position| ConfigFold::at(position).with_flaw(flaw))
     }
 
     fn position(self, first_offset: Offset) -> Result<LogPosition, BootstrapError> {
--- a/crates/config/src/stream/fold.rs
+++ b/crates/config/src/stream/fold.rs
@@ -6,6 +6,7 @@
 //! fold compares their digests when its own reads reach the version of the peer.
 
 use super::change::{ConfigRecord, RecordError, RecordId};
+use super::mutation::Flaw;
 use super::peer::AcceptedChange;
 use super::snapshot::Snapshot;
 use super::state::{ConfigState, Outcome, RecordOutcome};
@@ -71,6 +72,7 @@
     pub(super) ahead: Option<Arc<ConfigState>>,
     /// Changes that lead to the current version, oldest first, without gaps.
     pub(super) changes: VecDeque<AcceptedChange>,
+    pub(super) flaw: Option<Flaw>,
 }
 
 impl ConfigFold {
@@ -89,6 +91,7 @@
             log: Some(position),
             ahead: None,
             changes: VecDeque::new(),
+            flaw: None,
         }
     }
 
@@ -100,9 +103,18 @@
             log: None,
             ahead: Some(Arc::new(state)),
             changes: VecDeque::new(),
+            flaw: None,
         }
     }
 
+    /// Plants a fault for the model checker.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn with_flaw(mut self, flaw: Option<Flaw>) -> Self {
+        self.flaw = flaw;
+        self
+    }
+
     /// The newest known configuration.
     #[must_use]
     pub fn current(&self) -> Arc<ConfigState> {
@@ -155,7 +167,8 @@
         slice: &LogSlice,
         mut each: impl FnMut(Folded),
     ) -> Result<(), FoldError> {
-        if let Some(expected) = self.next_offset().filter(|next| slice.first_offset > *next) {
+        let missing = self.next_offset().filter(|next| slice.first_offset > *next);
+        if let Some(expected) = missing.filter(|_| self.flaw != Some(Flaw::GapSkipped)) {
             return Err(FoldError::Gap(expected, slice.first_offset));
         }
         slice
@@ -176,7 +189,7 @@
         if record.offset < log.next_offset {
             return Ok(Folded::AlreadyFolded);
         }
-        if record.offset > log.next_offset {
+        if record.offset > log.next_offset && self.flaw != Some(Flaw::GapSkipped) {
             return Err(FoldError::Gap(log.next_offset, record.offset));
         }
         let decoded = match ConfigRecord::decode(&record.payload) {
@@ -198,9 +211,16 @@
         Ok(folded)
     }
 
-    fn decide(&mut self, offset: Offset, record: ConfigRecord) -> Result<RecordOutcome, FoldError> {
+    fn decide(
+        &mut self,
+        offset: Offset,
+        mut record: ConfigRecord,
+    ) -> Result<RecordOutcome, FoldError> {
         let log = self.log.as_mut().expect("checked by the caller");
         let record_id = record.record_id;
+        if let Some(flaw) = self.flaw {
+            flaw.plant(Arc::make_mut(&mut log.state), &mut record);
+        }
         let outcome = match log.state.after(&record) {
             Err(rejection) => Outcome::Rejected(rejection),
             Ok(next) => {
--- a/crates/config/src/stream/peer.rs
+++ b/crates/config/src/stream/peer.rs
@@ -2,6 +2,7 @@
 
 use super::change::ConfigRecord;
 use super::fold::ConfigFold;
+use super::mutation::Flaw;
 use super::state::{ConfigDigest, ConfigState};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
@@ -96,7 +97,8 @@
                 if state.digest() != digest {
                     return Err(PeerError::WrongDigest(state.version));
                 }
-                let newer = state.version > self.current().version;
+                let newer = state.version > self.current().version
+                    || self.flaw == Some(Flaw::OlderUpdateApplied);
                 if newer {
                     self.ahead = Some(Arc::new(state));
                     self.changes.clear();
--- a/crates/config/src/stream/snapshot.rs
+++ b/crates/config/src/stream/snapshot.rs
@@ -63,6 +63,16 @@
     ///
     /// [`SnapshotError`] if the payload is damaged or of another format.
     pub fn decode(payload: &[u8]) -> Result<Self, SnapshotError> {
+        let (snapshot, is_good) = Self::parse(payload)?;
+        if is_good {
+            Ok(snapshot)
+        } else {
+            Err(SnapshotError::WrongDigest)
+        }
+    }
+
+    /// Decodes a snapshot. The second value tells whether it matches its digest.
+    pub(super) fn parse(payload: &[u8]) -> Result<(Self, bool), SnapshotError> {
         let envelope: Envelope<Self> = serde_json::from_slice(payload)
             .map_err(|error| SnapshotError::Malformed(error.to_string()))?;
         if envelope.format != FORMAT {
@@ -71,10 +81,8 @@
                 envelope.format
             )));
         }
-        if envelope.digest != envelope.snapshot.digest() {
-            return Err(SnapshotError::WrongDigest);
-        }
-        Ok(envelope.snapshot)
+        let is_good = envelope.digest == envelope.snapshot.digest();
+        Ok((envelope.snapshot, is_good))
     }
 
     fn digest(&self) -> ConfigDigest {
--- a/crates/explorer/src/mutant.rs
+++ b/crates/explorer/src/mutant.rs
@@ -1,6 +1,8 @@
 //! Planted faults.
 
 use anvilgw_claims::Flaw;
+use anvilgw_config::Flaw as ConfigFlaw;
+use anvilgw_fleet::Flaw as FleetFlaw;
 
 /// A fault that a model plants in itself or in the decision code.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -27,6 +29,26 @@
     LeaseNotRechecked,
     /// A new lease holder does not wait for the previous holder's orders.
     NoWaitOut,
+    /// Of the configuration changes that expect one version the last wins.
+    LastChangeWins,
+    /// A configuration change is accepted whatever version it expects.
+    VersionUnchecked,
+    /// Missing records of the configuration are skipped.
+    GapSkipped,
+    /// A snapshot is used without a check of its digest.
+    SnapshotUnchecked,
+    /// An update from a peer is applied although it is older.
+    OlderUpdateApplied,
+    /// The freshness of the view is not checked again before work is sent.
+    FreshnessNotRechecked,
+    /// The majority without the log is counted among the peers heard recently.
+    MajorityOfHeard,
+    /// The lease is not checked again before an action of the duty.
+    DutyLeaseNotRechecked,
+    /// Holder and challenger keep no margin.
+    LeaseMarginZero,
+    /// A share that grew with an epoch is used at once.
+    GrowthAtOnce,
 }
 
 impl Mutant {
@@ -46,7 +68,25 @@
     /// Mutants of the order protocol.
     pub const ORDERS: &'static [Self] = &[Self::LeaseNotRechecked, Self::NoWaitOut];
 
-    /// The fault in the decision code, if the mutant is one.
+    /// Mutants of the configuration.
+    pub const CONFIG: &'static [Self] = &[
+        Self::LastChangeWins,
+        Self::VersionUnchecked,
+        Self::GapSkipped,
+        Self::SnapshotUnchecked,
+        Self::OlderUpdateApplied,
+    ];
+
+    /// Mutants of the view's freshness.
+    pub const FRESHNESS: &'static [Self] = &[Self::FreshnessNotRechecked, Self::MajorityOfHeard];
+
+    /// Mutants of the leases.
+    pub const LEASES: &'static [Self] = &[Self::DutyLeaseNotRechecked, Self::LeaseMarginZero];
+
+    /// Mutants of epochs and budgets.
+    pub const BUDGETS: &'static [Self] = &[Self::GrowthAtOnce];
+
+    /// The fault in the claim or order code, if the mutant is one.
     pub(crate) fn flaw(self) -> Option<Flaw> {
         match self {
             Self::LastClaimWins => Some(Flaw::LastClaimWins),
@@ -54,12 +94,28 @@
             Self::GrantBeforeFold => Some(Flaw::GrantBeforeFold),
             Self::LeaseNotRechecked => Some(Flaw::LeaseNotRechecked),
             Self::NoWaitOut => Some(Flaw::NoWaitOut),
-            Self::ClaimSkipped
-            | Self::ClaimAfterSend
-            | Self::AbandonAfterSend
-            | Self::StageSetLate
-            | Self::WrongAnswerRecorded
-            | Self::NoExpiry => None,
+            _ => None,
+        }
+    }
+
+    /// The fault in the configuration code, if the mutant is one.
+    pub(crate) fn config_flaw(self) -> Option<ConfigFlaw> {
+        match self {
+            Self::LastChangeWins => Some(ConfigFlaw::LastChangeWins),
+            Self::VersionUnchecked => Some(ConfigFlaw::VersionUnchecked),
+            Self::GapSkipped => Some(ConfigFlaw::GapSkipped),
+            Self::SnapshotUnchecked => Some(ConfigFlaw::SnapshotUnchecked),
+            Self::OlderUpdateApplied => Some(ConfigFlaw::OlderUpdateApplied),
+            _ => None,
+        }
+    }
+
+    /// The fault in the fleet code, if the mutant is one.
+    pub(crate) fn fleet_flaw(self) -> Option<FleetFlaw> {
+        match self {
+            Self::MajorityOfHeard => Some(FleetFlaw::MajorityOfHeard),
+            Self::GrowthAtOnce => Some(FleetFlaw::GrowthAtOnce),
+            _ => None,
         }
     }
 }
--- a/crates/fleet/src/budgets.rs
+++ b/crates/fleet/src/budgets.rs
@@ -4,13 +4,14 @@
 
 use crate::GROWTH_WAIT;
 use crate::epoch::Epoch;
+use crate::mutation::Flaw;
 use crate::rendezvous::{Ownership, owner_of};
 use anvilgw_core::DaemonId;
 use indexmap::IndexMap;
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 use share::{Budget, base_share};
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Time between two requests for the same budget.
@@ -117,9 +118,10 @@
     own: DaemonId,
     epoch: Epoch,
     budgets: IndexMap<BudgetId, Budget>,
-    seen: HashSet<(DaemonId, u64)>,
+    seen: BTreeSet<(DaemonId, u64)>,
     last_id: u64,
     refused: u64,
+    flaw: Option<Flaw>,
 }
 
 impl Budgets {
@@ -130,12 +132,21 @@
             own,
             epoch: Epoch::default(),
             budgets: IndexMap::new(),
-            seen: HashSet::new(),
+            seen: BTreeSet::new(),
             last_id: 0,
             refused: 0,
+            flaw: None,
         }
     }
 
+    /// Plants a fault for the model checker.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn with_flaw(mut self, flaw: Option<Flaw>) -> Self {
+        self.flaw = flaw;
+        self
+    }
+
     /// Adds a budget or changes its capacity, from the configuration or, for a budget whose owner
     /// decides, from the owner. A decrease counts at once, an increase after [`GROWTH_WAIT`].
     pub fn set_capacity(&mut self, id: BudgetId, split: Split, capacity: u64, now: Duration) {
@@ -165,7 +176,8 @@
             let old = budget.share(old, now);
             let base = base_share(self.own, epoch, id, budget.split, capacity);
             let limit = if follows { old.min(base) } else { 0 };
-            budget.wait = Some((limit, now + GROWTH_WAIT));
+            let waits = self.flaw != Some(Flaw::GrowthAtOnce);
+            budget.wait = waits.then_some((limit, now + GROWTH_WAIT));
             budget.received = 0;
             budget.received_transfers = 0;
             budget.given = 0;
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -4,6 +4,7 @@
 use crate::epoch::Epoch;
 use crate::majority::Majority;
 use crate::membership::PeerReport;
+use crate::mutation::Flaw;
 use crate::wire::Vitals;
 use anvilgw_core::DaemonId;
 use std::collections::BTreeMap;
@@ -128,6 +129,7 @@
     discarded_at: Option<Duration>,
     peers: BTreeMap<DaemonId, PeerClock>,
     majority: Majority,
+    flaw: Option<Flaw>,
 }
 
 fn millis(time: Duration) -> i64 {
@@ -153,9 +155,18 @@
             discarded_at: None,
             peers: BTreeMap::new(),
             majority: Majority::default(),
+            flaw: None,
         }
     }
 
+    /// Plants a fault for the model checker.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn with_flaw(mut self, flaw: Option<Flaw>) -> Self {
+        self.flaw = flaw;
+        self
+    }
+
     /// Notes the configuration version that the daemon has applied.
     pub fn set_config_version(&mut self, version: u64) {
         self.config_version = self.config_version.max(version);
@@ -321,10 +332,18 @@
     }
 
     fn has_majority(&self, now: Duration) -> bool {
-        let (without_log, members) = self.without_log(now);
+        let (without_log, mut members) = self.without_log(now);
+        if self.flaw == Some(Flaw::MajorityOfHeard) {
+            members = 1 + self.heard_recently(now).count();
+        }
         members > 0 && without_log * 2 > members
     }
 
+    fn heard_recently(&self, now: Duration) -> impl Iterator<Item = &PeerClock> {
+        let peers = self.peers.values();
+        peers.filter(move |clock| now.saturating_sub(clock.heard) <= RECENT)
+    }
+
     fn confirm(&mut self, as_of: Duration) {
         self.fresh_as_of = self.fresh_as_of.max(Some(as_of));
         self.clock_stopped = false;
@@ -402,13 +421,8 @@
                 clock.answered = Some((sent, millis(sent).saturating_sub(uptime_ms)));
             }
         }
-        let recent = || {
-            self.peers
-                .values()
-                .filter(|clock| now.saturating_sub(clock.heard) <= RECENT)
-        };
-        let heard = recent().count();
-        let lagging = recent().filter(|clock| clock.lags).count();
+        let heard = self.heard_recently(now).count();
+        let lagging = self.heard_recently(now).filter(|clock| clock.lags).count();
         lagging * 2 > heard && (lagging >= 2 || heard == 1)
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 mod majority;
 mod members;
 mod membership;
+mod mutation;
 mod probe;
 mod record;
 mod rendezvous;
@@ -30,6 +31,8 @@
 };
 pub use members::{MemberState, MemberView, RemovalCause};
 pub use membership::{Action, MemberEvent, Membership, PeerReport};
+#[doc(hidden)]
+pub use mutation::Flaw;
 pub use record::{FoldError, RecordId};
 pub use rendezvous::{Ownership, OwnershipWait, owner_of};
 pub use wire::{Contact, Datagram, DecodeError, MAX_DATAGRAM_BYTES, Message, Update, Vitals};
