Let a daemon that is behind pass on no witness list

Cause: a report counts for the majority without the log before its version is looked at, and a daemon that is behind passed its list on under its own old version. A member that hears only such a daemon counted members that had applied the change and took work for as long as this went on.

Change: the vitals of a daemon that is behind carry no witness list.

Trace before, five members, only 0 reaches the log, 0 to 2 have version 1: members 1 and 2 report to 3, 3 reports to 4, and 4 counts 4 of 5 without the log. The new test fails without the change.

--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -299,7 +299,13 @@
             reaches_log: self.reaches_log(now),
             epoch: self.epoch,
             uptime_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
-            witnesses: majority.encode(now),
+            // Members that have a later configuration may be among those that this daemon heard. Their
+            // reports must not reach a third one without the news of the change.
+            witnesses: if self.is_behind() {
+                Vec::new()
+            } else {
+                majority.encode(now)
+            },
         }
     }
 
--- a/crates/fleet/tests/all/freshness.rs
+++ b/crates/fleet/tests/all/freshness.rs
@@ -255,3 +255,39 @@
         assert!(limit.is_none_or(|at| freshness.may_take_new_work(at + ms(1)).is_err()));
     }
 }
+
+/// Guards against a change that stays unknown to a daemon while the reports of members that have
+/// applied it reach that daemon through one that has not. All members but one have no log here.
+#[test]
+fn a_daemon_that_is_behind_does_not_vouch_for_those_ahead() {
+    let mut members: Vec<Freshness> = (0..5).map(|index| Freshness::new(daemon(index))).collect();
+    for member in &mut members {
+        member.set_epoch(&epoch(1, 0..5));
+        member.on_log_read(secs(10));
+    }
+    let answer = |members: &[Freshness], from: u32, now| PeerReport {
+        peer: daemon(from),
+        vitals: members[from as usize].vitals(now),
+        probe_sent: Some(now),
+    };
+    // Members 0, 1 and 2 are the majority that has the change; only member 0 reads the log.
+    for member in &mut members[..3] {
+        member.set_config_version(1);
+    }
+    for second in 13..20 {
+        let now = secs(second);
+        members[0].on_log_read(now);
+        for from in [1, 2] {
+            let report = answer(&members, from, now);
+            let verdict = members[3].on_peer(now, &report);
+            assert!(matches!(verdict, PeerVerdict::Behind { .. }));
+        }
+        let report = answer(&members, 3, now);
+        members[4].on_peer(now, &report);
+        assert!(
+            members[4].may_take_new_work(now).is_err(),
+            "at {second} s, {:?} without log",
+            members[4].without_log(now)
+        );
+    }
+}
