--- a/crates/explorer/src/config.rs
+++ b/crates/explorer/src/config.rs
@@ -66,8 +66,8 @@
         }
     }
 
-    /// Bounds for long runs: everything together. The model has more states than the search may hold,
-    /// so it covers the runs up to some depth.
+    /// Bounds for long runs: everything together. The model may have more states than the search may hold,
+    /// and it then covers the runs up to some depth.
     #[must_use]
     pub fn long() -> Self {
         Self {
--- a/crates/explorer/src/freshness.rs
+++ b/crates/explorer/src/freshness.rs
@@ -91,8 +91,8 @@
         }
     }
 
-    /// Bounds for long runs. The model has more states than the search may hold, so it covers the
-    /// runs up to some depth.
+    /// Bounds for long runs. The model may have more states than the search may hold, so it covers the
+    /// runs up to some depth then.
     #[must_use]
     pub fn long() -> Self {
         Self {
