--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -4,6 +4,7 @@
 use crate::epoch::Epoch;
 use crate::majority::Majority;
 use crate::membership::PeerReport;
+use crate::mutation::Flaw;
 use crate::wire::Vitals;
 use anvilgw_core::DaemonId;
 use std::collections::BTreeMap;
@@ -132,6 +133,7 @@
     discarded_at: Option<Duration>,
     peers: BTreeMap<DaemonId, PeerClock>,
     majority: Majority,
+    flaw: Option<Flaw>,
 }
 
 fn millis(time: Duration) -> i64 {
@@ -157,9 +159,18 @@
             discarded_at: None,
             peers: BTreeMap::new(),
             majority: Majority::default(),
+            flaw: None,
         }
     }
 
+    /// Plants a fault for the model checker.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn with_flaw(mut self, flaw: Option<Flaw>) -> Self {
+        self.flaw = flaw;
+        self
+    }
+
     /// Notes the configuration version that the daemon has applied.
     pub fn set_config_version(&mut self, version: u64) {
         self.config_version = self.config_version.max(version);
@@ -292,7 +303,11 @@
             reaches_log: self.reaches_log(now),
             epoch: self.epoch,
             uptime_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
-            witnesses: if majority.is_large() && self.age(now).is_some_and(|age| age < WITNESS_AGE)
+            // Members that have a later configuration may be among those that this daemon heard. Their
+            // reports must not reach a third one without the news of the change. Large lists are
+            // left out while the view is young, since nobody needs them then.
+            witnesses: if self.is_behind()
+                || majority.is_large() && self.age(now).is_some_and(|age| age < WITNESS_AGE)
             {
                 Vec::new()
             } else {
@@ -330,10 +345,18 @@
     }
 
     fn has_majority(&self, now: Duration) -> bool {
-        let (without_log, members) = self.without_log(now);
+        let (without_log, mut members) = self.without_log(now);
+        if self.flaw == Some(Flaw::MajorityOfHeard) {
+            members = 1 + self.heard_recently(now).count();
+        }
         members > 0 && without_log * 2 > members
     }
 
+    fn heard_recently(&self, now: Duration) -> impl Iterator<Item = &PeerClock> {
+        let peers = self.peers.values();
+        peers.filter(move |clock| now.saturating_sub(clock.heard) <= RECENT)
+    }
+
     fn confirm(&mut self, as_of: Duration) {
         self.fresh_as_of = self.fresh_as_of.max(Some(as_of));
         self.clock_stopped = false;
@@ -411,13 +434,8 @@
                 clock.answered = Some((sent, millis(sent).saturating_sub(uptime_ms)));
             }
         }
-        let recent = || {
-            self.peers
-                .values()
-                .filter(|clock| now.saturating_sub(clock.heard) <= RECENT)
-        };
-        let heard = recent().count();
-        let lagging = recent().filter(|clock| clock.lags).count();
+        let heard = self.heard_recently(now).count();
+        let lagging = self.heard_recently(now).filter(|clock| clock.lags).count();
         lagging * 2 > heard && (lagging >= 2 || heard == 1)
     }
 }
