Forget leases whose records the log no longer holds

Cause: after an outage longer than the retention of the log all records of `leases` are trimmed. A running daemon still remembered the last lease and refused a record that replaces none; a daemon that started then accepted it. Both held the duty at once. Change: before the records of a read are folded, leases older than the oldest retained record are forgotten. A writer that saw no lease appended after the trim, so every reader of its record sees the trim too. Test: folds_agree_after_all_records_were_trimmed fails without the change.

--- a/crates/entry/src/duties/control/agreement.rs
+++ b/crates/entry/src/duties/control/agreement.rs
@@ -87,6 +87,7 @@
                 each(epoch);
             }
         }
+        self.leases.retain_from(leases.first_offset);
         for record in &leases.records {
             if self.leases.apply(record.offset, &record.payload).is_err() {
                 self.leases = LeaseFold::new();
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -129,6 +129,14 @@
         Ok(LeaseVerdict::Accepted(record.duty))
     }
 
+    /// Forgets leases whose records are no longer held by the log, given the offset of its oldest
+    /// record. Called before the records of a read are folded. A daemon that starts then knows nothing
+    /// of them and accepts a lease that replaces none; a daemon that still remembered them would refuse
+    /// it and accept another one. Retention is far longer than any lease, so none of them is valid.
+    pub fn retain_from(&mut self, first: Offset) {
+        self.current.retain(|_, lease| lease.token >= first);
+    }
+
     /// The current lease of a duty. Whether it has expired depends on when it was read.
     #[must_use]
     pub fn current(&self, duty: Duty) -> Option<&Lease> {
--- a/crates/fleet/tests/all/lease.rs
+++ b/crates/fleet/tests/all/lease.rs
@@ -54,6 +54,29 @@
     assert_eq!(fold.apply(Offset(7), b"noise"), Ok(LeaseVerdict::NoRecord));
 }
 
+/// Guards against two holders after an outage longer than the retention: a daemon that remembers a
+/// trimmed lease and one that starts without history must accept the same record.
+#[test]
+fn folds_agree_after_all_records_were_trimmed() {
+    let mut running = LeaseFold::new();
+    for (offset, replaces) in [(0, None), (1, Some(0)), (2, Some(1))] {
+        let record = record(offset.into(), 1, replaces);
+        let verdict = running.apply(Offset(offset), &record.encode());
+        assert_eq!(verdict, Ok(LeaseVerdict::Accepted(Duty::Orders)));
+    }
+    let mut started = LeaseFold::new();
+    let after_trim = [record(10, 7, None), record(11, 1, Some(2))];
+    for fold in [&mut running, &mut started] {
+        fold.retain_from(Offset(3));
+        for (offset, record) in (3..).zip(&after_trim) {
+            fold.apply(Offset(offset), &record.encode()).unwrap();
+        }
+    }
+    let holder = |fold: &LeaseFold| fold.current(Duty::Orders).map(|lease| lease.holder);
+    assert_eq!(holder(&running), Some(daemon(7)));
+    assert_eq!(holder(&running), holder(&started));
+}
+
 struct Candidate {
     holder: LeaseHolder,
     fold: LeaseFold,
