Add the experiment log-outage

The same open-loop load (Poisson, 200 status reads/s of 20 ms and 40 non-idempotent calls/s over four daemons) runs undisturbed as the baseline and then with the log service gone for 8 s, slow (1.5 s per call, above the daemons' limit of 1 s) for 10 s, and back for 5 s.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -3,6 +3,7 @@
 mod first_token;
 mod link;
 mod load;
+mod log_outage;
 mod model;
 mod model_check;
 mod once;
@@ -57,4 +58,5 @@
     once_cost::EXPERIMENT,
     whole_answer::EXPERIMENT,
     silent_connection::EXPERIMENT,
+    log_outage::EXPERIMENT,
 ];
