Serve several models from one backend server

The router knew one model per backend server, so further names in the models setting of a server were ignored.

ServerSpec now lists its served models with version, adapters, speeds and block sizes. Load, temperature, circuit breaker and permits stay with the server, whose queue is estimated at the speed of its slowest model because a load report does not tell models apart. A selection reads one summary per model and server.

The tests of the router pass, with a new one that fails if the second model is ignored or takes the properties of the first.

--- a/crates/bench/src/experiments/cold_start.rs
+++ b/crates/bench/src/experiments/cold_start.rs
@@ -10,7 +10,7 @@
 use anvilgw_core::{DomainId, ModelId, ServerId};
 use anvilgw_router::{
     BlockSizes, ColdSettings, EngineRates, LoadReport, PrefixMatch, RouteRequest, Router,
-    RouterSettings, SendOutcome, ServerSpec, WeightLoads, WeightVersion,
+    RouterSettings, SendOutcome, ServedModel, ServerSpec, WeightLoads, WeightVersion,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -100,16 +100,18 @@
         router.set_server(ServerSpec {
             id: ServerId(id as u32),
             domain: DomainId(id as u16 % 3),
-            model: ModelId(0),
-            weight_version: WeightVersion(1),
-            adapters: Vec::new(),
-            rates: EngineRates {
-                prefill_tokens_per_s: 40_000.0,
-                decode_ms_per_token: 20.0,
-                mean_decode_tokens: 100.0,
-                max_concurrency: COLD.full_concurrency,
-            },
-            sizes: BlockSizes::default(),
+            models: vec![ServedModel {
+                model: ModelId(0),
+                weight_version: WeightVersion(1),
+                adapters: Vec::new(),
+                rates: EngineRates {
+                    prefill_tokens_per_s: 40_000.0,
+                    decode_ms_per_token: 20.0,
+                    mean_decode_tokens: 100.0,
+                    max_concurrency: COLD.full_concurrency,
+                },
+                sizes: BlockSizes::default(),
+            }],
             cold: COLD,
         });
         router.set_in_service(ServerId(id as u32), false);
--- a/crates/bench/src/experiments/decide_cost.rs
+++ b/crates/bench/src/experiments/decide_cost.rs
@@ -9,8 +9,8 @@
 use anvilgw_core::{DomainId, ModelId, RequestId, ServerId, StoreId, WorkspaceId};
 use anvilgw_router::{
     BlockChange, BlockSizes, CacheEvent, ColdSettings, EngineRates, Generation, Holder, IndexShard,
-    LinkRates, LoadReport, Location, PrefixMatch, RouteRequest, Router, RouterSettings, ServerSpec,
-    ShortKey, Tier, WeightVersion,
+    LinkRates, LoadReport, Location, PrefixMatch, RouteRequest, Router, RouterSettings,
+    ServedModel, ServerSpec, ShortKey, Tier, WeightVersion,
 };
 use hdrhistogram::Histogram;
 use rand::rngs::StdRng;
@@ -60,14 +60,16 @@
         router.set_server(ServerSpec {
             id: ServerId(id),
             domain: DomainId(id as u16 % DOMAINS),
-            model: ModelId(0),
-            weight_version: WeightVersion(1),
-            adapters: Vec::new(),
-            rates: RATES,
-            sizes: BlockSizes {
-                block_tokens: 4_000,
-                kv_bytes_per_token: 16_000,
-            },
+            models: vec![ServedModel {
+                model: ModelId(0),
+                weight_version: WeightVersion(1),
+                adapters: Vec::new(),
+                rates: RATES,
+                sizes: BlockSizes {
+                    block_tokens: 4_000,
+                    kv_bytes_per_token: 16_000,
+                },
+            }],
             cold: ColdSettings::default(),
         });
         let report = LoadReport {
--- a/crates/bench/src/experiments/strategies.rs
+++ b/crates/bench/src/experiments/strategies.rs
@@ -12,7 +12,7 @@
     BlockChange, BlockSizes, ColdSettings, CostWeights, EngineRates, Generation, Hint, Holder,
     IndexShard, LinkRates, Listing, LoadReport, Location, Placement, PlacementAction,
     PlacementSettings, PrefillPriority, PrefixMatch, RecentBlocks, RouteRequest, Router,
-    RouterSettings, SealedBlock, SendOutcome, ServerSpec, ShortKey, StoreState, Tier,
+    RouterSettings, SealedBlock, SendOutcome, ServedModel, ServerSpec, ShortKey, StoreState, Tier,
     WeightVersion,
 };
 use rand::rngs::StdRng;
@@ -234,14 +234,16 @@
         router.set_server(ServerSpec {
             id: ServerId(engine as u32),
             domain: DomainId(engine as u16 % 3),
-            model: ModelId(0),
-            weight_version: WeightVersion(1),
-            adapters: Vec::new(),
-            rates: RATES,
-            sizes: BlockSizes {
-                block_tokens: BLOCK_TOKENS as u32,
-                kv_bytes_per_token: KV_BYTES_PER_TOKEN,
-            },
+            models: vec![ServedModel {
+                model: ModelId(0),
+                weight_version: WeightVersion(1),
+                adapters: Vec::new(),
+                rates: RATES,
+                sizes: BlockSizes {
+                    block_tokens: BLOCK_TOKENS as u32,
+                    kv_bytes_per_token: KV_BYTES_PER_TOKEN,
+                },
+            }],
             cold: ColdSettings {
                 full_concurrency: DECODE_SLOTS,
                 ..ColdSettings::default()
--- a/crates/entry/src/backends.rs
+++ b/crates/entry/src/backends.rs
@@ -5,7 +5,7 @@
 use anvilgw_platform::{ConnectionSettings, EngineClient, EngineControl, ServiceClient};
 use anvilgw_router::{
     AdapterId, BlockSizes, ColdSettings, CostWeights, EngineRates, Holder, LinkRates, Router,
-    RouterSettings, ServerSpec, WeightVersion,
+    RouterSettings, ServedModel, ServerSpec, WeightVersion,
 };
 use std::net::SocketAddr;
 
@@ -147,50 +147,64 @@
         full_concurrency: server.capacity_concurrency(),
         completions_per_step: COMPLETIONS_PER_STEP,
     };
-    match server {
-        BackendServer::Model { settings: own, .. } => {
-            let name = own.models.first()?;
-            let model = settings.models.get(name)?;
-            Some(ServerSpec {
-                id,
-                domain,
-                model: settings.model_id(name)?,
-                weight_version: weight_version(model),
-                adapters: adapters(model),
-                rates: EngineRates {
-                    prefill_tokens_per_s: model.prefill_tokens_per_s.into(),
-                    decode_ms_per_token: model.decode_ms_per_token,
-                    mean_decode_tokens: MEAN_DECODE_TOKENS,
-                    max_concurrency: own.capacity_concurrency,
-                },
-                sizes: BlockSizes {
-                    block_tokens: model.block_tokens,
-                    kv_bytes_per_token: model.kv_bytes_per_token,
-                },
-                cold,
-            })
-        }
+    let models = match server {
+        BackendServer::Model { settings: own, .. } => own
+            .models
+            .iter()
+            .filter_map(|name| served(settings, name, own.capacity_concurrency))
+            .collect(),
         BackendServer::Service { service, .. } => {
             let index = settings.services.get_index_of(*service)?;
-            Some(ServerSpec {
-                id,
-                domain,
-                model: service_model(settings, index),
-                weight_version: WeightVersion(0),
-                adapters: Vec::new(),
-                rates: EngineRates {
-                    prefill_tokens_per_s: SERVICE_TOKENS_PER_S,
-                    decode_ms_per_token: 1.0,
-                    mean_decode_tokens: 1.0,
-                    max_concurrency: server.capacity_concurrency(),
-                },
-                sizes: BlockSizes {
-                    block_tokens: 1,
-                    kv_bytes_per_token: 0,
-                },
-                cold,
-            })
+            vec![service_calls(
+                service_model(settings, index),
+                server.capacity_concurrency(),
+            )]
         }
+    };
+    Some(ServerSpec {
+        id,
+        domain,
+        models,
+        cold,
+    })
+}
+
+/// A model on a server with the given concurrency.
+fn served(settings: &Settings, name: &str, max_concurrency: u32) -> Option<ServedModel> {
+    let model = settings.models.get(name)?;
+    Some(ServedModel {
+        model: settings.model_id(name)?,
+        weight_version: weight_version(model),
+        adapters: adapters(model),
+        rates: EngineRates {
+            prefill_tokens_per_s: model.prefill_tokens_per_s.into(),
+            decode_ms_per_token: model.decode_ms_per_token,
+            mean_decode_tokens: MEAN_DECODE_TOKENS,
+            max_concurrency,
+        },
+        sizes: BlockSizes {
+            block_tokens: model.block_tokens,
+            kv_bytes_per_token: model.kv_bytes_per_token,
+        },
+    })
+}
+
+/// The pseudo-model of a plain service.
+fn service_calls(model: ModelId, max_concurrency: u32) -> ServedModel {
+    ServedModel {
+        model,
+        weight_version: WeightVersion(0),
+        adapters: Vec::new(),
+        rates: EngineRates {
+            prefill_tokens_per_s: SERVICE_TOKENS_PER_S,
+            decode_ms_per_token: 1.0,
+            mean_decode_tokens: 1.0,
+            max_concurrency,
+        },
+        sizes: BlockSizes {
+            block_tokens: 1,
+            kv_bytes_per_token: 0,
+        },
     }
 }
 
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -371,8 +371,12 @@
     let service_tokens_per_s = settings
         .servers
         .values()
-        .filter_map(|server| settings.models.get(server.models.first()?))
-        .map(|model| f64::from(model.prefill_tokens_per_s))
+        .filter_map(|server| {
+            let models = server.models.iter();
+            let rates = models.filter_map(|model| settings.models.get(model));
+            rates.map(|model| model.prefill_tokens_per_s).min()
+        })
+        .map(f64::from)
         .sum::<f64>();
     AdmissionSettings {
         slots: slots.max(1),
--- a/crates/entry/src/duties/polls.rs
+++ b/crates/entry/src/duties/polls.rs
@@ -69,14 +69,17 @@
     });
 }
 
+/// Tokens of the smallest block of the server's models.
 fn block_tokens(context: &Context, server: ServerId) -> u64 {
     let settings = &context.settings;
-    settings
-        .servers
-        .get_index(server.0 as usize)
-        .and_then(|(_, server)| server.models.first())
-        .and_then(|model| settings.models.get(model))
-        .map_or(1, |model| model.block_tokens.into())
+    let server = settings.servers.get_index(server.0 as usize);
+    server
+        .into_iter()
+        .flat_map(|(_, server)| &server.models)
+        .filter_map(|model| settings.models.get(model))
+        .map(|model| model.block_tokens.into())
+        .min()
+        .unwrap_or(1)
 }
 
 async fn pause(interval: Duration) {
--- a/crates/entry/src/duties/routing.rs
+++ b/crates/entry/src/duties/routing.rs
@@ -2,7 +2,7 @@
 
 use super::control::{BudgetKind, SharedBudgets};
 use super::deliver::deliver;
-use anvilgw_core::{Clock, DomainId, ErrorKind, Failure, ServerId, Stage};
+use anvilgw_core::{Clock, DomainId, ErrorKind, Failure, ModelId, ServerId, Stage};
 use anvilgw_fleet::Split;
 use anvilgw_kernel::{Duty, EventKind, Journal, Receiver, RecvTimeoutError, Sender, Stop, ring};
 use anvilgw_router::{
@@ -318,7 +318,8 @@
         let hints = self.hints(&query.keys, now);
         let prefix = PrefixMatch::assemble(&hints);
         let (choice, explanation) = self.choose(&query.request, &prefix, now)?;
-        let (imports, reservation) = self.reserve_import(&choice, &query.keys, &hints, now);
+        let (imports, reservation) =
+            self.reserve_import(query.request.model, &choice, &query.keys, &hints, now);
         let server = choice.server;
         self.router.on_sent(server, choice.plan.prefill_tokens, now);
         let short: Vec<_> = query.keys.iter().map(BlockKey::short).collect();
@@ -376,7 +377,7 @@
         let cold = self
             .servers
             .iter()
-            .filter(|spec| spec.model == request.model)
+            .filter(|spec| spec.served(request.model).is_some())
             .filter(|spec| self.router.cold_cause(spec.id).is_some());
         for spec in cold {
             let kind = BudgetKind::Cold(spec.id);
@@ -401,6 +402,7 @@
     /// blocks instead.
     fn reserve_import(
         &mut self,
+        model: ModelId,
         choice: &Choice,
         keys: &[BlockKey],
         hints: &[Option<Vec<Hint>>],
@@ -409,10 +411,11 @@
         let Some(import) = choice.plan.import else {
             return (Vec::new(), None);
         };
-        let Some(spec) = self.servers.iter().find(|spec| spec.id == choice.server) else {
+        let spec = self.servers.iter().find(|spec| spec.id == choice.server);
+        let Some(served) = spec.and_then(|spec| spec.served(model)) else {
             return (Vec::new(), None);
         };
-        let bytes = spec.sizes.bytes(import.blocks);
+        let bytes = served.sizes.bytes(import.blocks);
         let Ok(reservation) = self.router.reserve_import(&import, bytes, now) else {
             return (Vec::new(), None);
         };
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -47,5 +47,5 @@
     Candidate, Choice, Decision, Excluded, Exclusion, Explanation, NEAR_EQUAL_SHARE, NoCandidate,
     PrefillPriority, RouteRequest,
 };
-pub use server::ServerSpec;
-pub use table::{Router, RouterSettings, SendOutcome, ServerChange};
+pub use server::{SendOutcome, ServedModel, ServerChange, ServerSpec};
+pub use table::{Router, RouterSettings};
--- a/crates/router/src/table.rs
+++ b/crates/router/src/table.rs
@@ -11,7 +11,7 @@
     Candidate, Choice, Decision, Excluded, Exclusion, Explanation, NoCandidate, PrefillPriority,
     RouteRequest, Scored, choose, keep_explained,
 };
-use crate::server::{Server, ServerSpec, Summary};
+use crate::server::{SendOutcome, ServedModel, Server, ServerChange, ServerSpec, Summary};
 use anvilgw_core::{DomainId, ModelId, ServerId};
 use indexmap::IndexMap;
 use rand::Rng;
@@ -51,28 +51,6 @@
     }
 }
 
-/// Outcome of a request for the state of its server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum SendOutcome {
-    /// The answer was complete.
-    Completed,
-    /// The server refused the request or failed in a way typical of overload.
-    Overloaded,
-    /// The connection failed or went silent, or the server answered with another error.
-    Failed,
-    /// The caller or the daemon cancelled it; says nothing about the server.
-    Cancelled,
-}
-
-/// Changes of state that an outcome or a report caused, for the journal.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServerChange {
-    /// Change of temperature.
-    pub temperature: Option<TemperatureChange>,
-    /// New state of the circuit breaker.
-    pub breaker: Option<BreakerState>,
-}
-
 #[derive(Clone, Debug)]
 struct Link {
     rates: LinkRates,
@@ -85,10 +63,11 @@
 pub struct Router {
     settings: RouterSettings,
     servers: IndexMap<ServerId, Server>,
-    /// Summaries in the order of `servers`.
+    /// Summaries of the models of all servers, in the order of `servers`.
     summaries: Vec<Summary>,
     /// Distinct speeds of engines.
     speeds: Vec<EngineRates>,
+    /// Positions of the summaries of a model.
     by_model: IndexMap<ModelId, Vec<usize>>,
     domains_out: Vec<DomainId>,
     links: IndexMap<Holder, Link>,
@@ -135,11 +114,13 @@
     }
 
     /// Adds a server or changes its configuration. Its load and temperature are kept, unless it now
-    /// holds other weights: then it starts cold.
+    /// holds other weights: then it starts cold. A server without models is removed.
     pub fn set_server(&mut self, spec: ServerSpec) {
-        let reloaded = self.servers.get(&spec.id).is_none_or(|known| {
-            (known.spec.model, known.spec.weight_version) != (spec.model, spec.weight_version)
-        });
+        let Some(queue_rates) = spec.queue_rates() else {
+            return self.remove_server(spec.id);
+        };
+        let known = self.servers.get(&spec.id);
+        let reloaded = known.is_none_or(|known| known.spec.needs_load_for(&spec));
         if reloaded {
             let server = Server {
                 in_service: true,
@@ -147,11 +128,14 @@
                 temperature: Temperature::new(spec.cold),
                 breaker: Breaker::new(self.settings.server_breaker),
                 cold_permits_free: 0,
+                first_summary: 0,
+                queue_rates,
                 spec,
             };
             self.servers.insert(server.spec.id, server);
         } else if let Some(known) = self.servers.get_mut(&spec.id) {
             known.temperature.set_settings(spec.cold);
+            known.queue_rates = queue_rates;
             known.spec = spec;
         }
         self.rebuild();
@@ -207,7 +191,7 @@
             if temperature == Some(TemperatureChange::Cold(ColdCause::Restarted)) {
                 server.load.on_restart(now);
             }
-            server.load.on_report(report, &server.spec.rates);
+            server.load.on_report(report, &server.queue_rates);
             ServerChange {
                 temperature,
                 breaker: None,
@@ -219,7 +203,7 @@
     /// Notes that a request is being sent to a server.
     pub fn on_sent(&mut self, server: ServerId, prefill_tokens: u64, now: Duration) {
         self.update(server, |server| {
-            let rates = &server.spec.rates;
+            let rates = &server.queue_rates;
             server.load.on_sent(prefill_tokens, now, rates);
             server.breaker.on_sent(now);
         });
@@ -337,7 +321,7 @@
         let of_model: &[usize] = self.by_model.get(&request.model).map_or(&[], Vec::as_slice);
         let links = LinksAt { router: self, now };
         let weights = &self.settings.weights;
-        let sizes = of_model.first().map(|&at| self.servers[at].spec.sizes);
+        let sizes = of_model.first().map(|&at| self.served(at).sizes);
         let sizes = sizes.unwrap_or_default();
         let pricer = Pricer::new(sizes, weights, request.prompt_tokens, prefix, &links);
         let mut scored = Vec::with_capacity(of_model.len());
@@ -364,16 +348,16 @@
                 probability: 0.0,
             });
         }
-        self.price_holders(&pricer, &mut scored);
+        self.price_holders(request.model, &pricer, &mut scored);
         let considered = scored.len();
         let selected = choose(&mut scored, rng);
         let selected_at = selected.map(|position| scored[position].at);
         let highest_cost = keep_explained(&mut scored, selected);
         let candidates: Vec<_> = scored
             .iter()
-            .map(|scored| candidate(&self.servers[scored.at], scored, &pricer))
+            .map(|scored| self.candidate(scored, &pricer))
             .collect();
-        let chosen = selected_at.map(|at| self.servers[at].spec.id);
+        let chosen = selected_at.map(|at| self.summaries[at].server);
         let outcome = candidates
             .iter()
             .find(|candidate| Some(candidate.server) == chosen)
@@ -397,17 +381,43 @@
     }
 
     /// Replaces the costs of the servers that hold blocks of the prompt.
-    fn price_holders(&self, pricer: &Pricer<'_>, scored: &mut [Scored]) {
+    fn price_holders(&self, model: ModelId, pricer: &Pricer<'_>, scored: &mut [Scored]) {
         for server in pricer.holding_servers() {
-            let at = self.servers.get_index_of(&server);
+            let at = self.summary_of(server, model);
             let position = at.and_then(|at| scored.binary_search_by_key(&at, |s| s.at).ok());
             if let Some(known) = position.map(|position| &mut scored[position]) {
-                let rates = &self.servers[known.at].spec.rates;
+                let rates = &self.served(known.at).rates;
                 known.cost = pricer.cheapest(server, known.queue_ms, rates).price.cost;
             }
         }
     }
 
+    /// Position of the summary of a model on a server.
+    fn summary_of(&self, server: ServerId, model: ModelId) -> Option<usize> {
+        let server = self.servers.get(&server)?;
+        let mut served = server.spec.models.iter();
+        let position = served.position(|known| known.model == model)?;
+        Some(server.first_summary + position)
+    }
+
+    /// The model on a server that a summary describes.
+    fn served(&self, at: usize) -> &ServedModel {
+        let summary = &self.summaries[at];
+        &self.servers[summary.at as usize].spec.models[usize::from(summary.served)]
+    }
+
+    fn candidate(&self, scored: &Scored, pricer: &Pricer<'_>) -> Candidate {
+        let summary = &self.summaries[scored.at];
+        let rates = &self.served(scored.at).rates;
+        Candidate {
+            server: summary.server,
+            domain: summary.domain,
+            cold: self.servers[summary.at as usize].temperature.cold_cause(),
+            priced: pricer.cheapest(summary.server, scored.queue_ms, rates),
+            probability: scored.probability,
+        }
+    }
+
     #[inline]
     fn exclusion(&self, at: usize, request: &RouteRequest, now: Duration) -> Option<Exclusion> {
         let summary = &self.summaries[at];
@@ -415,7 +425,7 @@
         if request.adapter.is_none() && request.tried.is_empty() {
             return reason;
         }
-        let held = &self.servers[at].spec.adapters;
+        let held = &self.served(at).adapters;
         let lacks = request.adapter.filter(|adapter| !held.contains(adapter));
         let tried = request.tried.contains(&summary.server);
         let own = lacks
@@ -446,39 +456,34 @@
         self.by_model.clear();
         self.speeds.clear();
         self.summaries.clear();
-        for (at, server) in self.servers.values().enumerate() {
-            let spec = &server.spec;
-            self.by_model.entry(spec.model).or_default().push(at);
-            let known = self.speeds.iter().position(|rates| *rates == spec.rates);
-            let speeds = known.unwrap_or_else(|| {
-                self.speeds.push(spec.rates);
-                self.speeds.len() - 1
-            });
-            self.summaries.push(Summary::new(server, speeds as u16));
+        for (at, server) in self.servers.values_mut().enumerate() {
+            server.first_summary = self.summaries.len();
+            for (position, served) in server.spec.models.iter().enumerate() {
+                let of_model = self.by_model.entry(served.model).or_default();
+                of_model.push(self.summaries.len());
+                let known = self.speeds.iter().position(|rates| *rates == served.rates);
+                let speeds = known.unwrap_or_else(|| {
+                    self.speeds.push(served.rates);
+                    self.speeds.len() - 1
+                });
+                let summary = Summary::new(server, at as u32, position as u16, speeds as u16);
+                self.summaries.push(summary);
+            }
         }
     }
 
-    /// Changes the state of a server and its summary.
+    /// Changes the state of a server and its summaries.
     fn update<R>(&mut self, server: ServerId, change: impl FnOnce(&mut Server) -> R) -> Option<R> {
-        let (at, _, server) = self.servers.get_full_mut(&server)?;
+        let server = self.servers.get_mut(&server)?;
         let result = change(server);
-        let speeds = self.summaries[at].speeds;
-        self.summaries[at] = Summary::new(server, speeds);
+        let first = server.first_summary;
+        for summary in &mut self.summaries[first..first + server.spec.models.len()] {
+            *summary = Summary::new(server, summary.at, summary.served, summary.speeds);
+        }
         Some(result)
     }
 }
 
-fn candidate(server: &Server, scored: &Scored, pricer: &Pricer<'_>) -> Candidate {
-    let spec = &server.spec;
-    Candidate {
-        server: spec.id,
-        domain: spec.domain,
-        cold: server.temperature.cold_cause(),
-        priced: pricer.cheapest(spec.id, scored.queue_ms, &spec.rates),
-        probability: scored.probability,
-    }
-}
-
 fn no_candidate(excluded: &[Excluded]) -> NoCandidate {
     let closest = excluded.iter().map(|excluded| excluded.reason).max();
     closest.map_or(NoCandidate::UnknownModel, |closest| {
--- a/crates/router/tests/decision.rs
+++ b/crates/router/tests/decision.rs
@@ -4,7 +4,8 @@
 use anvilgw_router::{
     AdapterId, BlockSizes, ColdCause, ColdSettings, CostWeights, Decision, EngineRates, Exclusion,
     Explanation, Holder, HolderMatch, LinkRates, LoadReport, NoCandidate, PrefillPriority,
-    PrefixMatch, RouteRequest, Router, RouterSettings, SendOutcome, ServerSpec, WeightVersion,
+    PrefixMatch, RouteRequest, Router, RouterSettings, SendOutcome, ServedModel, ServerSpec,
+    WeightVersion,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -26,11 +27,13 @@
     ServerSpec {
         id: ServerId(id),
         domain: DomainId(id as u16 % 2),
-        model: ModelId(0),
-        weight_version: WeightVersion(1),
-        adapters: vec![AdapterId(1)],
-        rates: RATES,
-        sizes: SIZES,
+        models: vec![ServedModel {
+            model: ModelId(0),
+            weight_version: WeightVersion(1),
+            adapters: vec![AdapterId(1)],
+            rates: RATES,
+            sizes: SIZES,
+        }],
         cold: ColdSettings::default(),
     }
 }
@@ -401,11 +404,71 @@
     changed.cold.cold_concurrency = 5;
     router.set_server(changed.clone());
     assert_eq!(router.capacity(ServerId(0)), Some(5));
-    changed.weight_version = WeightVersion(2);
+    changed.models[0].weight_version = WeightVersion(2);
     router.set_server(changed);
     assert_eq!(router.cold_cause(ServerId(0)), Some(ColdCause::Unknown));
 }
 
+/// A server of model 0 (version 1) and of model 1 (version 2, faster, adapter 9).
+fn two_models(id: u32) -> ServerSpec {
+    let mut two = spec(id);
+    let mut second = two.models[0].clone();
+    second.model = ModelId(1);
+    second.weight_version = WeightVersion(2);
+    second.adapters = vec![AdapterId(9)];
+    second.rates.prefill_tokens_per_s *= 10.0;
+    two.models.push(second);
+    two
+}
+
+/// Guards against a server whose second model is never used, takes the version, adapters or speed of
+/// the first, or has a load or breaker of its own.
+#[test]
+fn a_server_serves_all_its_models() {
+    let mut router = Router::new(RouterSettings::default());
+    router.set_server(two_models(0));
+    router.set_server(spec(1));
+    for id in 0..2 {
+        router.on_report(ServerId(id), report(NOW), NOW);
+    }
+    let of_model = |model, version, adapter| RouteRequest {
+        model: ModelId(model),
+        weight_version: WeightVersion(version),
+        adapter: Some(AdapterId(adapter)),
+        ..request(40_000)
+    };
+    let empty = PrefixMatch::default();
+    let first = decide(&router, &of_model(0, 1, 1), &empty, 1).explanation;
+    assert_eq!(first.considered, 2);
+    let second = decide(&router, &of_model(1, 2, 9), &empty, 1).explanation;
+    assert_eq!(second.selected, Some(ServerId(0)));
+    let prefill_ms = |known: &Explanation| known.candidates[0].priced.price.prefill_ms;
+    assert!(prefill_ms(&second) * 9.0 < prefill_ms(&first));
+    for (version, adapter) in [(1, 9), (2, 1)] {
+        let refused = decide(&router, &of_model(1, version, adapter), &empty, 1);
+        assert!(
+            refused.outcome.is_err(),
+            "version {version}, adapter {adapter}"
+        );
+    }
+    let held = decide(
+        &router,
+        &of_model(1, 2, 9),
+        &held(Holder::Server(ServerId(0)), 5, 0, 0),
+        1,
+    );
+    assert_eq!(held.outcome.unwrap().plan.in_place_blocks, 5);
+    for _ in 0..3 {
+        router.on_ended(ServerId(0), SendOutcome::Failed, NOW);
+    }
+    for (model, version, adapter) in [(0, 1, 1), (1, 2, 9)] {
+        let decision = decide(&router, &of_model(model, version, adapter), &empty, 1);
+        let excluded = decision.explanation.excluded[0];
+        assert_eq!(excluded.server, ServerId(0));
+        assert_eq!(excluded.reason, Exclusion::BreakerOpen);
+    }
+}
+
 /// Guards against explanations that lose what `explain` shows.
 #[test]
 fn explanations_survive_json() {
