Let readers of a block wait for one import, send prefill priorities

Each reader of a prompt whose blocks were on their way started an import of its own or had the engine compute the blocks, every prefill had priority 0, and a cancelled request counted as a failure of the link it imported over.

The routing duty now notes imports, offers no second import of a block on its way, and lets requests that count on such a block wait until the importer gets its first token, ends or takes longer than estimated. Long prefills are sent with priority -1. The link's circuit breaker counts an import only when the usage of an answer shows whether blocks were found. The duty's thread moves to a module of its own.

A new integration test covers the reuse of a prompt by concurrent readers. No test yet covers an import that is waited for, or the priority.

--- a/crates/entry/src/dispatch/completion.rs
+++ b/crates/entry/src/dispatch/completion.rs
@@ -12,11 +12,15 @@
 use anvilgw_platform::{
     CallOptions, EngineError, EngineEvent, EngineRequest, EngineStream, KvImport, KvSource,
 };
-use anvilgw_router::{BlockKey, Location, RouteRequest, SendOutcome};
+use anvilgw_router::{BlockKey, Location, PrefillPriority, RouteRequest, SendOutcome, ServePlan};
 use http::HeaderValue;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Priority of a long prefill on the engine. Engines start requests with a higher one first; requests
+/// without a priority have 0.
+const LOW_PRIORITY: i32 = -1;
+
 /// A running completion. Dropping it cancels the request at its engine.
 pub(crate) struct Completion {
     context: Arc<Context>,
@@ -35,6 +39,8 @@
     stream: EngineStream,
     dispatch: Dispatch,
     server: ServerId,
+    plan: ServePlan,
+    has_answered: bool,
     hop: Hop,
 }
 
@@ -126,6 +132,10 @@
                 Err(_) => return Err(self.deadline_exceeded()),
                 Ok(Ok(Some(EngineEvent::Token { index, text }))) => {
                     assert!(index == self.next_index, "tokens reach the caller in order");
+                    if !running.has_answered {
+                        running.has_answered = true;
+                        running.dispatch.import_ended();
+                    }
                     self.next_index += 1;
                     return Ok(EngineEvent::Token { index, text });
                 }
@@ -141,6 +151,14 @@
 
     fn finish(&mut self, event: &EngineEvent) {
         if let EngineEvent::Finish { usage, .. } = event {
+            if let Some(running) = &mut self.attempt
+                && let Some(import) = running.plan.import
+            {
+                let block_tokens = u64::from(self.prompt.block_tokens);
+                let with_import = u64::from(import.first_block + 1) * block_tokens;
+                let found = usage.reused_tokens + usage.imported_tokens;
+                running.dispatch.set_import_usable(found >= with_import);
+            }
             let computed = usage.recomputed_tokens + usage.completion_tokens;
             self.permit.set_actual_tokens(computed);
             self.context
@@ -159,10 +177,7 @@
 
     /// Ends a broken attempt and decides whether there is another one.
     async fn broken(&mut self, error: &EngineError) -> Result<(), Failure> {
-        let outcome = match error {
-            EngineError::Refused(503, _) => SendOutcome::Overloaded,
-            _ => SendOutcome::Failed,
-        };
+        let outcome = outcome_of(error);
         if let Some(running) = &self.attempt {
             self.tried.push(running.server);
         }
@@ -268,7 +283,13 @@
         };
         let hop = context.tracing.child("backend server", &self.call.hop);
         hop.set("server", backend.name.clone());
-        let request = self.engine_request(number, &selected.imports, &hop);
+        if let Some(import_wait) = selected.import_wait {
+            // The wait ends as well when the importer is gone.
+            let remaining = context.remaining(self.call.deadline);
+            let _ = tokio::time::timeout(remaining, import_wait).await;
+        }
+        let priority = selected.choice.priority;
+        let request = self.engine_request(number, &selected.imports, priority, &hop);
         context.check_before_send(backend)?;
         let remaining = context.remaining(self.call.deadline);
         match tokio::time::timeout(remaining, client.stream(&request)).await {
@@ -276,15 +297,13 @@
                 stream,
                 dispatch,
                 server: backend.id,
+                plan: selected.choice.plan,
+                has_answered: false,
                 hop,
             }),
             Ok(Err(error)) => {
                 self.tried.push(backend.id);
-                dispatch.set_outcome(match error {
-                    EngineError::Refused(503, _) => SendOutcome::Overloaded,
-                    EngineError::Refused(400..500, _) => SendOutcome::Cancelled,
-                    _ => SendOutcome::Failed,
-                });
+                dispatch.set_outcome(outcome_of(&error));
                 Err(error.into())
             }
             Err(_) => Err(Failure::new(
@@ -332,6 +351,7 @@
         &self,
         number: AttemptId,
         imports: &[ImportBlock],
+        priority: PrefillPriority,
         hop: &Hop,
     ) -> EngineRequest {
         let traceparent = self.context.tracing.traceparent(hop);
@@ -347,7 +367,10 @@
                 .filter_map(|import| self.kv_import(import))
                 .collect(),
             resume_from: self.next_index,
-            priority: 0,
+            priority: match priority {
+                PrefillPriority::Normal => 0,
+                PrefillPriority::Low => LOW_PRIORITY,
+            },
             weight_version: self.prompt.weight_version.0,
             options: CallOptions {
                 traceparent: HeaderValue::from_str(&traceparent).ok(),
@@ -380,6 +403,15 @@
     blake3::Hash::from(key.0).to_hex().to_string()
 }
 
+/// What an error says about the server. Another error of the client's request says nothing.
+fn outcome_of(error: &EngineError) -> SendOutcome {
+    match error {
+        EngineError::Refused(503, _) => SendOutcome::Overloaded,
+        EngineError::Refused(400..500, _) => SendOutcome::Cancelled,
+        _ => SendOutcome::Failed,
+    }
+}
+
 fn note_result(context: &Context, call: &Call, result: &str) {
     context
         .explain
--- a/crates/entry/src/duties/routing.rs
+++ b/crates/entry/src/duties/routing/worker.rs
@@ -1,24 +1,22 @@
-//! The routing duty: owns the router, the index shard and the circuit breakers of this daemon.
+//! The thread of the routing duty.
 
-use super::control::{BudgetKind, SharedBudgets};
-use super::deliver::deliver;
-use anvilgw_core::{Clock, DomainId, ErrorKind, Failure, ModelId, ServerId, Stage};
+use super::imports::ImportQueue;
+use super::{Dispatch, End, Import, ImportBlock, Message, Query, Refused, Selected, ServerStatus};
+use crate::duties::control::{BudgetKind, SharedBudgets};
+use anvilgw_core::{Clock, DomainId, ModelId, ServerId, Stage};
 use anvilgw_fleet::Split;
-use anvilgw_kernel::{Duty, EventKind, Journal, Receiver, RecvTimeoutError, Sender, Stop, ring};
+use anvilgw_kernel::{EventKind, Journal, Receiver, RecvTimeoutError, Sender, Stop};
 use anvilgw_router::{
-    BlockKey, BreakerState, CacheEvent, Choice, Explanation, Hint, Holder, IndexShard, Listing,
-    LoadReport, Location, PrefixMatch, RecentBlocks, ReservationId, RouteRequest, Router,
-    SendOutcome, ServerChange, ServerSpec, TemperatureChange, hints_of,
+    BlockKey, BreakerState, Choice, Explanation, Hint, Holder, IndexShard, PrefixMatch,
+    RecentBlocks, RouteRequest, Router, SendOutcome, ServerChange, ServerSpec, ShortKey,
+    TemperatureChange, hints_of,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// Messages that may wait for the duty.
-const RING_CAPACITY: usize = 8192;
 /// Interval of housekeeping.
 const TICK: Duration = Duration::from_millis(50);
 /// Blocks of own recent requests.
@@ -26,195 +24,6 @@
 /// Time after which cache events of a routed prompt have arrived.
 const RECENT_LIFETIME: Duration = Duration::from_secs(10);
 
-/// Question of a request: where should it run?
-pub(crate) struct Query {
-    /// Model and limits of the choice.
-    pub(crate) request: RouteRequest,
-    /// Block keys of the prompt.
-    pub(crate) keys: Vec<BlockKey>,
-}
-
-/// One block to import.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct ImportBlock {
-    /// The block.
-    pub(crate) key: BlockKey,
-    /// Where it is.
-    pub(crate) hint: Hint,
-}
-
-/// Answer to a [`Query`].
-pub(crate) struct Selected {
-    /// The chosen server.
-    pub(crate) choice: Choice,
-    /// Why it was chosen.
-    pub(crate) explanation: Explanation,
-    /// Blocks that the server imports.
-    pub(crate) imports: Vec<ImportBlock>,
-    /// Accounts for the request until it is dropped.
-    pub(crate) dispatch: Dispatch,
-}
-
-/// No server can take the request.
-pub(crate) struct Refused {
-    /// What the caller is told.
-    pub(crate) failure: Failure,
-    /// Why, unless the duty did not answer.
-    pub(crate) explanation: Option<Explanation>,
-}
-
-/// A request that counts as running on its server until this is dropped.
-pub(crate) struct Dispatch {
-    messages: Sender<Message>,
-    end: Option<End>,
-}
-
-struct End {
-    server: ServerId,
-    outcome: SendOutcome,
-    cold_permit: bool,
-    reservation: Option<(Holder, ReservationId)>,
-    keys: Vec<BlockKey>,
-}
-
-impl Dispatch {
-    /// Sets the outcome that is reported when the dispatch is dropped. Without it the request counts
-    /// as cancelled.
-    pub(crate) fn set_outcome(&mut self, outcome: SendOutcome) {
-        if let Some(end) = &mut self.end {
-            end.outcome = outcome;
-        }
-    }
-}
-
-impl Drop for Dispatch {
-    fn drop(&mut self) {
-        if let Some(end) = self.end.take() {
-            deliver(&self.messages, Message::Ended(end));
-        }
-    }
-}
-
-enum Message {
-    Select {
-        query: Query,
-        reply: oneshot::Sender<Result<Selected, Box<Refused>>>,
-    },
-    Ended(End),
-    Report(ServerId, LoadReport),
-    Events(Location, Vec<CacheEvent>),
-    Listing(Location, Listing),
-    Service {
-        domains_out: Vec<DomainId>,
-        servers_out: Vec<ServerId>,
-    },
-    Status(oneshot::Sender<Vec<ServerStatus>>),
-}
-
-/// State of one backend server, for `status`.
-#[derive(Clone, Debug)]
-pub(crate) struct ServerStatus {
-    /// Number of the server.
-    pub(crate) server: ServerId,
-    /// Requests that it sustains now.
-    pub(crate) capacity: u32,
-    /// Requests of this daemon that it runs.
-    pub(crate) own_running: u32,
-    /// Why it is cold.
-    pub(crate) cold: Option<anvilgw_router::ColdCause>,
-    /// This daemon's permits while it is cold.
-    pub(crate) cold_share: u64,
-    /// State of its circuit breaker.
-    pub(crate) breaker: &'static str,
-}
-
-/// Handle of the routing duty.
-pub(crate) struct RoutingService {
-    messages: Sender<Message>,
-}
-
-impl RoutingService {
-    /// Starts the duty.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the operating system refuses a thread.
-    pub(crate) fn start(
-        setup: RoutingSetup,
-        budgets: Arc<SharedBudgets>,
-        clock: Arc<dyn Clock>,
-        journal: Arc<Journal>,
-        stop: Stop,
-    ) -> io::Result<(Self, Duty)> {
-        let (messages, receiver) = ring(RING_CAPACITY);
-        let own_messages = messages.clone();
-        let duty = Duty::spawn("routing", stop, move |stop| {
-            Worker::new(setup, budgets, clock, journal, own_messages).run(&receiver, &stop);
-        })?;
-        Ok((Self { messages }, duty))
-    }
-
-    /// Chooses a server and counts the request as running there.
-    ///
-    /// # Errors
-    ///
-    /// A failure at stage `Queued` if no server can take the request.
-    pub(crate) async fn select(&self, query: Query) -> Result<Selected, Box<Refused>> {
-        let (reply, answer) = oneshot::channel();
-        let sent = self.messages.send(Message::Select { query, reply });
-        let answer = match sent {
-            Ok(()) => answer.await.ok(),
-            Err(_) => None,
-        };
-        answer.unwrap_or_else(|| {
-            let detail = "routing does not keep up";
-            Err(Box::new(Refused {
-                failure: Failure::new(ErrorKind::Overloaded, Stage::Queued, detail),
-                explanation: None,
-            }))
-        })
-    }
-
-    /// Passes on a load report.
-    pub(crate) fn report(&self, server: ServerId, report: LoadReport) {
-        // A lost report is replaced by the next one.
-        let _ = self.messages.send(Message::Report(server, report));
-    }
-
-    /// Passes on cache events.
-    pub(crate) fn events(&self, location: Location, events: Vec<CacheEvent>) {
-        // Lost events show as a gap in the sequence.
-        let _ = self.messages.send(Message::Events(location, events));
-    }
-
-    /// Passes on a listing of a store or an engine.
-    pub(crate) fn listing(&self, location: Location, listing: Listing) {
-        let _ = self.messages.send(Message::Listing(location, listing));
-    }
-
-    /// Replaces the lists of what is out of service.
-    pub(crate) fn set_out_of_service(
-        &self,
-        domains_out: Vec<DomainId>,
-        servers_out: Vec<ServerId>,
-    ) {
-        let message = Message::Service {
-            domains_out,
-            servers_out,
-        };
-        deliver(&self.messages, message);
-    }
-
-    /// State of all servers.
-    pub(crate) async fn status(&self) -> Vec<ServerStatus> {
-        let (reply, answer) = oneshot::channel();
-        if self.messages.send(Message::Status(reply)).is_err() {
-            return Vec::new();
-        }
-        answer.await.unwrap_or_default()
-    }
-}
-
 /// What the duty starts with.
 pub(crate) struct RoutingSetup {
     /// The router with its links.
@@ -229,12 +38,13 @@
     pub(crate) seed: u64,
 }
 
-struct Worker {
+pub(super) struct Worker {
     router: Router,
     servers: Vec<ServerSpec>,
     domains: Vec<DomainId>,
     index: IndexShard,
     recent: RecentBlocks,
+    imports: ImportQueue,
     budgets: Arc<SharedBudgets>,
     rng: SmallRng,
     clock: Arc<dyn Clock>,
@@ -243,7 +53,7 @@
 }
 
 impl Worker {
-    fn new(
+    pub(super) fn new(
         setup: RoutingSetup,
         budgets: Arc<SharedBudgets>,
         clock: Arc<dyn Clock>,
@@ -260,6 +70,7 @@
             domains: setup.domains,
             index: IndexShard::new(setup.index_capacity),
             recent: RecentBlocks::new(RECENT_CAPACITY, RECENT_LIFETIME),
+            imports: ImportQueue::default(),
             budgets,
             rng: SmallRng::seed_from_u64(setup.seed),
             clock,
@@ -268,7 +79,7 @@
         }
     }
 
-    fn run(mut self, messages: &Receiver<Message>, stop: &Stop) {
+    pub(super) fn run(mut self, messages: &Receiver<Message>, stop: &Stop) {
         let mut next_tick = Duration::ZERO;
         while !stop.is_raised() {
             match messages.recv_timeout(TICK) {
@@ -281,6 +92,7 @@
                 next_tick = now + TICK;
                 self.router.tick(now);
                 self.index.tick(now);
+                self.imports.expire(now);
                 self.update_cold_budgets();
             }
         }
@@ -294,6 +106,7 @@
                 let _ = reply.send(self.select(query, now));
             }
             Message::Ended(end) => self.ended(&end, now),
+            Message::ImportEnded(server, keys) => self.imports.end(server, &keys),
             Message::Report(server, report) => {
                 let change = self.router.on_report(server, report, now);
                 self.note_change(server, change, "load report");
@@ -315,32 +128,82 @@
     }
 
     fn select(&mut self, query: Query, now: Duration) -> Result<Selected, Box<Refused>> {
-        let hints = self.hints(&query.keys, now);
-        let prefix = PrefixMatch::assemble(&hints);
+        let short: Vec<_> = query.keys.iter().map(BlockKey::short).collect();
+        let hints = self.hints(&short, now);
+        let mut prefix = PrefixMatch::assemble(&hints);
+        prefix.importing_from = self.importing_from(&short, now);
         let (choice, explanation) = self.choose(&query.request, &prefix, now)?;
-        let (imports, reservation) =
-            self.reserve_import(query.request.model, &choice, &query.keys, &hints, now);
         let server = choice.server;
+        let in_place = (choice.plan.in_place_blocks as usize).min(short.len());
+        let import_wait = self.import_wait(server, &short[..in_place], now);
+        let model = query.request.model;
+        let (imports, import) = self.reserve_import(model, &choice, &query.keys, &hints, now);
         self.router.on_sent(server, choice.plan.prefill_tokens, now);
-        let short: Vec<_> = query.keys.iter().map(BlockKey::short).collect();
-        self.recent.note(server, &short, now);
+        self.note_blocks(&choice, &short, import.as_ref(), now);
         Ok(Selected {
             choice,
             explanation,
             imports,
+            import_wait,
             dispatch: Dispatch {
                 messages: self.messages.clone(),
                 end: Some(End {
                     server,
                     outcome: SendOutcome::Cancelled,
                     cold_permit: choice.needs_cold_permit,
-                    reservation,
+                    import,
+                    import_usable: None,
                     keys: query.keys,
                 }),
             },
         })
     }
 
+    /// First block that is on its way to a server.
+    fn importing_from(&self, keys: &[ShortKey], now: Duration) -> Option<u32> {
+        let mut importing = keys
+            .iter()
+            .map(|key| self.recent.importing(*key, now).is_some());
+        let position = importing.position(|importing| importing)?;
+        u32::try_from(position).ok()
+    }
+
+    /// Joins the imports to a server of blocks that a request counts on there.
+    fn import_wait(
+        &mut self,
+        server: ServerId,
+        in_place: &[ShortKey],
+        now: Duration,
+    ) -> Option<oneshot::Receiver<()>> {
+        let importing = |key: &&ShortKey| self.recent.importing(**key, now) == Some(server);
+        let keys: Vec<_> = in_place.iter().filter(importing).copied().collect();
+        self.imports.wait(server, &keys)
+    }
+
+    /// Notes which blocks the chosen server imports and which it computes.
+    fn note_blocks(
+        &mut self,
+        choice: &Choice,
+        keys: &[ShortKey],
+        import: Option<&Import>,
+        now: Duration,
+    ) {
+        let server = choice.server;
+        let imported = import.map_or(&[][..], |import| &import.keys);
+        if !imported.is_empty() {
+            // The estimate bounds the wait for an importer that is never heard of again.
+            let until = now + Duration::from_secs_f64(choice.ttft_ms.max(0.0) / 1e3);
+            self.recent.note_import(server, imported, now, until);
+            self.imports.start(server, imported, until);
+        }
+        let computed: Vec<_> = keys
+            .iter()
+            .filter(|key| !imported.contains(key))
+            .copied()
+            .collect();
+        self.recent.note(server, &computed, now);
+    }
+
     /// Chooses a server and takes a permit if it is cold. A permit that went away since the last tick
     /// takes the server out of the choice.
     fn choose(
@@ -387,12 +250,11 @@
         }
     }
 
-    fn hints(&mut self, keys: &[BlockKey], now: Duration) -> Vec<Option<Vec<Hint>>> {
+    fn hints(&mut self, keys: &[ShortKey], now: Duration) -> Vec<Option<Vec<Hint>>> {
         keys.iter()
-            .map(|key| {
-                let short = key.short();
-                let mut hints: Vec<Hint> = self.index.lookup(short).collect();
-                self.recent.extend(short, &mut hints, now);
+            .map(|&key| {
+                let mut hints: Vec<Hint> = self.index.lookup(key).collect();
+                self.recent.extend(key, &mut hints, now);
                 Some(hints)
             })
             .collect()
@@ -407,7 +269,7 @@
         keys: &[BlockKey],
         hints: &[Option<Vec<Hint>>],
         now: Duration,
-    ) -> (Vec<ImportBlock>, Option<(Holder, ReservationId)>) {
+    ) -> (Vec<ImportBlock>, Option<Import>) {
         let Some(import) = choice.plan.import else {
             return (Vec::new(), None);
         };
@@ -421,14 +283,19 @@
         };
         let first = import.first_block as usize;
         let last = first + import.blocks as usize;
-        let blocks = hints_of(import.from, hints)
+        let blocks: Vec<_> = hints_of(import.from, hints)
             .into_iter()
             .zip(keys)
             .map(|(hint, key)| ImportBlock { key: *key, hint })
             .skip(first)
             .take(last - first)
             .collect();
-        (blocks, Some((import.from, reservation.id)))
+        let started = Import {
+            from: import.from,
+            reservation: reservation.id,
+            keys: blocks.iter().map(|block| block.key.short()).collect(),
+        };
+        (blocks, Some(started))
     }
 
     fn ended(&mut self, end: &End, now: Duration) {
@@ -438,18 +305,9 @@
             self.budgets.release(BudgetKind::Cold(end.server), 1);
             self.update_permits(end.server);
         }
-        if let Some((holder, reservation)) = end.reservation {
-            let completed = end.outcome == SendOutcome::Completed;
-            let change = self
-                .router
-                .on_import_ended(holder, reservation, completed, now);
-            if change == Some(BreakerState::Open) {
-                self.note(
-                    EventKind::BreakerOpened,
-                    &format!("link {holder:?}"),
-                    "failed imports",
-                );
-            }
+        if let Some(import) = &end.import {
+            self.imports.end(end.server, &import.keys);
+            self.import_ended(import, end.import_usable, now);
         }
         match end.outcome {
             SendOutcome::Completed => {
@@ -461,6 +319,26 @@
         }
     }
 
+    /// Gives the link bytes of an import back. Only an answer says whether the link works: a request
+    /// that broke or was cancelled may not have used it.
+    fn import_ended(&mut self, import: &Import, usable: Option<bool>, now: Duration) {
+        let Some(usable) = usable else {
+            return self
+                .router
+                .release_import(import.from, import.reservation, now);
+        };
+        let change = self
+            .router
+            .on_import_ended(import.from, import.reservation, usable, now);
+        if change == Some(BreakerState::Open) {
+            self.note(
+                EventKind::BreakerOpened,
+                &link_name(import.from),
+                "failed imports",
+            );
+        }
+    }
+
     fn set_out_of_service(&mut self, domains_out: &[DomainId], servers_out: &[ServerId]) {
         for domain in &self.domains {
             let in_service = !domains_out.contains(domain);
@@ -531,3 +409,10 @@
             .collect()
     }
 }
+
+fn link_name(holder: Holder) -> String {
+    match holder {
+        Holder::Server(server) => format!("link of backend server {server}"),
+        Holder::Store(store) => format!("link of store {store}"),
+    }
+}
--- a/crates/router/src/table.rs
+++ b/crates/router/src/table.rs
@@ -277,6 +277,13 @@
         opened.then_some(BreakerState::Open)
     }
 
+    /// Gives back the reservation of an import whose outcome says nothing about the link.
+    pub fn release_import(&mut self, from: Holder, reservation: ReservationId, now: Duration) {
+        if let Some(link) = self.links.get_mut(&from) {
+            link.ledger.release(reservation, now);
+        }
+    }
+
     /// Drops reservations whose import never ended. Called at least every second.
     pub fn tick(&mut self, now: Duration) {
         for link in self.links.values_mut() {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,4 +3,5 @@
 mod configuration;
 mod http;
 mod kernel;
+mod routing;
 mod whole_path;
