--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,4 +6,5 @@
 mod http;
 mod kernel;
 mod retries;
+mod routing;
 mod whole_path;
