Keep prompts in stores and import them after their eviction

Before, a prompt that engines had evicted was always recomputed, which is the case the system is for. Now: stores are listed every second and their blocks become hints; after a completion the keeping duty exports the blocks that no store holds (a second copy in another failure domain for costly prompts); links are priced with this daemon's part of their rate; a store that does not answer is not imported from. Generations have 64 bits, as stores report them.

Nothing frees blocks in a full store yet.

--- a/crates/bench/src/experiments/stale_hints.rs
+++ b/crates/bench/src/experiments/stale_hints.rs
@@ -16,7 +16,7 @@
 
 const READS: u64 = 200_000;
 const READS_LONG: u64 = 5_000_000;
-const SLOTS: u32 = 512;
+const SLOTS: u64 = 512;
 const PROMPTS: usize = 2_048;
 const CONTENT_BYTES: usize = 64;
 const LOCATION: Location = Location::Store(StoreId(0), Tier::Memory);
@@ -34,7 +34,7 @@
 
 struct Store {
     slots: Vec<Option<Slot>>,
-    next_generation: u32,
+    next_generation: u64,
     started_ms: u64,
     next_sequence: u64,
     /// Events that were not delivered yet, with the step at which they are.
@@ -91,7 +91,7 @@
     /// Writes a block into a slot under a generation that no slot had before. The write may be cut.
     fn write_into(&mut self, at: usize, key: BlockKey, step: u64, rng: &mut StdRng) {
         // Generations name their slot, so the next one of this slot is skipped to.
-        let behind = (at as u32 + SLOTS - (self.next_generation + 1) % SLOTS) % SLOTS;
+        let behind = (at as u64 + SLOTS - (self.next_generation + 1) % SLOTS) % SLOTS;
         self.next_generation += 1 + behind;
         let generation = Generation(self.next_generation);
         if let Some(freed) = self.slots[at].take() {
--- a/crates/entry/src/backends.rs
+++ b/crates/entry/src/backends.rs
@@ -215,22 +215,29 @@
         .collect()
 }
 
-/// The router with its links.
+/// The router without servers and links.
 pub(crate) fn router(settings: &Settings) -> Router {
-    let mut router = Router::new(RouterSettings {
+    Router::new(RouterSettings {
         weights: weights(settings.weights),
         ..RouterSettings::default()
-    });
-    for (id, server) in settings.backend_servers() {
-        if let BackendServer::Model { settings: own, .. } = server {
-            router.set_link(Holder::Server(id), link(own.link_bytes_per_s));
-        }
-    }
-    for (index, store) in settings.stores.values().enumerate() {
+    })
+}
+
+/// The links of model servers and stores with their whole rates.
+pub(crate) fn links(settings: &Settings) -> Vec<(Holder, LinkRates)> {
+    let servers = settings
+        .backend_servers()
+        .filter_map(|(id, server)| match server {
+            BackendServer::Model { settings: own, .. } => {
+                Some((Holder::Server(id), link(own.link_bytes_per_s)))
+            }
+            BackendServer::Service { .. } => None,
+        });
+    let stores = settings.stores.values().enumerate().map(|(index, store)| {
         let id = StoreId(u16::try_from(index).unwrap_or(u16::MAX));
-        router.set_link(Holder::Store(id), link(store.link_bytes_per_s));
-    }
-    router
+        (Holder::Store(id), link(store.link_bytes_per_s))
+    });
+    servers.chain(stores).collect()
 }
 
 fn weights(settings: WeightSettings) -> CostWeights {
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -5,6 +5,7 @@
 use crate::duties::apply::MILLI;
 use crate::duties::claims::ClaimsService;
 use crate::duties::control::{BudgetKind, ControlService, SharedBudgets};
+use crate::duties::keeping::KeepingService;
 use crate::duties::routing::RoutingService;
 use crate::explain::ExplainStore;
 use crate::front::KeyTable;
@@ -50,6 +51,8 @@
     pub(crate) admission: Arc<AdmissionService>,
     /// Routing.
     pub(crate) routing: Arc<RoutingService>,
+    /// Keeping of prompts in stores.
+    pub(crate) keeping: Arc<KeepingService>,
     /// Claims.
     pub(crate) claims: Arc<ClaimsService>,
     /// Control.
@@ -70,6 +73,9 @@
     pub(crate) workspace_requests: WorkspaceCounts,
     /// Open streams of each workspace.
     pub(crate) workspace_streams: WorkspaceCounts,
+    /// Whether the first configuration was passed on to admission and routing. Until then admission
+    /// knows no workspace.
+    pub(crate) applied: AtomicBool,
     /// Whether the daemon drains.
     pub(crate) draining: AtomicBool,
 }
@@ -165,8 +171,8 @@
     ///
     /// A failure at the given stage if the daemon has no configuration or its view is too old.
     pub(crate) fn config_for_new_work(&self, stage: Stage) -> Result<Arc<ConfigState>, Failure> {
-        if !self.control.has_config() {
-            let detail = "no configuration was read yet";
+        if !self.control.has_config() || !self.applied.load(Ordering::Acquire) {
+            let detail = "no configuration is in force yet";
             return Err(Failure::new(ErrorKind::NotReady, stage, detail));
         }
         self.control
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -6,6 +6,7 @@
 use crate::duties::admission::AdmissionService;
 use crate::duties::claims::{ClaimsService, ClaimsSetup, append_burst};
 use crate::duties::control::{ControlParts, ControlService, ControlSetup, SharedBudgets, Streams};
+use crate::duties::keeping::{KeepingParts, KeepingService};
 use crate::duties::routing::{RoutingService, RoutingSetup};
 use crate::duties::{apply, polls};
 use crate::explain::ExplainStore;
@@ -16,7 +17,7 @@
 use anvilgw_admission::AdmissionSettings;
 use anvilgw_claims::AgeRule;
 use anvilgw_config::{KeyHash, Output, Settings};
-use anvilgw_core::{Clock, DaemonId, LogService};
+use anvilgw_core::{Clock, DaemonId, LogService, Stage};
 use anvilgw_fleet::Contact;
 use anvilgw_kernel::{Duty, EventKind, Journal, Registry, RegistryError, Stop};
 use indexmap::IndexMap;
@@ -104,6 +105,7 @@
 struct Services {
     admission: Arc<AdmissionService>,
     routing: Arc<RoutingService>,
+    keeping: Arc<KeepingService>,
     claims: Arc<ClaimsService>,
     control: Arc<ControlService>,
     budgets: Arc<SharedBudgets>,
@@ -187,8 +189,7 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let draining = self.context.draining.load(Ordering::Acquire);
-        let fresh = self.context.control.may_take_new_work().is_ok();
-        !draining && fresh && self.context.control.has_config()
+        !draining && self.context.config_for_new_work(Stage::Received).is_ok()
     }
 
     /// Names of its services.
@@ -329,6 +330,14 @@
         base.stop.clone(),
     )?;
     duties.push(duty);
+    let routing = Arc::new(routing);
+    let parts = KeepingParts {
+        settings: Arc::clone(&base.settings),
+        routing: Arc::clone(&routing),
+        runtime: Handle::current(),
+    };
+    let (keeping, duty) = KeepingService::start(parts, base.stop.clone())?;
+    duties.push(duty);
     let (claims, duty) = ClaimsService::start(
         claims_setup(base),
         Arc::clone(&base.log),
@@ -339,7 +348,8 @@
     duties.push(duty);
     Ok(Services {
         admission: Arc::new(admission),
-        routing: Arc::new(routing),
+        routing,
+        keeping: Arc::new(keeping),
         claims: Arc::new(claims),
         control: Arc::new(control.service),
         budgets: control.budgets,
@@ -397,6 +407,7 @@
 fn routing_setup(base: &Base) -> RoutingSetup {
     RoutingSetup {
         router: backends::router(&base.settings),
+        links: backends::links(&base.settings),
         servers: backends::server_specs(&base.settings),
         domains: backends::domains(&base.settings),
         index_capacity: INDEX_CAPACITY,
@@ -432,6 +443,7 @@
     registry.register("budgets", Arc::clone(&services.budgets))?;
     registry.register("admission", Arc::clone(&services.admission))?;
     registry.register("routing", Arc::clone(&services.routing))?;
+    registry.register("keeping", Arc::clone(&services.keeping))?;
     registry.register("claims", Arc::clone(&services.claims))?;
     registry.register("peers", Arc::clone(&services.peers))?;
     registry.register("journal", Arc::clone(journal))
@@ -457,6 +469,7 @@
         backends: Backends::new(settings),
         admission: Arc::clone(&services.admission),
         routing: Arc::clone(&services.routing),
+        keeping: Arc::clone(&services.keeping),
         claims: Arc::clone(&services.claims),
         control: Arc::clone(&services.control),
         budgets: Arc::clone(&services.budgets),
@@ -467,6 +480,7 @@
         open: Arc::new(AtomicUsize::new(0)),
         workspace_requests: WorkspaceCounts::new(settings.keys.len()),
         workspace_streams: WorkspaceCounts::new(settings.keys.len()),
+        applied: AtomicBool::new(false),
         draining: AtomicBool::new(false),
         settings: Arc::clone(settings),
     })
--- a/crates/entry/src/dispatch/completion.rs
+++ b/crates/entry/src/dispatch/completion.rs
@@ -4,6 +4,7 @@
 use crate::backends::BackendKind;
 use crate::context::{Call, Context, OpenRequest};
 use crate::duties::admission::Permit;
+use crate::duties::keeping::CompletedPrompt;
 use crate::duties::routing::{Dispatch, ImportBlock, Query, Selected};
 use crate::explain::{Attempt, Record};
 use crate::observe::Hop;
@@ -171,10 +172,30 @@
                 .metrics
                 .count("tokens.imported", usage.imported_tokens, "prompt");
         }
+        self.keep_prompt();
         self.end_attempt(SendOutcome::Completed, "complete");
         note_result(&self.context, &self.call, "complete");
     }
 
+    /// Offers the blocks of the prompt, which the engine has sealed now, to the stores.
+    fn keep_prompt(&self) {
+        let Some(running) = &self.attempt else { return };
+        if self.prompt.keys.is_empty() {
+            return;
+        }
+        let kept = self.context.keeping.completed(CompletedPrompt {
+            server: running.server,
+            workspace: self.call.workspace,
+            keys: self.prompt.keys.clone(),
+            block_bytes: self.prompt.block_bytes,
+        });
+        if !kept {
+            self.context
+                .metrics
+                .count("exports.dropped", 1, "ring full");
+        }
+    }
+
     /// Ends a broken attempt and decides whether there is another one.
     async fn broken(&mut self, error: &EngineError) -> Result<(), Failure> {
         let outcome = outcome_of(error);
@@ -401,7 +422,7 @@
         Some(KvImport {
             key: hex(&import.key),
             source,
-            generation: import.hint.generation.0.into(),
+            generation: import.hint.generation.0,
         })
     }
 }
--- a/crates/entry/src/dispatch/prompt.rs
+++ b/crates/entry/src/dispatch/prompt.rs
@@ -31,6 +31,8 @@
     pub(crate) keys: Vec<BlockKey>,
     /// Tokens of a block.
     pub(crate) block_tokens: u32,
+    /// Bytes of the KV cache of a block.
+    pub(crate) block_bytes: u64,
     /// Estimated tokens of the prompt.
     pub(crate) prompt_tokens: u64,
     /// Most tokens that are generated.
@@ -83,6 +85,7 @@
             weight_version,
             keys: block_keys(&scope, text.as_bytes(), block_bytes),
             block_tokens: model_settings.block_tokens,
+            block_bytes: u64::from(model_settings.block_tokens) * model_settings.kv_bytes_per_token,
             prompt_tokens: (text.len() as u64).div_ceil(model_settings.bytes_per_token.into()),
             max_tokens: max_tokens(&body)?,
             body,
--- a/crates/entry/src/duties/apply.rs
+++ b/crates/entry/src/duties/apply.rs
@@ -8,6 +8,7 @@
 use anvilgw_core::{ServerId, WorkspaceId};
 use anvilgw_fleet::{Ownership, Split};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -39,7 +40,13 @@
         while unchanged {
             note_usage(context, &config).await;
             set_limits(context, &config);
+            // Version 0 is the empty configuration: nothing was read yet, or no list was published.
+            if config.version > 0 {
+                context.applied.store(true, Ordering::Release);
+            }
             set_capacity(context, &config);
+            let share = 1.0 / f64::from(fleet_size(context));
+            context.routing.set_link_share(share);
             let epoch = context.control.view().epoch.number;
             if owned_in != epoch {
                 owned_in = epoch;
--- a/crates/entry/src/duties/mod.rs
+++ b/crates/entry/src/duties/mod.rs
@@ -5,5 +5,6 @@
 pub(crate) mod claims;
 pub(crate) mod control;
 mod deliver;
+pub(crate) mod keeping;
 pub(crate) mod polls;
 pub(crate) mod routing;
--- a/crates/entry/src/duties/polls.rs
+++ b/crates/entry/src/duties/polls.rs
@@ -5,13 +5,15 @@
 
 use crate::backends::BackendKind;
 use crate::context::Context;
-use anvilgw_core::ServerId;
+use anvilgw_core::{ServerId, StoreId};
 use anvilgw_platform::{
-    CacheChange, CacheEvents, ConnectionSettings, EngineControl, EngineLoad, InstanceListClient,
-    InstanceState, ServiceClient,
+    CacheChange, CacheEvents, CallOptions, ConnectionSettings, EngineControl, EngineLoad,
+    InstanceListClient, InstanceState, ServiceClient, StoreClient, StoreListing, StoredBlock,
+    Tier as StoreTier,
 };
 use anvilgw_router::{
-    BlockChange, BlockKey, CacheEvent, Generation, Listing, LoadReport, Location,
+    BlockChange, BlockKey, CacheEvent, Generation, Holder, Listing, LoadReport, Location, ShortKey,
+    StoreState, Tier,
 };
 use rand::RngExt;
 use std::sync::Arc;
@@ -23,6 +25,10 @@
 const LOAD_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval of cache events while the fleet is small.
 const EVENTS_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval of listing a store while the fleet is small.
+const STORE_INTERVAL: Duration = Duration::from_secs(1);
+/// Blocks of one part of a listing.
+const LISTING_MAX: u64 = 10_000;
 /// Most polls of one kind that a server answers per second, from all daemons together. Above it the
 /// intervals grow with the fleet.
 const POLLS_PER_SERVER_PER_S: f64 = 80.0;
@@ -57,6 +63,9 @@
             }
         }
     }
+    for index in 0..context.settings.stores.len() {
+        spawn(poll_store(Arc::clone(context), index), stop);
+    }
     if let Some(&address) = context.settings.instances.addresses.first() {
         let client = InstanceListClient::new(address, ConnectionSettings::default());
         spawn(poll_instances(Arc::clone(context), client), stop);
@@ -209,6 +218,73 @@
     Some(BlockKey(*hash.as_bytes()))
 }
 
+/// Lists a store again and again. Its blocks become hints, its free space a target of exports; a store
+/// that does not answer is not imported from until it does.
+async fn poll_store(context: Arc<Context>, index: usize) {
+    let Some((_, settings)) = context.settings.stores.get_index(index) else {
+        return;
+    };
+    let id = StoreId(u16::try_from(index).unwrap_or(u16::MAX));
+    let domain = context.settings.domain_id(&settings.failure_domain);
+    let client = StoreClient::new(
+        settings.address,
+        ConnectionSettings::default(),
+        CallOptions::default(),
+    );
+    for poll in 1.. {
+        let listed = list_store(&client).await;
+        context
+            .routing
+            .set_link_usable(Holder::Store(id), listed.is_some());
+        if let Some(listing) = &listed {
+            for (tier, place) in [
+                (StoreTier::Memory, Tier::Memory),
+                (StoreTier::Disk, Tier::Disk),
+            ] {
+                let blocks = listing.blocks.iter().filter(|block| block.tier == tier);
+                let listing = Listing {
+                    started_ms: 0,
+                    next_sequence: poll,
+                    blocks: blocks.filter_map(stored_block).collect(),
+                };
+                context.routing.listing(Location::Store(id, place), listing);
+            }
+        }
+        context.keeping.store(StoreState {
+            store: id,
+            domain: domain.unwrap_or_default(),
+            memory_free_bytes: listed.as_ref().map_or(0, |listing| {
+                listing
+                    .memory_bytes
+                    .saturating_sub(listing.memory_used_bytes)
+            }),
+            disk_free_bytes: listed.as_ref().map_or(0, |listing| {
+                listing.disk_bytes.saturating_sub(listing.disk_used_bytes)
+            }),
+            usable: listed.is_some(),
+        });
+        pause_in_fleet(&context, STORE_INTERVAL).await;
+    }
+}
+
+async fn list_store(client: &StoreClient) -> Option<StoreListing> {
+    let mut all = client.list(0, LISTING_MAX).await.ok()?;
+    while (all.blocks.len() as u64) < all.total {
+        let from = all.blocks.len() as u64;
+        let more = client.list(from, LISTING_MAX).await.ok()?;
+        if more.blocks.is_empty() {
+            break;
+        }
+        all.blocks.extend(more.blocks);
+    }
+    Some(all)
+}
+
+fn stored_block(block: &StoredBlock) -> Option<(ShortKey, Generation)> {
+    let key = block_key(&block.key)?;
+    Some((key.short(), Generation(block.generation)))
+}
+
 async fn poll_instances(context: Arc<Context>, client: InstanceListClient) {
     let interval = Duration::from_millis(context.settings.instances.poll_ms);
     loop {
--- a/crates/entry/src/duties/routing/mod.rs
+++ b/crates/entry/src/duties/routing/mod.rs
@@ -7,7 +7,7 @@
 
 use super::control::SharedBudgets;
 use super::deliver::deliver;
-use anvilgw_core::{Clock, DomainId, ErrorKind, Failure, ServerId, Stage};
+use anvilgw_core::{Clock, DomainId, ErrorKind, Failure, ServerId, Stage, StoreId};
 use anvilgw_kernel::{Duty, Journal, Sender, Stop, ring};
 use anvilgw_router::{
     BlockKey, CacheEvent, Choice, Explanation, Hint, Holder, Listing, LoadReport, Location,
@@ -128,6 +128,12 @@
     Report(ServerId, LoadReport),
     Events(Location, Vec<CacheEvent>),
     Listing(Location, Listing),
+    StoresOf {
+        keys: Vec<ShortKey>,
+        reply: oneshot::Sender<Vec<Vec<StoreId>>>,
+    },
+    LinkUsable(Holder, bool),
+    LinkShare(f64),
     Service {
         domains_out: Vec<DomainId>,
         servers_out: Vec<ServerId>,
@@ -216,6 +222,30 @@
         let _ = self.messages.send(Message::Listing(location, listing));
     }
 
+    /// Stores that hold each block, as far as the index knows.
+    pub(crate) async fn stores_of(&self, keys: Vec<ShortKey>) -> Vec<Vec<StoreId>> {
+        let (reply, answer) = oneshot::channel();
+        if self
+            .messages
+            .send(Message::StoresOf { keys, reply })
+            .is_err()
+        {
+            return Vec::new();
+        }
+        answer.await.unwrap_or_default()
+    }
+
+    /// Notes whether a link can be used.
+    pub(crate) fn set_link_usable(&self, holder: Holder, usable: bool) {
+        // The next poll repeats a message that finds no room.
+        let _ = self.messages.send(Message::LinkUsable(holder, usable));
+    }
+
+    /// Sets this daemon's part of the rate of every link.
+    pub(crate) fn set_link_share(&self, share: f64) {
+        deliver(&self.messages, Message::LinkShare(share));
+    }
+
     /// Replaces the lists of what is out of service.
     pub(crate) fn set_out_of_service(
         &self,
--- a/crates/entry/src/duties/routing/worker.rs
+++ b/crates/entry/src/duties/routing/worker.rs
@@ -3,13 +3,13 @@
 use super::imports::ImportQueue;
 use super::{Dispatch, End, Import, ImportBlock, Message, Query, Refused, Selected, ServerStatus};
 use crate::duties::control::{BudgetKind, SharedBudgets};
-use anvilgw_core::{Clock, DomainId, ModelId, ServerId, Stage};
+use anvilgw_core::{Clock, DomainId, ModelId, ServerId, Stage, StoreId};
 use anvilgw_fleet::Split;
 use anvilgw_kernel::{EventKind, Journal, Receiver, RecvTimeoutError, Sender, Stop};
 use anvilgw_router::{
-    BlockKey, BreakerState, Choice, Explanation, Hint, Holder, IndexShard, PrefixMatch,
-    RecentBlocks, RouteRequest, Router, SendOutcome, ServerChange, ServerSpec, ShortKey,
-    TemperatureChange, hints_of,
+    BlockChange, BlockKey, BreakerState, Choice, Explanation, Hint, Holder, IndexShard, LinkRates,
+    Location, PrefixMatch, RecentBlocks, RouteRequest, Router, SendOutcome, ServerChange,
+    ServerSpec, ShortKey, TemperatureChange, hints_of,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -26,8 +26,10 @@
 
 /// What the duty starts with.
 pub(crate) struct RoutingSetup {
-    /// The router with its links.
+    /// The router.
     pub(crate) router: Router,
+    /// The links with their whole rates.
+    pub(crate) links: Vec<(Holder, LinkRates)>,
     /// The backend servers.
     pub(crate) servers: Vec<ServerSpec>,
     /// All failure domains.
@@ -40,6 +42,8 @@
 
 pub(super) struct Worker {
     router: Router,
+    links: Vec<(Holder, LinkRates)>,
+    link_share: f64,
     servers: Vec<ServerSpec>,
     domains: Vec<DomainId>,
     index: IndexShard,
@@ -64,8 +68,10 @@
         for spec in &setup.servers {
             router.set_server(spec.clone());
         }
-        Self {
+        let mut worker = Self {
             router,
+            links: setup.links,
+            link_share: 0.0,
             servers: setup.servers,
             domains: setup.domains,
             index: IndexShard::new(setup.index_capacity),
@@ -76,9 +82,43 @@
             clock,
             journal,
             messages,
+        };
+        worker.set_links();
+        worker
+    }
+
+    /// Passes the links on with this daemon's part of their rates, so that the parts of all daemons
+    /// stay within the rate.
+    fn set_links(&mut self) {
+        for (holder, rates) in &self.links {
+            let share = LinkRates {
+                bytes_per_s: rates.bytes_per_s * self.link_share,
+                ..*rates
+            };
+            self.router.set_link(*holder, share);
         }
     }
 
+    fn set_link_usable(&mut self, holder: Holder, usable: bool) {
+        let link = self.links.iter_mut().find(|(known, _)| *known == holder);
+        if let Some((_, rates)) = link
+            && rates.usable != usable
+        {
+            rates.usable = usable;
+            self.set_links();
+        }
+    }
+
+    fn stores_of(&mut self, keys: &[ShortKey]) -> Vec<Vec<StoreId>> {
+        let store = |hint: Hint| match hint.location {
+            Location::Store(store, _) => Some(store),
+            Location::Server(_) => None,
+        };
+        keys.iter()
+            .map(|key| self.index.lookup(*key).filter_map(store).collect())
+            .collect()
+    }
+
     pub(super) fn run(mut self, messages: &Receiver<Message>, stop: &Stop) {
         let mut next_tick = Duration::ZERO;
         while !stop.is_raised() {
@@ -113,10 +153,25 @@
             }
             Message::Events(location, events) => {
                 for event in events {
+                    if let (Location::Server(server), BlockChange::Removed) =
+                        (location, event.change)
+                    {
+                        self.recent.forget(server, event.key);
+                    }
                     self.index.apply(location, event, now);
                 }
             }
             Message::Listing(location, listing) => self.index.apply_listing(location, &listing),
+            Message::StoresOf { keys, reply } => {
+                let _ = reply.send(self.stores_of(&keys));
+            }
+            Message::LinkUsable(holder, usable) => self.set_link_usable(holder, usable),
+            Message::LinkShare(share) => {
+                if share != self.link_share {
+                    self.link_share = share;
+                    self.set_links();
+                }
+            }
             Message::Service {
                 domains_out,
                 servers_out,
--- a/crates/router/src/kv.rs
+++ b/crates/router/src/kv.rs
@@ -27,7 +27,7 @@
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-pub struct Generation(pub u32);
+pub struct Generation(pub u64);
 
 /// What the content of a block depends on apart from the prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -123,7 +123,7 @@
         /// The block belongs to another prompt, workspace, model or weight version.
         Key(found: BlockKey) { display("block has another key: {:?}", found) }
         /// The slot was freed since the hint was written.
-        Generation(expected: u32, found: u32) {
+        Generation(expected: u64, found: u64) {
             display("slot has generation {} instead of {}", found, expected)
         }
         /// The write of the block was not completed.
--- a/crates/router/src/recent.rs
+++ b/crates/router/src/recent.rs
@@ -95,6 +95,18 @@
         (recent.import_until > now).then_some(recent.server)
     }
 
+    /// Forgets a block that a server reports as evicted. If the report is older than a later request
+    /// for the block, that costs one import or recompute.
+    pub fn forget(&mut self, server: ServerId, key: ShortKey) {
+        if self
+            .blocks
+            .get(&key)
+            .is_some_and(|known| known.server == server)
+        {
+            self.blocks.remove(&key);
+        }
+    }
+
     /// Forgets what was noted about a server that failed or restarted.
     pub fn forget_server(&mut self, server: ServerId) {
         self.blocks.retain(|_, known| known.server != server);
--- a/crates/router/tests/index.rs
+++ b/crates/router/tests/index.rs
@@ -23,7 +23,7 @@
         started_ms: 1,
         sequence,
         key: ShortKey(key),
-        generation: Generation(sequence as u32),
+        generation: Generation(sequence),
         change,
     }
 }
