--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,28 +1,25 @@
 //! Assembly, start and shutdown of a daemon.
 
 use crate::admin;
-use crate::backends::{self, Backends};
+use crate::backends::Backends;
 use crate::context::{Context, WorkspaceCounts, retry_budget};
 use crate::duties::admission::AdmissionService;
-use crate::duties::claims::{ClaimsService, ClaimsSetup, append_burst};
-use crate::duties::control::{ControlParts, ControlService, ControlSetup, SharedBudgets, Streams};
+use crate::duties::claims::ClaimsService;
+use crate::duties::control::{ControlParts, ControlService, SharedBudgets};
 use crate::duties::keeping::{KeepingParts, KeepingService};
-use crate::duties::routing::{RoutingService, RoutingSetup};
+use crate::duties::routing::RoutingService;
 use crate::duties::{apply, polls};
 use crate::explain::ExplainStore;
 use crate::front::{self, KeyTable, ServerLimits};
 use crate::log_client::FailoverLog;
 use crate::observe::{LogTarget, LoggingError, Metrics, Tracing, logger};
 use crate::peer::{self, PeerClient};
-use anvilgw_admission::AdmissionSettings;
-use anvilgw_claims::AgeRule;
+use crate::setup::{admission_settings, claims_setup, control_setup, routing_setup};
 use anvilgw_config::{KeyHash, Output, Settings};
 use anvilgw_core::{Clock, DaemonId, LogService, Stage};
-use anvilgw_fleet::Contact;
 use anvilgw_kernel::{Duty, EventKind, Journal, Registry, RegistryError, Stop};
 use indexmap::IndexMap;
 use quick_error::quick_error;
-use rand::RngExt;
 use spdlog::{Level, Logger};
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
@@ -36,8 +33,6 @@
 
 /// Events kept for `status`.
 const JOURNAL_CAPACITY: usize = 1024;
-/// Entries of the index: 32 bytes each, so 64 MB of the 256 MB that control may take.
-const INDEX_CAPACITY: usize = 2_000_000;
 /// Interval in which a draining daemon looks for open requests.
 const DRAIN_TICK: Duration = Duration::from_millis(20);
 /// Longest wait for the connections of a drained daemon to close.
@@ -113,12 +108,12 @@
 }
 
 /// What all services are built from.
-struct Base {
-    settings: Arc<Settings>,
+pub(crate) struct Base {
+    pub(crate) settings: Arc<Settings>,
     clock: Arc<dyn Clock>,
     journal: Arc<Journal>,
     log: Arc<dyn LogService>,
-    daemon: DaemonId,
+    pub(crate) daemon: DaemonId,
     stop: Stop,
 }
 
@@ -357,83 +352,6 @@
     })
 }
 
-fn control_setup(base: &Base) -> ControlSetup {
-    let settings = &base.settings;
-    let own = Contact {
-        id: base.daemon,
-        address: settings.daemon.advertise,
-        domain: settings
-            .domain_id(&settings.daemon.failure_domain)
-            .unwrap_or_default(),
-    };
-    ControlSetup {
-        own,
-        hints: settings.instances.seeds.clone(),
-        streams: Streams {
-            config: settings.log.stream("config"),
-            snapshots: settings.log.stream("config-snapshot"),
-            epochs: settings.log.stream("epochs"),
-            leases: settings.log.stream("leases"),
-        },
-        retention: Duration::from_secs(settings.log.retention_s),
-        seed: rand::rng().random(),
-    }
-}
-
-/// The slots of a daemon cover the capacity of all backend servers: while others are idle, one daemon
-/// may use the whole fleet. Engines queue the rest by their own limits.
-fn admission_settings(settings: &Settings) -> AdmissionSettings {
-    let slots = settings
-        .backend_servers()
-        .map(|(_, server)| server.capacity_concurrency())
-        .sum::<u32>();
-    let service_tokens_per_s = settings
-        .servers
-        .values()
-        .filter_map(|server| {
-            let models = server.models.iter();
-            let rates = models.filter_map(|model| settings.models.get(model));
-            rates.map(|model| model.prefill_tokens_per_s).min()
-        })
-        .map(f64::from)
-        .sum::<f64>();
-    AdmissionSettings {
-        slots: slots.max(1),
-        service_tokens_per_s: service_tokens_per_s.max(1.0),
-        ..AdmissionSettings::default()
-    }
-}
-
-fn routing_setup(base: &Base) -> RoutingSetup {
-    RoutingSetup {
-        router: backends::router(&base.settings),
-        links: backends::links(&base.settings),
-        servers: backends::server_specs(&base.settings),
-        domains: backends::domains(&base.settings),
-        index_capacity: INDEX_CAPACITY,
-        seed: rand::rng().random(),
-    }
-}
-
-fn claims_setup(base: &Base) -> ClaimsSetup {
-    let claims = &base.settings.claims;
-    let margin_ms = claims.margin_s * 1_000;
-    ClaimsSetup {
-        daemon: base.daemon,
-        partitions: claims.partitions.max(1),
-        stream_prefix: base.settings.log.stream("claims"),
-        min_interval: Duration::from_millis(claims.min_interval_ms),
-        append_burst: append_burst(claims),
-        grace_ms: claims.grace_ms,
-        age: AgeRule {
-            margin_ms,
-            // The rest of the margin covers the difference between the clocks of two writers.
-            future_ms: margin_ms / 2,
-        },
-        retention: Duration::from_secs(base.settings.log.retention_s),
-    }
-}
-
 fn register(
     registry: &Registry,
     services: &Services,
--- a/crates/entry/src/dispatch/mod.rs
+++ b/crates/entry/src/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! From an authenticated request to its answer.
 
+mod claimed;
 pub(crate) mod completion;
 pub(crate) mod prompt;
 pub(crate) mod service;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,5 +14,6 @@
 mod log_client;
 mod observe;
 mod peer;
+mod setup;
 
 pub use daemon::{Daemon, Shutdown, StartError};
