Submit records to claim owners as they are, use plain names for the fault generator

The owner took an enum of its own with the same four variants as the records of the log, and two places in the daemon converted between them.

--- a/crates/bench/src/experiments/first_token.rs
+++ b/crates/bench/src/experiments/first_token.rs
@@ -3,8 +3,8 @@
 //! 8 requests/s of 270 tokens per engine are 80% of the requests that it decodes at once.
 
 use super::RunOptions;
-use super::simulation::{Outcome, run};
 use super::strategies::{Baseline, BaselineStrategy, Product};
+use super::trace_run::{Outcome, run};
 use super::workload::{INTERACTIVE_MIX, generate};
 use crate::report::{Figures, Report};
 use anvilgw_router::CostWeights;
--- a/crates/bench/src/experiments/link.rs
+++ b/crates/bench/src/experiments/link.rs
@@ -6,8 +6,8 @@
 use super::RunOptions;
 use super::model::{LINK_BUDGET_SHARE, LINK_BYTES_PER_S};
 use super::reuse::WEIGHTS;
-use super::simulation::{Outcome, run};
 use super::strategies::{Baseline, BaselineStrategy, Product};
+use super::trace_run::{Outcome, run};
 use super::workload::{BATCH_MIX, generate};
 use crate::report::{Figures, Report};
 
--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -26,9 +26,9 @@
 mod reuse;
 mod shutdown;
 mod silent_connection;
-mod simulation;
 mod stale_hints;
 mod strategies;
+mod trace_run;
 mod whole_answer;
 mod workload;
 
--- a/crates/bench/src/experiments/reuse.rs
+++ b/crates/bench/src/experiments/reuse.rs
@@ -4,8 +4,8 @@
 //! avoid: tokens behind the longest prefix that was ever computed before.
 
 use super::RunOptions;
-use super::simulation::{Outcome, run};
 use super::strategies::{Baseline, BaselineStrategy, Product};
+use super::trace_run::{Outcome, run};
 use super::workload::{BATCH_MIX, generate};
 use crate::report::{Figures, Report};
 use anvilgw_router::CostWeights;
--- a/crates/bench/src/experiments/strategies.rs
+++ b/crates/bench/src/experiments/strategies.rs
@@ -1,11 +1,11 @@
-//! The baselines and the product as strategies of the simulation.
+//! The baselines and the product as strategies of a trace run.
 
 use super::model::{
     BLOCK_BYTES, DECODE_MS_PER_TOKEN, DECODE_SLOTS, DISK_BYTES_PER_S, ENGINES, ImportRoute,
     KV_BYTES_PER_TOKEN, LINK_BUDGET_SHARE, LINK_BYTES_PER_S, LINK_LATENCY_S, PREFILL_TOKENS_PER_S,
     Published, Route, STORES, World,
 };
-use super::simulation::Strategy;
+use super::trace_run::Strategy;
 use super::workload::{BATCH_WORKSPACE, BLOCK_TOKENS, Gaps, Trace, WORKSPACES};
 use anvilgw_core::{DomainId, ModelId, ServerId, StoreId, WorkspaceId};
 use anvilgw_router::{
--- a/crates/claims/src/owner.rs
+++ b/crates/claims/src/owner.rs
@@ -133,19 +133,7 @@
                 // A claim in flight is abandoned when its batch is folded.
                 self.drop_pending_claims(|claim| claim.attempt == attempt);
             }
-            Submission::Abandon { key, attempt } => {
-                self.enqueue(Record::Abandon { key, attempt })?;
-            }
-            Submission::Expire { key, attempt } => self.enqueue(Record::Expire { key, attempt })?,
-            Submission::Outcome {
-                key,
-                attempt,
-                answer,
-            } => self.enqueue(Record::Outcome {
-                key,
-                attempt,
-                answer,
-            })?,
+            record => self.enqueue(record)?,
         }
         self.advance(now, &mut actions);
         Ok(actions)
--- a/crates/claims/src/owner/messages.rs
+++ b/crates/claims/src/owner/messages.rs
@@ -2,7 +2,7 @@
 
 use crate::fold::{AgeRule, FoldError};
 use crate::key::ClaimKey;
-use crate::record::{Attempt, BatchId, ClaimRequest, RecordedAnswer, Verdict};
+use crate::record::{Attempt, BatchId, Verdict};
 use anvilgw_core::{DaemonId, LogSlice, Offset};
 use quick_error::quick_error;
 use std::time::Duration;
@@ -65,35 +65,9 @@
     }
 }
 
-/// What other daemons and the own one ask of the owner.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Submission {
-    /// Claim a key. Answered by one [`OwnerAction::Verdict`].
-    Claim(ClaimRequest),
-    /// Record the answer of an executed attempt.
-    Outcome {
-        /// The claimed key.
-        key: ClaimKey,
-        /// The executed attempt.
-        attempt: Attempt,
-        /// Its answer.
-        answer: RecordedAnswer,
-    },
-    /// The holder gave up before sending and will never send.
-    Abandon {
-        /// The claimed key.
-        key: ClaimKey,
-        /// The abandoned attempt.
-        attempt: Attempt,
-    },
-    /// The holder sent the request and knows that it will not learn the outcome.
-    Expire {
-        /// The claimed key.
-        key: ClaimKey,
-        /// The attempt without an outcome.
-        attempt: Attempt,
-    },
-}
+/// What other daemons and the own one ask of the owner: the record to append. A claim is answered by one
+/// [`OwnerAction::Verdict`].
+pub use crate::record::Record as Submission;
 
 quick_error! {
     /// Why a submission is refused. Nothing of it is kept.
--- a/crates/claims/src/record.rs
+++ b/crates/claims/src/record.rs
@@ -129,6 +129,30 @@
     },
 }
 
+impl Record {
+    /// The claimed key.
+    #[must_use]
+    pub fn key(&self) -> ClaimKey {
+        match self {
+            Self::Claim(claim) => claim.key,
+            Self::Outcome { key, .. } | Self::Abandon { key, .. } | Self::Expire { key, .. } => {
+                *key
+            }
+        }
+    }
+
+    /// The attempt that the record is about.
+    #[must_use]
+    pub fn attempt(&self) -> Attempt {
+        match self {
+            Self::Claim(claim) => claim.attempt,
+            Self::Outcome { attempt, .. }
+            | Self::Abandon { attempt, .. }
+            | Self::Expire { attempt, .. } => *attempt,
+        }
+    }
+}
+
 /// Identifier of a batch, unique within its stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct BatchId {
--- a/crates/entry/src/dispatch/claimed.rs
+++ b/crates/entry/src/dispatch/claimed.rs
@@ -7,8 +7,7 @@
 use crate::peer::{PeerAnswer, PeerRequest, decode, encode};
 use anvilgw_claims::{
     AnswerBody, Attempt as ClaimAttempt, BodyDigest, ClaimKey, ClaimRequest, ClaimSender, KeyError,
-    KeyTime, Record as ClaimRecord, RecordedAnswer, Reply, SenderAction, SenderEvent, Submission,
-    Unavailable, Verdict,
+    KeyTime, RecordedAnswer, Reply, SenderAction, SenderEvent, Submission, Unavailable, Verdict,
 };
 use anvilgw_config::UndatedKeys;
 use anvilgw_core::{ErrorKind, Failure, Stage};
@@ -279,26 +278,9 @@
 /// Records an outcome, abandonment or expiry at the owner, or by the own daemon if the owner does
 /// not take it.
 async fn record(context: &Context, submission: Submission) {
-    let (key, record) = match submission.clone() {
-        Submission::Claim(_) => return,
-        Submission::Outcome {
-            key,
-            attempt,
-            answer,
-        } => (
-            key,
-            ClaimRecord::Outcome {
-                key,
-                attempt,
-                answer,
-            },
-        ),
-        Submission::Abandon { key, attempt } => (key, ClaimRecord::Abandon { key, attempt }),
-        Submission::Expire { key, attempt } => (key, ClaimRecord::Expire { key, attempt }),
-    };
-    let partition = key.partition(context.claims.partitions());
+    let partition = submission.key().partition(context.claims.partitions());
     if let Some(address) = context.control.claim_owner(context.daemon, partition) {
-        let request = encode(&PeerRequest::Record(record));
+        let request = encode(&PeerRequest::Record(submission.clone()));
         let answer = context.peers.call(address, request, RECORD_TIMEOUT).await;
         let answer = answer.ok().and_then(|answer| decode(&answer));
         if matches!(answer, Some(PeerAnswer::Taken)) {
--- a/crates/entry/src/duties/claims.rs
+++ b/crates/entry/src/duties/claims.rs
@@ -264,13 +264,8 @@
     }
 
     fn submit(&mut self, submission: Submission, reply: Option<oneshot::Sender<Verdict>>) {
-        let (key, attempt) = match &submission {
-            Submission::Claim(claim) => (claim.key, claim.attempt),
-            Submission::Outcome { key, attempt, .. }
-            | Submission::Abandon { key, attempt }
-            | Submission::Expire { key, attempt } => (*key, *attempt),
-        };
-        let partition = key.partition(self.setup.partitions);
+        let attempt = submission.attempt();
+        let partition = submission.key().partition(self.setup.partitions);
         let now = Now::read(&*self.clock);
         self.open(partition);
         let Some(known) = self.partitions.get_mut(&partition) else {
--- a/crates/entry/src/peer/handler.rs
+++ b/crates/entry/src/peer/handler.rs
@@ -4,7 +4,7 @@
 use super::transport::PeerHandler;
 use crate::duties::claims::ClaimsService;
 use crate::duties::control::{ControlService, SharedBudgets};
-use anvilgw_claims::{Record, Submission};
+use anvilgw_claims::Record;
 use bytes::Bytes;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -53,22 +53,11 @@
     }
 
     fn record(&self, record: Record) -> PeerAnswer {
-        let submission = match record {
+        if matches!(record, Record::Claim(_)) {
             // Claims need a verdict and have a message of their own.
-            Record::Claim(_) => return PeerAnswer::Unavailable,
-            Record::Outcome {
-                key,
-                attempt,
-                answer,
-            } => Submission::Outcome {
-                key,
-                attempt,
-                answer,
-            },
-            Record::Abandon { key, attempt } => Submission::Abandon { key, attempt },
-            Record::Expire { key, attempt } => Submission::Expire { key, attempt },
-        };
-        self.claims.record(submission);
+            return PeerAnswer::Unavailable;
+        }
+        self.claims.record(record);
         PeerAnswer::Taken
     }
 }
--- a/crates/standin/src/engine/completion.rs
+++ b/crates/standin/src/engine/completion.rs
@@ -126,7 +126,7 @@
         return Reply::Cut;
     };
     let faults = engine.state().faults.clone();
-    let fault = StreamFault::draw(&faults, &engine.dice);
+    let fault = StreamFault::draw(&faults, &engine.fault_rng);
     if completion.is_stream {
         let after = completion.extension.resume_from + faults.after_tokens;
         return EventStream::start(engine, completion, in_flight, (fault, after), call.wire);
--- a/crates/standin/src/engine/kv.rs
+++ b/crates/standin/src/engine/kv.rs
@@ -172,7 +172,7 @@
         let tokens = state.cache.tokens_of(key)?;
         let content = kv_content(key);
         let digest = blake3::hash(content.as_bytes()).to_hex().to_string();
-        let is_wrong = self.dice.chance(state.faults.wrong_kv_probability);
+        let is_wrong = self.fault_rng.chance(state.faults.wrong_kv_probability);
         Some(KvBlock {
             key: key.to_owned(),
             generation: 0,
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -21,7 +21,7 @@
     OrderState, Usage,
 };
 
-use crate::dice::Dice;
+use crate::fault_rng::FaultRng;
 use crate::fetch::Fetcher;
 use crate::link::Link;
 use crate::server::{Call, Reply, Running, Server, Standin};
@@ -42,7 +42,7 @@
 pub struct EngineStandin {
     config: EngineConfig,
     server: Arc<Server>,
-    dice: Dice,
+    fault_rng: FaultRng,
     state: Mutex<State>,
     link: Mutex<Link>,
     fetcher: Fetcher,
@@ -97,7 +97,7 @@
         let running = Server::start(addr, seed, |server| {
             let engine = Arc::new(Self {
                 state: Mutex::new(Self::first_state(&config)),
-                dice: Dice::new(seed),
+                fault_rng: FaultRng::new(seed),
                 server: Arc::clone(server),
                 link: Mutex::default(),
                 fetcher: Fetcher::new(Duration::from_millis(config.import_limit_ms)),
@@ -294,7 +294,7 @@
 
     fn record(&self, events: &mut EventLog, changes: Vec<CacheChange>) {
         for change in changes {
-            let is_lost = self.dice.chance(self.config.event_gap_probability);
+            let is_lost = self.fault_rng.chance(self.config.event_gap_probability);
             events.record(change, is_lost, self.config.events_kept);
         }
     }
--- a/crates/standin/src/engine/stream.rs
+++ b/crates/standin/src/engine/stream.rs
@@ -4,7 +4,7 @@
 use super::completion::Completion;
 use super::config::EngineFaults;
 use super::{EngineStandin, InFlight};
-use crate::dice::Dice;
+use crate::fault_rng::FaultRng;
 use crate::server::Reply;
 use crate::wire::Wire;
 use bytes::Bytes;
@@ -43,7 +43,7 @@
 }
 
 impl StreamFault {
-    pub(crate) fn draw(faults: &EngineFaults, dice: &Dice) -> Self {
+    pub(crate) fn draw(faults: &EngineFaults, fault_rng: &FaultRng) -> Self {
         let table = [
             (faults.cut_probability, Self::Cut),
             (faults.silence_probability, Self::Silence),
@@ -54,7 +54,7 @@
         ];
         table
             .into_iter()
-            .find_map(|(probability, fault)| dice.chance(probability).then_some(fault))
+            .find_map(|(probability, fault)| fault_rng.chance(probability).then_some(fault))
             .unwrap_or(Self::None)
     }
 }
--- a/crates/standin/src/dice.rs
+++ b/crates/standin/src/fault_rng.rs
@@ -1,4 +1,4 @@
-//! Seeded chance.
+//! Seeded random faults.
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -6,11 +6,11 @@
 
 /// Random generator shared by the tasks of one stand-in.
 #[derive(Debug)]
-pub(crate) struct Dice {
+pub(crate) struct FaultRng {
     rng: Mutex<StdRng>,
 }
 
-impl Dice {
+impl FaultRng {
     pub(crate) fn new(seed: u64) -> Self {
         Self {
             rng: Mutex::new(StdRng::seed_from_u64(seed)),
@@ -24,7 +24,7 @@
             && self
                 .rng
                 .lock()
-                .expect("dice lock")
+                .expect("fault generator lock")
                 .random_bool(probability.min(1.0))
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,8 +4,8 @@
 //! the process of the test or as `anvilgw-standin KIND --listen ADDR`. Faults are set by typed calls
 //! or by `POST /control/faults`; whatever is left to chance is drawn from a seeded generator.
 
-mod dice;
 mod engine;
+mod fault_rng;
 mod fetch;
 mod instances;
 mod limits;
--- a/crates/standin/src/memory_log.rs
+++ b/crates/standin/src/memory_log.rs
@@ -1,6 +1,6 @@
 //! The log service in memory, for tests without sockets and behind the HTTP stand-in.
 
-use crate::dice::Dice;
+use crate::fault_rng::FaultRng;
 use crate::limits::RequestLimit;
 use anvilgw_core::{Clock, LogError, LogRecord, LogService, LogSlice, Offset, SystemClock};
 use indexmap::IndexMap;
@@ -91,7 +91,7 @@
 struct Inner {
     config: LogConfig,
     clock: Arc<dyn Clock>,
-    dice: Dice,
+    fault_rng: FaultRng,
     state: Mutex<State>,
     appended: Condvar,
     version: watch::Sender<u64>,
@@ -166,7 +166,7 @@
         };
         Self {
             inner: Arc::new(Inner {
-                dice: Dice::new(config.seed),
+                fault_rng: FaultRng::new(config.seed),
                 config,
                 clock,
                 state: Mutex::new(state),
@@ -232,7 +232,7 @@
         }
         if self
             .inner
-            .dice
+            .fault_rng
             .chance(state.faults.lose_request_probability)
         {
             return Appended::RequestLost;
@@ -246,7 +246,12 @@
         self.inner.version.send_modify(|version| *version += 1);
         let is_next_lost = state.faults.lose_next_answers > 0;
         state.faults.lose_next_answers -= u32::from(is_next_lost);
-        if is_next_lost || self.inner.dice.chance(state.faults.lose_answer_probability) {
+        if is_next_lost
+            || self
+                .inner
+                .fault_rng
+                .chance(state.faults.lose_answer_probability)
+        {
             state.counters.answers_lost += 1;
             return Appended::AnswerLost;
         }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,6 +1,6 @@
 //! HTTP server that all stand-ins share: start, stop, restart and faults of connections.
 
-use crate::dice::Dice;
+use crate::fault_rng::FaultRng;
 use crate::wire::{Wire, WireIo};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
@@ -144,7 +144,7 @@
     phase: watch::Sender<Phase>,
     wires: Mutex<Vec<Weak<Wire>>>,
     silence_probability: Mutex<f64>,
-    dice: Dice,
+    fault_rng: FaultRng,
     accepted: AtomicU64,
 }
 
@@ -166,7 +166,7 @@
             phase: watch::Sender::new(Phase::Up),
             wires: Mutex::default(),
             silence_probability: Mutex::new(0.0),
-            dice: Dice::new(seed),
+            fault_rng: FaultRng::new(seed),
             accepted: AtomicU64::new(0),
         });
         let standin = build(&server);
@@ -386,7 +386,7 @@
     let silence_probability = *server.silence_probability.lock().expect("fault lock");
     let reply = if call.path == FAULTS_PATH && call.method == Method::POST {
         set_faults(&server, &*standin, &wire, &call)
-    } else if !is_control && server.dice.chance(silence_probability) {
+    } else if !is_control && server.fault_rng.chance(silence_probability) {
         Reply::Silence
     } else {
         standin.handle(call).await
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -1,6 +1,6 @@
 //! A plain service that counts how often each call was executed.
 
-use crate::dice::Dice;
+use crate::fault_rng::FaultRng;
 use crate::pause::pause;
 use crate::server::{Call, Reply, Running, Server, Standin};
 use http::{Method, StatusCode};
@@ -89,7 +89,7 @@
 #[derive(Debug)]
 pub struct ServiceStandin {
     config: ServiceConfig,
-    dice: Dice,
+    fault_rng: FaultRng,
     state: Mutex<State>,
 }
 
@@ -107,7 +107,7 @@
         };
         let running = Server::start(addr, config.seed, |server| {
             let standin = Arc::new(Self {
-                dice: Dice::new(config.seed),
+                fault_rng: FaultRng::new(config.seed),
                 config,
                 state: Mutex::new(state),
             });
@@ -161,20 +161,20 @@
         if faults.refuse {
             return Reply::error(StatusCode::SERVICE_UNAVAILABLE, "refused");
         }
-        if self.dice.chance(faults.cut_before_probability) {
+        if self.fault_rng.chance(faults.cut_before_probability) {
             self.note_fault(call, "cut before execution");
             return Reply::Cut;
         }
-        let reply = if self.dice.chance(faults.cut_after_probability) {
+        let reply = if self.fault_rng.chance(faults.cut_after_probability) {
             self.note_fault(call, "cut after execution");
             Some(Reply::Cut)
-        } else if self.dice.chance(faults.silence_after_probability) {
+        } else if self.fault_rng.chance(faults.silence_after_probability) {
             self.note_fault(call, "silent after execution");
             Some(Reply::Silence)
         } else {
             None
         };
-        let is_late = reply.is_none() && self.dice.chance(faults.late_probability);
+        let is_late = reply.is_none() && self.fault_rng.chance(faults.late_probability);
         let Some(answer) = self.execute(call, &faults).await else {
             return Reply::error(StatusCode::SERVICE_UNAVAILABLE, "too many calls");
         };
