--- a/crates/entry/src/setup.rs
+++ b/crates/entry/src/setup.rs
@@ -12,7 +12,7 @@
 use rand::RngExt;
 use std::time::Duration;
 
-/// Entries of the index: 43 bytes each, so 86 MB of the 256 MB that control may take.
+/// Entries of the index: 51 bytes each, so 103 MB of the 256 MB that control may take.
 const INDEX_CAPACITY: usize = 2_000_000;
 
 pub(crate) fn control_setup(base: &Base) -> ControlSetup {
