Publish each configuration once, share the clients of the backend servers

Read-through of the whole change: the control duty published the configuration after every read of the log, twice a second, and its followers set all limits, budgets and service states again each time; it now publishes each version once. The keeping duty built a second set of clients and connection pools for all backend servers; it now uses the daemon's.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -46,7 +46,7 @@
     /// Keys of the operators.
     pub(crate) operator_keys: KeyTable,
     /// Backend servers.
-    pub(crate) backends: Backends,
+    pub(crate) backends: Arc<Backends>,
     /// Admission.
     pub(crate) admission: Arc<AdmissionService>,
     /// Routing.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -98,6 +98,7 @@
 }
 
 struct Services {
+    backends: Arc<Backends>,
     admission: Arc<AdmissionService>,
     routing: Arc<RoutingService>,
     keeping: Arc<KeepingService>,
@@ -301,6 +302,7 @@
     duties: &mut Vec<Duty>,
 ) -> Result<Services, StartError> {
     let peers = Arc::new(PeerClient::default());
+    let backends = Arc::new(Backends::new(&base.settings));
     let parts = ControlParts {
         log: Arc::clone(&base.log),
         socket: datagrams,
@@ -328,6 +330,7 @@
     let routing = Arc::new(routing);
     let parts = KeepingParts {
         settings: Arc::clone(&base.settings),
+        backends: Arc::clone(&backends),
         routing: Arc::clone(&routing),
         runtime: Handle::current(),
     };
@@ -342,6 +345,7 @@
     )?;
     duties.push(duty);
     Ok(Services {
+        backends,
         admission: Arc::new(admission),
         routing,
         keeping: Arc::new(keeping),
@@ -384,7 +388,7 @@
         logger,
         workspace_keys: key_table(&settings.keys),
         operator_keys: key_table(&settings.operators),
-        backends: Backends::new(settings),
+        backends: Arc::clone(&services.backends),
         admission: Arc::clone(&services.admission),
         routing: Arc::clone(&services.routing),
         keeping: Arc::clone(&services.keeping),
--- a/crates/entry/src/duties/control/worker.rs
+++ b/crates/entry/src/duties/control/worker.rs
@@ -322,8 +322,18 @@
             "the configuration never goes back"
         );
         self.freshness.set_config_version(state.version);
-        self.publish.config.send_replace(state);
-        self.publish.ready.send_replace(true);
+        // Followers put a configuration in force when they are told of it, so they are told of each
+        // version once and not after every read of the log.
+        self.publish.config.send_if_modified(|published| {
+            let newer = state.version > published.version;
+            if newer {
+                *published = state;
+            }
+            newer
+        });
+        self.publish
+            .ready
+            .send_if_modified(|ready| !std::mem::replace(ready, true));
     }
 
     fn tick(&mut self) {
--- a/crates/entry/src/duties/keeping.rs
+++ b/crates/entry/src/duties/keeping.rs
@@ -58,6 +58,8 @@
 pub(crate) struct KeepingParts {
     /// Settings.
     pub(crate) settings: Arc<Settings>,
+    /// Clients of the engines.
+    pub(crate) backends: Arc<Backends>,
     /// Which blocks are in stores already.
     pub(crate) routing: Arc<RoutingService>,
     /// Runtime of the clients.
@@ -97,7 +99,6 @@
     listings: IndexMap<StoreId, u64>,
     /// Exported blocks with the number of listings of the store at that time.
     exported: IndexMap<(ShortKey, StoreId), u64>,
-    backends: Backends,
     parts: KeepingParts,
 }
 
@@ -115,7 +116,6 @@
             stores: IndexMap::new(),
             listings: IndexMap::new(),
             exported: IndexMap::new(),
-            backends: Backends::new(&parts.settings),
             parts,
         }
     }
@@ -181,7 +181,7 @@
     }
 
     fn domain(&self, server: ServerId) -> Option<DomainId> {
-        let backend = self.backends.get(server)?;
+        let backend = self.parts.backends.get(server)?;
         self.parts.settings.domain_id(&backend.domain)
     }
 
@@ -193,7 +193,7 @@
         keys: &[(ShortKey, String)],
     ) {
         let settings = self.parts.settings.stores.get_index(store.0.into());
-        let backend = self.backends.get(server).map(|backend| &backend.kind);
+        let backend = self.parts.backends.get(server).map(|backend| &backend.kind);
         let (Some((_, settings)), Some(BackendKind::Engine { control, .. })) = (settings, backend)
         else {
             return;
