--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -12,4 +12,4 @@
 pub use duty::{Duty, Stop};
 pub use journal::{Event, EventKind, Journal};
 pub use registry::{Registry, RegistryError, Service};
-pub use ring::{Receiver, RecvTimeoutError, RingFull, Sender, ring};
+pub use ring::{Receiver, RecvTimeoutError, RingFull, Sender, TryRecvError, ring};
--- a/tests/all/kernel.rs
+++ b/tests/all/kernel.rs
@@ -35,6 +35,38 @@
     assert_eq!(sender.send(4), Err(RingFull::Closed));
 }
 
+/// Guards against a question that is never answered because it was still unread when its receiver went:
+/// the channel for its answer has to close although senders of the ring live on.
+#[test]
+fn unread_messages_are_dropped_with_the_receiver() {
+    let (sender, receiver) = ring(4);
+    let unread = Arc::new(());
+    sender.send(Arc::clone(&unread)).unwrap();
+    drop(receiver);
+    assert_eq!(Arc::strong_count(&unread), 1);
+    assert_eq!(
+        sender.send(Arc::clone(&unread)),
+        Err(RingFull::Closed),
+        "a later message is refused"
+    );
+    assert_eq!(Arc::strong_count(&unread), 1);
+}
+
+/// Guards against the same loss for a message that is sent while the receiver goes.
+#[test]
+fn a_message_sent_while_the_receiver_goes_is_dropped() {
+    for _ in 0..2_000 {
+        let (sender, receiver) = ring(4);
+        let unread = Arc::new(());
+        let message = Arc::clone(&unread);
+        let other = sender.clone();
+        let sending = std::thread::spawn(move || other.send(message));
+        drop(receiver);
+        let _ = sending.join().unwrap();
+        assert_eq!(Arc::strong_count(&unread), 1);
+    }
+}
+
 /// Guards against a journal that grows without bound or loses its newest events.
 #[test]
 fn journal_keeps_the_newest_events() {
