Share the choice of a connection and the retry loop; pass the clock to callers

Pool::checkouts decides which connections a request tries, for calls and attempts alike. with_retries holds the loop that plain answers and streams had each. An attempt is a struct in place of eight arguments. Malformed records of the lease log are logged. An answer that stops in the middle counts at the server as one that does not begin did. Dead fields and methods are removed.

--- a/crates/cli/src/commands/gateway.rs
+++ b/crates/cli/src/commands/gateway.rs
@@ -4,10 +4,7 @@
 use crate::options::Options;
 use crate::render::print;
 use anvilgw_core::SystemClock;
-use anvilgw_gateway::Ports;
-use anvilgw_operator_platform::{
-    HeaderCodec, HttpCaches, LogStore, PlatformSettings, ServerOrders, read_settings, settings_path,
-};
+use anvilgw_operator_platform::{PlatformSettings, connect, read_settings, settings_path};
 use lexopt::Parser;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -38,7 +35,7 @@
     if options.check {
         return Ok(ExitCode::SUCCESS);
     }
-    let ports = ports(&settings);
+    let ports = connect(&settings, Arc::new(SystemClock));
     let reload = Box::new(move || match read_settings(&path) {
         Ok(_) => "the settings are valid".to_owned(),
         Err(error) => error.to_string(),
@@ -51,13 +48,3 @@
 fn load(path: &Path) -> Result<PlatformSettings, CliError> {
     read_settings(path).map_err(|error| CliError::Failed(error.to_string()))
 }
-
-fn ports(settings: &PlatformSettings) -> Ports {
-    Ports {
-        codec: Box::new(HeaderCodec),
-        store: Box::new(LogStore::new(settings)),
-        caches: Box::new(HttpCaches::default()),
-        orders: Box::new(ServerOrders::new(settings.gateway.instance.clone())),
-        clock: Arc::new(SystemClock),
-    }
-}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,29 +1,31 @@
 //! Calls whose whole answer is needed, to the platform and to backend servers.
 
-use crate::connection::SendError;
-use crate::pool::Pool;
-use anvilgw_core::{Clock, SystemClock};
+use crate::connection::{Connection, SendError};
+use crate::pool::{OpenLimits, Pool};
+use anvilgw_core::Clock;
 use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use indexmap::IndexMap;
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// Time to open a connection for a call.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
-/// Most connections to one address. Calls are few; one of them may be a read that waits.
-const OPEN_MAX: usize = 8;
-/// Kept connections that are tried before a new one is opened.
-const REUSED_TRIES: usize = 2;
+/// Limits of connections for calls. Calls are few; one of them may be a read that waits.
+const LIMITS: OpenLimits = OpenLimits {
+    timeout: Duration::from_millis(600),
+    open_max: 8,
+};
 
 /// A whole answer.
 #[derive(Clone, Debug)]
 pub struct CallAnswer {
     /// Status.
     pub status: StatusCode,
-    /// Headers.
-    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -32,15 +34,17 @@
 pub struct Caller {
     address: SocketAddr,
     pool: Pool,
+    clock: Arc<dyn Clock>,
 }
 
 impl Caller {
     /// Creates a caller without connections.
     #[must_use]
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, clock: Arc<dyn Clock>) -> Self {
         Self {
             address,
             pool: Pool::default(),
+            clock,
         }
     }
 
@@ -61,38 +65,68 @@
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<CallAnswer, SendError> {
-        for _ in 0..REUSED_TRIES {
-            let Some(mut checkout) = self.pool.take_idle(SystemClock.uptime()) else {
-                break;
-            };
+        let mut checkouts = self.pool.checkouts(self.address);
+        loop {
+            let mut checkout = checkouts.next(LIMITS, self.clock.uptime()).await?;
             match checkout.connection.send(request.clone()).await {
-                // The peer closed the kept connection while it was idle.
-                Err(SendError::NotSent(_)) => {}
+                Err(SendError::NotSent(_)) if checkout.is_reused => {}
                 Err(error) => return Err(error),
                 Ok(response) => return self.read(checkout.connection, response).await,
             }
         }
-        let opened = self.pool.open(self.address, CONNECT_TIMEOUT, OPEN_MAX);
-        let mut connection = opened.await?.connection;
-        let response = connection.send(request).await?;
-        self.read(connection, response).await
     }
 
     async fn read(
         &self,
-        connection: crate::connection::Connection,
-        response: http::Response<hyper::body::Incoming>,
+        connection: Connection,
+        response: Response<Incoming>,
     ) -> Result<CallAnswer, SendError> {
         let (head, body) = response.into_parts();
         let collected = body
             .collect()
             .await
             .map_err(|error| SendError::Lost(format!("the answer was cut: {error}")))?;
-        self.pool.keep(connection, None, SystemClock.uptime());
+        self.pool.keep(connection, None, self.clock.uptime());
         Ok(CallAnswer {
             status: head.status,
-            headers: head.headers,
             body: collected.to_bytes(),
         })
     }
+
+    /// Closes idle connections that the peer is about to close, and returns whether any is open.
+    fn sweep(&self) -> bool {
+        self.pool.sweep(self.clock.uptime());
+        self.pool.open_count() > 0
+    }
+}
+
+/// Callers by address.
+pub struct Callers {
+    by_address: RefCell<IndexMap<SocketAddr, Rc<Caller>>>,
+    clock: Arc<dyn Clock>,
+}
+
+impl Callers {
+    /// Creates a set without callers.
+    #[must_use]
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
+        Self {
+            by_address: RefCell::default(),
+            clock,
+        }
+    }
+
+    /// The caller of an address. Others that have no open connection are dropped on the way, so that
+    /// addresses that are no longer used take no memory.
+    #[must_use]
+    pub fn caller(&self, address: SocketAddr) -> Rc<Caller> {
+        let mut by_address = self.by_address.borrow_mut();
+        if let Some(caller) = by_address.get(&address) {
+            return Rc::clone(caller);
+        }
+        by_address.retain(|_, caller| caller.sweep());
+        let caller = Rc::new(Caller::new(address, Arc::clone(&self.clock)));
+        by_address.insert(address, Rc::clone(&caller));
+        caller
+    }
 }
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -5,12 +5,12 @@
 use super::target::{Target, choose_with_wait};
 use crate::connection::{Connection, SendError};
 use crate::gateway::Gateway;
-use crate::pool::{Checkout, Pool};
+use crate::pool::{OpenLimits, Pool};
 use crate::request::{AnswerMeta, ForwardMeta, Prompt};
 use crate::retry::Cause;
 use crate::server::ServerKey;
 use http::header::CONTENT_LENGTH;
-use http::{HeaderMap, HeaderValue, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -21,8 +21,6 @@
 /// Time to open a connection. Connections within a region open within a few milliseconds; the rest
 /// is for a server that is busy.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Kept connections that are tried before a new one is opened.
-const REUSED_TRIES: usize = 2;
 /// Time to read the rest of an answer that nobody needs.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -51,6 +49,11 @@
         self.in_flight.on_broken();
     }
 
+    /// Closes the connection of an answer that did not go on in time.
+    pub(crate) fn timed_out(self) {
+        self.in_flight.on_timeout();
+    }
+
     /// Reads an answer that nobody needs to its end, so that its connection can be kept.
     fn discard(mut self, gateway: &Rc<Gateway>) {
         let gateway = Rc::clone(gateway);
@@ -69,6 +72,7 @@
     gateway: Rc<Gateway>,
     key: ServerKey,
     tokens: u64,
+    sent_at: Duration,
 }
 
 impl InFlight {
@@ -83,6 +87,7 @@
             gateway: Rc::clone(gateway),
             key,
             tokens,
+            sent_at: now,
         }
     }
 
@@ -99,11 +104,11 @@
     }
 
     /// Notes that no answer came in time. A server that answered others meanwhile is only slow.
-    fn on_timeout(&self, started: Duration) {
+    fn on_timeout(&self) {
         let now = self.gateway.now();
         if let Some(server) = self.gateway.state.borrow_mut().servers.get_mut(self.key) {
             server.on_outcome(false);
-            if server.heard_at < started {
+            if server.heard_at < self.sent_at {
                 server.breaker.on_failure(now);
             }
         }
@@ -148,128 +153,182 @@
     }
 }
 
-/// Makes one attempt. The head of the answer must arrive within `head_limit`.
+/// What an attempt asks for.
+#[derive(Clone, Copy)]
+pub(crate) struct AttemptOptions {
+    /// Number of the last event that the client has, if the stream is to go on after it.
+    pub(crate) resume_after: Option<u64>,
+    /// Time in which the head of the answer must arrive.
+    pub(crate) head_limit: Duration,
+}
+
+/// Makes one attempt.
 pub(crate) async fn attempt(
     gateway: &Rc<Gateway>,
     call: &Call,
     progress: &mut Progress,
-    resume_after: Option<u64>,
-    head_limit: Duration,
+    options: AttemptOptions,
 ) -> Result<Exchange, Cause> {
     let target = choose_with_wait(gateway, call, progress).await?;
     target.id.clone_into(&mut progress.server);
     progress.tried.push(target.key);
-    let pool = gateway.pool(target.key);
-    let open_max = gateway.connections_max(&call.service);
-    for _ in 0..REUSED_TRIES {
-        let Some(checkout) = pool.take_idle(gateway.now()) else {
-            break;
-        };
-        let result = send(
-            gateway,
-            call,
-            progress,
-            &target,
-            checkout,
-            &pool,
-            resume_after,
-            head_limit,
-        );
-        match result.await {
-            // The server closed the kept connection while it was idle.
-            Err(Cause::NotSent(_)) => {}
-            result => return result,
+    let attempt = Attempt {
+        pool: gateway.pool(target.key),
+        gateway,
+        call,
+        target,
+        options,
+    };
+    attempt.run(progress).await
+}
+
+/// One attempt at a selected backend server.
+struct Attempt<'a> {
+    gateway: &'a Rc<Gateway>,
+    call: &'a Call,
+    target: Target,
+    pool: Rc<Pool>,
+    options: AttemptOptions,
+}
+
+impl Attempt<'_> {
+    async fn run(&self, progress: &mut Progress) -> Result<Exchange, Cause> {
+        let mut checkouts = self.pool.checkouts(self.target.address);
+        loop {
+            let now = self.gateway.now();
+            let limits = OpenLimits {
+                timeout: CONNECT_TIMEOUT.min(self.call.remaining(now)),
+                open_max: self.gateway.connections_max(&self.call.service),
+            };
+            let checkout = match checkouts.next(limits, now).await {
+                Ok(checkout) => checkout,
+                Err(error) => return Err(self.on_no_connection(&error)),
+            };
+            let is_reused = checkout.is_reused;
+            if !is_reused {
+                self.gateway.metrics.count("connections_opened");
+            }
+            match self.send(progress, checkout.connection).await {
+                Err(Cause::NotSent(_)) if is_reused => {}
+                result => return result,
+            }
         }
     }
-    let limit = CONNECT_TIMEOUT.min(call.remaining(gateway.now()));
-    match pool.open(target.address, limit, open_max).await {
-        Ok(checkout) => {
-            gateway.metrics.count("connections_opened");
-            send(
-                gateway,
-                call,
-                progress,
-                &target,
-                checkout,
-                &pool,
-                resume_after,
-                head_limit,
-            )
-            .await
+
+    fn on_no_connection(&self, error: &SendError) -> Cause {
+        if *error != SendError::NoConnection {
+            on_unreachable(self.gateway, self.target.key);
         }
-        Err(error) => {
-            if error != SendError::NoConnection {
-                on_unreachable(gateway, target.key);
+        Cause::NotSent(error.to_string())
+    }
+
+    async fn send(
+        &self,
+        progress: &mut Progress,
+        mut connection: Connection,
+    ) -> Result<Exchange, Cause> {
+        let request = build_request(
+            self.gateway,
+            self.call,
+            &self.target,
+            self.options.resume_after,
+        );
+        let in_flight = InFlight::new(self.gateway, self.target.key, self.call);
+        progress.may_have_run_before = progress.may_have_run;
+        // Until the outcome is known, and also if the client leaves meanwhile, it may have run.
+        progress.may_have_run = true;
+        let response = match timeout(self.options.head_limit, connection.send(request)).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(SendError::Lost(reason))) => {
+                progress.sent += 1;
+                in_flight.on_broken();
+                return Err(Cause::Lost(reason));
             }
-            Err(Cause::NotSent(error.to_string()))
-        }
+            Ok(Err(not_sent)) => {
+                progress.may_have_run = progress.may_have_run_before;
+                return Err(Cause::NotSent(not_sent.to_string()));
+            }
+            Err(_) => {
+                progress.sent += 1;
+                in_flight.on_timeout();
+                return Err(Cause::Lost("no answer in time".to_owned()));
+            }
+        };
+        progress.sent += 1;
+        self.on_head(progress, connection, response, in_flight)
     }
-}
 
-#[expect(clippy::too_many_arguments, reason = "all belong to one attempt")]
-async fn send(
-    gateway: &Rc<Gateway>,
-    call: &Call,
-    progress: &mut Progress,
-    target: &Target,
-    checkout: Checkout,
-    pool: &Rc<Pool>,
-    resume_after: Option<u64>,
-    head_limit: Duration,
-) -> Result<Exchange, Cause> {
-    let mut connection = checkout.connection;
-    let request = build_request(gateway, call, target, resume_after);
-    let in_flight = InFlight::new(gateway, target.key, call);
-    let started = gateway.now();
-    let may_have_run_before = progress.may_have_run;
-    // Until the outcome is known, and also if the client leaves meanwhile, it may have run.
-    progress.may_have_run = true;
-    let response = match timeout(head_limit, connection.send(request)).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(SendError::Lost(reason))) => {
-            progress.sent += 1;
+    /// Checks the head of an answer and what it says about the server.
+    fn on_head(
+        &self,
+        progress: &mut Progress,
+        connection: Connection,
+        response: Response<Incoming>,
+        in_flight: InFlight,
+    ) -> Result<Exchange, Cause> {
+        let (head, body) = response.into_parts();
+        let meta = self.gateway.ports.codec.answer(&head.headers);
+        let answered_id = meta.request_id.as_deref();
+        if answered_id.is_some_and(|id| id != self.call.meta.id) {
             in_flight.on_broken();
+            let reason = "the answer belongs to another request".to_owned();
             return Err(Cause::Lost(reason));
         }
-        Ok(Err(not_sent)) => {
-            progress.may_have_run = may_have_run_before;
-            return Err(Cause::NotSent(not_sent.to_string()));
+        in_flight.on_answer(&meta);
+        if head.status.is_success() {
+            note_read(self.gateway, self.call, &self.target);
+        }
+        let exchange = Exchange {
+            status: head.status,
+            idle_for: stated_idle(&head.headers),
+            headers: head.headers,
+            body,
+            connection,
+            pool: Rc::clone(&self.pool),
+            in_flight,
+        };
+        self.classify(progress, exchange, &meta)
+    }
+
+    fn classify(
+        &self,
+        progress: &mut Progress,
+        exchange: Exchange,
+        meta: &AnswerMeta,
+    ) -> Result<Exchange, Cause> {
+        let gateway = self.gateway;
+        if exchange.status == StatusCode::MISDIRECTED_REQUEST {
+            progress.may_have_run = progress.may_have_run_before;
+            exchange.discard(gateway);
+            return Err(self.on_misdirected(progress, meta));
         }
-        Err(_) => {
-            progress.sent += 1;
-            in_flight.on_timeout(started);
-            return Err(Cause::Lost("no answer in time".to_owned()));
+        if meta.is_not_executed {
+            progress.may_have_run = progress.may_have_run_before;
+            let reason = format!("rejected with status {}", exchange.status.as_u16());
+            exchange.discard(gateway);
+            return Err(Cause::Rejected(reason));
         }
-    };
-    progress.sent += 1;
-    let (head, body) = response.into_parts();
-    let meta = gateway.ports.codec.answer(&head.headers);
-    if meta
-        .request_id
-        .as_deref()
-        .is_some_and(|id| id != call.meta.id)
-    {
-        in_flight.on_broken();
-        return Err(Cause::Lost(
-            "the answer belongs to another request".to_owned(),
-        ));
+        let is_whole = meta.is_signed && meta.request_id.is_some();
+        if exchange.status.is_success() && !is_whole {
+            exchange.broken();
+            return Err(Cause::Lost("the answer has no signature".to_owned()));
+        }
+        Ok(exchange)
     }
-    in_flight.on_answer(&meta);
-    if head.status.is_success() {
-        note_read(gateway, call, target);
+
+    /// Learns whether the server has other weights, or another server is at its address.
+    fn on_misdirected(&self, progress: &mut Progress, meta: &AnswerMeta) -> Cause {
+        let target = &self.target;
+        let is_meant_server = meta.server_id.as_deref() == Some(target.id.as_str());
+        if is_meant_server && target.weight_version().is_some() {
+            on_other_weights(self.gateway, progress, target, self.call);
+            return Cause::OtherWeights;
+        }
+        if let Some(server) = self.gateway.state.borrow_mut().servers.get_mut(target.key) {
+            server.is_misdirected = true;
+        }
+        Cause::Misdirected
     }
-    let idle_for = stated_idle(&head.headers);
-    let exchange = Exchange {
-        status: head.status,
-        headers: head.headers,
-        body,
-        idle_for,
-        connection,
-        pool: Rc::clone(pool),
-        in_flight,
-    };
-    progress.may_have_run_before = may_have_run_before;
-    classify(gateway, call, progress, exchange, &meta, target)
 }
 
 /// Notes that the server has read the prompt; its events tell later.
@@ -298,42 +357,6 @@
     }
 }
 
-fn classify(
-    gateway: &Rc<Gateway>,
-    call: &Call,
-    progress: &mut Progress,
-    exchange: Exchange,
-    meta: &AnswerMeta,
-    target: &Target,
-) -> Result<Exchange, Cause> {
-    if exchange.status == StatusCode::MISDIRECTED_REQUEST {
-        progress.may_have_run = progress.may_have_run_before;
-        let is_meant_server = meta.server_id.as_deref() == Some(target.id.as_str());
-        if is_meant_server && target.weight_version().is_some() {
-            exchange.discard(gateway);
-            on_other_weights(gateway, progress, target, call);
-            return Err(Cause::OtherWeights);
-        }
-        if let Some(server) = gateway.state.borrow_mut().servers.get_mut(target.key) {
-            server.is_misdirected = true;
-        }
-        exchange.discard(gateway);
-        return Err(Cause::Misdirected);
-    }
-    if meta.is_not_executed {
-        progress.may_have_run = progress.may_have_run_before;
-        let reason = format!("rejected with status {}", exchange.status.as_u16());
-        exchange.discard(gateway);
-        return Err(Cause::Rejected(reason));
-    }
-    let is_whole = meta.is_signed && meta.request_id.is_some();
-    if exchange.status.is_success() && !is_whole {
-        exchange.broken();
-        return Err(Cause::Lost("the answer has no signature".to_owned()));
-    }
-    Ok(exchange)
-}
-
 fn build_request(
     gateway: &Gateway,
     call: &Call,
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod plain;
 mod progress;
+mod retries;
 mod stream;
 mod target;
 
--- a/crates/gateway/src/dispatch/plain.rs
+++ b/crates/gateway/src/dispatch/plain.rs
@@ -1,17 +1,19 @@
 //! Requests whose answer is one whole body.
 
-use super::attempt::{Exchange, attempt};
+use super::attempt::Exchange;
 use super::call::Call;
 use super::progress::Progress;
+use super::retries::with_retries;
 use crate::answer::{AnswerBody, full_body, refuse};
 use crate::gateway::Gateway;
-use crate::retry::{Cause, RetryPolicy, Verdict};
+use crate::retry::Cause;
 use anvilgw_core::Failure;
 use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::timeout;
 
 /// A whole answer of a backend server.
@@ -51,33 +53,19 @@
     call: &Call,
     progress: &mut Progress,
 ) -> Result<WholeAnswer, Failure> {
-    let policy = RetryPolicy::new(call.route.kind, call.route.attempts_max);
     // The answer of a server that failed, for the case that no other server does better.
     let mut failed_answer: Option<WholeAnswer> = None;
-    loop {
-        let remaining = call.remaining(gateway.now());
-        let limit = policy.attempt_limit(progress.sent, remaining, call.route.latency_target);
-        let result = match attempt(gateway, call, progress, None, limit).await {
-            Ok(exchange) => read_whole(gateway, call, exchange).await,
-            Err(error) => Err(error),
-        };
-        let cause = match result {
-            Ok(answer) if answer.status.is_server_error() => {
-                let status = answer.status.as_u16();
-                failed_answer = Some(answer);
-                Cause::ServerFailed(status)
-            }
-            Ok(answer) => return Ok(answer),
-            Err(cause) => cause,
-        };
-        if !matches!(cause, Cause::NoServer(_)) {
-            progress.on_failed_attempt(cause.describe());
+    let read = async |_: &Progress, exchange: Exchange, _: Duration| {
+        let answer = read_whole(gateway, call, exchange).await?;
+        if answer.status.is_server_error() {
+            let status = answer.status.as_u16();
+            failed_answer = Some(answer);
+            return Err(Cause::ServerFailed(status));
         }
-        match policy.decide(gateway, call, progress, &cause) {
-            Verdict::Again => {}
-            Verdict::Fail(failure) => return failed_answer.ok_or(failure),
-        }
-    }
+        Ok(answer)
+    };
+    let result = with_retries(gateway, call, progress, read).await;
+    result.or_else(|failure| failed_answer.ok_or(failure))
 }
 
 async fn read_whole(
@@ -93,6 +81,7 @@
             return Err(Cause::Lost(format!("the answer was cut: {error}")));
         }
         Err(_) => {
+            exchange.timed_out();
             return Err(Cause::Lost("the answer did not end in time".to_owned()));
         }
     };
--- a/crates/gateway/src/dispatch/stream.rs
+++ b/crates/gateway/src/dispatch/stream.rs
@@ -4,9 +4,10 @@
 //! continues after the last event that the client has. Any other stream is passed on as it arrives,
 //! and a break ends the client's connection without the end of the body.
 
-use super::attempt::{Exchange, attempt};
+use super::attempt::{AttemptOptions, Exchange, attempt};
 use super::call::Call;
 use super::progress::Progress;
+use super::retries::with_retries;
 use crate::answer::{AnswerBody, BodyError, full_body, refuse};
 use crate::configuration::RouteKind;
 use crate::gateway::Gateway;
@@ -84,28 +85,14 @@
     progress: &mut Progress,
 ) -> Result<Opened, Failure> {
     let policy = RetryPolicy::new(call.route.kind, call.route.attempts_max);
-    loop {
-        let remaining = call.remaining(gateway.now());
-        let limit = policy.attempt_limit(progress.sent, remaining, call.route.latency_target);
-        let result = match attempt(gateway, call, progress, None, limit).await {
-            Ok(exchange) => first_bytes(exchange, limit).await,
-            Err(error) => Err(error),
-        };
-        let cause = match result {
-            Ok(opened) if may_retry_status(&opened, policy, progress) => {
-                Cause::ServerFailed(opened.exchange.status.as_u16())
-            }
-            Ok(opened) => return Ok(opened),
-            Err(cause) => cause,
-        };
-        if !matches!(cause, Cause::NoServer(_)) {
-            progress.on_failed_attempt(cause.describe());
+    let read = async |progress: &Progress, exchange: Exchange, limit: Duration| {
+        let opened = first_bytes(exchange, limit).await?;
+        if may_retry_status(&opened, policy, progress) {
+            return Err(Cause::ServerFailed(opened.exchange.status.as_u16()));
         }
-        match policy.decide(gateway, call, progress, &cause) {
-            Verdict::Again => {}
-            Verdict::Fail(failure) => return Err(failure),
-        }
-    }
+        Ok(opened)
+    };
+    with_retries(gateway, call, progress, read).await
 }
 
 fn may_retry_status(opened: &Opened, policy: RetryPolicy, progress: &Progress) -> bool {
@@ -121,7 +108,10 @@
             exchange.broken();
             Err(Cause::Lost(reason))
         }
-        Err(_) => Err(Cause::Lost("no event in time".to_owned())),
+        Err(_) => {
+            exchange.timed_out();
+            Err(Cause::Lost("no event in time".to_owned()))
+        }
     }
 }
 
@@ -303,14 +293,11 @@
             if let Verdict::Fail(_) = verdict {
                 return false;
             }
-            let limit = self.call.remaining(self.gateway.now());
-            let result = attempt(
-                &self.gateway,
-                &self.call,
-                &mut self.progress,
-                self.last_event,
-                limit,
-            );
+            let options = AttemptOptions {
+                resume_after: self.last_event,
+                head_limit: self.call.remaining(self.gateway.now()),
+            };
+            let result = attempt(&self.gateway, &self.call, &mut self.progress, options);
             cause = match result.await {
                 Ok(exchange) if exchange.status == StatusCode::OK => {
                     self.gateway.metrics.count("streams_resumed");
--- a/crates/gateway/src/duties/weights.rs
+++ b/crates/gateway/src/duties/weights.rs
@@ -5,9 +5,10 @@
 use crate::gateway::Gateway;
 use crate::lease::{LeaseRecord, LeaseStep, LeaseView};
 use crate::log::Event;
-use crate::ports::{Append, OrderAnswer, ServerReport, StoreError, WeightOrder};
+use crate::ports::{Append, LogPage, OrderAnswer, ServerReport, StoreError, WeightOrder};
 use crate::server::ServerEntry;
 use crate::weights::{Outdated, SentOrder, is_retired, next_orders, outdated};
+use bytes::Bytes;
 use rand::RngExt;
 use std::rc::Rc;
 use std::time::Duration;
@@ -95,6 +96,21 @@
         }
     }
 
+    /// Decodes the records of the lease log. Malformed ones are logged and count as nothing.
+    fn parse(&self, page: &LogPage) -> Vec<LeaseRecord> {
+        let parse_one = |payload: &Bytes| match serde_json::from_slice(payload) {
+            Ok(record) => Some(record),
+            Err(error) => {
+                self.gateway.log_notable(&Event::RecordMalformed {
+                    key: "lease log",
+                    reason: &error.to_string(),
+                });
+                None
+            }
+        };
+        page.records.iter().filter_map(parse_one).collect()
+    }
+
     /// Reads the lease log. While nobody holds the lease, the read does not wait.
     async fn follow(&mut self) -> bool {
         let started_at = self.gateway.now();
@@ -108,14 +124,11 @@
             .read_leases(from_offset, wait)
             .await
         {
-            Ok((records, next_offset)) => {
-                let records: Vec<LeaseRecord> = records
-                    .iter()
-                    .filter_map(|record| serde_json::from_slice(&record.payload).ok())
-                    .collect();
+            Ok(page) => {
+                let records = self.parse(&page);
                 let now = self.gateway.now();
                 self.lease_log.on_answer(&self.gateway);
-                self.lease.on_read(&records, next_offset, now);
+                self.lease.on_read(&records, page.next_offset, now);
                 self.on_records(&records);
                 self.gateway.state.borrow_mut().switches_read_at = started_at;
                 true
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -193,13 +193,6 @@
             .is_some_and(|announced| now < announced.seen_at + self.server_turn_time())
     }
 
-    /// The newest record of another daemon.
-    #[must_use]
-    pub fn others_record(&self) -> Option<&LeaseRecord> {
-        let held = self.last.as_ref()?;
-        (!self.is_own(&held.record)).then_some(&held.record)
-    }
-
     fn is_own(&self, record: &LeaseRecord) -> bool {
         record.holder == self.holder && record.incarnation == self.incarnation
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -17,6 +17,9 @@
     use_until: Duration,
 }
 
+/// Kept connections that are tried before a new one is opened.
+const REUSED_TRIES: usize = 2;
+
 /// Connections to one address.
 #[derive(Default)]
 pub struct Pool {
@@ -32,9 +35,53 @@
     pub is_reused: bool,
 }
 
+/// Limits for a new connection.
+#[derive(Clone, Copy, Debug)]
+pub struct OpenLimits {
+    /// Longest time to open it.
+    pub timeout: Duration,
+    /// Most open connections to the address.
+    pub open_max: usize,
+}
+
+/// The connections of one request, in the order in which they are tried: kept ones, then a new one.
+pub struct Checkouts<'a> {
+    pool: &'a Pool,
+    address: SocketAddr,
+    reused: usize,
+}
+
+impl Checkouts<'_> {
+    /// The next connection. Another one is needed only if the request was not sent on a kept one,
+    /// because the peer had closed it.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::NotSent`] or [`SendError::NoConnection`] if no connection can be opened.
+    pub async fn next(&mut self, limits: OpenLimits, now: Duration) -> Result<Checkout, SendError> {
+        if self.reused < REUSED_TRIES {
+            self.reused += 1;
+            if let Some(checkout) = self.pool.take_idle(now) {
+                return Ok(checkout);
+            }
+        }
+        self.pool.open(self.address, limits).await
+    }
+}
+
 impl Pool {
+    /// The connections for one request.
+    #[must_use]
+    pub fn checkouts(&self, address: SocketAddr) -> Checkouts<'_> {
+        Checkouts {
+            pool: self,
+            address,
+            reused: 0,
+        }
+    }
+
     /// The connection that was used last, if one can be used.
-    pub fn take_idle(&self, now: Duration) -> Option<Checkout> {
+    fn take_idle(&self, now: Duration) -> Option<Checkout> {
         let mut idle = self.idle.borrow_mut();
         idle.retain(|idle| !idle.connection.is_closed() && now < idle.use_until);
         let index = idle.iter().rposition(|idle| idle.connection.is_ready())?;
@@ -44,24 +91,15 @@
         })
     }
 
-    /// Opens a connection, unless `open_max` are open.
-    ///
-    /// # Errors
-    ///
-    /// [`SendError::NotSent`] if it cannot be opened.
-    pub async fn open(
-        &self,
-        address: SocketAddr,
-        limit: Duration,
-        open_max: usize,
-    ) -> Result<Checkout, SendError> {
-        if self.open.get() >= open_max {
+    async fn open(&self, address: SocketAddr, limits: OpenLimits) -> Result<Checkout, SendError> {
+        if self.open.get() >= limits.open_max {
             self.idle.borrow_mut().clear();
         }
-        if self.open.get() >= open_max {
+        if self.open.get() >= limits.open_max {
             return Err(SendError::NoConnection);
         }
-        let connection = Connection::open(address, limit, OpenCount::new(&self.open)).await?;
+        let open = OpenCount::new(&self.open);
+        let connection = Connection::open(address, limits.timeout, open).await?;
         Ok(Checkout {
             connection,
             is_reused: false,
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -87,13 +87,13 @@
     Moved(u64),
 }
 
-/// A record of the lease log.
+/// Records of the lease log after an offset.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LogRecord {
-    /// Offset.
-    pub offset: u64,
-    /// Content.
-    pub payload: Bytes,
+pub struct LogPage {
+    /// Contents, oldest first.
+    pub records: Vec<Bytes>,
+    /// Offset after the last record.
+    pub next_offset: u64,
 }
 
 /// This daemon's part in the fleet.
@@ -156,7 +156,7 @@
         &self,
         from_offset: u64,
         wait: Duration,
-    ) -> LocalBoxFuture<'_, Result<(Vec<LogRecord>, u64), StoreError>>;
+    ) -> LocalBoxFuture<'_, Result<LogPage, StoreError>>;
 
     /// Appends to the lease log if it ends at `at`.
     fn append_lease(
