Read what the stores hold before a started daemon takes prompts

Cause: the duty that follows caches looked for holders every 400 ms and for the first time before the configuration was there, so a started daemon computed for half a second what the stores had. Change: the first configuration and the first list of servers wake the duty, and a prompt waits up to 200 ms until every store was read or did not answer. Test: stores_are_known_once_each_was_read_or_does_not_answer.

--- a/crates/gateway/src/caches.rs
+++ b/crates/gateway/src/caches.rs
@@ -129,12 +129,15 @@
 pub struct CacheDirectory {
     holders: SlotMap<HolderKey, Holder>,
     by_address: IndexMap<SocketAddr, HolderKey>,
+    /// The stores of a configuration were taken over.
+    has_stores: bool,
     clock: Option<ServerClock>,
 }
 
 impl CacheDirectory {
     /// Takes over the stores of a configuration and returns the new ones.
     pub fn on_stores(&mut self, specs: &[StoreSpec]) -> Vec<HolderKey> {
+        self.has_stores = true;
         let listed: IndexSet<SocketAddr> = specs.iter().map(|spec| spec.address).collect();
         self.retain(|holder| !holder.is_store() || listed.contains(&holder.address));
         let mut added = Vec::new();
@@ -177,6 +180,14 @@
         self.by_address.retain(|_, key| holders.contains_key(*key));
     }
 
+    /// Whether the contents of all stores are known, but for those that do not answer. At the start of
+    /// a daemon they are not.
+    #[must_use]
+    pub fn knows_stores(&self) -> bool {
+        let mut stores = self.holders.values().filter(|holder| holder.is_store());
+        self.has_stores && stores.all(|store| store.was_asked)
+    }
+
     /// A holder.
     #[must_use]
     pub fn get(&self, key: HolderKey) -> Option<&Holder> {
@@ -207,7 +218,9 @@
         for part in events.changes {
             holder.apply(part);
         }
-        events.has_gap && holder.is_store() && (is_first || !has_restarted)
+        let needs_list = events.has_gap && holder.is_store() && (is_first || !has_restarted);
+        holder.was_asked |= !needs_list;
+        needs_list
     }
 
     /// Takes over the whole list of a holder.
@@ -218,10 +231,18 @@
         self.on_events(key, list, now);
     }
 
+    /// Notes that the list of a holder could not be read. What its events told stays known.
+    pub fn on_list_failed(&mut self, key: HolderKey) {
+        if let Some(holder) = self.holders.get_mut(key) {
+            holder.was_asked = true;
+        }
+    }
+
     /// Notes that a holder does not answer. What it held is not relied on any more.
     pub fn on_lost(&mut self, key: HolderKey) {
         if let Some(holder) = self.holders.get_mut(key) {
             holder.is_up = false;
+            holder.was_asked = true;
             holder.epoch = 0;
             holder.next_event = 0;
             holder.clear();
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -29,6 +29,12 @@
 /// answered within their latency target, and those that cannot any more make way.
 const MEMORY_WAIT_GROWTH: f64 = 1.25;
 
+/// Longest time for which a prompt waits until the daemon, after its start, has read what the stores
+/// hold. Without that it would be computed although a store has it, which takes longer.
+const STORES_WAIT: Duration = Duration::from_millis(200);
+/// Time between two looks whether the contents of the stores are known.
+const STORES_WAIT_STEP: Duration = Duration::from_millis(10);
+
 /// The server of an attempt.
 pub(super) struct Target {
     pub(super) key: ServerKey,
@@ -53,6 +59,14 @@
     BASE + PER_TOKEN * tokens
 }
 
+async fn wait_for_stores(gateway: &Gateway, call: &Call) {
+    let wait_until = call.arrived + STORES_WAIT.min(call.route.latency_target / 2);
+    let is_known = || gateway.state.borrow().caches.knows_stores();
+    while !is_known() && gateway.now() < wait_until {
+        sleep(STORES_WAIT_STEP).await;
+    }
+}
+
 /// Chooses a server. While no engine has memory, it waits: runs end all the time, and a late answer
 /// is better for most callers than none.
 pub(super) async fn choose_with_wait(
@@ -60,6 +74,9 @@
     call: &Call,
     progress: &Progress,
 ) -> Result<Target, Cause> {
+    if call.meta.prompt.is_some() {
+        wait_for_stores(gateway, call).await;
+    }
     let time = call.end_at.saturating_sub(call.arrived);
     let wait = time
         .mul_f64(MEMORY_WAIT_PART)
--- a/crates/gateway/src/duties/caches.rs
+++ b/crates/gateway/src/duties/caches.rs
@@ -28,7 +28,11 @@
         for key in new_holders(&gateway) {
             tokio::task::spawn_local(follow(Rc::clone(&gateway), key));
         }
-        sleep(HOLDERS_PAUSE).await;
+        // A daemon that has just started learns of its holders at once, others with the next look.
+        tokio::select! {
+            () = gateway.holders_known.notified() => {}
+            () = sleep(HOLDERS_PAUSE) => {}
+        }
     }
 }
 
@@ -101,6 +105,7 @@
             gateway.state.borrow_mut().caches.on_list(key, list, now);
         }
         Err(error) => {
+            gateway.state.borrow_mut().caches.on_list_failed(key);
             gateway.metrics.count("cache_lists_failed");
             gateway.log_notable(&Event::DependencyLost {
                 dependency: "cache list",
--- a/crates/gateway/src/duties/operators.rs
+++ b/crates/gateway/src/duties/operators.rs
@@ -110,6 +110,9 @@
                 routes: configuration.routes().len(),
             });
             state.configuration = Some(configuration);
+            if replaced == 0 {
+                gateway.holders_known.notify_one();
+            }
         }
         Change::DomainOut(domain) => {
             gateway.state.borrow_mut().servers.take_out(&domain);
--- a/crates/gateway/src/duties/servers.rs
+++ b/crates/gateway/src/duties/servers.rs
@@ -93,7 +93,10 @@
         .servers
         .retain_listed(&listed, grace, now);
     apply(gateway, changes.changes, grace);
-    gateway.state.borrow_mut().has_servers = true;
+    let is_first = !std::mem::replace(&mut gateway.state.borrow_mut().has_servers, true);
+    if is_first {
+        gateway.holders_known.notify_one();
+    }
 }
 
 fn apply(gateway: &Gateway, changes: Vec<Change>, grace: Duration) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Notify;
 
 /// Part of the bound on withdrawn keys for which a copy of the configuration is relied on. The rest
 /// covers the time of the read itself.
@@ -75,6 +76,8 @@
     /// New requests are refused, because there may be no time left to end them.
     pub(crate) is_refusing: Cell<bool>,
     pub(crate) requests_in_flight: Cell<usize>,
+    /// Told when the first configuration, or the first list of servers, was read.
+    pub(crate) holders_known: Notify,
     started_at: Duration,
     log: EventLog,
 }
@@ -108,6 +111,7 @@
             is_draining: Cell::new(false),
             is_refusing: Cell::new(false),
             requests_in_flight: Cell::new(0),
+            holders_known: Notify::new(),
             started_at,
             log,
         }
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -80,6 +80,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) failure_domain: String,
     pub(crate) is_up: bool,
+    /// It was asked once, whether or not it answered.
+    pub(crate) was_asked: bool,
     pub(crate) epoch: u64,
     pub(crate) next_event: u64,
     pub(crate) held: IndexMap<PartKey, HeldPart>,
@@ -93,6 +95,7 @@
             address,
             failure_domain,
             is_up: false,
+            was_asked: false,
             epoch: 0,
             next_event: 0,
             held: IndexMap::new(),
--- a/crates/gateway/tests/servers.rs
+++ b/crates/gateway/tests/servers.rs
@@ -481,6 +481,31 @@
     );
 }
 
+/// Guards against prompts that are computed again by a daemon that has just started, although a store
+/// has them: it must not take a store that it has not read yet for an empty one.
+#[test]
+fn stores_are_known_once_each_was_read_or_does_not_answer() {
+    let mut caches = CacheDirectory::default();
+    assert!(!caches.knows_stores(), "no configuration yet");
+    let keys = caches.on_stores(&[store(8001), store(8002), store(8003)]);
+    assert!(!caches.knows_stores(), "none was read");
+
+    caches.on_events(keys[0], events(&[("history", 8_000)], 1), at(1));
+    caches.on_lost(keys[1]);
+    let with_gap = CacheEvents {
+        has_gap: true,
+        ..events(&[], 1)
+    };
+    assert!(caches.on_events(keys[2], with_gap, at(1)), "needs its list");
+    assert!(!caches.knows_stores(), "the list is still missing");
+    caches.on_list(keys[2], events(&[("manual", 500)], 1), at(2));
+    assert!(caches.knows_stores());
+
+    let mut without_stores = CacheDirectory::default();
+    without_stores.on_stores(&[]);
+    assert!(without_stores.knows_stores(), "nothing to wait for");
+}
+
 /// Guards against caches of an engine that was ordered to switch weights: it goes on with its runs
 /// under the new ones.
 #[test]
