Make room in the stores for new weights little by little, and free parts safely after a restart

Cause 1: a part of replaced weights was freed 14.3 s after the newest naming. Cause 2, found on reading the rule: a daemon that learnt of a naming from its first copy of the table took it to be old, and would free parts at once that others still read. A daemon that was cut off counted the time from when it learnt of the naming, and could read parts after they were freed. Change: a naming is kept with the time after which it happened (for reading) and the time at which this daemon learnt of it (for freeing). Fetches always carry a time limit of at most 1 s, and are left out while the servers' clock is not known. Tests: four in tests/weights.rs, two in tests/servers.rs; the first two failed before.

--- a/crates/gateway/src/caches.rs
+++ b/crates/gateway/src/caches.rs
@@ -100,10 +100,10 @@
 }
 
 /// Holders that a request may use.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
 pub struct Sources<'a> {
-    /// Whether stores may be read.
-    pub may_read_stores: bool,
+    /// Whether a part, given by the hash of its identifier, may be read from stores.
+    pub may_read_from_store: &'a dyn Fn(u64) -> bool,
     /// Whether stores may be written.
     pub may_write_stores: bool,
     /// Engines that may be read.
@@ -113,13 +113,13 @@
 }
 
 impl Sources<'_> {
-    fn allow(&self, holder: &Holder) -> bool {
+    fn allow(&self, holder: &Holder, part: &LocatedPart) -> bool {
         if !self.places.allow(&holder.failure_domain) {
             return false;
         }
         match holder.kind {
             HolderKind::Engine => self.engines.contains(&holder.address),
-            HolderKind::Store(_) => self.may_read_stores,
+            HolderKind::Store(_) => (self.may_read_from_store)(part.key.id_hash),
         }
     }
 }
@@ -350,11 +350,13 @@
         server: PlanFor<'_>,
         sources: Sources<'_>,
     ) -> Option<SocketAddr> {
+        // Without a time limit, which needs the servers' clock, a part could be freed under the read.
+        self.clock?;
         let computing_ms = f64::from(part.tokens) / COMPUTED_TOKENS_PER_MS * COMPUTING_WEIGHT;
         part.holders
             .iter()
             .filter_map(|key| self.holders.get(*key))
-            .filter(|holder| sources.allow(holder))
+            .filter(|holder| sources.allow(holder, part))
             .map(|holder| {
                 let transfer_ms = holder.transfer_ms(
                     part.tokens,
@@ -397,19 +399,23 @@
         best.map(|(_, address)| address)
     }
 
-    /// Parts in stores whose scopes `is_retired` names, by store, at most `limit` of each.
+    /// Parts in stores that `is_retired` names by scope and hash of the identifier, by store, at most
+    /// `limit` of each.
     pub fn retired(
         &self,
         limit: usize,
-        is_retired: impl Fn(&str) -> bool,
+        is_retired: impl Fn(&str, u64) -> bool,
     ) -> Vec<(SocketAddr, Vec<HeldPart>)> {
         self.holders
             .values()
             .filter(|holder| holder.is_store())
             .map(|store| {
-                let parts = store.held.values();
-                let retired = parts.filter(|part| is_retired(&part.scope));
-                (store.address, retired.take(limit).cloned().collect())
+                let retired = store
+                    .held
+                    .iter()
+                    .filter(|(key, part)| is_retired(&part.scope, key.id_hash))
+                    .map(|(_, part)| part.clone());
+                (store.address, retired.take(limit).collect())
             })
             .filter(|(_, parts): &(SocketAddr, Vec<HeldPart>)| !parts.is_empty())
             .collect()
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -9,7 +9,7 @@
 use crate::retry::Cause;
 use crate::select::{CacheUse, NoServer, PromptQuery, Query, select};
 use crate::server::ServerKey;
-use crate::weights::{may_read_old_parts, oldest_allowed};
+use crate::weights::{FETCH_TIME_MAX, oldest_allowed};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -56,7 +56,7 @@
 fn fetch_patience(tokens: u32) -> Duration {
     const BASE: Duration = Duration::from_millis(150);
     const PER_TOKEN: Duration = Duration::from_micros(30);
-    BASE + PER_TOKEN * tokens
+    (BASE + PER_TOKEN * tokens).min(FETCH_TIME_MAX)
 }
 
 async fn wait_for_stores(gateway: &Gateway, call: &Call) {
@@ -111,7 +111,6 @@
             caches: &state.caches,
             peer_loads: &state.peer_loads,
             isolated_workspace: call.isolated_workspace(),
-            newest_version: named.map(|named| named.version),
             oldest_version: named.and_then(|named| oldest_allowed(named, switch_time, now)),
             engine_tokens_per_ms: engine_link(&call.service),
             engine_capacity_tokens: engine_capacity(&call.service),
@@ -123,7 +122,8 @@
                 },
                 engine_capacity(&call.service),
             ),
-            may_read_old_parts: named.is_some_and(|named| may_read_old_parts(named, now)),
+            named,
+            old_part_times: gateway.old_part_times(),
             is_configuration_current: state.trust.is_current(now),
             are_switches_current: now < state.switches_read_at + SWITCHES_MAX_AGE,
         }
--- a/crates/gateway/src/duties/operators.rs
+++ b/crates/gateway/src/duties/operators.rs
@@ -4,7 +4,7 @@
 use crate::gateway::Gateway;
 use crate::log::Event;
 use crate::ports::{Change, Changes, StoreError, Table};
-use crate::weights::NamedWeights;
+use crate::weights::{NamedWeights, Naming};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -75,15 +75,7 @@
 fn apply_snapshot(gateway: &Gateway, changes: Changes, started_at: Duration) {
     // Records of domains that were returned are gone from a listing.
     gateway.state.borrow_mut().servers.take_all_in();
-    let weights_before = gateway.state.borrow().weights.clone();
     apply(gateway, changes, started_at);
-    let state = &mut *gateway.state.borrow_mut();
-    for (model, named) in &mut state.weights {
-        if weights_before.get(model).map(|before| before.version) != Some(named.version) {
-            // A listing does not tell when the version was named.
-            named.named_at = Duration::ZERO;
-        }
-    }
 }
 
 fn apply(gateway: &Gateway, changes: Changes, started_at: Duration) {
@@ -136,7 +128,7 @@
 }
 
 fn name_weights(gateway: &Gateway, model: String, version: u64) {
-    let named_at = gateway.now();
+    let learnt_at = gateway.now();
     let state = &mut *gateway.state.borrow_mut();
     let known = state.weights.get(&model).map_or(0, |named| named.version);
     if version <= known {
@@ -146,7 +138,15 @@
         model: &model,
         version,
     });
-    state
-        .weights
-        .insert(model, NamedWeights { version, named_at });
+    let naming = Naming {
+        version,
+        named_after: state.trust.verified_at(),
+        learnt_at,
+    };
+    match state.weights.get_mut(&model) {
+        Some(named) => named.on_named(naming),
+        None => {
+            state.weights.insert(model, NamedWeights::new(naming));
+        }
+    }
 }
--- a/crates/gateway/src/duties/weights.rs
+++ b/crates/gateway/src/duties/weights.rs
@@ -408,9 +408,9 @@
     ) -> Vec<(std::net::SocketAddr, Vec<crate::caches::HeldPart>)> {
         let now = self.gateway.now();
         let state = self.gateway.state.borrow();
-        let trust_limit = state.trust.limit();
-        state.caches.retired(limit, |scope| {
-            is_retired(scope, &state.weights, trust_limit, now)
+        let times = self.gateway.old_part_times();
+        state.caches.retired(limit, |scope, id_hash| {
+            is_retired(scope, id_hash, &state.weights, times, now)
         })
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 use crate::server::{ServerKey, Servers};
 use crate::settings::GatewaySettings;
 use crate::trust::Trust;
-use crate::weights::NamedWeights;
+use crate::weights::{NamedWeights, OldPartTimes};
 use anvilgw_core::Clock;
 use indexmap::IndexMap;
 use rand::SeedableRng;
@@ -82,13 +82,16 @@
     log: EventLog,
 }
 
+fn trust_limit(settings: &GatewaySettings) -> Duration {
+    settings.bounds.revoke.mul_f64(TRUST_PART)
+}
+
 impl Gateway {
     pub(crate) fn new(settings: GatewaySettings, ports: Ports, log: EventLog) -> Self {
         let started_at = ports.clock.uptime();
-        let trust_limit = settings.bounds.revoke.mul_f64(TRUST_PART);
         let state = State {
             configuration: None,
-            trust: Trust::new(trust_limit),
+            trust: Trust::new(trust_limit(&settings)),
             servers: Servers::default(),
             caches: CacheDirectory::default(),
             admission: MemoryAdmission::default(),
@@ -117,6 +120,13 @@
         }
     }
 
+    pub(crate) fn old_part_times(&self) -> OldPartTimes {
+        OldPartTimes {
+            trust_limit: trust_limit(&self.settings),
+            weight_switch: self.settings.bounds.weight_switch,
+        }
+    }
+
     pub(crate) fn now(&self) -> Duration {
         self.ports.clock.uptime()
     }
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -1,7 +1,6 @@
 //! A backend server or store that holds parts of prompts.
 
 use indexmap::IndexMap;
-use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -45,12 +44,12 @@
     pub tokens: u32,
 }
 
-/// Hash under which scopes and identifiers of parts are compared.
+/// Hash under which identifiers are compared, also between daemons of different releases.
 #[must_use]
 pub fn name_hash(name: &str) -> u64 {
-    let mut hasher = std::hash::DefaultHasher::new();
-    name.hash(&mut hasher);
-    hasher.finish()
+    let hash = blake3::hash(name.as_bytes());
+    let [a, b, c, d, e, f, g, h, ..] = *hash.as_bytes();
+    u64::from_le_bytes([a, b, c, d, e, f, g, h])
 }
 
 impl HeldPart {
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -6,7 +6,7 @@
 use crate::places::Places;
 use crate::request::Prompt;
 use crate::server::{Server, ServerKey, Servers};
-use crate::weights::cache_scope;
+use crate::weights::{NamedWeights, OldPartTimes, cache_scope, may_read_part};
 use rand::{Rng, RngExt};
 use std::cmp::Ordering;
 use std::hash::{Hash, Hasher};
@@ -49,8 +49,6 @@
     pub peer_loads: &'a PeerLoads,
     /// The workspace, if its cached prompts are kept apart.
     pub isolated_workspace: Option<&'a str>,
-    /// Newest version of the model's weights, if one was named.
-    pub newest_version: Option<u64>,
     /// Oldest version of the weights that may serve the request.
     pub oldest_version: Option<u64>,
     /// Tokens that the link between engines carries in a millisecond.
@@ -59,8 +57,10 @@
     pub engine_capacity_tokens: u64,
     /// Tokens on an engine up to which it takes the prompt.
     pub memory_limit_tokens: f64,
-    /// Whether parts of older weights may still be read from stores, before they are freed.
-    pub may_read_old_parts: bool,
+    /// Versions of the model's weights that were named.
+    pub named: Option<&'a NamedWeights>,
+    /// How long parts of replaced weights are read.
+    pub old_part_times: OldPartTimes,
     /// Whether the copy of the operators' table is current.
     pub is_configuration_current: bool,
     /// Whether all announced switches of weights are known.
@@ -263,7 +263,9 @@
     let model = &query.prompt.model;
     let version = server.entry.version_of(model);
     let scope = cache_scope(version, query.isolated_workspace);
-    let is_newest = query.newest_version.is_none() || query.newest_version == version;
+    let is_newest = query
+        .named
+        .is_none_or(|named| Some(named.version) == version);
     let may_transfer = version.is_some()
         && query.is_configuration_current
         && (is_newest || query.are_switches_current);
@@ -277,8 +279,13 @@
             .map(|other| other.entry.address)
             .collect();
         let sources = Sources {
-            may_read_stores: is_newest || query.may_read_old_parts,
             may_write_stores: is_newest,
+            may_read_from_store: &|id_hash| match (query.named, version) {
+                (Some(named), Some(version)) => {
+                    may_read_part(named, version, id_hash, query.old_part_times, now)
+                }
+                _ => true,
+            },
             engines: &engines,
             places,
         };
--- a/crates/gateway/src/trust.rs
+++ b/crates/gateway/src/trust.rs
@@ -34,6 +34,12 @@
         self.verified_at = self.verified_at.max(Some(read_started_at));
     }
 
+    /// Time up to which the copy holds all changes.
+    #[must_use]
+    pub fn verified_at(&self) -> Option<Duration> {
+        self.verified_at
+    }
+
     /// Whether the copy may be relied on.
     #[must_use]
     pub fn is_current(&self, now: Duration) -> bool {
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -13,20 +13,63 @@
 /// a heartbeat.
 const ORDER_EFFECT_TIME: Duration = Duration::from_secs(6);
 
-/// The newest weights that operators named for a model.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Versions of a model's weights that operators named.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NamedWeights {
+    /// Newest version.
+    pub version: u64,
+    /// The newest naming and earlier ones, oldest first.
+    namings: Vec<Naming>,
+}
+
+/// One version that was named. A daemon does not know when, only between which two times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Naming {
     /// Version.
     pub version: u64,
-    /// When this daemon learnt of it. Zero if it may have been named long before.
-    pub named_at: Duration,
+    /// The newest time up to which the copy of the operators' table held all changes and not this one.
+    /// `None` if the daemon found the version in the first copy that it read.
+    pub named_after: Option<Duration>,
+    /// When this daemon learnt of it.
+    pub learnt_at: Duration,
+}
+
+/// Namings that are remembered. Older ones only make parts of very old weights stay longer.
+const NAMINGS_MAX: usize = 8;
+
+impl NamedWeights {
+    /// Starts with the first naming that is known.
+    #[must_use]
+    pub fn new(naming: Naming) -> Self {
+        Self {
+            version: naming.version,
+            namings: vec![naming],
+        }
+    }
+
+    /// Takes over the naming of a newer version.
+    pub fn on_named(&mut self, naming: Naming) {
+        self.version = naming.version;
+        self.namings.push(naming);
+        let surplus = self.namings.len().saturating_sub(NAMINGS_MAX);
+        self.namings.drain(..surplus);
+    }
+
+    /// The naming that replaced a version, as far as is known.
+    fn replaced_by(&self, version: u64) -> Option<&Naming> {
+        self.namings.iter().find(|naming| naming.version > version)
+    }
 }
 
 /// The oldest version that may serve a new request, if there is a limit.
 #[must_use]
 pub fn oldest_allowed(named: &NamedWeights, switch_time: Duration, now: Duration) -> Option<u64> {
-    let must_be_new = now >= named.named_at + switch_time.mul_f64(OLD_WEIGHTS_PART);
-    must_be_new.then_some(named.version)
+    let naming = named.namings.last()?;
+    let old_serve_for = switch_time.mul_f64(OLD_WEIGHTS_PART);
+    let may_be_old = naming
+        .named_after
+        .is_some_and(|after| now < after + old_serve_for);
+    (!may_be_old).then_some(named.version)
 }
 
 /// Scope of cached prompts: the version of the weights that made them, and the workspace if it is
@@ -48,38 +91,77 @@
     version.parse().ok()
 }
 
-/// Time after which no read of a part is under way any more that began by an older copy of the
-/// operators' table.
-const READ_TIME_MAX: Duration = Duration::from_secs(3);
+/// Longest time for which a request lets its server read parts from elsewhere. The server gives such a
+/// read up then.
+pub const FETCH_TIME_MAX: Duration = Duration::from_millis(1000);
+/// Time after which no read is under way any more that a daemon could have begun: the longest read, and
+/// the difference between the clocks of the servers and of this daemon.
+const READ_TIME_MAX: Duration = Duration::from_millis(1500);
+/// Bounds of the operators that decide how long parts of replaced weights are read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OldPartTimes {
+    /// Age up to which a daemon relies on its copy of the operators' table.
+    pub trust_limit: Duration,
+    /// Time for a switch of weights.
+    pub weight_switch: Duration,
+}
+
+impl OldPartTimes {
+    /// Time after a version was replaced for which one of its parts is still read from stores.
+    ///
+    /// Servers switch one after the other until old weights no longer serve. Parts of the old weights
+    /// make room for those of the new ones at the same pace, in an order that all daemons derive from
+    /// the parts' names. No part goes before the trust limit: it could not be freed sooner anyway.
+    fn read_time(self, id_hash: u64) -> Duration {
+        let last = self.weight_switch.mul_f64(OLD_WEIGHTS_PART);
+        let position = id_hash as f64 / u64::MAX as f64;
+        self.trust_limit + last.saturating_sub(self.trust_limit).mul_f64(position)
+    }
 
-/// Time after new weights were named in which parts of older ones are still read from stores.
-const OLD_PARTS_TIME: Duration = Duration::from_secs(7);
+    /// Time after this daemon learnt that a version was replaced after which none of the daemons reads
+    /// one of its parts any more.
+    ///
+    /// A daemon that knows of the newer weights stops with the part's time, counted from before they
+    /// were named. One that does not know of them has a copy of the table from before.
+    fn free_time(self, id_hash: u64) -> Duration {
+        self.read_time(id_hash).max(self.trust_limit) + READ_TIME_MAX
+    }
+}
 
-/// Whether parts of older weights may still be read from stores. They are freed some time later.
+/// Whether a part of a version may still be read from stores.
 #[must_use]
-pub fn may_read_old_parts(named: &NamedWeights, now: Duration) -> bool {
-    now < named.named_at + OLD_PARTS_TIME
+pub fn may_read_part(
+    named: &NamedWeights,
+    version: u64,
+    id_hash: u64,
+    times: OldPartTimes,
+    now: Duration,
+) -> bool {
+    let Some(naming) = named.replaced_by(version) else {
+        return true;
+    };
+    let named_after = naming.named_after;
+    named_after.is_some_and(|after| now < after + times.read_time(id_hash))
 }
 
-/// Whether no daemon reads parts of a scope any more, because newer weights were named so long ago
-/// that every daemon that uses stores knows of them. `trust_limit` is the age up to which a daemon
-/// relies on its copy of the operators' table.
+/// Whether no daemon reads a part any more, so that it can be freed.
 #[must_use]
 pub fn is_retired(
     scope: &str,
+    id_hash: u64,
     named: &IndexMap<String, NamedWeights>,
-    trust_limit: Duration,
+    times: OldPartTimes,
     now: Duration,
 ) -> bool {
     let Some(version) = scope_version(scope) else {
         return false;
     };
-    // A scope does not tell its model. With several models, only what is older than all counts.
-    let oldest_named = named.values().min_by_key(|named| named.version);
-    oldest_named.is_some_and(|named| {
-        version < named.version
-            && now >= named.named_at + trust_limit + OLD_PARTS_TIME + READ_TIME_MAX
-    })
+    // A scope does not tell its model. With several models, only what all have replaced counts.
+    let is_replaced = |named: &NamedWeights| {
+        let naming = named.replaced_by(version);
+        naming.is_some_and(|naming| now >= naming.learnt_at + times.free_time(id_hash))
+    };
+    !named.is_empty() && named.values().all(is_replaced)
 }
 
 /// An order that was sent.
--- a/crates/gateway/tests/servers.rs
+++ b/crates/gateway/tests/servers.rs
@@ -7,6 +7,7 @@
 use anvilgw_gateway::request::{Prompt, PromptPart};
 use anvilgw_gateway::select::{NoServer, PromptQuery, Query, Selected, select};
 use anvilgw_gateway::server::{ServedModel, ServerEntry, ServerState, Servers};
+use anvilgw_gateway::weights::{NamedWeights, Naming, OldPartTimes};
 use indexmap::{IndexMap, IndexSet};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -74,6 +75,7 @@
     servers: Servers,
     caches: CacheDirectory,
     peers: PeerLoads,
+    named: Option<NamedWeights>,
 }
 
 impl World {
@@ -89,6 +91,7 @@
             servers,
             caches: CacheDirectory::default(),
             peers: PeerLoads::default(),
+            named: None,
         }
     }
 
@@ -115,14 +118,17 @@
                 caches: &self.caches,
                 peer_loads: &self.peers,
                 isolated_workspace: None,
-                newest_version: None,
                 oldest_version: None,
                 engine_tokens_per_ms: 5_000.0,
                 engine_capacity_tokens: 100_000,
                 memory_limit_tokens,
-                may_read_old_parts: false,
+                named: self.named.as_ref(),
+                old_part_times: OldPartTimes {
+                    trust_limit: at(3_000),
+                    weight_switch: at(9_000),
+                },
                 is_configuration_current: true,
-                are_switches_current: false,
+                are_switches_current: self.named.is_some(),
             }),
             tried: &[],
             share: 0.1,
@@ -481,6 +487,41 @@
     );
 }
 
+/// Guards against reads of parts of replaced weights after the time at which they may be freed.
+#[test]
+fn parts_of_replaced_weights_are_read_for_a_limited_time() {
+    let mut world = World::new(&["s1"]);
+    let key = world.caches.on_stores(&[store(8001)])[0];
+    let held = events(&[("manual", 500), ("history", 8_000)], 1);
+    world.caches.on_events(key, held, at(1));
+    world.named = Some(NamedWeights::new(Naming {
+        version: 2,
+        named_after: Some(at(1_000)),
+        learnt_at: at(1_500),
+    }));
+    let mut fetched_at = |ms| {
+        let selected = world.place(&named_prompt(), at(ms)).expect("server");
+        selected.cache.expect("a generation").plan.fetched_tokens
+    };
+    assert_eq!(fetched_at(1_600), 8_500);
+    assert_eq!(fetched_at(9_000), 0);
+}
+
+/// Guards against a part that is freed while a server reads it, for which the server needs to be told
+/// when to give up.
+#[test]
+fn nothing_is_read_from_elsewhere_without_a_time_limit() {
+    let mut world = World::new(&["s1"]);
+    let key = world.caches.on_stores(&[store(8001)])[0];
+    let without_clock = CacheEvents {
+        clock_ms: None,
+        ..events(&[("history", 8_000)], 1)
+    };
+    world.caches.on_events(key, without_clock, at(1));
+    let selected = world.place(&named_prompt(), at(2)).expect("server");
+    assert_eq!(selected.cache.expect("a generation").plan.fetched_tokens, 0);
+}
+
 /// Guards against prompts that are computed again by a daemon that has just started, although a store
 /// has them: it must not take a store that it has not read yet for an empty one.
 #[test]
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -2,8 +2,8 @@
 
 use anvilgw_gateway::server::{ServedModel, ServerEntry, ServerState, Servers};
 use anvilgw_gateway::weights::{
-    NamedWeights, cache_scope, is_retired, may_read_old_parts, next_orders, oldest_allowed,
-    outdated, scope_version,
+    FETCH_TIME_MAX, NamedWeights, Naming, OldPartTimes, cache_scope, is_retired, may_read_part,
+    next_orders, oldest_allowed, outdated, scope_version,
 };
 use indexmap::IndexMap;
 use std::time::Duration;
@@ -30,8 +30,17 @@
 }
 
 fn named(version: u64, named_at_s: u64) -> IndexMap<String, NamedWeights> {
-    let named_at = Duration::from_secs(named_at_s);
-    IndexMap::from([(MODEL.to_owned(), NamedWeights { version, named_at })])
+    let weights = NamedWeights::new(naming(version, Duration::from_secs(named_at_s)));
+    IndexMap::from([(MODEL.to_owned(), weights)])
+}
+
+/// A naming that the daemon learnt of at once.
+fn naming(version: u64, named_at: Duration) -> Naming {
+    Naming {
+        version,
+        named_after: Some(named_at),
+        learnt_at: named_at,
+    }
 }
 
 /// Guards against prompts of one version, or of one isolated workspace, that are found by another.
@@ -55,40 +64,148 @@
 #[test]
 fn old_weights_serve_until_shortly_before_the_end_of_the_switch() {
     let switch_time = Duration::from_secs(10);
-    let weights = NamedWeights {
-        version: 2,
-        named_at: Duration::from_secs(100),
-    };
+    let weights = NamedWeights::new(naming(2, Duration::from_secs(100)));
     let at = |s| oldest_allowed(&weights, switch_time, Duration::from_secs(s));
     assert_eq!(at(101), None);
     assert_eq!(at(109), Some(2));
     assert_eq!(at(110), Some(2));
 }
 
-/// Guards against parts that are freed while a daemon with an older copy of the operators' table
-/// still reads them.
+const TRUST_LIMIT: Duration = Duration::from_millis(4300);
+const TIMES: OldPartTimes = OldPartTimes {
+    trust_limit: TRUST_LIMIT,
+    weight_switch: Duration::from_secs(10),
+};
+const SECOND: Duration = Duration::from_secs(1);
+/// When the operators name version 2.
+const NAMED_AT: Duration = Duration::from_secs(100);
+/// Hashes of identifiers over the whole range.
+const ID_HASHES: [u64; 4] = [0, u64::MAX / 3, u64::MAX / 2, u64::MAX];
+
+struct ReaderCase {
+    name: &'static str,
+    /// Time up to which its copy of the operators' table held all changes, before it learnt of
+    /// version 2. `None` if it started after that.
+    copy_before: Option<Duration>,
+    learns_at: Duration,
+}
+
+impl ReaderCase {
+    /// Whether the daemon begins to read a part of version 1 at a time.
+    fn reads(&self, id_hash: u64, now: Duration) -> bool {
+        if now < self.learns_at {
+            let relies_on_copy = |copy| now < copy + TRUST_LIMIT;
+            return self.copy_before.is_some_and(relies_on_copy);
+        }
+        let weights = NamedWeights::new(Naming {
+            version: 2,
+            named_after: self.copy_before,
+            learnt_at: self.learns_at,
+        });
+        may_read_part(&weights, 1, id_hash, TIMES, now)
+    }
+}
+
+/// Time at which a daemon frees a part of version 1.
+fn freed_at(id_hash: u64, learnt_at: Duration) -> Duration {
+    let naming = Naming {
+        version: 2,
+        named_after: None,
+        learnt_at,
+    };
+    let weights = IndexMap::from([(MODEL.to_owned(), NamedWeights::new(naming))]);
+    (0..60_000)
+        .map(|ms| NAMED_AT + Duration::from_millis(ms))
+        .find(|now| is_retired("w1", id_hash, &weights, TIMES, *now))
+        .expect("old parts are freed in the end")
+}
+
+/// Guards against parts that are freed while a daemon reads them: one that learns of the new weights
+/// late, or that was cut off, or that has just started.
 #[test]
 fn parts_are_freed_only_after_every_daemon_stopped_reading_them() {
-    let trust_limit = Duration::from_millis(3500);
-    let weights = named(2, 100);
-    let newest = weights[MODEL];
-    // A daemon that learns of the new weights as late as its copy may be old.
-    let late = NamedWeights {
-        named_at: newest.named_at + trust_limit,
-        ..newest
-    };
-    let freed_from = (0..60_000)
-        .map(|ms| newest.named_at + Duration::from_millis(ms))
-        .find(|now| is_retired("w1", &weights, trust_limit, *now))
-        .expect("old parts are freed in the end");
-    assert!(!may_read_old_parts(&late, freed_from));
-    assert!(!is_retired("w2", &weights, trust_limit, freed_from * 2));
-    assert!(!is_retired(
-        "somebody's",
-        &weights,
-        trust_limit,
-        freed_from * 2
-    ));
+    let cases = [
+        ReaderCase {
+            name: "learns at once",
+            copy_before: Some(NAMED_AT),
+            learns_at: NAMED_AT,
+        },
+        ReaderCase {
+            name: "learns as late as its copy may be old",
+            copy_before: Some(NAMED_AT),
+            learns_at: NAMED_AT + TRUST_LIMIT,
+        },
+        ReaderCase {
+            name: "was cut off since before the naming",
+            copy_before: Some(NAMED_AT - SECOND),
+            learns_at: NAMED_AT + SECOND * 5,
+        },
+        ReaderCase {
+            name: "was cut off for long",
+            copy_before: Some(NAMED_AT - SECOND),
+            learns_at: NAMED_AT + SECOND * 20,
+        },
+        ReaderCase {
+            name: "started after the naming",
+            copy_before: None,
+            learns_at: NAMED_AT + SECOND,
+        },
+    ];
+    for case in cases {
+        for id_hash in ID_HASHES {
+            let last_read = (0..60_000)
+                .map(|ms| NAMED_AT + Duration::from_millis(ms))
+                .rfind(|now| case.reads(id_hash, *now))
+                .unwrap_or(NAMED_AT);
+            let freed_at = freed_at(id_hash, NAMED_AT);
+            assert!(last_read + FETCH_TIME_MAX < freed_at, "{}", case.name);
+        }
+    }
+}
+
+/// Guards against a daemon that takes the duty over and frees parts at once, because it learnt of the
+/// new weights only from the table.
+#[test]
+fn a_daemon_that_started_later_frees_parts_no_sooner() {
+    for id_hash in ID_HASHES {
+        let known_from_start = freed_at(id_hash, NAMED_AT);
+        let started_later = freed_at(id_hash, NAMED_AT + SECOND);
+        assert!(started_later >= known_from_start);
+    }
+}
+
+/// Pattern: new weights are named while the stores are full of parts of the old ones. Guards against
+/// parts of the new weights that find no room until most servers have switched.
+#[test]
+fn old_parts_make_room_little_by_little() {
+    let freed: Vec<Duration> = ID_HASHES
+        .iter()
+        .map(|id_hash| freed_at(*id_hash, NAMED_AT))
+        .collect();
+    assert!(freed.is_sorted());
+    assert!(freed[0] < freed[3], "not all at the same time");
+    assert!(freed[0] < NAMED_AT + SECOND * 7);
+    assert!(freed[3] < NAMED_AT + SECOND * 10);
+}
+
+/// Pattern: two new versions one shortly after the other. Guards against parts of the first version
+/// that are kept until the second switch is over.
+#[test]
+fn parts_are_retired_by_the_naming_that_replaced_them() {
+    let mut weights = named(2, 100);
+    let only_first = weights.clone();
+    let second = naming(3, NAMED_AT + SECOND * 4);
+    weights.get_mut(MODEL).expect("model").on_named(second);
+    let now = NAMED_AT + SECOND * 10;
+    for id_hash in ID_HASHES {
+        assert!(is_retired("w1", id_hash, &only_first, TIMES, now));
+        assert!(is_retired("w1", id_hash, &weights, TIMES, now));
+        assert!(!is_retired("w2", id_hash, &weights, TIMES, now));
+        assert!(!is_retired("w3", id_hash, &weights, TIMES, now));
+        assert!(!is_retired("other", id_hash, &weights, TIMES, now));
+        let much_later = now + SECOND * 60;
+        assert!(!is_retired("w3", id_hash, &weights, TIMES, much_later));
+    }
 }
 
 struct RolloutCase {
