--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -196,7 +196,7 @@
     let only_first = weights.clone();
     let second = naming(3, NAMED_AT + SECOND * 4);
     weights.get_mut(MODEL).expect("model").on_named(second);
-    let now = NAMED_AT + SECOND * 10;
+    let now = NAMED_AT + Duration::from_millis(9_600);
     for id_hash in ID_HASHES {
         assert!(is_retired("w1", id_hash, &only_first, TIMES, now));
         assert!(is_retired("w1", id_hash, &weights, TIMES, now));
