Name a source also for parts that the server probably holds

Cause: of the prompts sent to a server that held their parts, one in four after 3 s, and two in three after 8 s, took as long as if they were computed: engines drop what was used least, and the events are late. Trials showed that neither faster events nor shorter trust in them helps. Change: the plan names the best other holder for these parts too. A server reads only what it lacks. The test of lost events looked at the source in place of what is expected to be moved; it asks for the latter now, since a source says nothing about what is known any more. New test: a_source_is_named_also_for_what_the_server_probably_holds.

--- a/crates/gateway/src/caches.rs
+++ b/crates/gateway/src/caches.rs
@@ -323,12 +323,9 @@
         let mut plan = CachePlan::default();
         for part in &prompt.parts {
             let is_held = own.is_some_and(|own| part.holders.contains(own));
-            let source = if is_held {
-                None
-            } else {
-                self.best_source(part, server, sources)
-            };
-            if source.is_some() {
+            // The server reads only what it lacks, so a source is also named for what it probably holds.
+            let source = self.best_source(part, server, sources);
+            if source.is_some() && !is_held {
                 plan.fetched_tokens += part.tokens;
             }
             plan.parts.push(PartPlan {
@@ -356,7 +353,7 @@
         part.holders
             .iter()
             .filter_map(|key| self.holders.get(*key))
-            .filter(|holder| sources.allow(holder, part))
+            .filter(|holder| holder.address != server.address && sources.allow(holder, part))
             .map(|holder| {
                 let transfer_ms = holder.transfer_ms(
                     part.tokens,
