Count the risk that an engine has dropped a part in the choice of its source

Cause: about one in five reads of parts from engines found nothing (time to the first event as if computed), since engines drop parts and stores do not. Change: a fifth of the time to compute the part is added to the cost of an engine as source. Test: a_store_is_read_before_an_engine_that_may_have_dropped_the_part.

--- a/crates/gateway/src/caches.rs
+++ b/crates/gateway/src/caches.rs
@@ -23,6 +23,9 @@
 /// delays all runs of the engine, a transfer only the one that waits for it.
 const COMPUTING_WEIGHT: f64 = 3.0;
 
+/// Probability that an engine has dropped a part that its events still report.
+const ENGINE_MISS_PROBABILITY: f64 = 0.2;
+
 new_key_type! {
     /// Position of a holder in the directory.
     pub struct HolderKey;
@@ -360,7 +363,13 @@
                     server.failure_domain,
                     server.engine_tokens_per_ms,
                 );
-                (holder.address, transfer_ms)
+                // An engine may have dropped the part since its last event; a store drops nothing.
+                let miss_ms = if holder.is_store() {
+                    0.0
+                } else {
+                    computing_ms * ENGINE_MISS_PROBABILITY
+                };
+                (holder.address, transfer_ms + miss_ms)
             })
             .min_by(|a, b| a.1.total_cmp(&b.1))
             .filter(|(_, transfer_ms)| *transfer_ms < computing_ms)
--- a/crates/gateway/tests/servers.rs
+++ b/crates/gateway/tests/servers.rs
@@ -505,6 +505,31 @@
     assert_eq!(plan.fetched_tokens, 0, "nothing is likely to be moved");
 }
 
+/// Guards against parts that are computed because an engine, which would have been the faster source,
+/// dropped them a moment ago while a store has them.
+#[test]
+fn a_store_is_read_before_an_engine_that_may_have_dropped_the_part() {
+    let mut world = World::new(&["s1", "s2"]);
+    let store_key = world.caches.on_stores(&[store(8001)])[0];
+    let engines = ["s1", "s2"].map(|id| (entry(id).address, "a".to_owned()));
+    let mut holders = world.caches.on_engines(&IndexMap::from(engines));
+    let source_of = |world: &mut World| {
+        let selected = world.place(&named_prompt(), at(2)).expect("server");
+        let plan = selected.cache.expect("a generation").plan;
+        plan.parts[1].fetch.expect("a source")
+    };
+    holders.push(store_key);
+    for key in &holders {
+        let held = events(&[("manual", 500), ("history", 8_000)], 1);
+        world.caches.on_events(*key, held, at(1));
+    }
+    assert_eq!(source_of(&mut world), store(8001).address);
+
+    world.caches.on_lost(store_key);
+    let engines = ["s1", "s2"].map(|id| entry(id).address);
+    assert!(engines.contains(&source_of(&mut world)), "better than none");
+}
+
 /// Guards against reads of parts of replaced weights after the time at which they may be freed.
 #[test]
 fn parts_of_replaced_weights_are_read_for_a_limited_time() {
