Test the decisions on deployments of other sizes and with other bounds

One and five failure domains, 1 to 400 daemons, 1 to 600 servers, no engines, no stores, bounds ten times smaller and larger: a server is found, returns go to one engine, switches of weights end, parts are freed after their last read, retries and load reports stay within their bounds. Nothing had to be changed.

--- /dev/null
+++ b/crates/gateway/tests/deployments.rs
@@ -0,0 +1,343 @@
+//! The decisions on deployments of other sizes and with other bounds than the known ones.
+
+use anvilgw_gateway::budget::{RetryBound, RetryBudget};
+use anvilgw_gateway::caches::{CacheDirectory, StoreSpec};
+use anvilgw_gateway::configuration::{EngineSpec, Service};
+use anvilgw_gateway::peers::{PeerLoads, report_period};
+use anvilgw_gateway::places::Places;
+use anvilgw_gateway::request::{Prompt, PromptPart};
+use anvilgw_gateway::select::{PromptQuery, Query, Selected, select};
+use anvilgw_gateway::server::{ServedModel, ServerEntry, ServerState, Servers};
+use anvilgw_gateway::weights::{
+    FETCH_TIME_MAX, NamedWeights, Naming, OldPartTimes, is_retired, may_read_part, next_orders,
+    outdated,
+};
+use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::time::Duration;
+
+const MODEL: &str = "lumen";
+const SERVICE: &str = "s";
+const DOMAINS: [&str; 5] = ["a", "b", "c", "d", "e"];
+/// Time at which all daemons have their views.
+const NOW: Duration = Duration::from_secs(1000);
+
+struct Deployment {
+    name: &'static str,
+    domains: usize,
+    daemons: u32,
+    servers: u16,
+    has_engines: bool,
+    stores: u16,
+    /// The operators' bounds as multiples of the usual ones.
+    bounds_factor: f64,
+}
+
+const DEPLOYMENTS: [Deployment; 6] = [
+    Deployment {
+        name: "one of everything",
+        domains: 1,
+        daemons: 1,
+        servers: 1,
+        has_engines: true,
+        stores: 1,
+        bounds_factor: 1.0,
+    },
+    Deployment {
+        name: "plain servers only",
+        domains: 1,
+        daemons: 3,
+        servers: 1,
+        has_engines: false,
+        stores: 0,
+        bounds_factor: 1.0,
+    },
+    Deployment {
+        name: "engines without stores",
+        domains: 5,
+        daemons: 3,
+        servers: 7,
+        has_engines: true,
+        stores: 0,
+        bounds_factor: 1.0,
+    },
+    Deployment {
+        name: "short bounds",
+        domains: 3,
+        daemons: 12,
+        servers: 18,
+        has_engines: true,
+        stores: 5,
+        bounds_factor: 0.1,
+    },
+    Deployment {
+        name: "long bounds",
+        domains: 3,
+        daemons: 12,
+        servers: 18,
+        has_engines: true,
+        stores: 5,
+        bounds_factor: 10.0,
+    },
+    Deployment {
+        name: "two years on",
+        domains: 5,
+        daemons: 400,
+        servers: 600,
+        has_engines: true,
+        stores: 20,
+        bounds_factor: 1.0,
+    },
+];
+
+impl Deployment {
+    fn bound(&self, usual: Duration) -> Duration {
+        usual.mul_f64(self.bounds_factor)
+    }
+
+    fn domain(&self, index: u16) -> String {
+        DOMAINS[usize::from(index) % self.domains].to_owned()
+    }
+
+    fn service(&self) -> Service {
+        Service {
+            name: SERVICE.to_owned(),
+            connections_max: 100,
+            cold_requests_per_s: 0.0,
+            engine: self.has_engines.then_some(EngineSpec {
+                kv_capacity_tokens: 100_000,
+                link_tokens_per_ms: 5_000.0,
+            }),
+            store: None,
+        }
+    }
+
+    fn servers(&self) -> Servers {
+        let mut servers = Servers::default();
+        for index in 0..self.servers {
+            servers.on_seen(self.server(index, 1), NOW);
+        }
+        servers
+    }
+
+    fn server(&self, index: u16, version: u64) -> ServerEntry {
+        let model = ServedModel {
+            model: MODEL.to_owned(),
+            version,
+        };
+        ServerEntry {
+            id: format!("s{index}"),
+            service: SERVICE.to_owned(),
+            address: ([127, 0, 0, 1], 9000 + index).into(),
+            failure_domain: self.domain(index),
+            state: ServerState::Ready,
+            cold_for: Duration::ZERO,
+            slots: 8,
+            models: self.has_engines.then_some(model).into_iter().collect(),
+            started_at_ms: Some(1),
+        }
+    }
+
+    fn caches(&self) -> CacheDirectory {
+        let mut caches = CacheDirectory::default();
+        let specs: Vec<StoreSpec> = (0..self.stores)
+            .map(|index| StoreSpec {
+                address: ([127, 0, 0, 2], 9000 + index).into(),
+                failure_domain: self.domain(index),
+                capacity_tokens: 1_000_000,
+                link_tokens_per_ms: 1_000.0,
+                first_byte: Duration::from_millis(1),
+            })
+            .collect();
+        caches.on_stores(&specs);
+        caches
+    }
+
+    fn old_part_times(&self) -> OldPartTimes {
+        OldPartTimes {
+            trust_limit: self.bound(Duration::from_millis(4300)),
+            weight_switch: self.bound(Duration::from_secs(10)),
+        }
+    }
+
+    fn place(
+        &self,
+        servers: &mut Servers,
+        caches: &CacheDirectory,
+        prompt: Option<&Prompt>,
+    ) -> Option<Selected> {
+        let (regions, peer_loads) = (IndexMap::new(), PeerLoads::default());
+        let service = self.service();
+        let prompt = prompt.map(|prompt| PromptQuery {
+            prompt,
+            caches,
+            peer_loads: &peer_loads,
+            isolated_workspace: None,
+            oldest_version: None,
+            engine_tokens_per_ms: 5_000.0,
+            engine_capacity_tokens: 100_000,
+            memory_limit_tokens: 90_000.0,
+            named: None,
+            old_part_times: self.old_part_times(),
+            is_configuration_current: true,
+            are_switches_current: true,
+        });
+        let query = Query {
+            service: &service,
+            places: Places {
+                regions: &regions,
+                route: &[],
+                workspace: &[],
+            },
+            prompt,
+            tried: &[],
+            share: 1.0 / f64::from(self.daemons),
+        };
+        let mut rng = SmallRng::seed_from_u64(7);
+        select(servers, &query, NOW, &mut rng).ok()
+    }
+}
+
+fn prompt(session: u64) -> Prompt {
+    Prompt {
+        model: MODEL.to_owned(),
+        prompt_tokens: 9_000,
+        output_tokens_max: 50,
+        parts: vec![
+            PromptPart {
+                id_hash: session,
+                tokens: 8_000,
+            },
+            PromptPart {
+                id_hash: !session,
+                tokens: 1_000,
+            },
+        ],
+    }
+}
+
+/// Guards against requests that find no server although one could serve them.
+#[test]
+fn a_request_finds_a_server() {
+    for deployment in DEPLOYMENTS {
+        let (mut servers, caches) = (deployment.servers(), deployment.caches());
+        let plain = deployment.place(&mut servers, &caches, None);
+        assert!(plain.is_some(), "{}", deployment.name);
+        if deployment.has_engines {
+            let generation = deployment.place(&mut servers, &caches, Some(&prompt(1)));
+            assert!(generation.is_some(), "{}", deployment.name);
+        }
+    }
+}
+
+/// Guards against daemons that send the returns of a prompt to different engines, and against few
+/// engines that get all prompts.
+#[test]
+fn returning_prompts_go_to_one_engine_and_all_engines_get_some() {
+    /// With more servers the test would take too long in a debug build.
+    const SERVERS_MAX: u16 = 20;
+    let is_small = |one: &&Deployment| one.has_engines && one.servers <= SERVERS_MAX;
+    for deployment in DEPLOYMENTS.iter().filter(is_small) {
+        let (mut servers, caches) = (deployment.servers(), deployment.caches());
+        let mut used = IndexMap::new();
+        for session in 0..u64::from(deployment.servers) * 40 {
+            let prompt = prompt(session.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+            let first = deployment.place(&mut servers, &caches, Some(&prompt));
+            let again = deployment.place(&mut servers, &caches, Some(&prompt));
+            let first = first.expect("a server").server;
+            assert_eq!(again.expect("a server").server, first);
+            *used.entry(first).or_insert(0) += 1;
+        }
+        assert_eq!(used.len(), usize::from(deployment.servers));
+        let most = used.values().copied().max().unwrap_or(0);
+        assert!(most <= 100, "{}: {most} of 40 expected", deployment.name);
+    }
+}
+
+/// Guards against a switch of weights that stalls, or that takes too many servers at once.
+#[test]
+fn all_servers_get_the_newest_weights() {
+    for deployment in DEPLOYMENTS.iter().filter(|one| one.has_engines) {
+        let mut servers = deployment.servers();
+        let naming = Naming {
+            version: 2,
+            named_after: None,
+            learnt_at: NOW,
+        };
+        let named = IndexMap::from([(MODEL.to_owned(), NamedWeights::new(naming))]);
+        let most = (usize::from(deployment.servers) / 5).max(1);
+        for _ in 0..=deployment.servers {
+            let old = outdated(&servers, named.iter());
+            let orders = next_orders(&servers, &old, &[], NOW);
+            assert!(orders.len() <= most, "{}", deployment.name);
+            for order in orders {
+                let server = servers.get_mut(order.server).expect("known");
+                server.on_weights(MODEL, order.version);
+            }
+        }
+        assert!(outdated(&servers, named.iter()).is_empty());
+    }
+}
+
+/// Guards against parts that are freed under a read, however the bounds relate to each other.
+#[test]
+fn parts_are_freed_after_their_last_read() {
+    for deployment in DEPLOYMENTS {
+        let times = deployment.old_part_times();
+        let naming = Naming {
+            version: 2,
+            named_after: Some(NOW),
+            learnt_at: NOW,
+        };
+        let named = IndexMap::from([(MODEL.to_owned(), NamedWeights::new(naming))]);
+        for id_hash in [0, u64::MAX / 2, u64::MAX] {
+            let clock = (0..200_000).map(|ms| NOW + Duration::from_millis(ms));
+            let last_read = clock
+                .clone()
+                .take_while(|now| may_read_part(&named[MODEL], 1, id_hash, times, *now))
+                .last()
+                .unwrap_or(NOW);
+            let last_read = last_read.max(NOW + times.trust_limit);
+            let freed_at = clock
+                .clone()
+                .find(|now| is_retired("w1", id_hash, &named, times, *now))
+                .expect("freed in the end");
+            assert!(last_read + FETCH_TIME_MAX < freed_at, "{}", deployment.name);
+        }
+    }
+}
+
+/// Guards against retries of a whole fleet that exceed the operators' bound.
+#[test]
+fn retries_of_the_fleet_stay_within_the_bound() {
+    for deployment in DEPLOYMENTS {
+        let bound = RetryBound {
+            ratio: 0.2,
+            slack: 100.0,
+            window: deployment.bound(Duration::from_secs(10)),
+        };
+        let share = 1.0 / f64::from(deployment.daemons);
+        let mut budgets = vec![RetryBudget::new(bound, NOW); deployment.daemons as usize];
+        let mut taken = 0;
+        for step in 0..100 {
+            let now = NOW + bound.window.mul_f64(f64::from(step) / 100.0);
+            for budget in &mut budgets {
+                taken += u32::from(budget.take(share, now));
+            }
+        }
+        assert!(f64::from(taken) <= bound.slack, "{}", deployment.name);
+    }
+}
+
+/// Guards against load reports that grow with the square of the fleet.
+#[test]
+fn a_daemon_sends_a_bounded_number_of_load_reports() {
+    /// Reports per second that a small instance can send and receive.
+    const REPORTS_PER_S_MAX: f64 = 250.0;
+    for deployment in DEPLOYMENTS {
+        let peers = deployment.daemons as usize - 1;
+        let per_s = peers as f64 / report_period(peers).as_secs_f64();
+        assert!(per_s <= REPORTS_PER_S_MAX, "{}: {per_s}", deployment.name);
+    }
+}
