Log what decided for the backend server of a request

Change: the lines of requests and failed attempts carry the known load, the age of its report, the version of the weights and the tokens that were expected at the server, elsewhere and nowhere; anvilgw explain prints them.

--- a/crates/cli/src/request_log.rs
+++ b/crates/cli/src/request_log.rs
@@ -23,6 +23,25 @@
     elapsed_ms: u64,
     configuration: u64,
     configuration_age_ms: u64,
+    choice: Option<ChoiceFields>,
+}
+
+/// What the daemon knew when it chose the backend server.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default)]
+struct ChoiceFields {
+    load: f64,
+    load_age_ms: Option<u64>,
+    prompt: Option<PromptFields>,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default)]
+struct PromptFields {
+    weights: Option<u64>,
+    held_tokens: u32,
+    fetched_tokens: u32,
+    computed_tokens: u32,
 }
 
 /// What the log tells of one request.
@@ -78,6 +97,7 @@
                 attempt.reason,
                 attempt.elapsed_ms
             );
+            render_choice(&mut text, attempt);
         }
         for end in &self.ends {
             let _ = writeln!(
@@ -91,6 +111,7 @@
                 or_dash(&end.workspace),
                 end.elapsed_ms
             );
+            render_choice(&mut text, end);
             let _ = writeln!(text, "cause: {}", self.cause(end));
         }
         text
@@ -125,6 +146,33 @@
     }
 }
 
+/// Tells what decided for the backend server of a line.
+fn render_choice(text: &mut String, line: &LogLine) {
+    let Some(choice) = line.choice else { return };
+    let age = choice
+        .load_age_ms
+        .map_or("none reported".to_owned(), |age| {
+            format!("reported {age} ms before")
+        });
+    // Writing to a string does not fail.
+    let _ = writeln!(
+        text,
+        "  chosen with {:.0} requests on {} ({age})",
+        choice.load,
+        or_dash(&line.server)
+    );
+    if let Some(prompt) = choice.prompt {
+        let weights = prompt
+            .weights
+            .map_or("-".to_owned(), |version| version.to_string());
+        let _ = writeln!(
+            text,
+            "  shared prompt tokens: {} held there, {} read from elsewhere, {} computed; weights {weights}",
+            prompt.held_tokens, prompt.fetched_tokens, prompt.computed_tokens
+        );
+    }
+}
+
 fn parse(line: &str) -> Option<LogLine> {
     let start = line.find('{')?;
     serde_json::from_str(&line[start..]).ok()
--- a/crates/gateway/src/caches.rs
+++ b/crates/gateway/src/caches.rs
@@ -73,8 +73,12 @@
 pub struct CachePlan {
     /// Sources and stores of the shared parts, in their order.
     pub parts: Vec<PartPlan>,
+    /// Tokens that the server probably holds.
+    pub held_tokens: u32,
     /// Tokens that are read from other holders.
     pub fetched_tokens: u32,
+    /// Tokens that nobody holds from whom they would come soon enough.
+    pub computed_tokens: u32,
 }
 
 /// A shared part of a prompt with its holders.
@@ -328,9 +332,12 @@
             let is_held = own.is_some_and(|own| part.holders.contains(own));
             // The server reads only what it lacks, so a source is also named for what it probably holds.
             let source = self.best_source(part, server, sources);
-            if source.is_some() && !is_held {
-                plan.fetched_tokens += part.tokens;
-            }
+            let tokens = match source {
+                _ if is_held => &mut plan.held_tokens,
+                Some(_) => &mut plan.fetched_tokens,
+                None => &mut plan.computed_tokens,
+            };
+            *tokens += part.tokens;
             plan.parts.push(PartPlan {
                 fetch: source,
                 save: if sources.may_write_stores {
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -171,6 +171,7 @@
 ) -> Result<Exchange, Cause> {
     let target = choose_with_wait(gateway, call, progress).await?;
     target.id.clone_into(&mut progress.server);
+    progress.choice = Some(target.choice);
     progress.tried.push(target.key);
     let attempt = Attempt {
         pool: gateway.pool(target.key),
--- a/crates/gateway/src/dispatch/progress.rs
+++ b/crates/gateway/src/dispatch/progress.rs
@@ -2,7 +2,7 @@
 
 use super::call::Call;
 use crate::gateway::Gateway;
-use crate::log::{Event, RequestLine};
+use crate::log::{Choice, Event, RequestLine};
 use crate::server::ServerKey;
 use anvilgw_core::{ErrorKind, Failure, Stage};
 use std::rc::Rc;
@@ -28,6 +28,8 @@
     pub(crate) may_have_run_before: bool,
     /// Identifier of the last server.
     pub(crate) server: String,
+    /// What decided for it.
+    pub(crate) choice: Option<Choice>,
     /// Why the last attempt failed.
     pub(crate) reason: String,
     first_event: Option<Duration>,
@@ -57,6 +59,7 @@
             may_have_run: false,
             may_have_run_before: false,
             server: String::new(),
+            choice: None,
             reason: String::new(),
             first_event: None,
             end: None,
@@ -73,6 +76,7 @@
             server: &self.server,
             reason: &reason,
             elapsed_ms: elapsed.as_millis() as u64,
+            choice: self.choice,
         });
         self.reason = reason;
     }
@@ -148,6 +152,7 @@
             attempts: self.sent,
             elapsed_ms: elapsed.as_millis() as u64,
             first_event_ms: self.first_event.map(|first| first.as_millis() as u64),
+            choice: self.choice,
             configuration: self.configuration,
             configuration_age_ms: age.map_or(u64::MAX, |age| age.as_millis() as u64),
         };
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -3,12 +3,14 @@
 use super::call::Call;
 use super::progress::Progress;
 use crate::admission::MemoryRequest;
+use crate::caches::CacheDirectory;
 use crate::configuration::Service;
 use crate::gateway::Gateway;
+use crate::log::{Choice, PromptChoice};
 use crate::places::Places;
 use crate::retry::Cause;
-use crate::select::{CacheUse, NoServer, PromptQuery, Query, select};
-use crate::server::ServerKey;
+use crate::select::{CacheUse, NoServer, PromptQuery, Query, Selected, select};
+use crate::server::{Server, ServerKey};
 use crate::weights::{FETCH_TIME_MAX, oldest_allowed};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -43,9 +45,29 @@
     pub(super) cache: Option<CacheUse>,
     /// Time on the servers' clock after which parts from elsewhere are not waited for.
     pub(super) fetch_until_ms: Option<u64>,
+    /// What decided for the server.
+    pub(super) choice: Choice,
 }
 
 impl Target {
+    fn new(server: &Server, selected: Selected, caches: &CacheDirectory, now: Duration) -> Self {
+        let prompt = selected.cache.as_ref().map(prompt_choice);
+        let fetched_tokens = prompt.map_or(0, |prompt| prompt.fetched_tokens);
+        let fetch_until = now + fetch_patience(fetched_tokens);
+        Self {
+            key: selected.server,
+            id: server.entry.id.clone(),
+            address: server.entry.address,
+            cache: selected.cache,
+            fetch_until_ms: caches.server_clock_ms(fetch_until),
+            choice: Choice {
+                load: server.load(now),
+                load_age_ms: server.load_age(now).map(|age| age.as_millis() as u64),
+                prompt,
+            },
+        }
+    }
+
     pub(super) fn weight_version(&self) -> Option<u64> {
         self.cache.as_ref()?.weight_version
     }
@@ -148,18 +170,16 @@
         .servers
         .get(selected.server)
         .ok_or(Cause::NoServer(NoServer::NoneInService))?;
-    let fetched = selected
-        .cache
-        .as_ref()
-        .map(|cache| cache.plan.fetched_tokens);
-    let fetch_until = now + fetch_patience(fetched.unwrap_or(0));
-    Ok(Target {
-        key: selected.server,
-        id: server.entry.id.clone(),
-        address: server.entry.address,
-        cache: selected.cache,
-        fetch_until_ms: state.caches.server_clock_ms(fetch_until),
-    })
+    Ok(Target::new(server, selected, &state.caches, now))
+}
+
+fn prompt_choice(cache: &CacheUse) -> PromptChoice {
+    PromptChoice {
+        weights: cache.weight_version,
+        held_tokens: cache.plan.held_tokens,
+        fetched_tokens: cache.plan.fetched_tokens,
+        computed_tokens: cache.plan.computed_tokens,
+    }
 }
 
 fn engine_capacity(service: &Service) -> u64 {
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -165,6 +165,9 @@
         reason: &'a str,
         /// Time since the request was read, in milliseconds.
         elapsed_ms: u64,
+        /// What decided for the backend server.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        choice: Option<Choice>,
     },
     /// A request ended.
     Request(RequestLine<'a>),
@@ -177,6 +180,33 @@
     },
 }
 
+/// What the daemon knew when it chose a backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Choice {
+    /// Requests on the server.
+    pub load: f64,
+    /// Age of the server's last report, in milliseconds. Without a report the own requests count.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub load_age_ms: Option<u64>,
+    /// For a generation, where the shared parts of its prompt were expected.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub prompt: Option<PromptChoice>,
+}
+
+/// Where the shared parts of a prompt were expected, in tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct PromptChoice {
+    /// Version of the server's weights.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub weights: Option<u64>,
+    /// At the server.
+    pub held_tokens: u32,
+    /// At a store or another server.
+    pub fetched_tokens: u32,
+    /// Nowhere, so that they are computed.
+    pub computed_tokens: u32,
+}
+
 /// How a request ended and what decided it.
 #[derive(Debug, Default, Serialize)]
 pub struct RequestLine<'a> {
@@ -205,6 +235,9 @@
     /// Time to the first event of a stream, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub first_event_ms: Option<u64>,
+    /// What decided for the last backend server.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub choice: Option<Choice>,
     /// Version of the configuration that decided.
     pub configuration: u64,
     /// Age of the daemon's copy of the configuration, in milliseconds.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -152,6 +152,13 @@
         }
     }
 
+    /// Age of the last report of its load.
+    #[must_use]
+    pub fn load_age(&self, now: Duration) -> Option<Duration> {
+        let (_, at) = self.reported?;
+        Some(now.saturating_sub(at))
+    }
+
     /// Share of failed requests among the recent ones.
     #[must_use]
     pub fn failure_share(&self) -> f64 {
