Straighten the circles of imports in the entry daemon

context imported duties::apply and front, which import context; keeping imported dispatch for the text of a key, which imports keeping. The tasks that use the context are in tasks/, the key table stands by itself, a block key knows its text, and the unit of the budgets stands with them. No behaviour changes.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -2,13 +2,12 @@
 
 use crate::backends::{Backend, Backends};
 use crate::duties::admission::AdmissionService;
-use crate::duties::apply::MILLI;
 use crate::duties::claims::ClaimsService;
-use crate::duties::control::{BudgetKind, ControlService, SharedBudgets};
+use crate::duties::control::{BudgetKind, ControlService, MILLI, SharedBudgets};
 use crate::duties::keeping::KeepingService;
 use crate::duties::routing::RoutingService;
 use crate::explain::ExplainStore;
-use crate::front::KeyTable;
+use crate::keys::KeyTable;
 use crate::observe::{Hop, Metrics, Tracing};
 use crate::peer::PeerClient;
 use anvilgw_config::{ConfigState, Settings};
--- a/crates/entry/src/dispatch/completion.rs
+++ b/crates/entry/src/dispatch/completion.rs
@@ -387,7 +387,7 @@
             attempt: number,
             is_chat: self.prompt.is_chat,
             body: self.prompt.body.clone(),
-            blocks: self.prompt.keys.iter().map(hex).collect(),
+            blocks: self.prompt.keys.iter().map(BlockKey::to_hex).collect(),
             block_tokens: self.prompt.block_tokens.into(),
             import: imports
                 .iter()
@@ -420,18 +420,13 @@
             }
         };
         Some(KvImport {
-            key: hex(&import.key),
+            key: import.key.to_hex(),
             source,
             generation: import.hint.generation.0,
         })
     }
 }
 
-/// A key as engines and stores write it.
-pub(crate) fn hex(key: &BlockKey) -> String {
-    blake3::Hash::from(key.0).to_hex().to_string()
-}
-
 /// What an error says about the server. Another error of the client's request says nothing.
 fn outcome_of(error: &EngineError) -> SendOutcome {
     match error {
--- a/crates/entry/src/duties/control/budgets.rs
+++ b/crates/entry/src/duties/control/budgets.rs
@@ -11,6 +11,9 @@
 /// Bits of a budget number that tell what it is about.
 const KIND_SHIFT: u32 = 24;
 
+/// Thousandths per unit, for rates below one unit per daemon.
+pub(crate) const MILLI: u64 = 1_000;
+
 /// What a budget limits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BudgetKind {
--- a/crates/entry/src/duties/control/mod.rs
+++ b/crates/entry/src/duties/control/mod.rs
@@ -11,7 +11,7 @@
 mod start;
 mod worker;
 
-pub(crate) use budgets::{BudgetKind, SharedBudgets};
+pub(crate) use budgets::{BudgetKind, MILLI, SharedBudgets};
 pub(crate) use log_io::Streams;
 pub(crate) use start::{ControlParts, ControlSetup};
 
--- a/crates/entry/src/duties/keeping.rs
+++ b/crates/entry/src/duties/keeping.rs
@@ -6,7 +6,6 @@
 
 use super::routing::RoutingService;
 use crate::backends::{BackendKind, Backends};
-use crate::dispatch::completion::hex;
 use anvilgw_config::Settings;
 use anvilgw_core::{DomainId, ServerId, StoreId, WorkspaceId};
 use anvilgw_kernel::{Duty, Receiver, RecvTimeoutError, Sender, Stop, ring};
@@ -172,7 +171,7 @@
                 exports
                     .entry((store, tier))
                     .or_default()
-                    .push((*short, hex(key)));
+                    .push((*short, key.to_hex()));
             }
         }
         for ((store, tier), keys) in exports {
--- a/crates/entry/src/duties/mod.rs
+++ b/crates/entry/src/duties/mod.rs
@@ -1,10 +1,8 @@
 //! Duties of the daemon: one thread each, reached through bounded rings.
 
 pub(crate) mod admission;
-pub(crate) mod apply;
 pub(crate) mod claims;
 pub(crate) mod control;
 mod deliver;
 pub(crate) mod keeping;
-pub(crate) mod polls;
 pub(crate) mod routing;
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -1,13 +1,11 @@
 //! HTTP front end towards callers.
 
-mod auth;
 mod body;
 mod handlers;
 mod respond;
 mod server;
 mod sse;
 
-pub(crate) use auth::KeyTable;
 pub(crate) use body::read as read_body;
 pub(crate) use handlers::router;
 pub(crate) use respond::{failure, json};
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,9 +11,11 @@
 mod duties;
 mod explain;
 mod front;
+mod keys;
 mod log_client;
 mod observe;
 mod peer;
 mod setup;
+mod tasks;
 
 pub use daemon::{Daemon, Shutdown, StartError};
--- a/crates/entry/src/duties/apply.rs
+++ b/crates/entry/src/tasks/apply.rs
@@ -1,8 +1,8 @@
 //! Puts the configuration in force: limits of workspaces, budgets and what is out of service.
 
-use super::admission::Usage;
 use crate::context::Context;
-use crate::duties::control::BudgetKind;
+use crate::duties::admission::Usage;
+use crate::duties::control::{BudgetKind, MILLI};
 use anvilgw_admission::{PlanLimits, PlanShare, Priority};
 use anvilgw_config::{BackendServer, ConfigState, Plan, Priority as PlanPriority};
 use anvilgw_core::{ServerId, WorkspaceId};
@@ -14,8 +14,6 @@
 
 /// Interval in which shares of plans are passed on to admission.
 const SHARE_INTERVAL: Duration = Duration::from_millis(200);
-/// Thousandths per unit, for rates below one unit per daemon.
-pub(crate) const MILLI: u64 = 1_000;
 
 /// Starts following the configuration. Ends when `stop` turns true.
 pub(crate) fn start(context: &Arc<Context>, stop: &watch::Receiver<bool>) {
--- a/crates/entry/src/duties/polls.rs
+++ b/crates/entry/src/tasks/polls.rs
@@ -199,7 +199,9 @@
                 continue;
             }
         };
-        let Some(key) = block_key(key) else { continue };
+        let Some(key) = BlockKey::from_hex(key) else {
+            continue;
+        };
         changes.push(CacheEvent {
             started_ms: events.start_ms,
             sequence: event.sequence,
@@ -213,11 +215,6 @@
     }
 }
 
-fn block_key(hex: &str) -> Option<BlockKey> {
-    let hash = blake3::Hash::from_hex(hex).ok()?;
-    Some(BlockKey(*hash.as_bytes()))
-}
-
 /// Lists a store again and again. Its blocks become hints, its free space a target of exports; a store
 /// that does not answer is not imported from until it does.
 async fn poll_store(context: Arc<Context>, index: usize) {
@@ -281,7 +278,7 @@
 }
 
 fn stored_block(block: &StoredBlock) -> Option<(ShortKey, Generation)> {
-    let key = block_key(&block.key)?;
+    let key = BlockKey::from_hex(&block.key)?;
     Some((key.short(), Generation(block.generation)))
 }
 
--- a/crates/router/src/kv.rs
+++ b/crates/router/src/kv.rs
@@ -54,6 +54,19 @@
         leading.copy_from_slice(&self.0[..8]);
         ShortKey(u64::from_le_bytes(leading))
     }
+
+    /// The key as engines and stores write it.
+    #[must_use]
+    pub fn to_hex(&self) -> String {
+        blake3::Hash::from(self.0).to_hex().to_string()
+    }
+
+    /// Reads a key as engines and stores write it. `None` if it is malformed.
+    #[must_use]
+    pub fn from_hex(hex: &str) -> Option<Self> {
+        let hash = blake3::Hash::from_hex(hex).ok()?;
+        Some(Self(*hash.as_bytes()))
+    }
 }
 
 impl fmt::Debug for BlockKey {
