Name the version of loaded weights in the lease log; tell what a server told from conclusions

Cause: a record of the lease log said that a server had switched, without the version. A daemon that restarted after the second naming read the record of the first switch and took the servers to hold the newest version, so they were never ordered to load it, and every request to them was refused. Ruled out: lost orders, expected number of orders (all accepted), the lease (it passed on as it should). Change: records name server, model and version. What the server told is kept apart from what a refusal lets the daemon conclude; only the first decides about orders, and a second refusal corrects a wrong conclusion. Test: what_a_server_told_decides_about_orders, a table of seven cases, of which the second failed before.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -352,9 +352,9 @@
         progress.tried.pop();
     }
     if let Some(server) = state.servers.get_mut(target.key)
-        && let Some(named) = named
+        && let (Some(refused), Some(named)) = (target.weight_version(), named)
     {
-        server.on_weights(&prompt.model, named);
+        server.on_other_weights(&prompt.model, refused, named);
     }
 }
 
--- a/crates/gateway/src/duties/weights.rs
+++ b/crates/gateway/src/duties/weights.rs
@@ -3,7 +3,7 @@
 
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
-use crate::lease::{LeaseRecord, LeaseStep, LeaseView};
+use crate::lease::{LeaseRecord, LeaseStep, LeaseView, LoadedWeights};
 use crate::log::Event;
 use crate::ports::{Append, LogPage, OrderAnswer, ServerReport, StoreError, WeightOrder};
 use crate::server::ServerEntry;
@@ -41,7 +41,7 @@
         lease: LeaseView::new(gateway.settings.instance.clone(), incarnation, turn_time),
         incarnation,
         sent: Vec::new(),
-        switched: Vec::new(),
+        loaded: Vec::new(),
         lease_log: Dependency::new("metadata store, leases"),
         gateway,
     };
@@ -60,8 +60,8 @@
     lease: LeaseView,
     incarnation: u64,
     sent: Vec<SentOrder>,
-    /// Servers that have switched and are not announced yet.
-    switched: Vec<String>,
+    /// Weights that servers have loaded and that are not announced yet.
+    loaded: Vec<LoadedWeights>,
     lease_log: Dependency,
 }
 
@@ -158,10 +158,11 @@
                     server.switching_until = now + SWITCH_TIME;
                 }
             }
-            for id in &record.switched {
-                let key = state.servers.key_of(id);
+            for loaded in &record.loaded {
+                let key = state.servers.key_of(&loaded.server);
                 if let Some(server) = key.and_then(|key| state.servers.get_mut(key)) {
-                    server.on_switched(state.weights.iter(), now);
+                    server.on_loaded(&loaded.model, loaded.version);
+                    server.switching_until = now;
                 }
             }
         }
@@ -179,7 +180,7 @@
                 .collect();
             next_orders(&state.servers, &free, &self.sent, now)
         };
-        let has_news = !due.is_empty() || !self.switched.is_empty();
+        let has_news = !due.is_empty() || !self.loaded.is_empty();
         if let LeaseStep::Append { at, fencing_token } = self.lease.renewal(now, has_news) {
             self.append(at, fencing_token, &due).await;
         }
@@ -200,7 +201,7 @@
             incarnation: self.incarnation,
             fencing_token,
             switching: self.switching_ids(due),
-            switched: std::mem::take(&mut self.switched),
+            loaded: std::mem::take(&mut self.loaded),
         };
         // The record holds only text and numbers.
         let payload = serde_json::to_vec(&record).unwrap_or_default();
@@ -288,16 +289,24 @@
             if let Some(entry) = self.entry(&one) {
                 self.report(&one, &entry).await;
             }
-            let is_done = self.entry(&one).is_some_and(|entry| {
-                let version = entry.version_of(&one.model);
-                version >= Some(one.version)
-            });
-            if is_done && let Some(entry) = self.entry(&one) {
-                self.switched.push(entry.id);
+            if let Some(loaded) = self.loaded(&one) {
+                self.loaded.push(loaded);
             }
         }
     }
 
+    /// The weights that a server was ordered to load, if it told that it holds them.
+    fn loaded(&self, due: &Outdated) -> Option<LoadedWeights> {
+        let state = self.gateway.state.borrow();
+        let server = state.servers.get(due.server)?;
+        let version = server.told_version_of(&due.model)?;
+        (version >= due.version).then(|| LoadedWeights {
+            server: server.entry.id.clone(),
+            model: due.model.clone(),
+            version,
+        })
+    }
+
     async fn order(&mut self, due: Outdated) {
         let Some(fencing_token) = self.lease.fencing_token(self.gateway.now()) else {
             return;
@@ -358,7 +367,7 @@
         let now = self.gateway.now();
         let servers = &mut self.gateway.state.borrow_mut().servers;
         if let Some(server) = servers.get_mut(due.server) {
-            server.on_weights(&due.model, version);
+            server.on_loaded(&due.model, version);
             if version >= due.version && !is_busy {
                 server.switching_until = now;
             }
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -30,8 +30,20 @@
     pub fencing_token: u64,
     /// Identifiers of the servers that are ordered to switch weights next.
     pub switching: Vec<String>,
-    /// Identifiers of the servers that have switched since the record before.
-    pub switched: Vec<String>,
+    /// Weights that servers have loaded since the record before.
+    #[serde(default)]
+    pub loaded: Vec<LoadedWeights>,
+}
+
+/// Weights that a server has loaded.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadedWeights {
+    /// Identifier of the server.
+    pub server: String,
+    /// Model.
+    pub model: String,
+    /// Version. A daemon that reads the log later must not take it for a newer one.
+    pub version: u64,
 }
 
 /// What a daemon does about the lease.
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -151,7 +151,7 @@
 
 fn has_weights(server: &Server, prompt: Option<&PromptQuery<'_>>) -> bool {
     let Some(query) = prompt else { return true };
-    let version = server.entry.version_of(&query.prompt.model);
+    let version = server.version_of(&query.prompt.model);
     match (version, query.oldest_version) {
         (Some(version), Some(oldest)) => version >= oldest,
         _ => true,
@@ -261,7 +261,7 @@
     now: Duration,
 ) -> CacheUse {
     let model = &query.prompt.model;
-    let version = server.entry.version_of(model);
+    let version = server.version_of(model);
     let scope = cache_scope(version, query.isolated_workspace);
     let is_newest = query
         .named
@@ -274,7 +274,7 @@
         let engines: Vec<SocketAddr> = servers
             .iter()
             .map(|(_, other)| other)
-            .filter(|other| other.entry.version_of(model) == version)
+            .filter(|other| other.version_of(model) == version)
             .filter(|other| now >= other.switching_until)
             .map(|other| other.entry.address)
             .collect();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -2,7 +2,6 @@
 
 use crate::cold::ColdBudget;
 use crate::request::ReportedLoad;
-use crate::weights::NamedWeights;
 use anvilgw_router::{Breaker, BreakerSettings};
 use indexmap::{IndexMap, IndexSet};
 use slotmap::{SlotMap, new_key_type};
@@ -76,6 +75,14 @@
     }
 }
 
+/// Weights that a server holds or will hold although its entry names older ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct AheadOfEntry {
+    version: u64,
+    /// The server told so, as opposed to a conclusion from a refusal.
+    is_told: bool,
+}
+
 /// A backend server with what this daemon has observed of it.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -93,6 +100,8 @@
     pub is_misdirected: bool,
     /// Time until which it switches weights and rejects requests.
     pub switching_until: Duration,
+    /// By model.
+    ahead_of_entry: IndexMap<String, AheadOfEntry>,
     cold_until: Duration,
     cold: ColdBudget,
     reported: Option<(ReportedLoad, Duration)>,
@@ -112,6 +121,7 @@
             heard_at: Duration::ZERO,
             is_misdirected: false,
             switching_until: Duration::ZERO,
+            ahead_of_entry: IndexMap::new(),
             cold: ColdBudget::new(now),
             reported: None,
             sent_since_report: 0,
@@ -165,28 +175,50 @@
         self.failure_share
     }
 
-    /// Notes that the server holds a version of a model's weights, before its entry tells.
-    pub fn on_weights(&mut self, model: &str, version: u64) {
-        let served = self
+    /// Version of the weights of a model that the server probably holds.
+    #[must_use]
+    pub fn version_of(&self, model: &str) -> Option<u64> {
+        let entry = self.entry.version_of(model)?;
+        let ahead = self.ahead_of_entry.get(model);
+        Some(ahead.map_or(entry, |ahead| ahead.version))
+    }
+
+    /// Version of the weights of a model that the server itself has told.
+    #[must_use]
+    pub fn told_version_of(&self, model: &str) -> Option<u64> {
+        let entry = self.entry.version_of(model)?;
+        let told = self.ahead_of_entry.get(model).filter(|ahead| ahead.is_told);
+        Some(told.map_or(entry, |ahead| ahead.version))
+    }
+
+    /// Notes that the server has loaded a version of a model's weights, before its entry tells.
+    pub fn on_loaded(&mut self, model: &str, version: u64) {
+        self.ahead_of_entry.shift_remove(model);
+        if self
             .entry
-            .models
-            .iter_mut()
-            .find(|served| served.model == model);
-        if let Some(served) = served {
-            served.version = version;
+            .version_of(model)
+            .is_some_and(|entry| entry < version)
+        {
+            let ahead = AheadOfEntry {
+                version,
+                is_told: true,
+            };
+            self.ahead_of_entry.insert(model.to_owned(), ahead);
         }
     }
 
-    /// Notes that the server has switched to the newest weights of its models.
-    pub fn on_switched<'a>(
-        &mut self,
-        named: impl Iterator<Item = (&'a String, &'a NamedWeights)>,
-        now: Duration,
-    ) {
-        for (model, weights) in named {
-            self.on_weights(model, weights.version);
+    /// Notes that the server refused a request for a version of a model's weights. It probably holds the
+    /// newest one, unless that is the one it refused.
+    pub fn on_other_weights(&mut self, model: &str, refused: u64, newest: u64) {
+        self.ahead_of_entry.shift_remove(model);
+        let entry = self.entry.version_of(model);
+        if refused < newest && entry.is_some_and(|entry| entry < newest) {
+            let ahead = AheadOfEntry {
+                version: newest,
+                is_told: false,
+            };
+            self.ahead_of_entry.insert(model.to_owned(), ahead);
         }
-        self.switching_until = now;
     }
 
     /// Notes that a request was sent.
@@ -278,6 +310,7 @@
         server.set_cold_for(entry.cold_for, now);
         if entry.models != server.entry.models {
             server.switching_until = Duration::ZERO;
+            server.ahead_of_entry.clear();
         }
         if entry.address != server.entry.address {
             server.is_misdirected = false;
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -198,7 +198,7 @@
     for (model, weights) in named {
         for (key, server) in servers.iter() {
             let is_leaving = server.entry.state == ServerState::Draining || server.is_misdirected;
-            let version = server.entry.version_of(model);
+            let version = server.told_version_of(model);
             if !is_leaving && version.is_some_and(|version| version < weights.version) {
                 found.push(Outdated {
                     server: key,
--- a/crates/gateway/tests/deployments.rs
+++ b/crates/gateway/tests/deployments.rs
@@ -273,7 +273,7 @@
             assert!(orders.len() <= most, "{}", deployment.name);
             for order in orders {
                 let server = servers.get_mut(order.server).expect("known");
-                server.on_weights(MODEL, order.version);
+                server.on_loaded(MODEL, order.version);
             }
         }
         assert!(outdated(&servers, named.iter()).is_empty());
--- a/crates/gateway/tests/leases.rs
+++ b/crates/gateway/tests/leases.rs
@@ -19,7 +19,7 @@
         incarnation: 1,
         fencing_token,
         switching: switching.iter().map(|id| (*id).to_owned()).collect(),
-        switched: Vec::new(),
+        loaded: Vec::new(),
     }
 }
 
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -208,6 +208,103 @@
     }
 }
 
+/// What a daemon learns of a server's weights besides its entry.
+enum News {
+    /// The server has told that it loaded a version.
+    Loaded(u64),
+    /// The server refused a request for a version.
+    Refused(u64),
+    /// The server's entry names another version.
+    Entry(u64),
+}
+
+struct NewsCase {
+    name: &'static str,
+    news: &'static [News],
+    /// Version for which requests are sent.
+    version: u64,
+    /// Whether the server is still ordered to load version 3.
+    is_outdated: bool,
+}
+
+const NEWS_CASES: [NewsCase; 7] = [
+    NewsCase {
+        name: "entry only",
+        news: &[],
+        version: 1,
+        is_outdated: true,
+    },
+    NewsCase {
+        name: "an older load, read after version 3 was named",
+        news: &[News::Loaded(2)],
+        version: 2,
+        is_outdated: true,
+    },
+    NewsCase {
+        name: "loaded before its entry tells",
+        news: &[News::Loaded(3)],
+        version: 3,
+        is_outdated: false,
+    },
+    NewsCase {
+        name: "a record that is older than the entry",
+        news: &[News::Entry(3), News::Loaded(2)],
+        version: 3,
+        is_outdated: false,
+    },
+    NewsCase {
+        name: "a refusal is no proof",
+        news: &[News::Refused(1)],
+        version: 3,
+        is_outdated: true,
+    },
+    NewsCase {
+        name: "a second refusal corrects the first conclusion",
+        news: &[News::Entry(2), News::Refused(2), News::Refused(3)],
+        version: 2,
+        is_outdated: true,
+    },
+    NewsCase {
+        name: "a newer entry corrects it",
+        news: &[News::Refused(1), News::Entry(2)],
+        version: 2,
+        is_outdated: true,
+    },
+];
+
+/// Guards against servers that are never ordered to load the newest weights, and refuse every request,
+/// because a daemon believes that they hold them: it read an old record after a second naming, or drew
+/// the wrong conclusion from a refusal. Seen on a day with two namings while daemons restart.
+#[test]
+fn what_a_server_told_decides_about_orders() {
+    use News::{Entry, Loaded, Refused};
+    for case in NEWS_CASES {
+        let mut servers = Servers::default();
+        let key = servers.on_seen(entry(1, 1, ServerState::Ready), Duration::ZERO);
+        for news in case.news {
+            let server = servers.get_mut(key).expect("server");
+            match news {
+                Loaded(version) => server.on_loaded(MODEL, *version),
+                Refused(version) => server.on_other_weights(MODEL, *version, 3),
+                Entry(version) => {
+                    let newer = entry(1, *version, ServerState::Ready);
+                    servers.on_seen(newer, SECOND);
+                }
+            }
+        }
+        let server = servers.get(key).expect("server");
+        assert_eq!(
+            server.version_of(MODEL),
+            Some(case.version),
+            "{}",
+            case.name
+        );
+        let weights = named(3, 0);
+        let is_outdated = !outdated(&servers, weights.iter()).is_empty();
+        assert_eq!(is_outdated, case.is_outdated, "{}", case.name);
+    }
+}
+
 struct RolloutCase {
     name: &'static str,
     outdated_count: u32,
