Send empty load reports once

Cause: an idle daemon sent and received 240 datagrams a second that said nothing. Change: a report without loads is sent only after one with loads. Test: a_daemon_without_requests_reports_it_once.

--- a/crates/gateway/src/duties/peers.rs
+++ b/crates/gateway/src/duties/peers.rs
@@ -30,6 +30,7 @@
 /// Sends reports until the daemon ends.
 pub(crate) async fn send(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, own: SocketAddr) {
     let sender_hash = name_hash(&gateway.settings.instance);
+    let mut previous: Option<LoadReport> = None;
     loop {
         let peers: Vec<SocketAddr> = {
             let state = gateway.state.borrow();
@@ -46,7 +47,10 @@
                 loads: own_loads(state.servers.iter().map(|(_, server)| server)),
             }
         };
-        send_to_all(&gateway, &socket, report, &peers);
+        if report.is_due_after(previous.as_ref()) {
+            send_to_all(&gateway, &socket, report.clone(), &peers);
+        }
+        previous = Some(report);
         sleep(report_period(peers.len())).await;
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -57,6 +57,14 @@
 }
 
 impl LoadReport {
+    /// Whether a report has to be sent after the previous one. Without requests there is nothing to tell
+    /// again; if the last report is lost, the one before it expires.
+    #[must_use]
+    pub fn is_due_after(&self, previous: Option<&Self>) -> bool {
+        let had_loads = previous.is_none_or(|previous| !previous.loads.is_empty());
+        had_loads || !self.loads.is_empty()
+    }
+
     /// Writes the report into a datagram. The engines with the least load are left out if it would
     /// become too long.
     ///
--- a/crates/gateway/tests/copies.rs
+++ b/crates/gateway/tests/copies.rs
@@ -180,6 +180,28 @@
     assert!(LoadReport::decode(b"").is_err());
 }
 
+/// Guards against idle daemons that wake all others with reports that say nothing.
+#[test]
+fn a_daemon_without_requests_reports_it_once() {
+    let report = |tokens: &[u32]| LoadReport {
+        sender_hash: 1,
+        sequence: 1,
+        loads: tokens
+            .iter()
+            .map(|tokens| EngineLoad {
+                server_hash: 7,
+                tokens: *tokens,
+            })
+            .collect(),
+    };
+    let (idle, busy) = (report(&[]), report(&[100]));
+    assert!(idle.is_due_after(None));
+    assert!(busy.is_due_after(Some(&idle)));
+    assert!(busy.is_due_after(Some(&busy)), "others drop old reports");
+    assert!(idle.is_due_after(Some(&busy)), "the load is gone");
+    assert!(!idle.is_due_after(Some(&idle)));
+}
+
 /// Guards against load reports that take a large fleet's time.
 #[test]
 fn a_daemon_sends_a_few_hundred_reports_a_second_at_most() {
