Free parts of old weights a second later, for news that the store holds back

Found on reading the diff: while the store drops its history it answers waiting reads for a second without changes that are made. A daemon's copy then seems to be newer than a naming that it misses, so the daemon reads old parts for up to a second longer than the freeing daemon allows for. Change: the time to the freeing covers that second, the longest read and half a second for clocks (2.5 s, was 1.5 s).

--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -34,7 +34,8 @@
     pub learnt_at: Duration,
 }
 
-/// Namings that are remembered. Older ones only make parts of very old weights stay longer.
+/// Namings that are remembered. A switch of weights takes seconds, so servers hold the versions of the
+/// last few namings only.
 const NAMINGS_MAX: usize = 8;
 
 impl NamedWeights {
@@ -94,9 +95,11 @@
 /// Longest time for which a request lets its server read parts from elsewhere. The server gives such a
 /// read up then.
 pub const FETCH_TIME_MAX: Duration = Duration::from_millis(1000);
-/// Time after which no read is under way any more that a daemon could have begun: the longest read, and
-/// the difference between the clocks of the servers and of this daemon.
-const READ_TIME_MAX: Duration = Duration::from_millis(1500);
+/// Time for which the store may hold back a change although it answers reads: it does so while its history
+/// is dropped. A copy may miss a change that is so much older than the copy's own time.
+const LATE_NEWS_MAX: Duration = Duration::from_millis(1000);
+/// Inaccuracy of the servers' clock as daemons know it.
+const CLOCK_MARGIN: Duration = Duration::from_millis(500);
 /// Bounds of the operators that decide how long parts of replaced weights are read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OldPartTimes {
@@ -122,9 +125,11 @@
     /// one of its parts any more.
     ///
     /// A daemon that knows of the newer weights stops with the part's time, counted from before they
-    /// were named. One that does not know of them has a copy of the table from before.
+    /// were named. One that does not know of them has a copy of the table from before. The last read that
+    /// either began ends within the longest read.
     fn free_time(self, id_hash: u64) -> Duration {
-        self.read_time(id_hash).max(self.trust_limit) + READ_TIME_MAX
+        let last_begin = self.read_time(id_hash).max(self.trust_limit) + LATE_NEWS_MAX;
+        last_begin + FETCH_TIME_MAX + CLOCK_MARGIN
     }
 }
 
