Clean up after reading the whole change

A server's hash for load reports is computed once and not for each server at each look of each prompt. Doubt about execution is set and taken back in Progress alone. The time to the freeing of a part no longer takes the maximum with the trust limit, below which no read time lies. Two numbers have names; a lease record that cannot be encoded is logged and not appended empty. Two routing tests share their first steps.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -235,9 +235,7 @@
             self.options.resume_after,
         );
         let in_flight = InFlight::new(self.gateway, self.target.key, self.call);
-        progress.may_have_run_before = progress.may_have_run;
-        // Until the outcome is known, and also if the client leaves meanwhile, it may have run.
-        progress.may_have_run = true;
+        progress.on_sending();
         let response = match timeout(self.options.head_limit, connection.send(request)).await {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::Lost(reason))) => {
@@ -246,7 +244,7 @@
                 return Err(Cause::Lost(reason));
             }
             Ok(Err(not_sent)) => {
-                progress.may_have_run = progress.may_have_run_before;
+                progress.on_not_executed();
                 return Err(Cause::NotSent(not_sent.to_string()));
             }
             Err(_) => {
@@ -299,12 +297,12 @@
     ) -> Result<Exchange, Cause> {
         let gateway = self.gateway;
         if exchange.status == StatusCode::MISDIRECTED_REQUEST {
-            progress.may_have_run = progress.may_have_run_before;
+            progress.on_not_executed();
             exchange.discard(gateway);
             return Err(self.on_misdirected(progress, meta));
         }
         if meta.is_not_executed {
-            progress.may_have_run = progress.may_have_run_before;
+            progress.on_not_executed();
             let reason = format!("rejected with status {}", exchange.status.as_u16());
             exchange.discard(gateway);
             return Err(Cause::Rejected(reason));
--- a/crates/gateway/src/dispatch/progress.rs
+++ b/crates/gateway/src/dispatch/progress.rs
@@ -23,9 +23,9 @@
     /// Connections that could not be opened.
     pub(crate) connect_failures: u32,
     /// A server may have executed the request.
-    pub(crate) may_have_run: bool,
+    may_have_run: bool,
     /// A server may have executed the request before the attempt that is under way.
-    pub(crate) may_have_run_before: bool,
+    may_have_run_before: bool,
     /// Identifier of the last server.
     pub(crate) server: String,
     /// What decided for it.
@@ -105,6 +105,23 @@
         });
     }
 
+    /// Notes that the request is being sent. Until the outcome is known, and also if the client leaves
+    /// meanwhile, it may have run.
+    pub(crate) fn on_sending(&mut self) {
+        self.may_have_run_before = self.may_have_run;
+        self.may_have_run = true;
+    }
+
+    /// Notes that the attempt that is under way did not execute the request.
+    pub(crate) fn on_not_executed(&mut self) {
+        self.may_have_run = self.may_have_run_before;
+    }
+
+    /// Whether a server may have executed the request.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
     /// Makes the failure of the request from what was sent so far.
     pub(crate) fn failure(&self, kind: ErrorKind, detail: &str) -> Failure {
         let stage = if self.may_have_run {
--- a/crates/gateway/src/duties/caches.rs
+++ b/crates/gateway/src/duties/caches.rs
@@ -6,7 +6,6 @@
 use crate::log::Event;
 use crate::ports::CacheError;
 use indexmap::IndexMap;
-use rand::RngExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +21,9 @@
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 
+/// Largest deviation of a pause, as a part of it.
+const JITTER: f64 = 0.2;
+
 /// Starts a task for each store and each engine.
 pub(crate) async fn run(gateway: Rc<Gateway>) {
     loop {
@@ -83,16 +85,16 @@
                 if is_incomplete {
                     read_list(&gateway, key, address).await;
                 }
-                sleep(jittered(&gateway, EVENTS_PAUSE)).await;
+                sleep(gateway.jittered(EVENTS_PAUSE, JITTER)).await;
             }
             Err(CacheError::Busy) => {
                 gateway.metrics.count("cache_reads_refused");
-                sleep(jittered(&gateway, RETRY_PAUSE)).await;
+                sleep(gateway.jittered(RETRY_PAUSE, JITTER)).await;
             }
             Err(error) => {
                 dependency.on_failure(&gateway, &format!("{address}: {error}"));
                 gateway.state.borrow_mut().caches.on_lost(key);
-                sleep(jittered(&gateway, RETRY_PAUSE)).await;
+                sleep(gateway.jittered(RETRY_PAUSE, JITTER)).await;
             }
         }
     }
@@ -114,8 +116,3 @@
         }
     }
 }
-
-fn jittered(gateway: &Gateway, pause: Duration) -> Duration {
-    let factor = gateway.state.borrow_mut().rng.random_range(0.8..1.2);
-    pause.mul_f64(factor)
-}
--- a/crates/gateway/src/duties/mod.rs
+++ b/crates/gateway/src/duties/mod.rs
@@ -5,5 +5,6 @@
 pub(crate) mod operators;
 pub(crate) mod peers;
 pub(crate) mod servers;
+mod snapshot;
 pub(crate) mod upkeep;
 pub(crate) mod weights;
--- a/crates/gateway/src/duties/operators.rs
+++ b/crates/gateway/src/duties/operators.rs
@@ -1,5 +1,6 @@
 //! Follows what operators publish: configuration, failure domains, weights.
 
+use super::snapshot::read_snapshot;
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::log::Event;
@@ -55,21 +56,10 @@
 }
 
 async fn load_snapshot(gateway: &Gateway, dependency: &mut Dependency) -> u64 {
-    loop {
-        let started_at = gateway.now();
-        match gateway.ports.store.snapshot(Table::Operators).await {
-            Ok(changes) => {
-                dependency.on_answer(gateway);
-                let next_offset = changes.next_offset;
-                apply_snapshot(gateway, changes, started_at);
-                return next_offset;
-            }
-            Err(error) => {
-                dependency.on_failure(gateway, &error.to_string());
-                sleep(RETRY_PAUSE).await;
-            }
-        }
-    }
+    let snapshot = read_snapshot(gateway, dependency, Table::Operators, RETRY_PAUSE).await;
+    let next_offset = snapshot.changes.next_offset;
+    apply_snapshot(gateway, snapshot.changes, snapshot.started_at);
+    next_offset
 }
 
 fn apply_snapshot(gateway: &Gateway, changes: Changes, started_at: Duration) {
--- a/crates/gateway/src/duties/peers.rs
+++ b/crates/gateway/src/duties/peers.rs
@@ -59,7 +59,7 @@
     servers
         .filter(|server| server.tokens_in_flight > 0)
         .map(|server| EngineLoad {
-            server_hash: name_hash(&server.entry.id),
+            server_hash: server.id_hash(),
             tokens: u32::try_from(server.tokens_in_flight).unwrap_or(u32::MAX),
         })
         .collect()
--- a/crates/gateway/src/duties/servers.rs
+++ b/crates/gateway/src/duties/servers.rs
@@ -1,12 +1,12 @@
 //! Follows what backend servers publish of themselves.
 
+use super::snapshot::read_snapshot;
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::log::Event;
 use crate::ports::{Change, Changes, StoreError, Table};
 use crate::server::{ServerEntry, ServerState};
 use indexmap::IndexSet;
-use rand::RngExt;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -14,6 +14,8 @@
 /// Pause between two reads. Servers publish several times a second all together, so a read that
 /// waits would return at once each time; a read now and then costs less.
 const POLL_PAUSE: Duration = Duration::from_millis(750);
+/// Largest deviation of that pause, as a part of it.
+const JITTER: f64 = 0.15;
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Time after the return of the store within which entries that lapsed meanwhile come back.
@@ -25,7 +27,7 @@
     loop {
         let mut from_offset = load_snapshot(&gateway, &mut dependency).await;
         loop {
-            sleep(jittered(&gateway, POLL_PAUSE)).await;
+            sleep(gateway.jittered(POLL_PAUSE, JITTER)).await;
             let read = gateway
                 .ports
                 .store
@@ -48,21 +50,11 @@
 }
 
 async fn load_snapshot(gateway: &Gateway, dependency: &mut Dependency) -> u64 {
-    loop {
-        match gateway.ports.store.snapshot(Table::Servers).await {
-            Ok(changes) => {
-                dependency.on_answer(gateway);
-                let next_offset = changes.next_offset;
-                let grace = lapse_grace(gateway, dependency);
-                apply_listing(gateway, changes, grace);
-                return next_offset;
-            }
-            Err(error) => {
-                dependency.on_failure(gateway, &error.to_string());
-                sleep(RETRY_PAUSE).await;
-            }
-        }
-    }
+    let snapshot = read_snapshot(gateway, dependency, Table::Servers, RETRY_PAUSE).await;
+    let next_offset = snapshot.changes.next_offset;
+    let grace = lapse_grace(gateway, dependency);
+    apply_listing(gateway, snapshot.changes, grace);
+    next_offset
 }
 
 /// Time for which servers without an entry are still used.
@@ -72,11 +64,6 @@
     })
 }
 
-fn jittered(gateway: &Gateway, pause: Duration) -> Duration {
-    let factor = gateway.state.borrow_mut().rng.random_range(0.85..1.15);
-    pause.mul_f64(factor)
-}
-
 fn apply_listing(gateway: &Gateway, changes: Changes, grace: Duration) {
     let listed: IndexSet<String> = changes
         .changes
--- /dev/null
+++ b/crates/gateway/src/duties/snapshot.rs
@@ -0,0 +1,39 @@
+//! Reads a whole table of the metadata store.
+
+use crate::dependency::Dependency;
+use crate::gateway::Gateway;
+use crate::ports::{Changes, Table};
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// The newest record of every key of a table.
+pub(super) struct Snapshot {
+    pub(super) changes: Changes,
+    /// When the read began. The store may have taken its answer from then.
+    pub(super) started_at: Duration,
+}
+
+/// Reads a table, again and again until the store answers.
+pub(super) async fn read_snapshot(
+    gateway: &Gateway,
+    dependency: &mut Dependency,
+    table: Table,
+    retry_pause: Duration,
+) -> Snapshot {
+    loop {
+        let started_at = gateway.now();
+        match gateway.ports.store.snapshot(table).await {
+            Ok(changes) => {
+                dependency.on_answer(gateway);
+                return Snapshot {
+                    changes,
+                    started_at,
+                };
+            }
+            Err(error) => {
+                dependency.on_failure(gateway, &error.to_string());
+                sleep(retry_pause).await;
+            }
+        }
+    }
+}
--- a/crates/gateway/src/duties/weights.rs
+++ b/crates/gateway/src/duties/weights.rs
@@ -203,8 +203,13 @@
             switching: self.switching_ids(due),
             loaded: std::mem::take(&mut self.loaded),
         };
-        // The record holds only text and numbers.
-        let payload = serde_json::to_vec(&record).unwrap_or_default();
+        let payload = match serde_json::to_vec(&record) {
+            Ok(payload) => payload,
+            Err(error) => {
+                self.log_lease(&format!("record not encoded: {error}"), fencing_token);
+                return;
+            }
+        };
         let was_held = self.lease.fencing_token(started_at).is_some();
         match self
             .gateway
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,8 +16,8 @@
 use crate::weights::{NamedWeights, OldPartTimes};
 use anvilgw_core::Clock;
 use indexmap::IndexMap;
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use slotmap::SecondaryMap;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -127,6 +127,13 @@
         }
     }
 
+    /// A pause with a random part, so that the daemons do not act in step. `jitter` is the largest
+    /// deviation as a part of the pause.
+    pub(crate) fn jittered(&self, pause: Duration, jitter: f64) -> Duration {
+        let rng = &mut self.state.borrow_mut().rng;
+        pause.mul_f64(rng.random_range(1.0 - jitter..1.0 + jitter))
+    }
+
     pub(crate) fn now(&self) -> Duration {
         self.ports.clock.uptime()
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,7 +4,6 @@
 //! engine. Engines themselves tell only the number of requests, and one long prompt takes as much
 //! memory as ten short ones. The reports are hints: a lost or late one costs balance only.
 
-use crate::caches::name_hash;
 use bincode::{Decode, Encode};
 use indexmap::IndexMap;
 use quick_error::quick_error;
@@ -148,9 +147,8 @@
 
     /// Tokens that the requests of the other daemons take up on an engine.
     #[must_use]
-    pub fn tokens_on(&self, server_id: &str) -> u64 {
-        let tokens = self.tokens.get(&name_hash(server_id));
-        tokens.copied().unwrap_or(0)
+    pub fn tokens_on(&self, server_hash: u64) -> u64 {
+        self.tokens.get(&server_hash).copied().unwrap_or(0)
     }
 
     fn remove(&mut self, sender: u64) {
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -135,7 +135,7 @@
     };
     let retry_ms = gateway.state.borrow_mut().rng.random_range(range_ms);
     let retry_after = Duration::from_millis(retry_ms);
-    if progress.may_have_run {
+    if progress.may_have_run() {
         let kind = if has_time {
             ErrorKind::AnswerBroken
         } else {
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -20,6 +20,10 @@
 /// Failure share above which a server is avoided. Below it lie failures that belong to the requests
 /// and not to the server.
 const FAILURE_SHARE_TOLERATED: f64 = 0.3;
+/// Success share below which failures do not make a server look more loaded still.
+const SUCCESS_SHARE_MIN: f64 = 0.1;
+/// Random part of a server's load. It keeps the daemons from sending to the same server at the same time.
+const RANDOM_LOAD_PART: f64 = 0.2;
 /// Probability of a request to an avoided server, so that its recovery is noticed.
 const AVOIDED_PROBE: f64 = 0.03;
 
@@ -244,7 +248,7 @@
 
 /// Tokens that all daemons' requests take up on an engine.
 fn tokens_on(server: &Server, query: &PromptQuery<'_>) -> f64 {
-    let others = query.peer_loads.tokens_on(&server.entry.id);
+    let others = query.peer_loads.tokens_on(server.id_hash());
     (server.tokens_in_flight + others) as f64
 }
 
@@ -337,6 +341,6 @@
 fn relative_load(server: &Server, now: Duration, rng: &mut impl Rng) -> f64 {
     let slots = f64::from(server.entry.slots.max(1));
     let load = (server.load(now) + 1.0) / slots;
-    // The random part keeps the daemons from sending to the same server at the same time.
-    load / (1.0 - server.failure_share()).max(0.1) * (1.0 + 0.2 * rng.random::<f64>())
+    let success_share = (1.0 - server.failure_share()).max(SUCCESS_SHARE_MIN);
+    load / success_share * (1.0 + RANDOM_LOAD_PART * rng.random::<f64>())
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,6 +1,7 @@
 //! Backend servers as the gateway knows them.
 
 use crate::cold::ColdBudget;
+use crate::holder::name_hash;
 use crate::request::ReportedLoad;
 use anvilgw_router::{Breaker, BreakerSettings};
 use indexmap::{IndexMap, IndexSet};
@@ -102,6 +103,8 @@
     pub switching_until: Duration,
     /// By model.
     ahead_of_entry: IndexMap<String, AheadOfEntry>,
+    /// Hash of the identifier, under which load reports name the server.
+    id_hash: u64,
     cold_until: Duration,
     cold: ColdBudget,
     reported: Option<(ReportedLoad, Duration)>,
@@ -113,6 +116,7 @@
 impl Server {
     fn new(entry: ServerEntry, now: Duration) -> Self {
         Self {
+            id_hash: name_hash(&entry.id),
             cold_until: now + entry.cold_for,
             entry,
             in_flight: 0,
@@ -130,6 +134,12 @@
         }
     }
 
+    /// Hash of the identifier, under which load reports name the server.
+    #[must_use]
+    pub fn id_hash(&self) -> u64 {
+        self.id_hash
+    }
+
     /// Whether the server is cold.
     #[must_use]
     pub fn is_cold(&self, now: Duration) -> bool {
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -128,8 +128,8 @@
     /// were named. One that does not know of them has a copy of the table from before. The last read that
     /// either began ends within the longest read.
     fn free_time(self, id_hash: u64) -> Duration {
-        let last_begin = self.read_time(id_hash).max(self.trust_limit) + LATE_NEWS_MAX;
-        last_begin + FETCH_TIME_MAX + CLOCK_MARGIN
+        // No read time is below the trust limit.
+        self.read_time(id_hash) + LATE_NEWS_MAX + FETCH_TIME_MAX + CLOCK_MARGIN
     }
 }
 
@@ -237,12 +237,10 @@
     let loading_max = ((fleet as f64 * SWITCHING_PART).round() as usize).max(1);
     let loading = outdated.iter().filter(|one| is_pending(one)).count();
     let mut waiting: Vec<&Outdated> = outdated.iter().filter(|one| !is_pending(one)).collect();
-    // Idle servers first: their runs end soonest.
+    // Idle servers first: their runs end soonest. Loads are whole requests.
     waiting.sort_by_key(|one| {
-        let load = servers
-            .get(one.server)
-            .map_or(0.0, |server| server.load(now));
-        (load * 10.0) as u64
+        let server = servers.get(one.server);
+        server.map_or(0, |server| server.load(now) as u64)
     });
     waiting
         .into_iter()
--- a/tests/all/routing.rs
+++ b/tests/all/routing.rs
@@ -59,6 +59,16 @@
     }
 }
 
+/// Starts a bed with a small cache and completes a prompt there.
+async fn small_bed_after(prompt: &str) -> Bed {
+    let bed = Bed::start(small_cache()).await.unwrap();
+    bed.caller()
+        .complete(0, 1, prompt, ANSWER_TOKENS)
+        .await
+        .unwrap();
+    bed
+}
+
 async fn wait_for(what: &str, is_done: impl Fn() -> bool) {
     let wait = async {
         while !is_done() {
@@ -95,12 +105,8 @@
 /// Guards against a prompt that is recomputed after its eviction although a store could keep it.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_evicted_prompt_comes_back_from_a_store() {
-    let bed = Bed::start(small_cache()).await.unwrap();
     let prompt = long_prompt(1);
-    bed.caller()
-        .complete(0, 1, &prompt, ANSWER_TOKENS)
-        .await
-        .unwrap();
+    let bed = small_bed_after(&prompt).await;
     let kept = || -> usize { bed.stores.iter().map(|store| store.blocks().len()).sum() };
     wait_for("the blocks are in a store", || kept() > 0).await;
     assert!(return_after_eviction(&bed, &prompt, 100).await);
@@ -111,12 +117,8 @@
 /// answer is checked by the caller.
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_blocks_cost_only_a_recompute() {
-    let bed = Bed::start(small_cache()).await.unwrap();
     let prompt = long_prompt(1);
-    bed.caller()
-        .complete(0, 1, &prompt, ANSWER_TOKENS)
-        .await
-        .unwrap();
+    let bed = small_bed_after(&prompt).await;
     assert!(return_after_eviction(&bed, &prompt, 100).await);
     for store in &bed.stores {
         store.die();
