Report load and read the stores through leaders of groups in large fleets

Cause: at 114 daemons and 112 engines each daemon read the events of every holder (21,700 reads/s of the fleet, of which an engine keeps 12 open) and sent its load to every other daemon (27,000 datagrams/s).

Change: fleets of more than 32 daemons form groups within failure domains. Leaders sum up load and alone read the events of the stores; the others read the leader's log of them. Engines are not followed there; the server that ranks next is named as the source of what no store has.

--- a/crates/gateway/src/caches.rs
+++ b/crates/gateway/src/caches.rs
@@ -8,6 +8,7 @@
 pub use crate::holder::{HeldPart, Holder, PartKey, StoreSpec, name_hash};
 use crate::places::Places;
 use crate::request::PromptPart;
+use crate::store_log::{Cursor, StoreChange, StoreLog, StorePage, StoreUpdate};
 use indexmap::{IndexMap, IndexSet};
 use slotmap::{SlotMap, new_key_type};
 use std::hash::{Hash, Hasher};
@@ -26,6 +27,10 @@
 /// Probability that an engine has dropped a part that its events still report.
 const ENGINE_MISS_PROBABILITY: f64 = 0.2;
 
+/// Smallest part that is read from an engine that may not hold it. A read that misses takes about as
+/// long as computing half of this.
+const PREDICTED_TOKENS_MIN: u32 = 256;
+
 new_key_type! {
     /// Position of a holder in the directory.
     pub struct HolderKey;
@@ -115,6 +120,8 @@
     pub may_write_stores: bool,
     /// Engines that may be read.
     pub engines: &'a [SocketAddr],
+    /// Engine that probably holds what no store has.
+    pub likely_engine: Option<SocketAddr>,
     /// Regions that the prompt may be moved to.
     pub places: Places<'a>,
 }
@@ -131,6 +138,25 @@
     }
 }
 
+/// Kinds of holders whose events a daemon reads itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EventSources {
+    /// Stores.
+    pub stores: bool,
+    /// Engines.
+    pub engines: bool,
+}
+
+impl EventSources {
+    fn include(self, holder: &Holder) -> bool {
+        if holder.is_store() {
+            self.stores
+        } else {
+            self.engines
+        }
+    }
+}
+
 /// What all backend servers and stores hold.
 #[derive(Debug, Default)]
 pub struct CacheDirectory {
@@ -139,6 +165,10 @@
     /// The stores of a configuration were taken over.
     has_stores: bool,
     clock: Option<ServerClock>,
+    /// What engines hold is concluded from the ranks of servers, because their events are not read.
+    predicts_engines: bool,
+    /// Changes at the stores, if other daemons learn them from this one.
+    log: Option<StoreLog>,
 }
 
 impl CacheDirectory {
@@ -187,6 +217,13 @@
         self.by_address.retain(|_, key| holders.contains_key(*key));
     }
 
+    /// Number of engines.
+    #[must_use]
+    pub fn engine_count(&self) -> usize {
+        let holders = self.holders.values();
+        holders.filter(|holder| !holder.is_store()).count()
+    }
+
     /// Whether the contents of all stores are known, but for those that do not answer. At the start of
     /// a daemon they are not.
     #[must_use]
@@ -195,6 +232,141 @@
         self.has_stores && stores.all(|store| store.was_asked)
     }
 
+    /// Holders whose events this daemon should read itself and does not read yet. They count as read
+    /// from now on, until [`Self::on_unfollowed`].
+    pub fn take_unfollowed(&mut self, sources: EventSources) -> Vec<HolderKey> {
+        let holders = self.holders.iter_mut();
+        let unfollowed =
+            holders.filter(|(_, holder)| !holder.is_followed && sources.include(holder));
+        unfollowed
+            .map(|(key, holder)| {
+                holder.is_followed = true;
+                key
+            })
+            .collect()
+    }
+
+    /// Whether the events of a holder should be read by this daemon.
+    #[must_use]
+    pub fn is_wanted(&self, key: HolderKey, sources: EventSources) -> bool {
+        let holder = self.holders.get(key);
+        holder.is_some_and(|holder| sources.include(holder))
+    }
+
+    /// Notes that the events of a holder are no longer read. What an engine holds changes all the time,
+    /// so it is unknown from then on.
+    pub fn on_unfollowed(&mut self, key: HolderKey) {
+        if let Some(holder) = self.holders.get_mut(key) {
+            holder.is_followed = false;
+            if !holder.is_store() {
+                holder.on_lost();
+            }
+        }
+    }
+
+    /// Whether what engines hold is concluded from the ranks of servers.
+    #[must_use]
+    pub fn predicts_engines(&self) -> bool {
+        self.predicts_engines
+    }
+
+    /// Sets whether what engines hold is concluded from the ranks of servers.
+    pub fn set_predicts_engines(&mut self, predicts_engines: bool) {
+        self.predicts_engines = predicts_engines;
+    }
+
+    /// Starts or stops to log changes at the stores.
+    pub fn set_logged(&mut self, is_logged: bool, log_id: u64) {
+        match (is_logged, &self.log) {
+            (true, None) => self.log = Some(StoreLog::new(log_id)),
+            (false, Some(_)) => self.log = None,
+            _ => {}
+        }
+    }
+
+    /// What changed at the stores since a cursor, or everything. `None` if this daemon keeps no log.
+    #[must_use]
+    pub fn store_page(&self, cursor: Cursor, now: Duration) -> Option<StorePage> {
+        let log = self.log.as_ref()?;
+        let since = log.since(cursor);
+        let end = log.end();
+        Some(StorePage {
+            log_id: end.log_id,
+            next: end.next,
+            is_snapshot: since.is_none(),
+            clock_ms: self.server_clock_ms(now),
+            changes: since.unwrap_or_else(|| self.store_contents()),
+        })
+    }
+
+    fn store_contents(&self) -> Vec<StoreChange> {
+        let stores = self.holders.values().filter(|holder| holder.is_store());
+        let mut changes = Vec::new();
+        for store in stores.filter(|store| store.was_asked) {
+            let state = if store.is_up {
+                StoreUpdate::Emptied
+            } else {
+                StoreUpdate::Lost
+            };
+            let parts = store.held.values().map(part_update);
+            changes.extend(
+                std::iter::once(state)
+                    .chain(parts)
+                    .map(|update| StoreChange {
+                        store: store.address,
+                        update,
+                    }),
+            );
+        }
+        changes
+    }
+
+    /// Takes over what another daemon tells of the stores, and returns from where to read on.
+    pub fn on_store_page(&mut self, page: StorePage, now: Duration) -> Cursor {
+        if let Some(clock_ms) = page.clock_ms {
+            self.on_clock(clock_ms, now);
+        }
+        if page.is_snapshot {
+            let stores = self.holders.values_mut();
+            stores
+                .filter(|holder| holder.is_store())
+                .for_each(Holder::clear);
+        }
+        for change in page.changes {
+            self.on_store_change(change);
+        }
+        for store in self.holders.values_mut().filter(|holder| holder.is_store()) {
+            store.was_asked = true;
+        }
+        Cursor {
+            log_id: page.log_id,
+            next: page.next,
+        }
+    }
+
+    fn on_store_change(&mut self, change: StoreChange) {
+        let Some(key) = self.by_address.get(&change.store) else {
+            // A store that the configuration here does not name, or not yet.
+            return;
+        };
+        let store = &mut self.holders[*key];
+        match change.update {
+            StoreUpdate::Part { scope, id, tokens } => store.apply(HeldPart { scope, id, tokens }),
+            StoreUpdate::Emptied => {
+                store.clear();
+                store.is_up = true;
+            }
+            StoreUpdate::Lost => store.on_lost(),
+        }
+    }
+
+    /// Notes that nobody tells what the stores hold. What is known stays known.
+    pub fn on_stores_untold(&mut self) {
+        for store in self.holders.values_mut().filter(|holder| holder.is_store()) {
+            store.was_asked = true;
+        }
+    }
+
     /// A holder.
     #[must_use]
     pub fn get(&self, key: HolderKey) -> Option<&Holder> {
@@ -213,6 +385,7 @@
         let has_restarted = holder.epoch != events.epoch;
         if has_restarted {
             holder.clear();
+            log_update(&mut self.log, holder, StoreUpdate::Emptied);
         }
         let is_first = holder.epoch == 0;
         if events.has_gap && !holder.is_store() {
@@ -223,6 +396,7 @@
         holder.is_up = true;
         holder.next_event = events.next;
         for part in events.changes {
+            log_update(&mut self.log, holder, part_update(&part));
             holder.apply(part);
         }
         let needs_list = events.has_gap && holder.is_store() && (is_first || !has_restarted);
@@ -234,6 +408,7 @@
     pub fn on_list(&mut self, key: HolderKey, list: CacheEvents, now: Duration) {
         if let Some(holder) = self.holders.get_mut(key) {
             holder.clear();
+            log_update(&mut self.log, holder, StoreUpdate::Emptied);
         }
         self.on_events(key, list, now);
     }
@@ -248,11 +423,8 @@
     /// Notes that a holder does not answer. What it held is not relied on any more.
     pub fn on_lost(&mut self, key: HolderKey) {
         if let Some(holder) = self.holders.get_mut(key) {
-            holder.is_up = false;
-            holder.was_asked = true;
-            holder.epoch = 0;
-            holder.next_event = 0;
-            holder.clear();
+            holder.on_lost();
+            log_update(&mut self.log, holder, StoreUpdate::Lost);
         }
     }
 
@@ -261,6 +433,10 @@
         let Some(key) = self.by_address.get(&address) else {
             return;
         };
+        if self.predicts_engines {
+            // No event would ever tell that the part is gone.
+            return;
+        }
         let holder = &mut self.holders[*key];
         let scope_hash = name_hash(scope);
         for part in parts {
@@ -331,7 +507,8 @@
         for part in &prompt.parts {
             let is_held = own.is_some_and(|own| part.holders.contains(own));
             // The server reads only what it lacks, so a source is also named for what it probably holds.
-            let source = self.best_source(part, server, sources);
+            let known = self.best_source(part, server, sources);
+            let source = known.or_else(|| self.likely_source(part, sources));
             let tokens = match source {
                 _ if is_held => &mut plan.held_tokens,
                 Some(_) => &mut plan.fetched_tokens,
@@ -383,6 +560,14 @@
             .map(|(address, _)| address)
     }
 
+    /// The engine that probably holds a part, if a read that may miss is worth its time.
+    fn likely_source(&self, part: &LocatedPart, sources: Sources<'_>) -> Option<SocketAddr> {
+        self.clock?;
+        sources
+            .likely_engine
+            .filter(|_| part.tokens >= PREDICTED_TOKENS_MIN)
+    }
+
     /// The store to which a part is written, if no store has it.
     fn store_for(
         &self,
@@ -444,11 +629,32 @@
                 tokens: 0,
                 ..part.clone()
             };
-            self.holders[*key].apply(gone);
+            let holder = &mut self.holders[*key];
+            log_update(&mut self.log, holder, part_update(&gone));
+            holder.apply(gone);
         }
     }
 }
 
+fn part_update(part: &HeldPart) -> StoreUpdate {
+    StoreUpdate::Part {
+        scope: part.scope.clone(),
+        id: part.id.clone(),
+        tokens: part.tokens,
+    }
+}
+
+fn log_update(log: &mut Option<StoreLog>, holder: &Holder, update: StoreUpdate) {
+    if let Some(log) = log
+        && holder.is_store()
+    {
+        log.push(StoreChange {
+            store: holder.address,
+            update,
+        });
+    }
+}
+
 /// Rank of a store for a part: rendezvous hashing, weighted by capacity, and by distance because a
 /// transfer to another failure domain takes twice as long and costs more.
 fn rank(spec: &StoreSpec, key: &PartKey, domain: &str) -> f64 {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -140,11 +140,13 @@
         .await
         .map_err(|error| DaemonError::Listen(address, error))?;
     let socket = Rc::new(socket);
+    spawn_status(gateway, address).await?;
+    spawn_local(duties::stores::run(Rc::clone(gateway)));
     spawn_local(duties::peers::receive(
         Rc::clone(gateway),
         Rc::clone(&socket),
     ));
-    spawn_local(duties::peers::send(Rc::clone(gateway), socket, address));
+    spawn_local(duties::peers::send(Rc::clone(gateway), socket));
     Ok(())
 }
 
--- a/crates/gateway/src/duties/caches.rs
+++ b/crates/gateway/src/duties/caches.rs
@@ -1,8 +1,12 @@
 //! Follows what backend servers and stores hold of prompts.
+//!
+//! In a small fleet each daemon reads the events of all holders. In a large one only the leaders of
+//! groups read those of the stores, and the others read the leader's log of them.
 
-use crate::caches::{HolderKey, StoreSpec};
+use crate::caches::{EventSources, HolderKey, StoreSpec};
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
+use crate::load_groups::Role;
 use crate::log::Event;
 use crate::ports::CacheError;
 use indexmap::IndexMap;
@@ -24,10 +28,18 @@
 /// Largest deviation of a pause, as a part of it.
 const JITTER: f64 = 0.2;
 
-/// Starts a task for each store and each engine.
+/// Engines that a daemon follows at most; more of them would take most of a small instance's time.
+const FOLLOWED_ENGINES_MAX: usize = 36;
+/// Time after the start of a daemon until it knows how large the fleet is, also when the whole fleet
+/// starts. Engines are followed from then on, and stores also without a known role.
+const SETTLING_TIME: Duration = Duration::from_secs(5);
+
+/// Starts a task for each holder that this daemon follows.
 pub(crate) async fn run(gateway: Rc<Gateway>) {
     loop {
-        for key in new_holders(&gateway) {
+        update_holders(&gateway);
+        let unfollowed = take_unfollowed(&gateway);
+        for key in unfollowed {
             tokio::task::spawn_local(follow(Rc::clone(&gateway), key));
         }
         // A daemon that has just started learns of its holders at once, others with the next look.
@@ -38,10 +50,34 @@
     }
 }
 
-fn new_holders(gateway: &Gateway) -> Vec<HolderKey> {
+fn take_unfollowed(gateway: &Gateway) -> Vec<HolderKey> {
+    let sources = event_sources(gateway);
+    let caches = &mut gateway.state.borrow_mut().caches;
+    caches.set_predicts_engines(!sources.engines);
+    caches.take_unfollowed(sources)
+}
+
+/// Whose events this daemon reads itself.
+fn event_sources(gateway: &Gateway) -> EventSources {
+    let state = gateway.state.borrow();
+    let has_settled = gateway.uptime() >= SETTLING_TIME;
+    let is_mesh = matches!(state.role, Some(Role::Mesh { .. }));
+    let has_few_engines = state.caches.engine_count() <= FOLLOWED_ENGINES_MAX;
+    EventSources {
+        stores: match state.role {
+            Some(Role::Follower { .. }) => false,
+            Some(_) => true,
+            None => has_settled,
+        },
+        engines: is_mesh && has_settled && has_few_engines,
+    }
+}
+
+/// Takes over the stores of the configuration and the listed engines.
+fn update_holders(gateway: &Gateway) {
     let state = &mut *gateway.state.borrow_mut();
     let Some(configuration) = &state.configuration else {
-        return Vec::new();
+        return;
     };
     let specs: Vec<StoreSpec> = configuration
         .services()
@@ -57,20 +93,24 @@
         })
         .map(|entry| (entry.address, entry.failure_domain.clone()))
         .collect();
-    let mut added = state.caches.on_stores(&specs);
-    added.extend(state.caches.on_engines(&engines));
-    added
+    state.caches.on_stores(&specs);
+    state.caches.on_engines(&engines);
+    let is_leader = matches!(state.role, Some(Role::Leader { .. }));
+    state.caches.set_logged(is_leader, gateway.start_id);
 }
 
 async fn follow(gateway: Rc<Gateway>, key: HolderKey) {
     let mut dependency = Dependency::new("cache events");
     loop {
+        let sources = event_sources(&gateway);
         let target = {
             let state = gateway.state.borrow();
             let holder = state.caches.get(key);
-            holder.map(|holder| (holder.address(), holder.next_event()))
+            let wanted = holder.filter(|_| state.caches.is_wanted(key, sources));
+            wanted.map(|holder| (holder.address(), holder.next_event()))
         };
         let Some((address, since)) = target else {
+            gateway.state.borrow_mut().caches.on_unfollowed(key);
             return;
         };
         let read = gateway.ports.caches.events(address, since, EVENTS_WAIT);
--- a/crates/gateway/src/duties/fleet.rs
+++ b/crates/gateway/src/duties/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
+use crate::load_groups::{Member, Role};
 use crate::log::Event;
 use std::rc::Rc;
 use std::time::Duration;
@@ -54,10 +55,32 @@
 
 async fn read_members(gateway: &Gateway) {
     match gateway.ports.store.members().await {
-        Ok(members) => gateway.state.borrow_mut().peers = members,
+        Ok(members) => take_role(gateway, &members),
         Err(error) => gateway.log_notable(&Event::DependencyLost {
             dependency: "metadata store, members",
             reason: &error.to_string(),
         }),
     }
 }
+
+/// Takes the role of this daemon among the members. Reports for another role do not count any more.
+fn take_role(gateway: &Gateway, members: &[Member]) {
+    let Some(own) = gateway.settings.listen_peers else {
+        return;
+    };
+    let role = Role::of(own, members);
+    let state = &mut *gateway.state.borrow_mut();
+    let is_same_kind = state
+        .role
+        .as_ref()
+        .is_some_and(|known| std::mem::discriminant(known) == std::mem::discriminant(&role));
+    if !is_same_kind {
+        state.peer_loads.clear();
+        gateway.log_notable(&Event::FleetRole {
+            role: role.name(),
+            members: members.len(),
+        });
+    }
+    state.role = Some(role);
+    gateway.holders_known.notify_one();
+}
--- a/crates/gateway/src/duties/mod.rs
+++ b/crates/gateway/src/duties/mod.rs
@@ -6,5 +6,6 @@
 pub(crate) mod peers;
 pub(crate) mod servers;
 mod snapshot;
+pub(crate) mod stores;
 pub(crate) mod upkeep;
 pub(crate) mod weights;
--- a/crates/gateway/src/duties/peers.rs
+++ b/crates/gateway/src/duties/peers.rs
@@ -2,13 +2,19 @@
 
 use crate::caches::name_hash;
 use crate::gateway::Gateway;
+use crate::load_groups::Role;
 use crate::log::Event;
-use crate::peers::{DATAGRAM_MAX_BYTES, EngineLoad, LoadReport, report_period};
+use crate::peers::{DATAGRAM_MAX_BYTES, EngineLoad, LoadReport, Reporter, Scope, report_period};
+use crate::server::Server;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
+/// Pause between two looks for the role of this daemon.
+const ROLE_PAUSE: Duration = Duration::from_millis(200);
+
 /// Receives reports until the daemon ends.
 pub(crate) async fn receive(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
@@ -17,7 +23,10 @@
             Ok((length, _)) => match LoadReport::decode(&buffer[..length]) {
                 Ok(report) => {
                     let now = gateway.now();
-                    gateway.state.borrow_mut().peer_loads.on_report(report, now);
+                    let state = &mut *gateway.state.borrow_mut();
+                    if let Some(role) = &state.role {
+                        state.peer_loads.on_report(role, report, now);
+                    }
                 }
                 Err(_) => gateway.metrics.count("peer_datagrams_unreadable"),
             },
@@ -28,58 +37,104 @@
 }
 
 /// Sends reports until the daemon ends.
-pub(crate) async fn send(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, own: SocketAddr) {
-    let sender_hash = name_hash(&gateway.settings.instance);
-    let mut previous: Option<LoadReport> = None;
+pub(crate) async fn send(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut sender = Sender::new(&gateway, &socket);
     loop {
-        let peers: Vec<SocketAddr> = {
-            let state = gateway.state.borrow();
-            let peers = state.peers.iter().copied();
-            peers.filter(|peer| *peer != own).collect()
-        };
-        let report = {
-            let now = gateway.now();
-            let state = &mut *gateway.state.borrow_mut();
-            state.peer_loads.expire(peers.len(), now);
-            LoadReport {
-                sender_hash,
-                sequence: gateway.ports.clock.wall_ms(),
-                loads: own_loads(state.servers.iter().map(|(_, server)| server)),
+        let role = current_role(&gateway);
+        if let Some(role) = &role {
+            sender.send(role);
+        }
+        sleep(role.as_ref().map_or(ROLE_PAUSE, report_period)).await;
+    }
+}
+
+/// The role of this daemon, after reports that are too old were dropped.
+fn current_role(gateway: &Gateway) -> Option<Role> {
+    let now = gateway.now();
+    let state = &mut *gateway.state.borrow_mut();
+    let role = state.role.clone()?;
+    state.peer_loads.expire(&role, now);
+    Some(role)
+}
+
+struct Sender<'a> {
+    gateway: &'a Gateway,
+    socket: &'a UdpSocket,
+    daemon: Reporter,
+    group: Reporter,
+    fleet: Reporter,
+}
+
+impl<'a> Sender<'a> {
+    fn new(gateway: &'a Gateway, socket: &'a UdpSocket) -> Self {
+        let sender_hash = name_hash(&gateway.settings.instance);
+        Self {
+            gateway,
+            socket,
+            daemon: Reporter::new(Scope::Daemon, sender_hash),
+            group: Reporter::new(Scope::Group, sender_hash),
+            fleet: Reporter::new(Scope::Fleet, sender_hash),
+        }
+    }
+
+    fn send(&mut self, role: &Role) {
+        let sequence = self.gateway.ports.clock.wall_ms();
+        let state = &mut *self.gateway.state.borrow_mut();
+        let engines = state.servers.iter().count();
+        let own = own_loads(state.servers.iter().map(|(_, server)| server));
+        match role {
+            Role::Mesh { peers } => {
+                let reports = self.daemon.next(&own, engines, sequence);
+                send_all(self.gateway, self.socket, reports, peers);
+            }
+            Role::Follower { leader } => {
+                state.peer_loads.on_told(&own);
+                let reports = self.daemon.next(&own, engines, sequence);
+                send_all(self.gateway, self.socket, reports, &[*leader]);
+            }
+            Role::Leader { followers, leaders } => {
+                let group = state.peer_loads.sum_of(&own, &[Scope::Daemon]);
+                let reports = self.group.next(&group, engines, sequence);
+                send_all(self.gateway, self.socket, reports, leaders);
+                let fleet = state
+                    .peer_loads
+                    .sum_of(&own, &[Scope::Daemon, Scope::Group]);
+                let reports = self.fleet.next(&fleet, engines, sequence);
+                send_all(self.gateway, self.socket, reports, followers);
             }
-        };
-        if report.is_due_after(previous.as_ref()) {
-            send_to_all(&gateway, &socket, report.clone(), &peers);
         }
-        previous = Some(report);
-        sleep(report_period(peers.len())).await;
     }
 }
 
-fn own_loads<'a>(servers: impl Iterator<Item = &'a crate::server::Server>) -> Vec<EngineLoad> {
+fn own_loads<'a>(servers: impl Iterator<Item = &'a Server>) -> Vec<EngineLoad> {
     servers
         .filter(|server| server.tokens_in_flight > 0)
-        .map(|server| EngineLoad {
-            server_hash: server.id_hash(),
-            tokens: u32::try_from(server.tokens_in_flight).unwrap_or(u32::MAX),
-        })
+        .map(|server| EngineLoad::new(server.load_hash(), server.tokens_in_flight))
         .collect()
 }
 
-fn send_to_all(gateway: &Gateway, socket: &UdpSocket, report: LoadReport, peers: &[SocketAddr]) {
-    let datagram = match report.encode() {
-        Ok(datagram) => datagram,
-        Err(error) => {
-            gateway.log_notable(&Event::DependencyLost {
-                dependency: "load reports",
-                reason: &error.to_string(),
-            });
-            return;
-        }
-    };
-    for peer in peers {
-        // A full socket buffer loses the hint, as the network may.
-        if socket.try_send_to(&datagram, *peer).is_err() {
-            gateway.metrics.count("peer_datagrams_failed");
+fn send_all(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    reports: Vec<LoadReport>,
+    recipients: &[SocketAddr],
+) {
+    for report in reports {
+        let datagram = match report.encode() {
+            Ok(datagram) => datagram,
+            Err(error) => {
+                gateway.log_notable(&Event::DependencyLost {
+                    dependency: "load reports",
+                    reason: &error.to_string(),
+                });
+                return;
+            }
+        };
+        for recipient in recipients {
+            // A full socket buffer loses the hint, as the network may.
+            if socket.try_send_to(&datagram, *recipient).is_err() {
+                gateway.metrics.count("peer_datagrams_failed");
+            }
         }
     }
 }
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -1,8 +1,8 @@
-//! Listeners: clients, readiness checks and metrics.
+//! Listeners: clients, readiness checks, metrics and other daemons.
 
 mod checks;
 mod clients;
 mod status;
 
 pub(crate) use clients::ClientListener;
-pub(crate) use status::StatusListener;
+pub(crate) use status::{StatusListener, store_log_target};
--- a/crates/gateway/src/front/status.rs
+++ b/crates/gateway/src/front/status.rs
@@ -1,7 +1,8 @@
-//! Serves readiness checks and metrics.
+//! Serves readiness checks, metrics and, to other daemons, the log of the stores.
 
 use crate::gateway::Gateway;
 use crate::log::Event;
+use crate::store_log::Cursor;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -21,6 +22,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Path of the metrics. Every other path answers with the readiness.
 const METRICS_PATH: &str = "/metrics";
+/// Path of the log of the stores.
+const STORE_LOG_PATH: &str = "/stores";
 
 /// Accepts connections for readiness checks and metrics.
 pub(crate) struct StatusListener {
@@ -67,6 +70,9 @@
     if request.uri().path() == METRICS_PATH {
         return Response::new(Full::new(gateway.metrics.render().into()));
     }
+    if request.uri().path() == STORE_LOG_PATH {
+        return store_log(gateway, request.uri().query().unwrap_or_default());
+    }
     let (ready, reason) = gateway.readiness();
     let mut response = Response::new(Full::new(Bytes::from_static(reason.as_bytes())));
     if !ready {
@@ -74,3 +80,35 @@
     }
     response
 }
+
+/// Target of a read of another daemon's log of the stores.
+pub(crate) fn store_log_target(cursor: Cursor) -> String {
+    format!("{STORE_LOG_PATH}?{}.{}", cursor.log_id, cursor.next)
+}
+
+fn parse_cursor(query: &str) -> Option<Cursor> {
+    let (log_id, next) = query.split_once('.')?;
+    Some(Cursor {
+        log_id: log_id.parse().ok()?,
+        next: next.parse().ok()?,
+    })
+}
+
+/// Answers with what changed at the stores. A daemon that keeps no log is not the leader that the
+/// reader takes it for.
+fn store_log(gateway: &Gateway, query: &str) -> Response<Full<Bytes>> {
+    let cursor = parse_cursor(query).unwrap_or_default();
+    let now = gateway.now();
+    let page = gateway.state.borrow().caches.store_page(cursor, now);
+    let (status, body) = match page.map(|page| page.encode()) {
+        Some(Ok(bytes)) => (StatusCode::OK, Bytes::from(bytes)),
+        Some(Err(error)) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into()),
+        None => (
+            StatusCode::NOT_FOUND,
+            Bytes::from_static(b"no log is kept here"),
+        ),
+    };
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use crate::budget::RetryBudget;
 use crate::caches::CacheDirectory;
 use crate::configuration::{Configuration, Service};
+use crate::load_groups::Role;
 use crate::log::{Event, EventLog, Importance};
 use crate::metrics::Metrics;
 use crate::peers::PeerLoads;
@@ -20,7 +21,6 @@
 use rand::{RngExt, SeedableRng};
 use slotmap::SecondaryMap;
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,7 +39,8 @@
     pub(crate) servers: Servers,
     pub(crate) caches: CacheDirectory,
     pub(crate) admission: MemoryAdmission,
-    pub(crate) peers: Vec<SocketAddr>,
+    /// What this daemon does among the others, once it knows them.
+    pub(crate) role: Option<Role>,
     pub(crate) peer_loads: PeerLoads,
     /// When the announcements of weight switches were last read.
     pub(crate) switches_read_at: Duration,
@@ -76,8 +77,10 @@
     /// New requests are refused, because there may be no time left to end them.
     pub(crate) is_refusing: Cell<bool>,
     pub(crate) requests_in_flight: Cell<usize>,
-    /// Told when the first configuration, or the first list of servers, was read.
+    /// Told when the first configuration or list of servers was read, or the role has changed.
     pub(crate) holders_known: Notify,
+    /// Differs for each start of a daemon.
+    pub(crate) start_id: u64,
     started_at: Duration,
     log: EventLog,
 }
@@ -95,7 +98,7 @@
             servers: Servers::default(),
             caches: CacheDirectory::default(),
             admission: MemoryAdmission::default(),
-            peers: Vec::new(),
+            role: None,
             peer_loads: PeerLoads::default(),
             switches_read_at: Duration::ZERO,
             has_servers: false,
@@ -115,6 +118,7 @@
             is_refusing: Cell::new(false),
             requests_in_flight: Cell::new(0),
             holders_known: Notify::new(),
+            start_id: rand::random(),
             started_at,
             log,
         }
@@ -138,6 +142,11 @@
         self.ports.clock.uptime()
     }
 
+    /// Time since the start of the daemon.
+    pub(crate) fn uptime(&self) -> Duration {
+        self.now().saturating_sub(self.started_at)
+    }
+
     pub(crate) fn log_routine(&self, event: &Event<'_>) {
         let time_ms = self.ports.clock.wall_ms();
         self.log.write(Importance::Routine, time_ms, event);
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -83,6 +83,8 @@
     pub(crate) was_asked: bool,
     pub(crate) epoch: u64,
     pub(crate) next_event: u64,
+    /// A task reads its events.
+    pub(crate) is_followed: bool,
     pub(crate) held: IndexMap<PartKey, HeldPart>,
     pub(crate) used_tokens: u64,
 }
@@ -97,6 +99,7 @@
             was_asked: false,
             epoch: 0,
             next_event: 0,
+            is_followed: false,
             held: IndexMap::new(),
             used_tokens: 0,
         }
@@ -119,6 +122,15 @@
         self.used_tokens = 0;
     }
 
+    /// Notes that it does not answer, or is not asked any more.
+    pub(crate) fn on_lost(&mut self) {
+        self.is_up = false;
+        self.was_asked = true;
+        self.epoch = 0;
+        self.next_event = 0;
+        self.clear();
+    }
+
     pub(crate) fn apply(&mut self, part: HeldPart) {
         let key = part.key();
         let tokens = u64::from(part.tokens);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod configuration;
 pub mod connection;
 pub mod lease;
+pub mod load_groups;
 pub mod log;
 pub mod peers;
 pub mod places;
@@ -35,6 +36,7 @@
 pub mod server;
 pub mod settings;
 pub mod sse;
+pub mod store_log;
 pub mod trust;
 pub mod weights;
 
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -124,6 +124,13 @@
         /// Part, 0 to 1.
         share: f64,
     },
+    /// What this daemon does among the others has changed.
+    FleetRole {
+        /// Name of the role.
+        role: &'a str,
+        /// Members of the fleet.
+        members: usize,
+    },
     /// The lease on weight switches was taken, or lost.
     Lease {
         /// What happened.
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -2,6 +2,7 @@
 
 use crate::caches::{CacheEvents, HeldPart};
 use crate::configuration::Configuration;
+use crate::load_groups::Member;
 use crate::request::{AnswerMeta, ForwardMeta, RequestMeta};
 use crate::server::{ServedModel, ServerEntry};
 use bytes::Bytes;
@@ -144,8 +145,8 @@
     /// Joins the fleet or stays in it.
     fn join(&self, generation: u64) -> LocalBoxFuture<'_, Result<FleetShare, StoreError>>;
 
-    /// Addresses of all members of the fleet for load reports.
-    fn members(&self) -> LocalBoxFuture<'_, Result<Vec<SocketAddr>, StoreError>>;
+    /// All members of the fleet.
+    fn members(&self) -> LocalBoxFuture<'_, Result<Vec<Member>, StoreError>>;
 
     /// Leaves the fleet.
     fn leave(&self) -> LocalBoxFuture<'_, Result<(), StoreError>>;
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -240,15 +240,25 @@
     let has_room = |(_, _, tokens): &&(u64, ServerKey, f64)| *tokens <= query.memory_limit_tokens;
     let (_, key, _) = within.or_else(|| ranked.iter().find(has_room))?;
     let server = servers.get(*key)?;
+    // The server that ranks highest among the others has probably served the prompt before.
+    let likely = ranked.iter().find(|(_, other, _)| other != key);
+    let likely_holder = likely.and_then(|(_, other, _)| servers.get(*other));
     Some(Selected {
         server: *key,
-        cache: Some(use_cache(servers, server, query, places, now)),
+        cache: Some(use_cache(
+            servers,
+            server,
+            likely_holder,
+            query,
+            places,
+            now,
+        )),
     })
 }
 
 /// Tokens that all daemons' requests take up on an engine.
 fn tokens_on(server: &Server, query: &PromptQuery<'_>) -> f64 {
-    let others = query.peer_loads.tokens_on(server.id_hash());
+    let others = query.peer_loads.tokens_on(server.load_hash());
     (server.tokens_in_flight + others) as f64
 }
 
@@ -260,6 +270,7 @@
 fn use_cache(
     servers: &Servers,
     server: &Server,
+    likely_holder: Option<&Server>,
     query: &PromptQuery<'_>,
     places: Places<'_>,
     now: Duration,
@@ -282,6 +293,10 @@
             .filter(|other| now >= other.switching_until)
             .map(|other| other.entry.address)
             .collect();
+        let likely_engine = likely_holder
+            .filter(|_| query.caches.predicts_engines())
+            .map(|holder| holder.entry.address)
+            .filter(|address| engines.contains(address));
         let sources = Sources {
             may_write_stores: is_newest,
             may_read_from_store: &|id_hash| match (query.named, version) {
@@ -291,6 +306,7 @@
                 _ => true,
             },
             engines: &engines,
+            likely_engine,
             places,
         };
         let parts = query.prompt.shared_parts();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -104,7 +104,7 @@
     /// By model.
     ahead_of_entry: IndexMap<String, AheadOfEntry>,
     /// Hash of the identifier, under which load reports name the server.
-    id_hash: u64,
+    load_hash: u32,
     cold_until: Duration,
     cold: ColdBudget,
     reported: Option<(ReportedLoad, Duration)>,
@@ -113,10 +113,17 @@
     lapsed_until: Option<Duration>,
 }
 
+/// Hash of a server's identifier, under which load reports name it. Two servers of the same hash would
+/// count for each other's load.
+#[must_use]
+pub fn load_hash(id: &str) -> u32 {
+    name_hash(id) as u32
+}
+
 impl Server {
     fn new(entry: ServerEntry, now: Duration) -> Self {
         Self {
-            id_hash: name_hash(&entry.id),
+            load_hash: load_hash(&entry.id),
             cold_until: now + entry.cold_for,
             entry,
             in_flight: 0,
@@ -136,8 +143,8 @@
 
     /// Hash of the identifier, under which load reports name the server.
     #[must_use]
-    pub fn id_hash(&self) -> u64 {
-        self.id_hash
+    pub fn load_hash(&self) -> u32 {
+        self.load_hash
     }
 
     /// Whether the server is cold.
