Read the metadata store through leaders of groups in large fleets

Change: leaders alone read the topics; the others read their copies every few hundred milliseconds, learn how old a copy is, and turn to the store when it is too old, missing or late. Only leaders take the lease on weight switches.

--- a/crates/gateway/src/duties/fleet.rs
+++ b/crates/gateway/src/duties/fleet.rs
@@ -76,6 +76,7 @@
         .is_some_and(|known| std::mem::discriminant(known) == std::mem::discriminant(&role));
     if !is_same_kind {
         state.peer_loads.clear();
+        state.topic_logs.clear();
         gateway.log_notable(&Event::FleetRole {
             role: role.name(),
             members: members.len(),
--- a/crates/gateway/src/duties/operators.rs
+++ b/crates/gateway/src/duties/operators.rs
@@ -4,9 +4,11 @@
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::log::Event;
-use crate::ports::{Change, Changes, StoreError, Table};
+use crate::ports::{Change, Changes, StoreError, Table, Topic};
+use crate::reader::{TopicReader, decode};
 use crate::weights::{NamedWeights, Naming};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -26,21 +28,22 @@
         .trust
         .limit()
         .mul_f64(FOLLOW_WAIT_PART);
+    let clock = Arc::clone(&gateway.ports.clock);
+    let mut reader = TopicReader::new(Topic::Table(Table::Operators), clock);
     loop {
         let mut from_offset = load_snapshot(&gateway, &mut dependency).await;
         let mut wait = Duration::ZERO;
         loop {
-            let started_at = gateway.now();
-            match gateway
-                .ports
-                .store
-                .follow(Table::Operators, from_offset, wait)
-                .await
-            {
-                Ok(changes) => {
+            match reader.read(&gateway, from_offset, wait).await {
+                Ok(read) => {
                     dependency.on_answer(&gateway);
-                    from_offset = changes.next_offset;
-                    apply(&gateway, changes, started_at);
+                    from_offset = read.next_offset;
+                    let verified_at = read.verified_at;
+                    apply(
+                        &gateway,
+                        decode(&gateway, Table::Operators, read),
+                        verified_at,
+                    );
                     wait = follow_wait;
                 }
                 Err(StoreError::Expired(_)) => break,
@@ -68,11 +71,11 @@
     apply(gateway, changes, started_at);
 }
 
-fn apply(gateway: &Gateway, changes: Changes, started_at: Duration) {
+fn apply(gateway: &Gateway, changes: Changes, verified_at: Duration) {
     for change in changes.changes {
         apply_change(gateway, change);
     }
-    gateway.state.borrow_mut().trust.on_verified(started_at);
+    gateway.state.borrow_mut().trust.on_verified(verified_at);
 }
 
 fn apply_change(gateway: &Gateway, change: Change) {
--- a/crates/gateway/src/duties/servers.rs
+++ b/crates/gateway/src/duties/servers.rs
@@ -4,10 +4,12 @@
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::log::Event;
-use crate::ports::{Change, Changes, StoreError, Table};
+use crate::ports::{Change, Changes, StoreError, Table, Topic};
+use crate::reader::{TopicReader, decode};
 use crate::server::{ServerEntry, ServerState};
 use indexmap::IndexSet;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -24,23 +26,19 @@
 /// Follows the table of backend servers until the daemon ends.
 pub(crate) async fn run(gateway: Rc<Gateway>) {
     let mut dependency = Dependency::new("metadata store, servers");
+    let clock = Arc::clone(&gateway.ports.clock);
+    let mut reader = TopicReader::new(Topic::Table(Table::Servers), clock);
     loop {
         let mut from_offset = load_snapshot(&gateway, &mut dependency).await;
         loop {
             sleep(gateway.jittered(POLL_PAUSE, JITTER)).await;
-            let read = gateway
-                .ports
-                .store
-                .follow(Table::Servers, from_offset, Duration::ZERO);
-            match read.await {
-                Ok(changes) => {
+            match reader.read(&gateway, from_offset, Duration::ZERO).await {
+                Ok(read) => {
                     dependency.on_answer(&gateway);
-                    from_offset = changes.next_offset;
-                    apply(
-                        &gateway,
-                        changes.changes,
-                        lapse_grace(&gateway, &dependency),
-                    );
+                    from_offset = read.next_offset;
+                    let grace = lapse_grace(&gateway, &dependency);
+                    let changes = decode(&gateway, Table::Servers, read).changes;
+                    apply(&gateway, changes, grace);
                 }
                 Err(StoreError::Expired(_)) => break,
                 Err(error) => dependency.on_failure(&gateway, &error.to_string()),
--- a/crates/gateway/src/duties/stores.rs
+++ b/crates/gateway/src/duties/stores.rs
@@ -4,7 +4,7 @@
 use crate::dependency::Dependency;
 use crate::front::store_log_target;
 use crate::gateway::Gateway;
-use crate::load_groups::Role;
+use crate::reader::leader_of;
 use crate::store_log::{Cursor, StorePage};
 use http::header::HOST;
 use http::{HeaderValue, Request, StatusCode};
@@ -30,7 +30,7 @@
     let mut dependency = Dependency::new("leader's log of the stores");
     let mut cursor = Cursor::default();
     loop {
-        let Some(leader) = leader_of(&gateway) else {
+        let Some(leader) = store_leader(&gateway) else {
             sleep(RETRY_PAUSE).await;
             continue;
         };
@@ -51,13 +51,9 @@
 }
 
 /// The daemon whose log this one reads. Without a configuration no store is known yet.
-fn leader_of(gateway: &Gateway) -> Option<SocketAddr> {
-    let state = gateway.state.borrow();
-    state.configuration.as_ref()?;
-    match &state.role {
-        Some(Role::Follower { leader }) => Some(*leader),
-        _ => None,
-    }
+fn store_leader(gateway: &Gateway) -> Option<SocketAddr> {
+    gateway.state.borrow().configuration.as_ref()?;
+    leader_of(gateway)
 }
 
 async fn read(callers: &Callers, leader: SocketAddr, cursor: Cursor) -> Result<StorePage, String> {
--- a/crates/gateway/src/duties/weights.rs
+++ b/crates/gateway/src/duties/weights.rs
@@ -4,13 +4,16 @@
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::lease::{LeaseRecord, LeaseStep, LeaseView, LoadedWeights};
+use crate::load_groups::Role;
 use crate::log::Event;
-use crate::ports::{Append, LogPage, OrderAnswer, ServerReport, StoreError, WeightOrder};
+use crate::ports::{Append, OrderAnswer, ServerReport, StoreError, Topic, WeightOrder};
+use crate::reader::TopicReader;
 use crate::server::ServerEntry;
 use crate::weights::{Outdated, SentOrder, is_retired, next_orders, outdated};
 use bytes::Bytes;
 use rand::RngExt;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -43,6 +46,7 @@
         sent: Vec::new(),
         loaded: Vec::new(),
         lease_log: Dependency::new("metadata store, leases"),
+        reader: TopicReader::new(Topic::Leases, Arc::clone(&gateway.ports.clock)),
         gateway,
     };
     loop {
@@ -63,6 +67,7 @@
     /// Weights that servers have loaded and that are not announced yet.
     loaded: Vec<LoadedWeights>,
     lease_log: Dependency,
+    reader: TopicReader,
 }
 
 impl WeightDuty {
@@ -86,7 +91,9 @@
             sleep(IDLE_PAUSE).await;
             return;
         }
-        if let LeaseStep::Append { at, fencing_token } = self.lease.step(self.gateway.now()) {
+        if self.is_candidate()
+            && let LeaseStep::Append { at, fencing_token } = self.lease.step(self.gateway.now())
+        {
             let wait_ms = {
                 let rng = &mut self.gateway.state.borrow_mut().rng;
                 rng.random_range(0..TAKE_WAIT_MAX_MS)
@@ -96,8 +103,17 @@
         }
     }
 
+    /// Whether this daemon may take the lease. In a large fleet the leaders of groups are enough of
+    /// them, and each attempt of the others would be a call to the store.
+    fn is_candidate(&self) -> bool {
+        !matches!(
+            self.gateway.state.borrow().role,
+            Some(Role::Follower { .. })
+        )
+    }
+
     /// Decodes the records of the lease log. Malformed ones are logged and count as nothing.
-    fn parse(&self, page: &LogPage) -> Vec<LeaseRecord> {
+    fn parse(&self, payloads: &[Bytes]) -> Vec<LeaseRecord> {
         let parse_one = |payload: &Bytes| match serde_json::from_slice(payload) {
             Ok(record) => Some(record),
             Err(error) => {
@@ -108,29 +124,26 @@
                 None
             }
         };
-        page.records.iter().filter_map(parse_one).collect()
+        payloads.iter().filter_map(parse_one).collect()
     }
 
     /// Reads the lease log. While nobody holds the lease, the read does not wait.
     async fn follow(&mut self) -> bool {
-        let started_at = self.gateway.now();
         let from_offset = self.lease.next_offset();
         let is_held = self.lease.step(self.gateway.now()) == LeaseStep::Wait;
-        let wait = if is_held { FOLLOW_WAIT } else { Duration::ZERO };
-        match self
-            .gateway
-            .ports
-            .store
-            .read_leases(from_offset, wait)
-            .await
-        {
+        let wait = if is_held || !self.is_candidate() {
+            FOLLOW_WAIT
+        } else {
+            Duration::ZERO
+        };
+        match self.reader.read(&self.gateway, from_offset, wait).await {
             Ok(page) => {
-                let records = self.parse(&page);
+                let records = self.parse(&page.records);
                 let now = self.gateway.now();
                 self.lease_log.on_answer(&self.gateway);
                 self.lease.on_read(&records, page.next_offset, now);
                 self.on_records(&records);
-                self.gateway.state.borrow_mut().switches_read_at = started_at;
+                self.gateway.state.borrow_mut().switches_read_at = page.verified_at;
                 true
             }
             Err(StoreError::Expired(first_offset)) => {
@@ -204,7 +217,7 @@
             loaded: std::mem::take(&mut self.loaded),
         };
         let payload = match serde_json::to_vec(&record) {
-            Ok(payload) => payload,
+            Ok(payload) => Bytes::from(payload),
             Err(error) => {
                 self.log_lease(&format!("record not encoded: {error}"), fencing_token);
                 return;
@@ -215,11 +228,13 @@
             .gateway
             .ports
             .store
-            .append_lease(at, payload.into())
+            .append_lease(at, payload.clone())
             .await
         {
             Ok(Append::Stored(offset)) => {
                 self.gateway.state.borrow_mut().switches_read_at = started_at;
+                let gateway = &self.gateway;
+                gateway.on_topic_read(Topic::Leases, offset, &[payload], started_at);
                 self.lease.on_stored(record, offset, started_at);
                 if !was_held {
                     self.log_lease("taken", fencing_token);
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -5,4 +5,4 @@
 mod status;
 
 pub(crate) use clients::ClientListener;
-pub(crate) use status::{StatusListener, store_log_target};
+pub(crate) use status::{StatusListener, TopicRead, store_log_target, topic_log_target};
--- a/crates/gateway/src/front/status.rs
+++ b/crates/gateway/src/front/status.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::Gateway;
 use crate::log::Event;
+use crate::ports::{Table, Topic};
 use crate::store_log::Cursor;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -11,6 +12,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
+use std::fmt::Display;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -22,6 +24,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Path of the metrics. Every other path answers with the readiness.
 const METRICS_PATH: &str = "/metrics";
+/// Path of the copies of topics of the metadata store.
+const TOPIC_LOG_PATH: &str = "/topics";
 /// Path of the log of the stores.
 const STORE_LOG_PATH: &str = "/stores";
 
@@ -73,6 +77,9 @@
     if request.uri().path() == STORE_LOG_PATH {
         return store_log(gateway, request.uri().query().unwrap_or_default());
     }
+    if request.uri().path() == TOPIC_LOG_PATH {
+        return topic_log(gateway, request.uri().query().unwrap_or_default());
+    }
     let (ready, reason) = gateway.readiness();
     let mut response = Response::new(Full::new(Bytes::from_static(reason.as_bytes())));
     if !ready {
@@ -100,13 +107,55 @@
     let cursor = parse_cursor(query).unwrap_or_default();
     let now = gateway.now();
     let page = gateway.state.borrow().caches.store_page(cursor, now);
-    let (status, body) = match page.map(|page| page.encode()) {
+    page_response(page.map(|page| page.encode()))
+}
+
+/// A read of another daemon's copy of a topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct TopicRead {
+    pub(crate) topic: Topic,
+    pub(crate) from_offset: u64,
+}
+
+/// Names of topics between daemons.
+const TOPIC_NAMES: [(&str, Topic); 3] = [
+    ("operators", Topic::Table(Table::Operators)),
+    ("servers", Topic::Table(Table::Servers)),
+    ("leases", Topic::Leases),
+];
+
+/// Target of a read of another daemon's copy of a topic.
+pub(crate) fn topic_log_target(read: TopicRead) -> String {
+    let mut names = TOPIC_NAMES.iter();
+    let name = names.find(|(_, topic)| *topic == read.topic);
+    let name = name.map_or("", |(name, _)| name);
+    format!("{TOPIC_LOG_PATH}?{name}.{}", read.from_offset)
+}
+
+fn parse_topic_read(query: &str) -> Option<TopicRead> {
+    let (name, from_offset) = query.split_once('.')?;
+    let (_, topic) = TOPIC_NAMES.iter().find(|(known, _)| *known == name)?;
+    Some(TopicRead {
+        topic: *topic,
+        from_offset: from_offset.parse().ok()?,
+    })
+}
+
+fn topic_log(gateway: &Gateway, query: &str) -> Response<Full<Bytes>> {
+    let now = gateway.now();
+    let state = gateway.state.borrow();
+    let page = parse_topic_read(query).and_then(|read| {
+        let log = state.topic_logs.get(&read.topic)?;
+        log.page(read.from_offset, now)
+    });
+    page_response(page.map(|page| page.encode()))
+}
+
+fn page_response<E: Display>(encoded: Option<Result<Vec<u8>, E>>) -> Response<Full<Bytes>> {
+    let (status, body) = match encoded {
         Some(Ok(bytes)) => (StatusCode::OK, Bytes::from(bytes)),
         Some(Err(error)) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into()),
-        None => (
-            StatusCode::NOT_FOUND,
-            Bytes::from_static(b"no log is kept here"),
-        ),
+        None => (StatusCode::NOT_FOUND, Bytes::from_static(b"not kept here")),
     };
     let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,12 +10,14 @@
 use crate::metrics::Metrics;
 use crate::peers::PeerLoads;
 use crate::pool::Pool;
-use crate::ports::{Caches, Codec, MetadataStore, Orders};
+use crate::ports::{Caches, Codec, MetadataStore, Orders, Topic};
 use crate::server::{ServerKey, Servers};
 use crate::settings::GatewaySettings;
+use crate::topic_log::TopicLog;
 use crate::trust::Trust;
 use crate::weights::{NamedWeights, OldPartTimes};
 use anvilgw_core::Clock;
+use bytes::Bytes;
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -42,6 +44,8 @@
     /// What this daemon does among the others, once it knows them.
     pub(crate) role: Option<Role>,
     pub(crate) peer_loads: PeerLoads,
+    /// Copies of topics of the metadata store that other daemons read from this one.
+    pub(crate) topic_logs: IndexMap<Topic, TopicLog>,
     /// When the announcements of weight switches were last read.
     pub(crate) switches_read_at: Duration,
     pub(crate) has_servers: bool,
@@ -100,6 +104,7 @@
             admission: MemoryAdmission::default(),
             role: None,
             peer_loads: PeerLoads::default(),
+            topic_logs: IndexMap::new(),
             switches_read_at: Duration::ZERO,
             has_servers: false,
             share: INITIAL_SHARE,
@@ -142,6 +147,21 @@
         self.ports.clock.uptime()
     }
 
+    /// Notes what this daemon read of a topic, for daemons that read it from here.
+    pub(crate) fn on_topic_read(
+        &self,
+        topic: Topic,
+        from_offset: u64,
+        records: &[Bytes],
+        started_at: Duration,
+    ) {
+        let state = &mut *self.state.borrow_mut();
+        if matches!(state.role, Some(Role::Leader { .. })) {
+            let log = state.topic_logs.entry(topic).or_default();
+            log.on_read(from_offset, records, started_at);
+        }
+    }
+
     /// Time since the start of the daemon.
     pub(crate) fn uptime(&self) -> Duration {
         self.now().saturating_sub(self.started_at)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod gateway;
 mod holder;
 mod metrics;
+mod reader;
 mod retry;
 
 pub mod admission;
@@ -37,6 +38,7 @@
 pub mod settings;
 pub mod sse;
 pub mod store_log;
+pub mod topic_log;
 pub mod trust;
 pub mod weights;
 
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -33,7 +33,7 @@
 }
 
 /// The part of the platform's metadata that a read concerns.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Table {
     /// What operators publish.
     Operators,
@@ -41,6 +41,15 @@
     Servers,
 }
 
+/// A log in the metadata store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Topic {
+    /// Changes of a table.
+    Table(Table),
+    /// Leases on weight switches.
+    Leases,
+}
+
 /// A change in the metadata.
 #[derive(Clone, Debug)]
 pub enum Change {
@@ -88,7 +97,7 @@
     Moved(u64),
 }
 
-/// Records of the lease log after an offset.
+/// Records of a topic after an offset.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LogPage {
     /// Contents, oldest first.
@@ -134,13 +143,16 @@
     /// The newest record of every key, and the offset from which to follow the table.
     fn snapshot(&self, table: Table) -> LocalBoxFuture<'_, Result<Changes, StoreError>>;
 
-    /// The records from an offset on. Waits up to `wait` for one.
-    fn follow(
+    /// The records of a topic from an offset on. Waits up to `wait` for one.
+    fn read(
         &self,
-        table: Table,
+        topic: Topic,
         from_offset: u64,
         wait: Duration,
-    ) -> LocalBoxFuture<'_, Result<Changes, StoreError>>;
+    ) -> LocalBoxFuture<'_, Result<LogPage, StoreError>>;
+
+    /// What a record of a table tells, unless it is of no interest.
+    fn decode(&self, table: Table, record: Bytes) -> Option<Change>;
 
     /// Joins the fleet or stays in it.
     fn join(&self, generation: u64) -> LocalBoxFuture<'_, Result<FleetShare, StoreError>>;
@@ -151,14 +163,6 @@
     /// Leaves the fleet.
     fn leave(&self) -> LocalBoxFuture<'_, Result<(), StoreError>>;
 
-    /// Reads the lease log from an offset on: its records and the offset after the last one. Waits
-    /// up to `wait` for a record.
-    fn read_leases(
-        &self,
-        from_offset: u64,
-        wait: Duration,
-    ) -> LocalBoxFuture<'_, Result<LogPage, StoreError>>;
-
     /// Appends to the lease log if it ends at `at`.
     fn append_lease(
         &self,
--- /dev/null
+++ b/crates/gateway/src/reader.rs
@@ -0,0 +1,169 @@
+//! Reads topics of the metadata store, from the store itself or from the leader of the group.
+//!
+//! Calls to the store are limited and charged, so in a large fleet only leaders read it all the time.
+//! The others read the leader's copy and turn to the store whenever that copy is not fresh.
+
+use crate::call::Callers;
+use crate::front::{TopicRead, topic_log_target};
+use crate::gateway::Gateway;
+use crate::load_groups::Role;
+use crate::ports::{Changes, StoreError, Table, Topic};
+use crate::topic_log::TopicPage;
+use anvilgw_core::Clock;
+use bytes::Bytes;
+use http::header::HOST;
+use http::{HeaderValue, Request, StatusCode};
+use http_body_util::Full;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Age of a leader's copy from which on this daemon reads the store itself.
+const LEADER_AGE_MAX: Duration = Duration::from_millis(1200);
+/// Time for a read of a leader's copy. A leader that takes longer may be frozen.
+const LEADER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for which this daemon reads the store itself after its leader's copy was of no use.
+const DIRECT_TIME: Duration = Duration::from_millis(1500);
+/// Part of the time for which the store may hold a read back after which a leader's copy is read again,
+/// and for which leaders let the store hold reads back. The copies of the others are then about as old
+/// as if they read the store themselves.
+const LEADER_WAIT_PART: f64 = 0.5;
+/// Largest deviation of a pause, as a part of it.
+const JITTER: f64 = 0.15;
+
+/// What a read returned.
+pub(crate) struct Read {
+    /// Contents, oldest first.
+    pub(crate) records: Vec<Bytes>,
+    /// Offset after the last record.
+    pub(crate) next_offset: u64,
+    /// Time at which the topic held nothing after these records, or that of a little before.
+    pub(crate) verified_at: Duration,
+}
+
+/// Reads one topic.
+pub(crate) struct TopicReader {
+    topic: Topic,
+    callers: Callers,
+    /// Until then the store itself is read.
+    direct_until: Duration,
+}
+
+impl TopicReader {
+    pub(crate) fn new(topic: Topic, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            topic,
+            callers: Callers::new(clock),
+            direct_until: Duration::ZERO,
+        }
+    }
+
+    /// Reads the records from an offset on. The store may hold the read back up to `wait`; a read of a
+    /// leader's copy follows after a pause of its own.
+    pub(crate) async fn read(
+        &mut self,
+        gateway: &Gateway,
+        from_offset: u64,
+        wait: Duration,
+    ) -> Result<Read, StoreError> {
+        if let Some(leader) = leader_of(gateway)
+            && gateway.now() >= self.direct_until
+        {
+            sleep(gateway.jittered(wait.mul_f64(LEADER_WAIT_PART), JITTER)).await;
+            match self.read_leader(gateway, leader, from_offset).await {
+                Ok(read) => return Ok(read),
+                Err(_reason) => {
+                    gateway.metrics.count("leader_reads_failed");
+                    self.direct_until = gateway.now() + DIRECT_TIME;
+                }
+            }
+        }
+        self.read_store(gateway, from_offset, wait).await
+    }
+
+    async fn read_store(
+        &self,
+        gateway: &Gateway,
+        from_offset: u64,
+        wait: Duration,
+    ) -> Result<Read, StoreError> {
+        let is_leader = matches!(gateway.state.borrow().role, Some(Role::Leader { .. }));
+        let wait = if is_leader {
+            wait.mul_f64(LEADER_WAIT_PART)
+        } else {
+            wait
+        };
+        let verified_at = gateway.now();
+        let store = &gateway.ports.store;
+        let page = store.read(self.topic, from_offset, wait).await?;
+        gateway.on_topic_read(self.topic, from_offset, &page.records, verified_at);
+        Ok(Read {
+            records: page.records,
+            next_offset: page.next_offset,
+            verified_at,
+        })
+    }
+
+    async fn read_leader(
+        &self,
+        gateway: &Gateway,
+        leader: SocketAddr,
+        from_offset: u64,
+    ) -> Result<Read, String> {
+        let started_at = gateway.now();
+        let target = topic_log_target(TopicRead {
+            topic: self.topic,
+            from_offset,
+        });
+        let page = fetch_page(&self.callers, leader, target).await?;
+        let age = page.age_ms.map(Duration::from_millis);
+        let verified_at = age.map(|age| started_at.saturating_sub(age));
+        if age.is_some_and(|age| age > LEADER_AGE_MAX) {
+            return Err("the leader's copy is too old".to_owned());
+        }
+        Ok(Read {
+            records: page.records.into_iter().map(Bytes::from).collect(),
+            next_offset: page.next_offset,
+            verified_at: verified_at.unwrap_or_default(),
+        })
+    }
+}
+
+async fn fetch_page(
+    callers: &Callers,
+    leader: SocketAddr,
+    target: String,
+) -> Result<TopicPage, String> {
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = target
+        .parse()
+        .map_err(|error: http::uri::InvalidUri| error.to_string())?;
+    let host = HeaderValue::from_str(&leader.to_string()).map_err(|error| error.to_string())?;
+    request.headers_mut().insert(HOST, host);
+    let call = callers.caller(leader).call(request, LEADER_TIMEOUT).await;
+    let answer = call.map_err(|error| error.to_string())?;
+    if answer.status != StatusCode::OK {
+        return Err(format!("status {}", answer.status.as_u16()));
+    }
+    TopicPage::decode(&answer.body).map_err(|error| error.to_string())
+}
+
+/// The daemon whose copies this one reads.
+pub(crate) fn leader_of(gateway: &Gateway) -> Option<SocketAddr> {
+    match &gateway.state.borrow().role {
+        Some(Role::Follower { leader }) => Some(*leader),
+        _ => None,
+    }
+}
+
+/// Decodes the records of a table. What is of no interest is left out.
+pub(crate) fn decode(gateway: &Gateway, table: Table, read: Read) -> Changes {
+    let records = read.records.into_iter();
+    Changes {
+        changes: records
+            .filter_map(|record| gateway.ports.store.decode(table, record))
+            .collect(),
+        next_offset: read.next_offset,
+    }
+}
