--- /dev/null
+++ b/crates/gateway/tests/relays.rs
@@ -0,0 +1,247 @@
+//! Copies of the metadata store's topics and of the stores' contents that daemons read from the leader
+//! of their group.
+
+use anvilgw_gateway::caches::{CacheDirectory, CacheEvents, HeldPart, StoreSpec};
+use anvilgw_gateway::store_log::{Cursor, StorePage};
+use anvilgw_gateway::topic_log::{TopicLog, TopicPage};
+use bytes::Bytes;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn records(range: std::ops::Range<u64>) -> Vec<Bytes> {
+    range.map(|index| Bytes::from(index.to_string())).collect()
+}
+
+fn texts(page: &TopicPage) -> Vec<String> {
+    let records = page.records.iter();
+    records
+        .map(|record| String::from_utf8(record.clone()).expect("text"))
+        .collect()
+}
+
+/// Guards against a reader that misses a record of the leader's copy, such as the withdrawal of a key, or
+/// that takes an old copy for a current one.
+#[test]
+fn a_copy_of_a_topic_tells_all_records_and_its_age() {
+    let mut log = TopicLog::default();
+    assert!(log.page(0, at(0)).is_none(), "nothing was read yet");
+    log.on_read(10, &records(10..14), at(1_000));
+    log.on_read(14, &[], at(1_400));
+    struct Case {
+        name: &'static str,
+        from: u64,
+        expected: Option<&'static [&'static str]>,
+        next: u64,
+    }
+    let cases = [
+        Case {
+            name: "from before what is kept",
+            from: 9,
+            expected: None,
+            next: 0,
+        },
+        Case {
+            name: "all",
+            from: 10,
+            expected: Some(&["10", "11", "12", "13"]),
+            next: 14,
+        },
+        Case {
+            name: "the last one",
+            from: 13,
+            expected: Some(&["13"]),
+            next: 14,
+        },
+        Case {
+            name: "nothing new",
+            from: 14,
+            expected: Some(&[]),
+            next: 14,
+        },
+        Case {
+            name: "a reader that is ahead keeps its place",
+            from: 20,
+            expected: Some(&[]),
+            next: 20,
+        },
+    ];
+    for case in cases {
+        let page = log.page(case.from, at(1_900));
+        assert_eq!(page.is_some(), case.expected.is_some(), "{}", case.name);
+        let Some(page) = page else { continue };
+        let decoded = TopicPage::decode(&page.encode().expect("encodes")).expect("decodes");
+        assert_eq!(decoded, page, "{}", case.name);
+        assert_eq!(
+            texts(&page),
+            case.expected.unwrap_or_default(),
+            "{}",
+            case.name
+        );
+        assert_eq!(page.next_offset, case.next, "{}", case.name);
+        let age_ms = page.age_ms.expect("complete");
+        assert!((500..=501).contains(&age_ms), "{}: {age_ms}", case.name);
+    }
+}
+
+/// Guards against records that a leader lists twice, or leaves out, after it turned to another offset.
+#[test]
+fn a_copy_of_a_topic_has_no_gaps() {
+    let mut log = TopicLog::default();
+    log.on_read(0, &records(0..4), at(1));
+    log.on_read(2, &records(2..6), at(2));
+    let page = log.page(0, at(2)).expect("kept");
+    assert_eq!(
+        texts(&page),
+        ["0", "1", "2", "3", "4", "5"],
+        "reads that overlap"
+    );
+    log.on_read(9, &records(9..10), at(3));
+    assert!(log.page(5, at(3)).is_none(), "records 6 to 8 are not known");
+    assert_eq!(texts(&log.page(9, at(3)).expect("kept")), ["9"]);
+}
+
+/// Guards against copies that grow without bound, and against pages that claim to be complete.
+#[test]
+fn a_copy_of_a_topic_keeps_the_newest_records() {
+    const RECORDS: u64 = 400;
+    let large = Bytes::from(vec![b'x'; 16 * 1024]);
+    let mut log = TopicLog::default();
+    for offset in 0..RECORDS {
+        log.on_read(offset, std::slice::from_ref(&large), at(offset));
+    }
+    assert!(log.page(0, at(RECORDS)).is_none(), "the oldest are gone");
+    let page = log.page(RECORDS - 100, at(RECORDS)).expect("kept");
+    assert!(page.records.len() < 100, "a page is bounded");
+    assert_eq!(page.age_ms, None, "there is more");
+}
+
+fn store(port: u16) -> SocketAddr {
+    ([127, 0, 0, 3], port).into()
+}
+
+fn directory() -> CacheDirectory {
+    let mut directory = CacheDirectory::default();
+    let specs: Vec<StoreSpec> = [1, 2]
+        .map(|port| StoreSpec {
+            address: store(port),
+            failure_domain: "a".to_owned(),
+            capacity_tokens: 100_000,
+            link_tokens_per_ms: 1_000.0,
+            first_byte: at(1),
+        })
+        .to_vec();
+    directory.on_stores(&specs);
+    directory
+}
+
+fn events(epoch: u64, next: u64, parts: &[(&str, u32)]) -> CacheEvents {
+    let parts = parts.iter();
+    CacheEvents {
+        epoch,
+        next,
+        clock_ms: Some(5_000),
+        has_gap: false,
+        changes: parts
+            .map(|(id, tokens)| HeldPart {
+                scope: "v1".to_owned(),
+                id: (*id).to_owned(),
+                tokens: *tokens,
+            })
+            .collect(),
+    }
+}
+
+fn parts_of(directory: &CacheDirectory) -> Vec<(SocketAddr, Vec<String>)> {
+    let mut parts: Vec<(SocketAddr, Vec<String>)> = directory
+        .retired(usize::MAX, |_, _| true)
+        .into_iter()
+        .map(|(store, parts)| {
+            let mut ids: Vec<String> = parts.into_iter().map(|part| part.id).collect();
+            ids.sort_unstable();
+            (store, ids)
+        })
+        .collect();
+    parts.sort_unstable();
+    parts
+}
+
+fn read(leader: &CacheDirectory, follower: &mut CacheDirectory, cursor: Cursor) -> Cursor {
+    let page = leader.store_page(cursor, at(10)).expect("keeps a log");
+    let bytes = page.encode().expect("encodes");
+    let decoded = StorePage::decode(&bytes).expect("decodes");
+    assert_eq!(decoded, page);
+    follower.on_store_page(decoded, at(10))
+}
+
+/// Guards against prompts that are computed again in a large fleet although a store has them, because a
+/// daemon that does not read the stores itself knows less than its leader.
+#[test]
+fn a_daemon_knows_of_the_stores_what_its_leader_knows() {
+    let mut leader = directory();
+    let keys = leader.take_unfollowed(anvilgw_gateway::caches::EventSources {
+        stores: true,
+        engines: false,
+    });
+    assert!(
+        leader.store_page(Cursor::default(), at(1)).is_none(),
+        "no leader"
+    );
+    leader.set_logged(true, 77);
+    leader.on_events(
+        keys[0],
+        events(1, 3, &[("manual", 500), ("history", 8_000)]),
+        at(1),
+    );
+    let mut follower = directory();
+    let mut cursor = read(&leader, &mut follower, Cursor::default());
+    assert_eq!(
+        parts_of(&follower),
+        parts_of(&leader),
+        "everything at first"
+    );
+    assert!(follower.knows_stores());
+    assert_eq!(
+        follower.server_clock_ms(at(10)),
+        leader.server_clock_ms(at(10))
+    );
+    type Step = fn(&mut CacheDirectory, &[anvilgw_gateway::caches::HolderKey]);
+    let steps: [(&str, Step); 5] = [
+        ("a part was saved", |leader, keys| {
+            leader.on_events(keys[1], events(1, 5, &[("report", 700)]), at(2));
+        }),
+        ("a part was freed", |leader, keys| {
+            leader.on_events(keys[0], events(1, 6, &[("manual", 0)]), at(3));
+        }),
+        ("a store restarted empty", |leader, keys| {
+            leader.on_events(keys[0], events(2, 1, &[("manual", 500)]), at(4));
+        }),
+        ("a store is gone", |leader, keys| leader.on_lost(keys[1])),
+        ("it is back", |leader, keys| {
+            leader.on_events(keys[1], events(3, 1, &[("report", 700)]), at(6));
+        }),
+    ];
+    for (name, step) in steps {
+        step(&mut leader, &keys);
+        let page = leader.store_page(cursor, at(10)).expect("keeps a log");
+        assert!(!page.is_snapshot, "{name}: only the changes");
+        cursor = read(&leader, &mut follower, cursor);
+        assert_eq!(parts_of(&follower), parts_of(&leader), "{name}");
+    }
+}
+
+/// Guards against a daemon that goes on in the log of a new leader where it was in that of the one before.
+#[test]
+fn the_log_of_another_leader_is_read_from_its_start() {
+    let mut leader = directory();
+    leader.set_logged(true, 77);
+    let mut follower = directory();
+    let cursor = read(&leader, &mut follower, Cursor::default());
+    let mut successor = directory();
+    successor.set_logged(true, 78);
+    let page = successor.store_page(cursor, at(10)).expect("keeps a log");
+    assert!(page.is_snapshot);
+}
