Bound answers that do not end; move streams by events, not bytes

Cause: an answer without an end was read into memory until the deadline (several test answers took more than the memory of an instance). A stream that could be resumed counted as alive while any bytes came, and was cut after 1.5 s of silence although no other server could go on with it.

Change: the head of an answer may have 256 KiB, a whole answer 8 MiB within the memory for bodies, an event 256 KiB; what is longer counts as lost and its connection is closed. Streams stall without a new event, and are moved only if another server and a retry are left.

Three tests in whole_path/hostile.rs failed before.

--- a/crates/gateway/src/bodies.rs
+++ b/crates/gateway/src/bodies.rs
@@ -1,4 +1,4 @@
-//! Memory for bodies of requests.
+//! Memory for bodies of requests and answers.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -37,6 +37,7 @@
         self.used_bytes.set(used);
         Some(BodyReservation {
             bytes,
+            limit_bytes: self.limit_bytes,
             used_bytes: Rc::clone(&self.used_bytes),
         })
     }
@@ -46,9 +47,23 @@
 #[derive(Debug)]
 pub struct BodyReservation {
     bytes: u64,
+    limit_bytes: u64,
     used_bytes: Rc<Cell<u64>>,
 }
 
+impl BodyReservation {
+    /// Sets more memory aside. Returns whether there was enough.
+    pub fn grow(&mut self, bytes: u64) -> bool {
+        let used = self.used_bytes.get().saturating_add(bytes);
+        if used > self.limit_bytes {
+            return false;
+        }
+        self.used_bytes.set(used);
+        self.bytes += bytes;
+        true
+    }
+}
+
 impl Drop for BodyReservation {
     fn drop(&mut self) {
         let rest = self.used_bytes.get().saturating_sub(self.bytes);
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -44,10 +44,15 @@
         self.tokens = (self.tokens + self.bound.ratio * RATIO_PART).min(cap);
     }
 
+    /// Whether a retry may be sent.
+    pub fn allows(&mut self, share: f64, now: Duration) -> bool {
+        self.refill(share, now);
+        self.tokens >= 1.0
+    }
+
     /// Whether a retry may be sent, and notes it.
     pub fn take(&mut self, share: f64, now: Duration) -> bool {
-        self.refill(share, now);
-        if self.tokens < 1.0 {
+        if !self.allows(share, now) {
             return false;
         }
         self.tokens -= 1.0;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,7 +5,7 @@
 use anvilgw_core::Clock;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use std::cell::RefCell;
@@ -21,6 +21,9 @@
     open_max: 8,
 };
 
+/// Longest answer that is read. The longest ones list all that a store of cache holds.
+const ANSWER_MAX_BYTES: usize = 8 * 1024 * 1024;
+
 /// A whole answer.
 #[derive(Clone, Debug)]
 pub struct CallAnswer {
@@ -82,7 +85,7 @@
         response: Response<Incoming>,
     ) -> Result<CallAnswer, SendError> {
         let (head, body) = response.into_parts();
-        let collected = body
+        let collected = Limited::new(body, ANSWER_MAX_BYTES)
             .collect()
             .await
             .map_err(|error| SendError::Lost(format!("the answer was cut: {error}")))?;
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 connections to backend servers and to the platform.
 
+use crate::guarded::{Guarded, ReadAllowance};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -23,6 +24,10 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered probes after which the kernel gives a connection up.
 const KEEPALIVE_PROBES: u32 = 2;
+/// Bytes of an answer that may be read before its head has ended.
+const HEAD_MAX_BYTES: usize = 256 * 1024;
+/// Bytes of an answer that a connection buffers.
+const BUFFER_MAX_BYTES: usize = 128 * 1024;
 
 quick_error! {
     /// Why a request has no answer.
@@ -48,6 +53,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    allowance: ReadAllowance,
     _open: OpenCount,
 }
 
@@ -69,7 +75,11 @@
             Err(_) => return Err(not_sent(format!("connect {address}: timeout"))),
         };
         set_options(&stream).map_err(|error| not_sent(format!("socket options: {error}")))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let allowance = ReadAllowance::default();
+        let stream = TokioIo::new(Guarded::new(stream, allowance.clone()));
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(BUFFER_MAX_BYTES)
+            .handshake(stream)
             .await
             .map_err(|error| not_sent(error.to_string()))?;
         let task = tokio::task::spawn_local(async move {
@@ -79,6 +89,7 @@
         Ok(Self {
             sender,
             task,
+            allowance,
             _open: open,
         })
     }
@@ -104,8 +115,12 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.allowance.limit_to(HEAD_MAX_BYTES);
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.allowance.lift();
+                Ok(response)
+            }
             Err(mut error) => {
                 let was_sent = error.take_message().is_none();
                 let reason = describe(error.error());
--- a/crates/gateway/src/dispatch/plain.rs
+++ b/crates/gateway/src/dispatch/plain.rs
@@ -5,17 +5,24 @@
 use super::progress::Progress;
 use super::retries::with_retries;
 use crate::answer::{AnswerBody, full_body, refuse};
+use crate::bodies::BodyMemory;
 use crate::gateway::Gateway;
 use crate::retry::Cause;
 use anvilgw_core::Failure;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::timeout;
 
+/// Longest answer that is held as a whole.
+const ANSWER_MAX_BYTES: usize = 8 * 1024 * 1024;
+/// Reason of an answer for which there is no memory.
+const NO_MEMORY: &str = "no memory for the answer";
+
 /// A whole answer of a backend server.
 struct WholeAnswer {
     status: StatusCode,
@@ -68,17 +75,40 @@
     result.or_else(|failure| failed_answer.ok_or(failure))
 }
 
+/// Reads a body to its end, if there is memory for it.
+async fn read_body(memory: &BodyMemory, body: &mut Incoming) -> Result<Bytes, String> {
+    let mut reservation = memory.reserve(Some(0)).ok_or(NO_MEMORY)?;
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| format!("the answer was cut: {error}"))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if read.len() + data.len() > ANSWER_MAX_BYTES {
+            return Err(format!(
+                "the answer is longer than {ANSWER_MAX_BYTES} bytes"
+            ));
+        }
+        if !reservation.grow(data.len() as u64) {
+            return Err(NO_MEMORY.to_owned());
+        }
+        read.extend_from_slice(&data);
+    }
+    Ok(read.freeze())
+}
+
 async fn read_whole(
     gateway: &Rc<Gateway>,
     call: &Call,
     mut exchange: Exchange,
 ) -> Result<WholeAnswer, Cause> {
     let remaining = call.remaining(gateway.now());
-    let body = match timeout(remaining, (&mut exchange.body).collect()).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) => {
+    let read = read_body(&gateway.bodies, &mut exchange.body);
+    let body = match timeout(remaining, read).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(reason)) => {
             exchange.broken();
-            return Err(Cause::Lost(format!("the answer was cut: {error}")));
+            return Err(Cause::Lost(reason));
         }
         Err(_) => {
             exchange.timed_out();
--- a/crates/gateway/src/dispatch/stream.rs
+++ b/crates/gateway/src/dispatch/stream.rs
@@ -23,9 +23,11 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// Time without any byte after which a stream that can be resumed is resumed elsewhere. Callers
+/// Time without an event after which a stream that can be resumed is resumed elsewhere. Callers
 /// abandon a stream after a gap of two seconds or more.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Longest event. A server that sends more bytes without the end of an event is out of order.
+const EVENT_MAX_BYTES: usize = 256 * 1024;
 
 /// Serves a request and returns the stream, or a failure.
 pub(crate) async fn serve_stream(gateway: &Rc<Gateway>, call: Call) -> Response<AnswerBody> {
@@ -146,6 +148,8 @@
     exchange: Option<Exchange>,
     splitter: Option<EventSplitter>,
     last_event: Option<u64>,
+    /// When the last event was received.
+    event_at: Duration,
     pending: Option<Bytes>,
 }
 
@@ -172,6 +176,7 @@
             gateway: Rc::clone(gateway),
             policy: RetryPolicy::new(kind, call.route.attempts_max),
             last_event: call.meta.resume_after,
+            event_at: gateway.now(),
             call,
             progress,
             exchange: Some(exchange),
@@ -227,17 +232,24 @@
             if let Some(bytes) = self.take_ready() {
                 return Step::Pass(bytes);
             }
-            let remaining = self.call.remaining(self.gateway.now());
-            let limit = if self.splitter.is_some() {
+            if self.is_event_too_long() {
+                return Step::Broken("an event has no end".to_owned());
+            }
+            let (remaining, stalls_in) = self.time_left();
+            if remaining.is_zero() || (stalls_in.is_zero() && self.has_alternative()) {
+                return Step::Broken("no event in time".to_owned());
+            }
+            let limit = if stalls_in.is_zero() {
                 remaining.min(STALL_TIMEOUT)
             } else {
-                remaining
+                remaining.min(stalls_in)
             };
             let Some(exchange) = &mut self.exchange else {
                 return Step::Broken("no server continues the stream".to_owned());
             };
             match timeout(limit, next_data(exchange)).await {
-                Err(_) => return Step::Broken("no event in time".to_owned()),
+                // The times are looked at again.
+                Err(_) => {}
                 Ok(Err(reason)) => return Step::Broken(reason),
                 Ok(Ok(None)) => return self.at_end(),
                 Ok(Ok(Some(bytes))) => match &mut self.splitter {
@@ -248,6 +260,34 @@
         }
     }
 
+    fn is_event_too_long(&self) -> bool {
+        let partial_bytes = self.splitter.as_ref().map(EventSplitter::partial_bytes);
+        partial_bytes.is_some_and(|bytes| bytes > EVENT_MAX_BYTES)
+    }
+
+    /// Time until the request ends, and until the stream counts as stalled.
+    fn time_left(&self) -> (Duration, Duration) {
+        let now = self.gateway.now();
+        let remaining = self.call.remaining(now);
+        let stalls_in = if self.splitter.is_some() {
+            (self.event_at + STALL_TIMEOUT).saturating_sub(now)
+        } else {
+            remaining
+        };
+        (remaining, stalls_in)
+    }
+
+    /// Whether the stream could go on at another server. A slow server is better than none.
+    fn has_alternative(&self) -> bool {
+        let cause = Cause::Lost(String::new());
+        let (sent, connect_failures) = (self.progress.sent, self.progress.connect_failures);
+        let is_allowed = self.policy.allows(&cause, sent, connect_failures);
+        is_allowed
+            && self
+                .gateway
+                .has_untried_server(&self.call.service, &self.progress.tried)
+    }
+
     fn at_end(&self) -> Step {
         let has_partial = self
             .splitter
@@ -264,19 +304,25 @@
         let Some(splitter) = &mut self.splitter else {
             return self.pending.take();
         };
+        let known_event = self.last_event;
         let first = splitter.next_event()?;
         self.last_event = first.id.or(self.last_event);
-        let Some(second) = splitter.next_event() else {
-            return Some(first.bytes);
-        };
-        let mut joined = BytesMut::from(first.bytes.as_ref());
-        let mut next = Some(second);
-        while let Some(event) = next {
-            joined.extend_from_slice(&event.bytes);
-            self.last_event = event.id.or(self.last_event);
-            next = splitter.next_event();
+        let mut bytes = first.bytes;
+        if let Some(second) = splitter.next_event() {
+            let mut joined = BytesMut::from(bytes.as_ref());
+            let mut next = Some(second);
+            while let Some(event) = next {
+                joined.extend_from_slice(&event.bytes);
+                self.last_event = event.id.or(self.last_event);
+                next = splitter.next_event();
+            }
+            bytes = joined.freeze();
+        }
+        if self.last_event != known_event {
+            // Comments alone are no progress.
+            self.event_at = self.gateway.now();
         }
-        Some(joined.freeze())
+        Some(bytes)
     }
 
     /// Continues the stream at another server.
@@ -301,6 +347,7 @@
             cause = match result.await {
                 Ok(exchange) if exchange.status == StatusCode::OK => {
                     self.gateway.metrics.count("streams_resumed");
+                    self.event_at = self.gateway.now();
                     self.exchange = Some(exchange);
                     return true;
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod duties;
 mod front;
 mod gateway;
+mod guarded;
 mod holder;
 mod metrics;
 mod reader;
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -38,6 +38,12 @@
         Some(StreamEvent { bytes, id })
     }
 
+    /// Bytes that were received after the last complete event.
+    #[must_use]
+    pub fn partial_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether bytes of an incomplete event are left.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
