Read the metadata store through leaders of groups in small fleets too

Change: groups are formed in fleets of any size; load is still exchanged by all with all up to 32 daemons. What passes through a leader is read twice as often, so that it gets no older.

--- a/crates/gateway/src/duties/caches.rs
+++ b/crates/gateway/src/duties/caches.rs
@@ -6,7 +6,7 @@
 use crate::caches::{EventSources, HolderKey, StoreSpec};
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
-use crate::load_groups::Role;
+use crate::groups::Role;
 use crate::log::Event;
 use crate::ports::CacheError;
 use indexmap::IndexMap;
--- a/crates/gateway/src/duties/fleet.rs
+++ b/crates/gateway/src/duties/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
-use crate::load_groups::{Member, Role};
+use crate::groups::{Member, Role, StoreReads};
 use crate::log::Event;
 use std::rc::Rc;
 use std::time::Duration;
@@ -74,9 +74,13 @@
         .role
         .as_ref()
         .is_some_and(|known| std::mem::discriminant(known) == std::mem::discriminant(&role));
+    let store_reads = StoreReads::of(own, members);
+    if store_reads != StoreReads::ForGroup {
+        state.topic_logs.clear();
+    }
+    state.store_reads = store_reads;
     if !is_same_kind {
         state.peer_loads.clear();
-        state.topic_logs.clear();
         gateway.log_notable(&Event::FleetRole {
             role: role.name(),
             members: members.len(),
--- a/crates/gateway/src/duties/peers.rs
+++ b/crates/gateway/src/duties/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::caches::name_hash;
 use crate::gateway::Gateway;
-use crate::load_groups::Role;
+use crate::groups::Role;
 use crate::log::Event;
 use crate::peers::{DATAGRAM_MAX_BYTES, EngineLoad, LoadReport, Reporter, Scope, report_period};
 use crate::server::Server;
--- a/crates/gateway/src/duties/servers.rs
+++ b/crates/gateway/src/duties/servers.rs
@@ -3,6 +3,7 @@
 use super::snapshot::read_snapshot;
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
+use crate::groups::StoreReads;
 use crate::log::Event;
 use crate::ports::{Change, Changes, StoreError, Table, Topic};
 use crate::reader::{TopicReader, decode};
@@ -31,7 +32,7 @@
     loop {
         let mut from_offset = load_snapshot(&gateway, &mut dependency).await;
         loop {
-            sleep(gateway.jittered(POLL_PAUSE, JITTER)).await;
+            sleep(gateway.jittered(poll_pause(&gateway), JITTER)).await;
             match reader.read(&gateway, from_offset, Duration::ZERO).await {
                 Ok(read) => {
                     dependency.on_answer(&gateway);
@@ -47,6 +48,14 @@
     }
 }
 
+/// Pause between two reads. What passes through a leader is read twice, each time after half of the pause.
+fn poll_pause(gateway: &Gateway) -> Duration {
+    match gateway.state.borrow().store_reads {
+        StoreReads::Itself => POLL_PAUSE,
+        StoreReads::ForGroup | StoreReads::FromLeader(_) => POLL_PAUSE / 2,
+    }
+}
+
 async fn load_snapshot(gateway: &Gateway, dependency: &mut Dependency) -> u64 {
     let snapshot = read_snapshot(gateway, dependency, Table::Servers, RETRY_PAUSE).await;
     let next_offset = snapshot.changes.next_offset;
--- a/crates/gateway/src/duties/stores.rs
+++ b/crates/gateway/src/duties/stores.rs
@@ -4,7 +4,7 @@
 use crate::dependency::Dependency;
 use crate::front::store_log_target;
 use crate::gateway::Gateway;
-use crate::reader::leader_of;
+use crate::groups::Role;
 use crate::store_log::{Cursor, StorePage};
 use http::header::HOST;
 use http::{HeaderValue, Request, StatusCode};
@@ -53,7 +53,10 @@
 /// The daemon whose log this one reads. Without a configuration no store is known yet.
 fn store_leader(gateway: &Gateway) -> Option<SocketAddr> {
     gateway.state.borrow().configuration.as_ref()?;
-    leader_of(gateway)
+    match &gateway.state.borrow().role {
+        Some(Role::Follower { leader }) => Some(*leader),
+        _ => None,
+    }
 }
 
 async fn read(callers: &Callers, leader: SocketAddr, cursor: Cursor) -> Result<StorePage, String> {
--- a/crates/gateway/src/duties/weights.rs
+++ b/crates/gateway/src/duties/weights.rs
@@ -3,8 +3,8 @@
 
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
+use crate::groups::Role;
 use crate::lease::{LeaseRecord, LeaseStep, LeaseView, LoadedWeights};
-use crate::load_groups::Role;
 use crate::log::Event;
 use crate::ports::{Append, OrderAnswer, ServerReport, StoreError, Topic, WeightOrder};
 use crate::reader::TopicReader;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,7 +5,7 @@
 use crate::budget::RetryBudget;
 use crate::caches::CacheDirectory;
 use crate::configuration::{Configuration, Service};
-use crate::load_groups::Role;
+use crate::groups::{Role, StoreReads};
 use crate::log::{Event, EventLog, Importance};
 use crate::metrics::Metrics;
 use crate::peers::PeerLoads;
@@ -43,6 +43,8 @@
     pub(crate) admission: MemoryAdmission,
     /// What this daemon does among the others, once it knows them.
     pub(crate) role: Option<Role>,
+    /// From where it learns what changes in the metadata store.
+    pub(crate) store_reads: StoreReads,
     pub(crate) peer_loads: PeerLoads,
     /// Copies of topics of the metadata store that other daemons read from this one.
     pub(crate) topic_logs: IndexMap<Topic, TopicLog>,
@@ -103,6 +105,7 @@
             caches: CacheDirectory::default(),
             admission: MemoryAdmission::default(),
             role: None,
+            store_reads: StoreReads::default(),
             peer_loads: PeerLoads::default(),
             topic_logs: IndexMap::new(),
             switches_read_at: Duration::ZERO,
@@ -156,7 +159,7 @@
         started_at: Duration,
     ) {
         let state = &mut *self.state.borrow_mut();
-        if matches!(state.role, Some(Role::Leader { .. })) {
+        if state.store_reads == StoreReads::ForGroup {
             let log = state.topic_logs.entry(topic).or_default();
             log.on_read(from_offset, records, started_at);
         }
--- a/crates/gateway/src/load_groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -1,12 +1,15 @@
-//! Which daemons exchange load reports.
+//! Groups of daemons that share the work of learning what the others need to know.
 //!
-//! In a small fleet each daemon reports to every other one. In a large one that costs every daemon
-//! messages in proportion to the fleet, so the daemons of a failure domain form groups: each daemon
-//! reports to the leader of its group, the leaders exchange the sums of their groups, and each leader
-//! passes the sum of the fleet on to its group. Only the sums of groups cross failure domains.
+//! The daemons of a failure domain form groups. The leader of a group reads the metadata store for it,
+//! since calls to the store are limited and charged.
+//!
+//! Load reports go from each daemon to every other one in a small fleet. In a large one that costs
+//! every daemon messages in proportion to the fleet, so each daemon reports to its leader, the leaders
+//! exchange the sums of their groups, and each leader passes the sum of the fleet on to its group. Only
+//! the sums of groups cross failure domains.
 //!
 //! Every daemon derives the groups from the list of members alone. Views that differ for a while, or
-//! a leader that is gone, cost balance only.
+//! a leader that is gone, cost balance and calls only.
 
 use crate::holder::name_hash;
 use indexmap::IndexMap;
@@ -49,6 +52,33 @@
     },
 }
 
+/// From where a daemon learns what changes in the metadata store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreReads {
+    /// From the store.
+    #[default]
+    Itself,
+    /// From the store, and others read it from here.
+    ForGroup,
+    /// From the leader of its group.
+    FromLeader(SocketAddr),
+}
+
+impl StoreReads {
+    /// How the daemon at `own` among the members of the fleet learns of changes.
+    #[must_use]
+    pub fn of(own: SocketAddr, members: &[Member]) -> Self {
+        let Some(own_member) = members.iter().find(|member| member.address == own) else {
+            return Self::Itself;
+        };
+        let groups = Groups::new(members);
+        match groups.leader_of(groups.group_of(own_member)) {
+            Some(leader) if leader != own => Self::FromLeader(leader),
+            _ => Self::ForGroup,
+        }
+    }
+}
+
 impl Default for Role {
     fn default() -> Self {
         Self::Mesh { peers: Vec::new() }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,10 +2,10 @@
 //!
 //! Each daemon tells a few times a second how many tokens its requests take up on each engine.
 //! Engines themselves tell only the number of requests, and one long prompt takes as much memory as
-//! ten short ones. Which daemons are told is decided in [`load_groups`](crate::load_groups). The
+//! ten short ones. Which daemons are told is decided in [`groups`](crate::groups). The
 //! reports are hints: a lost or late one costs balance only.
 
-use crate::load_groups::Role;
+use crate::groups::Role;
 use bincode::{Decode, Encode};
 use indexmap::IndexMap;
 use quick_error::quick_error;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -2,7 +2,7 @@
 
 use crate::caches::{CacheEvents, HeldPart};
 use crate::configuration::Configuration;
-use crate::load_groups::Member;
+use crate::groups::Member;
 use crate::request::{AnswerMeta, ForwardMeta, RequestMeta};
 use crate::server::{ServedModel, ServerEntry};
 use bytes::Bytes;
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -1,12 +1,12 @@
 //! Reads topics of the metadata store, from the store itself or from the leader of the group.
 //!
-//! Calls to the store are limited and charged, so in a large fleet only leaders read it all the time.
-//! The others read the leader's copy and turn to the store whenever that copy is not fresh.
+//! Calls to the store are limited and charged, so only the leaders of groups read it all the time. The
+//! others read the leader's copy and turn to the store whenever that copy is not fresh.
 
 use crate::call::Callers;
 use crate::front::{TopicRead, topic_log_target};
 use crate::gateway::Gateway;
-use crate::load_groups::Role;
+use crate::groups::StoreReads;
 use crate::ports::{Changes, StoreError, Table, Topic};
 use crate::topic_log::TopicPage;
 use anvilgw_core::Clock;
@@ -88,7 +88,7 @@
         from_offset: u64,
         wait: Duration,
     ) -> Result<Read, StoreError> {
-        let is_leader = matches!(gateway.state.borrow().role, Some(Role::Leader { .. }));
+        let is_leader = gateway.state.borrow().store_reads == StoreReads::ForGroup;
         let wait = if is_leader {
             wait.mul_f64(LEADER_WAIT_PART)
         } else {
@@ -151,9 +151,9 @@
 
 /// The daemon whose copies this one reads.
 pub(crate) fn leader_of(gateway: &Gateway) -> Option<SocketAddr> {
-    match &gateway.state.borrow().role {
-        Some(Role::Follower { leader }) => Some(*leader),
-        _ => None,
+    match gateway.state.borrow().store_reads {
+        StoreReads::FromLeader(leader) => Some(leader),
+        StoreReads::Itself | StoreReads::ForGroup => None,
     }
 }
 
--- a/crates/gateway/tests/deployments.rs
+++ b/crates/gateway/tests/deployments.rs
@@ -3,7 +3,7 @@
 use anvilgw_gateway::budget::{RetryBound, RetryBudget};
 use anvilgw_gateway::caches::{CacheDirectory, StoreSpec};
 use anvilgw_gateway::configuration::{EngineSpec, Service};
-use anvilgw_gateway::load_groups::{Member, Role};
+use anvilgw_gateway::groups::{Member, Role, StoreReads};
 use anvilgw_gateway::peers::{EngineLoad, PeerLoads, Reporter, Scope, report_period};
 use anvilgw_gateway::places::Places;
 use anvilgw_gateway::request::{Prompt, PromptPart};
@@ -422,6 +422,40 @@
     }
 }
 
+/// Guards against daemons whose leader does not read the metadata store for them, and against calls to
+/// the store in proportion to the fleet.
+#[test]
+fn one_daemon_of_each_group_reads_the_metadata_store() {
+    for deployment in DEPLOYMENTS {
+        let members = members(deployment.daemons, deployment.domains);
+        let addresses = members.iter().map(|member| member.address);
+        let reads_of_all: Vec<StoreReads> =
+            addresses.map(|own| StoreReads::of(own, &members)).collect();
+        let mut readers = 0;
+        for (member, reads) in members.iter().zip(&reads_of_all) {
+            let StoreReads::FromLeader(leader) = reads else {
+                readers += 1;
+                continue;
+            };
+            let known = members.iter().position(|other| other.address == *leader);
+            let leader = known.expect("a member");
+            let name = deployment.name;
+            assert_eq!(reads_of_all[leader], StoreReads::ForGroup, "{name}");
+            assert_eq!(
+                members[leader].failure_domain, member.failure_domain,
+                "{name}"
+            );
+        }
+        let most = deployment.domains + deployment.daemons as usize / 8;
+        assert!(
+            readers <= most,
+            "{}: {readers} of {} read",
+            deployment.name,
+            members.len()
+        );
+    }
+}
+
 /// Guards against daemons of a large fleet that know only their own load, or count some of it twice
 /// (hundreds of daemons that all send to one engine).
 #[test]
--- a/crates/gateway/tests/servers.rs
+++ b/crates/gateway/tests/servers.rs
@@ -2,7 +2,7 @@
 
 use anvilgw_gateway::caches::{CacheDirectory, CacheEvents, HeldPart, StoreSpec, name_hash};
 use anvilgw_gateway::configuration::{EngineSpec, Service};
-use anvilgw_gateway::load_groups::Role;
+use anvilgw_gateway::groups::Role;
 use anvilgw_gateway::peers::{EngineLoad, LoadReport, PeerLoads, Scope};
 use anvilgw_gateway::places::Places;
 use anvilgw_gateway::request::{Prompt, PromptPart};
