Find leaders soon after a start, follow the lease log slowly while parts are freed, log lost copies

Cause: a fleet that starts reads the store itself until each daemon knows its leader, 4.5 s; and every leader follows the lease log while replaced parts are freed.

Change: members are read again after 1.2 s during the first seconds; the lease log is followed once a second while only parts are left to be freed; a copy that is missing, late or old is logged with its reason.

--- a/crates/gateway/src/duties/fleet.rs
+++ b/crates/gateway/src/duties/fleet.rs
@@ -13,6 +13,11 @@
 /// Shortest time between two reads of the members. When many daemons restart one after the other,
 /// the membership changes all the time.
 const MEMBERS_PAUSE: Duration = Duration::from_secs(4);
+/// The same shortly after the start, when the whole fleet may be starting: each daemon finds its leader
+/// only once the others have joined.
+const MEMBERS_PAUSE_AT_START: Duration = Duration::from_millis(1200);
+/// Time after the start for which that pause holds.
+const START_TIME: Duration = Duration::from_secs(4);
 /// Pause after a failed join.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
@@ -30,7 +35,7 @@
                 if joined.generation != members_generation && now >= read_members_at {
                     read_members(&gateway).await;
                     members_generation = joined.generation;
-                    read_members_at = now + MEMBERS_PAUSE;
+                    read_members_at = now + members_pause(&gateway);
                 }
                 if joined.generation != generation {
                     gateway.log_notable(&Event::FleetShare {
@@ -53,6 +58,14 @@
     }
 }
 
+fn members_pause(gateway: &Gateway) -> Duration {
+    if gateway.uptime() < START_TIME {
+        MEMBERS_PAUSE_AT_START
+    } else {
+        MEMBERS_PAUSE
+    }
+}
+
 async fn read_members(gateway: &Gateway) {
     match gateway.ports.store.members().await {
         Ok(members) => take_role(gateway, &members),
--- a/crates/gateway/src/duties/weights.rs
+++ b/crates/gateway/src/duties/weights.rs
@@ -23,6 +23,8 @@
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which the store may hold a read of the lease log back until there is a record.
 const FOLLOW_WAIT: Duration = Duration::from_millis(250);
+/// The same while only parts of replaced weights are left to be freed, which is no concern of requests.
+const FOLLOW_WAIT_FREEING: Duration = Duration::from_millis(1000);
 /// Longest random wait before the lease is taken, so that not all daemons try at once.
 const TAKE_WAIT_MAX_MS: u64 = 120;
 /// Longest time for which a server that was ordered to load takes no requests: it ends its runs first.
@@ -131,10 +133,10 @@
     async fn follow(&mut self) -> bool {
         let from_offset = self.lease.next_offset();
         let is_held = self.lease.step(self.gateway.now()) == LeaseStep::Wait;
-        let wait = if is_held || !self.is_candidate() {
-            FOLLOW_WAIT
-        } else {
-            Duration::ZERO
+        let wait = match (is_held || !self.is_candidate(), self.outdated().is_empty()) {
+            (true, true) => FOLLOW_WAIT_FREEING,
+            (true, false) => FOLLOW_WAIT,
+            (false, _) => Duration::ZERO,
         };
         match self.reader.read(&self.gateway, from_offset, wait).await {
             Ok(page) => {
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -4,6 +4,7 @@
 //! others read the leader's copy and turn to the store whenever that copy is not fresh.
 
 use crate::call::Callers;
+use crate::dependency::Dependency;
 use crate::front::{TopicRead, topic_log_target};
 use crate::gateway::Gateway;
 use crate::groups::StoreReads;
@@ -46,6 +47,7 @@
 pub(crate) struct TopicReader {
     topic: Topic,
     callers: Callers,
+    leader: Dependency,
     /// Until then the store itself is read.
     direct_until: Duration,
 }
@@ -55,6 +57,11 @@
         Self {
             topic,
             callers: Callers::new(clock),
+            leader: Dependency::new(match topic {
+                Topic::Table(Table::Operators) => "leader's copy, operators",
+                Topic::Table(Table::Servers) => "leader's copy, servers",
+                Topic::Leases => "leader's copy, leases",
+            }),
             direct_until: Duration::ZERO,
         }
     }
@@ -72,9 +79,14 @@
         {
             sleep(gateway.jittered(wait.mul_f64(LEADER_WAIT_PART), JITTER)).await;
             match self.read_leader(gateway, leader, from_offset).await {
-                Ok(read) => return Ok(read),
-                Err(_reason) => {
+                Ok(read) => {
+                    self.leader.on_answer(gateway);
+                    return Ok(read);
+                }
+                Err(reason) => {
                     gateway.metrics.count("leader_reads_failed");
+                    self.leader
+                        .on_failure(gateway, &format!("{leader}: {reason}"));
                     self.direct_until = gateway.now() + DIRECT_TIME;
                 }
             }
