Spare engines that reject prompts; find leaders sooner after a start

Change: an engine that rejects a prompt counts as loaded by 0.3 of its memory for 0.4 s, also in load reports. A daemon joins and reads the members every 0.4 s in its first two seconds.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -303,6 +303,9 @@
         }
         if meta.is_not_executed {
             progress.on_not_executed();
+            if exchange.status == StatusCode::SERVICE_UNAVAILABLE {
+                self.on_full();
+            }
             let reason = format!("rejected with status {}", exchange.status.as_u16());
             exchange.discard(gateway);
             return Err(Cause::Rejected(reason));
@@ -315,6 +318,23 @@
         Ok(exchange)
     }
 
+    /// Notes that an engine is full.
+    fn on_full(&self) {
+        let Some(engine) = &self.call.service.engine else {
+            return;
+        };
+        let now = self.gateway.now();
+        if let Some(server) = self
+            .gateway
+            .state
+            .borrow_mut()
+            .servers
+            .get_mut(self.target.key)
+        {
+            server.on_full(engine.kv_capacity_tokens, now);
+        }
+    }
+
     /// Learns whether the server has other weights, or another server is at its address.
     fn on_misdirected(&self, progress: &mut Progress, meta: &AnswerMeta) -> Cause {
         let target = &self.target;
--- a/crates/gateway/src/duties/fleet.rs
+++ b/crates/gateway/src/duties/fleet.rs
@@ -15,9 +15,9 @@
 const MEMBERS_PAUSE: Duration = Duration::from_secs(4);
 /// The same shortly after the start, when the whole fleet may be starting: each daemon finds its leader
 /// only once the others have joined.
-const MEMBERS_PAUSE_AT_START: Duration = Duration::from_millis(1200);
+const MEMBERS_PAUSE_AT_START: Duration = Duration::from_millis(400);
 /// Time after the start for which that pause holds.
-const START_TIME: Duration = Duration::from_secs(4);
+const START_TIME: Duration = Duration::from_secs(2);
 /// Pause after a failed join.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
@@ -45,7 +45,7 @@
                 }
                 generation = joined.generation;
                 gateway.state.borrow_mut().share = joined.share;
-                sleep(JOIN_PAUSE).await;
+                sleep(join_pause(&gateway)).await;
             }
             Err(error) => {
                 dependency.on_failure(&gateway, &error.to_string());
@@ -58,6 +58,14 @@
     }
 }
 
+fn join_pause(gateway: &Gateway) -> Duration {
+    if gateway.uptime() < START_TIME {
+        MEMBERS_PAUSE_AT_START
+    } else {
+        JOIN_PAUSE
+    }
+}
+
 fn members_pause(gateway: &Gateway) -> Duration {
     if gateway.uptime() < START_TIME {
         MEMBERS_PAUSE_AT_START
--- a/crates/gateway/src/duties/peers.rs
+++ b/crates/gateway/src/duties/peers.rs
@@ -81,7 +81,8 @@
         let sequence = self.gateway.ports.clock.wall_ms();
         let state = &mut *self.gateway.state.borrow_mut();
         let engines = state.servers.iter().count();
-        let own = own_loads(state.servers.iter().map(|(_, server)| server));
+        let now = self.gateway.now();
+        let own = own_loads(state.servers.iter().map(|(_, server)| server), now);
         match role {
             Role::Mesh { peers } => {
                 let reports = self.daemon.next(&own, engines, sequence);
@@ -106,10 +107,10 @@
     }
 }
 
-fn own_loads<'a>(servers: impl Iterator<Item = &'a Server>) -> Vec<EngineLoad> {
+fn own_loads<'a>(servers: impl Iterator<Item = &'a Server>, now: Duration) -> Vec<EngineLoad> {
     servers
-        .filter(|server| server.tokens_in_flight > 0)
-        .map(|server| EngineLoad::new(server.load_hash(), server.tokens_in_flight))
+        .map(|server| EngineLoad::new(server.load_hash(), server.known_tokens(now)))
+        .filter(|load| load.tokens() > 0)
         .collect()
 }
 
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -227,7 +227,7 @@
         .iter()
         .filter_map(|key| servers.get(*key).map(|server| (*key, server)))
         .map(|(key, server)| {
-            let tokens = tokens_on(server, query);
+            let tokens = tokens_on(server, query, now);
             (rank(affinity, &server.entry.id), key, tokens)
         })
         .collect();
@@ -257,9 +257,9 @@
 }
 
 /// Tokens that all daemons' requests take up on an engine.
-fn tokens_on(server: &Server, query: &PromptQuery<'_>) -> f64 {
+fn tokens_on(server: &Server, query: &PromptQuery<'_>, now: Duration) -> f64 {
     let others = query.peer_loads.tokens_on(server.load_hash());
-    (server.tokens_in_flight + others) as f64
+    (server.known_tokens(now) + others) as f64
 }
 
 /// Where a server takes the shared parts of the prompt from.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -13,6 +13,11 @@
 const FAILURE_SHARE_STEP: f64 = 0.12;
 /// Age after which a reported load says nothing any more.
 const LOAD_REPORT_MAX_AGE: Duration = Duration::from_millis(1500);
+/// Time for which an engine that rejected a prompt as full counts as loaded.
+const FULL_TIME: Duration = Duration::from_millis(400);
+/// Part of its memory that such an engine counts as loaded beyond what is known. It is enough for prompts
+/// to go elsewhere, and too little to refuse them where all engines are full.
+const FULL_PART: f64 = 0.3;
 /// Settings of the breaker of a backend server. Two failures in a row, as a refused connection and
 /// the retry on it, are enough to prefer others; the first probe follows soon.
 const BREAKER: BreakerSettings = BreakerSettings {
@@ -111,6 +116,8 @@
     sent_since_report: u32,
     failure_share: f64,
     lapsed_until: Option<Duration>,
+    /// Until when the engine counts as full, and the tokens that this adds to its load.
+    full: Option<(Duration, u64)>,
 }
 
 /// Hash of a server's identifier, under which load reports name it. Two servers of the same hash would
@@ -138,6 +145,7 @@
             sent_since_report: 0,
             failure_share: 0.0,
             lapsed_until: None,
+            full: None,
         }
     }
 
@@ -252,6 +260,20 @@
         self.tokens_in_flight = self.tokens_in_flight.saturating_sub(tokens);
     }
 
+    /// Notes that the engine rejected a prompt because it is full. Other daemons have sent it more than
+    /// is known here.
+    pub fn on_full(&mut self, capacity_tokens: u64, now: Duration) {
+        let tokens = capacity_tokens as f64 * FULL_PART;
+        self.full = Some((now + FULL_TIME, tokens as u64));
+    }
+
+    /// Tokens that the requests of this daemon take up, and those that a recent rejection told of.
+    #[must_use]
+    pub fn known_tokens(&self, now: Duration) -> u64 {
+        let full = self.full.filter(|(until, _)| now < *until);
+        self.tokens_in_flight + full.map_or(0, |(_, tokens)| tokens)
+    }
+
     /// Notes the load that came with an answer.
     pub fn on_load(&mut self, load: ReportedLoad, now: Duration) {
         self.reported = Some((load, now));
--- a/crates/gateway/tests/servers.rs
+++ b/crates/gateway/tests/servers.rs
@@ -632,6 +632,29 @@
     assert_eq!(fetch(&mut world), None);
 }
 
+/// Guards against prompts that go on to an engine that rejects them (all daemons restart at once, so none
+/// knows the load of the others), and against refusals because each engine rejected one prompt.
+#[test]
+fn an_engine_that_rejects_prompts_is_spared_while_others_have_room() {
+    let ids = ["s1", "s2", "s3", "s4"];
+    let mut world = World::new(&ids);
+    let prompt = prompt(42);
+    let home = world.place(&prompt, at(1)).expect("server").server;
+    let server = world.servers.get_mut(home).expect("known");
+    server.on_full(100_000, at(2));
+    let spilled = world.place(&prompt, at(100)).expect("server").server;
+    assert_ne!(spilled, home);
+    let back = world.place(&prompt, at(2_000)).expect("server").server;
+    assert_eq!(back, home, "the rejection is long past");
+    for id in ids {
+        let key = world.servers.key_of(id).expect("known");
+        let server = world.servers.get_mut(key).expect("known");
+        server.on_full(100_000, at(2_000));
+    }
+    let placed = world.place(&prompt, at(2_100)).expect("no refusal");
+    assert_eq!(placed.server, home, "all are alike");
+}
+
 /// Guards against engines that run out of memory because a prompt goes to one of them anyway.
 #[test]
 fn a_prompt_for_which_no_engine_has_memory_is_refused() {
