--- /dev/null
+++ b/crates/gateway/src/caches/relay.rs
@@ -0,0 +1,100 @@
+//! What the directory tells other daemons of the stores, and learns from them.
+
+use super::{CacheDirectory, part_update};
+use crate::holder::{HeldPart, Holder};
+use crate::store_log::{Cursor, StoreChange, StoreLog, StorePage, StoreUpdate};
+use std::time::Duration;
+
+impl CacheDirectory {
+    /// Starts or stops to log changes at the stores.
+    pub fn set_logged(&mut self, is_logged: bool, log_id: u64) {
+        match (is_logged, &self.log) {
+            (true, None) => self.log = Some(StoreLog::new(log_id)),
+            (false, Some(_)) => self.log = None,
+            _ => {}
+        }
+    }
+
+    /// What changed at the stores since a cursor, or everything. `None` if this daemon keeps no log.
+    #[must_use]
+    pub fn store_page(&self, cursor: Cursor, now: Duration) -> Option<StorePage> {
+        let log = self.log.as_ref()?;
+        let since = log.since(cursor);
+        let end = log.end();
+        Some(StorePage {
+            log_id: end.log_id,
+            next: end.next,
+            is_snapshot: since.is_none(),
+            clock_ms: self.server_clock_ms(now),
+            changes: since.unwrap_or_else(|| self.store_contents()),
+        })
+    }
+
+    fn store_contents(&self) -> Vec<StoreChange> {
+        let stores = self.holders.values().filter(|holder| holder.is_store());
+        let mut changes = Vec::new();
+        for store in stores.filter(|store| store.was_asked) {
+            let state = if store.is_up {
+                StoreUpdate::Emptied
+            } else {
+                StoreUpdate::Lost
+            };
+            let parts = store.held.values().map(part_update);
+            changes.extend(
+                std::iter::once(state)
+                    .chain(parts)
+                    .map(|update| StoreChange {
+                        store: store.address,
+                        update,
+                    }),
+            );
+        }
+        changes
+    }
+
+    /// Takes over what another daemon tells of the stores, and returns from where to read on.
+    pub fn on_store_page(&mut self, page: StorePage, now: Duration) -> Cursor {
+        if let Some(clock_ms) = page.clock_ms {
+            self.on_clock(clock_ms, now);
+        }
+        if page.is_snapshot {
+            let stores = self.holders.values_mut();
+            stores
+                .filter(|holder| holder.is_store())
+                .for_each(Holder::clear);
+        }
+        for change in page.changes {
+            self.on_store_change(change);
+        }
+        for store in self.holders.values_mut().filter(|holder| holder.is_store()) {
+            store.was_asked = true;
+        }
+        Cursor {
+            log_id: page.log_id,
+            next: page.next,
+        }
+    }
+
+    fn on_store_change(&mut self, change: StoreChange) {
+        let Some(key) = self.by_address.get(&change.store) else {
+            // A store that the configuration here does not name, or not yet.
+            return;
+        };
+        let store = &mut self.holders[*key];
+        match change.update {
+            StoreUpdate::Part { scope, id, tokens } => store.apply(HeldPart { scope, id, tokens }),
+            StoreUpdate::Emptied => {
+                store.clear();
+                store.is_up = true;
+            }
+            StoreUpdate::Lost => store.on_lost(),
+        }
+    }
+
+    /// Notes that nobody tells what the stores hold. What is known stays known.
+    pub fn on_stores_untold(&mut self) {
+        for store in self.holders.values_mut().filter(|holder| holder.is_store()) {
+            store.was_asked = true;
+        }
+    }
+}
--- a/crates/gateway/src/duties/stores.rs
+++ b/crates/gateway/src/duties/stores.rs
@@ -5,10 +5,8 @@
 use crate::front::store_log_target;
 use crate::gateway::Gateway;
 use crate::groups::Role;
-use crate::store_log::{Cursor, StorePage};
-use http::header::HOST;
-use http::{HeaderValue, Request, StatusCode};
-use http_body_util::Full;
+use crate::page::fetch;
+use crate::store_log::Cursor;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -34,7 +32,8 @@
             sleep(RETRY_PAUSE).await;
             continue;
         };
-        match read(&callers, leader, cursor).await {
+        let target = store_log_target(cursor);
+        match fetch(&callers, leader, &target, READ_TIMEOUT).await {
             Ok(page) => {
                 dependency.on_answer(&gateway);
                 let now = gateway.now();
@@ -58,18 +57,3 @@
         _ => None,
     }
 }
-
-async fn read(callers: &Callers, leader: SocketAddr, cursor: Cursor) -> Result<StorePage, String> {
-    let mut request = Request::new(Full::default());
-    *request.uri_mut() = store_log_target(cursor)
-        .parse()
-        .map_err(|error: http::uri::InvalidUri| error.to_string())?;
-    let host = HeaderValue::from_str(&leader.to_string()).map_err(|error| error.to_string())?;
-    request.headers_mut().insert(HOST, host);
-    let call = callers.caller(leader).call(request, READ_TIMEOUT).await;
-    let answer = call.map_err(|error| error.to_string())?;
-    if answer.status != StatusCode::OK {
-        return Err(format!("status {}", answer.status.as_u16()));
-    }
-    StorePage::decode(&answer.body).map_err(|error| error.to_string())
-}
--- a/crates/gateway/src/front/status.rs
+++ b/crates/gateway/src/front/status.rs
@@ -2,8 +2,10 @@
 
 use crate::gateway::Gateway;
 use crate::log::Event;
+use crate::page::encode;
 use crate::ports::{Table, Topic};
 use crate::store_log::Cursor;
+use bincode::Encode;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -12,7 +14,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
-use std::fmt::Display;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -107,7 +108,7 @@
     let cursor = parse_cursor(query).unwrap_or_default();
     let now = gateway.now();
     let page = gateway.state.borrow().caches.store_page(cursor, now);
-    page_response(page.map(|page| page.encode()))
+    page_response(page.as_ref())
 }
 
 /// A read of another daemon's copy of a topic.
@@ -148,11 +149,11 @@
         let log = state.topic_logs.get(&read.topic)?;
         log.page(read.from_offset, now)
     });
-    page_response(page.map(|page| page.encode()))
+    page_response(page.as_ref())
 }
 
-fn page_response<E: Display>(encoded: Option<Result<Vec<u8>, E>>) -> Response<Full<Bytes>> {
-    let (status, body) = match encoded {
+fn page_response(page: Option<&impl Encode>) -> Response<Full<Bytes>> {
+    let (status, body) = match page.map(encode) {
         Some(Ok(bytes)) => (StatusCode::OK, Bytes::from(bytes)),
         Some(Err(error)) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into()),
         None => (StatusCode::NOT_FOUND, Bytes::from_static(b"not kept here")),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod groups;
 pub mod lease;
 pub mod log;
+pub mod page;
 pub mod peers;
 pub mod places;
 pub mod pool;
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -8,13 +8,11 @@
 use crate::front::{TopicRead, topic_log_target};
 use crate::gateway::Gateway;
 use crate::groups::StoreReads;
+use crate::page::fetch;
 use crate::ports::{Changes, StoreError, Table, Topic};
 use crate::topic_log::TopicPage;
 use anvilgw_core::Clock;
 use bytes::Bytes;
-use http::header::HOST;
-use http::{HeaderValue, Request, StatusCode};
-use http_body_util::Full;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -128,7 +126,7 @@
             topic: self.topic,
             from_offset,
         });
-        let page = fetch_page(&self.callers, leader, target).await?;
+        let page: TopicPage = fetch(&self.callers, leader, &target, LEADER_TIMEOUT).await?;
         let age = page.age_ms.map(Duration::from_millis);
         let verified_at = age.map(|age| started_at.saturating_sub(age));
         if age.is_some_and(|age| age > LEADER_AGE_MAX) {
@@ -142,25 +140,6 @@
     }
 }
 
-async fn fetch_page(
-    callers: &Callers,
-    leader: SocketAddr,
-    target: String,
-) -> Result<TopicPage, String> {
-    let mut request = Request::new(Full::default());
-    *request.uri_mut() = target
-        .parse()
-        .map_err(|error: http::uri::InvalidUri| error.to_string())?;
-    let host = HeaderValue::from_str(&leader.to_string()).map_err(|error| error.to_string())?;
-    request.headers_mut().insert(HOST, host);
-    let call = callers.caller(leader).call(request, LEADER_TIMEOUT).await;
-    let answer = call.map_err(|error| error.to_string())?;
-    if answer.status != StatusCode::OK {
-        return Err(format!("status {}", answer.status.as_u16()));
-    }
-    TopicPage::decode(&answer.body).map_err(|error| error.to_string())
-}
-
 /// The daemon whose copies this one reads.
 pub(crate) fn leader_of(gateway: &Gateway) -> Option<SocketAddr> {
     match gateway.state.borrow().store_reads {
--- a/crates/gateway/src/store_log.rs
+++ b/crates/gateway/src/store_log.rs
@@ -4,28 +4,12 @@
 //! the others read this log.
 
 use bincode::{Decode, Encode};
-use quick_error::quick_error;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 /// Changes that are kept. A daemon that is further behind reads everything anew.
 const KEPT_CHANGES: usize = 4096;
 
-quick_error! {
-    /// Why bytes are not a page of changes.
-    #[derive(Debug)]
-    pub enum PageError {
-        /// The bytes cannot be read.
-        Decode(error: bincode::error::DecodeError) {
-            display("not a page of store changes: {}", error)
-        }
-        /// The page cannot be written.
-        Encode(error: bincode::error::EncodeError) {
-            display("the page of store changes cannot be written: {}", error)
-        }
-    }
-}
-
 /// A change at a store.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum StoreUpdate {
@@ -77,28 +61,6 @@
     pub changes: Vec<StoreChange>,
 }
 
-impl StorePage {
-    /// Writes the page.
-    ///
-    /// # Errors
-    ///
-    /// The encoder refuses the page.
-    pub fn encode(&self) -> Result<Vec<u8>, PageError> {
-        bincode::encode_to_vec(self, bincode::config::standard()).map_err(PageError::Encode)
-    }
-
-    /// Reads a page.
-    ///
-    /// # Errors
-    ///
-    /// The bytes are no page.
-    pub fn decode(bytes: &[u8]) -> Result<Self, PageError> {
-        let (page, _) = bincode::decode_from_slice(bytes, bincode::config::standard())
-            .map_err(PageError::Decode)?;
-        Ok(page)
-    }
-}
-
 /// The newest changes at the stores.
 #[derive(Debug)]
 pub struct StoreLog {
--- a/crates/gateway/src/topic_log.rs
+++ b/crates/gateway/src/topic_log.rs
@@ -2,7 +2,6 @@
 
 use bincode::{Decode, Encode};
 use bytes::Bytes;
-use quick_error::quick_error;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -11,21 +10,6 @@
 /// Bytes of records after which a page ends. One record may exceed it.
 const PAGE_BYTES: usize = 256 * 1024;
 
-quick_error! {
-    /// Why bytes are not a page of records.
-    #[derive(Debug)]
-    pub enum TopicPageError {
-        /// The bytes cannot be read.
-        Decode(error: bincode::error::DecodeError) {
-            display("not a page of records: {}", error)
-        }
-        /// The page cannot be written.
-        Encode(error: bincode::error::EncodeError) {
-            display("the page of records cannot be written: {}", error)
-        }
-    }
-}
-
 /// Records of a topic from an offset on.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct TopicPage {
@@ -38,28 +22,6 @@
     pub records: Vec<Vec<u8>>,
 }
 
-impl TopicPage {
-    /// Writes the page.
-    ///
-    /// # Errors
-    ///
-    /// The encoder refuses the page.
-    pub fn encode(&self) -> Result<Vec<u8>, TopicPageError> {
-        bincode::encode_to_vec(self, bincode::config::standard()).map_err(TopicPageError::Encode)
-    }
-
-    /// Reads a page.
-    ///
-    /// # Errors
-    ///
-    /// The bytes are no page.
-    pub fn decode(bytes: &[u8]) -> Result<Self, TopicPageError> {
-        let (page, _) = bincode::decode_from_slice(bytes, bincode::config::standard())
-            .map_err(TopicPageError::Decode)?;
-        Ok(page)
-    }
-}
-
 /// The newest records of one topic.
 #[derive(Debug, Default)]
 pub struct TopicLog {
--- a/crates/gateway/tests/relays.rs
+++ b/crates/gateway/tests/relays.rs
@@ -2,6 +2,7 @@
 //! of their group.
 
 use anvilgw_gateway::caches::{CacheDirectory, CacheEvents, HeldPart, StoreSpec};
+use anvilgw_gateway::page::{decode, encode};
 use anvilgw_gateway::store_log::{Cursor, StorePage};
 use anvilgw_gateway::topic_log::{TopicLog, TopicPage};
 use bytes::Bytes;
@@ -73,7 +74,7 @@
         let page = log.page(case.from, at(1_900));
         assert_eq!(page.is_some(), case.expected.is_some(), "{}", case.name);
         let Some(page) = page else { continue };
-        let decoded = TopicPage::decode(&page.encode().expect("encodes")).expect("decodes");
+        let decoded = decode::<TopicPage>(&encode(&page).expect("encodes")).expect("decodes");
         assert_eq!(decoded, page, "{}", case.name);
         assert_eq!(
             texts(&page),
@@ -171,8 +172,8 @@
 
 fn read(leader: &CacheDirectory, follower: &mut CacheDirectory, cursor: Cursor) -> Cursor {
     let page = leader.store_page(cursor, at(10)).expect("keeps a log");
-    let bytes = page.encode().expect("encodes");
-    let decoded = StorePage::decode(&bytes).expect("decodes");
+    let bytes = encode(&page).expect("encodes");
+    let decoded = decode::<StorePage>(&bytes).expect("decodes");
     assert_eq!(decoded, page);
     follower.on_store_page(decoded, at(10))
 }
