--- a/crates/gateway/src/duties/fleet.rs
+++ b/crates/gateway/src/duties/fleet.rs
@@ -13,9 +13,9 @@
 /// Shortest time between two reads of the members. When many daemons restart one after the other,
 /// the membership changes all the time.
 const MEMBERS_PAUSE: Duration = Duration::from_secs(4);
-/// The same shortly after the start, when the whole fleet may be starting: each daemon finds its leader
-/// only once the others have joined.
-const MEMBERS_PAUSE_AT_START: Duration = Duration::from_millis(400);
+/// Pause between two joins, and between two reads of the members, shortly after the start. The whole fleet
+/// may be starting, and each daemon finds its leader only once the others have joined.
+const START_PAUSE: Duration = Duration::from_millis(400);
 /// Time after the start for which that pause holds.
 const START_TIME: Duration = Duration::from_secs(2);
 /// Pause after a failed join.
@@ -60,7 +60,7 @@
 
 fn join_pause(gateway: &Gateway) -> Duration {
     if gateway.uptime() < START_TIME {
-        MEMBERS_PAUSE_AT_START
+        START_PAUSE
     } else {
         JOIN_PAUSE
     }
@@ -68,7 +68,7 @@
 
 fn members_pause(gateway: &Gateway) -> Duration {
     if gateway.uptime() < START_TIME {
-        MEMBERS_PAUSE_AT_START
+        START_PAUSE
     } else {
         MEMBERS_PAUSE
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -285,13 +285,6 @@
             .collect()
     }
 
-    /// Age of the oldest report that counts.
-    #[must_use]
-    pub fn age(&self, now: Duration) -> Option<Duration> {
-        let received = self.reports.values().map(|report| report.received_at);
-        Some(now.saturating_sub(received.min()?))
-    }
-
     fn remove_where(&mut self, is_removed: impl Fn(&Source) -> bool) {
         let removed: Vec<Source> = self.reports.keys().copied().filter(is_removed).collect();
         for source in removed {
