Copy cache events for a log only where one is kept; one pause rule at start

The directory of caches cloned the names of every part that an event told, also of engines and where no daemon reads a log. Two pauses of the membership duty differed in one constant. A new sum of the fleet was removed twice. Comments name what the address of a member is for. No change of behaviour.

--- a/crates/gateway/src/caches.rs
+++ b/crates/gateway/src/caches.rs
@@ -205,7 +205,7 @@
         let has_restarted = holder.epoch != events.epoch;
         if has_restarted {
             holder.clear();
-            log_update(&mut self.log, holder, StoreUpdate::Emptied);
+            log_update(&mut self.log, holder, || StoreUpdate::Emptied);
         }
         let is_first = holder.epoch == 0;
         if events.has_gap && !holder.is_store() {
@@ -216,7 +216,7 @@
         holder.is_up = true;
         holder.next_event = events.next;
         for part in events.changes {
-            log_update(&mut self.log, holder, part_update(&part));
+            log_update(&mut self.log, holder, || part_update(&part));
             holder.apply(part);
         }
         let needs_list = events.has_gap && holder.is_store() && (is_first || !has_restarted);
@@ -228,7 +228,7 @@
     pub fn on_list(&mut self, key: HolderKey, list: CacheEvents, now: Duration) {
         if let Some(holder) = self.holders.get_mut(key) {
             holder.clear();
-            log_update(&mut self.log, holder, StoreUpdate::Emptied);
+            log_update(&mut self.log, holder, || StoreUpdate::Emptied);
         }
         self.on_events(key, list, now);
     }
@@ -244,7 +244,7 @@
     pub fn on_lost(&mut self, key: HolderKey) {
         if let Some(holder) = self.holders.get_mut(key) {
             holder.on_lost();
-            log_update(&mut self.log, holder, StoreUpdate::Lost);
+            log_update(&mut self.log, holder, || StoreUpdate::Lost);
         }
     }
 
@@ -323,7 +323,7 @@
                 ..part.clone()
             };
             let holder = &mut self.holders[*key];
-            log_update(&mut self.log, holder, part_update(&gone));
+            log_update(&mut self.log, holder, || part_update(&gone));
             holder.apply(gone);
         }
     }
@@ -337,13 +337,14 @@
     }
 }
 
-fn log_update(log: &mut Option<StoreLog>, holder: &Holder, update: StoreUpdate) {
+/// Logs an update of a store. It is made only if a log is kept: engines have many events.
+fn log_update(log: &mut Option<StoreLog>, holder: &Holder, update: impl FnOnce() -> StoreUpdate) {
     if let Some(log) = log
         && holder.is_store()
     {
         log.push(StoreChange {
             store: holder.address,
-            update,
+            update: update(),
         });
     }
 }
--- a/crates/gateway/src/duties/fleet.rs
+++ b/crates/gateway/src/duties/fleet.rs
@@ -35,7 +35,7 @@
                 if joined.generation != members_generation && now >= read_members_at {
                     read_members(&gateway).await;
                     members_generation = joined.generation;
-                    read_members_at = now + members_pause(&gateway);
+                    read_members_at = now + pause_or_start(&gateway, MEMBERS_PAUSE);
                 }
                 if joined.generation != generation {
                     gateway.log_notable(&Event::FleetShare {
@@ -45,7 +45,7 @@
                 }
                 generation = joined.generation;
                 gateway.state.borrow_mut().share = joined.share;
-                sleep(join_pause(&gateway)).await;
+                sleep(pause_or_start(&gateway, JOIN_PAUSE)).await;
             }
             Err(error) => {
                 dependency.on_failure(&gateway, &error.to_string());
@@ -58,19 +58,12 @@
     }
 }
 
-fn join_pause(gateway: &Gateway) -> Duration {
+/// A pause, or the shorter one shortly after the start.
+fn pause_or_start(gateway: &Gateway, pause: Duration) -> Duration {
     if gateway.uptime() < START_TIME {
         START_PAUSE
     } else {
-        JOIN_PAUSE
-    }
-}
-
-fn members_pause(gateway: &Gateway) -> Duration {
-    if gateway.uptime() < START_TIME {
-        START_PAUSE
-    } else {
-        MEMBERS_PAUSE
+        pause
     }
 }
 
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -24,7 +24,7 @@
 /// A daemon of the fleet.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Member {
-    /// Address for load reports.
+    /// Address for the other daemons.
     pub address: SocketAddr,
     /// Failure domain.
     pub failure_domain: String,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -223,8 +223,9 @@
         if report.scope == Scope::Fleet {
             // A new leader replaces the one before it.
             self.remove_where(|other| other.part == source.part);
+        } else {
+            self.remove(source);
         }
-        self.remove(source);
         for load in &report.loads {
             *self.tokens.entry(load.server_hash).or_default() += load.tokens();
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -33,7 +33,7 @@
     pub listen_clients: SocketAddr,
     /// Address for readiness checks.
     pub listen_ready: SocketAddr,
-    /// Address for load reports of the other daemons.
+    /// Address for load reports and reads of the other daemons.
     pub listen_peers: Option<SocketAddr>,
     /// Address that serves the metrics.
     pub listen_metrics: Option<SocketAddr>,
