Ask the selection whether a stream could go on elsewhere

Cause, found on reading: the check that decides whether a stalled stream leaves its server counted any listed server that was not tried. One out of the regions of the request, with an open breaker, cold or switching weights counted too, so a slow but sound stream could be dropped and then find no server.

Change: the selection's own rules answer; the query of a request is built in one place for both. Test only_servers_that_could_take_a_request_are_an_alternative: its cases for region, breaker and switch would have counted as alternatives before.

--- a/crates/gateway/src/dispatch/stream.rs
+++ b/crates/gateway/src/dispatch/stream.rs
@@ -8,6 +8,7 @@
 use super::call::Call;
 use super::progress::Progress;
 use super::retries::with_retries;
+use super::target::has_alternative;
 use crate::answer::{AnswerBody, BodyError, full_body, refuse};
 use crate::configuration::RouteKind;
 use crate::gateway::Gateway;
@@ -283,9 +284,8 @@
         let (sent, connect_failures) = (self.progress.sent, self.progress.connect_failures);
         let is_allowed = self.policy.allows(&cause, sent, connect_failures);
         is_allowed
-            && self
-                .gateway
-                .has_untried_server(&self.call.service, &self.progress.tried)
+            && self.gateway.has_retry(&self.call.service.name)
+            && has_alternative(&self.gateway, &self.call, &self.progress)
     }
 
     fn at_end(&self) -> Step {
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -9,9 +9,10 @@
 use crate::log::{Choice, PromptChoice};
 use crate::places::Places;
 use crate::retry::Cause;
-use crate::select::{CacheUse, NoServer, PromptQuery, Query, Selected, select};
-use crate::server::{Server, ServerKey};
+use crate::select::{CacheUse, NoServer, PromptQuery, Query, Selected, has_usable, select};
+use crate::server::{Server, ServerKey, Servers};
 use crate::weights::{FETCH_TIME_MAX, oldest_allowed};
+use rand::rngs::SmallRng;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -123,6 +124,37 @@
     progress: &Progress,
     is_waiting: bool,
 ) -> Result<Target, Cause> {
+    let now = gateway.now();
+    let selected = with_query(
+        gateway,
+        call,
+        progress,
+        is_waiting,
+        |servers, query, rng| select(servers, query, now, rng).map_err(Cause::NoServer),
+    )?;
+    let state = gateway.state.borrow();
+    let server = state
+        .servers
+        .get(selected.server)
+        .ok_or(Cause::NoServer(NoServer::NoneInService))?;
+    Ok(Target::new(server, selected, &state.caches, now))
+}
+
+/// Whether a server could take the request that was not tried yet.
+pub(super) fn has_alternative(gateway: &Gateway, call: &Call, progress: &Progress) -> bool {
+    with_query(gateway, call, progress, false, |servers, query, _| {
+        has_usable(servers, query, gateway.now())
+    })
+}
+
+/// Gives what a request needs, and the servers, to a decision.
+fn with_query<T>(
+    gateway: &Gateway,
+    call: &Call,
+    progress: &Progress,
+    is_waiting: bool,
+    decide: impl FnOnce(&mut Servers, &Query<'_>, &mut SmallRng) -> T,
+) -> T {
     let now = gateway.now();
     let state = &mut *gateway.state.borrow_mut();
     let prompt = call.meta.prompt.as_ref().map(|prompt| {
@@ -164,13 +196,7 @@
         tried: &progress.tried,
         share: state.share,
     };
-    let selected =
-        select(&mut state.servers, &query, now, &mut state.rng).map_err(Cause::NoServer)?;
-    let server = state
-        .servers
-        .get(selected.server)
-        .ok_or(Cause::NoServer(NoServer::NoneInService))?;
-    Ok(Target::new(server, selected, &state.caches, now))
+    decide(&mut state.servers, &query, &mut state.rng)
 }
 
 fn prompt_choice(cache: &CacheUse) -> PromptChoice {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -238,19 +238,13 @@
         state.budgets.insert(service.to_owned(), budget);
     }
 
-    /// Whether a server of a service is in service that was not tried yet, and a retry is left for it.
-    pub(crate) fn has_untried_server(&self, service: &Service, tried: &[ServerKey]) -> bool {
+    /// Whether a retry is left in the budget of a service.
+    pub(crate) fn has_retry(&self, service: &str) -> bool {
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
-        let servers = &state.servers;
-        let is_untried = servers.iter().any(|(key, server)| {
-            server.entry.service == service.name
-                && servers.is_in_service(server)
-                && !tried.contains(&key)
-        });
         let share = state.share;
-        let budget = state.budgets.get_mut(&service.name);
-        is_untried && budget.is_some_and(|budget| budget.allows(share, now))
+        let budget = state.budgets.get_mut(service);
+        budget.is_some_and(|budget| budget.allows(share, now))
     }
 
     /// Takes one retry from the budget of a service.
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -125,14 +125,7 @@
     now: Duration,
     rng: &mut impl Rng,
 ) -> Result<Selected, NoServer> {
-    let in_service: Vec<ServerKey> = servers
-        .iter()
-        .filter(|(_, server)| server.entry.service == query.service.name)
-        .filter(|(_, server)| servers.is_in_service(server))
-        .filter(|(_, server)| query.places.allow(&server.entry.failure_domain))
-        .filter(|(_, server)| has_weights(server, query.prompt.as_ref()))
-        .map(|(key, _)| key)
-        .collect();
+    let in_service = servers_in_service(servers, query);
     if in_service.is_empty() {
         return Err(NoServer::NoneInService);
     }
@@ -153,6 +146,23 @@
     Ok(selected)
 }
 
+/// Whether a server could take the request that was not tried yet. It may still lack memory.
+pub fn has_usable(servers: &mut Servers, query: &Query<'_>, now: Duration) -> bool {
+    let in_service = servers_in_service(servers, query);
+    !usable_servers(servers, &in_service, query, now).is_empty()
+}
+
+fn servers_in_service(servers: &Servers, query: &Query<'_>) -> Vec<ServerKey> {
+    servers
+        .iter()
+        .filter(|(_, server)| server.entry.service == query.service.name)
+        .filter(|(_, server)| servers.is_in_service(server))
+        .filter(|(_, server)| query.places.allow(&server.entry.failure_domain))
+        .filter(|(_, server)| has_weights(server, query.prompt.as_ref()))
+        .map(|(key, _)| key)
+        .collect()
+}
+
 fn has_weights(server: &Server, prompt: Option<&PromptQuery<'_>>) -> bool {
     let Some(query) = prompt else { return true };
     let version = server.version_of(&query.prompt.model);
--- a/crates/gateway/tests/servers.rs
+++ b/crates/gateway/tests/servers.rs
@@ -6,8 +6,10 @@
 use anvilgw_gateway::peers::{EngineLoad, LoadReport, PeerLoads, Scope};
 use anvilgw_gateway::places::Places;
 use anvilgw_gateway::request::{Prompt, PromptPart};
-use anvilgw_gateway::select::{NoServer, PromptQuery, Query, Selected, select};
-use anvilgw_gateway::server::{ServedModel, ServerEntry, ServerState, Servers, load_hash};
+use anvilgw_gateway::select::{NoServer, PromptQuery, Query, Selected, has_usable, select};
+use anvilgw_gateway::server::{
+    ServedModel, ServerEntry, ServerKey, ServerState, Servers, load_hash,
+};
 use anvilgw_gateway::weights::{NamedWeights, Naming, OldPartTimes};
 use indexmap::{IndexMap, IndexSet};
 use rand::SeedableRng;
@@ -111,6 +113,23 @@
         self.peers.on_report(&Role::default(), report, now);
     }
 
+    /// Whether a server could take a request that was tried at another one.
+    fn has_usable_but(&mut self, tried: ServerKey, now: Duration) -> bool {
+        let service = service(0.0);
+        let query = Query {
+            service: &service,
+            places: Places {
+                regions: &self.regions,
+                route: &self.confined_to,
+                workspace: &[],
+            },
+            prompt: None,
+            tried: &[tried],
+            share: 1.0,
+        };
+        has_usable(&mut self.servers, &query, now)
+    }
+
     fn place(&mut self, prompt: &Prompt, now: Duration) -> Result<Selected, NoServer> {
         self.place_within(prompt, 90_000.0, now)
     }
@@ -655,6 +674,62 @@
     assert_eq!(placed.server, home, "all are alike");
 }
 
+/// Guards against a slow stream that is given up for a server that may not take it: the stream would be
+/// cut although it was sound.
+#[test]
+fn only_servers_that_could_take_a_request_are_an_alternative() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut World, ServerKey),
+        expected: bool,
+    }
+    let cases = [
+        Case {
+            name: "sound",
+            change: |_, _| {},
+            expected: true,
+        },
+        Case {
+            name: "out of the regions of the route",
+            change: |world, _| world.confined_to = vec!["south".to_owned()],
+            expected: false,
+        },
+        Case {
+            name: "unreachable",
+            change: |world, key| {
+                let server = world.servers.get_mut(key).expect("known");
+                server.on_unreachable(at(1));
+            },
+            expected: false,
+        },
+        Case {
+            name: "switching weights",
+            change: |world, key| {
+                let server = world.servers.get_mut(key).expect("known");
+                server.switching_until = at(5_000);
+            },
+            expected: false,
+        },
+        Case {
+            name: "leaving",
+            change: |world, _| {
+                let mut leaving = entry("s2");
+                leaving.state = ServerState::Draining;
+                world.servers.on_seen(leaving, at(1));
+            },
+            expected: false,
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(&["s1", "s2"]);
+        let current = world.servers.key_of("s1").expect("known");
+        let other = world.servers.key_of("s2").expect("known");
+        (case.change)(&mut world, other);
+        let found = world.has_usable_but(current, at(2));
+        assert_eq!(found, case.expected, "{}", case.name);
+    }
+}
+
 /// Guards against engines that run out of memory because a prompt goes to one of them anyway.
 #[test]
 fn a_prompt_for_which_no_engine_has_memory_is_refused() {
