Serve copies to other daemons on their own address only

Cause, found on reading: the pages that followers read, among them the operators' table with the keys of workspaces, were also served on the addresses for readiness checks and metrics, because all three listeners shared one set of paths.

Change: one listener type takes the function that answers; copies have a module of their own.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Starts and stops the daemon.
 
 use crate::duties;
-use crate::front::{ClientListener, StatusListener};
+use crate::front::{Answer, ClientListener, InternalListener, answer_daemon, answer_status};
 use crate::gateway::{Gateway, Ports};
 use crate::log::{Event, EventLog};
 use crate::settings::GatewaySettings;
@@ -96,9 +96,9 @@
         let settings = &gateway.settings;
         let clients = listen(settings.listen_clients).await?;
         let clients = Rc::new(ClientListener::new(Rc::clone(&gateway), clients));
-        spawn_status(&gateway, settings.listen_ready).await?;
+        spawn_internal(&gateway, settings.listen_ready, answer_status).await?;
         if let Some(address) = settings.listen_metrics {
-            spawn_status(&gateway, address).await?;
+            spawn_internal(&gateway, address, answer_status).await?;
         }
         gateway.log_notable(&Event::Started {
             instance: &settings.instance,
@@ -129,9 +129,14 @@
         .map_err(|error| DaemonError::Listen(address, error))
 }
 
-async fn spawn_status(gateway: &Rc<Gateway>, address: SocketAddr) -> Result<(), DaemonError> {
-    let status = StatusListener::new(Rc::clone(gateway), listen(address).await?);
-    spawn_local(async move { status.run().await });
+async fn spawn_internal(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+    answer: Answer,
+) -> Result<(), DaemonError> {
+    let listener = listen(address).await?;
+    let internal = InternalListener::new(Rc::clone(gateway), listener, answer);
+    spawn_local(async move { internal.run().await });
     Ok(())
 }
 
@@ -140,7 +145,7 @@
         .await
         .map_err(|error| DaemonError::Listen(address, error))?;
     let socket = Rc::new(socket);
-    spawn_status(gateway, address).await?;
+    spawn_internal(gateway, address, answer_daemon).await?;
     spawn_local(duties::stores::run(Rc::clone(gateway)));
     spawn_local(duties::peers::receive(
         Rc::clone(gateway),
--- /dev/null
+++ b/crates/gateway/src/front/copies.rs
@@ -0,0 +1,104 @@
+//! Serves copies of what this daemon reads, on the address for other daemons only: they hold the keys of
+//! workspaces.
+
+use crate::gateway::Gateway;
+use crate::page::encode;
+use crate::ports::{Table, Topic};
+use crate::store_log::Cursor;
+use bincode::Encode;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+/// Path of the copies of topics of the metadata store.
+const TOPIC_LOG_PATH: &str = "/topics";
+/// Path of the log of the stores.
+const STORE_LOG_PATH: &str = "/stores";
+
+/// Answers a read of another daemon.
+pub(crate) fn answer_daemon(
+    gateway: &Gateway,
+    request: &Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let query = request.uri().query().unwrap_or_default();
+    match request.uri().path() {
+        STORE_LOG_PATH => store_log(gateway, query),
+        TOPIC_LOG_PATH => topic_log(gateway, query),
+        _ => page_response(None::<&()>),
+    }
+}
+
+/// Target of a read of another daemon's log of the stores.
+pub(crate) fn store_log_target(cursor: Cursor) -> String {
+    format!("{STORE_LOG_PATH}?{}.{}", cursor.log_id, cursor.next)
+}
+
+fn parse_cursor(query: &str) -> Option<Cursor> {
+    let (log_id, next) = query.split_once('.')?;
+    Some(Cursor {
+        log_id: log_id.parse().ok()?,
+        next: next.parse().ok()?,
+    })
+}
+
+/// Answers with what changed at the stores. A daemon that keeps no log is not the leader that the
+/// reader takes it for.
+fn store_log(gateway: &Gateway, query: &str) -> Response<Full<Bytes>> {
+    let cursor = parse_cursor(query).unwrap_or_default();
+    let now = gateway.now();
+    let page = gateway.state.borrow().caches.store_page(cursor, now);
+    page_response(page.as_ref())
+}
+
+/// A read of another daemon's copy of a topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct TopicRead {
+    pub(crate) topic: Topic,
+    pub(crate) from_offset: u64,
+}
+
+/// Names of topics between daemons.
+const TOPIC_NAMES: [(&str, Topic); 3] = [
+    ("operators", Topic::Table(Table::Operators)),
+    ("servers", Topic::Table(Table::Servers)),
+    ("leases", Topic::Leases),
+];
+
+/// Target of a read of another daemon's copy of a topic.
+pub(crate) fn topic_log_target(read: TopicRead) -> String {
+    let mut names = TOPIC_NAMES.iter();
+    let name = names.find(|(_, topic)| *topic == read.topic);
+    let name = name.map_or("", |(name, _)| name);
+    format!("{TOPIC_LOG_PATH}?{name}.{}", read.from_offset)
+}
+
+fn parse_topic_read(query: &str) -> Option<TopicRead> {
+    let (name, from_offset) = query.split_once('.')?;
+    let (_, topic) = TOPIC_NAMES.iter().find(|(known, _)| *known == name)?;
+    Some(TopicRead {
+        topic: *topic,
+        from_offset: from_offset.parse().ok()?,
+    })
+}
+
+fn topic_log(gateway: &Gateway, query: &str) -> Response<Full<Bytes>> {
+    let now = gateway.now();
+    let state = gateway.state.borrow();
+    let page = parse_topic_read(query).and_then(|read| {
+        let log = state.topic_logs.get(&read.topic)?;
+        log.page(read.from_offset, now)
+    });
+    page_response(page.as_ref())
+}
+
+fn page_response(page: Option<&impl Encode>) -> Response<Full<Bytes>> {
+    let (status, body) = match page.map(encode) {
+        Some(Ok(bytes)) => (StatusCode::OK, Bytes::from(bytes)),
+        Some(Err(error)) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into()),
+        None => (StatusCode::NOT_FOUND, Bytes::from_static(b"not kept here")),
+    };
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
