Derive role and source of reads from one list of groups

Both were computed from groups of their own, each of which hashed every member twice. No change of behaviour; the tests call the one constructor.

--- a/crates/gateway/src/duties/fleet.rs
+++ b/crates/gateway/src/duties/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
-use crate::groups::{Member, Role, StoreReads};
+use crate::groups::{Member, Place, StoreReads};
 use crate::log::Event;
 use std::rc::Rc;
 use std::time::Duration;
@@ -82,13 +82,12 @@
     let Some(own) = gateway.settings.listen_peers else {
         return;
     };
-    let role = Role::of(own, members);
+    let Place { role, store_reads } = Place::of(own, members);
     let state = &mut *gateway.state.borrow_mut();
     let is_same_kind = state
         .role
         .as_ref()
         .is_some_and(|known| std::mem::discriminant(known) == std::mem::discriminant(&role));
-    let store_reads = StoreReads::of(own, members);
     if store_reads != StoreReads::ForGroup {
         state.topic_logs.clear();
     }
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -19,7 +19,7 @@
 const MESH_MEMBERS_MAX: usize = 32;
 /// Daemons of a group. Near the square root of some hundred daemons, where a leader has about as many
 /// members as fellow leaders.
-const GROUP_MEMBERS: usize = 12;
+const GROUP_MEMBERS: u64 = 12;
 
 /// A daemon of the fleet.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -64,21 +64,6 @@
     FromLeader(SocketAddr),
 }
 
-impl StoreReads {
-    /// How the daemon at `own` among the members of the fleet learns of changes.
-    #[must_use]
-    pub fn of(own: SocketAddr, members: &[Member]) -> Self {
-        let Some(own_member) = members.iter().find(|member| member.address == own) else {
-            return Self::Itself;
-        };
-        let groups = Groups::new(members);
-        match groups.leader_of(groups.group_of(own_member)) {
-            Some(leader) if leader != own => Self::FromLeader(leader),
-            _ => Self::ForGroup,
-        }
-    }
-}
-
 impl Default for Role {
     fn default() -> Self {
         Self::Mesh { peers: Vec::new() }
@@ -86,33 +71,6 @@
 }
 
 impl Role {
-    /// The role of the daemon at `own` among the members of the fleet.
-    #[must_use]
-    pub fn of(own: SocketAddr, members: &[Member]) -> Self {
-        let others = members.iter().filter(|member| member.address != own);
-        if members.len() <= MESH_MEMBERS_MAX {
-            let peers = others.map(|member| member.address).collect();
-            return Self::Mesh { peers };
-        }
-        let Some(own_member) = members.iter().find(|member| member.address == own) else {
-            // The fleet does not list this daemon yet, so no group counts on it.
-            return Self::default();
-        };
-        let groups = Groups::new(members);
-        let own_group = groups.group_of(own_member);
-        let leader = groups.leader_of(own_group).unwrap_or(own);
-        if leader != own {
-            return Self::Follower { leader };
-        }
-        Self::Leader {
-            followers: others
-                .filter(|member| groups.group_of(member) == own_group)
-                .map(|member| member.address)
-                .collect(),
-            leaders: groups.leaders().filter(|leader| *leader != own).collect(),
-        }
-    }
-
     /// Name for logs.
     #[must_use]
     pub fn name(&self) -> &'static str {
@@ -134,6 +92,49 @@
     }
 }
 
+/// What a daemon does for the others, and from where it learns.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Place {
+    /// What it does in the exchange of load reports.
+    pub role: Role,
+    /// From where it learns what changes in the metadata store.
+    pub store_reads: StoreReads,
+}
+
+impl Place {
+    /// The place of the daemon at `own` among the members of the fleet.
+    #[must_use]
+    pub fn of(own: SocketAddr, members: &[Member]) -> Self {
+        let groups = Groups::new(members);
+        let leader = groups.leader_of(own);
+        Self {
+            role: role(own, leader, &groups),
+            store_reads: match leader {
+                // The fleet does not list this daemon yet, so no group counts on it.
+                None => StoreReads::Itself,
+                Some(leader) if leader == own => StoreReads::ForGroup,
+                Some(leader) => StoreReads::FromLeader(leader),
+            },
+        }
+    }
+}
+
+fn role(own: SocketAddr, leader: Option<SocketAddr>, groups: &Groups) -> Role {
+    if groups.by_member.len() <= MESH_MEMBERS_MAX {
+        let addresses = groups.by_member.keys().copied();
+        let peers = addresses.filter(|address| *address != own).collect();
+        return Role::Mesh { peers };
+    }
+    match leader {
+        None => Role::default(),
+        Some(leader) if leader == own => Role::Leader {
+            followers: groups.others_in_group(own).collect(),
+            leaders: groups.leaders().filter(|leader| *leader != own).collect(),
+        },
+        Some(leader) => Role::Follower { leader },
+    }
+}
+
 /// Position of a group: its failure domain and its number in it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct GroupKey {
@@ -141,13 +142,6 @@
     number: u64,
 }
 
-/// The groups of a large fleet.
-struct Groups<'a> {
-    /// Failure domains with the number of their groups.
-    domains: IndexMap<&'a str, u64>,
-    leaders: IndexMap<GroupKey, Candidate>,
-}
-
 /// The daemon with the lowest hash leads its group, so a daemon that joins or leaves changes few
 /// leaders.
 #[derive(Clone, Copy)]
@@ -156,51 +150,60 @@
     address: SocketAddr,
 }
 
-impl<'a> Groups<'a> {
-    fn new(members: &'a [Member]) -> Self {
-        let mut domains: IndexMap<&str, u64> = IndexMap::new();
+/// The groups of a fleet.
+struct Groups {
+    by_member: IndexMap<SocketAddr, GroupKey>,
+    leaders: IndexMap<GroupKey, Candidate>,
+}
+
+impl Groups {
+    fn new(members: &[Member]) -> Self {
+        let mut sizes: IndexMap<&str, u64> = IndexMap::new();
         for member in members {
-            *domains.entry(&member.failure_domain).or_default() += 1;
-        }
-        for count in domains.values_mut() {
-            *count = count.div_ceil(GROUP_MEMBERS as u64);
+            *sizes.entry(&member.failure_domain).or_default() += 1;
         }
         let mut groups = Self {
-            domains,
+            by_member: IndexMap::new(),
             leaders: IndexMap::new(),
         };
         for member in members {
-            let key = groups.group_of(member);
-            let candidate = Candidate {
-                hash: member_hash(member),
-                address: member.address,
+            let hash = name_hash(&member.address.to_string());
+            let Some((domain, _, size)) = sizes.get_full(member.failure_domain.as_str()) else {
+                continue;
             };
-            let leader = groups.leaders.entry(key).or_insert(candidate);
-            if candidate.hash < leader.hash {
-                *leader = candidate;
-            }
+            let key = GroupKey {
+                domain,
+                number: hash % size.div_ceil(GROUP_MEMBERS),
+            };
+            let address = member.address;
+            groups.add(key, Candidate { hash, address });
         }
         groups
     }
 
-    fn group_of(&self, member: &Member) -> GroupKey {
-        let domain = self.domains.get_full(member.failure_domain.as_str());
-        let (domain, _, count) = domain.unwrap_or((0, &"", &1));
-        GroupKey {
-            domain,
-            number: member_hash(member) % (*count).max(1),
+    fn add(&mut self, key: GroupKey, member: Candidate) {
+        self.by_member.insert(member.address, key);
+        let leader = self.leaders.entry(key).or_insert(member);
+        if member.hash < leader.hash {
+            *leader = member;
         }
     }
 
-    fn leader_of(&self, group: GroupKey) -> Option<SocketAddr> {
-        self.leaders.get(&group).map(|leader| leader.address)
+    /// The leader of the group of a member, if it is one.
+    fn leader_of(&self, member: SocketAddr) -> Option<SocketAddr> {
+        let group = self.by_member.get(&member)?;
+        self.leaders.get(group).map(|leader| leader.address)
+    }
+
+    fn others_in_group(&self, own: SocketAddr) -> impl Iterator<Item = SocketAddr> {
+        let group = self.by_member.get(&own);
+        let others = self.by_member.iter();
+        others
+            .filter(move |(address, key)| Some(*key) == group && **address != own)
+            .map(|(address, _)| *address)
     }
 
     fn leaders(&self) -> impl Iterator<Item = SocketAddr> {
         self.leaders.values().map(|leader| leader.address)
     }
 }
-
-fn member_hash(member: &Member) -> u64 {
-    name_hash(&member.address.to_string())
-}
--- a/crates/gateway/tests/deployments.rs
+++ b/crates/gateway/tests/deployments.rs
@@ -3,7 +3,7 @@
 use anvilgw_gateway::budget::{RetryBound, RetryBudget};
 use anvilgw_gateway::caches::{CacheDirectory, StoreSpec};
 use anvilgw_gateway::configuration::{EngineSpec, Service};
-use anvilgw_gateway::groups::{Member, Role, StoreReads};
+use anvilgw_gateway::groups::{Member, Place, Role, StoreReads};
 use anvilgw_gateway::peers::{EngineLoad, PeerLoads, Reporter, Scope, report_period};
 use anvilgw_gateway::places::Places;
 use anvilgw_gateway::request::{Prompt, PromptPart};
@@ -356,7 +356,7 @@
 
 fn roles(members: &[Member]) -> Vec<Role> {
     let addresses = members.iter().map(|member| member.address);
-    addresses.map(|own| Role::of(own, members)).collect()
+    addresses.map(|own| Place::of(own, members).role).collect()
 }
 
 /// Guards against daemons that nobody counts, or that are counted twice, and against a store that is
@@ -429,8 +429,9 @@
     for deployment in DEPLOYMENTS {
         let members = members(deployment.daemons, deployment.domains);
         let addresses = members.iter().map(|member| member.address);
-        let reads_of_all: Vec<StoreReads> =
-            addresses.map(|own| StoreReads::of(own, &members)).collect();
+        let reads_of_all: Vec<StoreReads> = addresses
+            .map(|own| Place::of(own, &members).store_reads)
+            .collect();
         let mut readers = 0;
         for (member, reads) in members.iter().zip(&reads_of_all) {
             let StoreReads::FromLeader(leader) = reads else {
