Send nothing to servers that leave or ask for a backoff

Cause: a server may say with any answer that it leaves, and with a rejection for how long it wants no requests. Both were ignored: only the list of servers told of a drain, and a server that sheds load got the next request at once.

Change: notices are read in the adapter and kept with the server. Neither a renewed entry nor one that lapses and comes back revokes them, only a new start. Attempts, resumed streams, weight orders, reports and reads of cache events respect a backoff; where all servers back off the caller is refused at once with the time after which the first one takes requests. The tests of servers are split by subject.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,7 +4,7 @@
 use crate::pool::{OpenLimits, Pool};
 use anvilgw_core::Clock;
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use indexmap::IndexMap;
@@ -29,6 +29,8 @@
 pub struct CallAnswer {
     /// Status.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -92,6 +94,7 @@
         self.pool.keep(connection, None, self.clock.uptime());
         Ok(CallAnswer {
             status: head.status,
+            headers: head.headers,
             body: collected.to_bytes(),
         })
     }
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -5,6 +5,7 @@
 use super::target::{Target, choose_with_wait};
 use crate::connection::{Connection, SendError};
 use crate::gateway::Gateway;
+use crate::notices::on_notice;
 use crate::pool::{OpenLimits, Pool};
 use crate::request::{AnswerMeta, ForwardMeta, Prompt};
 use crate::retry::Cause;
@@ -125,6 +126,7 @@
                 server.set_cold_for(cold_for, now);
             }
         }
+        on_notice(&self.gateway, self.key, meta.notice);
     }
 }
 
@@ -266,14 +268,17 @@
         in_flight: InFlight,
     ) -> Result<Exchange, Cause> {
         let (head, body) = response.into_parts();
-        let meta = self.gateway.ports.codec.answer(&head.headers);
+        let meta = self.gateway.ports.codec.answer(head.status, &head.headers);
         let answered_id = meta.request_id.as_deref();
         if answered_id.is_some_and(|id| id != self.call.meta.id) {
             in_flight.on_broken();
             let reason = "the answer belongs to another request".to_owned();
             return Err(Cause::Lost(reason));
         }
-        in_flight.on_answer(&meta);
+        let answering_server = meta.server_id.as_deref();
+        if answering_server.is_none_or(|id| id == self.target.id) {
+            in_flight.on_answer(&meta);
+        }
         if head.status.is_success() {
             note_read(self.gateway, self.call, &self.target);
         }
--- a/crates/gateway/src/duties/caches.rs
+++ b/crates/gateway/src/duties/caches.rs
@@ -113,6 +113,10 @@
             gateway.state.borrow_mut().caches.on_unfollowed(key);
             return;
         };
+        if is_backing_off(&gateway, address) {
+            sleep(gateway.jittered(EVENTS_PAUSE, JITTER)).await;
+            continue;
+        }
         let read = gateway.ports.caches.events(address, since, EVENTS_WAIT);
         match read.await {
             Ok(events) => {
@@ -140,6 +144,11 @@
     }
 }
 
+fn is_backing_off(gateway: &Gateway, address: SocketAddr) -> bool {
+    let servers = &gateway.state.borrow().servers;
+    servers.is_backing_off_at(address, gateway.now())
+}
+
 async fn read_list(gateway: &Gateway, key: HolderKey, address: SocketAddr) {
     match gateway.ports.caches.list(address).await {
         Ok(list) => {
--- a/crates/gateway/src/duties/servers.rs
+++ b/crates/gateway/src/duties/servers.rs
@@ -124,6 +124,7 @@
         match known.and_then(|key| state.servers.get(key)) {
             None => Some("added"),
             Some(known) if known.entry.started_at_ms < entry.started_at_ms => Some("restarted"),
+            Some(known) if known.entry.state == ServerState::Draining => None,
             Some(known) if known.entry.state != entry.state => Some("state changed"),
             Some(known) if known.entry.models != entry.models => Some("weights changed"),
             Some(_) => None,
--- a/crates/gateway/src/duties/weights.rs
+++ b/crates/gateway/src/duties/weights.rs
@@ -6,10 +6,11 @@
 use crate::groups::Role;
 use crate::lease::{LeaseRecord, LeaseStep, LeaseView, LoadedWeights};
 use crate::log::Event;
-use crate::ports::{Append, OrderAnswer, ServerReport, StoreError, Topic, WeightOrder};
+use crate::notices::on_notice;
+use crate::ports::{Append, OrderAnswer, OrderError, ServerReport, StoreError, Topic, WeightOrder};
 use crate::reader::TopicReader;
 use crate::server::ServerEntry;
-use crate::weights::{Outdated, SentOrder, is_retired, next_orders, outdated};
+use crate::weights::{Outdated, SentOrder, is_backing_off, is_retired, next_orders, outdated};
 use bytes::Bytes;
 use rand::RngExt;
 use std::rc::Rc;
@@ -299,6 +300,7 @@
                 let order = self.sent.iter().rfind(|order| order.server == one.server);
                 order.is_some_and(|order| now >= order.ask_at)
             })
+            .filter(|one| !is_backing_off(&self.gateway.state.borrow().servers, one, now))
             .collect();
         for one in asked {
             if let Some(order) = self
@@ -364,6 +366,7 @@
     async fn report(&self, due: &Outdated, entry: &ServerEntry) -> Option<ServerReport> {
         match self.gateway.ports.orders.report(entry).await {
             Ok(report) => {
+                on_notice(&self.gateway, due.server, report.notice);
                 let served = report.models.iter().find(|one| one.model == due.model);
                 let is_outdated = served.is_some_and(|one| one.version < due.version);
                 if let Some(served) = served {
@@ -371,20 +374,27 @@
                 }
                 (is_outdated && !report.is_busy).then_some(report)
             }
-            Err(reason) => {
+            Err(error) => {
+                self.on_order_error(due, &error);
                 self.gateway.log_notable(&Event::Order {
                     server: &entry.id,
                     model: &due.model,
                     version: due.version,
                     fencing_token: 0,
                     expected_orders: 0,
-                    outcome: &format!("not given, no report: {reason}"),
+                    outcome: &format!("not given, no report: {error}"),
                 });
                 None
             }
         }
     }
 
+    fn on_order_error(&self, due: &Outdated, error: &OrderError) {
+        if let OrderError::Rejected(_, notice) = error {
+            on_notice(&self.gateway, due.server, *notice);
+        }
+    }
+
     fn on_served(&self, due: &Outdated, version: u64, is_busy: bool) {
         let now = self.gateway.now();
         let servers = &mut self.gateway.state.borrow_mut().servers;
@@ -409,12 +419,15 @@
         due: &Outdated,
         entry: &ServerEntry,
         order: &WeightOrder,
-        answer: &Result<OrderAnswer, String>,
+        answer: &Result<OrderAnswer, OrderError>,
     ) {
         let now = self.gateway.now();
         let outcome = match answer {
             Ok(answer) => format!("{answer:?}"),
-            Err(reason) => reason.clone(),
+            Err(error) => {
+                self.on_order_error(due, error);
+                error.to_string()
+            }
         };
         self.gateway.log_notable(&Event::Order {
             server: &entry.id,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,11 +10,13 @@
 mod dependency;
 mod dispatch;
 mod duties;
+mod former;
 mod front;
 mod gateway;
 mod guarded;
 mod holder;
 mod metrics;
+mod notices;
 mod reader;
 mod retry;
 
--- /dev/null
+++ b/crates/gateway/src/notices.rs
@@ -0,0 +1,45 @@
+//! Takes over what backend servers say about further requests of this daemon.
+
+use crate::gateway::Gateway;
+use crate::log::Event;
+use crate::request::ServerNotice;
+use crate::server::ServerKey;
+
+/// Notes what an answer of a server says about further requests to it.
+pub(crate) fn on_notice(gateway: &Gateway, key: ServerKey, notice: ServerNotice) {
+    if notice == ServerNotice::default() {
+        return;
+    }
+    let now = gateway.now();
+    let (id, has_announced) = {
+        let mut state = gateway.state.borrow_mut();
+        let Some(server) = state.servers.get_mut(key) else {
+            return;
+        };
+        if let Some(backoff) = notice.backoff {
+            server.on_backoff(backoff, now);
+        }
+        let has_announced = notice.is_leaving && server.on_leaving();
+        (server.entry.id.clone(), has_announced)
+    };
+    if has_announced {
+        log(gateway, &id, "leaving, as its answer says");
+    }
+    if let Some(backoff) = notice.backoff {
+        let backoff_ms = backoff.as_millis();
+        log(
+            gateway,
+            &id,
+            &format!("wants no requests for {backoff_ms} ms"),
+        );
+    }
+}
+
+fn log(gateway: &Gateway, server: &str, change: &str) {
+    gateway.log_notable(&Event::Server {
+        server,
+        change,
+        service: "",
+        address: "",
+    });
+}
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -3,11 +3,11 @@
 use crate::caches::{CacheEvents, HeldPart};
 use crate::configuration::Configuration;
 use crate::groups::Member;
-use crate::request::{AnswerMeta, ForwardMeta, RequestMeta};
+use crate::request::{AnswerMeta, ForwardMeta, RequestMeta, ServerNotice};
 use crate::server::{ServedModel, ServerEntry};
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
-use http::HeaderMap;
+use http::{HeaderMap, StatusCode};
 use quick_error::quick_error;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -23,7 +23,7 @@
     fn forward(&self, client: &HeaderMap, forward: &ForwardMeta<'_>) -> HeaderMap;
 
     /// Reads the head of a backend server's answer.
-    fn answer(&self, headers: &HeaderMap) -> AnswerMeta;
+    fn answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerMeta;
 
     /// Headers of a backend server's answer that pass through to the client.
     fn pass_answer(&self, server: &HeaderMap) -> HeaderMap;
@@ -182,8 +182,21 @@
     Conflict,
     /// A higher fencing token was seen.
     Fenced,
-    /// The server refused the order.
-    Rejected(u16),
+}
+
+quick_error! {
+    /// Why a call to a backend server has no result.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum OrderError {
+        /// The server rejected the call.
+        Rejected(status: u16, notice: ServerNotice) {
+            display("rejected with status {}", status)
+        }
+        /// No answer came, or one that cannot be read. An order may be carried out, also much later.
+        NoAnswer(reason: String) {
+            display("{}", reason)
+        }
+    }
 }
 
 /// An order to load another version of a model's weights.
@@ -208,6 +221,8 @@
     pub is_busy: bool,
     /// Models that it holds.
     pub models: Vec<ServedModel>,
+    /// What it says about further requests.
+    pub notice: ServerNotice,
 }
 
 quick_error! {
@@ -252,16 +267,20 @@
     ///
     /// # Errors
     ///
-    /// No answer came; the order may be carried out, also much later.
+    /// [`OrderError`], which says whether the order may be carried out all the same.
     fn load_weights<'a>(
         &'a self,
         server: &'a ServerEntry,
         order: &'a WeightOrder,
-    ) -> LocalBoxFuture<'a, Result<OrderAnswer, String>>;
+    ) -> LocalBoxFuture<'a, Result<OrderAnswer, OrderError>>;
 
     /// Asks a backend server for its state.
+    ///
+    /// # Errors
+    ///
+    /// [`OrderError`].
     fn report<'a>(
         &'a self,
         server: &'a ServerEntry,
-    ) -> LocalBoxFuture<'a, Result<ServerReport, String>>;
+    ) -> LocalBoxFuture<'a, Result<ServerReport, OrderError>>;
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -97,6 +97,15 @@
     pub slots: u32,
 }
 
+/// What a backend server says about further requests of this daemon, with any of its answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerNotice {
+    /// It leaves and takes no new work.
+    pub is_leaving: bool,
+    /// It rejected the request because it is overloaded, and wants no requests for this time.
+    pub backoff: Option<Duration>,
+}
+
 /// What the head of a backend server's answer says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AnswerMeta {
@@ -112,4 +121,6 @@
     pub load: Option<ReportedLoad>,
     /// Time for which the backend server stays cold.
     pub cold_for: Option<Duration>,
+    /// What it says about further requests.
+    pub notice: ServerNotice,
 }
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -123,18 +123,32 @@
         if has_time && is_allowed && (is_free || gateway.take_retry(&call.service.name)) {
             return Verdict::Again;
         }
-        Verdict::Fail(failure(gateway, progress, cause, has_time))
+        Verdict::Fail(failure(
+            gateway,
+            &call.service.name,
+            progress,
+            cause,
+            has_time,
+        ))
     }
 }
 
-fn failure(gateway: &Gateway, progress: &Progress, cause: &Cause, has_time: bool) -> Failure {
+fn failure(
+    gateway: &Gateway,
+    service: &str,
+    progress: &Progress,
+    cause: &Cause,
+    has_time: bool,
+) -> Failure {
     let detail = cause.describe();
     let range_ms = match cause {
         Cause::NoServer(NoServer::NoMemory) => MEMORY_RETRY_AFTER_RANGE_MS,
         _ => RETRY_AFTER_RANGE_MS,
     };
-    let retry_ms = gateway.state.borrow_mut().rng.random_range(range_ms);
-    let retry_after = Duration::from_millis(retry_ms);
+    let spread_ms = gateway.state.borrow_mut().rng.random_range(range_ms);
+    let now = gateway.now();
+    let backoff = gateway.state.borrow().servers.backoff_left(service, now);
+    let retry_after = backoff.unwrap_or_default() + Duration::from_millis(spread_ms);
     if progress.may_have_run() {
         let kind = if has_time {
             ErrorKind::AnswerBroken
@@ -144,7 +158,7 @@
         return progress.failure(kind, &detail);
     }
     let kind = match cause {
-        Cause::NoServer(NoServer::NoMemory) => ErrorKind::Overloaded,
+        Cause::NoServer(NoServer::NoMemory | NoServer::BackingOff(_)) => ErrorKind::Overloaded,
         Cause::NoServer(_) | Cause::NotSent(_) | Cause::Misdirected | Cause::OtherWeights => {
             ErrorKind::NoBackend
         }
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -98,6 +98,8 @@
     NoneInService,
     /// All that are in service are cold and at their limit, failing, or tried already.
     AllUnavailable,
+    /// All that are in service want no requests of this daemon before some time has passed.
+    BackingOff(Duration),
     /// No engine has memory for the prompt.
     NoMemory,
 }
@@ -109,6 +111,7 @@
         match self {
             Self::NoneInService => "no backend server is in service",
             Self::NoMemory => "no engine has memory for the prompt now",
+            Self::BackingOff(_) => "all backend servers asked for no requests now",
             Self::AllUnavailable => "no backend server can take the request now",
         }
     }
@@ -132,7 +135,8 @@
     let usable = usable_servers(servers, &in_service, query, now);
     let preferred = drop_failing(servers, usable, rng);
     if preferred.is_empty() {
-        return Err(NoServer::AllUnavailable);
+        let backoff = servers.backoff_left(&query.service.name, now);
+        return Err(backoff.map_or(NoServer::AllUnavailable, NoServer::BackingOff));
     }
     let chosen = match &query.prompt {
         Some(prompt) => by_rank(servers, &preferred, prompt, query.places, now),
@@ -189,7 +193,8 @@
         let bears_more = !server.is_cold(now)
             || per_s <= 0.0
             || server.cold_budget().allows(per_s, query.share, now);
-        bears_more && server.breaker.allows(now) && now >= server.switching_until
+        let is_wanted = server.backoff_left(now).is_zero();
+        is_wanted && bears_more && server.breaker.allows(now) && now >= server.switching_until
     };
     in_service
         .iter()
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,6 +1,7 @@
 //! Backend servers as the gateway knows them.
 
 use crate::cold::ColdBudget;
+use crate::former::FormerServers;
 use crate::holder::name_hash;
 use crate::request::ReportedLoad;
 use anvilgw_router::{Breaker, BreakerSettings};
@@ -18,6 +19,9 @@
 /// Part of its memory that such an engine counts as loaded beyond what is known. It is enough for prompts
 /// to go elsewhere, and too little to refuse them where all engines are full.
 const FULL_PART: f64 = 0.3;
+/// Longest time for which one answer keeps requests from a server. A server that asks for more is
+/// asked again after this time.
+const BACKOFF_MAX: Duration = Duration::from_secs(300);
 /// Settings of the breaker of a backend server. Two failures in a row, as a refused connection and
 /// the retry on it, are enough to prefer others; the first probe follows soon.
 const BREAKER: BreakerSettings = BreakerSettings {
@@ -118,6 +122,8 @@
     lapsed_until: Option<Duration>,
     /// Until when the engine counts as full, and the tokens that this adds to its load.
     full: Option<(Duration, u64)>,
+    /// Time until which the server wants no requests of this daemon.
+    backoff_until: Duration,
 }
 
 /// Hash of a server's identifier, under which load reports name it. Two servers of the same hash would
@@ -146,9 +152,37 @@
             failure_share: 0.0,
             lapsed_until: None,
             full: None,
+            backoff_until: Duration::ZERO,
         }
     }
 
+    /// Notes that the server leaves. It takes no new work from then on, whatever its entry says.
+    /// Returns whether this is news.
+    pub fn on_leaving(&mut self) -> bool {
+        let replaced = std::mem::replace(&mut self.entry.state, ServerState::Draining);
+        replaced == ServerState::Ready
+    }
+
+    /// Notes that the server wants no requests of this daemon for some time.
+    pub fn on_backoff(&mut self, backoff: Duration, now: Duration) {
+        self.back_off_until(now + backoff.min(BACKOFF_MAX));
+    }
+
+    pub(crate) fn back_off_until(&mut self, until: Duration) {
+        self.backoff_until = self.backoff_until.max(until);
+    }
+
+    /// Time for which the server still wants no requests of this daemon; zero if it takes them.
+    #[must_use]
+    pub fn backoff_left(&self, now: Duration) -> Duration {
+        self.backoff_until.saturating_sub(now)
+    }
+
+    /// Time until which the server wants no requests of this daemon.
+    pub(crate) fn backoff_until(&self) -> Duration {
+        self.backoff_until
+    }
+
     /// Hash of the identifier, under which load reports name the server.
     #[must_use]
     pub fn load_hash(&self) -> u32 {
@@ -299,6 +333,7 @@
 pub struct Servers {
     arena: SlotMap<ServerKey, Server>,
     by_id: IndexMap<String, ServerKey>,
+    former: FormerServers,
     domains_out: IndexSet<String>,
 }
 
@@ -328,10 +363,7 @@
     /// Takes over a published entry.
     pub fn on_seen(&mut self, entry: ServerEntry, now: Duration) -> ServerKey {
         let Some(key) = self.key_of(&entry.id) else {
-            let id = entry.id.clone();
-            let key = self.arena.insert(Server::new(entry, now));
-            self.by_id.insert(id, key);
-            return key;
+            return self.insert(entry, now);
         };
         let server = &mut self.arena[key];
         if entry.started_at_ms < server.entry.started_at_ms {
@@ -363,12 +395,21 @@
         key
     }
 
+    fn insert(&mut self, entry: ServerEntry, now: Duration) -> ServerKey {
+        let id = entry.id.clone();
+        let mut server = Server::new(entry, now);
+        self.former.restore(&mut server);
+        let key = self.arena.insert(server);
+        self.by_id.insert(id, key);
+        key
+    }
+
     /// Removes a backend server whose entry is gone. During `grace` it is still used: entries lapse
     /// while the store is away although their servers live.
     pub fn on_removed(&mut self, id: &str, grace: Duration, now: Duration) {
         let Some(key) = self.key_of(id) else { return };
         if grace.is_zero() {
-            self.forget(key);
+            self.forget(key, now);
             return;
         }
         self.arena[key].lapsed_until = Some(now + grace);
@@ -384,7 +425,7 @@
             .collect();
         expired
             .into_iter()
-            .filter_map(|key| self.forget(key))
+            .filter_map(|key| self.forget(key, now))
             .collect()
     }
 
@@ -401,12 +442,33 @@
         }
     }
 
-    fn forget(&mut self, key: ServerKey) -> Option<String> {
+    fn forget(&mut self, key: ServerKey, now: Duration) -> Option<String> {
         let server = self.arena.remove(key)?;
         self.by_id.swap_remove(&server.entry.id);
+        self.former.on_forgotten(&server, now);
         Some(server.entry.id)
     }
 
+    /// Time after which the first server of a service takes requests again, if all that are in service
+    /// want none now.
+    #[must_use]
+    pub fn backoff_left(&self, service: &str, now: Duration) -> Option<Duration> {
+        let in_service = self
+            .arena
+            .values()
+            .filter(|server| server.entry.service == service && self.is_in_service(server));
+        let soonest = in_service.map(|server| server.backoff_left(now)).min();
+        soonest.filter(|left| !left.is_zero())
+    }
+
+    /// Whether the server at an address wants no requests of this daemon now.
+    #[must_use]
+    pub fn is_backing_off_at(&self, address: SocketAddr, now: Duration) -> bool {
+        let mut servers = self.arena.values();
+        let found = servers.find(|server| server.entry.address == address);
+        found.is_some_and(|server| !server.backoff_left(now).is_zero())
+    }
+
     /// Takes a failure domain out of service.
     pub fn take_out(&mut self, domain: &str) {
         self.domains_out.insert(domain.to_owned());
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -236,7 +236,8 @@
         .map_or(0, |first| servers_with_model(servers, &first.model));
     let loading_max = ((fleet as f64 * SWITCHING_PART).round() as usize).max(1);
     let loading = outdated.iter().filter(|one| is_pending(one)).count();
-    let mut waiting: Vec<&Outdated> = outdated.iter().filter(|one| !is_pending(one)).collect();
+    let can_be_ordered = |one: &&Outdated| !is_pending(one) && !is_backing_off(servers, one, now);
+    let mut waiting: Vec<&Outdated> = outdated.iter().filter(can_be_ordered).collect();
     // Idle servers first: their runs end soonest. Loads are whole requests.
     waiting.sort_by_key(|one| {
         let server = servers.get(one.server);
@@ -249,6 +250,12 @@
         .collect()
 }
 
+/// Whether a server wants no calls of this daemon, orders and questions included.
+pub(crate) fn is_backing_off(servers: &Servers, due: &Outdated, now: Duration) -> bool {
+    let server = servers.get(due.server);
+    server.is_some_and(|server| !server.backoff_left(now).is_zero())
+}
+
 fn servers_with_model(servers: &Servers, model: &str) -> usize {
     servers
         .iter()
--- /dev/null
+++ b/crates/gateway/tests/servers/entries.rs
@@ -0,0 +1,179 @@
+//! Which servers take requests at all.
+
+use crate::world::{at, entry, plain_choice, service};
+use anvilgw_gateway::server::{ServerEntry, ServerState, Servers};
+use indexmap::IndexSet;
+use std::time::Duration;
+
+struct EntryCase {
+    name: &'static str,
+    change: fn(&mut Servers),
+    is_selected: bool,
+}
+
+/// Guards against work for servers that leave, are gone, or whose address belongs to another one.
+#[test]
+#[expect(clippy::too_many_lines, reason = "one row a case")]
+fn only_servers_in_service_are_selected() {
+    let drain = |servers: &mut Servers| {
+        let draining = ServerEntry {
+            state: ServerState::Draining,
+            ..entry("s")
+        };
+        servers.on_seen(draining, at(10));
+    };
+    let cases = [
+        EntryCase {
+            name: "ready",
+            change: |_| {},
+            is_selected: true,
+        },
+        EntryCase {
+            name: "draining",
+            change: drain,
+            is_selected: false,
+        },
+        EntryCase {
+            name: "a delayed ready entry after the drain",
+            change: |servers| {
+                let draining = ServerEntry {
+                    state: ServerState::Draining,
+                    ..entry("s")
+                };
+                servers.on_seen(draining, at(10));
+                servers.on_seen(entry("s"), at(20));
+            },
+            is_selected: false,
+        },
+        EntryCase {
+            name: "entry removed",
+            change: |servers| servers.on_removed("s", Duration::ZERO, at(10)),
+            is_selected: false,
+        },
+        EntryCase {
+            name: "entry lapsed while the store was away",
+            change: |servers| servers.on_removed("s", Duration::from_secs(2), at(10)),
+            is_selected: true,
+        },
+        EntryCase {
+            name: "lapsed entry did not come back",
+            change: |servers| {
+                servers.on_removed("s", Duration::from_millis(20), at(10));
+                servers.expire(at(40));
+            },
+            is_selected: false,
+        },
+        EntryCase {
+            name: "lapsed entry came back",
+            change: |servers| {
+                servers.on_removed("s", Duration::from_millis(20), at(10));
+                servers.on_seen(entry("s"), at(20));
+                servers.expire(at(40));
+            },
+            is_selected: true,
+        },
+        EntryCase {
+            name: "missing in a complete listing",
+            change: |servers| servers.retain_listed(&IndexSet::new(), Duration::ZERO, at(10)),
+            is_selected: false,
+        },
+        EntryCase {
+            name: "failure domain out of service",
+            change: |servers| servers.take_out("a"),
+            is_selected: false,
+        },
+        EntryCase {
+            name: "failure domain returned",
+            change: |servers| {
+                servers.take_out("a");
+                servers.take_in("a");
+            },
+            is_selected: true,
+        },
+        EntryCase {
+            name: "another server has the address",
+            change: |servers| {
+                let key = servers.key_of("s").expect("known");
+                servers.get_mut(key).expect("server").is_misdirected = true;
+            },
+            is_selected: false,
+        },
+        EntryCase {
+            name: "switching weights",
+            change: |servers| {
+                let key = servers.key_of("s").expect("known");
+                servers.get_mut(key).expect("server").switching_until = at(500);
+            },
+            is_selected: false,
+        },
+    ];
+    for case in cases {
+        let mut servers = Servers::default();
+        servers.on_seen(entry("s"), at(0));
+        (case.change)(&mut servers);
+        let choice = plain_choice(&mut servers, &service(0.0), at(50));
+        assert_eq!(
+            choice.is_ok(),
+            case.is_selected,
+            "{}: {choice:?}",
+            case.name
+        );
+    }
+}
+
+/// Guards against a restart under the same identifier that is taken for the server before it.
+#[test]
+fn a_restart_under_the_same_identifier_starts_anew() {
+    let mut servers = Servers::default();
+    let key = servers.on_seen(entry("s"), at(0));
+    servers.get_mut(key).expect("server").is_misdirected = true;
+    let restarted = ServerEntry {
+        started_at_ms: Some(2),
+        ..entry("s")
+    };
+    servers.on_seen(restarted.clone(), at(10));
+    assert!(plain_choice(&mut servers, &service(0.0), at(20)).is_ok());
+    let delayed = ServerEntry {
+        state: ServerState::Draining,
+        ..entry("s")
+    };
+    servers.on_seen(delayed, at(30));
+    let server = servers.get(key).expect("server");
+    assert_eq!(
+        server.entry, restarted,
+        "a heartbeat of the earlier start is ignored"
+    );
+}
+
+/// Guards against full load on a server that just started.
+#[test]
+fn a_cold_server_gets_its_share_of_a_few_requests() {
+    let mut servers = Servers::default();
+    let cold = ServerEntry {
+        cold_for: Duration::from_secs(3),
+        ..entry("s")
+    };
+    servers.on_seen(cold, at(0));
+    let service = service(10.0);
+    let taken = (0..200)
+        .filter(|step| plain_choice(&mut servers, &service, at(step * 10)).is_ok())
+        .count();
+    assert!(
+        (1..=3).contains(&taken),
+        "{taken} requests in two seconds at a tenth of 10/s"
+    );
+    assert!(
+        plain_choice(&mut servers, &service, at(3_100)).is_ok(),
+        "it is warm after 3 s"
+    );
+}
+
+/// Guards against requests that wait for a connection to a server that is known to be unreachable.
+#[test]
+fn an_unreachable_server_is_avoided_at_once_and_tried_again_later() {
+    let mut servers = Servers::default();
+    let key = servers.on_seen(entry("s"), at(0));
+    servers.get_mut(key).expect("server").on_unreachable(at(10));
+    assert!(plain_choice(&mut servers, &service(0.0), at(20)).is_err());
+    assert!(plain_choice(&mut servers, &service(0.0), at(5_000)).is_ok());
+}
--- /dev/null
+++ b/crates/gateway/tests/servers/notices.rs
@@ -0,0 +1,190 @@
+//! What servers say about further requests with their answers: that they leave, or that they want none
+//! for some time.
+
+use crate::world::{World, at, entry, plain_choice, prompt, service};
+use anvilgw_gateway::select::NoServer;
+use anvilgw_gateway::server::{ServerEntry, ServerKey, ServerState, Servers};
+use std::time::Duration;
+
+fn server_after(steps: &[fn(&mut Servers, ServerKey)]) -> Servers {
+    let mut servers = Servers::default();
+    let key = servers.on_seen(entry("s"), at(0));
+    for step in steps {
+        step(&mut servers, key);
+    }
+    servers
+}
+
+fn say_leaving(servers: &mut Servers, key: ServerKey) {
+    let server = servers.get_mut(key).expect("server");
+    assert!(server.on_leaving(), "the first answer that says so is news");
+    assert!(!server.on_leaving(), "the next one is not");
+}
+
+fn ask_for_backoff(servers: &mut Servers, key: ServerKey) {
+    let server = servers.get_mut(key).expect("server");
+    server.on_backoff(Duration::from_millis(2_500), at(100));
+}
+
+fn list_again(servers: &mut Servers, _: ServerKey) {
+    servers.on_seen(entry("s"), at(200));
+}
+
+fn remove(servers: &mut Servers, _: ServerKey) {
+    servers.on_removed("s", Duration::ZERO, at(300));
+}
+
+fn list_new_start(servers: &mut Servers, _: ServerKey) {
+    let started_anew = ServerEntry {
+        started_at_ms: Some(2),
+        ..entry("s")
+    };
+    servers.on_seen(started_anew, at(400));
+}
+
+fn list_earlier_start(servers: &mut Servers, _: ServerKey) {
+    let earlier = ServerEntry {
+        started_at_ms: Some(0),
+        ..entry("s")
+    };
+    servers.on_seen(earlier, at(500));
+}
+
+fn drain(servers: &mut Servers, _: ServerKey) {
+    let draining = ServerEntry {
+        state: ServerState::Draining,
+        ..entry("s")
+    };
+    servers.on_seen(draining, at(150));
+}
+
+struct NoticeCase {
+    name: &'static str,
+    steps: &'static [fn(&mut Servers, ServerKey)],
+    is_selected: bool,
+}
+
+/// Guards against requests to a server that said in an answer that it leaves, or that it wants none,
+/// because its entry comes again. Only a new start is a new server.
+#[test]
+fn a_notice_holds_until_the_server_starts_anew() {
+    let case = |name, steps, is_selected| NoticeCase {
+        name,
+        steps,
+        is_selected,
+    };
+    let cases = [
+        case("leaving", &[say_leaving], false),
+        case(
+            "leaving, listed as ready",
+            &[say_leaving, list_again],
+            false,
+        ),
+        case(
+            "leaving, entry gone and back",
+            &[say_leaving, remove, list_again],
+            false,
+        ),
+        case(
+            "leaving, gone and back twice",
+            &[say_leaving, remove, list_again, remove, list_again],
+            false,
+        ),
+        case(
+            "draining, gone, a delayed entry",
+            &[drain, remove, list_again],
+            false,
+        ),
+        case(
+            "leaving, gone, a delayed entry of an earlier start",
+            &[say_leaving, remove, list_earlier_start],
+            false,
+        ),
+        case(
+            "leaving, started anew",
+            &[say_leaving, list_new_start],
+            true,
+        ),
+        case(
+            "leaving, gone, started anew",
+            &[say_leaving, remove, list_new_start],
+            true,
+        ),
+        case(
+            "backing off, entry gone and back",
+            &[ask_for_backoff, remove, list_again],
+            false,
+        ),
+        case(
+            "backing off, started anew",
+            &[ask_for_backoff, list_new_start],
+            true,
+        ),
+        case("gone and back", &[remove, list_again], true),
+    ];
+    for case in cases {
+        let mut servers = server_after(case.steps);
+        let selected = plain_choice(&mut servers, &service(0.0), at(600));
+        assert_eq!(selected.is_ok(), case.is_selected, "{}", case.name);
+    }
+}
+
+/// Guards against requests to a server before the time that it asked for has passed, and against a
+/// caller that is told to come back before any server takes requests.
+#[test]
+fn a_server_that_asks_for_a_backoff_gets_nothing_until_its_end() {
+    let mut servers = Servers::default();
+    let keys = ["s1", "s2"].map(|id| servers.on_seen(entry(id), at(0)));
+    let service = service(0.0);
+    let back_off = |servers: &mut Servers, key, ms, now| {
+        let server = servers.get_mut(key).expect("server");
+        server.on_backoff(Duration::from_millis(ms), now);
+    };
+    back_off(&mut servers, keys[0], 2_500, at(100));
+    for ms in (100..2_600).step_by(10) {
+        let chosen = plain_choice(&mut servers, &service, at(ms));
+        assert_eq!(chosen.as_deref(), Ok("s2"), "at {ms} ms");
+    }
+    back_off(&mut servers, keys[1], 1_000, at(2_000));
+    // An answer that was sent before and asks for less shortens nothing.
+    back_off(&mut servers, keys[1], 200, at(2_001));
+    let refused = plain_choice(&mut servers, &service, at(2_100));
+    assert_eq!(refused, Err(NoServer::BackingOff(at(500))), "s1 is first");
+    let chosen = plain_choice(&mut servers, &service, at(2_600));
+    assert_eq!(chosen.as_deref(), Ok("s1"));
+}
+
+/// Guards against a server that is lost for good because it asked for an absurd backoff.
+#[test]
+fn a_backoff_is_bounded() {
+    let mut servers = Servers::default();
+    let key = servers.on_seen(entry("s"), at(0));
+    let server = servers.get_mut(key).expect("server");
+    server.on_backoff(Duration::MAX, at(0));
+    let left = server.backoff_left(at(0));
+    assert!(left >= Duration::from_secs(60), "{left:?}");
+    assert!(left <= Duration::from_secs(600), "{left:?}");
+}
+
+/// Guards against prompts that go on to an engine that asked for a backoff (engines that shed load
+/// while all daemons send to them), and against a wait for memory where none comes.
+#[test]
+fn prompts_avoid_engines_that_back_off_and_are_refused_when_all_do() {
+    let ids = ["s1", "s2", "s3"];
+    let mut world = World::new(&ids);
+    for id in &ids[..2] {
+        let key = world.servers.key_of(id).expect("known");
+        let server = world.servers.get_mut(key).expect("server");
+        server.on_backoff(Duration::from_secs(2), at(0));
+    }
+    for session in 100..130 {
+        let selected = world.place(&prompt(session), at(10)).expect("server");
+        assert_eq!(world.id_of(&selected), "s3", "session {session}");
+    }
+    let key = world.servers.key_of("s3").expect("known");
+    let server = world.servers.get_mut(key).expect("server");
+    server.on_backoff(Duration::from_secs(1), at(20));
+    assert!(!world.has_usable_but(key, at(20)));
+    let refused = world.place(&prompt(100), at(20)).map(|_| ());
+    assert_eq!(refused, Err(NoServer::BackingOff(at(1_000))));
+}
--- /dev/null
+++ b/crates/gateway/tests/servers/world.rs
@@ -0,0 +1,248 @@
+//! Servers, prompts and holders to select from.
+
+use anvilgw_gateway::caches::{CacheDirectory, CacheEvents, HeldPart, StoreSpec, name_hash};
+use anvilgw_gateway::configuration::{EngineSpec, Service};
+use anvilgw_gateway::groups::Role;
+use anvilgw_gateway::peers::{EngineLoad, LoadReport, PeerLoads, Scope};
+use anvilgw_gateway::places::Places;
+use anvilgw_gateway::request::{Prompt, PromptPart};
+use anvilgw_gateway::select::{NoServer, PromptQuery, Query, Selected, has_usable, select};
+use anvilgw_gateway::server::{
+    ServedModel, ServerEntry, ServerKey, ServerState, Servers, load_hash,
+};
+use anvilgw_gateway::weights::{NamedWeights, OldPartTimes};
+use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::time::Duration;
+
+pub(crate) const SERVICE: &str = "engines";
+pub(crate) const MODEL: &str = "lumen";
+
+pub(crate) fn service(cold_requests_per_s: f64) -> Service {
+    Service {
+        name: SERVICE.to_owned(),
+        connections_max: 100,
+        cold_requests_per_s,
+        engine: Some(EngineSpec {
+            kv_capacity_tokens: 100_000,
+            link_tokens_per_ms: 5_000.0,
+        }),
+        store: None,
+    }
+}
+
+pub(crate) fn entry(id: &str) -> ServerEntry {
+    let port = 9000 + (name_hash(id) % 1000);
+    ServerEntry {
+        id: id.to_owned(),
+        service: SERVICE.to_owned(),
+        address: format!("127.0.0.1:{port}").parse().expect("address"),
+        failure_domain: "a".to_owned(),
+        state: ServerState::Ready,
+        cold_for: Duration::ZERO,
+        slots: 8,
+        models: vec![ServedModel {
+            model: MODEL.to_owned(),
+            version: 1,
+        }],
+        started_at_ms: Some(1),
+    }
+}
+
+pub(crate) fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub(crate) fn rng() -> SmallRng {
+    SmallRng::seed_from_u64(7)
+}
+
+pub(crate) fn prompt(session: u64) -> Prompt {
+    let part = |id_hash, tokens| PromptPart { id_hash, tokens };
+    Prompt {
+        model: MODEL.to_owned(),
+        prompt_tokens: 12_000,
+        output_tokens_max: 400,
+        parts: vec![
+            part(1, 500),
+            part(session, 8_600),
+            part(session ^ 0xffff, 2_900),
+        ],
+    }
+}
+
+pub(crate) struct World {
+    pub(crate) regions: IndexMap<String, String>,
+    pub(crate) confined_to: Vec<String>,
+    pub(crate) servers: Servers,
+    pub(crate) caches: CacheDirectory,
+    pub(crate) peers: PeerLoads,
+    pub(crate) named: Option<NamedWeights>,
+}
+
+impl World {
+    pub(crate) fn new(ids: &[&str]) -> Self {
+        let mut servers = Servers::default();
+        for id in ids {
+            servers.on_seen(entry(id), at(0));
+        }
+        let region = |domain: &str, region: &str| (domain.to_owned(), region.to_owned());
+        Self {
+            regions: IndexMap::from([region("a", "north"), region("b", "south")]),
+            confined_to: Vec::new(),
+            servers,
+            caches: CacheDirectory::default(),
+            peers: PeerLoads::default(),
+            named: None,
+        }
+    }
+
+    /// Takes over the report of another daemon about tokens on engines.
+    pub(crate) fn on_peer_loads(&mut self, sequence: u64, loads: &[(&str, u64)], now: Duration) {
+        let loads = loads.iter();
+        let report = LoadReport {
+            scope: Scope::Daemon,
+            sender_hash: 1,
+            sequence,
+            part: 0,
+            loads: loads
+                .map(|(id, tokens)| EngineLoad::new(load_hash(id), *tokens))
+                .collect(),
+        };
+        self.peers.on_report(&Role::default(), report, now);
+    }
+
+    /// Whether a server could take a request that was tried at another one.
+    pub(crate) fn has_usable_but(&mut self, tried: ServerKey, now: Duration) -> bool {
+        let service = service(0.0);
+        let query = Query {
+            service: &service,
+            places: Places {
+                regions: &self.regions,
+                route: &self.confined_to,
+                workspace: &[],
+            },
+            prompt: None,
+            tried: &[tried],
+            share: 1.0,
+        };
+        has_usable(&mut self.servers, &query, now)
+    }
+
+    pub(crate) fn place(&mut self, prompt: &Prompt, now: Duration) -> Result<Selected, NoServer> {
+        self.place_within(prompt, 90_000.0, now)
+    }
+
+    pub(crate) fn place_within(
+        &mut self,
+        prompt: &Prompt,
+        memory_limit_tokens: f64,
+        now: Duration,
+    ) -> Result<Selected, NoServer> {
+        let service = service(0.0);
+        let query = Query {
+            service: &service,
+            places: Places {
+                regions: &self.regions,
+                route: &self.confined_to,
+                workspace: &[],
+            },
+            prompt: Some(PromptQuery {
+                prompt,
+                caches: &self.caches,
+                peer_loads: &self.peers,
+                isolated_workspace: None,
+                oldest_version: None,
+                engine_tokens_per_ms: 5_000.0,
+                engine_capacity_tokens: 100_000,
+                memory_limit_tokens,
+                named: self.named.as_ref(),
+                old_part_times: OldPartTimes {
+                    trust_limit: at(3_000),
+                    weight_switch: at(9_000),
+                },
+                is_configuration_current: true,
+                are_switches_current: self.named.is_some(),
+            }),
+            tried: &[],
+            share: 0.1,
+        };
+        select(&mut self.servers, &query, now, &mut rng())
+    }
+
+    pub(crate) fn id_of(&self, selected: &Selected) -> String {
+        let server = self.servers.get(selected.server).expect("selected server");
+        server.entry.id.clone()
+    }
+}
+
+pub(crate) fn plain_choice(
+    servers: &mut Servers,
+    service: &Service,
+    now: Duration,
+) -> Result<String, NoServer> {
+    let regions = IndexMap::new();
+    let query = Query {
+        service,
+        places: Places {
+            regions: &regions,
+            route: &[],
+            workspace: &[],
+        },
+        prompt: None,
+        tried: &[],
+        share: 0.1,
+    };
+    let selected = select(servers, &query, now, &mut rng())?;
+    Ok(servers
+        .get(selected.server)
+        .expect("server")
+        .entry
+        .id
+        .clone())
+}
+
+pub(crate) fn events(parts: &[(&str, u32)], epoch: u64) -> CacheEvents {
+    CacheEvents {
+        epoch,
+        clock_ms: Some(1_000),
+        next: 10,
+        has_gap: false,
+        changes: parts
+            .iter()
+            .map(|(id, tokens)| HeldPart {
+                scope: "w1".to_owned(),
+                id: (*id).to_owned(),
+                tokens: *tokens,
+            })
+            .collect(),
+    }
+}
+
+pub(crate) fn store(port: u16) -> StoreSpec {
+    StoreSpec {
+        address: format!("127.0.0.1:{port}").parse().expect("address"),
+        failure_domain: "a".to_owned(),
+        capacity_tokens: 100_000,
+        link_tokens_per_ms: 1_000.0,
+        first_byte: Duration::from_millis(1),
+    }
+}
+
+pub(crate) fn named_prompt() -> Prompt {
+    let part = |id: &str, tokens| PromptPart {
+        id_hash: name_hash(id),
+        tokens,
+    };
+    Prompt {
+        model: MODEL.to_owned(),
+        prompt_tokens: 9_000,
+        output_tokens_max: 10,
+        parts: vec![
+            part("manual", 500),
+            part("history", 8_000),
+            part("question", 500),
+        ],
+    }
+}
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -382,3 +382,25 @@
         assert_eq!(orders.len(), case.ordered, "{}", case.name);
     }
 }
+
+/// Guards against orders to servers that asked for no requests, and to servers that said that they leave.
+#[test]
+fn servers_that_back_off_or_leave_get_no_orders() {
+    let mut servers = Servers::default();
+    let keys = [0, 1, 2].map(|index| {
+        let entry = entry(index, 1, ServerState::Ready);
+        servers.on_seen(entry, Duration::ZERO)
+    });
+    let server = servers.get_mut(keys[0]).expect("server");
+    server.on_backoff(Duration::from_secs(3), SECOND);
+    let server = servers.get_mut(keys[1]).expect("server");
+    server.on_leaving();
+    let ordered_at = |now| {
+        let old = outdated(&servers, named(2, 1).iter());
+        let orders = next_orders(&servers, &old, &[], now);
+        orders.iter().map(|order| order.server).collect::<Vec<_>>()
+    };
+    assert_eq!(ordered_at(2 * SECOND), [keys[2]]);
+    // One server switches at a time; the first one is as idle as the third.
+    assert_eq!(ordered_at(4 * SECOND), [keys[0]]);
+}
