End an announced switch of weights when the server tells the version

Cause: announcements in the lease log named servers only. A daemon that starts reads the log from its beginning and took every announcement for a new one: each engine that was ever ordered got no prompts for 6 s.

Change: an announcement names the version. It is ignored where the server already tells that version or a newer one, and it holds on where the entry tells an earlier one.

Without the check of the version, the test a_switch_ends_when_the_server_tells_the_version fails.

--- a/crates/gateway/src/duties/weights.rs
+++ b/crates/gateway/src/duties/weights.rs
@@ -4,7 +4,7 @@
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::groups::Role;
-use crate::lease::{LeaseRecord, LeaseStep, LeaseView, LoadedWeights};
+use crate::lease::{LeaseRecord, LeaseStep, LeaseView, ServerWeights};
 use crate::log::Event;
 use crate::notices::on_notice;
 use crate::ports::{Append, OrderAnswer, OrderError, ServerReport, StoreError, Topic, WeightOrder};
@@ -68,7 +68,7 @@
     incarnation: u64,
     sent: Vec<SentOrder>,
     /// Weights that servers have loaded and that are not announced yet.
-    loaded: Vec<LoadedWeights>,
+    loaded: Vec<ServerWeights>,
     lease_log: Dependency,
     reader: TopicReader,
 }
@@ -167,18 +167,18 @@
         let now = self.gateway.now();
         let state = &mut *self.gateway.state.borrow_mut();
         for record in records {
-            for id in &record.switching {
-                if let Some(key) = state.servers.key_of(id)
-                    && let Some(server) = state.servers.get_mut(key)
-                {
-                    server.switching_until = now + SWITCH_TIME;
+            for ordered in &record.switching {
+                let key = state.servers.key_of(&ordered.server);
+                if let Some(server) = key.and_then(|key| state.servers.get_mut(key)) {
+                    let until = now + SWITCH_TIME;
+                    server.on_switch_ordered(&ordered.model, ordered.version, until);
                 }
             }
             for loaded in &record.loaded {
                 let key = state.servers.key_of(&loaded.server);
                 if let Some(server) = key.and_then(|key| state.servers.get_mut(key)) {
                     server.on_loaded(&loaded.model, loaded.version);
-                    server.switching_until = now;
+                    server.on_switched(&loaded.model, loaded.version);
                 }
             }
         }
@@ -216,7 +216,7 @@
             holder: self.gateway.settings.instance.clone(),
             incarnation: self.incarnation,
             fencing_token,
-            switching: self.switching_ids(due),
+            switching: self.announcements(due),
             loaded: std::mem::take(&mut self.loaded),
         };
         let payload = match serde_json::to_vec(&record) {
@@ -263,13 +263,17 @@
         server.is_some_and(|server| self.lease.is_others_turn(&server.entry.id, now))
     }
 
-    fn switching_ids(&self, due: &[Outdated]) -> Vec<String> {
+    fn announcements(&self, due: &[Outdated]) -> Vec<ServerWeights> {
         let state = self.gateway.state.borrow();
-        let id_of = |key| {
-            let server = state.servers.get(key)?;
-            Some(server.entry.id.clone())
+        let announce = |one: &Outdated| {
+            let server = state.servers.get(one.server)?;
+            Some(ServerWeights {
+                server: server.entry.id.clone(),
+                model: one.model.clone(),
+                version: one.version,
+            })
         };
-        due.iter().filter_map(|one| id_of(one.server)).collect()
+        due.iter().filter_map(announce).collect()
     }
 
     fn avoid(&self, due: &[Outdated]) {
@@ -277,7 +281,7 @@
         let servers = &mut self.gateway.state.borrow_mut().servers;
         for one in due {
             if let Some(server) = servers.get_mut(one.server) {
-                server.switching_until = until;
+                server.on_switch_ordered(&one.model, one.version, until);
             }
         }
     }
@@ -320,11 +324,11 @@
     }
 
     /// The weights that a server was ordered to load, if it told that it holds them.
-    fn loaded(&self, due: &Outdated) -> Option<LoadedWeights> {
+    fn loaded(&self, due: &Outdated) -> Option<ServerWeights> {
         let state = self.gateway.state.borrow();
         let server = state.servers.get(due.server)?;
         let version = server.told_version_of(&due.model)?;
-        (version >= due.version).then(|| LoadedWeights {
+        (version >= due.version).then(|| ServerWeights {
             server: server.entry.id.clone(),
             model: due.model.clone(),
             version,
@@ -396,12 +400,11 @@
     }
 
     fn on_served(&self, due: &Outdated, version: u64, is_busy: bool) {
-        let now = self.gateway.now();
         let servers = &mut self.gateway.state.borrow_mut().servers;
         if let Some(server) = servers.get_mut(due.server) {
             server.on_loaded(&due.model, version);
             if version >= due.version && !is_busy {
-                server.switching_until = now;
+                server.on_switched(&due.model, version);
             }
         }
     }
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -28,21 +28,22 @@
     pub incarnation: u64,
     /// Fencing token of its orders.
     pub fencing_token: u64,
-    /// Identifiers of the servers that are ordered to switch weights next.
-    pub switching: Vec<String>,
+    /// Servers that are ordered to switch weights next, with the weights to load.
+    pub switching: Vec<ServerWeights>,
     /// Weights that servers have loaded since the record before.
     #[serde(default)]
-    pub loaded: Vec<LoadedWeights>,
+    pub loaded: Vec<ServerWeights>,
 }
 
-/// Weights that a server has loaded.
+/// Weights of a server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadedWeights {
+pub struct ServerWeights {
     /// Identifier of the server.
     pub server: String,
     /// Model.
     pub model: String,
-    /// Version. A daemon that reads the log later must not take it for a newer one.
+    /// Version. A daemon that reads the log later must not take it for a newer one, or for one that the
+    /// server is still to load.
     pub version: u64,
 }
 
@@ -122,9 +123,9 @@
     fn on_record(&mut self, record: &LeaseRecord, now: Duration) {
         if !self.is_own(record) {
             self.valid_until = Duration::ZERO;
-            for id in &record.switching {
+            for announced in &record.switching {
                 self.announced_by_others
-                    .insert(id.clone(), Announced { seen_at: now });
+                    .insert(announced.server.clone(), Announced { seen_at: now });
             }
         }
         self.last = Some(Held {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod gateway;
 mod guarded;
 mod holder;
+mod loaded;
 mod metrics;
 mod notices;
 mod reader;
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -194,7 +194,7 @@
             || per_s <= 0.0
             || server.cold_budget().allows(per_s, query.share, now);
         let is_wanted = server.backoff_left(now).is_zero();
-        is_wanted && bears_more && server.breaker.allows(now) && now >= server.switching_until
+        is_wanted && bears_more && server.breaker.allows(now) && !server.is_switching(now)
     };
     in_service
         .iter()
@@ -305,7 +305,7 @@
             .iter()
             .map(|(_, other)| other)
             .filter(|other| other.version_of(model) == version)
-            .filter(|other| now >= other.switching_until)
+            .filter(|other| !other.is_switching(now))
             .map(|other| other.entry.address)
             .collect();
         let likely_engine = likely_holder
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -3,6 +3,7 @@
 use crate::cold::ColdBudget;
 use crate::former::FormerServers;
 use crate::holder::name_hash;
+use crate::loaded::LoadedWeights;
 use crate::request::ReportedLoad;
 use anvilgw_router::{Breaker, BreakerSettings};
 use indexmap::{IndexMap, IndexSet};
@@ -85,14 +86,6 @@
     }
 }
 
-/// Weights that a server holds or will hold although its entry names older ones.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct AheadOfEntry {
-    version: u64,
-    /// The server told so, as opposed to a conclusion from a refusal.
-    is_told: bool,
-}
-
 /// A backend server with what this daemon has observed of it.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -108,10 +101,7 @@
     pub heard_at: Duration,
     /// Its address answers for another server.
     pub is_misdirected: bool,
-    /// Time until which it switches weights and rejects requests.
-    pub switching_until: Duration,
-    /// By model.
-    ahead_of_entry: IndexMap<String, AheadOfEntry>,
+    weights: LoadedWeights,
     /// Hash of the identifier, under which load reports name the server.
     load_hash: u32,
     cold_until: Duration,
@@ -144,8 +134,7 @@
             breaker: Breaker::new(BREAKER),
             heard_at: Duration::ZERO,
             is_misdirected: false,
-            switching_until: Duration::ZERO,
-            ahead_of_entry: IndexMap::new(),
+            weights: LoadedWeights::default(),
             cold: ColdBudget::new(now),
             reported: None,
             sent_since_report: 0,
@@ -238,45 +227,48 @@
     #[must_use]
     pub fn version_of(&self, model: &str) -> Option<u64> {
         let entry = self.entry.version_of(model)?;
-        let ahead = self.ahead_of_entry.get(model);
-        Some(ahead.map_or(entry, |ahead| ahead.version))
+        Some(self.weights.version(model, entry))
     }
 
     /// Version of the weights of a model that the server itself has told.
     #[must_use]
     pub fn told_version_of(&self, model: &str) -> Option<u64> {
         let entry = self.entry.version_of(model)?;
-        let told = self.ahead_of_entry.get(model).filter(|ahead| ahead.is_told);
-        Some(told.map_or(entry, |ahead| ahead.version))
+        Some(self.weights.told_version(model, entry))
     }
 
     /// Notes that the server has loaded a version of a model's weights, before its entry tells.
     pub fn on_loaded(&mut self, model: &str, version: u64) {
-        self.ahead_of_entry.shift_remove(model);
-        if self
-            .entry
-            .version_of(model)
-            .is_some_and(|entry| entry < version)
-        {
-            let ahead = AheadOfEntry {
-                version,
-                is_told: true,
-            };
-            self.ahead_of_entry.insert(model.to_owned(), ahead);
-        }
+        let entry = self.entry.version_of(model);
+        self.weights.set_version(model, entry, version, true);
+    }
+
+    /// Notes that the server is ordered to switch to a version of a model's weights, and takes no
+    /// requests until it tells that it has, or until a time.
+    pub fn on_switch_ordered(&mut self, model: &str, version: u64, until: Duration) {
+        let told = self.told_version_of(model);
+        self.weights.on_switch(model, told, version, until);
+    }
+
+    /// Notes that the server takes requests again after it was ordered to switch to a version.
+    pub fn on_switched(&mut self, model: &str, version: u64) {
+        self.weights.on_switched(model, version);
+    }
+
+    /// Whether the server switches weights and rejects requests.
+    #[must_use]
+    pub fn is_switching(&self, now: Duration) -> bool {
+        self.weights.is_switching(now)
     }
 
     /// Notes that the server refused a request for a version of a model's weights. It probably holds the
     /// newest one, unless that is the one it refused.
     pub fn on_other_weights(&mut self, model: &str, refused: u64, newest: u64) {
-        self.ahead_of_entry.shift_remove(model);
         let entry = self.entry.version_of(model);
-        if refused < newest && entry.is_some_and(|entry| entry < newest) {
-            let ahead = AheadOfEntry {
-                version: newest,
-                is_told: false,
-            };
-            self.ahead_of_entry.insert(model.to_owned(), ahead);
+        if refused < newest {
+            self.weights.set_version(model, entry, newest, false);
+        } else {
+            self.weights.forget_version(model);
         }
     }
 
@@ -380,8 +372,10 @@
         let was_draining = server.entry.state == ServerState::Draining;
         server.set_cold_for(entry.cold_for, now);
         if entry.models != server.entry.models {
-            server.switching_until = Duration::ZERO;
-            server.ahead_of_entry.clear();
+            server.weights.on_entry();
+            for served in &entry.models {
+                server.weights.on_switched(&served.model, served.version);
+            }
         }
         if entry.address != server.entry.address {
             server.is_misdirected = false;
--- a/crates/gateway/tests/leases.rs
+++ b/crates/gateway/tests/leases.rs
@@ -1,6 +1,6 @@
 //! The lease on the switch of weights.
 
-use anvilgw_gateway::lease::{LeaseRecord, LeaseStep, LeaseView};
+use anvilgw_gateway::lease::{LeaseRecord, LeaseStep, LeaseView, ServerWeights};
 use std::time::Duration;
 
 const TURN: Duration = Duration::from_secs(3);
@@ -13,12 +13,20 @@
     LeaseView::new(holder.to_owned(), 1, TURN)
 }
 
+fn to_version_2(server: &str) -> ServerWeights {
+    ServerWeights {
+        server: server.to_owned(),
+        model: "lumen".to_owned(),
+        version: 2,
+    }
+}
+
 fn record(holder: &str, fencing_token: u64, switching: &[&str]) -> LeaseRecord {
     LeaseRecord {
         holder: holder.to_owned(),
         incarnation: 1,
         fencing_token,
-        switching: switching.iter().map(|id| (*id).to_owned()).collect(),
+        switching: switching.iter().map(|id| to_version_2(id)).collect(),
         loaded: Vec::new(),
     }
 }
--- a/crates/gateway/tests/servers/entries.rs
+++ b/crates/gateway/tests/servers/entries.rs
@@ -1,6 +1,6 @@
 //! Which servers take requests at all.
 
-use crate::world::{at, entry, plain_choice, service};
+use crate::world::{MODEL, at, entry, plain_choice, service};
 use anvilgw_gateway::server::{ServerEntry, ServerState, Servers};
 use indexmap::IndexSet;
 use std::time::Duration;
@@ -102,7 +102,8 @@
             name: "switching weights",
             change: |servers| {
                 let key = servers.key_of("s").expect("known");
-                servers.get_mut(key).expect("server").switching_until = at(500);
+                let server = servers.get_mut(key).expect("server");
+                server.on_switch_ordered(MODEL, 2, at(500));
             },
             is_selected: false,
         },
--- a/crates/gateway/tests/servers/holders.rs
+++ b/crates/gateway/tests/servers/holders.rs
@@ -1,6 +1,6 @@
 //! From where the parts of a prompt are read.
 
-use crate::world::{World, at, entry, events, named_prompt, store};
+use crate::world::{MODEL, World, at, entry, events, named_prompt, store};
 use anvilgw_gateway::caches::{CacheDirectory, CacheEvents};
 use anvilgw_gateway::weights::{NamedWeights, Naming};
 use indexmap::IndexMap;
@@ -193,7 +193,8 @@
     };
     assert_eq!(fetch(&mut world), Some(entry(other).address));
     let key = world.servers.key_of(other).expect("known");
-    world.servers.get_mut(key).expect("server").switching_until = at(5_000);
+    let server = world.servers.get_mut(key).expect("server");
+    server.on_switch_ordered(MODEL, 2, at(5_000));
     assert_eq!(fetch(&mut world), None);
 }
 
--- a/crates/gateway/tests/servers/placement.rs
+++ b/crates/gateway/tests/servers/placement.rs
@@ -1,6 +1,6 @@
 //! On which engine a prompt is placed.
 
-use crate::world::{World, at, entry, events, named_prompt, prompt, store};
+use crate::world::{MODEL, World, at, entry, events, named_prompt, prompt, store};
 use anvilgw_gateway::groups::Role;
 use anvilgw_gateway::select::NoServer;
 use anvilgw_gateway::server::{ServerEntry, ServerKey, ServerState};
@@ -109,7 +109,7 @@
             name: "switching weights",
             change: |world, key| {
                 let server = world.servers.get_mut(key).expect("known");
-                server.switching_until = at(5_000);
+                server.on_switch_ordered(MODEL, 2, at(5_000));
             },
             expected: false,
         },
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -404,3 +404,53 @@
     // One server switches at a time; the first one is as idle as the third.
     assert_eq!(ordered_at(4 * SECOND), [keys[0]]);
 }
+
+struct SwitchCase {
+    name: &'static str,
+    /// Version that the server's entry names when the announcement is read.
+    before: u64,
+    announced: u64,
+    /// Version that a later entry names.
+    after: Option<u64>,
+    is_switching: bool,
+}
+
+/// Guards against servers that take no requests because a daemon that has just started reads
+/// announcements of switches that are over (all daemons restart after new weights), and against requests to
+/// a server that has loaded only an earlier one of two versions.
+#[test]
+fn a_switch_ends_when_the_server_tells_the_version() {
+    let case = |name, before, announced, after, is_switching| SwitchCase {
+        name,
+        before,
+        announced,
+        after,
+        is_switching,
+    };
+    let cases = [
+        case("announced", 1, 2, None, true),
+        case("over before the announcement is read", 2, 2, None, false),
+        case("replaced before it is read", 3, 2, None, false),
+        case("over", 1, 2, Some(2), false),
+        case("an earlier version was loaded first", 1, 3, Some(2), true),
+        case("a later version was loaded", 1, 2, Some(3), false),
+    ];
+    for case in cases {
+        let mut servers = Servers::default();
+        let first = entry(0, case.before, ServerState::Ready);
+        let key = servers.on_seen(first, Duration::ZERO);
+        let server = servers.get_mut(key).expect("server");
+        server.on_switch_ordered(MODEL, case.announced, 10 * SECOND);
+        if let Some(after) = case.after {
+            servers.on_seen(entry(0, after, ServerState::Ready), SECOND);
+        }
+        let server = servers.get(key).expect("server");
+        assert_eq!(
+            server.is_switching(2 * SECOND),
+            case.is_switching,
+            "{}",
+            case.name
+        );
+        assert!(!server.is_switching(10 * SECOND), "{}", case.name);
+    }
+}
