Write the last lines of the log before a daemon ends

Cause: the flush at the end of a shutdown waited until the ring was empty. The writing thread takes a line from the ring and then collects more for 200 ms; a daemon that ended meanwhile lost its last lines.

Change: lines count as pending until they are written. the_last_lines_are_written_before_a_flush_returns fails without it.

--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use std::io::Write;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -264,11 +264,19 @@
     notable: AtomicU64,
 }
 
+/// What the writing thread and the others count together.
+#[derive(Debug, Default)]
+struct Counts {
+    dropped: Dropped,
+    /// Lines in the ring, and lines that were taken from it and are not written yet.
+    unwritten: AtomicUsize,
+}
+
 /// Writer of log lines.
 #[derive(Clone, Debug)]
 pub struct EventLog {
     sender: Sender<Vec<u8>>,
-    dropped: Arc<Dropped>,
+    counts: Arc<Counts>,
 }
 
 impl EventLog {
@@ -279,37 +287,42 @@
     /// The thread cannot be started.
     pub fn start(output: impl Write + Send + 'static) -> std::io::Result<Self> {
         let (sender, receiver) = bounded(RING_LINES);
-        let dropped = Arc::new(Dropped::default());
-        let counted = Arc::clone(&dropped);
+        let counts = Arc::new(Counts::default());
+        let counted = Arc::clone(&counts);
         thread::Builder::new()
             .name("log".to_owned())
             .spawn(move || write_lines(&receiver, &counted, output))?;
-        Ok(Self { sender, dropped })
+        Ok(Self { sender, counts })
     }
 
     /// Writes a line, or counts it as dropped if the ring is full.
     pub fn write(&self, importance: Importance, time_ms: u64, event: &Event<'_>) {
         let is_routine = importance == Importance::Routine;
         if is_routine && self.sender.len() >= ROUTINE_LINES_MAX {
-            self.dropped.routine.fetch_add(1, Ordering::Relaxed);
+            self.counts.dropped.routine.fetch_add(1, Ordering::Relaxed);
             return;
         }
         let line = encode(time_ms, event);
-        if let Err(TrySendError::Full(_)) = self.sender.try_send(line) {
+        self.counts.unwritten.fetch_add(1, Ordering::AcqRel);
+        let Err(error) = self.sender.try_send(line) else {
+            return;
+        };
+        self.counts.unwritten.fetch_sub(1, Ordering::AcqRel);
+        if let TrySendError::Full(_) = error {
             let counter = if is_routine {
-                &self.dropped.routine
+                &self.counts.dropped.routine
             } else {
-                &self.dropped.notable
+                &self.counts.dropped.notable
             };
             counter.fetch_add(1, Ordering::Relaxed);
         }
     }
 
-    /// Waits until the lines written so far are on their way, at most for `limit`.
+    /// Waits until the lines so far are written to the output, at most for `limit`.
     pub fn flush(&self, limit: Duration) {
         let step = Duration::from_millis(10);
         let mut waited = Duration::ZERO;
-        while !self.sender.is_empty() && waited < limit {
+        while self.counts.unwritten.load(Ordering::Acquire) > 0 && waited < limit {
             thread::sleep(step);
             waited += step;
         }
@@ -327,15 +340,17 @@
     line
 }
 
-fn write_lines(receiver: &Receiver<Vec<u8>>, dropped: &Dropped, mut output: impl Write) {
+fn write_lines(receiver: &Receiver<Vec<u8>>, counts: &Counts, mut output: impl Write) {
     let mut batch = Vec::new();
     while let Ok(first) = receiver.recv() {
         thread::sleep(COLLECT_TIME);
         batch.extend_from_slice(&first);
+        let mut lines = 1;
         while let Ok(line) = receiver.try_recv() {
             batch.extend_from_slice(&line);
+            lines += 1;
         }
-        note_dropped(dropped, &mut batch);
+        note_dropped(&counts.dropped, &mut batch);
         if output
             .write_all(&batch)
             .and_then(|()| output.flush())
@@ -344,6 +359,7 @@
             // Nobody reads the log any more; the daemon goes on without it.
             return;
         }
+        counts.unwritten.fetch_sub(lines, Ordering::AcqRel);
         batch.clear();
     }
 }
--- a/crates/gateway/tests/copies.rs
+++ b/crates/gateway/tests/copies.rs
@@ -8,6 +8,7 @@
 use anvilgw_gateway::sse::EventSplitter;
 use anvilgw_gateway::trust::Trust;
 use std::io::Write;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 fn at(ms: u64) -> Duration {
@@ -253,3 +254,32 @@
         log.write(importance, index, &Event::Stopping { in_flight: 0 });
     }
 }
+
+/// A reader whose output can be looked at.
+#[derive(Clone, Default)]
+struct SharedOutput(Arc<Mutex<Vec<u8>>>);
+
+impl Write for SharedOutput {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().expect("lock").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a daemon that ends while its last lines are still collected, so that its log does not
+/// tell that it stopped.
+#[test]
+fn the_last_lines_are_written_before_a_flush_returns() {
+    let output = SharedOutput::default();
+    let log = EventLog::start(output.clone()).expect("thread");
+    let stopped = Event::Stopped { in_flight: 0 };
+    log.write(Importance::Notable, 1, &stopped);
+    log.flush(Duration::from_secs(30));
+    let written = output.0.lock().expect("lock").clone();
+    let text = String::from_utf8(written).expect("text");
+    assert!(text.contains("stopped"), "{text}");
+}
