Do not follow what engines hold

Cause: each of 18 daemons read the cache events of all engines, some thousand a second, two thirds of them from other failure domains.

Change: the directory holds stores only. The engine that ranks next is named for what no store has, as it was in large fleets.

--- a/crates/cli/src/request_log.rs
+++ b/crates/cli/src/request_log.rs
@@ -39,7 +39,6 @@
 #[serde(default)]
 struct PromptFields {
     weights: Option<u64>,
-    held_tokens: u32,
     fetched_tokens: u32,
     computed_tokens: u32,
 }
@@ -167,8 +166,8 @@
             .map_or("-".to_owned(), |version| version.to_string());
         let _ = writeln!(
             text,
-            "  shared prompt tokens: {} held there, {} read from elsewhere, {} computed; weights {weights}",
-            prompt.held_tokens, prompt.fetched_tokens, prompt.computed_tokens
+            "  shared prompt tokens: {} with a source, {} without; weights {weights}",
+            prompt.fetched_tokens, prompt.computed_tokens
         );
     }
 }
--- a/crates/gateway/src/caches.rs
+++ b/crates/gateway/src/caches.rs
@@ -1,15 +1,14 @@
-//! What backend servers and stores hold of prompts.
+//! What stores hold of prompts.
 //!
-//! The directory follows the cache events of the holders that this daemon reads. Events are late and a
-//! few are lost, so an entry may be wrong: a read of a part that is gone costs about a millisecond
-//! and the part is computed, and a part that is not known to be held is computed or read again.
+//! The directory follows the cache events of the stores. Events are late and a few are lost, so an entry may
+//! be wrong: a read of a part that is gone costs about a millisecond and the part is computed, and a part
+//! that is not known to be held is computed or read again. What engines hold is not followed: it changes all
+//! the time, and the engine that ranks next for a prompt has probably served it before.
 
 mod plan;
 mod relay;
 
-use crate::holder::HolderKind;
 pub use crate::holder::{HeldPart, Holder, PartKey, StoreSpec, name_hash};
-use crate::request::PromptPart;
 use crate::store_log::{StoreChange, StoreLog, StoreUpdate};
 use indexmap::{IndexMap, IndexSet};
 pub use plan::{CachePlan, LocatedPrompt, PartPlan, PlanFor, Sources};
@@ -50,26 +49,7 @@
     }
 }
 
-/// Kinds of holders whose events a daemon reads itself.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct EventSources {
-    /// Stores.
-    pub stores: bool,
-    /// Engines.
-    pub engines: bool,
-}
-
-impl EventSources {
-    fn include(self, holder: &Holder) -> bool {
-        if holder.is_store() {
-            self.stores
-        } else {
-            self.engines
-        }
-    }
-}
-
-/// What all backend servers and stores hold.
+/// What all stores hold.
 #[derive(Debug, Default)]
 pub struct CacheDirectory {
     holders: SlotMap<HolderKey, Holder>,
@@ -77,8 +57,6 @@
     /// The stores of a configuration were taken over.
     has_stores: bool,
     clock: Option<ServerClock>,
-    /// What engines hold is concluded from the ranks of servers, because their events are not read.
-    predicts_engines: bool,
     /// Changes at the stores, if other daemons learn them from this one.
     log: Option<StoreLog>,
 }
@@ -88,68 +66,36 @@
     pub fn on_stores(&mut self, specs: &[StoreSpec]) -> Vec<HolderKey> {
         self.has_stores = true;
         let listed: IndexSet<SocketAddr> = specs.iter().map(|spec| spec.address).collect();
-        self.retain(|holder| !holder.is_store() || listed.contains(&holder.address));
+        self.holders
+            .retain(|_, holder| listed.contains(&holder.address()));
+        let holders = &self.holders;
+        self.by_address.retain(|_, key| holders.contains_key(*key));
         let mut added = Vec::new();
         for spec in specs {
-            let kind = HolderKind::Store(spec.clone());
             if let Some(key) = self.by_address.get(&spec.address) {
-                self.holders[*key].kind = kind;
+                self.holders[*key].spec = spec.clone();
                 continue;
             }
-            let holder = Holder::new(kind, spec.address, spec.failure_domain.clone());
-            added.push(self.insert(holder));
+            let key = self.holders.insert(Holder::new(spec.clone()));
+            self.by_address.insert(spec.address, key);
+            added.push(key);
         }
         added
     }
 
-    /// Takes over the engines that are in service, by address and failure domain, and returns the
-    /// new ones.
-    pub fn on_engines(&mut self, engines: &IndexMap<SocketAddr, String>) -> Vec<HolderKey> {
-        self.retain(|holder| holder.is_store() || engines.contains_key(&holder.address));
-        let mut added = Vec::new();
-        for (address, domain) in engines {
-            if !self.by_address.contains_key(address) {
-                let holder = Holder::new(HolderKind::Engine, *address, domain.clone());
-                added.push(self.insert(holder));
-            }
-        }
-        added
-    }
-
-    fn insert(&mut self, holder: Holder) -> HolderKey {
-        let address = holder.address;
-        let key = self.holders.insert(holder);
-        self.by_address.insert(address, key);
-        key
-    }
-
-    fn retain(&mut self, keep: impl Fn(&Holder) -> bool) {
-        self.holders.retain(|_, holder| keep(holder));
-        let holders = &self.holders;
-        self.by_address.retain(|_, key| holders.contains_key(*key));
-    }
-
-    /// Number of engines.
-    #[must_use]
-    pub fn engine_count(&self) -> usize {
-        let holders = self.holders.values();
-        holders.filter(|holder| !holder.is_store()).count()
-    }
-
     /// Whether the contents of all stores are known, but for those that do not answer. At the start of
     /// a daemon they are not.
     #[must_use]
     pub fn knows_stores(&self) -> bool {
-        let mut stores = self.holders.values().filter(|holder| holder.is_store());
+        let mut stores = self.holders.values();
         self.has_stores && stores.all(|store| store.was_asked)
     }
 
-    /// Holders whose events this daemon should read itself and does not read yet. They count as read
-    /// from now on, until [`Self::on_unfollowed`].
-    pub fn take_unfollowed(&mut self, sources: EventSources) -> Vec<HolderKey> {
+    /// Holders whose events this daemon does not read yet. They count as read from now on, until
+    /// [`Self::on_unfollowed`].
+    pub fn take_unfollowed(&mut self) -> Vec<HolderKey> {
         let holders = self.holders.iter_mut();
-        let unfollowed =
-            holders.filter(|(_, holder)| !holder.is_followed && sources.include(holder));
+        let unfollowed = holders.filter(|(_, holder)| !holder.is_followed);
         unfollowed
             .map(|(key, holder)| {
                 holder.is_followed = true;
@@ -158,35 +104,13 @@
             .collect()
     }
 
-    /// Whether the events of a holder should be read by this daemon.
-    #[must_use]
-    pub fn is_wanted(&self, key: HolderKey, sources: EventSources) -> bool {
-        let holder = self.holders.get(key);
-        holder.is_some_and(|holder| sources.include(holder))
-    }
-
-    /// Notes that the events of a holder are no longer read. What an engine holds changes all the time,
-    /// so it is unknown from then on.
+    /// Notes that the events of a holder are no longer read.
     pub fn on_unfollowed(&mut self, key: HolderKey) {
         if let Some(holder) = self.holders.get_mut(key) {
             holder.is_followed = false;
-            if !holder.is_store() {
-                holder.on_lost();
-            }
         }
     }
 
-    /// Whether what engines hold is concluded from the ranks of servers.
-    #[must_use]
-    pub fn predicts_engines(&self) -> bool {
-        self.predicts_engines
-    }
-
-    /// Sets whether what engines hold is concluded from the ranks of servers.
-    pub fn set_predicts_engines(&mut self, predicts_engines: bool) {
-        self.predicts_engines = predicts_engines;
-    }
-
     /// A holder.
     #[must_use]
     pub fn get(&self, key: HolderKey) -> Option<&Holder> {
@@ -208,10 +132,6 @@
             log_update(&mut self.log, holder, || StoreUpdate::Emptied);
         }
         let is_first = holder.epoch == 0;
-        if events.has_gap && !holder.is_store() {
-            // What an engine holds changes all the time, and a list would stall its runs.
-            holder.clear();
-        }
         holder.epoch = events.epoch;
         holder.is_up = true;
         holder.next_event = events.next;
@@ -219,7 +139,7 @@
             log_update(&mut self.log, holder, || part_update(&part));
             holder.apply(part);
         }
-        let needs_list = events.has_gap && holder.is_store() && (is_first || !has_restarted);
+        let needs_list = events.has_gap && (is_first || !has_restarted);
         holder.was_asked |= !needs_list;
         needs_list
     }
@@ -248,30 +168,6 @@
         }
     }
 
-    /// Notes that a server has read the shared parts of a prompt, before its events tell.
-    pub fn on_read(&mut self, address: SocketAddr, scope: &str, parts: &[PromptPart]) {
-        let Some(key) = self.by_address.get(&address) else {
-            return;
-        };
-        if self.predicts_engines {
-            // No event would ever tell that the part is gone.
-            return;
-        }
-        let holder = &mut self.holders[*key];
-        let scope_hash = name_hash(scope);
-        for part in parts {
-            let key = PartKey {
-                scope_hash,
-                id_hash: part.id_hash,
-            };
-            holder.held.entry(key).or_insert_with(|| HeldPart {
-                scope: scope.to_owned(),
-                id: String::new(),
-                tokens: part.tokens,
-            });
-        }
-    }
-
     /// The servers' clock at an uptime.
     #[must_use]
     pub fn server_clock_ms(&self, at: Duration) -> Option<u64> {
@@ -299,14 +195,13 @@
     ) -> Vec<(SocketAddr, Vec<HeldPart>)> {
         self.holders
             .values()
-            .filter(|holder| holder.is_store())
             .map(|store| {
                 let retired = store
                     .held
                     .iter()
                     .filter(|(key, part)| is_retired(&part.scope, key.id_hash))
                     .map(|(_, part)| part.clone());
-                (store.address, retired.take(limit).collect())
+                (store.address(), retired.take(limit).collect())
             })
             .filter(|(_, parts): &(SocketAddr, Vec<HeldPart>)| !parts.is_empty())
             .collect()
@@ -337,13 +232,11 @@
     }
 }
 
-/// Logs an update of a store. It is made only if a log is kept: engines have many events.
+/// Logs an update of a store. It is made only if a log is kept.
 fn log_update(log: &mut Option<StoreLog>, holder: &Holder, update: impl FnOnce() -> StoreUpdate) {
-    if let Some(log) = log
-        && holder.is_store()
-    {
+    if let Some(log) = log {
         log.push(StoreChange {
-            store: holder.address,
+            store: holder.address(),
             update: update(),
         });
     }
--- a/crates/gateway/src/caches/plan.rs
+++ b/crates/gateway/src/caches/plan.rs
@@ -1,7 +1,7 @@
 //! From where a request takes the shared parts of its prompt, and where they are kept.
 
 use super::{CacheDirectory, HolderKey};
-use crate::holder::{Holder, HolderKind, PartKey, StoreSpec};
+use crate::holder::{Holder, PartKey, StoreSpec};
 use crate::places::Places;
 use crate::request::PromptPart;
 use std::hash::{Hash, Hasher};
@@ -15,8 +15,6 @@
 /// Weight of the time in which an engine computes against the same time of a transfer: computing
 /// delays all runs of the engine, a transfer only the one that waits for it.
 const COMPUTING_WEIGHT: f64 = 3.0;
-/// Probability that an engine has dropped a part that its events still report.
-const ENGINE_MISS_PROBABILITY: f64 = 0.2;
 /// Smallest part that is read from an engine that may not hold it. A read that misses takes about as
 /// long as computing half of this.
 const PREDICTED_TOKENS_MIN: u32 = 256;
@@ -35,11 +33,9 @@
 pub struct CachePlan {
     /// Sources and stores of the shared parts, in their order.
     pub parts: Vec<PartPlan>,
-    /// Tokens that the server probably holds.
-    pub held_tokens: u32,
-    /// Tokens that are read from other holders.
+    /// Tokens for which a source is named. The server reads those that it does not hold itself.
     pub fetched_tokens: u32,
-    /// Tokens that nobody holds from whom they would come soon enough.
+    /// Tokens without a source from which they would come soon enough.
     pub computed_tokens: u32,
 }
 
@@ -60,12 +56,8 @@
 /// The server for which a plan is made.
 #[derive(Clone, Copy, Debug)]
 pub struct PlanFor<'a> {
-    /// Its address.
-    pub address: SocketAddr,
     /// Its failure domain.
     pub failure_domain: &'a str,
-    /// Tokens that the link between engines carries in a millisecond.
-    pub engine_tokens_per_ms: f64,
 }
 
 /// Holders that a request may use.
@@ -75,8 +67,6 @@
     pub may_read_from_store: &'a dyn Fn(u64) -> bool,
     /// Whether stores may be written.
     pub may_write_stores: bool,
-    /// Engines that may be read.
-    pub engines: &'a [SocketAddr],
     /// Engine that probably holds what no store has.
     pub likely_engine: Option<SocketAddr>,
     /// Regions that the prompt may be moved to.
@@ -85,13 +75,8 @@
 
 impl Sources<'_> {
     fn allow(&self, holder: &Holder, part: &LocatedPart) -> bool {
-        if !self.places.allow(&holder.failure_domain) {
-            return false;
-        }
-        match holder.kind {
-            HolderKind::Engine => self.engines.contains(&holder.address),
-            HolderKind::Store(_) => (self.may_read_from_store)(part.key.id_hash),
-        }
+        self.places.allow(&holder.spec.failure_domain)
+            && (self.may_read_from_store)(part.key.id_hash)
     }
 }
 
@@ -119,8 +104,8 @@
         }
     }
 
-    /// Where a server reads the shared parts of a prompt that it lacks, and where it writes those
-    /// that no store has.
+    /// Where a server reads the shared parts of a prompt that it lacks, and where it writes those that no
+    /// store has. The server reads only what it lacks, so a source is also named for what it may hold.
     #[must_use]
     pub fn plan(
         &self,
@@ -128,15 +113,11 @@
         server: PlanFor<'_>,
         sources: Sources<'_>,
     ) -> CachePlan {
-        let own = self.by_address.get(&server.address);
         let mut plan = CachePlan::default();
         for part in &prompt.parts {
-            let is_held = own.is_some_and(|own| part.holders.contains(own));
-            // The server reads only what it lacks, so a source is also named for what it probably holds.
             let known = self.best_source(part, server, sources);
             let source = known.or_else(|| self.likely_source(part, sources));
             let tokens = match source {
-                _ if is_held => &mut plan.held_tokens,
                 Some(_) => &mut plan.fetched_tokens,
                 None => &mut plan.computed_tokens,
             };
@@ -166,20 +147,10 @@
         part.holders
             .iter()
             .filter_map(|key| self.holders.get(*key))
-            .filter(|holder| holder.address != server.address && sources.allow(holder, part))
+            .filter(|holder| sources.allow(holder, part))
             .map(|holder| {
-                let transfer_ms = holder.transfer_ms(
-                    part.tokens,
-                    server.failure_domain,
-                    server.engine_tokens_per_ms,
-                );
-                // An engine may have dropped the part since its last event; a store drops nothing.
-                let miss_ms = if holder.is_store() {
-                    0.0
-                } else {
-                    computing_ms * ENGINE_MISS_PROBABILITY
-                };
-                (holder.address, transfer_ms + miss_ms)
+                let transfer_ms = holder.transfer_ms(part.tokens, server.failure_domain);
+                (holder.address(), transfer_ms)
             })
             .min_by(|a, b| a.1.total_cmp(&b.1))
             .filter(|(_, transfer_ms)| *transfer_ms < computing_ms)
@@ -204,9 +175,7 @@
         let (key, tokens) = (&part.key, part.tokens);
         let mut best: Option<(f64, SocketAddr)> = None;
         for holder in self.holders.values().filter(|holder| holder.is_up) {
-            let HolderKind::Store(spec) = &holder.kind else {
-                continue;
-            };
+            let spec = &holder.spec;
             if holder.held.contains_key(key) {
                 return None;
             }
@@ -217,7 +186,7 @@
             let has_room = holder.used_tokens as f64 + f64::from(tokens) <= limit;
             let rank = rank(spec, key, domain);
             if has_room && best.is_none_or(|(best, _)| rank > best) {
-                best = Some((rank, holder.address));
+                best = Some((rank, spec.address));
             }
         }
         best.map(|(_, address)| address)
--- a/crates/gateway/src/caches/relay.rs
+++ b/crates/gateway/src/caches/relay.rs
@@ -31,9 +31,8 @@
     }
 
     fn store_contents(&self) -> Vec<StoreChange> {
-        let stores = self.holders.values().filter(|holder| holder.is_store());
         let mut changes = Vec::new();
-        for store in stores.filter(|store| store.was_asked) {
+        for store in self.holders.values().filter(|store| store.was_asked) {
             let state = if store.is_up {
                 StoreUpdate::Emptied
             } else {
@@ -44,7 +43,7 @@
                 std::iter::once(state)
                     .chain(parts)
                     .map(|update| StoreChange {
-                        store: store.address,
+                        store: store.address(),
                         update,
                     }),
             );
@@ -58,15 +57,12 @@
             self.on_clock(clock_ms, now);
         }
         if page.is_snapshot {
-            let stores = self.holders.values_mut();
-            stores
-                .filter(|holder| holder.is_store())
-                .for_each(Holder::clear);
+            self.holders.values_mut().for_each(Holder::clear);
         }
         for change in page.changes {
             self.on_store_change(change);
         }
-        for store in self.holders.values_mut().filter(|holder| holder.is_store()) {
+        for store in self.holders.values_mut() {
             store.was_asked = true;
         }
         Cursor {
@@ -93,7 +89,7 @@
 
     /// Notes that nobody tells what the stores hold. What is known stays known.
     pub fn on_stores_untold(&mut self) {
-        for store in self.holders.values_mut().filter(|holder| holder.is_store()) {
+        for store in self.holders.values_mut() {
             store.was_asked = true;
         }
     }
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -78,8 +78,6 @@
 pub struct EngineSpec {
     /// Tokens of KV cache that an engine holds.
     pub kv_capacity_tokens: u64,
-    /// Tokens that the link of an engine carries in a millisecond.
-    pub link_tokens_per_ms: f64,
 }
 
 /// A service.
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -279,9 +279,6 @@
         if answering_server.is_none_or(|id| id == self.target.id) {
             in_flight.on_answer(&meta);
         }
-        if head.status.is_success() {
-            note_read(self.gateway, self.call, &self.target);
-        }
         let exchange = Exchange {
             status: head.status,
             idle_for: stated_idle(&head.headers),
@@ -355,14 +352,6 @@
     }
 }
 
-/// Notes that the server has read the prompt; its events tell later.
-fn note_read(gateway: &Gateway, call: &Call, target: &Target) {
-    if let (Some(prompt), Some(cache)) = (&call.meta.prompt, &target.cache) {
-        let caches = &mut gateway.state.borrow_mut().caches;
-        caches.on_read(target.address, &cache.scope, prompt.shared_parts());
-    }
-}
-
 /// Learns from a server's refusal that it has switched to the newest weights.
 fn on_other_weights(gateway: &Gateway, progress: &mut Progress, target: &Target, call: &Call) {
     let state = &mut *gateway.state.borrow_mut();
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -166,7 +166,6 @@
             peer_loads: &state.peer_loads,
             isolated_workspace: call.isolated_workspace(),
             oldest_version: named.and_then(|named| oldest_allowed(named, switch_time, now)),
-            engine_tokens_per_ms: engine_link(&call.service),
             engine_capacity_tokens: engine_capacity(&call.service),
             memory_limit_tokens: state.admission.limit_tokens(
                 &MemoryRequest {
@@ -202,7 +201,6 @@
 fn prompt_choice(cache: &CacheUse) -> PromptChoice {
     PromptChoice {
         weights: cache.weight_version,
-        held_tokens: cache.plan.held_tokens,
         fetched_tokens: cache.plan.fetched_tokens,
         computed_tokens: cache.plan.computed_tokens,
     }
@@ -212,8 +210,3 @@
     let engine = service.engine.as_ref();
     engine.map_or(0, |engine| engine.kv_capacity_tokens)
 }
-
-fn engine_link(service: &Service) -> f64 {
-    let engine = service.engine.as_ref();
-    engine.map_or(0.0, |engine| engine.link_tokens_per_ms)
-}
--- a/crates/gateway/src/duties/caches.rs
+++ b/crates/gateway/src/duties/caches.rs
@@ -1,15 +1,14 @@
-//! Follows what backend servers and stores hold of prompts.
+//! Follows what stores hold of prompts.
 //!
-//! In a small fleet each daemon reads the events of all holders. In a large one only the leaders of
-//! groups read those of the stores, and the others read the leader's log of them.
+//! In a small fleet each daemon reads the events of all stores. In a large one only the leaders of groups
+//! do, and the others read the leader's log of them.
 
-use crate::caches::{EventSources, HolderKey, StoreSpec};
+use crate::caches::{HolderKey, StoreSpec};
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::groups::Role;
 use crate::log::Event;
 use crate::ports::CacheError;
-use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,10 +27,8 @@
 /// Largest deviation of a pause, as a part of it.
 const JITTER: f64 = 0.2;
 
-/// Engines that a daemon follows at most; more of them would take most of a small instance's time.
-const FOLLOWED_ENGINES_MAX: usize = 36;
 /// Time after the start of a daemon until it knows how large the fleet is, also when the whole fleet
-/// starts. Engines are followed from then on, and stores also without a known role.
+/// starts. Stores are followed from then on also without a known role.
 const SETTLING_TIME: Duration = Duration::from_secs(5);
 
 /// Starts a task for each holder that this daemon follows.
@@ -51,29 +48,22 @@
 }
 
 fn take_unfollowed(gateway: &Gateway) -> Vec<HolderKey> {
-    let sources = event_sources(gateway);
-    let caches = &mut gateway.state.borrow_mut().caches;
-    caches.set_predicts_engines(!sources.engines);
-    caches.take_unfollowed(sources)
+    if !reads_stores(gateway) {
+        return Vec::new();
+    }
+    gateway.state.borrow_mut().caches.take_unfollowed()
 }
 
-/// Whose events this daemon reads itself.
-fn event_sources(gateway: &Gateway) -> EventSources {
-    let state = gateway.state.borrow();
-    let has_settled = gateway.uptime() >= SETTLING_TIME;
-    let is_mesh = matches!(state.role, Some(Role::Mesh { .. }));
-    let has_few_engines = state.caches.engine_count() <= FOLLOWED_ENGINES_MAX;
-    EventSources {
-        stores: match state.role {
-            Some(Role::Follower { .. }) => false,
-            Some(_) => true,
-            None => has_settled,
-        },
-        engines: is_mesh && has_settled && has_few_engines,
+/// Whether this daemon reads the events of stores itself.
+fn reads_stores(gateway: &Gateway) -> bool {
+    match gateway.state.borrow().role {
+        Some(Role::Follower { .. }) => false,
+        Some(_) => true,
+        None => gateway.uptime() >= SETTLING_TIME,
     }
 }
 
-/// Takes over the stores of the configuration and the listed engines.
+/// Takes over the stores of the configuration.
 fn update_holders(gateway: &Gateway) {
     let state = &mut *gateway.state.borrow_mut();
     let Some(configuration) = &state.configuration else {
@@ -83,18 +73,7 @@
         .services()
         .filter_map(|service| service.store.clone())
         .collect();
-    let engines: IndexMap<SocketAddr, String> = state
-        .servers
-        .iter()
-        .map(|(_, server)| &server.entry)
-        .filter(|entry| {
-            let service = configuration.service(&entry.service);
-            service.is_some_and(|service| service.engine.is_some())
-        })
-        .map(|entry| (entry.address, entry.failure_domain.clone()))
-        .collect();
     state.caches.on_stores(&specs);
-    state.caches.on_engines(&engines);
     let is_leader = matches!(state.role, Some(Role::Leader { .. }));
     state.caches.set_logged(is_leader, gateway.start_id);
 }
@@ -102,21 +81,16 @@
 async fn follow(gateway: Rc<Gateway>, key: HolderKey) {
     let mut dependency = Dependency::new("cache events");
     loop {
-        let sources = event_sources(&gateway);
+        let is_wanted = reads_stores(&gateway);
         let target = {
             let state = gateway.state.borrow();
-            let holder = state.caches.get(key);
-            let wanted = holder.filter(|_| state.caches.is_wanted(key, sources));
-            wanted.map(|holder| (holder.address(), holder.next_event()))
+            let holder = state.caches.get(key).filter(|_| is_wanted);
+            holder.map(|holder| (holder.address(), holder.next_event()))
         };
         let Some((address, since)) = target else {
             gateway.state.borrow_mut().caches.on_unfollowed(key);
             return;
         };
-        if is_backing_off(&gateway, address) {
-            sleep(gateway.jittered(EVENTS_PAUSE, JITTER)).await;
-            continue;
-        }
         let read = gateway.ports.caches.events(address, since, EVENTS_WAIT);
         match read.await {
             Ok(events) => {
@@ -144,11 +118,6 @@
     }
 }
 
-fn is_backing_off(gateway: &Gateway, address: SocketAddr) -> bool {
-    let servers = &gateway.state.borrow().servers;
-    servers.is_backing_off_at(address, gateway.now())
-}
-
 async fn read_list(gateway: &Gateway, key: HolderKey, address: SocketAddr) {
     match gateway.ports.caches.list(address).await {
         Ok(list) => {
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -1,4 +1,4 @@
-//! A backend server or store that holds parts of prompts.
+//! A store that holds parts of prompts.
 
 use indexmap::IndexMap;
 use std::net::SocketAddr;
@@ -63,21 +63,10 @@
     }
 }
 
-/// What kind of holder it is.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) enum HolderKind {
-    /// A model engine. It drops what was used least recently.
-    Engine,
-    /// A store. It drops nothing by itself.
-    Store(StoreSpec),
-}
-
-/// A backend server or store as one daemon knows it.
+/// A store as one daemon knows it. It drops nothing by itself.
 #[derive(Clone, Debug)]
 pub struct Holder {
-    pub(crate) kind: HolderKind,
-    pub(crate) address: SocketAddr,
-    pub(crate) failure_domain: String,
+    pub(crate) spec: StoreSpec,
     pub(crate) is_up: bool,
     /// It was asked once, whether or not it answered.
     pub(crate) was_asked: bool,
@@ -90,11 +79,9 @@
 }
 
 impl Holder {
-    pub(crate) fn new(kind: HolderKind, address: SocketAddr, failure_domain: String) -> Self {
+    pub(crate) fn new(spec: StoreSpec) -> Self {
         Self {
-            kind,
-            address,
-            failure_domain,
+            spec,
             is_up: false,
             was_asked: false,
             epoch: 0,
@@ -108,7 +95,7 @@
     /// Where it listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.spec.address
     }
 
     /// From where to read its events.
@@ -147,30 +134,15 @@
         self.is_up && self.held.get(key).is_some_and(|part| part.tokens >= tokens)
     }
 
-    pub(crate) fn is_store(&self) -> bool {
-        matches!(self.kind, HolderKind::Store(_))
-    }
-
-    /// Cost of a transfer of tokens from here to a failure domain, in milliseconds.
-    pub(crate) fn transfer_ms(
-        &self,
-        tokens: u32,
-        to_domain: &str,
-        engine_tokens_per_ms: f64,
-    ) -> f64 {
-        let (tokens_per_ms, first_byte_ms) = match &self.kind {
-            HolderKind::Engine => (engine_tokens_per_ms, 0.0),
-            HolderKind::Store(spec) => (
-                spec.link_tokens_per_ms,
-                spec.first_byte.as_secs_f64() * 1000.0,
-            ),
-        };
-        let distance = if self.failure_domain == to_domain {
+    /// Time of a transfer of tokens from here to a failure domain, in milliseconds.
+    pub(crate) fn transfer_ms(&self, tokens: u32, to_domain: &str) -> f64 {
+        let distance = if self.spec.failure_domain == to_domain {
             1.0
         } else {
             CROSS_DOMAIN_FACTOR
         };
-        let link_ms = f64::from(tokens) / tokens_per_ms.max(1.0);
+        let first_byte_ms = self.spec.first_byte.as_secs_f64() * 1000.0;
+        let link_ms = f64::from(tokens) / self.spec.link_tokens_per_ms.max(1.0);
         TRANSFER_LATENCY_MS + first_byte_ms + link_ms * distance
     }
 }
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -200,15 +200,13 @@
     pub prompt: Option<PromptChoice>,
 }
 
-/// Where the shared parts of a prompt were expected, in tokens.
+/// Where the shared parts of a prompt were expected beside the server, in tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct PromptChoice {
     /// Version of the server's weights.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub weights: Option<u64>,
-    /// At the server.
-    pub held_tokens: u32,
-    /// At a store or another server.
+    /// At a store or another server. The server reads those that it does not hold itself.
     pub fetched_tokens: u32,
     /// Nowhere, so that they are computed.
     pub computed_tokens: u32,
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -10,7 +10,6 @@
 use rand::{Rng, RngExt};
 use std::cmp::Ordering;
 use std::hash::{Hash, Hasher};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Load above the mean of the candidates from which a prompt leaves the server that ranks first.
@@ -55,8 +54,6 @@
     pub isolated_workspace: Option<&'a str>,
     /// Oldest version of the weights that may serve the request.
     pub oldest_version: Option<u64>,
-    /// Tokens that the link between engines carries in a millisecond.
-    pub engine_tokens_per_ms: f64,
     /// Tokens that an engine holds. Zero if that is not known.
     pub engine_capacity_tokens: u64,
     /// Tokens on an engine up to which it takes the prompt.
@@ -260,14 +257,7 @@
     let likely_holder = likely.and_then(|(_, other, _)| servers.get(*other));
     Some(Selected {
         server: *key,
-        cache: Some(use_cache(
-            servers,
-            server,
-            likely_holder,
-            query,
-            places,
-            now,
-        )),
+        cache: Some(use_cache(server, likely_holder, query, places, now)),
     })
 }
 
@@ -283,7 +273,6 @@
 /// nothing made by other weights is ever found under it. A server that is about to switch goes on
 /// with its runs under the new weights, so nothing is read from it any more.
 fn use_cache(
-    servers: &Servers,
     server: &Server,
     likely_holder: Option<&Server>,
     query: &PromptQuery<'_>,
@@ -301,17 +290,9 @@
         && (is_newest || query.are_switches_current);
     let mut plan = CachePlan::default();
     if may_transfer {
-        let engines: Vec<SocketAddr> = servers
-            .iter()
-            .map(|(_, other)| other)
-            .filter(|other| other.version_of(model) == version)
-            .filter(|other| !other.is_switching(now))
-            .map(|other| other.entry.address)
-            .collect();
         let likely_engine = likely_holder
-            .filter(|_| query.caches.predicts_engines())
-            .map(|holder| holder.entry.address)
-            .filter(|address| engines.contains(address));
+            .filter(|holder| holder.version_of(model) == version && !holder.is_switching(now))
+            .map(|holder| holder.entry.address);
         let sources = Sources {
             may_write_stores: is_newest,
             may_read_from_store: &|id_hash| match (query.named, version) {
@@ -320,15 +301,15 @@
                 }
                 _ => true,
             },
-            engines: &engines,
             likely_engine,
             places,
         };
         let parts = query.prompt.shared_parts();
         let located = query.caches.locate(name_hash(&scope), parts);
-        plan = query
-            .caches
-            .plan(&located, plan_for(server, query), sources);
+        let plan_for = PlanFor {
+            failure_domain: &server.entry.failure_domain,
+        };
+        plan = query.caches.plan(&located, plan_for, sources);
     }
     CacheUse {
         weight_version: version,
@@ -337,14 +318,6 @@
     }
 }
 
-fn plan_for<'a>(server: &'a Server, query: &PromptQuery<'_>) -> PlanFor<'a> {
-    PlanFor {
-        address: server.entry.address,
-        failure_domain: &server.entry.failure_domain,
-        engine_tokens_per_ms: query.engine_tokens_per_ms,
-    }
-}
-
 /// Rendezvous hashing: all daemons rank the servers of a prompt alike, and a server that comes or
 /// goes moves only its own prompts.
 fn rank(affinity: u64, server_id: &str) -> u64 {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -455,14 +455,6 @@
         soonest.filter(|left| !left.is_zero())
     }
 
-    /// Whether the server at an address wants no requests of this daemon now.
-    #[must_use]
-    pub fn is_backing_off_at(&self, address: SocketAddr, now: Duration) -> bool {
-        let mut servers = self.arena.values();
-        let found = servers.find(|server| server.entry.address == address);
-        found.is_some_and(|server| !server.backoff_left(now).is_zero())
-    }
-
     /// Takes a failure domain out of service.
     pub fn take_out(&mut self, domain: &str) {
         self.domains_out.insert(domain.to_owned());
