Learn how fast engines compute

Cause: whether a part is read from a store or computed was decided with 100 tokens a millisecond, a constant.

Change: the time to the first event tells the rate, a service each: the best answers raise it at once, slower ones lower it slowly. Only tokens that no other request shares count, because the engine may hold the others.

--- a/crates/gateway/src/caches/plan.rs
+++ b/crates/gateway/src/caches/plan.rs
@@ -1,6 +1,7 @@
 //! From where a request takes the shared parts of its prompt, and where they are kept.
 
 use super::{CacheDirectory, HolderKey};
+use crate::computing_rate::ComputingRate;
 use crate::holder::{Holder, PartKey, StoreSpec};
 use crate::places::Places;
 use crate::request::PromptPart;
@@ -10,8 +11,6 @@
 /// Part of a store's capacity that is filled. The rest covers saves that this daemon does not know
 /// of yet.
 const FILLED_PART: f64 = 0.97;
-/// Prompt tokens that an engine computes in a millisecond, for comparisons with a transfer.
-const COMPUTED_TOKENS_PER_MS: f64 = 100.0;
 /// Weight of the time in which an engine computes against the same time of a transfer: computing
 /// delays all runs of the engine, a transfer only the one that waits for it.
 const COMPUTING_WEIGHT: f64 = 3.0;
@@ -58,6 +57,8 @@
 pub struct PlanFor<'a> {
     /// Its failure domain.
     pub failure_domain: &'a str,
+    /// How fast engines compute.
+    pub computing_rate: ComputingRate,
 }
 
 /// Holders that a request may use.
@@ -143,7 +144,7 @@
     ) -> Option<SocketAddr> {
         // Without a time limit, which needs the servers' clock, a part could be freed under the read.
         self.clock?;
-        let computing_ms = f64::from(part.tokens) / COMPUTED_TOKENS_PER_MS * COMPUTING_WEIGHT;
+        let computing_ms = server.computing_rate.computing_ms(part.tokens) * COMPUTING_WEIGHT;
         part.holders
             .iter()
             .filter_map(|key| self.holders.get(*key))
--- a/crates/gateway/src/dispatch/stream.rs
+++ b/crates/gateway/src/dispatch/stream.rs
@@ -71,6 +71,7 @@
             }
             Some(first) => {
                 progress.on_first_event();
+                note_computing(gateway, &call);
                 let relay = Relay::new(gateway, call, progress, self.exchange, &first);
                 relay.into_body()
             }
@@ -82,6 +83,18 @@
     }
 }
 
+/// Learns from the time to the first event how fast engines compute. Shared parts may have been held or
+/// read, so the tokens of the request alone are the least that was computed.
+fn note_computing(gateway: &Gateway, call: &Call) {
+    let Some(prompt) = &call.meta.prompt else {
+        return;
+    };
+    let elapsed = gateway.now().saturating_sub(call.arrived);
+    let rates = &mut gateway.state.borrow_mut().computing_rates;
+    let rate = rates.entry(call.service.name.clone()).or_default();
+    rate.on_first_event(prompt.unshared_tokens(), elapsed);
+}
+
 async fn open_stream(
     gateway: &Rc<Gateway>,
     call: &Call,
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -4,6 +4,7 @@
 use super::progress::Progress;
 use crate::admission::MemoryRequest;
 use crate::caches::CacheDirectory;
+use crate::computing_rate::ComputingRate;
 use crate::configuration::Service;
 use crate::gateway::Gateway;
 use crate::log::{Choice, PromptChoice};
@@ -12,6 +13,7 @@
 use crate::select::{CacheUse, NoServer, PromptQuery, Query, Selected, has_usable, select};
 use crate::server::{Server, ServerKey, Servers};
 use crate::weights::{FETCH_TIME_MAX, oldest_allowed};
+use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -163,6 +165,7 @@
         PromptQuery {
             prompt,
             caches: &state.caches,
+            computing_rate: computing_rate(&state.computing_rates, &call.service),
             peer_loads: &state.peer_loads,
             isolated_workspace: call.isolated_workspace(),
             oldest_version: named.and_then(|named| oldest_allowed(named, switch_time, now)),
@@ -198,6 +201,10 @@
     decide(&mut state.servers, &query, &mut state.rng)
 }
 
+fn computing_rate(rates: &IndexMap<String, ComputingRate>, service: &Service) -> ComputingRate {
+    rates.get(&service.name).copied().unwrap_or_default()
+}
+
 fn prompt_choice(cache: &CacheUse) -> PromptChoice {
     PromptChoice {
         weights: cache.weight_version,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 use crate::bodies::BodyMemory;
 use crate::budget::RetryBudget;
 use crate::caches::CacheDirectory;
+use crate::computing_rate::ComputingRate;
 use crate::configuration::{Configuration, Service};
 use crate::groups::{Role, StoreReads};
 use crate::log::{Event, EventLog, Importance};
@@ -40,6 +41,8 @@
     pub(crate) trust: Trust,
     pub(crate) servers: Servers,
     pub(crate) caches: CacheDirectory,
+    /// How fast the engines of each service compute.
+    pub(crate) computing_rates: IndexMap<String, ComputingRate>,
     pub(crate) admission: MemoryAdmission,
     /// What this daemon does among the others, once it knows them.
     pub(crate) role: Option<Role>,
@@ -103,6 +106,7 @@
             trust: Trust::new(trust_limit(&settings)),
             servers: Servers::default(),
             caches: CacheDirectory::default(),
+            computing_rates: IndexMap::new(),
             admission: MemoryAdmission::default(),
             role: None,
             store_reads: StoreReads::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod caches;
 pub mod call;
 pub mod cold;
+pub mod computing_rate;
 pub mod configuration;
 pub mod connection;
 pub mod groups;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -40,6 +40,13 @@
         self.parts.get(shared).map(|part| part.id_hash)
     }
 
+    /// Tokens that no other request shares.
+    #[must_use]
+    pub fn unshared_tokens(&self) -> u32 {
+        let shared: u32 = self.shared_parts().iter().map(|part| part.tokens).sum();
+        self.prompt_tokens.saturating_sub(shared)
+    }
+
     /// The parts that other requests can share.
     #[must_use]
     pub fn shared_parts(&self) -> &[PromptPart] {
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -1,6 +1,7 @@
 //! Selection of the backend server for a request.
 
 use crate::caches::{CacheDirectory, CachePlan, PlanFor, Sources, name_hash};
+use crate::computing_rate::ComputingRate;
 use crate::configuration::Service;
 use crate::peers::PeerLoads;
 use crate::places::Places;
@@ -48,6 +49,8 @@
     pub prompt: &'a Prompt,
     /// Who holds what.
     pub caches: &'a CacheDirectory,
+    /// How fast engines compute.
+    pub computing_rate: ComputingRate,
     /// Load that other daemons put on the engines.
     pub peer_loads: &'a PeerLoads,
     /// The workspace, if its cached prompts are kept apart.
@@ -308,6 +311,7 @@
         let located = query.caches.locate(name_hash(&scope), parts);
         let plan_for = PlanFor {
             failure_domain: &server.entry.failure_domain,
+            computing_rate: query.computing_rate,
         };
         plan = query.caches.plan(&located, plan_for, sources);
     }
--- a/crates/gateway/tests/deployments.rs
+++ b/crates/gateway/tests/deployments.rs
@@ -2,6 +2,7 @@
 
 use anvilgw_gateway::budget::{RetryBound, RetryBudget};
 use anvilgw_gateway::caches::{CacheDirectory, StoreSpec};
+use anvilgw_gateway::computing_rate::ComputingRate;
 use anvilgw_gateway::configuration::{EngineSpec, Service};
 use anvilgw_gateway::groups::{Member, Place, Role, StoreReads};
 use anvilgw_gateway::peers::{EngineLoad, PeerLoads, Reporter, Scope, report_period};
@@ -171,6 +172,7 @@
         let service = self.service();
         let prompt = prompt.map(|prompt| PromptQuery {
             prompt,
+            computing_rate: ComputingRate::default(),
             caches,
             peer_loads: &peer_loads,
             isolated_workspace: None,
--- a/crates/gateway/tests/servers/holders.rs
+++ b/crates/gateway/tests/servers/holders.rs
@@ -2,6 +2,7 @@
 
 use crate::world::{MODEL, World, at, entry, events, named_prompt, store};
 use anvilgw_gateway::caches::{CacheDirectory, CacheEvents};
+use anvilgw_gateway::computing_rate::ComputingRate;
 use anvilgw_gateway::weights::{NamedWeights, Naming};
 use std::net::SocketAddr;
 
@@ -184,3 +185,54 @@
     assert!(!caches.on_events(key, events(&[], 1), at(3)));
     assert!(caches.on_events(key, with_gap(), at(4)), "later");
 }
+
+/// Guards against short shared parts that are computed again and again although a store has them (many
+/// short prompts on engines that compute slowly), and against reads that take longer than computing.
+#[test]
+fn short_parts_are_read_where_engines_compute_slowly() {
+    struct Case {
+        name: &'static str,
+        first_event_ms: u64,
+        is_read: bool,
+    }
+    let cases = [
+        Case {
+            name: "slow engines",
+            first_event_ms: 400,
+            is_read: true,
+        },
+        Case {
+            name: "fast engines",
+            first_event_ms: 4,
+            is_read: false,
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(&["s1"]);
+        let key = world.caches.on_stores(&[store(8001)])[0];
+        let held = events(&[("manual", 500), ("history", 8_000)], 1);
+        world.caches.on_events(key, held, at(1));
+        world
+            .computing_rate
+            .on_first_event(8_000, at(case.first_event_ms));
+        let selected = world.place(&named_prompt(), at(2)).expect("server");
+        let plan = selected.cache.expect("a generation").plan;
+        assert_eq!(plan.parts[0].fetch.is_some(), case.is_read, "{}", case.name);
+    }
+}
+
+/// Guards against a rate that follows queues instead of engines, and one that never falls again.
+#[test]
+fn the_computing_rate_follows_the_best_answers() {
+    let mut rate = ComputingRate::default();
+    rate.on_first_event(8_000, at(100));
+    assert!((rate.computing_ms(8_000) - 100.0).abs() < 1.0);
+    rate.on_first_event(8_000, at(2_000));
+    assert!(rate.computing_ms(8_000) < 110.0, "one answer from a queue");
+    rate.on_first_event(100, at(50));
+    assert!(rate.computing_ms(8_000) < 110.0, "too short to tell");
+    for _ in 0..300 {
+        rate.on_first_event(8_000, at(400));
+    }
+    assert!(rate.computing_ms(8_000) > 350.0, "slower engines");
+}
--- a/crates/gateway/tests/servers/world.rs
+++ b/crates/gateway/tests/servers/world.rs
@@ -1,6 +1,7 @@
 //! Servers, prompts and holders to select from.
 
 use anvilgw_gateway::caches::{CacheDirectory, CacheEvents, HeldPart, StoreSpec, name_hash};
+use anvilgw_gateway::computing_rate::ComputingRate;
 use anvilgw_gateway::configuration::{EngineSpec, Service};
 use anvilgw_gateway::groups::Role;
 use anvilgw_gateway::peers::{EngineLoad, LoadReport, PeerLoads, Scope};
@@ -76,6 +77,7 @@
     pub(crate) confined_to: Vec<String>,
     pub(crate) servers: Servers,
     pub(crate) caches: CacheDirectory,
+    pub(crate) computing_rate: ComputingRate,
     pub(crate) peers: PeerLoads,
     pub(crate) named: Option<NamedWeights>,
 }
@@ -92,6 +94,7 @@
             confined_to: Vec::new(),
             servers,
             caches: CacheDirectory::default(),
+            computing_rate: ComputingRate::default(),
             peers: PeerLoads::default(),
             named: None,
         }
@@ -150,6 +153,7 @@
             prompt: Some(PromptQuery {
                 prompt,
                 caches: &self.caches,
+                computing_rate: self.computing_rate,
                 peer_loads: &self.peers,
                 isolated_workspace: None,
                 oldest_version: None,
