Read parts only from engines that answer

Cause: the engine that ranks next for a prompt was named as source also while its breaker let only probes through, and while it was cold.

Change: the first sound engine in the order of ranks is named.

--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -8,6 +8,7 @@
 use crate::request::Prompt;
 use crate::server::{Server, ServerKey, Servers};
 use crate::weights::{NamedWeights, OldPartTimes, cache_scope, may_read_part};
+use anvilgw_router::BreakerState;
 use rand::{Rng, RngExt};
 use std::cmp::Ordering;
 use std::hash::{Hash, Hasher};
@@ -256,14 +257,24 @@
     let (_, key, _) = within.or_else(|| ranked.iter().find(has_room))?;
     let server = servers.get(*key)?;
     // The server that ranks highest among the others has probably served the prompt before.
-    let likely = ranked.iter().find(|(_, other, _)| other != key);
-    let likely_holder = likely.and_then(|(_, other, _)| servers.get(*other));
+    let others = ranked.iter().filter(|(_, other, _)| other != key);
+    let likely_holder = others
+        .filter_map(|(_, other, _)| servers.get(*other))
+        .find(|other| is_sound_source(other, now));
     Some(Selected {
         server: *key,
         cache: Some(use_cache(server, likely_holder, query, places, now)),
     })
 }
 
+/// Whether parts may be read from an engine. A read from one that does not answer takes some hundred
+/// milliseconds, and one that is cold holds nothing yet.
+fn is_sound_source(server: &Server, now: Duration) -> bool {
+    server.breaker.state(now) == BreakerState::Closed
+        && !server.is_cold(now)
+        && !server.is_switching(now)
+}
+
 /// Tokens that all daemons' requests take up on an engine.
 fn tokens_on(server: &Server, query: &PromptQuery<'_>, now: Duration) -> f64 {
     let others = query.peer_loads.tokens_on(server.load_hash());
@@ -294,7 +305,7 @@
     let mut plan = CachePlan::default();
     if may_transfer {
         let likely_engine = likely_holder
-            .filter(|holder| holder.version_of(model) == version && !holder.is_switching(now))
+            .filter(|holder| holder.version_of(model) == version)
             .map(|holder| holder.entry.address);
         let sources = Sources {
             may_write_stores: is_newest,
--- a/crates/gateway/tests/servers/holders.rs
+++ b/crates/gateway/tests/servers/holders.rs
@@ -3,8 +3,10 @@
 use crate::world::{MODEL, World, at, entry, events, named_prompt, store};
 use anvilgw_gateway::caches::{CacheDirectory, CacheEvents};
 use anvilgw_gateway::computing_rate::ComputingRate;
+use anvilgw_gateway::server::Server;
 use anvilgw_gateway::weights::{NamedWeights, Naming};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Guards against long histories that are computed again although a store has them, and against
 /// reads of a store that has restarted empty or does not answer.
@@ -236,3 +238,37 @@
     }
     assert!(rate.computing_ms(8_000) > 350.0, "slower engines");
 }
+
+/// Guards against reads from engines that cannot answer them (a third of the engines goes silent): each
+/// costs the request some hundred milliseconds.
+#[test]
+fn nothing_is_read_from_an_engine_that_does_not_answer_or_is_cold() {
+    type Change = fn(&mut Server);
+    let cases: [(&str, Change); 3] = [
+        ("unreachable", |server| server.on_unreachable(at(1))),
+        ("one connection failed", |server| {
+            for _ in 0..2 {
+                server.breaker.on_failure(at(1));
+            }
+        }),
+        ("cold", |server| {
+            server.set_cold_for(Duration::from_secs(3), at(1));
+        }),
+    ];
+    for (name, change) in cases {
+        let mut world = World::new(&["s1", "s2", "s3"]);
+        let store_key = world.caches.on_stores(&[store(8001)])[0];
+        world.caches.on_events(store_key, events(&[], 1), at(1));
+        let (selected, source) = source_of(&mut world);
+        let silent = source.expect("the engine that ranks next");
+        let (key, _) = world
+            .servers
+            .iter()
+            .find(|(_, server)| server.entry.address == silent)
+            .expect("an engine");
+        change(world.servers.get_mut(key).expect("server"));
+        let (still, source) = source_of(&mut world);
+        assert_eq!(still, selected, "{name}");
+        assert!(source.is_some_and(|source| source != silent), "{name}");
+    }
+}
