Ask a store that is away ever less often

Cause: a follower whose leader's copy is too old reads the metadata store for 1.5 s, also where the store is away for all daemons: each failed call was repeated within 150 to 750 ms by every daemon.

Change: a failed direct read doubles the time to the next one, from 200 ms to 1.6 s; the leader's copy is asked for meanwhile, and shows the return of the store.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod computing_rate;
 pub mod configuration;
 pub mod connection;
+pub mod direct_reads;
 pub mod groups;
 pub mod lease;
 pub mod log;
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -5,6 +5,7 @@
 
 use crate::call::Callers;
 use crate::dependency::Dependency;
+use crate::direct_reads::DirectReads;
 use crate::front::{TopicRead, topic_log_target};
 use crate::gateway::Gateway;
 use crate::page::fetch;
@@ -21,8 +22,6 @@
 const LEADER_AGE_MAX: Duration = Duration::from_millis(1200);
 /// Time for a read of a leader's copy. A leader that takes longer may be frozen.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time for which this daemon reads the store itself after its leader's copy was of no use.
-const DIRECT_TIME: Duration = Duration::from_millis(1500);
 /// Part of the time for which the store may hold a read back after which a leader's copy is read again,
 /// and for which leaders let the store hold reads back. The copies of the others are then about as old
 /// as if they read the store themselves.
@@ -47,8 +46,7 @@
     topic: Topic,
     callers: Callers,
     leader: Dependency,
-    /// Until then the store itself is read.
-    direct_until: Duration,
+    direct_reads: DirectReads,
 }
 
 impl TopicReader {
@@ -61,7 +59,7 @@
                 Topic::Table(Table::Servers) => "leader's copy, servers",
                 Topic::Leases => "leader's copy, leases",
             }),
-            direct_until: Duration::ZERO,
+            direct_reads: DirectReads::default(),
         }
     }
 
@@ -75,7 +73,7 @@
     ) -> Result<Read, StoreError> {
         let reads = gateway.state.borrow().store_reads;
         if let Some(leader) = reads.source()
-            && gateway.now() >= self.direct_until
+            && self.direct_reads.asks_leader(gateway.now())
         {
             let wait_part = if reads.serves_copies() {
                 RELAY_WAIT_PART
@@ -92,11 +90,18 @@
                     gateway.metrics.count("leader_reads_failed");
                     self.leader
                         .on_failure(gateway, &format!("{leader}: {reason}"));
-                    self.direct_until = gateway.now() + DIRECT_TIME;
+                    if !self.direct_reads.on_leader_failed(gateway.now()) {
+                        return Err(StoreError::NoAnswer(reason));
+                    }
                 }
             }
         }
-        self.read_store(gateway, from_offset, wait).await
+        let result = self.read_store(gateway, from_offset, wait).await;
+        match &result {
+            Ok(_) | Err(StoreError::Expired(_)) => self.direct_reads.on_store_answer(),
+            Err(_) => self.direct_reads.on_store_failure(gateway.now()),
+        }
+        result
     }
 
     async fn read_store(
--- a/crates/gateway/tests/relays.rs
+++ b/crates/gateway/tests/relays.rs
@@ -2,6 +2,7 @@
 //! of their group.
 
 use anvilgw_gateway::caches::{CacheDirectory, CacheEvents, HeldPart, StoreSpec};
+use anvilgw_gateway::direct_reads::DirectReads;
 use anvilgw_gateway::page::{decode, encode};
 use anvilgw_gateway::store_log::{Cursor, StorePage};
 use anvilgw_gateway::topic_log::{TopicLog, TopicPage};
@@ -243,3 +244,27 @@
     let page = successor.store_page(cursor, at(10)).expect("keeps a log");
     assert!(page.is_snapshot);
 }
+
+/// Guards against calls of every daemon several times a second to a store that is away for all of them, and
+/// against a daemon that relies on its leader alone.
+#[test]
+fn a_store_that_is_away_is_asked_ever_less_often() {
+    let mut reads = DirectReads::default();
+    assert!(reads.asks_leader(at(0)));
+    assert!(reads.on_leader_failed(at(0)), "only the leader has failed");
+    assert!(!reads.asks_leader(at(1_000)), "the store answers");
+    assert!(reads.asks_leader(at(1_500)));
+
+    let mut calls = 0;
+    for ms in (10_000..18_000).step_by(50) {
+        let is_store_asked = !reads.asks_leader(at(ms)) || reads.on_leader_failed(at(ms));
+        if is_store_asked {
+            calls += 1;
+            reads.on_store_failure(at(ms));
+        }
+    }
+    assert!((5..=9).contains(&calls), "{calls} calls in 8 s");
+
+    reads.on_store_answer();
+    assert!(reads.on_leader_failed(at(18_001)), "it is back");
+}
