--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -2,6 +2,7 @@
 
 use crate::admin::Admin;
 use crate::error::{CliError, EXIT_CODES};
+use crate::log_summary::{HEADER, LogSummary};
 use crate::options::{ADMIN_HELP, Options};
 use crate::render::{print, print_json, print_table};
 use crate::request_log::RequestWalk;
@@ -9,24 +10,28 @@
 use lexopt::Parser;
 use serde_json::Value;
 use std::fs::File;
-use std::io::{BufReader, stdin};
+use std::io::{BufRead, BufReader, stdin};
 use std::path::Path;
 use std::process::ExitCode;
 
 pub(super) fn run(parser: &mut Parser) -> Result<ExitCode, CliError> {
-    let options = Options::parse(parser, &["admin", "key-file", "json", "log"])?;
+    let options = Options::parse(parser, &["admin", "key-file", "json", "log", "summary"])?;
     if options.help {
         print(&format!(
             "Shows what happened to one request\n\n\
-             Usage: anvilgw explain [--log FILE] REQUEST_ID\n\n\
+             Usage: anvilgw explain [--log FILE] REQUEST_ID\n       anvilgw explain --log FILE --summary\n\n\
              With --log, the cause is found in the log lines of gateway daemons in FILE (`-` for\n\
-             standard input), and REQUEST_ID is the identifier that the caller gave.\n\n\
+             standard input), and REQUEST_ID is the identifier that the caller gave. With\n\
+             --summary, the requests of all daemons in FILE are counted by time and route.\n\n\
              REQUEST_ID is the value of the answer's `x-request-id` header. Only the daemon that\n\
              handled the request has its events; ask that daemon's admin address.\n\n\
              Options:\n{ADMIN_HELP}\n{EXIT_CODES}"
         ));
         return Ok(ExitCode::SUCCESS);
     }
+    if options.summary {
+        return summarize(&options);
+    }
     let [id] = options.words.as_slice() else {
         return Err(CliError::Usage(
             "expected `explain REQUEST_ID`; see --help".to_owned(),
@@ -47,15 +52,35 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn explain_from_log(log: &Path, id: &str) -> Result<ExitCode, CliError> {
-    let failed = |error| CliError::File(log.display().to_string(), error);
-    let walk = if log == Path::new("-") {
-        RequestWalk::read(stdin().lock(), id)
-    } else {
-        let file = File::open(log).map_err(failed)?;
-        RequestWalk::read(BufReader::new(file), id)
+/// Opens a log, or the standard input for `-`.
+fn open(log: &Path) -> Result<Box<dyn BufRead>, CliError> {
+    if log == Path::new("-") {
+        return Ok(Box::new(stdin().lock()));
+    }
+    let file = File::open(log).map_err(|error| file_error(log, error))?;
+    Ok(Box::new(BufReader::new(file)))
+}
+
+fn file_error(log: &Path, error: std::io::Error) -> CliError {
+    CliError::File(log.display().to_string(), error)
+}
+
+fn summarize(options: &Options) -> Result<ExitCode, CliError> {
+    let Some(log) = &options.log else {
+        let detail = "--summary needs --log FILE; see --help".to_owned();
+        return Err(CliError::Usage(detail));
     };
-    let walk = walk.map_err(failed)?;
+    let summary = LogSummary::read(open(log)?).map_err(|error| file_error(log, error))?;
+    if summary.is_empty() {
+        let detail = format!("{}: no line about a request", log.display());
+        return Err(CliError::Failed(detail));
+    }
+    print_table(&HEADER, &summary.rows());
+    Ok(ExitCode::SUCCESS)
+}
+
+fn explain_from_log(log: &Path, id: &str) -> Result<ExitCode, CliError> {
+    let walk = RequestWalk::read(open(log)?, id).map_err(|error| file_error(log, error))?;
     if walk.is_empty() {
         let detail = format!("{}: no line about request {id}", log.display());
         return Err(CliError::Failed(detail));
--- /dev/null
+++ b/crates/cli/src/log_line.rs
@@ -0,0 +1,49 @@
+//! Log lines of gateway daemons.
+
+use serde::Deserialize;
+
+/// A line, with the fields that searches need.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct LogLine {
+    pub(crate) time_ms: u64,
+    pub(crate) event: String,
+    pub(crate) request: String,
+    pub(crate) route: String,
+    pub(crate) workspace: String,
+    pub(crate) server: String,
+    pub(crate) dependency: String,
+    pub(crate) outcome: String,
+    pub(crate) reason: String,
+    pub(crate) executed: String,
+    pub(crate) status: u16,
+    pub(crate) attempt: u32,
+    pub(crate) elapsed_ms: u64,
+    pub(crate) first_event_ms: Option<u64>,
+    pub(crate) configuration: u64,
+    pub(crate) configuration_age_ms: u64,
+    pub(crate) choice: Option<ChoiceFields>,
+}
+
+/// What the daemon knew when it chose the backend server.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct ChoiceFields {
+    pub(crate) load: f64,
+    pub(crate) load_age_ms: Option<u64>,
+    pub(crate) prompt: Option<PromptFields>,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct PromptFields {
+    pub(crate) weights: Option<u64>,
+    pub(crate) fetched_tokens: u32,
+    pub(crate) computed_tokens: u32,
+}
+
+/// Reads a line. Text before its first brace, such as the name of a daemon, is skipped.
+pub(crate) fn parse(line: &str) -> Option<LogLine> {
+    let start = line.find('{')?;
+    serde_json::from_str(&line[start..]).ok()
+}
--- /dev/null
+++ b/crates/cli/src/log_summary.rs
@@ -0,0 +1,133 @@
+//! What became of the requests in the logs of gateway daemons, by time and route.
+
+use crate::log_line::{LogLine, parse};
+use indexmap::{IndexMap, IndexSet};
+use std::io::{BufRead, Error};
+
+/// Length of a window.
+const WINDOW_MS: u64 = 2000;
+/// Titles of the columns.
+pub(crate) const HEADER: [&str; 9] = [
+    "second",
+    "route",
+    "requests",
+    "answered",
+    "servers",
+    "first event p50",
+    "p90 ms",
+    "tokens with, without source",
+    "most often otherwise",
+];
+
+/// Requests of one route that ended in one window.
+#[derive(Debug, Default)]
+struct Cell {
+    requests: u32,
+    answered: u32,
+    /// Servers that were selected.
+    servers: IndexSet<String>,
+    first_events_ms: Vec<u64>,
+    tokens_with_source: u64,
+    tokens_without_source: u64,
+    /// Requests that were not answered, by reason.
+    otherwise: IndexMap<String, u32>,
+}
+
+impl Cell {
+    fn add(&mut self, line: LogLine) {
+        self.requests += 1;
+        if line.outcome == "answered" && line.status < 500 {
+            self.answered += 1;
+        } else {
+            let reason = if line.reason.is_empty() {
+                line.outcome
+            } else {
+                line.reason
+            };
+            *self.otherwise.entry(reason).or_default() += 1;
+        }
+        if !line.server.is_empty() {
+            self.servers.insert(line.server);
+        }
+        self.first_events_ms.extend(line.first_event_ms);
+        if let Some(prompt) = line.choice.and_then(|choice| choice.prompt) {
+            self.tokens_with_source += u64::from(prompt.fetched_tokens);
+            self.tokens_without_source += u64::from(prompt.computed_tokens);
+        }
+    }
+
+    fn row(&self, second: u64, route: &str) -> Vec<String> {
+        let mut sorted = self.first_events_ms.clone();
+        sorted.sort_unstable();
+        let most = self.otherwise.iter().max_by_key(|(_, count)| **count);
+        vec![
+            second.to_string(),
+            route.to_owned(),
+            self.requests.to_string(),
+            self.answered.to_string(),
+            self.servers.len().to_string(),
+            quantile(&sorted, 0.5),
+            quantile(&sorted, 0.9),
+            format!(
+                "{}, {}",
+                self.tokens_with_source, self.tokens_without_source
+            ),
+            most.map_or_else(
+                || "-".to_owned(),
+                |(reason, count)| format!("{count} x {reason}"),
+            ),
+        ]
+    }
+}
+
+/// The value below which a part of the sorted values lies, as text.
+fn quantile(sorted: &[u64], part: f64) -> String {
+    let last = sorted.len().saturating_sub(1);
+    let index = (last as f64 * part).round() as usize;
+    let value = sorted.get(index);
+    value.map_or_else(|| "-".to_owned(), ToString::to_string)
+}
+
+/// Requests by window and route.
+#[derive(Debug, Default)]
+pub(crate) struct LogSummary {
+    cells: IndexMap<(u64, String), Cell>,
+}
+
+impl LogSummary {
+    /// Reads the log lines of any number of daemons, in any order.
+    ///
+    /// # Errors
+    ///
+    /// The input cannot be read.
+    pub(crate) fn read(input: impl BufRead) -> Result<Self, Error> {
+        let mut summary = Self::default();
+        for line in input.lines() {
+            let line = line?;
+            if let Some(line) = parse(&line).filter(|line| line.event == "request") {
+                let key = (line.time_ms / WINDOW_MS, line.route.clone());
+                summary.cells.entry(key).or_default().add(line);
+            }
+        }
+        summary.cells.sort_unstable_keys();
+        Ok(summary)
+    }
+
+    /// Whether the log tells of no request.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.cells.is_empty()
+    }
+
+    /// Rows of a table under [`HEADER`]. Seconds count from the first request.
+    pub(crate) fn rows(&self) -> Vec<Vec<String>> {
+        let first = self.cells.first().map_or(0, |((window, _), _)| *window);
+        let cells = self.cells.iter();
+        cells
+            .map(|((window, route), cell)| {
+                let second = (window - first) * WINDOW_MS / 1000;
+                let route = if route.is_empty() { "-" } else { route };
+                cell.row(second, route)
+            })
+            .collect()
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,8 @@
 mod admin;
 mod commands;
 mod error;
+mod log_line;
+mod log_summary;
 mod options;
 mod render;
 mod request_log;
--- a/crates/cli/src/request_log.rs
+++ b/crates/cli/src/request_log.rs
@@ -1,48 +1,9 @@
 //! Finds the cause of a failed request in the log lines of gateway daemons.
 
-use serde::Deserialize;
+use crate::log_line::{LogLine, parse};
 use std::fmt::Write;
 use std::io::{BufRead, Error};
 
-/// The fields of log lines that the search needs.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(default)]
-struct LogLine {
-    time_ms: u64,
-    event: String,
-    request: String,
-    route: String,
-    workspace: String,
-    server: String,
-    dependency: String,
-    outcome: String,
-    reason: String,
-    executed: String,
-    status: u16,
-    attempt: u32,
-    elapsed_ms: u64,
-    configuration: u64,
-    configuration_age_ms: u64,
-    choice: Option<ChoiceFields>,
-}
-
-/// What the daemon knew when it chose the backend server.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
-#[serde(default)]
-struct ChoiceFields {
-    load: f64,
-    load_age_ms: Option<u64>,
-    prompt: Option<PromptFields>,
-}
-
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
-#[serde(default)]
-struct PromptFields {
-    weights: Option<u64>,
-    fetched_tokens: u32,
-    computed_tokens: u32,
-}
-
 /// What the log tells of one request.
 #[derive(Debug, Default)]
 pub(crate) struct RequestWalk {
@@ -172,11 +133,6 @@
     }
 }
 
-fn parse(line: &str) -> Option<LogLine> {
-    let start = line.find('{')?;
-    serde_json::from_str(&line[start..]).ok()
-}
-
 fn or_dash(text: &str) -> &str {
     if text.is_empty() { "-" } else { text }
 }
--- a/crates/cli/tests/cli/gateway.rs
+++ b/crates/cli/tests/cli/gateway.rs
@@ -72,3 +72,34 @@
     let missing = anvilgw(&["gateway", "--config", "/nonexistent", "--check"]);
     assert_eq!(missing.status.code(), Some(1));
 }
+
+const LOG_OF_TWO_DAEMONS: &str = r#"front-b {"time_ms":5000,"event":"request","request":"r3","route":"x","status":503,"outcome":"overloaded","reason":"no engine has memory for the prompt now","executed":"no","server":"","attempts":0,"elapsed_ms":9}
+front-a {"time_ms":2100,"event":"request","request":"r1","route":"x","status":200,"outcome":"answered","server":"s1","first_event_ms":40,"choice":{"load":1.0,"prompt":{"fetched_tokens":8000,"computed_tokens":500}}}
+front-b {"time_ms":3900,"event":"request","request":"r2","route":"x","status":200,"outcome":"answered","server":"s2","first_event_ms":90}
+front-b {"time_ms":3950,"event":"dependency_lost","dependency":"metadata store, operators","reason":"no answer in time"}
+front-a {"time_ms":5100,"event":"request","request":"r4","route":"x","status":503,"outcome":"overloaded","reason":"no engine has memory for the prompt now","executed":"no","server":"","attempts":0,"elapsed_ms":9}
+front-a {"time_ms":5200,"event":"request","request":"r5","route":"x","status":200,"outcome":"answered","reason":"the server failed with status 500","server":"s1","first_event_ms":700}
+"#;
+
+/// Guards against an overload that shows only in thousands of single lines: all prompts on one server while
+/// the others are idle, and the rest refused.
+#[test]
+fn a_log_is_summed_up_by_time_and_route() {
+    let log = file("two-daemons.log", LOG_OF_TWO_DAEMONS);
+    let output = anvilgw(&["explain", "--log", &log, "--summary"]);
+    assert_eq!(output.status.code(), Some(0));
+    let text = stdout(&output);
+    let rows: Vec<Vec<&str>> = text
+        .lines()
+        .skip(1)
+        .map(|line| line.split_whitespace().collect())
+        .collect();
+    let expected = [
+        "0 x 2 2 2 90 90 8000, 500 -",
+        "2 x 3 1 1 700 700 0, 0 2 x no engine has memory for the prompt now",
+    ];
+    let expected = expected.map(|row| row.split_whitespace().collect::<Vec<_>>());
+    assert_eq!(rows, expected, "{text}");
+    let without_log = anvilgw(&["explain", "--summary"]);
+    assert_eq!(without_log.status.code(), Some(2));
+}
