Read the limit that a backend server names, and log it with the requests sent under it

Cause for the change: the logs could not tell whether a daemon knew of a server's limit, which figure it held, and how many of its requests went there, so the hypotheses of the incident could not be told apart.

Change: `Server-Limit` is parsed from every answer and kept with the server; nothing is decided by it. A `request_limit` line is written when the figure changes and once a second while requests are sent under it. Answers that overtake each other do not end a limit within a second after the last answer that named it.

Tests of the adapter and the gateway pass; two new ones check the figures that are read and which statement is in force.

--- a/crates/gateway/src/background_tasks/maintenance.rs
+++ b/crates/gateway/src/background_tasks/maintenance.rs
@@ -1,7 +1,9 @@
-//! Closes connections that have been idle for too long, and logs changes of readiness.
+//! Closes connections that have been idle for too long, and logs changes of readiness and the
+//! requests sent to servers that name a limit.
 
 use crate::gateway::Gateway;
 use crate::log::Event;
+use crate::server_notices::log_limit;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -19,10 +21,21 @@
             was_ready = Some(ready);
         }
         close_idle_connections(&gateway);
+        log_requests_under_limits(&gateway);
         sleep(ROUND_PAUSE).await;
     }
 }
 
+/// Logs how many requests this daemon has sent to each server that names a limit.
+fn log_requests_under_limits(gateway: &Gateway) {
+    let mut state = gateway.state.borrow_mut();
+    let limited = state
+        .servers
+        .iter_mut()
+        .filter(|server| server.request_limit.in_force().is_some() && server.sent_since_logged > 0);
+    limited.for_each(|server| log_limit(gateway, server));
+}
+
 fn close_idle_connections(gateway: &Gateway) {
     let now = gateway.now();
     let state = gateway.state.borrow();
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -10,7 +10,7 @@
 use crate::request::{AnswerMeta, ForwardMeta, Prompt};
 use crate::retry::AttemptError;
 use crate::server::ServerKey;
-use crate::server_notices::on_server_notice;
+use crate::server_notices::{on_limit_not_named, on_server_notice};
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body::Body;
@@ -134,6 +134,9 @@
             }
         }
         on_server_notice(&self.gateway, self.key, meta.notice);
+        if meta.notice.request_limit.is_none() {
+            on_limit_not_named(&self.gateway, self.key);
+        }
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod prefill_rate;
 pub mod region_constraints;
 pub mod request;
+pub mod request_limit;
 pub mod select;
 pub mod server;
 pub mod settings;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -110,6 +110,18 @@
         /// Address of the backend server.
         address: &'a str,
     },
+    /// The limit that a backend server names on the requests of all daemons changed, or this daemon
+    /// has sent requests under it since the last such line.
+    RequestLimit {
+        /// Identifier of the backend server.
+        server: &'a str,
+        /// Requests per second of all daemons together, absent if the server names no limit now.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        limit_per_s: Option<f64>,
+        /// Requests that this daemon has sent to the server since the last such line, or, if there
+        /// was none, since it knows the server.
+        sent: u32,
+    },
     /// A record of the metadata store could not be decoded and is ignored.
     RecordMalformed {
         /// Key of the record.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,6 +1,7 @@
 //! Metadata that the gateway exchanges with clients and backend servers in the heads of messages.
 
 use crate::caches::PartPlan;
+use crate::request_limit::RequestRate;
 use std::time::Duration;
 
 /// A part of a prompt: the unit in which prompts are cached and transferred.
@@ -114,6 +115,8 @@
     /// Time for which the backend server asks for no requests, because it is overloaded and
     /// rejected this one.
     pub backoff: Option<Duration>,
+    /// Requests per second that the backend server takes from all daemons together.
+    pub request_limit: Option<RequestRate>,
 }
 
 /// Metadata in the head of a backend server's answer.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,6 +6,7 @@
 use crate::loaded_weights::LoadedWeights;
 use crate::removed_servers::RemovedServers;
 use crate::request::ReportedLoad;
+use crate::request_limit::RequestLimit;
 use anvilgw_router::{Breaker, BreakerSettings};
 use indexmap::{IndexMap, IndexSet};
 use slotmap::{SlotMap, new_key_type};
@@ -106,6 +107,10 @@
     /// Whether another server answers at the address of the entry. Such a server gets no
     /// requests until an entry names a new address.
     pub is_address_reused: bool,
+    /// Limit on the requests that the server takes from all daemons together.
+    pub request_limit: RequestLimit,
+    /// Number of requests that this daemon has sent since it last logged that number.
+    pub sent_since_logged: u32,
     weights: LoadedWeights,
     /// See [`server_hash`].
     server_hash: u32,
@@ -140,6 +145,8 @@
             breaker: Breaker::new(BREAKER),
             last_answer_at: Duration::ZERO,
             is_address_reused: false,
+            request_limit: RequestLimit::default(),
+            sent_since_logged: 0,
             weights: LoadedWeights::default(),
             cold_budget: ColdBudget::new(now),
             reported_load: None,
@@ -295,6 +302,7 @@
         self.in_flight += 1;
         self.tokens_in_flight += tokens;
         self.sent_since_report += 1;
+        self.sent_since_logged += 1;
         self.breaker.on_request_sent(now);
     }
 
@@ -367,6 +375,11 @@
         self.by_id.get(id).copied()
     }
 
+    /// Iterates over all known servers for modification.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Server> {
+        self.arena.values_mut()
+    }
+
     /// Iterates over all known servers, including those that are out of service.
     pub fn iter(&self) -> impl Iterator<Item = (ServerKey, &Server)> {
         self.arena.iter()
--- a/crates/gateway/src/server_notices.rs
+++ b/crates/gateway/src/server_notices.rs
@@ -3,7 +3,8 @@
 use crate::gateway::Gateway;
 use crate::log::Event;
 use crate::request::ServerNotice;
-use crate::server::ServerKey;
+use crate::request_limit::RequestRate;
+use crate::server::{Server, ServerKey};
 
 /// Applies the notice in a server's answer to the server's state, and logs it.
 pub(crate) fn on_server_notice(gateway: &Gateway, key: ServerKey, notice: ServerNotice) {
@@ -25,6 +26,11 @@
     if has_announced {
         log(gateway, &id, "leaving, as its answer says");
     }
+    if let Some(limit) = notice.request_limit {
+        update_limit(gateway, key, |server| {
+            server.request_limit.on_named(limit, now)
+        });
+    }
     if let Some(backoff) = notice.backoff {
         let backoff_ms = backoff.as_millis();
         log(
@@ -35,6 +41,33 @@
     }
 }
 
+/// Records that a server answered a request without naming a limit.
+pub(crate) fn on_limit_not_named(gateway: &Gateway, key: ServerKey) {
+    let now = gateway.now();
+    update_limit(gateway, key, |server| {
+        server.request_limit.on_not_named(now)
+    });
+}
+
+/// Updates the limit of a server, and logs it if `update` returns that it has changed.
+fn update_limit(gateway: &Gateway, key: ServerKey, update: impl FnOnce(&mut Server) -> bool) {
+    let mut state = gateway.state.borrow_mut();
+    if let Some(server) = state.servers.get_mut(key)
+        && update(server)
+    {
+        log_limit(gateway, server);
+    }
+}
+
+/// Logs the limit of a server and the number of requests sent to it since the last such line.
+pub(crate) fn log_limit(gateway: &Gateway, server: &mut Server) {
+    gateway.log_notable(&Event::RequestLimit {
+        server: &server.entry.id,
+        limit_per_s: server.request_limit.in_force().map(RequestRate::per_s),
+        sent: std::mem::take(&mut server.sent_since_logged),
+    });
+}
+
 fn log(gateway: &Gateway, server: &str, change: &str) {
     gateway.log_notable(&Event::Server {
         server,
--- /dev/null
+++ b/crates/gateway/tests/limits/main.rs
@@ -0,0 +1,3 @@
+//! Limits that backend servers name on the requests of all daemons together.
+
+mod statements;
