--- a/crates/gateway/src/background_tasks/load_reports.rs
+++ b/crates/gateway/src/background_tasks/load_reports.rs
@@ -1,12 +1,11 @@
-//! Exchanges load reports with the other daemons.
+//! Sends load reports to the other daemons.
 
+use super::peer_messages::send_message;
 use crate::caches::name_hash;
 use crate::gateway::Gateway;
 use crate::groups::Role;
-use crate::log::Event;
-use crate::peers::{
-    DATAGRAM_MAX_BYTES, EngineLoad, LoadReport, LoadReporter, ReportScope, report_period,
-};
+use crate::peer_message::PeerMessage;
+use crate::peers::{EngineLoad, LoadReport, LoadReporter, ReportScope, report_period};
 use crate::server::Server;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,27 +16,6 @@
 /// Pause between checks for the role of this daemon while it is not known.
 const ROLE_PAUSE: Duration = Duration::from_millis(200);
 
-/// Receives load reports until the daemon ends.
-pub(crate) async fn receive(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
-    let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
-    loop {
-        match socket.recv_from(&mut buffer).await {
-            Ok((length, _)) => match LoadReport::decode(&buffer[..length]) {
-                Ok(report) => {
-                    let now = gateway.now();
-                    let state = &mut *gateway.state.borrow_mut();
-                    if let Some(role) = &state.role {
-                        state.peer_loads.on_report(role, report, now);
-                    }
-                }
-                Err(_) => gateway.metrics.count("peer_datagrams_unreadable"),
-            },
-            // The error concerns an earlier datagram, which was sent to a peer that does not exist.
-            Err(_) => gateway.metrics.count("peer_datagrams_failed"),
-        }
-    }
-}
-
 /// Sends load reports until the daemon ends.
 pub(crate) async fn send(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut sender = ReportSender::new(&gateway, &socket);
@@ -123,21 +101,7 @@
     recipients: &[SocketAddr],
 ) {
     for report in reports {
-        let datagram = match report.encode() {
-            Ok(datagram) => datagram,
-            Err(error) => {
-                gateway.log_notable(&Event::DependencyLost {
-                    dependency: "load reports",
-                    reason: &error.to_string(),
-                });
-                return;
-            }
-        };
-        for recipient in recipients {
-            // If the socket buffer is full, the report is lost, as it may be in the network.
-            if socket.try_send_to(&datagram, *recipient).is_err() {
-                gateway.metrics.count("peer_datagrams_failed");
-            }
-        }
+        let message = PeerMessage::Load(report.fit_datagram());
+        send_message(gateway, socket, &message, recipients);
     }
 }
--- a/crates/gateway/src/background_tasks/membership.rs
+++ b/crates/gateway/src/background_tasks/membership.rs
@@ -38,6 +38,7 @@
                     members_generation = joined.generation;
                     members_read_due_at = now + pause_for_uptime(&gateway, MEMBERS_PAUSE);
                 }
+                confirm_members(&gateway, joined.generation == members_generation);
                 if joined.generation != generation {
                     gateway.log_notable(&Event::FleetShare {
                         generation: joined.generation,
@@ -68,6 +69,17 @@
     }
 }
 
+/// Records whether the list of members is that of the current generation.
+fn confirm_members(gateway: &Gateway, is_current: bool) {
+    let now = gateway.now();
+    let fleet = &mut gateway.state.borrow_mut().fleet;
+    if is_current {
+        fleet.on_confirmed(now);
+    } else {
+        fleet.on_outdated(now);
+    }
+}
+
 async fn read_members(gateway: &Gateway) {
     match gateway.ports.metadata_store.members().await {
         Ok(members) => apply_members(gateway, &members),
@@ -85,7 +97,10 @@
         return;
     };
     let FleetAssignment { role, store_reads } = FleetAssignment::of(own_address, members);
+    let addresses = members.iter().map(|member| member.address);
+    let now = gateway.now();
     let state = &mut *gateway.state.borrow_mut();
+    state.fleet.on_members(addresses.collect(), now);
     let is_same_role_kind = state
         .role
         .as_ref()
@@ -100,6 +115,7 @@
             role: role.name(),
             members: members.len(),
         });
+        gateway.role_changed.notify_one();
     }
     state.role = Some(role);
     gateway.cache_stores_changed.notify_one();
--- a/crates/gateway/src/background_tasks/weight_switches.rs
+++ b/crates/gateway/src/background_tasks/weight_switches.rs
@@ -6,6 +6,7 @@
 use crate::groups::Role;
 use crate::lease::{LeaseRecord, LeaseStep, LeaseView, ServerWeights};
 use crate::log::Event;
+use crate::permit_client::acquire_control_permits;
 use crate::ports::{
     AppendOutcome, OrderAnswer, OrderError, ServerReport, StoreError, Topic, WeightOrder,
 };
@@ -44,6 +45,8 @@
 const FIRST_POLL_DELAY: Duration = Duration::from_millis(900);
 /// Pause between two requests to a server for its progress.
 const POLL_PAUSE: Duration = Duration::from_millis(150);
+/// Number of calls with which a server is ordered to load weights: its report, and the order.
+const CALLS_PER_ORDER: u32 = 2;
 /// Maximum number of parts that are freed at one cache store in one call.
 const FREED_PARTS_MAX: usize = 400;
 
@@ -216,6 +219,7 @@
                 .collect();
             next_orders(&state.servers, &unreserved, &self.sent_orders, now)
         };
+        let outdated = self.permitted(outdated, CALLS_PER_ORDER).await;
         let has_updates = !outdated.is_empty() || !self.loaded.is_empty();
         if let LeaseStep::Append {
             offset,
@@ -339,7 +343,7 @@
             })
             .filter(|one| !is_backing_off(&self.gateway.state.borrow().servers, one, now))
             .collect();
-        for one in asked {
+        for one in self.permitted(asked, 1).await {
             if let Some(order) = self
                 .sent_orders
                 .iter_mut()
@@ -356,6 +360,17 @@
         }
     }
 
+    /// Returns the servers to which a number of calls may be sent under the limits that they name.
+    async fn permitted(&self, servers: Vec<OutdatedServer>, calls: u32) -> Vec<OutdatedServer> {
+        let mut permitted = Vec::new();
+        for one in servers {
+            if acquire_control_permits(&self.gateway, one.server, calls).await {
+                permitted.push(one);
+            }
+        }
+        permitted
+    }
+
     /// Returns the weights that a server was ordered to load, if it has reported that it holds
     /// them.
     fn loaded_weights(&self, outdated: &OutdatedServer) -> Option<ServerWeights> {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -151,7 +151,12 @@
     let socket = Rc::new(socket);
     spawn_internal_listener(gateway, address, answer_peer).await?;
     spawn_local(background_tasks::cache_store_log::run(Rc::clone(gateway)));
-    spawn_local(background_tasks::load_reports::receive(
+    gateway.permit_client.set_socket(Rc::clone(&socket));
+    spawn_local(background_tasks::peer_messages::receive(
+        Rc::clone(gateway),
+        Rc::clone(&socket),
+    ));
+    spawn_local(background_tasks::notice_reports::send(
         Rc::clone(gateway),
         Rc::clone(&socket),
     ));
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -7,6 +7,8 @@
 use crate::configuration::Service;
 use crate::gateway::Gateway;
 use crate::log::{Choice, PromptChoice};
+use crate::permit_client::acquire_permit;
+use crate::permits::PermitPurpose;
 use crate::prefill_rate::PrefillRate;
 use crate::region_constraints::RegionConstraints;
 use crate::retry::AttemptError;
@@ -40,6 +42,9 @@
 /// cache stores. Without the wait, parts that a store holds would be computed again, which takes
 /// longer.
 const STORES_WAIT_MAX: Duration = Duration::from_millis(200);
+/// Maximum number of permits that an attempt requests. After that it only considers servers that
+/// need none.
+const PERMIT_ASKS_MAX: u32 = 4;
 /// Time between two checks whether the contents of the cache stores are known.
 const STORES_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -115,7 +120,7 @@
     let mut poll_interval = MEMORY_POLL_INTERVAL;
     loop {
         let is_waiting = poll_interval > MEMORY_POLL_INTERVAL;
-        let result = select_target(gateway, routed, progress, is_waiting);
+        let result = select_target(gateway, routed, progress, is_waiting).await;
         let lacks_memory = matches!(result, Err(AttemptError::NoServer(NoServer::NoMemory)));
         if !lacks_memory || gateway.now() + poll_interval > wait_until {
             return result;
@@ -125,26 +130,37 @@
     }
 }
 
-fn select_target(
+/// Selects a server. If it names a limit on its requests, acquires a permit; without one, selects
+/// among the others.
+async fn select_target(
     gateway: &Gateway,
     routed: &RoutedRequest,
     progress: &Progress,
     is_waiting: bool,
 ) -> Result<Target, AttemptError> {
-    let now = gateway.now();
-    let selected = with_query(
-        gateway,
-        routed,
-        progress,
-        is_waiting,
-        |servers, query, rng| select(servers, query, now, rng).map_err(AttemptError::NoServer),
-    )?;
-    let state = gateway.state.borrow();
-    let server = state
-        .servers
-        .get(selected.server)
-        .ok_or(AttemptError::NoServer(NoServer::NoneInService))?;
-    Ok(Target::new(server, selected, &state.caches, now))
+    for asks in 0..=PERMIT_ASKS_MAX {
+        let options = QueryOptions {
+            is_waiting,
+            may_ask_permits: asks < PERMIT_ASKS_MAX,
+        };
+        let selected = with_query(gateway, routed, progress, options, |servers, query, rng| {
+            select(servers, query, gateway.now(), rng).map_err(AttemptError::NoServer)
+        })?;
+        if let Some(limit) = selected.permit_needed {
+            let purpose = PermitPurpose::Request;
+            if !acquire_permit(gateway, selected.server, limit, purpose).await {
+                continue;
+            }
+        }
+        let now = gateway.now();
+        let state = gateway.state.borrow();
+        let server = state.servers.get(selected.server);
+        // The server may have left while the permit was requested.
+        if let Some(server) = server.filter(|server| state.servers.is_in_service(server)) {
+            return Ok(Target::new(server, selected, &state.caches, now));
+        }
+    }
+    Err(AttemptError::NoServer(NoServer::AllUnavailable))
 }
 
 /// Returns whether a server that was not tried yet could take the request.
@@ -153,17 +169,30 @@
     routed: &RoutedRequest,
     progress: &Progress,
 ) -> bool {
-    with_query(gateway, routed, progress, false, |servers, query, _| {
+    let options = QueryOptions {
+        is_waiting: false,
+        may_ask_permits: false,
+    };
+    with_query(gateway, routed, progress, options, |servers, query, _| {
         has_usable_server(servers, query, gateway.now())
     })
 }
 
+/// Options of a selection.
+#[derive(Clone, Copy)]
+struct QueryOptions {
+    /// Whether the request has already waited for memory.
+    is_waiting: bool,
+    /// Whether servers are candidates for which a permit must be requested first.
+    may_ask_permits: bool,
+}
+
 /// Calls `decide` with the servers and a description of what the request needs.
 fn with_query<T>(
     gateway: &Gateway,
     routed: &RoutedRequest,
     progress: &Progress,
-    is_waiting: bool,
+    options: QueryOptions,
     decide: impl FnOnce(&mut Servers, &Query<'_>, &mut SmallRng) -> T,
 ) -> T {
     let now = gateway.now();
@@ -184,7 +213,7 @@
                 &MemoryRequest {
                     route: &routed.route.name,
                     urgency: routed.urgency(),
-                    is_waiting,
+                    is_waiting: options.is_waiting,
                 },
                 engine_capacity(&routed.service),
             ),
@@ -207,6 +236,7 @@
         prompt,
         tried: &progress.tried_servers,
         share: state.share,
+        may_ask_permits: options.may_ask_permits,
     };
     decide(&mut state.servers, &query, &mut state.rng)
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,11 +5,14 @@
 use crate::budget::RetryBudget;
 use crate::caches::CacheDirectory;
 use crate::configuration::{Configuration, Service};
+use crate::fleet_view::FleetView;
 use crate::freshness::ConfigurationFreshness;
 use crate::groups::{Role, StoreReads};
 use crate::log::{Event, EventLog, Importance};
 use crate::metrics::Metrics;
 use crate::peers::PeerLoads;
+use crate::permit_client::PermitClient;
+use crate::permits::PermitIssuer;
 use crate::pool::Pool;
 use crate::ports::{CacheClient, Codec, MetadataStore, OrderClient, Topic};
 use crate::prefill_rate::PrefillRate;
@@ -48,6 +51,10 @@
     pub(crate) admission: MemoryAdmission,
     /// Role of this daemon in the fleet, once the members are known.
     pub(crate) role: Option<Role>,
+    /// Members of the fleet.
+    pub(crate) fleet: FleetView,
+    /// Issues permits for the servers for which this daemon is the issuer.
+    pub(crate) permit_issuer: PermitIssuer,
     /// Where this daemon reads changes of the metadata store: at the store itself or at another
     /// daemon.
     pub(crate) store_reads: StoreReads,
@@ -89,6 +96,8 @@
     pub(crate) state: RefCell<State>,
     pub(crate) pools: RefCell<SecondaryMap<ServerKey, Rc<Pool>>>,
     pub(crate) body_memory: BodyMemory,
+    /// Requests permits from the daemons that issue them.
+    pub(crate) permit_client: PermitClient,
     pub(crate) metrics: Metrics,
     /// Whether the daemon is shutting down. It is then not ready, and closes each connection after
     /// its request.
@@ -99,6 +108,8 @@
     /// Notified when the set of cache stores to follow may have changed: after the first
     /// configuration or list of servers, and when the role has changed.
     pub(crate) cache_stores_changed: Notify,
+    /// Notified when the role of this daemon in the fleet has changed.
+    pub(crate) role_changed: Notify,
     /// Random number that differs between starts of a daemon.
     pub(crate) start_id: u64,
     started_at: Duration,
@@ -123,6 +134,8 @@
             prefill_rates: IndexMap::new(),
             admission: MemoryAdmission::default(),
             role: None,
+            fleet: FleetView::default(),
+            permit_issuer: PermitIssuer::default(),
             store_reads: StoreReads::default(),
             peer_loads: PeerLoads::default(),
             topic_logs: IndexMap::new(),
@@ -139,11 +152,13 @@
             ports,
             state: RefCell::new(state),
             pools: RefCell::new(SecondaryMap::new()),
+            permit_client: PermitClient::default(),
             metrics: Metrics::default(),
             is_draining: Cell::new(false),
             is_refusing: Cell::new(false),
             requests_in_flight: Cell::new(0),
             cache_stores_changed: Notify::new(),
+            role_changed: Notify::new(),
             start_id: rand::random(),
             started_at,
             log,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! One process per instance forwards requests to backend servers and keeps no persistent state.
 //! Modules without I/O make the decisions (`configuration`, `server`, `select`, `budget`,
-//! `cold_budget`, `freshness`, `lease`, `weights`); the others perform the I/O. Only implementations
+//! `share_budget`, `permits`, `freshness`, `lease`, `weights`); the others perform the I/O. Only implementations
 //! of [`ports`] know the platform's protocols.
 
 mod answer;
@@ -15,6 +15,7 @@
 mod listeners;
 mod loaded_weights;
 mod metrics;
+mod permit_client;
 mod read_limit;
 mod removed_servers;
 mod retry;
@@ -26,17 +27,20 @@
 pub mod budget;
 pub mod cache_store_log;
 pub mod caches;
-pub mod cold_budget;
 pub mod configuration;
 pub mod connection;
 pub mod direct_reads;
+pub mod fleet_view;
 pub mod freshness;
 pub mod groups;
 pub mod http_client;
 pub mod lease;
 pub mod log;
+pub mod notice_reports;
 pub mod page;
+pub mod peer_message;
 pub mod peers;
+pub mod permits;
 pub mod pool;
 pub mod ports;
 pub mod prefill_rate;
@@ -46,6 +50,7 @@
 pub mod select;
 pub mod server;
 pub mod settings;
+pub mod share_budget;
 pub mod sse;
 pub mod topic_log;
 pub mod weights;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,7 +8,6 @@
 use crate::groups::Role;
 use bincode::{Decode, Encode};
 use indexmap::IndexMap;
-use quick_error::quick_error;
 use std::time::Duration;
 
 /// Maximum size of a datagram, in bytes. It fits into one packet of an Ethernet link.
@@ -26,21 +25,6 @@
 /// Period between reports within and between groups. Each report passes through up to two leaders.
 const GROUP_PERIOD: Duration = Duration::from_millis(200);
 
-quick_error! {
-    /// Error of encoding or decoding a load report.
-    #[derive(Debug)]
-    pub enum ReportError {
-        /// The bytes are not a load report.
-        Decode(error: bincode::error::DecodeError) {
-            display("not a load report: {}", error)
-        }
-        /// The load report cannot be encoded.
-        Encode(error: bincode::error::EncodeError) {
-            display("the load report cannot be encoded: {}", error)
-        }
-    }
-}
-
 /// Load on one engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct EngineLoad {
@@ -95,27 +79,13 @@
 }
 
 impl LoadReport {
-    /// Encodes the report as a datagram. If there are too many engines for one datagram, those with
-    /// the least load are left out.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the report cannot be encoded.
-    pub fn encode(mut self) -> Result<Vec<u8>, ReportError> {
+    /// Returns the report with the engines that fit into one datagram. If there are too many, those
+    /// with the least load are left out.
+    #[must_use]
+    pub fn fit_datagram(mut self) -> Self {
         self.loads.sort_by_key(|load| std::cmp::Reverse(load.units));
         self.loads.truncate(ENGINES_MAX);
-        bincode::encode_to_vec(self, bincode::config::standard()).map_err(ReportError::Encode)
-    }
-
-    /// Decodes a report from a datagram.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the bytes are not a load report.
-    pub fn decode(bytes: &[u8]) -> Result<Self, ReportError> {
-        let config = bincode::config::standard().with_limit::<DATAGRAM_MAX_BYTES>();
-        let (report, _) = bincode::decode_from_slice(bytes, config).map_err(ReportError::Decode)?;
-        Ok(report)
+        self
     }
 }
 
--- a/crates/gateway/src/removed_servers.rs
+++ b/crates/gateway/src/removed_servers.rs
@@ -1,9 +1,10 @@
-//! Drain and back-off state of backend servers whose entries were removed.
+//! Drain state, back-off and limit of backend servers whose entries were removed.
 //!
 //! An entry may reappear although its server has not restarted, because the entry had expired
 //! or because a delayed heartbeat arrives. What the server said about further requests is then
 //! still valid.
 
+use crate::request_limit::RequestLimit;
 use crate::server::{Server, ServerState};
 use indexmap::IndexMap;
 use std::time::Duration;
@@ -16,17 +17,19 @@
     started_at_ms: Option<u64>,
     is_draining: bool,
     backoff_until: Duration,
+    request_limit: RequestLimit,
     removed_at: Duration,
 }
 
-/// Servers without an entry that must get no requests if their entry reappears.
+/// Servers without an entry that must get no requests, or few, if their entry reappears.
 #[derive(Debug, Default)]
 pub(crate) struct RemovedServers {
     by_id: IndexMap<String, RemovedServer>,
 }
 
 impl RemovedServers {
-    /// Keeps the state of a removed server if the server is draining or backing off.
+    /// Keeps the state of a removed server if the server is draining or backing off, or names a
+    /// limit.
     pub(crate) fn on_server_removed(&mut self, server: &Server, now: Duration) {
         self.by_id
             .retain(|_, removed| now < removed.removed_at + RETENTION_TIME);
@@ -34,9 +37,11 @@
             started_at_ms: server.entry.started_at_ms,
             is_draining: server.entry.state == ServerState::Draining,
             backoff_until: server.backoff_until(),
+            request_limit: server.request_limit,
             removed_at: now,
         };
-        if removed.is_draining || now < removed.backoff_until {
+        let is_limited = removed.request_limit.in_force().is_some();
+        if removed.is_draining || is_limited || now < removed.backoff_until {
             self.by_id.insert(server.entry.id.clone(), removed);
         }
     }
@@ -55,5 +60,6 @@
             server.mark_draining();
         }
         server.back_off_until(removed.backoff_until);
+        server.request_limit = removed.request_limit;
     }
 }
--- a/crates/gateway/src/request_limit.rs
+++ b/crates/gateway/src/request_limit.rs
@@ -1,6 +1,7 @@
 //! Limit on the requests per second that a backend server takes from all daemons together, as the
 //! server names it in its answers.
 
+use bincode::{Decode, Encode};
 use std::time::Duration;
 
 /// Number of [`RequestRate`] units in one request per second.
@@ -10,8 +11,12 @@
 /// every answer.
 const LIMIT_HOLD: Duration = Duration::from_secs(1);
 
+/// Least rate at which a server is used, whatever limit it names. Only its answers tell when the
+/// limit has ended.
+const RATE_MIN: RequestRate = RequestRate(200);
+
 /// Rate in thousandths of a request per second.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub struct RequestRate(u64);
 
 impl RequestRate {
@@ -29,6 +34,17 @@
     }
 }
 
+/// How this daemon has learned a statement of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StatementSource {
+    /// From an answer of the server.
+    Answer,
+    /// From a daemon of the group that this daemon leads.
+    Follower,
+    /// From another daemon, which has told the whole fleet or its group's leaders.
+    Fleet,
+}
+
 /// What a server stated about its limit at some time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LimitStatement {
@@ -36,22 +52,22 @@
     pub limit: Option<RequestRate>,
     /// Uptime of this daemon at which the server stated it.
     pub stated_at: Duration,
+    /// How this daemon has learned it.
+    pub source: StatementSource,
 }
 
 /// Newest known statement of one server about its limit.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RequestLimit {
     newest: Option<LimitStatement>,
+    changed_at: Duration,
 }
 
 impl RequestLimit {
     /// Records that an answer of the server named a limit, and returns whether that changes the
     /// limit in force.
     pub fn on_named(&mut self, limit: RequestRate, now: Duration) -> bool {
-        self.on_statement(LimitStatement {
-            limit: Some(limit),
-            stated_at: now,
-        })
+        self.on_answer(Some(limit), now)
     }
 
     /// Records that the server answered a request without naming a limit, and returns whether that
@@ -63,24 +79,33 @@
         if newest.limit.is_none() || now < newest.stated_at + LIMIT_HOLD {
             return false;
         }
-        self.on_statement(LimitStatement {
-            limit: None,
+        self.on_answer(None, now)
+    }
+
+    fn on_answer(&mut self, limit: Option<RequestRate>, now: Duration) -> bool {
+        let statement = LimitStatement {
+            limit,
             stated_at: now,
-        })
+            source: StatementSource::Answer,
+        };
+        self.on_statement(statement, now)
     }
 
     /// Applies a statement unless a newer one is known, and returns whether that changes the limit
     /// in force.
-    pub fn on_statement(&mut self, statement: LimitStatement) -> bool {
+    pub fn on_statement(&mut self, statement: LimitStatement, now: Duration) -> bool {
         let is_newest = self
             .newest
             .is_none_or(|newest| newest.stated_at <= statement.stated_at);
         if !is_newest {
             return false;
         }
-        let replaced = self.in_force();
+        let is_changed = self.in_force() != statement.limit;
         self.newest = Some(statement);
-        replaced != statement.limit
+        if is_changed {
+            self.changed_at = now;
+        }
+        is_changed
     }
 
     /// Returns the limit in force, if the server has one.
@@ -89,6 +114,19 @@
         self.newest?.limit
     }
 
+    /// Returns the rate at which all daemons together may send requests, or `None` if it is not
+    /// limited.
+    #[must_use]
+    pub fn allowed_rate(&self) -> Option<RequestRate> {
+        self.in_force().map(|limit| limit.max(RATE_MIN))
+    }
+
+    /// Returns when the limit in force last changed, as far as this daemon knows.
+    #[must_use]
+    pub fn changed_at(&self) -> Duration {
+        self.changed_at
+    }
+
     /// Returns the newest statement, if the server has ever named a limit.
     #[must_use]
     pub fn newest(&self) -> Option<LimitStatement> {
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -165,8 +165,11 @@
     };
     let jitter_ms = gateway.state.borrow_mut().rng.random_range(range_ms);
     let now = gateway.now();
-    let backoff = gateway.state.borrow().servers.backoff_left(service, now);
-    let retry_after = backoff.unwrap_or_default() + Duration::from_millis(jitter_ms);
+    let pause = match error {
+        AttemptError::NoServer(NoServer::RateLimited(pause)) => Some(*pause),
+        _ => gateway.state.borrow().servers.backoff_left(service, now),
+    };
+    let retry_after = pause.unwrap_or_default() + Duration::from_millis(jitter_ms);
     if progress.may_have_executed() {
         let kind = if has_time {
             ErrorKind::AnswerBroken
@@ -176,9 +179,9 @@
         return progress.failure(kind, &detail);
     }
     let kind = match error {
-        AttemptError::NoServer(NoServer::NoMemory | NoServer::BackingOff(_)) => {
-            ErrorKind::Overloaded
-        }
+        AttemptError::NoServer(
+            NoServer::NoMemory | NoServer::BackingOff(_) | NoServer::RateLimited(_),
+        ) => ErrorKind::Overloaded,
         AttemptError::NoServer(_)
         | AttemptError::NotSent(_)
         | AttemptError::Misdirected
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -3,9 +3,11 @@
 use crate::caches::{CacheDirectory, CachePlan, PlanDestination, TransferPolicy, name_hash};
 use crate::configuration::Service;
 use crate::peers::PeerLoads;
+use crate::permits::PermitState;
 use crate::prefill_rate::PrefillRate;
 use crate::region_constraints::RegionConstraints;
 use crate::request::Prompt;
+use crate::request_limit::RequestRate;
 use crate::server::{Server, ServerKey, Servers};
 use crate::weights::{OldPartTimes, PublishedWeights, cache_scope, may_read_part};
 use anvilgw_router::BreakerState;
@@ -45,6 +47,8 @@
     pub tried: &'a [ServerKey],
     /// This daemon's share of the fleet, from 0 to 1, by which fleet-wide allowances are divided.
     pub share: f64,
+    /// Whether servers are candidates for which the issuer must be asked for a permit first.
+    pub may_ask_permits: bool,
 }
 
 /// Inputs to the selection for a generation: its prompt, the caches, engine load and weights.
@@ -84,6 +88,9 @@
     pub server: ServerKey,
     /// Use of cached prompts, if the request is a generation.
     pub cache: Option<CacheUse>,
+    /// Rate for which a permit must be requested from the issuer before the request is sent. `None`
+    /// if the server names no limit, or a permit was taken.
+    pub permit_needed: Option<RequestRate>,
 }
 
 /// How a generation uses cached prompts on the selected server.
@@ -109,6 +116,9 @@
     AllUnavailable,
     /// Every server in service has asked for a back-off. Holds the shortest remaining one.
     BackingOff(Duration),
+    /// The servers that are usable otherwise get as many requests as they take. Holds the shortest
+    /// time after which one may take another.
+    RateLimited(Duration),
     /// Every usable engine is loaded beyond the limit for the prompt.
     NoMemory,
 }
@@ -120,6 +130,7 @@
         match self {
             Self::NoneInService => "no backend server is in service",
             Self::NoMemory => "no engine has memory for the prompt now",
+            Self::RateLimited(_) => "backend servers get as many requests as they take now",
             Self::BackingOff(_) => "all backend servers asked for no requests now",
             Self::AllUnavailable => "no backend server can take the request now",
         }
@@ -146,21 +157,45 @@
     let usable = usable_servers(servers, &in_service, query, now);
     let preferred = drop_failing(servers, usable, rng);
     if preferred.is_empty() {
-        let backoff = servers.backoff_left(&query.service.name, now);
-        return Err(backoff.map_or(NoServer::AllUnavailable, NoServer::BackingOff));
+        return Err(why_none_usable(servers, &in_service, query, now));
     }
     let chosen = match &query.prompt {
         Some(prompt) => select_by_rank(servers, &preferred, prompt, query.region_constraints, now),
         None => least_loaded(servers, &preferred, now, rng).map(|server| Selected {
             server,
             cache: None,
+            permit_needed: None,
         }),
     };
-    let selected = chosen.ok_or(NoServer::NoMemory)?;
+    let mut selected = chosen.ok_or(NoServer::NoMemory)?;
     take_cold_budget(servers, selected.server, query, now);
+    if let Some(server) = servers.get_mut(selected.server) {
+        selected.permit_needed = server.take_permit(query.share, now);
+    }
     Ok(selected)
 }
 
+fn why_none_usable(
+    servers: &mut Servers,
+    in_service: &[ServerKey],
+    query: &Query<'_>,
+    now: Duration,
+) -> NoServer {
+    if let Some(backoff) = servers.backoff_left(&query.service.name, now) {
+        return NoServer::BackingOff(backoff);
+    }
+    let mut pause = |key: &ServerKey| {
+        let server = servers.get_mut(*key)?;
+        match server.permit_state(query.share, now) {
+            PermitState::Paused(pause) => Some(pause),
+            PermitState::Available | PermitState::MustAsk => None,
+        }
+    };
+    let untried = in_service.iter().filter(|key| !query.tried.contains(key));
+    let shortest = untried.filter_map(&mut pause).min();
+    shortest.map_or(NoServer::AllUnavailable, NoServer::RateLimited)
+}
+
 /// Returns whether an untried server could take the request. Its memory is not considered.
 pub fn has_usable_server(servers: &mut Servers, query: &Query<'_>, now: Duration) -> bool {
     let in_service = servers_in_service(servers, query);
@@ -205,7 +240,13 @@
             || per_s <= 0.0
             || server.cold_budget().allows(per_s, query.share, now);
         let accepts_requests = server.backoff_left(now).is_zero();
+        let is_within_limit = match server.permit_state(query.share, now) {
+            PermitState::Available => true,
+            PermitState::MustAsk => query.may_ask_permits,
+            PermitState::Paused(_) => false,
+        };
         accepts_requests
+            && is_within_limit
             && has_cold_allowance
             && server.breaker.allows(now)
             && !server.is_switching(now)
@@ -281,6 +322,7 @@
         .find(|other| is_readable_source(other, now));
     Some(Selected {
         server: *key,
+        permit_needed: None,
         cache: Some(plan_cache_use(
             server,
             likely_source,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -2,11 +2,12 @@
 //! cold start and weights.
 
 use crate::cache_store::name_hash;
-use crate::cold_budget::ColdBudget;
 use crate::loaded_weights::LoadedWeights;
+use crate::permits::{PermitHolder, PermitState};
 use crate::removed_servers::RemovedServers;
 use crate::request::ReportedLoad;
-use crate::request_limit::RequestLimit;
+use crate::request_limit::{RequestLimit, RequestRate};
+use crate::share_budget::ShareBudget;
 use anvilgw_router::{Breaker, BreakerSettings};
 use indexmap::{IndexMap, IndexSet};
 use slotmap::{SlotMap, new_key_type};
@@ -111,11 +112,15 @@
     pub request_limit: RequestLimit,
     /// Number of requests that this daemon has sent since it last logged that number.
     pub sent_since_logged: u32,
+    /// Permits for requests to the server while it names a limit.
+    pub permits: PermitHolder,
+    /// See [`Server::incarnation_hash`].
+    incarnation_hash: u64,
     weights: LoadedWeights,
     /// See [`server_hash`].
     server_hash: u32,
     cold_until: Duration,
-    cold_budget: ColdBudget,
+    cold_budget: ShareBudget,
     reported_load: Option<(ReportedLoad, Duration)>,
     sent_since_report: u32,
     failure_share: f64,
@@ -134,10 +139,15 @@
     name_hash(id) as u32
 }
 
+fn incarnation_hash(entry: &ServerEntry) -> u64 {
+    name_hash(&format!("{} {:?}", entry.id, entry.started_at_ms))
+}
+
 impl Server {
     fn new(entry: ServerEntry, now: Duration) -> Self {
         Self {
             server_hash: server_hash(&entry.id),
+            incarnation_hash: incarnation_hash(&entry),
             cold_until: now + entry.cold_for,
             entry,
             in_flight: 0,
@@ -147,8 +157,9 @@
             is_address_reused: false,
             request_limit: RequestLimit::default(),
             sent_since_logged: 0,
+            permits: PermitHolder::default(),
             weights: LoadedWeights::default(),
-            cold_budget: ColdBudget::new(now),
+            cold_budget: ShareBudget::new(now),
             reported_load: None,
             sent_since_report: 0,
             failure_share: 0.0,
@@ -192,6 +203,29 @@
         self.server_hash
     }
 
+    /// Returns the hash that identifies one start of the server in messages between daemons.
+    #[must_use]
+    pub fn incarnation_hash(&self) -> u64 {
+        self.incarnation_hash
+    }
+
+    /// Returns whether a request may be sent under the limit that the server names. `share` is this
+    /// daemon's share of the fleet, from 0 to 1.
+    pub fn permit_state(&mut self, share: f64, now: Duration) -> PermitState {
+        match self.request_limit.allowed_rate() {
+            None => PermitState::Available,
+            Some(rate) => self.permits.state(rate, share, now),
+        }
+    }
+
+    /// Takes a permit if the server names a limit. Returns the rate for which one must be requested
+    /// from the issuer if none is available.
+    pub fn take_permit(&mut self, share: f64, now: Duration) -> Option<RequestRate> {
+        let rate = self.request_limit.allowed_rate()?;
+        let is_taken = self.permits.take(rate, share, now);
+        (!is_taken).then_some(rate)
+    }
+
     /// Returns whether the server is still within its cold start.
     #[must_use]
     pub fn is_cold(&self, now: Duration) -> bool {
@@ -202,13 +236,13 @@
     /// empty budget.
     pub fn set_cold_for(&mut self, cold_for: Duration, now: Duration) {
         if !self.is_cold(now) && !cold_for.is_zero() {
-            self.cold_budget = ColdBudget::new(now);
+            self.cold_budget = ShareBudget::new(now);
         }
         self.cold_until = now + cold_for;
     }
 
     /// Returns the budget that limits requests to the server while it is cold.
-    pub fn cold_budget(&mut self) -> &mut ColdBudget {
+    pub fn cold_budget(&mut self) -> &mut ShareBudget {
         &mut self.cold_budget
     }
 
--- a/crates/gateway/src/cold_budget.rs
+++ b/crates/gateway/src/share_budget.rs
@@ -1,23 +1,23 @@
-//! Rate limit of requests to a cold backend server: this daemon's share of the fleet's allowance.
+//! Rate limit of requests to one backend server: this daemon's share of what the fleet may send.
 
 use std::time::Duration;
 
-/// Fraction of the allowance that is used. The rest covers daemons whose share is out of date
+/// Fraction of the fleet's rate that is used. The rest covers daemons whose share is out of date
 /// and requests that arrive closer together than they were sent.
 const USED_FRACTION: f64 = 0.7;
 /// Capacity of the token bucket, in requests.
 const BURST: f64 = 1.0;
 
-/// Token bucket that limits requests to one cold backend server.
+/// Token bucket that limits this daemon's requests to one backend server.
 #[derive(Clone, Copy, Debug)]
-pub struct ColdBudget {
+pub struct ShareBudget {
     tokens: f64,
     refilled_at: Duration,
 }
 
-impl ColdBudget {
-    /// Creates an empty budget. It must be empty because all daemons discover a cold server at
-    /// about the same time.
+impl ShareBudget {
+    /// Creates an empty budget. It must be empty because all daemons begin to limit their requests
+    /// to a server at about the same time.
     #[must_use]
     pub fn new(now: Duration) -> Self {
         Self {
--- a/crates/gateway/tests/budgets.rs
+++ b/crates/gateway/tests/budgets.rs
@@ -3,7 +3,7 @@
 
 use anvilgw_gateway::body_memory::BodyMemory;
 use anvilgw_gateway::budget::{RetryBound, RetryBudget};
-use anvilgw_gateway::cold_budget::ColdBudget;
+use anvilgw_gateway::share_budget::ShareBudget;
 use std::time::Duration;
 
 struct ColdCase {
@@ -46,7 +46,7 @@
     ];
     for case in cases {
         let share = 1.0 / f64::from(case.daemons);
-        let mut budgets = vec![ColdBudget::new(Duration::ZERO); case.daemons as usize];
+        let mut budgets = vec![ShareBudget::new(Duration::ZERO); case.daemons as usize];
         let mut sent_at: Vec<Duration> = Vec::new();
         for step in 0..600_u64 {
             let now = Duration::from_millis(step * 10);
--- a/crates/gateway/tests/components.rs
+++ b/crates/gateway/tests/components.rs
@@ -6,9 +6,8 @@
 };
 use anvilgw_gateway::freshness::ConfigurationFreshness;
 use anvilgw_gateway::log::{Event, EventLog, Importance};
-use anvilgw_gateway::peers::{
-    DATAGRAM_MAX_BYTES, EngineLoad, LoadReport, LoadReporter, ReportScope,
-};
+use anvilgw_gateway::peer_message::PeerMessage;
+use anvilgw_gateway::peers::{DATAGRAM_MAX_BYTES, EngineLoad, LoadReporter, ReportScope};
 use anvilgw_gateway::sse::EventSplitter;
 use std::io::Write;
 use std::sync::{Arc, Mutex};
@@ -170,15 +169,20 @@
     let parts = reporter.next_reports(&loads, loads.len(), u64::MAX);
     let mut reported = 0;
     for part in parts {
-        let datagram = part.encode().expect("encodes");
+        let message = PeerMessage::Load(part.fit_datagram());
+        let datagram = message.encode().expect("encodes");
         let length = datagram.len();
         assert!(length <= DATAGRAM_MAX_BYTES, "{length} bytes");
-        reported += LoadReport::decode(&datagram).expect("decodes").loads.len();
-        assert!(LoadReport::decode(&datagram[..20]).is_err());
+        let decoded = PeerMessage::decode(&datagram).expect("decodes");
+        let PeerMessage::Load(report) = decoded else {
+            panic!("not a load report: {decoded:?}");
+        };
+        reported += report.loads.len();
+        assert!(PeerMessage::decode(&datagram[..20]).is_err());
     }
     // A part to which more engines hash than fit omits a few of them.
     assert!(reported >= 560, "{reported} of 600 engines reported");
-    assert!(LoadReport::decode(b"").is_err());
+    assert!(PeerMessage::decode(b"").is_err());
 }
 
 /// Guards against idle daemons that wake all others with reports that contain nothing new.
--- a/crates/gateway/tests/deployments.rs
+++ b/crates/gateway/tests/deployments.rs
@@ -194,6 +194,7 @@
             prompt,
             tried: &[],
             share: 1.0 / f64::from(self.daemons),
+            may_ask_permits: true,
         };
         let mut rng = SmallRng::seed_from_u64(7);
         select(servers, &query, NOW, &mut rng).ok()
--- /dev/null
+++ b/crates/gateway/tests/limits/simulation.rs
@@ -0,0 +1,650 @@
+//! A fleet of daemons in virtual time, in front of the servers of one service. The decisions are those
+//! of the gateway; network delays, lost messages and failures of daemons are simulated.
+
+use anvilgw_gateway::configuration::Service;
+use anvilgw_gateway::fleet_view::FleetView;
+use anvilgw_gateway::groups::{FleetAssignment, Member, Role};
+use anvilgw_gateway::notice_reports::{
+    NOTICE_PERIOD, NoticeReport, NoticeReporter, QUERY_TIME, apply_report, queried_daemons,
+    reports_of_all,
+};
+use anvilgw_gateway::permits::{
+    Decision, PermitIssuer, PermitOutcome, PermitPurpose, Rate, issuer_of,
+};
+use anvilgw_gateway::region_constraints::RegionConstraints;
+use anvilgw_gateway::request_limit::RequestRate;
+use anvilgw_gateway::select::{NoServer, Query, Selected, select};
+use anvilgw_gateway::server::{ServerEntry, ServerKey, ServerState, Servers};
+use indexmap::IndexMap;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// Name of the server that names a limit.
+const LIMITED: &str = "s0";
+const SERVICE: &str = "s";
+/// Permits that a request asks for at most, as in the gateway.
+const PERMIT_ASKS_MAX: u32 = 4;
+/// Time for which a daemon waits for a reply to a request for a permit.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
+/// Time after which a stopped daemon is no longer a member.
+const MEMBERSHIP_TIME: Duration = Duration::from_secs(4);
+/// Time within which each daemon reads a change of the membership.
+const MEMBERS_READ_MS: std::ops::Range<u64> = 200..5_500;
+/// Time after its first answer with a limit from which on a daemon has to obey it.
+const TOLD_AFTER: Duration = Duration::from_millis(500);
+/// Time from the start of a daemon until the load balancer sends it requests. It checks once a second
+/// whether the daemon is ready.
+const READY_AFTER: Duration = Duration::from_millis(500);
+/// Pause between two confirmations of the membership.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// How daemons share the limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Sharing {
+    /// One daemon issues permits for all, as in the gateway.
+    Permits,
+    /// Each daemon uses its share of the limit, as while the issuer does not answer.
+    FixedShares,
+}
+
+/// Something that happens to the fleet or the limited server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Trouble {
+    /// The server names another limit from now on, or none.
+    Limit(Option<f64>),
+    /// A number of daemons stand still for a time. The issuer is one of them.
+    Freeze(usize, Duration),
+    /// A number of daemons exchange no messages with others for a time. The issuer is one of them.
+    Cut(usize, Duration),
+    /// A number of daemons end without leaving the fleet. The issuer is one of them.
+    Kill(usize),
+    /// A number of daemons start.
+    Start(usize),
+    /// The list of members cannot be read for a time.
+    StoreAway(Duration),
+}
+
+/// Parameters of a simulation.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Setup {
+    pub(crate) daemons: usize,
+    pub(crate) servers: u16,
+    /// Requests per second of all clients.
+    pub(crate) requests_per_s: f64,
+    /// Share of lost messages between daemons.
+    pub(crate) loss: f64,
+    pub(crate) sharing: Sharing,
+    pub(crate) seed: u64,
+    pub(crate) length: Duration,
+}
+
+/// A request that was sent to the limited server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Arrival {
+    pub(crate) at: Duration,
+    pub(crate) daemon: usize,
+    /// Whether the daemon had itself got an answer that names the limit, half a second before or
+    /// earlier.
+    pub(crate) was_told: bool,
+}
+
+/// What happened in a simulation.
+#[derive(Debug, Default)]
+pub(crate) struct Outcome {
+    /// Requests that reached the limited server, in order.
+    pub(crate) arrivals: Vec<Arrival>,
+    /// Daemons that were cut off from the others.
+    pub(crate) cut_off: Vec<usize>,
+    /// Times to come back that refused requests were given.
+    pub(crate) retry_after: Vec<Duration>,
+    /// Number of requests for permits.
+    pub(crate) permit_requests: usize,
+    pub(crate) requests: usize,
+}
+
+struct Daemon {
+    address: SocketAddr,
+    servers: Servers,
+    issuer: PermitIssuer,
+    fleet: FleetView,
+    role: Role,
+    reporter: NoticeReporter,
+    is_up: bool,
+    frozen_until: Duration,
+    cut_until: Duration,
+    /// When the first answer with a limit arrived.
+    told_at: Option<Duration>,
+    started_at: Duration,
+}
+
+/// A client's request that is waiting for a permit.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    daemon: usize,
+    server: ServerKey,
+    limit: RequestRate,
+    asks: u32,
+    number: u64,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Request,
+    Ask(Pending, usize),
+    Reply(Pending, PermitOutcome),
+    Answer(usize, ServerKey, Option<RequestRate>),
+    NoticePeriod(usize),
+    Notices(usize, NoticeReport),
+    NoticeQuery(usize, usize),
+    ReadMembers(usize),
+    ConfirmMembers(usize),
+    Trouble(Trouble),
+    MembersChanged,
+}
+
+struct Scheduled {
+    at: Duration,
+    number: u64,
+    event: Event,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.number) == (other.at, other.number)
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+struct Simulation {
+    setup: Setup,
+    service: Service,
+    daemons: Vec<Daemon>,
+    /// Members that the metadata store lists.
+    members: Vec<Member>,
+    store_away_until: Duration,
+    limit: Option<RequestRate>,
+    queue: BinaryHeap<Reverse<Scheduled>>,
+    /// Requests for permits that were already replied to or have timed out.
+    replied: Vec<bool>,
+    scheduled: u64,
+    now: Duration,
+    rng: SmallRng,
+    outcome: Outcome,
+}
+
+/// Runs a simulation with troubles at the given times. Both the daemons and the limit, if the first
+/// trouble sets one, are in place long before.
+pub(crate) fn simulate(setup: Setup, troubles: &[(Duration, Trouble)]) -> Outcome {
+    let mut simulation = Simulation::new(setup);
+    for (at, trouble) in troubles {
+        simulation.schedule(*at, Event::Trouble(*trouble));
+    }
+    simulation.run();
+    simulation.outcome
+}
+
+fn address(index: usize) -> SocketAddr {
+    let [high, low] = (index as u16).to_be_bytes();
+    (Ipv4Addr::new(10, 0, high, low), 7401).into()
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    let SocketAddr::V4(address) = address else {
+        panic!("an address of a daemon: {address}");
+    };
+    let [_, _, high, low] = address.ip().octets();
+    usize::from(u16::from_be_bytes([high, low]))
+}
+
+fn member(index: usize) -> Member {
+    Member {
+        address: address(index),
+        failure_domain: ["a", "b", "c"][index % 3].to_owned(),
+    }
+}
+
+fn servers(count: u16) -> Servers {
+    let mut servers = Servers::default();
+    for index in 0..count {
+        let entry = ServerEntry {
+            id: format!("s{index}"),
+            service: SERVICE.to_owned(),
+            address: ([10, 1, 0, 1], 9000 + index).into(),
+            failure_domain: "a".to_owned(),
+            state: ServerState::Ready,
+            cold_for: Duration::ZERO,
+            slots: 8,
+            models: Vec::new(),
+            started_at_ms: Some(1),
+        };
+        servers.on_entry_published(entry, Duration::ZERO);
+    }
+    servers
+}
+
+impl Simulation {
+    fn new(setup: Setup) -> Self {
+        let mut simulation = Self {
+            setup,
+            service: Service {
+                name: SERVICE.to_owned(),
+                connections_max: 100,
+                cold_requests_per_s: 0.0,
+                engine: None,
+                cache_store: None,
+            },
+            daemons: Vec::new(),
+            members: (0..setup.daemons).map(member).collect(),
+            store_away_until: Duration::ZERO,
+            limit: None,
+            queue: BinaryHeap::new(),
+            replied: Vec::new(),
+            scheduled: 0,
+            now: Duration::ZERO,
+            rng: SmallRng::seed_from_u64(setup.seed),
+            outcome: Outcome::default(),
+        };
+        for _ in 0..setup.daemons {
+            simulation.start_daemon();
+        }
+        simulation.schedule(Duration::ZERO, Event::Request);
+        simulation
+    }
+
+    fn schedule(&mut self, at: Duration, event: Event) {
+        self.scheduled += 1;
+        let number = self.scheduled;
+        self.queue.push(Reverse(Scheduled { at, number, event }));
+    }
+
+    fn after(&mut self, ms: std::ops::Range<u64>, event: Event) {
+        let delay = Duration::from_millis(self.rng.random_range(ms));
+        self.schedule(self.now + delay, event);
+    }
+
+    fn start_daemon(&mut self) {
+        let index = self.daemons.len();
+        self.daemons.push(Daemon {
+            address: address(index),
+            servers: servers(self.setup.servers),
+            issuer: PermitIssuer::default(),
+            fleet: FleetView::default(),
+            role: Role::default(),
+            reporter: NoticeReporter::default(),
+            is_up: true,
+            frozen_until: Duration::ZERO,
+            cut_until: Duration::ZERO,
+            told_at: None,
+            started_at: self.now,
+        });
+        self.after(0..400, Event::ReadMembers(index));
+        self.after(0..1_500, Event::ConfirmMembers(index));
+        self.after(0..250, Event::NoticePeriod(index));
+    }
+
+    fn run(&mut self) {
+        while let Some(Reverse(scheduled)) = self.queue.pop() {
+            if scheduled.at > self.setup.length {
+                return;
+            }
+            self.now = scheduled.at;
+            self.handle(scheduled.event);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Request => self.on_request(),
+            Event::Ask(pending, issuer) => self.on_ask(pending, issuer),
+            Event::Reply(pending, outcome) => self.on_reply(pending, outcome),
+            Event::Answer(daemon, server, limit) => self.on_answer(daemon, server, limit),
+            Event::NoticePeriod(daemon) => self.on_notice_period(daemon),
+            Event::Notices(daemon, report) => self.on_notices(daemon, &report),
+            Event::NoticeQuery(from, to) => self.on_notice_query(from, to),
+            Event::ReadMembers(daemon) => self.read_members(daemon),
+            Event::ConfirmMembers(daemon) => self.confirm_members(daemon),
+            Event::Trouble(trouble) => self.on_trouble(trouble),
+            Event::MembersChanged => self.on_members_changed(),
+        }
+    }
+
+    /// A client sends a request to a random daemon. Clients reach frozen daemons, too: those handle it
+    /// when they go on.
+    fn on_request(&mut self) {
+        let pause = Duration::from_secs_f64(
+            -self.rng.random::<f64>().max(1e-9).ln() / self.setup.requests_per_s,
+        );
+        self.schedule(self.now + pause, Event::Request);
+        let daemon = self.rng.random_range(0..self.daemons.len());
+        let is_ready = self.now >= self.daemons[daemon].started_at + READY_AFTER;
+        if is_ready && self.is_active(daemon) {
+            self.outcome.requests += 1;
+            self.dispatch(daemon, 0);
+        }
+    }
+
+    fn is_active(&self, daemon: usize) -> bool {
+        let daemon = &self.daemons[daemon];
+        daemon.is_up && self.now >= daemon.frozen_until
+    }
+
+    /// Selects a server as the gateway does, and sends the request or asks for a permit.
+    fn dispatch(&mut self, daemon: usize, asks: u32) {
+        let (now, share) = (self.now, 1.0 / self.members.len() as f64);
+        let may_ask_permits = asks < PERMIT_ASKS_MAX;
+        let selected = match self.select(daemon, share, may_ask_permits) {
+            Ok(selected) => selected,
+            Err(NoServer::RateLimited(pause)) => {
+                self.outcome.retry_after.push(pause);
+                return;
+            }
+            Err(_) => return,
+        };
+        let Some(limit) = selected.permit_needed else {
+            self.send(daemon, selected.server);
+            return;
+        };
+        let pending = Pending {
+            daemon,
+            server: selected.server,
+            limit,
+            asks,
+            number: self.replied.len() as u64,
+        };
+        self.replied.push(false);
+        self.outcome.permit_requests += 1;
+        let issuer = match self.setup.sharing {
+            Sharing::Permits => {
+                let state = &self.daemons[daemon];
+                issuer_of(self.hash_of(daemon), state.fleet.members())
+            }
+            Sharing::FixedShares => None,
+        };
+        match issuer {
+            None => self.on_reply(pending, PermitOutcome::NoAnswer),
+            Some(issuer) if issuer == self.daemons[daemon].address => {
+                let outcome = self.decide(pending, daemon);
+                self.on_reply(pending, outcome);
+            }
+            Some(issuer) => {
+                let issuer = index_of(issuer);
+                if self.is_delivered(daemon, issuer) {
+                    self.after(0..4, Event::Ask(pending, issuer));
+                }
+                let timeout = Event::Reply(pending, PermitOutcome::NoAnswer);
+                self.schedule(now + REPLY_TIMEOUT, timeout);
+            }
+        }
+    }
+
+    fn select(
+        &mut self,
+        daemon: usize,
+        share: f64,
+        may_ask_permits: bool,
+    ) -> Result<Selected, NoServer> {
+        let regions = IndexMap::new();
+        let query = Query {
+            service: &self.service,
+            region_constraints: RegionConstraints {
+                regions: &regions,
+                route: &[],
+                workspace: &[],
+            },
+            prompt: None,
+            tried: &[],
+            share,
+            may_ask_permits,
+        };
+        let servers = &mut self.daemons[daemon].servers;
+        select(servers, &query, self.now, &mut self.rng)
+    }
+
+    fn hash_of(&self, daemon: usize) -> u64 {
+        let servers = &self.daemons[daemon].servers;
+        let key = servers.key_of(LIMITED).expect("limited server");
+        servers.get(key).expect("server").incarnation_hash()
+    }
+
+    /// Returns whether a message from one daemon to another arrives.
+    fn is_delivered(&mut self, from: usize, to: usize) -> bool {
+        let now = self.now;
+        let is_connected = |daemon: &Daemon| daemon.is_up && now >= daemon.cut_until;
+        let is_connected = is_connected(&self.daemons[from]) && is_connected(&self.daemons[to]);
+        is_connected && self.rng.random::<f64>() >= self.setup.loss
+    }
+
+    fn on_ask(&mut self, pending: Pending, issuer: usize) {
+        if !self.is_active(issuer) {
+            return;
+        }
+        let outcome = self.decide(pending, issuer);
+        if self.is_delivered(issuer, pending.daemon) {
+            self.after(0..4, Event::Reply(pending, outcome));
+        }
+    }
+
+    fn decide(&mut self, pending: Pending, issuer: usize) -> PermitOutcome {
+        let hash = self.hash_of(issuer);
+        let now = self.now;
+        let daemon = &mut self.daemons[issuer];
+        if issuer_of(hash, daemon.fleet.members()) != Some(daemon.address) {
+            return PermitOutcome::NoAnswer;
+        }
+        let key = daemon.servers.key_of(LIMITED).expect("limited server");
+        let server = daemon.servers.get(key).expect("server");
+        let known = server.request_limit.allowed_rate();
+        let rate = Rate {
+            limit: known.map_or(pending.limit, |known| known.min(pending.limit)),
+            is_settled: daemon.fleet.is_settled(now),
+        };
+        match daemon
+            .issuer
+            .decide(hash, rate, PermitPurpose::Request, now)
+        {
+            Decision::Granted(permits) => PermitOutcome::Granted(permits),
+            Decision::Denied(pause) => PermitOutcome::Denied(pause),
+        }
+    }
+
+    fn on_reply(&mut self, pending: Pending, outcome: PermitOutcome) {
+        let replied = &mut self.replied[pending.number as usize];
+        if std::mem::replace(replied, true) || !self.is_active(pending.daemon) {
+            return;
+        }
+        let share = 1.0 / self.members.len() as f64;
+        let servers = &mut self.daemons[pending.daemon].servers;
+        let server = servers.get_mut(pending.server).expect("server");
+        server.permits.on_outcome(outcome, self.now);
+        if server.permits.take(pending.limit, share, self.now) {
+            self.send(pending.daemon, pending.server);
+        } else {
+            self.dispatch(pending.daemon, pending.asks + 1);
+        }
+    }
+
+    fn send(&mut self, daemon: usize, key: ServerKey) {
+        let now = self.now;
+        let server = self.daemons[daemon].servers.get_mut(key).expect("server");
+        server.on_request_sent(0, now);
+        let is_limited = server.entry.id == LIMITED;
+        if is_limited {
+            let told_at = self.daemons[daemon].told_at;
+            self.outcome.arrivals.push(Arrival {
+                at: now,
+                daemon,
+                was_told: told_at.is_some_and(|at| now >= at + TOLD_AFTER),
+            });
+        }
+        let limit = self.limit.filter(|_| is_limited);
+        self.after(20..100, Event::Answer(daemon, key, limit));
+    }
+
+    fn on_answer(&mut self, daemon: usize, key: ServerKey, limit: Option<RequestRate>) {
+        let daemon = &mut self.daemons[daemon];
+        if limit.is_some() {
+            daemon.told_at.get_or_insert(self.now);
+        }
+        let server = daemon.servers.get_mut(key).expect("server");
+        server.on_request_ended(0);
+        match limit {
+            Some(limit) => server.request_limit.on_named(limit, self.now),
+            None => server.request_limit.on_not_named(self.now),
+        };
+    }
+
+    fn on_notice_period(&mut self, index: usize) {
+        self.schedule(self.now + NOTICE_PERIOD, Event::NoticePeriod(index));
+        if !self.is_active(index) {
+            return;
+        }
+        if self.now < self.daemons[index].started_at + QUERY_TIME {
+            self.query_notices(index);
+        }
+        let daemon = &mut self.daemons[index];
+        let addressed = daemon
+            .reporter
+            .next_reports(&daemon.servers, &daemon.role, self.now);
+        for reports in addressed {
+            for report in &reports.reports {
+                for recipient in &reports.recipients {
+                    let to = index_of(*recipient);
+                    if self.is_delivered(index, to) {
+                        self.after(0..4, Event::Notices(to, report.clone()));
+                    }
+                }
+            }
+        }
+    }
+
+    /// A daemon that has just started asks others for the statements that they know.
+    fn query_notices(&mut self, index: usize) {
+        let role = self.daemons[index].role.clone();
+        for queried in queried_daemons(&role) {
+            let to = index_of(*queried);
+            if self.is_delivered(index, to) {
+                self.after(0..4, Event::NoticeQuery(index, to));
+            }
+        }
+    }
+
+    fn on_notice_query(&mut self, from: usize, to: usize) {
+        if !self.is_active(to) {
+            return;
+        }
+        for report in reports_of_all(&self.daemons[to].servers, self.now) {
+            if self.is_delivered(to, from) {
+                self.after(0..4, Event::Notices(from, report));
+            }
+        }
+    }
+
+    fn on_notices(&mut self, index: usize, report: &NoticeReport) {
+        if self.is_active(index) {
+            let daemon = &mut self.daemons[index];
+            apply_report(&mut daemon.servers, &daemon.role, report, self.now);
+        }
+    }
+
+    fn read_members(&mut self, index: usize) {
+        if self.now < self.store_away_until {
+            self.schedule(self.store_away_until, Event::ReadMembers(index));
+            return;
+        }
+        let addresses = self.members.iter().map(|member| member.address);
+        let own = address(index);
+        let daemon = &mut self.daemons[index];
+        daemon.fleet.on_members(addresses.collect(), self.now);
+        daemon.role = FleetAssignment::of(own, &self.members).role;
+        if self.now < daemon.started_at + QUERY_TIME {
+            self.query_notices(index);
+        }
+    }
+
+    fn confirm_members(&mut self, index: usize) {
+        self.schedule(self.now + CONFIRM_PAUSE, Event::ConfirmMembers(index));
+        if self.now < self.store_away_until || !self.is_active(index) {
+            return;
+        }
+        let mut listed: Vec<SocketAddr> = self.members.iter().map(|one| one.address).collect();
+        listed.sort_unstable();
+        let fleet = &mut self.daemons[index].fleet;
+        if fleet.members() == listed {
+            fleet.on_confirmed(self.now);
+        } else {
+            fleet.on_outdated(self.now);
+        }
+    }
+
+    fn on_members_changed(&mut self) {
+        self.members = (0..self.daemons.len())
+            .filter(|index| self.daemons[*index].is_up)
+            .map(member)
+            .collect();
+        for index in 0..self.daemons.len() {
+            self.after(MEMBERS_READ_MS, Event::ReadMembers(index));
+        }
+    }
+
+    /// Returns daemons to disturb, the issuer first.
+    fn victims(&mut self, count: usize) -> Vec<usize> {
+        let first = self.daemons.iter().position(|daemon| daemon.is_up);
+        let issuer = first.and_then(|first| {
+            let members = self.daemons[first].fleet.members();
+            let issuer = issuer_of(self.hash_of(first), members)?;
+            Some(index_of(issuer))
+        });
+        let others = (0..self.daemons.len()).filter(|index| Some(*index) != issuer);
+        let victims = issuer.into_iter().chain(others);
+        let victims = victims.filter(|index| self.daemons[*index].is_up);
+        victims.take(count).collect()
+    }
+
+    fn on_trouble(&mut self, trouble: Trouble) {
+        let now = self.now;
+        match trouble {
+            Trouble::Limit(per_s) => self.limit = per_s.and_then(RequestRate::from_per_s),
+            Trouble::Freeze(count, time) => {
+                for index in self.victims(count) {
+                    self.daemons[index].frozen_until = now + time;
+                }
+            }
+            Trouble::Cut(count, time) => {
+                for index in self.victims(count) {
+                    self.daemons[index].cut_until = now + time;
+                    self.outcome.cut_off.push(index);
+                }
+            }
+            Trouble::Kill(count) => {
+                for index in self.victims(count) {
+                    self.daemons[index].is_up = false;
+                }
+                self.schedule(now + MEMBERSHIP_TIME, Event::MembersChanged);
+            }
+            Trouble::Start(count) => {
+                for _ in 0..count {
+                    self.start_daemon();
+                }
+                self.schedule(now, Event::MembersChanged);
+            }
+            Trouble::StoreAway(time) => self.store_away_until = now + time,
+        }
+    }
+}
--- a/crates/gateway/tests/servers/fixture.rs
+++ b/crates/gateway/tests/servers/fixture.rs
@@ -128,6 +128,7 @@
             prompt: None,
             tried: &[tried],
             share: 1.0,
+            may_ask_permits: true,
         };
         has_usable_server(&mut self.servers, &query, now)
     }
@@ -169,6 +170,7 @@
             }),
             tried: &[],
             share: 0.1,
+            may_ask_permits: true,
         };
         select(&mut self.servers, &query, now, &mut rng())
     }
@@ -195,6 +197,7 @@
         prompt: None,
         tried: &[],
         share: 0.1,
+        may_ask_permits: true,
     };
     let selected = select(servers, &query, now, &mut rng())?;
     Ok(servers
