Read cache stores within the limit that they name

Cause: a cache store may name a limit like any server, and every daemon of a small fleet and every leader of a large one reads its events; the answers' headers were dropped.

Change: answers of cache stores carry the limit. Events, listings and orders to free parts take permits while a store names one; a read that is not permitted waits.

--- a/crates/gateway/src/background_tasks/cache_events.rs
+++ b/crates/gateway/src/background_tasks/cache_events.rs
@@ -8,6 +8,7 @@
 use crate::gateway::Gateway;
 use crate::groups::Role;
 use crate::log::Event;
+use crate::permit_client::{on_store_answer, wait_for_store_permit};
 use crate::ports::CacheError;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -94,11 +95,11 @@
             gateway.state.borrow_mut().caches.on_store_unfollowed(key);
             return;
         };
-        let read = gateway
-            .ports
-            .cache_client
-            .events(address, since, EVENTS_WAIT);
-        match read.await {
+        wait_for_store_permit(&gateway, key).await;
+        let cache_client = &gateway.ports.cache_client;
+        let answer = cache_client.events(address, since, EVENTS_WAIT).await;
+        on_store_answer(&gateway, key, &answer);
+        match answer.result {
             Ok(events) => {
                 dependency.on_answer(&gateway);
                 let now = gateway.now();
@@ -125,7 +126,10 @@
 }
 
 async fn reload_list(gateway: &Gateway, key: CacheStoreKey, address: SocketAddr) {
-    match gateway.ports.cache_client.list(address).await {
+    wait_for_store_permit(gateway, key).await;
+    let answer = gateway.ports.cache_client.list(address).await;
+    on_store_answer(gateway, key, &answer);
+    match answer.result {
         Ok(list) => {
             let now = gateway.now();
             gateway.state.borrow_mut().caches.on_listing(key, list, now);
--- a/crates/gateway/src/background_tasks/weight_switches.rs
+++ b/crates/gateway/src/background_tasks/weight_switches.rs
@@ -6,7 +6,7 @@
 use crate::groups::Role;
 use crate::lease::{LeaseRecord, LeaseStep, LeaseView, ServerWeights};
 use crate::log::Event;
-use crate::permit_client::acquire_control_permits;
+use crate::permit_client::{acquire_control_permits, may_call_store, on_store_answer};
 use crate::ports::{
     AppendOutcome, OrderAnswer, OrderError, ServerReport, StoreError, Topic, WeightOrder,
 };
@@ -523,7 +523,14 @@
     /// Frees cached parts of replaced weights that no daemon reads any more.
     async fn free_retired(&mut self) {
         for (address, parts) in self.retired_parts(FREED_PARTS_MAX) {
-            match self.gateway.ports.cache_client.free(address, &parts).await {
+            let key = self.gateway.state.borrow().caches.key_of(address);
+            let Some(key) = key else { continue };
+            if !may_call_store(&self.gateway, key).await {
+                continue;
+            }
+            let answer = self.gateway.ports.cache_client.free(address, &parts).await;
+            on_store_answer(&self.gateway, key, &answer);
+            match answer.result {
                 Ok(()) => {
                     self.gateway.log_notable(&Event::PartsFreed {
                         store: &address.to_string(),
--- a/crates/gateway/src/cache_store.rs
+++ b/crates/gateway/src/cache_store.rs
@@ -1,5 +1,7 @@
 //! One cache store: its configuration, and what this daemon knows of its contents.
 
+use crate::permits::PermitHolder;
+use crate::request_limit::RequestLimit;
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -77,6 +79,10 @@
     pub(crate) is_followed: bool,
     pub(crate) parts: IndexMap<PartKey, CachedPart>,
     pub(crate) used_tokens: u64,
+    /// Limit on the requests that the store takes from all daemons together.
+    pub(crate) request_limit: RequestLimit,
+    /// Permits for requests to the store while it names a limit.
+    pub(crate) permits: PermitHolder,
 }
 
 impl CacheStore {
@@ -90,9 +96,17 @@
             is_followed: false,
             parts: IndexMap::new(),
             used_tokens: 0,
+            request_limit: RequestLimit::default(),
+            permits: PermitHolder::default(),
         }
     }
 
+    /// Returns the hash that identifies the store in messages between daemons.
+    #[must_use]
+    pub fn store_hash(&self) -> u64 {
+        name_hash(&self.spec.address.to_string())
+    }
+
     /// Returns the address on which the store listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
--- a/crates/gateway/src/caches.rs
+++ b/crates/gateway/src/caches.rs
@@ -119,6 +119,16 @@
         self.stores.get(key)
     }
 
+    pub(crate) fn get_mut(&mut self, key: CacheStoreKey) -> Option<&mut CacheStore> {
+        self.stores.get_mut(key)
+    }
+
+    /// Returns the key of the store at an address.
+    #[must_use]
+    pub fn key_of(&self, address: SocketAddr) -> Option<CacheStoreKey> {
+        self.by_address.get(&address).copied()
+    }
+
     /// Applies the events of a store. Returns whether the store must be listed because events
     /// are missing.
     pub fn on_events(&mut self, key: CacheStoreKey, events: CacheEvents, now: Duration) -> bool {
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -7,7 +7,7 @@
 use crate::configuration::Service;
 use crate::gateway::Gateway;
 use crate::log::{Choice, PromptChoice};
-use crate::permit_client::acquire_permit;
+use crate::permit_client::{PermitTarget, acquire_permit};
 use crate::permits::PermitPurpose;
 use crate::prefill_rate::PrefillRate;
 use crate::region_constraints::RegionConstraints;
@@ -147,8 +147,8 @@
             select(servers, query, gateway.now(), rng).map_err(AttemptError::NoServer)
         })?;
         if let Some(limit) = selected.permit_needed {
-            let purpose = PermitPurpose::Request;
-            if !acquire_permit(gateway, selected.server, limit, purpose).await {
+            let target = PermitTarget::Server(selected.server);
+            if !acquire_permit(gateway, target, limit, PermitPurpose::Request).await {
                 continue;
             }
         }
--- a/crates/gateway/src/permit_client.rs
+++ b/crates/gateway/src/permit_client.rs
@@ -1,11 +1,14 @@
 //! Requests permits from the daemon that issues them, and answers such requests of others.
 
 use crate::background_tasks::peer_messages::send_message;
-use crate::gateway::Gateway;
+use crate::caches::{CacheStore, CacheStoreKey};
+use crate::gateway::{Gateway, State};
 use crate::peer_message::PeerMessage;
 use crate::permits::{
-    Decision, PermitOutcome, PermitPurpose, PermitReply, PermitRequest, Rate, issuer_of,
+    Decision, PermitHolder, PermitOutcome, PermitPurpose, PermitReply, PermitRequest, PermitState,
+    Rate, issuer_of,
 };
+use crate::ports::CacheAnswer;
 use crate::request_limit::RequestRate;
 use crate::server::{Server, ServerKey};
 use indexmap::IndexMap;
@@ -16,11 +19,13 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Time limit for the reply of an issuer, which needs a few milliseconds unless its instance is
 /// overloaded.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
+/// Pause between two checks whether a cache store may be read under its limit.
+const STORE_RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Range of the factor by which this daemon varies the pause that an issuer asks for, so that not
 /// all daemons ask again at the same time.
 const PAUSE_FACTOR_RANGE: Range<f64> = 0.75..1.25;
@@ -158,30 +163,105 @@
     }
 }
 
-/// Requests permits for a backend server, and returns whether one request may be sent to it now.
-/// Permits for further requests, or the pause, are recorded with the server.
+/// Server or store for which permits are requested.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum PermitTarget {
+    Server(ServerKey),
+    Store(CacheStoreKey),
+}
+
+impl PermitTarget {
+    /// Returns the hash that identifies the target in messages, or `None` if the target is gone.
+    fn hash(self, state: &State) -> Option<u64> {
+        match self {
+            Self::Server(key) => state.servers.get(key).map(Server::incarnation_hash),
+            Self::Store(key) => state.caches.get(key).map(CacheStore::store_hash),
+        }
+    }
+
+    /// Returns the permits of this daemon for the target, or `None` if the target is gone.
+    fn holder(self, state: &mut State) -> Option<&mut PermitHolder> {
+        match self {
+            Self::Server(key) => {
+                let server = state.servers.get_mut(key)?;
+                Some(&mut server.permits)
+            }
+            Self::Store(key) => {
+                let store = state.caches.get_mut(key)?;
+                Some(&mut store.permits)
+            }
+        }
+    }
+}
+
+/// Requests permits for a target that takes the rate `limit`, and returns whether one request may be
+/// sent to it now. Permits for further requests, or the pause, are recorded with the target.
 pub(crate) async fn acquire_permit(
     gateway: &Gateway,
-    key: ServerKey,
+    target: PermitTarget,
     limit: RequestRate,
     purpose: PermitPurpose,
 ) -> bool {
-    let server_hash = {
-        let state = gateway.state.borrow();
-        let server = state.servers.get(key);
-        server.map(Server::incarnation_hash)
-    };
-    let Some(server_hash) = server_hash else {
+    let hash = target.hash(&gateway.state.borrow());
+    let Some(hash) = hash else {
         return false;
     };
-    let outcome = request_permit(gateway, server_hash, limit, purpose).await;
+    let outcome = request_permit(gateway, hash, limit, purpose).await;
     let now = gateway.now();
     let state = &mut *gateway.state.borrow_mut();
-    let Some(server) = state.servers.get_mut(key) else {
+    let share = state.share;
+    let Some(holder) = target.holder(state) else {
         return false;
     };
-    server.permits.on_outcome(outcome, now);
-    server.permits.take(limit, state.share, now)
+    holder.on_outcome(outcome, now);
+    holder.take(limit, share, now)
+}
+
+/// Waits until a request may be sent to a cache store under the limit that it names.
+pub(crate) async fn wait_for_store_permit(gateway: &Gateway, key: CacheStoreKey) {
+    while !may_call_store(gateway, key).await {
+        sleep(STORE_RETRY_PAUSE).await;
+    }
+}
+
+/// Returns whether a request may be sent to a cache store now, after requesting a permit if the store
+/// names a limit.
+pub(crate) async fn may_call_store(gateway: &Gateway, key: CacheStoreKey) -> bool {
+    let limit = {
+        let now = gateway.now();
+        let state = &mut *gateway.state.borrow_mut();
+        let share = state.share;
+        // A request to a store that is no longer configured fails by itself.
+        let Some(store) = state.caches.get_mut(key) else {
+            return true;
+        };
+        let Some(limit) = store.request_limit.allowed_rate() else {
+            return true;
+        };
+        if store.permits.take(limit, share, now) {
+            return true;
+        }
+        if let PermitState::Paused(_) = store.permits.state(limit, share, now) {
+            return false;
+        }
+        limit
+    };
+    let target = PermitTarget::Store(key);
+    acquire_permit(gateway, target, limit, PermitPurpose::Request).await
+}
+
+/// Applies the limit that a cache store names, or that it names none any more.
+pub(crate) fn on_store_answer<T>(gateway: &Gateway, key: CacheStoreKey, answer: &CacheAnswer<T>) {
+    let now = gateway.now();
+    let mut state = gateway.state.borrow_mut();
+    let Some(store) = state.caches.get_mut(key) else {
+        return;
+    };
+    match answer.request_limit {
+        Some(limit) => store.request_limit.on_named(limit, now),
+        None if answer.result.is_ok() => store.request_limit.on_not_named(now),
+        None => false,
+    };
 }
 
 /// Acquires permits for control calls to a backend server, if it names a limit. Returns whether
@@ -198,7 +278,14 @@
         let Some(limit) = limit else {
             return true;
         };
-        if !acquire_permit(gateway, key, limit, PermitPurpose::Control).await {
+        if !acquire_permit(
+            gateway,
+            PermitTarget::Server(key),
+            limit,
+            PermitPurpose::Control,
+        )
+        .await
+        {
             return false;
         }
     }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -5,6 +5,7 @@
 use crate::configuration::Configuration;
 use crate::groups::Member;
 use crate::request::{AnswerMeta, ForwardMeta, RequestMeta, ServerNotice};
+use crate::request_limit::RequestRate;
 use crate::server::{ServedModel, ServerEntry};
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
@@ -274,37 +275,35 @@
     }
 }
 
+/// Outcome of a call to a cache store.
+#[derive(Clone, Debug)]
+pub struct CacheAnswer<T> {
+    /// Result of the call.
+    pub result: Result<T, CacheError>,
+    /// Requests per second that the cache store takes from all daemons together, if it names a
+    /// limit.
+    pub request_limit: Option<RequestRate>,
+}
+
 /// Client of the cache stores, which hold cached parts of prompts.
 pub trait CacheClient {
     /// Reads the changes at a cache store since an event number. Waits up to `wait` for a change.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`CacheError`] if the changes cannot be read.
     fn events(
         &self,
         address: SocketAddr,
         since: u64,
         wait: Duration,
-    ) -> LocalBoxFuture<'_, Result<CacheEvents, CacheError>>;
+    ) -> LocalBoxFuture<'_, CacheAnswer<CacheEvents>>;
 
     /// Lists all prompt parts that a cache store has.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`CacheError`] if the list cannot be read.
-    fn list(&self, address: SocketAddr) -> LocalBoxFuture<'_, Result<CacheEvents, CacheError>>;
+    fn list(&self, address: SocketAddr) -> LocalBoxFuture<'_, CacheAnswer<CacheEvents>>;
 
-    /// Frees prompt parts of a cache store.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`CacheError`] if the store did not confirm the call.
+    /// Frees prompt parts of a cache store. The result is an error if the store did not confirm it.
     fn free<'a>(
         &'a self,
         address: SocketAddr,
         parts: &'a [CachedPart],
-    ) -> LocalBoxFuture<'a, Result<(), CacheError>>;
+    ) -> LocalBoxFuture<'a, CacheAnswer<()>>;
 }
 
 /// Client of the control interface of backend servers.
