Share the allowance of a cold server through permits

The rate that a cold server takes is one figure over all daemons and was divided into fixed shares. With 16 a second and 295 daemons a share is one request in 26 s, so a large fleet leaves a server unused for its whole cold start, and afterwards sends it everything at once.

Change: while a server is cold, requests to it take permits like those to a server that names a limit, at the lower of both rates. Without an issuer, a daemon uses its share as before; the test of that bound says so in its name now.

--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -89,7 +89,7 @@
     /// Use of cached prompts, if the request is a generation.
     pub cache: Option<CacheUse>,
     /// Rate for which a permit must be requested from the issuer before the request is sent. `None`
-    /// if the server names no limit, or a permit was taken.
+    /// if requests to the server are not limited, or a permit was taken.
     pub permit_needed: Option<RequestRate>,
 }
 
@@ -112,7 +112,7 @@
     /// weights.
     NoneInService,
     /// No server in service is usable: each has been tried, is switching weights, has an open
-    /// circuit breaker, is backing off, or is cold and has used up its budget.
+    /// circuit breaker, or is backing off.
     AllUnavailable,
     /// Every server in service has asked for a back-off. Holds the shortest remaining one.
     BackingOff(Duration),
@@ -138,8 +138,8 @@
 }
 
 /// Selects the server for a request. A generation goes to the server that ranks first for its
-/// prompt and is not overloaded, any other request to the least loaded server. A request to a
-/// cold server is charged to the server's budget.
+/// prompt and is not overloaded, any other request to the least loaded server. Requests to a
+/// server that is cold or names a limit need permits.
 ///
 /// # Errors
 ///
@@ -168,9 +168,9 @@
         }),
     };
     let mut selected = chosen.ok_or(NoServer::NoMemory)?;
-    take_cold_budget(servers, selected.server, query, now);
     if let Some(server) = servers.get_mut(selected.server) {
-        selected.permit_needed = server.take_permit(query.share, now);
+        let allowed = server.allowed_rate(query.service.cold_requests_per_s, now);
+        selected.permit_needed = server.take_permit(allowed, query.share, now);
     }
     Ok(selected)
 }
@@ -186,7 +186,8 @@
     }
     let mut pause = |key: &ServerKey| {
         let server = servers.get_mut(*key)?;
-        match server.permit_state(query.share, now) {
+        let allowed = server.allowed_rate(query.service.cold_requests_per_s, now);
+        match server.permit_state(allowed, query.share, now) {
             PermitState::Paused(pause) => Some(pause),
             PermitState::Available | PermitState::MustAsk => None,
         }
@@ -228,7 +229,7 @@
     query: &Query<'_>,
     now: Duration,
 ) -> Vec<ServerKey> {
-    let per_s = query.service.cold_requests_per_s;
+    let cold_per_s = query.service.cold_requests_per_s;
     let mut usable = |key: &ServerKey| {
         if query.tried.contains(key) {
             return false;
@@ -236,18 +237,15 @@
         let Some(server) = servers.get_mut(*key) else {
             return false;
         };
-        let has_cold_allowance = !server.is_cold(now)
-            || per_s <= 0.0
-            || server.cold_budget().allows(per_s, query.share, now);
         let accepts_requests = server.backoff_left(now).is_zero();
-        let is_within_limit = match server.permit_state(query.share, now) {
+        let allowed = server.allowed_rate(cold_per_s, now);
+        let is_within_limit = match server.permit_state(allowed, query.share, now) {
             PermitState::Available => true,
             PermitState::MustAsk => query.may_ask_permits,
             PermitState::Paused(_) => false,
         };
         accepts_requests
             && is_within_limit
-            && has_cold_allowance
             && server.breaker.allows(now)
             && !server.is_switching(now)
     };
@@ -258,16 +256,6 @@
         .collect()
 }
 
-fn take_cold_budget(servers: &mut Servers, key: ServerKey, query: &Query<'_>, now: Duration) {
-    let per_s = query.service.cold_requests_per_s;
-    if let Some(server) = servers.get_mut(key)
-        && server.is_cold(now)
-        && per_s > 0.0
-    {
-        server.cold_budget().take(per_s, query.share, now);
-    }
-}
-
 fn drop_failing(servers: &Servers, usable: Vec<ServerKey>, rng: &mut impl Rng) -> Vec<ServerKey> {
     let is_reliable = |key: &ServerKey| {
         servers
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -7,7 +7,6 @@
 use crate::removed_servers::RemovedServers;
 use crate::request::ReportedLoad;
 use crate::request_limit::{RequestLimit, RequestRate};
-use crate::share_budget::ShareBudget;
 use anvilgw_router::{Breaker, BreakerSettings};
 use indexmap::{IndexMap, IndexSet};
 use slotmap::{SlotMap, new_key_type};
@@ -112,7 +111,7 @@
     pub request_limit: RequestLimit,
     /// Number of requests that this daemon has sent since it last logged that number.
     pub sent_since_logged: u32,
-    /// Permits for requests to the server while it names a limit.
+    /// Permits for requests to the server while it names a limit or is cold.
     pub permits: PermitHolder,
     /// See [`Server::incarnation_hash`].
     incarnation_hash: u64,
@@ -120,7 +119,6 @@
     /// See [`server_hash`].
     server_hash: u32,
     cold_until: Duration,
-    cold_budget: ShareBudget,
     reported_load: Option<(ReportedLoad, Duration)>,
     sent_since_report: u32,
     failure_share: f64,
@@ -159,7 +157,6 @@
             sent_since_logged: 0,
             permits: PermitHolder::default(),
             weights: LoadedWeights::default(),
-            cold_budget: ShareBudget::new(now),
             reported_load: None,
             sent_since_report: 0,
             failure_share: 0.0,
@@ -209,19 +206,39 @@
         self.incarnation_hash
     }
 
-    /// Returns whether a request may be sent under the limit that the server names. `share` is this
-    /// daemon's share of the fleet, from 0 to 1.
-    pub fn permit_state(&mut self, share: f64, now: Duration) -> PermitState {
-        match self.request_limit.allowed_rate() {
-            None => PermitState::Available,
-            Some(rate) => self.permits.state(rate, share, now),
-        }
-    }
-
-    /// Takes a permit if the server names a limit. Returns the rate for which one must be requested
-    /// from the issuer if none is available.
-    pub fn take_permit(&mut self, share: f64, now: Duration) -> Option<RequestRate> {
-        let rate = self.request_limit.allowed_rate()?;
+    /// Returns the rate at which all daemons together may send requests to the server, or `None` if
+    /// it is not limited: that of the limit that the server names, or while it is cold
+    /// `cold_per_s`, if that is lower. Zero means that cold servers take any rate.
+    #[must_use]
+    pub fn allowed_rate(&self, cold_per_s: f64, now: Duration) -> Option<RequestRate> {
+        let is_slowed = self.is_cold(now) && cold_per_s > 0.0;
+        let cold_rate = RequestRate::from_per_s(cold_per_s).filter(|_| is_slowed);
+        let named = self.request_limit.allowed_rate();
+        [cold_rate, named].into_iter().flatten().min()
+    }
+
+    /// Returns whether a request may be sent at the rate `allowed`. `share` is this daemon's share of
+    /// the fleet, from 0 to 1.
+    pub fn permit_state(
+        &mut self,
+        allowed: Option<RequestRate>,
+        share: f64,
+        now: Duration,
+    ) -> PermitState {
+        allowed.map_or(PermitState::Available, |rate| {
+            self.permits.state(rate, share, now)
+        })
+    }
+
+    /// Takes a permit if the rate of requests is limited to `allowed`. Returns the rate for which one
+    /// must be requested from the issuer if none is available.
+    pub fn take_permit(
+        &mut self,
+        allowed: Option<RequestRate>,
+        share: f64,
+        now: Duration,
+    ) -> Option<RequestRate> {
+        let rate = allowed?;
         let is_taken = self.permits.take(rate, share, now);
         (!is_taken).then_some(rate)
     }
@@ -232,20 +249,11 @@
         now < self.cold_until
     }
 
-    /// Sets how long the server stays cold from now on. A server that turns cold starts with an
-    /// empty budget.
+    /// Sets how long the server stays cold from now on.
     pub fn set_cold_for(&mut self, cold_for: Duration, now: Duration) {
-        if !self.is_cold(now) && !cold_for.is_zero() {
-            self.cold_budget = ShareBudget::new(now);
-        }
         self.cold_until = now + cold_for;
     }
 
-    /// Returns the budget that limits requests to the server while it is cold.
-    pub fn cold_budget(&mut self) -> &mut ShareBudget {
-        &mut self.cold_budget
-    }
-
     /// Returns the estimated number of requests on the server: the last reported load plus the
     /// requests sent since then, but at least this daemon's own requests. Without a recent
     /// report, only the latter count.
--- a/crates/gateway/tests/limits/fleet.rs
+++ b/crates/gateway/tests/limits/fleet.rs
@@ -1,6 +1,6 @@
 //! Whole fleets, small and large, in front of a server that names a limit.
 
-use crate::simulation::{Outcome, Setup, Sharing, Trouble, simulate};
+use crate::simulation::{COLD_PER_S, Outcome, Setup, Sharing, Trouble, simulate};
 use std::time::Duration;
 
 /// Time from the first answer that names the limit until the limit has to hold.
@@ -30,12 +30,16 @@
 /// Returns the most requests in any window between two times. A daemon that is cut off from the
 /// others cannot know what they send, so its requests are not counted.
 fn most_in_window(outcome: &Outcome, from: Duration, to: Duration) -> usize {
+    most_in(outcome, WINDOW, from, to)
+}
+
+fn most_in(outcome: &Outcome, window: Duration, from: Duration, to: Duration) -> usize {
     let counted = outcome.arrivals.iter();
     let counted = counted.filter(|arrival| !outcome.cut_off.contains(&arrival.daemon));
     let counted = counted.filter(|arrival| (from..to).contains(&arrival.at));
     let times: Vec<Duration> = counted.map(|arrival| arrival.at).collect();
     let in_window = |start: &Duration| {
-        let window = *start..*start + WINDOW;
+        let window = *start..*start + window;
         times.iter().filter(|at| window.contains(at)).count()
     };
     times.iter().map(in_window).max().unwrap_or(0)
@@ -272,3 +276,20 @@
         "{longest:?}"
     );
 }
+
+/// Guards against a cold server that gets more requests than it takes while cold, and against one
+/// that gets none because the share of each daemon is too small.
+#[test]
+fn a_cold_server_is_used_by_a_fleet_of_any_size() {
+    const COLD_TIME: Duration = Duration::from_secs(6);
+    const COLD_WINDOW: Duration = Duration::from_secs(1);
+    let allowed = (1.5 * COLD_PER_S + 5.0) as usize;
+    for daemons in [12, 295] {
+        let outcome = simulate(setup(daemons, 1), &[(NAMED_AT, Trouble::Cold(COLD_TIME))]);
+        let end = NAMED_AT + COLD_TIME;
+        let most = most_in(&outcome, COLD_WINDOW, NAMED_AT, end);
+        assert!(most <= allowed, "{daemons} daemons: {most} in a second");
+        let used = usage(&outcome, COLD_PER_S, NAMED_AT, end);
+        assert!(used >= USAGE_MIN, "{daemons} daemons: {used:.2} used");
+    }
+}
--- a/crates/gateway/tests/limits/simulation.rs
+++ b/crates/gateway/tests/limits/simulation.rs
@@ -26,6 +26,8 @@
 /// Name of the server that names a limit.
 const LIMITED: &str = "s0";
 const SERVICE: &str = "s";
+/// Requests per second that a cold server takes from all daemons together.
+pub(crate) const COLD_PER_S: f64 = 16.0;
 /// Permits that a request asks for at most, as in the gateway.
 const PERMIT_ASKS_MAX: u32 = 4;
 /// Time for which a daemon waits for a reply to a request for a permit.
@@ -56,6 +58,8 @@
 pub(crate) enum Trouble {
     /// The server names another limit from now on, or none.
     Limit(Option<f64>),
+    /// The server turns cold for a time, and its entry says so.
+    Cold(Duration),
     /// A number of daemons stand still for a time. The issuer is one of them.
     Freeze(usize, Duration),
     /// A number of daemons exchange no messages with others for a time. The issuer is one of them.
@@ -246,7 +250,7 @@
             service: Service {
                 name: SERVICE.to_owned(),
                 connections_max: 100,
-                cold_requests_per_s: 0.0,
+                cold_requests_per_s: COLD_PER_S,
                 engine: None,
                 cache_store: None,
             },
@@ -621,6 +625,13 @@
         let now = self.now;
         match trouble {
             Trouble::Limit(per_s) => self.limit = per_s.and_then(RequestRate::from_per_s),
+            Trouble::Cold(time) => {
+                for daemon in &mut self.daemons {
+                    let key = daemon.servers.key_of(LIMITED).expect("limited server");
+                    let server = daemon.servers.get_mut(key).expect("server");
+                    server.set_cold_for(time, now);
+                }
+            }
             Trouble::Freeze(count, time) => {
                 for index in self.victims(count) {
                     self.daemons[index].frozen_until = now + time;
--- a/crates/gateway/tests/servers/entries.rs
+++ b/crates/gateway/tests/servers/entries.rs
@@ -1,6 +1,8 @@
 //! Which servers get requests, by their entries and observed state.
 
-use crate::fixture::{MODEL, at, entry, select_plain, service};
+use crate::fixture::{MODEL, SHARE, at, entry, select_plain, service, try_select};
+use anvilgw_gateway::configuration::Service;
+use anvilgw_gateway::permits::PermitOutcome;
 use anvilgw_gateway::server::{ServerEntry, ServerState, Servers};
 use indexmap::IndexSet;
 use std::time::Duration;
@@ -148,9 +150,22 @@
     );
 }
 
+/// Returns whether a request may be sent to the server `s` when no issuer of permits answers.
+fn is_permitted(servers: &mut Servers, service: &Service, now: Duration) -> bool {
+    let Ok(selected) = try_select(servers, service, now) else {
+        return false;
+    };
+    let Some(limit) = selected.permit_needed else {
+        return true;
+    };
+    let server = servers.get_mut(selected.server).expect("server");
+    server.permits.on_outcome(PermitOutcome::NoAnswer, now);
+    server.permits.take(limit, SHARE, now)
+}
+
 /// Guards against full load on a server that has just started.
 #[test]
-fn cold_server_gets_only_the_daemons_share_of_the_allowance() {
+fn cold_server_gets_only_the_daemons_share_of_the_allowance_without_an_issuer() {
     let mut servers = Servers::default();
     let cold = ServerEntry {
         cold_for: Duration::from_secs(3),
@@ -159,7 +174,7 @@
     servers.on_entry_published(cold, at(0));
     let service = service(10.0);
     let taken = (0..200)
-        .filter(|step| select_plain(&mut servers, &service, at(step * 10)).is_ok())
+        .filter(|step| is_permitted(&mut servers, &service, at(step * 10)))
         .count();
     assert!(
         (1..=3).contains(&taken),
--- a/crates/gateway/tests/servers/fixture.rs
+++ b/crates/gateway/tests/servers/fixture.rs
@@ -181,11 +181,15 @@
     }
 }
 
-pub(crate) fn select_plain(
+/// Share of the fleet of the daemon that selects.
+pub(crate) const SHARE: f64 = 0.1;
+
+/// Selects a server for a request without a prompt.
+pub(crate) fn try_select(
     servers: &mut Servers,
     service: &Service,
     now: Duration,
-) -> Result<String, NoServer> {
+) -> Result<Selected, NoServer> {
     let regions = IndexMap::new();
     let query = Query {
         service,
@@ -196,16 +200,21 @@
         },
         prompt: None,
         tried: &[],
-        share: 0.1,
+        share: SHARE,
         may_ask_permits: true,
     };
-    let selected = select(servers, &query, now, &mut rng())?;
-    Ok(servers
-        .get(selected.server)
-        .expect("server")
-        .entry
-        .id
-        .clone())
+    select(servers, &query, now, &mut rng())
+}
+
+/// Returns the identifier of the server selected for a request without a prompt.
+pub(crate) fn select_plain(
+    servers: &mut Servers,
+    service: &Service,
+    now: Duration,
+) -> Result<String, NoServer> {
+    let selected = try_select(servers, service, now)?;
+    let server = servers.get(selected.server).expect("server");
+    Ok(server.entry.id.clone())
 }
 
 pub(crate) fn events(parts: &[(&str, u32)], epoch: u64) -> CacheEvents {
