Tell the other daemons that a server is draining

What a server says in one daemon's answer concerns all daemons, but each had to be told by an answer of its own; in a fleet of hundreds a draining server got a last request from each. Back-offs stay with the daemon that was told, since they are asked of it alone.

Change: notice reports carry drain notices beside limits. A report that decodes to more memory than its datagram has bytes is no longer refused: 50 notices take more.

--- a/crates/gateway/src/background_tasks/peer_messages.rs
+++ b/crates/gateway/src/background_tasks/peer_messages.rs
@@ -6,7 +6,7 @@
 use crate::peer_message::PeerMessage;
 use crate::peers::{DATAGRAM_MAX_BYTES, LoadReport};
 use crate::permit_client::answer_permit_request;
-use crate::server_notices::log_limit;
+use crate::server_notices::log_reported_change;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
@@ -56,10 +56,9 @@
     let now = gateway.now();
     let state = &mut *gateway.state.borrow_mut();
     if let Some(role) = &state.role {
-        let changed = apply_report(&mut state.servers, role, report, now);
-        changed
-            .into_iter()
-            .for_each(|server| log_limit(gateway, server));
+        for change in apply_report(&mut state.servers, role, report, now) {
+            log_reported_change(gateway, &mut state.servers, change);
+        }
     }
 }
 
--- a/crates/gateway/src/notice_reports.rs
+++ b/crates/gateway/src/notice_reports.rs
@@ -7,8 +7,9 @@
 use crate::groups::Role;
 use crate::peers::ReportScope;
 use crate::request_limit::{LimitStatement, RequestRate, StatementSource};
-use crate::server::{Server, Servers};
+use crate::server::{Server, ServerKey, Servers};
 use bincode::{Decode, Encode};
+use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -33,6 +34,8 @@
 pub enum Statement {
     /// It takes this rate of requests from all daemons together, or any rate.
     Limit(Option<RequestRate>),
+    /// It is draining and takes no new work.
+    Draining,
 }
 
 /// Statement of one backend server.
@@ -82,7 +85,7 @@
         let is_repeat = self.period.is_multiple_of(REPEAT_PERIODS);
         let notices: Vec<SourcedNotice> = servers
             .iter()
-            .filter_map(|(_, server)| notice_of(server, is_repeat, now))
+            .flat_map(|(_, server)| notices_of(server, is_repeat, now))
             .collect();
         let own = |source| source == StatementSource::Answer;
         let group = |source| source != StatementSource::Fleet;
@@ -115,7 +118,7 @@
 pub fn reports_of_all(servers: &Servers, now: Duration) -> Vec<NoticeReport> {
     let notices: Vec<SourcedNotice> = servers
         .iter()
-        .filter_map(|(_, server)| notice_of(server, true, now))
+        .flat_map(|(_, server)| notices_of(server, true, now))
         .collect();
     addressed(&[], ReportScope::Fleet, &notices, |_| true).reports
 }
@@ -127,21 +130,51 @@
     source: StatementSource,
 }
 
-fn notice_of(server: &Server, is_repeat: bool, now: Duration) -> Option<SourcedNotice> {
-    let limit = &server.request_limit;
-    let newest = limit.newest()?;
-    let age = now.saturating_sub(newest.stated_at);
-    let is_news = now.saturating_sub(limit.changed_at()) < NEWS_TIME;
-    if age > AGE_MAX || !(is_news || is_repeat) {
-        return None;
-    }
-    Some(SourcedNotice {
-        notice: PeerNotice {
-            server_hash: server.incarnation_hash(),
-            age_ms: age.as_millis() as u32,
-            statement: Statement::Limit(newest.limit),
-        },
+/// Statement of a server as this daemon knows it.
+struct Known {
+    statement: Statement,
+    stated_at: Duration,
+    /// When this daemon learned of it or, if it was repeated, when it last changed.
+    changed_at: Duration,
+    source: StatementSource,
+}
+
+fn known_statements(server: &Server) -> impl Iterator<Item = Known> {
+    let limit = server.request_limit.newest().map(|newest| Known {
+        statement: Statement::Limit(newest.limit),
+        stated_at: newest.stated_at,
+        changed_at: server.request_limit.changed_at(),
         source: newest.source,
+    });
+    let draining = server.drain_notice().map(|notice| Known {
+        statement: Statement::Draining,
+        stated_at: notice.learned_at,
+        changed_at: notice.learned_at,
+        source: notice.source,
+    });
+    limit.into_iter().chain(draining)
+}
+
+/// Returns the statements of a server that are reported now. In periods that are no repetition, these
+/// are only the ones that have changed.
+fn notices_of(
+    server: &Server,
+    is_repeat: bool,
+    now: Duration,
+) -> impl Iterator<Item = SourcedNotice> {
+    let server_hash = server.incarnation_hash();
+    known_statements(server).filter_map(move |known| {
+        let age = now.saturating_sub(known.stated_at);
+        let is_news = now.saturating_sub(known.changed_at) < NEWS_TIME;
+        let is_reported = age <= AGE_MAX && (is_news || is_repeat);
+        is_reported.then_some(SourcedNotice {
+            notice: PeerNotice {
+                server_hash,
+                age_ms: age.as_millis() as u32,
+                statement: known.statement,
+            },
+            source: known.source,
+        })
     })
 }
 
@@ -178,36 +211,58 @@
     }
 }
 
-/// Applies a received report to the servers, and returns those for which the limit in force has
-/// changed.
-pub fn apply_report<'a>(
-    servers: &'a mut Servers,
+/// What a received report has changed at a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoticeChange {
+    /// The limit in force has changed.
+    Limit(ServerKey),
+    /// The server is known to be draining now.
+    Draining(ServerKey),
+}
+
+/// Applies a received report to the servers, and returns what has changed.
+pub fn apply_report(
+    servers: &mut Servers,
     role: &Role,
     report: &NoticeReport,
     now: Duration,
-) -> Vec<&'a mut Server> {
+) -> Vec<NoticeChange> {
     let Some(source) = source_of(role, report.scope) else {
         return Vec::new();
     };
-    let apply = |server: &mut Server| {
-        let hash = server.incarnation_hash();
-        let mut notices = report.notices.iter();
-        let Some(notice) = notices.find(|notice| notice.server_hash == hash) else {
-            return false;
+    let by_hash: IndexMap<u64, ServerKey> = servers
+        .iter()
+        .map(|(key, server)| (server.incarnation_hash(), key))
+        .collect();
+    let apply = |notice: &PeerNotice| {
+        let key = *by_hash.get(&notice.server_hash)?;
+        let server = servers.get_mut(key)?;
+        let change = match notice.statement {
+            Statement::Limit(_) => NoticeChange::Limit(key),
+            Statement::Draining => NoticeChange::Draining(key),
         };
-        let Statement::Limit(limit) = notice.statement;
-        let age = Duration::from_millis(u64::from(notice.age_ms));
-        server.request_limit.on_statement(
-            LimitStatement {
+        apply_notice(server, notice, source, now).then_some(change)
+    };
+    report.notices.iter().filter_map(apply).collect()
+}
+
+/// Applies a notice to its server, and returns whether that changes anything.
+fn apply_notice(
+    server: &mut Server,
+    notice: &PeerNotice,
+    source: StatementSource,
+    now: Duration,
+) -> bool {
+    let age = Duration::from_millis(u64::from(notice.age_ms));
+    match notice.statement {
+        Statement::Limit(limit) => {
+            let statement = LimitStatement {
                 limit,
                 stated_at: now.saturating_sub(age),
                 source,
-            },
-            now,
-        )
-    };
-    servers
-        .iter_mut()
-        .filter_map(|server| apply(server).then_some(server))
-        .collect()
+            };
+            server.request_limit.on_statement(statement, now)
+        }
+        Statement::Draining => server.on_drain_notice(source, now),
+    }
 }
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -12,6 +12,9 @@
 const PERMIT_REPLY_TAG: u8 = 18;
 const NOTICE_QUERY_TAG: u8 = 19;
 
+/// Limit of the memory that a decoded message claims. Values take more memory than encoded bytes.
+const DECODED_MAX_BYTES: usize = 4 * DATAGRAM_MAX_BYTES;
+
 quick_error! {
     /// Error of encoding or decoding a datagram.
     #[derive(Debug)]
@@ -87,7 +90,7 @@
 }
 
 fn decode<T: Decode<()>>(bytes: &[u8]) -> Result<T, PeerMessageError> {
-    let config = bincode::config::standard().with_limit::<DATAGRAM_MAX_BYTES>();
+    let config = bincode::config::standard().with_limit::<DECODED_MAX_BYTES>();
     let (message, _) = bincode::decode_from_slice(bytes, config)?;
     Ok(message)
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,7 +6,7 @@
 use crate::permits::{PermitHolder, PermitState};
 use crate::removed_servers::RemovedServers;
 use crate::request::ReportedLoad;
-use crate::request_limit::{RequestLimit, RequestRate};
+use crate::request_limit::{RequestLimit, RequestRate, StatementSource};
 use anvilgw_router::{Breaker, BreakerSettings};
 use indexmap::{IndexMap, IndexSet};
 use slotmap::{SlotMap, new_key_type};
@@ -91,6 +91,15 @@
     }
 }
 
+/// Notice that a server is draining, apart from its entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrainNotice {
+    /// Uptime of this daemon at which it learned of it.
+    pub learned_at: Duration,
+    /// How it learned of it.
+    pub source: StatementSource,
+}
+
 /// A backend server, with what this daemon has observed of it.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -123,6 +132,7 @@
     sent_since_report: u32,
     failure_share: f64,
     removal_due_at: Option<Duration>,
+    drain_notice: Option<DrainNotice>,
     /// Extra load assumed after the engine rejected a prompt: the end of the assumption, and
     /// tokens.
     memory_rejection: Option<(Duration, u64)>,
@@ -161,6 +171,7 @@
             sent_since_report: 0,
             failure_share: 0.0,
             removal_due_at: None,
+            drain_notice: None,
             memory_rejection: None,
             backoff_until: Duration::ZERO,
         }
@@ -173,6 +184,22 @@
         replaced == ServerState::Ready
     }
 
+    /// Records that the server has stated that it is draining. Returns whether this daemon took it for
+    /// ready before.
+    pub fn on_drain_notice(&mut self, source: StatementSource, now: Duration) -> bool {
+        self.drain_notice.get_or_insert(DrainNotice {
+            learned_at: now,
+            source,
+        });
+        self.mark_draining()
+    }
+
+    /// Returns the notice that the server is draining, if there was one.
+    #[must_use]
+    pub fn drain_notice(&self) -> Option<DrainNotice> {
+        self.drain_notice
+    }
+
     /// Records that the server asked this daemon to send no requests for the duration
     /// `backoff`, cut to `BACKOFF_MAX`. Never shortens a back-off that is in force.
     pub fn on_backoff_requested(&mut self, backoff: Duration, now: Duration) {
--- a/crates/gateway/src/server_notices.rs
+++ b/crates/gateway/src/server_notices.rs
@@ -2,9 +2,10 @@
 
 use crate::gateway::Gateway;
 use crate::log::Event;
+use crate::notice_reports::NoticeChange;
 use crate::request::ServerNotice;
-use crate::request_limit::RequestRate;
-use crate::server::{Server, ServerKey};
+use crate::request_limit::{RequestRate, StatementSource};
+use crate::server::{Server, ServerKey, Servers};
 
 /// Applies the notice in a server's answer to the server's state, and logs it.
 pub(crate) fn on_server_notice(gateway: &Gateway, key: ServerKey, notice: ServerNotice) {
@@ -20,7 +21,8 @@
         if let Some(backoff) = notice.backoff {
             server.on_backoff_requested(backoff, now);
         }
-        let has_announced = notice.is_draining && server.mark_draining();
+        let has_announced =
+            notice.is_draining && server.on_drain_notice(StatementSource::Answer, now);
         (server.entry.id.clone(), has_announced)
     };
     if has_announced {
@@ -68,6 +70,22 @@
     });
 }
 
+/// Logs a change that another daemon has reported.
+pub(crate) fn log_reported_change(gateway: &Gateway, servers: &mut Servers, change: NoticeChange) {
+    match change {
+        NoticeChange::Limit(key) => {
+            if let Some(server) = servers.get_mut(key) {
+                log_limit(gateway, server);
+            }
+        }
+        NoticeChange::Draining(key) => {
+            if let Some(server) = servers.get(key) {
+                log(gateway, &server.entry.id, "leaving, as another daemon says");
+            }
+        }
+    }
+}
+
 fn log(gateway: &Gateway, server: &str, change: &str) {
     gateway.log_notable(&Event::Server {
         server,
