--- a/crates/gateway/src/background_tasks/weight_switches.rs
+++ b/crates/gateway/src/background_tasks/weight_switches.rs
@@ -1,21 +1,20 @@
 //! Orders backend servers to load the newest weights, and frees cached parts of older weights in
 //! the cache stores. One daemon at a time does this, under a lease.
 
+use super::retired_parts::{free_retired_parts, retired_parts};
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::groups::Role;
 use crate::lease::{LeaseRecord, LeaseStep, LeaseView, ServerWeights};
 use crate::log::Event;
-use crate::permit_client::{acquire_control_permits, may_call_store, on_store_answer};
+use crate::permit_client::acquire_control_permits;
 use crate::ports::{
     AppendOutcome, OrderAnswer, OrderError, ServerReport, StoreError, Topic, WeightOrder,
 };
 use crate::server::ServerEntry;
 use crate::server_notices::on_server_notice;
 use crate::topic_reader::TopicReader;
-use crate::weights::{
-    OutdatedServer, SentOrder, is_backing_off, is_retired, next_orders, outdated_servers,
-};
+use crate::weights::{OutdatedServer, SentOrder, is_backing_off, next_orders, outdated_servers};
 use bytes::Bytes;
 use rand::RngExt;
 use std::rc::Rc;
@@ -47,8 +46,6 @@
 const POLL_PAUSE: Duration = Duration::from_millis(150);
 /// Number of calls with which a server is ordered to load weights: its report, and the order.
 const CALLS_PER_ORDER: u32 = 2;
-/// Maximum number of parts that are freed at one cache store in one call.
-const FREED_PARTS_MAX: usize = 400;
 
 /// Runs until the daemon ends. Orders servers and frees parts while this daemon holds the lease;
 /// otherwise follows the lease log and takes the lease when it is free.
@@ -87,7 +84,7 @@
 
 impl WeightSwitcher {
     fn is_idle(&self) -> bool {
-        self.outdated_servers().is_empty() && self.retired_parts(1).is_empty()
+        self.outdated_servers().is_empty() && retired_parts(&self.gateway, 1).is_empty()
     }
 
     fn outdated_servers(&self) -> Vec<OutdatedServer> {
@@ -235,7 +232,7 @@
         for one in outdated {
             self.send_order(one).await;
         }
-        self.free_retired().await;
+        free_retired_parts(&self.gateway).await;
     }
 
     async fn append_record(
@@ -507,43 +504,4 @@
             self.on_version_reported(outdated, outdated.version, false);
         }
     }
-
-    fn retired_parts(
-        &self,
-        limit: usize,
-    ) -> Vec<(std::net::SocketAddr, Vec<crate::caches::CachedPart>)> {
-        let now = self.gateway.now();
-        let state = self.gateway.state.borrow();
-        let times = self.gateway.old_part_times();
-        state.caches.retired_parts(limit, |scope, id_hash| {
-            is_retired(scope, id_hash, &state.weights, times, now)
-        })
-    }
-
-    /// Frees cached parts of replaced weights that no daemon reads any more.
-    async fn free_retired(&mut self) {
-        for (address, parts) in self.retired_parts(FREED_PARTS_MAX) {
-            let key = self.gateway.state.borrow().caches.key_of(address);
-            let Some(key) = key else { continue };
-            if !may_call_store(&self.gateway, key).await {
-                continue;
-            }
-            let answer = self.gateway.ports.cache_client.free(address, &parts).await;
-            on_store_answer(&self.gateway, key, &answer);
-            match answer.result {
-                Ok(()) => {
-                    self.gateway.log_notable(&Event::PartsFreed {
-                        store: &address.to_string(),
-                        parts: parts.len(),
-                    });
-                    let state = &mut *self.gateway.state.borrow_mut();
-                    state.caches.on_parts_freed(address, &parts);
-                }
-                Err(reason) => self.gateway.log_notable(&Event::DependencyLost {
-                    dependency: "store of kept cache",
-                    reason: &reason.to_string(),
-                }),
-            }
-        }
-    }
 }
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -143,8 +143,9 @@
             is_waiting,
             may_ask_permits: asks < PERMIT_ASKS_MAX,
         };
+        let now = gateway.now();
         let selected = with_query(gateway, routed, progress, options, |servers, query, rng| {
-            select(servers, query, gateway.now(), rng).map_err(AttemptError::NoServer)
+            select(servers, query, now, rng).map_err(AttemptError::NoServer)
         })?;
         if let Some(limit) = selected.permit_needed {
             let target = PermitTarget::Server(selected.server);
@@ -152,7 +153,6 @@
                 continue;
             }
         }
-        let now = gateway.now();
         let state = gateway.state.borrow();
         let server = state.servers.get(selected.server);
         // The server may have left while the permit was requested.
--- a/crates/gateway/src/permit_client.rs
+++ b/crates/gateway/src/permit_client.rs
@@ -31,13 +31,23 @@
 const PAUSE_FACTOR_RANGE: Range<f64> = 0.75..1.25;
 
 /// Socket for messages to other daemons, and the requests whose reply is awaited.
-#[derive(Default)]
 pub(crate) struct PermitClient {
     socket: OnceCell<Rc<UdpSocket>>,
     pending: RefCell<IndexMap<u32, oneshot::Sender<PermitReply>>>,
     sequence: Cell<u32>,
 }
 
+impl Default for PermitClient {
+    fn default() -> Self {
+        Self {
+            socket: OnceCell::new(),
+            pending: RefCell::default(),
+            // A late reply to the daemon's previous start must not match a request of this one.
+            sequence: Cell::new(rand::random()),
+        }
+    }
+}
+
 impl PermitClient {
     /// Sets the socket for messages to other daemons. Without it, no issuer can be asked.
     pub(crate) fn set_socket(&self, socket: Rc<UdpSocket>) {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,16 +1,18 @@
 //! State of the backend servers as this daemon observes it: published entries, load, health,
 //! cold start and weights.
 
+mod collection;
+mod entry;
+
+pub use collection::{ServerKey, Servers};
+pub use entry::{ServedModel, ServerEntry, ServerState};
+
 use crate::cache_store::name_hash;
 use crate::loaded_weights::LoadedWeights;
 use crate::permits::{PermitHolder, PermitState};
-use crate::removed_servers::RemovedServers;
 use crate::request::ReportedLoad;
 use crate::request_limit::{RequestLimit, RequestRate, StatementSource};
 use anvilgw_router::{Breaker, BreakerSettings};
-use indexmap::{IndexMap, IndexSet};
-use slotmap::{SlotMap, new_key_type};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Weight of the newest request outcome in the moving average of failures.
@@ -34,63 +36,6 @@
     open_time_max: Duration::from_secs(3),
 };
 
-new_key_type! {
-    /// Key of a backend server in [`Servers`]. It stays valid until the server is removed.
-    pub struct ServerKey;
-}
-
-/// Whether a backend server takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ServerState {
-    /// The server takes new work.
-    Ready,
-    /// The server finishes its requests before it stops, and takes no new work.
-    Draining,
-}
-
-/// A model that is loaded on a backend server.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ServedModel {
-    /// Name of the model.
-    pub model: String,
-    /// Version of the loaded weights.
-    pub version: u64,
-}
-
-/// Entry that a backend server publishes about itself in the metadata store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ServerEntry {
-    /// Identifier of the server. A server that restarts may keep it; `started_at_ms` tells
-    /// starts apart.
-    pub id: String,
-    /// Name of the service that the server belongs to.
-    pub service: String,
-    /// Address on which the server listens.
-    pub address: SocketAddr,
-    /// Name of the failure domain in which the server runs.
-    pub failure_domain: String,
-    /// Whether the server takes new work.
-    pub state: ServerState,
-    /// Remaining time of the server's cold start, counted from the arrival of the entry.
-    pub cold_for: Duration,
-    /// Number of requests that the server executes concurrently.
-    pub slots: u32,
-    /// Models that are loaded on the server.
-    pub models: Vec<ServedModel>,
-    /// Start time of the server process in Unix milliseconds, if the server publishes it.
-    pub started_at_ms: Option<u64>,
-}
-
-impl ServerEntry {
-    /// Returns the version of a model's weights according to the entry, or `None` if the model
-    /// is not loaded.
-    #[must_use]
-    pub fn version_of(&self, model: &str) -> Option<u64> {
-        let served = self.models.iter().find(|served| served.model == model)?;
-        Some(served.version)
-    }
-}
-
 /// Notice that a server is draining, apart from its entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DrainNotice {
@@ -416,174 +361,3 @@
         self.failure_share += FAILURE_SHARE_STEP * (outcome - self.failure_share);
     }
 }
-
-/// All known backend servers, and the failure domains that operators have taken out of service.
-#[derive(Debug, Default)]
-pub struct Servers {
-    arena: SlotMap<ServerKey, Server>,
-    by_id: IndexMap<String, ServerKey>,
-    removed: RemovedServers,
-    domains_out_of_service: IndexSet<String>,
-}
-
-impl Servers {
-    /// Returns the server under a key, or `None` if it was removed.
-    #[must_use]
-    pub fn get(&self, key: ServerKey) -> Option<&Server> {
-        self.arena.get(key)
-    }
-
-    /// Returns the server under a key for modification, or `None` if it was removed.
-    pub fn get_mut(&mut self, key: ServerKey) -> Option<&mut Server> {
-        self.arena.get_mut(key)
-    }
-
-    /// Returns the key of the server with an identifier.
-    #[must_use]
-    pub fn key_of(&self, id: &str) -> Option<ServerKey> {
-        self.by_id.get(id).copied()
-    }
-
-    /// Iterates over all known servers for modification.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Server> {
-        self.arena.values_mut()
-    }
-
-    /// Iterates over all known servers, including those that are out of service.
-    pub fn iter(&self) -> impl Iterator<Item = (ServerKey, &Server)> {
-        self.arena.iter()
-    }
-
-    /// Applies an entry that a server has published, and returns the server's key. An entry of
-    /// an earlier start is ignored; an entry of a new start resets all observations except the
-    /// requests in flight.
-    pub fn on_entry_published(&mut self, entry: ServerEntry, now: Duration) -> ServerKey {
-        let Some(key) = self.key_of(&entry.id) else {
-            return self.insert(entry, now);
-        };
-        let server = &mut self.arena[key];
-        if entry.started_at_ms < server.entry.started_at_ms {
-            // Ignore a delayed heartbeat of an earlier start of the same server.
-            return key;
-        }
-        if entry.started_at_ms > server.entry.started_at_ms {
-            let (in_flight, tokens_in_flight) = (server.in_flight, server.tokens_in_flight);
-            *server = Server::new(entry, now);
-            server.in_flight = in_flight;
-            server.tokens_in_flight = tokens_in_flight;
-            return key;
-        }
-        let was_draining = server.entry.state == ServerState::Draining;
-        server.set_cold_for(entry.cold_for, now);
-        if entry.models != server.entry.models {
-            server.weights.on_entry();
-            for served in &entry.models {
-                server.weights.on_switched(&served.model, served.version);
-            }
-        }
-        if entry.address != server.entry.address {
-            server.is_address_reused = false;
-        }
-        server.entry = entry;
-        if was_draining {
-            // A drain is never cancelled, so a ready entry that follows one is a delayed heartbeat.
-            server.entry.state = ServerState::Draining;
-        }
-        server.removal_due_at = None;
-        key
-    }
-
-    fn insert(&mut self, entry: ServerEntry, now: Duration) -> ServerKey {
-        let id = entry.id.clone();
-        let mut server = Server::new(entry, now);
-        self.removed.restore(&mut server);
-        let key = self.arena.insert(server);
-        self.by_id.insert(id, key);
-        key
-    }
-
-    /// Removes a server whose entry was deleted or has expired. It stays in use for the time
-    /// `grace`, because entries of running servers expire while the metadata store is
-    /// unavailable.
-    pub fn on_entry_removed(&mut self, id: &str, grace: Duration, now: Duration) {
-        let Some(key) = self.key_of(id) else { return };
-        if grace.is_zero() {
-            self.remove(key, now);
-            return;
-        }
-        self.arena[key].removal_due_at = Some(now + grace);
-    }
-
-    /// Removes the servers whose grace time has ended, and returns their identifiers.
-    pub fn expire(&mut self, now: Duration) -> Vec<String> {
-        let expired: Vec<ServerKey> = self
-            .arena
-            .iter()
-            .filter(|(_, server)| server.removal_due_at.is_some_and(|until| until <= now))
-            .map(|(key, _)| key)
-            .collect();
-        expired
-            .into_iter()
-            .filter_map(|key| self.remove(key, now))
-            .collect()
-    }
-
-    /// Removes every server that is missing in a complete listing, after the time `grace`.
-    pub fn retain_listed(&mut self, listed: &IndexSet<String>, grace: Duration, now: Duration) {
-        let missing: Vec<String> = self
-            .by_id
-            .keys()
-            .filter(|id| !listed.contains(*id))
-            .cloned()
-            .collect();
-        for id in missing {
-            self.on_entry_removed(&id, grace, now);
-        }
-    }
-
-    fn remove(&mut self, key: ServerKey, now: Duration) -> Option<String> {
-        let server = self.arena.remove(key)?;
-        self.by_id.swap_remove(&server.entry.id);
-        self.removed.on_server_removed(&server, now);
-        Some(server.entry.id)
-    }
-
-    /// Returns the shortest remaining back-off among the servers of a service that are in
-    /// service, or `None` if one of them accepts requests now or none is in service.
-    #[must_use]
-    pub fn backoff_left(&self, service: &str, now: Duration) -> Option<Duration> {
-        let in_service = self
-            .arena
-            .values()
-            .filter(|server| server.entry.service == service && self.is_in_service(server));
-        let soonest = in_service.map(|server| server.backoff_left(now)).min();
-        soonest.filter(|left| !left.is_zero())
-    }
-
-    /// Takes a failure domain out of service: its servers get no new requests.
-    pub fn disable_domain(&mut self, domain: &str) {
-        self.domains_out_of_service.insert(domain.to_owned());
-    }
-
-    /// Returns a failure domain to service.
-    pub fn enable_domain(&mut self, domain: &str) {
-        self.domains_out_of_service.swap_remove(domain);
-    }
-
-    /// Returns all failure domains to service. Called before a complete listing is applied,
-    /// which names those that are out of service.
-    pub fn enable_all_domains(&mut self) {
-        self.domains_out_of_service.clear();
-    }
-
-    /// Returns whether a server may get new work: it is ready, its address is its own, and its
-    /// failure domain is in service.
-    #[must_use]
-    pub fn is_in_service(&self, server: &Server) -> bool {
-        server.entry.state == ServerState::Ready
-            && !server.is_address_reused
-            && !self
-                .domains_out_of_service
-                .contains(&server.entry.failure_domain)
-    }
-}
