End a limit only with a successful answer that names none

A rejection or a damaged answer without the header does not show that the server has ended its limit; with it, the limit would end and begin again with every such answer. Found by reading the change; the tests of the gateway and the adapter pass.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -134,9 +134,6 @@
             }
         }
         on_server_notice(&self.gateway, self.key, meta.notice);
-        if meta.notice.request_limit.is_none() {
-            on_limit_not_named(&self.gateway, self.key);
-        }
     }
 }
 
@@ -294,6 +291,11 @@
         let answering_server = meta.server_id.as_deref();
         if answering_server.is_none_or(|id| id == self.target.id) {
             in_flight.on_answer_head(&meta);
+            // A rejection or a damaged answer without a limit does not show that there is none.
+            let is_whole = head.status.is_success() && meta.is_signed;
+            if is_whole && meta.notice.request_limit.is_none() {
+                on_limit_not_named(self.gateway, self.target.key);
+            }
         }
         let exchange = Exchange {
             status: head.status,
--- a/crates/gateway/src/server_notices.rs
+++ b/crates/gateway/src/server_notices.rs
@@ -43,7 +43,7 @@
     }
 }
 
-/// Records that a server answered a request without naming a limit.
+/// Records that a server answered a request with success and without naming a limit.
 pub(crate) fn on_limit_not_named(gateway: &Gateway, key: ServerKey) {
     let now = gateway.now();
     update_limit(gateway, key, |server| {
