--- a/crates/gateway/tests/servers/notices.rs
+++ b/crates/gateway/tests/servers/notices.rs
@@ -1,7 +1,8 @@
 //! Notices in servers' answers about further requests: that the server is draining, or that it
 //! asks for a back-off.
 
-use crate::fixture::{Fixture, at, entry, prompt, select_plain, service};
+use crate::fixture::{Fixture, at, entry, prompt, select_plain, service, try_select};
+use anvilgw_gateway::request_limit::RequestRate;
 use anvilgw_gateway::select::NoServer;
 use anvilgw_gateway::server::{ServerEntry, ServerKey, ServerState, Servers};
 use std::time::Duration;
@@ -184,3 +185,31 @@
     let refused = fixture.place(&prompt(100), at(20)).map(|_| ());
     assert_eq!(refused, Err(NoServer::BackingOff(at(1_000))));
 }
+
+/// Guards against a limit that is forgotten when the entry of its server expires and appears again, and
+/// against one that outlives a restart of the server.
+#[test]
+fn a_limit_stays_in_force_until_the_server_restarts() {
+    fn name_limit(servers: &mut Servers, key: ServerKey) {
+        let server = servers.get_mut(key).expect("server");
+        let limit = RequestRate::from_per_s(2.5).expect("rate");
+        server.request_limit.on_named(limit, at(100));
+    }
+    type Steps = &'static [fn(&mut Servers, ServerKey)];
+    let cases: [(&str, Steps, bool); 5] = [
+        ("named", &[name_limit], true),
+        ("listed again", &[name_limit, republish], true),
+        (
+            "entry gone and back",
+            &[name_limit, remove, republish],
+            true,
+        ),
+        ("restarted", &[name_limit, restart], false),
+        ("gone and restarted", &[name_limit, remove, restart], false),
+    ];
+    for (name, steps, is_limited) in cases {
+        let mut servers = server_after(steps);
+        let selected = try_select(&mut servers, &service(0.0), at(1_000)).expect("server");
+        assert_eq!(selected.permit_needed.is_some(), is_limited, "{name}");
+    }
+}
