Grant the permits of an order together

Cause: an order takes two calls, the report of the server and the order, and asked for their permits one by one. At two permits a second the first was granted whenever one was due and the second never, so a server that names a small limit got no order at all and would have kept its old weights. While the issuer did not answer, a daemon's share never amounted to two permits either.

Change: a request for control permits names the number of calls and gets all permits or none; a daemon's own share is also taken ahead for them. Only the daemon that holds the lease sends such calls.

--- a/crates/gateway/src/permit_client.rs
+++ b/crates/gateway/src/permit_client.rs
@@ -224,7 +224,7 @@
         return false;
     };
     holder.on_outcome(outcome, now);
-    holder.take(limit, share, now)
+    holder.take_for(purpose, limit, share, now)
 }
 
 /// Waits until a request may be sent to a cache store under the limit that it names.
@@ -277,27 +277,16 @@
 /// Acquires permits for control calls to a backend server, if it names a limit. Returns whether
 /// `calls` calls may be sent to it now.
 pub(crate) async fn acquire_control_permits(gateway: &Gateway, key: ServerKey, calls: u32) -> bool {
-    for _ in 0..calls {
-        let limit = {
-            let state = gateway.state.borrow();
-            let Some(server) = state.servers.get(key) else {
-                return false;
-            };
-            server.request_limit.allowed_rate()
-        };
-        let Some(limit) = limit else {
-            return true;
-        };
-        if !acquire_permit(
-            gateway,
-            PermitTarget::Server(key),
-            limit,
-            PermitPurpose::Control,
-        )
-        .await
-        {
+    let limit = {
+        let state = gateway.state.borrow();
+        let Some(server) = state.servers.get(key) else {
             return false;
-        }
-    }
-    true
+        };
+        server.request_limit.allowed_rate()
+    };
+    let Some(limit) = limit else {
+        return true;
+    };
+    let purpose = PermitPurpose::Control { calls };
+    acquire_permit(gateway, PermitTarget::Server(key), limit, purpose).await
 }
--- a/crates/gateway/src/permits/holder.rs
+++ b/crates/gateway/src/permits/holder.rs
@@ -1,5 +1,7 @@
 //! Permits that this daemon holds for one server.
 
+use super::issuer::CONTROL_DEBT;
+use super::message::PermitPurpose;
 use crate::request_limit::RequestRate;
 use crate::share_budget::ShareBudget;
 use std::time::Duration;
@@ -65,15 +67,32 @@
         PermitState::MustAsk
     }
 
-    /// Takes a permit and returns whether one was available.
+    /// Takes a permit for a client's request and returns whether one was available.
     pub fn take(&mut self, limit: RequestRate, share: f64, now: Duration) -> bool {
-        if self.permits > 0 && now < self.valid_until {
-            self.permits -= 1;
+        self.take_for(PermitPurpose::Request, limit, share, now)
+    }
+
+    /// Takes the permits for a purpose and returns whether they were available. Of this daemon's own
+    /// share, a few permits for control calls are taken ahead of time: only one daemon sends such
+    /// calls.
+    pub fn take_for(
+        &mut self,
+        purpose: PermitPurpose,
+        limit: RequestRate,
+        share: f64,
+        now: Duration,
+    ) -> bool {
+        let (wanted, debt) = match purpose {
+            PermitPurpose::Request => (1, 0.0),
+            PermitPurpose::Control { calls } => (calls, CONTROL_DEBT),
+        };
+        if self.permits >= wanted && now < self.valid_until {
+            self.permits -= wanted;
             return true;
         }
         let is_silent = now < self.silent_until;
         let own_share = self.own_share.as_mut().filter(|_| is_silent);
-        own_share.is_some_and(|budget| budget.take(limit.per_s(), share, now))
+        own_share.is_some_and(|budget| budget.take_ahead(wanted, debt, limit.per_s(), share, now))
     }
 
     /// Applies the outcome of a request for permits.
--- a/crates/gateway/src/permits/issuer.rs
+++ b/crates/gateway/src/permits/issuer.rs
@@ -16,7 +16,7 @@
 /// message for each request.
 const BATCH_TIME: Duration = Duration::from_millis(100);
 /// Number of permits for control calls that are issued ahead of time.
-const CONTROL_DEBT: f64 = 2.0;
+pub(super) const CONTROL_DEBT: f64 = 2.0;
 /// Requests for permits that the issuer aims to deny for each one that it grants. With fewer, a
 /// permit waits for a request; each more costs a message.
 const DENIALS_PER_GRANT: f64 = 2.0;
@@ -93,7 +93,7 @@
                 let batch = (self.per_s * BATCH_TIME.as_secs_f64()).max(1.0);
                 (batch.min(self.available.max(1.0)).floor(), 0.0)
             }
-            PermitPurpose::Control => (1.0, -CONTROL_DEBT),
+            PermitPurpose::Control { calls } => (f64::from(calls), -CONTROL_DEBT),
         };
         if self.available - granted < least {
             return None;
--- a/crates/gateway/src/permits/message.rs
+++ b/crates/gateway/src/permits/message.rs
@@ -8,9 +8,13 @@
 pub enum PermitPurpose {
     /// A client's request, which another server can take instead.
     Request,
-    /// An order or a question about its progress, which concerns this server alone. It is issued
-    /// ahead of time if necessary.
-    Control,
+    /// An order or a question about its progress, which concerns this server alone. Permits for it
+    /// are issued ahead of time if necessary.
+    Control {
+        /// Number of calls that are sent together. They get all their permits at once or none:
+        /// one by one, a first permit could be spent again and again without a second one.
+        calls: u32,
+    },
 }
 
 /// Request of a daemon for a permit.
--- a/crates/gateway/src/share_budget.rs
+++ b/crates/gateway/src/share_budget.rs
@@ -29,12 +29,26 @@
     /// Takes one request from the budget and returns whether it may be sent. The fleet may send
     /// `fleet_per_s` requests per second, of which this daemon has the fraction `share`.
     pub fn take(&mut self, fleet_per_s: f64, share: f64, now: Duration) -> bool {
+        self.take_ahead(1, 0.0, fleet_per_s, share, now)
+    }
+
+    /// Takes several requests, ahead of time if no more than `debt` are owed afterwards. Returns
+    /// whether they may be sent.
+    pub fn take_ahead(
+        &mut self,
+        requests: u32,
+        debt: f64,
+        fleet_per_s: f64,
+        share: f64,
+        now: Duration,
+    ) -> bool {
         self.refill(fleet_per_s, share, now);
-        if self.tokens < 1.0 {
-            return false;
+        let left = self.tokens - f64::from(requests);
+        let is_allowed = left >= -debt;
+        if is_allowed {
+            self.tokens = left;
         }
-        self.tokens -= 1.0;
-        true
+        is_allowed
     }
 
     /// Returns whether a request may be sent, without taking it from the budget.
--- a/crates/gateway/tests/limits/permits.rs
+++ b/crates/gateway/tests/limits/permits.rs
@@ -71,7 +71,7 @@
         let issued = issued_in_ten_seconds(&rates, PermitPurpose::Request);
         assert!(expected.contains(&issued), "{name}: {issued}");
     }
-    let control = issued_in_ten_seconds(&[settled(2.5)], PermitPurpose::Control);
+    let control = issued_in_ten_seconds(&[settled(2.5)], PermitPurpose::Control { calls: 1 });
     assert!((20..=27).contains(&control), "control calls: {control}");
 }
 
@@ -88,9 +88,12 @@
         matches!(decision, Decision::Granted(_))
     };
     assert!(!granted(PermitPurpose::Request, 0));
-    assert!(granted(PermitPurpose::Control, 0));
-    assert!(granted(PermitPurpose::Control, 0));
-    assert!(!granted(PermitPurpose::Control, 0), "the debt is limited");
+    assert!(granted(PermitPurpose::Control { calls: 1 }, 0));
+    assert!(granted(PermitPurpose::Control { calls: 1 }, 0));
+    assert!(
+        !granted(PermitPurpose::Control { calls: 1 }, 0),
+        "the debt is limited"
+    );
     assert!(
         !granted(PermitPurpose::Request, 2_000),
         "the debt is paid first"
@@ -193,6 +196,39 @@
     }
 }
 
+/// Guards against an order that is never sent while the issuer does not answer: it takes two calls, and
+/// a daemon's share never amounts to two permits.
+#[test]
+fn an_order_needs_no_issuer() {
+    let limit = rate(2.5);
+    let mut holder = PermitHolder::default();
+    holder.on_outcome(NoAnswer, at(0));
+    let mut take = |purpose| holder.take_for(purpose, limit, SHARE, at(10));
+    assert!(!take(PermitPurpose::Request));
+    assert!(take(PermitPurpose::Control { calls: 2 }));
+    assert!(
+        !take(PermitPurpose::Control { calls: 1 }),
+        "the debt is limited"
+    );
+}
+
+/// Guards against an order that is never sent: its two permits come at once or not at all, so that none
+/// is spent without the other.
+#[test]
+fn an_order_gets_its_permits_again_and_again() {
+    let mut issuer = PermitIssuer::default();
+    let rate = Rate {
+        limit: rate(2.0),
+        is_settled: true,
+    };
+    let order = PermitPurpose::Control { calls: 2 };
+    let mut decide = |ms| issuer.decide(SERVER, rate, order, at(ms));
+    let granted = (0..100).map(|round| decide(round * 100));
+    let granted = granted.filter(|decision| *decision == Decision::Granted(2));
+    let orders = granted.count();
+    assert!((8..=10).contains(&orders), "{orders} orders in ten seconds");
+}
+
 /// Guards against issuers that change for many servers when one daemon joins or leaves, and against
 /// one daemon that issues the permits of all servers.
 #[test]
