--- a/crates/gateway/src/background_tasks/retired_parts.rs
+++ b/crates/gateway/src/background_tasks/retired_parts.rs
@@ -10,7 +10,8 @@
 /// Maximum number of parts that are freed at one cache store in one call.
 const FREED_PARTS_MAX: usize = 400;
 
-/// Returns, by store, at most `limit` cached parts of replaced weights that no daemon reads any more.
+/// Returns, by store, at most `limit` cached parts of replaced weights that no daemon reads any
+/// more.
 pub(super) fn retired_parts(gateway: &Gateway, limit: usize) -> Vec<(SocketAddr, Vec<CachedPart>)> {
     let now = gateway.now();
     let state = gateway.state.borrow();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! One process per instance forwards requests to backend servers and keeps no persistent state.
 //! Modules without I/O make the decisions (`configuration`, `server`, `select`, `budget`,
-//! `share_budget`, `permits`, `freshness`, `lease`, `weights`); the others perform the I/O. Only implementations
-//! of [`ports`] know the platform's protocols.
+//! `share_budget`, `permits`, `freshness`, `lease`, `weights`); the others perform the I/O. Only
+//! implementations of [`ports`] know the platform's protocols.
 
 mod answer;
 mod background_tasks;
--- a/crates/gateway/src/notice_reports.rs
+++ b/crates/gateway/src/notice_reports.rs
@@ -155,8 +155,8 @@
     limit.into_iter().chain(draining)
 }
 
-/// Returns the statements of a server that are reported now. In periods that are no repetition, these
-/// are only the ones that have changed.
+/// Returns the statements of a server that are reported now. In periods that are no repetition,
+/// these are only the ones that have changed.
 fn notices_of(
     server: &Server,
     is_repeat: bool,
@@ -199,8 +199,8 @@
     }
 }
 
-/// Returns from whom a daemon has learned the statements in a report, or `None` if its role does not
-/// use reports of this scope.
+/// Returns from whom a daemon has learned the statements in a report, or `None` if its role does
+/// not use reports of this scope.
 fn source_of(role: &Role, scope: ReportScope) -> Option<StatementSource> {
     match (role, scope) {
         (Role::Leader { .. }, ReportScope::Daemon) => Some(StatementSource::Follower),
--- a/crates/gateway/src/permit_client.rs
+++ b/crates/gateway/src/permit_client.rs
@@ -204,8 +204,8 @@
     }
 }
 
-/// Requests permits for a target that takes the rate `limit`, and returns whether one request may be
-/// sent to it now. Permits for further requests, or the pause, are recorded with the target.
+/// Requests permits for a target that takes the rate `limit`, and returns whether one request may
+/// be sent to it now. Permits for further requests, or the pause, are recorded with the target.
 pub(crate) async fn acquire_permit(
     gateway: &Gateway,
     target: PermitTarget,
@@ -234,8 +234,8 @@
     }
 }
 
-/// Returns whether a request may be sent to a cache store now, after requesting a permit if the store
-/// names a limit.
+/// Returns whether a request may be sent to a cache store now, after requesting a permit if the
+/// store names a limit.
 pub(crate) async fn may_call_store(gateway: &Gateway, key: CacheStoreKey) -> bool {
     let limit = {
         let now = gateway.now();
--- a/crates/gateway/src/permits/holder.rs
+++ b/crates/gateway/src/permits/holder.rs
@@ -72,9 +72,9 @@
         self.take_for(PermitPurpose::Request, limit, share, now)
     }
 
-    /// Takes the permits for a purpose and returns whether they were available. Of this daemon's own
-    /// share, a few permits for control calls are taken ahead of time: only one daemon sends such
-    /// calls.
+    /// Takes the permits for a purpose and returns whether they were available. Of this daemon's
+    /// own share, a few permits for control calls are taken ahead of time: only one daemon sends
+    /// such calls.
     pub fn take_for(
         &mut self,
         purpose: PermitPurpose,
--- a/crates/gateway/src/permits/issuer.rs
+++ b/crates/gateway/src/permits/issuer.rs
@@ -8,7 +8,8 @@
 /// Fraction of a server's rate for which permits are issued while all daemons agree on the issuer.
 /// The rest covers requests that arrive closer together than they were sent.
 const FRACTION_SETTLED: f64 = 0.9;
-/// The same while they may not agree. Two issuers together then exceed the rate by less than a half.
+/// The same while they may not agree. Two issuers together then exceed the rate by less than a
+/// half.
 const FRACTION_UNSETTLED: f64 = 0.7;
 /// Permits that can accumulate, besides those of [`BATCH_TIME`].
 const BURST: f64 = 2.0;
--- a/crates/gateway/src/permits/message.rs
+++ b/crates/gateway/src/permits/message.rs
@@ -22,7 +22,8 @@
 pub struct PermitRequest {
     /// Number by which the sender recognizes the reply.
     pub sequence: u32,
-    /// Hash of the server; see [`Server::incarnation_hash`](crate::server::Server::incarnation_hash).
+    /// Hash of the server; see
+    /// [`Server::incarnation_hash`](crate::server::Server::incarnation_hash).
     pub server_hash: u64,
     /// Rate that the server takes from all daemons together, as far as the sender knows.
     pub limit: RequestRate,
--- a/crates/gateway/src/request_limit.rs
+++ b/crates/gateway/src/request_limit.rs
@@ -70,8 +70,8 @@
         self.on_answer(Some(limit), now)
     }
 
-    /// Records that the server answered a request with success and without naming a limit, and returns
-    /// whether that ends a limit.
+    /// Records that the server answered a request with success and without naming a limit, and
+    /// returns whether that ends a limit.
     pub fn on_not_named(&mut self, now: Duration) -> bool {
         let Some(newest) = self.newest else {
             return false;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -129,8 +129,8 @@
         replaced == ServerState::Ready
     }
 
-    /// Records that the server has stated that it is draining. Returns whether this daemon took it for
-    /// ready before.
+    /// Records that the server has stated that it is draining. Returns whether this daemon took it
+    /// for ready before.
     pub fn on_drain_notice(&mut self, source: StatementSource, now: Duration) -> bool {
         self.drain_notice.get_or_insert(DrainNotice {
             learned_at: now,
@@ -189,8 +189,8 @@
         [cold_rate, named].into_iter().flatten().min()
     }
 
-    /// Returns whether a request may be sent at the rate `allowed`. `share` is this daemon's share of
-    /// the fleet, from 0 to 1.
+    /// Returns whether a request may be sent at the rate `allowed`. `share` is this daemon's share
+    /// of the fleet, from 0 to 1.
     pub fn permit_state(
         &mut self,
         allowed: Option<RequestRate>,
@@ -202,8 +202,8 @@
         })
     }
 
-    /// Takes a permit if the rate of requests is limited to `allowed`. Returns the rate for which one
-    /// must be requested from the issuer if none is available.
+    /// Takes a permit if the rate of requests is limited to `allowed`. Returns the rate for which
+    /// one must be requested from the issuer if none is available.
     pub fn take_permit(
         &mut self,
         allowed: Option<RequestRate>,
--- a/crates/gateway/tests/limits/fleet.rs
+++ b/crates/gateway/tests/limits/fleet.rs
@@ -64,8 +64,8 @@
     loss: f64,
     /// Least usage of the limit before the troubles and at the end.
     usage_min: f64,
-    /// Whether requests of daemons count that the server has not told of its limit yet. They do, unless
-    /// the daemons cannot find each other.
+    /// Whether requests of daemons count that the server has not told of its limit yet. They do,
+    /// unless the daemons cannot find each other.
     counts_untold: bool,
 }
 
@@ -163,9 +163,9 @@
     },
 ];
 
-/// Guards against a fleet that sends a server more than the limit that it names, and against one that
-/// hardly uses the server: a fixed share of a small limit is less than a request per minute for each of
-/// some hundred daemons.
+/// Guards against a fleet that sends a server more than the limit that it names, and against one
+/// that hardly uses the server: a fixed share of a small limit is less than a request per minute
+/// for each of some hundred daemons.
 #[test]
 fn a_fleet_of_any_size_uses_a_limit_and_keeps_to_it() {
     let fleets = [(12, 2.5, 0), (12, 2.5, 1), (12, 30.0, 2), (295, 2.5, 3)];
@@ -200,8 +200,8 @@
     assert!(most <= allowed(limit_per_s), "{label}: {most} in a window");
 }
 
-/// Guards against permits that leave more of a limit unused than fixed shares do, at any size of the
-/// fleet and any demand.
+/// Guards against permits that leave more of a limit unused than fixed shares do, at any size of
+/// the fleet and any demand.
 #[test]
 fn permits_use_more_of_a_limit_than_fixed_shares() {
     for daemons in [3, 12, 295] {
@@ -226,8 +226,8 @@
     }
 }
 
-/// Guards against a limit that is applied after the server has changed or ended it: a new figure must
-/// be in force everywhere within seconds, whoever learns it first.
+/// Guards against a limit that is applied after the server has changed or ended it: a new figure
+/// must be in force everywhere within seconds, whoever learns it first.
 #[test]
 fn a_changed_limit_is_in_force_in_the_whole_fleet() {
     let changed_at = Duration::from_secs(30);
--- a/crates/gateway/tests/limits/notice_reports.rs
+++ b/crates/gateway/tests/limits/notice_reports.rs
@@ -1,11 +1,12 @@
 //! Statements of servers that daemons pass on to each other.
 
+use crate::simulation::servers;
 use anvilgw_gateway::groups::Role;
 use anvilgw_gateway::notice_reports::{NoticeChange, NoticeReporter, apply_report, reports_of_all};
 use anvilgw_gateway::peer_message::PeerMessage;
 use anvilgw_gateway::peers::DATAGRAM_MAX_BYTES;
 use anvilgw_gateway::request_limit::{RequestRate, StatementSource};
-use anvilgw_gateway::server::{ServerEntry, ServerState, Servers};
+use anvilgw_gateway::server::Servers;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -32,25 +33,6 @@
     }
 }
 
-fn servers(count: u16, started_at_ms: u64) -> Servers {
-    let mut servers = Servers::default();
-    for index in 0..count {
-        let entry = ServerEntry {
-            id: format!("s{index}"),
-            service: "s".to_owned(),
-            address: ([10, 1, 0, 1], 9000 + index).into(),
-            failure_domain: "a".to_owned(),
-            state: ServerState::Ready,
-            cold_for: Duration::ZERO,
-            slots: 8,
-            models: Vec::new(),
-            started_at_ms: Some(started_at_ms),
-        };
-        servers.on_entry_published(entry, Duration::ZERO);
-    }
-    servers
-}
-
 /// Returns servers of which the first has stated to this daemon that it is draining.
 fn with_draining_server() -> Servers {
     let mut servers = servers(2, 1);
@@ -68,8 +50,8 @@
     is_learned: bool,
 }
 
-/// Guards against requests of other daemons to a server that has told one of them that it is draining,
-/// and against statements that circulate in the fleet without end.
+/// Guards against requests of other daemons to a server that has told one of them that it is
+/// draining, and against statements that circulate in the fleet without end.
 #[test]
 fn a_statement_reaches_the_daemons_to_which_its_receiver_reports() {
     let case = |name, from, to, recipient, is_learned| WayCase {
--- a/crates/gateway/tests/limits/permits.rs
+++ b/crates/gateway/tests/limits/permits.rs
@@ -196,8 +196,8 @@
     }
 }
 
-/// Guards against an order that is never sent while the issuer does not answer: it takes two calls, and
-/// a daemon's share never amounts to two permits.
+/// Guards against an order that is never sent while the issuer does not answer: it takes two calls,
+/// and a daemon's share never amounts to two permits.
 #[test]
 fn an_order_needs_no_issuer() {
     let limit = rate(2.5);
@@ -212,8 +212,8 @@
     );
 }
 
-/// Guards against an order that is never sent: its two permits come at once or not at all, so that none
-/// is spent without the other.
+/// Guards against an order that is never sent: its two permits come at once or not at all, so that
+/// none is spent without the other.
 #[test]
 fn an_order_gets_its_permits_again_and_again() {
     let mut issuer = PermitIssuer::default();
--- a/crates/gateway/tests/limits/simulation.rs
+++ b/crates/gateway/tests/limits/simulation.rs
@@ -1,5 +1,11 @@
-//! A fleet of daemons in virtual time, in front of the servers of one service. The decisions are those
-//! of the gateway; network delays, lost messages and failures of daemons are simulated.
+//! A fleet of daemons in virtual time, in front of the servers of one service. The decisions are
+//! those of the gateway; network delays, lost messages and failures of daemons are simulated.
+
+mod deployment;
+mod setup;
+
+pub(crate) use deployment::servers;
+pub(crate) use setup::{Arrival, Outcome, Setup, Sharing, Trouble};
 
 use anvilgw_gateway::configuration::Service;
 use anvilgw_gateway::fleet_view::FleetView;
@@ -14,13 +20,14 @@
 use anvilgw_gateway::region_constraints::RegionConstraints;
 use anvilgw_gateway::request_limit::RequestRate;
 use anvilgw_gateway::select::{NoServer, Query, Selected, select};
-use anvilgw_gateway::server::{ServerEntry, ServerKey, ServerState, Servers};
+use anvilgw_gateway::server::{ServerKey, Servers};
+use deployment::{address, index_of, member};
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Name of the server that names a limit.
@@ -38,78 +45,12 @@
 const MEMBERS_READ_MS: std::ops::Range<u64> = 200..5_500;
 /// Time after its first answer with a limit from which on a daemon has to obey it.
 const TOLD_AFTER: Duration = Duration::from_millis(500);
-/// Time from the start of a daemon until the load balancer sends it requests. It checks once a second
-/// whether the daemon is ready.
+/// Time from the start of a daemon until the load balancer sends it requests. It checks once a
+/// second whether the daemon is ready.
 const READY_AFTER: Duration = Duration::from_millis(500);
 /// Pause between two confirmations of the membership.
 const CONFIRM_PAUSE: Duration = Duration::from_millis(1_500);
 
-/// How daemons share the limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Sharing {
-    /// One daemon issues permits for all, as in the gateway.
-    Permits,
-    /// Each daemon uses its share of the limit, as while the issuer does not answer.
-    FixedShares,
-}
-
-/// Something that happens to the fleet or the limited server.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum Trouble {
-    /// The server names another limit from now on, or none.
-    Limit(Option<f64>),
-    /// The server turns cold for a time, and its entry says so.
-    Cold(Duration),
-    /// A number of daemons stand still for a time. The issuer is one of them.
-    Freeze(usize, Duration),
-    /// A number of daemons exchange no messages with others for a time. The issuer is one of them.
-    Cut(usize, Duration),
-    /// A number of daemons end without leaving the fleet. The issuer is one of them.
-    Kill(usize),
-    /// A number of daemons start.
-    Start(usize),
-    /// The list of members cannot be read for a time.
-    StoreAway(Duration),
-}
-
-/// Parameters of a simulation.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Setup {
-    pub(crate) daemons: usize,
-    pub(crate) servers: u16,
-    /// Requests per second of all clients.
-    pub(crate) requests_per_s: f64,
-    /// Share of lost messages between daemons.
-    pub(crate) loss: f64,
-    pub(crate) sharing: Sharing,
-    pub(crate) seed: u64,
-    pub(crate) length: Duration,
-}
-
-/// A request that was sent to the limited server.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Arrival {
-    pub(crate) at: Duration,
-    pub(crate) daemon: usize,
-    /// Whether the daemon had itself got an answer that names the limit, half a second before or
-    /// earlier.
-    pub(crate) was_told: bool,
-}
-
-/// What happened in a simulation.
-#[derive(Debug, Default)]
-pub(crate) struct Outcome {
-    /// Requests that reached the limited server, in order.
-    pub(crate) arrivals: Vec<Arrival>,
-    /// Daemons that were cut off from the others.
-    pub(crate) cut_off: Vec<usize>,
-    /// Times to come back that refused requests were given.
-    pub(crate) retry_after: Vec<Duration>,
-    /// Number of requests for permits.
-    pub(crate) permit_requests: usize,
-    pub(crate) requests: usize,
-}
-
 struct Daemon {
     address: SocketAddr,
     servers: Servers,
@@ -204,45 +145,6 @@
     simulation.outcome
 }
 
-fn address(index: usize) -> SocketAddr {
-    let [high, low] = (index as u16).to_be_bytes();
-    (Ipv4Addr::new(10, 0, high, low), 7401).into()
-}
-
-fn index_of(address: SocketAddr) -> usize {
-    let SocketAddr::V4(address) = address else {
-        panic!("an address of a daemon: {address}");
-    };
-    let [_, _, high, low] = address.ip().octets();
-    usize::from(u16::from_be_bytes([high, low]))
-}
-
-fn member(index: usize) -> Member {
-    Member {
-        address: address(index),
-        failure_domain: ["a", "b", "c"][index % 3].to_owned(),
-    }
-}
-
-fn servers(count: u16) -> Servers {
-    let mut servers = Servers::default();
-    for index in 0..count {
-        let entry = ServerEntry {
-            id: format!("s{index}"),
-            service: SERVICE.to_owned(),
-            address: ([10, 1, 0, 1], 9000 + index).into(),
-            failure_domain: "a".to_owned(),
-            state: ServerState::Ready,
-            cold_for: Duration::ZERO,
-            slots: 8,
-            models: Vec::new(),
-            started_at_ms: Some(1),
-        };
-        servers.on_entry_published(entry, Duration::ZERO);
-    }
-    servers
-}
-
 impl Simulation {
     fn new(setup: Setup) -> Self {
         let mut simulation = Self {
@@ -287,7 +189,7 @@
         let index = self.daemons.len();
         self.daemons.push(Daemon {
             address: address(index),
-            servers: servers(self.setup.servers),
+            servers: servers(self.setup.servers, 1),
             issuer: PermitIssuer::default(),
             fleet: FleetView::default(),
             role: Role::default(),
@@ -329,8 +231,8 @@
         }
     }
 
-    /// A client sends a request to a random daemon. Clients reach frozen daemons, too: those handle it
-    /// when they go on.
+    /// A client sends a request to a random daemon. Clients reach frozen daemons, too: those handle
+    /// it when they go on.
     fn on_request(&mut self) {
         let pause = Duration::from_secs_f64(
             -self.rng.random::<f64>().max(1e-9).ln() / self.setup.requests_per_s,
--- a/crates/gateway/tests/servers/notices.rs
+++ b/crates/gateway/tests/servers/notices.rs
@@ -186,8 +186,8 @@
     assert_eq!(refused, Err(NoServer::BackingOff(at(1_000))));
 }
 
-/// Guards against a limit that is forgotten when the entry of its server expires and appears again, and
-/// against one that outlives a restart of the server.
+/// Guards against a limit that is forgotten when the entry of its server expires and appears again,
+/// and against one that outlives a restart of the server.
 #[test]
 fn a_limit_stays_in_force_until_the_server_restarts() {
     fn name_limit(servers: &mut Servers, key: ServerKey) {
