Log how an answer is framed and where a stream ended

The attempt and request lines get ends_with_connection and stream_position, and the metrics answers_without_length and streams_broken_off; connection errors name their cause. explain prints both fields. EventScanner follows the events of a stream that is passed on as it arrives; nothing is decided by it yet.

--- a/crates/cli/src/log_line.rs
+++ b/crates/cli/src/log_line.rs
@@ -24,6 +24,8 @@
     pub(crate) configuration: u64,
     pub(crate) configuration_age_ms: u64,
     pub(crate) choice: Option<ChoiceFields>,
+    pub(crate) ends_with_connection: bool,
+    pub(crate) stream_position: String,
 }
 
 /// What the daemon knew about the backend server when it selected it.
--- a/crates/cli/src/request_log.rs
+++ b/crates/cli/src/request_log.rs
@@ -59,6 +59,7 @@
                 attempt.reason,
                 attempt.elapsed_ms
             );
+            render_answer_end(&mut text, attempt);
             render_choice(&mut text, attempt);
         }
         for end in &self.ends {
@@ -73,6 +74,7 @@
                 or_dash(&end.workspace),
                 end.elapsed_ms
             );
+            render_answer_end(&mut text, end);
             render_choice(&mut text, end);
             let _ = writeln!(text, "cause: {}", self.cause(end));
         }
@@ -108,6 +110,18 @@
     }
 }
 
+/// Appends how the backend server's answer of a line ends.
+fn render_answer_end(text: &mut String, line: &LogLine) {
+    // Writing to a string does not fail.
+    if line.ends_with_connection {
+        let _ = writeln!(text, "  answer without length or chunks");
+    }
+    if !line.stream_position.is_empty() {
+        let position = line.stream_position.replace('_', " ");
+        let _ = writeln!(text, "  stream ended {position}");
+    }
+}
+
 /// Appends what the daemon knew when it selected the backend server of a line.
 fn render_choice(text: &mut String, line: &LogLine) {
     let Some(choice) = line.choice else { return };
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -5,7 +5,9 @@
 use super::routed_request::RoutedRequest;
 use super::target::{Target, select_target_with_wait};
 use crate::connection::{Connection, SendError};
+use crate::framing::Framing;
 use crate::gateway::Gateway;
+use crate::log::AnswerFields;
 use crate::pool::{OpenLimits, Pool};
 use crate::request::{AnswerMeta, ForwardMeta, Prompt};
 use crate::retry::AttemptError;
@@ -183,6 +185,7 @@
     target.id.clone_into(&mut progress.server);
     progress.choice = Some(target.choice);
     progress.tried_servers.push(target.key);
+    progress.answer = AnswerFields::default();
     let attempt = Attempt {
         pool: gateway.pool(target.key),
         gateway,
@@ -297,6 +300,10 @@
                 on_limit_not_named(self.gateway, self.target.key);
             }
         }
+        if Framing::of(&head.headers, &body) == Framing::ConnectionEnd {
+            progress.answer.ends_with_connection = true;
+            self.gateway.metrics.count("answers_without_length");
+        }
         let exchange = Exchange {
             status: head.status,
             peer_idle_timeout: peer_idle_timeout(&head.headers),
--- a/crates/gateway/src/dispatch/buffered.rs
+++ b/crates/gateway/src/dispatch/buffered.rs
@@ -7,6 +7,7 @@
 use super::routed_request::RoutedRequest;
 use crate::answer::{AnswerBody, failure_answer, full_body};
 use crate::body_memory::BodyMemory;
+use crate::connection::describe;
 use crate::gateway::Gateway;
 use crate::retry::AttemptError;
 use anvilgw_core::Failure;
@@ -66,7 +67,7 @@
 ) -> Result<BufferedAnswer, Failure> {
     // The last 5xx answer of a server, which the client gets if no other attempt succeeds.
     let mut failed_answer: Option<BufferedAnswer> = None;
-    let read = async |_: &Progress, exchange: Exchange, _: Duration| {
+    let read = async |_: &mut Progress, exchange: Exchange, _: Duration| {
         let answer = read_answer(gateway, routed, exchange).await?;
         if answer.status.is_server_error() {
             let status = answer.status.as_u16();
@@ -84,7 +85,7 @@
     let mut reservation = memory.reserve(Some(0)).ok_or(MEMORY_EXHAUSTED)?;
     let mut read = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| format!("the answer was cut: {error}"))?;
+        let frame = frame.map_err(|error| format!("the answer was cut: {}", describe(&error)))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
--- a/crates/gateway/src/dispatch/progress.rs
+++ b/crates/gateway/src/dispatch/progress.rs
@@ -2,7 +2,7 @@
 
 use super::routed_request::RoutedRequest;
 use crate::gateway::Gateway;
-use crate::log::{Choice, Event, RequestLine};
+use crate::log::{AnswerFields, Choice, Event, RequestLine};
 use crate::server::ServerKey;
 use anvilgw_core::{ErrorKind, Failure, Stage};
 use std::rc::Rc;
@@ -31,6 +31,8 @@
     pub(crate) server: String,
     /// What was known of that server when it was selected.
     pub(crate) choice: Option<Choice>,
+    /// How the answer of the last attempt ends; default until one was received.
+    pub(crate) answer: AnswerFields,
     /// Why the last attempt failed; empty if none did.
     pub(crate) reason: String,
     first_event: Option<Duration>,
@@ -62,6 +64,7 @@
             may_have_executed_before: false,
             server: String::new(),
             choice: None,
+            answer: AnswerFields::default(),
             reason: String::new(),
             first_event: None,
             end: None,
@@ -77,6 +80,7 @@
             attempt: self.sent_count,
             server: &self.server,
             reason: &reason,
+            answer: self.answer,
             elapsed_ms: elapsed.as_millis() as u64,
             choice: self.choice,
         });
@@ -100,6 +104,7 @@
 
     /// Records that a stream was cut off after its head was sent to the client.
     pub(crate) fn on_stream_broken_off(&mut self) {
+        self.gateway.metrics.count("streams_broken_off");
         self.end = Some(RequestEnd {
             status: 200,
             outcome: "broken_off",
@@ -170,6 +175,7 @@
             reason: &self.reason,
             executed: end.executed,
             server: &self.server,
+            answer: self.answer,
             attempts: self.sent_count,
             elapsed_ms: elapsed.as_millis() as u64,
             first_event_ms: self.first_event.map(|first| first.as_millis() as u64),
--- a/crates/gateway/src/dispatch/retries.rs
+++ b/crates/gateway/src/dispatch/retries.rs
@@ -15,7 +15,7 @@
     gateway: &Rc<Gateway>,
     routed: &RoutedRequest,
     progress: &mut Progress,
-    mut read: impl AsyncFnMut(&Progress, Exchange, Duration) -> Result<T, AttemptError>,
+    mut read: impl AsyncFnMut(&mut Progress, Exchange, Duration) -> Result<T, AttemptError>,
 ) -> Result<T, Failure> {
     let policy = RetryPolicy::new(routed.route.kind, routed.route.attempts_max);
     loop {
--- a/crates/gateway/src/dispatch/stream.rs
+++ b/crates/gateway/src/dispatch/stream.rs
@@ -12,9 +12,11 @@
 use super::target::has_alternative;
 use crate::answer::{AnswerBody, BodyError, failure_answer, full_body};
 use crate::configuration::RouteKind;
+use crate::connection::describe;
 use crate::gateway::Gateway;
+use crate::log::StreamPosition;
 use crate::retry::{AttemptError, RetryDecision, RetryPolicy};
-use crate::sse::EventSplitter;
+use crate::sse::{EventScanner, EventSplitter};
 use anvilgw_core::Failure;
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
@@ -107,8 +109,12 @@
     progress: &mut Progress,
 ) -> Result<OpenedStream, Failure> {
     let policy = RetryPolicy::new(routed.route.kind, routed.route.attempts_max);
-    let read = async |progress: &Progress, exchange: Exchange, limit: Duration| {
-        let opened = first_bytes(exchange, limit).await?;
+    let read = async |progress: &mut Progress, exchange: Exchange, limit: Duration| {
+        let opened = first_bytes(exchange, limit).await;
+        if !matches!(&opened, Ok(opened) if opened.first.is_some()) {
+            progress.answer.stream_position = Some(StreamPosition::BeforeFirstEvent);
+        }
+        let opened = opened?;
         if may_retry_status(&opened, policy, progress) {
             return Err(AttemptError::ServerFailed(opened.exchange.status.as_u16()));
         }
@@ -147,7 +153,7 @@
     loop {
         match exchange.body.frame().await {
             None => return Ok(None),
-            Some(Err(error)) => return Err(format!("the stream was cut: {error}")),
+            Some(Err(error)) => return Err(format!("the stream was cut: {}", describe(&error))),
             Some(Ok(frame)) => match frame.into_data() {
                 Ok(data) if data.is_empty() => {}
                 Ok(data) => return Ok(Some(data)),
@@ -172,6 +178,8 @@
     policy: RetryPolicy,
     exchange: Option<Exchange>,
     splitter: Option<EventSplitter>,
+    /// Scans the bytes of a stream that cannot be resumed.
+    scanner: EventScanner,
     last_event_id: Option<u64>,
     /// When the last event with a new identifier was received, or the stream was resumed.
     last_event_at: Duration,
@@ -190,12 +198,16 @@
         let is_resumable =
             kind == RouteKind::Stream { resumable: true } && exchange.status == StatusCode::OK;
         let mut splitter = is_resumable.then(EventSplitter::default);
+        let mut scanner = EventScanner::default();
         let pending = match &mut splitter {
             Some(splitter) => {
                 splitter.push(first);
                 None
             }
-            None => Some(first.clone()),
+            None => {
+                scanner.scan(first);
+                Some(first.clone())
+            }
         };
         Self {
             gateway: Rc::clone(gateway),
@@ -206,10 +218,23 @@
             progress,
             exchange: Some(exchange),
             splitter,
+            scanner,
             pending,
         }
     }
 
+    fn position(&self) -> StreamPosition {
+        let is_between_events = match &self.splitter {
+            Some(splitter) => !splitter.has_partial_event(),
+            None => self.scanner.is_between_events(),
+        };
+        if is_between_events {
+            StreamPosition::BetweenEvents
+        } else {
+            StreamPosition::WithinEvent
+        }
+    }
+
     fn into_body(self) -> AnswerBody {
         let frames = stream::unfold(Some(self), |relay| async move {
             let mut relay = relay?;
@@ -234,6 +259,7 @@
                     if let Some(exchange) = self.exchange.take() {
                         exchange.close_broken();
                     }
+                    self.progress.answer.stream_position = Some(self.position());
                     self.progress.on_attempt_failed(reason);
                     if !self.resume().await {
                         self.progress.on_stream_broken_off();
@@ -245,6 +271,10 @@
     }
 
     fn finish(&mut self) {
+        let position = self.position();
+        if position != StreamPosition::BetweenEvents {
+            self.progress.answer.stream_position = Some(position);
+        }
         if let Some(exchange) = self.exchange.take() {
             let status = exchange.status;
             exchange.complete(&self.gateway, status.is_success());
@@ -279,7 +309,10 @@
                 Ok(Ok(None)) => return self.at_end(),
                 Ok(Ok(Some(bytes))) => match &mut self.splitter {
                     Some(splitter) => splitter.push(&bytes),
-                    None => self.pending = Some(bytes),
+                    None => {
+                        self.scanner.scan(&bytes);
+                        self.pending = Some(bytes);
+                    }
                 },
             }
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod daemon;
 mod dependency;
 mod dispatch;
+mod framing;
 mod gateway;
 mod listeners;
 mod loaded_weights;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -182,6 +182,9 @@
         server: &'a str,
         /// Why the attempt failed.
         reason: &'a str,
+        /// How the answer ends, if one was received.
+        #[serde(flatten)]
+        answer: AnswerFields,
         /// Time since the request arrived, in milliseconds.
         elapsed_ms: u64,
         /// What was known of the backend server when it was selected.
@@ -199,6 +202,29 @@
     },
 }
 
+/// How far a stream of events was received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StreamPosition {
+    /// No bytes were received.
+    BeforeFirstEvent,
+    /// The last event was received completely.
+    BetweenEvents,
+    /// The last event was received in part.
+    WithinEvent,
+}
+
+/// How a backend server's answer ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct AnswerFields {
+    /// Whether the answer has neither a length nor chunks, so that it ends with its connection.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub ends_with_connection: bool,
+    /// How far a stream was received when it ended, unless it ended properly after an event.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub stream_position: Option<StreamPosition>,
+}
+
 /// What the daemon knew of a backend server when it selected it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct Choice {
@@ -248,6 +274,9 @@
     pub executed: &'a str,
     /// Identifier of the backend server that answered, or of the last one that was tried.
     pub server: &'a str,
+    /// How the last answer of a backend server ends.
+    #[serde(flatten)]
+    pub answer: AnswerFields,
     /// Number of attempts in which the request was sent.
     pub attempts: u32,
     /// Time from the arrival to the end of the request, in milliseconds.
--- a/crates/gateway/tests/components.rs
+++ b/crates/gateway/tests/components.rs
@@ -8,7 +8,7 @@
 use anvilgw_gateway::log::{Event, EventLog, Importance};
 use anvilgw_gateway::peer_message::PeerMessage;
 use anvilgw_gateway::peers::{DATAGRAM_MAX_BYTES, EngineLoad, LoadReporter, ReportScope};
-use anvilgw_gateway::sse::EventSplitter;
+use anvilgw_gateway::sse::{EventScanner, EventSplitter};
 use std::io::Write;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -158,6 +158,52 @@
     }
 }
 
+/// Guards against a stream that ends within an event and is taken for a complete one, and the
+/// reverse, for each way to end a line and however its bytes are divided into pieces.
+#[test]
+fn the_end_of_an_event_is_an_empty_line() {
+    struct Case {
+        stream: &'static str,
+        is_between_events: bool,
+    }
+    let cases = [
+        ("", true),
+        ("id: 1\ndata: a\n\n", true),
+        ("id: 1\r\ndata: a\r\n\r\n", true),
+        ("id: 1\rdata: a\r\r", true),
+        ("id: 1\ndata: a\r\n\n", true),
+        ("id: 1\n\nid: 2\n\n", true),
+        (":\n\n", true),
+        ("data: a\n\n\n", true),
+        ("i", false),
+        ("id: 1\ndata: a", false),
+        ("id: 1\ndata: a\n", false),
+        ("id: 1\r\ndata: a\r\n", false),
+        ("id: 1\r\ndata: a\r", false),
+        ("id: 1\n\nid: 2", false),
+        ("id: 1\r\n\r\ni", false),
+        ("data: a\n\n:", false),
+    ]
+    .map(|(stream, is_between_events)| Case {
+        stream,
+        is_between_events,
+    });
+    for case in cases {
+        for piece_bytes in 1..=case.stream.len().max(1) {
+            let mut scanner = EventScanner::default();
+            for piece in case.stream.as_bytes().chunks(piece_bytes) {
+                scanner.scan(piece);
+            }
+            assert_eq!(
+                scanner.is_between_events(),
+                case.is_between_events,
+                "{:?} in pieces of {piece_bytes}",
+                case.stream
+            );
+        }
+    }
+}
+
 /// Guards against reports that do not fit into a datagram, and against datagrams that are not
 /// reports.
 #[test]
