End a stream as complete only after a complete event

Callers saw: a stream of a route that cannot be resumed, broken off by its server, with status 200 and a regular end.

Cause: such a stream is passed on as it arrives, and the end of the server's body was taken for the end of the stream. An answer without a length and chunks ends with its connection, so a server that breaks down seemed to end it. Only streams that can be resumed were split into events and checked.

Change: the events of every stream are followed, whatever marks the end of the server's answer. An end within an event is a break: the connection to the caller is closed without a last chunk, the attempt fails, and the server's breaker counts a failure. Bytes are still passed on as they arrive. A body that is no event stream (another status or media type) is not checked.

--- a/crates/gateway/src/dispatch/stream.rs
+++ b/crates/gateway/src/dispatch/stream.rs
@@ -20,6 +20,7 @@
 use anvilgw_core::Failure;
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
+use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Response, StatusCode};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
@@ -32,6 +33,8 @@
 const STALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Longest event. A server that sends more bytes without the end of an event is treated as broken.
 const EVENT_MAX_BYTES: usize = 256 * 1024;
+/// Media type of a stream of events. A server that states none sends events, too.
+const EVENT_STREAM_TYPE: &[u8] = b"text/event-stream";
 
 /// Serves a request and returns the answer that carries the stream, or one that reports the
 /// failure.
@@ -79,7 +82,14 @@
             Some(first) => {
                 progress.on_first_event();
                 record_prefill_rate(gateway, &routed);
-                let relay = StreamRelay::new(gateway, routed, progress, self.exchange, &first);
+                let relay = StreamRelay::new(
+                    gateway,
+                    routed,
+                    progress,
+                    self.exchange,
+                    &server_headers,
+                    &first,
+                );
                 relay.into_body()
             }
         };
@@ -163,6 +173,17 @@
     }
 }
 
+/// Returns whether the body of an answer consists of events. A failure has another body.
+fn has_events(status: StatusCode, headers: &HeaderMap) -> bool {
+    let content_type = headers.get(CONTENT_TYPE);
+    let is_event_type = content_type.is_none_or(|value| {
+        let value = value.as_bytes();
+        let length = value.len().min(EVENT_STREAM_TYPE.len());
+        value[..length].eq_ignore_ascii_case(EVENT_STREAM_TYPE)
+    });
+    status == StatusCode::OK && is_event_type
+}
+
 /// What a [`StreamRelay`] does next.
 enum RelayStep {
     Pass(Bytes),
@@ -178,8 +199,8 @@
     policy: RetryPolicy,
     exchange: Option<Exchange>,
     splitter: Option<EventSplitter>,
-    /// Scans the bytes of a stream that cannot be resumed.
-    scanner: EventScanner,
+    /// Scans the bytes of a stream of events that cannot be resumed.
+    scanner: Option<EventScanner>,
     last_event_id: Option<u64>,
     /// When the last event with a new identifier was received, or the stream was resumed.
     last_event_at: Duration,
@@ -192,20 +213,24 @@
         routed: RoutedRequest,
         progress: Progress,
         exchange: Exchange,
+        server_headers: &HeaderMap,
         first: &Bytes,
     ) -> Self {
         let kind = routed.route.kind;
         let is_resumable =
             kind == RouteKind::Stream { resumable: true } && exchange.status == StatusCode::OK;
+        let has_events = !is_resumable && has_events(exchange.status, server_headers);
         let mut splitter = is_resumable.then(EventSplitter::default);
-        let mut scanner = EventScanner::default();
+        let mut scanner = has_events.then(EventScanner::default);
         let pending = match &mut splitter {
             Some(splitter) => {
                 splitter.push(first);
                 None
             }
             None => {
-                scanner.scan(first);
+                if let Some(scanner) = &mut scanner {
+                    scanner.scan(first);
+                }
                 Some(first.clone())
             }
         };
@@ -226,7 +251,9 @@
     fn position(&self) -> StreamPosition {
         let is_between_events = match &self.splitter {
             Some(splitter) => !splitter.has_partial_event(),
-            None => self.scanner.is_between_events(),
+            None => self
+                .scanner
+                .is_none_or(|scanner| scanner.is_between_events()),
         };
         if is_between_events {
             StreamPosition::BetweenEvents
@@ -271,10 +298,6 @@
     }
 
     fn finish(&mut self) {
-        let position = self.position();
-        if position != StreamPosition::BetweenEvents {
-            self.progress.answer.stream_position = Some(position);
-        }
         if let Some(exchange) = self.exchange.take() {
             let status = exchange.status;
             exchange.complete(&self.gateway, status.is_success());
@@ -310,7 +333,9 @@
                 Ok(Ok(Some(bytes))) => match &mut self.splitter {
                     Some(splitter) => splitter.push(&bytes),
                     None => {
-                        self.scanner.scan(&bytes);
+                        if let Some(scanner) = &mut self.scanner {
+                            scanner.scan(&bytes);
+                        }
                         self.pending = Some(bytes);
                     }
                 },
@@ -348,11 +373,7 @@
     }
 
     fn at_end(&self) -> RelayStep {
-        let has_partial = self
-            .splitter
-            .as_ref()
-            .is_some_and(EventSplitter::has_partial_event);
-        if has_partial {
+        if self.position() == StreamPosition::WithinEvent {
             return RelayStep::Broken("the stream ended within an event".to_owned());
         }
         RelayStep::End
