Move the buffer of a stream into a module of its own

StreamRelay held a splitter, a scanner and pending bytes, of which one or two were in use depending on the kind of stream. StreamBuffer holds what a stream needs and tells how far it was received.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -300,7 +300,8 @@
                 on_limit_not_named(self.gateway, self.target.key);
             }
         }
-        if Framing::of(&head.headers, &body) == Framing::ConnectionEnd {
+        let framing = Framing::of(&head.headers, &body);
+        if framing == Framing::ConnectionEnd {
             progress.answer.ends_with_connection = true;
             self.gateway.metrics.count("answers_without_length");
         }
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod retries;
 mod routed_request;
 mod stream;
+mod stream_buffer;
 mod target;
 
 pub(crate) use buffered::serve_buffered;
--- a/crates/gateway/src/dispatch/stream.rs
+++ b/crates/gateway/src/dispatch/stream.rs
@@ -9,6 +9,7 @@
 use super::progress::Progress;
 use super::retries::with_retries;
 use super::routed_request::RoutedRequest;
+use super::stream_buffer::StreamBuffer;
 use super::target::has_alternative;
 use crate::answer::{AnswerBody, BodyError, failure_answer, full_body};
 use crate::configuration::RouteKind;
@@ -16,11 +17,9 @@
 use crate::gateway::Gateway;
 use crate::log::StreamPosition;
 use crate::retry::{AttemptError, RetryDecision, RetryPolicy};
-use crate::sse::{EventScanner, EventSplitter};
 use anvilgw_core::Failure;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::stream;
-use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Response, StatusCode};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
@@ -33,8 +32,6 @@
 const STALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Longest event. A server that sends more bytes without the end of an event is treated as broken.
 const EVENT_MAX_BYTES: usize = 256 * 1024;
-/// Media type of a stream of events. A server that states none sends events, too.
-const EVENT_STREAM_TYPE: &[u8] = b"text/event-stream";
 
 /// Serves a request and returns the answer that carries the stream, or one that reports the
 /// failure.
@@ -57,10 +54,10 @@
     }
 }
 
-/// A stream whose first bytes were received. `first` is `None` if it ended without any.
+/// A stream whose first bytes are in `buffer`, which is `None` if the stream ended without any.
 struct OpenedStream {
     exchange: Exchange,
-    first: Option<Bytes>,
+    buffer: Option<StreamBuffer>,
 }
 
 impl OpenedStream {
@@ -73,24 +70,16 @@
         let status = self.exchange.status;
         let server_headers: HeaderMap = std::mem::take(&mut self.exchange.headers);
         let headers = gateway.ports.codec.answer_headers(&server_headers);
-        let body = match self.first {
+        let body = match self.buffer {
             None => {
                 self.exchange.complete(gateway, status.is_success());
                 progress.on_answer_delivered(status.as_u16());
                 full_body(Bytes::new())
             }
-            Some(first) => {
+            Some(buffer) => {
                 progress.on_first_event();
                 record_prefill_rate(gateway, &routed);
-                let relay = StreamRelay::new(
-                    gateway,
-                    routed,
-                    progress,
-                    self.exchange,
-                    &server_headers,
-                    &first,
-                );
-                relay.into_body()
+                StreamRelay::new(gateway, routed, progress, self.exchange, buffer).into_body()
             }
         };
         let mut response = Response::new(body);
@@ -119,12 +108,11 @@
     progress: &mut Progress,
 ) -> Result<OpenedStream, Failure> {
     let policy = RetryPolicy::new(routed.route.kind, routed.route.attempts_max);
+    let is_resumable = routed.route.kind == RouteKind::Stream { resumable: true };
     let read = async |progress: &mut Progress, exchange: Exchange, limit: Duration| {
-        let opened = first_bytes(exchange, limit).await;
-        if !matches!(&opened, Ok(opened) if opened.first.is_some()) {
-            progress.answer.stream_position = Some(StreamPosition::BeforeFirstEvent);
-        }
-        let opened = opened?;
+        progress.answer.stream_position = Some(StreamPosition::BeforeFirstEvent);
+        let opened = first_bytes(exchange, is_resumable, limit).await?;
+        progress.answer.stream_position = None;
         if may_retry_status(&opened, policy, progress) {
             return Err(AttemptError::ServerFailed(opened.exchange.status.as_u16()));
         }
@@ -142,19 +130,33 @@
 
 async fn first_bytes(
     mut exchange: Exchange,
+    is_route_resumable: bool,
     limit: Duration,
 ) -> Result<OpenedStream, AttemptError> {
-    match timeout(limit, next_data(&mut exchange)).await {
-        Ok(Ok(first)) => Ok(OpenedStream { exchange, first }),
-        Ok(Err(reason)) => {
-            exchange.close_broken();
-            Err(AttemptError::OutcomeUnknown(reason))
+    let mut buffer = StreamBuffer::new(exchange.status, &exchange.headers, is_route_resumable);
+    let end = match timeout(limit, next_data(&mut exchange)).await {
+        Ok(Ok(Some(first))) => {
+            buffer.push(first);
+            let buffer = Some(buffer);
+            return Ok(OpenedStream { exchange, buffer });
         }
+        Ok(Ok(None)) => buffer
+            .check_end()
+            .map_err(|truncated| truncated.to_string()),
+        Ok(Err(reason)) => Err(reason),
         Err(_) => {
             exchange.close_timed_out();
-            Err(AttemptError::OutcomeUnknown("no event in time".to_owned()))
+            return Err(AttemptError::OutcomeUnknown("no event in time".to_owned()));
         }
+    };
+    if let Err(reason) = end {
+        exchange.close_broken();
+        return Err(AttemptError::OutcomeUnknown(reason));
     }
+    Ok(OpenedStream {
+        exchange,
+        buffer: None,
+    })
 }
 
 /// Returns the next bytes of an answer, or `None` at its end. Empty frames and trailers are
@@ -173,17 +175,6 @@
     }
 }
 
-/// Returns whether the body of an answer consists of events. A failure has another body.
-fn has_events(status: StatusCode, headers: &HeaderMap) -> bool {
-    let content_type = headers.get(CONTENT_TYPE);
-    let is_event_type = content_type.is_none_or(|value| {
-        let value = value.as_bytes();
-        let length = value.len().min(EVENT_STREAM_TYPE.len());
-        value[..length].eq_ignore_ascii_case(EVENT_STREAM_TYPE)
-    });
-    status == StatusCode::OK && is_event_type
-}
-
 /// What a [`StreamRelay`] does next.
 enum RelayStep {
     Pass(Bytes),
@@ -198,13 +189,10 @@
     progress: Progress,
     policy: RetryPolicy,
     exchange: Option<Exchange>,
-    splitter: Option<EventSplitter>,
-    /// Scans the bytes of a stream of events that cannot be resumed.
-    scanner: Option<EventScanner>,
+    buffer: StreamBuffer,
     last_event_id: Option<u64>,
     /// When the last event with a new identifier was received, or the stream was resumed.
     last_event_at: Duration,
-    pending: Option<Bytes>,
 }
 
 impl StreamRelay {
@@ -213,52 +201,17 @@
         routed: RoutedRequest,
         progress: Progress,
         exchange: Exchange,
-        server_headers: &HeaderMap,
-        first: &Bytes,
+        buffer: StreamBuffer,
     ) -> Self {
-        let kind = routed.route.kind;
-        let is_resumable =
-            kind == RouteKind::Stream { resumable: true } && exchange.status == StatusCode::OK;
-        let has_events = !is_resumable && has_events(exchange.status, server_headers);
-        let mut splitter = is_resumable.then(EventSplitter::default);
-        let mut scanner = has_events.then(EventScanner::default);
-        let pending = match &mut splitter {
-            Some(splitter) => {
-                splitter.push(first);
-                None
-            }
-            None => {
-                if let Some(scanner) = &mut scanner {
-                    scanner.scan(first);
-                }
-                Some(first.clone())
-            }
-        };
         Self {
             gateway: Rc::clone(gateway),
-            policy: RetryPolicy::new(kind, routed.route.attempts_max),
+            policy: RetryPolicy::new(routed.route.kind, routed.route.attempts_max),
             last_event_id: routed.meta.resume_after,
             last_event_at: gateway.now(),
             routed,
             progress,
             exchange: Some(exchange),
-            splitter,
-            scanner,
-            pending,
-        }
-    }
-
-    fn position(&self) -> StreamPosition {
-        let is_between_events = match &self.splitter {
-            Some(splitter) => !splitter.has_partial_event(),
-            None => self
-                .scanner
-                .is_none_or(|scanner| scanner.is_between_events()),
-        };
-        if is_between_events {
-            StreamPosition::BetweenEvents
-        } else {
-            StreamPosition::WithinEvent
+            buffer,
         }
     }
 
@@ -286,7 +239,7 @@
                     if let Some(exchange) = self.exchange.take() {
                         exchange.close_broken();
                     }
-                    self.progress.answer.stream_position = Some(self.position());
+                    self.progress.answer.stream_position = Some(self.buffer.position());
                     self.progress.on_attempt_failed(reason);
                     if !self.resume().await {
                         self.progress.on_stream_broken_off();
@@ -310,7 +263,7 @@
             if let Some(bytes) = self.take_ready() {
                 return RelayStep::Pass(bytes);
             }
-            if self.is_event_too_long() {
+            if self.buffer.partial_bytes() > EVENT_MAX_BYTES {
                 return RelayStep::Broken("an event is too long".to_owned());
             }
             let (remaining, stalls_in) = self.time_left();
@@ -329,30 +282,22 @@
                 // Not necessarily the deadline: the loop checks the times again.
                 Err(_) => {}
                 Ok(Err(reason)) => return RelayStep::Broken(reason),
-                Ok(Ok(None)) => return self.at_end(),
-                Ok(Ok(Some(bytes))) => match &mut self.splitter {
-                    Some(splitter) => splitter.push(&bytes),
-                    None => {
-                        if let Some(scanner) = &mut self.scanner {
-                            scanner.scan(&bytes);
-                        }
-                        self.pending = Some(bytes);
-                    }
-                },
+                Ok(Ok(None)) => {
+                    return match self.buffer.check_end() {
+                        Ok(()) => RelayStep::End,
+                        Err(truncated) => RelayStep::Broken(truncated.to_string()),
+                    };
+                }
+                Ok(Ok(Some(bytes))) => self.buffer.push(bytes),
             }
         }
     }
 
-    fn is_event_too_long(&self) -> bool {
-        let partial_bytes = self.splitter.as_ref().map(EventSplitter::partial_bytes);
-        partial_bytes.is_some_and(|bytes| bytes > EVENT_MAX_BYTES)
-    }
-
     /// Returns the time until the request's deadline, and until the stream counts as stalled.
     fn time_left(&self) -> (Duration, Duration) {
         let now = self.gateway.now();
         let remaining = self.routed.remaining(now);
-        let stalls_in = if self.splitter.is_some() {
+        let stalls_in = if self.buffer.is_resumable() {
             (self.last_event_at + STALL_TIMEOUT).saturating_sub(now)
         } else {
             remaining
@@ -372,46 +317,24 @@
             && has_alternative(&self.gateway, &self.routed, &self.progress)
     }
 
-    fn at_end(&self) -> RelayStep {
-        if self.position() == StreamPosition::WithinEvent {
-            return RelayStep::Broken("the stream ended within an event".to_owned());
-        }
-        RelayStep::End
-    }
-
-    /// Takes the bytes that can be passed on: all complete events of a resumable stream, or
-    /// whatever another stream has delivered.
+    /// Takes the bytes that can be passed on.
     fn take_ready(&mut self) -> Option<Bytes> {
-        let Some(splitter) = &mut self.splitter else {
-            return self.pending.take();
-        };
-        let previous_event_id = self.last_event_id;
-        let first = splitter.next_event()?;
-        self.last_event_id = first.id.or(self.last_event_id);
-        let mut bytes = first.bytes;
-        if let Some(second) = splitter.next_event() {
-            let mut joined = BytesMut::from(bytes.as_ref());
-            let mut next = Some(second);
-            while let Some(event) = next {
-                joined.extend_from_slice(&event.bytes);
-                self.last_event_id = event.id.or(self.last_event_id);
-                next = splitter.next_event();
-            }
-            bytes = joined.freeze();
-        }
-        if self.last_event_id != previous_event_id {
+        let ready = self.buffer.take_ready()?;
+        let last_event_id = ready.last_event_id.or(self.last_event_id);
+        if last_event_id != self.last_event_id {
             // Comments carry no identifier and do not count as progress.
             self.last_event_at = self.gateway.now();
         }
-        Some(bytes)
+        self.last_event_id = last_event_id;
+        Some(ready.bytes)
     }
 
     /// Resumes the stream at another server, and returns whether that succeeded.
     async fn resume(&mut self) -> bool {
-        if self.splitter.is_none() {
+        if !self.buffer.is_resumable() {
             return false;
         }
-        self.splitter = Some(EventSplitter::default());
+        self.buffer.restart();
         let mut error = AttemptError::OutcomeUnknown("the stream broke".to_owned());
         loop {
             let decision =
