Take an answer without length that ends before it begins for broken off

Callers saw: status 200 and an empty, complete body, also where another server could have answered.

A server that sends a head without a length or chunks and whose connection then ends has delivered nothing; the gateway passed an empty body on with a length.

Evidence: an_answer_that_ends_before_it_begins_is_not_delivered_as_empty failed with status 200 for /query/1 where 502 is due.

Change: an event stream in which nothing but the end of the connection marks the end is broken before its first event, also when it was resumed, and so is a success with an empty body that is read as a whole. The attempt fails with an unknown outcome: it is retried where the request may be repeated, otherwise the caller gets 502. An empty answer that states its length stays complete.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -34,6 +34,7 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Incoming,
+    pub(crate) framing: Framing,
     /// Idle timeout that the server states in `Keep-Alive`.
     peer_idle_timeout: Option<Duration>,
     connection: Connection,
@@ -307,6 +308,7 @@
         }
         let exchange = Exchange {
             status: head.status,
+            framing,
             peer_idle_timeout: peer_idle_timeout(&head.headers),
             headers: head.headers,
             body,
--- a/crates/gateway/src/dispatch/buffered.rs
+++ b/crates/gateway/src/dispatch/buffered.rs
@@ -8,6 +8,7 @@
 use crate::answer::{AnswerBody, failure_answer, full_body};
 use crate::body_memory::BodyMemory;
 use crate::connection::describe;
+use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::retry::AttemptError;
 use anvilgw_core::Failure;
@@ -123,6 +124,14 @@
         }
     };
     let status = exchange.status;
+    // A success without a length or chunks whose connection ends before the body begins was broken
+    // off: a server that has nothing to send states so.
+    if body.is_empty() && status.is_success() && exchange.framing == Framing::ConnectionEnd {
+        exchange.close_broken();
+        return Err(AttemptError::OutcomeUnknown(
+            "the answer ended before its body".to_owned(),
+        ));
+    }
     let headers = std::mem::take(&mut exchange.headers);
     exchange.complete(gateway, !status.is_server_error());
     Ok(BufferedAnswer {
--- a/crates/gateway/src/dispatch/stream.rs
+++ b/crates/gateway/src/dispatch/stream.rs
@@ -141,7 +141,7 @@
             return Ok(OpenedStream { exchange, buffer });
         }
         Ok(Ok(None)) => buffer
-            .check_end()
+            .check_end(exchange.framing)
             .map_err(|truncated| truncated.to_string()),
         Ok(Err(reason)) => Err(reason),
         Err(_) => {
@@ -283,7 +283,7 @@
                 Err(_) => {}
                 Ok(Err(reason)) => return RelayStep::Broken(reason),
                 Ok(Ok(None)) => {
-                    return match self.buffer.check_end() {
+                    return match self.buffer.check_end(exchange.framing) {
                         Ok(()) => RelayStep::End,
                         Err(truncated) => RelayStep::Broken(truncated.to_string()),
                     };
--- a/crates/gateway/src/dispatch/stream_buffer.rs
+++ b/crates/gateway/src/dispatch/stream_buffer.rs
@@ -1,5 +1,6 @@
 //! The bytes of a stream between their arrival and their delivery to the client.
 
+use crate::framing::Framing;
 use crate::log::StreamPosition;
 use crate::sse::{EventScanner, EventSplitter};
 use bytes::{Bytes, BytesMut};
@@ -18,6 +19,10 @@
         WithinEvent {
             display("the stream ended within an event")
         }
+        /// Its connection ended before the first event, and nothing else marks its end.
+        BeforeFirstEvent {
+            display("the stream ended before its first event")
+        }
     }
 }
 
@@ -132,11 +137,18 @@
     ///
     /// Returns how the stream is truncated. A connection that ends between two events looks like
     /// the end of the stream and is not an error.
-    pub(super) fn check_end(&self) -> Result<(), TruncatedStream> {
-        if self.position() == StreamPosition::WithinEvent {
-            return Err(TruncatedStream::WithinEvent);
+    pub(super) fn check_end(&self, framing: Framing) -> Result<(), TruncatedStream> {
+        let has_events = match &self.content {
+            Content::WholeEvents(_) => true,
+            Content::Bytes { scanner, .. } => scanner.is_some(),
+        };
+        match self.position() {
+            StreamPosition::WithinEvent => Err(TruncatedStream::WithinEvent),
+            StreamPosition::BeforeFirstEvent if has_events && framing == Framing::ConnectionEnd => {
+                Err(TruncatedStream::BeforeFirstEvent)
+            }
+            StreamPosition::BeforeFirstEvent | StreamPosition::BetweenEvents => Ok(()),
         }
-        Ok(())
     }
 }
 
