Split events at any line end

Callers saw: a whole stream that can be resumed, with lines that end with CR, was broken off, since none of its events was found to end; lines that mix LF and CRLF joined events, and a second empty line after the last event counted as a part of an event.

Cause: only LF LF and CRLF CRLF ended an event.

Change: EventSplitter uses EventScanner, which takes LF, CR and CRLF. An LF that arrives after the CR that ended the last event is passed on at the end.

--- a/crates/gateway/src/dispatch/stream.rs
+++ b/crates/gateway/src/dispatch/stream.rs
@@ -284,7 +284,10 @@
                 Ok(Err(reason)) => return RelayStep::Broken(reason),
                 Ok(Ok(None)) => {
                     return match self.buffer.check_end(exchange.framing) {
-                        Ok(()) => RelayStep::End,
+                        Ok(()) => self
+                            .buffer
+                            .take_rest()
+                            .map_or(RelayStep::End, RelayStep::Pass),
                         Err(truncated) => RelayStep::Broken(truncated.to_string()),
                     };
                 }
--- a/crates/gateway/src/dispatch/stream_buffer.rs
+++ b/crates/gateway/src/dispatch/stream_buffer.rs
@@ -106,6 +106,14 @@
         }
     }
 
+    /// Takes the bytes that are left after the last event of a complete stream.
+    pub(super) fn take_rest(&mut self) -> Option<Bytes> {
+        let Content::WholeEvents(splitter) = &mut self.content else {
+            return None;
+        };
+        Some(splitter.take_rest()).filter(|rest| !rest.is_empty())
+    }
+
     /// Returns the number of bytes of the event that was received in part, if they are kept.
     pub(super) fn partial_bytes(&self) -> usize {
         match &self.content {
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -88,6 +88,7 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    scanner: EventScanner,
     /// Number of bytes at the start of the buffer in which no event ends.
     scanned_bytes: usize,
 }
@@ -100,13 +101,13 @@
 
     /// Removes and returns the next complete event, or `None` until more bytes arrive.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let Some(end) = event_end(&self.buffer, self.scanned_bytes) else {
-            // The last three bytes may be the beginning of the longest separator, `\r\n\r\n`.
-            self.scanned_bytes = self.buffer.len().saturating_sub(3);
+        let Some(end) = self.scanner.next_end(&self.buffer[self.scanned_bytes..]) else {
+            self.scanned_bytes = self.buffer.len();
             return None;
         };
+        let event_bytes = self.scanned_bytes + end;
         self.scanned_bytes = 0;
-        let bytes = self.buffer.split_to(end).freeze();
+        let bytes = self.buffer.split_to(event_bytes).freeze();
         let id = event_id(&bytes);
         Some(StreamEvent { bytes, id })
     }
@@ -117,26 +118,23 @@
         self.buffer.len()
     }
 
-    /// Returns whether bytes of an incomplete event are left.
+    /// Returns whether the last event is incomplete, once [`Self::next_event`] has returned `None`.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
-        !self.buffer.is_empty()
+        !self.scanner.is_between_events()
     }
-}
 
-fn event_end(buffer: &[u8], from: usize) -> Option<usize> {
-    (from..buffer.len()).find_map(|at| {
-        let rest = &buffer[at..];
-        if rest.starts_with(b"\n\n") {
-            return Some(at + 2);
-        }
-        rest.starts_with(b"\r\n\r\n").then_some(at + 4)
-    })
+    /// Removes and returns the bytes after the last complete event: none, a part of an event, or
+    /// the LF of a line end whose CR ended the event.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.scanned_bytes = 0;
+        self.buffer.split().freeze()
+    }
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
     event
-        .split(|byte| *byte == b'\n')
+        .split(|byte| matches!(byte, b'\n' | b'\r'))
         .find_map(|line| line.strip_prefix(b"id:"))
         .and_then(|value| std::str::from_utf8(value).ok())
         .and_then(|value| value.trim().parse().ok())
--- a/crates/gateway/tests/components.rs
+++ b/crates/gateway/tests/components.rs
@@ -136,28 +136,67 @@
     assert_eq!(name(""), None);
 }
 
+/// What a splitter made of a stream that arrived in chunks.
+struct SplitStream {
+    splitter: EventSplitter,
+    ids: Vec<Option<u64>>,
+    passed: Vec<u8>,
+}
+
+fn split(stream: &[u8], chunk_bytes: usize) -> SplitStream {
+    let mut split = SplitStream {
+        splitter: EventSplitter::default(),
+        ids: Vec::new(),
+        passed: Vec::new(),
+    };
+    for chunk in stream.chunks(chunk_bytes) {
+        split.splitter.push(chunk);
+        while let Some(event) = split.splitter.next_event() {
+            split.ids.push(event.id);
+            split.passed.extend_from_slice(&event.bytes);
+        }
+    }
+    split
+}
+
 /// Guards against events that are passed on in part, lost or duplicated, depending on how their
 /// bytes are divided into chunks.
 #[test]
 fn event_splitting_does_not_depend_on_chunk_boundaries() {
     let stream = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 30\ndata: c\n\nid: 31\nda";
     for chunk_bytes in 1..stream.len() {
-        let mut splitter = EventSplitter::default();
-        let mut ids = Vec::new();
-        let mut passed = Vec::new();
-        for chunk in stream.chunks(chunk_bytes) {
-            splitter.push(chunk);
-            while let Some(event) = splitter.next_event() {
-                ids.push(event.id);
-                passed.extend_from_slice(&event.bytes);
-            }
-        }
+        let SplitStream {
+            splitter,
+            ids,
+            passed,
+        } = split(stream, chunk_bytes);
         assert_eq!(ids, [Some(1), Some(2), Some(30)], "chunks of {chunk_bytes}");
         assert!(stream.starts_with(&passed), "chunks of {chunk_bytes}");
         assert!(splitter.has_partial_event(), "chunks of {chunk_bytes}");
     }
 }
 
+/// Guards against whole streams that are changed or taken for truncated ones because their lines
+/// end with CR or CRLF.
+#[test]
+fn event_splitting_keeps_whole_streams_with_any_line_end() {
+    let lf = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    for stream in [
+        lf.to_owned(),
+        lf.replace('\n', "\r\n"),
+        lf.replace('\n', "\r"),
+    ] {
+        for chunk_bytes in 1..stream.len() {
+            let mut split = split(stream.as_bytes(), chunk_bytes);
+            let case = format!("{stream:?} in chunks of {chunk_bytes}");
+            assert_eq!(split.ids, [Some(1), Some(2)], "{case}");
+            assert!(!split.splitter.has_partial_event(), "{case}");
+            split.passed.extend_from_slice(&split.splitter.take_rest());
+            assert_eq!(split.passed, stream.as_bytes(), "{case}");
+        }
+    }
+}
+
 /// Guards against a stream that ends within an event and is taken for a complete one, and the
 /// reverse, for each way to end a line and however its bytes are divided into pieces.
 #[test]
