Send what a broken stream has delivered before its connection is closed

Callers saw: a connection that was closed without any answer although events had arrived, if the server's last bytes and the break came together.

Cause: hyper drops the bytes that it has not written yet when a body fails. It writes them when the body has to wait, which a stream that breaks in the same poll never does. Found with an answer that has a length and ends within an event.

Change: the body waits once before it fails.

--- a/crates/gateway/src/dispatch/stream.rs
+++ b/crates/gateway/src/dispatch/stream.rs
@@ -25,6 +25,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 /// Time without an event after which a resumable stream is resumed at another server. Clients
@@ -221,7 +222,12 @@
             match relay.next().await {
                 Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
                 Ok(None) => None,
-                Err(error) => Some((Err(error), None)),
+                Err(error) => {
+                    // hyper discards what it has not sent yet when a body fails, but sends it when
+                    // the body has to wait.
+                    yield_now().await;
+                    Some((Err(error), None))
+                }
             }
         });
         Box::pin(StreamBody::new(Box::pin(frames)))
--- /dev/null
+++ b/crates/gateway/src/listeners/client_socket.rs
@@ -0,0 +1,107 @@
+//! The socket of a client's connection, which is reset if an answer breaks off whose end is only
+//! marked by the end of the connection.
+
+use socket2::SockRef;
+use std::cell::Cell;
+use std::io::{IoSlice, Result};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Tells the socket of a connection that the end of the connection is the end of its last answer.
+#[derive(Clone, Debug, Default)]
+pub(super) struct EndOfAnswer {
+    is_end_of_connection: Rc<Cell<bool>>,
+}
+
+impl EndOfAnswer {
+    /// Makes the connection end with a reset unless it is shut down, which happens after the last
+    /// byte of the answer.
+    pub(super) fn set_end_of_connection(&self) {
+        self.is_end_of_connection.set(true);
+    }
+
+    /// Returns whether the connection would end with a reset now.
+    pub(super) fn is_end_of_connection(&self) -> bool {
+        self.is_end_of_connection.get()
+    }
+}
+
+/// Socket of a client.
+#[derive(Debug)]
+pub(super) struct ClientSocket {
+    stream: TcpStream,
+    end_of_answer: EndOfAnswer,
+    is_reset_on_close: bool,
+}
+
+impl ClientSocket {
+    pub(super) fn new(stream: TcpStream, end_of_answer: EndOfAnswer) -> Self {
+        Self {
+            stream,
+            end_of_answer,
+            is_reset_on_close: false,
+        }
+    }
+
+    /// Applies [`EndOfAnswer`] before the first bytes of the answer are sent. The kernel then resets
+    /// the connection also if this process is killed.
+    fn prepare_write(&mut self) -> Result<()> {
+        if self.is_reset_on_close || !self.end_of_answer.is_end_of_connection() {
+            return Ok(());
+        }
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))?;
+        self.is_reset_on_close = true;
+        Ok(())
+    }
+}
+
+impl AsyncRead for ClientSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for ClientSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize>> {
+        self.prepare_write()?;
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        self.prepare_write()?;
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        if self.is_reset_on_close {
+            SockRef::from(&self.stream).set_linger(None)?;
+            self.is_reset_on_close = false;
+            self.end_of_answer.is_end_of_connection.set(false);
+        }
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
