Reset the connection when a stream breaks off in HTTP/1.0

Callers of HTTP/1.0 saw: a broken stream that ended like a whole one. Without chunks the end of the connection is the end of the answer.

The gateway closed the connection of a broken stream, which tells a caller of HTTP/1.1 by the missing last chunk, and a caller of HTTP/1.0 nothing.

Evidence: a_broken_stream_ends_with_a_reset_in_http_1_0 failed with a connection that was closed after a part of an event.

Change: before the first byte of an answer that only the end of the connection ends, the socket is set to be reset when it is closed, so also if the process ends; the shutdown after the last byte takes that back. A broken answer is reset 100 ms after its last bytes, since a reset discards what was not read yet: without the delay, the head did not arrive in the test.

--- a/crates/gateway/src/listeners/clients.rs
+++ b/crates/gateway/src/listeners/clients.rs
@@ -1,5 +1,6 @@
 //! Serves the connections and requests of clients.
 
+use super::client_socket::{ClientSocket, EndOfAnswer};
 use super::request_checks::{RequestContext, check_request};
 use crate::answer::{AnswerBody, failure_answer};
 use crate::body_memory::BodyReservation;
@@ -12,7 +13,7 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::request::Parts;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, Version};
 use http_body::Body;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -33,6 +34,9 @@
 /// Idle connections are closed this long after the idle timeout, so that a client that honors the
 /// timeout does not send a request while the connection is being closed.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Time between the last bytes of a broken answer and the reset of its connection. A reset discards
+/// what the client has not read yet.
+const RESET_DELAY: Duration = Duration::from_millis(100);
 /// Smallest read buffer that hyper allows.
 const READ_BUFFER_MIN_BYTES: usize = 8 * 1024;
 
@@ -112,17 +116,21 @@
         .as_ref()
         .map(|configuration| configuration.limits)
         .unwrap_or_default();
+    let end_of_answer = EndOfAnswer::default();
+    let socket = ClientSocket::new(stream, end_of_answer.clone());
     let service_gateway = Rc::clone(&gateway);
+    let service_end_of_answer = end_of_answer.clone();
     let service = service_fn(move |request| {
         let gateway = Rc::clone(&service_gateway);
-        async move { Ok::<_, Infallible>(serve_request(&gateway, request).await) }
+        let end_of_answer = service_end_of_answer.clone();
+        async move { Ok::<_, Infallible>(serve_request(&gateway, request, &end_of_answer).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper has a single timeout for idle connections and for heads that arrive slowly.
         .header_read_timeout(limits.idle_timeout.max(limits.read_timeout) + IDLE_MARGIN)
         .max_buf_size(limits.header_max_bytes.max(READ_BUFFER_MIN_BYTES) * 2)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     let mut connection = pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
@@ -132,6 +140,10 @@
         }
     };
     if let Err(error) = result {
+        if end_of_answer.is_end_of_connection() {
+            // The socket is closed with `connection`.
+            sleep(RESET_DELAY).await;
+        }
         gateway.metrics.count("client_connections_broken");
         if error.is_parse() {
             gateway.log_notable(&Event::Request(RequestLine {
@@ -143,11 +155,19 @@
     }
 }
 
-async fn serve_request(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+async fn serve_request(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+    end_of_answer: &EndOfAnswer,
+) -> Response<AnswerBody> {
+    let has_chunks = request.version() >= Version::HTTP_11;
     // A request with both a length and chunks ends where its chunks end. The bytes after it may
     // have been meant as its body, so they must not be read as another request (request smuggling).
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let mut response = answer_request(gateway, request).await;
+    if !has_chunks && response.body().size_hint().exact().is_none() {
+        end_of_answer.set_end_of_connection();
+    }
     let is_error = response.status().is_client_error() || response.status().is_server_error();
     let is_configuration_current = gateway
         .state
--- a/crates/gateway/src/listeners/mod.rs
+++ b/crates/gateway/src/listeners/mod.rs
@@ -1,5 +1,6 @@
 //! Listeners for clients, readiness checks, metrics and reads of other daemons.
 
+mod client_socket;
 mod clients;
 mod internal;
 mod peer_reads;
