Bound what a reply of an issuer counts

A datagram can state any number of permits and any pause, and datagrams between daemons are not authenticated. The receiver took up to 2^32 permits, which two replies overflow, and paused requests to a server for up to 49 days.

The holder keeps no more permits than an issuer grants in the time for which they are valid, and no pause longer than twice the issuer's longest.

--- a/crates/gateway/src/permit_client.rs
+++ b/crates/gateway/src/permit_client.rs
@@ -223,7 +223,7 @@
     let Some(holder) = target.holder(state) else {
         return false;
     };
-    holder.on_outcome(outcome, now);
+    holder.on_outcome(outcome, limit, now);
     holder.take_for(purpose, limit, share, now)
 }
 
--- a/crates/gateway/src/permits/holder.rs
+++ b/crates/gateway/src/permits/holder.rs
@@ -1,6 +1,6 @@
 //! Permits that this daemon holds for one server.
 
-use super::issuer::CONTROL_DEBT;
+use super::issuer::{BATCH_TIME, BURST, CONTROL_DEBT, PAUSE_MAX};
 use super::message::PermitPurpose;
 use crate::request_limit::RequestRate;
 use crate::share_budget::ShareBudget;
@@ -10,6 +10,9 @@
 const VALID_FOR: Duration = Duration::from_millis(200);
 /// Time for which an issuer that did not answer is not asked again.
 const SILENT_ISSUER_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause that is kept. The pause of an issuer is shorter, also with this daemon's jitter;
+/// a longer one comes from a damaged or forged datagram.
+const KEPT_PAUSE_MAX: Duration = PAUSE_MAX.saturating_mul(2);
 
 /// Whether a request may be sent to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,11 +98,15 @@
         own_share.is_some_and(|budget| budget.take_ahead(wanted, debt, limit.per_s(), share, now))
     }
 
-    /// Applies the outcome of a request for permits.
-    pub fn on_outcome(&mut self, outcome: PermitOutcome, now: Duration) {
+    /// Applies the outcome of a request for permits for a server that takes `limit` from all daemons
+    /// together. The reply is bounded by what an issuer can grant and ask for.
+    pub fn on_outcome(&mut self, outcome: PermitOutcome, limit: RequestRate, now: Duration) {
         match outcome {
-            PermitOutcome::Granted(permits) => self.on_granted(permits, now),
-            PermitOutcome::Denied(pause) => self.paused_until = self.paused_until.max(now + pause),
+            PermitOutcome::Granted(permits) => self.on_granted(permits, limit, now),
+            PermitOutcome::Denied(pause) => {
+                let pause_end = now + pause.min(KEPT_PAUSE_MAX);
+                self.paused_until = self.paused_until.max(pause_end);
+            }
             PermitOutcome::NoAnswer => self.silent_until = now + SILENT_ISSUER_PAUSE,
         }
         self.own_share = match outcome {
@@ -108,11 +115,18 @@
         };
     }
 
-    fn on_granted(&mut self, permits: u32, now: Duration) {
+    fn on_granted(&mut self, permits: u32, limit: RequestRate, now: Duration) {
         if now >= self.valid_until {
             self.permits = 0;
         }
-        self.permits += permits;
+        let permits = self.permits.saturating_add(permits);
+        self.permits = permits.min(held_permits_max(limit));
         self.valid_until = now + VALID_FOR;
     }
 }
+
+/// Returns the most permits that an issuer grants within [`VALID_FOR`].
+fn held_permits_max(limit: RequestRate) -> u32 {
+    let refilled = limit.per_s() * (BATCH_TIME + VALID_FOR).as_secs_f64();
+    (BURST + CONTROL_DEBT + refilled).ceil() as u32
+}
--- a/crates/gateway/src/permits/issuer.rs
+++ b/crates/gateway/src/permits/issuer.rs
@@ -12,10 +12,10 @@
 /// half.
 const FRACTION_UNSETTLED: f64 = 0.7;
 /// Permits that can accumulate, besides those of [`BATCH_TIME`].
-const BURST: f64 = 2.0;
+pub(super) const BURST: f64 = 2.0;
 /// Time for which permits are issued together to one daemon, so that a high rate does not cost a
 /// message for each request.
-const BATCH_TIME: Duration = Duration::from_millis(100);
+pub(super) const BATCH_TIME: Duration = Duration::from_millis(100);
 /// Number of permits for control calls that are issued ahead of time.
 pub(super) const CONTROL_DEBT: f64 = 2.0;
 /// Requests for permits that the issuer aims to deny for each one that it grants. With fewer, a
@@ -23,7 +23,7 @@
 const DENIALS_PER_GRANT: f64 = 2.0;
 /// Limits of the pause after a denial.
 const PAUSE_MIN: Duration = Duration::from_millis(20);
-const PAUSE_MAX: Duration = Duration::from_secs(5);
+pub(super) const PAUSE_MAX: Duration = Duration::from_secs(5);
 /// Time without a request for permits after which the state of a server is dropped.
 const IDLE_MAX: Duration = Duration::from_secs(60);
 
--- a/crates/gateway/tests/limits/permits.rs
+++ b/crates/gateway/tests/limits/permits.rs
@@ -188,7 +188,7 @@
         let mut holder = PermitHolder::default();
         for step in steps {
             match step {
-                Outcome(outcome, ms) => holder.on_outcome(*outcome, at(*ms)),
+                Outcome(outcome, ms) => holder.on_outcome(*outcome, limit, at(*ms)),
                 Take(ms) => assert!(holder.take(limit, SHARE, at(*ms)), "{name}"),
             }
         }
@@ -196,13 +196,37 @@
     }
 }
 
+/// Guards against a damaged or forged reply of an issuer that lets this daemon send without limit,
+/// stops it from sending to a server for weeks, or ends it with an overflow.
+#[test]
+fn a_reply_counts_no_more_than_an_issuer_can_give() {
+    let limit = rate(15.0);
+    let mut holder = PermitHolder::default();
+    for _ in 0..2 {
+        holder.on_outcome(Granted(u32::MAX), limit, at(0));
+    }
+    let taken = (0..1_000).take_while(|_| holder.take(limit, SHARE, at(10)));
+    let taken = taken.count();
+    // Two permits that can accumulate, two issued ahead of time, and 0.3 s of the rate.
+    assert_eq!(taken, 9);
+
+    let mut holder = PermitHolder::default();
+    let pause = Duration::from_millis(u64::from(u32::MAX));
+    holder.on_outcome(Denied(pause), limit, at(0));
+    assert_eq!(
+        holder.state(limit, SHARE, at(0)),
+        PermitState::Paused(at(10_000))
+    );
+    assert_eq!(holder.state(limit, SHARE, at(10_000)), PermitState::MustAsk);
+}
+
 /// Guards against an order that is never sent while the issuer does not answer: it takes two calls,
 /// and a daemon's share never amounts to two permits.
 #[test]
 fn an_order_needs_no_issuer() {
     let limit = rate(2.5);
     let mut holder = PermitHolder::default();
-    holder.on_outcome(NoAnswer, at(0));
+    holder.on_outcome(NoAnswer, limit, at(0));
     let mut take = |purpose| holder.take_for(purpose, limit, SHARE, at(10));
     assert!(!take(PermitPurpose::Request));
     assert!(take(PermitPurpose::Control { calls: 2 }));
--- a/crates/gateway/tests/limits/simulation.rs
+++ b/crates/gateway/tests/limits/simulation.rs
@@ -378,7 +378,7 @@
         let share = 1.0 / self.members.len() as f64;
         let servers = &mut self.daemons[pending.daemon].servers;
         let server = servers.get_mut(pending.server).expect("server");
-        server.permits.on_outcome(outcome, self.now);
+        server.permits.on_outcome(outcome, pending.limit, self.now);
         if server.permits.take(pending.limit, share, self.now) {
             self.send(pending.daemon, pending.server);
         } else {
--- a/crates/gateway/tests/servers/entries.rs
+++ b/crates/gateway/tests/servers/entries.rs
@@ -159,7 +159,9 @@
         return true;
     };
     let server = servers.get_mut(selected.server).expect("server");
-    server.permits.on_outcome(PermitOutcome::NoAnswer, now);
+    server
+        .permits
+        .on_outcome(PermitOutcome::NoAnswer, limit, now);
     server.permits.take(limit, SHARE, now)
 }
 
