Count orders and their questions in the requests logged under a limit

docs/OPERATIONS.md says that the sum of sent in the request_limit lines is what a server's limit is compared with, but sent counted only forwarded requests: in the test of orders, 0 of 9 calls were logged.

--- a/crates/gateway/src/background_tasks/weight_switches.rs
+++ b/crates/gateway/src/background_tasks/weight_switches.rs
@@ -11,7 +11,7 @@
 use crate::ports::{
     AppendOutcome, OrderAnswer, OrderError, ServerReport, StoreError, Topic, WeightOrder,
 };
-use crate::server::ServerEntry;
+use crate::server::{ServerEntry, ServerKey};
 use crate::server_notices::on_server_notice;
 use crate::topic_reader::TopicReader;
 use crate::weights::{OutdatedServer, SentOrder, is_backing_off, next_orders, outdated_servers};
@@ -408,6 +408,7 @@
             sent_at: now,
             poll_at: now + FIRST_POLL_DELAY,
         });
+        self.count_control_call(outdated.server);
         let answer = self
             .gateway
             .ports
@@ -417,6 +418,13 @@
         self.on_order_answer(&outdated, &entry, &order, &answer);
     }
 
+    /// Counts a call to a server for the log of the requests under its limit.
+    fn count_control_call(&self, key: ServerKey) {
+        if let Some(server) = self.gateway.state.borrow_mut().servers.get_mut(key) {
+            server.on_control_call_sent();
+        }
+    }
+
     /// Fetches the report of a server, and returns it if the server can be ordered now: it holds
     /// older weights and is not busy.
     async fn fetch_report(
@@ -424,6 +432,7 @@
         outdated: &OutdatedServer,
         entry: &ServerEntry,
     ) -> Option<ServerReport> {
+        self.count_control_call(outdated.server);
         match self.gateway.ports.order_client.report(entry).await {
             Ok(report) => {
                 on_server_notice(&self.gateway, outdated.server, report.notice);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -320,6 +320,12 @@
         self.breaker.on_request_sent(now);
     }
 
+    /// Records that an order, or a question for its progress, is sent to the server. It occupies
+    /// nothing there.
+    pub fn on_control_call_sent(&mut self) {
+        self.sent_since_logged += 1;
+    }
+
     /// Records that a request sent with the same number of `tokens` has ended, whatever its
     /// outcome.
     pub fn on_request_ended(&mut self, tokens: u64) {
