Build the query of the selection in one place

The fixture of the server tests, the simulation of the limits and the test of the deployments each filled in every field of a query, so that a new field had to be added in four places. Query::new has the values of a plain first attempt, and the tests state only what they vary. No change of behaviour; the tests of the gateway pass.

--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -51,6 +51,22 @@
     pub may_ask_permits: bool,
 }
 
+impl<'a> Query<'a> {
+    /// Creates the query of a first attempt of a request without a prompt, by a daemon without a
+    /// fleet.
+    #[must_use]
+    pub fn new(service: &'a Service, region_constraints: RegionConstraints<'a>) -> Self {
+        Self {
+            service,
+            region_constraints,
+            prompt: None,
+            tried: &[],
+            share: 1.0,
+            may_ask_permits: true,
+        }
+    }
+}
+
 /// Inputs to the selection for a generation: its prompt, the caches, engine load and weights.
 #[derive(Clone, Copy, Debug)]
 pub struct PromptQuery<'a> {
--- a/crates/gateway/tests/deployments.rs
+++ b/crates/gateway/tests/deployments.rs
@@ -184,17 +184,15 @@
             is_configuration_current: true,
             are_switches_current: true,
         });
+        let constraints = RegionConstraints {
+            regions: &regions,
+            route: &[],
+            workspace: &[],
+        };
         let query = Query {
-            service: &service,
-            region_constraints: RegionConstraints {
-                regions: &regions,
-                route: &[],
-                workspace: &[],
-            },
             prompt,
-            tried: &[],
             share: 1.0 / f64::from(self.daemons),
-            may_ask_permits: true,
+            ..Query::new(&service, constraints)
         };
         let mut rng = SmallRng::seed_from_u64(7);
         select(servers, &query, NOW, &mut rng).ok()
--- a/crates/gateway/tests/limits/simulation.rs
+++ b/crates/gateway/tests/limits/simulation.rs
@@ -307,17 +307,15 @@
         may_ask_permits: bool,
     ) -> Result<Selected, NoServer> {
         let regions = IndexMap::new();
+        let constraints = RegionConstraints {
+            regions: &regions,
+            route: &[],
+            workspace: &[],
+        };
         let query = Query {
-            service: &self.service,
-            region_constraints: RegionConstraints {
-                regions: &regions,
-                route: &[],
-                workspace: &[],
-            },
-            prompt: None,
-            tried: &[],
             share,
             may_ask_permits,
+            ..Query::new(&self.service, constraints)
         };
         let servers = &mut self.daemons[daemon].servers;
         select(servers, &query, self.now, &mut self.rng)
--- a/crates/gateway/tests/servers/fixture.rs
+++ b/crates/gateway/tests/servers/fixture.rs
@@ -119,16 +119,8 @@
     pub(crate) fn has_usable_besides(&mut self, tried: ServerKey, now: Duration) -> bool {
         let service = service(0.0);
         let query = Query {
-            service: &service,
-            region_constraints: RegionConstraints {
-                regions: &self.regions,
-                route: &self.confined_to,
-                workspace: &[],
-            },
-            prompt: None,
             tried: &[tried],
-            share: 1.0,
-            may_ask_permits: true,
+            ..Query::new(&service, constraints(&self.regions, &self.confined_to))
         };
         has_usable_server(&mut self.servers, &query, now)
     }
@@ -145,12 +137,7 @@
     ) -> Result<Selected, NoServer> {
         let service = service(0.0);
         let query = Query {
-            service: &service,
-            region_constraints: RegionConstraints {
-                regions: &self.regions,
-                route: &self.confined_to,
-                workspace: &[],
-            },
+            share: SHARE,
             prompt: Some(PromptQuery {
                 prompt,
                 caches: &self.caches,
@@ -168,9 +155,7 @@
                 is_configuration_current: true,
                 are_switches_current: self.published_weights.is_some(),
             }),
-            tried: &[],
-            share: 0.1,
-            may_ask_permits: true,
+            ..Query::new(&service, constraints(&self.regions, &self.confined_to))
         };
         select(&mut self.servers, &query, now, &mut rng())
     }
@@ -181,6 +166,18 @@
     }
 }
 
+/// Returns constraints of a route, without any of a workspace.
+fn constraints<'a>(
+    regions: &'a IndexMap<String, String>,
+    route: &'a [String],
+) -> RegionConstraints<'a> {
+    RegionConstraints {
+        regions,
+        route,
+        workspace: &[],
+    }
+}
+
 /// Share of the fleet of the daemon that selects.
 pub(crate) const SHARE: f64 = 0.1;
 
@@ -192,16 +189,8 @@
 ) -> Result<Selected, NoServer> {
     let regions = IndexMap::new();
     let query = Query {
-        service,
-        region_constraints: RegionConstraints {
-            regions: &regions,
-            route: &[],
-            workspace: &[],
-        },
-        prompt: None,
-        tried: &[],
         share: SHARE,
-        may_ask_permits: true,
+        ..Query::new(service, constraints(&regions, &[]))
     };
     select(servers, &query, now, &mut rng())
 }
