--- a/crates/platform/tests/all/engine_events.rs
+++ b/crates/platform/tests/all/engine_events.rs
@@ -2,7 +2,7 @@
 
 use crate::scripted::{http_answer, start_scripted, start_scripted_series};
 use crate::settings;
-use anvilgw_core::{AttemptId, RequestId};
+use anvilgw_core::{AttemptId, ErrorKind, Failure, RequestId, Stage};
 use anvilgw_platform::{DroppedEvents, EngineClient, EngineError, EngineEvent, EngineRequest};
 
 /// Step between the tested chunk sizes in bytes. Each size takes one connection.
@@ -194,3 +194,21 @@
         );
     }
 }
+
+/// Guards against an answer that its engine broke off and that is taken for complete, because the
+/// end of the connection is taken for the end of the answer. An engine has to state a length or
+/// send chunks, so an answer without either is refused also if nothing of it is missing.
+#[tokio::test]
+async fn an_answer_without_length_or_chunks_is_never_complete() {
+    let whole = [token(0), finish(1), done()].concat();
+    let within_event = whole.len() - 1;
+    let between_events = token(0).len();
+    for sent in [0, between_events, within_event, whole.len()] {
+        let answer = format!("HTTP/1.1 200 OK\r\n\r\n{}", &whole[..sent]);
+        let client = EngineClient::new(start_scripted(answer), settings());
+        let error = read(&client).await.expect_err("not complete");
+        let failure = Failure::from(error);
+        assert_eq!(failure.kind(), ErrorKind::AnswerBroken, "{sent} bytes");
+        assert_eq!(failure.stage(), Stage::AnswerStarted, "{sent} bytes");
+    }
+}
