--- a/crates/gateway/src/listeners/clients.rs
+++ b/crates/gateway/src/listeners/clients.rs
@@ -35,7 +35,7 @@
 /// timeout does not send a request while the connection is being closed.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 /// Time between the last bytes of a broken answer and the reset of its connection. A reset discards
-/// what the client has not read yet.
+/// the bytes that have not reached the client yet.
 const RESET_DELAY: Duration = Duration::from_millis(100);
 /// Smallest read buffer that hyper allows.
 const READ_BUFFER_MIN_BYTES: usize = 8 * 1024;
