Log the shared parts of the prompt with each failed attempt

Attempt lines name hashes of up to eight shared parts, the same in the logs of all daemons; explain prints them. No behaviour changes.

--- a/crates/cli/src/log_line.rs
+++ b/crates/cli/src/log_line.rs
@@ -26,6 +26,8 @@
     pub(crate) choice: Option<ChoiceFields>,
     pub(crate) ends_with_connection: bool,
     pub(crate) stream_position: String,
+    /// Hashes of the shared parts of the prompt.
+    pub(crate) parts: Vec<String>,
 }
 
 /// What the daemon knew about the backend server when it selected it.
--- a/crates/cli/src/request_log.rs
+++ b/crates/cli/src/request_log.rs
@@ -60,6 +60,9 @@
                 attempt.elapsed_ms
             );
             render_answer_end(&mut text, attempt);
+            if !attempt.parts.is_empty() {
+                let _ = writeln!(text, "  shared prompt parts: {}", attempt.parts.join(", "));
+            }
             render_choice(&mut text, attempt);
         }
         for end in &self.ends {
--- a/crates/cli/tests/cli/gateway.rs
+++ b/crates/cli/tests/cli/gateway.rs
@@ -15,7 +15,7 @@
 {"time_ms":7,"event":"request","request":"r2","status":502,"outcome":"answer_broken","reason":"the answer was cut","executed":"unknown","server":"s1","attempts":1,"elapsed_ms":8,"configuration":6,"configuration_age_ms":100}
 {"time_ms":8,"event":"dependency_lost","dependency":"metadata store, operators","reason":"no answer in time"}
 {"time_ms":9,"event":"request","request":"r3","status":503,"outcome":"stale_view","reason":"the copy of the configuration is too old","executed":"no","server":"","attempts":0,"elapsed_ms":0,"configuration":6,"configuration_age_ms":3600}
-{"time_ms":10,"event":"attempt","request":"r4","attempt":1,"server":"s1","reason":"the stream ended within an event","ends_with_connection":true,"stream_position":"within_event","elapsed_ms":8}
+{"time_ms":10,"event":"attempt","request":"r4","attempt":1,"server":"s1","reason":"the stream ended within an event","ends_with_connection":true,"stream_position":"within_event","parts":["00000000000000a1","00000000000000b2"],"elapsed_ms":8}
 {"time_ms":11,"event":"request","request":"r4","status":200,"outcome":"broken_off","reason":"the stream ended within an event","executed":"yes","server":"s1","attempts":1,"elapsed_ms":8}
 "#;
 
@@ -59,6 +59,11 @@
             request: "r4",
             expected: "answer without length or chunks\n  stream ended within event",
         },
+        ExplainCase {
+            name: "parts of the prompt",
+            request: "r4",
+            expected: "shared prompt parts: 00000000000000a1, 00000000000000b2",
+        },
     ];
     for case in cases {
         let output = anvilgw(&["explain", "--log", &log, case.request]);
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -5,7 +5,7 @@
 //! once there is room again.
 
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
-use serde::Serialize;
+use serde::{Serialize, Serializer};
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -185,6 +185,9 @@
         /// How the answer ends, if one was received.
         #[serde(flatten)]
         answer: AnswerFields,
+        /// Shared parts of the request's prompt.
+        #[serde(skip_serializing_if = "LoggedParts::is_empty")]
+        parts: LoggedParts<'a>,
         /// Time since the request arrived, in milliseconds.
         elapsed_ms: u64,
         /// What was known of the backend server when it was selected.
@@ -202,6 +205,27 @@
     },
 }
 
+/// Hashes of prompt parts, written as hexadecimal texts. The same part has the same hash in the logs
+/// of all daemons.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoggedParts<'a>(pub &'a [u64]);
+
+impl LoggedParts<'_> {
+    /// Maximum number of parts in a line.
+    const PARTS_MAX: usize = 8;
+
+    fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl Serialize for LoggedParts<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let parts = self.0.iter().take(Self::PARTS_MAX);
+        serializer.collect_seq(parts.map(|hash| format!("{hash:016x}")))
+    }
+}
+
 /// How far a stream of events was received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
