--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -88,6 +88,8 @@
     Overloaded => 503, "overloaded", RetryHint::AfterMs(1_000);
     /// No backend server in service can take the request.
     NoBackend => 503, "no_backend", RetryHint::AfterMs(1_000);
+    /// Backend servers ended under a part of the prompt, so prompts with it are not sent for now.
+    PromptQuarantined => 503, "prompt_quarantined", RetryHint::AfterMs(120_000);
     /// The daemon's view of the configuration is too old for it to accept new requests.
     StaleView => 503, "stale_view", RetryHint::AfterMs(500);
     /// The claim of a non-idempotent request cannot be written to the log service.
--- /dev/null
+++ b/crates/gateway/src/background_tasks/evidence.rs
@@ -0,0 +1,231 @@
+//! Exchanges evidence on prompt parts with the other daemons through the metadata store.
+
+use crate::dependency::Dependency;
+use crate::dispatch::encode_record;
+use crate::gateway::Gateway;
+use crate::log::Event;
+use crate::ports::{KeyedBytes, StoreError, Topic};
+use crate::server_ends::report_replaced;
+use crate::topic_reader::TopicReader;
+use anvilgw_quarantine::attribution::Scope;
+use anvilgw_quarantine::record::{KeyedRecord, Record, RecordKey};
+use anvilgw_quarantine::{PartKey, QuarantineChange};
+use rand::RngExt;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Time for which a read waits for records while there has been no report lately.
+const QUIET_WAIT: Duration = Duration::from_secs(2);
+/// The same after a report, when more are to be expected.
+const ACTIVE_WAIT: Duration = Duration::from_millis(400);
+/// Time after a report until the log counts as quiet.
+const ACTIVE_TIME: Duration = Duration::from_secs(30);
+/// Fraction of the wait for which the loop pauses if a read returned without records at once, as it
+/// does until the log has its first record.
+const EMPTY_PAUSE_FRACTION: f64 = 0.5;
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Longest pause between two rounds in which this daemon looks for something to tell.
+const QUIET_ROUND_PAUSE: Duration = Duration::from_secs(2);
+/// The same while answers broke off lately or there has been a report.
+const ACTIVE_ROUND_PAUSE: Duration = Duration::from_millis(250);
+/// Range of the delay before an append, in milliseconds. Reports of several ends go together, and
+/// daemons that know the same part to be sound do not all say so.
+const APPEND_DELAY_RANGE_MS: std::ops::Range<u64> = 20..100;
+
+/// Reads the fleet's evidence until the daemon ends.
+pub(crate) async fn follow(gateway: Rc<Gateway>) {
+    let mut dependency = Dependency::new("metadata store, evidence");
+    let clock = Arc::clone(&gateway.ports.clock);
+    let mut reader = TopicReader::new(Topic::Evidence, clock);
+    let mut last_report_at: Option<Duration> = None;
+    loop {
+        load_listing(&gateway, &mut dependency).await;
+        loop {
+            let from_offset = gateway.state.borrow().quarantine.table().next_offset();
+            let now = gateway.now();
+            let is_active = last_report_at.is_some_and(|at| now < at + ACTIVE_TIME);
+            let wait = if is_active { ACTIVE_WAIT } else { QUIET_WAIT };
+            match reader.read(&gateway, from_offset, wait).await {
+                Ok(read) => {
+                    dependency.on_answer(&gateway);
+                    let is_empty = read.records.is_empty();
+                    if !is_empty {
+                        last_report_at = Some(gateway.now());
+                    }
+                    apply(&gateway, &read.records, from_offset);
+                    let pause = wait.mul_f64(EMPTY_PAUSE_FRACTION);
+                    let elapsed = gateway.now().saturating_sub(now);
+                    if is_empty && elapsed < pause {
+                        sleep(pause - elapsed).await;
+                    }
+                }
+                Err(StoreError::Expired(_)) => break,
+                Err(error) => {
+                    dependency.on_failure(&gateway, &error.to_string());
+                    sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+/// Reads all records, and retries until the metadata store answers. The daemon does not wait for
+/// the first answer to become ready: without the evidence it can still serve.
+async fn load_listing(gateway: &Gateway, dependency: &mut Dependency) {
+    loop {
+        let result = gateway.ports.metadata_store.list_evidence().await;
+        let is_read = result.is_ok();
+        match result {
+            Ok(listing) => {
+                dependency.on_answer(gateway);
+                let records = listing.records.iter();
+                let records = records
+                    .filter_map(|(bytes, offset)| Some((decode_record(gateway, bytes)?, *offset)));
+                let records: Vec<(KeyedRecord, u64)> = records.collect();
+                let quarantine = &mut gateway.state.borrow_mut().quarantine;
+                quarantine.on_listing(records, listing.next_offset);
+            }
+            Err(error) => dependency.on_failure(gateway, &error.to_string()),
+        }
+        gateway.state.borrow_mut().has_asked_for_evidence = true;
+        if is_read {
+            return log_changes(gateway);
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+fn apply(gateway: &Gateway, records: &[bytes::Bytes], from_offset: u64) {
+    let store = &gateway.ports.metadata_store;
+    for (offset, record) in (from_offset..).zip(records) {
+        let bytes = store.decode_evidence(record.clone());
+        let decoded = bytes.and_then(|bytes| decode_record(gateway, &bytes));
+        let quarantine = &mut gateway.state.borrow_mut().quarantine;
+        if let Some(record) = decoded {
+            quarantine.on_record(record, offset);
+        }
+        quarantine.on_read(offset + 1);
+    }
+    if !records.is_empty() {
+        log_changes(gateway);
+        gateway.evidence_changed.notify_one();
+    }
+}
+
+/// Decodes a record. Records that cannot be decoded are logged and skipped.
+fn decode_record(gateway: &Gateway, bytes: &KeyedBytes) -> Option<KeyedRecord> {
+    let key: RecordKey = match bytes.key.parse() {
+        Ok(key) => key,
+        Err(error) => {
+            log_malformed(gateway, &bytes.key, &error);
+            return None;
+        }
+    };
+    if bytes.value.is_empty() {
+        return Some(KeyedRecord { key, record: None });
+    }
+    match Record::decode(key, &bytes.value) {
+        Ok(record) => Some(KeyedRecord {
+            key,
+            record: Some(record),
+        }),
+        Err(error) => {
+            log_malformed(gateway, &bytes.key, &error);
+            None
+        }
+    }
+}
+
+fn log_malformed(gateway: &Gateway, key: &str, error: &dyn std::error::Error) {
+    gateway.log_notable(&Event::RecordMalformed {
+        key,
+        reason: &error.to_string(),
+    });
+}
+
+/// Tells the other daemons what this one has seen, until the daemon ends.
+pub(crate) async fn publish(gateway: Rc<Gateway>) {
+    let mut dependency = Dependency::new("metadata store, reports of server ends");
+    loop {
+        tokio::select! {
+            () = gateway.evidence_changed.notified() => {}
+            () = sleep(round_pause(&gateway)) => {}
+        }
+        report_replaced(&gateway);
+        log_changes(&gateway);
+        let times = gateway.times();
+        if !gateway.state.borrow_mut().quarantine.has_outgoing(times) {
+            continue;
+        }
+        let delay_ms = {
+            let rng = &mut gateway.state.borrow_mut().rng;
+            rng.random_range(APPEND_DELAY_RANGE_MS)
+        };
+        sleep(Duration::from_millis(delay_ms)).await;
+        append_outgoing(&gateway, &mut dependency).await;
+    }
+}
+
+fn round_pause(gateway: &Gateway) -> Duration {
+    if gateway.state.borrow().pending_ends.is_empty() {
+        QUIET_ROUND_PAUSE
+    } else {
+        ACTIVE_ROUND_PAUSE
+    }
+}
+
+async fn append_outgoing(gateway: &Gateway, dependency: &mut Dependency) {
+    let times = gateway.times();
+    let outgoing = gateway.state.borrow_mut().quarantine.outgoing(times);
+    let encoded: Vec<KeyedBytes> = outgoing.iter().filter_map(encode_record).collect();
+    if encoded.is_empty() {
+        return;
+    }
+    let store = &gateway.ports.metadata_store;
+    match store.append_evidence(None, encoded).await {
+        Ok(_) => {
+            dependency.on_answer(gateway);
+            let quarantine = &mut gateway.state.borrow_mut().quarantine;
+            quarantine.on_appended(&outgoing);
+        }
+        Err(error) => {
+            dependency.on_failure(gateway, &error.to_string());
+            sleep(RETRY_PAUSE).await;
+            gateway.evidence_changed.notify_one();
+        }
+    }
+}
+
+fn log_changes(gateway: &Gateway) {
+    let times = gateway.times();
+    let changes = gateway.state.borrow_mut().quarantine.take_changes(times);
+    for change in changes {
+        match change {
+            QuarantineChange::Quarantined(found) => gateway.log_notable(&Event::Quarantine {
+                change: "quarantined",
+                parts: &hex(&found.parts),
+                ends: Some(found.ends),
+                workspaces: match &found.scope {
+                    Scope::Fleet => None,
+                    Scope::Workspaces(workspaces) => Some(workspaces.len()),
+                },
+            }),
+            QuarantineChange::Released(parts) => gateway.log_notable(&Event::Quarantine {
+                change: "released",
+                parts: &hex(&parts),
+                ends: None,
+                workspaces: None,
+            }),
+        }
+    }
+}
+
+fn hex(parts: &[PartKey]) -> Vec<String> {
+    parts
+        .iter()
+        .map(|part| format!("{:016x}", part.0))
+        .collect()
+}
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -38,6 +38,10 @@
         NotSent(reason: String) {
             display("not sent: {}", reason)
         }
+        /// Nothing was sent, because nothing listens at the address.
+        Refused(reason: String) {
+            display("not sent: {}", reason)
+        }
         /// Nothing was sent, because this daemon has as many connections to the address open as it
         /// may.
         NoConnection {
@@ -66,7 +70,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SendError::NotSent`] if the connection cannot be opened in time.
+    /// Returns [`SendError::Refused`] if nothing listens at the address, and [`SendError::NotSent`]
+    /// if the connection cannot be opened in time.
     pub async fn open(
         address: SocketAddr,
         limit: Duration,
@@ -75,7 +80,13 @@
         let not_sent = |reason: String| SendError::NotSent(reason);
         let stream = match timeout(limit, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(not_sent(format!("connect {address}: {error}"))),
+            Ok(Err(error)) => {
+                let reason = format!("connect {address}: {error}");
+                return Err(match error.kind() {
+                    std::io::ErrorKind::ConnectionRefused => SendError::Refused(reason),
+                    _ => not_sent(reason),
+                });
+            }
             Err(_) => return Err(not_sent(format!("connect {address}: timeout"))),
         };
         set_options(&stream).map_err(|error| not_sent(format!("socket options: {error}")))?;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -173,6 +173,8 @@
     spawn_local(background_tasks::cache_events::run(Rc::clone(gateway)));
     spawn_local(background_tasks::membership::run(Rc::clone(gateway)));
     spawn_local(background_tasks::weight_switches::run(Rc::clone(gateway)));
+    spawn_local(background_tasks::evidence::follow(Rc::clone(gateway)));
+    spawn_local(background_tasks::evidence::publish(Rc::clone(gateway)));
     spawn_local(background_tasks::maintenance::run(Rc::clone(gateway)));
 }
 
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -2,6 +2,7 @@
 //! the answer.
 
 use super::progress::Progress;
+use super::quarantine::{check_quarantine, enter_quarantine};
 use super::routed_request::RoutedRequest;
 use super::target::{Target, select_target_with_wait};
 use crate::connection::{Connection, SendError};
@@ -12,7 +13,9 @@
 use crate::request::{AnswerMeta, ForwardMeta, Prompt};
 use crate::retry::AttemptError;
 use crate::server::ServerKey;
+use crate::server_ends::{UsedServer, on_answer_broken};
 use crate::server_notices::{on_limit_not_named, on_server_notice};
+use anvilgw_quarantine::Suspect;
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body::Body;
@@ -25,6 +28,9 @@
 /// Time limit to open a connection. Connections within a region open within a few milliseconds; the
 /// rest allows for a busy server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time from the first bytes of an answer's body after which the end of its server is not put down
+/// to the request.
+const UNDERWAY_AFTER: Duration = Duration::from_secs(1);
 /// Time limit to read the rest of an unused answer. After it the connection is closed instead of
 /// kept.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(300);
@@ -47,10 +53,19 @@
     /// outcome for the server.
     pub(crate) fn complete(self, gateway: &Gateway, is_success: bool) {
         self.in_flight.on_answer_read(is_success);
+        if self.status.is_success() {
+            self.in_flight.on_answer_complete();
+        }
         self.pool
             .keep(self.connection, self.peer_idle_timeout, gateway.now());
     }
 
+    /// Records that bytes of the answer's body arrived.
+    pub(crate) fn on_body_bytes(&mut self) {
+        let now = self.in_flight.gateway.now();
+        self.in_flight.body_began_at.get_or_insert(now);
+    }
+
     /// Closes the connection of an answer that was cut off or invalid, and records the failure for
     /// the server.
     pub(crate) fn close_broken(self) {
@@ -80,44 +95,81 @@
 /// there.
 struct InFlight {
     gateway: Rc<Gateway>,
-    key: ServerKey,
+    server: UsedServer,
     tokens: u64,
     sent_at: Duration,
+    /// Shared parts of the request's prompt.
+    suspects: Rc<[Suspect]>,
+    /// When the first bytes of the answer's body arrived.
+    body_began_at: Option<Duration>,
 }
 
 impl InFlight {
-    fn new(gateway: &Rc<Gateway>, key: ServerKey, routed: &RoutedRequest) -> Self {
+    fn new(gateway: &Rc<Gateway>, server: UsedServer, routed: &RoutedRequest) -> Self {
         let prompt = routed.meta.prompt.as_ref();
         let tokens = prompt.map_or(0, Prompt::footprint_tokens);
         let now = gateway.now();
-        if let Some(server) = gateway.state.borrow_mut().servers.get_mut(key) {
-            server.on_request_sent(tokens, now);
+        if let Some(known) = gateway.state.borrow_mut().servers.get_mut(server.key) {
+            known.on_request_sent(tokens, now);
         }
         Self {
             gateway: Rc::clone(gateway),
-            key,
+            server,
             tokens,
             sent_at: now,
+            suspects: Rc::clone(&routed.suspects),
+            body_began_at: None,
         }
     }
 
     fn on_answer_read(&self, is_success: bool) {
         let now = self.gateway.now();
-        if let Some(server) = self.gateway.state.borrow_mut().servers.get_mut(self.key) {
+        if let Some(server) = self
+            .gateway
+            .state
+            .borrow_mut()
+            .servers
+            .get_mut(self.server.key)
+        {
             server.on_request_outcome(is_success);
             server.breaker.on_success(now);
         }
     }
 
     fn on_answer_broken(&self) {
-        on_server_failure(&self.gateway, self.key);
+        on_server_failure(&self.gateway, self.server.key);
+        let now = self.gateway.now();
+        let is_underway = self
+            .body_began_at
+            .is_some_and(|began_at| now >= began_at + UNDERWAY_AFTER);
+        if !is_underway {
+            on_answer_broken(&self.gateway, self.server, &self.suspects);
+        }
+    }
+
+    /// Records that a whole answer was received with success, so that its prompt is sound.
+    fn on_answer_complete(&self) {
+        if self.suspects.is_empty() {
+            return;
+        }
+        let now = self.gateway.now();
+        let quarantine = &mut self.gateway.state.borrow_mut().quarantine;
+        if quarantine.on_completed(&self.suspects, now) {
+            self.gateway.evidence_changed.notify_one();
+        }
     }
 
     /// Records that no answer came in time. Counts as a failure for the circuit breaker only if the
     /// server has not answered any other request meanwhile; otherwise it is merely slow.
     fn on_answer_timeout(&self) {
         let now = self.gateway.now();
-        if let Some(server) = self.gateway.state.borrow_mut().servers.get_mut(self.key) {
+        if let Some(server) = self
+            .gateway
+            .state
+            .borrow_mut()
+            .servers
+            .get_mut(self.server.key)
+        {
             server.on_request_outcome(false);
             if server.last_answer_at < self.sent_at {
                 server.breaker.on_failure(now);
@@ -127,7 +179,13 @@
 
     fn on_answer_head(&self, meta: &AnswerMeta) {
         let now = self.gateway.now();
-        if let Some(server) = self.gateway.state.borrow_mut().servers.get_mut(self.key) {
+        if let Some(server) = self
+            .gateway
+            .state
+            .borrow_mut()
+            .servers
+            .get_mut(self.server.key)
+        {
             server.last_answer_at = now;
             if let Some(load) = meta.load {
                 server.on_load_report(load, now);
@@ -136,13 +194,19 @@
                 server.set_cold_for(cold_for, now);
             }
         }
-        on_server_notice(&self.gateway, self.key, meta.notice);
+        on_server_notice(&self.gateway, self.server.key, meta.notice);
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        if let Some(server) = self.gateway.state.borrow_mut().servers.get_mut(self.key) {
+        if let Some(server) = self
+            .gateway
+            .state
+            .borrow_mut()
+            .servers
+            .get_mut(self.server.key)
+        {
             server.on_request_ended(self.tokens);
         }
     }
@@ -182,7 +246,9 @@
     progress: &mut Progress,
     options: AttemptOptions,
 ) -> Result<Exchange, AttemptError> {
+    check_quarantine(gateway, routed)?;
     let target = select_target_with_wait(gateway, routed, progress).await?;
+    enter_quarantine(gateway, routed).await?;
     target.id.clone_into(&mut progress.server);
     progress.choice = Some(target.choice);
     progress.tried_servers.push(target.key);
@@ -234,7 +300,10 @@
         if *error != SendError::NoConnection {
             on_server_unreachable(self.gateway, self.target.key);
         }
-        AttemptError::NotSent(error.to_string())
+        match error {
+            SendError::Refused(_) => AttemptError::Refused(error.to_string()),
+            _ => AttemptError::NotSent(error.to_string()),
+        }
     }
 
     async fn send(
@@ -248,7 +317,7 @@
             &self.target,
             self.options.resume_after,
         );
-        let in_flight = InFlight::new(self.gateway, self.target.key, self.routed);
+        let in_flight = InFlight::new(self.gateway, self.target.used_server(), self.routed);
         progress.on_attempt_sending();
         let response = match timeout(self.options.head_timeout, connection.send(request)).await {
             Ok(Ok(response)) => response,
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod buffered;
 mod progress;
+mod quarantine;
 mod retries;
 mod routed_request;
 mod stream;
@@ -12,5 +13,6 @@
 
 pub(crate) use buffered::serve_buffered;
 pub(crate) use progress::Progress;
+pub(crate) use quarantine::{encode_record, may_repeat_after_end};
 pub(crate) use routed_request::RoutedRequest;
 pub(crate) use stream::serve_stream;
--- a/crates/gateway/src/dispatch/progress.rs
+++ b/crates/gateway/src/dispatch/progress.rs
@@ -3,9 +3,9 @@
 use super::routed_request::RoutedRequest;
 use crate::gateway::Gateway;
 use crate::log::{AnswerFields, Choice, Event, LoggedParts, RequestLine};
-use crate::request::Prompt;
 use crate::server::ServerKey;
 use anvilgw_core::{ErrorKind, Failure, Stage};
+use anvilgw_quarantine::Suspect;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,8 +16,8 @@
     request: String,
     route: String,
     workspace: String,
-    /// Hashes of the shared parts of the request's prompt.
-    shared_parts: Vec<u64>,
+    /// Shared parts of the request's prompt.
+    suspects: Rc<[Suspect]>,
     configuration: u64,
     arrived_at: Duration,
     /// Servers selected by the attempts so far, which later attempts avoid.
@@ -58,7 +58,7 @@
             request: routed.meta.id.clone(),
             route: routed.route.name.clone(),
             workspace: routed.workspace_name().unwrap_or_default().to_owned(),
-            shared_parts: shared_parts(routed),
+            suspects: Rc::clone(&routed.suspects),
             configuration: routed.configuration.version,
             arrived_at: routed.arrived_at,
             tried_servers: Vec::new(),
@@ -85,7 +85,7 @@
             server: &self.server,
             reason: &reason,
             answer: self.answer,
-            parts: LoggedParts(&self.shared_parts),
+            parts: LoggedParts(&self.suspects),
             elapsed_ms: elapsed.as_millis() as u64,
             choice: self.choice,
         });
@@ -159,12 +159,6 @@
     }
 }
 
-fn shared_parts(routed: &RoutedRequest) -> Vec<u64> {
-    let prompt = routed.meta.prompt.as_ref();
-    let parts = prompt.map_or(&[][..], Prompt::shared_parts);
-    parts.iter().map(|part| part.id_hash).collect()
-}
-
 impl Drop for Progress {
     fn drop(&mut self) {
         let in_flight = &self.gateway.requests_in_flight;
--- a/crates/gateway/src/dispatch/retries.rs
+++ b/crates/gateway/src/dispatch/retries.rs
@@ -34,7 +34,7 @@
             Ok(answer) => return Ok(answer),
             Err(error) => error,
         };
-        if !matches!(error, AttemptError::NoServer(_)) {
+        if !error.is_before_attempt() {
             progress.on_attempt_failed(error.describe());
         }
         match policy.decide(gateway, routed, progress, &error) {
--- a/crates/gateway/src/dispatch/routed_request.rs
+++ b/crates/gateway/src/dispatch/routed_request.rs
@@ -3,9 +3,11 @@
 use crate::body_memory::BodyReservation;
 use crate::configuration::{Configuration, Route, Service, Workspace};
 use crate::request::RequestMeta;
+use anvilgw_quarantine::Suspect;
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,6 +25,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<Service>,
     pub(crate) workspace: Option<Arc<Workspace>>,
+    /// Shared parts of the prompt, under which a server may end.
+    pub(crate) suspects: Rc<[Suspect]>,
     pub(crate) arrived_at: Duration,
     /// Deadline by which the answer must have ended.
     pub(crate) end_at: Duration,
--- a/crates/gateway/src/dispatch/stream.rs
+++ b/crates/gateway/src/dispatch/stream.rs
@@ -169,7 +169,10 @@
             Some(Err(error)) => return Err(format!("the stream was cut: {}", describe(&error))),
             Some(Ok(frame)) => match frame.into_data() {
                 Ok(data) if data.is_empty() => {}
-                Ok(data) => return Ok(Some(data)),
+                Ok(data) => {
+                    exchange.on_body_bytes();
+                    return Ok(Some(data));
+                }
                 Err(_trailers) => {}
             },
         }
@@ -367,7 +370,9 @@
                 Ok(exchange) => AttemptError::ServerFailed(exchange.status.as_u16()),
                 Err(error) => error,
             };
-            self.progress.on_attempt_failed(error.describe());
+            if !error.is_before_attempt() {
+                self.progress.on_attempt_failed(error.describe());
+            }
         }
     }
 }
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -7,6 +7,7 @@
 use crate::configuration::Service;
 use crate::gateway::Gateway;
 use crate::log::{Choice, PromptChoice};
+use crate::pending_ends::start_of;
 use crate::permit_client::{PermitTarget, acquire_permit};
 use crate::permits::PermitPurpose;
 use crate::prefill_rate::PrefillRate;
@@ -14,7 +15,9 @@
 use crate::retry::AttemptError;
 use crate::select::{CacheUse, NoServer, PromptQuery, Query, Selected, has_usable_server, select};
 use crate::server::{Server, ServerKey, Servers};
+use crate::server_ends::UsedServer;
 use crate::weights::{FETCH_TIME_MAX, oldest_allowed_version};
+use anvilgw_quarantine::ServerStart;
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use std::net::SocketAddr;
@@ -51,6 +54,8 @@
 /// The backend server selected for an attempt.
 pub(super) struct Target {
     pub(super) key: ServerKey,
+    /// Start of the server that was selected.
+    start: ServerStart,
     pub(super) id: String,
     pub(super) address: SocketAddr,
     pub(super) cache: Option<CacheUse>,
@@ -68,6 +73,7 @@
         let fetch_until = now + fetch_time_limit(fetched_tokens);
         Self {
             key: selected.server,
+            start: start_of(server),
             id: server.entry.id.clone(),
             address: server.entry.address,
             cache: selected.cache,
@@ -80,6 +86,13 @@
         }
     }
 
+    pub(super) fn used_server(&self) -> UsedServer {
+        UsedServer {
+            key: self.key,
+            start: self.start,
+        }
+    }
+
     pub(super) fn weight_version(&self) -> Option<u64> {
         self.cache.as_ref()?.weight_version
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 use crate::log::{Event, EventLog, Importance};
 use crate::metrics::Metrics;
 use crate::peers::PeerLoads;
+use crate::pending_ends::PendingEnds;
 use crate::permit_client::PermitClient;
 use crate::permits::PermitIssuer;
 use crate::pool::Pool;
@@ -21,6 +22,7 @@
 use crate::topic_log::TopicLog;
 use crate::weights::{OldPartTimes, PublishedWeights};
 use anvilgw_core::Clock;
+use anvilgw_quarantine::{Quarantine, Times};
 use bytes::Bytes;
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
@@ -66,6 +68,12 @@
     pub(crate) switches_read_at: Duration,
     /// Whether the list of backend servers was read at least once.
     pub(crate) has_servers: bool,
+    /// Prompt parts that are kept from backend servers.
+    pub(crate) quarantine: Quarantine,
+    /// Backend servers at which answers broke off, until it is known whether they ended.
+    pub(crate) pending_ends: PendingEnds,
+    /// Whether the evidence of the fleet was read, or could not be read, at least once.
+    pub(crate) has_asked_for_evidence: bool,
     /// This daemon's share of the fleet's budgets, 0 to 1.
     pub(crate) share: f64,
     /// Versions of the weights that operators published, by model.
@@ -108,6 +116,8 @@
     /// Notified when the set of cache stores to follow may have changed: after the first
     /// configuration or list of servers, and when the role has changed.
     pub(crate) cache_stores_changed: Notify,
+    /// Notified when there is evidence to tell the other daemons.
+    pub(crate) evidence_changed: Notify,
     /// Notified when the role of this daemon in the fleet has changed.
     pub(crate) role_changed: Notify,
     /// Random number that differs between starts of a daemon.
@@ -141,6 +151,9 @@
             topic_logs: IndexMap::new(),
             switches_read_at: Duration::ZERO,
             has_servers: false,
+            quarantine: Quarantine::new(rand::random()),
+            pending_ends: PendingEnds::default(),
+            has_asked_for_evidence: false,
             share: INITIAL_SHARE,
             weights: IndexMap::new(),
             budgets: IndexMap::new(),
@@ -158,6 +171,7 @@
             is_refusing: Cell::new(false),
             requests_in_flight: Cell::new(0),
             cache_stores_changed: Notify::new(),
+            evidence_changed: Notify::new(),
             role_changed: Notify::new(),
             start_id: rand::random(),
             started_at,
@@ -183,6 +197,13 @@
         self.ports.clock.uptime()
     }
 
+    pub(crate) fn times(&self) -> Times {
+        Times {
+            uptime: self.now(),
+            wall_ms: self.ports.clock.wall_ms(),
+        }
+    }
+
     /// Adds records that this daemon read of a topic to the copy that it serves to other daemons,
     /// if it serves any.
     pub(crate) fn on_topic_read(
@@ -230,6 +251,9 @@
         if !state.has_servers {
             return (false, "no list of backend servers yet");
         }
+        if !state.has_asked_for_evidence {
+            return (false, "no evidence on prompts yet");
+        }
         if !state.configuration_freshness.is_current(self.now()) {
             return (false, "the copy of the configuration is too old");
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,10 +16,12 @@
 mod listeners;
 mod loaded_weights;
 mod metrics;
+mod pending_ends;
 mod permit_client;
 mod read_limit;
 mod removed_servers;
 mod retry;
+mod server_ends;
 mod server_notices;
 mod topic_reader;
 
--- a/crates/gateway/src/listeners/clients.rs
+++ b/crates/gateway/src/listeners/clients.rs
@@ -4,12 +4,15 @@
 use super::request_checks::{RequestContext, check_request};
 use crate::answer::{AnswerBody, failure_answer};
 use crate::body_memory::BodyReservation;
+use crate::caches::name_hash;
+use crate::configuration::Workspace;
 use crate::connection::describe;
 use crate::dispatch::{RoutedRequest, serve_buffered, serve_stream};
 use crate::gateway::Gateway;
 use crate::log::{Event, RequestLine};
-use crate::request::RequestMeta;
+use crate::request::{Prompt, RequestMeta};
 use anvilgw_core::{ErrorKind, Failure, Stage};
+use anvilgw_quarantine::{PartKey, Suspect, WorkspaceKey};
 use bytes::Bytes;
 use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::request::Parts;
@@ -241,6 +244,7 @@
         .deadline
         .map_or(timeout, |deadline| deadline.min(timeout));
     let target = head.uri.path_and_query().cloned();
+    let suspects = suspects(meta.prompt.as_ref(), context.workspace.as_deref());
     RoutedRequest {
         method: head.method,
         target: target.unwrap_or_else(|| http::uri::PathAndQuery::from_static("/")),
@@ -252,11 +256,26 @@
         route: context.route,
         service: context.service,
         workspace: context.workspace,
+        suspects,
         arrived_at,
         end_at: arrived_at + limit,
     }
 }
 
+/// Returns the shared parts of a request's prompt. The last part belongs to the request or its
+/// session alone, so no other request would be spared.
+fn suspects(prompt: Option<&Prompt>, workspace: Option<&Workspace>) -> Rc<[Suspect]> {
+    let workspace = WorkspaceKey(workspace.map_or(0, |workspace| name_hash(&workspace.name)));
+    let parts = prompt.map_or(&[][..], Prompt::shared_parts);
+    parts
+        .iter()
+        .map(|part| Suspect {
+            part: PartKey(part.id_hash),
+            workspace,
+        })
+        .collect()
+}
+
 async fn read_body(context: &RequestContext, body: Incoming) -> Result<Bytes, Failure> {
     let limits = context.configuration.limits;
     let collected = Limited::new(body, limits.body_max_bytes).collect();
--- a/crates/gateway/src/listeners/peer_reads.rs
+++ b/crates/gateway/src/listeners/peer_reads.rs
@@ -60,10 +60,11 @@
 }
 
 /// Names of topics in requests between daemons.
-const TOPIC_NAMES: [(&str, Topic); 3] = [
+const TOPIC_NAMES: [(&str, Topic); 4] = [
     ("operators", Topic::Table(Table::Operators)),
     ("servers", Topic::Table(Table::Servers)),
     ("leases", Topic::Leases),
+    ("evidence", Topic::Evidence),
 ];
 
 /// Returns the request target to read another daemon's copy of a topic.
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -4,6 +4,7 @@
 //! When the queue fills up, routine lines are dropped first; the number of dropped lines is logged
 //! once there is room again.
 
+use anvilgw_quarantine::Suspect;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use serde::{Serialize, Serializer};
 use std::io::Write;
@@ -122,6 +123,28 @@
         /// was none, since it knows the server.
         sent: u32,
     },
+    /// A backend server ended while requests with prompts were in flight there.
+    ServerEnded {
+        /// Identifier of the backend server, empty if it is no longer known.
+        server: &'a str,
+        /// How this daemon knows that it ended, and not only a connection.
+        confirmed_by: &'a str,
+        /// Number of shared prompt parts in flight there.
+        suspects: usize,
+    },
+    /// Prompt parts under which servers ended were quarantined or released.
+    Quarantine {
+        /// `quarantined`, `released` or `trial`.
+        change: &'a str,
+        /// Hashes of the parts. Requests with all of them are refused.
+        parts: &'a [String],
+        /// Number of servers that ended under them.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        ends: Option<usize>,
+        /// Number of workspaces that are concerned, absent if all are.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        workspaces: Option<usize>,
+    },
     /// A record of the metadata store could not be decoded and is ignored.
     RecordMalformed {
         /// Key of the record.
@@ -208,7 +231,7 @@
 /// Hashes of prompt parts, written as hexadecimal texts. The same part has the same hash in the logs
 /// of all daemons.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct LoggedParts<'a>(pub &'a [u64]);
+pub struct LoggedParts<'a>(pub &'a [Suspect]);
 
 impl LoggedParts<'_> {
     /// Maximum number of parts in a line.
@@ -222,7 +245,7 @@
 impl Serialize for LoggedParts<'_> {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let parts = self.0.iter().take(Self::PARTS_MAX);
-        serializer.collect_seq(parts.map(|hash| format!("{hash:016x}")))
+        serializer.collect_seq(parts.map(|suspect| format!("{:016x}", suspect.part.0)))
     }
 }
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -59,8 +59,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SendError::NotSent`] or [`SendError::NoConnection`] if no connection can be
-    /// opened.
+    /// Returns [`SendError::NotSent`], [`SendError::Refused`] or [`SendError::NoConnection`] if no
+    /// connection can be opened.
     pub async fn next(&mut self, limits: OpenLimits, now: Duration) -> Result<Checkout, SendError> {
         if self.reused_tries < REUSED_CONNECTIONS_MAX {
             self.reused_tries += 1;
@@ -109,6 +109,22 @@
         })
     }
 
+    /// Opens a connection to find out whether the peer listens, and keeps it for later requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError`] as [`Checkouts::next`] does.
+    pub async fn probe(
+        &self,
+        address: SocketAddr,
+        limits: OpenLimits,
+        now: Duration,
+    ) -> Result<(), SendError> {
+        let checkout = self.open(address, limits).await?;
+        self.keep(checkout.connection, None, now);
+        Ok(())
+    }
+
     /// Returns a connection to the pool. Its last answer must have been read to the end.
     pub fn keep(&self, connection: Connection, peer_idle_timeout: Option<Duration>, now: Duration) {
         if connection.is_closed() {
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -51,6 +51,8 @@
     Table(Table),
     /// Leases for weight switches.
     Leases,
+    /// Evidence on prompt parts under which backend servers end.
+    Evidence,
 }
 
 /// A change of a table in the metadata store.
@@ -91,6 +93,24 @@
     pub next_offset: u64,
 }
 
+/// A record of a keyed log that the daemons write themselves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyedBytes {
+    /// Key of the record. The newest record of each key is retained.
+    pub key: String,
+    /// Content; empty if the key was removed.
+    pub value: Bytes,
+}
+
+/// Newest records of a keyed log.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct KeyedListing {
+    /// The newest record of each key that has one, with its offset.
+    pub records: Vec<(KeyedBytes, u64)>,
+    /// Offset from which to read on.
+    pub next_offset: u64,
+}
+
 /// Outcome of a conditional append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AppendOutcome {
@@ -200,6 +220,27 @@
         at: u64,
         payload: Bytes,
     ) -> LocalBoxFuture<'_, Result<AppendOutcome, StoreError>>;
+
+    /// Reads the newest evidence record of every key.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] if the records cannot be read.
+    fn list_evidence(&self) -> LocalBoxFuture<'_, Result<KeyedListing, StoreError>>;
+
+    /// Decodes a record that was read from the evidence log. Returns `None` if it has no key.
+    fn decode_evidence(&self, record: Bytes) -> Option<KeyedBytes>;
+
+    /// Appends evidence records, all or none. With `at`, only if the log ends at that offset.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] if the outcome is unknown or the store rejected the call.
+    fn append_evidence(
+        &self,
+        at: Option<u64>,
+        records: Vec<KeyedBytes>,
+    ) -> LocalBoxFuture<'_, Result<AppendOutcome, StoreError>>;
 }
 
 /// A backend server's answer to a [`WeightOrder`].
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -1,7 +1,7 @@
 //! Decides whether a failed attempt is retried, and with which error the request fails otherwise.
 
 use crate::configuration::RouteKind;
-use crate::dispatch::{Progress, RoutedRequest};
+use crate::dispatch::{Progress, RoutedRequest, may_repeat_after_end};
 use crate::gateway::Gateway;
 use crate::select::NoServer;
 use anvilgw_core::{ErrorKind, Failure};
@@ -27,8 +27,12 @@
 pub(crate) enum AttemptError {
     /// No server can take the request; nothing was sent.
     NoServer(NoServer),
+    /// The prompt has a quarantined part; nothing was sent. Holds the time until its next trial.
+    Quarantined(Duration),
     /// The connection failed before anything was sent.
     NotSent(String),
+    /// Nothing listens at the server's address; nothing was sent.
+    Refused(String),
     /// The server refused the request and did not execute it.
     Rejected(String),
     /// The address belongs to another server now, which did not execute the request.
@@ -42,13 +46,20 @@
 }
 
 impl AttemptError {
+    /// Returns whether no server was tried.
+    pub(crate) fn is_before_attempt(&self) -> bool {
+        matches!(self, Self::NoServer(_) | Self::Quarantined(_))
+    }
+
     /// Returns a description for logs and error messages.
     pub(crate) fn describe(&self) -> String {
         match self {
             Self::NoServer(reason) => reason.reason().to_owned(),
-            Self::NotSent(reason) | Self::Rejected(reason) | Self::OutcomeUnknown(reason) => {
-                reason.clone()
-            }
+            Self::NotSent(reason)
+            | Self::Refused(reason)
+            | Self::Rejected(reason)
+            | Self::OutcomeUnknown(reason) => reason.clone(),
+            Self::Quarantined(_) => "backend servers ended under a part of the prompt".to_owned(),
             Self::WeightsMismatch => "the server holds another version of the weights".to_owned(),
             Self::Misdirected => "the address now belongs to another server".to_owned(),
             Self::ServerFailed(status) => format!("the server failed with status {status}"),
@@ -104,7 +115,9 @@
         connect_failures: u32,
     ) -> bool {
         match error {
-            AttemptError::NoServer(_) => false,
+            AttemptError::NoServer(_) | AttemptError::Quarantined(_) => false,
+            // Refusals come at once, and each server is tried only once.
+            AttemptError::Refused(_) => true,
             AttemptError::NotSent(_) => connect_failures < CONNECT_FAILURES_MAX,
             AttemptError::Rejected(_) => sent_count < self.attempts_max,
             // The request did not reach the intended server or version, so one such attempt does
@@ -131,10 +144,13 @@
             progress.connect_failures += 1;
         }
         let has_time = call.remaining(gateway.now()) > REMAINING_TIME_MIN;
-        let is_allowed = self.allows(error, progress.sent_count, progress.connect_failures);
+        let is_allowed = self.allows(error, progress.sent_count, progress.connect_failures)
+            && (!matches!(error, AttemptError::OutcomeUnknown(_))
+                || may_repeat_after_end(gateway, call));
         // A connection that failed to open put no load on the service, so it does not use the retry
         // budget.
-        let is_exempt_from_budget = matches!(error, AttemptError::NotSent(_));
+        let is_exempt_from_budget =
+            matches!(error, AttemptError::NotSent(_) | AttemptError::Refused(_));
         if has_time
             && is_allowed
             && (is_exempt_from_budget || gateway.take_retry(&call.service.name))
@@ -166,7 +182,9 @@
     let jitter_ms = gateway.state.borrow_mut().rng.random_range(range_ms);
     let now = gateway.now();
     let pause = match error {
-        AttemptError::NoServer(NoServer::RateLimited(pause)) => Some(*pause),
+        AttemptError::NoServer(NoServer::RateLimited(pause)) | AttemptError::Quarantined(pause) => {
+            Some(*pause)
+        }
         _ => gateway.state.borrow().servers.backoff_left(service, now),
     };
     let retry_after = pause.unwrap_or_default() + Duration::from_millis(jitter_ms);
@@ -182,8 +200,10 @@
         AttemptError::NoServer(
             NoServer::NoMemory | NoServer::BackingOff(_) | NoServer::RateLimited(_),
         ) => ErrorKind::Overloaded,
+        AttemptError::Quarantined(_) => ErrorKind::PromptQuarantined,
         AttemptError::NoServer(_)
         | AttemptError::NotSent(_)
+        | AttemptError::Refused(_)
         | AttemptError::Misdirected
         | AttemptError::WeightsMismatch => ErrorKind::NoBackend,
         AttemptError::Rejected(_) => ErrorKind::Overloaded,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -145,6 +145,12 @@
         self.drain_notice
     }
 
+    /// Returns whether the server's entry was removed, so that it is used for a short time only.
+    #[must_use]
+    pub fn is_entry_removed(&self) -> bool {
+        self.removal_due_at.is_some()
+    }
+
     /// Records that the server asked this daemon to send no requests for the duration
     /// `backoff`, cut to `BACKOFF_MAX`. Never shortens a back-off that is in force.
     pub fn on_backoff_requested(&mut self, backoff: Duration, now: Duration) {
--- /dev/null
+++ b/crates/gateway/src/server_ends.rs
@@ -0,0 +1,101 @@
+//! Notices that a backend server has ended while requests were in flight there, and reports the
+//! prompt parts of these requests.
+
+use crate::connection::SendError;
+use crate::gateway::Gateway;
+use crate::log::Event;
+use crate::pending_ends::{ConfirmedEnd, start_of};
+use crate::pool::OpenLimits;
+use crate::server::{ServerKey, ServerState};
+use anvilgw_quarantine::{ServerStart, Suspect};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Time after the first break at a server until the daemon checks whether the server still listens.
+/// The other requests there break in the meantime if it has ended.
+const CHECK_DELAY: Duration = Duration::from_millis(20);
+/// Time limit to open the connection for that check.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The server of a request, as it was when the request was sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct UsedServer {
+    pub(crate) key: ServerKey,
+    pub(crate) start: ServerStart,
+}
+
+/// Records that the answer to a request with these prompt parts broke off at a server. A server
+/// that is leaving ends by plan, which is not put down to its requests.
+pub(crate) fn on_answer_broken(gateway: &Rc<Gateway>, used: UsedServer, suspects: &[Suspect]) {
+    if suspects.is_empty() {
+        return;
+    }
+    let now = gateway.now();
+    let state = &mut *gateway.state.borrow_mut();
+    let Some(server) = state.servers.get(used.key) else {
+        return;
+    };
+    let is_leaving = server.entry.state == ServerState::Draining || server.is_entry_removed();
+    if start_of(server) != used.start || is_leaving {
+        return;
+    }
+    let is_first = state
+        .pending_ends
+        .on_broken(used.key, server, suspects, now);
+    if is_first {
+        let address = server.entry.address;
+        spawn_local(check(Rc::clone(gateway), used, address));
+    }
+}
+
+/// Checks whether a server still listens. If nothing can be told, its entry decides later.
+async fn check(gateway: Rc<Gateway>, used: UsedServer, address: SocketAddr) {
+    sleep(CHECK_DELAY).await;
+    let limits = OpenLimits {
+        timeout: CHECK_TIMEOUT,
+        open_max: usize::MAX,
+    };
+    let pool = gateway.pool(used.key);
+    match pool.probe(address, limits, gateway.now()).await {
+        Ok(()) => gateway.state.borrow_mut().pending_ends.discard(used.start),
+        Err(SendError::Refused(_)) => {
+            let confirmed = gateway.state.borrow_mut().pending_ends.take(used.start);
+            if let Some(confirmed) = confirmed {
+                report(&gateway, &confirmed, "connection refused");
+            }
+        }
+        Err(_) => {}
+    }
+}
+
+/// Reports the servers at which answers broke off and whose entries show that they have ended.
+pub(crate) fn report_replaced(gateway: &Gateway) {
+    let now = gateway.now();
+    let confirmed = {
+        let state = &mut *gateway.state.borrow_mut();
+        state.pending_ends.take_replaced(&state.servers, now)
+    };
+    for end in confirmed {
+        report(gateway, &end, "entry replaced");
+    }
+}
+
+fn report(gateway: &Gateway, end: &ConfirmedEnd, confirmed_by: &str) {
+    let times = gateway.times();
+    let state = &mut *gateway.state.borrow_mut();
+    let mut servers = state.servers.iter();
+    let server = servers.find(|(_, server)| start_of(server) == end.start);
+    gateway.metrics.count("server_ends_noticed");
+    gateway.log_notable(&Event::ServerEnded {
+        server: server.map_or("", |(_, server)| server.entry.id.as_str()),
+        confirmed_by,
+        suspects: end.suspects.len(),
+    });
+    state
+        .quarantine
+        .on_server_ended(end.start, &end.suspects, times);
+    gateway.evidence_changed.notify_one();
+}
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -62,6 +62,7 @@
                 Topic::Table(Table::Operators) => "leader's copy, operators",
                 Topic::Table(Table::Servers) => "leader's copy, servers",
                 Topic::Leases => "leader's copy, leases",
+                Topic::Evidence => "leader's copy, evidence",
             }),
             direct_reads: DirectReads::default(),
         }
--- /dev/null
+++ b/crates/quarantine/src/lib.rs
@@ -0,0 +1,55 @@
+//! Quarantine of prompt parts under which backend servers end.
+//!
+//! A prompt can end each backend server that answers it (a query of death). If the end is put down
+//! to the server alone, the next request with the same part ends the next server. Each daemon sees
+//! only a few of these requests, so the daemons of a fleet share evidence:
+//!
+//! - When a server ends, each daemon reports the shared parts of the prompts that it had in flight
+//!   there ([`record::EndReport`]).
+//! - A part that a whole answer was received for is sound. Daemons withdraw the evidence against it
+//!   ([`record::Clearance`]), so popular parts do not collect any.
+//! - What is left is attributed to as few parts as possible ([`attribution`]). A part under which
+//!   enough servers have ended is quarantined: requests with it are refused.
+//! - After a cooldown one request with the part is sent as a trial ([`record::Trial`]). If it gets a
+//!   whole answer, the part is released.
+//!
+//! Parts are named by callers. A workspace's requests alone can quarantine a part only for that
+//! workspace, and evidence is evicted from the workspace that has most of it.
+//!
+//! Nothing here does I/O. Evidence is kept as records of a keyed log, which the caller stores; all
+//! daemons that have read the same records come to the same result, except for parts of which they
+//! themselves have seen a whole answer a moment ago.
+
+pub mod attribution;
+pub mod completions;
+pub mod record;
+pub mod table;
+
+mod quarantine;
+
+pub use quarantine::{
+    Admission, COOLDOWN, COOLDOWN_MAX, OBJECTION_TIME, Quarantine, QuarantineChange, Times,
+};
+
+use bincode::{Decode, Encode};
+
+/// Identifies a prompt part: a hash of its identifier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Encode, Decode)]
+pub struct PartKey(pub u64);
+
+/// Identifies a workspace: a hash of its name, or zero for requests without a workspace.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Encode, Decode)]
+pub struct WorkspaceKey(pub u64);
+
+/// Identifies one start of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Encode, Decode)]
+pub struct ServerStart(pub u64);
+
+/// A prompt part in a request of a workspace.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Encode, Decode)]
+pub struct Suspect {
+    /// The part.
+    pub part: PartKey,
+    /// Workspace whose request contained it.
+    pub workspace: WorkspaceKey,
+}
--- /dev/null
+++ b/crates/quarantine/src/quarantine.rs
@@ -0,0 +1,439 @@
+//! One daemon's view of the quarantine, and what it contributes to the fleet's evidence.
+
+use crate::attribution::{Attribution, ENDS_TO_CLEAR, Evidence, QuarantinedParts, attribute};
+use crate::completions::Completions;
+use crate::record::{Clearance, EndReport, KeyedRecord, Record, RecordKey, SUSPECTS_MAX, Trial};
+use crate::table::EvidenceTable;
+use crate::{PartKey, ServerStart, Suspect, WorkspaceKey};
+use indexmap::{IndexMap, IndexSet};
+use std::time::Duration;
+
+/// Time from the end that is one too many until a part is quarantined. Meanwhile daemons that know
+/// the part to be sound say so.
+pub const OBJECTION_TIME: Duration = Duration::from_millis(800);
+/// Time from the last end under a quarantined part until the first trial. Each further trial waits
+/// twice as long as the one before.
+pub const COOLDOWN: Duration = Duration::from_secs(120);
+/// Longest time between two trials.
+pub const COOLDOWN_MAX: Duration = Duration::from_secs(4 * 3600);
+/// Time after an end during which a request that loses its server is not sent to another one if it
+/// has a part under which that other server ended.
+const NO_REPEAT_TIME: Duration = Duration::from_secs(30);
+/// Time for which an attribution is used. Parts that got a whole answer are left out of it, and
+/// that changes with time.
+const ATTRIBUTION_TIME: Duration = Duration::from_millis(250);
+/// Minimum time between two clearances of one part by this daemon.
+const CLEARANCE_PAUSE: Duration = Duration::from_millis(300);
+/// Minimum time between two attempts of this daemon to claim a trial.
+const CLAIM_PAUSE: Duration = Duration::from_secs(1);
+/// Maximum number of reports that wait to be stored.
+const OUTBOX_MAX: usize = 64;
+/// Maximum number of records in one append.
+const APPEND_RECORDS_MAX: usize = 64;
+/// Maximum number of obsolete records that one append removes.
+const REMOVALS_MAX: usize = 32;
+
+/// The current time on both clocks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Times {
+    /// Time since an arbitrary moment; never goes back.
+    pub uptime: Duration,
+    /// Unix milliseconds, comparable between daemons within seconds.
+    pub wall_ms: u64,
+}
+
+/// Whether a request may be sent to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It may.
+    Allowed,
+    /// It has a quarantined part.
+    Refused {
+        /// Time until the next trial of the part.
+        retry_after: Duration,
+    },
+    /// It has a quarantined part whose next trial is due. The request may be sent once the trial
+    /// was claimed.
+    TrialDue(PartKey),
+}
+
+/// Change of the quarantine, for logs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum QuarantineChange {
+    /// Parts are quarantined now.
+    Quarantined(QuarantinedParts),
+    /// Parts are no longer quarantined.
+    Released(Vec<PartKey>),
+}
+
+/// State of the quarantine at one daemon.
+#[derive(Clone, Debug)]
+pub struct Quarantine {
+    table: EvidenceTable,
+    completions: Completions,
+    attribution: Attribution,
+    /// When the attribution was made, or `None` if the evidence has changed since.
+    attributed_at: Option<Duration>,
+    /// When this daemon first attributed enough ends to parts.
+    quarantined_since: IndexMap<Vec<PartKey>, Duration>,
+    changes: Vec<QuarantineChange>,
+    /// Random number of this daemon in the keys of its reports.
+    reporter: u64,
+    reports_made: u32,
+    /// Own reports that are not stored yet.
+    outbox: IndexMap<RecordKey, EndReport>,
+    cleared_at: IndexMap<PartKey, Duration>,
+    claimed_at: Option<Duration>,
+}
+
+impl Quarantine {
+    /// Creates the view of a daemon that has read nothing. `reporter` is a random number that tells
+    /// its reports from those of others.
+    #[must_use]
+    pub fn new(reporter: u64) -> Self {
+        Self {
+            table: EvidenceTable::default(),
+            completions: Completions::default(),
+            attribution: Attribution::default(),
+            attributed_at: None,
+            quarantined_since: IndexMap::new(),
+            changes: Vec::new(),
+            reporter,
+            reports_made: 0,
+            outbox: IndexMap::new(),
+            cleared_at: IndexMap::new(),
+            claimed_at: None,
+        }
+    }
+
+    /// Returns the records that this daemon has read.
+    #[must_use]
+    pub fn table(&self) -> &EvidenceTable {
+        &self.table
+    }
+
+    /// Replaces all records that were read by a complete listing of key, record and offset.
+    pub fn on_listing(
+        &mut self,
+        records: impl IntoIterator<Item = (KeyedRecord, u64)>,
+        next_offset: u64,
+    ) {
+        self.table.clear_stored();
+        for (record, offset) in records {
+            self.table.apply(record, offset);
+        }
+        self.table.set_next_offset(next_offset);
+        self.attributed_at = None;
+    }
+
+    /// Applies a record that was read at `offset`.
+    pub fn on_record(&mut self, record: KeyedRecord, offset: u64) {
+        self.outbox.shift_remove(&record.key);
+        self.table.apply(record, offset);
+        self.attributed_at = None;
+    }
+
+    /// Records that the log was read up to `next_offset`.
+    pub fn on_read(&mut self, next_offset: u64) {
+        self.table.set_next_offset(next_offset);
+    }
+
+    /// Records the end of a server at which prompts with these parts were in flight.
+    pub fn on_server_ended(&mut self, server: ServerStart, suspects: &[Suspect], times: Times) {
+        let accused = self.accused(server, suspects, times.uptime);
+        if accused.is_empty() {
+            return;
+        }
+        let key = RecordKey::End {
+            server,
+            reporter: self.reporter,
+            number: self.reports_made,
+        };
+        self.reports_made += 1;
+        let report = EndReport {
+            server,
+            seen_at_ms: times.wall_ms,
+            suspects: accused,
+        };
+        if self.outbox.len() >= OUTBOX_MAX {
+            self.outbox.shift_remove_index(0);
+        }
+        self.outbox.insert(key, report.clone());
+        self.table.add_own(key, report);
+        self.attributed_at = None;
+    }
+
+    /// Returns the suspects to report: all that are not known to be sound. If there are too many,
+    /// each workspace gets an equal part, and parts that are suspected already come first. The
+    /// choice among the others differs from end to end, so that a part cannot hide among many.
+    fn accused(&self, server: ServerStart, suspects: &[Suspect], now: Duration) -> Vec<Suspect> {
+        let unsound: IndexSet<Suspect> = suspects
+            .iter()
+            .copied()
+            .filter(|suspect| !self.completions.has_recent(suspect.part, now))
+            .collect();
+        let mut by_workspace: IndexMap<WorkspaceKey, Vec<Suspect>> = IndexMap::new();
+        for suspect in unsound {
+            by_workspace
+                .entry(suspect.workspace)
+                .or_default()
+                .push(suspect);
+        }
+        for list in by_workspace.values_mut() {
+            list.sort_by_cached_key(|suspect| {
+                (
+                    !self.is_accused(suspect.part),
+                    mixed(suspect.part.0 ^ server.0),
+                )
+            });
+        }
+        let longest = by_workspace.values().map(Vec::len).max().unwrap_or(0);
+        let by_rank = (0..longest).flat_map(|rank| {
+            by_workspace
+                .values()
+                .filter_map(move |list| list.get(rank).copied())
+        });
+        by_rank.take(SUSPECTS_MAX).collect()
+    }
+
+    /// Records that a request with these parts got a whole answer. Returns whether servers ended
+    /// under one of them, so that there may be something to append.
+    pub fn on_completed(&mut self, suspects: &[Suspect], now: Duration) -> bool {
+        for suspect in suspects.iter().take(SUSPECTS_MAX) {
+            self.completions.on_completed(*suspect, now);
+            if !self.table.is_empty() {
+                self.table.clear_unstored(suspect.part);
+            }
+        }
+        let is_accused = suspects.iter().any(|suspect| self.is_accused(suspect.part));
+        if is_accused {
+            self.attributed_at = None;
+        }
+        is_accused
+    }
+
+    /// Returns whether servers ended under a part, as far as is known.
+    fn is_accused(&self, part: PartKey) -> bool {
+        let mut quarantined = self.attribution.quarantined.iter();
+        self.attribution.suspected.contains_key(&part)
+            || quarantined.any(|found| found.parts.contains(&part))
+    }
+
+    /// Decides whether a request with these parts may be sent to a server.
+    pub fn admit(&mut self, suspects: &[Suspect], times: Times) -> Admission {
+        if self.table.is_empty() {
+            return Admission::Allowed;
+        }
+        self.refresh(times);
+        let last_due = self
+            .attribution
+            .quarantined
+            .iter()
+            .filter(|found| found.concerns(suspects) && self.is_in_force(found, times))
+            .filter_map(|found| Some((self.trial_due_in(found, times), *found.parts.first()?)))
+            .max();
+        match last_due {
+            None => Admission::Allowed,
+            Some((due_in, part)) if due_in.is_zero() => self.admit_trial(part, times),
+            Some((due_in, _)) => Admission::Refused {
+                retry_after: due_in,
+            },
+        }
+    }
+
+    fn admit_trial(&self, part: PartKey, times: Times) -> Admission {
+        let next_claim = self.claimed_at.map(|at| at + CLAIM_PAUSE);
+        let pause = next_claim.map_or(Duration::ZERO, |at| at.saturating_sub(times.uptime));
+        if pause.is_zero() {
+            Admission::TrialDue(part)
+        } else {
+            Admission::Refused { retry_after: pause }
+        }
+    }
+
+    /// Returns whether other daemons have had the time to state that the parts are sound.
+    fn is_in_force(&self, found: &QuarantinedParts, times: Times) -> bool {
+        let since = self.quarantined_since.get(&found.parts);
+        let is_noticed = since.is_some_and(|since| times.uptime >= *since + OBJECTION_TIME);
+        let objection_end_ms = found.reached_at_ms + 2 * OBJECTION_TIME.as_millis() as u64;
+        is_noticed || times.wall_ms >= objection_end_ms
+    }
+
+    /// Returns the time until the next trial of quarantined parts.
+    fn trial_due_in(&self, found: &QuarantinedParts, times: Times) -> Duration {
+        let trial = found.parts.first().and_then(|part| self.table.trial(*part));
+        let trials = trial.map_or(0, |trial| trial.count);
+        let from_ms = trial.map_or(0, |trial| trial.at_ms).max(found.last_end_ms);
+        let cooldown = COOLDOWN
+            .saturating_mul(1 << trials.min(16))
+            .min(COOLDOWN_MAX);
+        let due_at_ms = from_ms + cooldown.as_millis() as u64;
+        // A record from a clock that is far ahead must not extend the cooldown.
+        Duration::from_millis(due_at_ms.saturating_sub(times.wall_ms)).min(COOLDOWN_MAX)
+    }
+
+    /// Starts to claim the trial of a part. Returns the record with the offset at which the log has
+    /// to end for the claim to succeed.
+    pub fn claim_trial(&mut self, part: PartKey, times: Times) -> (KeyedRecord, u64) {
+        self.claimed_at = Some(times.uptime);
+        let count = self.table.trial(part).map_or(0, |trial| trial.count);
+        let trial = Trial {
+            count: count.saturating_add(1),
+            at_ms: times.wall_ms,
+        };
+        let record = KeyedRecord {
+            key: RecordKey::Trial(part),
+            record: Some(Record::Trial(trial)),
+        };
+        (record, self.table.next_offset())
+    }
+
+    /// Records that the claim of a trial was stored.
+    pub fn on_trial_claimed(&mut self, claimed: &KeyedRecord) {
+        if let (RecordKey::Trial(part), Some(Record::Trial(trial))) = (claimed.key, &claimed.record)
+        {
+            self.table.set_trial(part, *trial);
+        }
+    }
+
+    /// Returns whether a request whose server ended may be sent to another one. Not if another
+    /// server has ended under one of its parts a short time ago.
+    pub fn may_repeat(&mut self, suspects: &[Suspect], times: Times) -> bool {
+        if self.table.is_empty() {
+            return true;
+        }
+        self.refresh(times);
+        let is_recent = |last_end_ms: u64| {
+            let age_ms = times.wall_ms.saturating_sub(last_end_ms);
+            u128::from(age_ms) < NO_REPEAT_TIME.as_millis()
+        };
+        let is_suspected = |suspect: &Suspect| {
+            let found = self.attribution.suspected.get(&suspect.part);
+            found.is_some_and(|found| is_recent(found.last_end_ms))
+        };
+        let mut quarantined = self.attribution.quarantined.iter();
+        !suspects.iter().any(is_suspected) && !quarantined.any(|found| found.concerns(suspects))
+    }
+
+    /// Returns whether there is something to append.
+    #[must_use]
+    pub fn has_outgoing(&mut self, times: Times) -> bool {
+        !self.outbox.is_empty() || !self.due_clearances(times).is_empty()
+    }
+
+    /// Returns the records to append: own reports, clearances of parts that are sound, and removals
+    /// of obsolete records. Reports are returned again until they were read, or
+    /// [`Self::on_appended`] was called.
+    pub fn outgoing(&mut self, times: Times) -> Vec<KeyedRecord> {
+        let reports = self.outbox.iter().map(|(key, report)| KeyedRecord {
+            key: *key,
+            record: Some(Record::End(report.clone())),
+        });
+        let mut records: Vec<KeyedRecord> = reports.collect();
+        let before_offset = self.table.next_offset();
+        for part in self.due_clearances(times) {
+            self.cleared_at.insert(part, times.uptime);
+            records.push(KeyedRecord {
+                key: RecordKey::Cleared(part),
+                record: Some(Record::Cleared(Clearance { before_offset })),
+            });
+        }
+        records.truncate(APPEND_RECORDS_MAX);
+        if !records.is_empty() {
+            let obsolete = self.table.obsolete_keys(times.wall_ms, REMOVALS_MAX);
+            records.extend(
+                obsolete
+                    .into_iter()
+                    .map(|key| KeyedRecord { key, record: None }),
+            );
+        }
+        records
+    }
+
+    /// Records that these records were stored.
+    pub fn on_appended(&mut self, records: &[KeyedRecord]) {
+        for record in records {
+            self.outbox.shift_remove(&record.key);
+        }
+    }
+
+    /// Returns the parts that are suspected although this daemon knows them to be sound.
+    fn due_clearances(&mut self, times: Times) -> Vec<PartKey> {
+        if self.table.is_empty() {
+            self.cleared_at.clear();
+            return Vec::new();
+        }
+        self.cleared_at
+            .retain(|_, at| times.uptime < *at + CLEARANCE_PAUSE);
+        let evidence = self.table.evidence(times.wall_ms);
+        let mut servers: IndexMap<PartKey, IndexSet<ServerStart>> = IndexMap::new();
+        for report in &evidence {
+            for suspect in &report.suspects {
+                let ended = servers.entry(suspect.part).or_default();
+                ended.insert(report.server);
+            }
+        }
+        servers
+            .into_iter()
+            .filter(|(part, ended)| {
+                ended.len() >= ENDS_TO_CLEAR
+                    && !self.cleared_at.contains_key(part)
+                    && self.completions.has_recent(*part, times.uptime)
+            })
+            .map(|(part, _)| part)
+            .collect()
+    }
+
+    /// Returns what has changed since the last call.
+    pub fn take_changes(&mut self, times: Times) -> Vec<QuarantineChange> {
+        self.refresh(times);
+        std::mem::take(&mut self.changes)
+    }
+
+    fn refresh(&mut self, times: Times) {
+        let is_current = |at: Duration| times.uptime < at + ATTRIBUTION_TIME;
+        if self.attributed_at.is_some_and(is_current) {
+            return;
+        }
+        self.attributed_at = Some(times.uptime);
+        let mut evidence = self.table.evidence(times.wall_ms);
+        for report in &mut evidence {
+            self.retain_unsound(report, times.uptime);
+        }
+        self.attribution = attribute(&evidence);
+        self.update_quarantined(times.uptime);
+    }
+
+    fn retain_unsound(&self, report: &mut Evidence, now: Duration) {
+        let completions = &self.completions;
+        report
+            .suspects
+            .retain(|suspect| !completions.has_recent(suspect.part, now));
+    }
+
+    fn update_quarantined(&mut self, now: Duration) {
+        let quarantined = &self.attribution.quarantined;
+        let changes = &mut self.changes;
+        self.quarantined_since.retain(|parts, _| {
+            let is_kept = quarantined.iter().any(|found| found.parts == *parts);
+            if !is_kept {
+                changes.push(QuarantineChange::Released(parts.clone()));
+            }
+            is_kept
+        });
+        for found in quarantined {
+            if !self.quarantined_since.contains_key(&found.parts) {
+                self.quarantined_since.insert(found.parts.clone(), now);
+                changes.push(QuarantineChange::Quarantined(found.clone()));
+            }
+        }
+    }
+}
+
+/// Mixes the bits of a number, so that the order of the results is unrelated to that of the inputs.
+fn mixed(value: u64) -> u64 {
+    const MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+    (value ^ (value >> 32))
+        .wrapping_mul(MULTIPLIER)
+        .rotate_left(31)
+}
--- /dev/null
+++ b/crates/quarantine/src/table.rs
@@ -0,0 +1,224 @@
+//! The records of a fleet's evidence as one daemon has read them.
+
+use crate::attribution::Evidence;
+use crate::record::{Clearance, EndReport, KeyedRecord, Record, RecordKey, Trial};
+use crate::{PartKey, Suspect, WorkspaceKey};
+use indexmap::{IndexMap, IndexSet};
+use std::time::Duration;
+
+/// Time for which a report counts. A part that stays quarantined is tried again within this time,
+/// and each trial that ends a server is reported.
+pub const REPORT_TIME: Duration = Duration::from_secs(24 * 3600);
+/// Maximum number of reports that are kept.
+pub const REPORTS_MAX: usize = 256;
+/// Maximum number of suspects in all reports that are kept.
+pub const SUSPECTS_TOTAL_MAX: usize = 16 * 1024;
+
+#[derive(Clone, Debug)]
+struct KeptReport {
+    /// Offset of the record, or `None` until this daemon has read its own report.
+    offset: Option<u64>,
+    report: EndReport,
+}
+
+/// Evidence of a fleet, bounded in size.
+#[derive(Clone, Debug, Default)]
+pub struct EvidenceTable {
+    reports: IndexMap<RecordKey, KeptReport>,
+    cleared: IndexMap<PartKey, Clearance>,
+    trials: IndexMap<PartKey, Trial>,
+    next_offset: u64,
+    /// Keys that were dropped because there were too many, to be removed from the log.
+    dropped: IndexSet<RecordKey>,
+}
+
+impl EvidenceTable {
+    /// Returns the offset from which to read the log next.
+    #[must_use]
+    pub fn next_offset(&self) -> u64 {
+        self.next_offset
+    }
+
+    /// Sets the offset from which to read the log next.
+    pub fn set_next_offset(&mut self, offset: u64) {
+        self.next_offset = offset;
+    }
+
+    /// Returns whether there are no reports.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.reports.is_empty()
+    }
+
+    /// Returns the number of reports.
+    #[must_use]
+    pub fn report_count(&self) -> usize {
+        self.reports.len()
+    }
+
+    /// Forgets all records but this daemon's own that it has not read yet. Called before a complete
+    /// listing is applied.
+    pub fn clear_stored(&mut self) {
+        self.reports.retain(|_, kept| kept.offset.is_none());
+        self.cleared.clear();
+        self.trials.clear();
+        self.dropped.clear();
+    }
+
+    /// Applies the record at `offset`.
+    pub fn apply(&mut self, keyed: KeyedRecord, offset: u64) {
+        match (keyed.key, keyed.record) {
+            (key @ RecordKey::End { .. }, Some(Record::End(report))) => {
+                let offset = Some(offset);
+                self.reports.insert(key, KeptReport { offset, report });
+                self.drop_excess();
+            }
+            (RecordKey::Cleared(part), Some(Record::Cleared(clearance))) => {
+                self.cleared.insert(part, clearance);
+            }
+            (RecordKey::Trial(part), Some(Record::Trial(trial))) => {
+                self.trials.insert(part, trial);
+            }
+            (key, _) => self.remove(key),
+        }
+    }
+
+    fn remove(&mut self, key: RecordKey) {
+        self.dropped.swap_remove(&key);
+        match key {
+            RecordKey::End { .. } => {
+                self.reports.shift_remove(&key);
+            }
+            RecordKey::Cleared(part) => {
+                self.cleared.swap_remove(&part);
+            }
+            RecordKey::Trial(part) => {
+                self.trials.swap_remove(&part);
+            }
+        }
+    }
+
+    /// Adds a report of this daemon that is not stored yet.
+    pub fn add_own(&mut self, key: RecordKey, report: EndReport) {
+        let offset = None;
+        self.reports.insert(key, KeptReport { offset, report });
+        self.drop_excess();
+    }
+
+    /// Records that a part is sound as far as reports are concerned that are not stored yet.
+    pub fn clear_unstored(&mut self, part: PartKey) {
+        let unstored = self
+            .reports
+            .values_mut()
+            .filter(|kept| kept.offset.is_none());
+        unstored.for_each(|kept| kept.report.suspects.retain(|suspect| suspect.part != part));
+    }
+
+    /// Returns the last trial of a part.
+    #[must_use]
+    pub fn trial(&self, part: PartKey) -> Option<Trial> {
+        self.trials.get(&part).copied()
+    }
+
+    /// Records a trial.
+    pub fn set_trial(&mut self, part: PartKey, trial: Trial) {
+        self.trials.insert(part, trial);
+    }
+
+    /// Returns the reports with the suspects that were not cleared since.
+    #[must_use]
+    pub fn evidence(&self, now_ms: u64) -> Vec<Evidence> {
+        let current = self
+            .reports
+            .values()
+            .filter(|kept| is_current(kept, now_ms));
+        let live = current.map(|kept| Evidence {
+            server: kept.report.server,
+            seen_at_ms: kept.report.seen_at_ms,
+            suspects: self.live_suspects(kept).collect(),
+        });
+        live.filter(|evidence| !evidence.suspects.is_empty())
+            .collect()
+    }
+
+    fn live_suspects<'a>(&'a self, kept: &'a KeptReport) -> impl Iterator<Item = Suspect> + 'a {
+        let suspects = kept.report.suspects.iter().copied();
+        suspects.filter(move |suspect| {
+            let cleared = self.cleared.get(&suspect.part);
+            let before = cleared.map_or(0, |cleared| cleared.before_offset);
+            kept.offset.is_none_or(|offset| offset >= before)
+        })
+    }
+
+    /// Returns up to `max` keys whose records no longer count, to be removed from the log.
+    #[must_use]
+    pub fn obsolete_keys(&self, now_ms: u64, max: usize) -> Vec<RecordKey> {
+        let stored = self
+            .reports
+            .iter()
+            .filter(|(_, kept)| kept.offset.is_some());
+        let obsolete_reports = stored
+            .filter(|(_, kept)| {
+                !is_current(kept, now_ms) || self.live_suspects(kept).next().is_none()
+            })
+            .map(|(key, _)| *key);
+        let reported: IndexSet<PartKey> = self
+            .reports
+            .values()
+            .flat_map(|kept| &kept.report.suspects)
+            .map(|suspect| suspect.part)
+            .collect();
+        let is_unreported = |part: &&PartKey| !reported.contains(*part);
+        let cleared = self.cleared.keys().filter(is_unreported);
+        let trials = self.trials.keys().filter(is_unreported);
+        self.dropped
+            .iter()
+            .copied()
+            .chain(obsolete_reports)
+            .chain(cleared.map(|part| RecordKey::Cleared(*part)))
+            .chain(trials.map(|part| RecordKey::Trial(*part)))
+            .take(max)
+            .collect()
+    }
+
+    /// Drops reports while there are too many: the oldest one of the workspace that has most
+    /// suspects, so that no workspace pushes out the evidence of another.
+    fn drop_excess(&mut self) {
+        loop {
+            let suspects = self.reports.values().map(|kept| kept.report.suspects.len());
+            let is_full =
+                self.reports.len() > REPORTS_MAX || suspects.sum::<usize>() > SUSPECTS_TOTAL_MAX;
+            let Some(victim) = self.excess_report().filter(|_| is_full) else {
+                return;
+            };
+            self.reports.shift_remove(&victim);
+            self.dropped.insert(victim);
+        }
+    }
+
+    fn excess_report(&self) -> Option<RecordKey> {
+        let mut counts: IndexMap<WorkspaceKey, usize> = IndexMap::new();
+        let suspects = self.reports.values().flat_map(|kept| &kept.report.suspects);
+        for suspect in suspects {
+            *counts.entry(suspect.workspace).or_default() += 1;
+        }
+        let heaviest = counts.iter().max_by_key(|(_, count)| **count);
+        let heaviest = heaviest.map(|(workspace, _)| *workspace);
+        let is_of_heaviest = |kept: &KeptReport| {
+            let mut suspects = kept.report.suspects.iter();
+            suspects.any(|suspect| Some(suspect.workspace) == heaviest)
+        };
+        let mut reports = self.reports.iter();
+        let own = reports.clone().filter(|(_, kept)| is_of_heaviest(kept));
+        own.min_by_key(|(_, kept)| kept.report.seen_at_ms)
+            .or_else(|| reports.next())
+            .map(|(key, _)| *key)
+    }
+}
+
+/// Returns whether a report is recent enough to count. The clocks of daemons differ a little, so a
+/// report from the future counts too.
+fn is_current(kept: &KeptReport, now_ms: u64) -> bool {
+    let age_ms = now_ms.saturating_sub(kept.report.seen_at_ms);
+    u128::from(age_ms) < REPORT_TIME.as_millis()
+}
