--- a/crates/gateway/src/background_tasks/operators.rs
+++ b/crates/gateway/src/background_tasks/operators.rs
@@ -141,6 +141,7 @@
         model: &model,
         version,
     });
+    state.quarantine.on_new_weights();
     let publication = WeightPublication {
         version,
         published_after: state.configuration_freshness.verified_at(),
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -129,8 +129,8 @@
         server: &'a str,
         /// How this daemon knows that it ended, and not only a connection.
         confirmed_by: &'a str,
-        /// Number of shared prompt parts in flight there.
-        suspects: usize,
+        /// Number of requests with prompts that this daemon lost there.
+        lost: u32,
     },
     /// Prompt parts under which servers ended were quarantined or released.
     Quarantine {
--- a/crates/gateway/src/pending_ends.rs
+++ b/crates/gateway/src/pending_ends.rs
@@ -2,7 +2,7 @@
 //! only the connection.
 
 use crate::server::{Server, ServerKey, Servers};
-use anvilgw_quarantine::{ServerStart, Suspect};
+use anvilgw_quarantine::{LostRequests, ServerStart, Suspect};
 use indexmap::IndexMap;
 use std::time::Duration;
 
@@ -19,16 +19,10 @@
 struct PendingEnd {
     key: ServerKey,
     broken_at: Duration,
+    lost: u32,
     suspects: Vec<Suspect>,
 }
 
-/// A server that ended, with the prompt parts that were in flight there.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct ConfirmedEnd {
-    pub(crate) start: ServerStart,
-    pub(crate) suspects: Vec<Suspect>,
-}
-
 /// Servers at which answers broke off.
 #[derive(Debug, Default)]
 pub(crate) struct PendingEnds {
@@ -53,8 +47,10 @@
         let pending = self.by_start.entry(start).or_insert_with(|| PendingEnd {
             key,
             broken_at: now,
+            lost: 0,
             suspects: Vec::new(),
         });
+        pending.lost += 1;
         let room = SUSPECTS_MAX.saturating_sub(pending.suspects.len());
         pending.suspects.extend(suspects.iter().take(room));
         is_first
@@ -71,17 +67,18 @@
     }
 
     /// Takes a server that turned out to have ended.
-    pub(crate) fn take(&mut self, start: ServerStart) -> Option<ConfirmedEnd> {
+    pub(crate) fn take(&mut self, start: ServerStart) -> Option<LostRequests> {
         let pending = self.by_start.shift_remove(&start)?;
-        Some(ConfirmedEnd {
-            start,
+        Some(LostRequests {
+            server: start,
+            count: pending.lost,
             suspects: pending.suspects,
         })
     }
 
     /// Takes the servers whose entries show that they ended, and forgets those whose break was long
     /// ago.
-    pub(crate) fn take_replaced(&mut self, servers: &Servers, now: Duration) -> Vec<ConfirmedEnd> {
+    pub(crate) fn take_replaced(&mut self, servers: &Servers, now: Duration) -> Vec<LostRequests> {
         self.by_start
             .retain(|_, pending| now < pending.broken_at + PENDING_TIME);
         let is_replaced = |start: ServerStart, pending: &PendingEnd| {
--- a/crates/gateway/src/server_ends.rs
+++ b/crates/gateway/src/server_ends.rs
@@ -4,10 +4,10 @@
 use crate::connection::SendError;
 use crate::gateway::Gateway;
 use crate::log::Event;
-use crate::pending_ends::{ConfirmedEnd, start_of};
+use crate::pending_ends::start_of;
 use crate::pool::OpenLimits;
 use crate::server::{ServerKey, ServerState};
-use anvilgw_quarantine::{ServerStart, Suspect};
+use anvilgw_quarantine::{LostRequests, ServerStart, Suspect};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -83,19 +83,17 @@
     }
 }
 
-fn report(gateway: &Gateway, end: &ConfirmedEnd, confirmed_by: &str) {
+fn report(gateway: &Gateway, lost: &LostRequests, confirmed_by: &str) {
     let times = gateway.times();
     let state = &mut *gateway.state.borrow_mut();
     let mut servers = state.servers.iter();
-    let server = servers.find(|(_, server)| start_of(server) == end.start);
+    let server = servers.find(|(_, server)| start_of(server) == lost.server);
     gateway.metrics.count("server_ends_noticed");
     gateway.log_notable(&Event::ServerEnded {
         server: server.map_or("", |(_, server)| server.entry.id.as_str()),
         confirmed_by,
-        suspects: end.suspects.len(),
+        lost: lost.count,
     });
-    state
-        .quarantine
-        .on_server_ended(end.start, &end.suspects, times);
+    state.quarantine.on_server_ended(lost, times);
     gateway.evidence_changed.notify_one();
 }
--- a/crates/quarantine/src/attribution.rs
+++ b/crates/quarantine/src/attribution.rs
@@ -4,13 +4,18 @@
 use indexmap::{IndexMap, IndexSet};
 use std::time::Duration;
 
-/// Number of ends under one part, without a whole answer in between, from which it is quarantined.
+/// Smallest number of ends under one part, without a whole answer in between, from which it is
+/// quarantined.
 pub const ENDS_TO_QUARANTINE: usize = 4;
+/// The same while so many servers end that most requests lose theirs.
+pub const ENDS_TO_QUARANTINE_MAX: usize = 8;
+/// Probability with which a sound part may lose as many servers in a row as a quarantine takes.
+const CHANCE_MAX: f64 = 0.05;
 /// Number of ends from which daemons that know the part to be sound say so.
 pub const ENDS_TO_CLEAR: usize = 2;
-/// Ends that one workspace contributes at most to a quarantine for all workspaces. Two workspaces
-/// at least are needed for one, so that no caller blocks a part of the others.
-const ENDS_PER_WORKSPACE_MAX: usize = 2;
+/// One workspace contributes at most one in this many of the ends of a quarantine for all
+/// workspaces, so that no caller blocks a part of the others.
+const ENDS_SHARE_OF_WORKSPACE: usize = 2;
 /// Ends closer together than this count as one. Servers that lose their power together end under
 /// all popular parts at the same moment.
 const ENDS_GAP: Duration = Duration::from_millis(100);
@@ -22,6 +27,10 @@
     pub server: ServerStart,
     /// When the end was noticed, in Unix milliseconds.
     pub seen_at_ms: u64,
+    /// Number of requests that were lost there.
+    pub lost: u32,
+    /// Number of whole answers that the reporting daemon got before.
+    pub completed: u32,
     /// Parts in flight at the server.
     pub suspects: Vec<Suspect>,
 }
@@ -129,6 +138,11 @@
 #[derive(Clone, Debug, Default)]
 struct PartEnds {
     servers: IndexMap<ServerStart, PartEnd>,
+    /// Number of requests that the reporting daemons lost, with and without the part.
+    lost: u64,
+    /// Number of whole answers that they got.
+    completed: u64,
+    reports: u64,
 }
 
 fn ends_by_part(evidence: &[Evidence]) -> IndexMap<PartKey, PartEnds> {
@@ -140,8 +154,14 @@
     }
     let mut parts: IndexMap<PartKey, PartEnds> = IndexMap::new();
     for report in evidence {
+        let mut counted: IndexSet<PartKey> = IndexSet::new();
         for suspect in &report.suspects {
             let ends = parts.entry(suspect.part).or_default();
+            if counted.insert(suspect.part) {
+                ends.lost += u64::from(report.lost.max(1));
+                ends.completed += u64::from(report.completed);
+                ends.reports += 1;
+            }
             let end = ends.servers.entry(report.server).or_default();
             end.at_ms = end_times[&report.server];
             end.workspaces.insert(suspect.workspace);
@@ -180,8 +200,20 @@
         }
     }
 
+    /// Returns the number of ends from which the part is quarantined: so many that a sound part
+    /// hardly loses its servers as often in a row. Requests lose their servers more often while many
+    /// servers end, whatever the requests contain.
+    fn ends_needed(&self) -> usize {
+        // Each report counts as one whole answer more, for daemons with few requests.
+        let outcomes = self.lost + self.completed + self.reports;
+        let lost_share = self.lost as f64 / outcomes.max(1) as f64;
+        let needed = (CHANCE_MAX.ln() / lost_share.ln()).ceil();
+        (needed as usize).clamp(ENDS_TO_QUARANTINE, ENDS_TO_QUARANTINE_MAX)
+    }
+
     /// Returns for whom the part is to be quarantined, or `None` if there is too little evidence.
     fn scope(&self) -> Option<Scope> {
+        let needed = self.ends_needed();
         let workspaces: IndexSet<WorkspaceKey> = self
             .servers
             .values()
@@ -192,15 +224,16 @@
             .into_iter()
             .map(|workspace| (workspace, self.times_ms(Some(workspace)).len()))
             .collect();
+        let per_workspace_max = needed / ENDS_SHARE_OF_WORKSPACE;
         let limited = counts
             .iter()
-            .map(|(_, ends)| (*ends).min(ENDS_PER_WORKSPACE_MAX));
-        if limited.sum::<usize>() >= ENDS_TO_QUARANTINE {
+            .map(|(_, ends)| (*ends).min(per_workspace_max));
+        if limited.sum::<usize>() >= needed {
             return Some(Scope::Fleet);
         }
         let own: Vec<WorkspaceKey> = counts
             .iter()
-            .filter(|(_, ends)| *ends >= ENDS_TO_QUARANTINE)
+            .filter(|(_, ends)| *ends >= needed)
             .map(|(workspace, _)| *workspace)
             .collect();
         (!own.is_empty()).then_some(Scope::Workspaces(own))
@@ -208,11 +241,12 @@
 
     /// Returns whether there is enough evidence for a quarantine, with the times of the ends.
     fn enough_times_ms(&self) -> Option<Vec<u64>> {
-        if self.servers.len() < ENDS_TO_QUARANTINE {
+        let needed = self.ends_needed();
+        if self.servers.len() < needed {
             return None;
         }
         let times = self.times_ms(None);
-        (times.len() >= ENDS_TO_QUARANTINE && self.scope().is_some()).then_some(times)
+        (times.len() >= needed && self.scope().is_some()).then_some(times)
     }
 
     fn has_same_servers(&self, other: &Self) -> bool {
@@ -237,7 +271,7 @@
         parts: same,
         scope: most.scope()?,
         ends: times.len(),
-        reached_at_ms: times[ENDS_TO_QUARANTINE - 1],
+        reached_at_ms: times[most.ends_needed() - 1],
         last_end_ms: times.last().copied()?,
     })
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -28,7 +28,8 @@
 mod quarantine;
 
 pub use quarantine::{
-    Admission, COOLDOWN, COOLDOWN_MAX, OBJECTION_TIME, Quarantine, QuarantineChange, Times,
+    Admission, COOLDOWN, COOLDOWN_MAX, LostRequests, OBJECTION_TIME, Quarantine, QuarantineChange,
+    Times,
 };
 
 use bincode::{Decode, Encode};
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -1,7 +1,7 @@
 //! One daemon's view of the quarantine, and what it contributes to the fleet's evidence.
 
 use crate::attribution::{Attribution, ENDS_TO_CLEAR, Evidence, QuarantinedParts, attribute};
-use crate::completions::Completions;
+use crate::completions::{AnswerCount, Completions};
 use crate::record::{Clearance, EndReport, KeyedRecord, Record, RecordKey, SUSPECTS_MAX, Trial};
 use crate::table::EvidenceTable;
 use crate::{PartKey, ServerStart, Suspect, WorkspaceKey};
@@ -21,7 +21,7 @@
 const NO_REPEAT_TIME: Duration = Duration::from_secs(30);
 /// Time for which an attribution is used. Parts that got a whole answer are left out of it, and
 /// that changes with time.
-const ATTRIBUTION_TIME: Duration = Duration::from_millis(250);
+const ATTRIBUTION_TIME: Duration = Duration::from_secs(1);
 /// Minimum time between two clearances of one part by this daemon.
 const CLEARANCE_PAUSE: Duration = Duration::from_millis(300);
 /// Minimum time between two attempts of this daemon to claim a trial.
@@ -42,6 +42,17 @@
     pub wall_ms: u64,
 }
 
+/// Requests with prompts that one daemon lost at the end of a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LostRequests {
+    /// The start of the server that ended.
+    pub server: ServerStart,
+    /// Number of requests.
+    pub count: u32,
+    /// Shared parts of their prompts.
+    pub suspects: Vec<Suspect>,
+}
+
 /// Whether a request may be sent to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -71,6 +82,7 @@
 pub struct Quarantine {
     table: EvidenceTable,
     completions: Completions,
+    answers: AnswerCount,
     attribution: Attribution,
     /// When the attribution was made, or `None` if the evidence has changed since.
     attributed_at: Option<Duration>,
@@ -94,6 +106,7 @@
         Self {
             table: EvidenceTable::default(),
             completions: Completions::default(),
+            answers: AnswerCount::default(),
             attribution: Attribution::default(),
             attributed_at: None,
             quarantined_since: IndexMap::new(),
@@ -138,8 +151,9 @@
         self.table.set_next_offset(next_offset);
     }
 
-    /// Records the end of a server at which prompts with these parts were in flight.
-    pub fn on_server_ended(&mut self, server: ServerStart, suspects: &[Suspect], times: Times) {
+    /// Records the end of a server at which prompts were in flight.
+    pub fn on_server_ended(&mut self, lost: &LostRequests, times: Times) {
+        let (server, suspects) = (lost.server, lost.suspects.as_slice());
         let accused = self.accused(server, suspects, times.uptime);
         if accused.is_empty() {
             return;
@@ -153,6 +167,8 @@
         let report = EndReport {
             server,
             seen_at_ms: times.wall_ms,
+            lost: lost.count,
+            completed: self.answers.take(times.uptime),
             suspects: accused,
         };
         if self.outbox.len() >= OUTBOX_MAX {
@@ -199,6 +215,7 @@
     /// Records that a request with these parts got a whole answer. Returns whether servers ended
     /// under one of them, so that there may be something to append.
     pub fn on_completed(&mut self, suspects: &[Suspect], now: Duration) -> bool {
+        self.answers.on_answer();
         for suspect in suspects.iter().take(SUSPECTS_MAX) {
             self.completions.on_completed(*suspect, now);
             if !self.table.is_empty() {
@@ -212,6 +229,12 @@
         is_accused
     }
 
+    /// Records that servers get new weights, on which parts that were sound may end them.
+    pub fn on_new_weights(&mut self) {
+        self.completions.clear();
+        self.attributed_at = None;
+    }
+
     /// Returns whether servers ended under a part, as far as is known.
     fn is_accused(&self, part: PartKey) -> bool {
         let mut quarantined = self.attribution.quarantined.iter();
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -43,6 +43,11 @@
     pub server: ServerStart,
     /// When the daemon noticed the end, in Unix milliseconds.
     pub seen_at_ms: u64,
+    /// Number of requests with prompts that the daemon lost at the server.
+    pub lost: u32,
+    /// Number of whole answers to prompts that the daemon got since its previous report, in the last
+    /// minute at most.
+    pub completed: u32,
     /// Shared parts of the prompts that the daemon had in flight at the server.
     pub suspects: Vec<Suspect>,
 }
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -14,6 +14,9 @@
 /// Maximum number of suspects in all reports that are kept.
 pub const SUSPECTS_TOTAL_MAX: usize = 16 * 1024;
 
+/// Maximum number of dropped keys that are remembered until they are removed from the log.
+const DROPPED_MAX: usize = 4096;
+
 #[derive(Clone, Debug)]
 struct KeptReport {
     /// Offset of the record, or `None` until this daemon has read its own report.
@@ -25,6 +28,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct EvidenceTable {
     reports: IndexMap<RecordKey, KeptReport>,
+    /// Number of suspects in all reports, by workspace.
+    suspect_counts: IndexMap<WorkspaceKey, usize>,
     cleared: IndexMap<PartKey, Clearance>,
     trials: IndexMap<PartKey, Trial>,
     next_offset: u64,
@@ -59,7 +64,14 @@
     /// Forgets all records but this daemon's own that it has not read yet. Called before a complete
     /// listing is applied.
     pub fn clear_stored(&mut self) {
-        self.reports.retain(|_, kept| kept.offset.is_none());
+        let stored = self
+            .reports
+            .iter()
+            .filter(|(_, kept)| kept.offset.is_some());
+        let stored: Vec<RecordKey> = stored.map(|(key, _)| *key).collect();
+        for key in stored {
+            self.remove_report(key);
+        }
         self.cleared.clear();
         self.trials.clear();
         self.dropped.clear();
@@ -69,9 +81,7 @@
     pub fn apply(&mut self, keyed: KeyedRecord, offset: u64) {
         match (keyed.key, keyed.record) {
             (key @ RecordKey::End { .. }, Some(Record::End(report))) => {
-                let offset = Some(offset);
-                self.reports.insert(key, KeptReport { offset, report });
-                self.drop_excess();
+                self.insert_report(key, Some(offset), report);
             }
             (RecordKey::Cleared(part), Some(Record::Cleared(clearance))) => {
                 self.cleared.insert(part, clearance);
@@ -87,7 +97,7 @@
         self.dropped.swap_remove(&key);
         match key {
             RecordKey::End { .. } => {
-                self.reports.shift_remove(&key);
+                self.remove_report(key);
             }
             RecordKey::Cleared(part) => {
                 self.cleared.swap_remove(&part);
@@ -100,18 +110,46 @@
 
     /// Adds a report of this daemon that is not stored yet.
     pub fn add_own(&mut self, key: RecordKey, report: EndReport) {
-        let offset = None;
+        self.insert_report(key, None, report);
+    }
+
+    fn insert_report(&mut self, key: RecordKey, offset: Option<u64>, report: EndReport) {
+        self.remove_report(key);
+        for suspect in &report.suspects {
+            *self.suspect_counts.entry(suspect.workspace).or_default() += 1;
+        }
         self.reports.insert(key, KeptReport { offset, report });
         self.drop_excess();
     }
 
+    fn remove_report(&mut self, key: RecordKey) {
+        let Some(removed) = self.reports.shift_remove(&key) else {
+            return;
+        };
+        self.uncount(&removed.report.suspects);
+    }
+
+    fn uncount(&mut self, suspects: &[Suspect]) {
+        for suspect in suspects {
+            if let Some(count) = self.suspect_counts.get_mut(&suspect.workspace) {
+                *count = count.saturating_sub(1);
+            }
+        }
+        self.suspect_counts.retain(|_, count| *count > 0);
+    }
+
     /// Records that a part is sound as far as reports are concerned that are not stored yet.
     pub fn clear_unstored(&mut self, part: PartKey) {
         let unstored = self
             .reports
             .values_mut()
             .filter(|kept| kept.offset.is_none());
-        unstored.for_each(|kept| kept.report.suspects.retain(|suspect| suspect.part != part));
+        let mut removed = Vec::new();
+        for kept in unstored {
+            let suspects = &mut kept.report.suspects;
+            removed.extend(suspects.extract_if(.., |suspect| suspect.part == part));
+        }
+        self.uncount(&removed);
     }
 
     /// Returns the last trial of a part.
@@ -135,6 +173,8 @@
         let live = current.map(|kept| Evidence {
             server: kept.report.server,
             seen_at_ms: kept.report.seen_at_ms,
+            lost: kept.report.lost,
+            completed: kept.report.completed,
             suspects: self.live_suspects(kept).collect(),
         });
         live.filter(|evidence| !evidence.suspects.is_empty())
@@ -185,24 +225,23 @@
     /// suspects, so that no workspace pushes out the evidence of another.
     fn drop_excess(&mut self) {
         loop {
-            let suspects = self.reports.values().map(|kept| kept.report.suspects.len());
-            let is_full =
-                self.reports.len() > REPORTS_MAX || suspects.sum::<usize>() > SUSPECTS_TOTAL_MAX;
-            let Some(victim) = self.excess_report().filter(|_| is_full) else {
+            let suspects: usize = self.suspect_counts.values().sum();
+            let is_full = self.reports.len() > REPORTS_MAX || suspects > SUSPECTS_TOTAL_MAX;
+            if !is_full {
+                return;
+            }
+            let Some(victim) = self.excess_report() else {
                 return;
             };
-            self.reports.shift_remove(&victim);
-            self.dropped.insert(victim);
+            self.remove_report(victim);
+            if self.dropped.len() < DROPPED_MAX {
+                self.dropped.insert(victim);
+            }
         }
     }
 
     fn excess_report(&self) -> Option<RecordKey> {
-        let mut counts: IndexMap<WorkspaceKey, usize> = IndexMap::new();
-        let suspects = self.reports.values().flat_map(|kept| &kept.report.suspects);
-        for suspect in suspects {
-            *counts.entry(suspect.workspace).or_default() += 1;
-        }
-        let heaviest = counts.iter().max_by_key(|(_, count)| **count);
+        let heaviest = self.suspect_counts.iter().max_by_key(|(_, count)| **count);
         let heaviest = heaviest.map(|(workspace, _)| *workspace);
         let is_of_heaviest = |kept: &KeptReport| {
             let mut suspects = kept.report.suspects.iter();
