Quarantine after five ends, or more where chance explains them

Five ends are needed now (the rule counts from the fifth); up to ten while the product of the shares of lost requests at these ends is above 0.001, unless the part was in flight at nine tenths of all ends of its time. One workspace contributes at most half of the ends.

--- a/crates/quarantine/src/attribution.rs
+++ b/crates/quarantine/src/attribution.rs
@@ -6,19 +6,24 @@
 
 /// Smallest number of ends under one part, without a whole answer in between, from which it is
 /// quarantined.
-pub const ENDS_TO_QUARANTINE: usize = 4;
-/// The same while so many servers end that most requests lose theirs.
-pub const ENDS_TO_QUARANTINE_MAX: usize = 8;
-/// Probability with which a sound part may lose as many servers in a row as a quarantine takes.
-const CHANCE_MAX: f64 = 0.05;
+pub const ENDS_TO_QUARANTINE: usize = 5;
+/// The same for a part that is absent at most ends while most requests lose their servers.
+pub const ENDS_TO_QUARANTINE_MAX: usize = 10;
+/// Probability with which a sound part may lose as many servers in a row as a quarantine takes. It
+/// is small because there are many parts, each of which may.
+const CHANCE_MAX: f64 = 0.001;
+/// Smallest share of lost requests that is assumed, so that a single report does not count too much.
+const LOST_SHARE_MIN: f64 = 0.05;
+/// Share of all ends of its time that a part explains if it is the cause of a series of ends.
+const EXPLAINED_SHARE_MIN: f64 = 0.9;
 /// Number of ends from which daemons that know the part to be sound say so.
 pub const ENDS_TO_CLEAR: usize = 2;
-/// One workspace contributes at most one in this many of the ends of a quarantine for all
+/// One workspace contributes at most one in this many, rounded up, of the ends of a quarantine for all
 /// workspaces, so that no caller blocks a part of the others.
 const ENDS_SHARE_OF_WORKSPACE: usize = 2;
 /// Ends closer together than this count as one. Servers that lose their power together end under
 /// all popular parts at the same moment.
-const ENDS_GAP: Duration = Duration::from_millis(100);
+const ENDS_GAP: Duration = Duration::from_millis(50);
 
 /// The suspects of one report of a server's end.
 #[derive(Clone, Debug)]
@@ -105,9 +110,10 @@
 /// not count against the others in flight at the same servers.
 #[must_use]
 pub fn attribute(evidence: &[Evidence]) -> Attribution {
-    let mut parts = ends_by_part(evidence);
+    let end_times = end_times(evidence);
+    let mut parts = ends_by_part(evidence, &end_times);
     let mut attribution = Attribution::default();
-    while let Some(found) = next_quarantined(&parts) {
+    while let Some(found) = next_quarantined(&parts, &end_times) {
         let mut explained: IndexSet<ServerStart> = IndexSet::new();
         for part in &found.parts {
             if let Some(ends) = parts.swap_remove(part) {
@@ -131,6 +137,8 @@
 #[derive(Clone, Debug, Default)]
 struct PartEnd {
     at_ms: u64,
+    /// Share of the requests of the reporting daemons that lost their servers at about this time.
+    lost_share: f64,
     workspaces: IndexSet<WorkspaceKey>,
 }
 
@@ -138,31 +146,38 @@
 #[derive(Clone, Debug, Default)]
 struct PartEnds {
     servers: IndexMap<ServerStart, PartEnd>,
-    /// Number of requests that the reporting daemons lost, with and without the part.
-    lost: u64,
-    /// Number of whole answers that they got.
-    completed: u64,
-    reports: u64,
 }
 
-fn ends_by_part(evidence: &[Evidence]) -> IndexMap<PartKey, PartEnds> {
-    // All reports of one end get the time of the first one.
-    let mut end_times: IndexMap<ServerStart, u64> = IndexMap::new();
+impl Evidence {
+    /// Returns the share of the daemon's requests that lost their servers lately. The report counts
+    /// as one whole answer more, for daemons with few requests.
+    fn lost_share(&self) -> f64 {
+        let lost = f64::from(self.lost.max(1));
+        let share = lost / (lost + f64::from(self.completed) + 1.0);
+        share.max(LOST_SHARE_MIN)
+    }
+}
+
+/// Times of all known ends, in Unix milliseconds.
+type EndTimes = IndexMap<ServerStart, u64>;
+
+/// Returns the times of all ends. All reports of one end get the time of the first one.
+fn end_times(evidence: &[Evidence]) -> EndTimes {
+    let mut end_times = EndTimes::new();
     for report in evidence {
         let at_ms = end_times.entry(report.server).or_insert(report.seen_at_ms);
         *at_ms = report.seen_at_ms.min(*at_ms);
     }
+    end_times
+}
+
+fn ends_by_part(evidence: &[Evidence], end_times: &EndTimes) -> IndexMap<PartKey, PartEnds> {
     let mut parts: IndexMap<PartKey, PartEnds> = IndexMap::new();
     for report in evidence {
-        let mut counted: IndexSet<PartKey> = IndexSet::new();
         for suspect in &report.suspects {
             let ends = parts.entry(suspect.part).or_default();
-            if counted.insert(suspect.part) {
-                ends.lost += u64::from(report.lost.max(1));
-                ends.completed += u64::from(report.completed);
-                ends.reports += 1;
-            }
             let end = ends.servers.entry(report.server).or_default();
+            end.lost_share = end.lost_share.max(report.lost_share());
             end.at_ms = end_times[&report.server];
             end.workspaces.insert(suspect.workspace);
         }
@@ -202,18 +217,34 @@
 
     /// Returns the number of ends from which the part is quarantined: so many that a sound part
     /// hardly loses its servers as often in a row. Requests lose their servers more often while many
-    /// servers end, whatever the requests contain.
-    fn ends_needed(&self) -> usize {
-        // Each report counts as one whole answer more, for daemons with few requests.
-        let outcomes = self.lost + self.completed + self.reports;
-        let lost_share = self.lost as f64 / outcomes.max(1) as f64;
-        let needed = (CHANCE_MAX.ln() / lost_share.ln()).ceil();
-        (needed as usize).clamp(ENDS_TO_QUARANTINE, ENDS_TO_QUARANTINE_MAX)
+    /// servers end, whatever the requests contain; but a part that was in flight at nearly all of
+    /// these ends is their cause.
+    fn ends_needed(&self, end_times: &EndTimes) -> usize {
+        if self.explained_share(end_times) >= EXPLAINED_SHARE_MIN {
+            return ENDS_TO_QUARANTINE;
+        }
+        let mut ends: Vec<&PartEnd> = self.servers.values().collect();
+        ends.sort_by_key(|end| end.at_ms);
+        let chances = ends.iter().scan(1.0, |chance, end| {
+            *chance *= end.lost_share;
+            Some(*chance)
+        });
+        let unlikely_after = chances.take_while(|chance| *chance > CHANCE_MAX).count() + 1;
+        unlikely_after.clamp(ENDS_TO_QUARANTINE, ENDS_TO_QUARANTINE_MAX)
+    }
+
+    /// Returns the share of the servers that ended between the first and the last end under the part
+    /// at which it was in flight.
+    fn explained_share(&self, end_times: &EndTimes) -> f64 {
+        let first_ms = self.servers.values().map(|end| end.at_ms).min();
+        let last_ms = self.servers.values().map(|end| end.at_ms).max();
+        let time = first_ms.unwrap_or_default()..=last_ms.unwrap_or_default();
+        let all = end_times.values().filter(|at_ms| time.contains(at_ms));
+        self.servers.len() as f64 / all.count().max(1) as f64
     }
 
     /// Returns for whom the part is to be quarantined, or `None` if there is too little evidence.
-    fn scope(&self) -> Option<Scope> {
-        let needed = self.ends_needed();
+    fn scope(&self, needed: usize) -> Option<Scope> {
         let workspaces: IndexSet<WorkspaceKey> = self
             .servers
             .values()
@@ -224,7 +255,7 @@
             .into_iter()
             .map(|workspace| (workspace, self.times_ms(Some(workspace)).len()))
             .collect();
-        let per_workspace_max = needed / ENDS_SHARE_OF_WORKSPACE;
+        let per_workspace_max = needed.div_ceil(ENDS_SHARE_OF_WORKSPACE);
         let limited = counts
             .iter()
             .map(|(_, ends)| (*ends).min(per_workspace_max));
@@ -239,14 +270,19 @@
         (!own.is_empty()).then_some(Scope::Workspaces(own))
     }
 
-    /// Returns whether there is enough evidence for a quarantine, with the times of the ends.
-    fn enough_times_ms(&self) -> Option<Vec<u64>> {
-        let needed = self.ends_needed();
-        if self.servers.len() < needed {
+    /// Returns what the part is to be quarantined with, or `None` if there is too little evidence.
+    fn verdict(&self, end_times: &EndTimes) -> Option<Verdict> {
+        if self.servers.len() < ENDS_TO_QUARANTINE {
             return None;
         }
-        let times = self.times_ms(None);
-        (times.len() >= needed && self.scope().is_some()).then_some(times)
+        let needed = self.ends_needed(end_times);
+        let times_ms = self.times_ms(None);
+        let reached_at_ms = *times_ms.get(needed - 1)?;
+        Some(Verdict {
+            scope: self.scope(needed)?,
+            reached_at_ms,
+            times_ms,
+        })
     }
 
     fn has_same_servers(&self, other: &Self) -> bool {
@@ -256,22 +292,33 @@
     }
 }
 
+/// Sufficient evidence against a part.
+struct Verdict {
+    scope: Scope,
+    /// Time of the end with which there was enough, in Unix milliseconds.
+    reached_at_ms: u64,
+    times_ms: Vec<u64>,
+}
+
 /// Returns the part to which most ends are attributed, together with all parts that were in flight
 /// at exactly the same servers. Returns `None` if no part has enough ends.
-fn next_quarantined(parts: &IndexMap<PartKey, PartEnds>) -> Option<QuarantinedParts> {
+fn next_quarantined(
+    parts: &IndexMap<PartKey, PartEnds>,
+    end_times: &EndTimes,
+) -> Option<QuarantinedParts> {
     let candidates = parts
         .iter()
-        .filter_map(|(part, ends)| Some((part, ends, ends.enough_times_ms()?)));
-    let (_, most, times) =
-        candidates.max_by_key(|(part, _, times)| (times.len(), std::cmp::Reverse(**part)))?;
+        .filter_map(|(part, ends)| Some((part, ends, ends.verdict(end_times)?)));
+    let (_, most, verdict) = candidates
+        .max_by_key(|(part, _, verdict)| (verdict.times_ms.len(), std::cmp::Reverse(**part)))?;
     let same = parts.iter().filter(|(_, ends)| ends.has_same_servers(most));
     let mut same: Vec<PartKey> = same.map(|(part, _)| *part).collect();
     same.sort_unstable();
     Some(QuarantinedParts {
         parts: same,
-        scope: most.scope()?,
-        ends: times.len(),
-        reached_at_ms: times[most.ends_needed() - 1],
-        last_end_ms: times.last().copied()?,
+        scope: verdict.scope,
+        ends: verdict.times_ms.len(),
+        reached_at_ms: verdict.reached_at_ms,
+        last_end_ms: verdict.times_ms.last().copied()?,
     })
 }
