Tell daemons of new evidence instead of letting them ask for it

A daemon whose copy others read tells them by a datagram when it has read records, and they read at once. Reads wait six seconds while it is quiet. The store cannot hold back reads of a log without a record, so the leaders create it.

--- a/crates/gateway/src/background_tasks/evidence.rs
+++ b/crates/gateway/src/background_tasks/evidence.rs
@@ -1,9 +1,12 @@
 //! Exchanges evidence on prompt parts with the other daemons through the metadata store.
 
+use super::peer_messages::send_message;
 use crate::dependency::Dependency;
 use crate::dispatch::encode_record;
 use crate::gateway::Gateway;
+use crate::groups::{Role, StoreReads};
 use crate::log::Event;
+use crate::peer_message::PeerMessage;
 use crate::ports::{KeyedBytes, StoreError, Topic};
 use crate::server_ends::report_replaced;
 use crate::topic_reader::TopicReader;
@@ -17,13 +20,13 @@
 use tokio::time::sleep;
 
 /// Time for which a read waits for records while there has been no report lately.
-const QUIET_WAIT: Duration = Duration::from_secs(2);
-/// The same after a report, when more are to be expected.
-const ACTIVE_WAIT: Duration = Duration::from_millis(400);
+const QUIET_WAIT: Duration = Duration::from_secs(6);
+/// The same after a report, when more are to be expected and a message about them may be lost.
+const ACTIVE_WAIT: Duration = Duration::from_secs(2);
 /// Time after a report until the log counts as quiet.
 const ACTIVE_TIME: Duration = Duration::from_secs(30);
-/// Fraction of the wait for which the loop pauses if a read returned without records at once, as it
-/// does until the log has its first record.
+/// Fraction of the wait for which the loop pauses if the metadata store did not hold the read back,
+/// as is the case until the log has its first record.
 const EMPTY_PAUSE_FRACTION: f64 = 0.5;
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
@@ -37,37 +40,88 @@
 
 /// Reads the fleet's evidence until the daemon ends.
 pub(crate) async fn follow(gateway: Rc<Gateway>) {
-    let mut dependency = Dependency::new("metadata store, evidence");
     let clock = Arc::clone(&gateway.ports.clock);
-    let mut reader = TopicReader::new(Topic::Evidence, clock);
-    let mut last_report_at: Option<Duration> = None;
+    let mut follower = Follower {
+        dependency: Dependency::new("metadata store, evidence"),
+        reader: TopicReader::new(Topic::Evidence, clock),
+        last_report_at: None,
+        has_created_log: false,
+        gateway,
+    };
     loop {
-        load_listing(&gateway, &mut dependency).await;
-        loop {
-            let from_offset = gateway.state.borrow().quarantine.table().next_offset();
-            let now = gateway.now();
-            let is_active = last_report_at.is_some_and(|at| now < at + ACTIVE_TIME);
-            let wait = if is_active { ACTIVE_WAIT } else { QUIET_WAIT };
-            match reader.read(&gateway, from_offset, wait).await {
-                Ok(read) => {
-                    dependency.on_answer(&gateway);
-                    let is_empty = read.records.is_empty();
-                    if !is_empty {
-                        last_report_at = Some(gateway.now());
-                    }
+        load_listing(&follower.gateway, &mut follower.dependency).await;
+        while follower.read_once().await {}
+    }
+}
+
+struct Follower {
+    gateway: Rc<Gateway>,
+    dependency: Dependency,
+    reader: TopicReader,
+    last_report_at: Option<Duration>,
+    has_created_log: bool,
+}
+
+impl Follower {
+    /// Reads the records that follow. Returns `false` if some of them were deleted, so that all
+    /// records have to be listed again.
+    async fn read_once(&mut self) -> bool {
+        let gateway = Rc::clone(&self.gateway);
+        let from_offset = gateway.state.borrow().quarantine.table().next_offset();
+        let started_at = gateway.now();
+        let wait = self.wait(started_at);
+        let result = tokio::select! {
+            result = self.reader.read(&gateway, from_offset, wait) => result,
+            () = gateway.evidence_news.notified() => {
+                self.reader.read(&gateway, from_offset, Duration::ZERO).await
+            }
+        };
+        match result {
+            Ok(read) => {
+                self.dependency.on_answer(&gateway);
+                if read.records.is_empty() {
+                    let elapsed = gateway.now().saturating_sub(started_at);
+                    self.on_nothing_read(wait, elapsed).await;
+                } else {
+                    self.last_report_at = Some(gateway.now());
                     apply(&gateway, &read.records, from_offset);
-                    let pause = wait.mul_f64(EMPTY_PAUSE_FRACTION);
-                    let elapsed = gateway.now().saturating_sub(now);
-                    if is_empty && elapsed < pause {
-                        sleep(pause - elapsed).await;
-                    }
-                }
-                Err(StoreError::Expired(_)) => break,
-                Err(error) => {
-                    dependency.on_failure(&gateway, &error.to_string());
-                    sleep(RETRY_PAUSE).await;
                 }
             }
+            Err(StoreError::Expired(_)) => return false,
+            Err(error) => {
+                self.dependency.on_failure(&gateway, &error.to_string());
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+        true
+    }
+
+    fn wait(&self, now: Duration) -> Duration {
+        let is_active = self.last_report_at.is_some_and(|at| now < at + ACTIVE_TIME);
+        if is_active { ACTIVE_WAIT } else { QUIET_WAIT }
+    }
+
+    /// Makes up for a read that was not held back. The metadata store cannot hold reads of a log
+    /// back that has no record yet, so a daemon whose copy others read appends a first one.
+    async fn on_nothing_read(&mut self, wait: Duration, elapsed: Duration) {
+        let pause = wait.mul_f64(EMPTY_PAUSE_FRACTION);
+        if elapsed >= pause {
+            return;
+        }
+        let table_offset = self.gateway.state.borrow().quarantine.table().next_offset();
+        let store_reads = self.gateway.state.borrow().store_reads;
+        if table_offset == 0 && store_reads == StoreReads::DirectForGroup && !self.has_created_log {
+            let removal = KeyedRecord {
+                key: RecordKey::Cleared(PartKey(0)),
+                record: None,
+            };
+            let first: Vec<KeyedBytes> = encode_record(&removal).into_iter().collect();
+            let store = &self.gateway.ports.metadata_store;
+            self.has_created_log = store.append_evidence(Some(0), first).await.is_ok();
+        }
+        tokio::select! {
+            () = sleep(pause - elapsed) => {}
+            () = self.gateway.evidence_news.notified() => {}
         }
     }
 }
@@ -109,9 +163,23 @@
         }
         quarantine.on_read(offset + 1);
     }
-    if !records.is_empty() {
-        log_changes(gateway);
-        gateway.evidence_changed.notify_one();
+    log_changes(gateway);
+    tell_readers(gateway);
+    gateway.evidence_changed.notify_one();
+}
+
+/// Tells the daemons that read this one's copy that there are new records.
+fn tell_readers(gateway: &Gateway) {
+    let state = gateway.state.borrow();
+    let recipients = match &state.role {
+        Some(Role::Mesh { peers }) => peers.clone(),
+        Some(Role::Leader { followers, leaders }) => [followers.as_slice(), leaders].concat(),
+        Some(Role::Follower { .. }) | None => Vec::new(),
+    };
+    if state.store_reads.serves_copies()
+        && let Some(socket) = gateway.permit_client.socket()
+    {
+        send_message(gateway, &socket, &PeerMessage::EvidenceNews, &recipients);
     }
 }
 
--- a/crates/gateway/src/background_tasks/peer_messages.rs
+++ b/crates/gateway/src/background_tasks/peer_messages.rs
@@ -36,6 +36,13 @@
                 send_message(gateway, socket, &PeerMessage::Notices(report), &[sender]);
             }
         }
+        PeerMessage::EvidenceNews => {
+            // A daemon that reads the metadata store itself learns of new records from there.
+            let store_reads = gateway.state.borrow().store_reads;
+            if store_reads.source().is_some() {
+                gateway.evidence_news.notify_one();
+            }
+        }
         PeerMessage::PermitRequest(request) => {
             let reply = answer_permit_request(gateway, &request);
             send_message(gateway, socket, &PeerMessage::PermitReply(reply), &[sender]);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -118,6 +118,8 @@
     pub(crate) cache_stores_changed: Notify,
     /// Notified when there is evidence to tell the other daemons.
     pub(crate) evidence_changed: Notify,
+    /// Notified when another daemon has read evidence that this one reads from it.
+    pub(crate) evidence_news: Notify,
     /// Notified when the role of this daemon in the fleet has changed.
     pub(crate) role_changed: Notify,
     /// Random number that differs between starts of a daemon.
@@ -172,6 +174,7 @@
             requests_in_flight: Cell::new(0),
             cache_stores_changed: Notify::new(),
             evidence_changed: Notify::new(),
+            evidence_news: Notify::new(),
             role_changed: Notify::new(),
             start_id: rand::random(),
             started_at,
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -11,6 +11,7 @@
 const PERMIT_REQUEST_TAG: u8 = 17;
 const PERMIT_REPLY_TAG: u8 = 18;
 const NOTICE_QUERY_TAG: u8 = 19;
+const EVIDENCE_NEWS_TAG: u8 = 20;
 
 /// Limit of the memory that a decoded message claims. Values take more memory than encoded bytes.
 const DECODED_MAX_BYTES: usize = 4 * DATAGRAM_MAX_BYTES;
@@ -41,6 +42,8 @@
     Notices(NoticeReport),
     /// A question for all such statements, by a daemon that has just started.
     NoticeQuery,
+    /// The sender has read new evidence on prompt parts, of which it keeps a copy.
+    EvidenceNews,
     /// A request for a permit.
     PermitRequest(PermitRequest),
     /// The reply to such a request.
@@ -58,6 +61,7 @@
             Self::Load(report) => encode_after(Vec::new(), report),
             Self::Notices(report) => encode_after(vec![NOTICES_TAG], report),
             Self::NoticeQuery => Ok(vec![NOTICE_QUERY_TAG]),
+            Self::EvidenceNews => Ok(vec![EVIDENCE_NEWS_TAG]),
             Self::PermitRequest(request) => encode_after(vec![PERMIT_REQUEST_TAG], request),
             Self::PermitReply(reply) => encode_after(vec![PERMIT_REPLY_TAG], reply),
         }
@@ -76,6 +80,7 @@
         match tag {
             NOTICES_TAG => Ok(Self::Notices(decode(rest)?)),
             NOTICE_QUERY_TAG => Ok(Self::NoticeQuery),
+            EVIDENCE_NEWS_TAG => Ok(Self::EvidenceNews),
             PERMIT_REQUEST_TAG => Ok(Self::PermitRequest(decode(rest)?)),
             PERMIT_REPLY_TAG => Ok(Self::PermitReply(decode(rest)?)),
             _ => Ok(Self::Load(decode(bytes)?)),
--- a/crates/gateway/src/permit_client.rs
+++ b/crates/gateway/src/permit_client.rs
@@ -55,6 +55,11 @@
         let _ = self.socket.set(socket);
     }
 
+    /// Returns the socket for messages to other daemons, if this daemon has one.
+    pub(crate) fn socket(&self) -> Option<Rc<UdpSocket>> {
+        self.socket.get().cloned()
+    }
+
     /// Passes a reply to the request that awaits it. A reply that comes too late is ignored.
     pub(crate) fn on_reply(&self, reply: PermitReply) {
         let pending = self.pending.borrow_mut().swap_remove(&reply.sequence());
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -21,6 +21,9 @@
 
 /// Age from which a leader's copy is too old, so that this daemon reads the metadata store itself.
 const LEADER_COPY_AGE_MAX: Duration = Duration::from_millis(1200);
+/// The same for evidence on prompt parts. Leaders tell when there is more of it, and let the store
+/// hold reads back for longer.
+const EVIDENCE_COPY_AGE_MAX: Duration = Duration::from_secs(8);
 /// Timeout of a read of a leader's copy. A leader that takes longer may be frozen.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Fraction of the requested wait that daemons in the chain of copies use: a follower pauses this
@@ -147,7 +150,11 @@
         let page: TopicPage = fetch(&self.clients, leader, &target, LEADER_TIMEOUT).await?;
         let age = page.age_ms.map(Duration::from_millis);
         let verified_at = age.map(|age| started_at.saturating_sub(age));
-        if age.is_some_and(|age| age > LEADER_COPY_AGE_MAX) {
+        let age_max = match self.topic {
+            Topic::Evidence => EVIDENCE_COPY_AGE_MAX,
+            Topic::Table(_) | Topic::Leases => LEADER_COPY_AGE_MAX,
+        };
+        if age.is_some_and(|age| age > age_max) {
             return Err("the leader's copy is too old".to_owned());
         }
         let read = TopicRecords {
