Quarantine prompts under which engines end in anvilgw serve too

The quarantine service shares the evidence through a stream of the log service; parts are prefixes of the prompt, by the keys of their blocks, which are those of one workspace. An engine has ended if it does not answer its next poll or was started again. A trial is claimed by an append whose offset shows that nobody has written since.

The engine stand-in crashes on a given text.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -5,6 +5,7 @@
 use crate::duties::block_export::BlockExportService;
 use crate::duties::claims::ClaimsService;
 use crate::duties::control::{BudgetKind, ControlService, MILLI, SharedBudgets};
+use crate::duties::quarantine::QuarantineService;
 use crate::duties::routing::RoutingService;
 use crate::explain::ExplainStore;
 use crate::keys::KeyTable;
@@ -54,6 +55,8 @@
     pub(crate) block_export: Arc<BlockExportService>,
     /// Records claims on idempotency keys in the log.
     pub(crate) claims: Arc<ClaimsService>,
+    /// Keeps prompts under which engines end from the other engines.
+    pub(crate) quarantine: Arc<QuarantineService>,
     /// Publishes the configuration, the members of the fleet and the epoch.
     pub(crate) control: Arc<ControlService>,
     /// This daemon's shares of the fleet-wide budgets.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -7,6 +7,7 @@
 use crate::duties::block_export::{BlockExportDependencies, BlockExportService};
 use crate::duties::claims::ClaimsService;
 use crate::duties::control::{ControlDependencies, ControlService, SharedBudgets};
+use crate::duties::quarantine::QuarantineService;
 use crate::duties::routing::RoutingService;
 use crate::explain::ExplainStore;
 use crate::front::{self, ServerLimits};
@@ -104,6 +105,7 @@
     routing: Arc<RoutingService>,
     block_export: Arc<BlockExportService>,
     claims: Arc<ClaimsService>,
+    quarantine: Arc<QuarantineService>,
     control: Arc<ControlService>,
     budgets: Arc<SharedBudgets>,
     peers: Arc<PeerClient>,
@@ -362,12 +364,28 @@
         routing,
         block_export: Arc::new(block_export),
         claims: Arc::new(claims),
+        quarantine: start_quarantine(dependencies, worker_threads)?,
         control: Arc::new(control.service),
         budgets: control.budgets,
         peers,
     })
 }
 
+fn start_quarantine(
+    dependencies: &ServiceDependencies,
+    worker_threads: &mut Vec<WorkerThread>,
+) -> Result<Arc<QuarantineService>, StartError> {
+    let (quarantine, worker_thread) = QuarantineService::start(
+        dependencies.settings.log.stream_name("quarantine"),
+        Arc::clone(&dependencies.log),
+        Arc::clone(&dependencies.clock),
+        Arc::clone(&dependencies.journal),
+        dependencies.stop_workers.clone(),
+    )?;
+    worker_threads.push(worker_thread);
+    Ok(quarantine)
+}
+
 fn register(
     registry: &Registry,
     services: &Services,
@@ -379,6 +397,7 @@
     registry.register("routing", Arc::clone(&services.routing))?;
     registry.register("keeping", Arc::clone(&services.block_export))?;
     registry.register("claims", Arc::clone(&services.claims))?;
+    registry.register("quarantine", Arc::clone(&services.quarantine))?;
     registry.register("peers", Arc::clone(&services.peers))?;
     registry.register("journal", Arc::clone(journal))
 }
@@ -408,6 +427,7 @@
         routing: Arc::clone(&services.routing),
         block_export: Arc::clone(&services.block_export),
         claims: Arc::clone(&services.claims),
+        quarantine: Arc::clone(&services.quarantine),
         control: Arc::clone(&services.control),
         budgets: Arc::clone(&services.budgets),
         peers: Arc::clone(&services.peers),
--- a/crates/entry/src/dispatch/completion.rs
+++ b/crates/entry/src/dispatch/completion.rs
@@ -12,7 +12,9 @@
 use anvilgw_core::{AttemptId, ErrorKind, Failure, ServerId, Stage};
 use anvilgw_platform::{
     CallOptions, EngineError, EngineEvent, EngineRequest, EngineStream, KvImport, KvSource,
+    TransportCause,
 };
+use anvilgw_quarantine::Suspect;
 use anvilgw_router::{BlockKey, Location, PrefillPriority, RouteRequest, SendOutcome, ServePlan};
 use http::HeaderValue;
 use std::sync::Arc;
@@ -27,6 +29,8 @@
     context: Arc<Context>,
     request_context: RequestContext,
     request: CompletionRequest,
+    /// Prefixes of the prompt under which an engine may end.
+    suspects: Vec<Suspect>,
     admission_guard: AdmissionGuard,
     attempt: Option<RunningAttempt>,
     next_token_index: u64,
@@ -92,6 +96,7 @@
             .update(request_context.id, |record| record.queued_ms = queued_ms);
         let mut completion = Self {
             context,
+            suspects: request.suspects(request_context.workspace),
             request_context,
             request,
             admission_guard,
@@ -182,6 +187,7 @@
                 .metrics
                 .count("tokens.imported", usage.imported_tokens, "prompt");
         }
+        self.context.quarantine.on_completed(&self.suspects);
         self.enqueue_block_export();
         self.end_attempt(SendOutcome::Completed, "complete");
         record_result(&self.context, &self.request_context, "complete");
@@ -216,6 +222,7 @@
         let outcome = send_outcome(error);
         if let Some(running) = &self.attempt {
             self.tried.push(running.server);
+            self.on_engine_error(running.server, error);
         }
         self.end_attempt(outcome, &error.to_string());
         let failure = Failure::from(error.clone());
@@ -230,10 +237,12 @@
     /// Waits before the next attempt, or returns `failure` if the retry budget, the number of
     /// attempts or the deadline allows none.
     async fn wait_for_retry(&mut self, failure: Failure) -> Result<(), Failure> {
-        match self
+        let may_be_at_fault = failure.kind() == ErrorKind::AnswerBroken;
+        let is_allowed = !may_be_at_fault || self.context.quarantine.may_repeat(&self.suspects);
+        let retry_delay = self
             .context
-            .retry_delay(self.attempts, self.request_context.deadline)
-        {
+            .retry_delay(self.attempts, self.request_context.deadline);
+        match retry_delay.filter(|_| is_allowed) {
             Some(wait) => {
                 self.context
                     .metrics
@@ -248,6 +257,15 @@
         }
     }
 
+    /// Tells the quarantine if an engine may have ended under the request.
+    fn on_engine_error(&self, engine: ServerId, error: &EngineError) {
+        if is_broken_answer(error) {
+            self.context
+                .quarantine
+                .on_answer_broken(engine, &self.suspects);
+        }
+    }
+
     fn deadline_exceeded(&mut self) -> Failure {
         let stage = match self.next_token_index {
             0 => Stage::Written,
@@ -287,7 +305,10 @@
                     self.end_attempt(SendOutcome::Failed, &failure.to_string());
                     let is_final = matches!(
                         failure.kind(),
-                        ErrorKind::StaleView | ErrorKind::NotReady | ErrorKind::DeadlineExceeded
+                        ErrorKind::StaleView
+                            | ErrorKind::NotReady
+                            | ErrorKind::DeadlineExceeded
+                            | ErrorKind::PromptQuarantined
                     );
                     let failure = match self.next_token_index {
                         0 => failure,
@@ -316,6 +337,7 @@
 
     async fn start_attempt(&mut self) -> Result<RunningAttempt, Failure> {
         let context = Arc::clone(&self.context);
+        context.quarantine.enter(&self.suspects).await?;
         let (number, selected) = self.select_server().await?;
         let mut dispatch = selected.dispatch;
         let backend = context.backends.get(selected.choice.server);
@@ -349,6 +371,7 @@
             }),
             Ok(Err(error)) => {
                 self.tried.push(backend.id);
+                self.on_engine_error(backend.id, &error);
                 dispatch.set_outcome(send_outcome(&error));
                 Err(error.into())
             }
@@ -462,6 +485,21 @@
     }
 }
 
+/// Returns whether the connection ended before the answer did, as it does when the engine ends.
+fn is_broken_answer(error: &EngineError) -> bool {
+    match error {
+        EngineError::Transport(error) => {
+            let is_late = matches!(
+                error.cause(),
+                TransportCause::Silent(_) | TransportCause::TimedOut
+            );
+            error.stage() >= Stage::Written && !is_late
+        }
+        EngineError::MissingEndMarker => true,
+        _ => false,
+    }
+}
+
 /// Records how the request ended for `explain`.
 fn record_result(context: &Context, request: &RequestContext, result: &str) {
     context
--- a/crates/entry/src/dispatch/completion_request.rs
+++ b/crates/entry/src/dispatch/completion_request.rs
@@ -3,6 +3,7 @@
 
 use anvilgw_config::{ConfigState, ModelSettings, Settings};
 use anvilgw_core::{ErrorKind, Failure, ModelId, Stage, WorkspaceId};
+use anvilgw_quarantine::{PartKey, Suspect, WorkspaceKey};
 use anvilgw_router::{AdapterId, BlockKey, KeyScope, WeightVersion, block_keys};
 use bytes::Bytes;
 use serde_json::{Map, Value};
@@ -93,6 +94,22 @@
         })
     }
 
+    /// Returns the prefixes of the prompt under which an engine may end, by their last blocks. Of a
+    /// long prompt, these are the first blocks and then ever longer prefixes.
+    pub(crate) fn suspects(&self, workspace: WorkspaceId) -> Vec<Suspect> {
+        /// Number of blocks at the start of the prompt that are all named.
+        const FIRST_BLOCKS: usize = 8;
+        let is_named = |blocks: usize| blocks <= FIRST_BLOCKS || blocks.is_power_of_two();
+        (1..)
+            .zip(&self.keys)
+            .filter(|(blocks, _)| is_named(*blocks))
+            .map(|(_, key)| Suspect {
+                part: PartKey(key.short().0),
+                workspace: WorkspaceKey(u64::from(workspace.0)),
+            })
+            .collect()
+    }
+
     /// Checks that the workspace is entitled to the model and adapter.
     ///
     /// # Errors
--- a/crates/entry/src/duties/mod.rs
+++ b/crates/entry/src/duties/mod.rs
@@ -5,5 +5,6 @@
 pub(crate) mod block_export;
 pub(crate) mod claims;
 pub(crate) mod control;
+pub(crate) mod quarantine;
 pub(crate) mod routing;
 mod send;
--- /dev/null
+++ b/crates/entry/src/duties/quarantine.rs
@@ -0,0 +1,293 @@
+//! The quarantine service: keeps prompts under which engines end from the other engines.
+//!
+//! The daemons of the fleet share what they see through a stream of the log service, which the
+//! worker thread reads and writes. Request handlers only lock the state for a moment.
+
+use anvilgw_core::{Clock, ErrorKind, Failure, LogError, LogService, Offset, ServerId, Stage};
+use anvilgw_kernel::{EventKind, Journal, StopSignal, WorkerThread};
+use anvilgw_quarantine::record::KeyedRecord;
+use anvilgw_quarantine::{
+    Admission, LostRequests, PartKey, Quarantine, QuarantineChange, ServerStart, Suspect, Times,
+};
+use indexmap::IndexMap;
+use std::io;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Time for which a read waits for records. Reports of this daemon wait as long at most.
+const READ_WAIT: Duration = Duration::from_millis(500);
+/// Maximum number of records in one read.
+const READ_MAX: usize = 512;
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Time after a broken answer in which the engine shows whether it has ended.
+const PENDING_TIME: Duration = Duration::from_secs(10);
+/// `Retry-After` of a request that could not claim a trial.
+const UNCLAIMED_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// What a poll of an engine has shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EnginePoll {
+    /// The engine answers; it was started at this Unix time in milliseconds.
+    Started(u64),
+    /// The engine does not answer.
+    Unreachable,
+}
+
+/// Handle through which request handlers and polls reach the quarantine.
+pub(crate) struct QuarantineService {
+    state: Mutex<State>,
+    log: Arc<dyn LogService>,
+    stream: String,
+    clock: Arc<dyn Clock>,
+    journal: Arc<Journal>,
+}
+
+struct State {
+    quarantine: Quarantine,
+    engines: IndexMap<ServerId, EngineLife>,
+}
+
+/// What is known of the current start of an engine.
+#[derive(Default)]
+struct EngineLife {
+    started_ms: u64,
+    /// Requests whose answers broke off, until a poll shows whether the engine has ended.
+    broken: Option<BrokenAnswers>,
+}
+
+struct BrokenAnswers {
+    since: Duration,
+    started_ms: u64,
+    count: u32,
+    suspects: Vec<Suspect>,
+}
+
+impl QuarantineService {
+    /// Starts the worker thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the operating system refuses a thread.
+    pub(crate) fn start(
+        stream: String,
+        log: Arc<dyn LogService>,
+        clock: Arc<dyn Clock>,
+        journal: Arc<Journal>,
+        stop: StopSignal,
+    ) -> io::Result<(Arc<Self>, WorkerThread)> {
+        let state = State {
+            quarantine: Quarantine::new(rand::random()),
+            engines: IndexMap::new(),
+        };
+        let service = Arc::new(Self {
+            state: Mutex::new(state),
+            log,
+            stream,
+            clock,
+            journal,
+        });
+        let worker = Arc::clone(&service);
+        let worker_thread = WorkerThread::spawn("quarantine", stop, move |stop| {
+            while !stop.is_raised() {
+                worker.exchange();
+            }
+        })?;
+        Ok((service, worker_thread))
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn times(&self) -> Times {
+        Times {
+            uptime: self.clock.uptime(),
+            wall_ms: self.clock.wall_ms(),
+        }
+    }
+
+    /// Checks a prompt before it is sent to an engine. If a trial of one of its parts is due, claims
+    /// it.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure at stage `Queued` if a part is quarantined.
+    pub(crate) async fn enter(self: &Arc<Self>, suspects: &[Suspect]) -> Result<(), Failure> {
+        if suspects.is_empty() {
+            return Ok(());
+        }
+        let times = self.times();
+        let admission = self.state().quarantine.admit(suspects, times);
+        match admission {
+            Admission::Allowed => Ok(()),
+            Admission::Refused { retry_after } => Err(quarantined(retry_after)),
+            Admission::TrialDue(part) => {
+                let service = Arc::clone(self);
+                let claim = tokio::task::spawn_blocking(move || service.claim_trial(part));
+                match claim.await {
+                    Ok(true) => Ok(()),
+                    _ => Err(quarantined(UNCLAIMED_RETRY_AFTER)),
+                }
+            }
+        }
+    }
+
+    /// Claims the trial of a part. If another daemon has written since this one has read the stream,
+    /// the other one may have claimed it, and the trial is not made.
+    fn claim_trial(&self, part: PartKey) -> bool {
+        let times = self.times();
+        let (record, at) = self.state().quarantine.claim_trial(part, times);
+        let Ok(payload) = record.encode() else {
+            return false;
+        };
+        let is_claimed = match self.log.append(&self.stream, &payload) {
+            Ok(offset) => offset == Offset(at),
+            Err(_) => false,
+        };
+        if is_claimed {
+            self.state().quarantine.on_trial_claimed(&record);
+            self.record("trial", &[part]);
+        }
+        is_claimed
+    }
+
+    /// Records that a prompt got a whole answer.
+    pub(crate) fn on_completed(&self, suspects: &[Suspect]) {
+        let now = self.clock.uptime();
+        self.state().quarantine.on_completed(suspects, now);
+    }
+
+    /// Records that the answer of an engine to a prompt broke off.
+    pub(crate) fn on_answer_broken(&self, engine: ServerId, suspects: &[Suspect]) {
+        let now = self.clock.uptime();
+        let mut state = self.state();
+        let life = state.engines.entry(engine).or_default();
+        let started_ms = life.started_ms;
+        let broken = life.broken.get_or_insert_with(|| BrokenAnswers {
+            since: now,
+            started_ms,
+            count: 0,
+            suspects: Vec::new(),
+        });
+        broken.count += 1;
+        broken.suspects.extend_from_slice(suspects);
+    }
+
+    /// Returns whether a prompt whose answer broke off may be sent to another engine.
+    pub(crate) fn may_repeat(&self, suspects: &[Suspect]) -> bool {
+        let times = self.times();
+        self.state().quarantine.may_repeat(suspects, times)
+    }
+
+    /// Records what a poll of an engine has shown. An engine whose answers broke off has ended if
+    /// it does not answer or was started again.
+    /// `asked_at` is the uptime at which the poll began.
+    pub(crate) fn on_polled(&self, engine: ServerId, poll: EnginePoll, asked_at: Duration) {
+        let times = self.times();
+        let mut state = self.state();
+        let life = state.engines.entry(engine).or_default();
+        if life
+            .broken
+            .as_ref()
+            .is_some_and(|broken| asked_at < broken.since)
+        {
+            return;
+        }
+        let broken = life.broken.take();
+        let broken = broken.filter(|broken| times.uptime < broken.since + PENDING_TIME);
+        let has_ended = match poll {
+            EnginePoll::Unreachable => true,
+            EnginePoll::Started(started_ms) => {
+                let is_restarted =
+                    started_ms != std::mem::replace(&mut life.started_ms, started_ms);
+                is_restarted && broken.as_ref().is_some_and(|broken| broken.started_ms > 0)
+            }
+        };
+        if let Some(broken) = broken.filter(|_| has_ended) {
+            let lost = LostRequests {
+                server: engine_start(engine, broken.started_ms),
+                count: broken.count,
+                suspects: broken.suspects,
+            };
+            state.quarantine.on_server_ended(&lost, times);
+        }
+    }
+
+    /// Writes what this daemon has to tell, and reads what the others have told.
+    fn exchange(&self) {
+        let times = self.times();
+        let outgoing = self.state().quarantine.outgoing(times);
+        for record in outgoing {
+            let Ok(payload) = record.encode() else {
+                continue;
+            };
+            if self.log.append(&self.stream, &payload).is_err() {
+                break;
+            }
+            self.state().quarantine.on_appended(&[record]);
+        }
+        let from = Offset(self.state().quarantine.table().next_offset());
+        match self.log.read(&self.stream, from, READ_MAX, READ_WAIT) {
+            Ok(slice) => {
+                for record in slice.records {
+                    self.apply(record.offset, &record.payload);
+                }
+            }
+            Err(LogError::Trimmed(first_offset, _)) => {
+                self.state().quarantine.on_read(first_offset.0);
+            }
+            Err(_) => std::thread::sleep(RETRY_PAUSE),
+        }
+        self.record_changes();
+    }
+
+    fn apply(&self, offset: Offset, payload: &[u8]) {
+        let mut state = self.state();
+        match KeyedRecord::decode(payload) {
+            Ok(record) => state.quarantine.on_record(record, offset.0),
+            Err(error) => self.journal.record(
+                self.clock.wall_ms(),
+                EventKind::InvariantViolated,
+                self.stream.clone(),
+                format!("a record cannot be decoded: {error}"),
+            ),
+        }
+        state.quarantine.on_read(offset.0 + 1);
+    }
+
+    fn record_changes(&self) {
+        let times = self.times();
+        let changes = self.state().quarantine.take_changes(times);
+        for change in changes {
+            match change {
+                QuarantineChange::Quarantined(found) => self.record("quarantined", &found.parts),
+                QuarantineChange::Released(parts) => self.record("released", &parts),
+            }
+        }
+    }
+
+    fn record(&self, change: &str, parts: &[PartKey]) {
+        let parts: Vec<String> = parts
+            .iter()
+            .map(|part| format!("{:016x}", part.0))
+            .collect();
+        self.journal.record(
+            self.clock.wall_ms(),
+            EventKind::QuarantineChanged,
+            format!("prompt blocks {}", parts.join(", ")),
+            change.to_owned(),
+        );
+    }
+}
+
+fn engine_start(engine: ServerId, started_ms: u64) -> ServerStart {
+    /// Bits of the start time; the others hold the number of the engine.
+    const TIME_BITS: u32 = 44;
+    ServerStart((u64::from(engine.0) << TIME_BITS) ^ started_ms)
+}
+
+fn quarantined(retry_after: Duration) -> Failure {
+    let detail = "engines ended under a part of the prompt";
+    Failure::new(ErrorKind::PromptQuarantined, Stage::Queued, detail).with_retry_after(retry_after)
+}
--- a/crates/entry/src/tasks/polls.rs
+++ b/crates/entry/src/tasks/polls.rs
@@ -5,6 +5,7 @@
 
 use crate::backends::BackendKind;
 use crate::context::Context;
+use crate::duties::quarantine::EnginePoll;
 use anvilgw_core::{ServerId, StoreId};
 use anvilgw_platform::{
     CacheChange, CacheEvents, CallOptions, ConnectionSettings, EngineControl, EngineLoad,
@@ -118,10 +119,15 @@
         let measured_at = context.clock.uptime();
         // After a failed poll the last report stays in force. If the engine is down, its circuit
         // breaker opens when requests fail.
-        if let Ok(load) = control.load_report().await {
-            let report = load_report(&load, measured_at, block_tokens);
-            context.routing.send_load_report(server, report);
-        }
+        let poll = match control.load_report().await {
+            Ok(load) => {
+                let report = load_report(&load, measured_at, block_tokens);
+                context.routing.send_load_report(server, report);
+                EnginePoll::Started(load.start_ms)
+            }
+            Err(_) => EnginePoll::Unreachable,
+        };
+        context.quarantine.on_polled(server, poll, measured_at);
         wait_for_next_poll(&context, LOAD_INTERVAL).await;
     }
 }
--- a/crates/kernel/src/journal.rs
+++ b/crates/kernel/src/journal.rs
@@ -40,6 +40,8 @@
     BreakerOpened,
     /// A circuit breaker closed.
     BreakerClosed,
+    /// Prompt blocks under which engines ended were quarantined, tried or released.
+    QuarantineChanged,
     /// The log service cannot be reached.
     LogUnavailable,
     /// The log service can be reached again.
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -169,6 +169,34 @@
     }
 }
 
+impl KeyedRecord {
+    /// Encodes key and record together, for logs whose records have no key.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the record cannot be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, RecordError> {
+        let content = self.record.as_ref().map(Record::encode).transpose()?;
+        let keyed = (self.key.to_string(), content);
+        Ok(bincode::encode_to_vec(keyed, bincode::config::standard())?)
+    }
+
+    /// Decodes key and record.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are not a record with its key.
+    pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
+        let (key, content): (String, Option<Vec<u8>>) = decode(bytes)?;
+        let key: RecordKey = key.parse()?;
+        let record = content.map(|content| Record::decode(key, &content));
+        Ok(Self {
+            key,
+            record: record.transpose()?,
+        })
+    }
+}
+
 /// A record with its key, or the removal of a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeyedRecord {
--- a/crates/quarantine/tests/view.rs
+++ b/crates/quarantine/tests/view.rs
@@ -276,6 +276,8 @@
 #[test]
 fn records_survive_their_encoding_and_others_are_refused() {
     let record = report(3, 9, START_MS, vec![suspect(BAD, CLUB)]);
+    let keyed = record.encode().expect("encoding");
+    assert_eq!(KeyedRecord::decode(&keyed).expect("record"), record);
     let content = record.record.expect("content");
     let bytes = content.encode().expect("encoding");
     let key: RecordKey = record.key.to_string().parse().expect("key");
--- a/crates/standin/src/engine/completion.rs
+++ b/crates/standin/src/engine/completion.rs
@@ -21,6 +21,7 @@
     pub(crate) extension: Extension,
     pub(crate) answer: AnswerGenerator,
     pub(crate) prompt_tokens: u64,
+    prompt: String,
     /// Position after the last token of the answer.
     pub(crate) end: u64,
     pub(crate) finish_reason: &'static str,
@@ -56,6 +57,7 @@
             extension,
             answer: AnswerGenerator::new(&prompt),
             prompt_tokens: token_count(&prompt),
+            prompt,
             end,
             finish_reason: if max_tokens.is_some() {
                 "length"
@@ -67,6 +69,11 @@
         })
     }
 
+    /// Returns whether the prompt contains `text`, unless that is empty.
+    fn has_text(&self, text: &str) -> bool {
+        !text.is_empty() && self.prompt.contains(text)
+    }
+
     /// Imports KV blocks for the request, queues it and returns the channel of its progress.
     pub(crate) async fn start(
         &self,
@@ -135,6 +142,10 @@
         return Reply::Cut;
     };
     let faults = engine.state().faults.clone();
+    if completion.has_text(&faults.crash_on_text) {
+        engine.crash(&mut engine.state());
+        return Reply::Cut;
+    }
     let fault = StreamFault::draw(&faults, &engine.fault_rng);
     if completion.is_stream {
         let after = completion.extension.resume_from + faults.after_tokens;
--- a/crates/standin/src/engine/config.rs
+++ b/crates/standin/src/engine/config.rs
@@ -124,6 +124,9 @@
     pub wrong_kv_probability: f64,
     /// Bandwidth that replaces the `link_bytes_per_s` of the settings; 0 to keep it.
     pub link_bytes_per_s: u64,
+    /// The engine crashes when it has read a prompt that contains this text; empty for none.
+    #[serde(default)]
+    pub crash_on_text: String,
     /// The engine crashes now and restarts cold.
     pub crash: bool,
     /// The engine becomes cold now without a restart, and its prefix cache is emptied.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,5 +6,6 @@
 mod epochs;
 mod http;
 mod kernel;
+mod quarantine;
 mod retries;
 mod routing;
