Clear parts by a few daemons first; no repeats of a part quarantined for others

Ends at one moment count once for clearances too, three are needed, and about 16 daemons of the fleet state them at once, the others after 350 ms. A request that lost its server is not repeated if it has a quarantined part, whatever the scope. At most 16 servers that do not listen are tried for one request.

--- a/crates/entry/src/duties/quarantine.rs
+++ b/crates/entry/src/duties/quarantine.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 /// Time for which a read waits for records. Reports of this daemon wait as long at most.
-const READ_WAIT: Duration = Duration::from_millis(500);
+const READ_WAIT: Duration = Duration::from_secs(1);
 /// Maximum number of records in one read.
 const READ_MAX: usize = 512;
 /// Pause after a failed call.
--- a/crates/gateway/src/background_tasks/evidence.rs
+++ b/crates/gateway/src/background_tasks/evidence.rs
@@ -33,7 +33,7 @@
 /// Longest pause between two rounds in which this daemon looks for something to tell.
 const QUIET_ROUND_PAUSE: Duration = Duration::from_secs(2);
 /// The same while answers broke off lately or there has been a report.
-const ACTIVE_ROUND_PAUSE: Duration = Duration::from_millis(250);
+const ACTIVE_ROUND_PAUSE: Duration = Duration::from_millis(200);
 /// Range of the delay before an append, in milliseconds. Reports of several ends go together, and
 /// daemons that know the same part to be sound do not all say so.
 const APPEND_DELAY_RANGE_MS: std::ops::Range<u64> = 20..100;
@@ -224,8 +224,7 @@
         }
         report_replaced(&gateway);
         log_changes(&gateway);
-        let times = gateway.times();
-        if !gateway.state.borrow_mut().quarantine.has_outgoing(times) {
+        if !has_outgoing(&gateway) {
             continue;
         }
         let delay_ms = {
@@ -237,8 +236,17 @@
     }
 }
 
+fn has_outgoing(gateway: &Gateway) -> bool {
+    let times = gateway.times();
+    let state = &mut *gateway.state.borrow_mut();
+    let daemons = 1.0 / state.share.clamp(f64::EPSILON, 1.0);
+    state.quarantine.set_fleet_size(daemons as u64);
+    state.quarantine.has_outgoing(times)
+}
+
 fn round_pause(gateway: &Gateway) -> Duration {
-    if gateway.state.borrow().pending_ends.is_empty() {
+    let state = gateway.state.borrow();
+    if state.pending_ends.is_empty() && !state.quarantine.awaits_clearances() {
         QUIET_ROUND_PAUSE
     } else {
         ACTIVE_ROUND_PAUSE
--- a/crates/gateway/src/dispatch/progress.rs
+++ b/crates/gateway/src/dispatch/progress.rs
@@ -26,6 +26,8 @@
     pub(crate) sent_count: u32,
     /// Number of attempts in which nothing was sent, because no connection could be opened or used.
     pub(crate) connect_failures: u32,
+    /// Number of servers at whose addresses nothing listened.
+    pub(crate) refusals: u32,
     /// Whether a server may have executed the request.
     may_have_executed: bool,
     /// Whether a server may have executed the request in an attempt before the current one.
@@ -64,6 +66,7 @@
             tried_servers: Vec::new(),
             sent_count: 0,
             connect_failures: 0,
+            refusals: 0,
             may_have_executed: false,
             may_have_executed_before: false,
             server: String::new(),
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -11,6 +11,9 @@
 
 /// Maximum number of connections that may fail to open for one request.
 const CONNECT_FAILURES_MAX: u32 = 3;
+/// Maximum number of servers that one request may find not listening. Refusals come at once, so
+/// there may be more of them than other failures.
+const REFUSALS_MAX: u32 = 16;
 /// Minimum time that must be left before the request's deadline for a retry.
 const REMAINING_TIME_MIN: Duration = Duration::from_millis(20);
 /// Number of latency targets after which a repeatable attempt is abandoned in favor of another
@@ -116,7 +119,7 @@
     ) -> bool {
         match error {
             AttemptError::NoServer(_) | AttemptError::Quarantined(_) => false,
-            // Refusals come at once, and each server is tried only once.
+            // `decide` limits them.
             AttemptError::Refused(_) => true,
             AttemptError::NotSent(_) => connect_failures < CONNECT_FAILURES_MAX,
             AttemptError::Rejected(_) => sent_count < self.attempts_max,
@@ -143,8 +146,12 @@
         if matches!(error, AttemptError::NotSent(_)) {
             progress.connect_failures += 1;
         }
+        if matches!(error, AttemptError::Refused(_)) {
+            progress.refusals += 1;
+        }
         let has_time = call.remaining(gateway.now()) > REMAINING_TIME_MIN;
         let is_allowed = self.allows(error, progress.sent_count, progress.connect_failures)
+            && progress.refusals <= REFUSALS_MAX
             && (!matches!(error, AttemptError::OutcomeUnknown(_))
                 || may_repeat_after_end(gateway, call));
         // A connection that failed to open put no load on the service, so it does not use the retry
--- a/crates/quarantine/src/attribution.rs
+++ b/crates/quarantine/src/attribution.rs
@@ -17,7 +17,7 @@
 /// Share of all ends of its time that a part explains if it is the cause of a series of ends.
 const EXPLAINED_SHARE_MIN: f64 = 0.9;
 /// Number of ends from which daemons that know the part to be sound say so.
-pub const ENDS_TO_CLEAR: usize = 2;
+pub const ENDS_TO_CLEAR: usize = 3;
 /// One workspace contributes at most one in this many, rounded up, of the ends of a quarantine for all
 /// workspaces, so that no caller blocks a part of the others.
 const ENDS_SHARE_OF_WORKSPACE: usize = 2;
@@ -80,10 +80,14 @@
     /// Returns whether a request with these suspects has all of the parts and is in the scope.
     #[must_use]
     pub fn concerns(&self, suspects: &[Suspect]) -> bool {
-        let has = |part: &PartKey| {
-            let mut suspects = suspects.iter();
-            suspects.any(|suspect| suspect.part == *part && self.scope.contains(suspect.workspace))
-        };
+        let mut in_scope = suspects.iter();
+        in_scope.any(|suspect| self.scope.contains(suspect.workspace)) && self.are_in(suspects)
+    }
+
+    /// Returns whether a request with these suspects has all of the parts, in any scope.
+    #[must_use]
+    pub fn are_in(&self, suspects: &[Suspect]) -> bool {
+        let has = |part: &PartKey| suspects.iter().any(|suspect| suspect.part == *part);
         self.parts.iter().all(has)
     }
 }
@@ -133,6 +137,16 @@
     attribution
 }
 
+/// Returns the number of ends under each part, without attributing them.
+#[must_use]
+pub fn count_ends(evidence: &[Evidence]) -> IndexMap<PartKey, usize> {
+    let parts = ends_by_part(evidence, &end_times(evidence));
+    let counts = parts
+        .into_iter()
+        .map(|(part, ends)| (part, ends.times_ms(None).len()));
+    counts.collect()
+}
+
 /// One server's end under a part.
 #[derive(Clone, Debug, Default)]
 struct PartEnd {
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -1,6 +1,8 @@
 //! One daemon's view of the quarantine, and what it contributes to the fleet's evidence.
 
-use crate::attribution::{Attribution, ENDS_TO_CLEAR, Evidence, QuarantinedParts, attribute};
+use crate::attribution::{
+    Attribution, ENDS_TO_CLEAR, Evidence, QuarantinedParts, attribute, count_ends,
+};
 use crate::completions::{AnswerCount, Completions};
 use crate::record::{Clearance, EndReport, KeyedRecord, Record, RecordKey, SUSPECTS_MAX, Trial};
 use crate::table::EvidenceTable;
@@ -24,6 +26,10 @@
 const ATTRIBUTION_TIME: Duration = Duration::from_secs(1);
 /// Minimum time between two clearances of one part by this daemon.
 const CLEARANCE_PAUSE: Duration = Duration::from_millis(300);
+/// Number of daemons, on average, that clear a part at once.
+const FIRST_CLEARANCES: u64 = 16;
+/// Time after which the others clear it too.
+const SECOND_CLEARANCES_AFTER: Duration = Duration::from_millis(350);
 /// Minimum time between two attempts of this daemon to claim a trial.
 const CLAIM_PAUSE: Duration = Duration::from_secs(1);
 /// Maximum number of reports that wait to be stored.
@@ -95,6 +101,10 @@
     /// Own reports that are not stored yet.
     outbox: IndexMap<RecordKey, EndReport>,
     cleared_at: IndexMap<PartKey, Duration>,
+    /// Since when this daemon could clear parts that are not cleared yet.
+    clearable_since: IndexMap<PartKey, Duration>,
+    /// Number of daemons in the fleet.
+    fleet_size: u64,
     claimed_at: Option<Duration>,
 }
 
@@ -115,6 +125,8 @@
             reports_made: 0,
             outbox: IndexMap::new(),
             cleared_at: IndexMap::new(),
+            clearable_since: IndexMap::new(),
+            fleet_size: 1,
             claimed_at: None,
         }
     }
@@ -335,7 +347,7 @@
             found.is_some_and(|found| is_recent(found.last_end_ms))
         };
         let mut quarantined = self.attribution.quarantined.iter();
-        !suspects.iter().any(is_suspected) && !quarantined.any(|found| found.concerns(suspects))
+        !suspects.iter().any(is_suspected) && !quarantined.any(|found| found.are_in(suspects))
     }
 
     /// Returns whether there is something to append.
@@ -380,31 +392,48 @@
         }
     }
 
-    /// Returns the parts that are suspected although this daemon knows them to be sound.
+    /// Returns the parts that are suspected although this daemon knows them to be sound. In a large
+    /// fleet many daemons may know it; a few of them say so at once, the others only if that did not
+    /// help.
     fn due_clearances(&mut self, times: Times) -> Vec<PartKey> {
         if self.table.is_empty() {
             self.cleared_at.clear();
+            self.clearable_since.clear();
             return Vec::new();
         }
         self.cleared_at
             .retain(|_, at| times.uptime < *at + CLEARANCE_PAUSE);
-        let evidence = self.table.evidence(times.wall_ms);
-        let mut servers: IndexMap<PartKey, IndexSet<ServerStart>> = IndexMap::new();
-        for report in &evidence {
-            for suspect in &report.suspects {
-                let ended = servers.entry(suspect.part).or_default();
-                ended.insert(report.server);
-            }
-        }
-        servers
+        let counts = count_ends(&self.table.evidence(times.wall_ms));
+        let clearable: IndexSet<PartKey> = counts
             .into_iter()
-            .filter(|(part, ended)| {
-                ended.len() >= ENDS_TO_CLEAR
+            .filter(|(part, ends)| {
+                *ends >= ENDS_TO_CLEAR
                     && !self.cleared_at.contains_key(part)
                     && self.completions.has_recent(*part, times.uptime)
             })
             .map(|(part, _)| part)
-            .collect()
+            .collect();
+        self.clearable_since
+            .retain(|part, _| clearable.contains(part));
+        let (reporter, fleet_size) = (self.reporter, self.fleet_size.max(1));
+        let is_first = |part: PartKey| mixed(part.0 ^ reporter) % fleet_size < FIRST_CLEARANCES;
+        let since = &mut self.clearable_since;
+        let is_due = |part: &PartKey| {
+            let since = *since.entry(*part).or_insert(times.uptime);
+            is_first(*part) || times.uptime >= since + SECOND_CLEARANCES_AFTER
+        };
+        clearable.into_iter().filter(is_due).collect()
+    }
+
+    /// Returns whether this daemon waits for other daemons to state that a part is sound.
+    #[must_use]
+    pub fn awaits_clearances(&self) -> bool {
+        !self.clearable_since.is_empty()
+    }
+
+    /// Sets the number of daemons in the fleet.
+    pub fn set_fleet_size(&mut self, daemons: u64) {
+        self.fleet_size = daemons;
     }
 
     /// Returns what has changed since the last call.
--- a/crates/quarantine/tests/fleet.rs
+++ b/crates/quarantine/tests/fleet.rs
@@ -292,6 +292,7 @@
                 continue;
             }
             daemon.next_round_at = self.now + ROUND_TIME;
+            daemon.view.set_fleet_size(self.case.daemons as u64);
             let outgoing = daemon.view.outgoing(times);
             daemon.view.on_appended(&outgoing);
             let readable_at = self.now + APPEND_TIME;
