--- a/crates/entry/src/dispatch/completion.rs
+++ b/crates/entry/src/dispatch/completion.rs
@@ -1,6 +1,7 @@
 //! Completions: admission, selection of a server, attempts and resumption of broken streams.
 
 use super::completion_request::CompletionRequest;
+use super::engine_errors::{is_broken_answer, send_outcome};
 use crate::backends::BackendKind;
 use crate::context::{Context, CountGuard, RequestContext};
 use crate::duties::admission::AdmissionGuard;
@@ -12,7 +13,6 @@
 use anvilgw_core::{AttemptId, ErrorKind, Failure, ServerId, Stage};
 use anvilgw_platform::{
     CallOptions, EngineError, EngineEvent, EngineRequest, EngineStream, KvImport, KvSource,
-    TransportCause,
 };
 use anvilgw_quarantine::Suspect;
 use anvilgw_router::{BlockKey, Location, PrefillPriority, RouteRequest, SendOutcome, ServePlan};
@@ -475,31 +475,6 @@
     }
 }
 
-/// Returns what an error says about the server. Status 4xx is caused by the request and says
-/// nothing about the server, so it counts as cancelled.
-fn send_outcome(error: &EngineError) -> SendOutcome {
-    match error {
-        EngineError::Refused(503, _) => SendOutcome::Overloaded,
-        EngineError::Refused(400..500, _) => SendOutcome::Cancelled,
-        _ => SendOutcome::Failed,
-    }
-}
-
-/// Returns whether the connection ended before the answer did, as it does when the engine ends.
-fn is_broken_answer(error: &EngineError) -> bool {
-    match error {
-        EngineError::Transport(error) => {
-            let is_late = matches!(
-                error.cause(),
-                TransportCause::Silent(_) | TransportCause::TimedOut
-            );
-            error.stage() >= Stage::Written && !is_late
-        }
-        EngineError::MissingEndMarker => true,
-        _ => false,
-    }
-}
-
 /// Records how the request ended for `explain`.
 fn record_result(context: &Context, request: &RequestContext, result: &str) {
     context
--- a/crates/entry/src/dispatch/mod.rs
+++ b/crates/entry/src/dispatch/mod.rs
@@ -3,4 +3,5 @@
 mod claimed;
 pub(crate) mod completion;
 pub(crate) mod completion_request;
+mod engine_errors;
 pub(crate) mod service;
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -1,6 +1,7 @@
 //! A single attempt of a request: selects a backend server, sends the request and reads the head of
 //! the answer.
 
+use super::in_flight::{InFlight, on_server_unreachable};
 use super::progress::Progress;
 use super::quarantine::{check_quarantine, enter_quarantine};
 use super::routed_request::RoutedRequest;
@@ -10,12 +11,9 @@
 use crate::gateway::Gateway;
 use crate::log::AnswerFields;
 use crate::pool::{OpenLimits, Pool};
-use crate::request::{AnswerMeta, ForwardMeta, Prompt};
+use crate::request::{AnswerMeta, ForwardMeta};
 use crate::retry::AttemptError;
-use crate::server::ServerKey;
-use crate::server_ends::{UsedServer, on_answer_broken};
-use crate::server_notices::{on_limit_not_named, on_server_notice};
-use anvilgw_quarantine::Suspect;
+use crate::server_notices::on_limit_not_named;
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body::Body;
@@ -28,9 +26,6 @@
 /// Time limit to open a connection. Connections within a region open within a few milliseconds; the
 /// rest allows for a busy server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time from the first bytes of an answer's body after which the end of its server is not put down
-/// to the request.
-const UNDERWAY_AFTER: Duration = Duration::from_secs(1);
 /// Time limit to read the rest of an unused answer. After it the connection is closed instead of
 /// kept.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(300);
@@ -62,8 +57,7 @@
 
     /// Records that bytes of the answer's body arrived.
     pub(crate) fn on_body_bytes(&mut self) {
-        let now = self.in_flight.gateway.now();
-        self.in_flight.body_began_at.get_or_insert(now);
+        self.in_flight.on_body_bytes();
     }
 
     /// Closes the connection of an answer that was cut off or invalid, and records the failure for
@@ -91,144 +85,6 @@
     }
 }
 
-/// Guard that counts one request at a server until it is dropped, and records the request's outcome
-/// there.
-struct InFlight {
-    gateway: Rc<Gateway>,
-    server: UsedServer,
-    tokens: u64,
-    sent_at: Duration,
-    /// Shared parts of the request's prompt.
-    suspects: Rc<[Suspect]>,
-    /// When the first bytes of the answer's body arrived.
-    body_began_at: Option<Duration>,
-}
-
-impl InFlight {
-    fn new(gateway: &Rc<Gateway>, server: UsedServer, routed: &RoutedRequest) -> Self {
-        let prompt = routed.meta.prompt.as_ref();
-        let tokens = prompt.map_or(0, Prompt::footprint_tokens);
-        let now = gateway.now();
-        if let Some(known) = gateway.state.borrow_mut().servers.get_mut(server.key) {
-            known.on_request_sent(tokens, now);
-        }
-        Self {
-            gateway: Rc::clone(gateway),
-            server,
-            tokens,
-            sent_at: now,
-            suspects: Rc::clone(&routed.suspects),
-            body_began_at: None,
-        }
-    }
-
-    fn on_answer_read(&self, is_success: bool) {
-        let now = self.gateway.now();
-        if let Some(server) = self
-            .gateway
-            .state
-            .borrow_mut()
-            .servers
-            .get_mut(self.server.key)
-        {
-            server.on_request_outcome(is_success);
-            server.breaker.on_success(now);
-        }
-    }
-
-    fn on_answer_broken(&self) {
-        on_server_failure(&self.gateway, self.server.key);
-        let now = self.gateway.now();
-        let is_underway = self
-            .body_began_at
-            .is_some_and(|began_at| now >= began_at + UNDERWAY_AFTER);
-        if !is_underway {
-            on_answer_broken(&self.gateway, self.server, &self.suspects);
-        }
-    }
-
-    /// Records that a whole answer was received with success, so that its prompt is sound.
-    fn on_answer_complete(&self) {
-        if self.suspects.is_empty() {
-            return;
-        }
-        let now = self.gateway.now();
-        let quarantine = &mut self.gateway.state.borrow_mut().quarantine;
-        if quarantine.on_completed(&self.suspects, now) {
-            self.gateway.evidence_changed.notify_one();
-        }
-    }
-
-    /// Records that no answer came in time. Counts as a failure for the circuit breaker only if the
-    /// server has not answered any other request meanwhile; otherwise it is merely slow.
-    fn on_answer_timeout(&self) {
-        let now = self.gateway.now();
-        if let Some(server) = self
-            .gateway
-            .state
-            .borrow_mut()
-            .servers
-            .get_mut(self.server.key)
-        {
-            server.on_request_outcome(false);
-            if server.last_answer_at < self.sent_at {
-                server.breaker.on_failure(now);
-            }
-        }
-    }
-
-    fn on_answer_head(&self, meta: &AnswerMeta) {
-        let now = self.gateway.now();
-        if let Some(server) = self
-            .gateway
-            .state
-            .borrow_mut()
-            .servers
-            .get_mut(self.server.key)
-        {
-            server.last_answer_at = now;
-            if let Some(load) = meta.load {
-                server.on_load_report(load, now);
-            }
-            if let Some(cold_for) = meta.cold_for {
-                server.set_cold_for(cold_for, now);
-            }
-        }
-        on_server_notice(&self.gateway, self.server.key, meta.notice);
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        if let Some(server) = self
-            .gateway
-            .state
-            .borrow_mut()
-            .servers
-            .get_mut(self.server.key)
-        {
-            server.on_request_ended(self.tokens);
-        }
-    }
-}
-
-fn on_server_failure(gateway: &Gateway, key: ServerKey) {
-    let now = gateway.now();
-    if let Some(server) = gateway.state.borrow_mut().servers.get_mut(key) {
-        server.on_request_outcome(false);
-        server.breaker.on_failure(now);
-    }
-}
-
-/// Opens the circuit breaker of a server at once: a connection that cannot be opened is stronger
-/// evidence of an outage than a broken answer.
-fn on_server_unreachable(gateway: &Gateway, key: ServerKey) {
-    let now = gateway.now();
-    if let Some(server) = gateway.state.borrow_mut().servers.get_mut(key) {
-        server.on_unreachable(now);
-    }
-}
-
 /// Options of an attempt.
 #[derive(Clone, Copy)]
 pub(crate) struct AttemptOptions {
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod buffered;
+mod in_flight;
 mod progress;
 mod quarantine;
 mod retries;
