Bound the suspects of a pending end by workspace; attribute only parts seen at two ends

Found in reading: the suspects of one server that may have ended were cut at 4,096 in the order of arrival, so one caller's many parts could leave out those of others. Each workspace has its own bound now, and all servers together have one. And each part of each report cost several map entries in each attribution, although most parts are in flight at one end only.

--- a/crates/gateway/src/pending_ends.rs
+++ b/crates/gateway/src/pending_ends.rs
@@ -11,8 +11,11 @@
 const PENDING_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of servers that are kept.
 const PENDING_MAX: usize = 256;
-/// Maximum number of suspects that are kept for one server.
-const SUSPECTS_MAX: usize = 4096;
+/// Maximum number of suspects of one workspace that are kept for one server, so that the parts of
+/// one caller leave room for those of others.
+const SUSPECTS_PER_WORKSPACE_MAX: usize = 4096;
+/// Maximum number of suspects that are kept for all servers.
+const SUSPECTS_MAX: usize = 64 * 1024;
 
 /// What is known of one server.
 #[derive(Debug)]
@@ -30,7 +33,7 @@
 }
 
 impl PendingEnds {
-    /// Records that the answer to a request with these prompt parts broke off. Returns whether it
+    /// Records that the answer to a request with these prompt parts of one workspace broke off. Returns whether it
     /// is the first one at this start of the server.
     pub(crate) fn on_broken(
         &mut self,
@@ -44,6 +47,11 @@
         if is_first && self.by_start.len() >= PENDING_MAX {
             self.by_start.shift_remove_index(0);
         }
+        let all_suspects: usize = self
+            .by_start
+            .values()
+            .map(|pending| pending.suspects.len())
+            .sum();
         let pending = self.by_start.entry(start).or_insert_with(|| PendingEnd {
             key,
             broken_at: now,
@@ -51,7 +59,12 @@
             suspects: Vec::new(),
         });
         pending.lost += 1;
-        let room = SUSPECTS_MAX.saturating_sub(pending.suspects.len());
+        let workspace = suspects.first().map(|suspect| suspect.workspace);
+        let kept = pending.suspects.iter();
+        let of_workspace = kept.filter(|kept| Some(kept.workspace) == workspace);
+        let room = SUSPECTS_PER_WORKSPACE_MAX
+            .saturating_sub(of_workspace.count())
+            .min(SUSPECTS_MAX.saturating_sub(all_suspects));
         pending.suspects.extend(suspects.iter().take(room));
         is_first
     }
--- a/crates/quarantine/src/attribution.rs
+++ b/crates/quarantine/src/attribution.rs
@@ -111,42 +111,85 @@
 }
 
 /// Attributes ends to parts, those with most ends first. Ends that are attributed to one part do
-/// not count against the others in flight at the same servers.
+/// not count against the others in flight at the same servers. Nothing is attributed to parts that
+/// are sound as far as the caller knows.
 #[must_use]
-pub fn attribute(evidence: &[Evidence]) -> Attribution {
+pub fn attribute(evidence: &[Evidence], is_sound: impl Fn(PartKey) -> bool) -> Attribution {
     let end_times = end_times(evidence);
-    let mut parts = ends_by_part(evidence, &end_times);
-    let mut attribution = Attribution::default();
+    let last_ends = last_ends(evidence);
+    let is_candidate = |part| last_ends[&part].is_repeated && !is_sound(part);
+    let mut parts = ends_by_part(evidence, &end_times, is_candidate);
+    let mut quarantined = Vec::new();
+    let mut explained: IndexSet<ServerStart> = IndexSet::new();
     while let Some(found) = next_quarantined(&parts, &end_times) {
-        let mut explained: IndexSet<ServerStart> = IndexSet::new();
         for part in &found.parts {
             if let Some(ends) = parts.swap_remove(part) {
                 explained.extend(ends.servers.keys());
             }
         }
-        attribution.quarantined.push(found);
+        quarantined.push(found);
         for ends in parts.values_mut() {
             ends.servers.retain(|server, _| !explained.contains(server));
         }
         parts.retain(|_, ends| !ends.servers.is_empty());
     }
-    attribution.suspected = parts
-        .into_iter()
-        .map(|(part, ends)| (part, ends.suspicion()))
-        .collect();
-    attribution
+    let single = last_ends.iter().filter(|(_, end)| !end.is_repeated);
+    let single = single
+        .filter(|(_, end)| !explained.contains(&end.server))
+        .map(|(part, end)| {
+            let last_end_ms = end_times[&end.server];
+            (
+                *part,
+                SuspectedPart {
+                    ends: 1,
+                    last_end_ms,
+                },
+            )
+        });
+    let repeated = parts.iter().map(|(part, ends)| (*part, ends.suspicion()));
+    Attribution {
+        suspected: single.chain(repeated).collect(),
+        quarantined,
+    }
 }
 
-/// Returns the number of ends under each part, without attributing them.
+/// Returns the number of ends under each part with more than one, without attributing them.
 #[must_use]
 pub fn count_ends(evidence: &[Evidence]) -> IndexMap<PartKey, usize> {
-    let parts = ends_by_part(evidence, &end_times(evidence));
+    let last_ends = last_ends(evidence);
+    let parts = ends_by_part(evidence, &end_times(evidence), |part| {
+        last_ends[&part].is_repeated
+    });
     let counts = parts
         .into_iter()
         .map(|(part, ends)| (part, ends.times_ms(None).len()));
     counts.collect()
 }
 
+/// The last server in the evidence that ended under a part.
+struct LastEnd {
+    server: ServerStart,
+    /// Whether other servers ended under the part too.
+    is_repeated: bool,
+}
+
+/// Returns the last end under each part. Most parts are in flight at one end only; telling them
+/// from the others first keeps prompts with many parts cheap.
+fn last_ends(evidence: &[Evidence]) -> IndexMap<PartKey, LastEnd> {
+    let mut last_ends: IndexMap<PartKey, LastEnd> = IndexMap::new();
+    for report in evidence {
+        for suspect in &report.suspects {
+            let last = last_ends.entry(suspect.part).or_insert(LastEnd {
+                server: report.server,
+                is_repeated: false,
+            });
+            last.is_repeated |= last.server != report.server;
+            last.server = report.server;
+        }
+    }
+    last_ends
+}
+
 /// One server's end under a part.
 #[derive(Clone, Debug, Default)]
 struct PartEnd {
@@ -185,10 +228,15 @@
     end_times
 }
 
-fn ends_by_part(evidence: &[Evidence], end_times: &EndTimes) -> IndexMap<PartKey, PartEnds> {
+fn ends_by_part(
+    evidence: &[Evidence],
+    end_times: &EndTimes,
+    is_candidate: impl Fn(PartKey) -> bool,
+) -> IndexMap<PartKey, PartEnds> {
     let mut parts: IndexMap<PartKey, PartEnds> = IndexMap::new();
     for report in evidence {
-        for suspect in &report.suspects {
+        let candidates = report.suspects.iter();
+        for suspect in candidates.filter(|suspect| is_candidate(suspect.part)) {
             let ends = parts.entry(suspect.part).or_default();
             let end = ends.servers.entry(report.server).or_default();
             end.lost_share = end.lost_share.max(report.lost_share());
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -1,8 +1,6 @@
 //! One daemon's view of the quarantine, and what it contributes to the fleet's evidence.
 
-use crate::attribution::{
-    Attribution, ENDS_TO_CLEAR, Evidence, QuarantinedParts, attribute, count_ends,
-};
+use crate::attribution::{Attribution, ENDS_TO_CLEAR, QuarantinedParts, attribute, count_ends};
 use crate::completions::{AnswerCount, Completions};
 use crate::record::{Clearance, EndReport, KeyedRecord, Record, RecordKey, SUSPECTS_MAX, Trial};
 use crate::table::EvidenceTable;
@@ -345,6 +343,7 @@
         let is_suspected = |suspect: &Suspect| {
             let found = self.attribution.suspected.get(&suspect.part);
             found.is_some_and(|found| is_recent(found.last_end_ms))
+                && !self.completions.has_recent(suspect.part, times.uptime)
         };
         let mut quarantined = self.attribution.quarantined.iter();
         !suspects.iter().any(is_suspected) && !quarantined.any(|found| found.are_in(suspects))
@@ -448,19 +447,10 @@
             return;
         }
         self.attributed_at = Some(times.uptime);
-        let mut evidence = self.table.evidence(times.wall_ms);
-        for report in &mut evidence {
-            self.retain_unsound(report, times.uptime);
-        }
-        self.attribution = attribute(&evidence);
-        self.update_quarantined(times.uptime);
-    }
-
-    fn retain_unsound(&self, report: &mut Evidence, now: Duration) {
+        let evidence = self.table.evidence(times.wall_ms);
         let completions = &self.completions;
-        report
-            .suspects
-            .retain(|suspect| !completions.has_recent(suspect.part, now));
+        self.attribution = attribute(&evidence, |part| completions.has_recent(part, times.uptime));
+        self.update_quarantined(times.uptime);
     }
 
     fn update_quarantined(&mut self, now: Duration) {
