Log why a stream was given up and why no server resumed it

The lines of a stream that was broken off could not tell a silent server from a deadline that had passed, nor why no other server continued the stream.

attempt lines have silent_ms where the daemon itself gave a stream up, with a reason of its own; request lines have not_resumed. The retry policy tells why it refuses a retry. anvilgw explain prints both.

--- a/crates/cli/src/log_line.rs
+++ b/crates/cli/src/log_line.rs
@@ -26,6 +26,10 @@
     pub(crate) choice: Option<ChoiceFields>,
     pub(crate) ends_with_connection: bool,
     pub(crate) stream_position: String,
+    /// Time without an event after which a stream was given up.
+    pub(crate) silent_ms: Option<u64>,
+    /// Why no other backend server continued a stream that broke.
+    pub(crate) not_resumed: String,
     /// Hashes of the shared parts of the prompt.
     pub(crate) parts: Vec<String>,
 }
--- a/crates/cli/src/request_log.rs
+++ b/crates/cli/src/request_log.rs
@@ -123,6 +123,12 @@
         let position = line.stream_position.replace('_', " ");
         let _ = writeln!(text, "  stream ended {position}");
     }
+    if let Some(silent_ms) = line.silent_ms {
+        let _ = writeln!(text, "  given up after {silent_ms} ms without an event");
+    }
+    if !line.not_resumed.is_empty() {
+        let _ = writeln!(text, "  not resumed: {}", line.not_resumed);
+    }
 }
 
 /// Appends what the daemon knew when it selected the backend server of a line.
--- a/crates/cli/tests/cli/gateway.rs
+++ b/crates/cli/tests/cli/gateway.rs
@@ -16,9 +16,53 @@
 {"time_ms":8,"event":"dependency_lost","dependency":"metadata store, operators","reason":"no answer in time"}
 {"time_ms":9,"event":"request","request":"r3","status":503,"outcome":"stale_view","reason":"the copy of the configuration is too old","executed":"no","server":"","attempts":0,"elapsed_ms":0,"configuration":6,"configuration_age_ms":3600}
 {"time_ms":10,"event":"attempt","request":"r4","attempt":1,"server":"s1","reason":"the stream ended within an event","ends_with_connection":true,"stream_position":"within_event","parts":["00000000000000a1","00000000000000b2"],"elapsed_ms":8}
-{"time_ms":11,"event":"request","request":"r4","status":200,"outcome":"broken_off","reason":"the stream ended within an event","executed":"yes","server":"s1","attempts":1,"elapsed_ms":8}
+{"time_ms":11,"event":"request","request":"r4","status":200,"outcome":"broken_off","reason":"the stream ended within an event","not_resumed":"all attempts were used","executed":"yes","server":"s1","attempts":1,"elapsed_ms":8}
+{"time_ms":12,"event":"attempt","request":"r5","attempt":1,"server":"s1","reason":"no event for 1500 ms","stream_position":"between_events","silent_ms":1500,"elapsed_ms":1700}
+{"time_ms":13,"event":"request","request":"r5","status":200,"outcome":"answered","server":"s2","attempts":2,"elapsed_ms":1900}
 "#;
 
+fn check_explanations(log: &str, cases: &[ExplainCase]) {
+    for case in cases {
+        let output = anvilgw(&["explain", "--log", log, case.request]);
+        assert_eq!(output.status.code(), Some(0), "{}", case.name);
+        assert!(
+            stdout(&output).contains(case.expected),
+            "{}: {}",
+            case.name,
+            stdout(&output)
+        );
+    }
+}
+
+/// Guards against a stream of which the log does not tell why it ended early.
+#[test]
+fn explain_tells_why_a_stream_ended() {
+    let log = write_file("streams.log", LOG);
+    let cases = [
+        ExplainCase {
+            name: "stream broken off by its server",
+            request: "r4",
+            expected: "cause: backend server s1: the stream ended within an event",
+        },
+        ExplainCase {
+            name: "end of the answer",
+            request: "r4",
+            expected: "answer without length or chunks\n  stream ended within event",
+        },
+        ExplainCase {
+            name: "stream that no server resumed",
+            request: "r4",
+            expected: "not resumed: all attempts were used",
+        },
+        ExplainCase {
+            name: "stream given up for its silence",
+            request: "r5",
+            expected: "given up after 1500 ms without an event",
+        },
+    ];
+    check_explanations(&log, &cases);
+}
+
 /// Guards against a failed request whose cause cannot be found from its identifier and the log.
 #[test]
 fn explain_finds_the_cause_of_a_failed_request_in_the_log() {
@@ -49,32 +93,13 @@
             request: "r3",
             expected: "3600 ms old; it had lost the metadata store, operators at 8: no answer in time",
         },
-        ExplainCase {
-            name: "stream broken off by its server",
-            request: "r4",
-            expected: "cause: backend server s1: the stream ended within an event",
-        },
-        ExplainCase {
-            name: "end of the answer",
-            request: "r4",
-            expected: "answer without length or chunks\n  stream ended within event",
-        },
         ExplainCase {
             name: "parts of the prompt",
             request: "r4",
             expected: "shared prompt parts: 00000000000000a1, 00000000000000b2",
         },
     ];
-    for case in cases {
-        let output = anvilgw(&["explain", "--log", &log, case.request]);
-        assert_eq!(output.status.code(), Some(0), "{}", case.name);
-        assert!(
-            stdout(&output).contains(case.expected),
-            "{}: {}",
-            case.name,
-            stdout(&output)
-        );
-    }
+    check_explanations(&log, &cases);
     let unknown = anvilgw(&["explain", "--log", &log, "r9"]);
     assert_eq!(unknown.status.code(), Some(1));
     assert!(stderr(&unknown).contains("no line about request r9"));
--- a/crates/gateway/src/dispatch/progress.rs
+++ b/crates/gateway/src/dispatch/progress.rs
@@ -40,6 +40,8 @@
     pub(crate) answer: AnswerFields,
     /// Why the last attempt failed; empty if none did.
     pub(crate) reason: String,
+    /// Why no other server continued a stream that broke; empty if none broke.
+    not_resumed: String,
     first_event: Option<Duration>,
     end: Option<RequestEnd>,
 }
@@ -73,6 +75,7 @@
             choice: None,
             answer: AnswerFields::default(),
             reason: String::new(),
+            not_resumed: String::new(),
             first_event: None,
             end: None,
         }
@@ -110,8 +113,10 @@
         });
     }
 
-    /// Records that a stream was cut off after its head was sent to the client.
-    pub(crate) fn on_stream_broken_off(&mut self) {
+    /// Records that a stream was cut off after its head was sent to the client, and why no other
+    /// server continued it.
+    pub(crate) fn on_stream_broken_off(&mut self, not_resumed: &str) {
+        not_resumed.clone_into(&mut self.not_resumed);
         self.gateway.metrics.count("streams_broken_off");
         self.end = Some(RequestEnd {
             status: 200,
@@ -181,6 +186,7 @@
             status: end.status,
             outcome: end.outcome,
             reason: &self.reason,
+            not_resumed: &self.not_resumed,
             executed: end.executed,
             server: &self.server,
             answer: self.answer,
--- a/crates/gateway/src/dispatch/retries.rs
+++ b/crates/gateway/src/dispatch/retries.rs
@@ -39,7 +39,7 @@
         }
         match policy.decide(gateway, routed, progress, &error) {
             RetryDecision::Retry => {}
-            RetryDecision::Fail(failure) => return Err(failure),
+            RetryDecision::Fail(_, failure) => return Err(failure),
         }
     }
 }
--- a/crates/gateway/src/dispatch/stream.rs
+++ b/crates/gateway/src/dispatch/stream.rs
@@ -250,8 +250,8 @@
                     }
                     self.progress.answer.stream_position = Some(self.buffer.position());
                     self.progress.on_attempt_failed(reason);
-                    if !self.resume().await {
-                        self.progress.on_stream_broken_off();
+                    if let Err(not_resumed) = self.resume().await {
+                        self.progress.on_stream_broken_off(&not_resumed);
                         return Err(BodyError::Broken);
                     }
                 }
@@ -276,8 +276,17 @@
                 return RelayStep::Broken("an event is too long".to_owned());
             }
             let (remaining, stalls_in) = self.time_left();
-            if remaining.is_zero() || (stalls_in.is_zero() && self.has_alternative()) {
-                return RelayStep::Broken("no event in time".to_owned());
+            if remaining.is_zero() {
+                return RelayStep::Broken("no event before the deadline".to_owned());
+            }
+            if stalls_in.is_zero() && self.has_alternative() {
+                let silent_ms = self
+                    .gateway
+                    .now()
+                    .saturating_sub(self.last_event_at)
+                    .as_millis();
+                self.progress.answer.silent_ms = Some(silent_ms as u64);
+                return RelayStep::Broken(format!("no event for {silent_ms} ms"));
             }
             let limit = if stalls_in.is_zero() {
                 remaining.min(STALL_TIMEOUT)
@@ -341,10 +350,10 @@
         Some(ready.bytes)
     }
 
-    /// Resumes the stream at another server, and returns whether that succeeded.
-    async fn resume(&mut self) -> bool {
+    /// Resumes the stream at another server. Returns why that failed otherwise.
+    async fn resume(&mut self) -> Result<(), String> {
         if !self.buffer.is_resumable() {
-            return false;
+            return Err("the stream cannot be resumed".to_owned());
         }
         self.buffer.restart();
         let mut error = AttemptError::OutcomeUnknown("the stream broke".to_owned());
@@ -352,8 +361,8 @@
             let decision =
                 self.policy
                     .decide(&self.gateway, &self.routed, &mut self.progress, &error);
-            if let RetryDecision::Fail(_) = decision {
-                return false;
+            if let RetryDecision::Fail(reason, _) = decision {
+                return Err(format!("{}: {}", error.describe(), reason.describe()));
             }
             let options = AttemptOptions {
                 resume_after: self.last_event_id,
@@ -365,7 +374,7 @@
                     self.gateway.metrics.count("streams_resumed");
                     self.last_event_at = self.gateway.now();
                     self.exchange = Some(exchange);
-                    return true;
+                    return Ok(());
                 }
                 Ok(exchange) => AttemptError::ServerFailed(exchange.status.as_u16()),
                 Err(error) => error,
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -270,6 +270,10 @@
     /// How far a stream was received when it ended, unless it ended properly after an event.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub stream_position: Option<StreamPosition>,
+    /// Time without an event after which the daemon gave a stream up, in milliseconds. `None` if the
+    /// stream ended in another way.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub silent_ms: Option<u64>,
 }
 
 /// What the daemon knew of a backend server when it selected it.
@@ -315,6 +319,9 @@
     /// Why it failed; empty otherwise.
     #[serde(skip_serializing_if = "str::is_empty")]
     pub reason: &'a str,
+    /// Why no other backend server continued a stream that broke; empty if none broke.
+    #[serde(skip_serializing_if = "str::is_empty")]
+    pub not_resumed: &'a str,
     /// Whether it was executed (`yes`, `no` or `unknown`); empty if a backend server's answer was
     /// delivered.
     #[serde(skip_serializing_if = "str::is_empty")]
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -74,8 +74,33 @@
 pub(crate) enum RetryDecision {
     /// The request is sent again.
     Retry,
-    /// The request fails, and the client receives this error.
-    Fail(Failure),
+    /// The request fails for this reason, and the client receives this error.
+    Fail(NotRetried, Failure),
+}
+
+/// Why a failed attempt is not retried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NotRetried {
+    /// Too little time is left before the request's deadline.
+    NoTime,
+    /// The route's rules allow no other attempt after the error.
+    NotAllowed,
+    /// Servers ended under a part of the request's prompt.
+    ServersEnded,
+    /// The retry budget of the service is spent.
+    BudgetSpent,
+}
+
+impl NotRetried {
+    /// Returns a description for the log.
+    pub(crate) fn describe(self) -> &'static str {
+        match self {
+            Self::NoTime => "too little time is left",
+            Self::NotAllowed => "the route allows no other attempt",
+            Self::ServersEnded => "backend servers ended under a part of the prompt",
+            Self::BudgetSpent => "the retry budget is spent",
+        }
+    }
 }
 
 /// Retry rules of one route.
@@ -149,28 +174,41 @@
         if matches!(error, AttemptError::Refused(_)) {
             progress.refusals += 1;
         }
-        let has_time = call.remaining(gateway.now()) > REMAINING_TIME_MIN;
-        let is_allowed = self.allows(error, progress.sent_count, progress.connect_failures)
-            && progress.refusals <= REFUSALS_MAX
-            && (!matches!(error, AttemptError::OutcomeUnknown(_))
-                || may_repeat_after_end(gateway, call));
+        let Some(reason) = self.refusal(gateway, call, progress, error) else {
+            return RetryDecision::Retry;
+        };
+        let has_time = reason != NotRetried::NoTime;
+        let failure = build_failure(gateway, &call.service.name, progress, error, has_time);
+        RetryDecision::Fail(reason, failure)
+    }
+
+    /// Returns why a retry is refused. Otherwise takes it from the retry budget.
+    fn refusal(
+        self,
+        gateway: &Gateway,
+        call: &RoutedRequest,
+        progress: &Progress,
+        error: &AttemptError,
+    ) -> Option<NotRetried> {
+        if call.remaining(gateway.now()) <= REMAINING_TIME_MIN {
+            return Some(NotRetried::NoTime);
+        }
+        let is_allowed = self.allows(error, progress.sent_count, progress.connect_failures);
+        if !is_allowed || progress.refusals > REFUSALS_MAX {
+            return Some(NotRetried::NotAllowed);
+        }
+        if matches!(error, AttemptError::OutcomeUnknown(_)) && !may_repeat_after_end(gateway, call)
+        {
+            return Some(NotRetried::ServersEnded);
+        }
         // A connection that failed to open put no load on the service, so it does not use the retry
         // budget.
         let is_exempt_from_budget =
             matches!(error, AttemptError::NotSent(_) | AttemptError::Refused(_));
-        if has_time
-            && is_allowed
-            && (is_exempt_from_budget || gateway.take_retry(&call.service.name))
-        {
-            return RetryDecision::Retry;
+        if is_exempt_from_budget || gateway.take_retry(&call.service.name) {
+            return None;
         }
-        RetryDecision::Fail(build_failure(
-            gateway,
-            &call.service.name,
-            progress,
-            error,
-            has_time,
-        ))
+        Some(NotRetried::BudgetSpent)
     }
 }
 
