Keep a silent server's answer until another one has accepted the request

Callers saw streams that were cut after their first events, and 502 or 504 for repeatable requests, while their server was sound and went on a moment later.

Cause: after 1.5 s without an event, or two latency targets without an answer, the daemon closed the answer of the silent server first and looked for another server afterwards. The check beforehand only told that there was another server, not that it would take the request.

An attempt that takes long now stays open while another server is tried. It is dropped once the other server has begun an answer that can be delivered, which has to happen within 300 ms, so that two servers never work on one request for 400 ms. If the other server fails or does not answer in time, the first one is waited for, also for the rest of a stream. Attempts keep their log record and state to themselves, since two may be open at once. A server whose answer was given up for its silence counts as slow, no longer as one that may have ended. A 5xx answer on a streaming route is passed on if no other attempt succeeds, as on other routes.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -62,6 +62,11 @@
         true
     }
 
+    /// Returns a retry that was taken and not sent.
+    pub fn put_back(&mut self, share: f64) {
+        self.tokens = (self.tokens + 1.0).min(self.cap(share));
+    }
+
     fn cap(&self, share: f64) -> f64 {
         // The cap is at least one token: a smaller one, due to a small share, would never allow a
         // retry.
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -1,6 +1,7 @@
 //! A single attempt of a request: selects a backend server, sends the request and reads the head of
 //! the answer.
 
+use super::attempt_state::AttemptState;
 use super::in_flight::{InFlight, on_server_unreachable};
 use super::progress::Progress;
 use super::quarantine::{check_quarantine, enter_quarantine};
@@ -9,7 +10,6 @@
 use crate::connection::{Connection, SendError};
 use crate::framing::Framing;
 use crate::gateway::Gateway;
-use crate::log::AnswerFields;
 use crate::pool::{OpenLimits, Pool};
 use crate::request::{AnswerMeta, ForwardMeta};
 use crate::retry::AttemptError;
@@ -19,6 +19,7 @@
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -55,6 +56,11 @@
             .keep(self.connection, self.peer_idle_timeout, gateway.now());
     }
 
+    /// Returns the state of the attempt that got this answer.
+    pub(crate) fn state(&self) -> &Rc<AttemptState> {
+        self.in_flight.state()
+    }
+
     /// Records that bytes of the answer's body arrived.
     pub(crate) fn on_body_bytes(&mut self) {
         self.in_flight.on_body_bytes();
@@ -85,51 +91,49 @@
     }
 }
 
-/// Options of an attempt.
-#[derive(Clone, Copy)]
-pub(crate) struct AttemptOptions {
-    /// Identifier of the last event that the client has, if the attempt resumes a stream after it.
-    pub(crate) resume_after: Option<u64>,
-    /// Time limit for the head of the answer.
-    pub(crate) head_timeout: Duration,
-}
-
-/// Makes one attempt and records it in `progress`. Returns the answer if its head is acceptable, or
-/// why the attempt failed.
-pub(crate) async fn attempt(
-    gateway: &Rc<Gateway>,
-    routed: &RoutedRequest,
-    progress: &mut Progress,
-    options: AttemptOptions,
-) -> Result<Exchange, AttemptError> {
-    check_quarantine(gateway, routed)?;
-    let target = select_target_with_wait(gateway, routed, progress).await?;
-    enter_quarantine(gateway, routed).await?;
-    target.id.clone_into(&mut progress.server);
-    progress.choice = Some(target.choice);
-    progress.tried_servers.push(target.key);
-    progress.answer = AnswerFields::default();
-    let attempt = Attempt {
-        pool: gateway.pool(target.key),
-        gateway,
-        routed,
-        target,
-        options,
-    };
-    attempt.run(progress).await
-}
-
 /// An attempt at a selected backend server.
-struct Attempt<'a> {
+pub(crate) struct Attempt<'a> {
     gateway: &'a Rc<Gateway>,
     routed: &'a RoutedRequest,
+    progress: &'a RefCell<Progress>,
+    state: Rc<AttemptState>,
     target: Target,
     pool: Rc<Pool>,
-    options: AttemptOptions,
+    /// Identifier of the last event that the client has, if the attempt resumes a stream after it.
+    resume_after: Option<u64>,
 }
 
-impl Attempt<'_> {
-    async fn run(&self, progress: &mut Progress) -> Result<Exchange, AttemptError> {
+impl<'a> Attempt<'a> {
+    /// Selects a server for an attempt. Nothing is sent yet.
+    pub(crate) async fn select(
+        gateway: &'a Rc<Gateway>,
+        routed: &'a RoutedRequest,
+        progress: &'a RefCell<Progress>,
+        state: Rc<AttemptState>,
+        resume_after: Option<u64>,
+    ) -> Result<Self, AttemptError> {
+        check_quarantine(gateway, routed)?;
+        let target = select_target_with_wait(gateway, routed, progress).await?;
+        enter_quarantine(gateway, routed).await?;
+        {
+            let mut record = state.record.borrow_mut();
+            target.id.clone_into(&mut record.server);
+            record.choice = Some(target.choice);
+            progress.borrow_mut().on_selected(target.key, &record);
+        }
+        Ok(Self {
+            pool: gateway.pool(target.key),
+            gateway,
+            routed,
+            progress,
+            state,
+            target,
+            resume_after,
+        })
+    }
+
+    /// Sends the request. Returns the answer if its head is acceptable, or why the attempt failed.
+    pub(crate) async fn run(self) -> Result<Exchange, AttemptError> {
         let mut checkouts = self.pool.checkouts(self.target.address);
         loop {
             let now = self.gateway.now();
@@ -145,7 +149,7 @@
             if !is_reused {
                 self.gateway.metrics.count("connections_opened");
             }
-            match self.send(progress, checkout.connection).await {
+            match self.send(checkout.connection).await {
                 Err(AttemptError::NotSent(_)) if is_reused => {}
                 result => return result,
             }
@@ -162,45 +166,45 @@
         }
     }
 
-    async fn send(
-        &self,
-        progress: &mut Progress,
-        mut connection: Connection,
-    ) -> Result<Exchange, AttemptError> {
-        let request = build_request(
+    async fn send(&self, mut connection: Connection) -> Result<Exchange, AttemptError> {
+        let request = build_request(self.gateway, self.routed, &self.target, self.resume_after);
+        let in_flight = InFlight::new(
             self.gateway,
+            self.target.used_server(),
             self.routed,
-            &self.target,
-            self.options.resume_after,
+            Rc::clone(&self.state),
         );
-        let in_flight = InFlight::new(self.gateway, self.target.used_server(), self.routed);
-        progress.on_attempt_sending();
-        let response = match timeout(self.options.head_timeout, connection.send(request)).await {
+        let limit = self.routed.remaining(self.gateway.now());
+        self.progress.borrow_mut().on_attempt_sending();
+        self.state.on_sending();
+        let response = match timeout(limit, connection.send(request)).await {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::OutcomeUnknown(reason))) => {
-                progress.sent_count += 1;
                 in_flight.on_answer_broken();
                 return Err(AttemptError::OutcomeUnknown(reason));
             }
             Ok(Err(not_sent)) => {
-                progress.on_attempt_not_executed();
+                self.progress.borrow_mut().on_attempt_not_sent();
+                self.state.on_not_sent();
                 return Err(AttemptError::NotSent(not_sent.to_string()));
             }
             Err(_) => {
-                progress.sent_count += 1;
                 in_flight.on_answer_timeout();
-                return Err(AttemptError::OutcomeUnknown("no answer in time".to_owned()));
+                let reason = "no answer before the deadline".to_owned();
+                return Err(AttemptError::OutcomeUnknown(reason));
             }
         };
-        progress.sent_count += 1;
-        self.check_head(progress, connection, response, in_flight)
+        let exchange = self.check_head(connection, response, in_flight)?;
+        if !exchange.status.is_server_error() {
+            self.state.on_accepted();
+        }
+        Ok(exchange)
     }
 
     /// Checks that an answer belongs to the request, and applies what its head tells about the
     /// server.
     fn check_head(
         &self,
-        progress: &mut Progress,
         connection: Connection,
         response: Response<Incoming>,
         in_flight: InFlight,
@@ -228,7 +232,7 @@
         }
         let framing = Framing::of(&head.headers, &body);
         if framing == Framing::ConnectionEnd {
-            progress.answer.ends_with_connection = true;
+            self.state.record.borrow_mut().answer.ends_with_connection = true;
             self.gateway.metrics.count("answers_without_length");
         }
         let exchange = Exchange {
@@ -241,23 +245,18 @@
             pool: Rc::clone(&self.pool),
             in_flight,
         };
-        self.classify(progress, exchange, &meta)
+        self.classify(exchange, &meta)
     }
 
-    fn classify(
-        &self,
-        progress: &mut Progress,
-        exchange: Exchange,
-        meta: &AnswerMeta,
-    ) -> Result<Exchange, AttemptError> {
+    fn classify(&self, exchange: Exchange, meta: &AnswerMeta) -> Result<Exchange, AttemptError> {
         let gateway = self.gateway;
         if exchange.status == StatusCode::MISDIRECTED_REQUEST {
-            progress.on_attempt_not_executed();
+            self.progress.borrow_mut().on_attempt_not_executed();
             exchange.discard(gateway);
-            return Err(self.on_request_misdirected(progress, meta));
+            return Err(self.on_request_misdirected(meta));
         }
         if meta.is_not_executed {
-            progress.on_attempt_not_executed();
+            self.progress.borrow_mut().on_attempt_not_executed();
             if exchange.status == StatusCode::SERVICE_UNAVAILABLE {
                 self.on_engine_full();
             }
@@ -294,10 +293,11 @@
 
     /// Handles a 421 answer: either the server holds other weights, or another server has its
     /// address.
-    fn on_request_misdirected(&self, progress: &mut Progress, meta: &AnswerMeta) -> AttemptError {
+    fn on_request_misdirected(&self, meta: &AnswerMeta) -> AttemptError {
         let target = &self.target;
         let is_intended_server = meta.server_id.as_deref() == Some(target.id.as_str());
         if is_intended_server && target.weight_version().is_some() {
+            let progress = &mut self.progress.borrow_mut();
             on_weights_switched(self.gateway, progress, target, self.routed);
             return AttemptError::WeightsMismatch;
         }
@@ -325,7 +325,7 @@
         .map(|published| published.version);
     if newest_version.is_some() && newest_version != target.weight_version() {
         // The same server may be tried again with its new weights.
-        progress.tried_servers.pop();
+        progress.tried_servers.retain(|tried| *tried != target.key);
     }
     if let Some(server) = state.servers.get_mut(target.key)
         && let (Some(refused), Some(newest)) = (target.weight_version(), newest_version)
--- /dev/null
+++ b/crates/gateway/src/dispatch/attempt_state.rs
@@ -0,0 +1,78 @@
+//! State of one attempt, which the attempt shares with whoever waits for it.
+
+use crate::log::{AnswerFields, Choice};
+use std::cell::{Cell, RefCell};
+use tokio::sync::Notify;
+
+/// What the log tells of an attempt.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AttemptRecord {
+    /// Identifier of the backend server; empty until one is selected.
+    pub(crate) server: String,
+    /// What was known of the server when it was selected.
+    pub(crate) choice: Option<Choice>,
+    /// How the answer ends.
+    pub(crate) answer: AnswerFields,
+}
+
+/// State of one attempt.
+#[derive(Default)]
+pub(crate) struct AttemptState {
+    pub(crate) record: RefCell<AttemptRecord>,
+    is_sent: Cell<bool>,
+    is_under_way: Cell<bool>,
+    is_given_up: Cell<bool>,
+    sending: Notify,
+    accepted: Notify,
+}
+
+impl AttemptState {
+    /// Records that the request is about to be sent.
+    pub(super) fn on_sending(&self) {
+        self.is_sent.set(true);
+        self.sending.notify_one();
+    }
+
+    /// Records that nothing of the request was sent.
+    pub(super) fn on_not_sent(&self) {
+        self.is_sent.set(false);
+    }
+
+    /// Returns whether the request was sent at least in part, or is being sent.
+    pub(super) fn is_sent(&self) -> bool {
+        self.is_sent.get()
+    }
+
+    /// Waits until the request is about to be sent.
+    pub(super) async fn sending(&self) {
+        self.sending.notified().await;
+    }
+
+    /// Records that the server has begun an answer that can be delivered.
+    pub(super) fn on_accepted(&self) {
+        self.accepted.notify_one();
+    }
+
+    /// Waits until the server has begun an answer that can be delivered.
+    pub(super) async fn accepted(&self) {
+        self.accepted.notified().await;
+    }
+
+    /// Records that the rest of the answer is worth waiting for, however long it takes.
+    pub(super) fn on_under_way(&self) {
+        self.is_under_way.set(true);
+    }
+
+    pub(super) fn is_under_way(&self) -> bool {
+        self.is_under_way.get()
+    }
+
+    /// Records that another server has accepted the request instead. The attempt is dropped next.
+    pub(super) fn give_up(&self) {
+        self.is_given_up.set(true);
+    }
+
+    pub(super) fn is_given_up(&self) -> bool {
+        self.is_given_up.get()
+    }
+}
--- a/crates/gateway/src/dispatch/buffered.rs
+++ b/crates/gateway/src/dispatch/buffered.rs
@@ -17,8 +17,8 @@
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::time::timeout;
 
 /// Longest answer that is buffered.
@@ -38,9 +38,11 @@
     gateway: &Rc<Gateway>,
     routed: RoutedRequest,
 ) -> Response<AnswerBody> {
-    let mut progress = Progress::new(gateway, &routed);
+    let progress = RefCell::new(Progress::new(gateway, &routed));
     gateway.record_first_attempt(&routed.service.name);
-    match fetch_answer(gateway, &routed, &mut progress).await {
+    let result = fetch_answer(gateway, &routed, &progress).await;
+    let mut progress = progress.into_inner();
+    match result {
         Ok(answer) => {
             progress.on_answer_delivered(answer.status.as_u16());
             client_answer(gateway, answer)
@@ -64,21 +66,22 @@
 async fn fetch_answer(
     gateway: &Rc<Gateway>,
     routed: &RoutedRequest,
-    progress: &mut Progress,
+    progress: &RefCell<Progress>,
 ) -> Result<BufferedAnswer, Failure> {
     // The last 5xx answer of a server, which the client gets if no other attempt succeeds.
-    let mut failed_answer: Option<BufferedAnswer> = None;
-    let read = async |_: &mut Progress, exchange: Exchange, _: Duration| {
+    let failed_answer = RefCell::new(None);
+    let read = async |exchange: Exchange| {
+        exchange.state().on_under_way();
         let answer = read_answer(gateway, routed, exchange).await?;
         if answer.status.is_server_error() {
             let status = answer.status.as_u16();
-            failed_answer = Some(answer);
+            failed_answer.replace(Some(answer));
             return Err(AttemptError::ServerFailed(status));
         }
         Ok(answer)
     };
     let result = with_retries(gateway, routed, progress, read).await;
-    result.or_else(|failure| failed_answer.ok_or(failure))
+    result.or_else(|failure| failed_answer.into_inner().ok_or(failure))
 }
 
 /// Reads a body to its end. Fails if it is longer than [`ANSWER_MAX_BYTES`] or memory runs out.
--- a/crates/gateway/src/dispatch/in_flight.rs
+++ b/crates/gateway/src/dispatch/in_flight.rs
@@ -1,9 +1,10 @@
 //! Requests in flight at backend servers, and what their outcomes tell about the servers.
 
+use super::attempt_state::AttemptState;
 use super::routed_request::RoutedRequest;
 use crate::gateway::Gateway;
 use crate::request::{AnswerMeta, Prompt};
-use crate::server::ServerKey;
+use crate::server::{Server, ServerKey};
 use crate::server_ends::{UsedServer, on_answer_broken};
 use crate::server_notices::on_server_notice;
 use anvilgw_quarantine::Suspect;
@@ -13,6 +14,7 @@
 /// Time from the first bytes of an answer's body after which the end of its server is not put down
 /// to the request.
 const UNDERWAY_AFTER: Duration = Duration::from_secs(1);
+
 /// Guard that counts one request at a server until it is dropped, and records the request's outcome
 /// there.
 pub(super) struct InFlight {
@@ -22,45 +24,60 @@
     sent_at: Duration,
     /// Shared parts of the request's prompt.
     suspects: Rc<[Suspect]>,
+    state: Rc<AttemptState>,
     /// When the first bytes of the answer's body arrived.
     body_began_at: Option<Duration>,
 }
 
 impl InFlight {
-    pub(super) fn new(gateway: &Rc<Gateway>, server: UsedServer, routed: &RoutedRequest) -> Self {
+    pub(super) fn new(
+        gateway: &Rc<Gateway>,
+        server: UsedServer,
+        routed: &RoutedRequest,
+        state: Rc<AttemptState>,
+    ) -> Self {
         let prompt = routed.meta.prompt.as_ref();
         let tokens = prompt.map_or(0, Prompt::footprint_tokens);
         let now = gateway.now();
-        if let Some(known) = gateway.state.borrow_mut().servers.get_mut(server.key) {
-            known.on_request_sent(tokens, now);
-        }
-        Self {
+        let in_flight = Self {
             gateway: Rc::clone(gateway),
             server,
             tokens,
             sent_at: now,
             suspects: Rc::clone(&routed.suspects),
+            state,
             body_began_at: None,
+        };
+        in_flight.with_server(|server| server.on_request_sent(tokens, now));
+        in_flight
+    }
+
+    pub(super) fn state(&self) -> &Rc<AttemptState> {
+        &self.state
+    }
+
+    /// Calls `record` with the server, unless it is no longer known.
+    fn with_server(&self, record: impl FnOnce(&mut Server)) {
+        let state = &mut *self.gateway.state.borrow_mut();
+        if let Some(server) = state.servers.get_mut(self.server.key) {
+            record(server);
         }
     }
 
     pub(super) fn on_answer_read(&self, is_success: bool) {
         let now = self.gateway.now();
-        if let Some(server) = self
-            .gateway
-            .state
-            .borrow_mut()
-            .servers
-            .get_mut(self.server.key)
-        {
+        self.with_server(|server| {
             server.on_request_outcome(is_success);
             server.breaker.on_success(now);
-        }
+        });
     }
 
     pub(super) fn on_answer_broken(&self) {
-        on_server_failure(&self.gateway, self.server.key);
         let now = self.gateway.now();
+        self.with_server(|server| {
+            server.on_request_outcome(false);
+            server.breaker.on_failure(now);
+        });
         let is_underway = self
             .body_began_at
             .is_some_and(|began_at| now >= began_at + UNDERWAY_AFTER);
@@ -91,29 +108,17 @@
     /// server has not answered any other request meanwhile; otherwise it is merely slow.
     pub(super) fn on_answer_timeout(&self) {
         let now = self.gateway.now();
-        if let Some(server) = self
-            .gateway
-            .state
-            .borrow_mut()
-            .servers
-            .get_mut(self.server.key)
-        {
+        self.with_server(|server| {
             server.on_request_outcome(false);
             if server.last_answer_at < self.sent_at {
                 server.breaker.on_failure(now);
             }
-        }
+        });
     }
 
     pub(super) fn on_answer_head(&self, meta: &AnswerMeta) {
         let now = self.gateway.now();
-        if let Some(server) = self
-            .gateway
-            .state
-            .borrow_mut()
-            .servers
-            .get_mut(self.server.key)
-        {
+        self.with_server(|server| {
             server.last_answer_at = now;
             if let Some(load) = meta.load {
                 server.on_load_report(load, now);
@@ -121,30 +126,17 @@
             if let Some(cold_for) = meta.cold_for {
                 server.set_cold_for(cold_for, now);
             }
-        }
+        });
         on_server_notice(&self.gateway, self.server.key, meta.notice);
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        if let Some(server) = self
-            .gateway
-            .state
-            .borrow_mut()
-            .servers
-            .get_mut(self.server.key)
-        {
-            server.on_request_ended(self.tokens);
+        if self.state.is_given_up() {
+            self.on_answer_timeout();
         }
-    }
-}
-
-fn on_server_failure(gateway: &Gateway, key: ServerKey) {
-    let now = gateway.now();
-    if let Some(server) = gateway.state.borrow_mut().servers.get_mut(key) {
-        server.on_request_outcome(false);
-        server.breaker.on_failure(now);
+        self.with_server(|server| server.on_request_ended(self.tokens));
     }
 }
 
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -2,14 +2,17 @@
 //! clients.
 
 mod attempt;
+mod attempt_state;
 mod buffered;
 mod in_flight;
+mod overlap;
 mod progress;
 mod quarantine;
 mod retries;
 mod routed_request;
 mod stream;
 mod stream_buffer;
+mod stream_relay;
 mod target;
 
 pub(crate) use buffered::serve_buffered;
--- a/crates/gateway/src/dispatch/progress.rs
+++ b/crates/gateway/src/dispatch/progress.rs
@@ -1,8 +1,10 @@
 //! Record of a request's attempts, logged when the request ends.
 
+use super::attempt_state::AttemptRecord;
 use super::routed_request::RoutedRequest;
 use crate::gateway::Gateway;
-use crate::log::{AnswerFields, Choice, Event, LoggedParts, RequestLine};
+use crate::log::{Event, LoggedParts, RequestLine};
+use crate::retry::AttemptError;
 use crate::server::ServerKey;
 use anvilgw_core::{ErrorKind, Failure, Stage};
 use anvilgw_quarantine::Suspect;
@@ -22,7 +24,7 @@
     arrived_at: Duration,
     /// Servers selected by the attempts so far, which later attempts avoid.
     pub(crate) tried_servers: Vec<ServerKey>,
-    /// Number of attempts in which the request was sent at least in part.
+    /// Number of attempts in which the request was sent at least in part, or is being sent.
     pub(crate) sent_count: u32,
     /// Number of attempts in which nothing was sent, because no connection could be opened or used.
     pub(crate) connect_failures: u32,
@@ -32,14 +34,10 @@
     may_have_executed: bool,
     /// Whether a server may have executed the request in an attempt before the current one.
     may_have_executed_before: bool,
-    /// Identifier of the server of the last attempt, empty before the first.
-    pub(crate) server: String,
-    /// What was known of that server when it was selected.
-    pub(crate) choice: Option<Choice>,
-    /// How the answer of the last attempt ends; default until one was received.
-    pub(crate) answer: AnswerFields,
+    /// The attempt that was answered, or else the last one.
+    last_attempt: AttemptRecord,
     /// Why the last attempt failed; empty if none did.
-    pub(crate) reason: String,
+    reason: String,
     /// Why no other server continued a stream that broke; empty if none broke.
     not_resumed: String,
     first_event: Option<Duration>,
@@ -71,9 +69,7 @@
             refusals: 0,
             may_have_executed: false,
             may_have_executed_before: false,
-            server: String::new(),
-            choice: None,
-            answer: AnswerFields::default(),
+            last_attempt: AttemptRecord::default(),
             reason: String::new(),
             not_resumed: String::new(),
             first_event: None,
@@ -81,21 +77,33 @@
         }
     }
 
+    /// Records that a server was selected for an attempt.
+    pub(crate) fn on_selected(&mut self, server: ServerKey, record: &AttemptRecord) {
+        self.tried_servers.push(server);
+        self.last_attempt = record.clone();
+    }
+
+    /// Records that the client gets the answer of this attempt.
+    pub(crate) fn on_answering(&mut self, record: &AttemptRecord) {
+        self.last_attempt = record.clone();
+    }
+
     /// Logs and counts a failed attempt.
-    pub(crate) fn on_attempt_failed(&mut self, reason: String) {
+    pub(crate) fn on_attempt_failed(&mut self, record: &AttemptRecord, reason: String) {
         let elapsed = self.gateway.now().saturating_sub(self.arrived_at);
         self.gateway.metrics.count("failed_attempts");
         self.gateway.log_notable(&Event::Attempt {
             request: &self.request,
             attempt: self.sent_count,
-            server: &self.server,
+            server: &record.server,
             reason: &reason,
-            answer: self.answer,
+            answer: record.answer,
             parts: LoggedParts(&self.suspects),
             elapsed_ms: elapsed.as_millis() as u64,
-            choice: self.choice,
+            choice: record.choice,
         });
         self.reason = reason;
+        self.last_attempt = record.clone();
     }
 
     /// Records that the first bytes of a stream arrived.
@@ -129,6 +137,7 @@
     /// possibly executed, also if the client disconnects, until the attempt's outcome shows
     /// otherwise.
     pub(crate) fn on_attempt_sending(&mut self) {
+        self.sent_count += 1;
         self.may_have_executed_before = self.may_have_executed;
         self.may_have_executed = true;
     }
@@ -138,6 +147,21 @@
         self.may_have_executed = self.may_have_executed_before;
     }
 
+    /// Counts an attempt in which nothing was sent because of its server.
+    pub(crate) fn count_unsent(&mut self, error: &AttemptError) {
+        match error {
+            AttemptError::NotSent(_) => self.connect_failures += 1,
+            AttemptError::Refused(_) => self.refusals += 1,
+            _ => {}
+        }
+    }
+
+    /// Records that nothing of the request was sent in the current attempt.
+    pub(crate) fn on_attempt_not_sent(&mut self) {
+        self.sent_count -= 1;
+        self.on_attempt_not_executed();
+    }
+
     /// Returns whether a server may have executed the request.
     pub(crate) fn may_have_executed(&self) -> bool {
         self.may_have_executed
@@ -188,12 +212,12 @@
             reason: &self.reason,
             not_resumed: &self.not_resumed,
             executed: end.executed,
-            server: &self.server,
-            answer: self.answer,
+            server: &self.last_attempt.server,
+            answer: self.last_attempt.answer,
             attempts: self.sent_count,
             elapsed_ms: elapsed.as_millis() as u64,
             first_event_ms: self.first_event.map(|first| first.as_millis() as u64),
-            choice: self.choice,
+            choice: self.last_attempt.choice,
             configuration: self.configuration,
             configuration_age_ms: age.map_or(u64::MAX, |age| age.as_millis() as u64),
         };
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -13,13 +13,14 @@
 use crate::prefill_rate::PrefillRate;
 use crate::region_constraints::RegionConstraints;
 use crate::retry::AttemptError;
-use crate::select::{CacheUse, NoServer, PromptQuery, Query, Selected, has_usable_server, select};
+use crate::select::{CacheUse, NoServer, PromptQuery, Query, Selected, select};
 use crate::server::{Server, ServerKey, Servers};
 use crate::server_ends::UsedServer;
 use crate::weights::{FETCH_TIME_MAX, oldest_allowed_version};
 use anvilgw_quarantine::ServerStart;
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -120,7 +121,7 @@
 pub(super) async fn select_target_with_wait(
     gateway: &Gateway,
     routed: &RoutedRequest,
-    progress: &Progress,
+    progress: &RefCell<Progress>,
 ) -> Result<Target, AttemptError> {
     if routed.meta.prompt.is_some() {
         wait_for_stores(gateway, routed).await;
@@ -148,7 +149,7 @@
 async fn select_target(
     gateway: &Gateway,
     routed: &RoutedRequest,
-    progress: &Progress,
+    progress: &RefCell<Progress>,
     is_waiting: bool,
 ) -> Result<Target, AttemptError> {
     for asks in 0..=PERMIT_ASKS_MAX {
@@ -176,21 +177,6 @@
     Err(AttemptError::NoServer(NoServer::AllUnavailable))
 }
 
-/// Returns whether a server that was not tried yet could take the request.
-pub(super) fn has_alternative(
-    gateway: &Gateway,
-    routed: &RoutedRequest,
-    progress: &Progress,
-) -> bool {
-    let options = QueryOptions {
-        is_waiting: false,
-        may_ask_permits: false,
-    };
-    with_query(gateway, routed, progress, options, |servers, query, _| {
-        has_usable_server(servers, query, gateway.now())
-    })
-}
-
 /// Options of a selection.
 #[derive(Clone, Copy)]
 struct QueryOptions {
@@ -204,7 +190,7 @@
 fn with_query<T>(
     gateway: &Gateway,
     routed: &RoutedRequest,
-    progress: &Progress,
+    progress: &RefCell<Progress>,
     options: QueryOptions,
     decide: impl FnOnce(&mut Servers, &Query<'_>, &mut SmallRng) -> T,
 ) -> T {
@@ -247,7 +233,7 @@
                 .map_or(&[], |workspace| workspace.allowed_regions.as_slice()),
         },
         prompt,
-        tried: &progress.tried_servers,
+        tried: &progress.borrow().tried_servers,
         share: state.share,
         may_ask_permits: options.may_ask_permits,
     };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -300,15 +300,6 @@
         state.budgets.insert(service.to_owned(), budget);
     }
 
-    /// Returns whether the retry budget of a service allows a retry, without spending it.
-    pub(crate) fn has_retry_budget(&self, service: &str) -> bool {
-        let now = self.now();
-        let state = &mut *self.state.borrow_mut();
-        let share = state.share;
-        let budget = state.budgets.get_mut(service);
-        budget.is_some_and(|budget| budget.allows(share, now))
-    }
-
     /// Spends one retry from the budget of a service, and returns whether one was left.
     pub(crate) fn take_retry(&self, service: &str) -> bool {
         let now = self.now();
@@ -319,4 +310,13 @@
             .get_mut(service)
             .is_some_and(|budget| budget.take(share, now))
     }
+
+    /// Returns a retry that was not sent to the budget of a service.
+    pub(crate) fn return_retry(&self, service: &str) {
+        let state = &mut *self.state.borrow_mut();
+        let share = state.share;
+        if let Some(budget) = state.budgets.get_mut(service) {
+            budget.put_back(share);
+        }
+    }
 }
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -16,8 +16,7 @@
 const REFUSALS_MAX: u32 = 16;
 /// Minimum time that must be left before the request's deadline for a retry.
 const REMAINING_TIME_MIN: Duration = Duration::from_millis(20);
-/// Number of latency targets after which a repeatable attempt is abandoned in favor of another
-/// server.
+/// Number of latency targets after which another server is tried beside a repeatable attempt.
 const ATTEMPT_LATENCY_TARGETS: u32 = 2;
 /// Range of the delay after which a client is asked to retry, in milliseconds; random, so that
 /// clients do not return all at once. A back-off that servers asked for is added to it.
@@ -118,15 +117,15 @@
         }
     }
 
-    /// Returns the time limit of the next attempt, after `sent_count` attempts. An attempt that may
-    /// be repeated leaves time for the next one.
+    /// Returns the time after which another server is tried beside an attempt, the last one of
+    /// `sent_count`. An attempt that may be repeated leaves time for the next one.
     pub(crate) fn attempt_limit(
         self,
         sent_count: u32,
         remaining: Duration,
         latency_target: Duration,
     ) -> Duration {
-        let is_last = !self.is_repeatable || sent_count + 1 >= self.attempts_max;
+        let is_last = !self.is_repeatable || sent_count >= self.attempts_max;
         if is_last {
             return remaining;
         }
@@ -168,12 +167,7 @@
         progress: &mut Progress,
         error: &AttemptError,
     ) -> RetryDecision {
-        if matches!(error, AttemptError::NotSent(_)) {
-            progress.connect_failures += 1;
-        }
-        if matches!(error, AttemptError::Refused(_)) {
-            progress.refusals += 1;
-        }
+        progress.count_unsent(error);
         let Some(reason) = self.refusal(gateway, call, progress, error) else {
             return RetryDecision::Retry;
         };
@@ -183,7 +177,7 @@
     }
 
     /// Returns why a retry is refused. Otherwise takes it from the retry budget.
-    fn refusal(
+    pub(crate) fn refusal(
         self,
         gateway: &Gateway,
         call: &RoutedRequest,
