Remove the check for a usable server, which only tests call

It answered whether another server might take a request, without regard to memory; streams trusted it and were cut. The two tests ask the selection itself now, which is what requests get.

--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -213,12 +213,6 @@
     shortest.map_or(NoServer::AllUnavailable, NoServer::RateLimited)
 }
 
-/// Returns whether an untried server could take the request. Its memory is not considered.
-pub fn has_usable_server(servers: &mut Servers, query: &Query<'_>, now: Duration) -> bool {
-    let in_service = servers_in_service(servers, query);
-    !usable_servers(servers, &in_service, query, now).is_empty()
-}
-
 fn servers_in_service(servers: &Servers, query: &Query<'_>) -> Vec<ServerKey> {
     servers
         .iter()
--- a/crates/gateway/tests/servers/fixture.rs
+++ b/crates/gateway/tests/servers/fixture.rs
@@ -7,7 +7,7 @@
 use anvilgw_gateway::prefill_rate::PrefillRate;
 use anvilgw_gateway::region_constraints::RegionConstraints;
 use anvilgw_gateway::request::{Prompt, PromptPart};
-use anvilgw_gateway::select::{NoServer, PromptQuery, Query, Selected, has_usable_server, select};
+use anvilgw_gateway::select::{NoServer, PromptQuery, Query, Selected, select};
 use anvilgw_gateway::server::{
     ServedModel, ServerEntry, ServerKey, ServerState, Servers, server_hash,
 };
@@ -115,14 +115,14 @@
         self.peers.on_report(&Role::default(), report, now);
     }
 
-    /// Returns whether a server other than `tried` could take a request.
-    pub(crate) fn has_usable_besides(&mut self, tried: ServerKey, now: Duration) -> bool {
+    /// Returns whether a server other than `tried` is selected for a request.
+    pub(crate) fn selects_another(&mut self, tried: ServerKey, now: Duration) -> bool {
         let service = service(0.0);
         let query = Query {
             tried: &[tried],
             ..Query::new(&service, constraints(&self.regions, &self.confined_to))
         };
-        has_usable_server(&mut self.servers, &query, now)
+        select(&mut self.servers, &query, now, &mut rng()).is_ok()
     }
 
     pub(crate) fn place(&mut self, prompt: &Prompt, now: Duration) -> Result<Selected, NoServer> {
--- a/crates/gateway/tests/servers/notices.rs
+++ b/crates/gateway/tests/servers/notices.rs
@@ -181,7 +181,7 @@
     let key = fixture.servers.key_of("s3").expect("known");
     let server = fixture.servers.get_mut(key).expect("server");
     server.on_backoff_requested(Duration::from_secs(1), at(20));
-    assert!(!fixture.has_usable_besides(key, at(20)));
+    assert!(!fixture.selects_another(key, at(20)));
     let refused = fixture.place(&prompt(100), at(20)).map(|_| ());
     assert_eq!(refused, Err(NoServer::BackingOff(at(1_000))));
 }
--- a/crates/gateway/tests/servers/placement.rs
+++ b/crates/gateway/tests/servers/placement.rs
@@ -130,7 +130,7 @@
         let current = fixture.servers.key_of("s1").expect("known");
         let other = fixture.servers.key_of("s2").expect("known");
         (case.change)(&mut fixture, other);
-        let found = fixture.has_usable_besides(current, at(2));
+        let found = fixture.selects_another(current, at(2));
         assert_eq!(found, case.expected, "{}", case.name);
     }
 }
