Read the rest of a refused request's body before its connection is closed

Callers saw connections that were reset without an answer when a request was refused (401, 404, 408, 413 or 503) while its body was on the way, on networks where a reset discards bytes that the peer has not read yet.

hyper drops the rest of a body that its service does not read: it closes the connection after the answer, without announcing that, and the kernel resets a connection that is closed with unread bytes.

--- a/crates/gateway/src/listeners/clients.rs
+++ b/crates/gateway/src/listeners/clients.rs
@@ -1,6 +1,7 @@
 //! Serves the connections and requests of clients.
 
 use super::client_socket::{ClientSocket, EndOfAnswer};
+use super::refused_body::UnreadBody;
 use super::request_checks::{RequestContext, check_request};
 use crate::answer::{AnswerBody, failure_answer};
 use crate::body_memory::BodyReservation;
@@ -178,20 +179,32 @@
         .configuration_freshness
         .is_current(gateway.now());
     if is_chunked || gateway.is_draining.get() || (is_error && !is_configuration_current) {
-        response
-            .headers_mut()
-            .insert(CONNECTION, HeaderValue::from_static("close"));
+        close_after(&mut response);
     }
     response
 }
 
+/// Makes hyper close the connection after an answer.
+fn close_after(response: &mut Response<AnswerBody>) {
+    response
+        .headers_mut()
+        .insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
 async fn answer_request(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
     let arrived_at = gateway.now();
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let meta = gateway.ports.codec.parse_request(&head.headers);
-    let routed = match route_request(gateway, head, body, meta, arrived_at).await {
+    let unread_body = UnreadBody::of(&head);
+    let routed = match route_request(gateway, head, &mut body, meta, arrived_at).await {
         Ok(routed) => routed,
-        Err((id, failure)) => return log_and_refuse(gateway, &id, &failure, arrived_at),
+        Err((id, failure)) => {
+            let mut response = log_and_refuse(gateway, &id, &failure, arrived_at);
+            if !unread_body.discard(body) {
+                close_after(&mut response);
+            }
+            return response;
+        }
     };
     if routed.route.kind.is_stream() {
         serve_stream(gateway, routed).await
@@ -205,7 +218,7 @@
 async fn route_request(
     gateway: &Rc<Gateway>,
     head: Parts,
-    body: Incoming,
+    body: &mut Incoming,
     meta: RequestMeta,
     arrived_at: Duration,
 ) -> Result<RoutedRequest, (String, Failure)> {
@@ -276,7 +289,7 @@
         .collect()
 }
 
-async fn read_body(context: &RequestContext, body: Incoming) -> Result<Bytes, Failure> {
+async fn read_body(context: &RequestContext, body: &mut Incoming) -> Result<Bytes, Failure> {
     let limits = context.configuration.limits;
     let collected = Limited::new(body, limits.body_max_bytes).collect();
     let failure = |kind, detail: String| Failure::new(kind, Stage::Received, detail);
--- a/crates/gateway/src/listeners/mod.rs
+++ b/crates/gateway/src/listeners/mod.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod internal;
 mod peer_reads;
+mod refused_body;
 mod request_checks;
 mod status;
 
