Let a client read its last answer before the gateway closes the connection

Callers saw connections that were reset without an answer when they had sent more than the gateway read: another request behind the one whose answer announced the close, or a body that is longer than what is read of a refused one.

The gateway shut the sending side down and closed the socket at once. The kernel resets a connection that is closed with unread bytes, and on some networks the reset discards the answer before it has arrived.

The socket now stays open after the last answer until the client has closed the connection, for 1 s at most. Nothing is read meanwhile: a client repeats a request only if it was not read.

--- a/crates/gateway/src/listeners/client_socket.rs
+++ b/crates/gateway/src/listeners/client_socket.rs
@@ -3,13 +3,18 @@
 
 use socket2::SockRef;
 use std::cell::Cell;
+use std::future::pending;
 use std::io::{IoSlice, Result};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Longest time for which a client may read its last answer before the connection is closed.
+const LINGER_MAX: Duration = Duration::from_secs(1);
 
 /// Tells the socket of a connection that the end of the connection is the end of its last answer.
 #[derive(Clone, Debug, Default)]
@@ -36,6 +41,8 @@
     stream: TcpStream,
     end_of_answer: EndOfAnswer,
     is_reset_on_close: bool,
+    /// Whether all answers were sent and no more will be.
+    is_shut_down: bool,
 }
 
 impl ClientSocket {
@@ -44,7 +51,28 @@
             stream,
             end_of_answer,
             is_reset_on_close: false,
+            is_shut_down: false,
+        }
+    }
+
+    /// Waits until the client has closed the connection, for [`LINGER_MAX`] at most. Closing it
+    /// earlier would reset it if the client still sends, and the reset may discard the last answer.
+    ///
+    /// What the client sends is not read: it would be a request that gets no answer, and a client
+    /// repeats a request only if it was not read.
+    pub(super) async fn linger(&self) {
+        if !self.is_shut_down {
+            return;
         }
+        let closed = async {
+            let ready = self.stream.ready(Interest::READABLE).await;
+            if ready.is_ok_and(|ready| !ready.is_read_closed()) {
+                // Unread bytes keep the socket ready, so that a wait for the end would not pause.
+                pending::<()>().await;
+            }
+        };
+        // Both outcomes end the wait.
+        let _ = timeout(LINGER_MAX, closed).await;
     }
 
     /// Applies [`EndOfAnswer`] before the first bytes of the answer are sent. The kernel then resets
@@ -102,6 +130,8 @@
             self.is_reset_on_close = false;
             self.end_of_answer.is_end_of_connection.set(false);
         }
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        let result = ready!(Pin::new(&mut self.stream).poll_shutdown(context));
+        self.is_shut_down = result.is_ok();
+        Poll::Ready(result)
     }
 }
--- a/crates/gateway/src/listeners/clients.rs
+++ b/crates/gateway/src/listeners/clients.rs
@@ -26,7 +26,6 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -129,23 +128,23 @@
         let end_of_answer = service_end_of_answer.clone();
         async move { Ok::<_, Infallible>(serve_request(&gateway, request, &end_of_answer).await) }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper has a single timeout for idle connections and for heads that arrive slowly.
         .header_read_timeout(limits.idle_timeout.max(limits.read_timeout) + IDLE_MARGIN)
         .max_buf_size(limits.header_max_bytes.max(READ_BUFFER_MIN_BYTES) * 2)
         .serve_connection(TokioIo::new(socket), service);
-    let mut connection = pin!(connection);
     let result = tokio::select! {
-        result = connection.as_mut() => result,
+        result = &mut connection => result,
         _ = close_signal.wait_for(|is_closing| *is_closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
     };
+    let socket = connection.into_parts().io.into_inner();
     if let Err(error) = result {
         if end_of_answer.is_end_of_connection() {
-            // The socket is closed with `connection`.
+            // The connection is reset when `socket` is dropped.
             sleep(RESET_DELAY).await;
         }
         gateway.metrics.count("client_connections_broken");
@@ -157,6 +156,7 @@
             }));
         }
     }
+    socket.linger().await;
 }
 
 async fn serve_request(
