Add a server's idle timeout to the time without an overflow

Callers saw their connection end without an answer, on any route, although the server had sent a whole answer with the header "Keep-Alive: timeout=".

The pool adds the stated time to the current one when the answer was read. The sum overflowed, so the task of the client's connection panicked before it sent the answer.

The sum now saturates.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -131,7 +131,7 @@
             return;
         }
         let idle_timeout = peer_idle_timeout.unwrap_or(IDLE_TIMEOUT_DEFAULT);
-        let use_until = now + idle_timeout.saturating_sub(IDLE_MARGIN);
+        let use_until = now.saturating_add(idle_timeout.saturating_sub(IDLE_MARGIN));
         self.idle.borrow_mut().push(IdleConnection {
             connection,
             use_until,
