Add the numbers of a server's load report without an overflow

Callers saw requests end without an answer after a server had reported a load such as "Server-Load: 4294967295,4294967295,4294967295": every request for which that server was considered, until the report was too old.

The sum of the running and the waiting requests overflowed an u32 when a server was selected. Release builds check for overflows too, so the task of the client's connection panicked.

The numbers are now added as floating-point numbers, which the load is anyway. Before the change the new case of an_answer_arrives_whatever_its_server_states_beside_it fails with "attempt to add with overflow" in server.rs and no answer; with it it passes.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -240,7 +240,7 @@
         let own = f64::from(self.in_flight);
         match self.reported_load {
             Some((load, at)) if now.saturating_sub(at) < LOAD_REPORT_MAX_AGE => {
-                let reported = f64::from(load.running + load.waiting);
+                let reported = f64::from(load.running) + f64::from(load.waiting);
                 (reported + f64::from(self.sent_since_report)).max(own)
             }
             _ => own,
