Close idle connections of clients by the newest idle timeout

Callers that reuse connections within four fifths of the configured idle timeout found them closed after a configuration had made it longer: the request got no answer, though it was not read either.

The timeout was read once, when a connection was accepted, and hyper has no way to change it later.

hyper's timeout now runs on a timer that follows the newest configuration. A longer timeout takes effect at once, also for connections that are idle already, and a shorter one from the next wait on.

--- a/crates/gateway/src/background_tasks/operators.rs
+++ b/crates/gateway/src/background_tasks/operators.rs
@@ -101,6 +101,8 @@
                 replaced,
                 routes: configuration.routes().len(),
             });
+            let close_idle_after = configuration.limits.close_idle_after();
+            gateway.client_idle_timeout.send_replace(close_idle_after);
             state.configuration = Some(configuration);
             if replaced == 0 {
                 gateway.cache_stores_changed.notify_one();
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -127,6 +127,20 @@
     pub idle_timeout: Duration,
 }
 
+impl ClientLimits {
+    /// Returns the time after which the gateway closes an idle connection, or one on which a head
+    /// has not arrived completely. It exceeds the idle timeout, so that a client that honors the
+    /// timeout does not send a request while the connection is being closed.
+    pub(crate) fn close_idle_after(&self) -> Duration {
+        const MARGIN: Duration = Duration::from_secs(1);
+        /// Longest time that can be added to any point in time.
+        const MAX: Duration = Duration::from_secs(24 * 60 * 60);
+        // Both cases have a single timeout.
+        let timeout = self.idle_timeout.max(self.read_timeout);
+        timeout.saturating_add(MARGIN).min(MAX)
+    }
+}
+
 impl Default for ClientLimits {
     fn default() -> Self {
         Self {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,7 +4,7 @@
 use crate::body_memory::BodyMemory;
 use crate::budget::RetryBudget;
 use crate::caches::CacheDirectory;
-use crate::configuration::{Configuration, Service};
+use crate::configuration::{ClientLimits, Configuration, Service};
 use crate::fleet_view::FleetView;
 use crate::freshness::ConfigurationFreshness;
 use crate::groups::{Role, StoreReads};
@@ -32,7 +32,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// Fraction of the bound on withdrawn keys for which a copy of the configuration is relied on. The
 /// rest covers the duration of the read itself.
@@ -113,6 +113,8 @@
     /// Whether new requests are refused because they might not end before the shutdown does.
     pub(crate) is_refusing: Cell<bool>,
     pub(crate) requests_in_flight: Cell<usize>,
+    /// Time after which idle connections of clients are closed.
+    pub(crate) client_idle_timeout: watch::Sender<Duration>,
     /// Notified when the set of cache stores to follow may have changed: after the first
     /// configuration or list of servers, and when the role has changed.
     pub(crate) cache_stores_changed: Notify,
@@ -172,6 +174,7 @@
             is_draining: Cell::new(false),
             is_refusing: Cell::new(false),
             requests_in_flight: Cell::new(0),
+            client_idle_timeout: watch::Sender::new(ClientLimits::default().close_idle_after()),
             cache_stores_changed: Notify::new(),
             evidence_changed: Notify::new(),
             evidence_news: Notify::new(),
--- a/crates/gateway/src/listeners/clients.rs
+++ b/crates/gateway/src/listeners/clients.rs
@@ -1,6 +1,7 @@
 //! Serves the connections and requests of clients.
 
 use super::client_socket::{ClientSocket, EndOfAnswer};
+use super::idle_timer::IdleTimer;
 use super::refused_body::UnreadBody;
 use super::request_checks::{RequestContext, check_request};
 use crate::answer::{AnswerBody, failure_answer};
@@ -23,7 +24,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -34,9 +35,6 @@
 
 /// Pause after a failure to accept a connection, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Idle connections are closed this long after the idle timeout, so that a client that honors the
-/// timeout does not send a request while the connection is being closed.
-const IDLE_MARGIN: Duration = Duration::from_secs(1);
 /// Time between the last bytes of a broken answer and the reset of its connection. A reset discards
 /// the bytes that have not reached the client yet.
 const RESET_DELAY: Duration = Duration::from_millis(100);
@@ -129,9 +127,9 @@
         async move { Ok::<_, Infallible>(serve_request(&gateway, request, &end_of_answer).await) }
     });
     let mut connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // hyper has a single timeout for idle connections and for heads that arrive slowly.
-        .header_read_timeout(limits.idle_timeout.max(limits.read_timeout) + IDLE_MARGIN)
+        .timer(IdleTimer::new(gateway.client_idle_timeout.subscribe()))
+        // Enables the timeout. `IdleTimer` knows how long it is.
+        .header_read_timeout(Duration::ZERO)
         .max_buf_size(limits.header_max_bytes.max(READ_BUFFER_MIN_BYTES) * 2)
         .serve_connection(TokioIo::new(socket), service);
     let result = tokio::select! {
--- a/crates/gateway/src/listeners/mod.rs
+++ b/crates/gateway/src/listeners/mod.rs
@@ -2,6 +2,7 @@
 
 mod client_socket;
 mod clients;
+mod idle_timer;
 mod internal;
 mod peer_reads;
 mod refused_body;
