Close a server's idle connections when its address changes

A server that starts again keeps its identifier and may have another address. The gateway kept its connection pool by the identifier, so that requests were still passed on over idle connections to the old address.

A pool now uses only connections that were opened to the address for which one is wanted, and closes the others.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -58,6 +58,7 @@
 /// progress.
 #[derive(Debug)]
 pub struct Connection {
+    address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     allowance: ReadAllowance,
@@ -103,6 +104,7 @@
             let _ = connection.await;
         });
         Ok(Self {
+            address,
             sender,
             task,
             allowance,
@@ -110,6 +112,12 @@
         })
     }
 
+    /// Returns the address that the connection was opened to.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns whether a request can be sent now.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,4 +1,4 @@
-//! Connection pool for one address.
+//! Connection pool for one server.
 
 use crate::connection::{Connection, OpenCount, SendError};
 use std::cell::{Cell, RefCell};
@@ -20,7 +20,7 @@
 /// Number of idle connections that a request tries before it opens a new one.
 const REUSED_CONNECTIONS_MAX: usize = 2;
 
-/// Connections to one address: the idle ones, and the number of all open ones.
+/// Connections to one server: the idle ones, and the number of all open ones.
 #[derive(Default)]
 pub struct Pool {
     idle: RefCell<Vec<IdleConnection>>,
@@ -64,7 +64,7 @@
     pub async fn next(&mut self, limits: OpenLimits, now: Duration) -> Result<Checkout, SendError> {
         if self.reused_tries < REUSED_CONNECTIONS_MAX {
             self.reused_tries += 1;
-            if let Some(checkout) = self.pool.take_idle(now) {
+            if let Some(checkout) = self.pool.take_idle(self.address, now) {
                 return Ok(checkout);
             }
         }
@@ -83,10 +83,14 @@
         }
     }
 
-    /// Takes the most recently used idle connection that is still usable.
-    fn take_idle(&self, now: Duration) -> Option<Checkout> {
+    /// Takes the most recently used idle connection that is still usable. A server that has started
+    /// again may have another address, and its earlier connections are closed.
+    fn take_idle(&self, address: SocketAddr, now: Duration) -> Option<Checkout> {
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|idle| !idle.connection.is_closed() && now < idle.use_until);
+        idle.retain(|idle| {
+            let is_usable = !idle.connection.is_closed() && now < idle.use_until;
+            is_usable && idle.connection.address() == address
+        });
         let index = idle.iter().rposition(|idle| idle.connection.is_ready())?;
         Some(Checkout {
             connection: idle.remove(index).connection,
