--- a/crates/gateway/src/listeners/clients.rs
+++ b/crates/gateway/src/listeners/clients.rs
@@ -1,6 +1,8 @@
 //! Serves the connections and requests of clients.
 
 use super::client_socket::{ClientSocket, EndOfAnswer};
+use super::idle_timer::IdleTimer;
+use super::refused_body::UnreadBody;
 use super::request_checks::{RequestContext, check_request};
 use crate::answer::{AnswerBody, failure_answer};
 use crate::body_memory::BodyReservation;
@@ -22,10 +24,9 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -34,9 +35,6 @@
 
 /// Pause after a failure to accept a connection, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Idle connections are closed this long after the idle timeout, so that a client that honors the
-/// timeout does not send a request while the connection is being closed.
-const IDLE_MARGIN: Duration = Duration::from_secs(1);
 /// Time between the last bytes of a broken answer and the reset of its connection. A reset discards
 /// the bytes that have not reached the client yet.
 const RESET_DELAY: Duration = Duration::from_millis(100);
@@ -128,23 +126,23 @@
         let end_of_answer = service_end_of_answer.clone();
         async move { Ok::<_, Infallible>(serve_request(&gateway, request, &end_of_answer).await) }
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // hyper has a single timeout for idle connections and for heads that arrive slowly.
-        .header_read_timeout(limits.idle_timeout.max(limits.read_timeout) + IDLE_MARGIN)
+    let mut connection = http1::Builder::new()
+        .timer(IdleTimer::new(gateway.client_idle_timeout.subscribe()))
+        // Enables the timeout. `IdleTimer` knows how long it is.
+        .header_read_timeout(Duration::ZERO)
         .max_buf_size(limits.header_max_bytes.max(READ_BUFFER_MIN_BYTES) * 2)
         .serve_connection(TokioIo::new(socket), service);
-    let mut connection = pin!(connection);
     let result = tokio::select! {
-        result = connection.as_mut() => result,
+        result = &mut connection => result,
         _ = close_signal.wait_for(|is_closing| *is_closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
     };
+    let socket = connection.into_parts().io.into_inner();
     if let Err(error) = result {
         if end_of_answer.is_end_of_connection() {
-            // The socket is closed with `connection`.
+            // The connection is reset when `socket` is dropped.
             sleep(RESET_DELAY).await;
         }
         gateway.metrics.count("client_connections_broken");
@@ -156,6 +154,7 @@
             }));
         }
     }
+    socket.linger().await;
 }
 
 async fn serve_request(
@@ -178,20 +177,32 @@
         .configuration_freshness
         .is_current(gateway.now());
     if is_chunked || gateway.is_draining.get() || (is_error && !is_configuration_current) {
-        response
-            .headers_mut()
-            .insert(CONNECTION, HeaderValue::from_static("close"));
+        close_after(&mut response);
     }
     response
 }
 
+/// Makes hyper close the connection after an answer.
+fn close_after(response: &mut Response<AnswerBody>) {
+    response
+        .headers_mut()
+        .insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
 async fn answer_request(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
     let arrived_at = gateway.now();
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let meta = gateway.ports.codec.parse_request(&head.headers);
-    let routed = match route_request(gateway, head, body, meta, arrived_at).await {
+    let unread_body = UnreadBody::of(&head);
+    let routed = match route_request(gateway, head, &mut body, meta, arrived_at).await {
         Ok(routed) => routed,
-        Err((id, failure)) => return log_and_refuse(gateway, &id, &failure, arrived_at),
+        Err((id, failure)) => {
+            let mut response = log_and_refuse(gateway, &id, &failure, arrived_at);
+            if !unread_body.discard(body) {
+                close_after(&mut response);
+            }
+            return response;
+        }
     };
     if routed.route.kind.is_stream() {
         serve_stream(gateway, routed).await
@@ -205,7 +216,7 @@
 async fn route_request(
     gateway: &Rc<Gateway>,
     head: Parts,
-    body: Incoming,
+    body: &mut Incoming,
     meta: RequestMeta,
     arrived_at: Duration,
 ) -> Result<RoutedRequest, (String, Failure)> {
@@ -276,7 +287,7 @@
         .collect()
 }
 
-async fn read_body(context: &RequestContext, body: Incoming) -> Result<Bytes, Failure> {
+async fn read_body(context: &RequestContext, body: &mut Incoming) -> Result<Bytes, Failure> {
     let limits = context.configuration.limits;
     let collected = Limited::new(body, limits.body_max_bytes).collect();
     let failure = |kind, detail: String| Failure::new(kind, Stage::Received, detail);
--- a/crates/gateway/src/listeners/mod.rs
+++ b/crates/gateway/src/listeners/mod.rs
@@ -2,8 +2,10 @@
 
 mod client_socket;
 mod clients;
+mod idle_timer;
 mod internal;
 mod peer_reads;
+mod refused_body;
 mod request_checks;
 mod status;
 
