Do not count attempts at servers that acknowledge nothing anymore

A resumable stream was cut when its server lost power although sound servers were left: another server that was asked during the silence had not accepted the request within 300 ms, and both attempts counted towards the maximum of the route.

A connection that the kernel closes because nothing is acknowledged tells that the server has ended or is cut off and works on nothing. Such an attempt no longer counts.

--- a/crates/gateway/src/ack_timeout.rs
+++ b/crates/gateway/src/ack_timeout.rs
@@ -6,7 +6,7 @@
 
 use socket2::SockRef;
 use std::cell::Cell;
-use std::io::Result;
+use std::io::{ErrorKind, Result};
 use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -46,19 +46,40 @@
     }
 }
 
+/// Whether the kernel closed a connection because its peer acknowledged nothing. The owner of the
+/// connection reads it through a clone.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PeerLost(Rc<Cell<bool>>);
+
+impl PeerLost {
+    pub(crate) fn get(&self) -> bool {
+        self.0.get()
+    }
+
+    fn inspect<T>(&self, result: &Poll<Result<T>>) {
+        if let Poll::Ready(Err(error)) = result
+            && error.kind() == ErrorKind::TimedOut
+        {
+            self.0.set(true);
+        }
+    }
+}
+
 /// A socket whose limit on unacknowledged data depends on the size of the request.
 #[derive(Debug)]
 pub(crate) struct AckTimeout<S> {
     inner: S,
     request_size: RequestSize,
+    peer_lost: PeerLost,
     timeout_in_force: Option<Duration>,
 }
 
 impl<S: AsFd> AckTimeout<S> {
-    pub(crate) fn new(inner: S, request_size: RequestSize) -> Self {
+    pub(crate) fn new(inner: S, request_size: RequestSize, peer_lost: PeerLost) -> Self {
         Self {
             inner,
             request_size,
+            peer_lost,
             timeout_in_force: None,
         }
     }
@@ -80,7 +101,9 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        Pin::new(&mut self.inner).poll_read(context, buffer)
+        let result = Pin::new(&mut self.inner).poll_read(context, buffer);
+        self.peer_lost.inspect(&result);
+        result
     }
 }
 
@@ -91,7 +114,9 @@
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
         self.adapt()?;
-        Pin::new(&mut self.inner).poll_write(context, bytes)
+        let result = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.peer_lost.inspect(&result);
+        result
     }
 
     fn poll_write_vectored(
@@ -100,7 +125,9 @@
         slices: &[std::io::IoSlice<'_>],
     ) -> Poll<Result<usize>> {
         self.adapt()?;
-        Pin::new(&mut self.inner).poll_write_vectored(context, slices)
+        let result = Pin::new(&mut self.inner).poll_write_vectored(context, slices);
+        self.peer_lost.inspect(&result);
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/dispatch/attempt_state.rs
+++ b/crates/gateway/src/dispatch/attempt_state.rs
@@ -22,6 +22,7 @@
     is_sent: Cell<bool>,
     is_under_way: Cell<bool>,
     is_given_up: Cell<bool>,
+    is_server_lost: Cell<bool>,
     sending: Notify,
     accepted: Notify,
 }
@@ -72,6 +73,15 @@
         self.is_given_up.set(true);
     }
 
+    /// Records that the server acknowledges nothing: it has lost power, or is cut off.
+    pub(super) fn on_server_lost(&self) {
+        self.is_server_lost.set(true);
+    }
+
+    pub(crate) fn is_server_lost(&self) -> bool {
+        self.is_server_lost.get()
+    }
+
     pub(super) fn is_given_up(&self) -> bool {
         self.is_given_up.get()
     }
--- a/crates/gateway/src/dispatch/progress.rs
+++ b/crates/gateway/src/dispatch/progress.rs
@@ -1,6 +1,6 @@
 //! Record of a request's attempts, logged when the request ends.
 
-use super::attempt_state::AttemptRecord;
+use super::attempt_state::{AttemptRecord, AttemptState};
 use super::routed_request::RoutedRequest;
 use crate::gateway::Gateway;
 use crate::log::{Event, LoggedParts, RequestLine};
@@ -25,7 +25,9 @@
     /// Servers selected by the attempts so far, which later attempts avoid.
     pub(crate) tried_servers: Vec<ServerKey>,
     /// Number of attempts in which the request was sent at least in part, or is being sent.
-    pub(crate) sent_count: u32,
+    sent_count: u32,
+    /// Number of those attempts whose servers have lost power or were cut off.
+    lost_servers: u32,
     /// Number of attempts in which nothing was sent, because no connection could be opened or used.
     pub(crate) connect_failures: u32,
     /// Number of servers at whose addresses nothing listened.
@@ -65,6 +67,7 @@
             arrived_at: routed.arrived_at,
             tried_servers: Vec::new(),
             sent_count: 0,
+            lost_servers: 0,
             connect_failures: 0,
             refusals: 0,
             may_have_executed: false,
@@ -89,7 +92,9 @@
     }
 
     /// Logs and counts a failed attempt.
-    pub(crate) fn on_attempt_failed(&mut self, record: &AttemptRecord, reason: String) {
+    pub(crate) fn on_attempt_failed(&mut self, attempt: &AttemptState, reason: String) {
+        let record = attempt.record.borrow();
+        self.lost_servers += u32::from(attempt.is_server_lost());
         let elapsed = self.gateway.now().saturating_sub(self.arrived_at);
         self.gateway.metrics.count("failed_attempts");
         self.gateway.log_notable(&Event::Attempt {
@@ -147,6 +152,12 @@
         self.may_have_executed = self.may_have_executed_before;
     }
 
+    /// Returns the number of attempts that count towards the maximum of the route. A server that has
+    /// lost power or was cut off works on no request.
+    pub(crate) fn counted_attempts(&self) -> u32 {
+        self.sent_count.saturating_sub(self.lost_servers)
+    }
+
     /// Counts an attempt in which nothing was sent because of its server.
     pub(crate) fn count_unsent(&mut self, error: &AttemptError) {
         match error {
--- a/crates/gateway/src/dispatch/retries.rs
+++ b/crates/gateway/src/dispatch/retries.rs
@@ -69,7 +69,7 @@
         Some(error) => progress.count_unsent(&error),
         None => {
             let reason = "the request was not accepted in time".to_owned();
-            progress.on_attempt_failed(&other.record.borrow(), reason);
+            progress.on_attempt_failed(other, reason);
         }
     }
     if !other.is_sent() {
@@ -128,10 +128,10 @@
         state.sending().await;
         let remaining = self.routed.remaining(self.gateway.now());
         let latency_target = self.routed.route.latency_target;
-        let sent_count = self.progress.borrow().sent_count;
+        let attempts = self.progress.borrow().counted_attempts();
         let limit = self
             .policy
-            .attempt_limit(sent_count, remaining, latency_target);
+            .attempt_limit(attempts, remaining, latency_target);
         sleep(limit).await;
     }
 
@@ -141,7 +141,7 @@
 
     fn on_replaced(&self, open: &AttemptState, other: &AttemptState) {
         let progress = &mut self.progress.borrow_mut();
-        progress.on_attempt_failed(&open.record.borrow(), "no answer in time".to_owned());
+        progress.on_attempt_failed(open, "no answer in time".to_owned());
         progress.on_answering(&other.record.borrow());
     }
 
@@ -164,11 +164,10 @@
     {
         let result = self.send_and_read(Rc::clone(&state)).await;
         let progress = &mut self.progress.borrow_mut();
-        let record = state.record.borrow();
         match &result {
-            Ok(_) => progress.on_answering(&record),
+            Ok(_) => progress.on_answering(&state.record.borrow()),
             Err(error) if error.is_before_attempt() => {}
-            Err(error) => progress.on_attempt_failed(&record, error.describe()),
+            Err(error) => progress.on_attempt_failed(&state, error.describe()),
         }
         result
     }
--- a/crates/gateway/src/dispatch/stream_relay.rs
+++ b/crates/gateway/src/dispatch/stream_relay.rs
@@ -283,10 +283,9 @@
         } else {
             exchange.close_broken();
         }
-        let mut record = state.record.borrow_mut();
-        record.answer.stream_position = Some(self.reader.buffer.position());
+        state.record.borrow_mut().answer.stream_position = Some(self.reader.buffer.position());
         let progress = &mut self.progress.borrow_mut();
-        progress.on_attempt_failed(&record, error.to_string());
+        progress.on_attempt_failed(&state, error.to_string());
     }
 
     /// Asks another server to continue a stalled stream. The stream goes on from the server that
@@ -345,12 +344,14 @@
             .now()
             .saturating_sub(self.last_event_at)
             .as_millis();
-        let mut record = stalled.record.borrow_mut();
-        record.answer.silent_ms = Some(silent_ms as u64);
-        record.answer.stream_position = Some(self.reader.buffer.position());
+        {
+            let answer = &mut stalled.record.borrow_mut().answer;
+            answer.silent_ms = Some(silent_ms as u64);
+            answer.stream_position = Some(self.reader.buffer.position());
+        }
         self.progress
             .borrow_mut()
-            .on_attempt_failed(&record, format!("no event for {silent_ms} ms"));
+            .on_attempt_failed(stalled, format!("no event for {silent_ms} ms"));
         self.on_resumed(exchange);
     }
 
@@ -414,6 +415,6 @@
         Err(error) => error,
     };
     let progress = &mut progress.borrow_mut();
-    progress.on_attempt_failed(&state.record.borrow(), error.describe());
+    progress.on_attempt_failed(&state, error.describe());
     Err(error)
 }
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -118,14 +118,14 @@
     }
 
     /// Returns the time after which another server is tried beside an attempt, the last one of
-    /// `sent_count`. An attempt that may be repeated leaves time for the next one.
+    /// `attempts`. An attempt that may be repeated leaves time for the next one.
     pub(crate) fn attempt_limit(
         self,
-        sent_count: u32,
+        attempts: u32,
         remaining: Duration,
         latency_target: Duration,
     ) -> Duration {
-        let is_last = !self.is_repeatable || sent_count >= self.attempts_max;
+        let is_last = !self.is_repeatable || attempts >= self.attempts_max;
         if is_last {
             return remaining;
         }
@@ -135,25 +135,20 @@
     }
 
     /// Returns whether the route's rules allow a retry after this error.
-    pub(crate) fn allows(
-        self,
-        error: &AttemptError,
-        sent_count: u32,
-        connect_failures: u32,
-    ) -> bool {
+    pub(crate) fn allows(self, error: &AttemptError, attempts: u32, connect_failures: u32) -> bool {
         match error {
             AttemptError::NoServer(_) | AttemptError::Quarantined(_) => false,
             // `decide` limits them.
             AttemptError::Refused(_) => true,
             AttemptError::NotSent(_) => connect_failures < CONNECT_FAILURES_MAX,
-            AttemptError::Rejected(_) => sent_count < self.attempts_max,
+            AttemptError::Rejected(_) => attempts < self.attempts_max,
             // The request did not reach the intended server or version, so one such attempt does
             // not count.
             AttemptError::Misdirected | AttemptError::WeightsMismatch => {
-                sent_count < self.attempts_max + 1
+                attempts < self.attempts_max + 1
             }
             AttemptError::OutcomeUnknown(_) | AttemptError::ServerFailed(_) => {
-                self.is_repeatable && sent_count < self.attempts_max
+                self.is_repeatable && attempts < self.attempts_max
             }
         }
     }
@@ -187,7 +182,11 @@
         if call.remaining(gateway.now()) <= REMAINING_TIME_MIN {
             return Some(NotRetried::NoTime);
         }
-        let is_allowed = self.allows(error, progress.sent_count, progress.connect_failures);
+        let is_allowed = self.allows(
+            error,
+            progress.counted_attempts(),
+            progress.connect_failures,
+        );
         if !is_allowed || progress.refusals > REFUSALS_MAX {
             return Some(NotRetried::NotAllowed);
         }
