Answer the requests that wait when a shutdown ends

Callers saw their connection end without an answer when the gateway stopped before the request had one: it waited for a slow server, for memory or between two attempts, until the end of the shutdown's grace.

The daemon left these requests unanswered and ended.

Requests without an answer by then now get 502, which states that they may have been executed, and the daemon takes up to 100 ms to send these answers. Streams that have begun are cut as before. The log line of a refusal now names the status that the client gets.

Before the change unanswered_requests_are_answered_before_the_process_ends fails with no answer to a request at a silent server; with it all get 502.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -22,6 +22,8 @@
 const GRACE_MARGIN: Duration = Duration::from_millis(600);
 /// Time between checks for open client connections during the shutdown.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for the answers to requests that fail because the process ends to be sent.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
 /// Longest wait for the last log lines to be written.
 const LOG_FLUSH_MAX: Duration = Duration::from_millis(400);
 
@@ -121,7 +123,8 @@
     }
 
     /// Shuts down gracefully: reports that the daemon is not ready, then refuses new requests, then
-    /// waits for the running ones until shortly before the end of the grace.
+    /// waits for the running ones until shortly before the end of the grace. Those that have no
+    /// answer by then fail.
     pub async fn shut_down(&self) {
         shut_down(&self.gateway, &self.clients).await;
     }
@@ -190,11 +193,18 @@
     // A request that arrived from now on might not end before the process has to.
     gateway.is_refusing.set(true);
     clients.close_connections();
-    while gateway.now() < stopped_by && clients.open_connections() > 0 {
-        sleep(DRAIN_POLL_INTERVAL).await;
-    }
+    wait_for_connections(gateway, clients, stopped_by).await;
+    gateway.is_ending.send_replace(true);
+    wait_for_connections(gateway, clients, stopped_by + LAST_ANSWERS_TIME).await;
     gateway.log_notable(&Event::Stopped {
         in_flight: gateway.requests_in_flight.get(),
     });
     gateway.log().flush(LOG_FLUSH_MAX);
 }
+
+/// Waits until all connections of clients are closed, until the time `end` at most.
+async fn wait_for_connections(gateway: &Gateway, clients: &ClientListener, end: Duration) {
+    while gateway.now() < end && clients.open_connections() > 0 {
+        sleep(DRAIN_POLL_INTERVAL).await;
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -112,6 +112,8 @@
     pub(crate) is_draining: Cell<bool>,
     /// Whether new requests are refused because they might not end before the shutdown does.
     pub(crate) is_refusing: Cell<bool>,
+    /// Whether the process is about to end, so that requests which still wait for an answer fail.
+    pub(crate) is_ending: watch::Sender<bool>,
     pub(crate) requests_in_flight: Cell<usize>,
     /// Time after which idle connections of clients are closed.
     pub(crate) client_idle_timeout: watch::Sender<Duration>,
@@ -173,6 +175,7 @@
             metrics: Metrics::default(),
             is_draining: Cell::new(false),
             is_refusing: Cell::new(false),
+            is_ending: watch::Sender::new(false),
             requests_in_flight: Cell::new(0),
             client_idle_timeout: watch::Sender::new(ClientLimits::default().close_idle_after()),
             cache_stores_changed: Notify::new(),
--- a/crates/gateway/src/listeners/clients.rs
+++ b/crates/gateway/src/listeners/clients.rs
@@ -4,7 +4,7 @@
 use super::idle_timer::IdleTimer;
 use super::refused_body::UnreadBody;
 use super::request_checks::{RequestContext, check_request};
-use crate::answer::{AnswerBody, failure_answer};
+use crate::answer::{AnswerBody, failure_answer, status_of};
 use crate::body_memory::BodyReservation;
 use crate::caches::name_hash;
 use crate::configuration::Workspace;
@@ -204,6 +204,19 @@
             return response;
         }
     };
+    let id = routed.meta.id.clone();
+    let mut is_ending = gateway.is_ending.subscribe();
+    tokio::select! {
+        response = serve_routed(gateway, routed) => response,
+        _ = is_ending.wait_for(|is_ending| *is_ending) => {
+            let detail = "the daemon stops before the request has an answer";
+            let failure = Failure::new(ErrorKind::ShuttingDown, Stage::AnswerLost, detail);
+            log_and_refuse(gateway, &id, &failure, arrived_at)
+        }
+    }
+}
+
+async fn serve_routed(gateway: &Rc<Gateway>, routed: RoutedRequest) -> Response<AnswerBody> {
     if routed.route.kind.is_stream() {
         serve_stream(gateway, routed).await
     } else {
@@ -323,7 +336,7 @@
         .map_or(0, |known| known.version);
     gateway.log_notable(&Event::Request(RequestLine {
         request: request_id,
-        status: failure.kind().answer().status,
+        status: status_of(failure).as_u16(),
         outcome: failure.kind().answer().code,
         reason: failure.detail(),
         executed: failure.executed().as_str(),
