Give a server more time to read a long body

Callers got 502 for a request with a long body although its server was sound: it read the body late, as a busy server may.

TCP_USER_TIMEOUT closes a connection after 1.5 s without an acknowledgement. It is meant for servers that lost power, but the kernel also counts the time for which the peer reads nothing and its receive buffer is full.

Until the answer begins, the time is now 5 s for requests with more than 64 KiB, which may fill that buffer. All others, and answers in progress, keep 1.5 s. A server that loses power is noticed later only while it has not begun to answer such a request.

Before the change a_body_that_its_server_reads_late_is_delivered (6 MiB read after 2.5 s) fails with 502 "Connection timed out"; with it it passes.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,8 +1,10 @@
 //! HTTP/1.1 connections to backend servers and to the platform.
 
 use crate::read_limit::{ReadAllowance, ReadLimited};
+use crate::server_socket::{ServerSocket, UnacknowledgedTimeout};
 use bytes::Bytes;
 use http::{Request, Response};
+use http_body::Body;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -17,9 +19,6 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-/// Time without an acknowledgement after which the kernel closes a connection. A peer that lost
-/// power sends no reset, so nothing else ends such a connection.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Idle time after which the kernel sends keep-alive probes, and the time between them.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered probes after which the kernel closes a connection.
@@ -62,6 +61,7 @@
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     allowance: ReadAllowance,
+    unacknowledged_timeout: UnacknowledgedTimeout,
     _open: OpenCount,
 }
 
@@ -92,6 +92,9 @@
         };
         set_options(&stream).map_err(|error| not_sent(format!("socket options: {error}")))?;
         let allowance = ReadAllowance::default();
+        let unacknowledged_timeout = UnacknowledgedTimeout::new();
+        let stream = ServerSocket::new(stream, unacknowledged_timeout.clone())
+            .map_err(|error| not_sent(format!("socket options: {error}")))?;
         let stream = TokioIo::new(ReadLimited::new(stream, allowance.clone()));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_MAX_BYTES)
@@ -108,6 +111,7 @@
             sender,
             task,
             allowance,
+            unacknowledged_timeout,
             _open: open,
         })
     }
@@ -140,9 +144,12 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         self.allowance.limit_to(HEAD_MAX_BYTES);
+        let body_bytes = request.body().size_hint().exact().unwrap_or_default();
+        self.unacknowledged_timeout.choose_for_request(body_bytes);
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.allowance.lift();
+                self.unacknowledged_timeout.choose_for_answer();
                 Ok(response)
             }
             Err(mut error) => {
@@ -180,7 +187,6 @@
 fn set_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod retry;
 mod server_ends;
 mod server_notices;
+mod server_socket;
 mod topic_reader;
 
 pub mod admission;
