Let a server state any time for which it stays cold

Callers saw requests end without an answer after a server had stated an extreme Cold-Ms (about 2^64 s), and a daemon whose list of servers held an entry with such a coldMs applied no further changes of servers.

The time was added to the daemon's uptime. Once the uptime exceeded 2048 s the sum overflowed, and the task of the connection, or the one that reads the list, panicked.

The sum now saturates. Before the change the new test a_server_may_state_to_stay_cold_for_ever fails with "overflow when adding durations"; two tests of extreme_values failed with it too as soon as the machine's uptime exceeded 2048 s. With it all pass.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -101,7 +101,7 @@
         Self {
             server_hash: server_hash(&entry.id),
             incarnation_hash: incarnation_hash(&entry),
-            cold_until: now + entry.cold_for,
+            cold_until: now.saturating_add(entry.cold_for),
             entry,
             in_flight: 0,
             tokens_in_flight: 0,
@@ -229,7 +229,7 @@
 
     /// Sets how long the server stays cold from now on.
     pub fn set_cold_for(&mut self, cold_for: Duration, now: Duration) {
-        self.cold_until = now + cold_for;
+        self.cold_until = now.saturating_add(cold_for);
     }
 
     /// Returns the estimated number of requests on the server: the last reported load plus the
--- a/crates/gateway/tests/servers/entries.rs
+++ b/crates/gateway/tests/servers/entries.rs
@@ -197,3 +197,21 @@
     assert!(select_plain(&mut servers, &service(0.0), at(20)).is_err());
     assert!(select_plain(&mut servers, &service(0.0), at(5_000)).is_ok());
 }
+
+/// Guards against a daemon whose tasks panic because a server states that it stays cold for an
+/// extreme time, in its entry or in an answer.
+#[test]
+fn a_server_may_state_to_stay_cold_for_ever() {
+    let mut servers = Servers::default();
+    let forever = ServerEntry {
+        cold_for: Duration::MAX,
+        ..entry("s")
+    };
+    let key = servers.on_entry_published(forever, at(10));
+    let server = servers.get_mut(key).expect("server");
+    assert!(server.is_cold(at(1_000_000)));
+    server.set_cold_for(Duration::ZERO, at(20));
+    assert!(!server.is_cold(at(20)));
+    server.set_cold_for(Duration::MAX, at(30));
+    assert!(server.is_cold(at(1_000_000)));
+}
