Let a cache store state any time on its clock

A request for which a cache store's parts are read ended without an answer after a store had stated a clock close to 2^64 ms.

The time since the reading was added to it with an overflow, for which release builds check too, so that the task of the connection panicked.

The sum now saturates. Before the change the new test a_cache_store_may_state_any_time fails with "attempt to add with overflow"; with it it passes.

--- a/crates/gateway/src/caches.rs
+++ b/crates/gateway/src/caches.rs
@@ -46,7 +46,8 @@
 
 impl ServerClock {
     fn at(self, time: Duration) -> u64 {
-        self.clock_ms + time.saturating_sub(self.read_at).as_millis() as u64
+        let elapsed_ms = time.saturating_sub(self.read_at).as_millis() as u64;
+        self.clock_ms.saturating_add(elapsed_ms)
     }
 }
 
--- a/crates/gateway/tests/leader_copies.rs
+++ b/crates/gateway/tests/leader_copies.rs
@@ -282,3 +282,16 @@
         "the store is available again"
     );
 }
+
+/// Guards against requests whose task panics because a cache store states an extreme time.
+#[test]
+fn a_cache_store_may_state_any_time() {
+    let mut directory = directory();
+    let key = directory.take_unfollowed()[0];
+    let extreme = CacheEvents {
+        clock_ms: Some(u64::MAX),
+        ..events(1, 3, &[])
+    };
+    directory.on_events(key, extreme, at(1));
+    assert_eq!(directory.server_clock_ms(at(1_000)), Some(u64::MAX));
+}
