--- a/crates/gateway/src/ack_timeout.rs
+++ b/crates/gateway/src/ack_timeout.rs
@@ -37,6 +37,11 @@
         self.body_bytes.set(body_bytes);
     }
 
+    /// Records that the answer to the request has begun, so that the peer reads.
+    pub(crate) fn on_answer(&self) {
+        self.body_bytes.set(0);
+    }
+
     fn ack_timeout(&self) -> Duration {
         if self.body_bytes.get() > RECEIVE_BUFFER_MIN_BYTES {
             UNREAD_TIMEOUT
@@ -84,7 +89,7 @@
         }
     }
 
-    /// Sets the limit of the request whose bytes are about to be written, if it is not in force.
+    /// Sets the limit for the request that is being sent, if it is not in force.
     fn adapt(&mut self) -> Result<()> {
         let timeout = Some(self.request_size.ack_timeout());
         if self.timeout_in_force != timeout {
@@ -95,12 +100,13 @@
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for AckTimeout<S> {
+impl<S: AsyncRead + AsFd + Unpin> AsyncRead for AckTimeout<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
+        self.adapt()?;
         let result = Pin::new(&mut self.inner).poll_read(context, buffer);
         self.peer_lost.inspect(&result);
         result
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -157,6 +157,7 @@
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.allowance.lift();
+                self.request_size.on_answer();
                 Ok(response)
             }
             Err(mut error) => {
