Let stand-ins fall silent for a while and go on

A server that gets no processor time sends nothing on any connection and then goes on. The stand-ins could only silence connections for good. The connection fault pause_ms holds back reads and writes of all connections for a time, also of those opened meanwhile, as the operating system does for a stopped process.

--- a/crates/standin/src/connection.rs
+++ b/crates/standin/src/connection.rs
@@ -1,12 +1,16 @@
-//! Accepted connections, which faults can silence or close.
+//! Accepted connections, which faults can pause, silence or close.
 
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::{Instant, Sleep, sleep_until};
 
 /// Size of the buffer into which the bytes of a silent connection are discarded.
 const DISCARD_BYTES: usize = 4096;
@@ -39,10 +43,52 @@
     }
 }
 
-/// TCP stream of an accepted connection, which honours the faults set on the [`Connection`].
+/// Pause of all connections of a stand-in, as of a process that gets no processor time.
+#[derive(Debug, Default)]
+pub(crate) struct Pause {
+    until: Mutex<Option<Instant>>,
+}
+
+impl Pause {
+    /// Starts a pause. Nothing is read from or written to any connection until it ends.
+    pub(crate) fn start(&self, duration: Duration) {
+        *self.until.lock().expect("pause lock") = Some(Instant::now() + duration);
+    }
+
+    /// Returns the end of the pause, or `None` if there is none or it has passed.
+    fn end(&self) -> Option<Instant> {
+        let until = *self.until.lock().expect("pause lock");
+        until.filter(|until| *until > Instant::now())
+    }
+}
+
+/// TCP stream of an accepted connection, which honours the faults set on the [`Connection`] and the
+/// [`Pause`] of its server.
 pub(crate) struct ConnectionIo<'a> {
-    pub(crate) stream: TcpStream,
-    pub(crate) connection: &'a Connection,
+    stream: TcpStream,
+    connection: &'a Connection,
+    pause: &'a Pause,
+    pause_end: Option<Pin<Box<Sleep>>>,
+}
+
+impl<'a> ConnectionIo<'a> {
+    pub(crate) fn new(stream: TcpStream, connection: &'a Connection, pause: &'a Pause) -> Self {
+        Self {
+            stream,
+            connection,
+            pause,
+            pause_end: None,
+        }
+    }
+
+    /// Is ready when the server is not paused.
+    fn poll_resumed(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        while let Some(end) = self.pause.end() {
+            let pause_end = self.pause_end.insert(Box::pin(sleep_until(end)));
+            ready!(pause_end.as_mut().poll(cx));
+        }
+        Poll::Ready(())
+    }
 }
 
 impl AsyncRead for ConnectionIo<'_> {
@@ -51,6 +97,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        ready!(self.poll_resumed(cx));
         let before = buf.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(cx, buf);
         if !self.connection.is_silent() {
@@ -76,6 +123,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        ready!(self.poll_resumed(cx));
         if self.connection.is_silent() {
             return Poll::Ready(Ok(buf.len()));
         }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,6 +1,6 @@
 //! HTTP server shared by all stand-ins, with start, stop, restart and connection faults.
 
-use crate::connection::{Connection, ConnectionIo};
+use crate::connection::{Connection, ConnectionIo, Pause};
 use crate::fault_rng::FaultRng;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
@@ -47,6 +47,10 @@
     pub silence_open: bool,
     /// Closes all connections that are open now, except the one on which these faults are set.
     pub cut_open: bool,
+    /// Time in milliseconds from now in which nothing is read from or written to any connection, as
+    /// if the process got no processor time. After that, everything goes on. Connections are still
+    /// accepted by the operating system.
+    pub pause_ms: u64,
 }
 
 /// A request that a stand-in has received, with its whole body.
@@ -145,6 +149,7 @@
     phase: watch::Sender<Phase>,
     connections: Mutex<Vec<Weak<Connection>>>,
     silence_probability: Mutex<f64>,
+    pause: Pause,
     fault_rng: FaultRng,
     accepted: AtomicU64,
 }
@@ -167,6 +172,7 @@
             phase: watch::Sender::new(Phase::Up),
             connections: Mutex::default(),
             silence_probability: Mutex::new(0.0),
+            pause: Pause::default(),
             fault_rng: FaultRng::new(seed),
             accepted: AtomicU64::new(0),
         });
@@ -221,6 +227,9 @@
         if faults.cut_open {
             self.for_each_connection(exempt, Connection::cut);
         }
+        if faults.pause_ms > 0 {
+            self.pause.start(Duration::from_millis(faults.pause_ms));
+        }
     }
 
     fn add_connection(&self) -> Arc<Connection> {
@@ -262,7 +271,7 @@
         self.server.bring_up();
     }
 
-    /// Sets the connection faults. `silence_open` and `cut_open` take effect once, now.
+    /// Sets the connection faults. `silence_open`, `cut_open` and `pause_ms` take effect once, now.
     pub fn set_connection_faults(&self, faults: &ConnectionFaults) {
         self.server.apply_connection_faults(faults, None);
     }
@@ -357,10 +366,7 @@
             request,
         )
     });
-    let io = TokioIo::new(ConnectionIo {
-        stream,
-        connection: &connection,
-    });
+    let io = TokioIo::new(ConnectionIo::new(stream, &connection, &server.pause));
     let http_connection = http1::Builder::new().serve_connection(io, service);
     tokio::select! {
         // An error ends the connection, which the peer notices itself.
