Keep the answer of a silent server open until another server has accepted the request

Callers of anvilgw serve lost answers of sound servers that fell silent for a second or so and went on. After 1 s the daemon closed the silent connection and then looked for another server. If the others refused, reset or did not answer, or the retry budget was empty, a stream ended with an error event and a whole answer with an error. A non-idempotent call, which cannot move at all, was reported as unknown although the server executed and answered it.

An exchange can now report the silence of its connection instead of ending (SilenceSignal). Completions and idempotent calls then send the request to other servers, each for at most 400 ms, and close the silent connection when one has accepted it: an engine with its first event, or with the head of the answer and no error in that time; a plain service with its answer. Such attempts use the retry budget, but do not count as attempts of the request, which has not failed. Non-idempotent calls wait for their server until the deadline. Circuit breakers still learn of the silence when it begins.

--- a/crates/config/src/spec/settings.rs
+++ b/crates/config/src/spec/settings.rs
@@ -136,7 +136,7 @@
     default "connections_per_workspace", Integer(1, 1_000_000), "1000", "Open connections of one workspace per daemon.";
     default "streams_per_workspace", Integer(1, 1_000_000), "500", "Open streams of one workspace per daemon.";
     default "queue_ms", Integer(0, HOUR_MS), "10000", "Longest time that a request waits for admission.";
-    default "silence_ms", Integer(100, MINUTE_MS), "1000", "Time without progress or ping answer after which a connection is closed.";
+    default "silence_ms", Integer(100, MINUTE_MS), "1000", "Time without progress or ping answer after which a connection is silent and other servers are tried.";
 }
 
 keys! { LOG =>
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -219,6 +219,13 @@
         budget.retry(&attempt, now, &mut rand::rng()).ok()
     }
 
+    /// Takes a retry from the budget for an attempt that is to replace a silent one, and returns
+    /// whether there was one. The number of such attempts of a request is not limited, because the
+    /// request has not failed.
+    pub(crate) fn may_replace(&self, deadline: Duration) -> bool {
+        self.retry_delay(1, deadline).is_some()
+    }
+
     /// Updates the rate of the retry budget to this daemon's share. Tokens accrue at the rate set
     /// last, so the share must be set before the first failure.
     pub(crate) fn update_retry_share(&self) {
--- a/crates/entry/src/dispatch/claimed.rs
+++ b/crates/entry/src/dispatch/claimed.rs
@@ -6,6 +6,7 @@
     send_outcome, start_by,
 };
 use crate::context::{Context, CountGuard, RequestContext};
+use crate::duties::routing::DispatchGuard;
 use crate::peer::{PeerAnswer, PeerRequest, decode, encode};
 use anvilgw_claims::{
     AnswerBody, Attempt as ClaimAttempt, ClaimKey, ClaimRequest, ClaimSender, KeyError, KeyTime,
@@ -14,7 +15,7 @@
 };
 use anvilgw_config::UndatedKeys;
 use anvilgw_core::{ErrorKind, Failure, Stage};
-use anvilgw_platform::ServiceAnswer;
+use anvilgw_platform::{ServiceAnswer, ServiceConnection, SilenceSignal};
 use anvilgw_router::SendOutcome;
 use http::header::{CONTENT_TYPE, HeaderName};
 use http::{HeaderMap, HeaderValue, StatusCode};
@@ -201,8 +202,7 @@
         {
             return;
         }
-        let result = connection.send(build_service_call(context, call, request, Some(key)));
-        let result = result.await;
+        let result = send_call(context, call, request, key, connection, &selected.dispatch).await;
         selected.dispatch.set_outcome(send_outcome(&result));
         record_outcome(self.context, call, &result);
         match result {
@@ -250,6 +250,31 @@
     }
 }
 
+/// Sends the call on an open connection and waits for the answer until the deadline. No other server
+/// can take the place of one that has the call, so a silence of the server does not end the call.
+async fn send_call(
+    context: &Context,
+    call: &RequestContext,
+    request: &ServiceRequest,
+    key: &str,
+    connection: ServiceConnection,
+    dispatch: &DispatchGuard,
+) -> Result<ServiceAnswer, Failure> {
+    let silence = SilenceSignal::default();
+    let mut service_call = build_service_call(context, call, request, Some(key));
+    service_call.options.silence_signal = Some(silence.clone());
+    let report = async {
+        silence.silent().await;
+        dispatch.report_silence();
+        std::future::pending().await
+    };
+    tokio::select! {
+        biased;
+        result = connection.send(service_call) => result,
+        result = report => result,
+    }
+}
+
 /// Converts the recorded answer of an earlier request into the answer of this one.
 ///
 /// # Errors
--- a/crates/entry/src/dispatch/completion.rs
+++ b/crates/entry/src/dispatch/completion.rs
@@ -1,22 +1,23 @@
-//! Completions: admission, selection of a server, attempts and resumption of broken streams.
+//! Completions: admission, attempts and resumption of broken streams.
 
+mod attempt;
+mod replacement;
+mod start;
+
+use self::attempt::RunningAttempt;
+use self::replacement::Waited;
+use self::start::NewConnection;
 use super::completion_request::CompletionRequest;
 use super::engine_errors::{is_broken_answer, send_outcome};
-use crate::backends::BackendKind;
 use crate::context::{Context, CountGuard, RequestContext};
 use crate::duties::admission::AdmissionGuard;
 use crate::duties::block_export::CompletedPrompt;
-use crate::duties::routing::{DispatchGuard, ImportBlock, RouteQuery, RouteSelection};
-use crate::explain::{AttemptRecord, RequestRecord};
-use crate::observe::TraceSpan;
+use crate::explain::RequestRecord;
 use anvilgw_admission::AdmissionRequest;
 use anvilgw_core::{AttemptId, ErrorKind, Failure, ServerId, Stage};
-use anvilgw_platform::{
-    CallOptions, EngineError, EngineEvent, EngineRequest, EngineStream, KvImport, KvSource,
-};
+use anvilgw_platform::{EngineError, EngineEvent};
 use anvilgw_quarantine::Suspect;
-use anvilgw_router::{BlockKey, Location, PrefillPriority, RouteRequest, SendOutcome, ServePlan};
-use http::HeaderValue;
+use anvilgw_router::SendOutcome;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,16 +41,6 @@
     _open_request: CountGuard,
 }
 
-/// An attempt whose request an engine has accepted.
-struct RunningAttempt {
-    stream: EngineStream,
-    dispatch: DispatchGuard,
-    server: ServerId,
-    plan: ServePlan,
-    has_first_token: bool,
-    span: TraceSpan,
-}
-
 impl Completion {
     /// Admits the request and starts its first attempt.
     ///
@@ -107,7 +98,8 @@
             start_by,
             _open_request: open_request,
         };
-        completion.ensure_running_attempt().await?;
+        let running = completion.take_running_attempt().await?;
+        completion.attempt = Some(running);
         Ok(completion)
     }
 
@@ -122,46 +114,48 @@
     }
 
     /// Waits for the next event of the answer. A broken attempt is resumed on another server at the
-    /// next token, so that no token is missing or repeated.
+    /// next token, so that no token is missing or repeated. A silent attempt stays open until
+    /// another server has accepted the request.
     ///
     /// # Errors
     ///
     /// The failure to report to the caller.
     pub(crate) async fn next(&mut self) -> Result<EngineEvent, Failure> {
         loop {
-            self.ensure_running_attempt().await?;
-            let Some(running) = &mut self.attempt else {
-                continue;
-            };
-            let remaining = self.context.remaining(self.request_context.deadline);
-            let event = tokio::time::timeout(remaining, running.stream.next()).await;
-            match event {
-                Err(_) => return Err(self.deadline_exceeded()),
-                Ok(Ok(Some(EngineEvent::Token { index, text }))) => {
-                    assert!(
-                        index == self.next_token_index,
-                        "tokens must reach the caller in order"
-                    );
-                    if !running.has_first_token {
-                        running.has_first_token = true;
-                        running.dispatch.report_import_ended();
-                    }
-                    self.next_token_index += 1;
+            let running = self.take_running_attempt().await?;
+            match self.wait_for_event(running).await {
+                Waited::DeadlinePassed => return Err(self.deadline_exceeded()),
+                Waited::Event(Ok(Some(EngineEvent::Token { index, text }))) => {
+                    self.on_token(index);
                     return Ok(EngineEvent::Token { index, text });
                 }
-                Ok(Ok(Some(finish))) => {
+                Waited::Event(Ok(Some(finish))) => {
                     self.handle_finish(&finish);
                     return Ok(finish);
                 }
-                Ok(Ok(None)) => {
+                Waited::Event(Ok(None)) => {
                     self.handle_broken_attempt(&EngineError::MissingEndMarker)
                         .await?;
                 }
-                Ok(Err(error)) => self.handle_broken_attempt(&error).await?,
+                Waited::Event(Err(error)) => self.handle_broken_attempt(&error).await?,
             }
         }
     }
 
+    fn on_token(&mut self, index: u64) {
+        assert!(
+            index == self.next_token_index,
+            "tokens must reach the caller in order"
+        );
+        self.next_token_index += 1;
+        if let Some(running) = &mut self.attempt
+            && !running.has_first_token
+        {
+            running.has_first_token = true;
+            running.dispatch.report_import_ended();
+        }
+    }
+
     /// Accounts for the tokens of a complete answer and ends the attempt.
     fn handle_finish(&mut self, event: &EngineEvent) {
         if let EngineEvent::Finish { usage, .. } = event {
@@ -280,29 +274,57 @@
         )
     }
 
+    /// Ends the running attempt.
     fn end_attempt(&mut self, outcome: SendOutcome, detail: &str) {
-        if let Some(mut running) = self.attempt.take() {
-            running.dispatch.set_outcome(outcome);
-            running.span.end();
+        if let Some(running) = self.attempt.take() {
+            self.close_attempt(running, outcome, detail);
         }
-        let detail = detail.to_owned();
+    }
+
+    /// Closes an attempt, which cancels its request if it still runs.
+    fn close_attempt(&self, mut attempt: RunningAttempt, outcome: SendOutcome, detail: &str) {
+        attempt.dispatch.set_outcome(outcome);
+        attempt.span.end();
+        self.record_outcome(attempt.number, detail);
+    }
+
+    fn record_outcome(&self, number: AttemptId, detail: &str) {
+        self.context
+            .explain
+            .update(self.request_context.id, |record| {
+                let mut attempts = record.attempts.iter_mut();
+                if let Some(attempt) = attempts.find(|attempt| attempt.number == number.0) {
+                    attempt.outcome.get_or_insert(detail.to_owned());
+                }
+            });
+    }
+
+    /// Records why the attempt that was selected last was not sent.
+    fn record_unsent_attempt(&self, failure: &Failure) {
         self.context
             .explain
             .update(self.request_context.id, |record| {
                 if let Some(last) = record.attempts.last_mut() {
-                    last.outcome.get_or_insert(detail);
+                    last.outcome.get_or_insert(failure.to_string());
                 }
             });
     }
 
-    /// Starts attempts until one runs or the request fails.
-    async fn ensure_running_attempt(&mut self) -> Result<(), Failure> {
-        while self.attempt.is_none() {
+    /// Takes the running attempt, after starting attempts until one runs or the request fails.
+    async fn take_running_attempt(&mut self) -> Result<RunningAttempt, Failure> {
+        loop {
+            if let Some(running) = self.attempt.take() {
+                return Ok(running);
+            }
             self.attempts += 1;
-            match self.start_attempt().await {
+            let connection = match self.attempts {
+                1 => NewConnection::Optional,
+                _ => NewConnection::Required,
+            };
+            match self.start_attempt(connection).await {
                 Ok(running) => self.attempt = Some(running),
                 Err(failure) => {
-                    self.end_attempt(SendOutcome::Failed, &failure.to_string());
+                    self.record_unsent_attempt(&failure);
                     let is_final = matches!(
                         failure.kind(),
                         ErrorKind::StaleView
@@ -332,146 +354,6 @@
                 }
             }
         }
-        Ok(())
-    }
-
-    async fn start_attempt(&mut self) -> Result<RunningAttempt, Failure> {
-        let context = Arc::clone(&self.context);
-        context.quarantine.enter(&self.suspects).await?;
-        let (number, selected) = self.select_server().await?;
-        let mut dispatch = selected.dispatch;
-        let backend = context.backends.get(selected.choice.server);
-        let Some((backend, BackendKind::Engine { client, .. })) =
-            backend.map(|backend| (backend, &backend.kind))
-        else {
-            let detail = "the selected backend server is not a model engine";
-            return Err(Failure::new(ErrorKind::Internal, Stage::Queued, detail));
-        };
-        let span = context
-            .tracing
-            .start_client_span("backend server", &self.request_context.span);
-        span.set_attribute("server", backend.name.clone());
-        if let Some(import_wait) = selected.import_wait {
-            // The wait also ends when the request that imports the blocks is dropped.
-            let remaining = context.remaining(self.request_context.deadline);
-            let _ = tokio::time::timeout(remaining, import_wait).await;
-        }
-        let priority = selected.choice.priority;
-        let request = self.engine_request(number, &selected.imports, priority, &span);
-        context.check_before_send(backend)?;
-        let remaining = context.remaining(self.request_context.deadline);
-        match tokio::time::timeout(remaining, client.stream(&request)).await {
-            Ok(Ok(stream)) => Ok(RunningAttempt {
-                stream,
-                dispatch,
-                server: backend.id,
-                plan: selected.choice.plan,
-                has_first_token: false,
-                span,
-            }),
-            Ok(Err(error)) => {
-                self.tried.push(backend.id);
-                self.on_engine_error(backend.id, &error);
-                dispatch.set_outcome(send_outcome(&error));
-                Err(error.into())
-            }
-            Err(_) => Err(Failure::new(
-                ErrorKind::DeadlineExceeded,
-                Stage::Written,
-                "the deadline passed before the backend server answered",
-            )),
-        }
-    }
-
-    /// Selects a server and records the decision for `explain`.
-    async fn select_server(&self) -> Result<(AttemptId, RouteSelection), Failure> {
-        let query = RouteQuery {
-            request: RouteRequest {
-                model: self.request.model,
-                adapter: self.request.adapter,
-                weight_version: self.request.weight_version,
-                prompt_tokens: self.request.prompt_tokens,
-                tried: self.tried.clone(),
-            },
-            keys: self.request.keys.clone(),
-        };
-        let selected = self.context.routing.select(query).await;
-        let number = self.context.next_attempt();
-        let (decision, imported_blocks) = match &selected {
-            Ok(selected) => (Some(selected.explanation.clone()), selected.imports.len()),
-            Err(refused) => (refused.explanation.clone(), 0),
-        };
-        let chosen = selected
-            .as_ref()
-            .ok()
-            .map(|selected| selected.choice.server);
-        let server = chosen.and_then(|id| self.context.backends.get(id));
-        self.context.explain.add_attempt(
-            self.request_context.id,
-            AttemptRecord {
-                number: number.0,
-                decision,
-                imported_blocks,
-                server: server.map(|server| server.name.clone()),
-                outcome: None,
-            },
-        );
-        match selected {
-            Ok(selected) => Ok((number, selected)),
-            Err(refused) => Err(refused.failure),
-        }
-    }
-
-    fn engine_request(
-        &self,
-        number: AttemptId,
-        imports: &[ImportBlock],
-        priority: PrefillPriority,
-        span: &TraceSpan,
-    ) -> EngineRequest {
-        let traceparent = self.context.tracing.traceparent(span);
-        EngineRequest {
-            request_id: self.request_context.id,
-            attempt_id: number,
-            is_chat: self.request.is_chat,
-            body: self.request.body.clone(),
-            blocks: self.request.keys.iter().map(BlockKey::to_hex).collect(),
-            block_tokens: self.request.block_tokens.into(),
-            import: imports
-                .iter()
-                .filter_map(|import| self.kv_import(import))
-                .collect(),
-            resume_from: self.next_token_index,
-            priority: match priority {
-                PrefillPriority::Normal => 0,
-                PrefillPriority::Low => LOW_ENGINE_PRIORITY,
-            },
-            weight_version: self.request.weight_version.0,
-            options: CallOptions {
-                traceparent: HeaderValue::from_str(&traceparent).ok(),
-                time_limit: Some(self.context.remaining(self.request_context.deadline)),
-                // The cause of a silent connection may affect all idle connections.
-                fresh_connection: self.attempts > 1,
-                ..CallOptions::default()
-            },
-        }
-    }
-
-    fn kv_import(&self, import: &ImportBlock) -> Option<KvImport> {
-        let source = match import.hint.location {
-            Location::Server(server) => {
-                KvSource::Engine(self.context.backends.get(server)?.address)
-            }
-            Location::Store(store, _) => {
-                let (_, settings) = self.context.settings.stores.get_index(store.0.into())?;
-                KvSource::Store(settings.address)
-            }
-        };
-        Some(KvImport {
-            key: import.key.to_hex(),
-            source,
-            generation: import.hint.generation.0,
-        })
     }
 }
 
--- a/crates/entry/src/dispatch/service.rs
+++ b/crates/entry/src/dispatch/service.rs
@@ -2,6 +2,7 @@
 //! Non-idempotent calls are in [`super::claimed`].
 
 use super::claimed::{build_claim, run_claimed_call};
+use super::{OVERLAP_MAX, REPLACEMENT_INTERVAL};
 use crate::backends::{Backend, BackendKind, service_model};
 use crate::context::{Context, CountGuard, RequestContext};
 use crate::duties::admission::AdmissionGuard;
@@ -9,7 +10,7 @@
 use crate::explain::{AttemptRecord, RequestRecord};
 use anvilgw_admission::AdmissionRequest;
 use anvilgw_core::{ErrorKind, Executed, Failure, ServerId, Stage};
-use anvilgw_platform::{CallOptions, ServiceAnswer, ServiceCall, ServiceClient};
+use anvilgw_platform::{CallOptions, ServiceAnswer, ServiceCall, ServiceClient, SilenceSignal};
 use anvilgw_router::{RouteRequest, SendOutcome, WeightVersion};
 use bytes::Bytes;
 use http::header::HeaderName;
@@ -159,6 +160,8 @@
     }
 }
 
+/// Makes one attempt. If the server falls silent and another one answers meanwhile, that answer is
+/// returned; until then the call stays open.
 async fn run_attempt(
     context: &Context,
     call: &RequestContext,
@@ -170,8 +173,19 @@
     let mut service_call = build_service_call(context, call, request, None);
     // The cause of a silent connection may affect all idle connections.
     service_call.options.fresh_connection = !tried.is_empty();
-    let result = selected.client.call(service_call).await;
+    let silence = SilenceSignal::default();
+    service_call.options.silence_signal = Some(silence.clone());
     tried.push(selected.backend.id);
+    let replacement = async {
+        silence.silent().await;
+        selected.dispatch.report_silence();
+        find_replacement(context, call, request, &silence, tried).await
+    };
+    let result = tokio::select! {
+        biased;
+        result = selected.client.call(service_call) => result,
+        answer = replacement => return Ok(answer),
+    };
     selected.dispatch.set_outcome(send_outcome(&result));
     record_outcome(context, call, &result);
     match result {
@@ -185,6 +199,55 @@
     }
 }
 
+/// Sends the call to other servers until one of them has answered it. Each one has [`OVERLAP_MAX`]
+/// for that while the silent one may still work on the call.
+async fn find_replacement(
+    context: &Context,
+    call: &RequestContext,
+    request: &ServiceRequest,
+    silence: &SilenceSignal,
+    tried: &mut Vec<ServerId>,
+) -> ServiceAnswer {
+    loop {
+        silence.silent().await;
+        if let Some(answer) = try_replacement(context, call, request, tried).await {
+            return answer;
+        }
+        tokio::time::sleep(REPLACEMENT_INTERVAL).await;
+    }
+}
+
+async fn try_replacement(
+    context: &Context,
+    call: &RequestContext,
+    request: &ServiceRequest,
+    tried: &mut Vec<ServerId>,
+) -> Option<ServiceAnswer> {
+    let Ok(mut selected) = select_server(context, call, request, tried).await else {
+        // The servers that were tried may have recovered, and a new connection to the silent one
+        // may work.
+        tried.clear();
+        return None;
+    };
+    let is_usable = context.check_before_send(selected.backend).is_ok();
+    if !is_usable || !context.may_replace(call.deadline) {
+        return None;
+    }
+    tried.push(selected.backend.id);
+    let mut service_call = build_service_call(context, call, request, None);
+    service_call.options.fresh_connection = true;
+    let sent = tokio::time::timeout(OVERLAP_MAX, selected.client.call(service_call));
+    let Ok(result) = sent.await else {
+        selected.dispatch.set_outcome(SendOutcome::Failed);
+        return None;
+    };
+    selected.dispatch.set_outcome(send_outcome(&result));
+    record_outcome(context, call, &result);
+    result
+        .ok()
+        .filter(|answer| answer.status != StatusCode::SERVICE_UNAVAILABLE)
+}
+
 /// Returns what the result of a call says about the server.
 pub(super) fn send_outcome(result: &Result<ServiceAnswer, Failure>) -> SendOutcome {
     match result {
--- a/crates/entry/src/duties/routing/mod.rs
+++ b/crates/entry/src/duties/routing/mod.rs
@@ -107,6 +107,13 @@
         }
     }
 
+    /// Reports that the server has fallen silent, although the request still runs there.
+    pub(crate) fn report_silence(&self) {
+        if let Some(end) = &self.end {
+            send_until_accepted(&self.messages, Message::RequestSilent(end.server));
+        }
+    }
+
     /// Sets whether the import yielded a block. The circuit breaker of the link counts this result.
     pub(crate) fn set_import_usable(&mut self, usable: bool) {
         if let Some(end) = &mut self.end {
@@ -130,6 +137,7 @@
     },
     DispatchEnded(DispatchEnd),
     ImportEnded(ServerId, Vec<ShortKey>),
+    RequestSilent(ServerId),
     LoadReport(ServerId, LoadReport),
     CacheEvents(Location, Vec<CacheEvent>),
     Listing(Location, BlockListing),
--- a/crates/entry/src/duties/routing/worker.rs
+++ b/crates/entry/src/duties/routing/worker.rs
@@ -154,6 +154,10 @@
             }
             Message::DispatchEnded(end) => self.on_dispatch_ended(&end, now),
             Message::ImportEnded(server, keys) => self.imports.end(server, &keys),
+            Message::RequestSilent(server) => {
+                let change = self.router.on_request_silent(server, now);
+                self.record_change(server, change, "silence during a request");
+            }
             Message::LoadReport(server, report) => {
                 let change = self.router.on_load_report(server, report, now);
                 self.record_change(server, change, "load report");
--- a/crates/platform/src/exchange.rs
+++ b/crates/platform/src/exchange.rs
@@ -3,6 +3,7 @@
 use crate::connection::Connection;
 use crate::error::{TransportCause, TransportError};
 use crate::pool::Pool;
+use crate::silence::SilenceSignal;
 use anvilgw_core::Stage;
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
@@ -12,6 +13,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use std::future::Future;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until};
@@ -27,6 +29,9 @@
     /// Longest time in which no byte is sent or received. Defaults to
     /// [`ConnectionSettings::silence_ms`](crate::ConnectionSettings::silence_ms).
     pub silence_timeout: Option<Duration>,
+    /// Reports a silent connection. The exchange then goes on until its time limit; without a
+    /// signal, it fails when its connection falls silent.
+    pub silence_signal: Option<SilenceSignal>,
     /// Longest duration of the exchange, from opening a connection (if none is open yet) to the
     /// last byte of the answer. Unlimited by default.
     pub time_limit: Option<Duration>,
@@ -36,9 +41,10 @@
 }
 
 /// Time limits of an exchange. [`Limits::run`] applies them to each wait.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Limits {
     silence: Duration,
+    silence_signal: Option<SilenceSignal>,
     deadline: Option<Instant>,
 }
 
@@ -52,23 +58,47 @@
     /// Waits for `wait` until the connection has been silent for too long or the deadline passes.
     async fn run<T>(
         &self,
+        pool: &Pool,
         connection: &Connection,
         wait: impl Future<Output = T>,
     ) -> Result<T, Expired> {
+        self.report_silence(false);
+        let mut wait = pin!(wait);
         let silent = connection
             .progress
             .until_silent(Instant::now(), self.silence);
-        let timed_out = async {
-            match self.deadline {
-                Some(deadline) => sleep_until(deadline).await,
-                None => std::future::pending().await,
-            }
-        };
+        let mut timed_out = pin!(self.until_deadline());
+        tokio::select! {
+            biased;
+            result = &mut wait => return Ok(result),
+            () = &mut timed_out => return Err(Expired::TimedOut),
+            () = silent => {}
+        }
+        pool.record_silent_connection();
+        if self.silence_signal.is_none() {
+            return Err(Expired::Silent);
+        }
+        self.report_silence(true);
         tokio::select! {
             biased;
-            result = wait => Ok(result),
+            result = wait => {
+                self.report_silence(false);
+                Ok(result)
+            }
             () = timed_out => Err(Expired::TimedOut),
-            () = silent => Err(Expired::Silent),
+        }
+    }
+
+    async fn until_deadline(&self) {
+        match self.deadline {
+            Some(deadline) => sleep_until(deadline).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    fn report_silence(&self, is_silent: bool) {
+        if let Some(signal) = &self.silence_signal {
+            signal.set(is_silent);
         }
     }
 
@@ -128,7 +158,7 @@
         let mut connection = self.connect(options, limits.deadline).await?;
         loop {
             let was_used = connection.progress.written_bytes() > 0;
-            match self.send_on(connection, limits, request).await {
+            match self.send_on(connection, limits.clone(), request).await {
                 Ok(answer) => return Ok(answer),
                 // The server closed the idle connection before a byte of the request was written.
                 Err(SendError {
@@ -179,7 +209,7 @@
     ) -> Result<Answer, SendError> {
         let written_before = connection.progress.written_bytes();
         let sent = connection.sender.try_send_request(request).boxed();
-        match limits.run(&connection, sent).await {
+        match limits.run(self, &connection, sent).await {
             Ok(Ok(response)) => {
                 let (parts, incoming) = response.into_parts();
                 let answer = check_framing(self, connection, limits, parts, incoming).await;
@@ -195,9 +225,6 @@
                 })
             }
             Err(expired) => {
-                if matches!(expired, Expired::Silent) {
-                    self.record_silent_connection();
-                }
                 let is_unsent = connection.close().await == written_before;
                 Err(failed_exchange(limits.cause(&expired), is_unsent).into())
             }
@@ -208,6 +235,7 @@
         let silence = Duration::from_millis(self.settings().silence_ms);
         Limits {
             silence: options.silence_timeout.unwrap_or(silence),
+            silence_signal: options.silence_signal.clone(),
             deadline: options.time_limit.map(|limit| Instant::now() + limit),
         }
     }
@@ -300,7 +328,8 @@
             let Some(connection) = &self.connection else {
                 return Ok(None);
             };
-            let frame = self.limits.run(connection, self.incoming.frame()).await;
+            let frame = self.incoming.frame();
+            let frame = self.limits.run(&self.pool, connection, frame).await;
             match frame {
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
@@ -318,9 +347,6 @@
                     return Ok(None);
                 }
                 Err(expired) => {
-                    if matches!(expired, Expired::Silent) {
-                        self.pool.record_silent_connection();
-                    }
                     self.connection = None;
                     return Err(self.body_error(self.limits.cause(&expired)));
                 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,8 +3,8 @@
 //!
 //! All clients use the same kind of connection: HTTP/1.1 over an I/O wrapper that counts the bytes
 //! written and records when the last byte was sent or received. The error of a failed exchange
-//! therefore tells reliably whether anything was sent. A connection that goes silent is closed, and
-//! new requests use a new one.
+//! therefore tells reliably whether anything was sent. A connection that goes silent is closed, or
+//! reported if the user of the exchange asks for that, and new requests use a new one.
 
 mod connection;
 mod control;
@@ -17,6 +17,7 @@
 mod log;
 mod pool;
 mod service;
+mod silence;
 mod store;
 
 pub use connection::ConnectionSettings;
@@ -35,4 +36,5 @@
 pub use log::{HttpLogService, LogClientSettings};
 pub use pool::PoolCounters;
 pub use service::{ServiceAnswer, ServiceCall, ServiceClient, ServiceConnection, ServiceLoad};
+pub use silence::SilenceSignal;
 pub use store::{StoreClient, StoreError, StoreListing, StoredBlock, Tier};
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -17,8 +17,8 @@
     pub opened: u64,
     /// Times that an idle connection was taken from the pool instead of opening one.
     pub reused: u64,
-    /// Connections closed in an exchange because no byte was sent or received for too long.
-    pub closed_silent: u64,
+    /// Times that no byte was sent or received in an exchange for too long.
+    pub silent: u64,
 }
 
 /// Connection in the pool and the time since which it has been idle.
@@ -36,7 +36,7 @@
     idle: Mutex<Vec<IdleConnection>>,
     opened: AtomicU64,
     reused: AtomicU64,
-    closed_silent: AtomicU64,
+    silent: AtomicU64,
 }
 
 impl Pool {
@@ -47,7 +47,7 @@
             idle: Mutex::default(),
             opened: AtomicU64::new(0),
             reused: AtomicU64::new(0),
-            closed_silent: AtomicU64::new(0),
+            silent: AtomicU64::new(0),
         }
     }
 
@@ -63,7 +63,7 @@
         PoolCounters {
             opened: self.opened.load(Ordering::Relaxed),
             reused: self.reused.load(Ordering::Relaxed),
-            closed_silent: self.closed_silent.load(Ordering::Relaxed),
+            silent: self.silent.load(Ordering::Relaxed),
         }
     }
 
@@ -103,10 +103,10 @@
         }
     }
 
-    /// Counts a connection that was closed as silent and closes all idle connections, since they
-    /// use the same network path and are probably dead too.
+    /// Counts a connection that fell silent and closes all idle connections, since they use the same
+    /// network path and are probably dead too.
     pub(crate) fn record_silent_connection(&self) {
-        self.closed_silent.fetch_add(1, Ordering::Relaxed);
+        self.silent.fetch_add(1, Ordering::Relaxed);
         self.idle.lock().expect("pool lock").clear();
     }
 
--- a/crates/platform/tests/all/service.rs
+++ b/crates/platform/tests/all/service.rs
@@ -1,9 +1,9 @@
 //! Tests of the service client against the stand-in of a plain service and against broken servers.
 
 use crate::scripted::start_scripted;
-use crate::{loopback, refusing_socket, settings, short_silence};
+use crate::{SILENCE_TIMEOUT, loopback, refusing_socket, settings, short_silence};
 use anvilgw_core::{ErrorKind, Executed, Failure, Stage};
-use anvilgw_platform::{CallOptions, ServiceAnswer, ServiceCall, ServiceClient};
+use anvilgw_platform::{CallOptions, ServiceAnswer, ServiceCall, ServiceClient, SilenceSignal};
 use anvilgw_standin::{ConnectionFaults, ServiceConfig, ServiceFaults, ServiceStandin};
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
@@ -238,7 +238,30 @@
     assert_eq!(standin.executions("b"), 1);
     let counters = client.counters();
     // The second idle connection was not tried.
-    assert_eq!((counters.opened, counters.closed_silent), (3, 1));
+    assert_eq!((counters.opened, counters.silent), (3, 1));
+}
+
+/// Guards against a silence that ends a call although its user wants only to know of it. A sound
+/// server that falls silent for a while would lose the answer.
+#[tokio::test]
+async fn reported_silence_does_not_end_the_call() {
+    let standin = ServiceStandin::start(ServiceConfig::default(), loopback())
+        .await
+        .unwrap();
+    standin.set_connection_faults(&ConnectionFaults {
+        pause_ms: 3 * SILENCE_TIMEOUT.as_millis() as u64,
+        ..ConnectionFaults::default()
+    });
+    let silence = SilenceSignal::default();
+    let options = CallOptions {
+        silence_signal: Some(silence.clone()),
+        ..short_silence()
+    };
+    let client = client(standin.addr());
+    let (answer, ()) = tokio::join!(call(&client, "a", options), silence.silent());
+    answer.unwrap();
+    assert!(!silence.is_silent());
+    assert_eq!(standin.executions("a"), 1);
 }
 
 struct BrokenAnswer {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -231,11 +231,7 @@
                     change.breaker = closed.then_some(BreakerState::Closed);
                 }
                 SendOutcome::Overloaded => change.warm_up = server.warm_up.on_request_overloaded(),
-                SendOutcome::Failed => {
-                    let opened = server.breaker.on_failure(now);
-                    change.breaker = opened.then_some(BreakerState::Open);
-                    change.warm_up = server.warm_up.on_request_failed(now);
-                }
+                SendOutcome::Failed => change = server.on_failure(now),
                 SendOutcome::Cancelled => {}
             }
             change
@@ -243,6 +239,13 @@
         change.unwrap_or_default()
     }
 
+    /// Records that a server has fallen silent on a request that still runs there. Returns the state
+    /// changes that it caused.
+    pub fn on_request_silent(&mut self, server: ServerId, now: Duration) -> ServerChange {
+        let change = self.update_server(server, |server| server.on_failure(now));
+        change.unwrap_or_default()
+    }
+
     /// Reserves the bytes of an import on the exporter's link.
     ///
     /// # Errors
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -101,6 +101,17 @@
     pub(crate) queue_rates: EngineRates,
 }
 
+impl Server {
+    /// Records that a request failed or that the server does not answer it.
+    pub(crate) fn on_failure(&mut self, now: Duration) -> ServerChange {
+        let opened = self.breaker.on_failure(now);
+        ServerChange {
+            warm_up: self.warm_up.on_request_failed(now),
+            breaker: opened.then_some(BreakerState::Open),
+        }
+    }
+}
+
 /// Values that a selection reads for every candidate: one model on one server. A summary fits into
 /// one or two cache lines; reading the full state of 600 servers took twice the time of the rest of
 /// the selection.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,3 +9,4 @@
 mod quarantine;
 mod retries;
 mod routing;
+mod silence;
