Move what both daemons answer to quarantined prompts into anvilgw-quarantine

The delay of a request that could not claim a trial, the text of the refusal and the hexadecimal form of prompt parts stood in both daemons. They are now UNCLAIMED_RETRY_AFTER, REFUSAL_DETAIL and the Display of PartKey.

--- a/crates/entry/src/duties/quarantine.rs
+++ b/crates/entry/src/duties/quarantine.rs
@@ -7,7 +7,8 @@
 use anvilgw_kernel::{EventKind, Journal, StopSignal, WorkerThread};
 use anvilgw_quarantine::record::KeyedRecord;
 use anvilgw_quarantine::{
-    Admission, LostRequests, PartKey, Quarantine, QuarantineChange, ServerStart, Suspect, Times,
+    Admission, LostRequests, PartKey, Quarantine, QuarantineChange, REFUSAL_DETAIL, ServerStart,
+    Suspect, Times, UNCLAIMED_RETRY_AFTER,
 };
 use indexmap::IndexMap;
 use std::io;
@@ -23,8 +24,6 @@
 const READ_MAX: usize = 512;
 /// Time after a broken answer in which the engine shows whether it has ended.
 const PENDING_TIME: Duration = Duration::from_secs(10);
-/// `Retry-After` of a request that could not claim a trial.
-const UNCLAIMED_RETRY_AFTER: Duration = Duration::from_secs(5);
 
 /// What a poll of an engine has shown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -275,10 +274,7 @@
     }
 
     fn record(&self, change: &str, parts: &[PartKey]) {
-        let parts: Vec<String> = parts
-            .iter()
-            .map(|part| format!("{:016x}", part.0))
-            .collect();
+        let parts: Vec<String> = parts.iter().map(PartKey::to_string).collect();
         self.journal.record(
             self.clock.wall_ms(),
             EventKind::QuarantineChanged,
@@ -295,6 +291,6 @@
 }
 
 fn quarantined(retry_after: Duration) -> Failure {
-    let detail = "engines ended under a part of the prompt";
-    Failure::new(ErrorKind::PromptQuarantined, Stage::Queued, detail).with_retry_after(retry_after)
+    Failure::new(ErrorKind::PromptQuarantined, Stage::Queued, REFUSAL_DETAIL)
+        .with_retry_after(retry_after)
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -26,18 +26,28 @@
 pub mod table;
 
 mod quarantine;
+mod refusal;
 
 pub use quarantine::{
     Admission, COOLDOWN, COOLDOWN_MAX, LostRequests, OBJECTION_TIME, Quarantine, QuarantineChange,
     Times,
 };
 
+pub use refusal::{REFUSAL_DETAIL, UNCLAIMED_RETRY_AFTER};
+
 use bincode::{Decode, Encode};
+use std::fmt;
 
 /// Identifies a prompt part: a hash of its identifier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Encode, Decode)]
 pub struct PartKey(pub u64);
 
+impl fmt::Display for PartKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
 /// Identifies a workspace: a hash of its name, or zero for requests without a workspace.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Encode, Decode)]
 pub struct WorkspaceKey(pub u64);
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -144,8 +144,8 @@
                 "{END_PREFIX}/{:016x}/{reporter:016x}/{number}",
                 server.0
             ),
-            Self::Cleared(part) => write!(formatter, "{CLEARED_PREFIX}/{:016x}", part.0),
-            Self::Trial(part) => write!(formatter, "{TRIAL_PREFIX}/{:016x}", part.0),
+            Self::Cleared(part) => write!(formatter, "{CLEARED_PREFIX}/{part}"),
+            Self::Trial(part) => write!(formatter, "{TRIAL_PREFIX}/{part}"),
         }
     }
 }
