Bound the suspects of answers that broke off in anvilgw serve

While an engine was not polled, each answer that broke off there added all parts of its prompt to a list without a bound. The answers are now kept by anvilgw_quarantine::pending_ends: at most 4,096 parts of one workspace for one engine and 65,536 for all engines, as in the gateway.

--- a/crates/entry/src/duties/quarantine.rs
+++ b/crates/entry/src/duties/quarantine.rs
@@ -5,10 +5,11 @@
 
 use anvilgw_core::{Clock, ErrorKind, Failure, LogError, LogService, Offset, ServerId, Stage};
 use anvilgw_kernel::{EventKind, Journal, StopSignal, WorkerThread};
+use anvilgw_quarantine::pending_ends::PendingEnds;
 use anvilgw_quarantine::record::KeyedRecord;
 use anvilgw_quarantine::{
-    Admission, LostRequests, PartKey, Quarantine, QuarantineChange, REFUSAL_DETAIL, ServerStart,
-    Suspect, Times, UNCLAIMED_RETRY_AFTER,
+    Admission, PartKey, Quarantine, QuarantineChange, REFUSAL_DETAIL, ServerStart, Suspect, Times,
+    UNCLAIMED_RETRY_AFTER,
 };
 use indexmap::IndexMap;
 use std::io;
@@ -22,8 +23,6 @@
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of records in one read.
 const READ_MAX: usize = 512;
-/// Time after a broken answer in which the engine shows whether it has ended.
-const PENDING_TIME: Duration = Duration::from_secs(10);
 
 /// What a poll of an engine has shown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,22 +44,10 @@
 
 struct State {
     quarantine: Quarantine,
-    engines: IndexMap<ServerId, EngineLife>,
-}
-
-/// What is known of the current start of an engine.
-#[derive(Default)]
-struct EngineLife {
-    started_ms: u64,
-    /// Requests whose answers broke off, until a poll shows whether the engine has ended.
-    broken: Option<BrokenAnswers>,
-}
-
-struct BrokenAnswers {
-    since: Duration,
-    started_ms: u64,
-    count: u32,
-    suspects: Vec<Suspect>,
+    /// Start times of the engines in Unix milliseconds, as far as they are known.
+    started_ms: IndexMap<ServerId, u64>,
+    /// Answers that broke off, until a poll shows whether the engine has ended.
+    pending_ends: PendingEnds<ServerId>,
 }
 
 impl QuarantineService {
@@ -78,7 +65,8 @@
     ) -> io::Result<(Arc<Self>, WorkerThread)> {
         let state = State {
             quarantine: Quarantine::new(rand::random()),
-            engines: IndexMap::new(),
+            started_ms: IndexMap::new(),
+            pending_ends: PendingEnds::default(),
         };
         let service = Arc::new(Self {
             state: Mutex::new(state),
@@ -167,16 +155,10 @@
     pub(crate) fn on_answer_broken(&self, engine: ServerId, suspects: &[Suspect]) {
         let now = self.clock.uptime();
         let mut state = self.state();
-        let life = state.engines.entry(engine).or_default();
-        let started_ms = life.started_ms;
-        let broken = life.broken.get_or_insert_with(|| BrokenAnswers {
-            since: now,
-            started_ms,
-            count: 0,
-            suspects: Vec::new(),
-        });
-        broken.count += 1;
-        broken.suspects.extend_from_slice(suspects);
+        let started_ms = state.started_ms.get(&engine).copied().unwrap_or_default();
+        state
+            .pending_ends
+            .on_broken(engine, started_ms, suspects, now);
     }
 
     /// Returns whether a prompt whose answer broke off may be sent to another engine.
@@ -191,30 +173,19 @@
     pub(crate) fn on_polled(&self, engine: ServerId, poll: EnginePoll, asked_at: Duration) {
         let times = self.times();
         let mut state = self.state();
-        let life = state.engines.entry(engine).or_default();
-        if life
-            .broken
-            .as_ref()
-            .is_some_and(|broken| asked_at < broken.since)
-        {
-            return;
-        }
-        let broken = life.broken.take();
-        let broken = broken.filter(|broken| times.uptime < broken.since + PENDING_TIME);
+        let broken = state.pending_ends.take(&engine, asked_at, times.uptime);
         let has_ended = match poll {
             EnginePoll::Unreachable => true,
             EnginePoll::Started(started_ms) => {
-                let is_restarted =
-                    started_ms != std::mem::replace(&mut life.started_ms, started_ms);
-                is_restarted && broken.as_ref().is_some_and(|broken| broken.started_ms > 0)
+                state.started_ms.insert(engine, started_ms);
+                broken
+                    .as_ref()
+                    .is_some_and(|broken| broken.started_ms > 0 && broken.started_ms != started_ms)
             }
         };
         if let Some(broken) = broken.filter(|_| has_ended) {
-            let lost = LostRequests {
-                server: engine_start(engine, broken.started_ms),
-                count: broken.count,
-                suspects: broken.suspects,
-            };
+            let start = engine_start(engine, broken.started_ms);
+            let lost = broken.into_lost_requests(start);
             state.quarantine.on_server_ended(&lost, times);
         }
     }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -22,6 +22,7 @@
 
 pub mod attribution;
 pub mod completions;
+pub mod pending_ends;
 pub mod record;
 pub mod table;
 
