Use the shared pieces of the quarantine in the gateway

UNCLAIMED_RETRY_AFTER, the text of the refusal and the hexadecimal form of a prompt part come from anvilgw-quarantine. Nothing that callers, logs or metrics show has changed.

--- a/crates/gateway/src/dispatch/quarantine.rs
+++ b/crates/gateway/src/dispatch/quarantine.rs
@@ -6,13 +6,9 @@
 use crate::ports::{AppendOutcome, KeyedBytes};
 use crate::retry::AttemptError;
 use anvilgw_quarantine::record::KeyedRecord;
-use anvilgw_quarantine::{Admission, PartKey};
+use anvilgw_quarantine::{Admission, PartKey, UNCLAIMED_RETRY_AFTER};
 use std::time::Duration;
 
-/// `Retry-After` of a request that could not claim a trial, because another one has claimed it or
-/// the metadata store did not answer.
-const UNCLAIMED_RETRY_AFTER: Duration = Duration::from_secs(5);
-
 /// Refuses a request with a quarantined part, unless a trial of the part is due.
 pub(super) fn check_quarantine(
     gateway: &Gateway,
@@ -77,7 +73,7 @@
         gateway.metrics.count("quarantine_trials");
         gateway.log_notable(&Event::Quarantine {
             change: "trial",
-            parts: &[format!("{:016x}", part.0)],
+            parts: &[part.to_string()],
             ends: None,
             workspaces: None,
         });
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -5,6 +5,7 @@
 use crate::gateway::Gateway;
 use crate::select::NoServer;
 use anvilgw_core::{ErrorKind, Failure};
+use anvilgw_quarantine::REFUSAL_DETAIL;
 use rand::RngExt;
 use std::ops::Range;
 use std::time::Duration;
@@ -62,7 +63,7 @@
             | Self::Refused(reason)
             | Self::Rejected(reason)
             | Self::OutcomeUnknown(reason) => reason.clone(),
-            Self::Quarantined(_) => "backend servers ended under a part of the prompt".to_owned(),
+            Self::Quarantined(_) => REFUSAL_DETAIL.to_owned(),
             Self::WeightsMismatch => "the server holds another version of the weights".to_owned(),
             Self::Misdirected => "the address now belongs to another server".to_owned(),
             Self::ServerFailed(status) => format!("the server failed with status {status}"),
