Test silences of the log service, and that two servers share a call only briefly

answers_outlast_a_silence_of_the_log: streams, whole answers and non-idempotent calls in progress outlast a log service that is silent for 1 to 3 s, and a call that arrives meanwhile is answered or truly refused with executed: no. It passed at once; nothing was changed for it.

another_server_works_on_a_silent_call_only_briefly guards the 400 ms for which another server may work on a call whose server is silent. With 4 s it fails with 3 executions in place of 1.

--- a/tests/all/silence.rs
+++ b/tests/all/silence.rs
@@ -1,7 +1,8 @@
 //! Servers that are sound but fall silent for a while and go on, with answers in progress.
 
 use anvilgw_config::{ConfigChange, Entitlements};
-use anvilgw_standin::{ConnectionFaults, EngineFaults, ServiceConfig, answer_text};
+use anvilgw_core::Executed;
+use anvilgw_standin::{ConnectionFaults, EngineFaults, ServiceConfig, ServiceFaults, answer_text};
 use anvilgw_testbed::{Caller, CallerError, MODEL, Testbed, TestbedConfig, workspace_key};
 use http::header::AUTHORIZATION;
 use http::{HeaderMap, Method, StatusCode};
@@ -239,10 +240,10 @@
             if index == executing {
                 service.set_connection_faults(&pause(pause_ms));
             } else {
-                service.set_faults(anvilgw_standin::ServiceFaults {
+                service.set_faults(ServiceFaults {
                     refuse: others == Others::Full,
                     cut_before_probability: if others == Others::Reset { 1.0 } else { 0.0 },
-                    ..anvilgw_standin::ServiceFaults::default()
+                    ..ServiceFaults::default()
                 });
                 service.set_connection_faults(&others.connection_faults());
             }
@@ -255,7 +256,7 @@
             assert_eq!(executions, 1, "{case}");
         }
         for service in &testbed.services {
-            service.set_faults(anvilgw_standin::ServiceFaults::default());
+            service.set_faults(ServiceFaults::default());
             service.set_connection_faults(&ConnectionFaults::default());
         }
         tokio::time::sleep(Duration::from_secs(1)).await;
@@ -280,6 +281,30 @@
     assert_eq!(failed, 0, "cases failed");
 }
 
+/// Guards against two servers that work on one call for long. The other server would execute the
+/// call 700 ms after it was sent there, and its attempt ends before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn another_server_works_on_a_silent_call_only_briefly() {
+    let testbed = start_testbed(Others::Sound).await;
+    let before = executions(&testbed);
+    let call = start_call(&testbed.caller(), Method::GET, "");
+    let executing = executing_service(&testbed, &before).await;
+    for (index, service) in testbed.services.iter().enumerate() {
+        if index == executing {
+            service.set_connection_faults(&pause(3_000));
+        } else {
+            service.set_faults(ServiceFaults {
+                delay_ms: 700,
+                ..ServiceFaults::default()
+            });
+        }
+    }
+    expect_answer(call, "call").await;
+    let executions: u64 = executions(&testbed).iter().sum();
+    assert_eq!(executions, 1);
+    testbed.stop().await;
+}
+
 /// Guards against changes of the configuration, and a daemon that is asked to stop, that end
 /// requests in flight while their servers are silent. The changes take the servers out of service
 /// and withdraw the workspace's entitlements.
@@ -319,3 +344,38 @@
         testbed.stop().await;
     }
 }
+
+/// Guards against a silence of the log service that ends answers in progress, or that makes a daemon
+/// execute a non-idempotent call without an answer or a refusal that is true.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answers_outlast_a_silence_of_the_log() {
+    let testbed = start_testbed(Others::Sound).await;
+    let caller = testbed.caller();
+    for pause_ms in PAUSES_MS {
+        let before = executions(&testbed);
+        let keys = [(); 2].map(|()| uuid::Uuid::now_v7().to_string());
+        let answers = [
+            ("stream", start_stream(&caller, "stream")),
+            ("whole answer", start_whole_answer(&testbed, "whole")),
+            ("call", start_call(&caller, Method::POST, &keys[0])),
+        ];
+        busy_engines(&testbed, 2).await;
+        executing_service(&testbed, &before).await;
+        testbed.log_server.set_connection_faults(&pause(pause_ms));
+        let late_call = start_call(&caller, Method::POST, &keys[1]).await.unwrap();
+        let services = testbed.services.iter();
+        let late_executions: u64 = services.map(|s| s.executions(&keys[1])).sum();
+        match late_call {
+            Ok(()) => assert_eq!(late_executions, 1),
+            Err(CallerError::Refused(503, _, Some(Executed::No))) => {
+                assert_eq!(late_executions, 0);
+            }
+            Err(error) => panic!("late call, log silent for {pause_ms} ms: {error}"),
+        }
+        for (name, answer) in answers {
+            expect_answer(answer, &format!("{name}, log silent for {pause_ms} ms")).await;
+        }
+        testbed.wait_ready().await.unwrap();
+    }
+    testbed.stop().await;
+}
