Send whole answers to slow callers before a daemon stops

A daemon that was asked to stop closed its connections 1 s after the last request had ended, although callers were still reading whole answers: a request counts as ended when its answer is handed to the connection. The caller's answer was cut, and the daemon reported no interrupted request. The drain now ends when the server for callers has closed its last connection, at most after drain_ms.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -28,8 +28,6 @@
 const JOURNAL_CAPACITY: usize = 1024;
 /// Interval at which a draining daemon checks for open requests.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Longest time that a drained daemon waits for callers' connections to close.
-const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 /// Index in [`Daemon::servers`] of the server for callers.
 const CALLER_SERVER: usize = 0;
 
@@ -145,8 +143,8 @@
     /// Drains and stops the daemon.
     ///
     /// The daemon reports that it is not ready, waits until the load balancer has noticed, stops
-    /// accepting connections, waits for open requests and leaves the fleet. The drain ends early
-    /// when `abort` becomes true.
+    /// accepting connections, waits until the answers of all open requests are sent and leaves the
+    /// fleet. The drain ends early when `abort` becomes true.
     pub async fn shutdown(mut self, mut abort: watch::Receiver<bool>) -> Shutdown {
         let context = Arc::clone(&self.context);
         context.draining.store(true, Ordering::Release);
@@ -158,17 +156,19 @@
         let settings = &context.settings.daemon;
         let balancer_lag = Duration::from_millis(settings.balancer_lag_ms);
         let drain_limit = Duration::from_millis(settings.drain_ms);
+        let mut callers = self.servers.remove(CALLER_SERVER);
+        let drained = async {
+            tokio::time::sleep(balancer_lag).await;
+            self.stop_accepting.send_replace(true);
+            let _ = tokio::time::timeout(drain_limit, drain(&context, &mut callers)).await;
+        };
         tokio::select! {
-            () = drain(&context, &self.stop_accepting, balancer_lag, drain_limit) => {}
+            () = drained => {}
             _ = abort.wait_for(|abort| *abort) => {}
         }
         let interrupted = context.open_requests.load(Ordering::Acquire);
         context.control.leave().await;
-        if interrupted == 0 {
-            // The last bytes of the answers may not have been sent to the callers yet.
-            let callers = self.servers.remove(CALLER_SERVER);
-            let _ = tokio::time::timeout(FLUSH_TIMEOUT, callers).await;
-        }
+        callers.abort();
         self.halt().await;
         Shutdown { interrupted }
     }
@@ -203,18 +203,12 @@
     }
 }
 
-/// Waits until the load balancer has noticed the drain, stops accepting connections and waits for
-/// open requests, for at most `drain_limit`.
-async fn drain(
-    context: &Context,
-    stop_accepting: &watch::Sender<bool>,
-    balancer_lag: Duration,
-    drain_limit: Duration,
-) {
-    tokio::time::sleep(balancer_lag).await;
-    stop_accepting.send_replace(true);
-    let end = context.clock.uptime() + drain_limit;
-    while context.open_requests.load(Ordering::Acquire) > 0 && context.clock.uptime() < end {
+/// Waits until no request is open and the server for callers has sent all answers.
+async fn drain(context: &Context, callers: &mut JoinHandle<()>) {
+    // Non-idempotent calls go on after their callers have closed the connection.
+    while context.open_requests.load(Ordering::Acquire) > 0 {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
+    // The server ends when its last connection does. A caller may read a whole answer slowly.
+    let _ = callers.await;
 }
--- a/tests/all/end_to_end.rs
+++ b/tests/all/end_to_end.rs
@@ -2,13 +2,14 @@
 //! fail.
 
 use anvilgw_core::Executed;
-use anvilgw_standin::{EngineFaults, LogFaults, ServiceFaults};
-use anvilgw_testbed::{CallerError, SERVICE, Testbed, TestbedConfig, workspace_key};
+use anvilgw_standin::{EngineConfig, EngineFaults, LogFaults, ServiceFaults, answer_text};
+use anvilgw_testbed::{CallerError, MODEL, SERVICE, Testbed, TestbedConfig, workspace_key};
 use http::Method;
+use serde_json::{Value, json};
 use std::collections::HashSet;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 const ANSWER_TOKENS: u64 = 16;
 
@@ -292,6 +293,49 @@
     testbed.stop().await;
 }
 
+/// Guards against a graceful shutdown that cuts a whole answer because the caller reads it slowly.
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_shutdown_sends_whole_answers_to_slow_callers() {
+    /// Answer of 6 MB, much more than the buffers of the connection hold.
+    const TOKENS: u64 = 1_000_000;
+    const RECEIVE_BUFFER_BYTES: u32 = 4_096;
+    let mut testbed = Testbed::start(TestbedConfig {
+        engine: EngineConfig {
+            decode_ms: 0.001,
+            ..TestbedConfig::default().engine
+        },
+        ..TestbedConfig::default()
+    })
+    .await
+    .unwrap();
+    let address = testbed.listen_address(0);
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+    let mut caller = socket.connect(address).await.unwrap();
+    let body = json!({ "model": MODEL, "prompt": "long", "max_tokens": TOKENS }).to_string();
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: {address}\r\nauthorization: Bearer {}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        workspace_key(0),
+        body.len(),
+    );
+    caller.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = vec![0; 1];
+    caller.read_exact(&mut answer).await.unwrap();
+    let daemon = testbed.take_daemon(0).unwrap();
+    let (_abort, aborted) = tokio::sync::watch::channel(false);
+    let shutdown = tokio::spawn(daemon.shutdown(aborted));
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    caller.read_to_end(&mut answer).await.unwrap();
+    let answer = String::from_utf8(answer).unwrap();
+    let (_, body) = answer.split_once("\r\n\r\n").unwrap();
+    let body: Value = serde_json::from_str(body).unwrap();
+    let text = body["choices"][0]["text"].as_str();
+    assert!(text == Some(answer_text("long", TOKENS).as_str()));
+    assert_eq!(shutdown.await.unwrap().interrupted, 0);
+    testbed.stop().await;
+}
+
 /// Guards against a killed daemon that continues to serve its open connections, as no crashed
 /// process does. Tests that kill a daemon would then pass without a crash.
 #[tokio::test(flavor = "multi_thread")]
