Bound the attempts in the explanation of a request

While a server is silent, a request is sent to others about four times a second, and each attempt added a few kilobytes to its record. A record now keeps the first attempt and the last seven.

explanation_of_a_silent_completion_is_bounded covers an engine that is silent for 6 s beside full ones.

--- a/crates/bench/src/experiments/once/faults.rs
+++ b/crates/bench/src/experiments/once/faults.rs
@@ -22,8 +22,7 @@
 const SLOW_LOG_DURATION: Duration = Duration::from_millis(1_000);
 /// Delay of the slow log service.
 const SLOW_LOG_DELAY_MS: u64 = 400;
-/// Time after the start of a silence in which a call counts as affected by it: the limit of 1 s
-/// after which calls notice the silence, and a margin.
+/// Time after the start of a silence in which a call in flight counts as affected by it.
 const SILENCE_DURATION: Duration = Duration::from_millis(300);
 const THREADS_PER_DAEMON: usize = 2;
 /// Further attempts to start a daemon whose start failed.
--- a/crates/entry/src/explain.rs
+++ b/crates/entry/src/explain.rs
@@ -9,6 +9,9 @@
 /// Maximum number of records that a daemon keeps. An explanation with 20 candidates takes about 4
 /// KB.
 const CAPACITY: usize = 2048;
+/// Maximum number of attempts that a record keeps: the first one and the last ones. While a server
+/// is silent, a request is sent to others again and again.
+const ATTEMPTS_MAX: usize = 8;
 
 /// One attempt to serve a request.
 #[derive(Clone, Debug, Serialize)]
@@ -39,7 +42,7 @@
     pub(crate) config_version: u64,
     /// Time that the request spent in the admission queue, in milliseconds.
     pub(crate) queued_ms: f64,
-    /// Attempts in the order in which they were made.
+    /// Attempts in the order in which they were made, at most [`ATTEMPTS_MAX`].
     pub(crate) attempts: Vec<AttemptRecord>,
     /// Claim key of a non-idempotent call; `None` for other requests.
     pub(crate) claim: Option<String>,
@@ -82,6 +85,9 @@
                 let decision = last.decision.as_ref();
                 decision.is_some_and(|decision| decision.selected.is_none())
             });
+            if record.attempts.len() >= ATTEMPTS_MAX {
+                record.attempts.remove(1);
+            }
             record.attempts.push(attempt);
         });
     }
--- a/tests/all/silence.rs
+++ b/tests/all/silence.rs
@@ -305,6 +305,34 @@
     testbed.stop().await;
 }
 
+/// Guards against an explanation that grows as long as an engine is silent. Each attempt at another
+/// engine adds a few kilobytes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn explanation_of_a_silent_completion_is_bounded() {
+    const ATTEMPTS_MAX: usize = 8;
+    let testbed = start_testbed(Others::Full).await;
+    let caller = testbed.caller();
+    let stream = {
+        let caller = caller.clone();
+        tokio::spawn(async move { caller.complete(0, 0, "stream", ANSWER_TOKENS).await })
+    };
+    let busy = busy_engines(&testbed, 1).await;
+    for (index, engine) in testbed.engines.iter().enumerate() {
+        match busy.contains(&index) {
+            true => engine.set_connection_faults(&pause(6_000)),
+            false => engine.set_faults(Others::Full.engine_faults()),
+        }
+    }
+    let answer = stream.await.unwrap().unwrap();
+    let path = format!("/admin/explain/{}", answer.request_id);
+    let explained = caller.call_admin(0, Method::GET, &path, &Value::Null).await;
+    let explained = explained.unwrap();
+    let attempts = explained["attempts"].as_array().expect("attempts");
+    assert_eq!(attempts.len(), ATTEMPTS_MAX);
+    assert_eq!(attempts[0]["outcome"], "complete");
+    testbed.stop().await;
+}
+
 /// Guards against changes of the configuration, and a daemon that is asked to stop, that end
 /// requests in flight while their servers are silent. The changes take the servers out of service
 /// and withdraw the workspace's entitlements.
