--- a/tests/all/end_to_end.rs
+++ b/tests/all/end_to_end.rs
@@ -2,10 +2,14 @@
 //! fail.
 
 use anvilgw_core::Executed;
-use anvilgw_standin::{EngineFaults, LogFaults, ServiceFaults};
-use anvilgw_testbed::{CallerError, Testbed, TestbedConfig};
+use anvilgw_standin::{EngineConfig, EngineFaults, LogFaults, ServiceFaults, answer_text};
+use anvilgw_testbed::{CallerError, MODEL, SERVICE, Testbed, TestbedConfig, workspace_key};
 use http::Method;
+use serde_json::{Value, json};
 use std::collections::HashSet;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
 
 const ANSWER_TOKENS: u64 = 16;
 
@@ -258,6 +262,109 @@
     testbed.stop().await;
 }
 
+/// Guards against a graceful shutdown that closes the connection of a caller who is still sending a
+/// request. The caller would get neither an answer nor a refusal.
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_shutdown_waits_for_requests_that_are_being_sent() {
+    const BODY: &str = "{\"court\":1}";
+    let mut testbed = Testbed::start(TestbedConfig::default()).await.unwrap();
+    let address = testbed.listen_address(0);
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    let (first_part, rest) = BODY.split_at(4);
+    let head = format!(
+        "GET /services/{SERVICE}/status HTTP/1.1\r\nhost: {address}\r\nauthorization: Bearer {}\r\n\
+         content-length: {}\r\nconnection: close\r\n\r\n{first_part}",
+        workspace_key(1),
+        BODY.len(),
+    );
+    caller.write_all(head.as_bytes()).await.unwrap();
+    let daemon = testbed.take_daemon(0).unwrap();
+    // The daemon has received the head.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let (_abort, aborted) = tokio::sync::watch::channel(false);
+    let shutdown = tokio::spawn(daemon.shutdown(aborted));
+    // Longer than the lag of the load balancer and the time to flush answers.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    caller.write_all(rest.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+    assert_eq!(shutdown.await.unwrap().interrupted, 0);
+    testbed.stop().await;
+}
+
+/// Guards against a graceful shutdown that cuts a whole answer because the caller reads it slowly.
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_shutdown_sends_whole_answers_to_slow_callers() {
+    /// Answer of 6 MB, much more than the buffers of the connection hold.
+    const TOKENS: u64 = 1_000_000;
+    const RECEIVE_BUFFER_BYTES: u32 = 4_096;
+    let mut testbed = Testbed::start(TestbedConfig {
+        engine: EngineConfig {
+            decode_ms: 0.001,
+            ..TestbedConfig::default().engine
+        },
+        ..TestbedConfig::default()
+    })
+    .await
+    .unwrap();
+    let address = testbed.listen_address(0);
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+    let mut caller = socket.connect(address).await.unwrap();
+    let body = json!({ "model": MODEL, "prompt": "long", "max_tokens": TOKENS }).to_string();
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: {address}\r\nauthorization: Bearer {}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        workspace_key(0),
+        body.len(),
+    );
+    caller.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = vec![0; 1];
+    caller.read_exact(&mut answer).await.unwrap();
+    let daemon = testbed.take_daemon(0).unwrap();
+    let (_abort, aborted) = tokio::sync::watch::channel(false);
+    let shutdown = tokio::spawn(daemon.shutdown(aborted));
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    caller.read_to_end(&mut answer).await.unwrap();
+    let answer = String::from_utf8(answer).unwrap();
+    let (_, body) = answer.split_once("\r\n\r\n").unwrap();
+    let body: Value = serde_json::from_str(body).unwrap();
+    let text = body["choices"][0]["text"].as_str();
+    assert!(text == Some(answer_text("long", TOKENS).as_str()));
+    assert_eq!(shutdown.await.unwrap().interrupted, 0);
+    testbed.stop().await;
+}
+
+/// Guards against connections that a draining daemon leaves open until it stops. A caller that sends
+/// the next request in that moment would get neither an answer nor a refusal.
+#[tokio::test(flavor = "multi_thread")]
+async fn draining_daemon_closes_connections_after_their_answer() {
+    let mut testbed = Testbed::start(TestbedConfig {
+        balancer_lag_ms: 2_000,
+        ..TestbedConfig::default()
+    })
+    .await
+    .unwrap();
+    let address = testbed.listen_address(0);
+    let daemon = testbed.take_daemon(0).unwrap();
+    let (_abort, aborted) = tokio::sync::watch::channel(false);
+    let shutdown = tokio::spawn(daemon.shutdown(aborted));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    let request = format!(
+        "GET /services/{SERVICE}/status HTTP/1.1\r\nhost: {address}\r\nauthorization: Bearer {}\r\n\r\n",
+        workspace_key(1),
+    );
+    caller.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+    assert!(answer.contains("connection: close"), "{answer:?}");
+    assert_eq!(shutdown.await.unwrap().interrupted, 0);
+    testbed.stop().await;
+}
+
 /// Guards against a killed daemon that continues to serve its open connections, as no crashed
 /// process does. Tests that kill a daemon would then pass without a crash.
 #[tokio::test(flavor = "multi_thread")]
