--- a/crates/entry/src/dispatch/completion/replacement.rs
+++ b/crates/entry/src/dispatch/completion/replacement.rs
@@ -8,7 +8,7 @@
 use super::attempt::{EngineAnswer, RunningAttempt};
 use super::start::NewConnection;
 use crate::dispatch::engine_errors::send_outcome;
-use crate::dispatch::{OVERLAP_MAX, REPLACEMENT_INTERVAL};
+use crate::dispatch::{ACCEPT_TIMEOUT, REPLACEMENT_INTERVAL};
 use anvilgw_core::{ErrorKind, ServerId};
 use anvilgw_platform::{EngineError, EngineEvent, SilenceSignal};
 use anvilgw_router::SendOutcome;
@@ -57,7 +57,7 @@
     }
 
     /// Sends the request to other engines until one of them has accepted it. Each one has
-    /// [`OVERLAP_MAX`] for that while `silent` may still work on the request.
+    /// [`ACCEPT_TIMEOUT`] for that while `silent` may still work on the request.
     async fn find_replacement(
         &mut self,
         silent: ServerId,
@@ -93,7 +93,7 @@
             self.close_attempt(attempt, SendOutcome::Cancelled, "no retry left");
             return None;
         }
-        let accepted = EngineAnswer::wait_accepted(&mut attempt.answer, OVERLAP_MAX).await;
+        let accepted = EngineAnswer::wait_accepted(&mut attempt.answer, ACCEPT_TIMEOUT).await;
         if accepted == Ok(true) {
             return Some(attempt);
         }
--- a/crates/entry/src/dispatch/mod.rs
+++ b/crates/entry/src/dispatch/mod.rs
@@ -8,8 +8,8 @@
 
 use std::time::Duration;
 
-/// Longest time in which two servers may work on a request: a silent one and the one that is to
-/// replace it.
-const OVERLAP_MAX: Duration = Duration::from_millis(400);
+/// Time within which a server has to accept a request that a silent one may still work on. Two
+/// servers may work on one request for 400 ms at most; the rest is for the network.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause between two attempts to replace a silent server.
 const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/entry/src/dispatch/service.rs
+++ b/crates/entry/src/dispatch/service.rs
@@ -2,7 +2,7 @@
 //! Non-idempotent calls are in [`super::claimed`].
 
 use super::claimed::{build_claim, run_claimed_call};
-use super::{OVERLAP_MAX, REPLACEMENT_INTERVAL};
+use super::{ACCEPT_TIMEOUT, REPLACEMENT_INTERVAL};
 use crate::backends::{Backend, BackendKind, service_model};
 use crate::context::{Context, CountGuard, RequestContext};
 use crate::duties::admission::AdmissionGuard;
@@ -199,7 +199,7 @@
     }
 }
 
-/// Sends the call to other servers until one of them has answered it. Each one has [`OVERLAP_MAX`]
+/// Sends the call to other servers until one of them has answered it. Each one has [`ACCEPT_TIMEOUT`]
 /// for that while the silent one may still work on the call.
 async fn find_replacement(
     context: &Context,
@@ -236,7 +236,7 @@
     tried.push(selected.backend.id);
     let mut service_call = build_service_call(context, call, request, None);
     service_call.options.fresh_connection = true;
-    let sent = tokio::time::timeout(OVERLAP_MAX, selected.client.call(service_call));
+    let sent = tokio::time::timeout(ACCEPT_TIMEOUT, selected.client.call(service_call));
     let Ok(result) = sent.await else {
         selected.dispatch.set_outcome(SendOutcome::Failed);
         return None;
