Keep the connection of a server that does not read a long body for some seconds

The gateway lost a request with a body larger than the receive buffer of its server if that server read nothing for 1.9 s and then went on: its connection to the server ended with "Connection timed out". The outcome of the request is unknown then, so that a non-idempotent one is answered with 502 (seen on the connection; not run with a caller).

The kernel counts the time in which the receive window of a peer is closed against TCP_USER_TIMEOUT, although the peer acknowledges each window probe. That limit was 1.5 s for all requests.

While a body of over 32 KiB is sent, the limit is 4 s. Shorter requests fit into the receive buffer, so that only missing acknowledgements count, and keep 1.5 s.

Test: before the change, a peer that does not read 3 MB for 1.9 s or 3 s lost the request in each case ("Connection timed out (os error 110)"); now both get their answer. A peer that acknowledges nothing for good is noticed after 2.0 s with a short request and 2.1 s after its request was received, as before; with a body of 3 MB the test bounds it by 6 s, it was 1.8 s.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,10 +1,11 @@
 //! HTTP/1.1 connections to backend servers and to the platform.
 
+use crate::ack_timeout::{AckTimeout, RequestSize};
 use crate::read_limit::{ReadAllowance, ReadLimited};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
@@ -17,9 +18,6 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-/// Time without an acknowledgement after which the kernel closes a connection. A peer that lost
-/// power sends no reset, so nothing else ends such a connection.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Idle time after which the kernel sends keep-alive probes, and the time between them.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered probes after which the kernel closes a connection.
@@ -61,6 +59,7 @@
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     allowance: ReadAllowance,
+    request_size: RequestSize,
     _open: OpenCount,
 }
 
@@ -90,6 +89,8 @@
             Err(_) => return Err(not_sent(format!("connect {address}: timeout"))),
         };
         set_options(&stream).map_err(|error| not_sent(format!("socket options: {error}")))?;
+        let request_size = RequestSize::default();
+        let stream = AckTimeout::new(stream, request_size.clone());
         let allowance = ReadAllowance::default();
         let stream = TokioIo::new(ReadLimited::new(stream, allowance.clone()));
         let (sender, connection) = http1::Builder::new()
@@ -106,6 +107,7 @@
             sender,
             task,
             allowance,
+            request_size,
             _open: open,
         })
     }
@@ -132,6 +134,8 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         self.allowance.limit_to(HEAD_MAX_BYTES);
+        let body_bytes = request.body().size_hint().exact();
+        self.request_size.set(body_bytes.unwrap_or(u64::MAX));
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.allowance.lift();
@@ -171,13 +175,11 @@
 
 fn set_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive)
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
 
 /// Guard that counts one open connection until it is dropped.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! `share_budget`, `permits`, `freshness`, `lease`, `weights`); the others perform the I/O. Only
 //! implementations of [`ports`] know the platform's protocols.
 
+mod ack_timeout;
 mod answer;
 mod background_tasks;
 mod cache_store;
