Use servers whose entries expired while the metadata store was silent

Callers got 503 for up to two seconds after the metadata store had been silent for 2.0 to 2.9 s, at daemons that read the copy of a leader, although all servers were sound.

Entries that expire while the store is away are used for 2 s after its return. A daemon noticed an outage only if a read of its own failed, which takes 1.3 s. A daemon with a leader begins to read the store itself 0.8 to 1.6 s into a silence, when the leader's copy is 1.2 s old; that read was held and answered when the store went on, so nothing had failed and the entries were removed at once.

A read that returns 2 s or more after the time up to which the table was known now counts as the end of an outage.

Test: before the change, the callers of a daemon that reads a leader's copy got 503 from 2.7 s to 4.5 s, after a silence of 2.5 s in which the entry of the only server expired; now they get none. The request in progress was answered in both cases.

--- a/crates/gateway/src/background_tasks/servers.rs
+++ b/crates/gateway/src/background_tasks/servers.rs
@@ -19,25 +19,44 @@
 const POLL_PAUSE: Duration = Duration::from_millis(750);
 /// Maximum random deviation of that pause, as a fraction of it.
 const JITTER: f64 = 0.15;
+/// Time without news of the metadata store after which it counts as having been unavailable,
+/// although no read of it failed. Without an outage, a daemon that reads the copy of a leader that
+/// reads another one's knows the table as of at most 1.1 s ago when its next read returns.
+const SILENCE_MIN: Duration = Duration::from_millis(2000);
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Time after the metadata store became available again during which servers whose entries expired
 /// in the meantime are still used, until they publish again.
 const EXPIRED_ENTRY_GRACE: Duration = Duration::from_millis(2000);
 
+/// How far the table was read.
+#[derive(Clone, Copy, Debug)]
+struct Progress {
+    /// Offset from which to read next.
+    next_offset: u64,
+    /// Time up to which the records before that offset contain all changes.
+    verified_at: Duration,
+}
+
 /// Follows the table of backend servers until the daemon ends.
 pub(crate) async fn run(gateway: Rc<Gateway>) {
     let mut dependency = Dependency::new("metadata store, servers");
     let clock = Arc::clone(&gateway.ports.clock);
     let mut reader = TopicReader::new(Topic::Table(Table::Servers), clock);
     loop {
-        let mut from_offset = load_snapshot(&gateway, &mut dependency).await;
+        let mut progress = load_snapshot(&gateway, &mut dependency).await;
         loop {
             sleep(gateway.jittered(poll_pause(&gateway), JITTER)).await;
-            match reader.read(&gateway, from_offset, Duration::ZERO).await {
+            let result = reader
+                .read(&gateway, progress.next_offset, Duration::ZERO)
+                .await;
+            match result {
                 Ok(read) => {
-                    dependency.on_answer(&gateway);
-                    from_offset = read.next_offset;
+                    on_read(&gateway, &mut dependency, progress.verified_at);
+                    progress = Progress {
+                        next_offset: read.next_offset,
+                        verified_at: progress.verified_at.max(read.verified_at),
+                    };
                     let grace = expired_entry_grace(&gateway, &dependency);
                     let changes = decode_changes(&gateway, Table::Servers, read).changes;
                     apply(&gateway, changes, grace);
@@ -59,12 +78,25 @@
     }
 }
 
-async fn load_snapshot(gateway: &Gateway, dependency: &mut Dependency) -> u64 {
+/// Records that a read was answered. `verified_at` is the time up to which the table was known
+/// before.
+fn on_read(gateway: &Gateway, dependency: &mut Dependency, verified_at: Duration) {
+    if gateway.now().saturating_sub(verified_at) < SILENCE_MIN {
+        dependency.on_answer(gateway);
+    } else {
+        dependency.on_answer_after_silence(gateway, verified_at);
+    }
+}
+
+async fn load_snapshot(gateway: &Gateway, dependency: &mut Dependency) -> Progress {
     let snapshot = read_snapshot(gateway, dependency, Table::Servers, RETRY_PAUSE).await;
-    let next_offset = snapshot.changes.next_offset;
+    let progress = Progress {
+        next_offset: snapshot.changes.next_offset,
+        verified_at: snapshot.started_at,
+    };
     let grace = expired_entry_grace(gateway, dependency);
     apply_snapshot(gateway, snapshot.changes, grace);
-    next_offset
+    progress
 }
 
 /// Returns the time for which servers without an entry are still used.
--- a/crates/gateway/src/dependency.rs
+++ b/crates/gateway/src/dependency.rs
@@ -33,6 +33,13 @@
         });
     }
 
+    /// Records that the dependency answered after a time in which nothing was heard of it although
+    /// no call failed. This counts as an outage too.
+    pub(crate) fn on_answer_after_silence(&mut self, gateway: &Gateway, silent_since: Duration) {
+        self.lost_at.get_or_insert(silent_since);
+        self.on_answer(gateway);
+    }
+
     /// Records that the dependency failed, and logs the beginning of an outage.
     pub(crate) fn on_failure(&mut self, gateway: &Gateway, reason: &str) {
         if self.lost_at.is_some() {
