Keep what a silent cache store holds until it answers again

After a cache store had been silent for 0.5 to 0.7 s, each daemon that reads its events forgot what the store holds, read its events from the first one on and, as the store retains only the newest events, had it list all its parts. A listing stalls the store and is charged, and until it was read the prompts' parts were computed again. The same happened to all followers.

A store that does not answer is still not read from or written to, but its contents, epoch and position stay known. When it answers in the same epoch, its events continue from there; in another one, its contents are void as before and its events are read from the first one on. Followers get the contents from their leader's log when the store is back. Retired parts are freed only at stores that answer, as before.

--- a/crates/gateway/src/cache_store.rs
+++ b/crates/gateway/src/cache_store.rs
@@ -124,13 +124,11 @@
         self.used_tokens = 0;
     }
 
-    /// Clears the state of a store that does not answer, or that is not read any more.
+    /// Records that the store does not answer. Its contents are not used until it answers again;
+    /// they are kept, because its epoch then tells whether it has lost them.
     pub(crate) fn on_unreachable(&mut self) {
         self.is_reachable = false;
         self.was_queried = true;
-        self.epoch = 0;
-        self.next_event = 0;
-        self.clear();
     }
 
     pub(crate) fn apply(&mut self, part: CachedPart) {
--- a/crates/gateway/src/caches.rs
+++ b/crates/gateway/src/caches.rs
@@ -139,14 +139,20 @@
             return false;
         };
         let has_restarted = store.epoch != events.epoch;
+        let is_first = store.epoch == 0;
+        let is_back = !std::mem::replace(&mut store.is_reachable, true) && !is_first;
         if has_restarted {
             store.clear();
-            log_update(&mut self.log, store, || CacheUpdate::Reset);
         }
-        let is_first = store.epoch == 0;
+        if has_restarted || is_back {
+            log_contents(&mut self.log, store);
+        }
         store.epoch = events.epoch;
-        store.is_reachable = true;
         store.next_event = events.next;
+        if has_restarted && is_back {
+            // The position belongs to the epoch before, so events of this one may be missing.
+            store.next_event = 0;
+        }
         for part in events.changes {
             log_update(&mut self.log, store, || part_update(&part));
             store.apply(part);
@@ -172,7 +178,7 @@
         }
     }
 
-    /// Records that a store does not answer, and drops what was known of its contents.
+    /// Records that a store does not answer. Its contents are not used until it answers again.
     pub fn on_unreachable(&mut self, key: CacheStoreKey) {
         if let Some(store) = self.stores.get_mut(key) {
             store.on_unreachable();
@@ -199,7 +205,7 @@
         }
     }
 
-    /// Returns, by store, at most `limit` parts for which `is_retired` is true, given their
+    /// Returns, by store that answers, at most `limit` parts for which `is_retired` is true, given their
     /// scope and the hash of their identifier.
     pub fn retired_parts(
         &self,
@@ -208,6 +214,7 @@
     ) -> Vec<(SocketAddr, Vec<CachedPart>)> {
         self.stores
             .values()
+            .filter(|store| store.is_reachable)
             .map(|store| {
                 let retired = store
                     .parts
@@ -245,6 +252,14 @@
     }
 }
 
+/// Appends to the log that a store answers, and everything known of its contents.
+fn log_contents(log: &mut Option<CacheStoreLog>, store: &CacheStore) {
+    log_update(log, store, || CacheUpdate::Reset);
+    for part in store.parts.values() {
+        log_update(log, store, || part_update(part));
+    }
+}
+
 /// Appends an update of a store to the log. The update is built only if a log is kept.
 fn log_update(
     log: &mut Option<CacheStoreLog>,
--- a/crates/gateway/tests/leader_copies.rs
+++ b/crates/gateway/tests/leader_copies.rs
@@ -214,7 +214,7 @@
         leader.server_clock_ms(at(10))
     );
     type Step = fn(&mut CacheDirectory, &[anvilgw_gateway::caches::CacheStoreKey]);
-    let steps: [(&str, Step); 5] = [
+    let steps: [(&str, Step); 7] = [
         ("a part was saved", |leader, keys| {
             leader.on_events(keys[1], events(1, 5, &[("report", 700)]), at(2));
         }),
@@ -225,6 +225,12 @@
             leader.on_events(keys[0], events(2, 1, &[("manual", 500)]), at(4));
         }),
         ("store lost", |leader, keys| leader.on_unreachable(keys[1])),
+        ("store back after a silence", |leader, keys| {
+            leader.on_events(keys[1], events(1, 5, &[]), at(5));
+        }),
+        ("store lost again", |leader, keys| {
+            leader.on_unreachable(keys[1]);
+        }),
         ("store back", |leader, keys| {
             leader.on_events(keys[1], events(3, 1, &[("report", 700)]), at(6));
         }),
--- a/crates/gateway/tests/servers/cache_sources.rs
+++ b/crates/gateway/tests/servers/cache_sources.rs
@@ -67,6 +67,83 @@
     );
 }
 
+/// Guards against prompts that are computed again, and stores that have to list all their parts,
+/// after a store was silent for some seconds.
+#[test]
+fn contents_of_a_store_are_known_again_when_it_goes_on() {
+    struct Case {
+        name: &'static str,
+        answer: CacheEvents,
+        fetched_tokens: u32,
+        needs_list: bool,
+        next_event: u64,
+    }
+    let with_gap = |epoch| CacheEvents {
+        has_gap: true,
+        ..events(&[], epoch)
+    };
+    let cases = [
+        Case {
+            name: "nothing happened meanwhile",
+            answer: events(&[], 1),
+            fetched_tokens: 8_000,
+            needs_list: false,
+            next_event: 10,
+        },
+        Case {
+            name: "a part was dropped meanwhile",
+            answer: events(&[("history", 0)], 1),
+            fetched_tokens: 0,
+            needs_list: false,
+            next_event: 10,
+        },
+        Case {
+            name: "events were lost meanwhile",
+            answer: with_gap(1),
+            fetched_tokens: 8_000,
+            needs_list: true,
+            next_event: 10,
+        },
+        Case {
+            name: "it restarted empty, so its events are read from the first one on",
+            answer: events(&[], 2),
+            fetched_tokens: 0,
+            needs_list: false,
+            next_event: 0,
+        },
+    ];
+    for case in cases {
+        let mut fixture = Fixture::new(&["s1"]);
+        let key = fixture.caches.set_stores(&[store(8001)])[0];
+        let held = events(&[("history", 8_000)], 1);
+        fixture.caches.on_events(key, held, at(1));
+        fixture.caches.on_unreachable(key);
+        assert_eq!(fetched_tokens(&mut fixture), 0, "{}: silent", case.name);
+        let needs_list = fixture.caches.on_events(key, case.answer, at(2));
+        assert_eq!(needs_list, case.needs_list, "{}", case.name);
+        let fetched = fetched_tokens(&mut fixture);
+        assert_eq!(fetched, case.fetched_tokens, "{}", case.name);
+        let next_event = fixture.caches.get(key).expect("store").next_event();
+        assert_eq!(next_event, case.next_event, "{}", case.name);
+    }
+}
+
+fn fetched_tokens(fixture: &mut Fixture) -> u32 {
+    let selected = fixture.place(&named_prompt(), at(3)).expect("server");
+    selected.cache.expect("a generation").plan.fetched_tokens
+}
+
+/// Guards against calls to a store that does not answer, which hold up orders to other servers.
+#[test]
+fn no_parts_are_freed_at_a_store_that_does_not_answer() {
+    let mut caches = CacheDirectory::default();
+    let key = caches.set_stores(&[store(8001)])[0];
+    caches.on_events(key, events(&[("history", 8_000)], 1), at(1));
+    assert_eq!(caches.retired_parts(10, |_, _| true).len(), 1);
+    caches.on_unreachable(key);
+    assert!(caches.retired_parts(10, |_, _| true).is_empty());
+}
+
 /// Returns the identifier of the selected server and the source of the prompt's long part.
 fn source_of(fixture: &mut Fixture) -> (String, Option<SocketAddr>) {
     let selected = fixture.place(&named_prompt(), at(2)).expect("server");
