Keep servers in use whose orders were not announced

Callers got 503 for 1.7 s from a sound server while the metadata store was silent for 3 s and new weights had been named.

Before a daemon orders a server to load weights it announces the order in the lease log and from then on sends the server no requests for up to 6 s or until it reports the weights. It did so also when the announcement was not answered within 1.3 s. That ends the lease, so that the order was not given and nothing was loaded.

Without the lease after the announcement, the servers stay in use.

Test: before the change, 34 requests, one every 40 ms, were refused more than 0.4 s before the order reached the server; now none is.

--- a/crates/gateway/src/background_tasks/weight_switches.rs
+++ b/crates/gateway/src/background_tasks/weight_switches.rs
@@ -218,7 +218,9 @@
         {
             self.append_record(offset, fencing_token, &outdated).await;
         }
-        if !outdated.is_empty() {
+        // Without the lease the orders are not given, so their servers stay in use.
+        let holds_lease = self.lease.fencing_token(self.gateway.now()).is_some();
+        if holds_lease && !outdated.is_empty() {
             self.block_requests(&outdated);
             sleep(ANNOUNCEMENT_LEAD_TIME).await;
         }
