--- a/crates/gateway/tests/limits/simulation.rs
+++ b/crates/gateway/tests/limits/simulation.rs
@@ -2,7 +2,10 @@
 //! those of the gateway; network delays, lost messages and failures of daemons are simulated.
 
 mod deployment;
+mod event;
+mod notices;
 mod setup;
+mod troubles;
 
 pub(crate) use deployment::servers;
 pub(crate) use setup::{Arrival, Outcome, Setup, Sharing, Trouble};
@@ -10,10 +13,7 @@
 use anvilgw_gateway::configuration::Service;
 use anvilgw_gateway::fleet_view::FleetView;
 use anvilgw_gateway::groups::{FleetAssignment, Member, Role};
-use anvilgw_gateway::notice_reports::{
-    NOTICE_PERIOD, NoticeReport, NoticeReporter, QUERY_TIME, apply_report, queried_daemons,
-    reports_of_all,
-};
+use anvilgw_gateway::notice_reports::{NoticeReporter, QUERY_TIME};
 use anvilgw_gateway::permits::{
     Decision, PermitIssuer, PermitOutcome, PermitPurpose, Rate, issuer_of,
 };
@@ -22,6 +22,7 @@
 use anvilgw_gateway::select::{NoServer, Query, Selected, select};
 use anvilgw_gateway::server::{ServerKey, Servers};
 use deployment::{address, index_of, member};
+use event::{Event, Pending, Scheduled};
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -39,8 +40,6 @@
 const PERMIT_ASKS_MAX: u32 = 4;
 /// Time for which a daemon waits for a reply to a request for a permit.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
-/// Time after which a stopped daemon is no longer a member.
-const MEMBERSHIP_TIME: Duration = Duration::from_secs(4);
 /// Time within which each daemon reads a change of the membership.
 const MEMBERS_READ_MS: std::ops::Range<u64> = 200..5_500;
 /// Time after its first answer with a limit from which on a daemon has to obey it.
@@ -66,57 +65,6 @@
     started_at: Duration,
 }
 
-/// A client's request that is waiting for a permit.
-#[derive(Clone, Copy, Debug)]
-struct Pending {
-    daemon: usize,
-    server: ServerKey,
-    limit: RequestRate,
-    asks: u32,
-    number: u64,
-}
-
-#[derive(Clone, Debug)]
-enum Event {
-    Request,
-    Ask(Pending, usize),
-    Reply(Pending, PermitOutcome),
-    Answer(usize, ServerKey, Option<RequestRate>),
-    NoticePeriod(usize),
-    Notices(usize, NoticeReport),
-    NoticeQuery(usize, usize),
-    ReadMembers(usize),
-    ConfirmMembers(usize),
-    Trouble(Trouble),
-    MembersChanged,
-}
-
-struct Scheduled {
-    at: Duration,
-    number: u64,
-    event: Event,
-}
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.number) == (other.at, other.number)
-    }
-}
-
-impl Eq for Scheduled {}
-
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.number).cmp(&(other.at, other.number))
-    }
-}
-
 struct Simulation {
     setup: Setup,
     service: Service,
@@ -414,59 +362,6 @@
         };
     }
 
-    fn on_notice_period(&mut self, index: usize) {
-        self.schedule(self.now + NOTICE_PERIOD, Event::NoticePeriod(index));
-        if !self.is_active(index) {
-            return;
-        }
-        if self.now < self.daemons[index].started_at + QUERY_TIME {
-            self.query_notices(index);
-        }
-        let daemon = &mut self.daemons[index];
-        let addressed = daemon
-            .reporter
-            .next_reports(&daemon.servers, &daemon.role, self.now);
-        for reports in addressed {
-            for report in &reports.reports {
-                for recipient in &reports.recipients {
-                    let to = index_of(*recipient);
-                    if self.is_delivered(index, to) {
-                        self.after(0..4, Event::Notices(to, report.clone()));
-                    }
-                }
-            }
-        }
-    }
-
-    /// A daemon that has just started asks others for the statements that they know.
-    fn query_notices(&mut self, index: usize) {
-        let role = self.daemons[index].role.clone();
-        for queried in queried_daemons(&role) {
-            let to = index_of(*queried);
-            if self.is_delivered(index, to) {
-                self.after(0..4, Event::NoticeQuery(index, to));
-            }
-        }
-    }
-
-    fn on_notice_query(&mut self, from: usize, to: usize) {
-        if !self.is_active(to) {
-            return;
-        }
-        for report in reports_of_all(&self.daemons[to].servers, self.now) {
-            if self.is_delivered(to, from) {
-                self.after(0..4, Event::Notices(from, report));
-            }
-        }
-    }
-
-    fn on_notices(&mut self, index: usize, report: &NoticeReport) {
-        if self.is_active(index) {
-            let daemon = &mut self.daemons[index];
-            apply_report(&mut daemon.servers, &daemon.role, report, self.now);
-        }
-    }
-
     fn read_members(&mut self, index: usize) {
         if self.now < self.store_away_until {
             self.schedule(self.store_away_until, Event::ReadMembers(index));
@@ -506,56 +401,4 @@
             self.after(MEMBERS_READ_MS, Event::ReadMembers(index));
         }
     }
-
-    /// Returns daemons to disturb, the issuer first.
-    fn victims(&mut self, count: usize) -> Vec<usize> {
-        let first = self.daemons.iter().position(|daemon| daemon.is_up);
-        let issuer = first.and_then(|first| {
-            let members = self.daemons[first].fleet.members();
-            let issuer = issuer_of(self.hash_of(first), members)?;
-            Some(index_of(issuer))
-        });
-        let others = (0..self.daemons.len()).filter(|index| Some(*index) != issuer);
-        let victims = issuer.into_iter().chain(others);
-        let victims = victims.filter(|index| self.daemons[*index].is_up);
-        victims.take(count).collect()
-    }
-
-    fn on_trouble(&mut self, trouble: Trouble) {
-        let now = self.now;
-        match trouble {
-            Trouble::Limit(per_s) => self.limit = per_s.and_then(RequestRate::from_per_s),
-            Trouble::Cold(time) => {
-                for daemon in &mut self.daemons {
-                    let key = daemon.servers.key_of(LIMITED).expect("limited server");
-                    let server = daemon.servers.get_mut(key).expect("server");
-                    server.set_cold_for(time, now);
-                }
-            }
-            Trouble::Freeze(count, time) => {
-                for index in self.victims(count) {
-                    self.daemons[index].frozen_until = now + time;
-                }
-            }
-            Trouble::Cut(count, time) => {
-                for index in self.victims(count) {
-                    self.daemons[index].cut_until = now + time;
-                    self.outcome.cut_off.push(index);
-                }
-            }
-            Trouble::Kill(count) => {
-                for index in self.victims(count) {
-                    self.daemons[index].is_up = false;
-                }
-                self.schedule(now + MEMBERSHIP_TIME, Event::MembersChanged);
-            }
-            Trouble::Start(count) => {
-                for _ in 0..count {
-                    self.start_daemon();
-                }
-                self.schedule(now, Event::MembersChanged);
-            }
-            Trouble::StoreAway(time) => self.store_away_until = now + time,
-        }
-    }
 }
