Close the breaker of a silent server with its next answer

Callers were refused after the only servers of a service had been silent for a second: an answer that arrives while the breaker is open was ignored, since the request was sent before, so that the servers stayed out of use for up to 0.8 s after they went on.

An answer ends a silence, whenever its request was sent. A breaker that opened for timeouts only closes with the next answer; one that opened for other failures does not.

breaker_that_opened_for_silence_closes_with_the_next_answer.

--- a/crates/gateway/src/dispatch/in_flight.rs
+++ b/crates/gateway/src/dispatch/in_flight.rs
@@ -111,7 +111,7 @@
         self.with_server(|server| {
             server.on_request_outcome(false);
             if server.last_answer_at < self.sent_at {
-                server.breaker.on_failure(now);
+                server.breaker.on_timeout(now);
             }
         });
     }
--- a/crates/router/src/breaker.rs
+++ b/crates/router/src/breaker.rs
@@ -44,6 +44,8 @@
     open_until: Option<Duration>,
     open_time: Duration,
     probe_until: Option<Duration>,
+    /// Whether all failures since the last success were timeouts.
+    has_only_timeouts: bool,
 }
 
 impl Breaker {
@@ -56,6 +58,7 @@
             open_until: None,
             open_time: settings.open_time,
             probe_until: None,
+            has_only_timeouts: true,
         }
     }
 
@@ -95,10 +98,12 @@
     /// Records a successful request. Returns true if the breaker closed.
     pub fn on_success(&mut self, now: Duration) -> bool {
         self.consecutive_failures = 0;
-        // The request was sent before the breaker opened, so its success does not show a recovery.
-        if self.state(now) == BreakerState::Open {
+        // The request was sent before the breaker opened, so its success does not show a recovery,
+        // except from silence: an answer ends that.
+        if self.state(now) == BreakerState::Open && !self.has_only_timeouts {
             return false;
         }
+        self.has_only_timeouts = true;
         self.open_time = self.settings.open_time;
         self.probe_until = None;
         self.open_until.take().is_some()
@@ -106,6 +111,17 @@
 
     /// Records a failed request. Returns true if the breaker opened.
     pub fn on_failure(&mut self, now: Duration) -> bool {
+        self.has_only_timeouts = false;
+        self.count_failure(now)
+    }
+
+    /// Records a request that got no answer in time. Returns true if the breaker opened. Unlike
+    /// other failures, this one is over with the next answer.
+    pub fn on_timeout(&mut self, now: Duration) -> bool {
+        self.count_failure(now)
+    }
+
+    fn count_failure(&mut self, now: Duration) -> bool {
         match self.state(now) {
             BreakerState::Open => false,
             BreakerState::HalfOpen => {
--- a/crates/router/tests/state.rs
+++ b/crates/router/tests/state.rs
@@ -176,6 +176,29 @@
     );
 }
 
+/// Guards against a server that stays out of use after it was only silent for a second, and against
+/// one that comes back with an answer to an earlier request although its answers also break.
+#[test]
+fn breaker_that_opened_for_silence_closes_with_the_next_answer() {
+    for (breaks_too, closes) in [(false, true), (true, false)] {
+        let settings = BreakerSettings {
+            failures_to_open: 2,
+            open_time: seconds(1),
+            open_time_max: seconds(4),
+        };
+        let mut breaker = Breaker::new(settings);
+        breaker.on_timeout(seconds(0));
+        let is_open = if breaks_too {
+            breaker.on_failure(seconds(0))
+        } else {
+            breaker.on_timeout(seconds(0))
+        };
+        assert!(is_open);
+        assert_eq!(breaker.on_success(seconds(0)), closes, "{breaks_too}");
+        assert_eq!(breaker.allows(seconds(0)), closes, "{breaks_too}");
+    }
+}
+
 /// Guards against a breaker that never opens, never closes, or passes many requests while
 /// half-open.
 #[test]
