Revert "Close callers' connections after their answer while a daemon drains"

A likely cause is that callers then open more new connections, and those that wait to be accepted when the daemon closes its listener are reset. That has to be settled first.

--- a/crates/entry/src/front/handlers.rs
+++ b/crates/entry/src/front/handlers.rs
@@ -149,9 +149,6 @@
         respond::failure_response(id, &failure)
     });
     respond::set_request_id(&mut response, id);
-    if context.draining.load(Ordering::Acquire) {
-        respond::close_connection(&mut response);
-    }
     let elapsed = context.clock.uptime().saturating_sub(started);
     context
         .metrics
--- a/crates/entry/src/front/respond.rs
+++ b/crates/entry/src/front/respond.rs
@@ -3,7 +3,7 @@
 use anvilgw_core::{Executed, Failure, RequestId};
 use bytes::Bytes;
 use gotham::helpers::http::Body;
-use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderName, HeaderValue, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use serde::Serialize;
@@ -52,13 +52,6 @@
     }
 }
 
-/// Closes the connection after the answer. Otherwise the caller could send the next request in the
-/// moment in which the daemon closes the idle connection, and get no answer.
-pub(crate) fn close_connection(response: &mut Response<Body>) {
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(CONNECTION, close);
-}
-
 /// Returns a body that is sent as a whole, as opposed to a stream.
 pub(crate) fn full_body(bytes: impl Into<Bytes>) -> Body {
     Full::new(bytes.into())
