Record the failure of a server once when another one takes over

In the log, a resumable stream whose server broke off while another one was asked had failed with "no event for 1904 ms", and the failure counted neither for the server nor for the parts of the prompt. For a request with a whole answer two attempts had failed, "connection error" and "no answer in time". A server that was lost then counted twice, which allowed one attempt more than the route does.

The outcome of the overlap did not tell that the open attempt had failed before the other server accepted the request. It holds the error now.

a_server_that_breaks_off_while_another_is_asked_fails_once: both cases failed before the change, with the lines above, and pass now.

--- a/crates/gateway/src/dispatch/overlap.rs
+++ b/crates/gateway/src/dispatch/overlap.rs
@@ -22,8 +22,9 @@
 pub(super) enum Overlap<A, B, E> {
     /// The open attempt went on, and the other one was cancelled.
     WentOn(A),
-    /// The other server has accepted the request, and the open attempt was dropped.
-    Replaced(B),
+    /// The other server has accepted the request. `open` is the error of the open attempt if it
+    /// failed before; otherwise that attempt was dropped.
+    Replaced { open: Option<E>, other: B },
     /// The other attempt failed with this error, or was cancelled because its server had not
     /// accepted the request in time. The open attempt can be waited for.
     NotAccepted(Option<AttemptError>),
@@ -52,9 +53,9 @@
             Err(error) => Some(error),
         },
         result = other.as_mut() => return match result {
-            Ok(answer) => {
+            Ok(other) => {
                 terminate(open, open_state);
-                Overlap::Replaced(answer)
+                Overlap::Replaced { open: None, other }
             }
             Err(error) => Overlap::NotAccepted(Some(error)),
         },
@@ -65,7 +66,10 @@
         () = accept_timeout(other_state) => return Overlap::NotAccepted(None),
     };
     match other.await {
-        Ok(answer) => Overlap::Replaced(answer),
+        Ok(other) => Overlap::Replaced {
+            open: open_error,
+            other,
+        },
         Err(other) => Overlap::Failed {
             open: open_error,
             other,
--- a/crates/gateway/src/dispatch/retries.rs
+++ b/crates/gateway/src/dispatch/retries.rs
@@ -108,9 +108,9 @@
             let other = self.attempt(Rc::clone(&other_state));
             match overlap(&mut open, &state, other, &other_state).await {
                 Overlap::WentOn(answer) => return Ok(answer),
-                Overlap::Replaced(answer) => {
-                    self.on_replaced(&state, &other_state);
-                    return Ok(answer);
+                Overlap::Replaced { open, other } => {
+                    self.on_replaced(open.as_ref(), &state, &other_state);
+                    return Ok(other);
                 }
                 Overlap::Failed { other, .. } => return Err(other),
                 Overlap::NotAccepted(error) => {
@@ -139,9 +139,18 @@
         take_overlapping_retry(self.gateway, self.routed, self.progress, self.policy)
     }
 
-    fn on_replaced(&self, open: &AttemptState, other: &AttemptState) {
+    /// Records that the other attempt has answered. The error of an open attempt that failed is
+    /// already recorded.
+    fn on_replaced(
+        &self,
+        open_error: Option<&AttemptError>,
+        open: &AttemptState,
+        other: &AttemptState,
+    ) {
         let progress = &mut self.progress.borrow_mut();
-        progress.on_attempt_failed(open, "no answer in time".to_owned());
+        if open_error.is_none() {
+            progress.on_attempt_failed(open, "no answer in time".to_owned());
+        }
         progress.on_answering(&other.record.borrow());
     }
 
--- a/crates/gateway/src/dispatch/stream_relay.rs
+++ b/crates/gateway/src/dispatch/stream_relay.rs
@@ -315,7 +315,14 @@
         drop(open);
         match outcome {
             Overlap::WentOn(()) => self.on_event(),
-            Overlap::Replaced(exchange) => self.on_replaced(exchange, &open_state),
+            Overlap::Replaced { open: None, other } => self.on_replaced(other, &open_state),
+            Overlap::Replaced {
+                open: Some(error),
+                other,
+            } => {
+                self.on_broken(&error);
+                self.on_resumed(other);
+            }
             Overlap::NotAccepted(error) => {
                 on_not_accepted(
                     &self.gateway,
