Return the retry of a cancelled attempt that was not sent

A stream was cut with "the retry budget is spent" although no retry had been sent. While its server was silent, another one was to be asked; the silent one went on before anything was sent, and the retry that was taken for the other attempt was lost. It goes back to the budget now, as it does when the other attempt fails before it is sent.

--- a/crates/gateway/src/dispatch/retries.rs
+++ b/crates/gateway/src/dispatch/retries.rs
@@ -72,6 +72,11 @@
             progress.on_attempt_failed(other, reason);
         }
     }
+    return_unsent_retry(gateway, routed, other);
+}
+
+/// Returns the retry of an attempt beside an open one to the budget, unless it was sent.
+pub(super) fn return_unsent_retry(gateway: &Gateway, routed: &RoutedRequest, other: &AttemptState) {
     if !other.is_sent() {
         gateway.return_retry(&routed.service.name);
     }
@@ -107,7 +112,10 @@
             let other_state = Rc::new(AttemptState::default());
             let other = self.attempt(Rc::clone(&other_state));
             match overlap(&mut open, &state, other, &other_state).await {
-                Overlap::WentOn(answer) => return Ok(answer),
+                Overlap::WentOn(answer) => {
+                    return_unsent_retry(self.gateway, self.routed, &other_state);
+                    return Ok(answer);
+                }
                 Overlap::Replaced { open, other } => {
                     self.on_replaced(open.as_ref(), &state, &other_state);
                     return Ok(other);
--- a/crates/gateway/src/dispatch/stream_relay.rs
+++ b/crates/gateway/src/dispatch/stream_relay.rs
@@ -9,7 +9,9 @@
 use super::attempt_state::AttemptState;
 use super::overlap::{Overlap, overlap};
 use super::progress::Progress;
-use super::retries::{NOT_ACCEPTED_PAUSE, on_not_accepted, take_overlapping_retry};
+use super::retries::{
+    NOT_ACCEPTED_PAUSE, on_not_accepted, return_unsent_retry, take_overlapping_retry,
+};
 use super::routed_request::RoutedRequest;
 use super::stream_buffer::{StreamBuffer, TruncatedStream};
 use crate::answer::{AnswerBody, BodyError};
@@ -314,7 +316,10 @@
         let outcome = overlap(&mut open, &open_state, other, &other_state).await;
         drop(open);
         match outcome {
-            Overlap::WentOn(()) => self.on_event(),
+            Overlap::WentOn(()) => {
+                return_unsent_retry(&self.gateway, &self.routed, &other_state);
+                self.on_event();
+            }
             Overlap::Replaced { open: None, other } => self.on_replaced(other, &open_state),
             Overlap::Replaced {
                 open: Some(error),
