--- a/crates/gateway/src/dispatch/retries.rs
+++ b/crates/gateway/src/dispatch/retries.rs
@@ -72,6 +72,11 @@
             progress.on_attempt_failed(other, reason);
         }
     }
+    return_unsent_retry(gateway, routed, other);
+}
+
+/// Returns the retry of an attempt beside an open one to the budget, unless it was sent.
+pub(super) fn return_unsent_retry(gateway: &Gateway, routed: &RoutedRequest, other: &AttemptState) {
     if !other.is_sent() {
         gateway.return_retry(&routed.service.name);
     }
@@ -107,11 +112,14 @@
             let other_state = Rc::new(AttemptState::default());
             let other = self.attempt(Rc::clone(&other_state));
             match overlap(&mut open, &state, other, &other_state).await {
-                Overlap::WentOn(answer) => return Ok(answer),
-                Overlap::Replaced(answer) => {
-                    self.on_replaced(&state, &other_state);
+                Overlap::WentOn(answer) => {
+                    return_unsent_retry(self.gateway, self.routed, &other_state);
                     return Ok(answer);
                 }
+                Overlap::Replaced { open, other } => {
+                    self.on_replaced(open.as_ref(), &state, &other_state);
+                    return Ok(other);
+                }
                 Overlap::Failed { other, .. } => return Err(other),
                 Overlap::NotAccepted(error) => {
                     self.on_not_accepted(&state, &other_state, error);
@@ -139,9 +147,18 @@
         take_overlapping_retry(self.gateway, self.routed, self.progress, self.policy)
     }
 
-    fn on_replaced(&self, open: &AttemptState, other: &AttemptState) {
+    /// Records that the other attempt has answered. The error of an open attempt that failed is
+    /// already recorded.
+    fn on_replaced(
+        &self,
+        open_error: Option<&AttemptError>,
+        open: &AttemptState,
+        other: &AttemptState,
+    ) {
         let progress = &mut self.progress.borrow_mut();
-        progress.on_attempt_failed(open, "no answer in time".to_owned());
+        if open_error.is_none() {
+            progress.on_attempt_failed(open, "no answer in time".to_owned());
+        }
         progress.on_answering(&other.record.borrow());
     }
 
