--- a/crates/gateway/src/ack_timeout.rs
+++ b/crates/gateway/src/ack_timeout.rs
@@ -54,9 +54,9 @@
 /// Whether the kernel closed a connection because its peer acknowledged nothing. The owner of the
 /// connection reads it through a clone.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct PeerLost(Rc<Cell<bool>>);
+pub(crate) struct PeerUnreachable(Rc<Cell<bool>>);
 
-impl PeerLost {
+impl PeerUnreachable {
     pub(crate) fn get(&self) -> bool {
         self.0.get()
     }
@@ -75,16 +75,20 @@
 pub(crate) struct AckTimeout<S> {
     inner: S,
     request_size: RequestSize,
-    peer_lost: PeerLost,
+    peer_unreachable: PeerUnreachable,
     timeout_in_force: Option<Duration>,
 }
 
 impl<S: AsFd> AckTimeout<S> {
-    pub(crate) fn new(inner: S, request_size: RequestSize, peer_lost: PeerLost) -> Self {
+    pub(crate) fn new(
+        inner: S,
+        request_size: RequestSize,
+        peer_unreachable: PeerUnreachable,
+    ) -> Self {
         Self {
             inner,
             request_size,
-            peer_lost,
+            peer_unreachable,
             timeout_in_force: None,
         }
     }
@@ -108,7 +112,7 @@
     ) -> Poll<Result<()>> {
         self.adapt()?;
         let result = Pin::new(&mut self.inner).poll_read(context, buffer);
-        self.peer_lost.inspect(&result);
+        self.peer_unreachable.inspect(&result);
         result
     }
 }
@@ -121,7 +125,7 @@
     ) -> Poll<Result<usize>> {
         self.adapt()?;
         let result = Pin::new(&mut self.inner).poll_write(context, bytes);
-        self.peer_lost.inspect(&result);
+        self.peer_unreachable.inspect(&result);
         result
     }
 
@@ -132,7 +136,7 @@
     ) -> Poll<Result<usize>> {
         self.adapt()?;
         let result = Pin::new(&mut self.inner).poll_write_vectored(context, slices);
-        self.peer_lost.inspect(&result);
+        self.peer_unreachable.inspect(&result);
         result
     }
 
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 connections to backend servers and to the platform.
 
-use crate::ack_timeout::{AckTimeout, PeerLost, RequestSize};
+use crate::ack_timeout::{AckTimeout, PeerUnreachable, RequestSize};
 use crate::read_limit::{ReadAllowance, ReadLimited};
 use bytes::Bytes;
 use http::{Request, Response};
@@ -61,7 +61,7 @@
     task: JoinHandle<()>,
     allowance: ReadAllowance,
     request_size: RequestSize,
-    peer_lost: PeerLost,
+    peer_unreachable: PeerUnreachable,
     _open: OpenCount,
 }
 
@@ -92,8 +92,8 @@
         };
         set_options(&stream).map_err(|error| not_sent(format!("socket options: {error}")))?;
         let request_size = RequestSize::default();
-        let peer_lost = PeerLost::default();
-        let stream = AckTimeout::new(stream, request_size.clone(), peer_lost.clone());
+        let peer_unreachable = PeerUnreachable::default();
+        let stream = AckTimeout::new(stream, request_size.clone(), peer_unreachable.clone());
         let allowance = ReadAllowance::default();
         let stream = TokioIo::new(ReadLimited::new(stream, allowance.clone()));
         let (sender, connection) = http1::Builder::new()
@@ -112,7 +112,7 @@
             task,
             allowance,
             request_size,
-            peer_lost,
+            peer_unreachable,
             _open: open,
         })
     }
@@ -126,8 +126,8 @@
     /// Returns whether the connection was closed because the peer acknowledged nothing: it has lost
     /// power, or is cut off.
     #[must_use]
-    pub fn is_peer_lost(&self) -> bool {
-        self.peer_lost.get()
+    pub fn is_peer_unreachable(&self) -> bool {
+        self.peer_unreachable.get()
     }
 
     /// Returns whether a request can be sent now.
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -69,8 +69,8 @@
     /// Closes the connection of an answer that was cut off or invalid, and records the failure for
     /// the server.
     pub(crate) fn close_broken(self) {
-        if self.connection.is_peer_lost() {
-            self.in_flight.state().on_server_lost();
+        if self.connection.is_peer_unreachable() {
+            self.in_flight.state().on_server_unreachable();
         }
         self.in_flight.on_answer_broken();
     }
@@ -183,8 +183,8 @@
         let response = match timeout(limit, connection.send(request)).await {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::OutcomeUnknown(reason))) => {
-                if connection.is_peer_lost() {
-                    self.state.on_server_lost();
+                if connection.is_peer_unreachable() {
+                    self.state.on_server_unreachable();
                 }
                 in_flight.on_answer_broken();
                 return Err(AttemptError::OutcomeUnknown(reason));
--- a/crates/gateway/src/dispatch/attempt_state.rs
+++ b/crates/gateway/src/dispatch/attempt_state.rs
@@ -1,4 +1,4 @@
-//! State of one attempt, which the attempt shares with whoever waits for it.
+//! State of one attempt, which the attempt shares with its waiter.
 
 use crate::log::{AnswerFields, Choice};
 use std::cell::{Cell, RefCell};
@@ -20,9 +20,9 @@
 pub(crate) struct AttemptState {
     pub(crate) record: RefCell<AttemptRecord>,
     is_sent: Cell<bool>,
-    is_under_way: Cell<bool>,
-    is_given_up: Cell<bool>,
-    is_server_lost: Cell<bool>,
+    is_body_begun: Cell<bool>,
+    is_replaced: Cell<bool>,
+    is_server_unreachable: Cell<bool>,
     sending: Notify,
     accepted: Notify,
 }
@@ -59,30 +59,30 @@
         self.accepted.notified().await;
     }
 
-    /// Records that the rest of the answer is worth waiting for, however long it takes.
-    pub(super) fn on_under_way(&self) {
-        self.is_under_way.set(true);
+    /// Records that the body of the answer is being read. From now on no other server is asked.
+    pub(super) fn on_body_begun(&self) {
+        self.is_body_begun.set(true);
     }
 
-    pub(super) fn is_under_way(&self) -> bool {
-        self.is_under_way.get()
+    pub(super) fn is_body_begun(&self) -> bool {
+        self.is_body_begun.get()
     }
 
     /// Records that another server has accepted the request instead. The attempt is dropped next.
-    pub(super) fn give_up(&self) {
-        self.is_given_up.set(true);
+    pub(super) fn on_replaced_by_other(&self) {
+        self.is_replaced.set(true);
     }
 
     /// Records that the server acknowledges nothing: it has lost power, or is cut off.
-    pub(super) fn on_server_lost(&self) {
-        self.is_server_lost.set(true);
+    pub(super) fn on_server_unreachable(&self) {
+        self.is_server_unreachable.set(true);
     }
 
-    pub(crate) fn is_server_lost(&self) -> bool {
-        self.is_server_lost.get()
+    pub(crate) fn is_server_unreachable(&self) -> bool {
+        self.is_server_unreachable.get()
     }
 
-    pub(super) fn is_given_up(&self) -> bool {
-        self.is_given_up.get()
+    pub(super) fn is_replaced(&self) -> bool {
+        self.is_replaced.get()
     }
 }
--- a/crates/gateway/src/dispatch/buffered.rs
+++ b/crates/gateway/src/dispatch/buffered.rs
@@ -71,7 +71,7 @@
     // The last 5xx answer of a server, which the client gets if no other attempt succeeds.
     let failed_answer = RefCell::new(None);
     let read = async |exchange: Exchange| {
-        exchange.state().on_under_way();
+        exchange.state().on_body_begun();
         let answer = read_answer(gateway, routed, exchange).await?;
         if answer.status.is_server_error() {
             let status = answer.status.as_u16();
--- a/crates/gateway/src/dispatch/in_flight.rs
+++ b/crates/gateway/src/dispatch/in_flight.rs
@@ -133,7 +133,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        if self.state.is_given_up() {
+        if self.state.is_replaced() {
             self.on_answer_timeout();
         }
         self.with_server(|server| server.on_request_ended(self.tokens));
--- a/crates/gateway/src/dispatch/overlap.rs
+++ b/crates/gateway/src/dispatch/overlap.rs
@@ -21,7 +21,7 @@
 /// How an attempt beside an open one ended.
 pub(super) enum Overlap<A, B, E> {
     /// The open attempt went on, and the other one was cancelled.
-    WentOn(A),
+    OpenCompleted(A),
     /// The other server has accepted the request. `open` is the error of the open attempt if it
     /// failed before; otherwise that attempt was dropped.
     Replaced { open: Option<E>, other: B },
@@ -49,7 +49,7 @@
     let open_error = tokio::select! {
         biased;
         result = &mut *open => match result {
-            Ok(answer) => return Overlap::WentOn(answer),
+            Ok(answer) => return Overlap::OpenCompleted(answer),
             Err(error) => Some(error),
         },
         result = other.as_mut() => return match result {
@@ -78,7 +78,7 @@
 }
 
 fn terminate<A, E>(open: &mut OpenAttempt<'_, A, E>, state: &AttemptState) {
-    state.give_up();
+    state.on_replaced_by_other();
     *open = Fuse::terminated();
 }
 
--- a/crates/gateway/src/dispatch/progress.rs
+++ b/crates/gateway/src/dispatch/progress.rs
@@ -27,7 +27,7 @@
     /// Number of attempts in which the request was sent at least in part, or is being sent.
     sent_count: u32,
     /// Number of those attempts whose servers have lost power or were cut off.
-    lost_servers: u32,
+    unreachable_servers: u32,
     /// Number of attempts in which nothing was sent, because no connection could be opened or used.
     pub(crate) connect_failures: u32,
     /// Number of servers at whose addresses nothing listened.
@@ -67,7 +67,7 @@
             arrived_at: routed.arrived_at,
             tried_servers: Vec::new(),
             sent_count: 0,
-            lost_servers: 0,
+            unreachable_servers: 0,
             connect_failures: 0,
             refusals: 0,
             may_have_executed: false,
@@ -94,7 +94,7 @@
     /// Logs and counts a failed attempt.
     pub(crate) fn on_attempt_failed(&mut self, attempt: &AttemptState, reason: String) {
         let record = attempt.record.borrow();
-        self.lost_servers += u32::from(attempt.is_server_lost());
+        self.unreachable_servers += u32::from(attempt.is_server_unreachable());
         let elapsed = self.gateway.now().saturating_sub(self.arrived_at);
         self.gateway.metrics.count("failed_attempts");
         self.gateway.log_notable(&Event::Attempt {
@@ -154,8 +154,8 @@
 
     /// Returns the number of attempts that count towards the maximum of the route. A server that has
     /// lost power or was cut off works on no request.
-    pub(crate) fn counted_attempts(&self) -> u32 {
-        self.sent_count.saturating_sub(self.lost_servers)
+    pub(crate) fn attempts_towards_max(&self) -> u32 {
+        self.sent_count.saturating_sub(self.unreachable_servers)
     }
 
     /// Counts an attempt in which nothing was sent because of its server.
--- a/crates/gateway/src/dispatch/retries.rs
+++ b/crates/gateway/src/dispatch/retries.rs
@@ -51,6 +51,7 @@
     progress: &RefCell<Progress>,
     policy: RetryPolicy,
 ) -> bool {
+    // The open attempt may have executed the request, which restricts retries the most.
     let error = AttemptError::OutcomeUnknown(String::new());
     let refusal = policy.refusal(gateway, routed, &progress.borrow(), &error);
     refusal.is_none()
@@ -102,17 +103,17 @@
         tokio::select! {
             biased;
             result = &mut open => return result,
-            () = self.attempt_limit(&state) => {}
+            () = self.overlap_after(&state) => {}
         }
         loop {
-            let is_alone = state.is_under_way() || !self.take_overlapping_retry();
+            let is_alone = state.is_body_begun() || !self.take_overlapping_retry();
             if is_alone {
                 return open.await;
             }
             let other_state = Rc::new(AttemptState::default());
             let other = self.attempt(Rc::clone(&other_state));
             match overlap(&mut open, &state, other, &other_state).await {
-                Overlap::WentOn(answer) => {
+                Overlap::OpenCompleted(answer) => {
                     return_unsent_retry(self.gateway, self.routed, &other_state);
                     return Ok(answer);
                 }
@@ -132,14 +133,14 @@
     }
 
     /// Waits until another server should be tried beside the attempt.
-    async fn attempt_limit(&self, state: &AttemptState) {
+    async fn overlap_after(&self, state: &AttemptState) {
         state.sending().await;
         let remaining = self.routed.remaining(self.gateway.now());
         let latency_target = self.routed.route.latency_target;
-        let attempts = self.progress.borrow().counted_attempts();
+        let attempts = self.progress.borrow().attempts_towards_max();
         let limit = self
             .policy
-            .attempt_limit(attempts, remaining, latency_target);
+            .overlap_after(attempts, remaining, latency_target);
         sleep(limit).await;
     }
 
--- a/crates/gateway/src/dispatch/stream_relay.rs
+++ b/crates/gateway/src/dispatch/stream_relay.rs
@@ -316,7 +316,7 @@
         let outcome = overlap(&mut open, &open_state, other, &other_state).await;
         drop(open);
         match outcome {
-            Overlap::WentOn(()) => {
+            Overlap::OpenCompleted(()) => {
                 return_unsent_retry(&self.gateway, &self.routed, &other_state);
                 self.on_event();
             }
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -120,7 +120,7 @@
 
     /// Returns the time after which another server is tried beside an attempt, the last one of
     /// `attempts`. An attempt that may be repeated leaves time for the next one.
-    pub(crate) fn attempt_limit(
+    pub(crate) fn overlap_after(
         self,
         attempts: u32,
         remaining: Duration,
@@ -185,7 +185,7 @@
         }
         let is_allowed = self.allows(
             error,
-            progress.counted_attempts(),
+            progress.attempts_towards_max(),
             progress.connect_failures,
         );
         if !is_allowed || progress.refusals > REFUSALS_MAX {
