--- a/crates/gateway/src/dispatch/retries.rs
+++ b/crates/gateway/src/dispatch/retries.rs
@@ -57,7 +57,8 @@
     refusal.is_none()
 }
 
-/// Records an attempt that its server has not accepted while `open` was open.
+/// Records an attempt beside an open one. `error` is `None` if its server did not accept the request
+/// in time.
 pub(super) fn on_not_accepted(
     gateway: &Gateway,
     routed: &RoutedRequest,
