Review case 3: a crash after a whole event counts as a whole answer

Tried: a part crashes servers whose streams have neither a length nor chunks, after the first event; one request with it every 1.5 s, to three daemons in front of 12 model servers.

--- a/review/standin/model_server.py
+++ b/review/standin/model_server.py
@@ -14,10 +14,15 @@
 
 
 class ModelServer:
-    """A server that may crash under one part of a prompt, and is back after some seconds."""
+    """A server that may crash under one part of a prompt, and is back after some seconds.
+
+    With `is_framed` its streams come in chunks, and a crash resets its connections before an answer
+    begins. Without, its streams have neither a length nor chunks and end with their connection, and
+    a crash comes after the first event and closes the connections, as the end of a process does.
+    """
 
     def __init__(self, store, ip, zone, record, crash_part=None, down_s=2.0, events=4,
-                 event_gap_s=0.05, prefill_s=0.04):
+                 event_gap_s=0.05, prefill_s=0.04, is_framed=True):
         self.store = store
         self.ip = ip
         self.port = 0
@@ -28,6 +33,7 @@
         self.events = events
         self.event_gap_s = event_gap_s
         self.prefill_s = prefill_s
+        self.is_framed = is_framed
         self.starts = 0
         self.arrivals = []
         self.crashes = []
@@ -58,12 +64,15 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     def crash(self):
-        """Ends the server as a process ends: connections are reset and new ones refused."""
+        """Ends the server as a process ends: connections are cut and new ones refused."""
         self.crashes.append(time.monotonic())
         self.record("server %s crashes" % self.id)
         self.heartbeat.cancel()
         self.listener.close()
         for writer in list(self.writers):
+            if not self.is_framed:
+                writer.close()
+                continue
             raw = writer.get_extra_info("socket")
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             writer.transport.abort()
@@ -107,22 +116,33 @@
         if generation != self.starts or writer.is_closing():
             return
         parts = [part.split(":")[0] for part in request.header("prompt-prefix").split(",")]
-        if self.crash_part in parts:
+        crashes = self.crash_part in parts
+        if crashes and self.is_framed:
             self.crash()
             return
+        framing = "Transfer-Encoding: chunked" if self.is_framed else "Connection: close"
         writer.write(("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: s.%s\r\n"
-                      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-                      % (request_id, request_id)).encode())
+                      "Content-Type: text/event-stream\r\n%s\r\n\r\n"
+                      % (request_id, request_id, framing)).encode())
         for number in range(1, self.events + 1):
-            event = "id: %d\ndata: %s %d\n\n" % (number, request_id, number)
-            writer.write(("%x\r\n%s\r\n" % (len(event), event)).encode())
-            await writer.drain()
+            await self.write_event(writer, "id: %d\ndata: %s %d\n\n" % (number, request_id, number))
+            if crashes:
+                self.crash()
+                return
             if number < self.events:
                 await asyncio.sleep(self.event_gap_s)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
+        if self.is_framed:
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        else:
+            writer.close()
         self.record("run of %s ends" % request_id)
 
+    async def write_event(self, writer, event):
+        text = "%x\r\n%s\r\n" % (len(event), event) if self.is_framed else event
+        writer.write(text.encode())
+        await writer.drain()
+
     def stop(self):
         self.heartbeat.cancel()
         for task in self.tasks:
