--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import shutil
 import signal
 import socket
 import sys
@@ -12,6 +13,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 ZONES = ["za", "zb", "zc"]
 HOST = "club.example"
+CASE_MAX_S = 115
 
 SETTINGS = """node={node}
 role=gateway
@@ -187,6 +189,7 @@
     async def stop(self):
         for daemon in self.daemons:
             await daemon.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class Record:
@@ -207,8 +210,16 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+async def run_in_time(main):
+    try:
+        return await asyncio.wait_for(main(), CASE_MAX_S)
+    except asyncio.TimeoutError:
+        print("the case took longer than %d s" % CASE_MAX_S)
+        return 2
+
+
 def run_case(main):
     """Runs a case and ends with its exit code, whatever its connections still hold."""
-    code = asyncio.run(main())
+    code = asyncio.run(run_in_time(main))
     sys.stdout.flush()
     os._exit(code)
