--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -211,11 +211,19 @@
 
 
 async def run_in_time(main):
+    """Runs a case. A signal or the end of its time ends it and the processes that it started."""
+    loop = asyncio.get_running_loop()
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
     try:
         return await asyncio.wait_for(main(), CASE_MAX_S)
     except asyncio.TimeoutError:
         print("the case took longer than %d s" % CASE_MAX_S)
         return 2
+    except asyncio.CancelledError:
+        print("the case was ended by a signal")
+        return 2
 
 
 def run_case(main):
