Log the time that weights have left, and slow rounds of a switch

Cause: the log did not tell requests on weights whose time is over from requests that wait in a server's queue, nor for what a switch takes long.

Change: weights_left_ms in request lines, loaded and loaded_left_ms in order lines, and the events weights_expired and slow_switch_round. No decision changes.

--- a/crates/gateway/src/background_tasks/weight_switches.rs
+++ b/crates/gateway/src/background_tasks/weight_switches.rs
@@ -37,6 +37,8 @@
 /// Time between the announcement of an order and the order itself, in which all daemons read the
 /// announcement.
 const ANNOUNCEMENT_LEAD_TIME: Duration = Duration::from_millis(60);
+/// Time from which a round of the lease holder is logged. A few such rounds use up the lease.
+const SLOW_ROUND: Duration = Duration::from_millis(400);
 /// Number of calls with which a server is ordered to load weights: its report, and the order.
 const CALLS_PER_ORDER: u32 = 2;
 
@@ -198,6 +200,7 @@
     }
 
     async fn holder_round(&mut self) {
+        let started_at = self.gateway.now();
         self.poll_progress().await;
         let now = self.gateway.now();
         let outdated = {
@@ -227,7 +230,16 @@
         for one in outdated {
             self.send_order(one).await;
         }
+        let ordered_at = self.gateway.now();
         free_retired_parts(&self.gateway).await;
+        let ended_at = self.gateway.now();
+        if ended_at > started_at + SLOW_ROUND {
+            self.gateway.log_notable(&Event::SlowSwitchRound {
+                polls_ms: now.saturating_sub(started_at).as_millis() as u64,
+                orders_ms: ordered_at.saturating_sub(now).as_millis() as u64,
+                freeing_ms: ended_at.saturating_sub(ordered_at).as_millis() as u64,
+            });
+        }
     }
 
     async fn append_record(
--- a/crates/gateway/src/background_tasks/weight_switches/orders.rs
+++ b/crates/gateway/src/background_tasks/weight_switches/orders.rs
@@ -145,6 +145,8 @@
                     server: &entry.id,
                     model: &outdated.model,
                     version: outdated.version,
+                    loaded: self.loaded_version(outdated),
+                    loaded_left_ms: self.loaded_left_ms(outdated),
                     fencing_token: 0,
                     expected_orders: 0,
                     outcome: &format!("not given, no report: {error}"),
@@ -170,6 +172,23 @@
         }
     }
 
+    /// Returns the version of the weights that a server has reported.
+    fn loaded_version(&self, outdated: &OutdatedServer) -> Option<u64> {
+        let state = self.gateway.state.borrow();
+        let server = state.servers.get(outdated.server)?;
+        server.reported_version_of(&outdated.model)
+    }
+
+    /// Returns for how long the weights of a server may still serve new requests.
+    fn loaded_left_ms(&self, outdated: &OutdatedServer) -> Option<u64> {
+        let version = self.loaded_version(outdated)?;
+        let state = self.gateway.state.borrow();
+        let published = state.weights.get(&outdated.model)?;
+        let switch_time = self.gateway.settings.bounds.weight_switch;
+        let until = published.serves_until(version, switch_time)?;
+        Some(until.saturating_sub(self.gateway.now()).as_millis() as u64)
+    }
+
     fn server_entry(&self, outdated: &OutdatedServer) -> Option<ServerEntry> {
         let state = self.gateway.state.borrow();
         state
@@ -197,6 +216,8 @@
             server: &entry.id,
             model: &order.model,
             version: order.version,
+            loaded: self.loaded_version(outdated),
+            loaded_left_ms: self.loaded_left_ms(outdated),
             fencing_token: order.fencing_token,
             expected_orders: order.expected_orders,
             outcome: &outcome,
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -5,7 +5,7 @@
 use crate::admission::MemoryRequest;
 use crate::caches::CacheDirectory;
 use crate::configuration::Service;
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, State};
 use crate::log::{Choice, PromptChoice};
 use crate::pending_ends::start_of;
 use crate::permit_client::{PermitTarget, acquire_permit};
@@ -68,8 +68,18 @@
 }
 
 impl Target {
-    fn new(server: &Server, selected: Selected, caches: &CacheDirectory, now: Duration) -> Self {
-        let prompt = selected.cache.as_ref().map(prompt_choice);
+    fn new(
+        server: &Server,
+        selected: Selected,
+        caches: &CacheDirectory,
+        serves_until: Option<Duration>,
+        now: Duration,
+    ) -> Self {
+        let weights_left = serves_until.map(|until| until.saturating_sub(now));
+        let prompt = selected
+            .cache
+            .as_ref()
+            .map(|cache| prompt_choice(cache, weights_left));
         let fetched_tokens = prompt.map_or(0, |prompt| prompt.fetched_tokens);
         let fetch_until = now + fetch_time_limit(fetched_tokens);
         Self {
@@ -171,12 +181,35 @@
         let server = state.servers.get(selected.server);
         // The server may have left while the permit was requested.
         if let Some(server) = server.filter(|server| state.servers.is_in_service(server)) {
-            return Ok(Target::new(server, selected, &state.caches, now));
+            let version = selected
+                .cache
+                .as_ref()
+                .and_then(|cache| cache.weight_version);
+            let serves_until = serves_until(gateway, &state, routed, version);
+            return Ok(Target::new(
+                server,
+                selected,
+                &state.caches,
+                serves_until,
+                now,
+            ));
         }
     }
     Err(AttemptError::NoServer(NoServer::AllUnavailable))
 }
 
+/// Returns the time at which weights of `version` stop serving new requests, if there is one.
+fn serves_until(
+    gateway: &Gateway,
+    state: &State,
+    routed: &RoutedRequest,
+    version: Option<u64>,
+) -> Option<Duration> {
+    let prompt = routed.meta.prompt.as_ref()?;
+    let published = state.weights.get(&prompt.model)?;
+    published.serves_until(version?, gateway.settings.bounds.weight_switch)
+}
+
 /// Options of a selection.
 #[derive(Clone, Copy)]
 struct QueryOptions {
@@ -244,9 +277,10 @@
     rates.get(&service.name).copied().unwrap_or_default()
 }
 
-fn prompt_choice(cache: &CacheUse) -> PromptChoice {
+fn prompt_choice(cache: &CacheUse, weights_left: Option<Duration>) -> PromptChoice {
     PromptChoice {
         weights: cache.weight_version,
+        weights_left_ms: weights_left.map(|left| left.as_millis() as u64),
         fetched_tokens: cache.plan.fetched_tokens,
         computed_tokens: cache.plan.computed_tokens,
     }
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -181,6 +181,12 @@
         model: &'a str,
         /// Version of the weights to load.
         version: u64,
+        /// Version of the weights that the server has reported, if there is one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        loaded: Option<u64>,
+        /// Time for which the loaded version may still serve new requests, in milliseconds.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        loaded_left_ms: Option<u64>,
         /// Fencing token of the order.
         fencing_token: u64,
         /// Number of orders that the server must have accepted before this one.
@@ -188,6 +194,26 @@
         /// Answer of the backend server, or the error.
         outcome: &'a str,
     },
+    /// The lease holder's calls of one round took long.
+    SlowSwitchRound {
+        /// Time of the requests to servers for their progress, in milliseconds.
+        polls_ms: u64,
+        /// Time of the announcement and the orders, in milliseconds.
+        orders_ms: u64,
+        /// Time of the calls that free parts at cache stores, in milliseconds.
+        freeing_ms: u64,
+    },
+    /// Replaced weights serve no new requests from now on.
+    WeightsExpired {
+        /// Name of the model.
+        model: &'a str,
+        /// Oldest version that may serve new requests.
+        oldest_allowed: u64,
+        /// Number of servers that hold an allowed version.
+        servers_allowed: usize,
+        /// Number of servers that hold an older version.
+        servers_expired: usize,
+    },
     /// Prompt parts that no daemon reads any more were freed at a cache store.
     PartsFreed {
         /// Address of the cache store.
@@ -297,6 +323,10 @@
     /// Version of the weights at the server.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub weights: Option<u64>,
+    /// Time for which that version may still serve new requests, in milliseconds. Absent if no
+    /// newer one is published.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub weights_left_ms: Option<u64>,
     /// Tokens at a cache store or another server, from which the selected server reads them.
     pub fetched_tokens: u32,
     /// Tokens that are cached nowhere, which the server computes.
--- a/crates/gateway/src/weights/publications.rs
+++ b/crates/gateway/src/weights/publications.rs
@@ -51,6 +51,16 @@
         self.publications.drain(..surplus);
     }
 
+    /// Returns the time at which weights of `version` stop serving new requests, or `None` if no
+    /// newer ones are published. `switch_time` is the operators' time limit for a switch. If the
+    /// time of the publication is not known, it counts as over.
+    #[must_use]
+    pub fn serves_until(&self, version: u64, switch_time: Duration) -> Option<Duration> {
+        let replaced_after = self.replaced_by(version)?.published_after;
+        let serves_for = switch_time.mul_f64(OLD_WEIGHTS_FRACTION);
+        Some(replaced_after.map_or(Duration::ZERO, |after| after + serves_for))
+    }
+
     /// Returns the oldest remembered publication that is newer than `version`.
     pub(super) fn replaced_by(&self, version: u64) -> Option<&WeightPublication> {
         self.publications
