Give each publication of weights its own time

Callers got answers of weights that operators had replaced up to three times, later than the time limit for a switch.

Cause: oldest_allowed_version looked at the newest publication alone. While that one was young, every version was allowed, also those whose own time was over, and those that a daemon which started between two publications had excluded. The list of publications also forgot the oldest of nine, which prolongs the time of the versions before it. A server whose version is not known was used whatever was excluded, without a demand for a version.

Change: the oldest allowed version is the newest publication whose own time is over. Beyond 16 publications the two oldest become one, with the earlier time. A server of unknown version gets no prompt once a version is excluded.

--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -226,11 +226,12 @@
 
 fn has_weights(server: &Server, prompt: Option<&PromptQuery<'_>>) -> bool {
     let Some(query) = prompt else { return true };
+    let Some(oldest) = query.oldest_version else {
+        return true;
+    };
+    // A request to a server of unknown version cannot demand one.
     let version = server.version_of(&query.prompt.model);
-    match (version, query.oldest_version) {
-        (Some(version), Some(oldest)) => version >= oldest,
-        _ => true,
-    }
+    version.is_some_and(|version| version >= oldest)
 }
 
 fn usable_servers(
--- a/crates/gateway/src/weights/publications.rs
+++ b/crates/gateway/src/weights/publications.rs
@@ -29,9 +29,18 @@
     pub learned_at: Duration,
 }
 
-/// Number of publications that are remembered. A switch of weights takes seconds, so servers hold
-/// versions of the last few publications only.
-const PUBLICATIONS_MAX: usize = 8;
+impl WeightPublication {
+    /// Returns the time at which the weights that this publication replaced stop serving new
+    /// requests. Later publications do not prolong it.
+    fn replaced_serve_until(&self, switch_time: Duration) -> Duration {
+        let serve_for = switch_time.mul_f64(OLD_WEIGHTS_FRACTION);
+        self.published_after
+            .map_or(Duration::ZERO, |after| after + serve_for)
+    }
+}
+
+/// Number of publications that are remembered.
+const PUBLICATIONS_MAX: usize = 16;
 
 impl PublishedWeights {
     /// Creates the list from the first publication that the daemon has read.
@@ -43,12 +52,16 @@
         }
     }
 
-    /// Records the publication of a newer version and drops the oldest ones beyond the limit.
+    /// Records the publication of a newer version. Beyond the limit, the two oldest publications
+    /// become one.
     pub fn on_published(&mut self, publication: WeightPublication) {
         self.version = publication.version;
         self.publications.push(publication);
-        let surplus = self.publications.len().saturating_sub(PUBLICATIONS_MAX);
-        self.publications.drain(..surplus);
+        if self.publications.len() > PUBLICATIONS_MAX {
+            let oldest = self.publications.remove(0);
+            // Forgetting the earlier time would prolong the use of the versions before it.
+            self.publications[0].published_after = oldest.published_after;
+        }
     }
 
     /// Returns the time at which weights of `version` stop serving new requests, or `None` if no
@@ -56,9 +69,8 @@
     /// time of the publication is not known, it counts as over.
     #[must_use]
     pub fn serves_until(&self, version: u64, switch_time: Duration) -> Option<Duration> {
-        let replaced_after = self.replaced_by(version)?.published_after;
-        let serves_for = switch_time.mul_f64(OLD_WEIGHTS_FRACTION);
-        Some(replaced_after.map_or(Duration::ZERO, |after| after + serves_for))
+        let replaced_by = self.replaced_by(version)?;
+        Some(replaced_by.replaced_serve_until(switch_time))
     }
 
     /// Returns the oldest remembered publication that is newer than `version`.
@@ -69,18 +81,17 @@
     }
 }
 
-/// Returns the oldest version that may serve a new request, or `None` while older weights are still
-/// allowed.
+/// Returns the oldest version that may serve a new request, or `None` if the time of no replaced
+/// version is over. `switch_time` is the operators' time limit for a switch.
 #[must_use]
 pub fn oldest_allowed_version(
     published: &PublishedWeights,
     switch_time: Duration,
     now: Duration,
 ) -> Option<u64> {
-    let publication = published.publications.last()?;
-    let old_allowed_for = switch_time.mul_f64(OLD_WEIGHTS_FRACTION);
-    let may_be_old = publication
-        .published_after
-        .is_some_and(|after| now < after + old_allowed_for);
-    (!may_be_old).then_some(published.version)
+    let publications = published.publications.iter();
+    let expired = publications
+        .filter(|publication| publication.replaced_serve_until(switch_time) <= now)
+        .map(|publication| publication.version);
+    expired.max()
 }
--- a/crates/gateway/tests/servers/fixture.rs
+++ b/crates/gateway/tests/servers/fixture.rs
@@ -80,6 +80,7 @@
     pub(crate) prefill_rate: PrefillRate,
     pub(crate) peers: PeerLoads,
     pub(crate) published_weights: Option<PublishedWeights>,
+    pub(crate) oldest_version: Option<u64>,
 }
 
 impl Fixture {
@@ -97,6 +98,7 @@
             prefill_rate: PrefillRate::default(),
             peers: PeerLoads::default(),
             published_weights: None,
+            oldest_version: None,
         }
     }
 
@@ -144,7 +146,7 @@
                 prefill_rate: self.prefill_rate,
                 peer_loads: &self.peers,
                 isolated_workspace: None,
-                oldest_version: None,
+                oldest_version: self.oldest_version,
                 engine_capacity_tokens: 100_000,
                 memory_limit_tokens,
                 published_weights: self.published_weights.as_ref(),
--- a/crates/gateway/tests/servers/placement.rs
+++ b/crates/gateway/tests/servers/placement.rs
@@ -24,6 +24,26 @@
     }
 }
 
+/// Guards against requests to servers whose weights are expired or not known. Without a known
+/// version the request demands none, so the server would run it with any.
+#[test]
+fn expired_and_unknown_weights_serve_no_request() {
+    let mut fixture = Fixture::new(&["expired"]);
+    let mut unknown = entry("unknown");
+    unknown.models.clear();
+    fixture.servers.on_entry_published(unknown, at(0));
+    let prompt = prompt(42);
+    assert!(fixture.place(&prompt, at(1)).is_ok());
+    fixture.oldest_version = Some(2);
+    let refused = fixture.place(&prompt, at(1)).map(|_| ());
+    assert_eq!(refused, Err(NoServer::NoneInService));
+    let mut newest = entry("newest");
+    newest.models[0].version = 2;
+    fixture.servers.on_entry_published(newest, at(0));
+    let selected = fixture.place(&prompt, at(1)).expect("a server");
+    assert_eq!(fixture.id_of(&selected), "newest");
+}
+
 /// Guards against sessions that move when a server is removed that never served them.
 #[test]
 fn removed_server_moves_only_its_own_sessions() {
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -73,6 +73,70 @@
     assert_eq!(at(110), Some(2));
 }
 
+struct OverlapCase {
+    name: &'static str,
+    /// Times at which versions 2 and up are published, in seconds. `None` if the daemon started
+    /// later and does not know it.
+    published_at_s: &'static [Option<u64>],
+    now_s: u64,
+    oldest_allowed: Option<u64>,
+}
+
+/// Guards against publications that prolong the time of all older weights, and against a daemon
+/// that starts between two of them and allows versions again that it had excluded.
+#[test]
+fn each_publication_limits_the_time_of_the_versions_before_it() {
+    let case = |name, published_at_s, now_s, oldest_allowed| OverlapCase {
+        name,
+        published_at_s,
+        now_s,
+        oldest_allowed,
+    };
+    const THREE: &[Option<u64>] = &[Some(100), Some(104), Some(108)];
+    const STARTED_BETWEEN: &[Option<u64>] = &[None, Some(104)];
+    let cases = [
+        case("all young", THREE, 107, None),
+        case("the first is over", THREE, 108, Some(2)),
+        case("just before the second", THREE, 111, Some(2)),
+        case("the second is over", THREE, 112, Some(3)),
+        case("all are over", THREE, 116, Some(4)),
+        case("started between", STARTED_BETWEEN, 105, Some(2)),
+        case("started between, all over", STARTED_BETWEEN, 112, Some(3)),
+    ];
+    for case in cases {
+        let publications = (2..).zip(case.published_at_s);
+        let mut publications = publications.map(|(version, at_s)| WeightPublication {
+            version,
+            published_after: at_s.map(Duration::from_secs),
+            learned_at: Duration::from_secs(at_s.unwrap_or(100)),
+        });
+        let mut weights = PublishedWeights::new(publications.next().expect("a publication"));
+        publications.for_each(|publication| weights.on_published(publication));
+        let switch_time = Duration::from_secs(10);
+        let now = Duration::from_secs(case.now_s);
+        let oldest = oldest_allowed_version(&weights, switch_time, now);
+        assert_eq!(oldest, case.oldest_allowed, "{}", case.name);
+    }
+}
+
+/// Guards against a limit on the remembered publications that prolongs the time of the versions
+/// whose replacement was forgotten.
+#[test]
+fn many_publications_prolong_the_time_of_no_version() {
+    const SWITCH_TIME: Duration = Duration::from_secs(10);
+    for gap_ms in [10, 100, 400, 900, 3000] {
+        let published_at = |version| PUBLISHED_AT + Duration::from_millis(gap_ms * version);
+        let mut weights = PublishedWeights::new(publication(2, published_at(2)));
+        for version in 3..200 {
+            let now = published_at(version);
+            weights.on_published(publication(version, now));
+            let expired = (2..=version).filter(|one| published_at(*one) + SWITCH_TIME <= now);
+            let oldest = oldest_allowed_version(&weights, SWITCH_TIME, now);
+            assert!(oldest >= expired.max(), "{gap_ms} ms, version {version}");
+        }
+    }
+}
+
 const CONFIGURATION_AGE_MAX: Duration = Duration::from_millis(4300);
 const TIMES: OldPartTimes = OldPartTimes {
     configuration_age_max: CONFIGURATION_AGE_MAX,
