Give a request up that has not begun when the time of its weights is over

Callers got answers of replaced weights although the request was sent in time: a request begins with its first token, and may wait in its server's queue for longer than the fifth of the time limit that is left (2.14 s seen, 2 s left).

Cause: the version of the weights is checked when the request is sent and when it arrives, but not when it begins.

Change: an attempt at a stream has a time by which its first bytes must have arrived: the time limit after the replacement of its weights, less 300 ms. Then the connection is closed, so that the server drops the request; a resumable stream is sent elsewhere, any other one fails, as it may have begun. On the newest weights the time counts from when the operators' table was last read, so it also holds for versions that are published later. Where the first bytes of an answer do not show the begin (whole answers), there is no such time.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -6,7 +6,9 @@
 use super::progress::Progress;
 use super::quarantine::{check_quarantine, enter_quarantine};
 use super::routed_request::RoutedRequest;
+use super::stream_relay::StreamError;
 use super::target::{Target, select_target_with_wait};
+use crate::configuration::RouteKind;
 use crate::connection::{Connection, SendError};
 use crate::framing::Framing;
 use crate::gateway::Gateway;
@@ -63,9 +65,17 @@
 
     /// Records that bytes of the answer's body arrived.
     pub(crate) fn on_body_bytes(&mut self) {
+        self.state().set_begin_by(None);
         self.in_flight.on_body_bytes();
     }
 
+    /// Returns the time within which the server has to begin with the request, or `None` if it has
+    /// begun or there is no such limit.
+    pub(crate) fn time_to_begin(&self) -> Option<Duration> {
+        let begin_by = self.state().begin_by()?;
+        Some(begin_by.saturating_sub(self.in_flight.now()))
+    }
+
     /// Closes the connection of an answer that was cut off or invalid, and records the failure for
     /// the server.
     pub(crate) fn close_broken(self) {
@@ -122,6 +132,9 @@
             let mut record = state.record.borrow_mut();
             target.id.clone_into(&mut record.server);
             record.choice = Some(target.choice);
+            // The answer to another kind of request does not show when the server began with it.
+            let is_stream = matches!(routed.route.kind, RouteKind::Stream { .. });
+            state.set_begin_by(target.begin_by.filter(|_| is_stream));
             progress.borrow_mut().on_selected(target.key, &record);
         }
         Ok(Self {
@@ -177,7 +190,14 @@
             self.routed,
             Rc::clone(&self.state),
         );
-        let limit = self.routed.remaining(self.gateway.now());
+        let now = self.gateway.now();
+        let remaining = self.routed.remaining(now);
+        let begin_by = self.state.begin_by();
+        let time_to_begin = begin_by.map(|begin_by| begin_by.saturating_sub(now));
+        if time_to_begin.is_some_and(|time| time.is_zero()) {
+            return Err(AttemptError::NotSent(StreamError::NotBegun.to_string()));
+        }
+        let limit = time_to_begin.map_or(remaining, |time| time.min(remaining));
         self.progress.borrow_mut().on_attempt_sending();
         self.state.on_sending();
         let response = match timeout(limit, connection.send(request)).await {
@@ -194,6 +214,12 @@
                 self.state.on_not_sent();
                 return Err(AttemptError::NotSent(not_sent.to_string()));
             }
+            Err(_) if limit < remaining => {
+                // The server may be sound: its queue is long.
+                return Err(AttemptError::OutcomeUnknown(
+                    StreamError::NotBegun.to_string(),
+                ));
+            }
             Err(_) => {
                 in_flight.on_answer_timeout();
                 let reason = "no answer before the deadline".to_owned();
--- a/crates/gateway/src/dispatch/attempt_state.rs
+++ b/crates/gateway/src/dispatch/attempt_state.rs
@@ -2,6 +2,7 @@
 
 use crate::log::{AnswerFields, Choice};
 use std::cell::{Cell, RefCell};
+use std::time::Duration;
 use tokio::sync::Notify;
 
 /// What the log tells of an attempt.
@@ -19,6 +20,7 @@
 #[derive(Default)]
 pub(crate) struct AttemptState {
     pub(crate) record: RefCell<AttemptRecord>,
+    begin_by: Cell<Option<Duration>>,
     is_sent: Cell<bool>,
     is_body_begun: Cell<bool>,
     is_replaced: Cell<bool>,
@@ -28,6 +30,16 @@
 }
 
 impl AttemptState {
+    /// Sets the time by which the server has to begin with the request, if there is one. Afterwards
+    /// the request must no longer wait in the server's queue.
+    pub(super) fn set_begin_by(&self, begin_by: Option<Duration>) {
+        self.begin_by.set(begin_by);
+    }
+
+    pub(super) fn begin_by(&self) -> Option<Duration> {
+        self.begin_by.get()
+    }
+
     /// Records that the request is about to be sent.
     pub(super) fn on_sending(&self) {
         self.is_sent.set(true);
--- a/crates/gateway/src/dispatch/in_flight.rs
+++ b/crates/gateway/src/dispatch/in_flight.rs
@@ -56,6 +56,10 @@
         &self.state
     }
 
+    pub(super) fn now(&self) -> Duration {
+        self.gateway.now()
+    }
+
     /// Calls `record` with the server, unless it is no longer known.
     fn with_server(&self, record: impl FnOnce(&mut Server)) {
         let state = &mut *self.gateway.state.borrow_mut();
--- a/crates/gateway/src/dispatch/stream.rs
+++ b/crates/gateway/src/dispatch/stream.rs
@@ -5,7 +5,7 @@
 use super::retries::with_retries;
 use super::routed_request::RoutedRequest;
 use super::stream_buffer::StreamBuffer;
-use super::stream_relay::{StreamError, StreamRelay, next_data};
+use super::stream_relay::{StreamError, StreamRelay, close_after, next_data};
 use crate::answer::{AnswerBody, failure_answer, full_body};
 use crate::configuration::RouteKind;
 use crate::gateway::Gateway;
@@ -138,7 +138,7 @@
         }
     };
     if let Err(error) = end {
-        exchange.close_broken();
+        close_after(exchange, &error);
         return Err(AttemptError::OutcomeUnknown(error.to_string()));
     }
     set_position(&exchange, None);
--- a/crates/gateway/src/dispatch/stream_relay.rs
+++ b/crates/gateway/src/dispatch/stream_relay.rs
@@ -53,6 +53,10 @@
         EventTooLong {
             display("an event is too long")
         }
+        /// The server has not begun with the request while its weights may serve new ones.
+        NotBegun {
+            display("not begun before the time of the weights was over")
+        }
         /// The request's deadline has passed.
         DeadlineExceeded {
             display("no event before the deadline")
@@ -64,7 +68,15 @@
 /// skipped.
 pub(super) async fn next_data(exchange: &mut Exchange) -> Result<Option<Bytes>, StreamError> {
     loop {
-        match exchange.body.frame().await {
+        let time_to_begin = exchange.time_to_begin();
+        let frame = exchange.body.frame();
+        let frame = match time_to_begin {
+            Some(time) => timeout(time, frame)
+                .await
+                .map_err(|_| StreamError::NotBegun)?,
+            None => frame.await,
+        };
+        match frame {
             None => return Ok(None),
             Some(Err(error)) => return Err(StreamError::Cut(describe(&error))),
             Some(Ok(frame)) => match frame.into_data() {
@@ -79,6 +91,19 @@
     }
 }
 
+/// Closes the connection of a stream that cannot be received further, and records the failure for
+/// its server.
+pub(super) fn close_after(exchange: Exchange, error: &StreamError) {
+    match error {
+        StreamError::DeadlineExceeded => exchange.close_timed_out(),
+        // The server may be sound: its queue is long.
+        StreamError::NotBegun => drop(exchange),
+        StreamError::Cut(_) | StreamError::Truncated(_) | StreamError::EventTooLong => {
+            exchange.close_broken();
+        }
+    }
+}
+
 /// Receives the events of a stream.
 struct EventReader {
     buffer: StreamBuffer,
@@ -280,11 +305,7 @@
             return;
         };
         let state = Rc::clone(exchange.state());
-        if *error == StreamError::DeadlineExceeded {
-            exchange.close_timed_out();
-        } else {
-            exchange.close_broken();
-        }
+        close_after(exchange, error);
         state.record.borrow_mut().answer.stream_position = Some(self.reader.buffer.position());
         let progress = &mut self.progress.borrow_mut();
         progress.on_attempt_failed(&state, error.to_string());
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -63,6 +63,8 @@
     /// Time on the servers' clock, in milliseconds, until which the server waits for prompt parts
     /// from cache stores and other servers. `None` if that clock is not known yet.
     pub(super) fetch_until_ms: Option<u64>,
+    /// Time by which a generation has to begin, so that the time of its weights is not over by then.
+    pub(super) begin_by: Option<Duration>,
     /// What was known of the server when it was selected, for the log.
     pub(super) choice: Choice,
 }
@@ -72,10 +74,10 @@
         server: &Server,
         selected: Selected,
         caches: &CacheDirectory,
-        serves_until: Option<Duration>,
+        limits: WeightLimits,
         now: Duration,
     ) -> Self {
-        let weights_left = serves_until.map(|until| until.saturating_sub(now));
+        let weights_left = limits.serves_until.map(|until| until.saturating_sub(now));
         let prompt = selected
             .cache
             .as_ref()
@@ -89,6 +91,7 @@
             address: server.entry.address,
             cache: selected.cache,
             fetch_until_ms: caches.server_clock_ms(fetch_until),
+            begin_by: limits.begin_by,
             choice: Choice {
                 load: server.load(now),
                 load_age_ms: server.load_age(now).map(|age| age.as_millis() as u64),
@@ -185,29 +188,37 @@
                 .cache
                 .as_ref()
                 .and_then(|cache| cache.weight_version);
-            let serves_until = serves_until(gateway, &state, routed, version);
-            return Ok(Target::new(
-                server,
-                selected,
-                &state.caches,
-                serves_until,
-                now,
-            ));
+            let limits = weight_limits(gateway, &state, routed, version).unwrap_or_default();
+            return Ok(Target::new(server, selected, &state.caches, limits, now));
         }
     }
     Err(AttemptError::NoServer(NoServer::AllUnavailable))
 }
 
-/// Returns the time at which weights of `version` stop serving new requests, if there is one.
-fn serves_until(
+/// Times that limit the use of the weights of a selected server.
+#[derive(Clone, Copy, Default)]
+struct WeightLimits {
+    /// Time at which they stop serving new requests, if newer ones are published.
+    serves_until: Option<Duration>,
+    /// Time by which a request on them has to begin.
+    begin_by: Option<Duration>,
+}
+
+fn weight_limits(
     gateway: &Gateway,
     state: &State,
     routed: &RoutedRequest,
     version: Option<u64>,
-) -> Option<Duration> {
+) -> Option<WeightLimits> {
     let prompt = routed.meta.prompt.as_ref()?;
     let published = state.weights.get(&prompt.model)?;
-    published.serves_until(version?, gateway.settings.bounds.weight_switch)
+    let verified_at = state.configuration_freshness.verified_at()?;
+    let switch_time = gateway.settings.bounds.weight_switch;
+    let version = version?;
+    Some(WeightLimits {
+        serves_until: published.serves_until(version, switch_time),
+        begin_by: Some(published.must_begin_by(version, verified_at, switch_time)),
+    })
 }
 
 /// Options of a selection.
--- a/crates/gateway/src/weights/publications.rs
+++ b/crates/gateway/src/weights/publications.rs
@@ -6,6 +6,10 @@
 /// requests.
 pub(super) const OLD_WEIGHTS_FRACTION: f64 = 0.8;
 
+/// Time before the end of the operators' limit at which a request that has not begun is given up.
+/// It covers the way of the cancellation to the server on a busy instance.
+const BEGIN_MARGIN: Duration = Duration::from_millis(300);
+
 /// Versions of one model's weights that operators have published.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PublishedWeights {
@@ -73,6 +77,24 @@
         Some(replaced_by.replaced_serve_until(switch_time))
     }
 
+    /// Returns the time by which a request on weights of `version` has to begin at its server, where
+    /// it may wait in a queue. `verified_at` is the time up to which this daemon's copy of the
+    /// operators' table is complete: newer weights than the newest that it contains were published
+    /// later.
+    #[must_use]
+    pub fn must_begin_by(
+        &self,
+        version: u64,
+        verified_at: Duration,
+        switch_time: Duration,
+    ) -> Duration {
+        let replaced_after = match self.replaced_by(version) {
+            Some(publication) => publication.published_after.unwrap_or_default(),
+            None => verified_at,
+        };
+        replaced_after + switch_time.saturating_sub(BEGIN_MARGIN)
+    }
+
     /// Returns the oldest remembered publication that is newer than `version`.
     pub(super) fn replaced_by(&self, version: u64) -> Option<&WeightPublication> {
         self.publications
