Keep servers that answer no order from holding up a switch

A switch of weights slowed down or stood still beside servers that answer nothing, which leaves more servers on weights whose time is over.

Cause: the holder of the lease called one server after the other, each with a timeout of 400 ms. A server without an answer is the most idle one, so it was selected in each round; it was announced, so that no daemon used it for 6 s, before its report was requested; and it took a place among the few servers that switch at the same time. An order that was rejected, or whose server had restarted, kept its place for 6 s as well. Weights reported as loaded were forgotten when the record with them could not be appended.

Change: reports and orders go to all selected servers at the same time. A server is announced after it has reported that it can be ordered.

--- a/crates/gateway/src/background_tasks/weight_switches.rs
+++ b/crates/gateway/src/background_tasks/weight_switches.rs
@@ -3,6 +3,7 @@
 
 mod orders;
 
+use self::orders::ReadyServer;
 use super::retired_parts::{free_retired_parts, retired_parts};
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
@@ -11,7 +12,7 @@
 use crate::log::Event;
 use crate::ports::{AppendOutcome, StoreError, Topic};
 use crate::topic_reader::TopicReader;
-use crate::weights::{OutdatedServer, SentOrder, next_orders, outdated_servers};
+use crate::weights::{OrderTracker, OutdatedServer, next_orders, outdated_servers};
 use bytes::Bytes;
 use rand::RngExt;
 use std::rc::Rc;
@@ -39,8 +40,6 @@
 const ANNOUNCEMENT_LEAD_TIME: Duration = Duration::from_millis(60);
 /// Time from which a round of the lease holder is logged. A few such rounds use up the lease.
 const SLOW_ROUND: Duration = Duration::from_millis(400);
-/// Number of calls with which a server is ordered to load weights: its report, and the order.
-const CALLS_PER_ORDER: u32 = 2;
 
 /// Runs until the daemon ends. Orders servers and frees parts while this daemon holds the lease;
 /// otherwise follows the lease log and takes the lease when it is free.
@@ -50,7 +49,7 @@
     let mut switcher = WeightSwitcher {
         lease: LeaseView::new(gateway.settings.instance.clone(), incarnation, order_gap),
         incarnation,
-        sent_orders: Vec::new(),
+        orders: OrderTracker::default(),
         loaded: Vec::new(),
         lease_dependency: Dependency::new("metadata store, leases"),
         reader: TopicReader::new(Topic::Leases, Arc::clone(&gateway.ports.clock)),
@@ -58,7 +57,8 @@
     };
     loop {
         if switcher.is_idle() || switcher.gateway.is_draining.get() {
-            switcher.sent_orders.clear();
+            switcher.orders.clear();
+            switcher.loaded.clear();
             sleep(IDLE_PAUSE).await;
             continue;
         }
@@ -70,7 +70,7 @@
     gateway: Rc<Gateway>,
     lease: LeaseView,
     incarnation: u64,
-    sent_orders: Vec<SentOrder>,
+    orders: OrderTracker,
     /// Weights that servers have loaded and that no lease record contains yet.
     loaded: Vec<ServerWeights>,
     lease_dependency: Dependency,
@@ -84,7 +84,8 @@
 
     fn outdated_servers(&self) -> Vec<OutdatedServer> {
         let state = self.gateway.state.borrow();
-        outdated_servers(&state.servers, state.weights.iter())
+        let switch_time = self.gateway.settings.bounds.weight_switch;
+        outdated_servers(&state.servers, state.weights.iter(), switch_time)
     }
 
     async fn round(&mut self) {
@@ -94,6 +95,8 @@
             sleep(ROUND_PAUSE).await;
             return;
         }
+        // Only the holder may report loaded weights: its records are in order.
+        self.loaded.clear();
         if !self.follow_lease().await {
             sleep(IDLE_PAUSE).await;
             return;
@@ -202,59 +205,54 @@
     async fn holder_round(&mut self) {
         let started_at = self.gateway.now();
         self.poll_progress().await;
-        let now = self.gateway.now();
-        let outdated = {
-            let state = self.gateway.state.borrow();
-            let unreserved: Vec<OutdatedServer> = self
-                .outdated_servers()
-                .into_iter()
-                .filter(|one| !self.is_reserved_by_other(one, now))
-                .collect();
-            next_orders(&state.servers, &unreserved, &self.sent_orders, now)
-        };
-        let outdated = self.permitted(outdated, CALLS_PER_ORDER).await;
-        let has_updates = !outdated.is_empty() || !self.loaded.is_empty();
+        let polled_at = self.gateway.now();
+        let ready = self.ready_servers(self.candidates(polled_at)).await;
+        let has_updates = !ready.is_empty() || !self.loaded.is_empty();
         if let LeaseStep::Append {
             offset,
             fencing_token,
-        } = self.lease.renewal(now, has_updates)
+        } = self.lease.renewal(self.gateway.now(), has_updates)
         {
-            self.append_record(offset, fencing_token, &outdated).await;
+            self.append_record(offset, fencing_token, &ready).await;
         }
         // Without the lease the orders are not given, so their servers stay in use.
         let holds_lease = self.lease.fencing_token(self.gateway.now()).is_some();
-        if holds_lease && !outdated.is_empty() {
-            self.block_requests(&outdated);
+        if holds_lease && !ready.is_empty() {
+            self.block_requests(&ready);
             sleep(ANNOUNCEMENT_LEAD_TIME).await;
         }
-        for one in outdated {
-            self.send_order(one).await;
-        }
+        self.send_orders(ready).await;
         let ordered_at = self.gateway.now();
         free_retired_parts(&self.gateway).await;
         let ended_at = self.gateway.now();
         if ended_at > started_at + SLOW_ROUND {
             self.gateway.log_notable(&Event::SlowSwitchRound {
-                polls_ms: now.saturating_sub(started_at).as_millis() as u64,
-                orders_ms: ordered_at.saturating_sub(now).as_millis() as u64,
+                polls_ms: polled_at.saturating_sub(started_at).as_millis() as u64,
+                orders_ms: ordered_at.saturating_sub(polled_at).as_millis() as u64,
                 freeing_ms: ended_at.saturating_sub(ordered_at).as_millis() as u64,
             });
         }
     }
 
-    async fn append_record(
-        &mut self,
-        offset: u64,
-        fencing_token: u64,
-        outdated: &[OutdatedServer],
-    ) {
+    /// Returns the servers to order next.
+    fn candidates(&self, now: Duration) -> Vec<OutdatedServer> {
+        let unreserved: Vec<OutdatedServer> = self
+            .outdated_servers()
+            .into_iter()
+            .filter(|one| !self.is_reserved_by_other(one, now))
+            .collect();
+        let state = self.gateway.state.borrow();
+        next_orders(&state.servers, &unreserved, &self.orders, now)
+    }
+
+    async fn append_record(&mut self, offset: u64, fencing_token: u64, ready: &[ReadyServer]) {
         let started_at = self.gateway.now();
         let record = LeaseRecord {
             holder: self.gateway.settings.instance.clone(),
             incarnation: self.incarnation,
             fencing_token,
-            switching: self.announcements(outdated),
-            loaded: std::mem::take(&mut self.loaded),
+            switching: ready.iter().map(ReadyServer::announcement).collect(),
+            loaded: self.loaded.clone(),
         };
         let payload = match serde_json::to_vec(&record) {
             Ok(payload) => Bytes::from(payload),
@@ -275,6 +273,7 @@
                 self.gateway.state.borrow_mut().switches_read_at = started_at;
                 let gateway = &self.gateway;
                 gateway.on_topic_read(Topic::Leases, offset, &[payload], started_at);
+                self.loaded.clear();
                 self.lease.on_append_stored(record, offset, started_at);
                 if !was_held {
                     self.log_lease_change("taken", fencing_token);
@@ -301,23 +300,10 @@
         server.is_some_and(|server| self.lease.is_reserved_by_other(&server.entry.id, now))
     }
 
-    fn announcements(&self, outdated: &[OutdatedServer]) -> Vec<ServerWeights> {
-        let state = self.gateway.state.borrow();
-        let announce = |one: &OutdatedServer| {
-            let server = state.servers.get(one.server)?;
-            Some(ServerWeights {
-                server: server.entry.id.clone(),
-                model: one.model.clone(),
-                version: one.version,
-            })
-        };
-        outdated.iter().filter_map(announce).collect()
-    }
-
-    fn block_requests(&self, outdated: &[OutdatedServer]) {
+    fn block_requests(&self, ready: &[ReadyServer]) {
         let until = self.gateway.now() + SWITCH_TIME_MAX;
         let servers = &mut self.gateway.state.borrow_mut().servers;
-        for one in outdated {
+        for one in ready.iter().map(|one| &one.target) {
             if let Some(server) = servers.get_mut(one.server) {
                 server.on_switch_ordered(&one.model, one.version, until);
             }
--- a/crates/gateway/src/background_tasks/weight_switches/orders.rs
+++ b/crates/gateway/src/background_tasks/weight_switches/orders.rs
@@ -4,230 +4,285 @@
 use crate::lease::ServerWeights;
 use crate::log::Event;
 use crate::permit_client::acquire_control_permits;
-use crate::ports::{OrderAnswer, OrderError, ServerReport, WeightOrder};
-use crate::server::{ServerEntry, ServerKey};
+use crate::ports::{OrderAnswer, OrderError, WeightOrder};
+use crate::server::ServerEntry;
 use crate::server_notices::on_server_notice;
-use crate::weights::{OutdatedServer, SentOrder, is_backing_off};
-use std::time::Duration;
+use crate::weights::{OrderOutcome, OutdatedServer, is_backing_off};
+use futures_util::future::join_all;
 
-/// Time after an order before the server is first asked for its progress.
-const FIRST_POLL_DELAY: Duration = Duration::from_millis(900);
-/// Pause between two requests to a server for its progress.
-const POLL_PAUSE: Duration = Duration::from_millis(150);
+/// Number of calls with which a server is ordered to load weights: its report, and the order.
+const CALLS_PER_ORDER: u32 = 2;
+
+/// A server that can be ordered to load weights.
+pub(super) struct ReadyServer {
+    pub(super) target: OutdatedServer,
+    entry: ServerEntry,
+    /// Number of orders that the server has accepted since its start.
+    orders_accepted: u64,
+}
+
+impl ReadyServer {
+    /// Returns the record by which the order is announced.
+    pub(super) fn announcement(&self) -> ServerWeights {
+        ServerWeights {
+            server: self.entry.id.clone(),
+            model: self.target.model.clone(),
+            version: self.target.version,
+        }
+    }
+}
+
+/// What a server reported about its weights.
+enum Progress {
+    /// It holds the newest weights.
+    Switched,
+    /// It is carrying out an order.
+    Busy,
+    /// It holds older weights and can be ordered.
+    Ready(ReadyServer),
+    /// It did not report on the model's weights.
+    Unknown,
+}
 
 impl WeightSwitcher {
     /// Asks servers that were ordered to load weights for their progress, because their entries
     /// report it only with the next heartbeat.
     pub(super) async fn poll_progress(&mut self) {
         let now = self.gateway.now();
-        let outdated = self.outdated_servers();
-        let asked: Vec<OutdatedServer> = outdated
-            .into_iter()
-            .filter(|one| {
-                let order = self
-                    .sent_orders
-                    .iter()
-                    .rfind(|order| order.server == one.server);
-                order.is_some_and(|order| now >= order.poll_at)
-            })
-            .filter(|one| !is_backing_off(&self.gateway.state.borrow().servers, one, now))
-            .collect();
-        for one in self.permitted(asked, 1).await {
-            if let Some(order) = self
-                .sent_orders
-                .iter_mut()
-                .rfind(|order| order.server == one.server)
-            {
-                order.poll_at = now + POLL_PAUSE;
-            }
-            if let Some(entry) = self.server_entry(&one) {
-                self.fetch_report(&one, &entry).await;
-            }
-            if let Some(loaded) = self.loaded_weights(&one) {
-                self.loaded.push(loaded);
+        let mut asked = self.outdated_servers();
+        asked.retain(|one| {
+            let servers = &self.gateway.state.borrow().servers;
+            self.orders.is_poll_due(one, now) && !is_backing_off(servers, one, now)
+        });
+        for (target, progress) in self.reports(asked, 1).await {
+            let now = self.gateway.now();
+            let is_answered = !matches!(progress, Progress::Unknown);
+            self.orders.on_polled(&target, is_answered, now);
+            if let Progress::Ready(_) = progress {
+                self.orders.on_idle(&target, now);
             }
         }
     }
 
-    /// Returns the servers to which a number of calls may be sent under the limits that they name.
-    pub(super) async fn permitted(
-        &self,
+    /// Returns those of the servers that can be ordered now, according to their reports.
+    pub(super) async fn ready_servers(
+        &mut self,
+        candidates: Vec<OutdatedServer>,
+    ) -> Vec<ReadyServer> {
+        let mut ready_servers = Vec::new();
+        for (target, progress) in self.reports(candidates, CALLS_PER_ORDER).await {
+            let outcome = match progress {
+                Progress::Ready(ready) => {
+                    ready_servers.push(ready);
+                    continue;
+                }
+                Progress::Switched => continue,
+                Progress::Busy => OrderOutcome::Busy,
+                Progress::Unknown => OrderOutcome::NoReport,
+            };
+            let now = self.gateway.now();
+            self.orders.on_outcome(&target, outcome, now);
+        }
+        ready_servers
+    }
+
+    /// Fetches the reports of servers to which `calls` calls may be sent under the limits that they
+    /// name. All are asked at the same time, so that one that does not answer delays no other.
+    async fn reports(
+        &mut self,
         servers: Vec<OutdatedServer>,
         calls: u32,
-    ) -> Vec<OutdatedServer> {
-        let mut permitted = Vec::new();
-        for one in servers {
-            if acquire_control_permits(&self.gateway, one.server, calls).await {
-                permitted.push(one);
+    ) -> Vec<(OutdatedServer, Progress)> {
+        let asked = servers.into_iter().map(|target| {
+            let switcher = &*self;
+            async move {
+                let gateway = &switcher.gateway;
+                if !acquire_control_permits(gateway, target.server, calls).await {
+                    return None;
+                }
+                let progress = switcher.fetch_progress(&target).await;
+                Some((target, progress))
+            }
+        });
+        let reports: Vec<_> = join_all(asked).await.into_iter().flatten().collect();
+        for (target, progress) in &reports {
+            if let Progress::Switched = progress {
+                self.loaded.extend(self.loaded_weights(target));
             }
         }
-        permitted
+        reports
     }
 
-    /// Returns the weights that a server was ordered to load, if it has reported that it holds
-    /// them.
-    fn loaded_weights(&self, outdated: &OutdatedServer) -> Option<ServerWeights> {
+    /// Returns the weights that a server has reported.
+    fn loaded_weights(&self, target: &OutdatedServer) -> Option<ServerWeights> {
         let state = self.gateway.state.borrow();
-        let server = state.servers.get(outdated.server)?;
-        let version = server.reported_version_of(&outdated.model)?;
-        (version >= outdated.version).then(|| ServerWeights {
+        let server = state.servers.get(target.server)?;
+        Some(ServerWeights {
             server: server.entry.id.clone(),
-            model: outdated.model.clone(),
-            version,
+            model: target.model.clone(),
+            version: server.reported_version_of(&target.model)?,
         })
     }
 
-    pub(super) async fn send_order(&mut self, outdated: OutdatedServer) {
+    /// Orders the servers at the same time, if this daemon still holds the lease.
+    pub(super) async fn send_orders(&mut self, ready: Vec<ReadyServer>) {
         let Some(fencing_token) = self.lease.fencing_token(self.gateway.now()) else {
             return;
         };
-        let Some(entry) = self.server_entry(&outdated) else {
-            return;
-        };
-        let Some(report) = self.fetch_report(&outdated, &entry).await else {
-            return;
-        };
-        let order = WeightOrder {
-            model: outdated.model.clone(),
-            version: outdated.version,
-            fencing_token,
-            expected_orders: report.orders_accepted,
-        };
-        // The lease may have expired while the report was fetched.
-        let now = self.gateway.now();
-        if self.lease.fencing_token(now) != Some(fencing_token) {
-            return;
-        }
-        self.sent_orders.push(SentOrder {
-            server: outdated.server,
-            version: outdated.version,
-            sent_at: now,
-            poll_at: now + FIRST_POLL_DELAY,
+        let calls = ready.into_iter().map(|ready| {
+            let switcher = &*self;
+            async move {
+                let order = WeightOrder {
+                    model: ready.target.model.clone(),
+                    version: ready.target.version,
+                    fencing_token,
+                    expected_orders: ready.orders_accepted,
+                };
+                switcher.count_control_call(&ready.target);
+                let client = &switcher.gateway.ports.order_client;
+                let answer = client.load_weights(&ready.entry, &order).await;
+                (ready, order, answer)
+            }
         });
-        self.count_control_call(outdated.server);
-        let answer = self
-            .gateway
-            .ports
-            .order_client
-            .load_weights(&entry, &order)
-            .await;
-        self.on_order_answer(&outdated, &entry, &order, &answer);
+        for (ready, order, answer) in join_all(calls).await {
+            self.on_order_answer(&ready, &order, &answer);
+        }
     }
 
     /// Counts a call to a server for the log of the requests under its limit.
-    fn count_control_call(&self, key: ServerKey) {
-        if let Some(server) = self.gateway.state.borrow_mut().servers.get_mut(key) {
+    fn count_control_call(&self, target: &OutdatedServer) {
+        let servers = &mut self.gateway.state.borrow_mut().servers;
+        if let Some(server) = servers.get_mut(target.server) {
             server.on_control_call_sent();
         }
     }
 
-    /// Fetches the report of a server, and returns it if the server can be ordered now: it holds
-    /// older weights and is not busy.
-    async fn fetch_report(
-        &self,
-        outdated: &OutdatedServer,
-        entry: &ServerEntry,
-    ) -> Option<ServerReport> {
-        self.count_control_call(outdated.server);
-        match self.gateway.ports.order_client.report(entry).await {
-            Ok(report) => {
-                on_server_notice(&self.gateway, outdated.server, report.notice);
-                let served = report.models.iter().find(|one| one.model == outdated.model);
-                let is_outdated = served.is_some_and(|one| one.version < outdated.version);
-                if let Some(served) = served {
-                    self.on_version_reported(outdated, served.version, report.is_busy);
-                }
-                (is_outdated && !report.is_busy).then_some(report)
-            }
+    /// Fetches the report of a server, and records the version that it tells.
+    async fn fetch_progress(&self, target: &OutdatedServer) -> Progress {
+        let Some(entry) = self.server_entry(target) else {
+            return Progress::Unknown;
+        };
+        self.count_control_call(target);
+        let report = match self.gateway.ports.order_client.report(&entry).await {
+            Ok(report) => report,
             Err(error) => {
-                self.on_order_error(outdated, &error);
-                self.gateway.log_notable(&Event::Order {
-                    server: &entry.id,
-                    model: &outdated.model,
-                    version: outdated.version,
-                    loaded: self.loaded_version(outdated),
-                    loaded_left_ms: self.loaded_left_ms(outdated),
-                    fencing_token: 0,
-                    expected_orders: 0,
-                    outcome: &format!("not given, no report: {error}"),
-                });
-                None
+                self.on_no_report(target, &entry, &error);
+                return Progress::Unknown;
             }
+        };
+        on_server_notice(&self.gateway, target.server, report.notice);
+        let served = report.models.iter().find(|one| one.model == target.model);
+        let Some(served) = served else {
+            return Progress::Unknown;
+        };
+        self.on_version_reported(target, served.version, report.is_busy);
+        if served.version >= target.version {
+            Progress::Switched
+        } else if report.is_busy {
+            Progress::Busy
+        } else {
+            Progress::Ready(ReadyServer {
+                target: target.clone(),
+                entry,
+                orders_accepted: report.orders_accepted,
+            })
         }
     }
 
-    fn on_order_error(&self, outdated: &OutdatedServer, error: &OrderError) {
+    fn on_no_report(&self, target: &OutdatedServer, entry: &ServerEntry, error: &OrderError) {
+        self.on_order_error(target, error);
+        self.gateway.log_notable(&Event::Order {
+            server: &entry.id,
+            model: &target.model,
+            version: target.version,
+            loaded: self.loaded_version(target),
+            loaded_left_ms: self.loaded_left_ms(target),
+            fencing_token: 0,
+            expected_orders: 0,
+            outcome: &format!("not given, no report: {error}"),
+        });
+    }
+
+    fn on_order_error(&self, target: &OutdatedServer, error: &OrderError) {
         if let OrderError::Rejected(_, notice) = error {
-            on_server_notice(&self.gateway, outdated.server, *notice);
+            on_server_notice(&self.gateway, target.server, *notice);
         }
     }
 
-    fn on_version_reported(&self, outdated: &OutdatedServer, version: u64, is_busy: bool) {
+    fn on_version_reported(&self, target: &OutdatedServer, version: u64, is_busy: bool) {
         let servers = &mut self.gateway.state.borrow_mut().servers;
-        if let Some(server) = servers.get_mut(outdated.server) {
-            server.on_weights_loaded(&outdated.model, version);
-            if version >= outdated.version && !is_busy {
-                server.on_switched(&outdated.model, version);
+        if let Some(server) = servers.get_mut(target.server) {
+            server.on_weights_loaded(&target.model, version);
+            if version >= target.version && !is_busy {
+                server.on_switched(&target.model, version);
             }
         }
     }
 
     /// Returns the version of the weights that a server has reported.
-    fn loaded_version(&self, outdated: &OutdatedServer) -> Option<u64> {
+    fn loaded_version(&self, target: &OutdatedServer) -> Option<u64> {
         let state = self.gateway.state.borrow();
-        let server = state.servers.get(outdated.server)?;
-        server.reported_version_of(&outdated.model)
+        let server = state.servers.get(target.server)?;
+        server.reported_version_of(&target.model)
     }
 
     /// Returns for how long the weights of a server may still serve new requests.
-    fn loaded_left_ms(&self, outdated: &OutdatedServer) -> Option<u64> {
-        let version = self.loaded_version(outdated)?;
+    fn loaded_left_ms(&self, target: &OutdatedServer) -> Option<u64> {
+        let version = self.loaded_version(target)?;
         let state = self.gateway.state.borrow();
-        let published = state.weights.get(&outdated.model)?;
+        let published = state.weights.get(&target.model)?;
         let switch_time = self.gateway.settings.bounds.weight_switch;
         let until = published.serves_until(version, switch_time)?;
         Some(until.saturating_sub(self.gateway.now()).as_millis() as u64)
     }
 
-    fn server_entry(&self, outdated: &OutdatedServer) -> Option<ServerEntry> {
+    fn server_entry(&self, target: &OutdatedServer) -> Option<ServerEntry> {
         let state = self.gateway.state.borrow();
-        state
-            .servers
-            .get(outdated.server)
-            .map(|server| server.entry.clone())
+        let server = state.servers.get(target.server)?;
+        Some(server.entry.clone())
     }
 
     fn on_order_answer(
         &mut self,
-        outdated: &OutdatedServer,
-        entry: &ServerEntry,
+        ready: &ReadyServer,
         order: &WeightOrder,
         answer: &Result<OrderAnswer, OrderError>,
     ) {
         let now = self.gateway.now();
-        let outcome = match answer {
+        let text = match answer {
             Ok(answer) => format!("{answer:?}"),
             Err(error) => {
-                self.on_order_error(outdated, error);
+                self.on_order_error(&ready.target, error);
                 error.to_string()
             }
         };
         self.gateway.log_notable(&Event::Order {
-            server: &entry.id,
+            server: &ready.entry.id,
             model: &order.model,
             version: order.version,
-            loaded: self.loaded_version(outdated),
-            loaded_left_ms: self.loaded_left_ms(outdated),
+            loaded: self.loaded_version(&ready.target),
+            loaded_left_ms: self.loaded_left_ms(&ready.target),
             fencing_token: order.fencing_token,
             expected_orders: order.expected_orders,
-            outcome: &outcome,
+            outcome: &text,
         });
-        if *answer == Ok(OrderAnswer::Fenced) {
-            self.lease.on_fenced(now);
-            self.log_lease_change("fenced", order.fencing_token);
-        }
-        if *answer == Ok(OrderAnswer::Holds) {
-            self.on_version_reported(outdated, outdated.version, false);
+        let outcome = match answer {
+            Ok(OrderAnswer::Accepted | OrderAnswer::Holds) => OrderOutcome::Accepted,
+            Err(OrderError::NoAnswer(_)) => OrderOutcome::Unanswered,
+            Ok(OrderAnswer::Conflict | OrderAnswer::Fenced) | Err(OrderError::Rejected(..)) => {
+                OrderOutcome::Rejected
+            }
+        };
+        self.orders.on_outcome(&ready.target, outcome, now);
+        match answer {
+            Ok(OrderAnswer::Fenced) => {
+                self.lease.on_fenced(now);
+                self.log_lease_change("fenced", order.fencing_token);
+            }
+            Ok(OrderAnswer::Holds) => {
+                self.on_version_reported(&ready.target, ready.target.version, false);
+            }
+            _ => {}
         }
     }
 }
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -2,13 +2,15 @@
 //! versions may serve requests, and when cached parts of replaced weights are freed.
 
 mod old_parts;
+mod order_tracker;
 mod publications;
 mod switch_plan;
 
 pub use old_parts::{FETCH_TIME_MAX, OldPartTimes, is_retired, may_read_part};
+pub use order_tracker::{OrderOutcome, OrderTracker};
 pub use publications::{PublishedWeights, WeightPublication, oldest_allowed_version};
 pub(crate) use switch_plan::is_backing_off;
-pub use switch_plan::{OutdatedServer, SentOrder, next_orders, outdated_servers};
+pub use switch_plan::{OutdatedServer, next_orders, outdated_servers};
 
 /// Returns the scope that keeps cached prompts apart: the version of the weights that computed
 /// them, and the workspace if it is isolated.
--- a/crates/gateway/tests/deployments/servers.rs
+++ b/crates/gateway/tests/deployments/servers.rs
@@ -3,8 +3,8 @@
 use crate::deployment::{DEPLOYMENTS, Deployment, MODEL, NOW, prompt};
 use anvilgw_gateway::budget::{RetryBound, RetryBudget};
 use anvilgw_gateway::weights::{
-    FETCH_TIME_MAX, PublishedWeights, WeightPublication, is_retired, may_read_part, next_orders,
-    outdated_servers,
+    FETCH_TIME_MAX, OrderTracker, PublishedWeights, WeightPublication, is_retired, may_read_part,
+    next_orders, outdated_servers,
 };
 use indexmap::IndexMap;
 use std::time::Duration;
@@ -52,6 +52,7 @@
 fn all_servers_get_the_newest_weights() {
     for deployment in DEPLOYMENTS.iter().filter(|one| one.has_engines) {
         let mut servers = deployment.servers();
+        let switch_time = deployment.old_part_times().weight_switch;
         let publication = WeightPublication {
             version: 2,
             published_after: None,
@@ -60,15 +61,15 @@
         let published = IndexMap::from([(MODEL.to_owned(), PublishedWeights::new(publication))]);
         let most = (usize::from(deployment.servers) / 5).max(1);
         for _ in 0..=deployment.servers {
-            let old = outdated_servers(&servers, published.iter());
-            let orders = next_orders(&servers, &old, &[], NOW);
+            let old = outdated_servers(&servers, published.iter(), switch_time);
+            let orders = next_orders(&servers, &old, &OrderTracker::default(), NOW);
             assert!(orders.len() <= most, "{}", deployment.name);
             for order in orders {
                 let server = servers.get_mut(order.server).expect("known");
                 server.on_weights_loaded(MODEL, order.version);
             }
         }
-        assert!(outdated_servers(&servers, published.iter()).is_empty());
+        assert!(outdated_servers(&servers, published.iter(), switch_time).is_empty());
     }
 }
 
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -3,13 +3,16 @@
 
 use anvilgw_gateway::server::{ServedModel, ServerEntry, ServerState, Servers};
 use anvilgw_gateway::weights::{
-    FETCH_TIME_MAX, OldPartTimes, PublishedWeights, WeightPublication, cache_scope, is_retired,
-    may_read_part, next_orders, oldest_allowed_version, outdated_servers, scope_version,
+    FETCH_TIME_MAX, OldPartTimes, OrderTracker, PublishedWeights, WeightPublication, cache_scope,
+    is_retired, may_read_part, next_orders, oldest_allowed_version, outdated_servers,
+    scope_version,
 };
 use indexmap::IndexMap;
 use std::time::Duration;
 
 const MODEL: &str = "lumen";
+/// Operators' time limit for a switch.
+const SWITCH_TIME: Duration = Duration::from_secs(10);
 
 fn entry(index: u32, version: u64, state: ServerState) -> ServerEntry {
     ServerEntry {
@@ -123,7 +126,6 @@
 /// whose replacement was forgotten.
 #[test]
 fn many_publications_prolong_the_time_of_no_version() {
-    const SWITCH_TIME: Duration = Duration::from_secs(10);
     for gap_ms in [10, 100, 400, 900, 3000] {
         let published_at = |version| PUBLISHED_AT + Duration::from_millis(gap_ms * version);
         let mut weights = PublishedWeights::new(publication(2, published_at(2)));
@@ -378,7 +380,7 @@
             case.name
         );
         let weights = published(3, 0);
-        let is_outdated = !outdated_servers(&servers, weights.iter()).is_empty();
+        let is_outdated = !outdated_servers(&servers, weights.iter(), SWITCH_TIME).is_empty();
         assert_eq!(is_outdated, case.is_outdated, "{}", case.name);
     }
 }
@@ -446,8 +448,13 @@
             servers.on_entry_published(entry(index, version, state), Duration::ZERO);
         }
         let weights = published(2, 0);
-        let old = outdated_servers(&servers, weights.iter());
-        let orders = next_orders(&servers, &old, &[], Duration::from_secs(1));
+        let old = outdated_servers(&servers, weights.iter(), SWITCH_TIME);
+        let orders = next_orders(
+            &servers,
+            &old,
+            &OrderTracker::default(),
+            Duration::from_secs(1),
+        );
         assert_eq!(orders.len(), case.ordered, "{}", case.name);
     }
 }
@@ -465,8 +472,8 @@
     let server = servers.get_mut(keys[1]).expect("server");
     server.mark_draining();
     let ordered_at = |now| {
-        let old = outdated_servers(&servers, published(2, 1).iter());
-        let orders = next_orders(&servers, &old, &[], now);
+        let old = outdated_servers(&servers, published(2, 1).iter(), SWITCH_TIME);
+        let orders = next_orders(&servers, &old, &OrderTracker::default(), now);
         orders.iter().map(|order| order.server).collect::<Vec<_>>()
     };
     assert_eq!(ordered_at(2 * SECOND), [keys[2]]);
