Free parts of old weights beside a switch, not within its rounds

Cause: the holder of the lease on switches freed parts of replaced weights in the same round in which it orders servers, one cache store after the other, each with a timeout of 500 ms. Stores that are away held up the switch that followed.

Change: the parts are freed in the background, at all stores at the same time.

--- a/crates/gateway/src/background_tasks/weight_switches.rs
+++ b/crates/gateway/src/background_tasks/weight_switches.rs
@@ -4,7 +4,7 @@
 mod orders;
 
 use self::orders::ReadyServer;
-use super::retired_parts::{free_retired_parts, retired_parts};
+use super::retired_parts::{PartRetirement, retired_parts};
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::groups::Role;
@@ -50,6 +50,7 @@
         lease: LeaseView::new(gateway.settings.instance.clone(), incarnation, order_gap),
         incarnation,
         orders: OrderTracker::default(),
+        retirement: PartRetirement::default(),
         loaded: Vec::new(),
         lease_dependency: Dependency::new("metadata store, leases"),
         reader: TopicReader::new(Topic::Leases, Arc::clone(&gateway.ports.clock)),
@@ -71,6 +72,7 @@
     lease: LeaseView,
     incarnation: u64,
     orders: OrderTracker,
+    retirement: PartRetirement,
     /// Weights that servers have loaded and that no lease record contains yet.
     loaded: Vec<ServerWeights>,
     lease_dependency: Dependency,
@@ -222,14 +224,12 @@
             sleep(ANNOUNCEMENT_LEAD_TIME).await;
         }
         self.send_orders(ready).await;
-        let ordered_at = self.gateway.now();
-        free_retired_parts(&self.gateway).await;
+        self.retirement.start(&self.gateway);
         let ended_at = self.gateway.now();
         if ended_at > started_at + SLOW_ROUND {
             self.gateway.log_notable(&Event::SlowSwitchRound {
                 polls_ms: polled_at.saturating_sub(started_at).as_millis() as u64,
-                orders_ms: ordered_at.saturating_sub(polled_at).as_millis() as u64,
-                freeing_ms: ended_at.saturating_sub(ordered_at).as_millis() as u64,
+                orders_ms: ended_at.saturating_sub(polled_at).as_millis() as u64,
             });
         }
     }
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -200,8 +200,6 @@
         polls_ms: u64,
         /// Time of the announcement and the orders, in milliseconds.
         orders_ms: u64,
-        /// Time of the calls that free parts at cache stores, in milliseconds.
-        freeing_ms: u64,
     },
     /// Replaced weights serve no new requests from now on.
     WeightsExpired {
