Order servers whose weights stop serving when time is short

Cause: the next server to switch was the most idle one, whatever its version. After an overlapping publication, servers that had just switched are idle and loaded again before those with the oldest weights, so that these had not switched when their time was over (17.0 to 20.0 s for weights replaced at 5.0 s, limit 10 s).

Change: idle servers come first as long as the others can still switch before their weights stop serving; otherwise the servers come first whose weights stop first. The number of servers that switch at the same time stays.

The case 'no time for the idle one' of the new test fails without the change.

--- a/crates/gateway/src/weights/switch_plan.rs
+++ b/crates/gateway/src/weights/switch_plan.rs
@@ -8,6 +8,9 @@
 /// Fraction of the servers that switch at the same time. The others have to serve the requests
 /// meanwhile.
 const SWITCHING_FRACTION: f64 = 0.17;
+/// Time from the order to a server until its switch is confirmed, as the plan assumes it.
+const SWITCH_DURATION: Duration = Duration::from_millis(1200);
+
 /// A server that holds outdated weights of a model.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OutdatedServer {
@@ -52,6 +55,9 @@
 
 /// Selects the servers to order next. Servers that may be loading count towards the limit of
 /// concurrent switches.
+///
+/// Idle servers come first, because a switch there affects the fewest requests. If the others would
+/// then not all switch before their weights stop serving, those whose weights stop first come first.
 #[must_use]
 pub fn next_orders(
     servers: &Servers,
@@ -65,20 +71,51 @@
     let server_count = servers_with_model(servers, &first.model) as f64;
     let switching_max = ((server_count * SWITCHING_FRACTION).round() as usize).max(1);
     let may_be_loading = |one: &&OutdatedServer| orders.may_be_loading(one, now);
-    let switching = outdated.iter().filter(may_be_loading).count();
+    let mut switching = outdated.iter().filter(may_be_loading).count();
     let can_be_ordered =
         |one: &&OutdatedServer| orders.may_order(one, now) && !is_backing_off(servers, one, now);
     let mut waiting: Vec<&OutdatedServer> = outdated.iter().filter(can_be_ordered).collect();
-    // Idle servers come first, because a switch there affects the fewest requests. Loads are whole numbers of requests.
+    // Loads are whole numbers of requests.
     waiting.sort_by_key(|one| {
         let server = servers.get(one.server);
         server.map_or(0, |server| server.load(now) as u64)
     });
-    waiting
-        .into_iter()
-        .take(switching_max.saturating_sub(switching))
-        .cloned()
-        .collect()
+    let mut selected = Vec::new();
+    while switching < switching_max && !waiting.is_empty() {
+        switching += 1;
+        let next = if are_in_time(&waiting[1..], switching, switching_max, now) {
+            0
+        } else {
+            most_urgent(&waiting)
+        };
+        selected.push(waiting.remove(next).clone());
+    }
+    selected
+}
+
+/// Returns whether all servers switch before their weights stop serving, if those whose weights stop
+/// first come first and `switching` others are switching now. Weights that serve no longer do not
+/// count.
+fn are_in_time(
+    servers: &[&OutdatedServer],
+    switching: usize,
+    switching_max: usize,
+    now: Duration,
+) -> bool {
+    let mut times: Vec<Duration> = servers.iter().map(|one| one.serves_until).collect();
+    times.sort_unstable();
+    (switching..).zip(times).all(|(position, serves_until)| {
+        let rounds = 1 + position / switching_max;
+        let switched_at = now + SWITCH_DURATION * rounds as u32;
+        switched_at <= serves_until || serves_until <= now
+    })
+}
+
+/// Returns the index of the server whose weights stop serving first; the first one of several.
+fn most_urgent(waiting: &[&OutdatedServer]) -> usize {
+    let indexed = waiting.iter().enumerate();
+    let most_urgent = indexed.min_by_key(|(_, one)| one.serves_until);
+    most_urgent.map_or(0, |(index, _)| index)
 }
 
 /// Returns whether a server has asked this daemon to send it nothing for some time, including
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -459,6 +459,67 @@
     }
 }
 
+struct PlanCase {
+    name: &'static str,
+    /// Time since the publication of version 2, in milliseconds. Version 3 follows 4 s after it.
+    now_ms: u64,
+    /// Versions of two servers, of which the first one is expected to be ordered.
+    expected: [u64; 2],
+    /// Number of other servers, which hold version 1. All with that version are busy.
+    others: u32,
+}
+
+/// Guards against a switch that reaches the servers with the oldest weights last, when these are
+/// busy: servers with newer weights are idle, as they have just switched.
+#[test]
+fn servers_whose_weights_stop_serving_come_first_when_time_is_short() {
+    let cases = [
+        PlanCase {
+            name: "time for all",
+            now_ms: 4_500,
+            expected: [2, 1],
+            others: 0,
+        },
+        PlanCase {
+            name: "no time for the idle one",
+            now_ms: 6_700,
+            expected: [1, 2],
+            others: 0,
+        },
+        PlanCase {
+            name: "too many for the time that is left",
+            now_ms: 4_500,
+            expected: [1, 2],
+            others: 1,
+        },
+    ];
+    for case in cases {
+        let mut servers = Servers::default();
+        let mut add = |index, version| {
+            let entry = entry(index, version, ServerState::Ready);
+            servers.on_entry_published(entry, Duration::ZERO)
+        };
+        let keys = [add(0, case.expected[0]), add(1, case.expected[1])];
+        for index in 0..case.others {
+            add(2 + index, 1);
+        }
+        let mut published = published(2, 100);
+        let next = publication(3, PUBLISHED_AT + SECOND * 4);
+        published.get_mut(MODEL).expect("model").on_published(next);
+        let now = PUBLISHED_AT + Duration::from_millis(case.now_ms);
+        for key in servers.iter().map(|(key, _)| key).collect::<Vec<_>>() {
+            let server = servers.get_mut(key).expect("server");
+            if server.entry.version_of(MODEL) == Some(1) {
+                server.on_request_sent(100, now);
+            }
+        }
+        let old = outdated_servers(&servers, published.iter(), SWITCH_TIME);
+        let orders = next_orders(&servers, &old, &OrderTracker::default(), now);
+        let ordered: Vec<_> = orders.iter().map(|order| order.server).collect();
+        assert_eq!(ordered, keys[..1], "{}", case.name);
+    }
+}
+
 /// Guards against orders to servers that asked for a pause, or that announced their shutdown.
 #[test]
 fn servers_that_back_off_or_drain_get_no_orders() {
