Release the lease on switches when its holder stops

Cause: a holder that stops on SIGTERM gives no more orders, but its lease ran on for 1.7 s. When all daemons are restarted in turn, that time is lost once for each holder.

Change: the last record of a holder that stops gives the lease up, and another daemon takes it with its next read. Servers that it announced stay reserved, so the gap between the orders of two holders holds. Records without the field are read as before.

--- a/crates/gateway/src/background_tasks/weight_switches.rs
+++ b/crates/gateway/src/background_tasks/weight_switches.rs
@@ -57,7 +57,11 @@
         gateway,
     };
     loop {
-        if switcher.is_idle() || switcher.gateway.is_draining.get() {
+        let is_draining = switcher.gateway.is_draining.get();
+        if is_draining {
+            switcher.release_lease().await;
+        }
+        if is_draining || switcher.is_idle() {
             switcher.orders.clear();
             switcher.loaded.clear();
             sleep(IDLE_PAUSE).await;
@@ -67,6 +71,15 @@
     }
 }
 
+/// What a record of the lease log tells other daemons.
+#[derive(Default)]
+struct RecordContent {
+    /// Servers that are about to be ordered.
+    switching: Vec<ServerWeights>,
+    /// Whether the lease is given up.
+    is_released: bool,
+}
+
 struct WeightSwitcher {
     gateway: Rc<Gateway>,
     lease: LeaseView,
@@ -114,7 +127,24 @@
                 rng.random_range(0..ACQUIRE_DELAY_MAX_MS)
             };
             sleep(Duration::from_millis(wait_ms)).await;
-            self.append_record(offset, fencing_token, &[]).await;
+            let content = RecordContent::default();
+            self.append_record(offset, fencing_token, content).await;
+        }
+    }
+
+    /// Gives the lease up, if this daemon holds it.
+    async fn release_lease(&mut self) {
+        if let LeaseStep::Append {
+            offset,
+            fencing_token,
+        } = self.lease.renewal(self.gateway.now(), true)
+        {
+            let content = RecordContent {
+                switching: Vec::new(),
+                is_released: true,
+            };
+            self.append_record(offset, fencing_token, content).await;
+            self.log_lease_change("released", fencing_token);
         }
     }
 
@@ -215,7 +245,11 @@
             fencing_token,
         } = self.lease.renewal(self.gateway.now(), has_updates)
         {
-            self.append_record(offset, fencing_token, &ready).await;
+            let content = RecordContent {
+                switching: ready.iter().map(ReadyServer::announcement).collect(),
+                is_released: false,
+            };
+            self.append_record(offset, fencing_token, content).await;
         }
         // Without the lease the orders are not given, so their servers stay in use.
         let holds_lease = self.lease.fencing_token(self.gateway.now()).is_some();
@@ -245,14 +279,15 @@
         next_orders(&state.servers, &unreserved, &self.orders, now)
     }
 
-    async fn append_record(&mut self, offset: u64, fencing_token: u64, ready: &[ReadyServer]) {
+    async fn append_record(&mut self, offset: u64, fencing_token: u64, content: RecordContent) {
         let started_at = self.gateway.now();
         let record = LeaseRecord {
             holder: self.gateway.settings.instance.clone(),
             incarnation: self.incarnation,
             fencing_token,
-            switching: ready.iter().map(ReadyServer::announcement).collect(),
+            switching: content.switching,
             loaded: self.loaded.clone(),
+            is_released: content.is_released,
         };
         let payload = match serde_json::to_vec(&record) {
             Ok(payload) => Bytes::from(payload),
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -5,6 +5,9 @@
 //! if no other daemon has appended in the meantime, so the log orders the holders. The fencing
 //! token of a holder is one above the offset of its first record; tokens therefore increase.
 //!
+//! A holder whose daemon stops gives the lease up with its last record, so that another daemon can
+//! take it immediately.
+//!
 //! Before a holder orders servers to switch, it announces them in a record. A daemon that takes
 //! over therefore knows which servers its predecessor may still be ordering, and can give orders to
 //! all others immediately.
@@ -35,6 +38,9 @@
     /// Weights that servers have loaded since the previous record.
     #[serde(default)]
     pub loaded: Vec<ServerWeights>,
+    /// Whether the holder gives the lease up with this record, because its daemon stops.
+    #[serde(default)]
+    pub is_released: bool,
 }
 
 /// A version of a model's weights on one server.
@@ -142,15 +148,21 @@
     #[must_use]
     pub fn acquisition(&self, now: Duration) -> LeaseStep {
         match &self.last {
+            Some(last) if last.record.is_released => self.first_append(),
             Some(last) if self.is_own(&last.record) => LeaseStep::Append {
                 offset: self.next_offset,
                 fencing_token: last.record.fencing_token,
             },
             Some(last) if now < last.seen_at + VALIDITY + TRANSIT_MARGIN => LeaseStep::Wait,
-            _ => LeaseStep::Append {
-                offset: self.next_offset,
-                fencing_token: self.next_offset + 1,
-            },
+            _ => self.first_append(),
+        }
+    }
+
+    /// Returns the append of a new holder's first record.
+    fn first_append(&self) -> LeaseStep {
+        LeaseStep::Append {
+            offset: self.next_offset,
+            fencing_token: self.next_offset + 1,
         }
     }
 
@@ -201,7 +213,8 @@
     #[must_use]
     pub fn fencing_token(&self, now: Duration) -> Option<u64> {
         let last = self.last.as_ref()?;
-        let is_valid = self.is_own(&last.record) && now < self.valid_until;
+        let is_held = self.is_own(&last.record) && !last.record.is_released;
+        let is_valid = is_held && now < self.valid_until;
         is_valid.then_some(last.record.fencing_token)
     }
 
--- a/crates/gateway/tests/leases.rs
+++ b/crates/gateway/tests/leases.rs
@@ -28,6 +28,7 @@
         fencing_token,
         switching: switching.iter().map(|id| to_version_2(id)).collect(),
         loaded: Vec::new(),
+        is_released: false,
     }
 }
 
@@ -101,6 +102,36 @@
     );
 }
 
+/// Guards against a switch that stands still because the holder's daemon stops: the others waited
+/// for its lease to end, once for each daemon when all are restarted in turn.
+#[test]
+fn a_released_lease_is_taken_at_once() {
+    let (mut first, mut second) = (view("a"), view("b"));
+    let mut log = Log::default();
+    assert!(log.append(&mut first, "a", &["s1"], at(0)));
+    let released = LeaseRecord {
+        is_released: true,
+        ..record("a", 1, &[])
+    };
+    log.records.push(released.clone());
+    first.on_append_stored(released, 1, at(500));
+    assert_eq!(first.fencing_token(at(500)), None);
+    log.read(&mut second, at(510));
+    assert!(log.append(&mut second, "b", &["s2"], at(520)));
+    assert!(second.fencing_token(at(530)) > Some(1), "tokens increase");
+    assert!(second.is_reserved_by_other("s1", at(530)));
+    log.read(&mut first, at(540));
+    assert_eq!(first.acquisition(at(550)), LeaseStep::Wait);
+}
+
+/// Guards against records of a daemon that does not know all fields of this one's.
+#[test]
+fn records_without_the_newer_fields_are_read() {
+    let text = r#"{"holder":"a","incarnation":1,"fencing_token":1,"switching":[]}"#;
+    let parsed: LeaseRecord = serde_json::from_str(text).expect("record");
+    assert_eq!(parsed, record("a", 1, &[]));
+}
+
 /// Guards against orders of two daemons to one server within the minimum gap between holders.
 #[test]
 fn successor_waits_before_it_orders_announced_servers() {
