--- a/crates/gateway/src/weights/switch_plan.rs
+++ b/crates/gateway/src/weights/switch_plan.rs
@@ -56,8 +56,9 @@
 /// Selects the servers to order next. Servers that may be loading count towards the limit of
 /// concurrent switches.
 ///
-/// Idle servers come first, because a switch there affects the fewest requests. If the others would
-/// then not all switch before their weights stop serving, those whose weights stop first come first.
+/// Servers whose weights serve no longer come first, and then idle ones, because a switch there
+/// affects the fewest requests. If the others would then not all switch before their weights stop
+/// serving, those whose weights stop first come first.
 #[must_use]
 pub fn next_orders(
     servers: &Servers,
@@ -75,10 +76,11 @@
     let can_be_ordered =
         |one: &&OutdatedServer| orders.may_order(one, now) && !is_backing_off(servers, one, now);
     let mut waiting: Vec<&OutdatedServer> = outdated.iter().filter(can_be_ordered).collect();
-    // Loads are whole numbers of requests.
     waiting.sort_by_key(|one| {
         let server = servers.get(one.server);
-        server.map_or(0, |server| server.load(now) as u64)
+        // Loads are whole numbers of requests.
+        let load = server.map_or(0, |server| server.load(now) as u64);
+        (one.serves_until > now, load)
     });
     let mut selected = Vec::new();
     while switching < switching_max && !waiting.is_empty() {
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -3,8 +3,8 @@
 
 use anvilgw_gateway::server::{ServedModel, ServerEntry, ServerState, Servers};
 use anvilgw_gateway::weights::{
-    FETCH_TIME_MAX, OldPartTimes, OrderTracker, PublishedWeights, WeightPublication, cache_scope,
-    is_retired, may_read_part, next_orders, oldest_allowed_version, outdated_servers,
+    FETCH_TIME_MAX, OldPartTimes, OrderOutcome, OrderTracker, PublishedWeights, WeightPublication,
+    cache_scope, is_retired, may_read_part, next_orders, oldest_allowed_version, outdated_servers,
     scope_version,
 };
 use indexmap::IndexMap;
@@ -459,6 +459,72 @@
     }
 }
 
+struct RetryCase {
+    name: &'static str,
+    outcome: OrderOutcome,
+    /// Whether the server reports later that it loads nothing.
+    is_idle: bool,
+    /// Version of the next order. The first one was for version 2.
+    next_version: u64,
+    /// Time after the outcome, or after that report, from which the next order may be given.
+    retry_after_ms: u64,
+    /// Whether the server counts as loading until then.
+    may_be_loading: bool,
+}
+
+/// Guards against servers that keep a place among those that switch although they load nothing, and
+/// against servers without an answer that are called again and again.
+#[test]
+fn an_order_without_effect_is_repeated_soon() {
+    use OrderOutcome::{Accepted, Busy, NoReport, Rejected, Unanswered};
+    let case = |name, outcome, next_version, retry_after_ms, may_be_loading| RetryCase {
+        name,
+        outcome,
+        is_idle: false,
+        next_version,
+        retry_after_ms,
+        may_be_loading,
+    };
+    let cases = [
+        case("accepted", Accepted, 2, 6_000, true),
+        case("accepted, newer weights", Accepted, 3, 0, false),
+        case("not answered", Unanswered, 2, 2_000, true),
+        case("busy", Busy, 2, 300, true),
+        case("rejected", Rejected, 2, 300, false),
+        case("no report", NoReport, 2, 2_000, false),
+        case("no report, newer weights", NoReport, 3, 2_000, false),
+        RetryCase {
+            is_idle: true,
+            ..case("accepted, restarted", Accepted, 2, 300, false)
+        },
+        RetryCase {
+            is_idle: true,
+            ..case("on its way", Unanswered, 2, 300, false)
+        },
+    ];
+    for case in cases {
+        let mut servers = Servers::default();
+        let entry = entry(0, 1, ServerState::Ready);
+        servers.on_entry_published(entry, Duration::ZERO);
+        let target = |version| {
+            let outdated = outdated_servers(&servers, published(version, 1).iter(), SWITCH_TIME);
+            outdated.into_iter().next().expect("the server")
+        };
+        let mut orders = OrderTracker::default();
+        orders.on_outcome(&target(2), case.outcome, SECOND);
+        if case.is_idle {
+            orders.on_idle(&target(2), SECOND);
+        }
+        let next = target(case.next_version);
+        let first_at = (0..10_000)
+            .find(|ms| orders.may_order(&next, SECOND + Duration::from_millis(*ms)))
+            .expect("ordered again in the end");
+        assert_eq!(first_at, case.retry_after_ms, "{}", case.name);
+        let may_be_loading = orders.may_be_loading(&next, SECOND);
+        assert_eq!(may_be_loading, case.may_be_loading, "{}", case.name);
+    }
+}
+
 struct PlanCase {
     name: &'static str,
     /// Time since the publication of version 2, in milliseconds. Version 3 follows 4 s after it.
