Cancel the announcement of a switch that does not take place

Cause: a server that is announced to switch gets no requests for up to 6 s, also if it rejects the order, or restarts and loads nothing.

Change: the next lease record cancels the announcement, and requests reach the server again.

--- a/crates/gateway/src/background_tasks/weight_switches.rs
+++ b/crates/gateway/src/background_tasks/weight_switches.rs
@@ -52,6 +52,7 @@
         orders: OrderTracker::default(),
         retirement: PartRetirement::default(),
         loaded: Vec::new(),
+        cancelled: Vec::new(),
         lease_dependency: Dependency::new("metadata store, leases"),
         reader: TopicReader::new(Topic::Leases, Arc::clone(&gateway.ports.clock)),
         gateway,
@@ -63,7 +64,7 @@
         }
         if is_draining || switcher.is_idle() {
             switcher.orders.clear();
-            switcher.loaded.clear();
+            switcher.forget_updates();
             sleep(IDLE_PAUSE).await;
             continue;
         }
@@ -88,6 +89,8 @@
     retirement: PartRetirement,
     /// Weights that servers have loaded and that no lease record contains yet.
     loaded: Vec<ServerWeights>,
+    /// Announced switches that do not take place and that no lease record contains yet.
+    cancelled: Vec<ServerWeights>,
     lease_dependency: Dependency,
     reader: TopicReader,
 }
@@ -103,6 +106,12 @@
         outdated_servers(&state.servers, state.weights.iter(), switch_time)
     }
 
+    /// Forgets what the next lease record would have told other daemons.
+    fn forget_updates(&mut self) {
+        self.loaded.clear();
+        self.cancelled.clear();
+    }
+
     async fn round(&mut self) {
         let now = self.gateway.now();
         if self.lease.fencing_token(now).is_some() {
@@ -110,8 +119,8 @@
             sleep(ROUND_PAUSE).await;
             return;
         }
-        // Only the holder may report loaded weights: its records are in order.
-        self.loaded.clear();
+        // Only the holder may report on switches: its records are in order.
+        self.forget_updates();
         if !self.follow_lease().await {
             sleep(IDLE_PAUSE).await;
             return;
@@ -231,6 +240,12 @@
                     server.on_switched(&loaded.model, loaded.version);
                 }
             }
+            for cancelled in &record.cancelled {
+                let key = state.servers.key_of(&cancelled.server);
+                if let Some(server) = key.and_then(|key| state.servers.get_mut(key)) {
+                    server.on_switch_cancelled(&cancelled.model, cancelled.version);
+                }
+            }
         }
     }
 
@@ -239,7 +254,8 @@
         self.poll_progress().await;
         let polled_at = self.gateway.now();
         let ready = self.ready_servers(self.candidates(polled_at)).await;
-        let has_updates = !ready.is_empty() || !self.loaded.is_empty();
+        let has_updates =
+            !ready.is_empty() || !self.loaded.is_empty() || !self.cancelled.is_empty();
         if let LeaseStep::Append {
             offset,
             fencing_token,
@@ -287,6 +303,7 @@
             fencing_token,
             switching: content.switching,
             loaded: self.loaded.clone(),
+            cancelled: self.cancelled.clone(),
             is_released: content.is_released,
         };
         let payload = match serde_json::to_vec(&record) {
@@ -308,7 +325,7 @@
                 self.gateway.state.borrow_mut().switches_read_at = started_at;
                 let gateway = &self.gateway;
                 gateway.on_topic_read(Topic::Leases, offset, &[payload], started_at);
-                self.loaded.clear();
+                self.forget_updates();
                 self.lease.on_append_stored(record, offset, started_at);
                 if !was_held {
                     self.log_lease_change("taken", fencing_token);
--- a/crates/gateway/src/background_tasks/weight_switches/orders.rs
+++ b/crates/gateway/src/background_tasks/weight_switches/orders.rs
@@ -58,8 +58,9 @@
             let now = self.gateway.now();
             let is_answered = !matches!(progress, Progress::Unknown);
             self.orders.on_polled(&target, is_answered, now);
-            if let Progress::Ready(_) = progress {
+            if let Progress::Ready(ready) = progress {
                 self.orders.on_idle(&target, now);
+                self.cancel_announcement(&ready);
             }
         }
     }
@@ -149,6 +150,16 @@
         }
     }
 
+    /// Lets requests reach a server again that was announced to switch and does not.
+    fn cancel_announcement(&mut self, ready: &ReadyServer) {
+        let target = &ready.target;
+        let servers = &mut self.gateway.state.borrow_mut().servers;
+        if let Some(server) = servers.get_mut(target.server) {
+            server.on_switch_cancelled(&target.model, target.version);
+        }
+        self.cancelled.push(ready.announcement());
+    }
+
     /// Counts a call to a server for the log of the requests under its limit.
     fn count_control_call(&self, target: &OutdatedServer) {
         let servers = &mut self.gateway.state.borrow_mut().servers;
@@ -274,6 +285,9 @@
             }
         };
         self.orders.on_outcome(&ready.target, outcome, now);
+        if outcome == OrderOutcome::Rejected {
+            self.cancel_announcement(ready);
+        }
         match answer {
             Ok(OrderAnswer::Fenced) => {
                 self.lease.on_fenced(now);
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -38,6 +38,9 @@
     /// Weights that servers have loaded since the previous record.
     #[serde(default)]
     pub loaded: Vec<ServerWeights>,
+    /// Announced switches that do not take place, since the previous record.
+    #[serde(default)]
+    pub cancelled: Vec<ServerWeights>,
     /// Whether the holder gives the lease up with this record, because its daemon stops.
     #[serde(default)]
     pub is_released: bool,
--- a/crates/gateway/src/loaded_weights.rs
+++ b/crates/gateway/src/loaded_weights.rs
@@ -102,6 +102,14 @@
         }
     }
 
+    /// Records that an announced switch to `version` does not take place.
+    pub(crate) fn on_switch_cancelled(&mut self, model: &str, version: u64) {
+        let is_cancelled = |switch: &Switch| switch.model == model && switch.version == version;
+        if self.switch.as_ref().is_some_and(is_cancelled) {
+            self.switch = None;
+        }
+    }
+
     /// Returns whether the server is switching weights and accepts no requests.
     pub(crate) fn is_switching(&self, now: Duration) -> bool {
         let switch = self.switch.as_ref();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -298,6 +298,12 @@
         self.weights.on_switched(model, version);
     }
 
+    /// Records that an announced switch to a version of a model's weights does not take place: the
+    /// server rejected the order, or loads nothing.
+    pub fn on_switch_cancelled(&mut self, model: &str, version: u64) {
+        self.weights.on_switch_cancelled(model, version);
+    }
+
     /// Returns whether the server is switching weights and therefore rejects requests.
     #[must_use]
     pub fn is_switching(&self, now: Duration) -> bool {
--- a/crates/gateway/tests/leases.rs
+++ b/crates/gateway/tests/leases.rs
@@ -28,6 +28,7 @@
         fencing_token,
         switching: switching.iter().map(|id| to_version_2(id)).collect(),
         loaded: Vec::new(),
+        cancelled: Vec::new(),
         is_released: false,
     }
 }
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -608,6 +608,20 @@
     assert_eq!(ordered_at(4 * SECOND), [keys[0]]);
 }
 
+/// Guards against servers that get no requests for seconds although they rejected the order, or
+/// load nothing; and against a record that cancels the switch to another version.
+#[test]
+fn a_cancelled_switch_lets_requests_reach_the_server_again() {
+    let mut servers = Servers::default();
+    let key = servers.on_entry_published(entry(0, 1, ServerState::Ready), Duration::ZERO);
+    let server = servers.get_mut(key).expect("server");
+    server.on_switch_ordered(MODEL, 3, 10 * SECOND);
+    server.on_switch_cancelled(MODEL, 2);
+    assert!(server.is_switching(SECOND));
+    server.on_switch_cancelled(MODEL, 3);
+    assert!(!server.is_switching(SECOND));
+}
+
 struct SwitchCase {
     name: &'static str,
     /// Version in the server's entry when the announcement is read.
