Count only complete reads as proof that a copy is current

Callers got answers of replaced weights beside a long list of other changes.

Cause: the answer to a log read holds at most 1 MB. A read that returned a part of the records counted as proof that the daemon's copy was complete at its start. A publication of weights that waits behind other changes after an outage then counted as younger than it is. In the same way, a copy that lacks a withdrawn key counted as current while the daemon read on.

--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -127,6 +127,8 @@
     pub records: Vec<Bytes>,
     /// Offset after the last record, from which to read on.
     pub next_offset: u64,
+    /// Whether the log ended after the last record. Otherwise there are newer ones.
+    pub is_complete: bool,
 }
 
 /// This daemon's share of the fleet's budgets.
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -43,8 +43,8 @@
     pub(crate) records: Vec<Bytes>,
     /// Offset after the last record, where the next read starts.
     pub(crate) next_offset: u64,
-    /// Time at which the topic was known to end after these records, or slightly before. Zero if a
-    /// leader's page does not reach the end of its copy.
+    /// Time at which the topic was known to end after these records, or slightly before. Zero if
+    /// there are newer ones.
     pub(crate) verified_at: Duration,
 }
 
@@ -125,9 +125,15 @@
         } else {
             wait
         };
-        let verified_at = gateway.now();
+        let started_at = gateway.now();
         let store = &gateway.ports.metadata_store;
         let page = store.read(self.topic, from_offset, wait).await?;
+        // A page that leaves records out does not show that the copy is current.
+        let verified_at = if page.is_complete {
+            started_at
+        } else {
+            Duration::ZERO
+        };
         gateway.on_topic_read(self.topic, from_offset, &page.records, verified_at);
         Ok(TopicRecords {
             records: page.records,
