Tell other daemons of the last servers that have switched

Cause: the holder of the lease stopped to write records once no server was outdated, so the servers that had switched last got no requests from other daemons until their entries told the version, up to a heartbeat later. A record that cancelled a switch and announced it again would have left the server in use while it loads.

Change: a record is due while there is something to tell. Cancelled switches of a record are applied before its announcements; the three loops over servers of a record share one function.

--- a/crates/gateway/src/background_tasks/weight_switches.rs
+++ b/crates/gateway/src/background_tasks/weight_switches.rs
@@ -11,6 +11,7 @@
 use crate::lease::{LeaseRecord, LeaseStep, LeaseView, ServerWeights};
 use crate::log::Event;
 use crate::ports::{AppendOutcome, StoreError, Topic};
+use crate::server::{Server, Servers};
 use crate::topic_reader::TopicReader;
 use crate::weights::{OrderTracker, OutdatedServer, next_orders, outdated_servers};
 use bytes::Bytes;
@@ -97,7 +98,14 @@
 
 impl WeightSwitcher {
     fn is_idle(&self) -> bool {
-        self.outdated_servers().is_empty() && retired_parts(&self.gateway, 1).is_empty()
+        !self.has_updates()
+            && self.outdated_servers().is_empty()
+            && retired_parts(&self.gateway, 1).is_empty()
+    }
+
+    /// Returns whether the next lease record has something to tell of earlier orders.
+    fn has_updates(&self) -> bool {
+        !self.loaded.is_empty() || !self.cancelled.is_empty()
     }
 
     fn outdated_servers(&self) -> Vec<OutdatedServer> {
@@ -225,27 +233,18 @@
     fn on_lease_records(&self, records: &[LeaseRecord]) {
         let now = self.gateway.now();
         let state = &mut *self.gateway.state.borrow_mut();
+        let until = now + SWITCH_TIME_MAX;
         for record in records {
-            for ordered in &record.switching {
-                let key = state.servers.key_of(&ordered.server);
-                if let Some(server) = key.and_then(|key| state.servers.get_mut(key)) {
-                    let until = now + SWITCH_TIME_MAX;
-                    server.on_switch_ordered(&ordered.model, ordered.version, until);
-                }
-            }
-            for loaded in &record.loaded {
-                let key = state.servers.key_of(&loaded.server);
-                if let Some(server) = key.and_then(|key| state.servers.get_mut(key)) {
-                    server.on_weights_loaded(&loaded.model, loaded.version);
-                    server.on_switched(&loaded.model, loaded.version);
-                }
-            }
-            for cancelled in &record.cancelled {
-                let key = state.servers.key_of(&cancelled.server);
-                if let Some(server) = key.and_then(|key| state.servers.get_mut(key)) {
-                    server.on_switch_cancelled(&cancelled.model, cancelled.version);
-                }
-            }
+            for_each_server(&mut state.servers, &record.cancelled, |server, weights| {
+                server.on_switch_cancelled(&weights.model, weights.version);
+            });
+            for_each_server(&mut state.servers, &record.switching, |server, weights| {
+                server.on_switch_ordered(&weights.model, weights.version, until);
+            });
+            for_each_server(&mut state.servers, &record.loaded, |server, weights| {
+                server.on_weights_loaded(&weights.model, weights.version);
+                server.on_switched(&weights.model, weights.version);
+            });
         }
     }
 
@@ -254,8 +253,7 @@
         self.poll_progress().await;
         let polled_at = self.gateway.now();
         let ready = self.ready_servers(self.candidates(polled_at)).await;
-        let has_updates =
-            !ready.is_empty() || !self.loaded.is_empty() || !self.cancelled.is_empty();
+        let has_updates = !ready.is_empty() || self.has_updates();
         if let LeaseStep::Append {
             offset,
             fencing_token,
@@ -369,3 +367,17 @@
         });
     }
 }
+
+/// Calls `apply` for each server in a list of a lease record that is still known.
+fn for_each_server(
+    servers: &mut Servers,
+    list: &[ServerWeights],
+    apply: impl Fn(&mut Server, &ServerWeights),
+) {
+    for weights in list {
+        let key = servers.key_of(&weights.server);
+        if let Some(server) = key.and_then(|key| servers.get_mut(key)) {
+            apply(server, weights);
+        }
+    }
+}
