Let daemons that are not listed as members follow a leader

Cause: a daemon that was cut off from the platform's store for longer than the time to live of a member joins again and owns no partition: the platform lists only owners, and gives it none for as long as the generation stays. The daemon took itself for one of a fleet of its own: it read the tables of the store itself, about three times a second, and neither sent nor got load reports.

Change: such a daemon takes the assignment that it will have once listed, and reads the list of members again until it is listed. Neither joining with generation 0 nor leaving first gave it partitions (two trials).

--- a/crates/gateway/src/background_tasks/membership.rs
+++ b/crates/gateway/src/background_tasks/membership.rs
@@ -27,18 +27,21 @@
     let mut dependency = Dependency::new("metadata store, fleet");
     let mut generation = 0;
     let mut members_generation = 0;
+    let mut is_listed = false;
     let mut members_read_due_at = Duration::ZERO;
     while !gateway.is_draining.get() {
         match gateway.ports.metadata_store.join(generation).await {
             Ok(joined) => {
                 dependency.on_answer(&gateway);
                 let now = gateway.now();
-                if joined.generation != members_generation && now >= members_read_due_at {
-                    read_members(&gateway).await;
+                let is_outdated = joined.generation != members_generation || !is_listed;
+                if is_outdated && now >= members_read_due_at {
+                    is_listed = read_members(&gateway).await;
                     members_generation = joined.generation;
                     members_read_due_at = now + pause_for_uptime(&gateway, MEMBERS_PAUSE);
                 }
-                confirm_members(&gateway, joined.generation == members_generation);
+                let is_current = is_listed && joined.generation == members_generation;
+                confirm_members(&gateway, is_current);
                 if joined.generation != generation {
                     gateway.log_notable(&Event::FleetShare {
                         generation: joined.generation,
@@ -80,13 +83,23 @@
     }
 }
 
-async fn read_members(gateway: &Gateway) {
+/// Reads the list of members and returns whether it contains this daemon. The platform lists only
+/// daemons that own a partition, and one that has just joined again gets its partitions as the
+/// others release them, without a new generation.
+async fn read_members(gateway: &Gateway) -> bool {
     match gateway.ports.metadata_store.members().await {
-        Ok(members) => apply_members(gateway, &members),
-        Err(error) => gateway.log_notable(&Event::DependencyLost {
-            dependency: "metadata store, members",
-            reason: &error.to_string(),
-        }),
+        Ok(members) => {
+            apply_members(gateway, &members);
+            let own_address = gateway.settings.listen_peers;
+            own_address.is_none_or(|own| members.iter().any(|member| member.address == own))
+        }
+        Err(error) => {
+            gateway.log_notable(&Event::DependencyLost {
+                dependency: "metadata store, members",
+                reason: &error.to_string(),
+            });
+            false
+        }
     }
 }
 
@@ -96,7 +109,11 @@
     let Some(own_address) = gateway.settings.listen_peers else {
         return;
     };
-    let FleetAssignment { role, store_reads } = FleetAssignment::of(own_address, members);
+    let own = Member {
+        address: own_address,
+        failure_domain: gateway.settings.failure_domain.clone(),
+    };
+    let FleetAssignment { role, store_reads } = FleetAssignment::of(&own, members);
     let addresses = members.iter().map(|member| member.address);
     let now = gateway.now();
     let state = &mut *gateway.state.borrow_mut();
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -126,15 +126,20 @@
 }
 
 impl FleetAssignment {
-    /// Returns the assignment of the daemon at the address `own` among the members of the fleet.
+    /// Returns the assignment of the daemon `own` among the members of the fleet. A daemon that the
+    /// list does not contain yet follows the leader that it will have, so that it neither reads the
+    /// metadata store itself nor goes without load reports.
     #[must_use]
-    pub fn of(own: SocketAddr, members: &[Member]) -> Self {
-        let groups = Groups::new(members);
+    pub fn of(own: &Member, members: &[Member]) -> Self {
+        let is_listed = members.iter().any(|member| member.address == own.address);
+        let added = (!is_listed && !members.is_empty()).then_some(own);
+        let groups = Groups::new(members.iter().chain(added));
+        let own = own.address;
         let leader = groups.leader_of(own);
         Self {
             role: role(own, leader, &groups),
             store_reads: match leader {
-                // The list of members does not contain this daemon yet, so no group reads its copy.
+                // No member is known yet.
                 None => StoreReads::Direct,
                 Some(leader) if leader != own => StoreReads::FromLeader(leader),
                 Some(_) => match groups.domain_leader_of(own) {
@@ -184,9 +189,9 @@
 }
 
 impl Groups {
-    fn new(members: &[Member]) -> Self {
+    fn new<'a>(members: impl Iterator<Item = &'a Member> + Clone) -> Self {
         let mut sizes: IndexMap<&str, u64> = IndexMap::new();
-        for member in members {
+        for member in members.clone() {
             *sizes.entry(&member.failure_domain).or_default() += 1;
         }
         let mut groups = Self {
--- a/crates/gateway/tests/deployments/groups.rs
+++ b/crates/gateway/tests/deployments/groups.rs
@@ -28,8 +28,8 @@
 }
 
 fn roles(members: &[Member]) -> Vec<Role> {
-    let addresses = members.iter().map(|member| member.address);
-    addresses
+    members
+        .iter()
         .map(|own| FleetAssignment::of(own, members).role)
         .collect()
 }
@@ -103,8 +103,8 @@
 fn one_daemon_of_each_failure_domain_reads_the_metadata_store() {
     for deployment in DEPLOYMENTS {
         let members = members(deployment.daemons, deployment.domains);
-        let addresses = members.iter().map(|member| member.address);
-        let reads_of_all: Vec<StoreReads> = addresses
+        let reads_of_all: Vec<StoreReads> = members
+            .iter()
             .map(|own| FleetAssignment::of(own, &members).store_reads)
             .collect();
         let mut readers = 0;
@@ -189,3 +189,22 @@
         assert_eq!(known.tokens_on(ENGINE), others, "{role:?}");
     }
 }
+
+/// Guards against daemons that the platform does not list yet and that read the metadata store
+/// themselves, get no load reports and send none, for as long as they are not listed.
+#[test]
+fn a_daemon_that_is_not_listed_follows_the_leader_that_it_will_have() {
+    // A daemon that knows no member has no leader to follow.
+    for deployment in DEPLOYMENTS.iter().filter(|one| one.daemons > 1) {
+        let members = members(deployment.daemons, deployment.domains);
+        for own in &members {
+            let assignment = FleetAssignment::of(own, &members);
+            let others: Vec<Member> = members.iter().filter(|one| *one != own).cloned().collect();
+            let name = deployment.name;
+            assert_eq!(FleetAssignment::of(own, &others), assignment, "{name}");
+        }
+        let first = &members[0];
+        let alone = FleetAssignment::of(first, &[]);
+        assert_eq!(alone, FleetAssignment::default(), "no member is known");
+    }
+}
--- a/crates/gateway/tests/limits/simulation.rs
+++ b/crates/gateway/tests/limits/simulation.rs
@@ -368,10 +368,10 @@
             return;
         }
         let addresses = self.members.iter().map(|member| member.address);
-        let own = address(index);
+        let own = member(index);
         let daemon = &mut self.daemons[index];
         daemon.fleet.on_members(addresses.collect(), self.now);
-        daemon.role = FleetAssignment::of(own, &self.members).role;
+        daemon.role = FleetAssignment::of(&own, &self.members).role;
         if self.now < daemon.started_at + QUERY_TIME {
             self.query_notices(index);
         }
