--- a/crates/gateway/src/background_tasks/mod.rs
+++ b/crates/gateway/src/background_tasks/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod operators;
 pub(crate) mod peer_messages;
 mod retired_parts;
+pub(crate) mod rollouts;
 pub(crate) mod servers;
 mod snapshot;
 pub(crate) mod weight_switches;
--- a/crates/gateway/src/background_tasks/operators.rs
+++ b/crates/gateway/src/background_tasks/operators.rs
@@ -1,6 +1,7 @@
 //! Follows the operators' table: configuration, failure domains in and out of service, and
 //! published weights.
 
+use super::rollouts::{on_rollout_malformed, on_rollout_ordered, on_rollout_withdrawn};
 use super::snapshot::read_snapshot;
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
@@ -121,6 +122,11 @@
             key: &key,
             reason: &reason,
         }),
+        Change::RolloutOrdered(request) => on_rollout_ordered(gateway, request),
+        Change::RolloutWithdrawn(service) => on_rollout_withdrawn(gateway, &service),
+        Change::RolloutMalformed { service, reason } => {
+            on_rollout_malformed(gateway, &service, &reason);
+        }
         Change::ServerUpdated(_) | Change::ServerRemoved(_) => {}
     }
 }
--- a/crates/gateway/src/listeners/peer_reads.rs
+++ b/crates/gateway/src/listeners/peer_reads.rs
@@ -60,11 +60,12 @@
 }
 
 /// Names of topics in requests between daemons.
-const TOPIC_NAMES: [(&str, Topic); 4] = [
+const TOPIC_NAMES: [(&str, Topic); 5] = [
     ("operators", Topic::Table(Table::Operators)),
     ("servers", Topic::Table(Table::Servers)),
     ("leases", Topic::Leases),
     ("evidence", Topic::Evidence),
+    ("statuses", Topic::Statuses),
 ];
 
 /// Returns the request target to read another daemon's copy of a topic.
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -53,6 +53,19 @@
     Leases,
     /// Evidence on prompt parts under which backend servers end.
     Evidence,
+    /// States of rollouts.
+    Statuses,
+}
+
+/// Order of operators to move the traffic of a service to servers of another software version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RolloutRequest {
+    /// Name of the service.
+    pub service: String,
+    /// Version to which the traffic is to be moved.
+    pub target: String,
+    /// Time after the order within which the rollout has to be completed or rolled back.
+    pub step: Duration,
 }
 
 /// A change of a table in the metadata store.
@@ -71,6 +84,17 @@
         /// Version of the weights.
         version: u64,
     },
+    /// Operators ordered a rollout of a service's software version.
+    RolloutOrdered(RolloutRequest),
+    /// The order of a rollout of this service was removed.
+    RolloutWithdrawn(String),
+    /// The order of a rollout could not be decoded and changes nothing.
+    RolloutMalformed {
+        /// Name of the service.
+        service: String,
+        /// Why it could not be decoded.
+        reason: String,
+    },
     /// A backend server published its entry.
     ServerUpdated(ServerEntry),
     /// The entry of a backend server was removed.
@@ -111,6 +135,15 @@
     pub next_offset: u64,
 }
 
+/// Newest statuses of all rollouts.
+#[derive(Clone, Debug, Default)]
+pub struct StatusListing {
+    /// Newest status of each service that has one.
+    pub statuses: Vec<RolloutStatus>,
+    /// Offset from which to read on.
+    pub next_offset: u64,
+}
+
 /// Outcome of a conditional append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AppendOutcome {
@@ -243,6 +276,28 @@
         at: Option<u64>,
         records: Vec<KeyedBytes>,
     ) -> LocalBoxFuture<'_, Result<AppendOutcome, StoreError>>;
+
+    /// Reads the newest status of every rollout.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] if the statuses cannot be read.
+    fn list_statuses(&self) -> LocalBoxFuture<'_, Result<StatusListing, StoreError>>;
+
+    /// Decodes a record that was read from the log of statuses. Returns `None` for records that are
+    /// not the status of a rollout.
+    fn decode_status(&self, record: Bytes) -> Option<RolloutStatus>;
+
+    /// Appends the status of a rollout if the log ends at the offset `at`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] if the outcome is unknown or the store rejected the call.
+    fn append_status(
+        &self,
+        at: u64,
+        status: &RolloutStatus,
+    ) -> LocalBoxFuture<'_, Result<AppendOutcome, StoreError>>;
 }
 
 /// A backend server's answer to a [`WeightOrder`].
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -45,6 +45,8 @@
     pub prompt: Option<PromptQuery<'a>>,
     /// Servers on which earlier attempts were made. They are not selected again.
     pub tried: &'a [ServerKey],
+    /// Servers whose software version may not serve the request.
+    pub excluded: &'a [ServerKey],
     /// This daemon's share of the fleet, from 0 to 1, by which fleet-wide allowances are divided.
     pub share: f64,
     /// Whether servers are candidates for which the issuer must be asked for a permit first.
@@ -61,6 +63,7 @@
             region_constraints,
             prompt: None,
             tried: &[],
+            excluded: &[],
             share: 1.0,
             may_ask_permits: true,
         }
@@ -218,6 +221,7 @@
         .iter()
         .filter(|(_, server)| server.entry.service == query.service.name)
         .filter(|(_, server)| servers.is_in_service(server))
+        .filter(|(key, _)| !query.excluded.contains(key))
         .filter(|(_, server)| query.region_constraints.allow(&server.entry.failure_domain))
         .filter(|(_, server)| has_weights(server, query.prompt.as_ref()))
         .map(|(key, _)| key)
--- a/crates/gateway/src/server/entry.rs
+++ b/crates/gateway/src/server/entry.rs
@@ -41,6 +41,8 @@
     pub slots: u32,
     /// Models that are loaded on the server.
     pub models: Vec<ServedModel>,
+    /// Version of the server's software, if the server publishes it.
+    pub version: Option<String>,
     /// Start time of the server process in Unix milliseconds, if the server publishes it.
     pub started_at_ms: Option<u64>,
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Bounds on rollouts of a service's software version.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RolloutBounds {
+    /// Share of a service's requests between an order and its deadline that a bad version may get,
+    /// 0 to 1.
+    pub exposure_share: f64,
+    /// Number of requests that a bad version may get in addition.
+    pub exposure_slack: f64,
+    /// Time after the 50th bad answer from which on a bad version may get no request.
+    pub rollback: Duration,
+}
+
 /// Time limits and other bounds that the platform's operators set.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -18,6 +30,8 @@
     pub order_gap: Duration,
     /// Time within which all requests must be served with newly published weights.
     pub weight_switch: Duration,
+    /// Bounds on rollouts. `None` turns rollouts off: the versions of servers are ignored.
+    pub rollouts: Option<RolloutBounds>,
 }
 
 /// Settings of one gateway daemon.
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -66,6 +66,7 @@
                 Topic::Table(Table::Servers) => "leader's copy, servers",
                 Topic::Leases => "leader's copy, leases",
                 Topic::Evidence => "leader's copy, evidence",
+                Topic::Statuses => "leader's copy, statuses",
             }),
             direct_reads: DirectReads::default(),
         }
@@ -158,7 +159,7 @@
         let verified_at = age.map(|age| started_at.saturating_sub(age));
         let age_max = match self.topic {
             Topic::Evidence => EVIDENCE_COPY_AGE_MAX,
-            Topic::Table(_) | Topic::Leases => LEADER_COPY_AGE_MAX,
+            Topic::Table(_) | Topic::Leases | Topic::Statuses => LEADER_COPY_AGE_MAX,
         };
         if age.is_some_and(|age| age > age_max) {
             return Err("the leader's copy is too old".to_owned());
--- a/crates/gateway/tests/deployments/deployment.rs
+++ b/crates/gateway/tests/deployments/deployment.rs
@@ -131,6 +131,7 @@
             cold_for: Duration::ZERO,
             slots: 8,
             models: self.has_engines.then_some(model).into_iter().collect(),
+            version: None,
             started_at_ms: Some(1),
         }
     }
--- a/crates/gateway/tests/limits/simulation/deployment.rs
+++ b/crates/gateway/tests/limits/simulation/deployment.rs
@@ -39,6 +39,7 @@
             cold_for: Duration::ZERO,
             slots: 8,
             models: Vec::new(),
+            version: None,
             started_at_ms: Some(started_at_ms),
         };
         servers.on_entry_published(entry, Duration::ZERO);
--- a/crates/gateway/tests/servers/fixture.rs
+++ b/crates/gateway/tests/servers/fixture.rs
@@ -46,6 +46,7 @@
             model: MODEL.to_owned(),
             version: 1,
         }],
+        version: None,
         started_at_ms: Some(1),
     }
 }
--- a/crates/gateway/tests/weight_switches.rs
+++ b/crates/gateway/tests/weight_switches.rs
@@ -330,6 +330,7 @@
             model: MODEL.to_owned(),
             version: 1,
         }],
+        version: None,
         started_at_ms: Some(1),
     }
 }
