--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! One process per instance forwards requests to backend servers and keeps no persistent state.
 //! Modules without I/O make the decisions (`configuration`, `server`, `select`, `budget`,
-//! `share_budget`, `permits`, `freshness`, `lease`, `weights`); the others perform the I/O. Only
+//! `share_budget`, `permits`, `freshness`, `lease`, `rollout`, `weights`); the others perform the I/O. Only
 //! implementations of [`ports`] know the platform's protocols.
 
 mod ack_timeout;
@@ -51,6 +51,7 @@
 pub mod region_constraints;
 pub mod request;
 pub mod request_limit;
+pub mod rollout;
 pub mod select;
 pub mod server;
 pub mod settings;
--- /dev/null
+++ b/crates/gateway/src/rollout/fleet_evidence.rs
@@ -0,0 +1,35 @@
+//! Sum of the evidence of all daemons, kept apart by the period in which it arrived.
+
+use super::evidence::{Evidence, EvidenceRow, RowKey};
+use indexmap::IndexMap;
+
+/// Evidence of all daemons for one order.
+///
+/// Daemons report cumulative rows. What a report adds to the previous one of its sender is counted
+/// in the current period, so that answers of both versions are compared only within a period.
+#[derive(Clone, Debug, Default)]
+pub struct FleetEvidence {
+    known: IndexMap<u64, IndexMap<RowKey, EvidenceRow>>,
+    periods: IndexMap<u32, Evidence>,
+}
+
+impl FleetEvidence {
+    /// Adds a report's rows to a period. `sender` is the start identifier of the daemon.
+    pub fn on_rows(&mut self, sender: u64, rows: Vec<EvidenceRow>, period: u32) {
+        let known = self.known.entry(sender).or_default();
+        let sums = self.periods.entry(period).or_default();
+        for row in rows {
+            match known.get(&row.key) {
+                Some(earlier) if earlier.answers >= row.answers => continue,
+                Some(earlier) => sums.add(&row.since(earlier)),
+                None => sums.add(&row),
+            }
+            known.insert(row.key, row);
+        }
+    }
+
+    /// Returns the evidence of each period.
+    pub fn periods(&self) -> impl Iterator<Item = &Evidence> {
+        self.periods.values()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/rollout/versions.rs
@@ -0,0 +1,107 @@
+//! Which versions of a service may serve requests.
+
+use super::order::{RolloutOrder, RolloutState, RolloutStatus};
+
+/// Whether servers of a version may get requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VersionUse {
+    /// Servers of this version get all requests that do not go to a canary.
+    All,
+    /// Servers of this version get the share of the requests that the rollout's directive allows.
+    Canary,
+    /// Servers of this version get no requests.
+    Excluded,
+}
+
+/// Versions of one service, derived from the order, the stored status and the listed servers.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceVersions {
+    in_force: Option<String>,
+    order: Option<RolloutOrder>,
+    status: Option<RolloutStatus>,
+}
+
+impl ServiceVersions {
+    /// Records a new order, or that the order was removed (`None`). An order that is listed again
+    /// keeps the time at which this daemon first learned of it.
+    pub fn on_order(&mut self, order: Option<RolloutOrder>) {
+        let is_known = match (&self.order, &order) {
+            (Some(known), Some(order)) => known.id == order.id,
+            _ => false,
+        };
+        if !is_known {
+            self.order = order;
+        }
+    }
+
+    /// Records the newest stored status.
+    pub fn on_status(&mut self, status: RolloutStatus) {
+        if status.state == RolloutState::Complete {
+            self.in_force = Some(status.target.clone());
+        }
+        self.status = Some(status);
+    }
+
+    /// Records the versions of the service's listed servers, each with its number of servers. The
+    /// version in force is derived from them only while no `complete` has named one.
+    pub fn on_listed(&mut self, listed: &[(&str, usize)]) {
+        if self.in_force.is_some() {
+            return;
+        }
+        let is_ordered = |version: &str| {
+            let order = self.order.as_ref().map(|order| order.target.as_str());
+            let status = self.status.as_ref().map(|status| status.target.as_str());
+            order == Some(version) || status == Some(version)
+        };
+        let candidates = listed.iter().filter(|(version, _)| !is_ordered(version));
+        let most =
+            candidates.max_by_key(|(version, servers)| (*servers, std::cmp::Reverse(*version)));
+        self.in_force = most.map(|(version, _)| (*version).to_owned());
+    }
+
+    /// Returns the order if its final state is not stored.
+    #[must_use]
+    pub fn running(&self) -> Option<&RolloutOrder> {
+        let order = self.order.as_ref()?;
+        let state = self.state_of(order);
+        (!state.is_some_and(RolloutState::is_final)).then_some(order)
+    }
+
+    /// Returns the newest order.
+    #[must_use]
+    pub fn order(&self) -> Option<&RolloutOrder> {
+        self.order.as_ref()
+    }
+
+    /// Returns the newest stored status.
+    #[must_use]
+    pub fn status(&self) -> Option<&RolloutStatus> {
+        self.status.as_ref()
+    }
+
+    /// Returns the version in force, or `None` if no server was listed yet.
+    #[must_use]
+    pub fn in_force(&self) -> Option<&str> {
+        self.in_force.as_deref()
+    }
+
+    /// Returns how a server's version is used. A server without a version is used as before.
+    #[must_use]
+    pub fn use_of(&self, version: Option<&str>) -> VersionUse {
+        let (Some(version), Some(in_force)) = (version, self.in_force()) else {
+            return VersionUse::All;
+        };
+        if version == in_force {
+            return VersionUse::All;
+        }
+        match self.running() {
+            Some(order) if order.target == version => VersionUse::Canary,
+            _ => VersionUse::Excluded,
+        }
+    }
+
+    fn state_of(&self, order: &RolloutOrder) -> Option<RolloutState> {
+        let status = self.status.as_ref()?;
+        status.is_of(order).then_some(status.state)
+    }
+}
