Connect rollouts with the store, the fleet and dispatch

Operators' orders, the entries' versions and the log of statuses are read through the adapter. A background task exchanges reports (tag 21) and directives (tag 22) with the decider of the service and writes statuses by conditional append. Dispatch chooses the version side of each request and records outcomes.

--- a/crates/gateway/src/background_tasks/operators.rs
+++ b/crates/gateway/src/background_tasks/operators.rs
@@ -1,7 +1,9 @@
 //! Follows the operators' table: configuration, failure domains in and out of service, and
 //! published weights.
 
-use super::rollouts::{on_rollout_malformed, on_rollout_ordered, on_rollout_withdrawn};
+use super::rollouts::{
+    on_rollout_malformed, on_rollout_ordered, on_rollout_withdrawn, on_servers_changed,
+};
 use super::snapshot::read_snapshot;
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
@@ -84,6 +86,7 @@
         .borrow_mut()
         .configuration_freshness
         .on_verified(verified_at);
+    on_servers_changed(gateway);
 }
 
 fn apply_change(gateway: &Gateway, change: Change) {
--- a/crates/gateway/src/background_tasks/peer_messages.rs
+++ b/crates/gateway/src/background_tasks/peer_messages.rs
@@ -1,5 +1,6 @@
 //! Receives the messages of the other daemons.
 
+use super::rollouts::{on_directive, on_report};
 use crate::gateway::Gateway;
 use crate::log::Event;
 use crate::notice_reports::{NoticeReport, apply_report, reports_of_all};
@@ -26,7 +27,7 @@
     }
 }
 
-fn on_message(gateway: &Gateway, socket: &UdpSocket, message: PeerMessage, sender: SocketAddr) {
+fn on_message(gateway: &Rc<Gateway>, socket: &UdpSocket, message: PeerMessage, sender: SocketAddr) {
     match message {
         PeerMessage::Load(report) => on_load_report(gateway, report),
         PeerMessage::Notices(report) => on_notice_report(gateway, &report),
@@ -48,6 +49,8 @@
             send_message(gateway, socket, &PeerMessage::PermitReply(reply), &[sender]);
         }
         PeerMessage::PermitReply(reply) => gateway.permit_client.on_reply(reply),
+        PeerMessage::RolloutReport(report) => on_report(gateway, socket, report, sender),
+        PeerMessage::RolloutDirective(directive) => on_directive(gateway, directive, sender),
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/background_tasks/rollouts.rs
@@ -0,0 +1,397 @@
+//! Rollouts of software versions: follows orders and statuses, exchanges reports and directives with
+//! the other daemons, and writes statuses as the decider of a service.
+
+use super::peer_messages::send_message;
+use crate::caches::name_hash;
+use crate::dependency::Dependency;
+use crate::gateway::Gateway;
+use crate::log::Event;
+use crate::peer_message::PeerMessage;
+use crate::permits::members_by_rank;
+use crate::ports::{AppendOutcome, RolloutRequest, StoreError, Topic};
+use crate::rollout::{
+    Decision, FleetView, Phase, RolloutDirective, RolloutReport, RolloutState, RolloutStatus,
+};
+use crate::service_rollouts::{OrderEffect, VersionServers};
+use crate::topic_reader::TopicReader;
+use rand::RngExt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Pause between two reports of a daemon.
+const REPORT_PAUSE: Duration = Duration::from_millis(250);
+/// Number of decisions between two reports.
+const DECISIONS_PER_REPORT: u32 = 3;
+/// Pause between two reads of the log of statuses during a rollout.
+const STATUS_PAUSE: Duration = Duration::from_millis(500);
+/// Maximum random deviation of a pause, as a fraction of it.
+const JITTER: f64 = 0.15;
+/// Pause after a failed call to the metadata store.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Age of the last read of statuses from which on the metadata store counts as unavailable.
+const STORE_SILENCE_MIN: Duration = Duration::from_millis(2500);
+
+/// Applies an order of operators.
+pub(super) fn on_rollout_ordered(gateway: &Gateway, request: RolloutRequest) {
+    let now = gateway.now();
+    let (service, target, step) = (
+        request.service.clone(),
+        request.target.clone(),
+        request.step,
+    );
+    let effect = {
+        let state = &mut *gateway.state.borrow_mut();
+        let random = state.rng.random();
+        state.rollouts.on_ordered(request, random, now)
+    };
+    let reason = match effect {
+        OrderEffect::Unchanged => return,
+        OrderEffect::Started => "",
+        OrderEffect::AlreadyFinal(RolloutState::Complete) => "already complete",
+        OrderEffect::AlreadyFinal(_) => "already rolled back",
+    };
+    gateway.log_notable(&Event::RolloutOrdered {
+        service: &service,
+        target: &target,
+        step_ms: step.as_millis() as u64,
+        reason,
+    });
+    gateway.rollouts_changed.notify_waiters();
+}
+
+/// Applies the removal of an order.
+pub(super) fn on_rollout_withdrawn(gateway: &Gateway, service: &str) {
+    if gateway.state.borrow_mut().rollouts.on_withdrawn(service) {
+        gateway.log_notable(&Event::RolloutWithdrawn { service });
+    }
+}
+
+/// Logs an order that cannot be decoded, unless it is already known.
+pub(super) fn on_rollout_malformed(gateway: &Gateway, service: &str, reason: &str) {
+    let rollouts = &mut gateway.state.borrow_mut().rollouts;
+    if rollouts.on_malformed(service, reason) {
+        gateway.log_notable(&Event::RolloutMalformed { service, reason });
+    }
+}
+
+/// Derives the versions in force from the listed servers, once orders and statuses are known.
+pub(super) fn on_servers_changed(gateway: &Gateway) {
+    let state = &mut *gateway.state.borrow_mut();
+    let knows_orders = state.configuration_freshness.verified_at().is_some();
+    if knows_orders && state.rollouts.has_statuses() {
+        state.rollouts.on_listed(&state.servers);
+    }
+}
+
+/// Reads the statuses once, and follows them while there is a rollout, until the daemon ends.
+pub(crate) async fn follow_statuses(gateway: Rc<Gateway>) {
+    let mut dependency = Dependency::new("metadata store, statuses");
+    let clock = Arc::clone(&gateway.ports.clock);
+    let mut reader = TopicReader::new(Topic::Statuses, clock);
+    loop {
+        while let Err(error) = list_statuses(&gateway).await {
+            dependency.on_failure(&gateway, &error.to_string());
+            sleep(RETRY_PAUSE).await;
+        }
+        dependency.on_answer(&gateway);
+        on_servers_changed(&gateway);
+        loop {
+            wait_for_rollout(&gateway).await;
+            sleep(gateway.jittered(STATUS_PAUSE, JITTER)).await;
+            let from_offset = gateway.state.borrow().rollouts.next_offset;
+            match reader.read(&gateway, from_offset, Duration::ZERO).await {
+                Ok(read) => {
+                    dependency.on_answer(&gateway);
+                    let store = &gateway.ports.metadata_store;
+                    for record in read.records {
+                        if let Some(status) = store.decode_status(record) {
+                            apply_status(&gateway, &status);
+                        }
+                    }
+                    let rollouts = &mut gateway.state.borrow_mut().rollouts;
+                    rollouts.next_offset = rollouts.next_offset.max(read.next_offset);
+                    rollouts.on_statuses_verified(read.verified_at);
+                }
+                Err(StoreError::Expired(_)) => break,
+                Err(error) => dependency.on_failure(&gateway, &error.to_string()),
+            }
+        }
+    }
+}
+
+/// Waits until there is an order without a final status.
+async fn wait_for_rollout(gateway: &Gateway) {
+    loop {
+        let changed = gateway.rollouts_changed.notified();
+        if gateway.state.borrow().rollouts.has_active() {
+            return;
+        }
+        changed.await;
+    }
+}
+
+async fn list_statuses(gateway: &Gateway) -> Result<u64, StoreError> {
+    let started_at = gateway.now();
+    let listing = gateway.ports.metadata_store.list_statuses().await?;
+    for status in &listing.statuses {
+        apply_status(gateway, status);
+    }
+    let rollouts = &mut gateway.state.borrow_mut().rollouts;
+    rollouts.next_offset = listing.next_offset;
+    rollouts.on_statuses_verified(started_at);
+    Ok(listing.next_offset)
+}
+
+fn apply_status(gateway: &Gateway, status: &RolloutStatus) {
+    let is_news = gateway.state.borrow_mut().rollouts.on_status(status);
+    if is_news {
+        gateway.log_notable(&Event::RolloutStatus {
+            service: &status.service,
+            target: &status.target,
+            state: status.state,
+        });
+    }
+}
+
+/// Reports to the deciders and decides, while there are rollouts, until the daemon ends.
+pub(crate) async fn run(gateway: Rc<Gateway>) {
+    loop {
+        wait_for_rollout(&gateway).await;
+        let services = gateway.state.borrow().rollouts.active_services();
+        for service in &services {
+            report(&gateway, service);
+        }
+        for _ in 0..DECISIONS_PER_REPORT {
+            for service in &services {
+                decide(&gateway, service);
+            }
+            sleep(REPORT_PAUSE / DECISIONS_PER_REPORT).await;
+        }
+    }
+}
+
+/// Members of the fleet, or only this daemon if it does not know others.
+fn members(gateway: &Gateway) -> Vec<SocketAddr> {
+    let own = own_address(gateway);
+    let members = gateway.state.borrow().fleet.members().to_vec();
+    if gateway.settings.listen_peers.is_none() || !members.contains(&own) {
+        return vec![own];
+    }
+    members
+}
+
+/// Returns the address by which the fleet knows this daemon. Outside of a fleet, it is that for
+/// clients.
+fn own_address(gateway: &Gateway) -> SocketAddr {
+    let settings = &gateway.settings;
+    settings.listen_peers.unwrap_or(settings.listen_clients)
+}
+
+fn report(gateway: &Rc<Gateway>, service: &str) {
+    let now = gateway.now();
+    let (own, members) = (own_address(gateway), members(gateway));
+    let is_fresh = gateway.are_rollouts_fresh();
+    let (report, recipients) = {
+        let state = &mut *gateway.state.borrow_mut();
+        let Some(active) = state.rollouts.active_mut(service) else {
+            return;
+        };
+        let recipients = active.recipients(name_hash(service), &members, now);
+        let (phase, _) = active.in_force(is_fresh, now);
+        let report = active.report(gateway.start_id, phase, &state.servers, now);
+        (report, recipients)
+    };
+    for recipient in recipients {
+        if recipient == own {
+            take_report(gateway, service, report.clone());
+            decide(gateway, service);
+        } else if let Some(socket) = gateway.permit_client.socket() {
+            let message = PeerMessage::RolloutReport(report.clone());
+            send_message(gateway, &socket, &message, &[recipient]);
+        }
+    }
+}
+
+fn take_report(gateway: &Gateway, service: &str, report: RolloutReport) {
+    let now = gateway.now();
+    let state = &mut *gateway.state.borrow_mut();
+    let Some(bounds) = state.rollouts.exposure_bounds() else {
+        return;
+    };
+    let stored = state
+        .rollouts
+        .versions_of(service)
+        .and_then(|versions| versions.status().cloned());
+    if let Some(active) = state.rollouts.active_mut(service) {
+        active
+            .decider_mut(bounds, stored.as_ref())
+            .on_report(report, now);
+    }
+}
+
+/// Takes in a report of another daemon, which takes this one for the decider, and replies.
+pub(super) fn on_report(
+    gateway: &Rc<Gateway>,
+    socket: &UdpSocket,
+    report: RolloutReport,
+    sender: SocketAddr,
+) {
+    let service = {
+        let state = gateway.state.borrow();
+        state.rollouts.service_of(report.order).map(str::to_owned)
+    };
+    let Some(service) = service else {
+        // The order is not known yet, or its final status is stored, which the sender reads.
+        return;
+    };
+    take_report(gateway, &service, report);
+    if let Some(decision) = decide(gateway, &service) {
+        let message = PeerMessage::RolloutDirective(decision.directive);
+        send_message(gateway, socket, &message, &[sender]);
+    }
+}
+
+/// Takes in a directive of the daemon at the address `sender`.
+pub(super) fn on_directive(gateway: &Gateway, directive: RolloutDirective, sender: SocketAddr) {
+    let now = gateway.now();
+    let members = members(gateway);
+    let state = &mut *gateway.state.borrow_mut();
+    let service = state.rollouts.service_of(directive.order);
+    let Some(service) = service.map(str::to_owned) else {
+        return;
+    };
+    let ranked = members_by_rank(name_hash(&service), &members);
+    let rank = ranked.iter().position(|member| *member == sender);
+    if let (Some(rank), Some(active)) = (rank, state.rollouts.active_mut(&service)) {
+        active.on_directive(directive, rank, now);
+    }
+}
+
+/// Decides, if this daemon is the decider of the service: obeys its own directive, and starts to
+/// write a status if necessary.
+fn decide(gateway: &Rc<Gateway>, service: &str) -> Option<Decision> {
+    let now = gateway.now();
+    let members = members(gateway);
+    let own = own_address(gateway);
+    let (decision, status, is_news) = {
+        let state = &mut *gateway.state.borrow_mut();
+        let verified_at = state.rollouts.statuses_verified_at().unwrap_or_default();
+        let in_force = state.rollouts.versions_of(service)?.in_force();
+        let in_force = in_force.map(str::to_owned);
+        let active = state.rollouts.active_mut(service)?;
+        let servers = VersionServers::of(&active.order, &state.servers, now);
+        let view = FleetView {
+            members: members.len(),
+            target_servers: servers.target_servers,
+            target_warm_slots: servers.target_warm_slots,
+            base_servers: servers.base_servers,
+            base_slots: servers.base_slots,
+            is_store_available: now.saturating_sub(verified_at) < STORE_SILENCE_MIN,
+            is_target_in_force: in_force.as_deref() == Some(active.order.target.as_str()),
+        };
+        let decision = active.decider.as_mut()?.decide(view, now);
+        let ranked = members_by_rank(name_hash(service), &members);
+        if let Some(rank) = ranked.iter().position(|member| *member == own) {
+            active.on_directive(decision.directive, rank, now);
+        }
+        let known = active.decision.replace(decision);
+        let is_news = known.is_none_or(|known| {
+            known.directive.phase != decision.directive.phase || known.reason != decision.reason
+        });
+        let write = decision.write.filter(|_| !active.is_writing);
+        active.is_writing |= write.is_some();
+        let status = write.map(|state| RolloutStatus {
+            service: service.to_owned(),
+            target: active.order.target.clone(),
+            state,
+            order: Some(active.order.id),
+        });
+        (decision, status, is_news)
+    };
+    if is_news {
+        log_decision(gateway, service, &decision);
+    }
+    if let Some(status) = status {
+        spawn_local(write(Rc::clone(gateway), status));
+    }
+    Some(decision)
+}
+
+fn log_decision(gateway: &Gateway, service: &str, decision: &Decision) {
+    let judgement = &decision.judgement;
+    gateway.log_notable(&Event::RolloutDecision {
+        service,
+        phase: phase_name(decision.directive.phase),
+        share: decision.directive.share.fraction(),
+        reason: &format!("{:?}", decision.reason),
+        target_answers: judgement.target_answers,
+        target_failures: judgement.target_failures,
+        base_answers: judgement.base_answers,
+        base_failures: judgement.base_failures,
+        failures_llr: judgement.failures_llr,
+        slow_llr: judgement.slow_llr,
+    });
+}
+
+/// Returns the name of a phase in logs and metrics.
+pub(crate) fn phase_name(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Waiting => "waiting",
+        Phase::Canary => "canary",
+        Phase::Ramp { .. } => "ramp",
+        Phase::Full => "full",
+        Phase::Completing => "completing",
+        Phase::RollingBack => "rolling_back",
+    }
+}
+
+/// Writes a status, and allows the next write.
+async fn write(gateway: Rc<Gateway>, status: RolloutStatus) {
+    let result = write_status(&gateway, &status).await;
+    if let Err(error) = result {
+        gateway.metrics.count("rollout_writes_failed");
+        gateway.log_notable(&Event::RolloutWriteFailed {
+            service: &status.service,
+            state: status.state,
+            reason: &error.to_string(),
+        });
+        sleep(RETRY_PAUSE).await;
+    }
+    let rollouts = &mut gateway.state.borrow_mut().rollouts;
+    if let Some(active) = rollouts.active_mut(&status.service) {
+        active.is_writing = false;
+    }
+}
+
+/// Appends a status unless the stored one is final or the same. The stored statuses are read first,
+/// and the append takes effect only if there is no newer one, so only one final status is stored.
+async fn write_status(gateway: &Gateway, status: &RolloutStatus) -> Result<(), StoreError> {
+    let at = list_statuses(gateway).await?;
+    let is_outdated = {
+        let state = gateway.state.borrow();
+        let stored = state.rollouts.versions_of(&status.service);
+        let stored = stored.and_then(|versions| versions.status());
+        let active = state.rollouts.active(&status.service);
+        active.is_none_or(|active| Some(active.order.id) != status.order)
+            || stored == Some(status)
+    };
+    if is_outdated {
+        return Ok(());
+    }
+    let store = &gateway.ports.metadata_store;
+    if let AppendOutcome::Stored(offset) = store.append_status(at, status).await? {
+        {
+            let rollouts = &mut gateway.state.borrow_mut().rollouts;
+            if rollouts.next_offset == offset {
+                rollouts.next_offset = offset + 1;
+            }
+        }
+        apply_status(gateway, status);
+    }
+    Ok(())
+}
--- a/crates/gateway/src/background_tasks/servers.rs
+++ b/crates/gateway/src/background_tasks/servers.rs
@@ -1,5 +1,6 @@
 //! Follows the table in which backend servers publish their entries.
 
+use super::rollouts::on_servers_changed;
 use super::snapshot::read_snapshot;
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
@@ -149,6 +150,7 @@
     for id in expired {
         log_server(gateway, &id, "entry did not come back", "", "");
     }
+    on_servers_changed(gateway);
 }
 
 fn on_server_updated(gateway: &Gateway, entry: ServerEntry) {
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -5,6 +5,7 @@
 use super::in_flight::{InFlight, on_server_unreachable};
 use super::progress::Progress;
 use super::quarantine::{check_quarantine, enter_quarantine};
+use super::rollouts::may_send;
 use super::routed_request::RoutedRequest;
 use super::stream_relay::StreamError;
 use super::target::{Target, select_target_with_wait};
@@ -162,6 +163,10 @@
                 Err(error) => return Err(self.on_connection_failed(&error)),
             };
             let is_reused = checkout.is_reused;
+            if !may_send(self.gateway, self.routed, &self.target) {
+                let reason = "the server's version gets no more requests".to_owned();
+                return Err(AttemptError::NotSent(reason));
+            }
             if !is_reused {
                 self.gateway.metrics.count("connections_opened");
             }
@@ -186,7 +191,7 @@
         let request = build_request(self.gateway, self.routed, &self.target, self.resume_after);
         let in_flight = InFlight::new(
             self.gateway,
-            self.target.used_server(),
+            &self.target,
             self.routed,
             Rc::clone(&self.state),
         );
@@ -296,6 +301,9 @@
             exchange.discard(gateway);
             return Err(AttemptError::Rejected(reason));
         }
+        if exchange.status.is_server_error() {
+            exchange.in_flight.on_failure_answer();
+        }
         let is_complete = meta.is_signed && meta.request_id.is_some();
         if exchange.status.is_success() && !is_complete {
             exchange.close_broken();
--- a/crates/gateway/src/dispatch/in_flight.rs
+++ b/crates/gateway/src/dispatch/in_flight.rs
@@ -1,7 +1,9 @@
 //! Requests in flight at backend servers, and what their outcomes tell about the servers.
 
 use super::attempt_state::AttemptState;
+use super::rollouts::RolloutOutcome;
 use super::routed_request::RoutedRequest;
+use super::target::Target;
 use crate::gateway::Gateway;
 use crate::request::{AnswerMeta, Prompt};
 use crate::server::{Server, ServerKey};
@@ -27,15 +29,17 @@
     state: Rc<AttemptState>,
     /// When the first bytes of the answer's body arrived.
     body_began_at: Option<Duration>,
+    rollout: RolloutOutcome,
 }
 
 impl InFlight {
     pub(super) fn new(
         gateway: &Rc<Gateway>,
-        server: UsedServer,
+        target: &Target,
         routed: &RoutedRequest,
         state: Rc<AttemptState>,
     ) -> Self {
+        let server = target.used_server();
         let prompt = routed.meta.prompt.as_ref();
         let tokens = prompt.map_or(0, Prompt::footprint_tokens);
         let now = gateway.now();
@@ -47,6 +51,7 @@
             suspects: Rc::clone(&routed.suspects),
             state,
             body_began_at: None,
+            rollout: RolloutOutcome::new(gateway, routed, target),
         };
         in_flight.with_server(|server| server.on_request_sent(tokens, now));
         in_flight
@@ -68,7 +73,13 @@
         }
     }
 
+    /// Records that the server answered with a failure of its own.
+    pub(super) fn on_failure_answer(&self) {
+        self.rollout.on_answer(true);
+    }
+
     pub(super) fn on_answer_read(&self, is_success: bool) {
+        self.rollout.on_answer(!is_success);
         let now = self.gateway.now();
         self.with_server(|server| {
             server.on_request_outcome(is_success);
@@ -77,6 +88,7 @@
     }
 
     pub(super) fn on_answer_broken(&self) {
+        self.rollout.on_broken();
         let now = self.gateway.now();
         self.with_server(|server| {
             server.on_request_outcome(false);
@@ -94,6 +106,7 @@
     pub(super) fn on_body_bytes(&mut self) {
         let now = self.gateway.now();
         self.body_began_at.get_or_insert(now);
+        self.rollout.on_answer(false);
     }
 
     /// Records that a whole answer was received with success, so that its prompt is sound.
@@ -111,6 +124,7 @@
     /// Records that no answer came in time. Counts as a failure for the circuit breaker only if the
     /// server has not answered any other request meanwhile; otherwise it is merely slow.
     pub(super) fn on_answer_timeout(&self) {
+        self.rollout.on_broken();
         let now = self.gateway.now();
         self.with_server(|server| {
             server.on_request_outcome(false);
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod progress;
 mod quarantine;
 mod retries;
+mod rollouts;
 mod routed_request;
 mod stream;
 mod stream_buffer;
--- a/crates/gateway/src/dispatch/progress.rs
+++ b/crates/gateway/src/dispatch/progress.rs
@@ -5,6 +5,7 @@
 use crate::gateway::Gateway;
 use crate::log::{Event, LoggedParts, RequestLine};
 use crate::retry::AttemptError;
+use crate::rollout::Side;
 use crate::server::ServerKey;
 use anvilgw_core::{ErrorKind, Failure, Stage};
 use anvilgw_quarantine::Suspect;
@@ -24,6 +25,8 @@
     arrived_at: Duration,
     /// Servers selected by the attempts so far, which later attempts avoid.
     pub(crate) tried_servers: Vec<ServerKey>,
+    /// Version side of the next attempt, while there is a rollout of the service.
+    pub(super) rollout_side: Option<Side>,
     /// Number of attempts in which the request was sent at least in part, or is being sent.
     sent_count: u32,
     /// Number of those attempts whose servers have lost power or were cut off.
@@ -66,6 +69,7 @@
             configuration: routed.configuration.version,
             arrived_at: routed.arrived_at,
             tried_servers: Vec::new(),
+            rollout_side: None,
             sent_count: 0,
             unreachable_servers: 0,
             connect_failures: 0,
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -1,6 +1,7 @@
 //! Selects the backend server of an attempt.
 
 use super::progress::Progress;
+use super::rollouts::{choose_side, leave_target};
 use super::routed_request::RoutedRequest;
 use crate::admission::MemoryRequest;
 use crate::caches::CacheDirectory;
@@ -65,6 +66,9 @@
     pub(super) fetch_until_ms: Option<u64>,
     /// Time by which a generation has to begin, so that the time of its weights is not over by then.
     pub(super) begin_by: Option<Duration>,
+    /// Software version of the server, if it publishes one.
+    pub(super) version: Option<String>,
+    pub(super) is_cold: bool,
     /// What was known of the server when it was selected, for the log.
     pub(super) choice: Choice,
 }
@@ -92,6 +96,8 @@
             cache: selected.cache,
             fetch_until_ms: caches.server_clock_ms(fetch_until),
             begin_by: limits.begin_by,
+            version: server.entry.version.clone(),
+            is_cold: server.is_cold(now),
             choice: Choice {
                 load: server.load(now),
                 load_age_ms: server.load_age(now).map(|age| age.as_millis() as u64),
@@ -165,15 +171,19 @@
     progress: &RefCell<Progress>,
     is_waiting: bool,
 ) -> Result<Target, AttemptError> {
+    choose_side(gateway, routed, progress);
     for asks in 0..=PERMIT_ASKS_MAX {
         let options = QueryOptions {
             is_waiting,
             may_ask_permits: asks < PERMIT_ASKS_MAX,
         };
         let now = gateway.now();
-        let selected = with_query(gateway, routed, progress, options, |servers, query, rng| {
-            select(servers, query, now, rng).map_err(AttemptError::NoServer)
-        })?;
+        let selected = match with_query(gateway, routed, progress, options, |servers, query, rng| {
+            select(servers, query, now, rng)
+        }) {
+            Err(_) if leave_target(gateway, routed, progress) => continue,
+            result => result.map_err(AttemptError::NoServer)?,
+        };
         if let Some(limit) = selected.permit_needed {
             let target = PermitTarget::Server(selected.server);
             if !acquire_permit(gateway, target, limit, PermitPurpose::Request).await {
@@ -266,6 +276,9 @@
             are_switches_current: now < state.switches_read_at + SWITCHES_AGE_MAX,
         }
     });
+    let side = progress.borrow().rollout_side;
+    let service = &routed.service.name;
+    let excluded = state.rollouts.excluded(&state.servers, service, side);
     let query = Query {
         service: &routed.service,
         region_constraints: RegionConstraints {
@@ -278,6 +291,7 @@
         },
         prompt,
         tried: &progress.borrow().tried_servers,
+        excluded: &excluded,
         share: state.share,
         may_ask_permits: options.may_ask_permits,
     };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use crate::ports::{CacheClient, Codec, MetadataStore, OrderClient, Topic};
 use crate::prefill_rate::PrefillRate;
 use crate::server::{ServerKey, Servers};
+use crate::service_rollouts::ServiceRollouts;
 use crate::settings::GatewaySettings;
 use crate::topic_log::TopicLog;
 use crate::weights::{OldPartTimes, PublishedWeights};
@@ -80,6 +81,8 @@
     pub(crate) weights: IndexMap<String, PublishedWeights>,
     /// Retry budgets, by service.
     pub(crate) budgets: IndexMap<String, RetryBudget>,
+    /// Rollouts of software versions.
+    pub(crate) rollouts: ServiceRollouts,
     pub(crate) rng: SmallRng,
 }
 
@@ -126,6 +129,8 @@
     pub(crate) evidence_news: Notify,
     /// Notified when the role of this daemon in the fleet has changed.
     pub(crate) role_changed: Notify,
+    /// Notified when a rollout begins.
+    pub(crate) rollouts_changed: Notify,
     /// Random number that differs between starts of a daemon.
     pub(crate) start_id: u64,
     started_at: Duration,
@@ -163,6 +168,7 @@
             share: INITIAL_SHARE,
             weights: IndexMap::new(),
             budgets: IndexMap::new(),
+            rollouts: ServiceRollouts::new(settings.bounds.rollouts),
             rng: SmallRng::seed_from_u64(rand::random()),
         };
         Self {
@@ -182,6 +188,7 @@
             evidence_changed: Notify::new(),
             evidence_news: Notify::new(),
             role_changed: Notify::new(),
+            rollouts_changed: Notify::new(),
             start_id: rand::random(),
             started_at,
             log,
@@ -263,12 +270,26 @@
         if !state.has_asked_for_evidence {
             return (false, "no evidence on prompts yet");
         }
+        if !state.rollouts.has_statuses() {
+            return (false, "no list of rollout statuses yet");
+        }
         if !state.configuration_freshness.is_current(self.now()) {
             return (false, "the copy of the configuration is too old");
         }
         (true, "serving")
     }
 
+    /// Returns whether the copies of the orders and statuses of rollouts are recent enough for
+    /// requests to a version that is not in force.
+    pub(crate) fn are_rollouts_fresh(&self) -> bool {
+        let now = self.now();
+        let state = self.state.borrow();
+        let freshness = &state.configuration_freshness;
+        let statuses = state.rollouts.statuses_verified_at();
+        let has_recent = |at: Duration| now.saturating_sub(at) < freshness.limit();
+        freshness.is_current(now) && statuses.is_some_and(has_recent)
+    }
+
     /// Returns the connection pool of a backend server, which is created on first use.
     pub(crate) fn pool(&self, key: ServerKey) -> Rc<Pool> {
         let mut pools = self.pools.borrow_mut();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod removed_servers;
 mod retry;
 mod server_ends;
+mod service_rollouts;
 mod server_notices;
 mod topic_reader;
 
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -4,6 +4,7 @@
 //! When the queue fills up, routine lines are dropped first; the number of dropped lines is logged
 //! once there is room again.
 
+use crate::rollout::RolloutState;
 use anvilgw_quarantine::Suspect;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use serde::{Serialize, Serializer};
@@ -219,6 +220,71 @@
         /// Number of freed parts.
         parts: usize,
     },
+    /// Operators ordered a rollout of a service's software version.
+    RolloutOrdered {
+        /// Name of the service.
+        service: &'a str,
+        /// Version to which the traffic is to be moved.
+        target: &'a str,
+        /// Time until the deadline, in milliseconds.
+        step_ms: u64,
+        /// Why the order changes nothing; empty if a rollout begins.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        reason: &'a str,
+    },
+    /// Operators removed the order of a rollout.
+    RolloutWithdrawn {
+        /// Name of the service.
+        service: &'a str,
+    },
+    /// The order of a rollout could not be decoded and changes nothing.
+    RolloutMalformed {
+        /// Name of the service.
+        service: &'a str,
+        /// Why it could not be decoded.
+        reason: &'a str,
+    },
+    /// This daemon, as the decider of a rollout, began a phase or holds it for another reason.
+    RolloutDecision {
+        /// Name of the service.
+        service: &'a str,
+        /// Phase of the rollout.
+        phase: &'a str,
+        /// Share of the requests that go to the target, 0 to 1.
+        share: f64,
+        /// Why the rollout is in this phase.
+        reason: &'a str,
+        /// Answers of the target version that all daemons have reported.
+        target_answers: u64,
+        /// Failures among them.
+        target_failures: u64,
+        /// Answers of the version in force.
+        base_answers: u64,
+        /// Failures among them.
+        base_failures: u64,
+        /// Logarithm of the likelihood ratio that the target fails more often.
+        failures_llr: f64,
+        /// Logarithm of the likelihood ratio that the target is slower.
+        slow_llr: f64,
+    },
+    /// The stored status of a rollout became known.
+    RolloutStatus {
+        /// Name of the service.
+        service: &'a str,
+        /// Version to which the traffic is to be moved.
+        target: &'a str,
+        /// State of the rollout.
+        state: RolloutState,
+    },
+    /// The status of a rollout could not be written. The write is repeated.
+    RolloutWriteFailed {
+        /// Name of the service.
+        service: &'a str,
+        /// State that was to be written.
+        state: RolloutState,
+        /// Error of the metadata store.
+        reason: &'a str,
+    },
     /// An attempt of a request failed. Another may follow.
     Attempt {
         /// Identifier of the request.
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -3,6 +3,7 @@
 use crate::notice_reports::NoticeReport;
 use crate::peers::{DATAGRAM_MAX_BYTES, LoadReport};
 use crate::permits::{PermitReply, PermitRequest};
+use crate::rollout::{RolloutDirective, RolloutReport};
 use bincode::{Decode, Encode};
 use quick_error::quick_error;
 
@@ -12,6 +13,8 @@
 const PERMIT_REPLY_TAG: u8 = 18;
 const NOTICE_QUERY_TAG: u8 = 19;
 const EVIDENCE_NEWS_TAG: u8 = 20;
+const ROLLOUT_REPORT_TAG: u8 = 21;
+const ROLLOUT_DIRECTIVE_TAG: u8 = 22;
 
 /// Limit of the memory that a decoded message claims. Values take more memory than encoded bytes.
 const DECODED_MAX_BYTES: usize = 4 * DATAGRAM_MAX_BYTES;
@@ -48,6 +51,10 @@
     PermitRequest(PermitRequest),
     /// The reply to such a request.
     PermitReply(PermitReply),
+    /// What the sender has observed during a rollout.
+    RolloutReport(RolloutReport),
+    /// The reply to such a report.
+    RolloutDirective(RolloutDirective),
 }
 
 impl PeerMessage {
@@ -64,6 +71,10 @@
             Self::EvidenceNews => Ok(vec![EVIDENCE_NEWS_TAG]),
             Self::PermitRequest(request) => encode_after(vec![PERMIT_REQUEST_TAG], request),
             Self::PermitReply(reply) => encode_after(vec![PERMIT_REPLY_TAG], reply),
+            Self::RolloutReport(report) => encode_after(vec![ROLLOUT_REPORT_TAG], report),
+            Self::RolloutDirective(directive) => {
+                encode_after(vec![ROLLOUT_DIRECTIVE_TAG], directive)
+            }
         }
     }
 
@@ -83,6 +94,8 @@
             EVIDENCE_NEWS_TAG => Ok(Self::EvidenceNews),
             PERMIT_REQUEST_TAG => Ok(Self::PermitRequest(decode(rest)?)),
             PERMIT_REPLY_TAG => Ok(Self::PermitReply(decode(rest)?)),
+            ROLLOUT_REPORT_TAG => Ok(Self::RolloutReport(decode(rest)?)),
+            ROLLOUT_DIRECTIVE_TAG => Ok(Self::RolloutDirective(decode(rest)?)),
             _ => Ok(Self::Load(decode(bytes)?)),
         }
     }
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -25,11 +25,22 @@
 /// on. By rendezvous hashing, a member that joins or leaves changes the issuer of few servers.
 #[must_use]
 pub fn issuer_of(server_hash: u64, members: &[SocketAddr]) -> Option<SocketAddr> {
-    let rank = |member: &SocketAddr| {
-        let mut hasher = std::hash::DefaultHasher::new();
-        server_hash.hash(&mut hasher);
-        member.hash(&mut hasher);
-        hasher.finish()
-    };
+    let rank = |member: &SocketAddr| rank_of(server_hash, member);
     members.iter().copied().max_by_key(rank)
 }
+
+/// Returns the members in the order in which they are responsible for something that is given by a
+/// hash. The first one is that of [`issuer_of`].
+#[must_use]
+pub fn members_by_rank(hash: u64, members: &[SocketAddr]) -> Vec<SocketAddr> {
+    let mut ranked = members.to_vec();
+    ranked.sort_by_key(|member| std::cmp::Reverse(rank_of(hash, member)));
+    ranked
+}
+
+fn rank_of(hash: u64, member: &SocketAddr) -> u64 {
+    let mut hasher = std::hash::DefaultHasher::new();
+    hash.hash(&mut hasher);
+    member.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -6,6 +6,7 @@
 use crate::groups::Member;
 use crate::request::{AnswerMeta, ForwardMeta, RequestMeta, ServerNotice};
 use crate::request_limit::RequestRate;
+use crate::rollout::{OrderId, RolloutStatus};
 use crate::server::{ServedModel, ServerEntry};
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
@@ -66,6 +67,8 @@
     pub target: String,
     /// Time after the order within which the rollout has to be completed or rolled back.
     pub step: Duration,
+    /// Identifier of the order.
+    pub id: OrderId,
 }
 
 /// A change of a table in the metadata store.
@@ -220,8 +223,9 @@
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<LogPage, StoreError>>;
 
-    /// Decodes a record of a table. Returns `None` for records that do not concern the gateway.
-    fn decode(&self, table: Table, record: Bytes) -> Option<Change>;
+    /// Decodes the record at an offset of a table. Returns `None` for records that do not concern the
+    /// gateway.
+    fn decode(&self, table: Table, offset: u64, record: Bytes) -> Option<Change>;
 
     /// Joins the fleet, or renews the membership. `generation` is the last one that this daemon
     /// knows.
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -176,10 +176,12 @@
 
 /// Decodes the records of a table. Records that do not concern the gateway are left out.
 pub(crate) fn decode_changes(gateway: &Gateway, table: Table, read: TopicRecords) -> Changes {
-    let records = read.records.into_iter();
+    let first_offset = read.next_offset - read.records.len() as u64;
+    let records = (first_offset..).zip(read.records);
+    let store = &gateway.ports.metadata_store;
     Changes {
         changes: records
-            .filter_map(|record| gateway.ports.metadata_store.decode(table, record))
+            .filter_map(|(offset, record)| store.decode(table, offset, record))
             .collect(),
         next_offset: read.next_offset,
     }
--- a/crates/gateway/tests/servers/fixture.rs
+++ b/crates/gateway/tests/servers/fixture.rs
@@ -123,6 +123,7 @@
         let service = service(0.0);
         let query = Query {
             tried: &[tried],
+            excluded: &[],
             ..Query::new(&service, constraints(&self.regions, &self.confined_to))
         };
         select(&mut self.servers, &query, now, &mut rng()).is_ok()
