--- a/crates/gateway/src/background_tasks/rollouts.rs
+++ b/crates/gateway/src/background_tasks/rollouts.rs
@@ -377,8 +377,7 @@
         let stored = state.rollouts.versions_of(&status.service);
         let stored = stored.and_then(|versions| versions.status());
         let active = state.rollouts.active(&status.service);
-        active.is_none_or(|active| Some(active.order.id) != status.order)
-            || stored == Some(status)
+        active.is_none_or(|active| Some(active.order.id) != status.order) || stored == Some(status)
     };
     if is_outdated {
         return Ok(());
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -180,7 +180,9 @@
     spawn_local(background_tasks::evidence::publish(Rc::clone(gateway)));
     spawn_local(background_tasks::maintenance::run(Rc::clone(gateway)));
     if gateway.settings.bounds.rollouts.is_some() {
-        spawn_local(background_tasks::rollouts::follow_statuses(Rc::clone(gateway)));
+        spawn_local(background_tasks::rollouts::follow_statuses(Rc::clone(
+            gateway,
+        )));
         spawn_local(background_tasks::rollouts::run(Rc::clone(gateway)));
     }
 }
--- a/crates/gateway/src/dispatch/rollouts.rs
+++ b/crates/gateway/src/dispatch/rollouts.rs
@@ -132,7 +132,10 @@
 }
 
 fn route_key(routed: &RoutedRequest, target: &Target) -> RouteKey {
-    let computed = target.cache.as_ref().map(|cache| cache.plan.computed_tokens);
+    let computed = target
+        .cache
+        .as_ref()
+        .map(|cache| cache.plan.computed_tokens);
     let prompt = routed.meta.prompt.as_ref();
     let tokens = prompt.map_or(0, |prompt| {
         u64::from(prompt.unshared_tokens()) + u64::from(computed.unwrap_or_default())
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -178,12 +178,13 @@
             may_ask_permits: asks < PERMIT_ASKS_MAX,
         };
         let now = gateway.now();
-        let selected = match with_query(gateway, routed, progress, options, |servers, query, rng| {
-            select(servers, query, now, rng)
-        }) {
-            Err(_) if leave_target(gateway, routed, progress) => continue,
-            result => result.map_err(AttemptError::NoServer)?,
-        };
+        let selected =
+            match with_query(gateway, routed, progress, options, |servers, query, rng| {
+                select(servers, query, now, rng)
+            }) {
+                Err(_) if leave_target(gateway, routed, progress) => continue,
+                result => result.map_err(AttemptError::NoServer)?,
+            };
         if let Some(limit) = selected.permit_needed {
             let target = PermitTarget::Server(selected.server);
             if !acquire_permit(gateway, target, limit, PermitPurpose::Request).await {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,8 +23,8 @@
 mod removed_servers;
 mod retry;
 mod server_ends;
-mod service_rollouts;
 mod server_notices;
+mod service_rollouts;
 mod topic_reader;
 
 pub mod admission;
