Compare versions by period and route and decide on rollouts

Fills in the schedule, the test and the decider: the ramp's shares follow from what the fleet has exposed, a suspicion holds a phase, and a bad verdict ends the rollout for good.

--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -5,6 +5,7 @@
 //! share of requests to the new version ([`ExposureBudget`]). One daemon per service merges the
 //! reports of all daemons and directs them ([`Decider`]).
 
+mod comparison;
 mod decider;
 mod evidence;
 mod exposure;
@@ -19,7 +20,7 @@
     BucketCount, Evidence, EvidenceRow, ROWS_MAX_BYTES, RouteKey, RowKey, Side, bucket_of,
 };
 pub use exposure::{ExposureBounds, ExposureBudget, ExposureCounts, TargetShare};
-pub use fleet_evidence::FleetEvidence;
+pub use fleet_evidence::{AnswerCounts, FleetEvidence};
 pub use order::{OrderId, Phase, RolloutOrder, RolloutState, RolloutStatus};
 pub use schedule::Schedule;
 pub use verdict::{BadReason, JudgeInput, Judgement, Verdict, judge};
--- a/crates/gateway/src/rollout/decider.rs
+++ b/crates/gateway/src/rollout/decider.rs
@@ -5,11 +5,29 @@
 use super::fleet_evidence::FleetEvidence;
 use super::order::{OrderId, Phase, RolloutOrder, RolloutState, RolloutStatus};
 use super::schedule::Schedule;
-use super::verdict::{BadReason, JudgeInput, Judgement, judge};
+use super::verdict::{BadReason, JudgeInput, Judgement, Verdict, judge};
 use bincode::{Decode, Encode};
 use indexmap::IndexMap;
 use std::time::Duration;
 
+/// Number of periods up to the deadline in which evidence is compared.
+const PERIODS: f64 = 14.0;
+/// Age up to which the report of a daemon counts.
+const REPORT_AGE_MAX: Duration = Duration::from_millis(1500);
+/// Time between two records of the exposure and the answers.
+const PROGRESS_PAUSE: Duration = Duration::from_millis(500);
+/// Time within which most requests have their first event or answer.
+const ANSWER_TIME_MAX: Duration = Duration::from_millis(2500);
+/// Number of requests from which a lack of answers counts.
+const UNANSWERED_REQUESTS_MIN: u64 = 20;
+/// Share of the answers below which a version does not answer.
+const UNANSWERED_SHARE: f64 = 0.3;
+/// Share of the requests in flight above which a version does not answer. Requests that a server
+/// rejected are in neither count.
+const UNANSWERED_IN_FLIGHT_SHARE: f64 = 0.5;
+/// Share of the base's answers above which the base does answer.
+const ANSWERED_BASE_SHARE: f64 = 0.6;
+
 /// Report of a daemon to the decider. All counts are cumulative since the daemon learned of the
 /// order, so that a lost report changes nothing.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
@@ -68,6 +86,16 @@
     pub is_target_in_force: bool,
 }
 
+impl FleetView {
+    /// Returns the capacity of the target relative to that of the base. Without a base, it is one.
+    fn capacity(self) -> f64 {
+        if self.base_slots == 0 {
+            return 1.0;
+        }
+        f64::from(self.target_warm_slots) / f64::from(self.base_slots)
+    }
+}
+
 /// Why the decider is in its phase, for logs and the `rollout` subcommand.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DecisionReason {
@@ -116,24 +144,37 @@
     pub judgement: Judgement,
 }
 
+/// Newest report of a daemon, without its evidence.
 #[derive(Clone, Debug)]
 struct Reporter {
     received_at: Duration,
+    order_age: Duration,
     phase: Phase,
     counts: ExposureCounts,
     base_in_flight: u32,
     target_in_flight: u32,
 }
 
+/// Exposure at an earlier time.
+#[derive(Clone, Copy, Debug)]
+struct Progress {
+    age: Duration,
+    target_requests: u64,
+}
+
 /// Decider of one order.
 #[derive(Clone, Debug)]
 pub struct Decider {
     order: RolloutOrder,
-    bounds: ExposureBounds,
     schedule: Schedule,
     phase: Phase,
+    /// Age of the order at the start of the phase.
+    phase_since: Duration,
+    /// Why the phase is the last one, if it is.
+    end_reason: Option<DecisionReason>,
     evidence: FleetEvidence,
     reporters: IndexMap<u64, Reporter>,
+    progress: Vec<Progress>,
     stored: Option<RolloutState>,
     is_withdrawn: bool,
 }
@@ -145,10 +186,12 @@
         Self {
             schedule: Schedule::new(order.step, bounds),
             order,
-            bounds,
             phase: Phase::Waiting,
+            phase_since: Duration::ZERO,
+            end_reason: None,
             evidence: FleetEvidence::default(),
             reporters: IndexMap::new(),
+            progress: Vec::new(),
             stored: None,
             is_withdrawn: false,
         }
@@ -160,17 +203,29 @@
         &self.order
     }
 
-    /// Takes in a report, also this daemon's own.
+    /// Takes in a report, also this daemon's own. A report on another order, or one that a newer
+    /// one has overtaken, is ignored.
     pub fn on_report(&mut self, report: RolloutReport, now: Duration) {
-        self.evidence.on_rows(report.sender, report.rows, 0);
+        let known = self.reporters.get(&report.sender);
+        let is_overtaken = known
+            .is_some_and(|known| known.order_age.as_millis() > u128::from(report.order_age_ms));
+        if report.order != self.order.id || is_overtaken {
+            return;
+        }
         let reporter = Reporter {
             received_at: now,
+            order_age: Duration::from_millis(u64::from(report.order_age_ms)),
             phase: report.phase,
             counts: report.counts,
             base_in_flight: report.base_in_flight,
             target_in_flight: report.target_in_flight,
         };
         self.reporters.insert(report.sender, reporter);
+        let age = self.age(now);
+        let period =
+            (age.as_secs_f64() / self.order.step.as_secs_f64().max(0.001) * PERIODS) as u32;
+        self.evidence.on_rows(report.sender, report.rows, period);
+        self.adopt(report.phase, age);
     }
 
     /// Takes in the newest stored status. One of another order is ignored.
@@ -188,21 +243,262 @@
     /// Decides on the directive and on the state to write. Called after every report or at least
     /// every 100 ms.
     pub fn decide(&mut self, view: FleetView, now: Duration) -> Decision {
-        let _ = (now, self.bounds);
+        let age = self.age(now);
+        let counts = self.counts();
+        let input = JudgeInput {
+            target_servers: view.target_servers,
+        };
+        let judgement = judge(&self.evidence, input);
+        self.record_progress(age, counts);
+        let reason = match self.end_reason(view, &judgement, age, now) {
+            Some(reason) => reason,
+            None => self.advance(view, &judgement, age, now),
+        };
         Decision {
             directive: RolloutDirective {
                 order: self.order.id,
                 phase: self.phase,
-                share: self.schedule.share(self.phase),
+                share: self.share(view, age, counts),
             },
-            write: None,
-            reason: DecisionReason::Scheduled,
-            judgement: judge(
-                &self.evidence,
-                JudgeInput {
-                    target_servers: view.target_servers,
-                },
-            ),
+            write: self.state_to_write(),
+            reason,
+            judgement,
+        }
+    }
+
+    /// Returns the age of the order: the largest that any daemon knows. A restarted daemon learned
+    /// of the order late.
+    fn age(&self, now: Duration) -> Duration {
+        let ages = self
+            .reporters
+            .values()
+            .map(|reporter| reporter.order_age + now.saturating_sub(reporter.received_at));
+        let own = now.saturating_sub(self.order.learned_at);
+        ages.max().unwrap_or_default().max(own)
+    }
+
+    /// Returns what the fleet has counted since the order, daemons that have exited included.
+    fn counts(&self) -> ExposureCounts {
+        let counts = self.reporters.values().map(|reporter| reporter.counts);
+        counts.fold(ExposureCounts::default(), |sum, counts| ExposureCounts {
+            requests: sum.requests + counts.requests,
+            target: sum.target + counts.target,
+        })
+    }
+
+    /// Returns the daemons that have reported lately.
+    fn fresh(&self, now: Duration) -> impl Iterator<Item = &Reporter> {
+        let reporters = self.reporters.values();
+        reporters.filter(move |reporter| now.saturating_sub(reporter.received_at) <= REPORT_AGE_MAX)
+    }
+
+    /// Continues in the phase that another decider has reached.
+    fn adopt(&mut self, phase: Phase, age: Duration) {
+        // Completion is decided again, on the evidence that has arrived since.
+        let phase = if phase == Phase::Completing {
+            Phase::Full
+        } else {
+            phase
+        };
+        if phase > self.phase {
+            self.enter(phase, age);
+            if phase == Phase::RollingBack {
+                self.end_reason = Some(DecisionReason::Adopted);
+            }
+        }
+    }
+
+    fn enter(&mut self, phase: Phase, age: Duration) {
+        self.phase = phase;
+        self.phase_since = age;
+    }
+
+    fn end(&mut self, phase: Phase, reason: DecisionReason, age: Duration) -> DecisionReason {
+        self.enter(phase, age);
+        self.end_reason = Some(reason);
+        reason
+    }
+
+    /// Returns why the rollout ends, if it does. A decision to roll back stays.
+    fn end_reason(
+        &mut self,
+        view: FleetView,
+        judgement: &Judgement,
+        age: Duration,
+        now: Duration,
+    ) -> Option<DecisionReason> {
+        match self.stored {
+            Some(RolloutState::Complete) => {
+                return Some(self.end(Phase::Completing, DecisionReason::Stored, age));
+            }
+            Some(RolloutState::RolledBack) => {
+                return Some(self.end(Phase::RollingBack, DecisionReason::Stored, age));
+            }
+            _ => {}
+        }
+        if self.phase == Phase::RollingBack {
+            return self.end_reason;
+        }
+        if self.is_withdrawn {
+            return Some(self.end(Phase::RollingBack, DecisionReason::Withdrawn, age));
+        }
+        if view.is_target_in_force {
+            let is_unused = view.base_servers == 0 || self.is_drained(view, age, now);
+            let is_due = is_unused || age >= self.schedule.complete_at();
+            return Some(if is_due {
+                self.end(Phase::Completing, DecisionReason::AlreadyInForce, age)
+            } else {
+                DecisionReason::Draining
+            });
+        }
+        let bad = match judgement.verdict {
+            Verdict::Bad(bad) => Some(bad),
+            _ if self.is_unanswered(age, judgement) => Some(BadReason::Unanswered),
+            _ => None,
+        };
+        if let Some(bad) = bad {
+            return Some(self.end(Phase::RollingBack, DecisionReason::Bad(bad), age));
+        }
+        self.end_reason
+    }
+
+    /// Moves to the next phase if it is time, and returns why the phase is what it is.
+    fn advance(
+        &mut self,
+        view: FleetView,
+        judgement: &Judgement,
+        age: Duration,
+        now: Duration,
+    ) -> DecisionReason {
+        if age >= self.schedule.hold_until(self.phase)
+            && let Some(bad) = judgement.late_bad()
+        {
+            return self.end(Phase::RollingBack, DecisionReason::Bad(bad), age);
+        }
+        let is_late = age >= self.schedule.decide_at();
+        if is_late && (self.phase != Phase::Full || view.target_servers == 0) {
+            return self.end(Phase::RollingBack, DecisionReason::Deadline, age);
+        }
+        if let Some(reason) = self.hold_reason(view, judgement, age, now) {
+            return reason;
+        }
+        if self.phase == Phase::Full {
+            return self.complete(view, age, now);
+        }
+        self.enter(Schedule::next(self.phase), age);
+        DecisionReason::Scheduled
+    }
+
+    /// Returns why the phase goes on, or `None` if it may end.
+    fn hold_reason(
+        &self,
+        view: FleetView,
+        judgement: &Judgement,
+        age: Duration,
+        now: Duration,
+    ) -> Option<DecisionReason> {
+        if age < self.schedule.end(self.phase, self.phase_since) {
+            return Some(DecisionReason::Scheduled);
+        }
+        let may_hold = age < self.schedule.hold_until(self.phase);
+        let is_held = may_hold && self.phase != Phase::Waiting && judgement.is_suspicious();
+        if self.phase == Phase::Full {
+            return is_held.then_some(DecisionReason::Suspicion);
+        }
+        if view.target_servers == 0 {
+            return Some(DecisionReason::NoTargetServers);
+        }
+        if !view.is_store_available {
+            return Some(DecisionReason::StoreUnavailable);
+        }
+        if self.fresh(now).count() * 2 <= view.members {
+            return Some(DecisionReason::FewReports);
+        }
+        if is_held {
+            return Some(DecisionReason::Suspicion);
+        }
+        let is_next_full = Schedule::next(self.phase) == Phase::Full;
+        let is_short = is_next_full && !self.schedule.has_capacity(view.capacity(), age);
+        is_short.then_some(DecisionReason::CapacityMissing)
+    }
+
+    /// Completes the rollout if no old request is awaited.
+    fn complete(&mut self, view: FleetView, age: Duration, now: Duration) -> DecisionReason {
+        if view.target_servers == 0 {
+            return DecisionReason::NoTargetServers;
+        }
+        if self.is_drained(view, age, now) {
+            return self.end(Phase::Completing, DecisionReason::Drained, age);
+        }
+        if age >= self.schedule.complete_at() {
+            return self.end(Phase::Completing, DecisionReason::DrainTimeout, age);
+        }
+        DecisionReason::Draining
+    }
+
+    /// Returns whether no daemon has requests in flight at base servers and none sends new ones
+    /// there. A silent daemon is awaited for [`REPORT_AGE_MAX`].
+    fn is_drained(&self, view: FleetView, age: Duration, now: Duration) -> bool {
+        let waited = age.saturating_sub(self.phase_since);
+        let are_all_heard = self.fresh(now).count() >= view.members || waited >= REPORT_AGE_MAX;
+        let has_old = |reporter: &Reporter| {
+            let is_behind = reporter.phase < Phase::Full && !view.is_target_in_force;
+            is_behind || reporter.base_in_flight > 0
+        };
+        are_all_heard && !self.fresh(now).any(has_old)
+    }
+
+    fn record_progress(&mut self, age: Duration, counts: ExposureCounts) {
+        let last = self.progress.last();
+        if last.is_none_or(|last| age >= last.age + PROGRESS_PAUSE) {
+            self.progress.push(Progress {
+                age,
+                target_requests: counts.target,
+            });
+        }
+    }
+
+    /// Returns whether the target has left most requests of some time ago without an answer, while
+    /// the base answers.
+    fn is_unanswered(&self, age: Duration, judgement: &Judgement) -> bool {
+        let earlier = self.progress.iter().rev();
+        let mut earlier = earlier.filter(|progress| progress.age + ANSWER_TIME_MAX <= age);
+        let Some(sent) = earlier.next().map(|progress| progress.target_requests) else {
+            return false;
+        };
+        let counts = self.counts();
+        let sent_since = counts.target.saturating_sub(sent);
+        let in_flight = self.reporters.values();
+        let in_flight: u64 = in_flight
+            .map(|reporter| u64::from(reporter.target_in_flight))
+            .sum();
+        let in_flight_since_then = in_flight.saturating_sub(sent_since);
+        let base_requests = counts.requests.saturating_sub(counts.target);
+        sent >= UNANSWERED_REQUESTS_MIN
+            && (judgement.target_answers as f64) < UNANSWERED_SHARE * sent as f64
+            && in_flight_since_then as f64 > UNANSWERED_IN_FLIGHT_SHARE * sent as f64
+            && judgement.base_answers as f64 > ANSWERED_BASE_SHARE * base_requests as f64
+    }
+
+    fn share(&self, view: FleetView, age: Duration, counts: ExposureCounts) -> TargetShare {
+        if view.target_servers == 0 && self.phase < Phase::Full {
+            return TargetShare::NONE;
+        }
+        self.schedule
+            .share(self.phase, self.phase_since, age, counts)
+    }
+
+    /// Returns the state to write. `running` is written first.
+    fn state_to_write(&self) -> Option<RolloutState> {
+        let last = match self.phase {
+            Phase::Completing => RolloutState::Complete,
+            Phase::RollingBack => RolloutState::RolledBack,
+            _ => RolloutState::Running,
+        };
+        match self.stored {
+            None => Some(RolloutState::Running),
+            Some(RolloutState::Running) if last != RolloutState::Running => Some(last),
+            Some(_) => None,
         }
     }
 }
--- a/crates/gateway/src/rollout/evidence.rs
+++ b/crates/gateway/src/rollout/evidence.rs
@@ -6,10 +6,12 @@
 
 /// Size of the rows in one report. With the other fields, the datagram stays within its limit.
 pub const ROWS_MAX_BYTES: usize = 1_300;
+/// Memory that the rows of one report take when they are decoded, which is bounded as well.
+const ROWS_MAX_DECODED_BYTES: usize = 4 * ROWS_MAX_BYTES;
 /// Number of buckets per factor of two.
 const BUCKETS_PER_OCTAVE: f64 = 3.0;
 /// Number of buckets of the histogram, which covers 1 ms to 65 s.
-const BUCKETS: u8 = 48;
+pub(super) const BUCKETS: u8 = 48;
 /// Number of groups that the base servers of a report are divided into. Only the target's servers
 /// are told apart one by one.
 const BASE_GROUPS: u32 = 8;
@@ -186,10 +188,11 @@
             let is_target = row.key.side == Side::Target;
             std::cmp::Reverse((is_target, row.failures, row.answers))
         });
-        let mut size = 0;
+        let (mut encoded_bytes, mut decoded_bytes) = (0, 0);
         let fits = |row: &&&EvidenceRow| {
-            size += encoded_len(row);
-            size <= ROWS_MAX_BYTES
+            encoded_bytes += encoded_len(row);
+            decoded_bytes += decoded_len(row);
+            encoded_bytes <= ROWS_MAX_BYTES && decoded_bytes <= ROWS_MAX_DECODED_BYTES
         };
         rows.iter()
             .take_while(fits)
@@ -219,3 +222,7 @@
     let encoded = bincode::encode_to_vec(row, bincode::config::standard());
     encoded.map_or(ROWS_MAX_BYTES, |bytes| bytes.len())
 }
+
+fn decoded_len(row: &EvidenceRow) -> usize {
+    size_of::<EvidenceRow>() + row.times.len() * size_of::<BucketCount>()
+}
--- a/crates/gateway/src/rollout/exposure.rs
+++ b/crates/gateway/src/rollout/exposure.rs
@@ -10,6 +10,9 @@
 /// Fraction of the allowed share that a daemon uses on its own estimate of its requests up to the
 /// deadline. The rest covers a falling load and requests that are still to be reported.
 const USED_FRACTION: f64 = 0.9;
+/// Fraction of the operators' slack that the daemons divide among each other. The rest covers
+/// requests that are under way when the share is set to zero.
+pub(super) const SLACK_FRACTION: f64 = 0.5;
 /// Age of an order up to which the number of requests is extrapolated with this age. Counts of a
 /// shorter time are too small to extrapolate.
 const EXTRAPOLATION_AGE_MIN: Duration = Duration::from_millis(500);
@@ -68,6 +71,8 @@
     /// Random value in `[0, 1)`, by which this daemon's cap is rounded.
     phase_offset: f64,
     balance: f64,
+    /// This daemon's part of the requests that a bad version may get besides its share.
+    own_slack: f64,
     counts: ExposureCounts,
 }
 
@@ -88,10 +93,17 @@
             learned_at,
             phase_offset,
             balance: phase_offset,
+            own_slack: 0.0,
             counts: ExposureCounts::default(),
         }
     }
 
+    /// Records the number of member daemons, which divide the operators' slack among each other.
+    pub fn on_members(&mut self, members: usize) {
+        let slack = f64::from(self.bounds.canary_slack) * SLACK_FRACTION;
+        self.own_slack = slack / members.max(1) as f64;
+    }
+
     /// Counts a client's request and returns the side that it goes to. `phase` and `share` are those
     /// of the directive in force; without one, `phase` is [`Phase::Waiting`].
     pub fn choose(&mut self, phase: Phase, share: TargetShare, now: Duration) -> Side {
@@ -136,6 +148,7 @@
         let rest = self.step.saturating_sub(age).as_secs_f64();
         let rate = self.counts.requests as f64 / age.as_secs_f64();
         let requests = self.counts.requests as f64 + rate * rest;
-        requests * self.bounds.canary_share * USED_FRACTION + self.phase_offset
+        let share = requests * self.bounds.canary_share * USED_FRACTION;
+        share + self.own_slack + self.phase_offset
     }
 }
--- a/crates/gateway/src/rollout/fleet_evidence.rs
+++ b/crates/gateway/src/rollout/fleet_evidence.rs
@@ -1,8 +1,17 @@
 //! Sum of the evidence of all daemons, kept apart by the period in which it arrived.
 
-use super::evidence::{Evidence, EvidenceRow, RowKey};
+use super::evidence::{Evidence, EvidenceRow, RowKey, Side};
 use indexmap::IndexMap;
 
+/// Answers of one side, and failures among them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AnswerCounts {
+    /// Answers, failures included.
+    pub answers: u64,
+    /// Failures.
+    pub failures: u64,
+}
+
 /// Evidence of all daemons for one order.
 ///
 /// Daemons report cumulative rows. What a report adds to the previous one of its sender is counted
@@ -14,7 +23,8 @@
 }
 
 impl FleetEvidence {
-    /// Adds a report's rows to a period. `sender` is the start identifier of the daemon.
+    /// Adds a report's rows to a period. `sender` is the start identifier of the daemon. A row that
+    /// a newer report has overtaken is ignored.
     pub fn on_rows(&mut self, sender: u64, rows: Vec<EvidenceRow>, period: u32) {
         let known = self.known.entry(sender).or_default();
         let sums = self.periods.entry(period).or_default();
@@ -28,8 +38,19 @@
         }
     }
 
-    /// Returns the evidence of each period.
-    pub fn periods(&self) -> impl Iterator<Item = &Evidence> {
+    /// Returns the evidence of each period, oldest first.
+    pub fn periods(&self) -> impl DoubleEndedIterator<Item = &Evidence> {
         self.periods.values()
     }
+
+    /// Returns the answers of a side.
+    #[must_use]
+    pub fn counts(&self, side: Side) -> AnswerCounts {
+        let rows = self.periods().flat_map(Evidence::rows);
+        let rows = rows.filter(|row| row.key.side == side);
+        rows.fold(AnswerCounts::default(), |sum, row| AnswerCounts {
+            answers: sum.answers + u64::from(row.answers),
+            failures: sum.failures + u64::from(row.failures),
+        })
+    }
 }
--- a/crates/gateway/src/rollout/order.rs
+++ b/crates/gateway/src/rollout/order.rs
@@ -59,6 +59,8 @@
     pub state: RolloutState,
     /// Order that the status belongs to, if the record names it.
     pub order: Option<OrderId>,
+    /// Version that was in force when the order was given, if the record names it.
+    pub base: Option<String>,
 }
 
 impl RolloutStatus {
--- a/crates/gateway/src/rollout/verdict.rs
+++ b/crates/gateway/src/rollout/verdict.rs
@@ -1,6 +1,40 @@
 //! Sequential test of the target version against the version in force.
+//!
+//! The test adds up logarithms of likelihood ratios over the newest periods, for the number of
+//! periods that gives the largest sum, so that a version which turns bad later is found as fast as
+//! one that is bad at once. A good version reaches [`BAD_LLR`] in one window with a probability of
+//! at most 0.25% (Wald's bound), and with less if its failures are as rare as those of the base.
 
+use super::comparison::{Sample, broken_max, is_broken, samples};
+use super::evidence::Side;
 use super::fleet_evidence::FleetEvidence;
+use indexmap::{IndexMap, IndexSet};
+
+/// Logarithm of the likelihood ratio from which a version is bad.
+const BAD_LLR: f64 = 6.0;
+/// The same for a test of one route out of several, of which one may exceed the limit by chance.
+const BAD_ROUTE_LLR: f64 = 7.0;
+/// Fraction of [`BAD_LLR`] from which the evidence raises a suspicion.
+const SUSPICION: f64 = 0.35;
+/// Fraction of [`BAD_LLR`] from which a version is bad if there is no more time to decide.
+const LATE_BAD: f64 = 0.5;
+/// Logarithm of the likelihood ratio below which a version is good.
+const GOOD_LLR: f64 = -1.0;
+/// Number of answers from which a version can be good.
+const GOOD_ANSWERS_MIN: u64 = 30;
+/// Largest part of the limit that one of two servers contributes, and one of several.
+const WEIGHT_OF_TWO: f64 = 0.6;
+const WEIGHT_OF_SEVERAL: f64 = 0.45;
+/// Fraction of the servers that may be broken without a comparison. A failure domain that is out of
+/// service takes a third of them.
+const BROKEN_ALONE_MAX: f64 = 0.4;
+/// Share of slow answers from which a server counts as slow, and their number.
+const SLOW_SHARE: f64 = 0.7;
+const SLOW_ANSWERS_MIN: u32 = 3;
+/// Share of the base's failures up to which the base counts as sound.
+const SOUND_FAILURE_SHARE: f64 = 0.25;
+/// Number of routes that are tested one by one: those with most answers of the target.
+const ROUTES_MAX: usize = 8;
 
 /// Why a version is bad.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,17 +86,200 @@
     pub base_failures: u64,
 }
 
+impl Judgement {
+    /// Returns whether the evidence speaks against the version without deciding.
+    #[must_use]
+    pub fn is_suspicious(&self) -> bool {
+        self.failures_llr.max(self.slow_llr) > SUSPICION * BAD_LLR
+    }
+
+    /// Returns why the version is bad if there is no time to wait for more evidence.
+    #[must_use]
+    pub fn late_bad(&self) -> Option<BadReason> {
+        let (reason, llr) = self.strongest();
+        (llr > LATE_BAD * BAD_LLR).then_some(reason)
+    }
+
+    fn strongest(&self) -> (BadReason, f64) {
+        if self.failures_llr >= self.slow_llr {
+            (BadReason::Failures, self.failures_llr)
+        } else {
+            (BadReason::Slow, self.slow_llr)
+        }
+    }
+}
+
 /// Compares the target version with the version in force.
 #[must_use]
 pub fn judge(evidence: &FleetEvidence, input: JudgeInput) -> Judgement {
-    let _ = (evidence, input);
-    Judgement {
+    let samples = samples(evidence);
+    let target = evidence.counts(Side::Target);
+    let base = evidence.counts(Side::Base);
+    let mut best = scan(&samples, input, None);
+    let routes = routes(&samples);
+    for route in routes.iter().filter(|_| routes.len() > 1) {
+        let found = scan(&samples, input, Some(*route));
+        let scale = BAD_LLR / BAD_ROUTE_LLR;
+        best.failures = best.failures.max(found.failures * scale);
+        best.slow = best.slow.max(found.slow * scale);
+    }
+    let is_base_sound = base.failures as f64 <= SOUND_FAILURE_SHARE * base.answers as f64;
+    let mut judgement = Judgement {
         verdict: Verdict::Undecided,
-        failures_llr: 0.0,
-        slow_llr: 0.0,
-        target_answers: 0,
-        target_failures: 0,
-        base_answers: 0,
-        base_failures: 0,
+        failures_llr: best.failures,
+        slow_llr: best.slow,
+        target_answers: target.answers,
+        target_failures: target.failures,
+        base_answers: base.answers,
+        base_failures: base.failures,
+    };
+    let (reason, llr) = judgement.strongest();
+    judgement.verdict = if llr >= BAD_LLR {
+        Verdict::Bad(reason)
+    } else if is_base_sound && do_most_servers_fail(&samples) {
+        Verdict::Bad(BadReason::ServersFail)
+    } else if target.answers >= GOOD_ANSWERS_MIN && llr < GOOD_LLR {
+        Verdict::Good
+    } else {
+        Verdict::Undecided
+    };
+    judgement
+}
+
+/// Returns the routes with most answers of the target.
+fn routes(samples: &[Vec<Sample>]) -> Vec<u16> {
+    let mut answers: IndexMap<u16, u32> = IndexMap::new();
+    for sample in samples.iter().flatten() {
+        *answers.entry(sample.route).or_default() += sample.answers;
+    }
+    answers.sort_by(|_, a, _, b| b.cmp(a));
+    answers.into_keys().take(ROUTES_MAX).collect()
+}
+
+/// Sums of one server.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    answers: u32,
+    failures: u32,
+    timed: u32,
+    slow: u32,
+    compared: u32,
+    failures_llr: f64,
+    broad_llr: f64,
+    tail_llr: f64,
+}
+
+impl Tally {
+    fn add(&mut self, sample: &Sample) {
+        self.answers += sample.answers;
+        self.failures += sample.failures;
+        self.timed += sample.timed;
+        self.slow += sample.slow;
+        self.compared += if sample.is_compared {
+            sample.answers
+        } else {
+            0
+        };
+        self.failures_llr += sample.failures_llr;
+        self.broad_llr += sample.broad_llr;
+        self.tail_llr += sample.tail_llr;
+    }
+
+    fn is_broken(&self) -> bool {
+        is_broken(self.answers, self.failures)
+    }
+
+    fn is_slow(&self) -> bool {
+        self.slow >= SLOW_ANSWERS_MIN && f64::from(self.slow) >= SLOW_SHARE * f64::from(self.timed)
+    }
+}
+
+/// Largest sums over all windows.
+#[derive(Clone, Copy, Debug)]
+struct Largest {
+    failures: f64,
+    slow: f64,
+}
+
+/// Returns the largest sums over the windows that end now.
+fn scan(samples: &[Vec<Sample>], input: JudgeInput, route: Option<u16>) -> Largest {
+    let mut tallies: IndexMap<u32, Tally> = IndexMap::new();
+    let mut largest: Option<Largest> = None;
+    for period in samples {
+        let of_route = |sample: &&Sample| route.is_none_or(|route| sample.route == route);
+        let mut has_samples = false;
+        for sample in period.iter().filter(of_route) {
+            tallies.entry(sample.server).or_default().add(sample);
+            has_samples = true;
+        }
+        if !has_samples {
+            continue;
+        }
+        let sum = |llr: fn(&Tally) -> f64, is_single: fn(&Tally) -> bool| {
+            bounded_sum(&tallies, input, llr, is_single)
+        };
+        let failures = sum(|tally| tally.failures_llr, Tally::is_broken);
+        let broad = sum(|tally| tally.broad_llr, Tally::is_slow);
+        let tail = sum(|tally| tally.tail_llr, Tally::is_slow);
+        let slow = broad.max(tail);
+        largest = Some(
+            largest.map_or(Largest { failures, slow }, |largest| Largest {
+                failures: largest.failures.max(failures),
+                slow: largest.slow.max(slow),
+            }),
+        );
+    }
+    largest.unwrap_or(Largest {
+        failures: 0.0,
+        slow: 0.0,
+    })
+}
+
+/// Returns the sum over all servers, to which each one contributes a bounded part. Broken or slow
+/// servers (`is_single`) together contribute the part of one unless there are too many of them.
+fn bounded_sum(
+    tallies: &IndexMap<u32, Tally>,
+    input: JudgeInput,
+    llr: fn(&Tally) -> f64,
+    is_single: fn(&Tally) -> bool,
+) -> f64 {
+    let servers = tallies.len().max(input.target_servers);
+    let weight_max = BAD_LLR
+        * match servers {
+            0 | 1 => f64::INFINITY,
+            2 => WEIGHT_OF_TWO,
+            _ => WEIGHT_OF_SEVERAL,
+        };
+    let is_compared = tallies.values().map(|tally| tally.compared).sum::<u32>() * 2
+        >= tallies.values().map(|tally| tally.answers).sum::<u32>();
+    let singles_max = if is_compared {
+        broken_max(servers)
+    } else {
+        broken_max(servers).max((servers as f64 * BROKEN_ALONE_MAX) as usize)
+    };
+    let (mut singles, mut singles_sum, mut others_sum) = (0, 0.0, 0.0);
+    for tally in tallies.values() {
+        let weight = llr(tally).min(weight_max);
+        if is_single(tally) {
+            singles += 1;
+            singles_sum += weight;
+        } else {
+            others_sum += weight;
+        }
+    }
+    if singles <= singles_max {
+        singles_sum = f64::min(singles_sum, weight_max);
+    }
+    others_sum + singles_sum
+}
+
+/// Returns whether more than half of several servers with answers are broken.
+fn do_most_servers_fail(samples: &[Vec<Sample>]) -> bool {
+    let mut tallies: IndexMap<u32, Tally> = IndexMap::new();
+    for sample in samples.iter().flatten() {
+        tallies.entry(sample.server).or_default().add(sample);
     }
+    let broken = tallies.values().filter(|tally| tally.is_broken()).count();
+    let servers: IndexSet<&u32> = tallies.keys().collect();
+    servers.len() > 1 && broken * 2 > servers.len()
 }
--- a/crates/gateway/src/rollout/versions.rs
+++ b/crates/gateway/src/rollout/versions.rs
@@ -36,14 +36,19 @@
 
     /// Records the newest stored status.
     pub fn on_status(&mut self, status: RolloutStatus) {
-        if status.state == RolloutState::Complete {
-            self.in_force = Some(status.target.clone());
+        let in_force = match status.state {
+            RolloutState::Complete => Some(&status.target),
+            RolloutState::Running | RolloutState::RolledBack => status.base.as_ref(),
+        };
+        if let Some(in_force) = in_force {
+            self.in_force = Some(in_force.clone());
         }
         self.status = Some(status);
     }
 
     /// Records the versions of the service's listed servers, each with its number of servers. The
-    /// version in force is derived from them only while no `complete` has named one.
+    /// version in force is derived from them only while neither a status
+    /// nor an earlier list has named it.
     pub fn on_listed(&mut self, listed: &[(&str, usize)]) {
         if self.in_force.is_some() {
             return;
@@ -59,6 +64,30 @@
         self.in_force = most.map(|(version, _)| (*version).to_owned());
     }
 
+    /// Returns the status to store for the running order, or `None` if no order is running.
+    #[must_use]
+    pub fn status_to_store(&self, state: RolloutState) -> Option<RolloutStatus> {
+        let order = self.running()?;
+        Some(RolloutStatus {
+            service: order.service.clone(),
+            target: order.target.clone(),
+            state,
+            order: Some(order.id),
+            base: self.in_force.clone(),
+        })
+    }
+
+    /// Returns the status to store if an order was removed before its final state was stored.
+    #[must_use]
+    pub fn withdrawn_to_store(&self) -> Option<RolloutStatus> {
+        let status = self.status.as_ref()?;
+        let is_withdrawn = self.order.is_none() && !status.state.is_final();
+        is_withdrawn.then(|| RolloutStatus {
+            state: RolloutState::RolledBack,
+            ..status.clone()
+        })
+    }
+
     /// Returns the order if its final state is not stored.
     #[must_use]
     pub fn running(&self) -> Option<&RolloutOrder> {
