Write statuses of rollouts and of removed orders

The decider's decision is stored with the order's identifier and the version in force. A removed order is rolled back by the first member in rank. A new phase is told at once to all daemons that have reported.

--- a/crates/gateway/src/background_tasks/rollouts.rs
+++ b/crates/gateway/src/background_tasks/rollouts.rs
@@ -33,6 +33,8 @@
 const JITTER: f64 = 0.15;
 /// Pause after a failed call to the metadata store.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Time after which the member that is next in rank stores the end of a removed order.
+const WITHDRAWAL_PAUSE: Duration = Duration::from_secs(2);
 /// Age of the last read of statuses from which on the metadata store counts as unavailable.
 const STORE_SILENCE_MIN: Duration = Duration::from_millis(2500);
 
@@ -66,7 +68,9 @@
 
 /// Applies the removal of an order.
 pub(super) fn on_rollout_withdrawn(gateway: &Gateway, service: &str) {
-    if gateway.state.borrow_mut().rollouts.on_withdrawn(service) {
+    let now = gateway.now();
+    let rollouts = &mut gateway.state.borrow_mut().rollouts;
+    if rollouts.on_withdrawn(service, now) {
         gateway.log_notable(&Event::RolloutWithdrawn { service });
     }
 }
@@ -128,13 +132,18 @@
 async fn wait_for_rollout(gateway: &Gateway) {
     loop {
         let changed = gateway.rollouts_changed.notified();
-        if gateway.state.borrow().rollouts.has_active() {
+        if !unfinished_services(gateway).is_empty() {
             return;
         }
         changed.await;
     }
 }
 
+fn unfinished_services(gateway: &Gateway) -> Vec<String> {
+    let now = gateway.now();
+    gateway.state.borrow().rollouts.unfinished(now)
+}
+
 async fn list_statuses(gateway: &Gateway) -> Result<u64, StoreError> {
     let started_at = gateway.now();
     let listing = gateway.ports.metadata_store.list_statuses().await?;
@@ -162,9 +171,10 @@
 pub(crate) async fn run(gateway: Rc<Gateway>) {
     loop {
         wait_for_rollout(&gateway).await;
-        let services = gateway.state.borrow().rollouts.active_services();
+        let services = unfinished_services(&gateway);
         for service in &services {
             report(&gateway, service);
+            store_withdrawal(&gateway, service);
         }
         for _ in 0..DECISIONS_PER_REPORT {
             for service in &services {
@@ -175,6 +185,28 @@
     }
 }
 
+/// Writes the status of an order that was removed, if that is up to this daemon: the first member in
+/// rank, or the next ones some time later.
+fn store_withdrawal(gateway: &Rc<Gateway>, service: &str) {
+    let now = gateway.now();
+    let state = &mut *gateway.state.borrow_mut();
+    let Some((status, elapsed)) = state.rollouts.withdrawn_to_store(service, now) else {
+        return;
+    };
+    let rank = rank_of(gateway, state.fleet.members(), service);
+    if elapsed >= WITHDRAWAL_PAUSE * rank as u32 && state.rollouts.begin_writing(service) {
+        spawn_local(write(Rc::clone(gateway), status));
+    }
+}
+
+/// Returns the rank of this daemon for a service among the members of the fleet.
+fn rank_of(gateway: &Gateway, members: &[SocketAddr], service: &str) -> usize {
+    let own = own_address(gateway);
+    let ranked = members_by_rank(name_hash(service), members);
+    let rank = ranked.iter().position(|member| *member == own);
+    rank.unwrap_or_default()
+}
+
 /// Members of the fleet, or only this daemon if it does not know others.
 fn members(gateway: &Gateway) -> Vec<SocketAddr> {
     let own = own_address(gateway);
@@ -249,7 +281,11 @@
         // The order is not known yet, or its final status is stored, which the sender reads.
         return;
     };
+    let now = gateway.now();
     take_report(gateway, &service, report);
+    if let Some(active) = gateway.state.borrow_mut().rollouts.active_mut(&service) {
+        active.on_reporter(sender, now);
+    }
     if let Some(decision) = decide(gateway, &service) {
         let message = PeerMessage::RolloutDirective(decision.directive);
         send_message(gateway, socket, &message, &[sender]);
@@ -278,7 +314,7 @@
     let now = gateway.now();
     let members = members(gateway);
     let own = own_address(gateway);
-    let (decision, status, is_news) = {
+    let (decision, status, is_news, told) = {
         let state = &mut *gateway.state.borrow_mut();
         let verified_at = state.rollouts.statuses_verified_at().unwrap_or_default();
         let in_force = state.rollouts.versions_of(service)?.in_force();
@@ -300,19 +336,25 @@
             active.on_directive(decision.directive, rank, now);
         }
         let known = active.decision.replace(decision);
-        let is_news = known.is_none_or(|known| {
-            known.directive.phase != decision.directive.phase || known.reason != decision.reason
-        });
-        let write = decision.write.filter(|_| !active.is_writing);
-        active.is_writing |= write.is_some();
-        let status = write.map(|state| RolloutStatus {
-            service: service.to_owned(),
-            target: active.order.target.clone(),
-            state,
-            order: Some(active.order.id),
-        });
-        (decision, status, is_news)
+        let phase = decision.directive.phase;
+        let is_news = known
+            .is_none_or(|known| known.directive.phase != phase || known.reason != decision.reason);
+        let is_new_phase = known.is_some_and(|known| known.directive.phase != phase);
+        let told = if is_new_phase {
+            active.recent_reporters(now)
+        } else {
+            Vec::new()
+        };
+        let versions = state.rollouts.versions_of(service)?;
+        let status = decision.write;
+        let status = status.and_then(|state| versions.status_to_store(state));
+        let status = status.filter(|_| state.rollouts.begin_writing(service));
+        (decision, status, is_news, told)
     };
+    if let Some(socket) = gateway.permit_client.socket() {
+        let message = PeerMessage::RolloutDirective(decision.directive);
+        send_message(gateway, &socket, &message, &told);
+    }
     if is_news {
         log_decision(gateway, service, &decision);
     }
@@ -363,23 +405,14 @@
         sleep(RETRY_PAUSE).await;
     }
     let rollouts = &mut gateway.state.borrow_mut().rollouts;
-    if let Some(active) = rollouts.active_mut(&status.service) {
-        active.is_writing = false;
-    }
+    rollouts.end_writing(&status.service);
 }
 
 /// Appends a status unless the stored one is final or the same. The stored statuses are read first,
 /// and the append takes effect only if there is no newer one, so only one final status is stored.
 async fn write_status(gateway: &Gateway, status: &RolloutStatus) -> Result<(), StoreError> {
     let at = list_statuses(gateway).await?;
-    let is_outdated = {
-        let state = gateway.state.borrow();
-        let stored = state.rollouts.versions_of(&status.service);
-        let stored = stored.and_then(|versions| versions.status());
-        let active = state.rollouts.active(&status.service);
-        active.is_none_or(|active| Some(active.order.id) != status.order) || stored == Some(status)
-    };
-    if is_outdated {
+    if !gateway.state.borrow().rollouts.is_to_be_stored(status) {
         return Ok(());
     }
     let store = &gateway.ports.metadata_store;
--- a/crates/gateway/src/service_rollouts.rs
+++ b/crates/gateway/src/service_rollouts.rs
@@ -18,6 +18,9 @@
 /// Time after which a member that has not replied is no longer the one to be obeyed.
 const REPLY_AGE_MAX: Duration = Duration::from_millis(1000);
 
+/// Time within which an append that was not answered takes effect, if it does.
+const LATE_APPEND_MAX: Duration = Duration::from_secs(15);
+
 /// Rollouts of all services.
 #[derive(Debug, Default)]
 pub(crate) struct ServiceRollouts {
@@ -36,6 +39,19 @@
     active: Option<ActiveRollout>,
     /// Why the newest order of the service is malformed, which is logged once.
     malformed: Option<String>,
+    /// When the newest order was removed, if it was.
+    withdrawn_at: Option<Duration>,
+    /// Whether a task writes the status.
+    is_writing: bool,
+}
+
+impl ServiceRollout {
+    fn is_unfinished(&self, now: Duration) -> bool {
+        let is_withdrawn_lately = self
+            .withdrawn_at
+            .is_some_and(|at| now.saturating_sub(at) < LATE_APPEND_MAX);
+        self.active.is_some() || self.versions.withdrawn_to_store().is_some() || is_withdrawn_lately
+    }
 }
 
 /// An order without a final status.
@@ -52,9 +68,8 @@
     pub(crate) decider: Option<Decider>,
     /// Newest decision of this daemon, if it is the decider.
     pub(crate) decision: Option<Decision>,
-    /// Whether a task writes the status.
-    pub(crate) is_writing: bool,
-    is_withdrawn: bool,
+    /// Addresses of the daemons that have reported to this one, with the time of the last report.
+    reporters: IndexMap<SocketAddr, Duration>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -163,14 +178,14 @@
             asked_since: now,
             decider: None,
             decision: None,
-            is_writing: false,
-            is_withdrawn: false,
+            reporters: IndexMap::new(),
         });
+        service.withdrawn_at = None;
         OrderEffect::Started
     }
 
     /// Applies the removal of an order, and returns whether there was one.
-    pub(crate) fn on_withdrawn(&mut self, service: &str) -> bool {
+    pub(crate) fn on_withdrawn(&mut self, service: &str, now: Duration) -> bool {
         let Some(service) = self.services.get_mut(service) else {
             return false;
         };
@@ -179,12 +194,8 @@
             return false;
         }
         service.versions.on_order(None);
-        if let Some(active) = &mut service.active {
-            active.is_withdrawn = true;
-            if let Some(decider) = &mut active.decider {
-                decider.on_withdrawn();
-            }
-        }
+        service.active = None;
+        service.withdrawn_at = Some(now);
         true
     }
 
@@ -233,19 +244,49 @@
         }
     }
 
-    pub(crate) fn has_active(&self) -> bool {
-        let mut services = self.services.values();
-        services.any(|service| service.active.is_some())
-    }
-
-    pub(crate) fn active_services(&self) -> Vec<String> {
-        let active = self.services.iter();
-        active
-            .filter(|(_, service)| service.active.is_some())
+    /// Returns the services with a rollout that is not over, or was removed a short time ago.
+    pub(crate) fn unfinished(&self, now: Duration) -> Vec<String> {
+        let services = self.services.iter();
+        services
+            .filter(|(_, service)| service.is_unfinished(now))
             .map(|(name, _)| name.clone())
             .collect()
     }
 
+    /// Returns the status that is to be stored for an order that was removed, and the time since
+    /// then.
+    pub(crate) fn withdrawn_to_store(
+        &self,
+        service: &str,
+        now: Duration,
+    ) -> Option<(RolloutStatus, Duration)> {
+        let service = self.services.get(service)?;
+        let status = service.versions.withdrawn_to_store()?;
+        let since = service.withdrawn_at.unwrap_or_default();
+        Some((status, now.saturating_sub(since)))
+    }
+
+    /// Returns whether a status still is to be stored.
+    pub(crate) fn is_to_be_stored(&self, status: &RolloutStatus) -> bool {
+        let Some(service) = self.services.get(&status.service) else {
+            return false;
+        };
+        let versions = &service.versions;
+        let expected = versions.status_to_store(status.state);
+        let expected = expected.or_else(|| versions.withdrawn_to_store());
+        expected.as_ref() == Some(status) && versions.status() != Some(status)
+    }
+
+    /// Begins to write a status of a service, unless one is being written.
+    pub(crate) fn begin_writing(&mut self, service: &str) -> bool {
+        let service = self.service_mut(service);
+        !std::mem::replace(&mut service.is_writing, true)
+    }
+
+    pub(crate) fn end_writing(&mut self, service: &str) {
+        self.service_mut(service).is_writing = false;
+    }
+
     pub(crate) fn active(&self, service: &str) -> Option<&ActiveRollout> {
         self.services.get(service)?.active.as_ref()
     }
@@ -380,9 +421,7 @@
             now.saturating_sub(received.received_at) < RolloutDirective::VALID_FOR
         });
         match valid {
-            Some(received) if is_fresh && !self.is_withdrawn => {
-                (received.directive.phase, received.directive.share)
-            }
+            Some(received) if is_fresh => (received.directive.phase, received.directive.share),
             _ => (Phase::Waiting, TargetShare::NONE),
         }
     }
@@ -395,6 +434,7 @@
         members: &[SocketAddr],
         now: Duration,
     ) -> Vec<SocketAddr> {
+        self.budget.on_members(members.len());
         let ranked = members_by_rank(service_hash, members);
         let heard_at = self.directive.map(|received| received.received_at);
         let silent_since = heard_at.unwrap_or_default().max(self.asked_since);
@@ -424,6 +464,20 @@
         });
     }
 
+    /// Records that another daemon has reported to this one.
+    pub(crate) fn on_reporter(&mut self, address: SocketAddr, now: Duration) {
+        self.reporters.insert(address, now);
+    }
+
+    /// Returns the addresses of the daemons that have reported to this one lately.
+    pub(crate) fn recent_reporters(&self, now: Duration) -> Vec<SocketAddr> {
+        let reporters = self.reporters.iter();
+        reporters
+            .filter(|(_, at)| now.saturating_sub(**at) < REPLY_AGE_MAX)
+            .map(|(address, _)| *address)
+            .collect()
+    }
+
     /// Returns the report of what this daemon has observed.
     pub(crate) fn report(
         &self,
@@ -462,15 +516,11 @@
         stored: Option<&RolloutStatus>,
     ) -> &mut Decider {
         let order = &self.order;
-        let is_withdrawn = self.is_withdrawn;
         self.decider.get_or_insert_with(|| {
             let mut decider = Decider::new(order.clone(), bounds);
             if let Some(status) = stored {
                 decider.on_status(status);
             }
-            if is_withdrawn {
-                decider.on_withdrawn();
-            }
             decider
         })
     }
