--- a/crates/gateway/src/rollout/exposure.rs
+++ b/crates/gateway/src/rollout/exposure.rs
@@ -12,7 +12,7 @@
 const USED_FRACTION: f64 = 0.9;
 /// Fraction of the operators' slack that the daemons divide among each other. The rest covers
 /// requests that are under way when the share is set to zero.
-pub(super) const SLACK_FRACTION: f64 = 0.5;
+const SLACK_FRACTION: f64 = 0.8;
 /// Age of an order up to which the number of requests is extrapolated with this age. Counts of a
 /// shorter time are too small to extrapolate.
 const EXTRAPOLATION_AGE_MIN: Duration = Duration::from_millis(500);
--- a/crates/gateway/src/rollout/schedule.rs
+++ b/crates/gateway/src/rollout/schedule.rs
@@ -1,6 +1,6 @@
 //! When the phases of a rollout begin, and how many requests go to the target in each.
 
-use super::exposure::{ExposureBounds, ExposureCounts, SLACK_FRACTION, TargetShare};
+use super::exposure::{ExposureBounds, ExposureCounts, TargetShare};
 use super::order::Phase;
 use std::time::Duration;
 
@@ -38,7 +38,7 @@
     ends_at: 0.44,
     hold_until: 0.64,
     time_min: 0.12,
-    exposure: 0.23,
+    exposure: 0.27,
     share_factor: 0.6,
     share_max: 0.4,
 };
@@ -144,8 +144,8 @@
         let rate = counts.requests as f64 / age.as_secs_f64();
         let rest = self.step.saturating_sub(age).as_secs_f64();
         let expected = counts.requests as f64 + rate * rest * EXPECTED_RATE_FRACTION;
-        let slack = f64::from(self.bounds.canary_slack) * SLACK_FRACTION;
-        let allowed = expected * self.bounds.canary_share + slack;
+        let slack = f64::from(self.bounds.canary_slack) - rate * NOTICE_TIME.as_secs_f64() / 2.0;
+        let allowed = expected * self.bounds.canary_share + slack.max(0.0);
         let end = self.end(phase, since);
         let planned_time = end.saturating_sub(since).max(NOTICE_TIME).as_secs_f64();
         let planned = allowed * plan.exposure / (rate * planned_time);
--- a/crates/gateway/src/rollout/verdict.rs
+++ b/crates/gateway/src/rollout/verdict.rs
@@ -14,10 +14,12 @@
 const BAD_LLR: f64 = 6.0;
 /// The same for a test of one route out of several, of which one may exceed the limit by chance.
 const BAD_ROUTE_LLR: f64 = 7.0;
-/// Fraction of [`BAD_LLR`] from which the evidence raises a suspicion.
-const SUSPICION: f64 = 0.35;
-/// Fraction of [`BAD_LLR`] from which a version is bad if there is no more time to decide.
-const LATE_BAD: f64 = 0.5;
+/// Sum without the strongest server from which the evidence raises a suspicion. One failure of
+/// another server is enough.
+const SUSPICION_LLR: f64 = 1.5;
+/// The same from which a version is bad if there is no more time to decide. It takes two failures
+/// close to each other.
+const LATE_BAD_LLR: f64 = 2.4;
 /// Logarithm of the likelihood ratio below which a version is good.
 const GOOD_LLR: f64 = -1.0;
 /// Number of answers from which a version can be good.
@@ -76,6 +78,8 @@
     pub failures_llr: f64,
     /// Logarithm of the likelihood ratio that answers are slower.
     pub slow_llr: f64,
+    /// The larger of the two without the server that contributes most to it, if there are several.
+    pub others_llr: f64,
     /// Answers of the target version.
     pub target_answers: u64,
     /// Failures among them.
@@ -90,14 +94,14 @@
     /// Returns whether the evidence speaks against the version without deciding.
     #[must_use]
     pub fn is_suspicious(&self) -> bool {
-        self.failures_llr.max(self.slow_llr) > SUSPICION * BAD_LLR
+        self.others_llr > SUSPICION_LLR
     }
 
     /// Returns why the version is bad if there is no time to wait for more evidence.
     #[must_use]
     pub fn late_bad(&self) -> Option<BadReason> {
-        let (reason, llr) = self.strongest();
-        (llr > LATE_BAD * BAD_LLR).then_some(reason)
+        let (reason, _) = self.strongest();
+        (self.others_llr > LATE_BAD_LLR).then_some(reason)
     }
 
     fn strongest(&self) -> (BadReason, f64) {
@@ -122,12 +126,14 @@
         let scale = BAD_LLR / BAD_ROUTE_LLR;
         best.failures = best.failures.max(found.failures * scale);
         best.slow = best.slow.max(found.slow * scale);
+        best.others = best.others.max(found.others * scale);
     }
     let is_base_sound = base.failures as f64 <= SOUND_FAILURE_SHARE * base.answers as f64;
     let mut judgement = Judgement {
         verdict: Verdict::Undecided,
         failures_llr: best.failures,
         slow_llr: best.slow,
+        others_llr: best.others,
         target_answers: target.answers,
         target_failures: target.failures,
         base_answers: base.answers,
@@ -195,10 +201,21 @@
 }
 
 /// Largest sums over all windows.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Largest {
     failures: f64,
     slow: f64,
+    others: f64,
+}
+
+impl Largest {
+    fn max(self, other: Self) -> Self {
+        Self {
+            failures: self.failures.max(other.failures),
+            slow: self.slow.max(other.slow),
+            others: self.others.max(other.others),
+        }
+    }
 }
 
 /// Returns the largest sums over the windows that end now.
@@ -212,27 +229,31 @@
             tallies.entry(sample.server).or_default().add(sample);
             has_samples = true;
         }
-        if !has_samples {
-            continue;
+        if has_samples {
+            let found = window(&tallies, input);
+            largest = Some(largest.map_or(found, |largest| largest.max(found)));
         }
-        let sum = |llr: fn(&Tally) -> f64, is_single: fn(&Tally) -> bool| {
-            bounded_sum(&tallies, input, llr, is_single)
-        };
-        let failures = sum(|tally| tally.failures_llr, Tally::is_broken);
-        let broad = sum(|tally| tally.broad_llr, Tally::is_slow);
-        let tail = sum(|tally| tally.tail_llr, Tally::is_slow);
-        let slow = broad.max(tail);
-        largest = Some(
-            largest.map_or(Largest { failures, slow }, |largest| Largest {
-                failures: largest.failures.max(failures),
-                slow: largest.slow.max(slow),
-            }),
-        );
     }
-    largest.unwrap_or(Largest {
-        failures: 0.0,
-        slow: 0.0,
-    })
+    largest.unwrap_or_default()
+}
+
+/// Returns the sums of one window.
+fn window(tallies: &IndexMap<u32, Tally>, input: JudgeInput) -> Largest {
+    let failures = bounded_sum(tallies, input, |tally| tally.failures_llr, Tally::is_broken);
+    let broad = bounded_sum(tallies, input, |tally| tally.broad_llr, Tally::is_slow);
+    let tail = bounded_sum(tallies, input, |tally| tally.tail_llr, Tally::is_slow);
+    Largest {
+        failures: failures.all,
+        slow: broad.all.max(tail.all),
+        others: failures.others.max(broad.others).max(tail.others),
+    }
+}
+
+/// Sum over the servers.
+struct ServerSum {
+    all: f64,
+    /// Without the server that contributes most, if there are several.
+    others: f64,
 }
 
 /// Returns the sum over all servers, to which each one contributes a bounded part. Broken or slow
@@ -242,7 +263,7 @@
     input: JudgeInput,
     llr: fn(&Tally) -> f64,
     is_single: fn(&Tally) -> bool,
-) -> f64 {
+) -> ServerSum {
     let servers = tallies.len().max(input.target_servers);
     let weight_max = BAD_LLR
         * match servers {
@@ -258,8 +279,10 @@
         broken_max(servers).max((servers as f64 * BROKEN_ALONE_MAX) as usize)
     };
     let (mut singles, mut singles_sum, mut others_sum) = (0, 0.0, 0.0);
+    let mut largest = 0.0;
     for tally in tallies.values() {
         let weight = llr(tally).min(weight_max);
+        largest = f64::max(largest, weight);
         if is_single(tally) {
             singles += 1;
             singles_sum += weight;
@@ -270,7 +293,9 @@
     if singles <= singles_max {
         singles_sum = f64::min(singles_sum, weight_max);
     }
-    others_sum + singles_sum
+    let all = others_sum + singles_sum;
+    let others = if servers > 1 { all - largest } else { all };
+    ServerSum { all, others }
 }
 
 /// Returns whether more than half of several servers with answers are broken.
--- /dev/null
+++ b/crates/gateway/tests/rollouts/main.rs
@@ -0,0 +1,4 @@
+//! Rollouts of a service's software version: decisions without a network.
+
+mod seeded;
+mod simulation;
