Count requests by version and reply to reports after the end

Statuses are applied by offset.

Log lines about requests name the server's version; the metrics show requests by version and the state and evidence of rollouts.

--- a/crates/cli/src/log_line.rs
+++ b/crates/cli/src/log_line.rs
@@ -13,6 +13,8 @@
     pub(crate) route: String,
     pub(crate) workspace: String,
     pub(crate) server: String,
+    /// Software version of the backend server.
+    pub(crate) server_version: String,
     pub(crate) dependency: String,
     pub(crate) outcome: String,
     pub(crate) reason: String,
--- a/crates/cli/src/request_log.rs
+++ b/crates/cli/src/request_log.rs
@@ -55,7 +55,7 @@
                 "{} attempt {} at {}: {} after {} ms",
                 attempt.time_ms,
                 attempt.attempt,
-                or_dash(&attempt.server),
+                server_text(attempt),
                 attempt.reason,
                 attempt.elapsed_ms
             );
@@ -77,6 +77,9 @@
                 or_dash(&end.workspace),
                 end.elapsed_ms
             );
+            if !end.server.is_empty() {
+                let _ = writeln!(text, "  last server: {}", server_text(end));
+            }
             render_answer_end(&mut text, end);
             render_choice(&mut text, end);
             let _ = writeln!(text, "cause: {}", self.cause(end));
@@ -131,6 +134,14 @@
     }
 }
 
+/// Returns the server of a line with its software version, if it has one.
+fn server_text(line: &LogLine) -> String {
+    if line.server_version.is_empty() {
+        return or_dash(&line.server).to_owned();
+    }
+    format!("{} (version {})", line.server, line.server_version)
+}
+
 /// Appends what the daemon knew when it selected the backend server of a line.
 fn render_choice(text: &mut String, line: &LogLine) {
     let Some(choice) = line.choice else { return };
--- a/crates/gateway/src/background_tasks/rollouts.rs
+++ b/crates/gateway/src/background_tasks/rollouts.rs
@@ -4,14 +4,15 @@
 use super::peer_messages::send_message;
 use crate::caches::name_hash;
 use crate::dependency::Dependency;
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, State};
 use crate::log::Event;
 use crate::peer_message::PeerMessage;
 use crate::permits::members_by_rank;
 use crate::ports::{AppendOutcome, RolloutRequest, StoreError, Topic};
 use crate::rollout::{
-    Decision, FleetView, Phase, RolloutDirective, RolloutReport, RolloutState, RolloutStatus,
+    Decision, FleetView, RolloutDirective, RolloutReport, RolloutState, RolloutStatus,
 };
+use crate::rollout_metrics::{phase_name, reason_name};
 use crate::service_rollouts::{OrderEffect, VersionServers};
 use crate::topic_reader::TopicReader;
 use rand::RngExt;
@@ -98,30 +99,35 @@
     let clock = Arc::clone(&gateway.ports.clock);
     let mut reader = TopicReader::new(Topic::Statuses, clock);
     loop {
-        while let Err(error) = list_statuses(&gateway).await {
-            dependency.on_failure(&gateway, &error.to_string());
+        let mut from_offset = loop {
+            match list_statuses(&gateway).await {
+                Ok(next_offset) => break next_offset,
+                Err(error) => dependency.on_failure(&gateway, &error.to_string()),
+            }
             sleep(RETRY_PAUSE).await;
-        }
+        };
         dependency.on_answer(&gateway);
         on_servers_changed(&gateway);
         loop {
             wait_for_rollout(&gateway).await;
             sleep(gateway.jittered(STATUS_PAUSE, JITTER)).await;
-            let from_offset = gateway.state.borrow().rollouts.next_offset;
             match reader.read(&gateway, from_offset, Duration::ZERO).await {
                 Ok(read) => {
                     dependency.on_answer(&gateway);
                     let store = &gateway.ports.metadata_store;
-                    for record in read.records {
+                    for (offset, record) in (from_offset..).zip(read.records) {
                         if let Some(status) = store.decode_status(record) {
-                            apply_status(&gateway, &status);
+                            apply_status(&gateway, &status, offset);
                         }
                     }
+                    from_offset = read.next_offset;
                     let rollouts = &mut gateway.state.borrow_mut().rollouts;
-                    rollouts.next_offset = rollouts.next_offset.max(read.next_offset);
                     rollouts.on_statuses_verified(read.verified_at);
                 }
-                Err(StoreError::Expired(_)) => break,
+                Err(StoreError::Expired(_)) => {
+                    gateway.state.borrow_mut().rollouts.forget_offsets();
+                    break;
+                }
                 Err(error) => dependency.on_failure(&gateway, &error.to_string()),
             }
         }
@@ -147,17 +153,17 @@
 async fn list_statuses(gateway: &Gateway) -> Result<u64, StoreError> {
     let started_at = gateway.now();
     let listing = gateway.ports.metadata_store.list_statuses().await?;
-    for status in &listing.statuses {
-        apply_status(gateway, status);
+    for (status, offset) in &listing.statuses {
+        apply_status(gateway, status, *offset);
     }
     let rollouts = &mut gateway.state.borrow_mut().rollouts;
-    rollouts.next_offset = listing.next_offset;
     rollouts.on_statuses_verified(started_at);
     Ok(listing.next_offset)
 }
 
-fn apply_status(gateway: &Gateway, status: &RolloutStatus) {
-    let is_news = gateway.state.borrow_mut().rollouts.on_status(status);
+fn apply_status(gateway: &Gateway, status: &RolloutStatus, offset: u64) {
+    let rollouts = &mut gateway.state.borrow_mut().rollouts;
+    let is_news = rollouts.on_status(status, offset);
     if is_news {
         gateway.log_notable(&Event::RolloutStatus {
             service: &status.service,
@@ -180,7 +186,8 @@
             for service in &services {
                 decide(&gateway, service);
             }
-            sleep(REPORT_PAUSE / DECISIONS_PER_REPORT).await;
+            let pause = REPORT_PAUSE / DECISIONS_PER_REPORT;
+            sleep(gateway.jittered(pause, JITTER)).await;
         }
     }
 }
@@ -260,9 +267,7 @@
         .versions_of(service)
         .and_then(|versions| versions.status().cloned());
     if let Some(active) = state.rollouts.active_mut(service) {
-        active
-            .decider_mut(bounds, stored.as_ref())
-            .on_report(report, now);
+        active.take_report(report, bounds, stored.as_ref(), now);
     }
 }
 
@@ -277,16 +282,31 @@
         let state = gateway.state.borrow();
         state.rollouts.service_of(report.order).map(str::to_owned)
     };
+    let now = gateway.now();
     let Some(service) = service else {
-        // The order is not known yet, or its final status is stored, which the sender reads.
+        let known = gateway
+            .state
+            .borrow()
+            .rollouts
+            .final_directive(report.order);
+        // An order that is not known yet gets no reply.
+        if let Some(directive) = known {
+            let message = PeerMessage::RolloutDirective(directive);
+            send_message(gateway, socket, &message, &[sender]);
+        }
         return;
     };
-    let now = gateway.now();
     take_report(gateway, &service, report);
-    if let Some(active) = gateway.state.borrow_mut().rollouts.active_mut(&service) {
-        active.on_reporter(sender, now);
-    }
-    if let Some(decision) = decide(gateway, &service) {
+    let decision = {
+        let rollouts = &mut gateway.state.borrow_mut().rollouts;
+        let active = rollouts.active_mut(&service);
+        active.and_then(|active| {
+            active.on_reporter(sender, now);
+            active.decision
+        })
+    };
+    // Decisions follow several times in each period of reports, so the last one is recent.
+    if let Some(decision) = decision.or_else(|| decide(gateway, &service)) {
         let message = PeerMessage::RolloutDirective(decision.directive);
         send_message(gateway, socket, &message, &[sender]);
     }
@@ -314,48 +334,32 @@
     let now = gateway.now();
     let members = members(gateway);
     let own = own_address(gateway);
-    let (decision, status, is_news, told) = {
+    let (decided, status, told) = {
         let state = &mut *gateway.state.borrow_mut();
-        let verified_at = state.rollouts.statuses_verified_at().unwrap_or_default();
-        let in_force = state.rollouts.versions_of(service)?.in_force();
-        let in_force = in_force.map(str::to_owned);
+        let view = fleet_view(state, service, members.len(), now)?;
         let active = state.rollouts.active_mut(service)?;
-        let servers = VersionServers::of(&active.order, &state.servers, now);
-        let view = FleetView {
-            members: members.len(),
-            target_servers: servers.target_servers,
-            target_warm_slots: servers.target_warm_slots,
-            base_servers: servers.base_servers,
-            base_slots: servers.base_slots,
-            is_store_available: now.saturating_sub(verified_at) < STORE_SILENCE_MIN,
-            is_target_in_force: in_force.as_deref() == Some(active.order.target.as_str()),
-        };
-        let decision = active.decider.as_mut()?.decide(view, now);
+        let decided = active.decide(view, now)?;
         let ranked = members_by_rank(name_hash(service), &members);
         if let Some(rank) = ranked.iter().position(|member| *member == own) {
-            active.on_directive(decision.directive, rank, now);
+            active.on_directive(decided.decision.directive, rank, now);
         }
-        let known = active.decision.replace(decision);
-        let phase = decision.directive.phase;
-        let is_news = known
-            .is_none_or(|known| known.directive.phase != phase || known.reason != decision.reason);
-        let is_new_phase = known.is_some_and(|known| known.directive.phase != phase);
-        let told = if is_new_phase {
+        let told = if decided.is_new_phase {
             active.recent_reporters(now)
         } else {
             Vec::new()
         };
         let versions = state.rollouts.versions_of(service)?;
-        let status = decision.write;
+        let status = decided.decision.write;
         let status = status.and_then(|state| versions.status_to_store(state));
         let status = status.filter(|_| state.rollouts.begin_writing(service));
-        (decision, status, is_news, told)
+        (decided, status, told)
     };
+    let decision = decided.decision;
     if let Some(socket) = gateway.permit_client.socket() {
         let message = PeerMessage::RolloutDirective(decision.directive);
         send_message(gateway, &socket, &message, &told);
     }
-    if is_news {
+    if decided.is_news {
         log_decision(gateway, service, &decision);
     }
     if let Some(status) = status {
@@ -364,13 +368,30 @@
     Some(decision)
 }
 
+fn fleet_view(state: &State, service: &str, members: usize, now: Duration) -> Option<FleetView> {
+    let rollouts = &state.rollouts;
+    let verified_at = rollouts.statuses_verified_at().unwrap_or_default();
+    let versions = rollouts.versions_of(service)?;
+    let order = &rollouts.active(service)?.order;
+    let servers = VersionServers::of(order, versions, &state.servers, now);
+    Some(FleetView {
+        members,
+        target_servers: servers.target_servers,
+        target_warm_slots: servers.target_warm_slots,
+        base_servers: servers.base_servers,
+        base_slots: servers.base_slots,
+        is_store_available: now.saturating_sub(verified_at) < STORE_SILENCE_MIN,
+        is_target_in_force: versions.in_force() == Some(order.target.as_str()),
+    })
+}
+
 fn log_decision(gateway: &Gateway, service: &str, decision: &Decision) {
     let judgement = &decision.judgement;
     gateway.log_notable(&Event::RolloutDecision {
         service,
         phase: phase_name(decision.directive.phase),
         share: decision.directive.share.fraction(),
-        reason: &format!("{:?}", decision.reason),
+        reason: reason_name(decision.reason),
         target_answers: judgement.target_answers,
         target_failures: judgement.target_failures,
         base_answers: judgement.base_answers,
@@ -380,18 +401,6 @@
     });
 }
 
-/// Returns the name of a phase in logs and metrics.
-pub(crate) fn phase_name(phase: Phase) -> &'static str {
-    match phase {
-        Phase::Waiting => "waiting",
-        Phase::Canary => "canary",
-        Phase::Ramp { .. } => "ramp",
-        Phase::Full => "full",
-        Phase::Completing => "completing",
-        Phase::RollingBack => "rolling_back",
-    }
-}
-
 /// Writes a status, and allows the next write.
 async fn write(gateway: Rc<Gateway>, status: RolloutStatus) {
     let result = write_status(&gateway, &status).await;
@@ -417,13 +426,7 @@
     }
     let store = &gateway.ports.metadata_store;
     if let AppendOutcome::Stored(offset) = store.append_status(at, status).await? {
-        {
-            let rollouts = &mut gateway.state.borrow_mut().rollouts;
-            if rollouts.next_offset == offset {
-                rollouts.next_offset = offset + 1;
-            }
-        }
-        apply_status(gateway, status);
+        apply_status(gateway, status, offset);
     }
     Ok(())
 }
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -132,6 +132,7 @@
         {
             let mut record = state.record.borrow_mut();
             target.id.clone_into(&mut record.server);
+            record.version = target.version.clone().unwrap_or_default();
             record.choice = Some(target.choice);
             // The answer to another kind of request does not show when the server began with it.
             let is_stream = matches!(routed.route.kind, RouteKind::Stream { .. });
--- a/crates/gateway/src/dispatch/attempt_state.rs
+++ b/crates/gateway/src/dispatch/attempt_state.rs
@@ -10,6 +10,8 @@
 pub(crate) struct AttemptRecord {
     /// Identifier of the backend server; empty until one is selected.
     pub(crate) server: String,
+    /// Software version of that server; empty if it publishes none.
+    pub(crate) version: String,
     /// What was known of the server when it was selected.
     pub(crate) choice: Option<Choice>,
     /// How the answer ends.
--- a/crates/gateway/src/dispatch/rollouts.rs
+++ b/crates/gateway/src/dispatch/rollouts.rs
@@ -79,6 +79,7 @@
 pub(super) struct RolloutOutcome {
     gateway: Rc<Gateway>,
     service: String,
+    version: Option<String>,
     attempt: Option<RolloutAttempt>,
     sent_at: Duration,
     is_answered: Cell<bool>,
@@ -89,6 +90,9 @@
     pub(super) fn new(gateway: &Rc<Gateway>, routed: &RoutedRequest, target: &Target) -> Self {
         let service = &routed.service.name;
         let rollouts = &mut gateway.state.borrow_mut().rollouts;
+        if let Some(version) = &target.version {
+            rollouts.count(service, version, |counts| counts.requests += 1);
+        }
         let side = rollouts.side_of(service, target.version.as_deref());
         let attempt = side.map(|(order, side)| {
             rollouts.on_sent(service, side);
@@ -103,6 +107,7 @@
         Self {
             gateway: Rc::clone(gateway),
             service: service.clone(),
+            version: target.version.clone(),
             attempt,
             sent_at: gateway.now(),
             is_answered: Cell::new(false),
@@ -124,8 +129,14 @@
     }
 
     fn record(&self, is_failure: bool, time: Option<Duration>) {
+        let rollouts = &mut self.gateway.state.borrow_mut().rollouts;
+        if let Some(version) = &self.version {
+            rollouts.count(&self.service, version, |counts| {
+                counts.answers += u64::from(time.is_some());
+                counts.failures += u64::from(is_failure);
+            });
+        }
         if let Some(attempt) = &self.attempt {
-            let rollouts = &mut self.gateway.state.borrow_mut().rollouts;
             rollouts.on_outcome(&self.service, attempt, is_failure, time);
         }
     }
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -172,7 +172,8 @@
     is_waiting: bool,
 ) -> Result<Target, AttemptError> {
     choose_side(gateway, routed, progress);
-    for asks in 0..=PERMIT_ASKS_MAX {
+    let mut asks = 0;
+    while asks <= PERMIT_ASKS_MAX {
         let options = QueryOptions {
             is_waiting,
             may_ask_permits: asks < PERMIT_ASKS_MAX,
@@ -182,9 +183,13 @@
             match with_query(gateway, routed, progress, options, |servers, query, rng| {
                 select(servers, query, now, rng)
             }) {
-                Err(_) if leave_target(gateway, routed, progress) => continue,
+                Err(_) if leave_target(gateway, routed, progress) => {
+                    asks = 0;
+                    continue;
+                }
                 result => result.map_err(AttemptError::NoServer)?,
             };
+        asks += 1;
         if let Some(limit) = selected.permit_needed {
             let target = PermitTarget::Server(selected.server);
             if !acquire_permit(gateway, target, limit, PermitPurpose::Request).await {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod read_limit;
 mod removed_servers;
 mod retry;
+mod rollout_metrics;
 mod server_ends;
 mod server_notices;
 mod service_rollouts;
--- a/crates/gateway/src/listeners/status.rs
+++ b/crates/gateway/src/listeners/status.rs
@@ -1,6 +1,7 @@
 //! Serves readiness checks and metrics.
 
 use crate::gateway::Gateway;
+use crate::rollout_metrics;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -16,7 +17,8 @@
     request: &Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     if request.uri().path() == METRICS_PATH {
-        return Response::new(Full::new(gateway.metrics.render().into()));
+        let rollouts = rollout_metrics::render(&gateway.state.borrow().rollouts);
+        return Response::new(Full::new((gateway.metrics.render() + &rollouts).into()));
     }
     let (ready, reason) = gateway.readiness();
     let mut response = Response::new(Full::new(Bytes::from_static(reason.as_bytes())));
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -141,8 +141,8 @@
 /// Newest statuses of all rollouts.
 #[derive(Clone, Debug, Default)]
 pub struct StatusListing {
-    /// Newest status of each service that has one.
-    pub statuses: Vec<RolloutStatus>,
+    /// Newest status of each service that has one, with its offset.
+    pub statuses: Vec<(RolloutStatus, u64)>,
     /// Offset from which to read on.
     pub next_offset: u64,
 }
--- a/crates/gateway/src/service_rollouts.rs
+++ b/crates/gateway/src/service_rollouts.rs
@@ -1,22 +1,21 @@
 //! Rollouts of all services as this daemon sees them: orders, statuses, and what it has observed.
 
-use crate::permits::members_by_rank;
+mod active;
+
+pub(crate) use active::{ActiveRollout, VersionServers};
+
 use crate::ports::RolloutRequest;
 use crate::rollout::{
-    Decider, Decision, Evidence, ExposureBounds, ExposureBudget, OrderId, Phase, RolloutDirective,
-    RolloutOrder, RolloutReport, RolloutState, RolloutStatus, RouteKey, ServiceVersions, Side,
-    TargetShare, VersionUse,
+    ExposureBounds, OrderId, Phase, RolloutDirective, RolloutOrder, RolloutState, RolloutStatus,
+    RouteKey, ServiceVersions, Side, TargetShare, VersionUse,
 };
-use crate::server::{ServerKey, ServerState, Servers};
+use crate::server::{ServerKey, Servers};
 use crate::settings::RolloutBounds;
 use indexmap::IndexMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Time without a reply after which the member that is next in rank is asked as well.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time after which a member that has not replied is no longer the one to be obeyed.
-const REPLY_AGE_MAX: Duration = Duration::from_millis(1000);
+/// Number of versions up to which requests are counted by version.
+const COUNTED_VERSIONS_MAX: usize = 64;
 
 /// Time within which an append that was not answered takes effect, if it does.
 const LATE_APPEND_MAX: Duration = Duration::from_secs(15);
@@ -26,19 +25,40 @@
 pub(crate) struct ServiceRollouts {
     bounds: Option<RolloutBounds>,
     services: IndexMap<String, ServiceRollout>,
-    /// Offset from which to read the log of statuses.
-    pub(crate) next_offset: u64,
+    version_counts: IndexMap<VersionKey, VersionCounts>,
     /// Time up to which all statuses are known. `None` before the first listing.
     statuses_verified_at: Option<Duration>,
 }
 
+/// Version of a service's servers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct VersionKey {
+    pub(crate) service: String,
+    pub(crate) version: String,
+}
+
+/// What this daemon has counted of a version.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct VersionCounts {
+    /// Requests that were sent, retries included.
+    pub(crate) requests: u64,
+    /// Answers, and streams that began.
+    pub(crate) answers: u64,
+    /// Answers that report a failure, and requests without a complete answer.
+    pub(crate) failures: u64,
+}
+
 /// Rollout of one service.
 #[derive(Debug, Default)]
 struct ServiceRollout {
     versions: ServiceVersions,
     active: Option<ActiveRollout>,
+    /// The rollout before, for the metrics.
+    ended: Option<ActiveRollout>,
     /// Why the newest order of the service is malformed, which is logged once.
     malformed: Option<String>,
+    /// Offset of the newest status.
+    status_offset: u64,
     /// When the newest order was removed, if it was.
     withdrawn_at: Option<Duration>,
     /// Whether a task writes the status.
@@ -46,6 +66,21 @@
 }
 
 impl ServiceRollout {
+    fn allows(&self, version: &str, side: Option<Side>, has_statuses: bool) -> bool {
+        if self.versions.in_force().is_none() && !has_statuses {
+            return false;
+        }
+        let version_use = self.versions.use_of(Some(version));
+        match side {
+            Some(Side::Target) => {
+                let running = self.versions.running();
+                let is_target = running.is_some_and(|order| order.target == version);
+                is_target && version_use != VersionUse::Excluded
+            }
+            Some(Side::Base) | None => version_use == VersionUse::All,
+        }
+    }
+
     fn is_unfinished(&self, now: Duration) -> bool {
         let is_withdrawn_lately = self
             .withdrawn_at
@@ -54,32 +89,6 @@
     }
 }
 
-/// An order without a final status.
-#[derive(Debug)]
-pub(crate) struct ActiveRollout {
-    pub(crate) order: RolloutOrder,
-    budget: ExposureBudget,
-    evidence: Evidence,
-    directive: Option<ReceivedDirective>,
-    /// Number of members that are asked beside the first in rank.
-    others_asked: usize,
-    asked_since: Duration,
-    /// Set as soon as another daemon, or this one, reports to this daemon.
-    pub(crate) decider: Option<Decider>,
-    /// Newest decision of this daemon, if it is the decider.
-    pub(crate) decision: Option<Decision>,
-    /// Addresses of the daemons that have reported to this one, with the time of the last report.
-    reporters: IndexMap<SocketAddr, Duration>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct ReceivedDirective {
-    directive: RolloutDirective,
-    received_at: Duration,
-    /// Rank of the sender.
-    rank: usize,
-}
-
 /// Version side of a request, with what is needed to record its outcome.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RolloutAttempt {
@@ -130,6 +139,13 @@
         self.statuses_verified_at
     }
 
+    /// Applies a listing after records of the log were deleted. The offsets may have changed.
+    pub(crate) fn forget_offsets(&mut self) {
+        for service in self.services.values_mut() {
+            service.status_offset = 0;
+        }
+    }
+
     pub(crate) fn on_statuses_verified(&mut self, at: Duration) {
         self.statuses_verified_at = self.statuses_verified_at.max(Some(at));
     }
@@ -168,18 +184,7 @@
             let state = status.map_or(RolloutState::Running, |status| status.state);
             return OrderEffect::AlreadyFinal(state);
         }
-        let budget = ExposureBudget::new(bounds, order.step, now, random);
-        service.active = Some(ActiveRollout {
-            order,
-            budget,
-            evidence: Evidence::default(),
-            directive: None,
-            others_asked: 0,
-            asked_since: now,
-            decider: None,
-            decision: None,
-            reporters: IndexMap::new(),
-        });
+        service.active = Some(ActiveRollout::new(order, bounds, random));
         service.withdrawn_at = None;
         OrderEffect::Started
     }
@@ -194,7 +199,7 @@
             return false;
         }
         service.versions.on_order(None);
-        service.active = None;
+        service.ended = service.active.take().or(service.ended.take());
         service.withdrawn_at = Some(now);
         true
     }
@@ -210,9 +215,13 @@
         is_new
     }
 
-    /// Applies a stored status, and returns whether it is news.
-    pub(crate) fn on_status(&mut self, status: &RolloutStatus) -> bool {
+    /// Applies the status that is stored at an offset, and returns whether it is news.
+    pub(crate) fn on_status(&mut self, status: &RolloutStatus, offset: u64) -> bool {
         let service = self.service_mut(&status.service);
+        if offset < service.status_offset {
+            return false;
+        }
+        service.status_offset = offset;
         let is_news = service.versions.status() != Some(status);
         service.versions.on_status(status.clone());
         if let Some(active) = &mut service.active {
@@ -220,7 +229,7 @@
                 decider.on_status(status);
             }
             if status.is_of(&active.order) && status.state.is_final() {
-                service.active = None;
+                service.ended = service.active.take();
             }
         }
         is_news
@@ -295,6 +304,23 @@
         self.services.get_mut(service)?.active.as_mut()
     }
 
+    /// Returns the directive that the stored final status of an order amounts to, if there is one.
+    pub(crate) fn final_directive(&self, order: OrderId) -> Option<RolloutDirective> {
+        let statuses = self.services.values();
+        let mut statuses = statuses.filter_map(|service| service.versions.status());
+        let status = statuses.find(|status| status.order == Some(order))?;
+        let (phase, share) = match status.state {
+            RolloutState::Running => return None,
+            RolloutState::Complete => (Phase::Completing, TargetShare::ALL),
+            RolloutState::RolledBack => (Phase::RollingBack, TargetShare::NONE),
+        };
+        Some(RolloutDirective {
+            order,
+            phase,
+            share,
+        })
+    }
+
     pub(crate) fn service_of(&self, order: OrderId) -> Option<&str> {
         let found = self.services.iter().find(|(_, service)| {
             let active = service.active.as_ref();
@@ -303,9 +329,37 @@
         found.map(|(name, _)| name.as_str())
     }
 
-    pub(crate) fn versions(&self) -> impl Iterator<Item = (&str, &ServiceVersions)> {
+    /// Returns the newest rollout of each service. It is kept for the metrics when it is over.
+    pub(crate) fn newest(
+        &self,
+    ) -> impl Iterator<Item = (&str, &ServiceVersions, Option<&ActiveRollout>)> {
         let services = self.services.iter();
-        services.map(|(name, service)| (name.as_str(), &service.versions))
+        services.map(|(name, service)| {
+            let rollout = service.active.as_ref().or(service.ended.as_ref());
+            (name.as_str(), &service.versions, rollout)
+        })
+    }
+
+    /// Returns the counts of each version that this daemon has sent requests to.
+    pub(crate) fn version_counts(&self) -> impl Iterator<Item = (&VersionKey, &VersionCounts)> {
+        self.version_counts.iter()
+    }
+
+    /// Changes the counts of a version, unless there are too many versions.
+    pub(crate) fn count(
+        &mut self,
+        service: &str,
+        version: &str,
+        change: impl FnOnce(&mut VersionCounts),
+    ) {
+        let key = VersionKey {
+            service: service.to_owned(),
+            version: version.to_owned(),
+        };
+        let has_room = self.version_counts.len() < COUNTED_VERSIONS_MAX;
+        if self.is_enabled() && (has_room || self.version_counts.contains_key(&key)) {
+            change(self.version_counts.entry(key).or_default());
+        }
     }
 
     pub(crate) fn versions_of(&self, service: &str) -> Option<&ServiceVersions> {
@@ -318,22 +372,11 @@
         let Some(version) = version.filter(|_| self.is_enabled()) else {
             return true;
         };
+        // Before orders and statuses are known, no version is known to be allowed.
         let Some(rollout) = self.services.get(service) else {
-            // Without the orders and statuses it is not known which versions may serve.
             return self.has_statuses();
         };
-        if rollout.versions.in_force().is_none() && !self.has_statuses() {
-            return false;
-        }
-        let version_use = rollout.versions.use_of(Some(version));
-        match side {
-            Some(Side::Target) => {
-                let running = rollout.versions.running();
-                let is_target = running.is_some_and(|order| order.target == version);
-                is_target && version_use != VersionUse::Excluded
-            }
-            Some(Side::Base) | None => version_use == VersionUse::All,
-        }
+        rollout.allows(version, side, self.has_statuses())
     }
 
     /// Returns the servers of a service that may not get a request of a side.
@@ -346,10 +389,20 @@
         if !self.is_enabled() {
             return Vec::new();
         }
+        let rollout = self.services.get(service);
+        let has_statuses = self.has_statuses();
+        let is_allowed = |version: &str| {
+            rollout.map_or(has_statuses, |rollout| {
+                rollout.allows(version, side, has_statuses)
+            })
+        };
         let servers = servers.iter();
         servers
             .filter(|(_, server)| server.entry.service == service)
-            .filter(|(_, server)| !self.allows(service, server.entry.version.as_deref(), side))
+            .filter(|(_, server)| {
+                let version = server.entry.version.as_deref();
+                version.is_some_and(|version| !is_allowed(version))
+            })
             .map(|(key, _)| key)
             .collect()
     }
@@ -413,148 +466,3 @@
         rollout.active.as_mut()
     }
 }
-
-impl ActiveRollout {
-    /// Returns phase and share that apply now. Without a valid directive nothing goes to the target.
-    pub(crate) fn in_force(&self, is_fresh: bool, now: Duration) -> (Phase, TargetShare) {
-        let valid = self.directive.filter(|received| {
-            now.saturating_sub(received.received_at) < RolloutDirective::VALID_FOR
-        });
-        match valid {
-            Some(received) if is_fresh => (received.directive.phase, received.directive.share),
-            _ => (Phase::Waiting, TargetShare::NONE),
-        }
-    }
-
-    /// Returns the daemons to report to: the first member in rank, and the next ones while there is
-    /// no reply.
-    pub(crate) fn recipients(
-        &mut self,
-        service_hash: u64,
-        members: &[SocketAddr],
-        now: Duration,
-    ) -> Vec<SocketAddr> {
-        self.budget.on_members(members.len());
-        let ranked = members_by_rank(service_hash, members);
-        let heard_at = self.directive.map(|received| received.received_at);
-        let silent_since = heard_at.unwrap_or_default().max(self.asked_since);
-        if now.saturating_sub(silent_since) >= REPLY_TIMEOUT {
-            self.others_asked = (self.others_asked + 1) % ranked.len().max(1);
-            self.asked_since = now;
-        }
-        ranked.into_iter().take(self.others_asked + 1).collect()
-    }
-
-    /// Takes in a directive of the member with this rank. That of a member which ranks higher takes
-    /// precedence while it replies.
-    pub(crate) fn on_directive(&mut self, directive: RolloutDirective, rank: usize, now: Duration) {
-        let is_outranked = self.directive.is_some_and(|received| {
-            received.rank < rank && now.saturating_sub(received.received_at) < REPLY_AGE_MAX
-        });
-        if is_outranked && directive.phase != Phase::RollingBack {
-            return;
-        }
-        if rank < self.others_asked {
-            self.others_asked = rank;
-        }
-        self.directive = Some(ReceivedDirective {
-            directive,
-            received_at: now,
-            rank,
-        });
-    }
-
-    /// Records that another daemon has reported to this one.
-    pub(crate) fn on_reporter(&mut self, address: SocketAddr, now: Duration) {
-        self.reporters.insert(address, now);
-    }
-
-    /// Returns the addresses of the daemons that have reported to this one lately.
-    pub(crate) fn recent_reporters(&self, now: Duration) -> Vec<SocketAddr> {
-        let reporters = self.reporters.iter();
-        reporters
-            .filter(|(_, at)| now.saturating_sub(**at) < REPLY_AGE_MAX)
-            .map(|(address, _)| *address)
-            .collect()
-    }
-
-    /// Returns the report of what this daemon has observed.
-    pub(crate) fn report(
-        &self,
-        sender: u64,
-        phase: Phase,
-        servers: &Servers,
-        now: Duration,
-    ) -> RolloutReport {
-        let in_flight = |is_target: bool| {
-            let of_service = servers
-                .iter()
-                .filter(|(_, server)| server.entry.service == self.order.service);
-            let version = Some(self.order.target.as_str());
-            of_service
-                .filter(|(_, server)| (server.entry.version.as_deref() == version) == is_target)
-                .map(|(_, server)| server.in_flight)
-                .sum()
-        };
-        let age = now.saturating_sub(self.order.learned_at);
-        RolloutReport {
-            order: self.order.id,
-            sender,
-            order_age_ms: age.as_millis() as u32,
-            phase,
-            counts: self.budget.counts(),
-            base_in_flight: in_flight(false),
-            target_in_flight: in_flight(true),
-            rows: self.evidence.snapshot(),
-        }
-    }
-
-    /// Returns the decider of the order, which is created when the first report arrives.
-    pub(crate) fn decider_mut(
-        &mut self,
-        bounds: ExposureBounds,
-        stored: Option<&RolloutStatus>,
-    ) -> &mut Decider {
-        let order = &self.order;
-        self.decider.get_or_insert_with(|| {
-            let mut decider = Decider::new(order.clone(), bounds);
-            if let Some(status) = stored {
-                decider.on_status(status);
-            }
-            decider
-        })
-    }
-}
-
-/// Servers of both versions, as the decider needs them.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct VersionServers {
-    pub(crate) target_servers: usize,
-    pub(crate) target_warm_slots: u32,
-    pub(crate) base_servers: usize,
-    pub(crate) base_slots: u32,
-}
-
-impl VersionServers {
-    pub(crate) fn of(order: &RolloutOrder, servers: &Servers, now: Duration) -> Self {
-        let mut sums = Self::default();
-        for (_, server) in servers.iter() {
-            let is_counted = server.entry.service == order.service
-                && server.entry.state == ServerState::Ready
-                && servers.is_in_service(server);
-            if !is_counted {
-                continue;
-            }
-            if server.entry.version.as_deref() == Some(order.target.as_str()) {
-                sums.target_servers += 1;
-                if !server.is_cold(now) {
-                    sums.target_warm_slots += server.entry.slots;
-                }
-            } else {
-                sums.base_servers += 1;
-                sums.base_slots += server.entry.slots;
-            }
-        }
-        sums
-    }
-}
