Show rollouts with anvilgw rollout, and versions with anvilgw explain

The subcommand reads the metrics of a daemon and tells state, phase, reason and evidence of each rollout.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -11,6 +11,7 @@
 mod key;
 mod operator_list;
 mod plans;
+mod rollout;
 mod serve;
 mod service_state;
 mod status;
@@ -79,6 +80,11 @@
         "allow an epoch after most daemons are gone for good",
         epoch::run,
     ),
+    command(
+        "rollout",
+        "show the rollouts of software versions and why they are where they are",
+        rollout::run,
+    ),
     command("explain", "show what happened to one request", explain::run),
     command("key", "make a bearer key", key::run),
 ];
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod error;
 mod log_line;
 mod log_summary;
+mod metrics_text;
 mod options;
 mod render;
 mod request_log;
--- a/crates/cli/tests/cli/gateway.rs
+++ b/crates/cli/tests/cli/gateway.rs
@@ -1,6 +1,8 @@
 //! Tests of `anvilgw gateway` and of `anvilgw explain` on the gateway's log.
 
 use crate::{anvilgw, stderr, stdout, write_file};
+use std::io::{Read, Write};
+use std::net::TcpListener;
 
 /// A request in the log and the text that `explain` must print about it.
 struct ExplainCase {
@@ -19,6 +21,7 @@
 {"time_ms":11,"event":"request","request":"r4","status":200,"outcome":"broken_off","reason":"the stream ended within an event","not_resumed":"all attempts were used","executed":"yes","server":"s1","attempts":1,"elapsed_ms":8}
 {"time_ms":12,"event":"attempt","request":"r5","attempt":1,"server":"s1","reason":"no event for 1500 ms","stream_position":"between_events","silent_ms":1500,"elapsed_ms":1700}
 {"time_ms":13,"event":"request","request":"r5","status":200,"outcome":"answered","server":"s2","attempts":2,"elapsed_ms":1900}
+{"time_ms":14,"event":"request","request":"r6","status":200,"outcome":"answered","server":"s3","server_version":"2.4","attempts":1,"elapsed_ms":3}
 "#;
 
 fn check_explanations(log: &str, cases: &[ExplainCase]) {
@@ -147,3 +150,53 @@
     let without_log = anvilgw(&["explain", "--summary"]);
     assert_eq!(without_log.status.code(), Some(2));
 }
+
+/// Guards against a rollout whose log does not tell which version served a request.
+#[test]
+fn explain_names_the_version_of_the_server() {
+    let log = write_file("versions.log", LOG);
+    let cases = [ExplainCase {
+        name: "answered by a server with a version",
+        request: "r6",
+        expected: "last server: s3 (version 2.4)",
+    }];
+    check_explanations(&log, &cases);
+}
+
+const METRICS: &str = r#"anvilgw_requests_answered_total 7
+anvilgw_version_requests_total{service="s",version="2.4"} 3
+anvilgw_rollout{service="s",target="2.\"4\"",in_force="2.3",state="running",phase="canary",reason="suspicion"} 1
+anvilgw_rollout_answers{service="s",side="target",scope="fleet"} 211
+anvilgw_rollout_failures{service="s",side="target",scope="fleet"} 17
+anvilgw_rollout_share{service="s"} 0.06
+"#;
+
+/// Guards against a rollout whose state and reason operators cannot see.
+#[test]
+fn rollout_shows_state_reason_and_evidence() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("listener");
+    let address = listener.local_addr().expect("address").to_string();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("connection");
+        let mut request = [0; 4096];
+        let _length = stream.read(&mut request).expect("request");
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{METRICS}",
+            METRICS.len()
+        );
+        stream.write_all(answer.as_bytes()).expect("answer");
+    });
+    let output = anvilgw(&["rollout", "--metrics", &address]);
+    server.join().expect("server");
+    let text = stdout(&output);
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    for expected in [
+        "service s: from version 2.3 to 2.\"4\"",
+        "state running, phase canary",
+        "because the target may be worse",
+        "fleet    target   211      17",
+        "share of the target: 0.06",
+    ] {
+        assert!(text.contains(expected), "{expected}: {text}");
+    }
+}
