--- a/crates/gateway/src/rollout/decider.rs
+++ b/crates/gateway/src/rollout/decider.rs
@@ -401,7 +401,7 @@
             return Some(DecisionReason::Scheduled);
         }
         let may_hold = age < self.schedule.hold_until(self.phase);
-        let is_held = may_hold && self.phase != Phase::Waiting && judgement.is_suspicious();
+        let is_held = may_hold && self.phase != Phase::Waiting && judgement.is_suspicious;
         if self.phase == Phase::Full {
             return is_held.then_some(DecisionReason::Suspicion);
         }
--- a/crates/gateway/src/rollout/schedule.rs
+++ b/crates/gateway/src/rollout/schedule.rs
@@ -38,7 +38,7 @@
     ends_at: 0.44,
     hold_until: 0.64,
     time_min: 0.12,
-    exposure: 0.27,
+    exposure: 0.30,
     share_factor: 0.6,
     share_max: 0.4,
 };
@@ -55,7 +55,7 @@
         ends_at: 0.62,
         hold_until: 0.80,
         time_min: 0.10,
-        exposure: 0.30,
+        exposure: 0.35,
         share_factor: 3.0,
         share_max: 0.6,
     },
--- a/crates/gateway/src/rollout/verdict.rs
+++ b/crates/gateway/src/rollout/verdict.rs
@@ -14,12 +14,43 @@
 const BAD_LLR: f64 = 6.0;
 /// The same for a test of one route out of several, of which one may exceed the limit by chance.
 const BAD_ROUTE_LLR: f64 = 7.0;
-/// Sum without the strongest server from which the evidence raises a suspicion. One failure of
-/// another server is enough.
-const SUSPICION_LLR: f64 = 1.5;
-/// The same from which a version is bad if there is no more time to decide. It takes two failures
-/// close to each other.
-const LATE_BAD_LLR: f64 = 2.4;
+/// Evidence of the servers that are neither broken nor slow as a whole.
+#[derive(Clone, Copy)]
+struct Threshold {
+    llr: f64,
+    bad_answers: u32,
+}
+
+/// Thresholds of a test that apply before [`BAD_LLR`] is reached.
+struct EarlyThresholds {
+    /// From which the evidence raises a suspicion.
+    suspicion: Threshold,
+    /// From which a version is bad if there is no more time to decide.
+    late_bad: Threshold,
+}
+
+const FAILURES: EarlyThresholds = EarlyThresholds {
+    suspicion: Threshold {
+        llr: 0.5,
+        bad_answers: 2,
+    },
+    late_bad: Threshold {
+        llr: 1.5,
+        bad_answers: 3,
+    },
+};
+/// Slow answers are frequent among those of a good version as well, so a few of them in a short
+/// window say little.
+const SLOW: EarlyThresholds = EarlyThresholds {
+    suspicion: Threshold {
+        llr: 3.0,
+        bad_answers: 4,
+    },
+    late_bad: Threshold {
+        llr: 4.5,
+        bad_answers: 6,
+    },
+};
 /// Logarithm of the likelihood ratio below which a version is good.
 const GOOD_LLR: f64 = -1.0;
 /// Number of answers from which a version can be good.
@@ -78,8 +109,11 @@
     pub failures_llr: f64,
     /// Logarithm of the likelihood ratio that answers are slower.
     pub slow_llr: f64,
-    /// The larger of the two without the server that contributes most to it, if there are several.
-    pub others_llr: f64,
+    /// Whether the evidence against the version, without single broken or slow servers, is enough to
+    /// wait for more.
+    pub is_suspicious: bool,
+    /// Whether it is enough to reject the version if there is no time to wait.
+    pub is_late_bad: bool,
     /// Answers of the target version.
     pub target_answers: u64,
     /// Failures among them.
@@ -91,17 +125,11 @@
 }
 
 impl Judgement {
-    /// Returns whether the evidence speaks against the version without deciding.
-    #[must_use]
-    pub fn is_suspicious(&self) -> bool {
-        self.others_llr > SUSPICION_LLR
-    }
-
     /// Returns why the version is bad if there is no time to wait for more evidence.
     #[must_use]
     pub fn late_bad(&self) -> Option<BadReason> {
         let (reason, _) = self.strongest();
-        (self.others_llr > LATE_BAD_LLR).then_some(reason)
+        self.is_late_bad.then_some(reason)
     }
 
     fn strongest(&self) -> (BadReason, f64) {
@@ -126,14 +154,16 @@
         let scale = BAD_LLR / BAD_ROUTE_LLR;
         best.failures = best.failures.max(found.failures * scale);
         best.slow = best.slow.max(found.slow * scale);
-        best.others = best.others.max(found.others * scale);
+        best.is_suspicious |= found.is_suspicious;
+        best.is_late_bad |= found.is_late_bad;
     }
     let is_base_sound = base.failures as f64 <= SOUND_FAILURE_SHARE * base.answers as f64;
     let mut judgement = Judgement {
         verdict: Verdict::Undecided,
         failures_llr: best.failures,
         slow_llr: best.slow,
-        others_llr: best.others,
+        is_suspicious: best.is_suspicious,
+        is_late_bad: best.is_late_bad,
         target_answers: target.answers,
         target_failures: target.failures,
         base_answers: base.answers,
@@ -205,7 +235,8 @@
 struct Largest {
     failures: f64,
     slow: f64,
-    others: f64,
+    is_suspicious: bool,
+    is_late_bad: bool,
 }
 
 impl Largest {
@@ -213,56 +244,92 @@
         Self {
             failures: self.failures.max(other.failures),
             slow: self.slow.max(other.slow),
-            others: self.others.max(other.others),
+            is_suspicious: self.is_suspicious || other.is_suspicious,
+            is_late_bad: self.is_late_bad || other.is_late_bad,
         }
     }
 }
 
 /// Returns the largest sums over the windows that end now.
 fn scan(samples: &[Vec<Sample>], input: JudgeInput, route: Option<u16>) -> Largest {
+    let of_route = |sample: &&Sample| route.is_none_or(|route| sample.route == route);
     let mut tallies: IndexMap<u32, Tally> = IndexMap::new();
-    let mut largest: Option<Largest> = None;
+    let mut singles: IndexSet<u32> = IndexSet::new();
+    let mut windows = Vec::new();
     for period in samples {
-        let of_route = |sample: &&Sample| route.is_none_or(|route| sample.route == route);
-        let mut has_samples = false;
         for sample in period.iter().filter(of_route) {
-            tallies.entry(sample.server).or_default().add(sample);
-            has_samples = true;
+            let tally = tallies.entry(sample.server).or_default();
+            tally.add(sample);
+            if tally.is_broken() || tally.is_slow() {
+                singles.insert(sample.server);
+            }
         }
-        if has_samples {
-            let found = window(&tallies, input);
-            largest = Some(largest.map_or(found, |largest| largest.max(found)));
+        if period.iter().any(|sample| of_route(&sample)) {
+            windows.push(tallies.clone());
         }
     }
-    largest.unwrap_or_default()
+    let found = windows
+        .iter()
+        .map(|tallies| window(tallies, input, &singles));
+    found.reduce(Largest::max).unwrap_or_default()
 }
 
 /// Returns the sums of one window.
-fn window(tallies: &IndexMap<u32, Tally>, input: JudgeInput) -> Largest {
-    let failures = bounded_sum(tallies, input, |tally| tally.failures_llr, Tally::is_broken);
-    let broad = bounded_sum(tallies, input, |tally| tally.broad_llr, Tally::is_slow);
-    let tail = bounded_sum(tallies, input, |tally| tally.tail_llr, Tally::is_slow);
+fn window(tallies: &IndexMap<u32, Tally>, input: JudgeInput, singles: &IndexSet<u32>) -> Largest {
+    let failures = ServerTest {
+        llr: |tally| tally.failures_llr,
+        is_single: Tally::is_broken,
+        bad_answers: |tally| tally.failures,
+    };
+    let broad = ServerTest {
+        llr: |tally| tally.broad_llr,
+        is_single: Tally::is_slow,
+        bad_answers: |tally| tally.slow,
+    };
+    let tail = ServerTest {
+        llr: |tally| tally.tail_llr,
+        ..broad
+    };
+    let sums = [failures, broad, tail].map(|test| bounded_sum(tallies, input, test, singles));
+    let exceeds = |of: fn(&EarlyThresholds) -> Threshold| {
+        let thresholds = [&FAILURES, &SLOW, &SLOW].map(of);
+        let mut tests = sums.iter().zip(thresholds);
+        tests.any(|(sum, from)| sum.others > from.llr && sum.other_events >= from.bad_answers)
+    };
     Largest {
-        failures: failures.all,
-        slow: broad.all.max(tail.all),
-        others: failures.others.max(broad.others).max(tail.others),
+        failures: sums[0].all,
+        slow: sums[1].all.max(sums[2].all),
+        is_suspicious: exceeds(|thresholds| thresholds.suspicion),
+        is_late_bad: exceeds(|thresholds| thresholds.late_bad),
     }
 }
 
+/// One of the tests, as seen by a server.
+#[derive(Clone, Copy)]
+struct ServerTest {
+    llr: fn(&Tally) -> f64,
+    /// Whether the server is broken or slow as a whole.
+    is_single: fn(&Tally) -> bool,
+    bad_answers: fn(&Tally) -> u32,
+}
+
 /// Sum over the servers.
 struct ServerSum {
     all: f64,
-    /// Without the server that contributes most, if there are several.
+    /// Without servers that are broken or slow, unless there are too many of them.
     others: f64,
+    /// Bad answers of these others.
+    other_events: u32,
 }
 
 /// Returns the sum over all servers, to which each one contributes a bounded part. Broken or slow
-/// servers (`is_single`) together contribute the part of one unless there are too many of them.
+/// servers together contribute the part of one unless there are too many of them. `singles` are
+/// those of any window.
 fn bounded_sum(
     tallies: &IndexMap<u32, Tally>,
     input: JudgeInput,
-    llr: fn(&Tally) -> f64,
-    is_single: fn(&Tally) -> bool,
+    test: ServerTest,
+    singles: &IndexSet<u32>,
 ) -> ServerSum {
     let servers = tallies.len().max(input.target_servers);
     let weight_max = BAD_LLR
@@ -271,31 +338,42 @@
             2 => WEIGHT_OF_TWO,
             _ => WEIGHT_OF_SEVERAL,
         };
-    let is_compared = tallies.values().map(|tally| tally.compared).sum::<u32>() * 2
-        >= tallies.values().map(|tally| tally.answers).sum::<u32>();
-    let singles_max = if is_compared {
-        broken_max(servers)
-    } else {
-        broken_max(servers).max((servers as f64 * BROKEN_ALONE_MAX) as usize)
-    };
-    let (mut singles, mut singles_sum, mut others_sum) = (0, 0.0, 0.0);
-    let mut largest = 0.0;
-    for tally in tallies.values() {
-        let weight = llr(tally).min(weight_max);
-        largest = f64::max(largest, weight);
-        if is_single(tally) {
-            singles += 1;
+    let singles_max = singles_max(tallies, servers);
+    let (mut singles_now, mut singles_sum, mut others_sum) = (0, 0.0, 0.0);
+    let mut others = 0.0;
+    let mut other_events = 0;
+    for (server, tally) in tallies {
+        let weight = (test.llr)(tally).min(weight_max);
+        if (test.is_single)(tally) {
+            singles_now += 1;
             singles_sum += weight;
         } else {
             others_sum += weight;
         }
+        if servers == 1 || singles.len() > singles_max || !singles.contains(server) {
+            others += weight;
+            other_events += (test.bad_answers)(tally);
+        }
     }
-    if singles <= singles_max {
+    if singles_now <= singles_max {
         singles_sum = f64::min(singles_sum, weight_max);
     }
-    let all = others_sum + singles_sum;
-    let others = if servers > 1 { all - largest } else { all };
-    ServerSum { all, others }
+    ServerSum {
+        all: others_sum + singles_sum,
+        others,
+        other_events,
+    }
+}
+
+/// Returns how many servers may be broken or slow without saying anything on the version.
+fn singles_max(tallies: &IndexMap<u32, Tally>, servers: usize) -> usize {
+    let compared: u32 = tallies.values().map(|tally| tally.compared).sum();
+    let answers: u32 = tallies.values().map(|tally| tally.answers).sum();
+    if compared * 2 >= answers {
+        broken_max(servers)
+    } else {
+        broken_max(servers).max((servers as f64 * BROKEN_ALONE_MAX) as usize)
+    }
 }
 
 /// Returns whether more than half of several servers with answers are broken.
