--- a/crates/gateway/src/rollout/comparison.rs
+++ b/crates/gateway/src/rollout/comparison.rs
@@ -60,6 +60,9 @@
 const BROKEN_FAILURES_MIN: u32 = 3;
 const BROKEN_FAILURE_SHARE: f64 = 0.5;
 
+/// Number of servers of which one may be broken without saying anything on the version.
+const SERVERS_PER_BROKEN: usize = 5;
+
 /// Returns whether so many failures among the answers make a server a broken one.
 pub(super) fn is_broken(answers: u32, failures: u32) -> bool {
     failures >= BROKEN_FAILURES_MIN
@@ -68,7 +71,7 @@
 
 /// Returns how many of a version's servers may be broken without saying anything on the version.
 pub(super) fn broken_max(servers: usize) -> usize {
-    (servers / 10).max(1)
+    (servers / SERVERS_PER_BROKEN).max(1)
 }
 
 /// What the answers of one target server on one route in one period say, as logarithms of the
--- a/crates/gateway/src/rollout/verdict.rs
+++ b/crates/gateway/src/rollout/verdict.rs
@@ -43,12 +43,12 @@
 /// window say little.
 const SLOW: EarlyThresholds = EarlyThresholds {
     suspicion: Threshold {
-        llr: 3.0,
-        bad_answers: 4,
+        llr: 1.5,
+        bad_answers: 3,
     },
     late_bad: Threshold {
-        llr: 4.5,
-        bad_answers: 6,
+        llr: 3.0,
+        bad_answers: 5,
     },
 };
 /// Logarithm of the likelihood ratio below which a version is good.
@@ -250,18 +250,28 @@
     }
 }
 
+/// Servers that are broken or slow as a whole in any window.
+#[derive(Default)]
+struct Singles {
+    broken: IndexSet<u32>,
+    slow: IndexSet<u32>,
+}
+
 /// Returns the largest sums over the windows that end now.
 fn scan(samples: &[Vec<Sample>], input: JudgeInput, route: Option<u16>) -> Largest {
     let of_route = |sample: &&Sample| route.is_none_or(|route| sample.route == route);
     let mut tallies: IndexMap<u32, Tally> = IndexMap::new();
-    let mut singles: IndexSet<u32> = IndexSet::new();
+    let mut singles = Singles::default();
     let mut windows = Vec::new();
     for period in samples {
         for sample in period.iter().filter(of_route) {
             let tally = tallies.entry(sample.server).or_default();
             tally.add(sample);
-            if tally.is_broken() || tally.is_slow() {
-                singles.insert(sample.server);
+            if tally.is_broken() {
+                singles.broken.insert(sample.server);
+            }
+            if tally.is_slow() {
+                singles.slow.insert(sample.server);
             }
         }
         if period.iter().any(|sample| of_route(&sample)) {
@@ -275,7 +285,7 @@
 }
 
 /// Returns the sums of one window.
-fn window(tallies: &IndexMap<u32, Tally>, input: JudgeInput, singles: &IndexSet<u32>) -> Largest {
+fn window(tallies: &IndexMap<u32, Tally>, input: JudgeInput, singles: &Singles) -> Largest {
     let failures = ServerTest {
         llr: |tally| tally.failures_llr,
         is_single: Tally::is_broken,
@@ -290,7 +300,11 @@
         llr: |tally| tally.tail_llr,
         ..broad
     };
-    let sums = [failures, broad, tail].map(|test| bounded_sum(tallies, input, test, singles));
+    let sums = [
+        bounded_sum(tallies, input, failures, &singles.broken),
+        bounded_sum(tallies, input, broad, &singles.slow),
+        bounded_sum(tallies, input, tail, &singles.slow),
+    ];
     let exceeds = |of: fn(&EarlyThresholds) -> Threshold| {
         let thresholds = [&FAILURES, &SLOW, &SLOW].map(of);
         let mut tests = sums.iter().zip(thresholds);
--- a/crates/gateway/tests/rollouts/seeded.rs
+++ b/crates/gateway/tests/rollouts/seeded.rs
@@ -80,17 +80,17 @@
 }
 
 impl Rates {
-    fn add(&mut self, outcome: Outcome, is_bad: bool) {
+    /// Adds a run, and returns whether it ended with the wrong state.
+    fn add(&mut self, outcome: Outcome, is_bad: bool) -> bool {
         let expected = if is_bad {
             RolloutState::RolledBack
         } else {
             RolloutState::Complete
         };
+        let is_wrong = outcome.end.is_some_and(|(state, _)| state != expected);
+        self.wrong += u64::from(is_wrong);
         match outcome.end {
-            Some((state, end_ms)) => {
-                self.wrong += u64::from(state != expected);
-                self.end_ms = self.end_ms.max(end_ms);
-            }
+            Some((_, end_ms)) => self.end_ms = self.end_ms.max(end_ms),
             None => self.unfinished += 1,
         }
         if is_bad {
@@ -100,6 +100,7 @@
         self.exposed += outcome.exposed;
         self.exposed_max = self.exposed_max.max(outcome.exposed);
         self.requests += outcome.requests;
+        is_wrong
     }
 }
 
@@ -108,53 +109,81 @@
     seeds.and_then(|seeds| seeds.parse().ok()).unwrap_or(SEEDS)
 }
 
-fn check_fleet(fleet: &Fleet) {
-    for fault in FAULTS {
-        let mut rates = Rates::default();
-        for seed in 0..seeds() {
-            let setup = Setup {
-                daemons: fleet.daemons,
-                servers: fleet.servers,
-                rate_per_s: fleet.rate_per_s,
-                step_ms: fleet.step_ms,
-                fault,
-                seed,
-            };
-            rates.add(Run::new(setup).run(), fault.is_bad());
+/// Runs one case with all seeds.
+fn run_case(fleet: &Fleet, fault: Fault) -> Rates {
+    let mut rates = Rates::default();
+    for seed in 0..seeds() {
+        let setup = Setup {
+            daemons: fleet.daemons,
+            servers: fleet.servers,
+            rate_per_s: fleet.rate_per_s,
+            step_ms: fleet.step_ms,
+            fault,
+            seed,
+        };
+        let outcome = Run::new(setup).run();
+        if rates.add(outcome, fault.is_bad()) {
+            println!("wrong: {setup:?} {outcome:?}");
         }
-        println!(
-            "{}, {fault:?}, {} seeds: wrong {}, unfinished {}, over the bound {}, late {}; \
-             exposed {:.4} of all, at most {}; last end {} ms",
-            fleet.name,
-            seeds(),
-            rates.wrong,
-            rates.unfinished,
-            rates.over_exposed,
-            rates.late,
-            rates.exposed as f64 / rates.requests as f64,
-            rates.exposed_max,
-            rates.end_ms,
-        );
+    }
+    println!(
+        "{}, {fault:?}, {} seeds: wrong {}, unfinished {}, over the bound {}, late {}; exposed \
+         {:.4} of all, at most {}; last end {} ms",
+        fleet.name,
+        seeds(),
+        rates.wrong,
+        rates.unfinished,
+        rates.over_exposed,
+        rates.late,
+        rates.exposed as f64 / rates.requests as f64,
+        rates.exposed_max,
+        rates.end_ms,
+    );
+    rates
+}
+
+fn check_fault(fault: Fault) {
+    for fleet in &FLEETS {
+        run_case(fleet, fault);
     }
 }
 
 #[test]
 fn f0() {
-    check_fleet(&FLEETS[0]);
+    check_fault(FAULTS[0]);
 }
+
 #[test]
 fn f1() {
-    check_fleet(&FLEETS[1]);
+    check_fault(FAULTS[1]);
 }
+
 #[test]
 fn f2() {
-    check_fleet(&FLEETS[2]);
+    check_fault(FAULTS[2]);
 }
+
 #[test]
 fn f3() {
-    check_fleet(&FLEETS[3]);
+    check_fault(FAULTS[3]);
 }
+
 #[test]
 fn f4() {
-    check_fleet(&FLEETS[4]);
+    check_fault(FAULTS[4]);
+}
+
+#[test]
+fn f5() {
+    check_fault(FAULTS[5]);
+}
+
+#[test]
+fn f6() {
+    check_fault(FAULTS[6]);
+}
+
+#[test]
+fn f7() {
+    check_fault(FAULTS[7]);
 }
--- a/crates/gateway/tests/rollouts/simulation.rs
+++ b/crates/gateway/tests/rollouts/simulation.rs
@@ -2,8 +2,9 @@
 //! exchange reports and directives without a network; some reports are lost.
 
 use anvilgw_gateway::rollout::{
-    Decider, Evidence, ExposureBounds, ExposureBudget, FleetView, OrderId, Phase, RolloutDirective,
-    RolloutOrder, RolloutReport, RolloutState, RolloutStatus, RouteKey, Side, TargetShare,
+    Decider, Decision, Evidence, ExposureBounds, ExposureBudget, FleetView, OrderId, Phase,
+    RolloutDirective, RolloutOrder, RolloutReport, RolloutState, RolloutStatus, RouteKey, Side,
+    TargetShare,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -68,6 +69,8 @@
 pub(crate) struct Outcome {
     /// Final state and the age of the order at which it was decided, if it was.
     pub(crate) end: Option<(RolloutState, u64)>,
+    /// Decision that led to it.
+    pub(crate) decision: Option<Decision>,
     pub(crate) requests: u64,
     pub(crate) exposed: u64,
     /// Requests that the target got after the 50th bad answer plus the operators' time.
@@ -171,6 +174,7 @@
             recent: [0.0; 2],
             outcome: Outcome {
                 end: None,
+                decision: None,
                 requests: 0,
                 exposed: 0,
                 late: 0,
@@ -393,14 +397,10 @@
             self.stored = Some(state);
             if state.is_final() {
                 self.outcome.end = Some((state, now_ms));
+                self.outcome.decision = Some(decision);
             }
             self.read_status();
         }
-        if let (Ok(trace), true) = (std::env::var("ROLLOUT_TRACE"), now_ms % 500 == 0) {
-            if trace == self.setup.seed.to_string() {
-                println!("{now_ms} {decision:?} {:?}", self.outcome);
-            }
-        }
     }
 
     /// Lets the decider read the stored status.
