--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! One process per instance forwards requests to backend servers and keeps no persistent state.
 //! Modules without I/O make the decisions (`configuration`, `server`, `select`, `budget`,
-//! `share_budget`, `permits`, `freshness`, `lease`, `weights`); the others perform the I/O. Only
+//! `share_budget`, `permits`, `freshness`, `lease`, `rollout`, `weights`); the others perform the I/O. Only
 //! implementations of [`ports`] know the platform's protocols.
 
 mod ack_timeout;
@@ -22,8 +22,10 @@
 mod read_limit;
 mod removed_servers;
 mod retry;
+mod rollout_metrics;
 mod server_ends;
 mod server_notices;
+mod service_rollouts;
 mod topic_reader;
 
 pub mod admission;
@@ -51,6 +53,7 @@
 pub mod region_constraints;
 pub mod request;
 pub mod request_limit;
+pub mod rollout;
 pub mod select;
 pub mod server;
 pub mod settings;
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -66,6 +66,7 @@
                 Topic::Table(Table::Servers) => "leader's copy, servers",
                 Topic::Leases => "leader's copy, leases",
                 Topic::Evidence => "leader's copy, evidence",
+                Topic::Statuses => "leader's copy, statuses",
             }),
             direct_reads: DirectReads::default(),
         }
@@ -158,7 +159,7 @@
         let verified_at = age.map(|age| started_at.saturating_sub(age));
         let age_max = match self.topic {
             Topic::Evidence => EVIDENCE_COPY_AGE_MAX,
-            Topic::Table(_) | Topic::Leases => LEADER_COPY_AGE_MAX,
+            Topic::Table(_) | Topic::Leases | Topic::Statuses => LEADER_COPY_AGE_MAX,
         };
         if age.is_some_and(|age| age > age_max) {
             return Err("the leader's copy is too old".to_owned());
@@ -175,10 +176,12 @@
 
 /// Decodes the records of a table. Records that do not concern the gateway are left out.
 pub(crate) fn decode_changes(gateway: &Gateway, table: Table, read: TopicRecords) -> Changes {
-    let records = read.records.into_iter();
+    let first_offset = read.next_offset - read.records.len() as u64;
+    let records = (first_offset..).zip(read.records);
+    let store = &gateway.ports.metadata_store;
     Changes {
         changes: records
-            .filter_map(|record| gateway.ports.metadata_store.decode(table, record))
+            .filter_map(|(offset, record)| store.decode(table, offset, record))
             .collect(),
         next_offset: read.next_offset,
     }
