Account for the memory and connections of clients in the gateway

Cause: a body in chunks reserved 256 KiB whatever its size and was collected as a list of its chunks, a whole answer no longer counted once it was read although the client had not read it, and nothing bounded the connections. Clients that send many bodies at once, stop short of their end or do not read made the process run out of memory.

Change: one account charges each connection for itself, its body, its answer until it was sent, read buffers and large pieces of streams. Bodies are received into one buffer that reserves its capacity before it grows. When memory is short, the connection that holds most for longest with the least progress is closed; otherwise the request is refused with 503 before it is passed on. Bounds on connections of clients, on those of one address when room is scarce, and on the internal addresses follow from the new setting limits.maxFds. Bodies without progress and answers that are not read end after the idle timeout. Gauges, counters and one log line a second (client_limits) tell what is held and what was closed.

request_bodies_use_at_most_a_third_of_the_memory used the interface of the reservation for unknown lengths, which no longer exists. It now also checks that one address gets at most three quarters of the third and that everything is released.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -1,15 +1,17 @@
 //! Answers to clients: body types, and the answer for a failed request.
 
+use crate::body_memory::{BodyReservation, ConnectionMemory};
 use crate::gateway::Gateway;
 use anvilgw_core::{Executed, Failure};
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
-use http_body::Body;
+use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, Full};
 use quick_error::quick_error;
 use serde::Serialize;
 use std::pin::Pin;
+use std::task::{Context, Poll};
 
 quick_error! {
     /// Why the body of an answer ends early. The connection is then closed without the end of the
@@ -31,6 +33,87 @@
     Box::pin(Full::new(bytes).map_err(|never| match never {}))
 }
 
+/// A body whose memory counts toward the account until it was sent.
+struct ReservedAnswer {
+    inner: Full<Bytes>,
+    reservation: Option<BodyReservation>,
+}
+
+/// Returns a body whose bytes are all in memory, with the memory that is reserved for them.
+pub(crate) fn reserved_body(bytes: Bytes, reservation: BodyReservation) -> AnswerBody {
+    Box::pin(ReservedAnswer {
+        inner: Full::new(bytes),
+        reservation: Some(reservation),
+    })
+}
+
+impl Body for ReservedAnswer {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let inner = Pin::new(&mut self.inner);
+        inner.poll_frame(context).map_err(|never| match never {})
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+impl Drop for ReservedAnswer {
+    fn drop(&mut self) {
+        if let Some(reservation) = self.reservation.take() {
+            let connection = reservation.connection().clone();
+            connection.keep_until_sent(reservation);
+        }
+    }
+}
+
+/// A body whose end tells the account that the daemon waits for the client's next request.
+struct TrackedAnswer {
+    inner: AnswerBody,
+    connection: ConnectionMemory,
+}
+
+/// Returns a body that tells the account of its end.
+pub(crate) fn tracked_body(inner: AnswerBody, connection: ConnectionMemory) -> AnswerBody {
+    Box::pin(TrackedAnswer { inner, connection })
+}
+
+impl Body for TrackedAnswer {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.inner.as_mut().poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+impl Drop for TrackedAnswer {
+    fn drop(&mut self) {
+        self.connection.on_answer_end();
+    }
+}
+
 #[derive(Serialize)]
 struct ErrorBody<'a> {
     error: ErrorDetail<'a>,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -113,6 +113,10 @@
         if let Some(address) = settings.listen_peers {
             spawn_peer_tasks(&gateway, address).await?;
         }
+        spawn_local(background_tasks::client_limits::run(
+            Rc::clone(&gateway),
+            Rc::clone(&clients),
+        ));
         let client_listener = Rc::clone(&clients);
         spawn_local(async move { client_listener.run().await });
         Ok(Self { gateway, clients })
--- a/crates/gateway/src/dispatch/buffered.rs
+++ b/crates/gateway/src/dispatch/buffered.rs
@@ -5,16 +5,18 @@
 use super::progress::Progress;
 use super::retries::with_retries;
 use super::routed_request::RoutedRequest;
-use crate::answer::{AnswerBody, failure_answer, full_body};
-use crate::body_memory::BodyMemory;
+use crate::answer::{AnswerBody, failure_answer, reserved_body};
+use crate::body_buffer::{BodyBuffer, BufferError};
+use crate::body_memory::BodyReservation;
 use crate::connection::describe;
 use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::retry::AttemptError;
 use anvilgw_core::Failure;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::cell::RefCell;
@@ -23,6 +25,10 @@
 
 /// Longest answer that is buffered.
 const ANSWER_MAX_BYTES: usize = 8 * 1024 * 1024;
+/// Length of an answer from which on the read buffer of its server's connection counts, too.
+const LONG_ANSWER_BYTES: usize = 64 * 1024;
+/// Size of that read buffer, which only long answers fill.
+const READ_BUFFER_BYTES: u64 = 128 * 1024;
 /// Failure reason for an answer that does not fit into the memory for bodies.
 const MEMORY_EXHAUSTED: &str = "not enough memory for the answer";
 
@@ -31,6 +37,7 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
+    memory: BodyReservation,
 }
 
 /// Serves a request and returns the backend server's answer, or one that reports the failure.
@@ -57,7 +64,7 @@
 fn client_answer(gateway: &Gateway, answer: BufferedAnswer) -> Response<AnswerBody> {
     let mut headers = gateway.ports.codec.answer_headers(&answer.headers);
     headers.insert(CONTENT_LENGTH, HeaderValue::from(answer.body.len()));
-    let mut response = Response::new(full_body(answer.body));
+    let mut response = Response::new(reserved_body(answer.body, answer.memory));
     *response.status_mut() = answer.status;
     *response.headers_mut() = headers;
     response
@@ -85,25 +92,32 @@
 }
 
 /// Reads a body to its end. Fails if it is longer than [`ANSWER_MAX_BYTES`] or memory runs out.
-async fn read_body(memory: &BodyMemory, body: &mut Incoming) -> Result<Bytes, String> {
-    let mut reservation = memory.reserve(Some(0)).ok_or(MEMORY_EXHAUSTED)?;
-    let mut read = BytesMut::new();
+async fn read_body(
+    reservation: BodyReservation,
+    body: &mut Incoming,
+) -> Result<(Bytes, BodyReservation), String> {
+    let mut read_buffer = reservation.connection().reserve();
+    let mut is_long = false;
+    let mut read_bytes = 0;
+    let mut buffer = BodyBuffer::new(reservation, body.size_hint().exact(), ANSWER_MAX_BYTES);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| format!("the answer was cut: {}", describe(&error)))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if read.len() + data.len() > ANSWER_MAX_BYTES {
-            return Err(format!(
-                "the answer is longer than {ANSWER_MAX_BYTES} bytes"
-            ));
-        }
-        if !reservation.grow(data.len() as u64) {
-            return Err(MEMORY_EXHAUSTED.to_owned());
+        read_bytes += data.len();
+        if read_bytes > LONG_ANSWER_BYTES && !is_long {
+            is_long = true;
+            if !read_buffer.grow(READ_BUFFER_BYTES).await {
+                return Err(MEMORY_EXHAUSTED.to_owned());
+            }
         }
-        read.extend_from_slice(&data);
+        buffer.push(&data).await.map_err(|error| match error {
+            BufferError::TooLong => format!("the answer is longer than {ANSWER_MAX_BYTES} bytes"),
+            BufferError::NoMemory => MEMORY_EXHAUSTED.to_owned(),
+        })?;
     }
-    Ok(read.freeze())
+    Ok(buffer.into_parts())
 }
 
 async fn read_answer(
@@ -112,9 +126,12 @@
     mut exchange: Exchange,
 ) -> Result<BufferedAnswer, AttemptError> {
     let remaining = routed.remaining(gateway.now());
-    let read = read_body(&gateway.body_memory, &mut exchange.body);
-    let body = match timeout(remaining, read).await {
-        Ok(Ok(body)) => body,
+    let read = read_body(
+        routed.body_memory.connection().reserve(),
+        &mut exchange.body,
+    );
+    let (body, memory) = match timeout(remaining, read).await {
+        Ok(Ok(read)) => read,
         Ok(Err(reason)) => {
             exchange.close_broken();
             return Err(AttemptError::OutcomeUnknown(reason));
@@ -141,5 +158,6 @@
         status,
         headers,
         body,
+        memory,
     })
 }
--- a/crates/gateway/src/dispatch/routed_request.rs
+++ b/crates/gateway/src/dispatch/routed_request.rs
@@ -19,7 +19,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     /// Memory of the body, released when the request has ended.
-    pub(crate) _body_memory: BodyReservation,
+    pub(crate) body_memory: BodyReservation,
     pub(crate) meta: RequestMeta,
     pub(crate) configuration: Arc<Configuration>,
     pub(crate) route: Arc<Route>,
--- a/crates/gateway/src/dispatch/stream_relay.rs
+++ b/crates/gateway/src/dispatch/stream_relay.rs
@@ -15,6 +15,7 @@
 use super::routed_request::RoutedRequest;
 use super::stream_buffer::{StreamBuffer, TruncatedStream};
 use crate::answer::{AnswerBody, BodyError};
+use crate::body_memory::BodyReservation;
 use crate::connection::describe;
 use crate::gateway::Gateway;
 use crate::retry::{AttemptError, RetryDecision, RetryPolicy};
@@ -35,6 +36,11 @@
 const STALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Longest event. A server that sends more bytes without the end of an event is treated as broken.
 const EVENT_MAX_BYTES: usize = 256 * 1024;
+/// Bytes of a stream that take up no memory of their own in the account: the usual events are
+/// smaller, and the connection's part covers them.
+const UNCOUNTED_BYTES: usize = 16 * 1024;
+/// A stream's bytes are held by the server's connection and by the client's.
+const HOLDERS: usize = 2;
 
 quick_error! {
     /// Why a stream can be received no further from its server.
@@ -174,6 +180,9 @@
     reader: EventReader,
     /// Received bytes that are passed on next.
     received: BytesMut,
+    memory: BodyReservation,
+    /// Largest number of bytes at once that `memory` covers.
+    covered_bytes: usize,
     /// When the last event with a new identifier was received, or the stream was resumed.
     last_event_at: Duration,
     /// When another server is asked to continue the stream.
@@ -191,6 +200,8 @@
         let now = gateway.now();
         Self {
             gateway: Rc::clone(gateway),
+            memory: routed.body_memory.connection().reserve(),
+            covered_bytes: UNCOUNTED_BYTES,
             policy: RetryPolicy::new(routed.route.kind, routed.route.attempts_max),
             reader: EventReader {
                 buffer,
@@ -228,7 +239,10 @@
                 return Ok(Some(self.received.split().freeze()));
             }
             let resumed = match self.step().await {
-                Ok(RelayStep::Pass(bytes)) => return Ok(Some(bytes)),
+                Ok(RelayStep::Pass(bytes)) if self.cover(bytes.len()).await => {
+                    return Ok(Some(bytes));
+                }
+                Ok(RelayStep::Pass(_)) => Err("not enough memory for the stream".to_owned()),
                 Ok(RelayStep::End) => {
                     self.finish();
                     return Ok(None);
@@ -249,6 +263,19 @@
         }
     }
 
+    /// Reserves memory for bytes that are more than any before. Returns `false` if there is none.
+    async fn cover(&mut self, bytes: usize) -> bool {
+        if bytes <= self.covered_bytes {
+            return true;
+        }
+        let needed = (bytes - self.covered_bytes) * HOLDERS;
+        let is_covered = self.memory.grow(needed as u64).await;
+        if is_covered {
+            self.covered_bytes = bytes;
+        }
+        is_covered
+    }
+
     fn finish(&mut self) {
         if let Some(exchange) = self.exchange.take() {
             let status = exchange.status;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use crate::budget::RetryBudget;
 use crate::caches::CacheDirectory;
 use crate::configuration::{ClientLimits, Configuration, Service};
+use crate::connection_limit::client_connections_max;
 use crate::fleet_view::FleetView;
 use crate::freshness::ConfigurationFreshness;
 use crate::groups::{Role, StoreReads};
@@ -280,6 +281,12 @@
         pool
     }
 
+    /// Returns how many connections of clients may be open.
+    pub(crate) fn client_connections_max(&self) -> usize {
+        let count = client_connections_max(self.settings.descriptors_max);
+        count.min(self.body_memory.connections_max())
+    }
+
     /// Returns how many connections this daemon may have open to one backend server of a service:
     /// its share of the server's limit, but at least two.
     pub(crate) fn connections_max(&self, service: &Service) -> usize {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,12 +27,14 @@
 mod topic_reader;
 
 pub mod admission;
+mod body_buffer;
 pub mod body_memory;
 pub mod budget;
 pub mod cache_store_log;
 pub mod caches;
 pub mod configuration;
 pub mod connection;
+pub mod connection_limit;
 pub mod direct_reads;
 pub mod fleet_view;
 pub mod freshness;
--- a/crates/gateway/src/listeners/client_socket.rs
+++ b/crates/gateway/src/listeners/client_socket.rs
@@ -1,6 +1,7 @@
 //! The socket of a client's connection, which is reset if an answer breaks off whose end is only
 //! marked by the end of the connection.
 
+use crate::body_memory::ConnectionMemory;
 use socket2::SockRef;
 use std::cell::Cell;
 use std::future::pending;
@@ -40,16 +41,22 @@
 pub(super) struct ClientSocket {
     stream: TcpStream,
     end_of_answer: EndOfAnswer,
+    memory: ConnectionMemory,
     is_reset_on_close: bool,
     /// Whether all answers were sent and no more will be.
     is_shut_down: bool,
 }
 
 impl ClientSocket {
-    pub(super) fn new(stream: TcpStream, end_of_answer: EndOfAnswer) -> Self {
+    pub(super) fn new(
+        stream: TcpStream,
+        end_of_answer: EndOfAnswer,
+        memory: ConnectionMemory,
+    ) -> Self {
         Self {
             stream,
             end_of_answer,
+            memory,
             is_reset_on_close: false,
             is_shut_down: false,
         }
@@ -75,6 +82,15 @@
         let _ = timeout(LINGER_MAX, closed).await;
     }
 
+    fn observe_write(&self, result: Poll<Result<usize>>) -> Poll<Result<usize>> {
+        match &result {
+            Poll::Ready(Ok(count)) => self.memory.on_written(*count),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => self.memory.on_write_blocked(),
+        }
+        result
+    }
+
     /// Applies [`EndOfAnswer`] before the first bytes of the answer are sent. The kernel then resets
     /// the connection also if this process is killed.
     fn prepare_write(&mut self) -> Result<()> {
@@ -93,7 +109,10 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let filled = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        self.memory.on_read(buffer.filled().len() - filled);
+        result
     }
 }
 
@@ -104,7 +123,8 @@
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
         self.prepare_write()?;
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.observe_write(result)
     }
 
     fn poll_write_vectored(
@@ -113,14 +133,17 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
         self.prepare_write()?;
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.observe_write(result)
     }
 
     fn is_write_vectored(&self) -> bool {
         self.stream.is_write_vectored()
     }
 
+    /// hyper flushes only when it holds nothing more to write.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        self.memory.on_flushed();
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
--- a/crates/gateway/src/listeners/clients.rs
+++ b/crates/gateway/src/listeners/clients.rs
@@ -4,11 +4,15 @@
 use super::idle_timer::IdleTimer;
 use super::refused_body::UnreadBody;
 use super::request_checks::{RequestContext, check_request};
-use crate::answer::{AnswerBody, failure_answer, status_of};
-use crate::body_memory::BodyReservation;
+use crate::answer::{AnswerBody, failure_answer, status_of, tracked_body};
+use crate::body_buffer::{BodyBuffer, BufferError};
+use crate::body_memory::{
+    BodyReservation, CloseReason, ConnectionMemory, GroupKey, OpenConnection,
+};
 use crate::caches::name_hash;
 use crate::configuration::Workspace;
 use crate::connection::describe;
+use crate::connection_limit::{Admission, ConnectionLimit};
 use crate::dispatch::{RoutedRequest, serve_buffered, serve_stream};
 use crate::gateway::Gateway;
 use crate::log::{Event, RequestLine};
@@ -20,18 +24,19 @@
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, Version};
 use http_body::Body;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// Pause after a failure to accept a connection, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -46,17 +51,18 @@
     gateway: Rc<Gateway>,
     listener: TcpListener,
     close_signal: watch::Sender<bool>,
-    open_count: Rc<Cell<usize>>,
+    limit: Rc<RefCell<ConnectionLimit>>,
 }
 
 impl ClientListener {
     pub(crate) fn new(gateway: Rc<Gateway>, listener: TcpListener) -> Self {
         let (close_signal, _) = watch::channel(false);
+        let count_max = gateway.client_connections_max();
         Self {
             gateway,
             listener,
             close_signal,
-            open_count: Rc::default(),
+            limit: Rc::new(RefCell::new(ConnectionLimit::new(count_max))),
         }
     }
 
@@ -64,7 +70,7 @@
     pub(crate) async fn run(&self) {
         loop {
             match self.listener.accept().await {
-                Ok((stream, _)) => self.spawn_connection(stream),
+                Ok((stream, address)) => self.admit(stream, address.ip()),
                 Err(error) => {
                     self.gateway.log_notable(&Event::DependencyLost {
                         dependency: "client listener",
@@ -83,17 +89,35 @@
 
     /// Returns the number of open connections.
     pub(crate) fn open_connections(&self) -> usize {
-        self.open_count.get()
+        self.limit.borrow().open_count()
     }
 
-    fn spawn_connection(&self, stream: TcpStream) {
+    /// Serves a connection if there is room or another one can be closed. Closes it otherwise, before
+    /// anything was read of it.
+    fn admit(&self, stream: TcpStream, address: IpAddr) {
+        let memory = &self.gateway.body_memory;
+        let is_admitted = match self.limit.borrow().admission(address) {
+            Admission::Accept => true,
+            Admission::Refuse => false,
+            Admission::CloseOther => memory.close_for_room(None),
+            Admission::CloseOtherOfAddress => memory.close_for_room(Some(address)),
+        };
+        if is_admitted {
+            self.spawn_connection(stream, address);
+        } else {
+            self.gateway.metrics.count("client_connections_refused");
+        }
+    }
+
+    fn spawn_connection(&self, stream: TcpStream, address: IpAddr) {
         let gateway = Rc::clone(&self.gateway);
         let close_signal = self.close_signal.subscribe();
-        let open_count = Rc::clone(&self.open_count);
-        open_count.set(open_count.get() + 1);
+        let limit = Rc::clone(&self.limit);
+        limit.borrow_mut().on_open(address);
+        let open = gateway.body_memory.open(address);
         tokio::task::spawn_local(async move {
-            serve_connection(gateway, stream, close_signal).await;
-            open_count.set(open_count.get().saturating_sub(1));
+            serve_connection(gateway, stream, open, close_signal).await;
+            limit.borrow_mut().on_closed(address);
         });
     }
 }
@@ -101,6 +125,7 @@
 async fn serve_connection(
     gateway: Rc<Gateway>,
     stream: TcpStream,
+    open: OpenConnection,
     mut close_signal: watch::Receiver<bool>,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
@@ -117,56 +142,81 @@
         .as_ref()
         .map(|configuration| configuration.limits)
         .unwrap_or_default();
+    let header_buffer_bytes = limits.header_max_bytes.max(READ_BUFFER_MIN_BYTES) * 2;
     let end_of_answer = EndOfAnswer::default();
-    let socket = ClientSocket::new(stream, end_of_answer.clone());
+    let socket = ClientSocket::new(stream, end_of_answer.clone(), open.clone());
     let service_gateway = Rc::clone(&gateway);
     let service_end_of_answer = end_of_answer.clone();
+    let service_memory: ConnectionMemory = open.clone();
     let service = service_fn(move |request| {
         let gateway = Rc::clone(&service_gateway);
         let end_of_answer = service_end_of_answer.clone();
-        async move { Ok::<_, Infallible>(serve_request(&gateway, request, &end_of_answer).await) }
+        let memory = service_memory.clone();
+        async move {
+            Ok::<_, Infallible>(serve_request(&gateway, request, &end_of_answer, memory).await)
+        }
     });
     let mut connection = http1::Builder::new()
         .timer(IdleTimer::new(gateway.client_idle_timeout.subscribe()))
         // Enables the timeout. `IdleTimer` knows how long it is.
         .header_read_timeout(Duration::ZERO)
-        .max_buf_size(limits.header_max_bytes.max(READ_BUFFER_MIN_BYTES) * 2)
+        .max_buf_size(header_buffer_bytes)
         .serve_connection(TokioIo::new(socket), service);
-    let result = tokio::select! {
-        result = &mut connection => result,
-        _ = close_signal.wait_for(|is_closing| *is_closing) => {
-            Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
+    let until_end = async {
+        tokio::select! {
+            result = &mut connection => result,
+            _ = close_signal.wait_for(|is_closing| *is_closing) => {
+                Pin::new(&mut connection).graceful_shutdown();
+                (&mut connection).await
+            }
         }
     };
+    let result = tokio::select! {
+        result = until_end => result,
+        reason = open.closed() => return count_closed(&gateway, reason),
+    };
     let socket = connection.into_parts().io.into_inner();
     if let Err(error) = result {
         if end_of_answer.is_end_of_connection() {
             // The connection is reset when `socket` is dropped.
             sleep(RESET_DELAY).await;
         }
-        gateway.metrics.count("client_connections_broken");
-        if error.is_parse() {
-            gateway.log_notable(&Event::Request(RequestLine {
-                outcome: "unreadable",
-                reason: &describe(&error),
-                ..RequestLine::default()
-            }));
-        }
+        report_broken(&gateway, &error);
     }
     socket.linger().await;
 }
 
+fn report_broken(gateway: &Gateway, error: &hyper::Error) {
+    gateway.metrics.count("client_connections_broken");
+    if error.is_parse() {
+        gateway.log_notable(&Event::Request(RequestLine {
+            outcome: "unreadable",
+            reason: &describe(error),
+            ..RequestLine::default()
+        }));
+    }
+}
+
+/// Counts a connection that is closed in favor of others.
+fn count_closed(gateway: &Gateway, reason: CloseReason) {
+    gateway.metrics.count(match reason {
+        CloseReason::Memory => "client_connections_closed_for_memory",
+        CloseReason::Room => "client_connections_closed_for_room",
+        CloseReason::Unread => "client_connections_closed_unread",
+    });
+}
+
 async fn serve_request(
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
     end_of_answer: &EndOfAnswer,
+    memory: ConnectionMemory,
 ) -> Response<AnswerBody> {
     let has_chunks = request.version() >= Version::HTTP_11;
     // A request with both a length and chunks ends where its chunks end. The bytes after it may
     // have been meant as its body, so they must not be read as another request (request smuggling).
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
-    let mut response = answer_request(gateway, request).await;
+    let mut response = answer_request(gateway, request, &memory).await;
     if !has_chunks && response.body().size_hint().exact().is_none() {
         end_of_answer.set_end_of_connection();
     }
@@ -179,7 +229,7 @@
     if is_chunked || gateway.is_draining.get() || (is_error && !is_configuration_current) {
         close_after(&mut response);
     }
-    response
+    response.map(|body| tracked_body(body, memory))
 }
 
 /// Makes hyper close the connection after an answer.
@@ -189,16 +239,27 @@
         .insert(CONNECTION, HeaderValue::from_static("close"));
 }
 
-async fn answer_request(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+async fn answer_request(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+    memory: &ConnectionMemory,
+) -> Response<AnswerBody> {
     let arrived_at = gateway.now();
     let (head, mut body) = request.into_parts();
     let meta = gateway.ports.codec.parse_request(&head.headers);
     let unread_body = UnreadBody::of(&head);
-    let routed = match route_request(gateway, head, &mut body, meta, arrived_at).await {
+    let received = Received {
+        head,
+        meta,
+        arrived_at,
+    };
+    let routed = route_request(gateway, received, &mut body, memory).await;
+    memory.on_request_received();
+    let routed = match routed {
         Ok(routed) => routed,
         Err((id, failure)) => {
             let mut response = log_and_refuse(gateway, &id, &failure, arrived_at);
-            if !unread_body.discard(body) {
+            if !unread_body.discard(body, memory) {
                 close_after(&mut response);
             }
             return response;
@@ -224,29 +285,42 @@
     }
 }
 
+/// A request whose body was not read yet.
+struct Received {
+    head: Parts,
+    meta: RequestMeta,
+    arrived_at: Duration,
+}
+
 /// Checks a request, reads its body and assembles the routed request. Returns the identifier of the
 /// request with the failure otherwise.
 async fn route_request(
     gateway: &Rc<Gateway>,
-    head: Parts,
+    received: Received,
     body: &mut Incoming,
-    meta: RequestMeta,
-    arrived_at: Duration,
+    memory: &ConnectionMemory,
 ) -> Result<RoutedRequest, (String, Failure)> {
+    let Received {
+        head,
+        meta,
+        arrived_at,
+    } = received;
     let context = match check_request(gateway, &head, &meta) {
         Ok(context) => context,
         Err(failure) => return Err((meta.id, failure)),
     };
-    let Some(memory) = gateway.body_memory.reserve(body.size_hint().exact()) else {
-        let detail = "not enough memory for the body";
-        let failure = Failure::new(ErrorKind::Overloaded, Stage::Received, detail);
-        return Err((meta.id, failure));
-    };
-    let body = match read_body(&context, body).await {
+    if let Some(workspace) = &context.workspace {
+        memory.set_group(GroupKey::of_workspace(&workspace.name));
+    }
+    let body = match read_body(&context, body, memory.reserve()).await {
         Ok(body) => body,
-        Err(failure) => return Err((meta.id, failure)),
+        Err(failure) => {
+            if failure.kind() == ErrorKind::Overloaded {
+                gateway.metrics.count("client_bodies_refused");
+            }
+            return Err((meta.id, failure));
+        }
     };
-    let body = ReservedBody { body, memory };
     Ok(to_routed_request(head, body, meta, context, arrived_at))
 }
 
@@ -274,7 +348,7 @@
         target: target.unwrap_or_else(|| http::uri::PathAndQuery::from_static("/")),
         headers: head.headers,
         body: body.body,
-        _body_memory: body.memory,
+        body_memory: body.memory,
         meta,
         configuration: context.configuration,
         route: context.route,
@@ -300,25 +374,43 @@
         .collect()
 }
 
-async fn read_body(context: &RequestContext, body: &mut Incoming) -> Result<Bytes, Failure> {
+async fn read_body(
+    context: &RequestContext,
+    body: &mut Incoming,
+    reservation: BodyReservation,
+) -> Result<ReservedBody, Failure> {
     let limits = context.configuration.limits;
-    let collected = Limited::new(body, limits.body_max_bytes).collect();
     let failure = |kind, detail: String| Failure::new(kind, Stage::Received, detail);
-    match timeout(context.route.timeout, collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(failure(
-            ErrorKind::BodyTooLarge,
-            format!("the body exceeds {} bytes", limits.body_max_bytes),
-        )),
-        Ok(Err(error)) => Err(failure(
-            ErrorKind::BadRequest,
-            format!("the body cannot be read: {error}"),
-        )),
-        Err(_) => Err(failure(
-            ErrorKind::RequestTimeout,
-            "the body did not arrive in time".to_owned(),
-        )),
+    let length = body.size_hint().exact();
+    let mut buffer = BodyBuffer::new(reservation, length, limits.body_max_bytes);
+    let end_at = Instant::now() + context.route.timeout;
+    // The timeout of a connection without a request also holds within one: a client that honors it
+    // never pauses for so long.
+    let progress_max = limits.close_idle_after();
+    loop {
+        let wait_until = end_at.min(Instant::now() + progress_max);
+        let data = match timeout_at(wait_until, body.frame()).await {
+            Ok(None) => break,
+            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            Ok(Some(Err(error))) => {
+                let detail = format!("the body cannot be read: {error}");
+                return Err(failure(ErrorKind::BadRequest, detail));
+            }
+            Err(_) => {
+                let detail = "the body did not arrive in time".to_owned();
+                return Err(failure(ErrorKind::RequestTimeout, detail));
+            }
+        };
+        buffer.push(&data).await.map_err(|error| match error {
+            BufferError::TooLong => failure(
+                ErrorKind::BodyTooLarge,
+                format!("the body exceeds {} bytes", limits.body_max_bytes),
+            ),
+            BufferError::NoMemory => failure(ErrorKind::Overloaded, error.to_string()),
+        })?;
     }
+    let (body, memory) = buffer.into_parts();
+    Ok(ReservedBody { body, memory })
 }
 
 fn log_and_refuse(
--- a/crates/gateway/src/listeners/internal.rs
+++ b/crates/gateway/src/listeners/internal.rs
@@ -1,5 +1,6 @@
 //! Accepts connections of the load balancer, of operators' tools and of other daemons.
 
+use crate::connection_limit::internal_connections_max;
 use crate::gateway::Gateway;
 use crate::log::Event;
 use bytes::Bytes;
@@ -9,10 +10,12 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
 /// Time after which a connection is closed, whatever its state.
@@ -41,11 +44,12 @@
 
     /// Accepts connections until the future is dropped.
     pub(crate) async fn run(&self) {
+        let mut open = OpenConnections::new(&self.gateway);
         loop {
             match self.listener.accept().await {
                 Ok((stream, _)) => {
                     let gateway = Rc::clone(&self.gateway);
-                    tokio::task::spawn_local(serve_connection(gateway, stream, self.answer));
+                    open.add(spawn_local(serve_connection(gateway, stream, self.answer)));
                 }
                 Err(error) => {
                     self.gateway.log_notable(&Event::DependencyLost {
@@ -59,6 +63,38 @@
     }
 }
 
+/// Open connections from the oldest to the newest. The oldest is closed for a new one when there are
+/// too many: requests are answered at once, so the oldest has most likely sent none.
+struct OpenConnections {
+    gateway: Rc<Gateway>,
+    count_max: usize,
+    tasks: VecDeque<JoinHandle<()>>,
+}
+
+impl OpenConnections {
+    fn new(gateway: &Rc<Gateway>) -> Self {
+        Self {
+            gateway: Rc::clone(gateway),
+            count_max: internal_connections_max(gateway.settings.descriptors_max),
+            tasks: VecDeque::new(),
+        }
+    }
+
+    fn add(&mut self, task: JoinHandle<()>) {
+        self.tasks.push_back(task);
+        if self.tasks.len() <= self.count_max {
+            return;
+        }
+        self.tasks.retain(|task| !task.is_finished());
+        if self.tasks.len() > self.count_max
+            && let Some(oldest) = self.tasks.pop_front()
+        {
+            oldest.abort();
+            self.gateway.metrics.count("internal_connections_closed");
+        }
+    }
+}
+
 async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream, answer: AnswerFn) {
     let service = service_fn(move |request| {
         let response = answer(&gateway, &request);
--- a/crates/gateway/src/listeners/refused_body.rs
+++ b/crates/gateway/src/listeners/refused_body.rs
@@ -4,6 +4,7 @@
 //! kernel resets a connection that is closed with unread bytes. The reset may discard the answer
 //! before the client has read it.
 
+use crate::body_memory::ConnectionMemory;
 use http::header::EXPECT;
 use http::request::Parts;
 use http_body::Body;
@@ -14,6 +15,8 @@
 
 /// Most bytes that are read of a refused body. It exceeds the usual limit of a body.
 const READ_MAX_BYTES: u64 = 8 * 1024 * 1024;
+/// Memory that reading a refused body takes up.
+const READ_BUFFER_BYTES: u64 = 32 * 1024;
 /// Longest time for which a refused body is read.
 const READ_MAX: Duration = Duration::from_secs(10);
 
@@ -33,7 +36,7 @@
 
     /// Reads the rest of a body in the background and drops it, within [`READ_MAX_BYTES`] and
     /// [`READ_MAX`]. Returns whether the connection can serve more requests afterwards.
-    pub(super) fn discard(self, body: Incoming) -> bool {
+    pub(super) fn discard(self, body: Incoming, connection: &ConnectionMemory) -> bool {
         if body.is_end_stream() {
             return true;
         }
@@ -41,7 +44,15 @@
         if self.is_awaiting_continue || body.size_hint().lower() > READ_MAX_BYTES {
             return false;
         }
-        tokio::task::spawn_local(timeout(READ_MAX, read_to_end(body)));
+        let mut reservation = connection.reserve();
+        if !reservation.try_grow(READ_BUFFER_BYTES) {
+            return false;
+        }
+        tokio::task::spawn_local(async move {
+            // Both outcomes end the reading.
+            let _ = timeout(READ_MAX, read_to_end(body)).await;
+            drop(reservation);
+        });
         true
     }
 }
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -4,8 +4,11 @@
 //! When the queue fills up, routine lines are dropped first; the number of dropped lines is logged
 //! once there is room again.
 
+mod fields;
+
 use anvilgw_quarantine::Suspect;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+pub use fields::{AnswerFields, Choice, PromptChoice, StreamPosition};
 use serde::{Serialize, Serializer};
 use std::io::Write;
 use std::sync::Arc;
@@ -243,6 +246,23 @@
     },
     /// A request ended.
     Request(RequestLine<'a>),
+    /// Connections or bodies of clients met a limit within the last second.
+    ClientLimits {
+        /// Number of connections that were closed because others needed their memory.
+        closed_for_memory: u64,
+        /// Number of connections that were closed because other clients needed their places.
+        closed_for_room: u64,
+        /// Number of connections that were closed because the clients did not read.
+        closed_unread: u64,
+        /// Number of connections that were refused because there was no room.
+        connections_refused: u64,
+        /// Number of bodies that were refused because there was no memory.
+        bodies_refused: u64,
+        /// Number of open connections of clients.
+        connections: usize,
+        /// Bytes that are held for clients.
+        held_bytes: u64,
+    },
     /// Lines were dropped because the log was not read fast enough.
     LinesDropped {
         /// Number of dropped routine lines.
@@ -273,64 +293,6 @@
     }
 }
 
-/// How far a stream of events was received.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum StreamPosition {
-    /// No bytes were received.
-    BeforeFirstEvent,
-    /// The last event was received completely.
-    BetweenEvents,
-    /// The last event was received in part.
-    WithinEvent,
-}
-
-/// How a backend server's answer ends.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct AnswerFields {
-    /// Whether the answer has neither a length nor chunks, so that it ends with its connection.
-    #[serde(skip_serializing_if = "std::ops::Not::not")]
-    pub ends_with_connection: bool,
-    /// How far a stream was received when it ended, unless it ended properly after an event.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub stream_position: Option<StreamPosition>,
-    /// Time without an event after which the daemon gave a stream up, in milliseconds. `None` if the
-    /// stream ended in another way.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub silent_ms: Option<u64>,
-}
-
-/// What the daemon knew of a backend server when it selected it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
-pub struct Choice {
-    /// Number of requests at the server, as estimated from its last report and this daemon's own
-    /// requests.
-    pub load: f64,
-    /// Age of the server's last load report, in milliseconds. Without a report, `load` counts only
-    /// this daemon's own requests.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub load_age_ms: Option<u64>,
-    /// For a generation request, where the shared parts of its prompt were expected to be cached.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub prompt: Option<PromptChoice>,
-}
-
-/// Where shared parts of a prompt that the server does not hold itself were expected, in tokens.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
-pub struct PromptChoice {
-    /// Version of the weights at the server.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub weights: Option<u64>,
-    /// Time for which that version may still serve new requests, in milliseconds. Absent if no
-    /// newer one is published.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub weights_left_ms: Option<u64>,
-    /// Tokens at a cache store or another server, from which the selected server reads them.
-    pub fetched_tokens: u32,
-    /// Tokens that are cached nowhere, which the server computes.
-    pub computed_tokens: u32,
-}
-
 /// Outcome of a request and the decisions behind it.
 #[derive(Debug, Default, Serialize)]
 pub struct RequestLine<'a> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,7 @@
 #[derive(Default)]
 pub(crate) struct Metrics {
     counters: RefCell<IndexMap<&'static str, u64>>,
+    gauges: RefCell<IndexMap<&'static str, u64>>,
     latencies: RefCell<IndexMap<String, Histogram<u64>>>,
 }
 
@@ -26,6 +27,16 @@
         *self.counters.borrow_mut().entry(name).or_default() += 1;
     }
 
+    /// Returns the value of a counter.
+    pub(crate) fn counter(&self, name: &'static str) -> u64 {
+        self.counters.borrow().get(name).copied().unwrap_or(0)
+    }
+
+    /// Sets a value that can also fall.
+    pub(crate) fn set(&self, name: &'static str, value: u64) {
+        self.gauges.borrow_mut().insert(name, value);
+    }
+
     /// Records a latency in the histogram of the given `kind` label.
     pub(crate) fn record_latency(&self, label: &str, latency: Duration) {
         let mut latencies = self.latencies.borrow_mut();
@@ -48,6 +59,9 @@
             // Writing to a string cannot fail.
             let _ = writeln!(text, "anvilgw_{name}_total {value}");
         }
+        for (name, value) in self.gauges.borrow().iter() {
+            let _ = writeln!(text, "anvilgw_{name} {value}");
+        }
         for (label, histogram) in self.latencies.borrow().iter() {
             for quantile in QUANTILES {
                 let value_ms = histogram.value_at_quantile(quantile);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -39,8 +39,11 @@
     /// Additional address that serves the metrics, if any. The readiness address serves them as
     /// well.
     pub listen_metrics: Option<SocketAddr>,
-    /// Memory limit of the process, in bytes. Bodies use at most a third of it.
+    /// Memory limit of the process, in bytes. Bodies use at most a third of it, and all that is held
+    /// for clients five twelfths.
     pub memory_max_bytes: u64,
+    /// Largest number of descriptors that the process may have open.
+    pub descriptors_max: usize,
     /// Time limits and other bounds.
     pub bounds: Bounds,
 }
--- a/crates/gateway/tests/budgets.rs
+++ b/crates/gateway/tests/budgets.rs
@@ -4,6 +4,7 @@
 use anvilgw_gateway::body_memory::BodyMemory;
 use anvilgw_gateway::budget::{RetryBound, RetryBudget};
 use anvilgw_gateway::share_budget::ShareBudget;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 struct ColdCase {
@@ -155,16 +156,26 @@
 /// platform kills it.
 #[test]
 fn request_bodies_use_at_most_a_third_of_the_memory() {
-    let bodies = BodyMemory::new(3_000_000);
-    let held: Vec<_> = (0..10)
-        .map_while(|_| bodies.reserve(Some(150_000)))
+    let memory = BodyMemory::new(3_000_000);
+    let connections: Vec<_> = (0..10)
+        .map(|number| memory.open(Ipv4Addr::new(127, 0, 0, number).into()))
         .collect();
+    let reserve = |index: usize, bytes| {
+        let mut reservation = connections[index].reserve();
+        reservation.try_grow(bytes).then_some(reservation)
+    };
+    let held: Vec<_> = (0..10).map_while(|index| reserve(index, 150_000)).collect();
     assert_eq!(held.len(), 6);
     assert!(
-        bodies.reserve(None).is_none(),
-        "a body of unknown length also needs a reservation"
+        reserve(9, 150_000).is_none(),
+        "a body of unknown length grows its reservation as others do"
     );
     drop(held);
-    assert!(bodies.reserve(Some(1_000_000)).is_some());
-    assert!(bodies.reserve(Some(u64::MAX)).is_none());
+    assert!(
+        reserve(0, 750_000).is_some(),
+        "three quarters of the bodies"
+    );
+    assert!(reserve(0, 750_001).is_none(), "no address takes all of it");
+    assert!(reserve(0, u64::MAX).is_none());
+    assert_eq!(memory.held().bodies_bytes, 0, "everything is released");
 }
