--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -315,6 +315,23 @@
     },
     /// A request ended.
     Request(RequestLine<'a>),
+    /// Connections or bodies of clients met a limit within the last second.
+    ClientLimits {
+        /// Number of connections that were closed because others needed their memory.
+        closed_for_memory: u64,
+        /// Number of connections that were closed because other clients needed their places.
+        closed_for_room: u64,
+        /// Number of connections that were closed because the clients did not read.
+        closed_unread: u64,
+        /// Number of connections that were refused because there was no room.
+        connections_refused: u64,
+        /// Number of bodies that were refused because there was no memory.
+        bodies_refused: u64,
+        /// Number of open connections of clients.
+        connections: usize,
+        /// Bytes that are held for clients.
+        held_bytes: u64,
+    },
     /// Lines were dropped because the log was not read fast enough.
     LinesDropped {
         /// Number of dropped routine lines.
