Select servers by the estimated start of a prompt

Selection compared only tokens in the engines' memory, so prompts waited behind long prompts at one server while others were free, and slow servers got as much as fast ones.

With the rule 'pressure' in the settings, the server is the first one in rank order whose estimated start (uncomputed prompt tokens of all daemons, occupied slots, learned speed of the service and the server) is within reach of the latency target or close to the earliest one. The bounds on memory stay. Load reports then also carry uncomputed tokens and requests, with a tag of their own. Without the rule, choices and datagrams are unchanged.

--- a/crates/gateway/src/background_tasks/load_reports.rs
+++ b/crates/gateway/src/background_tasks/load_reports.rs
@@ -5,8 +5,9 @@
 use crate::gateway::Gateway;
 use crate::groups::Role;
 use crate::peer_message::PeerMessage;
-use crate::peers::{EngineLoad, LoadReport, LoadReporter, ReportScope, report_period};
+use crate::peers::{EngineLoad, EngineTotal, LoadReport, LoadReporter, ReportScope, report_period};
 use crate::server::Server;
+use crate::settings::LoadControl;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -48,12 +49,20 @@
 impl<'a> ReportSender<'a> {
     fn new(gateway: &'a Gateway, socket: &'a UdpSocket) -> Self {
         let sender_hash = name_hash(&gateway.settings.instance);
+        let load_control = gateway.settings.load_control;
+        let reporter = |scope| {
+            let reporter = LoadReporter::new(scope, sender_hash);
+            match load_control {
+                LoadControl::Memory => reporter,
+                LoadControl::StartTime => reporter.with_work(),
+            }
+        };
         Self {
             gateway,
             socket,
-            daemon: LoadReporter::new(ReportScope::Daemon, sender_hash),
-            group: LoadReporter::new(ReportScope::Group, sender_hash),
-            fleet: LoadReporter::new(ReportScope::Fleet, sender_hash),
+            daemon: reporter(ReportScope::Daemon),
+            group: reporter(ReportScope::Group),
+            fleet: reporter(ReportScope::Fleet),
         }
     }
 
@@ -62,7 +71,11 @@
         let state = &mut *self.gateway.state.borrow_mut();
         let engines = state.servers.iter().count();
         let now = self.gateway.now();
-        let own = own_loads(state.servers.iter().map(|(_, server)| server), now);
+        let servers = state.servers.iter().map(|(_, server)| server);
+        let own = match self.gateway.settings.load_control {
+            LoadControl::Memory => own_loads(servers, now),
+            LoadControl::StartTime => own_loads_with_work(servers, now),
+        };
         match role {
             Role::Mesh { peers } => {
                 let reports = self.daemon.next_reports(&own, engines, sequence);
@@ -94,6 +107,23 @@
         .collect()
 }
 
+fn own_loads_with_work<'a>(
+    servers: impl Iterator<Item = &'a Server>,
+    now: Duration,
+) -> Vec<EngineLoad> {
+    servers
+        .filter(|server| server.in_flight > 0 || server.estimated_tokens(now) > 0)
+        .map(|server| {
+            let total = EngineTotal {
+                tokens: server.estimated_tokens(now),
+                uncomputed_tokens: server.uncomputed_tokens,
+                requests: u64::from(server.in_flight),
+            };
+            EngineLoad::with_work(server.server_hash(), total)
+        })
+        .collect()
+}
+
 fn send_all(
     gateway: &Gateway,
     socket: &UdpSocket,
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -188,6 +188,7 @@
             self.gateway,
             self.target.used_server(),
             self.routed,
+            self.target.start_estimate,
             Rc::clone(&self.state),
         );
         let now = self.gateway.now();
--- a/crates/gateway/src/dispatch/in_flight.rs
+++ b/crates/gateway/src/dispatch/in_flight.rs
@@ -4,9 +4,11 @@
 use super::routed_request::RoutedRequest;
 use crate::gateway::Gateway;
 use crate::request::{AnswerMeta, Prompt};
+use crate::select::SelectedStart;
 use crate::server::{Server, ServerKey};
 use crate::server_ends::{UsedServer, on_answer_broken};
 use crate::server_notices::on_server_notice;
+use crate::server_speed::StartSample;
 use anvilgw_quarantine::Suspect;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,6 +23,10 @@
     gateway: Rc<Gateway>,
     server: UsedServer,
     tokens: u64,
+    /// Estimated start, until the first event of a stream has arrived.
+    awaited_start: Option<SelectedStart>,
+    /// Name of the service, if the speed of its servers is learned.
+    service: Option<String>,
     sent_at: Duration,
     /// Shared parts of the request's prompt.
     suspects: Rc<[Suspect]>,
@@ -34,8 +40,11 @@
         gateway: &Rc<Gateway>,
         server: UsedServer,
         routed: &RoutedRequest,
+        start: Option<SelectedStart>,
         state: Rc<AttemptState>,
     ) -> Self {
+        // The answer to another kind of request does not show when the prompt is computed.
+        let awaited_start = start.filter(|_| routed.route.kind.is_stream());
         let prompt = routed.meta.prompt.as_ref();
         let tokens = prompt.map_or(0, Prompt::footprint_tokens);
         let now = gateway.now();
@@ -43,12 +52,17 @@
             gateway: Rc::clone(gateway),
             server,
             tokens,
+            awaited_start,
+            service: start.map(|_| routed.service.name.clone()),
             sent_at: now,
             suspects: Rc::clone(&routed.suspects),
             state,
             body_began_at: None,
         };
-        in_flight.with_server(|server| server.on_request_sent(tokens, now));
+        in_flight.with_server(|server| {
+            server.on_request_sent(tokens, now);
+            server.on_prompt_sent(awaited_start.map_or(0, |start| start.own_tokens));
+        });
         in_flight
     }
 
@@ -94,10 +108,44 @@
     pub(super) fn on_body_bytes(&mut self) {
         let now = self.gateway.now();
         self.body_began_at.get_or_insert(now);
+        if let Some(start) = self.awaited_start.take() {
+            self.on_first_event(&start, now);
+        }
+    }
+
+    /// Records that the prompt is computed, and updates the speed of the server and its service.
+    fn on_first_event(&self, start: &SelectedStart, now: Duration) {
+        let state = &mut *self.gateway.state.borrow_mut();
+        let server = state.servers.get_mut(self.server.key);
+        let (Some(server), Some(service)) = (server, &self.service) else {
+            return;
+        };
+        server.on_prompt_computed(start.own_tokens);
+        let waited_for_slot = start.estimate.slot_ms > 0.0;
+        if waited_for_slot || server.is_cold(now) {
+            return;
+        }
+        let sample = StartSample {
+            tokens: start.estimate.tokens_ahead + start.own_tokens,
+            elapsed: now.saturating_sub(self.sent_at),
+        };
+        let speed = state.service_speeds.entry(service.clone()).or_default();
+        server.speed.on_first_event(&sample, speed, now);
+        speed.on_first_event(&sample, now);
+    }
+
+    /// Records for how long a successful request has occupied the server.
+    fn on_request_held(&self) {
+        let Some(service) = &self.service else { return };
+        let held = self.gateway.now().saturating_sub(self.sent_at);
+        let state = &mut *self.gateway.state.borrow_mut();
+        let speed = state.service_speeds.entry(service.clone()).or_default();
+        speed.on_request_ended(held);
     }
 
     /// Records that a whole answer was received with success, so that its prompt is sound.
     pub(super) fn on_answer_complete(&self) {
+        self.on_request_held();
         if self.suspects.is_empty() {
             return;
         }
@@ -140,7 +188,11 @@
         if self.state.is_replaced() {
             self.on_answer_timeout();
         }
-        self.with_server(|server| server.on_request_ended(self.tokens));
+        let uncomputed_tokens = self.awaited_start.map_or(0, |start| start.own_tokens);
+        self.with_server(|server| {
+            server.on_request_ended(self.tokens);
+            server.on_prompt_computed(uncomputed_tokens);
+        });
     }
 }
 
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -13,9 +13,13 @@
 use crate::prefill_rate::PrefillRate;
 use crate::region_constraints::RegionConstraints;
 use crate::retry::AttemptError;
-use crate::select::{CacheUse, NoServer, PromptQuery, Query, Selected, select};
+use crate::select::{
+    CacheUse, NoServer, PromptQuery, Query, Selected, SelectedStart, StartQuery, select,
+};
 use crate::server::{Server, ServerKey, Servers};
 use crate::server_ends::UsedServer;
+use crate::server_speed::ServiceSpeed;
+use crate::settings::LoadControl;
 use crate::weights::{FETCH_TIME_MAX, oldest_allowed_version};
 use anvilgw_quarantine::ServerStart;
 use indexmap::IndexMap;
@@ -65,6 +69,8 @@
     pub(super) fetch_until_ms: Option<u64>,
     /// Time by which a generation has to begin, so that the time of its weights is not over by then.
     pub(super) begin_by: Option<Duration>,
+    /// Estimated start, if servers are selected by it.
+    pub(super) start_estimate: Option<SelectedStart>,
     /// What was known of the server when it was selected, for the log.
     pub(super) choice: Choice,
 }
@@ -92,7 +98,11 @@
             cache: selected.cache,
             fetch_until_ms: caches.server_clock_ms(fetch_until),
             begin_by: limits.begin_by,
+            start_estimate: selected.start,
             choice: Choice {
+                start_ms: selected
+                    .start
+                    .map(|start| start.estimate.start_ms().round() as u64),
                 load: server.load(now),
                 load_age_ms: server.load_age(now).map(|age| age.as_millis() as u64),
                 prompt,
@@ -248,6 +258,7 @@
             caches: &state.caches,
             prefill_rate: prefill_rate(&state.prefill_rates, &routed.service),
             peer_loads: &state.peer_loads,
+            start: start_query(gateway, &state.service_speeds, routed),
             isolated_workspace: routed.isolated_workspace(),
             oldest_version: published_weights
                 .and_then(|published| oldest_allowed_version(published, switch_time, now)),
@@ -284,6 +295,22 @@
     decide(&mut state.servers, &query, &mut state.rng)
 }
 
+/// Returns the inputs to the estimate of the start, if load is controlled by it and the memory of
+/// the service's engines is known.
+fn start_query(
+    gateway: &Gateway,
+    speeds: &IndexMap<String, ServiceSpeed>,
+    routed: &RoutedRequest,
+) -> Option<StartQuery> {
+    let is_in_force = gateway.settings.load_control == LoadControl::StartTime
+        && engine_capacity(&routed.service) > 0;
+    let speed = speeds.get(&routed.service.name);
+    is_in_force.then(|| StartQuery {
+        latency_target: routed.route.latency_target,
+        service: speed.copied().unwrap_or_default(),
+    })
+}
+
 fn prefill_rate(rates: &IndexMap<String, PrefillRate>, service: &Service) -> PrefillRate {
     rates.get(&service.name).copied().unwrap_or_default()
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use crate::ports::{CacheClient, Codec, MetadataStore, OrderClient, Topic};
 use crate::prefill_rate::PrefillRate;
 use crate::server::{ServerKey, Servers};
+use crate::server_speed::ServiceSpeed;
 use crate::settings::GatewaySettings;
 use crate::topic_log::TopicLog;
 use crate::weights::{OldPartTimes, PublishedWeights};
@@ -49,6 +50,8 @@
     pub(crate) caches: CacheDirectory,
     /// Estimated prefill rate of the engines, by service.
     pub(crate) prefill_rates: IndexMap<String, PrefillRate>,
+    /// Speed of the engines, by service. Empty unless load is controlled by the estimated start.
+    pub(crate) service_speeds: IndexMap<String, ServiceSpeed>,
     /// Limits the engines' memory that new requests may take up.
     pub(crate) admission: MemoryAdmission,
     /// Role of this daemon in the fleet, once the members are known.
@@ -148,6 +151,7 @@
             servers: Servers::default(),
             caches: CacheDirectory::default(),
             prefill_rates: IndexMap::new(),
+            service_speeds: IndexMap::new(),
             admission: MemoryAdmission::default(),
             role: None,
             fleet: FleetView::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,9 +53,11 @@
 pub mod request_limit;
 pub mod select;
 pub mod server;
+pub mod server_speed;
 pub mod settings;
 pub mod share_budget;
 pub mod sse;
+pub mod start_estimate;
 pub mod topic_log;
 pub mod weights;
 
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -310,6 +310,10 @@
     /// this daemon's own requests.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub load_age_ms: Option<u64>,
+    /// Estimated time until the server begins with the request, in milliseconds, if servers are
+    /// selected by it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub start_ms: Option<u64>,
     /// For a generation request, where the shared parts of its prompt were expected to be cached.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub prompt: Option<PromptChoice>,
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -1,7 +1,7 @@
 //! Datagrams between the daemons of a fleet.
 
 use crate::notice_reports::NoticeReport;
-use crate::peers::{DATAGRAM_MAX_BYTES, LoadReport};
+use crate::peers::{DATAGRAM_MAX_BYTES, EngineWork, LoadReport};
 use crate::permits::{PermitReply, PermitRequest};
 use bincode::{Decode, Encode};
 use quick_error::quick_error;
@@ -12,6 +12,7 @@
 const PERMIT_REPLY_TAG: u8 = 18;
 const NOTICE_QUERY_TAG: u8 = 19;
 const EVIDENCE_NEWS_TAG: u8 = 20;
+const LOAD_WITH_WORK_TAG: u8 = 23;
 
 /// Limit of the memory that a decoded message claims. Values take more memory than encoded bytes.
 const DECODED_MAX_BYTES: usize = 4 * DATAGRAM_MAX_BYTES;
@@ -58,6 +59,11 @@
     /// Returns an error if the message cannot be encoded.
     pub fn encode(&self) -> Result<Vec<u8>, PeerMessageError> {
         match self {
+            Self::Load(report) if report.has_work() => {
+                let work: Vec<EngineWork> = report.loads.iter().map(|load| load.work()).collect();
+                let tagged = encode_after(vec![LOAD_WITH_WORK_TAG], report)?;
+                encode_after(tagged, &work)
+            }
             Self::Load(report) => encode_after(Vec::new(), report),
             Self::Notices(report) => encode_after(vec![NOTICES_TAG], report),
             Self::NoticeQuery => Ok(vec![NOTICE_QUERY_TAG]),
@@ -83,6 +89,13 @@
             EVIDENCE_NEWS_TAG => Ok(Self::EvidenceNews),
             PERMIT_REQUEST_TAG => Ok(Self::PermitRequest(decode(rest)?)),
             PERMIT_REPLY_TAG => Ok(Self::PermitReply(decode(rest)?)),
+            LOAD_WITH_WORK_TAG => {
+                let (mut report, work): (LoadReport, Vec<EngineWork>) = decode(rest)?;
+                for (load, work) in report.loads.iter_mut().zip(work) {
+                    load.set_work(work);
+                }
+                Ok(Self::Load(report))
+            }
             _ => Ok(Self::Load(decode(bytes)?)),
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,6 +6,9 @@
 //! are hints: a report that is lost or late only makes load balancing worse.
 
 use crate::groups::Role;
+use bincode::de::Decoder;
+use bincode::enc::Encoder;
+use bincode::error::{DecodeError, EncodeError};
 use bincode::{Decode, Encode};
 use indexmap::IndexMap;
 use std::time::Duration;
@@ -14,6 +17,11 @@
 pub const DATAGRAM_MAX_BYTES: usize = 1400;
 /// Maximum number of engines in a datagram, which keeps it below [`DATAGRAM_MAX_BYTES`].
 const ENGINES_MAX: usize = 140;
+/// Maximum number of engines in a datagram that also states the work at each engine. An engine
+/// takes at most 16 bytes.
+const ENGINES_WITH_WORK_MAX: usize = 84;
+/// Unit of tokens to be computed in datagrams.
+const UNCOMPUTED_TOKENS_PER_UNIT: u64 = 64;
 /// Unit of load in datagrams, in tokens.
 const TOKENS_PER_UNIT: u64 = 32;
 /// Number of report periods after which a received report expires.
@@ -25,15 +33,53 @@
 /// Period between reports within and between groups. Each report passes through up to two leaders.
 const GROUP_PERIOD: Duration = Duration::from_millis(200);
 
-/// Load on one engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+/// Load on one engine. Its encoding contains the memory only; a report with work carries the rest
+/// as [`EngineWork`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EngineLoad {
     /// Hash of the identifier of the engine's backend server.
     pub server_hash: u32,
     /// Load in units of [`TOKENS_PER_UNIT`] tokens.
     units: u32,
+    work: EngineWork,
 }
 
+/// Work at one engine that has not begun or not ended, as in datagrams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct EngineWork {
+    /// Prompt tokens to be computed, in units of [`UNCOMPUTED_TOKENS_PER_UNIT`].
+    uncomputed_units: u16,
+    /// Number of requests.
+    requests: u16,
+}
+
+impl EngineWork {
+    /// Returns whether there is no work.
+    #[must_use]
+    pub fn is_none(self) -> bool {
+        self == Self::default()
+    }
+}
+
+impl Encode for EngineLoad {
+    fn encode<E: Encoder>(&self, encoder: &mut E) -> Result<(), EncodeError> {
+        self.server_hash.encode(encoder)?;
+        self.units.encode(encoder)
+    }
+}
+
+impl<C> Decode<C> for EngineLoad {
+    fn decode<D: Decoder<Context = C>>(decoder: &mut D) -> Result<Self, DecodeError> {
+        Ok(Self {
+            server_hash: u32::decode(decoder)?,
+            units: u32::decode(decoder)?,
+            work: EngineWork::default(),
+        })
+    }
+}
+
+bincode::impl_borrow_decode!(EngineLoad);
+
 impl EngineLoad {
     /// Creates the entry of an engine with a load in tokens.
     #[must_use]
@@ -41,6 +87,20 @@
         Self {
             server_hash,
             units: u32::try_from(tokens.div_ceil(TOKENS_PER_UNIT)).unwrap_or(u32::MAX),
+            work: EngineWork::default(),
+        }
+    }
+
+    /// Creates the entry of an engine with its load and work.
+    #[must_use]
+    pub fn with_work(server_hash: u32, total: EngineTotal) -> Self {
+        let uncomputed = total.uncomputed_tokens.div_ceil(UNCOMPUTED_TOKENS_PER_UNIT);
+        Self {
+            work: EngineWork {
+                uncomputed_units: u16::try_from(uncomputed).unwrap_or(u16::MAX),
+                requests: u16::try_from(total.requests).unwrap_or(u16::MAX),
+            },
+            ..Self::new(server_hash, total.tokens)
         }
     }
 
@@ -49,6 +109,55 @@
     pub fn tokens(self) -> u64 {
         u64::from(self.units) * TOKENS_PER_UNIT
     }
+
+    /// Returns the load and the work.
+    #[must_use]
+    pub fn total(self) -> EngineTotal {
+        EngineTotal {
+            tokens: self.tokens(),
+            uncomputed_tokens: u64::from(self.work.uncomputed_units) * UNCOMPUTED_TOKENS_PER_UNIT,
+            requests: u64::from(self.work.requests),
+        }
+    }
+
+    /// Returns the work.
+    pub(crate) fn work(self) -> EngineWork {
+        self.work
+    }
+
+    /// Sets the work, which is decoded apart from the load.
+    pub(crate) fn set_work(&mut self, work: EngineWork) {
+        self.work = work;
+    }
+}
+
+/// Sum of loads on an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EngineTotal {
+    /// Tokens in the engine's memory.
+    pub tokens: u64,
+    /// Prompt tokens that are not computed yet.
+    pub uncomputed_tokens: u64,
+    /// Number of requests.
+    pub requests: u64,
+}
+
+impl EngineTotal {
+    fn add(&mut self, other: Self) {
+        self.tokens += other.tokens;
+        self.uncomputed_tokens += other.uncomputed_tokens;
+        self.requests += other.requests;
+    }
+
+    fn saturating_sub(self, other: Self) -> Self {
+        Self {
+            tokens: self.tokens.saturating_sub(other.tokens),
+            uncomputed_tokens: self
+                .uncomputed_tokens
+                .saturating_sub(other.uncomputed_tokens),
+            requests: self.requests.saturating_sub(other.requests),
+        }
+    }
 }
 
 /// Whose requests a load report covers.
@@ -84,9 +193,23 @@
     #[must_use]
     pub fn fit_datagram(mut self) -> Self {
         self.loads.sort_by_key(|load| std::cmp::Reverse(load.units));
-        self.loads.truncate(ENGINES_MAX);
+        self.loads.truncate(engines_max(self.has_work()));
         self
     }
+
+    /// Returns whether the report states the work at an engine.
+    #[must_use]
+    pub fn has_work(&self) -> bool {
+        self.loads.iter().any(|load| !load.work.is_none())
+    }
+}
+
+fn engines_max(has_work: bool) -> usize {
+    if has_work {
+        ENGINES_WITH_WORK_MAX
+    } else {
+        ENGINES_MAX
+    }
 }
 
 /// Creates the load reports of one daemon for one scope.
@@ -95,6 +218,7 @@
     scope: ReportScope,
     sender_hash: u64,
     had_loads: bool,
+    has_work: bool,
 }
 
 impl LoadReporter {
@@ -105,9 +229,17 @@
             scope,
             sender_hash,
             had_loads: true,
+            has_work: false,
         }
     }
 
+    /// Leaves room for the work at each engine in every part of a report.
+    #[must_use]
+    pub fn with_work(mut self) -> Self {
+        self.has_work = true;
+        self
+    }
+
     /// Returns the parts of the next report, or none if neither this report nor the previous one
     /// contains load. `engines` is the number of all engines, with or without load. When load ends,
     /// one empty report is sent; if it is lost, receivers expire the previous one.
@@ -124,7 +256,7 @@
         }
         // The number of engines rarely changes, so an engine usually stays in its part.
         let parts = engines
-            .div_ceil(ENGINES_MAX)
+            .div_ceil(engines_max(self.has_work))
             .clamp(1, usize::from(u16::MAX)) as u32;
         let part_of = |load: &EngineLoad| load.server_hash % parts;
         (0..parts)
@@ -173,10 +305,10 @@
 #[derive(Debug, Default)]
 pub struct PeerLoads {
     reports: IndexMap<Source, ReceivedReport>,
-    received_tokens: IndexMap<u32, u64>,
+    received: IndexMap<u32, EngineTotal>,
     /// Loads that this daemon last reported to its leader, by hash of the server. The reported sum
     /// of the fleet contains them.
-    reported_to_leader: IndexMap<u32, u64>,
+    reported_to_leader: IndexMap<u32, EngineTotal>,
 }
 
 impl PeerLoads {
@@ -205,7 +337,8 @@
             self.remove(source);
         }
         for load in &report.loads {
-            *self.received_tokens.entry(load.server_hash).or_default() += load.tokens();
+            let received = self.received.entry(load.server_hash).or_default();
+            received.add(load.total());
         }
         let received = ReceivedReport {
             sequence: report.sequence,
@@ -236,35 +369,40 @@
 
     /// Records the loads that this daemon reports to its leader.
     pub fn on_reported(&mut self, loads: &[EngineLoad]) {
-        let reported = loads.iter().map(|load| (load.server_hash, load.tokens()));
+        let reported = loads.iter().map(|load| (load.server_hash, load.total()));
         self.reported_to_leader = reported.collect();
     }
 
     /// Returns the tokens that the requests of the other daemons occupy on an engine.
     #[must_use]
     pub fn tokens_on(&self, server_hash: u32) -> u64 {
-        let tokens = self.received_tokens.get(&server_hash).copied().unwrap_or(0);
-        let own = self
-            .reported_to_leader
-            .get(&server_hash)
-            .copied()
-            .unwrap_or(0);
-        tokens.saturating_sub(own)
+        self.total_on(server_hash).tokens
+    }
+
+    /// Returns the load and the work of the other daemons' requests on an engine.
+    #[must_use]
+    pub fn total_on(&self, server_hash: u32) -> EngineTotal {
+        let received = self.received.get(&server_hash).copied();
+        let own = self.reported_to_leader.get(&server_hash).copied();
+        received
+            .unwrap_or_default()
+            .saturating_sub(own.unwrap_or_default())
     }
 
     /// Returns the sum of `own` and the loads in received reports of the given scopes, by engine.
     #[must_use]
     pub fn sum_of(&self, own: &[EngineLoad], scopes: &[ReportScope]) -> Vec<EngineLoad> {
-        let mut sums: IndexMap<u32, u64> = IndexMap::new();
+        let mut sums: IndexMap<u32, EngineTotal> = IndexMap::new();
         let received = self.reports.iter();
         let reported = received
             .filter(|(source, _)| scopes.contains(&source.scope))
             .flat_map(|(_, report)| &report.loads);
         for load in reported.chain(own) {
-            *sums.entry(load.server_hash).or_default() += load.tokens();
+            let sum = sums.entry(load.server_hash).or_default();
+            sum.add(load.total());
         }
         sums.into_iter()
-            .map(|(server_hash, tokens)| EngineLoad::new(server_hash, tokens))
+            .map(|(server_hash, total)| EngineLoad::with_work(server_hash, total))
             .collect()
     }
 
@@ -280,8 +418,8 @@
             return;
         };
         for load in &report.loads {
-            if let Some(tokens) = self.received_tokens.get_mut(&load.server_hash) {
-                *tokens = tokens.saturating_sub(load.tokens());
+            if let Some(received) = self.received.get_mut(&load.server_hash) {
+                *received = received.saturating_sub(load.total());
             }
         }
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -105,6 +105,9 @@
     pub waiting: u32,
     /// Number of requests that the backend server executes concurrently.
     pub slots: u32,
+    /// Time that the backend server takes for its work at present, in percent of the usual time,
+    /// if it reports it.
+    pub work_percent: Option<u32>,
 }
 
 /// Notice in an answer of a backend server about further requests of this daemon.
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -9,6 +9,8 @@
 use crate::request::Prompt;
 use crate::request_limit::RequestRate;
 use crate::server::{Server, ServerKey, Servers};
+use crate::server_speed::ServiceSpeed;
+use crate::start_estimate::{Candidate, PromptTokens, Requirement, ServerWork, StartEstimate};
 use crate::weights::{OldPartTimes, PublishedWeights, cache_scope, may_read_part};
 use anvilgw_router::BreakerState;
 use rand::{Rng, RngExt};
@@ -78,6 +80,9 @@
     pub prefill_rate: PrefillRate,
     /// Load of other daemons' requests on the engines.
     pub peer_loads: &'a PeerLoads,
+    /// Inputs to the estimate of the start at each server. `None` if servers are selected by the
+    /// tokens in their memory alone.
+    pub start: Option<StartQuery>,
     /// Workspace of the client, if its cached prompts are kept apart from those of others.
     pub isolated_workspace: Option<&'a str>,
     /// Oldest version of the weights that may serve the request. `None` allows all.
@@ -97,6 +102,24 @@
     pub are_switches_current: bool,
 }
 
+/// Inputs to the estimate of the start at each server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StartQuery {
+    /// Latency target of the request.
+    pub latency_target: Duration,
+    /// Speed of the service's engines.
+    pub service: ServiceSpeed,
+}
+
+/// Estimated start at the selected server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SelectedStart {
+    /// Estimated start of the request.
+    pub estimate: StartEstimate,
+    /// Tokens of the request's own prompt that the server is expected to compute.
+    pub own_tokens: u64,
+}
+
 /// Result of a selection.
 #[derive(Clone, Debug, Default)]
 pub struct Selected {
@@ -107,6 +130,8 @@
     /// Rate for which a permit must be requested from the issuer before the request is sent. `None`
     /// if requests to the server are not limited, or a permit was taken.
     pub permit_needed: Option<RequestRate>,
+    /// Estimated start, if servers are selected by it.
+    pub start: Option<SelectedStart>,
 }
 
 /// How a generation uses cached prompts on the selected server.
@@ -179,8 +204,7 @@
         Some(prompt) => select_by_rank(servers, &preferred, prompt, query.region_constraints, now),
         None => least_loaded(servers, &preferred, now, rng).map(|server| Selected {
             server,
-            cache: None,
-            permit_needed: None,
+            ..Selected::default()
         }),
     };
     let mut selected = chosen.ok_or(NoServer::NoMemory)?;
@@ -297,41 +321,105 @@
     now: Duration,
 ) -> Option<Selected> {
     let affinity = query.prompt.affinity().unwrap_or_default();
-    let mut ranked: Vec<(u64, ServerKey, f64)> = keys
+    let mut ranked: Vec<(u64, ServerKey, &Server)> = keys
         .iter()
         .filter_map(|key| servers.get(*key).map(|server| (*key, server)))
-        .map(|(key, server)| {
-            let tokens = tokens_on(server, query, now);
-            (rank(affinity, &server.entry.id), key, tokens)
-        })
+        .map(|(key, server)| (rank(affinity, &server.entry.id), key, server))
         .collect();
-    let total: f64 = ranked.iter().map(|(_, _, tokens)| tokens).sum();
-    let mean = total / ranked.len().max(1) as f64;
-    let slack = query.engine_capacity_tokens as f64 * SPILL_SLACK_FRACTION;
-    let bound = (mean * SPILL_FACTOR + slack).min(query.memory_limit_tokens);
     ranked.sort_unstable_by_key(|(rank, _, _)| std::cmp::Reverse(*rank));
-    let within = ranked.iter().find(|(_, _, tokens)| *tokens <= bound);
-    let has_room = |(_, _, tokens): &&(u64, ServerKey, f64)| *tokens <= query.memory_limit_tokens;
-    let (_, key, _) = within.or_else(|| ranked.iter().find(has_room))?;
-    let server = servers.get(*key)?;
+    let (index, estimate) = match query.start {
+        Some(start) => {
+            let (index, estimate) = first_with_early_start(&ranked, query, start, now)?;
+            (index, Some(estimate))
+        }
+        None => (first_with_even_load(&ranked, query, now)?, None),
+    };
+    let (_, key, server) = ranked[index];
     // The server that ranks highest among the others has most likely served the prompt before.
-    let others = ranked.iter().filter(|(_, other, _)| other != key);
-    let likely_source = others
-        .filter_map(|(_, other, _)| servers.get(*other))
+    let likely_source = ranked
+        .iter()
+        .filter(|(_, other, _)| *other != key)
+        .map(|(_, _, other)| *other)
         .find(|other| is_readable_source(other, now));
+    let cache = plan_cache_use(server, likely_source, query, region_constraints, now);
+    let own_tokens = query.prompt.unshared_tokens() + cache.plan.computed_tokens;
     Some(Selected {
-        server: *key,
+        server: key,
         permit_needed: None,
-        cache: Some(plan_cache_use(
-            server,
-            likely_source,
-            query,
-            region_constraints,
-            now,
-        )),
+        start: estimate.map(|estimate| SelectedStart {
+            estimate,
+            own_tokens: u64::from(own_tokens),
+        }),
+        cache: Some(cache),
     })
 }
 
+/// Returns the index of the first server in rank order whose load in tokens is not far above the
+/// mean, or else of the first one with room.
+fn first_with_even_load(
+    ranked: &[(u64, ServerKey, &Server)],
+    query: &PromptQuery<'_>,
+    now: Duration,
+) -> Option<usize> {
+    let tokens: Vec<f64> = ranked
+        .iter()
+        .map(|(_, _, server)| tokens_on(server, query, now))
+        .collect();
+    let total: f64 = tokens.iter().sum();
+    let mean = total / ranked.len().max(1) as f64;
+    let slack = query.engine_capacity_tokens as f64 * SPILL_SLACK_FRACTION;
+    let bound = (mean * SPILL_FACTOR + slack).min(query.memory_limit_tokens);
+    let within = tokens.iter().position(|tokens| *tokens <= bound);
+    let has_room = |tokens: &f64| *tokens <= query.memory_limit_tokens;
+    within.or_else(|| tokens.iter().position(has_room))
+}
+
+/// Returns the index and the estimated start of the first server in rank order that begins with the
+/// request early enough.
+fn first_with_early_start(
+    ranked: &[(u64, ServerKey, &Server)],
+    query: &PromptQuery<'_>,
+    start: StartQuery,
+    now: Duration,
+) -> Option<(usize, StartEstimate)> {
+    let candidates: Vec<Candidate> = ranked
+        .iter()
+        .map(|(_, _, server)| {
+            let work = work_at(server, query.peer_loads, now);
+            Candidate {
+                estimate: StartEstimate::of(&work, &start.service),
+                slowness: work.slowness,
+                memory_tokens: tokens_on(server, query, now),
+            }
+        })
+        .collect();
+    let unshared = query.prompt.unshared_tokens();
+    let requirement = Requirement {
+        latency_target: start.latency_target,
+        prompt: PromptTokens {
+            shared: query.prompt.prompt_tokens.saturating_sub(unshared),
+            unshared,
+        },
+        service: start.service,
+        capacity_tokens: query.engine_capacity_tokens,
+        memory_limit_tokens: query.memory_limit_tokens,
+    };
+    let index = requirement.choose(&candidates)?;
+    Some((index, candidates[index].estimate))
+}
+
+/// Returns the work of all daemons' requests at a server.
+fn work_at(server: &Server, peer_loads: &PeerLoads, now: Duration) -> ServerWork {
+    let others = peer_loads.total_on(server.server_hash());
+    let known_requests = f64::from(server.in_flight) + others.requests as f64;
+    ServerWork {
+        uncomputed_tokens: server.uncomputed_tokens + others.uncomputed_tokens,
+        requests: server.load(now).max(known_requests),
+        slots: server.entry.slots,
+        slowness: server.speed.slowness(now),
+    }
+}
+
 /// Returns whether prompt parts may be read from an engine. A read from an engine that does not
 /// answer costs some hundred milliseconds, and a cold engine has nothing cached yet.
 fn is_readable_source(server: &Server, now: Duration) -> bool {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -12,6 +12,7 @@
 use crate::permits::{PermitHolder, PermitState};
 use crate::request::ReportedLoad;
 use crate::request_limit::{RequestLimit, RequestRate, StatementSource};
+use crate::server_speed::ServerSpeed;
 use anvilgw_router::{Breaker, BreakerSettings};
 use std::time::Duration;
 
@@ -54,6 +55,10 @@
     pub in_flight: u32,
     /// Tokens that these requests occupy in the engine's memory.
     pub tokens_in_flight: u64,
+    /// Prompt tokens of those that have had no first event, as far as the engine computes them.
+    pub uncomputed_tokens: u64,
+    /// How much longer the server takes than others of its service.
+    pub speed: ServerSpeed,
     /// Circuit breaker, fed by failed connections and broken answers.
     pub breaker: Breaker,
     /// Time of the server's last answer to this daemon.
@@ -105,6 +110,8 @@
             entry,
             in_flight: 0,
             tokens_in_flight: 0,
+            uncomputed_tokens: 0,
+            speed: ServerSpeed::default(),
             breaker: Breaker::new(BREAKER),
             last_answer_at: Duration::ZERO,
             is_address_reused: false,
@@ -247,6 +254,15 @@
         }
     }
 
+    /// Returns the number of requests that wait at the server according to a recent report, or 0.
+    #[must_use]
+    pub fn reported_waiting(&self, now: Duration) -> u32 {
+        match self.reported_load {
+            Some((load, at)) if now.saturating_sub(at) < LOAD_REPORT_MAX_AGE => load.waiting,
+            _ => 0,
+        }
+    }
+
     /// Returns the age of the server's last load report.
     #[must_use]
     pub fn load_age(&self, now: Duration) -> Option<Duration> {
@@ -345,6 +361,16 @@
         self.tokens_in_flight = self.tokens_in_flight.saturating_sub(tokens);
     }
 
+    /// Records that the server has to compute prompt tokens of a request that was sent to it.
+    pub fn on_prompt_sent(&mut self, tokens: u64) {
+        self.uncomputed_tokens += tokens;
+    }
+
+    /// Records that prompt tokens of a request are computed, or that the request has ended.
+    pub fn on_prompt_computed(&mut self, tokens: u64) {
+        self.uncomputed_tokens = self.uncomputed_tokens.saturating_sub(tokens);
+    }
+
     /// Records that the engine rejected a prompt because its memory is full: other daemons have
     /// sent more to it than this daemon knows of.
     pub fn on_engine_full(&mut self, capacity_tokens: u64, now: Duration) {
@@ -364,6 +390,9 @@
     pub fn on_load_report(&mut self, load: ReportedLoad, now: Duration) {
         self.reported_load = Some((load, now));
         self.sent_since_report = 0;
+        if let Some(percent) = load.work_percent {
+            self.speed.on_reported(percent, now);
+        }
     }
 
     /// Opens the circuit breaker at once, because no connection to the server can be opened.
--- a/crates/gateway/src/server/collection.rs
+++ b/crates/gateway/src/server/collection.rs
@@ -62,9 +62,11 @@
         }
         if entry.started_at_ms > server.entry.started_at_ms {
             let (in_flight, tokens_in_flight) = (server.in_flight, server.tokens_in_flight);
+            let uncomputed_tokens = server.uncomputed_tokens;
             *server = Server::new(entry, now);
             server.in_flight = in_flight;
             server.tokens_in_flight = tokens_in_flight;
+            server.uncomputed_tokens = uncomputed_tokens;
             return key;
         }
         let was_draining = server.entry.state == ServerState::Draining;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -20,6 +20,16 @@
     pub weight_switch: Duration,
 }
 
+/// How servers are selected and requests are admitted when servers are loaded.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LoadControl {
+    /// By the tokens in the engines' memory.
+    #[default]
+    Memory,
+    /// By the estimated time until a server begins with the request, and by the tokens in memory.
+    StartTime,
+}
+
 /// Settings of one gateway daemon.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -43,4 +53,6 @@
     pub memory_max_bytes: u64,
     /// Time limits and other bounds.
     pub bounds: Bounds,
+    /// How servers are selected and requests are admitted when servers are loaded.
+    pub load_control: LoadControl,
 }
--- a/crates/gateway/tests/components.rs
+++ b/crates/gateway/tests/components.rs
@@ -7,7 +7,9 @@
 use anvilgw_gateway::freshness::ConfigurationFreshness;
 use anvilgw_gateway::log::{Event, EventLog, Importance};
 use anvilgw_gateway::peer_message::PeerMessage;
-use anvilgw_gateway::peers::{DATAGRAM_MAX_BYTES, EngineLoad, LoadReporter, ReportScope};
+use anvilgw_gateway::peers::{
+    DATAGRAM_MAX_BYTES, EngineLoad, EngineTotal, LoadReporter, ReportScope,
+};
 use anvilgw_gateway::sse::{EventScanner, EventSplitter};
 use std::io::Write;
 use std::sync::{Arc, Mutex};
@@ -270,6 +272,39 @@
     assert!(PeerMessage::decode(b"").is_err());
 }
 
+/// Guards against load reports with the work at engines that do not fit into a datagram, lose the
+/// work, or change the datagrams of daemons that do not report it.
+#[test]
+fn load_reports_with_work_fit_into_a_datagram() {
+    let total = EngineTotal {
+        tokens: u64::MAX - 7,
+        uncomputed_tokens: 1_000_000_000,
+        requests: 1_000_000,
+    };
+    let loads: Vec<EngineLoad> = (0..600)
+        .map(|index| EngineLoad::with_work(u32::MAX - index, total))
+        .collect();
+    let mut reporter = LoadReporter::new(ReportScope::Fleet, u64::MAX).with_work();
+    let mut reported = 0;
+    for part in reporter.next_reports(&loads, loads.len(), u64::MAX) {
+        let part = part.fit_datagram();
+        let datagram = PeerMessage::Load(part.clone()).encode().expect("encodes");
+        assert!(datagram.len() <= DATAGRAM_MAX_BYTES, "{}", datagram.len());
+        let decoded = PeerMessage::decode(&datagram).expect("decodes");
+        reported += part.loads.len();
+        assert_eq!(decoded, PeerMessage::Load(part));
+        assert!(PeerMessage::decode(&datagram[..20]).is_err());
+    }
+    assert!(reported >= 560, "{reported} of 600 engines reported");
+    let plain = [EngineLoad::new(7, 64)];
+    let reports = LoadReporter::new(ReportScope::Daemon, 1).next_reports(&plain, 1, 2);
+    let datagrams = reports
+        .into_iter()
+        .map(|report| PeerMessage::Load(report).encode().expect("encodes"));
+    let expected: &[u8] = &[0, 1, 2, 0, 1, 7, 2];
+    assert_eq!(datagrams.collect::<Vec<_>>(), [expected]);
+}
+
 /// Guards against idle daemons that wake all others with reports that contain nothing new.
 #[test]
 fn idle_daemon_reports_zero_load_once() {
--- a/crates/gateway/tests/deployments/deployment.rs
+++ b/crates/gateway/tests/deployments/deployment.rs
@@ -170,6 +170,7 @@
             prefill_rate: PrefillRate::default(),
             caches,
             peer_loads: &peer_loads,
+            start: None,
             isolated_workspace: None,
             oldest_version: None,
             engine_capacity_tokens: 100_000,
--- a/crates/gateway/tests/servers/fixture.rs
+++ b/crates/gateway/tests/servers/fixture.rs
@@ -7,7 +7,7 @@
 use anvilgw_gateway::prefill_rate::PrefillRate;
 use anvilgw_gateway::region_constraints::RegionConstraints;
 use anvilgw_gateway::request::{Prompt, PromptPart};
-use anvilgw_gateway::select::{NoServer, PromptQuery, Query, Selected, select};
+use anvilgw_gateway::select::{NoServer, PromptQuery, Query, Selected, StartQuery, select};
 use anvilgw_gateway::server::{
     ServedModel, ServerEntry, ServerKey, ServerState, Servers, server_hash,
 };
@@ -81,6 +81,7 @@
     pub(crate) peers: PeerLoads,
     pub(crate) published_weights: Option<PublishedWeights>,
     pub(crate) oldest_version: Option<u64>,
+    pub(crate) start: Option<StartQuery>,
 }
 
 impl Fixture {
@@ -99,6 +100,7 @@
             peers: PeerLoads::default(),
             published_weights: None,
             oldest_version: None,
+            start: None,
         }
     }
 
@@ -145,6 +147,7 @@
                 caches: &self.caches,
                 prefill_rate: self.prefill_rate,
                 peer_loads: &self.peers,
+                start: self.start,
                 isolated_workspace: None,
                 oldest_version: self.oldest_version,
                 engine_capacity_tokens: 100_000,
