Reject prompts that engines cannot begin in time

Under overload all prompts were admitted and all were late: admission knew only the memory, and requests polled for it for up to 2.5 latency targets.

Near the limit a random part is rejected, which rises at once and falls slowly. Nothing is rejected by the start while under half of the slots are taken and nothing waits. The wait for memory is shorter. Retry-After is the time in which the backlog shrinks, spread over a range that grows with the length of the overload.

--- a/crates/gateway/src/dispatch/in_flight.rs
+++ b/crates/gateway/src/dispatch/in_flight.rs
@@ -129,7 +129,7 @@
             tokens: start.estimate.tokens_ahead + start.own_tokens,
             elapsed: now.saturating_sub(self.sent_at),
         };
-        let speed = state.service_speeds.entry(service.clone()).or_default();
+        let speed = &mut state.loads.entry(service.clone()).or_default().speed;
         server.speed.on_first_event(&sample, speed, now);
         speed.on_first_event(&sample, now);
     }
@@ -139,8 +139,8 @@
         let Some(service) = &self.service else { return };
         let held = self.gateway.now().saturating_sub(self.sent_at);
         let state = &mut *self.gateway.state.borrow_mut();
-        let speed = state.service_speeds.entry(service.clone()).or_default();
-        speed.on_request_ended(held);
+        let load = state.loads.entry(service.clone()).or_default();
+        load.speed.on_request_ended(held);
     }
 
     /// Records that a whole answer was received with success, so that its prompt is sound.
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -5,8 +5,9 @@
 use crate::admission::MemoryRequest;
 use crate::caches::CacheDirectory;
 use crate::configuration::Service;
-use crate::gateway::{Gateway, State};
+use crate::gateway::{Gateway, ServiceLoad, State};
 use crate::log::{Choice, PromptChoice};
+use crate::overload::{Demand, MoreUrgent, RejectReason};
 use crate::pending_ends::start_of;
 use crate::permit_client::{PermitTarget, acquire_permit};
 use crate::permits::PermitPurpose;
@@ -14,12 +15,10 @@
 use crate::region_constraints::RegionConstraints;
 use crate::retry::AttemptError;
 use crate::select::{
-    CacheUse, NoServer, PromptQuery, Query, Selected, SelectedStart, StartQuery, select,
+    Admission, CacheUse, NoServer, PromptQuery, Query, Selected, SelectedStart, StartQuery, select,
 };
 use crate::server::{Server, ServerKey, Servers};
 use crate::server_ends::UsedServer;
-use crate::server_speed::ServiceSpeed;
-use crate::settings::LoadControl;
 use crate::weights::{FETCH_TIME_MAX, oldest_allowed_version};
 use anvilgw_quarantine::ServerStart;
 use indexmap::IndexMap;
@@ -158,8 +157,16 @@
     loop {
         let is_waiting = poll_interval > MEMORY_POLL_INTERVAL;
         let result = select_target(gateway, routed, progress, is_waiting).await;
-        let lacks_memory = matches!(result, Err(AttemptError::NoServer(NoServer::NoMemory)));
-        if !lacks_memory || gateway.now() + poll_interval > wait_until {
+        let wait_until = match &result {
+            Err(AttemptError::NoServer(NoServer::NoMemory)) => wait_until,
+            Err(AttemptError::NoServer(NoServer::Overloaded(rejection)))
+                if rejection.reason == RejectReason::Memory =>
+            {
+                wait_until.min(routed.arrived_at + rejection.limit)
+            }
+            _ => return result,
+        };
+        if gateway.now() + poll_interval > wait_until {
             return result;
         }
         sleep(poll_interval).await;
@@ -250,6 +257,11 @@
 ) -> T {
     let now = gateway.now();
     let state = &mut *gateway.state.borrow_mut();
+    let is_first_attempt = progress.borrow().tried_servers.is_empty();
+    let start = start_query(gateway, &mut state.loads, routed, is_first_attempt);
+    let free_fraction = start
+        .and_then(|start| start.admission)
+        .map_or(0.0, |admission| admission.demand.free_memory_fraction());
     let prompt = routed.meta.prompt.as_ref().map(|prompt| {
         let published_weights = state.weights.get(&prompt.model);
         let switch_time = gateway.settings.bounds.weight_switch;
@@ -258,7 +270,7 @@
             caches: &state.caches,
             prefill_rate: prefill_rate(&state.prefill_rates, &routed.service),
             peer_loads: &state.peer_loads,
-            start: start_query(gateway, &state.service_speeds, routed),
+            start,
             isolated_workspace: routed.isolated_workspace(),
             oldest_version: published_weights
                 .and_then(|published| oldest_allowed_version(published, switch_time, now)),
@@ -270,7 +282,7 @@
                     is_waiting: options.is_waiting,
                 },
                 engine_capacity(&routed.service),
-            ),
+            ) - engine_capacity(&routed.service) as f64 * free_fraction,
             published_weights,
             old_part_times: gateway.old_part_times(),
             is_configuration_current: state.configuration_freshness.is_current(now),
@@ -297,20 +309,45 @@
 
 /// Returns the inputs to the estimate of the start, if load is controlled by it and the memory of
 /// the service's engines is known.
-fn start_query(
+fn start_query<'a>(
     gateway: &Gateway,
-    speeds: &IndexMap<String, ServiceSpeed>,
+    loads: &'a mut IndexMap<String, ServiceLoad>,
     routed: &RoutedRequest,
-) -> Option<StartQuery> {
-    let is_in_force = gateway.settings.load_control == LoadControl::StartTime
-        && engine_capacity(&routed.service) > 0;
-    let speed = speeds.get(&routed.service.name);
-    is_in_force.then(|| StartQuery {
+    is_first_attempt: bool,
+) -> Option<StartQuery<'a>> {
+    if !gateway.is_start_controlled() || engine_capacity(&routed.service) == 0 {
+        return None;
+    }
+    let load = &*loads.entry(routed.service.name.clone()).or_default();
+    // A stream that the client resumes was admitted before.
+    let is_new = is_first_attempt && routed.meta.resume_after.is_none();
+    Some(StartQuery {
         latency_target: routed.route.latency_target,
-        service: speed.copied().unwrap_or_default(),
+        service: load.speed,
+        admission: is_new.then(|| Admission {
+            demand: demand(routed, gateway.now()),
+            throttle: &load.overload.throttle,
+        }),
     })
 }
 
+/// Returns what decides on the admission of a request.
+fn demand(routed: &RoutedRequest, now: Duration) -> Demand {
+    let routes = routed.configuration.routes().iter();
+    let same_service = routes
+        .filter(|route| {
+            let mut targets = route.targets.iter();
+            targets.any(|target| target.service == routed.service.name)
+        })
+        .map(|route| (route.priority, route.latency_target));
+    Demand {
+        latency_target: routed.route.latency_target,
+        more_urgent: MoreUrgent::among(same_service, routed.urgency()),
+        waited: now.saturating_sub(routed.arrived_at),
+        remaining: routed.remaining(now),
+    }
+}
+
 fn prefill_rate(rates: &IndexMap<String, PrefillRate>, service: &Service) -> PrefillRate {
     rates.get(&service.name).copied().unwrap_or_default()
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use crate::groups::{Role, StoreReads};
 use crate::log::{Event, EventLog, Importance};
 use crate::metrics::Metrics;
+use crate::overload::ServiceOverload;
 use crate::peers::PeerLoads;
 use crate::pending_ends::PendingEnds;
 use crate::permit_client::PermitClient;
@@ -19,7 +20,7 @@
 use crate::prefill_rate::PrefillRate;
 use crate::server::{ServerKey, Servers};
 use crate::server_speed::ServiceSpeed;
-use crate::settings::GatewaySettings;
+use crate::settings::{GatewaySettings, LoadControl};
 use crate::topic_log::TopicLog;
 use crate::weights::{OldPartTimes, PublishedWeights};
 use anvilgw_core::Clock;
@@ -50,8 +51,8 @@
     pub(crate) caches: CacheDirectory,
     /// Estimated prefill rate of the engines, by service.
     pub(crate) prefill_rates: IndexMap<String, PrefillRate>,
-    /// Speed of the engines, by service. Empty unless load is controlled by the estimated start.
-    pub(crate) service_speeds: IndexMap<String, ServiceSpeed>,
+    /// Load of the services. Empty unless load is controlled by the estimated start.
+    pub(crate) loads: IndexMap<String, ServiceLoad>,
     /// Limits the engines' memory that new requests may take up.
     pub(crate) admission: MemoryAdmission,
     /// Role of this daemon in the fleet, once the members are known.
@@ -86,6 +87,15 @@
     pub(crate) rng: SmallRng,
 }
 
+/// Load of one service.
+#[derive(Default)]
+pub(crate) struct ServiceLoad {
+    /// Speed of its engines.
+    pub(crate) speed: ServiceSpeed,
+    /// Control of its overload.
+    pub(crate) overload: ServiceOverload,
+}
+
 /// Implementations of the interfaces to the platform, and the clock.
 pub struct Ports {
     /// Translates between request metadata and headers.
@@ -151,7 +161,7 @@
             servers: Servers::default(),
             caches: CacheDirectory::default(),
             prefill_rates: IndexMap::new(),
-            service_speeds: IndexMap::new(),
+            loads: IndexMap::new(),
             admission: MemoryAdmission::default(),
             role: None,
             fleet: FleetView::default(),
@@ -206,6 +216,11 @@
         pause.mul_f64(rng.random_range(1.0 - jitter..1.0 + jitter))
     }
 
+    /// Returns whether load is controlled by the estimated start.
+    pub(crate) fn is_start_controlled(&self) -> bool {
+        self.settings.load_control == LoadControl::StartTime
+    }
+
     pub(crate) fn now(&self) -> Duration {
         self.ports.clock.uptime()
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod lease;
 pub mod log;
 pub mod notice_reports;
+pub mod overload;
 pub mod page;
 pub mod peer_message;
 pub mod peers;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,14 @@
 pub(crate) struct Metrics {
     counters: RefCell<IndexMap<&'static str, u64>>,
     latencies: RefCell<IndexMap<String, Histogram<u64>>>,
+    rejections: RefCell<IndexMap<RejectionLabels, u64>>,
+}
+
+/// Labels under which rejections because of the load are counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct RejectionLabels {
+    pub(crate) reason: &'static str,
+    pub(crate) urgency: u8,
 }
 
 impl Metrics {
@@ -26,6 +34,11 @@
         *self.counters.borrow_mut().entry(name).or_default() += 1;
     }
 
+    /// Counts a request that is rejected because of the load.
+    pub(crate) fn count_rejection(&self, labels: RejectionLabels) {
+        *self.rejections.borrow_mut().entry(labels).or_default() += 1;
+    }
+
     /// Records a latency in the histogram of the given `kind` label.
     pub(crate) fn record_latency(&self, label: &str, latency: Duration) {
         let mut latencies = self.latencies.borrow_mut();
@@ -48,6 +61,13 @@
             // Writing to a string cannot fail.
             let _ = writeln!(text, "anvilgw_{name}_total {value}");
         }
+        for (labels, value) in self.rejections.borrow().iter() {
+            let RejectionLabels { reason, urgency } = labels;
+            let _ = writeln!(
+                text,
+                "anvilgw_load_rejections_total{{reason=\"{reason}\",urgency=\"{urgency}\"}} {value}"
+            );
+        }
         for (label, histogram) in self.latencies.borrow().iter() {
             for quantile in QUANTILES {
                 let value_ms = histogram.value_at_quantile(quantile);
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -3,6 +3,8 @@
 use crate::configuration::RouteKind;
 use crate::dispatch::{Progress, RoutedRequest, may_repeat_after_end};
 use crate::gateway::Gateway;
+use crate::metrics::RejectionLabels;
+use crate::overload::Rejection;
 use crate::select::NoServer;
 use anvilgw_core::{ErrorKind, Failure};
 use anvilgw_quarantine::REFUSAL_DETAIL;
@@ -57,6 +59,7 @@
     /// Returns a description for logs and error messages.
     pub(crate) fn describe(&self) -> String {
         match self {
+            Self::NoServer(NoServer::Overloaded(rejection)) => describe_rejection(rejection),
             Self::NoServer(reason) => reason.reason().to_owned(),
             Self::NotSent(reason)
             | Self::Refused(reason)
@@ -70,6 +73,15 @@
     }
 }
 
+fn describe_rejection(rejection: &Rejection) -> String {
+    format!(
+        "{}: estimated start in {} ms, limit {} ms",
+        NoServer::Overloaded(*rejection).reason(),
+        rejection.start.as_millis(),
+        rejection.limit.as_millis()
+    )
+}
+
 /// What happens after a failed attempt.
 pub(crate) enum RetryDecision {
     /// The request is sent again.
@@ -168,7 +180,7 @@
             return RetryDecision::Retry;
         };
         let has_time = reason != NotRetried::NoTime;
-        let failure = build_failure(gateway, &call.service.name, progress, error, has_time);
+        let failure = build_failure(gateway, call, progress, error, has_time);
         RetryDecision::Fail(reason, failure)
     }
 
@@ -208,12 +220,13 @@
 
 fn build_failure(
     gateway: &Gateway,
-    service: &str,
+    call: &RoutedRequest,
     progress: &Progress,
     error: &AttemptError,
     has_time: bool,
 ) -> Failure {
     let detail = error.describe();
+    let service = call.service.name.as_str();
     let range_ms = match error {
         AttemptError::NoServer(NoServer::NoMemory) => MEMORY_RETRY_AFTER_RANGE_MS,
         _ => RETRY_AFTER_RANGE_MS,
@@ -226,7 +239,12 @@
         }
         _ => gateway.state.borrow().servers.backoff_left(service, now),
     };
-    let retry_after = pause.unwrap_or_default() + Duration::from_millis(jitter_ms);
+    let retry_after = match error {
+        AttemptError::NoServer(NoServer::Overloaded(rejection)) => {
+            on_overloaded(gateway, call, rejection)
+        }
+        _ => pause.unwrap_or_default() + Duration::from_millis(jitter_ms),
+    };
     if progress.may_have_executed() {
         let kind = if has_time {
             ErrorKind::AnswerBroken
@@ -237,7 +255,10 @@
     }
     let kind = match error {
         AttemptError::NoServer(
-            NoServer::NoMemory | NoServer::BackingOff(_) | NoServer::RateLimited(_),
+            NoServer::NoMemory
+            | NoServer::BackingOff(_)
+            | NoServer::RateLimited(_)
+            | NoServer::Overloaded(_),
         ) => ErrorKind::Overloaded,
         AttemptError::Quarantined(_) => ErrorKind::PromptQuarantined,
         AttemptError::NoServer(_)
@@ -252,3 +273,18 @@
         .failure(kind, &detail)
         .with_retry_after(retry_after)
 }
+
+/// Counts a rejection because of the load, and returns when the client should retry.
+fn on_overloaded(gateway: &Gateway, call: &RoutedRequest, rejection: &Rejection) -> Duration {
+    gateway.metrics.count_rejection(RejectionLabels {
+        reason: rejection.reason.name(),
+        urgency: call.urgency(),
+    });
+    let now = gateway.now();
+    let state = &mut *gateway.state.borrow_mut();
+    let draw = state.rng.random();
+    let load = state.loads.entry(call.service.name.clone()).or_default();
+    let span = &mut load.overload.span;
+    span.on_rejected(now);
+    span.retry_after(rejection.drain_time(), call.remaining(now), draw, now)
+}
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -1,7 +1,10 @@
 //! Selection of the backend server for a request.
 
-use crate::caches::{CacheDirectory, CachePlan, PlanDestination, TransferPolicy, name_hash};
+mod ranked;
+
+use crate::caches::{CacheDirectory, CachePlan};
 use crate::configuration::Service;
+use crate::overload::{Demand, RejectReason, Rejection, Throttle};
 use crate::peers::PeerLoads;
 use crate::permits::PermitState;
 use crate::prefill_rate::PrefillRate;
@@ -10,19 +13,13 @@
 use crate::request_limit::RequestRate;
 use crate::server::{Server, ServerKey, Servers};
 use crate::server_speed::ServiceSpeed;
-use crate::start_estimate::{Candidate, PromptTokens, Requirement, ServerWork, StartEstimate};
-use crate::weights::{OldPartTimes, PublishedWeights, cache_scope, may_read_part};
-use anvilgw_router::BreakerState;
+use crate::start_estimate::StartEstimate;
+use crate::weights::{OldPartTimes, PublishedWeights};
 use rand::{Rng, RngExt};
+use ranked::select_by_rank;
 use std::cmp::Ordering;
-use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
-/// Factor by which a server's load may exceed the candidates' mean before a prompt goes to the
-/// server that ranks next.
-const SPILL_FACTOR: f64 = 1.25;
-/// Fraction of an engine's memory by which its load may exceed the mean in addition.
-const SPILL_SLACK_FRACTION: f64 = 0.08;
 /// Share of failed requests from which a server is avoided. Smaller shares are attributed to the
 /// requests rather than to the server.
 const FAILURE_SHARE_TOLERATED: f64 = 0.3;
@@ -82,7 +79,7 @@
     pub peer_loads: &'a PeerLoads,
     /// Inputs to the estimate of the start at each server. `None` if servers are selected by the
     /// tokens in their memory alone.
-    pub start: Option<StartQuery>,
+    pub start: Option<StartQuery<'a>>,
     /// Workspace of the client, if its cached prompts are kept apart from those of others.
     pub isolated_workspace: Option<&'a str>,
     /// Oldest version of the weights that may serve the request. `None` allows all.
@@ -103,12 +100,23 @@
 }
 
 /// Inputs to the estimate of the start at each server.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct StartQuery {
+#[derive(Clone, Copy, Debug)]
+pub struct StartQuery<'a> {
     /// Latency target of the request.
     pub latency_target: Duration,
     /// Speed of the service's engines.
     pub service: ServiceSpeed,
+    /// What decides on the admission of the request. `None` if it is already admitted.
+    pub admission: Option<Admission<'a>>,
+}
+
+/// What decides on the admission of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Admission<'a> {
+    /// The request.
+    pub demand: Demand,
+    /// Shares of rejected requests of the service.
+    pub throttle: &'a Throttle,
 }
 
 /// Estimated start at the selected server.
@@ -162,6 +170,8 @@
     RateLimited(Duration),
     /// Every usable engine is loaded beyond the limit for the prompt.
     NoMemory,
+    /// The request is not admitted because of the load.
+    Overloaded(Rejection),
 }
 
 impl NoServer {
@@ -174,6 +184,12 @@
             Self::RateLimited(_) => "backend servers get as many requests as they take now",
             Self::BackingOff(_) => "all backend servers asked for no requests now",
             Self::AllUnavailable => "no backend server can take the request now",
+            Self::Overloaded(rejection) => match rejection.reason {
+                RejectReason::TooLate => "no engine begins before the client gives up",
+                RejectReason::StartLimit => "engines begin too late for requests of this urgency",
+                RejectReason::Memory => "no engine has memory for the prompt in time",
+                RejectReason::Full => "all backend servers are full",
+            },
         }
     }
 }
@@ -200,14 +216,28 @@
     if preferred.is_empty() {
         return Err(why_none_usable(servers, &in_service, query, now));
     }
-    let chosen = match &query.prompt {
-        Some(prompt) => select_by_rank(servers, &preferred, prompt, query.region_constraints, now),
-        None => least_loaded(servers, &preferred, now, rng).map(|server| Selected {
-            server,
-            ..Selected::default()
-        }),
-    };
-    let mut selected = chosen.ok_or(NoServer::NoMemory)?;
+    let mut selected = match &query.prompt {
+        Some(prompt) => {
+            let draw = match prompt.start {
+                Some(_) => rng.random(),
+                None => 0.0,
+            };
+            select_by_rank(
+                servers,
+                &preferred,
+                prompt,
+                query.region_constraints,
+                draw,
+                now,
+            )
+        }
+        None => least_loaded(servers, &preferred, now, rng)
+            .map(|server| Selected {
+                server,
+                ..Selected::default()
+            })
+            .ok_or(NoServer::NoMemory),
+    }?;
     if let Some(server) = servers.get_mut(selected.server) {
         let allowed = server.allowed_rate(query.service.cold_requests_per_s, now);
         selected.permit_needed = server.take_permit(allowed, query.share, now);
@@ -307,195 +337,6 @@
     reliable
 }
 
-/// Selects the server that ranks first for the prompt among those whose load is not far above
-/// the mean.
-///
-/// Ranks spread prompts evenly over the servers, whatever these have cached at the moment.
-/// Selecting servers by their cache contents would gather more and more prompts on a few of
-/// them, which would then run out of memory.
-fn select_by_rank(
-    servers: &Servers,
-    keys: &[ServerKey],
-    query: &PromptQuery<'_>,
-    region_constraints: RegionConstraints<'_>,
-    now: Duration,
-) -> Option<Selected> {
-    let affinity = query.prompt.affinity().unwrap_or_default();
-    let mut ranked: Vec<(u64, ServerKey, &Server)> = keys
-        .iter()
-        .filter_map(|key| servers.get(*key).map(|server| (*key, server)))
-        .map(|(key, server)| (rank(affinity, &server.entry.id), key, server))
-        .collect();
-    ranked.sort_unstable_by_key(|(rank, _, _)| std::cmp::Reverse(*rank));
-    let (index, estimate) = match query.start {
-        Some(start) => {
-            let (index, estimate) = first_with_early_start(&ranked, query, start, now)?;
-            (index, Some(estimate))
-        }
-        None => (first_with_even_load(&ranked, query, now)?, None),
-    };
-    let (_, key, server) = ranked[index];
-    // The server that ranks highest among the others has most likely served the prompt before.
-    let likely_source = ranked
-        .iter()
-        .filter(|(_, other, _)| *other != key)
-        .map(|(_, _, other)| *other)
-        .find(|other| is_readable_source(other, now));
-    let cache = plan_cache_use(server, likely_source, query, region_constraints, now);
-    let own_tokens = query.prompt.unshared_tokens() + cache.plan.computed_tokens;
-    Some(Selected {
-        server: key,
-        permit_needed: None,
-        start: estimate.map(|estimate| SelectedStart {
-            estimate,
-            own_tokens: u64::from(own_tokens),
-        }),
-        cache: Some(cache),
-    })
-}
-
-/// Returns the index of the first server in rank order whose load in tokens is not far above the
-/// mean, or else of the first one with room.
-fn first_with_even_load(
-    ranked: &[(u64, ServerKey, &Server)],
-    query: &PromptQuery<'_>,
-    now: Duration,
-) -> Option<usize> {
-    let tokens: Vec<f64> = ranked
-        .iter()
-        .map(|(_, _, server)| tokens_on(server, query, now))
-        .collect();
-    let total: f64 = tokens.iter().sum();
-    let mean = total / ranked.len().max(1) as f64;
-    let slack = query.engine_capacity_tokens as f64 * SPILL_SLACK_FRACTION;
-    let bound = (mean * SPILL_FACTOR + slack).min(query.memory_limit_tokens);
-    let within = tokens.iter().position(|tokens| *tokens <= bound);
-    let has_room = |tokens: &f64| *tokens <= query.memory_limit_tokens;
-    within.or_else(|| tokens.iter().position(has_room))
-}
-
-/// Returns the index and the estimated start of the first server in rank order that begins with the
-/// request early enough.
-fn first_with_early_start(
-    ranked: &[(u64, ServerKey, &Server)],
-    query: &PromptQuery<'_>,
-    start: StartQuery,
-    now: Duration,
-) -> Option<(usize, StartEstimate)> {
-    let candidates: Vec<Candidate> = ranked
-        .iter()
-        .map(|(_, _, server)| {
-            let work = work_at(server, query.peer_loads, now);
-            Candidate {
-                estimate: StartEstimate::of(&work, &start.service),
-                slowness: work.slowness,
-                memory_tokens: tokens_on(server, query, now),
-            }
-        })
-        .collect();
-    let unshared = query.prompt.unshared_tokens();
-    let requirement = Requirement {
-        latency_target: start.latency_target,
-        prompt: PromptTokens {
-            shared: query.prompt.prompt_tokens.saturating_sub(unshared),
-            unshared,
-        },
-        service: start.service,
-        capacity_tokens: query.engine_capacity_tokens,
-        memory_limit_tokens: query.memory_limit_tokens,
-    };
-    let index = requirement.choose(&candidates)?;
-    Some((index, candidates[index].estimate))
-}
-
-/// Returns the work of all daemons' requests at a server.
-fn work_at(server: &Server, peer_loads: &PeerLoads, now: Duration) -> ServerWork {
-    let others = peer_loads.total_on(server.server_hash());
-    let known_requests = f64::from(server.in_flight) + others.requests as f64;
-    ServerWork {
-        uncomputed_tokens: server.uncomputed_tokens + others.uncomputed_tokens,
-        requests: server.load(now).max(known_requests),
-        slots: server.entry.slots,
-        slowness: server.speed.slowness(now),
-    }
-}
-
-/// Returns whether prompt parts may be read from an engine. A read from an engine that does not
-/// answer costs some hundred milliseconds, and a cold engine has nothing cached yet.
-fn is_readable_source(server: &Server, now: Duration) -> bool {
-    server.breaker.state(now) == BreakerState::Closed
-        && !server.is_cold(now)
-        && !server.is_switching(now)
-}
-
-/// Returns the tokens that the requests of all daemons occupy on an engine.
-fn tokens_on(server: &Server, query: &PromptQuery<'_>, now: Duration) -> f64 {
-    let others = query.peer_loads.tokens_on(server.server_hash());
-    (server.estimated_tokens(now) + others) as f64
-}
-
-/// Plans from where a server reads the shared parts of the prompt.
-///
-/// The scope includes the version of the weights and the request requires that version, so
-/// nothing computed with other weights is ever found under the scope. An engine that switches
-/// weights continues its running requests with the new weights, so parts are not read from
-/// engines that are ordered to switch.
-fn plan_cache_use(
-    server: &Server,
-    likely_source: Option<&Server>,
-    query: &PromptQuery<'_>,
-    region_constraints: RegionConstraints<'_>,
-    now: Duration,
-) -> CacheUse {
-    let model = &query.prompt.model;
-    let version = server.version_of(model);
-    let scope = cache_scope(version, query.isolated_workspace);
-    let is_newest = query
-        .published_weights
-        .is_none_or(|published| Some(published.version) == version);
-    let may_transfer = version.is_some()
-        && query.is_configuration_current
-        && (is_newest || query.are_switches_current);
-    let mut plan = CachePlan::default();
-    if may_transfer {
-        let likely_engine = likely_source
-            .filter(|source| source.version_of(model) == version)
-            .map(|source| source.entry.address);
-        let policy = TransferPolicy {
-            may_write_stores: is_newest,
-            may_read_from_store: &|id_hash| match (query.published_weights, version) {
-                (Some(published), Some(version)) => {
-                    may_read_part(published, version, id_hash, query.old_part_times, now)
-                }
-                _ => true,
-            },
-            likely_engine,
-            region_constraints,
-        };
-        let parts = query.prompt.shared_parts();
-        let located = query.caches.locate(name_hash(&scope), parts);
-        let plan_for = PlanDestination {
-            failure_domain: &server.entry.failure_domain,
-            prefill_rate: query.prefill_rate,
-        };
-        plan = query.caches.plan(&located, plan_for, policy);
-    }
-    CacheUse {
-        weight_version: version,
-        scope,
-        plan,
-    }
-}
-
-/// Returns the rank of a server for a prompt by rendezvous hashing: all daemons rank servers
-/// alike, and adding or removing a server moves only that server's prompts.
-fn rank(affinity: u64, server_id: &str) -> u64 {
-    let mut hasher = std::hash::DefaultHasher::new();
-    affinity.hash(&mut hasher);
-    server_id.hash(&mut hasher);
-    hasher.finish()
-}
-
 fn least_loaded(
     servers: &Servers,
     keys: &[ServerKey],
--- a/crates/gateway/src/start_estimate.rs
+++ b/crates/gateway/src/start_estimate.rs
@@ -28,6 +28,8 @@
     pub requests: f64,
     /// Number of requests that the server executes concurrently; 0 if that is not known.
     pub slots: u32,
+    /// Number of requests that wait there, as the server itself has reported it lately.
+    pub waiting: u32,
     /// Factor by which the server takes longer than usual.
     pub slowness: f64,
 }
--- a/crates/gateway/tests/overload/engines.rs
+++ b/crates/gateway/tests/overload/engines.rs
@@ -39,6 +39,7 @@
             uncomputed_tokens: self.uncomputed_tokens(),
             requests: self.queue.len() as f64,
             slots: 64,
+            waiting: self.queue.len().saturating_sub(1) as u32,
             slowness: self.speed.slowness(at(now_ms)),
         }
     }
--- a/crates/gateway/tests/overload/main.rs
+++ b/crates/gateway/tests/overload/main.rs
@@ -1,5 +1,6 @@
 //! Server selection, learned speeds and admission under load, without a network.
 
+mod admission;
 mod engines;
 mod speed;
 mod start;
--- a/crates/gateway/tests/overload/start.rs
+++ b/crates/gateway/tests/overload/start.rs
@@ -12,6 +12,7 @@
         uncomputed_tokens,
         requests,
         slots: 32,
+        waiting: 0,
         slowness,
     }
 }
--- a/crates/gateway/tests/servers/fixture.rs
+++ b/crates/gateway/tests/servers/fixture.rs
@@ -81,7 +81,7 @@
     pub(crate) peers: PeerLoads,
     pub(crate) published_weights: Option<PublishedWeights>,
     pub(crate) oldest_version: Option<u64>,
-    pub(crate) start: Option<StartQuery>,
+    pub(crate) start: Option<StartQuery<'static>>,
 }
 
 impl Fixture {
