Divide rejections among workspaces by what they claim

Under pressure all workspaces lost the same part of their requests, so one that sends ten times as much took ten times as much. Services without engines got requests that their servers were known to reject.

With the rule 'pressure', each workspace is admitted up to the same amount of tokens, from the claims of the last seconds at all daemons, which load reports carry while requests are rejected. A request to a service without engines is rejected at once if all of its servers are known to be full.

--- a/crates/gateway/src/background_tasks/load_reports.rs
+++ b/crates/gateway/src/background_tasks/load_reports.rs
@@ -2,12 +2,14 @@
 
 use super::peer_messages::send_message;
 use crate::caches::name_hash;
-use crate::gateway::Gateway;
+use crate::configuration::Configuration;
+use crate::gateway::{Gateway, ServiceLoad};
 use crate::groups::Role;
 use crate::peer_message::PeerMessage;
 use crate::peers::{EngineLoad, EngineTotal, LoadReport, LoadReporter, ReportScope, report_period};
 use crate::server::Server;
 use crate::settings::LoadControl;
+use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -69,12 +71,17 @@
     fn send(&mut self, role: &Role) {
         let sequence = self.gateway.ports.clock.wall_ms();
         let state = &mut *self.gateway.state.borrow_mut();
-        let engines = state.servers.iter().count();
         let now = self.gateway.now();
         let servers = state.servers.iter().map(|(_, server)| server);
+        let mut engines = state.servers.iter().count();
         let own = match self.gateway.settings.load_control {
             LoadControl::Memory => own_loads(servers, now),
-            LoadControl::StartTime => own_loads_with_work(servers, now),
+            LoadControl::StartTime => {
+                let mut own = own_loads_with_work(servers, now);
+                own.extend(own_claims(&state.loads, now));
+                engines += claim_keys_max(state.configuration.as_deref());
+                own
+            }
         };
         match role {
             Role::Mesh { peers } => {
@@ -124,6 +131,29 @@
         .collect()
 }
 
+/// Returns what workspaces claim at busy services. Claims are reported like loads on engines.
+fn own_claims(loads: &IndexMap<String, ServiceLoad>, now: Duration) -> Vec<EngineLoad> {
+    let mut claims = Vec::new();
+    for load in loads.values() {
+        if load.overload.span.is_recent(now) {
+            let reported = load.overload.shares.claims(now);
+            claims.extend(reported.map(|(key, tokens)| EngineLoad::new(key.0, tokens as u64)));
+        }
+    }
+    claims
+}
+
+/// Returns how many claims daemons may report at most: those of all workspaces at all services with
+/// engines. It determines the parts of a report, so it must not change with the load.
+fn claim_keys_max(configuration: Option<&Configuration>) -> usize {
+    let Some(configuration) = configuration else {
+        return 0;
+    };
+    let services = configuration.services();
+    let with_engines = services.filter(|service| service.engine.is_some()).count();
+    with_engines * configuration.workspaces().len()
+}
+
 fn send_all(
     gateway: &Gateway,
     socket: &UdpSocket,
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -240,6 +240,12 @@
             .map(|workspace| &self.workspaces[workspace.0])
     }
 
+    /// Returns all workspaces in the order of the configuration.
+    #[must_use]
+    pub fn workspaces(&self) -> &[Arc<Workspace>] {
+        &self.workspaces
+    }
+
     /// Returns whether clients need keys, which is the case as soon as there is a workspace.
     #[must_use]
     pub fn requires_keys(&self) -> bool {
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -307,20 +307,16 @@
         Ok(exchange)
     }
 
-    /// Records that the engine of the server has no memory left.
+    /// Records that the server is full, or its engine has no memory left.
     fn on_engine_full(&self) {
-        let Some(engine) = &self.routed.service.engine else {
+        let now = self.gateway.now();
+        let servers = &mut self.gateway.state.borrow_mut().servers;
+        let Some(server) = servers.get_mut(self.target.key) else {
             return;
         };
-        let now = self.gateway.now();
-        if let Some(server) = self
-            .gateway
-            .state
-            .borrow_mut()
-            .servers
-            .get_mut(self.target.key)
-        {
-            server.on_engine_full(engine.kv_capacity_tokens, now);
+        match &self.routed.service.engine {
+            Some(engine) => server.on_engine_full(engine.kv_capacity_tokens, now),
+            None => server.on_full(now),
         }
     }
 
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -20,6 +20,7 @@
 use crate::server::{Server, ServerKey, Servers};
 use crate::server_ends::UsedServer;
 use crate::weights::{FETCH_TIME_MAX, oldest_allowed_version};
+use crate::workspace_shares::ClaimKey;
 use anvilgw_quarantine::ServerStart;
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
@@ -138,8 +139,7 @@
     }
 }
 
-/// Selects a server. If no engine has free memory, waits for some: requests end all the time, and
-/// most clients prefer a late answer to none.
+/// Selects a server, and records what the request claims.
 pub(super) async fn select_target_with_wait(
     gateway: &Gateway,
     routed: &RoutedRequest,
@@ -148,6 +148,21 @@
     if routed.meta.prompt.is_some() {
         wait_for_stores(gateway, routed).await;
     }
+    let is_first_attempt = progress.borrow().tried_servers.is_empty();
+    let result = select_target_with_memory(gateway, routed, progress).await;
+    if is_first_attempt {
+        record_claim(gateway, routed);
+    }
+    result
+}
+
+/// Selects a server. If no engine has free memory, waits for some: requests end all the time, and
+/// most clients prefer a late answer to none.
+async fn select_target_with_memory(
+    gateway: &Gateway,
+    routed: &RoutedRequest,
+    progress: &RefCell<Progress>,
+) -> Result<Target, AttemptError> {
     let time = routed.end_at.saturating_sub(routed.arrived_at);
     let wait = time
         .mul_f64(MEMORY_WAIT_FRACTION)
@@ -303,6 +318,7 @@
         tried: &progress.borrow().tried_servers,
         share: state.share,
         may_ask_permits: options.may_ask_permits,
+        rejects_if_full: gateway.is_start_controlled() && is_first_attempt,
     };
     decide(&mut state.servers, &query, &mut state.rng)
 }
@@ -318,7 +334,12 @@
     if !gateway.is_start_controlled() || engine_capacity(&routed.service) == 0 {
         return None;
     }
-    let load = &*loads.entry(routed.service.name.clone()).or_default();
+    let load = loads.entry(routed.service.name.clone()).or_default();
+    let workspaces = routed.configuration.workspaces().iter();
+    let keys = workspaces.map(|workspace| ClaimKey::of(&routed.service.name, &workspace.name));
+    let shares = &mut load.overload.shares;
+    shares.set_workspaces(routed.configuration.version, keys);
+    let load = &*load;
     // A stream that the client resumes was admitted before.
     let is_new = is_first_attempt && routed.meta.resume_after.is_none();
     Some(StartQuery {
@@ -326,11 +347,30 @@
         service: load.speed,
         admission: is_new.then(|| Admission {
             demand: demand(routed, gateway.now()),
-            throttle: &load.overload.throttle,
+            overload: &load.overload,
+            claim_key: claim_key(routed),
         }),
     })
 }
 
+fn claim_key(routed: &RoutedRequest) -> Option<ClaimKey> {
+    let workspace = routed.workspace_name()?;
+    Some(ClaimKey::of(&routed.service.name, workspace))
+}
+
+/// Records what a request claims, after the decision on it, which must not depend on its size.
+fn record_claim(gateway: &Gateway, routed: &RoutedRequest) {
+    let (Some(prompt), Some(key)) = (&routed.meta.prompt, claim_key(routed)) else {
+        return;
+    };
+    let now = gateway.now();
+    let state = &mut *gateway.state.borrow_mut();
+    if let Some(load) = state.loads.get_mut(&routed.service.name) {
+        let shares = &mut load.overload.shares;
+        shares.on_request(key, prompt.footprint_tokens(), now);
+    }
+}
+
 /// Returns what decides on the admission of a request.
 fn demand(routed: &RoutedRequest, now: Duration) -> Demand {
     let routes = routed.configuration.routes().iter();
--- a/crates/gateway/src/overload.rs
+++ b/crates/gateway/src/overload.rs
@@ -8,6 +8,7 @@
 
 use crate::server_speed::ServiceSpeed;
 use crate::start_estimate::{ServerWork, StartEstimate};
+use crate::workspace_shares::WorkspaceShares;
 use std::cell::Cell;
 use std::time::Duration;
 
@@ -46,8 +47,12 @@
 const MEMORY_LEVEL_FRACTION: f64 = 0.04;
 /// Fraction of the time for which a request occupies an engine after which some memory is free.
 const FREED_AFTER_HOLDS: f64 = 0.25;
+/// Assumed time until a server without a queue takes a request again.
+const FULL_START: Duration = Duration::from_millis(150);
 /// Time without a rejection after which an overload is over.
 const OVERLOAD_GAP: Duration = Duration::from_secs(2);
+/// Time after a rejection for which daemons tell each other what workspaces claim.
+const RECENT_TIME: Duration = Duration::from_secs(10);
 /// Shortest range over which the times of retries are spread.
 const RETRY_SPREAD_MIN: Duration = Duration::from_millis(300);
 /// Shortest time after which a client is asked to retry.
@@ -234,6 +239,16 @@
 }
 
 impl Rejection {
+    /// Returns the rejection of a request because all servers are full.
+    #[must_use]
+    pub fn all_full() -> Self {
+        Self {
+            reason: RejectReason::Full,
+            start: FULL_START,
+            limit: Duration::ZERO,
+        }
+    }
+
     /// Returns the time in which the backlog shrinks so far that a request is admitted again.
     #[must_use]
     pub fn drain_time(&self) -> Duration {
@@ -259,7 +274,8 @@
 
 impl Throttle {
     /// Returns the share of requests to reject, from 0 to 1.
-    fn rejected_share(&self, demand: &Demand, fleet: &FleetLoad, now: Duration) -> f64 {
+    #[must_use]
+    pub fn rejected_share(&self, demand: &Demand, fleet: &FleetLoad, now: Duration) -> f64 {
         let relative = fleet.start_ms / millis(demand.start_limit()).max(1.0);
         let excess = (relative - ADMITTED_FRACTION) / (REJECTED_FACTOR - ADMITTED_FRACTION);
         let mut shares = self.shares.get();
@@ -279,8 +295,9 @@
     }
 }
 
-/// Decides whether a request is admitted. `start_ms` is the estimated start at the server that was
-/// chosen for it, `draw` a random number from 0 to 1.
+/// Decides whether a request is admitted. `rejected_share` is the share of requests like it that is
+/// rejected because of the start, `start_ms` the estimated start at the server that was chosen for
+/// it, and `draw` a random number from 0 to 1.
 ///
 /// # Errors
 ///
@@ -288,12 +305,10 @@
 pub fn admit(
     demand: &Demand,
     fleet: &FleetLoad,
-    throttle: &Throttle,
+    rejected_share: f64,
     start_ms: f64,
     draw: f64,
-    now: Duration,
 ) -> Result<(), Rejection> {
-    let rejected_share = throttle.rejected_share(demand, fleet, now);
     if !fleet.is_busy() {
         return Ok(());
     }
@@ -320,6 +335,8 @@
     pub throttle: Throttle,
     /// Time since when requests are rejected.
     pub span: OverloadSpan,
+    /// What workspaces claim.
+    pub shares: WorkspaceShares,
 }
 
 /// Time since when a service rejects requests.
@@ -339,6 +356,12 @@
         self.last_at = Some(now);
     }
 
+    /// Returns whether a request was rejected lately.
+    #[must_use]
+    pub fn is_recent(&self, now: Duration) -> bool {
+        self.last_at.is_some_and(|last| now < last + RECENT_TIME)
+    }
+
     /// Returns the time after which a client should retry. It is at least the time in which the
     /// backlog shrinks. It is spread over a range that grows with the length of the overload: the
     /// longer it has lasted, the longer it is likely to last. A client that would not wait so long
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -4,7 +4,7 @@
 
 use crate::caches::{CacheDirectory, CachePlan};
 use crate::configuration::Service;
-use crate::overload::{Demand, RejectReason, Rejection, Throttle};
+use crate::overload::{Demand, RejectReason, Rejection, ServiceOverload};
 use crate::peers::PeerLoads;
 use crate::permits::PermitState;
 use crate::prefill_rate::PrefillRate;
@@ -15,6 +15,7 @@
 use crate::server_speed::ServiceSpeed;
 use crate::start_estimate::StartEstimate;
 use crate::weights::{OldPartTimes, PublishedWeights};
+use crate::workspace_shares::ClaimKey;
 use rand::{Rng, RngExt};
 use ranked::select_by_rank;
 use std::cmp::Ordering;
@@ -48,6 +49,8 @@
     pub share: f64,
     /// Whether servers are candidates for which the issuer must be asked for a permit first.
     pub may_ask_permits: bool,
+    /// Whether a request without a prompt is rejected at once if all servers are known to be full.
+    pub rejects_if_full: bool,
 }
 
 impl<'a> Query<'a> {
@@ -62,6 +65,7 @@
             tried: &[],
             share: 1.0,
             may_ask_permits: true,
+            rejects_if_full: false,
         }
     }
 }
@@ -115,8 +119,10 @@
 pub struct Admission<'a> {
     /// The request.
     pub demand: Demand,
-    /// Shares of rejected requests of the service.
-    pub throttle: &'a Throttle,
+    /// Control of the service's overload.
+    pub overload: &'a ServiceOverload,
+    /// Key of the workspace's claims, if the client belongs to one.
+    pub claim_key: Option<ClaimKey>,
 }
 
 /// Estimated start at the selected server.
@@ -231,6 +237,9 @@
                 now,
             )
         }
+        None if query.rejects_if_full && all_full(servers, &preferred, now) => {
+            Err(NoServer::Overloaded(Rejection::all_full()))
+        }
         None => least_loaded(servers, &preferred, now, rng)
             .map(|server| Selected {
                 server,
@@ -337,6 +346,11 @@
     reliable
 }
 
+fn all_full(servers: &Servers, keys: &[ServerKey], now: Duration) -> bool {
+    let mut known = keys.iter().filter_map(|key| servers.get(*key));
+    known.all(|server| server.is_full(now))
+}
+
 fn least_loaded(
     servers: &Servers,
     keys: &[ServerKey],
--- a/crates/gateway/src/select/ranked.rs
+++ b/crates/gateway/src/select/ranked.rs
@@ -2,12 +2,13 @@
 
 use super::{Admission, CacheUse, NoServer, PromptQuery, Selected, SelectedStart, StartQuery};
 use crate::caches::{CachePlan, PlanDestination, TransferPolicy, name_hash};
-use crate::overload::{FleetLoad, admit};
+use crate::overload::{FleetLoad, ServiceOverload, admit};
 use crate::peers::PeerLoads;
 use crate::region_constraints::RegionConstraints;
 use crate::server::{Server, ServerKey, Servers};
 use crate::start_estimate::{Candidate, PromptTokens, Requirement, ServerWork, StartEstimate};
 use crate::weights::{cache_scope, may_read_part};
+use crate::workspace_shares::ClaimKey;
 use anvilgw_router::BreakerState;
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
@@ -121,13 +122,32 @@
         return Err(rejection.map_or(NoServer::NoMemory, NoServer::Overloaded));
     };
     let estimate = candidates[index].estimate;
-    if let Some(Admission { demand, throttle }) = &start.admission {
+    if let Some(admission) = &start.admission {
+        let rejected_share = rejected_share(admission, &fleet, query.peer_loads, now);
         let start_ms = estimate.start_ms();
-        admit(demand, &fleet, throttle, start_ms, draw, now).map_err(NoServer::Overloaded)?;
+        admit(&admission.demand, &fleet, rejected_share, start_ms, draw)
+            .map_err(NoServer::Overloaded)?;
     }
     Ok((index, estimate))
 }
 
+/// Returns the share of the workspace's requests of this urgency that is rejected.
+fn rejected_share(
+    admission: &Admission<'_>,
+    fleet: &FleetLoad,
+    peer_loads: &PeerLoads,
+    now: Duration,
+) -> f64 {
+    let ServiceOverload {
+        throttle, shares, ..
+    } = admission.overload;
+    let share = throttle.rejected_share(&admission.demand, fleet, now);
+    let others = |key: ClaimKey| peer_loads.tokens_on(key.0);
+    admission
+        .claim_key
+        .map_or(share, |key| shares.rejected_share(key, share, others, now))
+}
+
 fn requirement(query: &PromptQuery<'_>, start: StartQuery) -> Requirement {
     let unshared = query.prompt.unshared_tokens();
     Requirement {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -26,6 +26,8 @@
 /// is enough to send prompts to other engines, but too little to refuse them when all engines
 /// are full.
 const MEMORY_REJECTION_FRACTION: f64 = 0.3;
+/// Time for which a server counts as full after it has rejected a request.
+const FULL_TIME: Duration = Duration::from_millis(150);
 /// Upper limit of the back-off that a backend server can request with one answer. Longer
 /// back-offs are cut to this time.
 const BACKOFF_MAX: Duration = Duration::from_secs(300);
@@ -88,6 +90,8 @@
     memory_rejection: Option<(Duration, u64)>,
     /// Time until which the server has asked this daemon to send no requests.
     backoff_until: Duration,
+    /// Time until which the server counts as full after it has rejected a request.
+    full_until: Duration,
 }
 
 /// Returns the hash that identifies a server in load reports between daemons. If two servers
@@ -126,6 +130,7 @@
             drain_notice: None,
             memory_rejection: None,
             backoff_until: Duration::ZERO,
+            full_until: Duration::ZERO,
         }
     }
 
@@ -378,6 +383,19 @@
         self.memory_rejection = Some((now + MEMORY_REJECTION_TIME, tokens as u64));
     }
 
+    /// Records that the server rejected a request because it executes as many as it can.
+    pub fn on_full(&mut self, now: Duration) {
+        self.full_until = now + FULL_TIME;
+    }
+
+    /// Returns whether the server is known to execute as many requests as it can: it has rejected
+    /// one just now, or this daemon's own requests take up all slots.
+    #[must_use]
+    pub fn is_full(&self, now: Duration) -> bool {
+        let slots = self.entry.slots;
+        now < self.full_until || (slots > 0 && self.in_flight >= slots)
+    }
+
     /// Returns the tokens that this daemon's requests occupy on the engine, plus the extra load
     /// assumed after a recent rejection.
     #[must_use]
--- a/crates/gateway/tests/overload/admission.rs
+++ b/crates/gateway/tests/overload/admission.rs
@@ -122,13 +122,16 @@
         let chosen = requirement(self.service, tokens).choose(&candidates);
         let chosen = chosen.expect("no limit on memory");
         let demand = demand(urgency);
+        let fleet = FleetLoad::of(&known);
+        let rejected_share = self
+            .throttle
+            .rejected_share(&demand, &fleet, at(self.now_ms));
         let admitted = admit(
             &demand,
-            &FleetLoad::of(&known),
-            &self.throttle,
+            &fleet,
+            rejected_share,
             candidates[chosen].estimate.start_ms(),
             self.rng.random(),
-            at(self.now_ms),
         );
         let counts = [
             &mut self.by_urgency[urgency],
@@ -290,7 +293,8 @@
     for case in cases {
         let throttle = Throttle::default();
         let demand = demand(case.urgency);
-        let admitted = admit(&demand, &case.fleet, &throttle, case.start_ms, 0.5, at(0.0));
+        let share = throttle.rejected_share(&demand, &case.fleet, at(0.0));
+        let admitted = admit(&demand, &case.fleet, share, case.start_ms, 0.5);
         let reason = admitted.err().map(|rejection| rejection.reason);
         assert_eq!(reason, case.expected, "{}", case.name);
     }
--- a/crates/gateway/tests/overload/main.rs
+++ b/crates/gateway/tests/overload/main.rs
@@ -4,3 +4,4 @@
 mod engines;
 mod speed;
 mod start;
+mod workspaces;
--- a/crates/gateway/tests/servers/fixture.rs
+++ b/crates/gateway/tests/servers/fixture.rs
@@ -129,6 +129,20 @@
         select(&mut self.servers, &query, now, &mut rng()).is_ok()
     }
 
+    /// Tries to select a server for a request without a prompt.
+    pub(crate) fn try_plain(
+        &mut self,
+        rejects_if_full: bool,
+        now: Duration,
+    ) -> Result<(), NoServer> {
+        let service = service(0.0);
+        let query = Query {
+            rejects_if_full,
+            ..Query::new(&service, constraints(&self.regions, &self.confined_to))
+        };
+        select(&mut self.servers, &query, now, &mut rng()).map(|_| ())
+    }
+
     pub(crate) fn place(&mut self, prompt: &Prompt, now: Duration) -> Result<Selected, NoServer> {
         self.place_within(prompt, 90_000.0, now)
     }
--- a/crates/gateway/tests/servers/placement.rs
+++ b/crates/gateway/tests/servers/placement.rs
@@ -2,6 +2,7 @@
 
 use crate::fixture::{Fixture, MODEL, at, entry, events, named_prompt, prompt, store};
 use anvilgw_gateway::groups::Role;
+use anvilgw_gateway::overload::Rejection;
 use anvilgw_gateway::select::NoServer;
 use anvilgw_gateway::server::{ServerEntry, ServerKey, ServerState};
 
@@ -201,3 +202,31 @@
     let refused = fixture.place(&named_prompt(), at(1)).err();
     assert_eq!(refused, Some(NoServer::NoneInService));
 }
+
+/// Load: a burst at a service without a queue, whose servers reject what exceeds their slots. Guards
+/// against requests that are sent to servers known to be full, and against requests that are
+/// rejected while a server may be free, or where the rules in force do not call for it.
+#[test]
+fn requests_are_rejected_at_once_only_if_all_servers_are_full() {
+    let mut fixture = Fixture::new(&["s1", "s2"]);
+    let keys = ["s1", "s2"].map(|id| fixture.servers.key_of(id).expect("known"));
+    let full = Err(NoServer::Overloaded(Rejection::all_full()));
+    assert_eq!(fixture.try_plain(true, at(1)), Ok(()));
+    fixture
+        .servers
+        .get_mut(keys[0])
+        .expect("known")
+        .on_full(at(2));
+    assert_eq!(fixture.try_plain(true, at(3)), Ok(()), "one may be free");
+    let other = fixture.servers.get_mut(keys[1]).expect("known");
+    for _ in 0..8 {
+        other.on_request_sent(0, at(3));
+    }
+    assert_eq!(fixture.try_plain(true, at(4)), full);
+    assert_eq!(fixture.try_plain(false, at(4)), Ok(()), "without the rule");
+    assert_eq!(
+        fixture.try_plain(true, at(900)),
+        Ok(()),
+        "the rejection is old"
+    );
+}
