--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -274,8 +274,9 @@
     let state = &mut *gateway.state.borrow_mut();
     let is_first_attempt = progress.borrow().tried_servers.is_empty();
     let start = start_query(gateway, &mut state.loads, routed, is_first_attempt);
-    let free_fraction = start
-        .and_then(|start| start.admission)
+    let admission = start.and_then(|start| start.admission);
+    let free_fraction = admission
+        .filter(|admission| admission.overload.span.is_recent(now))
         .map_or(0.0, |admission| admission.demand.free_memory_fraction());
     let prompt = routed.meta.prompt.as_ref().map(|prompt| {
         let published_weights = state.weights.get(&prompt.model);
--- a/crates/gateway/src/overload.rs
+++ b/crates/gateway/src/overload.rs
@@ -41,8 +41,11 @@
 /// Fraction of its latency target for which a less urgent request waits for memory while servers
 /// are busy.
 const BUSY_MEMORY_WAIT: f64 = 0.08;
-/// Number of latency targets for which other requests wait for memory.
+/// Number of latency targets for which the most urgent requests wait for memory while servers are
+/// busy, and less urgent ones while they are not.
 const MEMORY_WAIT: f64 = 1.0;
+/// Number of latency targets for which the most urgent requests wait while servers are not busy.
+const IDLE_MEMORY_WAIT: f64 = 2.5;
 /// Fraction of an engine's memory that each more urgent level finds free in addition.
 const MEMORY_LEVEL_FRACTION: f64 = 0.04;
 /// Fraction of the time for which a request occupies an engine after which some memory is free.
@@ -138,10 +141,10 @@
     /// Returns the time for which the request waits for memory.
     #[must_use]
     pub fn memory_wait(&self, is_busy: bool) -> Duration {
-        let targets = if is_busy && self.more_urgent.is_some() {
-            BUSY_MEMORY_WAIT
-        } else {
-            MEMORY_WAIT
+        let targets = match (is_busy, self.more_urgent) {
+            (true, Some(_)) => BUSY_MEMORY_WAIT,
+            (true, None) | (false, Some(_)) => MEMORY_WAIT,
+            (false, None) => IDLE_MEMORY_WAIT,
         };
         self.latency_target.mul_f64(targets)
     }
@@ -157,7 +160,8 @@
         }
     }
 
-    /// Returns the fraction of an engine's memory that the request leaves free for more urgent ones.
+    /// Returns the fraction of an engine's memory that the request leaves free for more urgent ones
+    /// while requests are rejected.
     #[must_use]
     pub fn free_memory_fraction(&self) -> f64 {
         self.level() as f64 * MEMORY_LEVEL_FRACTION
