Log the begin of an overload; bound the slots that a server counts as taken

One server with a long queue could make a whole service count as busy, and queues at servers lengthened the learned time for which requests occupy a slot. Requests beyond a server's slots no longer count as taken slots, and the time before the first event no longer counts as occupation. The log shows the first rejection of a service with its reason, estimate and limit.

--- a/crates/gateway/src/dispatch/in_flight.rs
+++ b/crates/gateway/src/dispatch/in_flight.rs
@@ -134,10 +134,12 @@
         speed.on_first_event(&sample, now);
     }
 
-    /// Records for how long a successful request has occupied the server.
+    /// Records for how long a successful request has occupied the server. The time before the first
+    /// event is left out, because the request may have waited for a slot.
     fn on_request_held(&self) {
         let Some(service) = &self.service else { return };
-        let held = self.gateway.now().saturating_sub(self.sent_at);
+        let began_at = self.body_began_at.unwrap_or(self.sent_at);
+        let held = self.gateway.now().saturating_sub(began_at);
         let state = &mut *self.gateway.state.borrow_mut();
         let load = state.loads.entry(service.clone()).or_default();
         load.speed.on_request_ended(held);
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -127,6 +127,19 @@
         /// was none, since it knows the server.
         sent: u32,
     },
+    /// A request was rejected because of the load, the first one of its service for two seconds.
+    Overload {
+        /// Name of the service.
+        service: &'a str,
+        /// Urgency of the request; 0 is the most urgent.
+        urgency: u8,
+        /// `start_limit`, `too_late`, `memory` or `full`.
+        reason: &'a str,
+        /// Estimated time until a server would have begun with the request, in milliseconds.
+        start_ms: u64,
+        /// Limit of that time, in milliseconds.
+        limit_ms: u64,
+    },
     /// A backend server ended while requests with prompts were in flight there.
     ServerEnded {
         /// Identifier of the backend server, empty if it is no longer known.
--- a/crates/gateway/src/overload.rs
+++ b/crates/gateway/src/overload.rs
@@ -190,10 +190,12 @@
             false => *starts.select_nth_unstable_by(middle, f64::total_cmp).1,
         };
         let slots: f64 = servers.iter().map(|(work, _)| f64::from(work.slots)).sum();
-        let requests: f64 = servers.iter().map(|(work, _)| work.requests).sum();
+        let taken = servers
+            .iter()
+            .map(|(work, _)| work.requests.min(f64::from(work.slots)));
         Self {
             start_ms,
-            slots_taken: requests / slots.max(1.0),
+            slots_taken: taken.sum::<f64>() / slots.max(1.0),
             is_waiting: servers.iter().any(|(work, _)| work.waiting > 0),
         }
     }
@@ -351,13 +353,14 @@
 }
 
 impl OverloadSpan {
-    /// Records a rejection.
-    pub fn on_rejected(&mut self, now: Duration) {
+    /// Records a rejection. Returns whether it is the first one of an overload.
+    pub fn on_rejected(&mut self, now: Duration) -> bool {
         let is_new = self.last_at.is_none_or(|last| now > last + OVERLOAD_GAP);
         if is_new {
             self.began_at = now;
         }
         self.last_at = Some(now);
+        is_new
     }
 
     /// Returns whether a request was rejected lately.
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -3,6 +3,7 @@
 use crate::configuration::RouteKind;
 use crate::dispatch::{Progress, RoutedRequest, may_repeat_after_end};
 use crate::gateway::Gateway;
+use crate::log::Event;
 use crate::metrics::RejectionLabels;
 use crate::overload::Rejection;
 use crate::select::NoServer;
@@ -285,6 +286,16 @@
     let draw = state.rng.random();
     let load = state.loads.entry(call.service.name.clone()).or_default();
     let span = &mut load.overload.span;
-    span.on_rejected(now);
-    span.retry_after(rejection.drain_time(), call.remaining(now), draw, now)
+    let is_first = span.on_rejected(now);
+    let retry_after = span.retry_after(rejection.drain_time(), call.remaining(now), draw, now);
+    if is_first {
+        gateway.log_notable(&Event::Overload {
+            service: &call.service.name,
+            urgency: call.urgency(),
+            reason: rejection.reason.name(),
+            start_ms: rejection.start.as_millis() as u64,
+            limit_ms: rejection.limit.as_millis() as u64,
+        });
+    }
+    retry_after
 }
--- a/crates/gateway/tests/overload/admission.rs
+++ b/crates/gateway/tests/overload/admission.rs
@@ -324,7 +324,10 @@
     for (lasted_ms, latest_ms) in [(0.0, 1_000.0), (1_000.0, 1_700.0), (60_000.0, 2_900.0)] {
         // Rejections follow each other closely.
         let rejections = (lasted_ms / 500.0) as u32;
-        (0..=rejections).for_each(|index| span.on_rejected(at(f64::from(index) * 500.0)));
+        for index in 0..=rejections {
+            let is_first = span.on_rejected(at(f64::from(index) * 500.0));
+            assert_eq!(is_first, lasted_ms < 1.0, "{lasted_ms}");
+        }
         let after = |draw| span.retry_after(drain, remaining, draw, at(lasted_ms));
         assert_eq!(after(0.0), drain);
         assert!(after(1.0) <= remaining / 3, "{lasted_ms}");
@@ -336,3 +339,30 @@
         assert!(after(0.5) > after(0.2), "{lasted_ms}");
     }
 }
+
+/// Guards against rejections because of a single server with a long queue while the others are free.
+#[test]
+fn one_full_server_does_not_make_a_service_busy() {
+    let service = ServiceSpeed::default();
+    let server = |requests, waiting| {
+        let work = ServerWork {
+            uncomputed_tokens: 0,
+            requests,
+            slots: 32,
+            waiting,
+            slowness: 1.0,
+        };
+        (work, StartEstimate::of(&work, &service))
+    };
+    let idle = server(0.0, 0);
+    let cases = [
+        ([server(200.0, 0), idle, idle], false),
+        ([server(32.0, 0), server(20.0, 0), idle], true),
+        ([server(1.0, 3), idle, idle], true),
+    ];
+    for (servers, is_busy) in cases {
+        let fleet = FleetLoad::of(&servers);
+        assert_eq!(fleet.is_busy(), is_busy, "{fleet:?}");
+        assert!(fleet.start_ms < 1.0, "{fleet:?}");
+    }
+}
