Reject urgent requests later than a crowd, and no kind altogether

With reports 400 ms old, a short backlog of a crowd rejected the most urgent requests as well, and a kind could be rejected completely. The rejected share of the most urgent level now rises by at most 2 per second, that of any level ends at 0.97, and the limits are 0.9 of the latency target and 0.45, 0.38 or 0.3 of that of more urgent routes.

--- a/crates/gateway/src/overload.rs
+++ b/crates/gateway/src/overload.rs
@@ -17,10 +17,10 @@
 /// Number of latency targets for which they wait, if that is longer.
 const GIVE_UP_TARGETS: u32 = 4;
 /// Limit of the most urgent requests, as a fraction of their latency target.
-const MOST_URGENT_FRACTION: f64 = 1.0;
+const MOST_URGENT_FRACTION: f64 = 0.9;
 /// Limits of less urgent requests, as fractions of the shortest latency target of the more urgent
 /// ones, by the number of more urgent levels.
-const LESS_URGENT_FRACTIONS: [f64; 3] = [0.5, 0.4, 0.3];
+const LESS_URGENT_FRACTIONS: [f64; 3] = [0.45, 0.38, 0.3];
 /// Largest fraction of their own latency target for such requests.
 const OWN_TARGET_FRACTION: f64 = 0.8;
 /// Fraction of the limit up to which all requests are admitted.
@@ -29,6 +29,11 @@
 const REJECTED_FACTOR: f64 = 1.4;
 /// Number of levels of urgency that are distinguished.
 const LEVELS: usize = LESS_URGENT_FRACTIONS.len() + 1;
+/// Largest increase of the share of rejected requests of the most urgent level per second. A short
+/// backlog of a crowd is over before they are rejected.
+const MOST_URGENT_RISE_PER_S: f64 = 2.0;
+/// Longest time since the last request for which the share may rise, in seconds.
+const RISE_AGE_MAX_S: f64 = 0.1;
 /// Decrease of the share of rejected requests per second, by level. More urgent ones are admitted
 /// again first.
 const FALL_PER_S: [f64; LEVELS] = [5.0, 1.5, 0.7, 0.4];
@@ -36,6 +41,8 @@
 const DRAINED_FRACTION: f64 = 0.2;
 /// Decrease of the share per second in that case.
 const DRAINED_FALL_PER_S: f64 = 2.0;
+/// Largest share of rejected requests of a level, so that no kind of request is shut out.
+const REJECTED_SHARE_MAX: f64 = 0.97;
 /// Fraction of the slots below which nothing is rejected unless requests wait.
 const SLOTS_TAKEN_MIN: f64 = 0.5;
 /// Fraction of its latency target for which a less urgent request waits for memory while servers
@@ -293,7 +300,12 @@
             FALL_PER_S[level]
         };
         let age_s = now.saturating_sub(held.at).as_secs_f64();
-        held.share = (held.share - fall_per_s * age_s).max(excess.clamp(0.0, 1.0));
+        let mut risen = excess.clamp(0.0, REJECTED_SHARE_MAX);
+        if level == 0 {
+            let rise = MOST_URGENT_RISE_PER_S * age_s.min(RISE_AGE_MAX_S);
+            risen = risen.min(held.share + rise);
+        }
+        held.share = (held.share - fall_per_s * age_s).max(risen);
         held.at = now;
         let share = held.share;
         self.shares.set(shares);
