--- a/crates/gateway/src/background_tasks/load_reports.rs
+++ b/crates/gateway/src/background_tasks/load_reports.rs
@@ -2,11 +2,14 @@
 
 use super::peer_messages::send_message;
 use crate::caches::name_hash;
-use crate::gateway::Gateway;
+use crate::configuration::Configuration;
+use crate::gateway::{Gateway, ServiceLoad};
 use crate::groups::Role;
 use crate::peer_message::PeerMessage;
-use crate::peers::{EngineLoad, LoadReport, LoadReporter, ReportScope, report_period};
+use crate::peers::{EngineLoad, EngineTotal, LoadReport, LoadReporter, ReportScope, report_period};
 use crate::server::Server;
+use crate::settings::LoadControl;
+use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -48,21 +51,38 @@
 impl<'a> ReportSender<'a> {
     fn new(gateway: &'a Gateway, socket: &'a UdpSocket) -> Self {
         let sender_hash = name_hash(&gateway.settings.instance);
+        let load_control = gateway.settings.load_control;
+        let reporter = |scope| {
+            let reporter = LoadReporter::new(scope, sender_hash);
+            match load_control {
+                LoadControl::Memory => reporter,
+                LoadControl::StartTime => reporter.with_work(),
+            }
+        };
         Self {
             gateway,
             socket,
-            daemon: LoadReporter::new(ReportScope::Daemon, sender_hash),
-            group: LoadReporter::new(ReportScope::Group, sender_hash),
-            fleet: LoadReporter::new(ReportScope::Fleet, sender_hash),
+            daemon: reporter(ReportScope::Daemon),
+            group: reporter(ReportScope::Group),
+            fleet: reporter(ReportScope::Fleet),
         }
     }
 
     fn send(&mut self, role: &Role) {
         let sequence = self.gateway.ports.clock.wall_ms();
         let state = &mut *self.gateway.state.borrow_mut();
-        let engines = state.servers.iter().count();
         let now = self.gateway.now();
-        let own = own_loads(state.servers.iter().map(|(_, server)| server), now);
+        let servers = state.servers.iter().map(|(_, server)| server);
+        let mut engines = state.servers.iter().count();
+        let own = match self.gateway.settings.load_control {
+            LoadControl::Memory => own_loads(servers, now),
+            LoadControl::StartTime => {
+                let mut own = own_loads_with_work(servers, now);
+                own.extend(own_claims(&state.loads, now));
+                engines += claim_keys_max(state.configuration.as_deref());
+                own
+            }
+        };
         match role {
             Role::Mesh { peers } => {
                 let reports = self.daemon.next_reports(&own, engines, sequence);
@@ -94,6 +114,46 @@
         .collect()
 }
 
+fn own_loads_with_work<'a>(
+    servers: impl Iterator<Item = &'a Server>,
+    now: Duration,
+) -> Vec<EngineLoad> {
+    servers
+        .filter(|server| server.in_flight > 0 || server.estimated_tokens(now) > 0)
+        .map(|server| {
+            let total = EngineTotal {
+                tokens: server.estimated_tokens(now),
+                uncomputed_tokens: server.uncomputed_tokens,
+                requests: u64::from(server.in_flight),
+            };
+            EngineLoad::with_work(server.server_hash(), total)
+        })
+        .collect()
+}
+
+/// Returns what workspaces claim at busy services. Claims are reported like loads on engines.
+fn own_claims(loads: &IndexMap<String, ServiceLoad>, now: Duration) -> Vec<EngineLoad> {
+    let mut claims = Vec::new();
+    for load in loads.values() {
+        if load.overload.span.is_recent(now) {
+            let reported = load.overload.shares.claims(now);
+            claims.extend(reported.map(|(key, tokens)| EngineLoad::new(key.0, tokens as u64)));
+        }
+    }
+    claims
+}
+
+/// Returns how many claims daemons may report at most: those of all workspaces at all services with
+/// engines. It determines the parts of a report, so it must not change with the load.
+fn claim_keys_max(configuration: Option<&Configuration>) -> usize {
+    let Some(configuration) = configuration else {
+        return 0;
+    };
+    let services = configuration.services();
+    let with_engines = services.filter(|service| service.engine.is_some()).count();
+    with_engines * configuration.workspaces().len()
+}
+
 fn send_all(
     gateway: &Gateway,
     socket: &UdpSocket,
--- a/crates/gateway/src/dispatch/in_flight.rs
+++ b/crates/gateway/src/dispatch/in_flight.rs
@@ -6,9 +6,11 @@
 use super::target::Target;
 use crate::gateway::Gateway;
 use crate::request::{AnswerMeta, Prompt};
+use crate::select::SelectedStart;
 use crate::server::{Server, ServerKey};
 use crate::server_ends::{UsedServer, on_answer_broken};
 use crate::server_notices::on_server_notice;
+use crate::server_speed::StartSample;
 use anvilgw_quarantine::Suspect;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +25,10 @@
     gateway: Rc<Gateway>,
     server: UsedServer,
     tokens: u64,
+    /// Estimated start, until the first event of a stream has arrived.
+    awaited_start: Option<SelectedStart>,
+    /// Name of the service, if the speed of its servers is learned.
+    service: Option<String>,
     sent_at: Duration,
     /// Shared parts of the request's prompt.
     suspects: Rc<[Suspect]>,
@@ -37,9 +43,12 @@
         gateway: &Rc<Gateway>,
         target: &Target,
         routed: &RoutedRequest,
+        start: Option<SelectedStart>,
         state: Rc<AttemptState>,
     ) -> Self {
         let server = target.used_server();
+        // The answer to another kind of request does not show when the prompt is computed.
+        let awaited_start = start.filter(|_| routed.route.kind.is_stream());
         let prompt = routed.meta.prompt.as_ref();
         let tokens = prompt.map_or(0, Prompt::footprint_tokens);
         let now = gateway.now();
@@ -47,13 +56,18 @@
             gateway: Rc::clone(gateway),
             server,
             tokens,
+            awaited_start,
+            service: start.map(|_| routed.service.name.clone()),
             sent_at: now,
             suspects: Rc::clone(&routed.suspects),
             state,
             body_began_at: None,
             rollout: RolloutOutcome::new(gateway, routed, target),
         };
-        in_flight.with_server(|server| server.on_request_sent(tokens, now));
+        in_flight.with_server(|server| {
+            server.on_request_sent(tokens, now);
+            server.on_prompt_sent(awaited_start.map_or(0, |start| start.own_tokens));
+        });
         in_flight
     }
 
@@ -107,10 +121,46 @@
         let now = self.gateway.now();
         self.body_began_at.get_or_insert(now);
         self.rollout.on_answer(false);
+        if let Some(start) = self.awaited_start.take() {
+            self.on_first_event(&start, now);
+        }
+    }
+
+    /// Records that the prompt is computed, and updates the speed of the server and its service.
+    fn on_first_event(&self, start: &SelectedStart, now: Duration) {
+        let state = &mut *self.gateway.state.borrow_mut();
+        let server = state.servers.get_mut(self.server.key);
+        let (Some(server), Some(service)) = (server, &self.service) else {
+            return;
+        };
+        server.on_prompt_computed(start.own_tokens);
+        let waited_for_slot = start.estimate.slot_ms > 0.0;
+        if waited_for_slot || server.is_cold(now) {
+            return;
+        }
+        let sample = StartSample {
+            tokens: start.estimate.tokens_ahead + start.own_tokens,
+            elapsed: now.saturating_sub(self.sent_at),
+        };
+        let speed = &mut state.loads.entry(service.clone()).or_default().speed;
+        server.speed.on_first_event(&sample, speed, now);
+        speed.on_first_event(&sample, now);
+    }
+
+    /// Records for how long a successful request has occupied the server. The time before the first
+    /// event is left out, because the request may have waited for a slot.
+    fn on_request_held(&self) {
+        let Some(service) = &self.service else { return };
+        let began_at = self.body_began_at.unwrap_or(self.sent_at);
+        let held = self.gateway.now().saturating_sub(began_at);
+        let state = &mut *self.gateway.state.borrow_mut();
+        let load = state.loads.entry(service.clone()).or_default();
+        load.speed.on_request_ended(held);
     }
 
     /// Records that a whole answer was received with success, so that its prompt is sound.
     pub(super) fn on_answer_complete(&self) {
+        self.on_request_held();
         if self.suspects.is_empty() {
             return;
         }
@@ -154,7 +204,11 @@
         if self.state.is_replaced() {
             self.on_answer_timeout();
         }
-        self.with_server(|server| server.on_request_ended(self.tokens));
+        let uncomputed_tokens = self.awaited_start.map_or(0, |start| start.own_tokens);
+        self.with_server(|server| {
+            server.on_request_ended(self.tokens);
+            server.on_prompt_computed(uncomputed_tokens);
+        });
     }
 }
 
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -6,18 +6,22 @@
 use crate::admission::MemoryRequest;
 use crate::caches::CacheDirectory;
 use crate::configuration::Service;
-use crate::gateway::{Gateway, State};
+use crate::gateway::{Gateway, ServiceLoad, State};
 use crate::log::{Choice, PromptChoice};
+use crate::overload::{Demand, MoreUrgent, RejectReason};
 use crate::pending_ends::start_of;
 use crate::permit_client::{PermitTarget, acquire_permit};
 use crate::permits::PermitPurpose;
 use crate::prefill_rate::PrefillRate;
 use crate::region_constraints::RegionConstraints;
 use crate::retry::AttemptError;
-use crate::select::{CacheUse, NoServer, PromptQuery, Query, Selected, select};
+use crate::select::{
+    Admission, CacheUse, NoServer, PromptQuery, Query, Selected, SelectedStart, StartQuery, select,
+};
 use crate::server::{Server, ServerKey, Servers};
 use crate::server_ends::UsedServer;
 use crate::weights::{FETCH_TIME_MAX, oldest_allowed_version};
+use crate::workspace_shares::ClaimKey;
 use anvilgw_quarantine::ServerStart;
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
@@ -69,6 +73,8 @@
     /// Software version of the server, if it publishes one.
     pub(super) version: Option<String>,
     pub(super) is_cold: bool,
+    /// Estimated start, if servers are selected by it.
+    pub(super) start_estimate: Option<SelectedStart>,
     /// What was known of the server when it was selected, for the log.
     pub(super) choice: Choice,
 }
@@ -98,7 +104,11 @@
             begin_by: limits.begin_by,
             version: server.entry.version.clone(),
             is_cold: server.is_cold(now),
+            start_estimate: selected.start,
             choice: Choice {
+                start_ms: selected
+                    .start
+                    .map(|start| start.estimate.start_ms().round() as u64),
                 load: server.load(now),
                 load_age_ms: server.load_age(now).map(|age| age.as_millis() as u64),
                 prompt,
@@ -135,8 +145,7 @@
     }
 }
 
-/// Selects a server. If no engine has free memory, waits for some: requests end all the time, and
-/// most clients prefer a late answer to none.
+/// Selects a server, and records what the request claims.
 pub(super) async fn select_target_with_wait(
     gateway: &Gateway,
     routed: &RoutedRequest,
@@ -145,6 +154,21 @@
     if routed.meta.prompt.is_some() {
         wait_for_stores(gateway, routed).await;
     }
+    let is_first_attempt = progress.borrow().tried_servers.is_empty();
+    let result = select_target_with_memory(gateway, routed, progress).await;
+    if is_first_attempt {
+        record_claim(gateway, routed);
+    }
+    result
+}
+
+/// Selects a server. If no engine has free memory, waits for some: requests end all the time, and
+/// most clients prefer a late answer to none.
+async fn select_target_with_memory(
+    gateway: &Gateway,
+    routed: &RoutedRequest,
+    progress: &RefCell<Progress>,
+) -> Result<Target, AttemptError> {
     let time = routed.end_at.saturating_sub(routed.arrived_at);
     let wait = time
         .mul_f64(MEMORY_WAIT_FRACTION)
@@ -154,8 +178,16 @@
     loop {
         let is_waiting = poll_interval > MEMORY_POLL_INTERVAL;
         let result = select_target(gateway, routed, progress, is_waiting).await;
-        let lacks_memory = matches!(result, Err(AttemptError::NoServer(NoServer::NoMemory)));
-        if !lacks_memory || gateway.now() + poll_interval > wait_until {
+        let wait_until = match &result {
+            Err(AttemptError::NoServer(NoServer::NoMemory)) => wait_until,
+            Err(AttemptError::NoServer(NoServer::Overloaded(rejection)))
+                if rejection.reason == RejectReason::Memory =>
+            {
+                wait_until.min(routed.arrived_at + rejection.limit)
+            }
+            _ => return result,
+        };
+        if gateway.now() + poll_interval > wait_until {
             return result;
         }
         sleep(poll_interval).await;
@@ -256,6 +288,12 @@
 ) -> T {
     let now = gateway.now();
     let state = &mut *gateway.state.borrow_mut();
+    let is_first_attempt = progress.borrow().tried_servers.is_empty();
+    let start = start_query(gateway, &mut state.loads, routed, is_first_attempt);
+    let admission = start.and_then(|start| start.admission);
+    let free_fraction = admission
+        .filter(|admission| admission.overload.span.is_recent(now))
+        .map_or(0.0, |admission| admission.demand.free_memory_fraction());
     let prompt = routed.meta.prompt.as_ref().map(|prompt| {
         let published_weights = state.weights.get(&prompt.model);
         let switch_time = gateway.settings.bounds.weight_switch;
@@ -264,6 +302,7 @@
             caches: &state.caches,
             prefill_rate: prefill_rate(&state.prefill_rates, &routed.service),
             peer_loads: &state.peer_loads,
+            start,
             isolated_workspace: routed.isolated_workspace(),
             oldest_version: published_weights
                 .and_then(|published| oldest_allowed_version(published, switch_time, now)),
@@ -275,7 +314,7 @@
                     is_waiting: options.is_waiting,
                 },
                 engine_capacity(&routed.service),
-            ),
+            ) - engine_capacity(&routed.service) as f64 * free_fraction,
             published_weights,
             old_part_times: gateway.old_part_times(),
             is_configuration_current: state.configuration_freshness.is_current(now),
@@ -300,10 +339,76 @@
         excluded: &excluded,
         share: state.share,
         may_ask_permits: options.may_ask_permits,
+        rejects_if_full: gateway.is_start_controlled() && is_first_attempt,
     };
     decide(&mut state.servers, &query, &mut state.rng)
 }
 
+/// Returns the inputs to the estimate of the start, if load is controlled by it and the memory of
+/// the service's engines is known.
+fn start_query<'a>(
+    gateway: &Gateway,
+    loads: &'a mut IndexMap<String, ServiceLoad>,
+    routed: &RoutedRequest,
+    is_first_attempt: bool,
+) -> Option<StartQuery<'a>> {
+    if !gateway.is_start_controlled() || engine_capacity(&routed.service) == 0 {
+        return None;
+    }
+    let load = loads.entry(routed.service.name.clone()).or_default();
+    let workspaces = routed.configuration.workspaces().iter();
+    let keys = workspaces.map(|workspace| ClaimKey::of(&routed.service.name, &workspace.name));
+    let shares = &mut load.overload.shares;
+    shares.set_workspaces(routed.configuration.version, keys);
+    let load = &*load;
+    // A stream that the client resumes was admitted before.
+    let is_new = is_first_attempt && routed.meta.resume_after.is_none();
+    Some(StartQuery {
+        latency_target: routed.route.latency_target,
+        service: load.speed,
+        admission: is_new.then(|| Admission {
+            demand: demand(routed, gateway.now()),
+            overload: &load.overload,
+            claim_key: claim_key(routed),
+        }),
+    })
+}
+
+fn claim_key(routed: &RoutedRequest) -> Option<ClaimKey> {
+    let workspace = routed.workspace_name()?;
+    Some(ClaimKey::of(&routed.service.name, workspace))
+}
+
+/// Records what a request claims, after the decision on it, which must not depend on its size.
+fn record_claim(gateway: &Gateway, routed: &RoutedRequest) {
+    let (Some(prompt), Some(key)) = (&routed.meta.prompt, claim_key(routed)) else {
+        return;
+    };
+    let now = gateway.now();
+    let state = &mut *gateway.state.borrow_mut();
+    if let Some(load) = state.loads.get_mut(&routed.service.name) {
+        let shares = &mut load.overload.shares;
+        shares.on_request(key, prompt.footprint_tokens(), now);
+    }
+}
+
+/// Returns what decides on the admission of a request.
+fn demand(routed: &RoutedRequest, now: Duration) -> Demand {
+    let routes = routed.configuration.routes().iter();
+    let same_service = routes
+        .filter(|route| {
+            let mut targets = route.targets.iter();
+            targets.any(|target| target.service == routed.service.name)
+        })
+        .map(|route| (route.priority, route.latency_target));
+    Demand {
+        latency_target: routed.route.latency_target,
+        more_urgent: MoreUrgent::among(same_service, routed.urgency()),
+        waited: now.saturating_sub(routed.arrived_at),
+        remaining: routed.remaining(now),
+    }
+}
+
 fn prefill_rate(rates: &IndexMap<String, PrefillRate>, service: &Service) -> PrefillRate {
     rates.get(&service.name).copied().unwrap_or_default()
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -12,6 +12,7 @@
 use crate::permits::{PermitHolder, PermitState};
 use crate::request::ReportedLoad;
 use crate::request_limit::{RequestLimit, RequestRate, StatementSource};
+use crate::server_speed::ServerSpeed;
 use anvilgw_router::{Breaker, BreakerSettings};
 use std::time::Duration;
 
@@ -25,6 +26,8 @@
 /// is enough to send prompts to other engines, but too little to refuse them when all engines
 /// are full.
 const MEMORY_REJECTION_FRACTION: f64 = 0.3;
+/// Time for which a server counts as full after it has rejected a request.
+const FULL_TIME: Duration = Duration::from_millis(150);
 /// Upper limit of the back-off that a backend server can request with one answer. Longer
 /// back-offs are cut to this time.
 const BACKOFF_MAX: Duration = Duration::from_secs(300);
@@ -54,6 +57,10 @@
     pub in_flight: u32,
     /// Tokens that these requests occupy in the engine's memory.
     pub tokens_in_flight: u64,
+    /// Prompt tokens of those that have had no first event, as far as the engine computes them.
+    pub uncomputed_tokens: u64,
+    /// How much longer the server takes than others of its service.
+    pub speed: ServerSpeed,
     /// Circuit breaker, fed by failed connections and broken answers.
     pub breaker: Breaker,
     /// Time of the server's last answer to this daemon.
@@ -83,6 +90,8 @@
     memory_rejection: Option<(Duration, u64)>,
     /// Time until which the server has asked this daemon to send no requests.
     backoff_until: Duration,
+    /// Time until which the server counts as full after it has rejected a request.
+    full_until: Duration,
 }
 
 /// Returns the hash that identifies a server in load reports between daemons. If two servers
@@ -105,6 +114,8 @@
             entry,
             in_flight: 0,
             tokens_in_flight: 0,
+            uncomputed_tokens: 0,
+            speed: ServerSpeed::default(),
             breaker: Breaker::new(BREAKER),
             last_answer_at: Duration::ZERO,
             is_address_reused: false,
@@ -119,6 +130,7 @@
             drain_notice: None,
             memory_rejection: None,
             backoff_until: Duration::ZERO,
+            full_until: Duration::ZERO,
         }
     }
 
@@ -247,6 +259,15 @@
         }
     }
 
+    /// Returns the number of requests that wait at the server according to a recent report, or 0.
+    #[must_use]
+    pub fn reported_waiting(&self, now: Duration) -> u32 {
+        match self.reported_load {
+            Some((load, at)) if now.saturating_sub(at) < LOAD_REPORT_MAX_AGE => load.waiting,
+            _ => 0,
+        }
+    }
+
     /// Returns the age of the server's last load report.
     #[must_use]
     pub fn load_age(&self, now: Duration) -> Option<Duration> {
@@ -391,6 +412,16 @@
         self.tokens_in_flight = self.tokens_in_flight.saturating_sub(tokens);
     }
 
+    /// Records that the server has to compute prompt tokens of a request that was sent to it.
+    pub fn on_prompt_sent(&mut self, tokens: u64) {
+        self.uncomputed_tokens += tokens;
+    }
+
+    /// Records that prompt tokens of a request are computed, or that the request has ended.
+    pub fn on_prompt_computed(&mut self, tokens: u64) {
+        self.uncomputed_tokens = self.uncomputed_tokens.saturating_sub(tokens);
+    }
+
     /// Records that the engine rejected a prompt because its memory is full: other daemons have
     /// sent more to it than this daemon knows of.
     pub fn on_engine_full(&mut self, capacity_tokens: u64, now: Duration) {
@@ -398,6 +429,19 @@
         self.memory_rejection = Some((now + MEMORY_REJECTION_TIME, tokens as u64));
     }
 
+    /// Records that the server rejected a request because it executes as many as it can.
+    pub fn on_full(&mut self, now: Duration) {
+        self.full_until = now + FULL_TIME;
+    }
+
+    /// Returns whether the server is known to execute as many requests as it can: it has rejected
+    /// one just now, or this daemon's own requests take up all slots.
+    #[must_use]
+    pub fn is_full(&self, now: Duration) -> bool {
+        let slots = self.entry.slots;
+        now < self.full_until || (slots > 0 && self.in_flight >= slots)
+    }
+
     /// Returns the tokens that this daemon's requests occupy on the engine, plus the extra load
     /// assumed after a recent rejection.
     #[must_use]
@@ -410,6 +454,9 @@
     pub fn on_load_report(&mut self, load: ReportedLoad, now: Duration) {
         self.reported_load = Some((load, now));
         self.sent_since_report = 0;
+        if let Some(percent) = load.work_percent {
+            self.speed.on_reported(percent, now);
+        }
     }
 
     /// Opens the circuit breaker at once, because no connection to the server can be opened.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,6 +34,16 @@
     pub rollouts: Option<RolloutBounds>,
 }
 
+/// How servers are selected and requests are admitted when servers are loaded.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LoadControl {
+    /// By the tokens in the engines' memory.
+    #[default]
+    Memory,
+    /// By the estimated time until a server begins with the request, and by the tokens in memory.
+    StartTime,
+}
+
 /// Settings of one gateway daemon.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -60,4 +70,6 @@
     pub descriptors_max: usize,
     /// Time limits and other bounds.
     pub bounds: Bounds,
+    /// How servers are selected and requests are admitted when servers are loaded.
+    pub load_control: LoadControl,
 }
--- a/crates/gateway/tests/servers/fixture.rs
+++ b/crates/gateway/tests/servers/fixture.rs
@@ -7,7 +7,7 @@
 use anvilgw_gateway::prefill_rate::PrefillRate;
 use anvilgw_gateway::region_constraints::RegionConstraints;
 use anvilgw_gateway::request::{Prompt, PromptPart};
-use anvilgw_gateway::select::{NoServer, PromptQuery, Query, Selected, select};
+use anvilgw_gateway::select::{NoServer, PromptQuery, Query, Selected, StartQuery, select};
 use anvilgw_gateway::server::{
     ServedModel, ServerEntry, ServerKey, ServerState, Servers, server_hash,
 };
@@ -82,6 +82,7 @@
     pub(crate) peers: PeerLoads,
     pub(crate) published_weights: Option<PublishedWeights>,
     pub(crate) oldest_version: Option<u64>,
+    pub(crate) start: Option<StartQuery<'static>>,
 }
 
 impl Fixture {
@@ -100,6 +101,7 @@
             peers: PeerLoads::default(),
             published_weights: None,
             oldest_version: None,
+            start: None,
         }
     }
 
@@ -129,6 +131,20 @@
         select(&mut self.servers, &query, now, &mut rng()).is_ok()
     }
 
+    /// Tries to select a server for a request without a prompt.
+    pub(crate) fn try_plain(
+        &mut self,
+        rejects_if_full: bool,
+        now: Duration,
+    ) -> Result<(), NoServer> {
+        let service = service(0.0);
+        let query = Query {
+            rejects_if_full,
+            ..Query::new(&service, constraints(&self.regions, &self.confined_to))
+        };
+        select(&mut self.servers, &query, now, &mut rng()).map(|_| ())
+    }
+
     pub(crate) fn place(&mut self, prompt: &Prompt, now: Duration) -> Result<Selected, NoServer> {
         self.place_within(prompt, 90_000.0, now)
     }
@@ -147,6 +163,7 @@
                 caches: &self.caches,
                 prefill_rate: self.prefill_rate,
                 peer_loads: &self.peers,
+                start: self.start,
                 isolated_workspace: None,
                 oldest_version: self.oldest_version,
                 engine_capacity_tokens: 100_000,
