End removed and replaced orders at once at all daemons

The decider tells the daemons that report to it that an order is over, and answers later reports on it so. The status of a removed order is written a second later. An order that is not known, but whose status is running, counts as removed only after six seconds, because the operators' table may be read late, and never if the newest record is malformed.

--- a/crates/gateway/src/background_tasks/operators.rs
+++ b/crates/gateway/src/background_tasks/operators.rs
@@ -11,6 +11,7 @@
 use crate::ports::{Change, Changes, StoreError, Table, Topic};
 use crate::topic_reader::{TopicReader, decode_changes};
 use crate::weights::{PublishedWeights, WeightPublication};
+use indexmap::IndexSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -74,9 +75,29 @@
     // A snapshot contains no records of domains that were put back into service, so all domains
     // count as in service until its records say otherwise.
     gateway.state.borrow_mut().servers.enable_all_domains();
+    withdraw_unlisted(gateway, &changes);
     apply(gateway, changes, started_at);
 }
 
+/// Applies the removal of orders that a snapshot, which contains no removals, does not list.
+fn withdraw_unlisted(gateway: &Gateway, changes: &Changes) {
+    let listed: IndexSet<&str> = changes
+        .changes
+        .iter()
+        .filter_map(|change| match change {
+            Change::RolloutOrdered(request) => Some(request.service.as_str()),
+            Change::RolloutMalformed { service, .. } => Some(service),
+            _ => None,
+        })
+        .collect();
+    let ordered = gateway.state.borrow().rollouts.ordered_services();
+    for service in ordered {
+        if !listed.contains(service.as_str()) {
+            on_rollout_withdrawn(gateway, &service);
+        }
+    }
+}
+
 fn apply(gateway: &Gateway, changes: Changes, verified_at: Duration) {
     for change in changes.changes {
         apply_change(gateway, change);
--- a/crates/gateway/src/background_tasks/rollouts.rs
+++ b/crates/gateway/src/background_tasks/rollouts.rs
@@ -34,6 +34,9 @@
 const JITTER: f64 = 0.15;
 /// Pause after a failed call to the metadata store.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Time between the removal of an order and the write of its final status, in which other daemons
+/// learn of the removal.
+const WITHDRAWAL_NOTICE: Duration = Duration::from_millis(1000);
 /// Time after which the member that is next in rank stores the end of a removed order.
 const WITHDRAWAL_PAUSE: Duration = Duration::from_secs(2);
 /// Age of the last read of statuses from which on the metadata store counts as unavailable.
@@ -64,15 +67,38 @@
         step_ms: step.as_millis() as u64,
         reason,
     });
+    tell_ended(gateway, &service);
     gateway.rollouts_changed.notify_waiters();
 }
 
+/// Tells the daemons that have reported to this one that the order before is over. They may learn
+/// of the removal, or of the new order, up to a second later.
+fn tell_ended(gateway: &Gateway, service: &str) {
+    let now = gateway.now();
+    let ended = {
+        let rollouts = &gateway.state.borrow().rollouts;
+        rollouts.ended(service).and_then(|ended| {
+            let directive = rollouts.final_directive(ended.order.id)?;
+            Some((directive, ended.recent_reporters(now)))
+        })
+    };
+    if let (Some((directive, told)), Some(socket)) = (ended, gateway.permit_client.socket()) {
+        let message = PeerMessage::RolloutDirective(directive);
+        send_message(gateway, &socket, &message, &told);
+    }
+}
+
 /// Applies the removal of an order.
 pub(super) fn on_rollout_withdrawn(gateway: &Gateway, service: &str) {
     let now = gateway.now();
-    let rollouts = &mut gateway.state.borrow_mut().rollouts;
-    if rollouts.on_withdrawn(service, now) {
+    let is_known = gateway
+        .state
+        .borrow_mut()
+        .rollouts
+        .on_withdrawn(service, now);
+    if is_known {
         gateway.log_notable(&Event::RolloutWithdrawn { service });
+        tell_ended(gateway, service);
     }
 }
 
@@ -162,14 +188,16 @@
 }
 
 fn apply_status(gateway: &Gateway, status: &RolloutStatus, offset: u64) {
+    let now = gateway.now();
     let rollouts = &mut gateway.state.borrow_mut().rollouts;
-    let is_news = rollouts.on_status(status, offset);
+    let is_news = rollouts.on_status(status, offset, now);
     if is_news {
         gateway.log_notable(&Event::RolloutStatus {
             service: &status.service,
             target: &status.target,
             state: status.state,
         });
+        gateway.rollouts_changed.notify_waiters();
     }
 }
 
@@ -201,7 +229,9 @@
         return;
     };
     let rank = rank_of(gateway, state.fleet.members(), service);
-    if elapsed >= WITHDRAWAL_PAUSE * rank as u32 && state.rollouts.begin_writing(service) {
+    if elapsed >= WITHDRAWAL_NOTICE + WITHDRAWAL_PAUSE * rank as u32
+        && state.rollouts.begin_writing(service)
+    {
         spawn_local(write(Rc::clone(gateway), status));
     }
 }
@@ -214,14 +244,13 @@
     rank.unwrap_or_default()
 }
 
-/// Members of the fleet, or only this daemon if it does not know others.
+/// Returns the members of the fleet, or only this daemon if it exchanges no messages with others. A
+/// daemon that is not a member yet decides nothing.
 fn members(gateway: &Gateway) -> Vec<SocketAddr> {
-    let own = own_address(gateway);
-    let members = gateway.state.borrow().fleet.members().to_vec();
-    if gateway.settings.listen_peers.is_none() || !members.contains(&own) {
-        return vec![own];
+    if gateway.settings.listen_peers.is_none() {
+        return vec![own_address(gateway)];
     }
-    members
+    gateway.state.borrow().fleet.members().to_vec()
 }
 
 /// Returns the address by which the fleet knows this daemon. Outside of a fleet, it is that for
@@ -242,7 +271,8 @@
         };
         let recipients = active.recipients(name_hash(service), &members, now);
         let (phase, _) = active.in_force(is_fresh, now);
-        let report = active.report(gateway.start_id, phase, &state.servers, now);
+        let sender = gateway.start_id;
+        let report = active.next_report(sender, phase, members.len(), &state.servers, now);
         (report, recipients)
     };
     for recipient in recipients {
--- a/crates/gateway/src/dispatch/rollouts.rs
+++ b/crates/gateway/src/dispatch/rollouts.rs
@@ -90,8 +90,10 @@
     pub(super) fn new(gateway: &Rc<Gateway>, routed: &RoutedRequest, target: &Target) -> Self {
         let service = &routed.service.name;
         let rollouts = &mut gateway.state.borrow_mut().rollouts;
-        if let Some(version) = &target.version {
-            rollouts.count(service, version, |counts| counts.requests += 1);
+        let version = target.version.clone().filter(|_| rollouts.is_enabled());
+        if let Some(version) = &version {
+            let totals = &mut rollouts.version_totals;
+            totals.count(service, version, |counts| counts.requests += 1);
         }
         let side = rollouts.side_of(service, target.version.as_deref());
         let attempt = side.map(|(order, side)| {
@@ -107,7 +109,7 @@
         Self {
             gateway: Rc::clone(gateway),
             service: service.clone(),
-            version: target.version.clone(),
+            version,
             attempt,
             sent_at: gateway.now(),
             is_answered: Cell::new(false),
@@ -131,7 +133,8 @@
     fn record(&self, is_failure: bool, time: Option<Duration>) {
         let rollouts = &mut self.gateway.state.borrow_mut().rollouts;
         if let Some(version) = &self.version {
-            rollouts.count(&self.service, version, |counts| {
+            let totals = &mut rollouts.version_totals;
+            totals.count(&self.service, version, |counts| {
                 counts.answers += u64::from(time.is_some());
                 counts.failures += u64::from(is_failure);
             });
--- a/crates/gateway/src/rollout_metrics.rs
+++ b/crates/gateway/src/rollout_metrics.rs
@@ -2,7 +2,7 @@
 //! rollout` reads them.
 
 use crate::rollout::{BadReason, DecisionReason, Phase, RolloutState, ServiceVersions, Side};
-use crate::service_rollouts::{ActiveRollout, ServiceRollouts, VersionKey};
+use crate::service_rollouts::{ActiveRollout, ServiceRollouts};
 use std::fmt::Write;
 
 /// Returns the name of a phase in logs and metrics.
@@ -59,12 +59,11 @@
 /// Renders the metrics of all rollouts and versions.
 pub(crate) fn render(rollouts: &ServiceRollouts) -> String {
     let mut text = String::new();
-    for (key, counts) in rollouts.version_counts() {
-        let VersionKey { service, version } = key;
+    for (key, counts) in rollouts.version_totals.iter() {
         let labels = format!(
             r#"service="{}",version="{}""#,
-            escape(service),
-            escape(version)
+            escape(&key.service),
+            escape(&key.version)
         );
         // Writing to a string cannot fail.
         let _ = writeln!(
--- a/crates/gateway/src/service_rollouts.rs
+++ b/crates/gateway/src/service_rollouts.rs
@@ -1,8 +1,10 @@
 //! Rollouts of all services as this daemon sees them: orders, statuses, and what it has observed.
 
 mod active;
+mod version_totals;
 
 pub(crate) use active::{ActiveRollout, VersionServers};
+pub(crate) use version_totals::VersionTotals;
 
 use crate::ports::RolloutRequest;
 use crate::rollout::{
@@ -14,9 +16,8 @@
 use indexmap::IndexMap;
 use std::time::Duration;
 
-/// Number of versions up to which requests are counted by version.
-const COUNTED_VERSIONS_MAX: usize = 64;
-
+/// Time after which an order that is not known, but whose status is, counts as removed.
+const UNKNOWN_ORDER_TIME: Duration = Duration::from_secs(6);
 /// Time within which an append that was not answered takes effect, if it does.
 const LATE_APPEND_MAX: Duration = Duration::from_secs(15);
 
@@ -25,29 +26,12 @@
 pub(crate) struct ServiceRollouts {
     bounds: Option<RolloutBounds>,
     services: IndexMap<String, ServiceRollout>,
-    version_counts: IndexMap<VersionKey, VersionCounts>,
+    /// Requests by version.
+    pub(crate) version_totals: VersionTotals,
     /// Time up to which all statuses are known. `None` before the first listing.
     statuses_verified_at: Option<Duration>,
 }
 
-/// Version of a service's servers.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct VersionKey {
-    pub(crate) service: String,
-    pub(crate) version: String,
-}
-
-/// What this daemon has counted of a version.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct VersionCounts {
-    /// Requests that were sent, retries included.
-    pub(crate) requests: u64,
-    /// Answers, and streams that began.
-    pub(crate) answers: u64,
-    /// Answers that report a failure, and requests without a complete answer.
-    pub(crate) failures: u64,
-}
-
 /// Rollout of one service.
 #[derive(Debug, Default)]
 struct ServiceRollout {
@@ -57,6 +41,8 @@
     ended: Option<ActiveRollout>,
     /// Why the newest order of the service is malformed, which is logged once.
     malformed: Option<String>,
+    /// When this daemon learned of the newest status.
+    status_at: Option<Duration>,
     /// Offset of the newest status.
     status_offset: u64,
     /// When the newest order was removed, if it was.
@@ -81,11 +67,36 @@
         }
     }
 
+    /// Returns the status to store if the order was removed. A malformed one removes nothing.
+    fn withdrawn_to_store(&self) -> Option<RolloutStatus> {
+        let status = self.versions.withdrawn_to_store();
+        status.filter(|_| self.malformed.is_none())
+    }
+
+    /// Returns the state in which an order ended, or `None` if it runs or is not known.
+    fn final_state(&self, order: OrderId) -> Option<RolloutState> {
+        let status = self.versions.status();
+        let status = status.filter(|status| status.order == Some(order));
+        let is_known = |rollout: &ActiveRollout| rollout.order.id == order;
+        match status.map(|status| status.state) {
+            Some(state) if state.is_final() => Some(state),
+            _ if self.active.as_ref().is_some_and(is_known) => None,
+            Some(_) if self.withdrawn_at.is_some() => Some(RolloutState::RolledBack),
+            _ => {
+                let ended = self.ended.as_ref().filter(|ended| is_known(ended));
+                ended.map(|_| RolloutState::RolledBack)
+            }
+        }
+    }
+
     fn is_unfinished(&self, now: Duration) -> bool {
         let is_withdrawn_lately = self
             .withdrawn_at
             .is_some_and(|at| now.saturating_sub(at) < LATE_APPEND_MAX);
-        self.active.is_some() || self.versions.withdrawn_to_store().is_some() || is_withdrawn_lately
+        let status = self.versions.status();
+        self.active.is_some()
+            || status.is_some_and(|status| !status.state.is_final())
+            || is_withdrawn_lately
     }
 }
 
@@ -177,9 +188,9 @@
             step: request.step,
             learned_at: now,
         };
+        service.ended = service.active.take().or(service.ended.take());
         service.versions.on_order(Some(order.clone()));
         if service.versions.running().is_none() {
-            service.active = None;
             let status = service.versions.status();
             let state = status.map_or(RolloutState::Running, |status| status.state);
             return OrderEffect::AlreadyFinal(state);
@@ -216,13 +227,16 @@
     }
 
     /// Applies the status that is stored at an offset, and returns whether it is news.
-    pub(crate) fn on_status(&mut self, status: &RolloutStatus, offset: u64) -> bool {
+    pub(crate) fn on_status(&mut self, status: &RolloutStatus, offset: u64, now: Duration) -> bool {
         let service = self.service_mut(&status.service);
         if offset < service.status_offset {
             return false;
         }
         service.status_offset = offset;
         let is_news = service.versions.status() != Some(status);
+        if is_news {
+            service.status_at = Some(now);
+        }
         service.versions.on_status(status.clone());
         if let Some(active) = &mut service.active {
             if let Some(decider) = &mut active.decider {
@@ -253,6 +267,15 @@
         }
     }
 
+    /// Returns the services with an order.
+    pub(crate) fn ordered_services(&self) -> Vec<String> {
+        let services = self.services.iter();
+        services
+            .filter(|(_, service)| service.versions.order().is_some())
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
     /// Returns the services with a rollout that is not over, or was removed a short time ago.
     pub(crate) fn unfinished(&self, now: Duration) -> Vec<String> {
         let services = self.services.iter();
@@ -263,16 +286,21 @@
     }
 
     /// Returns the status that is to be stored for an order that was removed, and the time since
-    /// then.
+    /// this daemon has known that for certain.
     pub(crate) fn withdrawn_to_store(
         &self,
         service: &str,
         now: Duration,
     ) -> Option<(RolloutStatus, Duration)> {
         let service = self.services.get(service)?;
-        let status = service.versions.withdrawn_to_store()?;
-        let since = service.withdrawn_at.unwrap_or_default();
-        Some((status, now.saturating_sub(since)))
+        let status = service.withdrawn_to_store()?;
+        let known_at = match (service.withdrawn_at, service.status_at) {
+            (Some(at), _) => at,
+            // The order may be newer than the copy of the operators' table.
+            (None, Some(at)) => at + UNKNOWN_ORDER_TIME,
+            (None, None) => return None,
+        };
+        (now >= known_at).then(|| (status, now - known_at))
     }
 
     /// Returns whether a status still is to be stored.
@@ -282,7 +310,7 @@
         };
         let versions = &service.versions;
         let expected = versions.status_to_store(status.state);
-        let expected = expected.or_else(|| versions.withdrawn_to_store());
+        let expected = expected.or_else(|| service.withdrawn_to_store());
         expected.as_ref() == Some(status) && versions.status() != Some(status)
     }
 
@@ -304,15 +332,14 @@
         self.services.get_mut(service)?.active.as_mut()
     }
 
-    /// Returns the directive that the stored final status of an order amounts to, if there is one.
+    /// Returns the directive for an order that is over: its stored final status, or to roll back if it
+    /// was removed or replaced. Returns `None` for orders that are not known.
     pub(crate) fn final_directive(&self, order: OrderId) -> Option<RolloutDirective> {
-        let statuses = self.services.values();
-        let mut statuses = statuses.filter_map(|service| service.versions.status());
-        let status = statuses.find(|status| status.order == Some(order))?;
-        let (phase, share) = match status.state {
-            RolloutState::Running => return None,
+        let mut services = self.services.values();
+        let state = services.find_map(|service| service.final_state(order))?;
+        let (phase, share) = match state {
             RolloutState::Complete => (Phase::Completing, TargetShare::ALL),
-            RolloutState::RolledBack => (Phase::RollingBack, TargetShare::NONE),
+            _ => (Phase::RollingBack, TargetShare::NONE),
         };
         Some(RolloutDirective {
             order,
@@ -321,6 +348,11 @@
         })
     }
 
+    /// Returns the last rollout of a service that is over, if this daemon has seen it run.
+    pub(crate) fn ended(&self, service: &str) -> Option<&ActiveRollout> {
+        self.services.get(service)?.ended.as_ref()
+    }
+
     pub(crate) fn service_of(&self, order: OrderId) -> Option<&str> {
         let found = self.services.iter().find(|(_, service)| {
             let active = service.active.as_ref();
@@ -340,28 +372,6 @@
         })
     }
 
-    /// Returns the counts of each version that this daemon has sent requests to.
-    pub(crate) fn version_counts(&self) -> impl Iterator<Item = (&VersionKey, &VersionCounts)> {
-        self.version_counts.iter()
-    }
-
-    /// Changes the counts of a version, unless there are too many versions.
-    pub(crate) fn count(
-        &mut self,
-        service: &str,
-        version: &str,
-        change: impl FnOnce(&mut VersionCounts),
-    ) {
-        let key = VersionKey {
-            service: service.to_owned(),
-            version: version.to_owned(),
-        };
-        let has_room = self.version_counts.len() < COUNTED_VERSIONS_MAX;
-        if self.is_enabled() && (has_room || self.version_counts.contains_key(&key)) {
-            change(self.version_counts.entry(key).or_default());
-        }
-    }
-
     pub(crate) fn versions_of(&self, service: &str) -> Option<&ServiceVersions> {
         Some(&self.services.get(service)?.versions)
     }
--- a/crates/gateway/src/service_rollouts/active.rs
+++ b/crates/gateway/src/service_rollouts/active.rs
@@ -22,6 +22,11 @@
 /// which they stop. The directive is repeated meanwhile for daemons that have missed it.
 const COMPLETION_PAUSE: Duration = Duration::from_millis(500);
 
+/// Number of members for each of which one more report goes without evidence.
+const MEMBERS_PER_REPORT: usize = 100;
+/// Maximum number of reports from one with evidence to the next.
+const REPORTS_PER_EVIDENCE_MAX: usize = 3;
+
 /// An order without a final status.
 #[derive(Debug)]
 pub(crate) struct ActiveRollout {
@@ -29,6 +34,8 @@
     pub(super) budget: ExposureBudget,
     pub(super) evidence: Evidence,
     directive: Option<ReceivedDirective>,
+    /// Number of reports so far.
+    reports: usize,
     /// Number of members that are asked beside the first in rank.
     others_asked: usize,
     asked_since: Duration,
@@ -61,6 +68,7 @@
             order,
             evidence: Evidence::default(),
             directive: None,
+            reports: 0,
             others_asked: 0,
             asked_since: learned_at,
             decider: None,
@@ -147,11 +155,13 @@
             .collect()
     }
 
-    /// Returns the report of what this daemon has observed.
-    pub(crate) fn report(
-        &self,
+    /// Returns the next report of what this daemon has observed. In large fleets only some of the
+    /// reports carry the evidence, so that the decider can keep up.
+    pub(crate) fn next_report(
+        &mut self,
         sender: u64,
         phase: Phase,
+        members: usize,
         servers: &Servers,
         now: Duration,
     ) -> RolloutReport {
@@ -166,6 +176,9 @@
                 .sum()
         };
         let age = now.saturating_sub(self.order.learned_at);
+        let reports_per_evidence = (1 + members / MEMBERS_PER_REPORT).min(REPORTS_PER_EVIDENCE_MAX);
+        let has_evidence = self.reports.is_multiple_of(reports_per_evidence);
+        self.reports = self.reports.wrapping_add(1);
         RolloutReport {
             order: self.order.id,
             sender,
@@ -174,7 +187,11 @@
             counts: self.budget.counts(),
             base_in_flight: in_flight(false),
             target_in_flight: in_flight(true),
-            rows: self.evidence.snapshot(),
+            rows: if has_evidence {
+                self.evidence.snapshot()
+            } else {
+                Vec::new()
+            },
         }
     }
 
