--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -7,20 +7,24 @@
 
 mod comparison;
 mod decider;
+mod decision;
 mod evidence;
 mod exposure;
 mod fleet_evidence;
+mod message;
 mod order;
 mod schedule;
 mod verdict;
 mod versions;
 
-pub use decider::{Decider, Decision, DecisionReason, FleetView, RolloutDirective, RolloutReport};
+pub use decider::Decider;
+pub use decision::{Decision, DecisionReason, FleetView};
 pub use evidence::{
     BucketCount, Evidence, EvidenceRow, ROWS_MAX_BYTES, RouteKey, RowKey, Side, bucket_of,
 };
 pub use exposure::{ExposureBounds, ExposureBudget, ExposureCounts, TargetShare};
 pub use fleet_evidence::{AnswerCounts, FleetEvidence};
+pub use message::{RolloutDirective, RolloutReport};
 pub use order::{OrderId, Phase, RolloutOrder, RolloutState, RolloutStatus};
 pub use schedule::Schedule;
 pub use verdict::{BadReason, JudgeInput, Judgement, Verdict, judge};
--- a/crates/gateway/src/rollout/schedule.rs
+++ b/crates/gateway/src/rollout/schedule.rs
@@ -116,7 +116,7 @@
     /// Returns the age up to which a suspicion holds a phase.
     #[must_use]
     pub fn hold_until(&self, phase: Phase) -> Duration {
-        let fraction = plan(phase).map_or(DECIDE_AT, |plan| plan.hold_until);
+        let fraction = plan(phase).map_or(COMPLETE_AT, |plan| plan.hold_until);
         self.step.mul_f64(fraction)
     }
 
--- a/crates/gateway/src/rollout/verdict.rs
+++ b/crates/gateway/src/rollout/verdict.rs
@@ -29,6 +29,9 @@
     late_bad: Threshold,
 }
 
+/// Sum over all periods below which a version is not rejected for lack of time. A few failures in a
+/// short window do not outweigh all other answers.
+const LATE_BAD_WHOLE_LLR: f64 = -1.0;
 const FAILURES: EarlyThresholds = EarlyThresholds {
     suspicion: Threshold {
         llr: 0.5,
@@ -239,17 +242,6 @@
     is_late_bad: bool,
 }
 
-impl Largest {
-    fn max(self, other: Self) -> Self {
-        Self {
-            failures: self.failures.max(other.failures),
-            slow: self.slow.max(other.slow),
-            is_suspicious: self.is_suspicious || other.is_suspicious,
-            is_late_bad: self.is_late_bad || other.is_late_bad,
-        }
-    }
-}
-
 /// Servers that are broken or slow as a whole in any window.
 #[derive(Default)]
 struct Singles {
@@ -278,14 +270,32 @@
             windows.push(tallies.clone());
         }
     }
-    let found = windows
+    let sums: Vec<[ServerSum; 3]> = windows
         .iter()
-        .map(|tallies| window(tallies, input, &singles));
-    found.reduce(Largest::max).unwrap_or_default()
+        .map(|tallies| window(tallies, input, &singles))
+        .collect();
+    let largest = |sum: fn(&[ServerSum; 3]) -> f64| sums.iter().map(sum).reduce(f64::max);
+    let thresholds = [&FAILURES, &SLOW, &SLOW];
+    let mut tests = thresholds.iter().enumerate();
+    let exceeds = |test: usize, from: Threshold| sums.iter().any(|sums| sums[test].exceeds(from));
+    let is_suspicious = tests
+        .clone()
+        .any(|(test, thresholds)| exceeds(test, thresholds.suspicion));
+    let is_late_bad = tests.any(|(test, thresholds)| {
+        let whole = sums.last().map_or(0.0, |sums| sums[test].others);
+        whole > LATE_BAD_WHOLE_LLR && exceeds(test, thresholds.late_bad)
+    });
+    Largest {
+        failures: largest(|sums| sums[0].all).unwrap_or(0.0),
+        slow: largest(|sums| sums[1].all.max(sums[2].all)).unwrap_or(0.0),
+        is_suspicious,
+        is_late_bad,
+    }
 }
 
-/// Returns the sums of one window.
-fn window(tallies: &IndexMap<u32, Tally>, input: JudgeInput, singles: &Singles) -> Largest {
+/// Returns the sums of one window: for failures, for answers that are slow in general, and for a
+/// portion of slow answers.
+fn window(tallies: &IndexMap<u32, Tally>, input: JudgeInput, singles: &Singles) -> [ServerSum; 3] {
     let failures = ServerTest {
         llr: |tally| tally.failures_llr,
         is_single: Tally::is_broken,
@@ -300,22 +310,11 @@
         llr: |tally| tally.tail_llr,
         ..broad
     };
-    let sums = [
+    [
         bounded_sum(tallies, input, failures, &singles.broken),
         bounded_sum(tallies, input, broad, &singles.slow),
         bounded_sum(tallies, input, tail, &singles.slow),
-    ];
-    let exceeds = |of: fn(&EarlyThresholds) -> Threshold| {
-        let thresholds = [&FAILURES, &SLOW, &SLOW].map(of);
-        let mut tests = sums.iter().zip(thresholds);
-        tests.any(|(sum, from)| sum.others > from.llr && sum.other_events >= from.bad_answers)
-    };
-    Largest {
-        failures: sums[0].all,
-        slow: sums[1].all.max(sums[2].all),
-        is_suspicious: exceeds(|thresholds| thresholds.suspicion),
-        is_late_bad: exceeds(|thresholds| thresholds.late_bad),
-    }
+    ]
 }
 
 /// One of the tests, as seen by a server.
@@ -336,6 +335,12 @@
     other_events: u32,
 }
 
+impl ServerSum {
+    fn exceeds(&self, from: Threshold) -> bool {
+        self.others > from.llr && self.other_events >= from.bad_answers
+    }
+}
+
 /// Returns the sum over all servers, to which each one contributes a bounded part. Broken or slow
 /// servers together contribute the part of one unless there are too many of them. `singles` are
 /// those of any window.
