--- a/crates/gateway/src/rollout/decider.rs
+++ b/crates/gateway/src/rollout/decider.rs
@@ -185,7 +185,7 @@
             phase
         };
         if phase > self.phase {
-            self.enter(phase, age);
+            self.enter(phase, self.schedule.adopted_since(phase, age));
             if phase == Phase::RollingBack {
                 self.end_reason = Some(DecisionReason::Adopted);
             }
--- a/crates/gateway/src/rollout/schedule.rs
+++ b/crates/gateway/src/rollout/schedule.rs
@@ -101,6 +101,19 @@
         }
     }
 
+    /// Returns the start of a phase that another decider has begun at an unknown time before `age`.
+    /// Its shortest time is not waited for again: changes of the decider would delay the end.
+    #[must_use]
+    pub fn adopted_since(&self, phase: Phase, age: Duration) -> Duration {
+        let start = match phase {
+            Phase::Canary => 0.0,
+            Phase::Ramp { step: 0 } => CANARY.ends_at,
+            Phase::Ramp { .. } => RAMP[0].ends_at,
+            _ => 1.0,
+        };
+        age.min(self.step.mul_f64(start))
+    }
+
     /// Returns the earliest end of a phase that began at the age `since`.
     #[must_use]
     pub fn end(&self, phase: Phase, since: Duration) -> Duration {
--- a/crates/gateway/src/rollout/verdict.rs
+++ b/crates/gateway/src/rollout/verdict.rs
@@ -29,6 +29,8 @@
     late_bad: Threshold,
 }
 
+/// Further bad answers that it takes if one route out of several is tested.
+const ROUTE_BAD_ANSWERS: u32 = 1;
 /// Sum over all periods below which a version is not rejected for lack of time. A few failures in a
 /// short window do not outweigh all other answers.
 const LATE_BAD_WHOLE_LLR: f64 = -1.0;
@@ -277,7 +279,15 @@
     let largest = |sum: fn(&[ServerSum; 3]) -> f64| sums.iter().map(sum).reduce(f64::max);
     let thresholds = [&FAILURES, &SLOW, &SLOW];
     let mut tests = thresholds.iter().enumerate();
-    let exceeds = |test: usize, from: Threshold| sums.iter().any(|sums| sums[test].exceeds(from));
+    let more = u32::from(route.is_some()) * ROUTE_BAD_ANSWERS;
+    let exceeds = |test: usize, from: Threshold| {
+        let bad_answers = from.bad_answers + more;
+        let from = Threshold {
+            bad_answers,
+            ..from
+        };
+        sums.iter().any(|sums| sums[test].exceeds(from))
+    };
     let is_suspicious = tests
         .clone()
         .any(|(test, thresholds)| exceeds(test, thresholds.suspicion));
