--- a/crates/gateway/src/service_rollouts/active.rs
+++ b/crates/gateway/src/service_rollouts/active.rs
@@ -18,9 +18,11 @@
 const REPLY_AGE_MAX: Duration = Duration::from_millis(1000);
 /// Time without reports after which a daemon no longer is the decider.
 const REPORTED_AGE_MAX: Duration = Duration::from_millis(1500);
-/// Time between the directive to send nothing to the old servers and the write of `complete`, upon
-/// which they stop. The directive is repeated meanwhile for daemons that have missed it.
-const COMPLETION_PAUSE: Duration = Duration::from_millis(500);
+/// Longest time between the directive to send nothing to the old servers and the write of `complete`,
+/// upon which they stop. The directive is repeated meanwhile for daemons that have missed it.
+const COMPLETION_PAUSE_MAX: Duration = Duration::from_millis(500);
+/// That time as a fraction of the time until the deadline, which must not pass meanwhile.
+const COMPLETION_PAUSE_FRACTION: f64 = 0.02;
 
 /// Number of members for each of which one more report goes without evidence.
 const MEMBERS_PER_REPORT: usize = 100;
@@ -230,7 +232,9 @@
             .filter(|_| is_completing)
             .or(is_completing.then_some(now));
         let since = self.completing_since;
-        if since.is_some_and(|since| now < since + COMPLETION_PAUSE) {
+        let pause = self.order.step.mul_f64(COMPLETION_PAUSE_FRACTION);
+        let pause = pause.min(COMPLETION_PAUSE_MAX);
+        if since.is_some_and(|since| now < since + pause) {
             decision.write = None;
         }
         let known = self.decision.replace(decision);
