--- a/crates/gateway/src/rollout/decider.rs
+++ b/crates/gateway/src/rollout/decider.rs
@@ -14,6 +14,8 @@
 const PERIODS: f64 = 14.0;
 /// Age up to which the report of a daemon counts.
 const REPORT_AGE_MAX: Duration = Duration::from_millis(1500);
+/// Time within which a new decider has the reports of all daemons.
+const FIRST_REPORTS_TIME: Duration = Duration::from_millis(500);
 /// Time between two records of the exposure and the answers.
 const PROGRESS_PAUSE: Duration = Duration::from_millis(500);
 /// Time within which most requests have their first event or answer.
@@ -59,6 +61,8 @@
     evidence: FleetEvidence,
     reporters: IndexMap<u64, Reporter>,
     progress: Vec<Progress>,
+    /// Age of the order at the first decision.
+    first_decision_at: Option<Duration>,
     stored: Option<RolloutState>,
     is_withdrawn: bool,
 }
@@ -76,6 +80,7 @@
             evidence: FleetEvidence::default(),
             reporters: IndexMap::new(),
             progress: Vec::new(),
+            first_decision_at: None,
             stored: None,
             is_withdrawn: false,
         }
@@ -128,6 +133,7 @@
     /// every 100 ms.
     pub fn decide(&mut self, view: FleetView, now: Duration) -> Decision {
         let age = self.age(now);
+        self.first_decision_at.get_or_insert(age);
         let counts = self.counts();
         let input = JudgeInput {
             target_servers: view.target_servers,
@@ -176,6 +182,11 @@
         reporters.filter(move |reporter| now.saturating_sub(reporter.received_at) <= REPORT_AGE_MAX)
     }
 
+    /// Returns whether more than half of the daemons have reported lately.
+    fn has_quorum(&self, view: FleetView, now: Duration) -> bool {
+        self.fresh(now).count() * 2 > view.members
+    }
+
     /// Continues in the phase that another decider has reached.
     fn adopt(&mut self, phase: Phase, age: Duration) {
         // Completion is decided again, on the evidence that has arrived since.
@@ -261,7 +272,9 @@
         {
             return self.end(Phase::RollingBack, DecisionReason::Bad(bad), age);
         }
-        let is_late = age >= self.schedule.decide_at();
+        let is_informed = self.has_quorum(view, now)
+            || age >= self.first_decision_at.unwrap_or(age) + FIRST_REPORTS_TIME;
+        let is_late = age >= self.schedule.decide_at() && is_informed;
         if is_late && (self.phase != Phase::Full || view.target_servers == 0) {
             return self.end(Phase::RollingBack, DecisionReason::Deadline, age);
         }
@@ -288,8 +301,11 @@
         }
         let may_hold = age < self.schedule.hold_until(self.phase);
         let is_held = may_hold && self.phase != Phase::Waiting && judgement.is_suspicious;
+        let has_few_reports = !self.has_quorum(view, now);
         if self.phase == Phase::Full {
-            return is_held.then_some(DecisionReason::Suspicion);
+            let is_blind = has_few_reports && age < self.schedule.decide_at();
+            let held = is_held.then_some(DecisionReason::Suspicion);
+            return is_blind.then_some(DecisionReason::FewReports).or(held);
         }
         if view.target_servers == 0 {
             return Some(DecisionReason::NoTargetServers);
@@ -297,7 +313,7 @@
         if !view.is_store_available {
             return Some(DecisionReason::StoreUnavailable);
         }
-        if self.fresh(now).count() * 2 <= view.members {
+        if has_few_reports {
             return Some(DecisionReason::FewReports);
         }
         if is_held {
--- a/crates/gateway/src/rollout/schedule.rs
+++ b/crates/gateway/src/rollout/schedule.rs
@@ -109,7 +109,8 @@
             Phase::Canary => 0.0,
             Phase::Ramp { step: 0 } => CANARY.ends_at,
             Phase::Ramp { .. } => RAMP[0].ends_at,
-            _ => 1.0,
+            Phase::Full => return age.saturating_sub(self.step.mul_f64(FULL_TIME_MIN)),
+            _ => return age,
         };
         age.min(self.step.mul_f64(start))
     }
--- a/crates/gateway/src/rollout/verdict.rs
+++ b/crates/gateway/src/rollout/verdict.rs
@@ -56,13 +56,16 @@
         bad_answers: 5,
     },
 };
-/// Logarithm of the likelihood ratio below which a version is good.
-const GOOD_LLR: f64 = -1.0;
+/// Logarithm of the likelihood ratio that no window of a good version exceeds.
+const GOOD_LLR: f64 = 0.0;
 /// Number of answers from which a version can be good.
 const GOOD_ANSWERS_MIN: u64 = 30;
 /// Largest part of the limit that one of two servers contributes, and one of several.
 const WEIGHT_OF_TWO: f64 = 0.6;
 const WEIGHT_OF_SEVERAL: f64 = 0.45;
+/// The same of all servers together that are broken or slow as a whole. With more, one of them and
+/// two chance failures of others would reach the limit.
+const WEIGHT_OF_SINGLES: f64 = 0.3;
 /// Fraction of the servers that may be broken without a comparison. A failure domain that is out of
 /// service takes a third of them.
 const BROKEN_ALONE_MAX: f64 = 0.4;
@@ -308,12 +311,10 @@
 fn window(tallies: &IndexMap<u32, Tally>, input: JudgeInput, singles: &Singles) -> [ServerSum; 3] {
     let failures = ServerTest {
         llr: |tally| tally.failures_llr,
-        is_single: Tally::is_broken,
         bad_answers: |tally| tally.failures,
     };
     let broad = ServerTest {
         llr: |tally| tally.broad_llr,
-        is_single: Tally::is_slow,
         bad_answers: |tally| tally.slow,
     };
     let tail = ServerTest {
@@ -331,8 +332,6 @@
 #[derive(Clone, Copy)]
 struct ServerTest {
     llr: fn(&Tally) -> f64,
-    /// Whether the server is broken or slow as a whole.
-    is_single: fn(&Tally) -> bool,
     bad_answers: fn(&Tally) -> u32,
 }
 
@@ -368,27 +367,19 @@
             _ => WEIGHT_OF_SEVERAL,
         };
     let singles_max = singles_max(tallies, servers);
-    let (mut singles_now, mut singles_sum, mut others_sum) = (0, 0.0, 0.0);
-    let mut others = 0.0;
-    let mut other_events = 0;
+    let are_apart = servers > 1 && singles.len() <= singles_max;
+    let (mut singles_sum, mut others, mut other_events) = (0.0, 0.0, 0);
     for (server, tally) in tallies {
         let weight = (test.llr)(tally).min(weight_max);
-        if (test.is_single)(tally) {
-            singles_now += 1;
+        if are_apart && singles.contains(server) {
             singles_sum += weight;
         } else {
-            others_sum += weight;
-        }
-        if servers == 1 || singles.len() > singles_max || !singles.contains(server) {
             others += weight;
             other_events += (test.bad_answers)(tally);
         }
     }
-    if singles_now <= singles_max {
-        singles_sum = f64::min(singles_sum, weight_max);
-    }
     ServerSum {
-        all: others_sum + singles_sum,
+        all: others + f64::min(singles_sum, WEIGHT_OF_SINGLES * BAD_LLR),
         others,
         other_events,
     }
--- a/crates/gateway/tests/rollouts/main.rs
+++ b/crates/gateway/tests/rollouts/main.rs
@@ -1,4 +1,9 @@
 //! Rollouts of a service's software version: decisions without a network.
 
+mod decider;
+mod evidence;
+mod exposure;
 mod seeded;
 mod simulation;
+mod verdict;
+mod versions;
