--- a/crates/gateway/src/background_tasks/membership.rs
+++ b/crates/gateway/src/background_tasks/membership.rs
@@ -34,8 +34,9 @@
                 dependency.on_answer(&gateway);
                 let now = gateway.now();
                 if joined.generation != members_generation && now >= members_read_due_at {
-                    read_members(&gateway).await;
-                    members_generation = joined.generation;
+                    if read_members(&gateway).await {
+                        members_generation = joined.generation;
+                    }
                     members_read_due_at = now + pause_for_uptime(&gateway, MEMBERS_PAUSE);
                 }
                 confirm_members(&gateway, joined.generation == members_generation);
@@ -80,13 +81,21 @@
     }
 }
 
-async fn read_members(gateway: &Gateway) {
+/// Reads the list of members, and returns whether that succeeded. A list that was not read is read
+/// again although the generation stays the same.
+async fn read_members(gateway: &Gateway) -> bool {
     match gateway.ports.metadata_store.members().await {
-        Ok(members) => apply_members(gateway, &members),
-        Err(error) => gateway.log_notable(&Event::DependencyLost {
-            dependency: "metadata store, members",
-            reason: &error.to_string(),
-        }),
+        Ok(members) => {
+            apply_members(gateway, &members);
+            true
+        }
+        Err(error) => {
+            gateway.log_notable(&Event::DependencyLost {
+                dependency: "metadata store, members",
+                reason: &error.to_string(),
+            });
+            false
+        }
     }
 }
 
