--- a/crates/gateway/src/service_rollouts/active.rs
+++ b/crates/gateway/src/service_rollouts/active.rs
@@ -14,6 +14,8 @@
 
 /// Time without a reply after which the member that is next in rank is asked as well.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum number of members that are asked beside the first in rank.
+const OTHERS_ASKED_MAX: usize = 8;
 /// Time after which a member that has not replied is no longer the one to be obeyed.
 const REPLY_AGE_MAX: Duration = Duration::from_millis(1000);
 /// Time without reports after which a daemon no longer is the decider.
@@ -118,7 +120,8 @@
         let heard_at = self.directive.map(|received| received.received_at);
         let silent_since = heard_at.unwrap_or_default().max(self.asked_since);
         if now.saturating_sub(silent_since) >= REPLY_TIMEOUT {
-            self.others_asked = (self.others_asked + 1) % ranked.len().max(1);
+            let others = ranked.len().saturating_sub(1).min(OTHERS_ASKED_MAX);
+            self.others_asked = (self.others_asked + 1).min(others);
             self.asked_since = now;
         }
         ranked.into_iter().take(self.others_asked + 1).collect()
