--- a/crates/gateway/src/rollout/schedule.rs
+++ b/crates/gateway/src/rollout/schedule.rs
@@ -101,6 +101,20 @@
         }
     }
 
+    /// Returns the start of a phase that another decider has begun at an unknown time before `age`.
+    /// Its shortest time is not waited for again: changes of the decider would delay the end.
+    #[must_use]
+    pub fn adopted_since(&self, phase: Phase, age: Duration) -> Duration {
+        let start = match phase {
+            Phase::Canary => 0.0,
+            Phase::Ramp { step: 0 } => CANARY.ends_at,
+            Phase::Ramp { .. } => RAMP[0].ends_at,
+            Phase::Full => return age.saturating_sub(self.step.mul_f64(FULL_TIME_MIN)),
+            _ => return age,
+        };
+        age.min(self.step.mul_f64(start))
+    }
+
     /// Returns the earliest end of a phase that began at the age `since`.
     #[must_use]
     pub fn end(&self, phase: Phase, since: Duration) -> Duration {
@@ -116,7 +130,7 @@
     /// Returns the age up to which a suspicion holds a phase.
     #[must_use]
     pub fn hold_until(&self, phase: Phase) -> Duration {
-        let fraction = plan(phase).map_or(DECIDE_AT, |plan| plan.hold_until);
+        let fraction = plan(phase).map_or(COMPLETE_AT, |plan| plan.hold_until);
         self.step.mul_f64(fraction)
     }
 
--- a/crates/gateway/src/rollout/verdict.rs
+++ b/crates/gateway/src/rollout/verdict.rs
@@ -29,6 +29,11 @@
     late_bad: Threshold,
 }
 
+/// Further bad answers that it takes if one route out of several is tested.
+const ROUTE_BAD_ANSWERS: u32 = 1;
+/// Sum over all periods below which a version is not rejected for lack of time. A few failures in a
+/// short window do not outweigh all other answers.
+const LATE_BAD_WHOLE_LLR: f64 = -1.0;
 const FAILURES: EarlyThresholds = EarlyThresholds {
     suspicion: Threshold {
         llr: 0.5,
@@ -51,13 +56,16 @@
         bad_answers: 5,
     },
 };
-/// Logarithm of the likelihood ratio below which a version is good.
-const GOOD_LLR: f64 = -1.0;
+/// Logarithm of the likelihood ratio that no window of a good version exceeds.
+const GOOD_LLR: f64 = 0.0;
 /// Number of answers from which a version can be good.
 const GOOD_ANSWERS_MIN: u64 = 30;
 /// Largest part of the limit that one of two servers contributes, and one of several.
 const WEIGHT_OF_TWO: f64 = 0.6;
 const WEIGHT_OF_SEVERAL: f64 = 0.45;
+/// The same of all servers together that are broken or slow as a whole. With more, one of them and
+/// two chance failures of others would reach the limit.
+const WEIGHT_OF_SINGLES: f64 = 0.3;
 /// Fraction of the servers that may be broken without a comparison. A failure domain that is out of
 /// service takes a third of them.
 const BROKEN_ALONE_MAX: f64 = 0.4;
@@ -239,17 +247,6 @@
     is_late_bad: bool,
 }
 
-impl Largest {
-    fn max(self, other: Self) -> Self {
-        Self {
-            failures: self.failures.max(other.failures),
-            slow: self.slow.max(other.slow),
-            is_suspicious: self.is_suspicious || other.is_suspicious,
-            is_late_bad: self.is_late_bad || other.is_late_bad,
-        }
-    }
-}
-
 /// Servers that are broken or slow as a whole in any window.
 #[derive(Default)]
 struct Singles {
@@ -278,52 +275,63 @@
             windows.push(tallies.clone());
         }
     }
-    let found = windows
+    let sums: Vec<[ServerSum; 3]> = windows
         .iter()
-        .map(|tallies| window(tallies, input, &singles));
-    found.reduce(Largest::max).unwrap_or_default()
+        .map(|tallies| window(tallies, input, &singles))
+        .collect();
+    let largest = |sum: fn(&[ServerSum; 3]) -> f64| sums.iter().map(sum).reduce(f64::max);
+    let thresholds = [&FAILURES, &SLOW, &SLOW];
+    let mut tests = thresholds.iter().enumerate();
+    let more = u32::from(route.is_some()) * ROUTE_BAD_ANSWERS;
+    let exceeds = |test: usize, from: Threshold| {
+        let bad_answers = from.bad_answers + more;
+        let from = Threshold {
+            bad_answers,
+            ..from
+        };
+        sums.iter().any(|sums| sums[test].exceeds(from))
+    };
+    let is_suspicious = tests
+        .clone()
+        .any(|(test, thresholds)| exceeds(test, thresholds.suspicion));
+    let is_late_bad = tests.any(|(test, thresholds)| {
+        let whole = sums.last().map_or(0.0, |sums| sums[test].others);
+        whole > LATE_BAD_WHOLE_LLR && exceeds(test, thresholds.late_bad)
+    });
+    Largest {
+        failures: largest(|sums| sums[0].all).unwrap_or(0.0),
+        slow: largest(|sums| sums[1].all.max(sums[2].all)).unwrap_or(0.0),
+        is_suspicious,
+        is_late_bad,
+    }
 }
 
-/// Returns the sums of one window.
-fn window(tallies: &IndexMap<u32, Tally>, input: JudgeInput, singles: &Singles) -> Largest {
+/// Returns the sums of one window: for failures, for answers that are slow in general, and for a
+/// portion of slow answers.
+fn window(tallies: &IndexMap<u32, Tally>, input: JudgeInput, singles: &Singles) -> [ServerSum; 3] {
     let failures = ServerTest {
         llr: |tally| tally.failures_llr,
-        is_single: Tally::is_broken,
         bad_answers: |tally| tally.failures,
     };
     let broad = ServerTest {
         llr: |tally| tally.broad_llr,
-        is_single: Tally::is_slow,
         bad_answers: |tally| tally.slow,
     };
     let tail = ServerTest {
         llr: |tally| tally.tail_llr,
         ..broad
     };
-    let sums = [
+    [
         bounded_sum(tallies, input, failures, &singles.broken),
         bounded_sum(tallies, input, broad, &singles.slow),
         bounded_sum(tallies, input, tail, &singles.slow),
-    ];
-    let exceeds = |of: fn(&EarlyThresholds) -> Threshold| {
-        let thresholds = [&FAILURES, &SLOW, &SLOW].map(of);
-        let mut tests = sums.iter().zip(thresholds);
-        tests.any(|(sum, from)| sum.others > from.llr && sum.other_events >= from.bad_answers)
-    };
-    Largest {
-        failures: sums[0].all,
-        slow: sums[1].all.max(sums[2].all),
-        is_suspicious: exceeds(|thresholds| thresholds.suspicion),
-        is_late_bad: exceeds(|thresholds| thresholds.late_bad),
-    }
+    ]
 }
 
 /// One of the tests, as seen by a server.
 #[derive(Clone, Copy)]
 struct ServerTest {
     llr: fn(&Tally) -> f64,
-    /// Whether the server is broken or slow as a whole.
-    is_single: fn(&Tally) -> bool,
     bad_answers: fn(&Tally) -> u32,
 }
 
@@ -336,6 +344,12 @@
     other_events: u32,
 }
 
+impl ServerSum {
+    fn exceeds(&self, from: Threshold) -> bool {
+        self.others > from.llr && self.other_events >= from.bad_answers
+    }
+}
+
 /// Returns the sum over all servers, to which each one contributes a bounded part. Broken or slow
 /// servers together contribute the part of one unless there are too many of them. `singles` are
 /// those of any window.
@@ -353,27 +367,19 @@
             _ => WEIGHT_OF_SEVERAL,
         };
     let singles_max = singles_max(tallies, servers);
-    let (mut singles_now, mut singles_sum, mut others_sum) = (0, 0.0, 0.0);
-    let mut others = 0.0;
-    let mut other_events = 0;
+    let are_apart = servers > 1 && singles.len() <= singles_max;
+    let (mut singles_sum, mut others, mut other_events) = (0.0, 0.0, 0);
     for (server, tally) in tallies {
         let weight = (test.llr)(tally).min(weight_max);
-        if (test.is_single)(tally) {
-            singles_now += 1;
+        if are_apart && singles.contains(server) {
             singles_sum += weight;
         } else {
-            others_sum += weight;
-        }
-        if servers == 1 || singles.len() > singles_max || !singles.contains(server) {
             others += weight;
             other_events += (test.bad_answers)(tally);
         }
     }
-    if singles_now <= singles_max {
-        singles_sum = f64::min(singles_sum, weight_max);
-    }
     ServerSum {
-        all: others_sum + singles_sum,
+        all: others + f64::min(singles_sum, WEIGHT_OF_SINGLES * BAD_LLR),
         others,
         other_events,
     }
--- a/crates/gateway/src/service_rollouts/active.rs
+++ b/crates/gateway/src/service_rollouts/active.rs
@@ -14,13 +14,22 @@
 
 /// Time without a reply after which the member that is next in rank is asked as well.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum number of members that are asked beside the first in rank.
+const OTHERS_ASKED_MAX: usize = 8;
 /// Time after which a member that has not replied is no longer the one to be obeyed.
 const REPLY_AGE_MAX: Duration = Duration::from_millis(1000);
 /// Time without reports after which a daemon no longer is the decider.
 const REPORTED_AGE_MAX: Duration = Duration::from_millis(1500);
-/// Time between the directive to send nothing to the old servers and the write of `complete`, upon
-/// which they stop. The directive is repeated meanwhile for daemons that have missed it.
-const COMPLETION_PAUSE: Duration = Duration::from_millis(500);
+/// Longest time between the directive to send nothing to the old servers and the write of `complete`,
+/// upon which they stop. The directive is repeated meanwhile for daemons that have missed it.
+const COMPLETION_PAUSE_MAX: Duration = Duration::from_millis(500);
+/// That time as a fraction of the time until the deadline, which must not pass meanwhile.
+const COMPLETION_PAUSE_FRACTION: f64 = 0.02;
+
+/// Number of members for each of which one more report goes without evidence.
+const MEMBERS_PER_REPORT: usize = 100;
+/// Maximum number of reports from one with evidence to the next.
+const REPORTS_PER_EVIDENCE_MAX: usize = 3;
 
 /// An order without a final status.
 #[derive(Debug)]
@@ -29,6 +38,8 @@
     pub(super) budget: ExposureBudget,
     pub(super) evidence: Evidence,
     directive: Option<ReceivedDirective>,
+    /// Number of reports so far.
+    reports: usize,
     /// Number of members that are asked beside the first in rank.
     others_asked: usize,
     asked_since: Duration,
@@ -61,6 +72,7 @@
             order,
             evidence: Evidence::default(),
             directive: None,
+            reports: 0,
             others_asked: 0,
             asked_since: learned_at,
             decider: None,
@@ -108,7 +120,8 @@
         let heard_at = self.directive.map(|received| received.received_at);
         let silent_since = heard_at.unwrap_or_default().max(self.asked_since);
         if now.saturating_sub(silent_since) >= REPLY_TIMEOUT {
-            self.others_asked = (self.others_asked + 1) % ranked.len().max(1);
+            let others = ranked.len().saturating_sub(1).min(OTHERS_ASKED_MAX);
+            self.others_asked = (self.others_asked + 1).min(others);
             self.asked_since = now;
         }
         ranked.into_iter().take(self.others_asked + 1).collect()
@@ -147,11 +160,13 @@
             .collect()
     }
 
-    /// Returns the report of what this daemon has observed.
-    pub(crate) fn report(
-        &self,
+    /// Returns the next report of what this daemon has observed. In large fleets only some of the
+    /// reports carry the evidence, so that the decider can keep up.
+    pub(crate) fn next_report(
+        &mut self,
         sender: u64,
         phase: Phase,
+        members: usize,
         servers: &Servers,
         now: Duration,
     ) -> RolloutReport {
@@ -166,6 +181,9 @@
                 .sum()
         };
         let age = now.saturating_sub(self.order.learned_at);
+        let reports_per_evidence = (1 + members / MEMBERS_PER_REPORT).min(REPORTS_PER_EVIDENCE_MAX);
+        let has_evidence = self.reports.is_multiple_of(reports_per_evidence);
+        self.reports = self.reports.wrapping_add(1);
         RolloutReport {
             order: self.order.id,
             sender,
@@ -174,7 +192,11 @@
             counts: self.budget.counts(),
             base_in_flight: in_flight(false),
             target_in_flight: in_flight(true),
-            rows: self.evidence.snapshot(),
+            rows: if has_evidence {
+                self.evidence.snapshot()
+            } else {
+                Vec::new()
+            },
         }
     }
 
@@ -213,7 +235,9 @@
             .filter(|_| is_completing)
             .or(is_completing.then_some(now));
         let since = self.completing_since;
-        if since.is_some_and(|since| now < since + COMPLETION_PAUSE) {
+        let pause = self.order.step.mul_f64(COMPLETION_PAUSE_FRACTION);
+        let pause = pause.min(COMPLETION_PAUSE_MAX);
+        if since.is_some_and(|since| now < since + pause) {
             decision.write = None;
         }
         let known = self.decision.replace(decision);
