Count the wait for a client from its answer's first byte

Cause: each time a client had to read before more could be sent, the wait for it began anew, so a client that reads a byte now and then never counted as slow and kept its memory.

Change: the wait begins with the first byte of an answer. A test fails without it.

All tests of anvilgw-gateway and anvilgw-operator-platform pass.

--- a/crates/gateway/src/body_memory/connection.rs
+++ b/crates/gateway/src/body_memory/connection.rs
@@ -48,6 +48,8 @@
     group: Cell<GroupKey>,
     phase: Cell<Phase>,
     is_write_blocked: Cell<bool>,
+    /// Whether something was sent since the last request was received.
+    has_answer: Cell<bool>,
     moved_bytes: Cell<u64>,
     request_bytes: Cell<u64>,
     has_grown_buffer: Cell<bool>,
@@ -69,6 +71,7 @@
             group: Cell::new(GroupKey::of_address(address)),
             phase: Cell::new(Phase::Receiving),
             is_write_blocked: Cell::default(),
+            has_answer: Cell::default(),
             moved_bytes: Cell::default(),
             request_bytes: Cell::default(),
             has_grown_buffer: Cell::default(),
@@ -183,6 +186,9 @@
     /// Records that bytes were sent.
     pub fn on_written(&self, count: usize) {
         let usage = &self.usage;
+        if !usage.has_answer.replace(true) {
+            self.begin_wait();
+        }
         usage
             .moved_bytes
             .set(usage.moved_bytes.get() + count as u64);
@@ -192,9 +198,13 @@
     /// Records that the client has to read before more can be sent.
     pub fn on_write_blocked(&self) {
         let usage = &self.usage;
-        if !usage.is_write_blocked.replace(true) && usage.phase.get() == Phase::Serving {
+        // A client that reads now and then must not appear new each time.
+        if !usage.has_answer.replace(true) {
             self.begin_wait();
+        } else if !usage.is_write_blocked.get() {
+            usage.progress_at.set(self.shared.now.get());
         }
+        usage.is_write_blocked.set(true);
     }
 
     /// Records that everything was sent that is to be sent so far.
@@ -214,6 +224,7 @@
     /// Records that a request was received completely.
     pub fn on_request_received(&self) {
         self.usage.phase.set(Phase::Serving);
+        self.usage.has_answer.set(false);
     }
 
     /// Records that the daemon waits for the next request.
--- a/crates/gateway/tests/client_limits.rs
+++ b/crates/gateway/tests/client_limits.rs
@@ -212,6 +212,21 @@
     assert_eq!(memory.held().bodies_bytes, 0);
 }
 
+/// Guards against clients that appear new each time they read a little of an answer.
+#[test]
+fn a_client_that_reads_a_byte_now_and_then_is_slow() {
+    let memory = BodyMemory::new(96 * MB);
+    let connection = memory.open(address(1));
+    connection.on_request_received();
+    for second in 0..5 {
+        memory.tick(Duration::from_secs(second), UNREAD_MAX);
+        connection.on_written(1);
+        connection.on_write_blocked();
+    }
+    assert!(memory.close_for_room(None));
+    assert_eq!(connection.closed().now_or_never(), Some(CloseReason::Room));
+}
+
 /// Guards against connections whose clients never read.
 #[test]
 fn a_connection_that_is_not_read_is_closed() {
