Receive the bodies of callers of `serve` into one buffer

Cause: a body was collected as a list of its chunks, each of which takes some tens of bytes beside its contents, so a body in chunks of a byte took many times its size.

Change: bodies are received into one buffer. The limits on size and time are as before. No test of `serve` under such load exists yet, and its memory was not measured.

--- a/crates/entry/src/front/body.rs
+++ b/crates/entry/src/front/body.rs
@@ -1,10 +1,10 @@
 //! Limits on the size of request headers and on the size and duration of request bodies.
 
 use anvilgw_core::{ErrorKind, Failure, Stage};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use gotham::helpers::http::Body;
 use http::HeaderMap;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use std::time::Duration;
 
 /// Reads a request body of at most `max_bytes` within `time_limit`.
@@ -17,19 +17,8 @@
     max_bytes: usize,
     time_limit: Duration,
 ) -> Result<Bytes, Failure> {
-    let collected = tokio::time::timeout(time_limit, Limited::new(body, max_bytes).collect()).await;
-    match collected {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Failure::new(
-            ErrorKind::BodyTooLarge,
-            Stage::Received,
-            format!("the body is larger than {max_bytes} bytes"),
-        )),
-        Ok(Err(error)) => Err(Failure::new(
-            ErrorKind::BadRequest,
-            Stage::Received,
-            format!("the body ended early: {error}"),
-        )),
+    match tokio::time::timeout(time_limit, receive(body, max_bytes)).await {
+        Ok(received) => received,
         Err(_) => Err(Failure::new(
             ErrorKind::RequestTimeout,
             Stage::Received,
@@ -41,6 +30,33 @@
     }
 }
 
+/// Receives a body into one buffer. A list of its chunks would take tens of bytes for each, so that a
+/// body in chunks of a byte would take many times its size.
+async fn receive(mut body: Body, max_bytes: usize) -> Result<Bytes, Failure> {
+    let mut received = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            Failure::new(
+                ErrorKind::BadRequest,
+                Stage::Received,
+                format!("the body ended early: {error}"),
+            )
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if received.len() + data.len() > max_bytes {
+            return Err(Failure::new(
+                ErrorKind::BodyTooLarge,
+                Stage::Received,
+                format!("the body is larger than {max_bytes} bytes"),
+            ));
+        }
+        received.extend_from_slice(&data);
+    }
+    Ok(received.freeze())
+}
+
 /// Checks the total size of the request headers.
 ///
 /// # Errors
