Read no parts from servers that may still carry out an order

Cause: a server that reported that it loads nothing had the announcement of its switch cancelled, although an order without an answer may be carried out up to 12 s after it was sent. Other daemons then took it for a server with the old weights and let others read parts from it, so that parts of two weights could be mixed. The same held for a daemon that read an announcement whose holder had vanished: after 6 s it used the server as a source again.

Change: a cancellation in the lease log tells for how long the last or an earlier order to the server may take effect (order_left_ms). The server gets requests in that time and is not used as a source, on every daemon that reads the record, early or late. The restriction ends with that time, a restart, a report of the new version, or a report of another number of accepted orders. A rejected order leaves only what earlier orders still allow. An announcement that is neither cancelled nor followed by a report restricts for 13.7 s. It is kept when a server's entry expires and comes back. A daemon that finds records of the lease log dropped takes its knowledge of switches for incomplete for that time.

--- a/crates/gateway/src/background_tasks/weight_switches.rs
+++ b/crates/gateway/src/background_tasks/weight_switches.rs
@@ -8,12 +8,15 @@
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::groups::Role;
-use crate::lease::{LeaseRecord, LeaseStep, LeaseView, ServerWeights};
+use crate::lease::{
+    ANNOUNCED_EFFECT_MAX, CancelledSwitch, LeaseRecord, LeaseStep, LeaseView, ServerWeights,
+};
 use crate::log::Event;
 use crate::ports::{AppendOutcome, StoreError, Topic};
-use crate::server::{Server, Servers};
 use crate::topic_reader::TopicReader;
-use crate::weights::{OrderTracker, OutdatedServer, next_orders, outdated_servers};
+use crate::weights::{
+    OrderTracker, OutdatedServer, apply_announcement, apply_records, next_orders, outdated_servers,
+};
 use bytes::Bytes;
 use rand::RngExt;
 use std::rc::Rc;
@@ -33,9 +36,6 @@
 /// Maximum random delay before the lease is taken, in milliseconds, so that not all daemons try at
 /// once.
 const ACQUIRE_DELAY_MAX_MS: u64 = 120;
-/// Longest time for which a server that was ordered to load weights receives no requests. It first
-/// finishes its running generations.
-const SWITCH_TIME_MAX: Duration = Duration::from_millis(6000);
 /// Time between the announcement of an order and the order itself, in which all daemons read the
 /// announcement.
 const ANNOUNCEMENT_LEAD_TIME: Duration = Duration::from_millis(60);
@@ -54,6 +54,7 @@
         retirement: PartRetirement::default(),
         loaded: Vec::new(),
         cancelled: Vec::new(),
+        complete_from: Duration::ZERO,
         lease_dependency: Dependency::new("metadata store, leases"),
         reader: TopicReader::new(Topic::Leases, Arc::clone(&gateway.ports.clock)),
         gateway,
@@ -91,7 +92,10 @@
     /// Weights that servers have loaded and that no lease record contains yet.
     loaded: Vec<ServerWeights>,
     /// Announced switches that do not take place and that no lease record contains yet.
-    cancelled: Vec<ServerWeights>,
+    cancelled: Vec<CancelledSwitch>,
+    /// Time from which on no announcement in records that were dropped before they were read can
+    /// still matter.
+    complete_from: Duration,
     lease_dependency: Dependency,
     reader: TopicReader,
 }
@@ -210,14 +214,15 @@
                 self.lease_dependency.on_answer(&self.gateway);
                 self.lease.on_read(&records, page.next_offset, now);
                 self.on_lease_records(&records);
-                self.gateway.state.borrow_mut().switches_read_at = page.verified_at;
+                self.on_log_verified(page.verified_at);
                 true
             }
             Err(StoreError::Expired(first_offset)) => {
                 // Records that the metadata store no longer keeps are much older than any valid
-                // lease.
+                // lease, unless the store has lost its history.
                 let now = self.gateway.now();
                 self.lease.on_read(&[], first_offset, now);
+                self.complete_from = now + ANNOUNCED_EFFECT_MAX;
                 false
             }
             Err(error) => {
@@ -228,23 +233,16 @@
         }
     }
 
-    /// Applies records of the lease log. A server that is announced to be ordered receives no
-    /// requests until it has loaded the weights.
     fn on_lease_records(&self, records: &[LeaseRecord]) {
         let now = self.gateway.now();
-        let state = &mut *self.gateway.state.borrow_mut();
-        let until = now + SWITCH_TIME_MAX;
-        for record in records {
-            for_each_server(&mut state.servers, &record.cancelled, |server, weights| {
-                server.on_switch_cancelled(&weights.model, weights.version);
-            });
-            for_each_server(&mut state.servers, &record.switching, |server, weights| {
-                server.on_switch_ordered(&weights.model, weights.version, until);
-            });
-            for_each_server(&mut state.servers, &record.loaded, |server, weights| {
-                server.on_weights_loaded(&weights.model, weights.version);
-                server.on_switched(&weights.model, weights.version);
-            });
+        apply_records(&mut self.gateway.state.borrow_mut().servers, records, now);
+    }
+
+    /// Records that this daemon knew all announcements at a time, unless some were dropped before
+    /// it read them.
+    fn on_log_verified(&self, verified_at: Duration) {
+        if verified_at >= self.complete_from {
+            self.gateway.state.borrow_mut().switches_read_at = verified_at;
         }
     }
 
@@ -320,7 +318,7 @@
             .await
         {
             Ok(AppendOutcome::Stored(offset)) => {
-                self.gateway.state.borrow_mut().switches_read_at = started_at;
+                self.on_log_verified(started_at);
                 let gateway = &self.gateway;
                 gateway.on_topic_read(Topic::Leases, offset, &[payload], started_at);
                 self.forget_updates();
@@ -351,11 +349,11 @@
     }
 
     fn block_requests(&self, ready: &[ReadyServer]) {
-        let until = self.gateway.now() + SWITCH_TIME_MAX;
+        let now = self.gateway.now();
         let servers = &mut self.gateway.state.borrow_mut().servers;
-        for one in ready.iter().map(|one| &one.target) {
-            if let Some(server) = servers.get_mut(one.server) {
-                server.on_switch_ordered(&one.model, one.version, until);
+        for one in ready {
+            if let Some(server) = servers.get_mut(one.target.server) {
+                apply_announcement(server, &one.announcement(), now);
             }
         }
     }
@@ -367,17 +365,3 @@
         });
     }
 }
-
-/// Calls `apply` for each server in a list of a lease record that is still known.
-fn for_each_server(
-    servers: &mut Servers,
-    list: &[ServerWeights],
-    apply: impl Fn(&mut Server, &ServerWeights),
-) {
-    for weights in list {
-        let key = servers.key_of(&weights.server);
-        if let Some(server) = key.and_then(|key| servers.get_mut(key)) {
-            apply(server, weights);
-        }
-    }
-}
--- a/crates/gateway/src/background_tasks/weight_switches/orders.rs
+++ b/crates/gateway/src/background_tasks/weight_switches/orders.rs
@@ -1,7 +1,7 @@
 //! Orders to backend servers to load weights, and questions for their progress.
 
 use super::WeightSwitcher;
-use crate::lease::ServerWeights;
+use crate::lease::{CancelledSwitch, ORDER_EFFECT_MAX, ServerWeights};
 use crate::log::Event;
 use crate::permit_client::acquire_control_permits;
 use crate::ports::{OrderAnswer, OrderError, WeightOrder};
@@ -9,6 +9,7 @@
 use crate::server_notices::on_server_notice;
 use crate::weights::{OrderOutcome, OutdatedServer, is_backing_off};
 use futures_util::future::join_all;
+use std::time::Duration;
 
 /// Number of calls with which a server is ordered to load weights: its report, and the order.
 const CALLS_PER_ORDER: u32 = 2;
@@ -19,6 +20,8 @@
     entry: ServerEntry,
     /// Number of orders that the server has accepted since its start.
     orders_accepted: u64,
+    /// Time until which an earlier order may still take effect.
+    earlier_order_until: Option<Duration>,
 }
 
 impl ReadyServer {
@@ -60,7 +63,7 @@
             self.orders.on_polled(&target, is_answered, now);
             if let Progress::Ready(ready) = progress {
                 self.orders.on_idle(&target, now);
-                self.cancel_announcement(&ready);
+                self.cancel_announcement(&ready, ready.earlier_order_until);
             }
         }
     }
@@ -150,14 +153,49 @@
         }
     }
 
-    /// Lets requests reach a server again that was announced to switch and does not.
-    fn cancel_announcement(&mut self, ready: &ReadyServer) {
+    /// Lets requests reach a server again that was announced to switch and does not. Nothing is read
+    /// from it while an order may still take effect, until the time `order_until`.
+    fn cancel_announcement(&mut self, ready: &ReadyServer, order_until: Option<Duration>) {
         let target = &ready.target;
+        let now = self.gateway.now();
+        self.set_pending_order(ready, order_until);
         let servers = &mut self.gateway.state.borrow_mut().servers;
         if let Some(server) = servers.get_mut(target.server) {
             server.on_switch_cancelled(&target.model, target.version);
         }
-        self.cancelled.push(ready.announcement());
+        let left = order_until.map_or(Duration::ZERO, |until| until.saturating_sub(now));
+        self.gateway.metrics.count(if left.is_zero() {
+            "switches_cancelled"
+        } else {
+            "switches_cancelled_with_pending_order"
+        });
+        self.gateway.log_notable(&Event::Server {
+            server: &ready.entry.id,
+            change: &format!(
+                "switch cancelled, order pending for {} ms",
+                left.as_millis()
+            ),
+            service: &ready.entry.service,
+            address: &ready.entry.address.to_string(),
+        });
+        self.cancelled.push(CancelledSwitch {
+            weights: ready.announcement(),
+            order_left_ms: left.as_millis() as u64,
+        });
+    }
+
+    /// Records until when an order to a server may take effect.
+    fn set_pending_order(&self, ready: &ReadyServer, until: Option<Duration>) {
+        let target = &ready.target;
+        let servers = &mut self.gateway.state.borrow_mut().servers;
+        let Some(server) = servers.get_mut(target.server) else {
+            return;
+        };
+        server.on_orders_settled();
+        if let Some(until) = until {
+            let expected = Some(ready.orders_accepted);
+            server.on_order_pending(&target.model, target.version, until, expected);
+        }
     }
 
     /// Counts a call to a server for the log of the requests under its limit.
@@ -196,10 +234,25 @@
                 target: target.clone(),
                 entry,
                 orders_accepted: report.orders_accepted,
+                earlier_order_until: self.pending_after_report(target, report.orders_accepted),
             })
         }
     }
 
+    /// Returns the time until which an earlier order to a server may take effect that loads nothing
+    /// and reports the number of orders that it has accepted.
+    fn pending_after_report(
+        &self,
+        target: &OutdatedServer,
+        orders_accepted: u64,
+    ) -> Option<Duration> {
+        let now = self.gateway.now();
+        let servers = &mut self.gateway.state.borrow_mut().servers;
+        let server = servers.get_mut(target.server)?;
+        server.on_orders_reported(orders_accepted);
+        server.order_pending_until(now)
+    }
+
     fn on_no_report(&self, target: &OutdatedServer, entry: &ServerEntry, error: &OrderError) {
         self.on_order_error(target, error);
         self.gateway.log_notable(&Event::Order {
@@ -286,7 +339,10 @@
         };
         self.orders.on_outcome(&ready.target, outcome, now);
         if outcome == OrderOutcome::Rejected {
-            self.cancel_announcement(ready);
+            self.cancel_announcement(ready, ready.earlier_order_until);
+        } else {
+            // Once the order has taken effect, no earlier one does.
+            self.set_pending_order(ready, Some(now + ORDER_EFFECT_MAX));
         }
         match answer {
             Ok(OrderAnswer::Fenced) => {
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -23,6 +23,15 @@
 /// Time for which an order may still be in transit after it was sent.
 const TRANSIT_MARGIN: Duration = Duration::from_millis(500);
 
+/// Longest time after an order was sent at which the server carries it out, if nothing is known of
+/// its answer.
+pub const ORDER_EFFECT_MAX: Duration = Duration::from_secs(12);
+/// Longest time after an announcement was read at which the announced order takes effect: the
+/// holder sends it while its lease is valid.
+pub const ANNOUNCED_EFFECT_MAX: Duration = ORDER_EFFECT_MAX
+    .saturating_add(VALIDITY)
+    .saturating_add(TRANSIT_MARGIN);
+
 /// A record of the lease log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRecord {
@@ -40,7 +49,7 @@
     pub loaded: Vec<ServerWeights>,
     /// Announced switches that do not take place, since the previous record.
     #[serde(default)]
-    pub cancelled: Vec<ServerWeights>,
+    pub cancelled: Vec<CancelledSwitch>,
     /// Whether the holder gives the lease up with this record, because its daemon stops.
     #[serde(default)]
     pub is_released: bool,
@@ -58,6 +67,23 @@
     pub version: u64,
 }
 
+/// An announced switch that does not take place now.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CancelledSwitch {
+    /// Server and weights of the announcement.
+    #[serde(flatten)]
+    pub weights: ServerWeights,
+    /// Time from the record on, in milliseconds, in which this or an earlier order to the server may
+    /// still take effect. Zero if none may. Records of releases without this field count as if the
+    /// order had just been sent.
+    #[serde(default = "order_effect_max_ms")]
+    pub order_left_ms: u64,
+}
+
+fn order_effect_max_ms() -> u64 {
+    ORDER_EFFECT_MAX.as_millis() as u64
+}
+
 /// Next action of a daemon on the lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaseStep {
--- a/crates/gateway/src/removed_servers.rs
+++ b/crates/gateway/src/removed_servers.rs
@@ -1,9 +1,10 @@
-//! Drain state, back-off and limit of backend servers whose entries were removed.
+//! Drain state, back-off, limit and pending orders of backend servers whose entries were removed.
 //!
 //! An entry may reappear although its server has not restarted, because the entry had expired
 //! or because a delayed heartbeat arrives. What the server said about further requests is then
 //! still valid.
 
+use crate::loaded_weights::PendingOrder;
 use crate::request_limit::RequestLimit;
 use crate::server::{Server, ServerState};
 use indexmap::IndexMap;
@@ -12,24 +13,25 @@
 /// Time for which the state of a removed server is kept. Entries reappear within seconds.
 const RETENTION_TIME: Duration = Duration::from_secs(600);
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct RemovedServer {
     started_at_ms: Option<u64>,
     is_draining: bool,
     backoff_until: Duration,
     request_limit: RequestLimit,
+    pending_order: Option<PendingOrder>,
     removed_at: Duration,
 }
 
-/// Servers without an entry that must get no requests, or few, if their entry reappears.
+/// Servers without an entry of which something still holds if their entry reappears.
 #[derive(Debug, Default)]
 pub(crate) struct RemovedServers {
     by_id: IndexMap<String, RemovedServer>,
 }
 
 impl RemovedServers {
-    /// Keeps the state of a removed server if the server is draining or backing off, or names a
-    /// limit.
+    /// Keeps the state of a removed server if the server is draining or backing off, names a
+    /// limit, or may still carry out an order to load weights.
     pub(crate) fn on_server_removed(&mut self, server: &Server, now: Duration) {
         self.by_id
             .retain(|_, removed| now < removed.removed_at + RETENTION_TIME);
@@ -38,10 +40,12 @@
             is_draining: server.entry.state == ServerState::Draining,
             backoff_until: server.backoff_until(),
             request_limit: server.request_limit,
+            pending_order: server.pending_order(now).cloned(),
             removed_at: now,
         };
         let is_limited = removed.request_limit.in_force().is_some();
-        if removed.is_draining || is_limited || now < removed.backoff_until {
+        let may_switch = removed.pending_order.is_some();
+        if removed.is_draining || is_limited || may_switch || now < removed.backoff_until {
             self.by_id.insert(server.entry.id.clone(), removed);
         }
     }
@@ -61,5 +65,6 @@
         }
         server.back_off_until(removed.backoff_until);
         server.request_limit = removed.request_limit;
+        server.restore_pending_order(removed.pending_order.clone());
     }
 }
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -333,11 +333,13 @@
 }
 
 /// Returns whether prompt parts may be read from an engine. A read from an engine that does not
-/// answer costs some hundred milliseconds, and a cold engine has nothing cached yet.
+/// answer costs some hundred milliseconds, and a cold engine has nothing cached yet. An engine that
+/// may still carry out an order to load weights could send parts of both weights.
 fn is_readable_source(server: &Server, now: Duration) -> bool {
     server.breaker.state(now) == BreakerState::Closed
         && !server.is_cold(now)
         && !server.is_switching(now)
+        && server.order_pending_until(now).is_none()
 }
 
 /// Returns the tokens that the requests of all daemons occupy on an engine.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -8,7 +8,7 @@
 pub use entry::{ServedModel, ServerEntry, ServerState};
 
 use crate::cache_store::name_hash;
-use crate::loaded_weights::LoadedWeights;
+use crate::loaded_weights::{LoadedWeights, PendingOrder};
 use crate::permits::{PermitHolder, PermitState};
 use crate::request::ReportedLoad;
 use crate::request_limit::{RequestLimit, RequestRate, StatementSource};
@@ -299,11 +299,57 @@
     }
 
     /// Records that an announced switch to a version of a model's weights does not take place: the
-    /// server rejected the order, or loads nothing.
+    /// server rejected the order, or loads nothing. Requests reach the server again.
     pub fn on_switch_cancelled(&mut self, model: &str, version: u64) {
         self.weights.on_switch_cancelled(model, version);
     }
 
+    /// Records that an order to load a version of a model's weights, or an earlier order, may take
+    /// effect until the time `until`. `expected_orders` is the number of accepted orders that the
+    /// order requires, if this daemon has sent it.
+    pub fn on_order_pending(
+        &mut self,
+        model: &str,
+        version: u64,
+        until: Duration,
+        expected_orders: Option<u64>,
+    ) {
+        let reported = self.reported_version_of(model);
+        if reported.is_none_or(|reported| reported < version) {
+            self.weights
+                .set_pending_order(model, version, until, expected_orders);
+        }
+    }
+
+    /// Records that no order may take effect any more.
+    pub fn on_orders_settled(&mut self) {
+        self.weights.discard_pending_order();
+    }
+
+    /// Records a report of the server by which it loads nothing and has accepted `orders_accepted`
+    /// orders since its start.
+    pub fn on_orders_reported(&mut self, orders_accepted: u64) {
+        self.weights.on_orders_reported(orders_accepted);
+    }
+
+    /// Returns the time until which an order to load weights may still take effect, although the
+    /// server may load nothing now.
+    #[must_use]
+    pub fn order_pending_until(&self, now: Duration) -> Option<Duration> {
+        let order = self.weights.pending_order(now)?;
+        let reported = self.reported_version_of(order.model());
+        let is_over = reported.is_some_and(|reported| reported >= order.version());
+        (!is_over).then_some(order.until())
+    }
+
+    pub(crate) fn pending_order(&self, now: Duration) -> Option<&PendingOrder> {
+        self.weights.pending_order(now)
+    }
+
+    pub(crate) fn restore_pending_order(&mut self, order: Option<PendingOrder>) {
+        self.weights.restore_pending_order(order);
+    }
+
     /// Returns whether the server is switching weights and therefore rejects requests.
     #[must_use]
     pub fn is_switching(&self, now: Duration) -> bool {
--- a/crates/gateway/tests/servers/main.rs
+++ b/crates/gateway/tests/servers/main.rs
@@ -4,4 +4,5 @@
 mod entries;
 mod fixture;
 mod notices;
+mod pending_orders;
 mod placement;
