Read a restarted cache store anew, and repeat a listing that failed

Cause, found by reading after: since the epoch and position of a silent store are kept, a daemon can hold the position of an earlier epoch. That was handled only where the daemon itself saw the silence end. A leader of a group that became a follower while the store was away, learned from its new leader that the store answers, and became a leader again, went on at the old position in the new epoch: it and its followers did not know what the store held, so parts were computed and written again. The same happened after a restart between two reads. After a restart that was noticed, the store counted as empty until the next read, 0.4 to 0.7 s later.

Change: if an answer is of another epoch than the known one and was not read from the first event on, the position is void, however the store came back, and the events are read again at once. A listing that failed is repeated after 2 s, 4 s, up to 16 s. What the commit protects stays: a store that goes on in the same epoch is known again at once and is not listed. Counter cache_store_restarts.

Measured: events_of_a_restarted_store_are_read_from_the_first_one_on and a_listing_that_failed_is_repeated_with_growing_pauses failed before (position 10 instead of 0; no further listing) and pass now, with all tests of both packages.

--- a/crates/gateway/src/background_tasks/cache_events.rs
+++ b/crates/gateway/src/background_tasks/cache_events.rs
@@ -3,7 +3,7 @@
 //! In a small fleet each daemon reads the events of all cache stores. In a large fleet only the
 //! leaders of groups do, and the other daemons read their leader's log of the changes.
 
-use crate::caches::{CacheStoreKey, CacheStoreSpec};
+use crate::caches::{CacheStore, CacheStoreKey, CacheStoreSpec};
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::groups::Role;
@@ -103,10 +103,17 @@
             Ok(events) => {
                 dependency.on_answer(&gateway);
                 let now = gateway.now();
-                let is_incomplete = {
-                    let state = &mut *gateway.state.borrow_mut();
-                    state.caches.on_events(key, events, now)
+                let (is_incomplete, is_restarted) = {
+                    let caches = &mut gateway.state.borrow_mut().caches;
+                    let is_incomplete = caches.on_events(key, events, now);
+                    let next_event = caches.get(key).map_or(since, CacheStore::next_event);
+                    (is_incomplete, since > 0 && next_event == 0)
                 };
+                if is_restarted {
+                    // Until its events are read from the first one on, its parts are not used.
+                    gateway.metrics.count("cache_store_restarts");
+                    continue;
+                }
                 if is_incomplete {
                     reload_list(&gateway, key, address).await;
                 }
@@ -135,7 +142,9 @@
             gateway.state.borrow_mut().caches.on_listing(key, list, now);
         }
         Err(error) => {
-            gateway.state.borrow_mut().caches.on_listing_failed(key);
+            let now = gateway.now();
+            let caches = &mut gateway.state.borrow_mut().caches;
+            caches.on_listing_failed(key, now);
             gateway.metrics.count("cache_lists_failed");
             gateway.log_notable(&Event::DependencyLost {
                 dependency: "cache list",
--- a/crates/gateway/src/cache_store.rs
+++ b/crates/gateway/src/cache_store.rs
@@ -8,6 +8,10 @@
 
 /// Fixed time of a transfer, in addition to the store's own time to the first byte.
 const TRANSFER_LATENCY_MS: f64 = 3.0;
+/// Time after which a listing that failed is tried again.
+const LIST_RETRY_PAUSE: Duration = Duration::from_secs(2);
+/// Longest time between two such attempts.
+const LIST_RETRY_PAUSE_MAX: Duration = Duration::from_secs(16);
 /// Factor by which data moves more slowly to another failure domain.
 const CROSS_DOMAIN_FACTOR: f64 = 2.0;
 
@@ -66,6 +70,13 @@
     }
 }
 
+/// A listing of a store that failed and is tried again.
+#[derive(Clone, Copy, Debug)]
+struct ListRetry {
+    due_at: Duration,
+    pause: Duration,
+}
+
 /// State of a cache store as this daemon knows it. The store evicts nothing on its own.
 #[derive(Clone, Debug)]
 pub struct CacheStore {
@@ -75,6 +86,8 @@
     pub(crate) was_queried: bool,
     pub(crate) epoch: u64,
     pub(crate) next_event: u64,
+    /// Set while the store's contents are incomplete because a listing has failed.
+    list_retry: Option<ListRetry>,
     /// Whether a task of this daemon reads the store's events.
     pub(crate) is_followed: bool,
     pub(crate) parts: IndexMap<PartKey, CachedPart>,
@@ -93,6 +106,7 @@
             was_queried: false,
             epoch: 0,
             next_event: 0,
+            list_retry: None,
             is_followed: false,
             parts: IndexMap::new(),
             used_tokens: 0,
@@ -124,6 +138,32 @@
         self.used_tokens = 0;
     }
 
+    /// Clears the contents before they are read in full.
+    pub(crate) fn on_full_read(&mut self) {
+        self.clear();
+        self.next_event = 0;
+        self.list_retry = None;
+    }
+
+    /// Records that the store could not be listed. Each further failure doubles the time to the next
+    /// attempt, as a listing stalls the store.
+    pub(crate) fn on_listing_failed(&mut self, now: Duration) {
+        let pause = self
+            .list_retry
+            .map_or(LIST_RETRY_PAUSE, |retry| retry.pause * 2);
+        let pause = pause.min(LIST_RETRY_PAUSE_MAX);
+        self.list_retry = Some(ListRetry {
+            due_at: now + pause,
+            pause,
+        });
+        self.was_queried = true;
+    }
+
+    /// Returns whether a listing that failed is to be tried again.
+    pub(crate) fn is_list_retry_due(&self, now: Duration) -> bool {
+        self.list_retry.is_some_and(|retry| now >= retry.due_at)
+    }
+
     /// Records that the store does not answer. Its contents are not used until it answers again;
     /// they are kept, because its epoch then tells whether it has lost them.
     pub(crate) fn on_unreachable(&mut self) {
--- a/crates/gateway/src/caches.rs
+++ b/crates/gateway/src/caches.rs
@@ -131,7 +131,8 @@
     }
 
     /// Applies the events of a store. Returns whether the store must be listed because events
-    /// are missing.
+    /// are missing. If the store has restarted, [`CacheStore::next_event`] is zero afterwards, and
+    /// its events are to be read from the first one on.
     pub fn on_events(&mut self, key: CacheStoreKey, events: CacheEvents, now: Duration) -> bool {
         if let Some(clock_ms) = events.clock_ms {
             self.on_clock_reading(clock_ms, now);
@@ -140,25 +141,25 @@
             return false;
         };
         let has_restarted = store.epoch != events.epoch;
-        let is_first = store.epoch == 0;
-        let is_back = !std::mem::replace(&mut store.is_reachable, true) && !is_first;
+        let is_from_start = store.next_event == 0;
+        let is_back = !std::mem::replace(&mut store.is_reachable, true) && store.epoch != 0;
         if has_restarted {
-            store.clear();
+            store.on_full_read();
         }
         if has_restarted || is_back {
             log_contents(&mut self.log, store);
         }
         store.epoch = events.epoch;
-        store.next_event = events.next;
-        if has_restarted && is_back {
-            // The position belongs to the epoch before, so events of this one may be missing.
-            store.next_event = 0;
+        if !has_restarted || is_from_start {
+            store.next_event = events.next;
         }
+        // Otherwise the position belongs to the epoch before, so events of this one are missing.
         for part in events.changes {
             log_update(&mut self.log, store, || part_update(&part));
             store.apply(part);
         }
-        let needs_list = events.has_gap && (is_first || !has_restarted);
+        let has_gap = events.has_gap && (is_from_start || !has_restarted);
+        let needs_list = has_gap || store.is_list_retry_due(now);
         store.was_queried |= !needs_list;
         needs_list
     }
@@ -166,16 +167,17 @@
     /// Replaces what is known of a store by a listing of all its parts.
     pub fn on_listing(&mut self, key: CacheStoreKey, list: CacheEvents, now: Duration) {
         if let Some(store) = self.stores.get_mut(key) {
-            store.clear();
+            store.on_full_read();
             log_update(&mut self.log, store, || CacheUpdate::Reset);
         }
         self.on_events(key, list, now);
     }
 
-    /// Records that a store could not be listed. The parts known from its events are kept.
-    pub fn on_listing_failed(&mut self, key: CacheStoreKey) {
+    /// Records that a store could not be listed. The parts known from its events are kept, and
+    /// [`Self::on_events`] asks for another listing later.
+    pub fn on_listing_failed(&mut self, key: CacheStoreKey, now: Duration) {
         if let Some(store) = self.stores.get_mut(key) {
-            store.was_queried = true;
+            store.on_listing_failed(now);
         }
     }
 
--- a/crates/gateway/tests/servers/cache_sources.rs
+++ b/crates/gateway/tests/servers/cache_sources.rs
@@ -1,7 +1,8 @@
 //! From where the shared parts of a prompt are read.
 
 use crate::fixture::{Fixture, MODEL, at, entry, events, named_prompt, store};
-use anvilgw_gateway::caches::{CacheDirectory, CacheEvents};
+use anvilgw_gateway::cache_store_log::{CacheStoreChange, CacheStorePage, CacheUpdate};
+use anvilgw_gateway::caches::{CacheDirectory, CacheEvents, CacheStoreKey};
 use anvilgw_gateway::prefill_rate::PrefillRate;
 use anvilgw_gateway::server::Server;
 use anvilgw_gateway::weights::{PublishedWeights, WeightPublication};
@@ -128,6 +129,77 @@
     }
 }
 
+/// Guards against prompts that are computed and stored again for good: the position in the events of
+/// an epoch says nothing about the next one, however the daemon learns of the restart.
+#[test]
+fn events_of_a_restarted_store_are_read_from_the_first_one_on() {
+    type Before = fn(&mut CacheDirectory, CacheStoreKey);
+    let cases: [(&str, Before); 3] = [
+        ("the restart took less time than two reads", |_, _| {}),
+        ("the store was silent", |caches, key| {
+            caches.on_unreachable(key);
+        }),
+        ("a leader reported the restart meanwhile", |caches, key| {
+            caches.on_unreachable(key);
+            let reset = CacheStoreChange {
+                store: store(8001).address,
+                update: CacheUpdate::Reset,
+            };
+            let page = CacheStorePage {
+                log_id: 7,
+                next: 1,
+                is_snapshot: false,
+                clock_ms: None,
+                changes: vec![reset],
+            };
+            caches.on_cache_store_log_page(page, at(2));
+        }),
+    ];
+    for (name, before) in cases {
+        let mut fixture = Fixture::new(&["s1"]);
+        let key = fixture.caches.set_stores(&[store(8001)])[0];
+        let caches = &mut fixture.caches;
+        caches.on_events(key, events(&[("manual", 500)], 1), at(1));
+        before(caches, key);
+        assert!(!caches.on_events(key, events(&[], 2), at(3)), "{name}");
+        let next_event = caches.get(key).expect("store").next_event();
+        assert_eq!(next_event, 0, "{name}");
+        let from_start = CacheEvents {
+            has_gap: true,
+            ..events(&[("history", 8_000)], 2)
+        };
+        assert!(caches.on_events(key, from_start, at(4)), "{name}: list");
+        caches.on_listing(key, events(&[("history", 8_000)], 2), at(5));
+        let next_event = caches.get(key).expect("store").next_event();
+        assert_eq!(next_event, 10, "{name}: goes on after the list");
+        assert_eq!(fetched_tokens(&mut fixture), 8_000, "{name}");
+    }
+}
+
+/// Guards against parts that stay unknown because the store could not be listed once, and against
+/// listings without a pause of a store that cannot list its parts.
+#[test]
+fn a_listing_that_failed_is_repeated_with_growing_pauses() {
+    let mut caches = CacheDirectory::default();
+    let key = caches.set_stores(&[store(8001)])[0];
+    let with_gap = CacheEvents {
+        has_gap: true,
+        ..events(&[], 1)
+    };
+    assert!(caches.on_events(key, with_gap, at(0)));
+    caches.on_listing_failed(key, at(0));
+    let mut tries_ms = Vec::new();
+    for ms in (500..20_000).step_by(500) {
+        if caches.on_events(key, events(&[], 1), at(ms)) {
+            tries_ms.push(ms);
+            caches.on_listing_failed(key, at(ms));
+        }
+    }
+    assert_eq!(tries_ms, [2_000, 6_000, 14_000]);
+    caches.on_listing(key, events(&[("history", 8_000)], 1), at(20_000));
+    assert!(!caches.on_events(key, events(&[], 1), at(60_000)));
+}
+
 fn fetched_tokens(fixture: &mut Fixture) -> u32 {
     let selected = fixture.place(&named_prompt(), at(3)).expect("server");
     selected.cache.expect("a generation").plan.fetched_tokens
