Plan reads of prompt parts by when they arrive

Planned reads did not count what already waits on a link, so under load reads came too late and were discarded, and their parts were computed again.

Requests accept random fractions of the longest wait, since reports are up to 400 ms old. Counter cache_reads_too_late.

--- a/crates/gateway/src/background_tasks/load_reports.rs
+++ b/crates/gateway/src/background_tasks/load_reports.rs
@@ -1,7 +1,7 @@
 //! Sends load reports to the other daemons.
 
 use super::peer_messages::send_message;
-use crate::caches::name_hash;
+use crate::caches::{CacheDirectory, LinkAccount, link_hash, name_hash};
 use crate::gateway::Gateway;
 use crate::groups::Role;
 use crate::peer_message::PeerMessage;
@@ -69,12 +69,18 @@
     fn send(&mut self, role: &Role) {
         let sequence = self.gateway.ports.clock.wall_ms();
         let state = &mut *self.gateway.state.borrow_mut();
-        let engines = state.servers.iter().count();
         let now = self.gateway.now();
+        let mut engines = state.servers.iter().count();
         let servers = state.servers.iter().map(|(_, server)| server);
         let own = match self.gateway.settings.load_control {
             LoadControl::Memory => own_loads(servers, now),
-            LoadControl::StartTime => own_loads_with_work(servers, now),
+            LoadControl::StartTime => {
+                state.links.expire(now);
+                let mut loads = own_loads_with_work(servers, now);
+                loads.extend(store_links(&state.caches, &state.links, now));
+                engines += state.caches.store_addresses().count();
+                loads
+            }
         };
         match role {
             Role::Mesh { peers } => {
@@ -124,6 +130,16 @@
         .collect()
 }
 
+/// Returns the tokens that wait on the links of cache stores. Each link is reported as an engine of
+/// its own.
+fn store_links(caches: &CacheDirectory, links: &LinkAccount, now: Duration) -> Vec<EngineLoad> {
+    caches
+        .store_addresses()
+        .map(|store| EngineLoad::new(link_hash(store), links.tokens_left(store, now) as u64))
+        .filter(|load| load.tokens() > 0)
+        .collect()
+}
+
 fn send_all(
     gateway: &Gateway,
     socket: &UdpSocket,
--- a/crates/gateway/src/cache_store.rs
+++ b/crates/gateway/src/cache_store.rs
@@ -194,13 +194,18 @@
     /// Returns the estimated time, in milliseconds, to transfer tokens from the store to a
     /// failure domain.
     pub(crate) fn transfer_ms(&self, tokens: u32, to_domain: &str) -> f64 {
+        let first_byte_ms = self.spec.first_byte.as_secs_f64() * 1000.0;
+        let link_tokens = self.link_tokens(tokens, to_domain);
+        TRANSFER_LATENCY_MS + first_byte_ms + link_tokens / self.spec.link_tokens_per_ms.max(1.0)
+    }
+
+    /// Returns the tokens by which such a transfer occupies the store's link.
+    pub(crate) fn link_tokens(&self, tokens: u32, to_domain: &str) -> f64 {
         let distance = if self.spec.failure_domain == to_domain {
             1.0
         } else {
             CROSS_DOMAIN_FACTOR
         };
-        let first_byte_ms = self.spec.first_byte.as_secs_f64() * 1000.0;
-        let link_ms = f64::from(tokens) / self.spec.link_tokens_per_ms.max(1.0);
-        TRANSFER_LATENCY_MS + first_byte_ms + link_ms * distance
+        f64::from(tokens) * distance
     }
 }
--- a/crates/gateway/src/caches.rs
+++ b/crates/gateway/src/caches.rs
@@ -6,16 +6,20 @@
 //! from an engine. The caches of engines are not tracked: they change all the time, and the
 //! engine that ranks next for a prompt has most likely served the prompt before.
 
+mod links;
 mod plan;
 mod replication;
+mod timely_reads;
 
 pub use crate::cache_store::{CacheStore, CacheStoreSpec, CachedPart, PartKey, name_hash};
 use crate::cache_store_log::{CacheStoreChange, CacheStoreLog, CacheUpdate};
 use indexmap::{IndexMap, IndexSet};
+pub use links::{LinkAccount, PlannedTransfer, link_hash};
 pub use plan::{CachePlan, LocatedPrompt, PartPlan, PlanDestination, TransferPolicy};
 use slotmap::{SlotMap, new_key_type};
 use std::net::SocketAddr;
 use std::time::Duration;
+pub use timely_reads::{PartSource, TimelyReads, WaitingTokens, fetch_time_limit};
 
 new_key_type! {
     /// Key of a cache store in the [`CacheDirectory`]. It stays valid until the store is removed.
@@ -86,6 +90,11 @@
         added
     }
 
+    /// Returns the addresses of the configured stores.
+    pub fn store_addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.stores.values().map(CacheStore::address)
+    }
+
     /// Returns whether the contents of all stores that answer are known. They are not while a
     /// daemon starts.
     #[must_use]
--- a/crates/gateway/src/caches/plan.rs
+++ b/crates/gateway/src/caches/plan.rs
@@ -1,6 +1,8 @@
 //! Plans from where a server reads the shared parts of a prompt, and to which stores it writes
 //! them.
 
+use super::links::PlannedTransfer;
+use super::timely_reads::{PartSource, TimelyReads, WaitingTokens};
 use super::{CacheDirectory, CacheStoreKey};
 use crate::cache_store::{CacheStore, CacheStoreSpec, PartKey};
 use crate::prefill_rate::PrefillRate;
@@ -38,6 +40,11 @@
     pub fetched_tokens: u32,
     /// Tokens without a source that is faster than computing them.
     pub computed_tokens: u32,
+    /// Tokens of these that a store holds, but that would arrive after they are computed or after
+    /// the time limit of the reads.
+    pub late_tokens: u32,
+    /// Transfers that the reads cause, if an account of the links is kept.
+    pub transfers: Vec<PlannedTransfer>,
 }
 
 /// A shared part of a prompt, with the stores that hold it.
@@ -74,6 +81,11 @@
     pub likely_engine: Option<SocketAddr>,
     /// Regions within which the prompt's parts may be transferred.
     pub region_constraints: RegionConstraints<'a>,
+    /// Tokens that wait on the link of a source. `None` if no account of the links is kept; reads
+    /// are then planned as if each link were idle.
+    pub waiting_tokens: Option<&'a WaitingTokens<'a>>,
+    /// Random number from 0 to 1, by which the request accepts a wait for a link.
+    pub draw: f64,
 }
 
 impl TransferPolicy<'_> {
@@ -118,9 +130,23 @@
         policy: TransferPolicy<'_>,
     ) -> CachePlan {
         let mut plan = CachePlan::default();
+        let mut reads = policy
+            .waiting_tokens
+            .map(|waiting| TimelyReads::new(waiting, policy.draw));
         for part in &prompt.parts {
-            let known = self.best_source(part, destination, policy);
-            let source = known.or_else(|| self.likely_source(part, policy));
+            let source = match &mut reads {
+                Some(reads) => {
+                    let sources = self.store_sources(part, destination, policy);
+                    let source = self.timely_source(part, &sources, destination, policy, reads);
+                    if source.is_none() && !sources.is_empty() {
+                        plan.late_tokens += part.tokens;
+                    }
+                    source
+                }
+                None => self
+                    .best_source(part, destination, policy)
+                    .or_else(|| self.likely_source(part, policy)),
+            };
             let tokens = match source {
                 Some(_) => &mut plan.fetched_tokens,
                 None => &mut plan.computed_tokens,
@@ -135,9 +161,65 @@
                 },
             });
         }
+        plan.transfers = reads.map(TimelyReads::into_transfers).unwrap_or_default();
         plan
     }
 
+    /// Returns the stores from which a part may be read.
+    fn store_sources(
+        &self,
+        part: &LocatedPart,
+        destination: PlanDestination<'_>,
+        policy: TransferPolicy<'_>,
+    ) -> Vec<PartSource> {
+        let stores = part.stores.iter().filter_map(|key| self.stores.get(*key));
+        let allowed = stores.filter(|store| policy.allow(store, part));
+        allowed
+            .map(|store| PartSource {
+                address: store.address(),
+                transfer_ms: store.transfer_ms(part.tokens, destination.failure_domain),
+                link_tokens: store.link_tokens(part.tokens, destination.failure_domain),
+                link_tokens_per_ms: store.spec.link_tokens_per_ms,
+            })
+            .collect()
+    }
+
+    /// Returns the store from which a part arrives first, if it arrives in time; otherwise the engine
+    /// that most likely has it, if its link is not busy.
+    fn timely_source(
+        &self,
+        part: &LocatedPart,
+        stores: &[PartSource],
+        destination: PlanDestination<'_>,
+        policy: TransferPolicy<'_>,
+        reads: &mut TimelyReads<'_>,
+    ) -> Option<SocketAddr> {
+        self.clock?;
+        let compute_ms = destination.prefill_rate.prefill_ms(part.tokens) * PREFILL_WEIGHT;
+        let from_store = reads.choose(part.tokens, compute_ms, stores.iter().copied());
+        if from_store.is_some() {
+            return from_store;
+        }
+        let engine = self.likely_source(part, policy)?;
+        let source = self.engine_source(engine, part.tokens)?;
+        reads.choose(part.tokens, compute_ms, std::iter::once(source))
+    }
+
+    /// Returns an engine as a source. The links of engines are not configured, so the slowest one of
+    /// the stores stands for them.
+    fn engine_source(&self, address: SocketAddr, tokens: u32) -> Option<PartSource> {
+        let stores = self.stores.values();
+        let rate = |store: &CacheStore| store.spec.link_tokens_per_ms.max(1.0);
+        let link_tokens_per_ms = stores.map(rate).min_by(f64::total_cmp)?;
+        let link_tokens = f64::from(tokens);
+        Some(PartSource {
+            address,
+            transfer_ms: link_tokens / link_tokens_per_ms,
+            link_tokens,
+            link_tokens_per_ms,
+        })
+    }
+
     /// Returns the store from which a part is transferred fastest, if that takes less time than
     /// computing it.
     fn best_source(
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -3,7 +3,7 @@
 use super::progress::Progress;
 use super::routed_request::RoutedRequest;
 use crate::admission::MemoryRequest;
-use crate::caches::CacheDirectory;
+use crate::caches::{CacheDirectory, fetch_time_limit};
 use crate::configuration::Service;
 use crate::gateway::{Gateway, State};
 use crate::log::{Choice, PromptChoice};
@@ -14,15 +14,16 @@
 use crate::region_constraints::RegionConstraints;
 use crate::retry::AttemptError;
 use crate::select::{
-    CacheUse, NoServer, PromptQuery, Query, Selected, SelectedStart, StartQuery, select,
+    CacheUse, LinkQuery, NoServer, PromptQuery, Query, Selected, SelectedStart, StartQuery, select,
 };
 use crate::server::{Server, ServerKey, Servers};
 use crate::server_ends::UsedServer;
 use crate::server_speed::ServiceSpeed;
 use crate::settings::LoadControl;
-use crate::weights::{FETCH_TIME_MAX, oldest_allowed_version};
+use crate::weights::oldest_allowed_version;
 use anvilgw_quarantine::ServerStart;
 use indexmap::IndexMap;
+use rand::RngExt;
 use rand::rngs::SmallRng;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -122,15 +123,6 @@
     }
 }
 
-/// Returns how long a server should wait for prompt parts from cache stores and other servers. This
-/// is several times what an engine takes to compute them, since computing also delays all other
-/// requests on the engine.
-fn fetch_time_limit(tokens: u32) -> Duration {
-    const BASE: Duration = Duration::from_millis(150);
-    const PER_TOKEN: Duration = Duration::from_micros(30);
-    (BASE + PER_TOKEN * tokens).min(FETCH_TIME_MAX)
-}
-
 async fn wait_for_stores(gateway: &Gateway, routed: &RoutedRequest) {
     let wait_until = routed.arrived_at + STORES_WAIT_MAX.min(routed.route.latency_target / 2);
     let is_known = || gateway.state.borrow().caches.knows_store_contents();
@@ -190,6 +182,7 @@
                 continue;
             }
         }
+        record_transfers(gateway, &selected, now);
         let state = gateway.state.borrow();
         let server = state.servers.get(selected.server);
         // The server may have left while the permit was requested.
@@ -205,6 +198,16 @@
     Err(AttemptError::NoServer(NoServer::AllUnavailable))
 }
 
+/// Counts the transfers that a selection causes, for the plans of later requests.
+fn record_transfers(gateway: &Gateway, selected: &Selected, now: Duration) {
+    let Some(cache) = &selected.cache else { return };
+    if cache.plan.late_tokens > 0 {
+        gateway.metrics.count("cache_reads_too_late");
+    }
+    let links = &mut gateway.state.borrow_mut().links;
+    links.on_planned(&cache.plan.transfers, cache.is_first_in_rank, now);
+}
+
 /// Times that limit the use of the weights of a selected server.
 #[derive(Clone, Copy, Default)]
 struct WeightLimits {
@@ -275,6 +278,10 @@
             old_part_times: gateway.old_part_times(),
             is_configuration_current: state.configuration_freshness.is_current(now),
             are_switches_current: now < state.switches_read_at + SWITCHES_AGE_MAX,
+            links: start_time_control(gateway).then(|| LinkQuery {
+                account: &state.links,
+                draw: state.rng.random(),
+            }),
         }
     });
     let query = Query {
@@ -295,6 +302,12 @@
     decide(&mut state.servers, &query, &mut state.rng)
 }
 
+/// Returns whether the settings call for control of overload, and with it for plans of transfers that
+/// count what waits on the links.
+fn start_time_control(gateway: &Gateway) -> bool {
+    gateway.settings.load_control == LoadControl::StartTime
+}
+
 /// Returns the inputs to the estimate of the start, if load is controlled by it and the memory of
 /// the service's engines is known.
 fn start_query(
@@ -302,8 +315,7 @@
     speeds: &IndexMap<String, ServiceSpeed>,
     routed: &RoutedRequest,
 ) -> Option<StartQuery> {
-    let is_in_force = gateway.settings.load_control == LoadControl::StartTime
-        && engine_capacity(&routed.service) > 0;
+    let is_in_force = start_time_control(gateway) && engine_capacity(&routed.service) > 0;
     let speed = speeds.get(&routed.service.name);
     is_in_force.then(|| StartQuery {
         latency_target: routed.route.latency_target,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use crate::admission::MemoryAdmission;
 use crate::body_memory::BodyMemory;
 use crate::budget::RetryBudget;
-use crate::caches::CacheDirectory;
+use crate::caches::{CacheDirectory, LinkAccount};
 use crate::configuration::{ClientLimits, Configuration, Service};
 use crate::fleet_view::FleetView;
 use crate::freshness::ConfigurationFreshness;
@@ -48,6 +48,8 @@
     pub(crate) configuration_freshness: ConfigurationFreshness,
     pub(crate) servers: Servers,
     pub(crate) caches: CacheDirectory,
+    /// Planned transfers of prompt parts. Empty unless load is controlled by the estimated start.
+    pub(crate) links: LinkAccount,
     /// Estimated prefill rate of the engines, by service.
     pub(crate) prefill_rates: IndexMap<String, PrefillRate>,
     /// Speed of the engines, by service. Empty unless load is controlled by the estimated start.
@@ -150,6 +152,7 @@
             configuration_freshness: ConfigurationFreshness::new(configuration_age_max(&settings)),
             servers: Servers::default(),
             caches: CacheDirectory::default(),
+            links: LinkAccount::default(),
             prefill_rates: IndexMap::new(),
             service_speeds: IndexMap::new(),
             admission: MemoryAdmission::default(),
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -1,6 +1,9 @@
 //! Selection of the backend server for a request.
 
-use crate::caches::{CacheDirectory, CachePlan, PlanDestination, TransferPolicy, name_hash};
+use crate::caches::{
+    CacheDirectory, CachePlan, LinkAccount, PlanDestination, TransferPolicy, WaitingTokens,
+    link_hash, name_hash,
+};
 use crate::configuration::Service;
 use crate::peers::PeerLoads;
 use crate::permits::PermitState;
@@ -16,6 +19,7 @@
 use rand::{Rng, RngExt};
 use std::cmp::Ordering;
 use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Factor by which a server's load may exceed the candidates' mean before a prompt goes to the
@@ -100,6 +104,26 @@
     pub is_configuration_current: bool,
     /// Whether this daemon knows all announced weight switches.
     pub are_switches_current: bool,
+    /// Account of planned transfers. `None` if reads are planned as if each link were idle.
+    pub links: Option<LinkQuery<'a>>,
+}
+
+/// Inputs to the choice between reading a prompt part and computing it.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkQuery<'a> {
+    /// This daemon's planned transfers.
+    pub account: &'a LinkAccount,
+    /// Random number from 0 to 1, by which the request accepts a wait for a link.
+    pub draw: f64,
+}
+
+impl PromptQuery<'_> {
+    /// Returns the tokens that requests of all daemons transfer from a source.
+    fn waiting_tokens(&self, source: SocketAddr, now: Duration) -> f64 {
+        let others = self.peer_loads.tokens_on(link_hash(source)) as f64;
+        let own = |links: LinkQuery<'_>| links.account.tokens_left(source, now);
+        self.links.map_or(0.0, own) + others
+    }
 }
 
 /// Inputs to the estimate of the start at each server.
@@ -144,6 +168,8 @@
     pub scope: String,
     /// Where each shared part of the prompt is read from and written to.
     pub plan: CachePlan,
+    /// Whether the server is the one that ranks first for the prompt.
+    pub is_first_in_rank: bool,
 }
 
 /// Reason why no server can take a request.
@@ -341,7 +367,8 @@
         .filter(|(_, other, _)| *other != key)
         .map(|(_, _, other)| *other)
         .find(|other| is_readable_source(other, now));
-    let cache = plan_cache_use(server, likely_source, query, region_constraints, now);
+    let mut cache = plan_cache_use(server, likely_source, query, region_constraints, now);
+    cache.is_first_in_rank = index == 0;
     let own_tokens = query.prompt.unshared_tokens() + cache.plan.computed_tokens;
     Some(Selected {
         server: key,
@@ -460,6 +487,8 @@
         && (is_newest || query.are_switches_current);
     let mut plan = CachePlan::default();
     if may_transfer {
+        let waiting_tokens = |source| query.waiting_tokens(source, now);
+        let waiting_tokens: &WaitingTokens<'_> = &waiting_tokens;
         let likely_engine = likely_source
             .filter(|source| source.version_of(model) == version)
             .map(|source| source.entry.address);
@@ -473,6 +502,8 @@
             },
             likely_engine,
             region_constraints,
+            waiting_tokens: query.links.map(|_| waiting_tokens),
+            draw: query.links.map_or(1.0, |links| links.draw),
         };
         let parts = query.prompt.shared_parts();
         let located = query.caches.locate(name_hash(&scope), parts);
@@ -486,6 +517,7 @@
         weight_version: version,
         scope,
         plan,
+        is_first_in_rank: false,
     }
 }
 
--- a/crates/gateway/tests/deployments/deployment.rs
+++ b/crates/gateway/tests/deployments/deployment.rs
@@ -179,6 +179,7 @@
             old_part_times: self.old_part_times(),
             is_configuration_current: true,
             are_switches_current: true,
+            links: None,
         });
         let constraints = RegionConstraints {
             regions: &regions,
--- a/crates/gateway/tests/servers/fixture.rs
+++ b/crates/gateway/tests/servers/fixture.rs
@@ -159,6 +159,7 @@
                 },
                 is_configuration_current: true,
                 are_switches_current: self.published_weights.is_some(),
+                links: None,
             }),
             ..Query::new(&service, constraints(&self.regions, &self.confined_to))
         };
