Keep requests in their zone while leaving saves less than it costs

Selection did not know zones, so requests and cached parts crossed them for nothing, and nothing decided when crossing pays off.

With the rule 'pressure', a daemon estimates start and pressure of each zone and lets a share of the requests leave a zone if callers save more than the costs, never for a zone under pressure. Shares change in small steps and each request draws on its own. A prompt's zone is that of the server that ranks first for it, so returning prompts find their parts from every zone; only the choice of another server is confined to it. Without the rule, selection is as before.

--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod stream_buffer;
 mod stream_relay;
 mod target;
+mod zones;
 
 pub(crate) use buffered::serve_buffered;
 pub(crate) use progress::Progress;
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -2,6 +2,7 @@
 
 use super::progress::Progress;
 use super::routed_request::RoutedRequest;
+use super::zones::{record_transfers, record_zone, update_zones};
 use crate::admission::MemoryRequest;
 use crate::caches::{CacheDirectory, fetch_time_limit};
 use crate::configuration::Service;
@@ -16,7 +17,7 @@
 use crate::retry::AttemptError;
 use crate::select::{
     Admission, CacheUse, LinkQuery, NoServer, PromptQuery, Query, Selected, SelectedStart,
-    StartQuery, select,
+    StartQuery, ZoneQuery, select,
 };
 use crate::server::{Server, ServerKey, Servers};
 use crate::server_ends::UsedServer;
@@ -191,6 +192,7 @@
             }
         }
         record_transfers(gateway, &selected, now);
+        record_zone(gateway, &selected);
         let state = gateway.state.borrow();
         let server = state.servers.get(selected.server);
         // The server may have left while the permit was requested.
@@ -206,16 +208,6 @@
     Err(AttemptError::NoServer(NoServer::AllUnavailable))
 }
 
-/// Counts the transfers that a selection causes, for the plans of later requests.
-fn record_transfers(gateway: &Gateway, selected: &Selected, now: Duration) {
-    let Some(cache) = &selected.cache else { return };
-    if cache.plan.late_tokens > 0 {
-        gateway.metrics.count("cache_reads_too_late");
-    }
-    let links = &mut gateway.state.borrow_mut().links;
-    links.on_planned(&cache.plan.transfers, cache.is_first_in_rank, now);
-}
-
 /// Times that limit the use of the weights of a selected server.
 #[derive(Clone, Copy, Default)]
 struct WeightLimits {
@@ -260,9 +252,17 @@
     decide: impl FnOnce(&mut Servers, &Query<'_>, &mut SmallRng) -> T,
 ) -> T {
     let now = gateway.now();
+    update_zones(gateway, routed);
     let state = &mut *gateway.state.borrow_mut();
     let is_first_attempt = progress.borrow().tried_servers.is_empty();
-    let start = start_query(gateway, &mut state.loads, routed, is_first_attempt);
+    let load = state.loads.get(&routed.service.name);
+    let load = load.filter(|_| gateway.is_start_controlled());
+    let start = load.and_then(|load| start_query(load, routed, is_first_attempt, now));
+    let zones = load.map(|load| ZoneQuery {
+        own_zone: &gateway.settings.failure_domain,
+        choice: &load.zones,
+        draw: state.rng.random(),
+    });
     let free_fraction = start
         .and_then(|start| start.admission)
         .map_or(0.0, |admission| admission.demand.free_memory_fraction());
@@ -291,6 +291,7 @@
             old_part_times: gateway.old_part_times(),
             is_configuration_current: state.configuration_freshness.is_current(now),
             are_switches_current: now < state.switches_read_at + SWITCHES_AGE_MAX,
+            zones,
             links: gateway.is_start_controlled().then(|| LinkQuery {
                 account: &state.links,
                 draw: state.rng.random(),
@@ -299,41 +300,46 @@
     });
     let query = Query {
         service: &routed.service,
-        region_constraints: RegionConstraints {
-            regions: &gateway.settings.regions,
-            route: &routed.route.allowed_regions,
-            workspace: routed
-                .workspace
-                .as_deref()
-                .map_or(&[], |workspace| workspace.allowed_regions.as_slice()),
-        },
+        region_constraints: region_constraints(gateway, routed),
         prompt,
         tried: &progress.borrow().tried_servers,
         share: state.share,
         may_ask_permits: options.may_ask_permits,
+        zones,
     };
     decide(&mut state.servers, &query, &mut state.rng)
 }
 
+fn region_constraints<'a>(
+    gateway: &'a Gateway,
+    routed: &'a RoutedRequest,
+) -> RegionConstraints<'a> {
+    let workspace = routed.workspace.as_deref();
+    RegionConstraints {
+        regions: &gateway.settings.regions,
+        route: &routed.route.allowed_regions,
+        workspace: workspace.map_or(&[], |workspace| workspace.allowed_regions.as_slice()),
+    }
+}
+
 /// Returns the inputs to the estimate of the start, if load is controlled by it and the memory of
 /// the service's engines is known.
 fn start_query<'a>(
-    gateway: &Gateway,
-    loads: &'a mut IndexMap<String, ServiceLoad>,
+    load: &'a ServiceLoad,
     routed: &RoutedRequest,
     is_first_attempt: bool,
+    now: Duration,
 ) -> Option<StartQuery<'a>> {
-    if !gateway.is_start_controlled() || engine_capacity(&routed.service) == 0 {
+    if engine_capacity(&routed.service) == 0 {
         return None;
     }
-    let load = &*loads.entry(routed.service.name.clone()).or_default();
     // A stream that the client resumes was admitted before.
     let is_new = is_first_attempt && routed.meta.resume_after.is_none();
     Some(StartQuery {
         latency_target: routed.route.latency_target,
         service: load.speed,
         admission: is_new.then(|| Admission {
-            demand: demand(routed, gateway.now()),
+            demand: demand(routed, now),
             throttle: &load.overload.throttle,
         }),
     })
@@ -369,7 +375,7 @@
     }
 }
 
-fn engine_capacity(service: &Service) -> u64 {
+pub(super) fn engine_capacity(service: &Service) -> u64 {
     let engine = service.engine.as_ref();
     engine.map_or(0, |engine| engine.kv_capacity_tokens)
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::settings::{GatewaySettings, LoadControl};
 use crate::topic_log::TopicLog;
 use crate::weights::{OldPartTimes, PublishedWeights};
+use crate::zone_choice::ZoneChoice;
 use anvilgw_core::Clock;
 use anvilgw_quarantine::{Quarantine, Times};
 use bytes::Bytes;
@@ -96,6 +97,8 @@
     pub(crate) speed: ServiceSpeed,
     /// Control of its overload.
     pub(crate) overload: ServiceOverload,
+    /// Shares of its requests that leave each failure domain.
+    pub(crate) zones: ZoneChoice,
 }
 
 /// Implementations of the interfaces to the platform, and the clock.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod start_estimate;
 pub mod topic_log;
 pub mod weights;
+pub mod zone_choice;
 
 pub use daemon::{Daemon, DaemonError, Reload, run};
 pub use gateway::Ports;
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -1,6 +1,7 @@
 //! Selection of the backend server for a request.
 
 mod ranked;
+mod zones;
 
 use crate::caches::{CacheDirectory, CachePlan, LinkAccount, link_hash};
 use crate::configuration::Service;
@@ -20,6 +21,9 @@
 use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::time::Duration;
+pub use zones::ZoneQuery;
+use zones::in_chosen_zone;
+pub(crate) use zones::{ZONE_COST, ZoneInputs, zone_estimates};
 
 /// Share of failed requests from which a server is avoided. Smaller shares are attributed to the
 /// requests rather than to the server.
@@ -49,6 +53,8 @@
     pub share: f64,
     /// Whether servers are candidates for which the issuer must be asked for a permit first.
     pub may_ask_permits: bool,
+    /// Inputs to the choice of a zone, for requests without a prompt. `None` if all zones are alike.
+    pub zones: Option<ZoneQuery<'a>>,
 }
 
 impl<'a> Query<'a> {
@@ -63,6 +69,7 @@
             tried: &[],
             share: 1.0,
             may_ask_permits: true,
+            zones: None,
         }
     }
 }
@@ -100,6 +107,8 @@
     pub are_switches_current: bool,
     /// Account of planned transfers. `None` if reads are planned as if each link were idle.
     pub links: Option<LinkQuery<'a>>,
+    /// Inputs to the choice of a zone. `None` if all zones are alike.
+    pub zones: Option<ZoneQuery<'a>>,
 }
 
 /// Inputs to the choice between reading a prompt part and computing it.
@@ -175,6 +184,8 @@
     pub plan: CachePlan,
     /// Whether the server is the one that ranks first for the prompt.
     pub is_first_in_rank: bool,
+    /// Whether the server is in another failure domain than the one that ranks first.
+    pub has_left_zone: bool,
 }
 
 /// Reason why no server can take a request.
@@ -254,12 +265,17 @@
                 now,
             )
         }
-        None => least_loaded(servers, &preferred, now, rng)
-            .map(|server| Selected {
-                server,
-                ..Selected::default()
-            })
-            .ok_or(NoServer::NoMemory),
+        None => least_loaded(
+            servers,
+            &in_chosen_zone(servers, &preferred, query, now),
+            now,
+            rng,
+        )
+        .map(|server| Selected {
+            server,
+            ..Selected::default()
+        })
+        .ok_or(NoServer::NoMemory),
     }?;
     if let Some(server) = servers.get_mut(selected.server) {
         let allowed = server.allowed_rate(query.service.cold_requests_per_s, now);
--- a/crates/gateway/src/select/ranked.rs
+++ b/crates/gateway/src/select/ranked.rs
@@ -1,5 +1,6 @@
 //! Selection of the engine for a prompt, among servers in the order of their ranks.
 
+use super::zones::within_zone;
 use super::{Admission, CacheUse, NoServer, PromptQuery, Selected, SelectedStart, StartQuery};
 use crate::caches::{CachePlan, PlanDestination, TransferPolicy, WaitingTokens, name_hash};
 use crate::overload::{FleetLoad, admit};
@@ -58,6 +59,8 @@
         .find(|other| is_readable_source(other, now));
     let mut cache = plan_cache_use(server, likely_source, query, region_constraints, now);
     cache.is_first_in_rank = index == 0;
+    let (_, _, first) = ranked[0];
+    cache.has_left_zone = server.entry.failure_domain != first.entry.failure_domain;
     let own_tokens = query.prompt.unshared_tokens() + cache.plan.computed_tokens;
     Ok(Selected {
         server: key,
@@ -114,13 +117,15 @@
         })
         .collect();
     let fleet = FleetLoad::of(&works);
-    let index = requirement(query, start).choose(&candidates);
+    let requirement = requirement(query, start);
+    let index = requirement.choose(&candidates);
     let Some(index) = index else {
         let rejection = start
             .admission
             .map(|admission| admission.demand.memory_rejection(&fleet, &start.service));
         return Err(rejection.map_or(NoServer::NoMemory, NoServer::Overloaded));
     };
+    let index = within_zone(ranked, &candidates, &requirement, query, index);
     let estimate = candidates[index].estimate;
     if let Some(Admission { demand, throttle }) = &start.admission {
         let start_ms = estimate.start_ms();
@@ -144,7 +149,7 @@
 }
 
 /// Returns the work of all daemons' requests at a server.
-fn work_at(server: &Server, peer_loads: &PeerLoads, now: Duration) -> ServerWork {
+pub(super) fn work_at(server: &Server, peer_loads: &PeerLoads, now: Duration) -> ServerWork {
     let others = peer_loads.total_on(server.server_hash());
     let known_requests = f64::from(server.in_flight) + others.requests as f64;
     ServerWork {
@@ -227,6 +232,7 @@
         scope,
         plan,
         is_first_in_rank: false,
+        has_left_zone: false,
     }
 }
 
--- a/crates/gateway/src/start_estimate.rs
+++ b/crates/gateway/src/start_estimate.rs
@@ -109,7 +109,7 @@
 
 impl Requirement {
     /// Returns the time until the prompt itself is computed, in milliseconds.
-    fn first_event_ms(&self, candidate: &Candidate, is_first_in_rank: bool) -> f64 {
+    pub(crate) fn first_event_ms(&self, candidate: &Candidate, is_first_in_rank: bool) -> f64 {
         let shared_fraction = if is_first_in_rank {
             0.0
         } else {
@@ -126,18 +126,34 @@
     /// none has room.
     #[must_use]
     pub fn choose(&self, ranked: &[Candidate]) -> Option<usize> {
+        self.choose_among(ranked, &|_| true)
+    }
+
+    /// Returns the index of the selected server, as [`Self::choose`] does, among the candidates for
+    /// whose index `is_allowed` returns true.
+    #[must_use]
+    pub fn choose_among(
+        &self,
+        ranked: &[Candidate],
+        is_allowed: &dyn Fn(usize) -> bool,
+    ) -> Option<usize> {
         let total: f64 = ranked.iter().map(|candidate| candidate.memory_tokens).sum();
         let mean = total / ranked.len().max(1) as f64;
         let slack = self.capacity_tokens as f64 * MEMORY_SLACK_FRACTION;
         let even = (mean * MEMORY_FACTOR + slack).min(self.memory_limit_tokens);
-        self.choose_within(ranked, even)
-            .or_else(|| self.choose_within(ranked, self.memory_limit_tokens))
+        self.choose_within(ranked, even, is_allowed)
+            .or_else(|| self.choose_within(ranked, self.memory_limit_tokens, is_allowed))
     }
 
-    fn choose_within(&self, ranked: &[Candidate], memory_limit_tokens: f64) -> Option<usize> {
+    fn choose_within(
+        &self,
+        ranked: &[Candidate],
+        memory_limit_tokens: f64,
+        is_allowed: &dyn Fn(usize) -> bool,
+    ) -> Option<usize> {
         let with_room = || {
-            let has_room = |(_, candidate): &(usize, &Candidate)| {
-                candidate.memory_tokens <= memory_limit_tokens
+            let has_room = |(index, candidate): &(usize, &Candidate)| {
+                candidate.memory_tokens <= memory_limit_tokens && is_allowed(*index)
             };
             ranked.iter().enumerate().filter(has_room)
         };
--- a/crates/gateway/tests/deployments/deployment.rs
+++ b/crates/gateway/tests/deployments/deployment.rs
@@ -180,6 +180,7 @@
             is_configuration_current: true,
             are_switches_current: true,
             links: None,
+            zones: None,
         });
         let constraints = RegionConstraints {
             regions: &regions,
--- a/crates/gateway/tests/servers/fixture.rs
+++ b/crates/gateway/tests/servers/fixture.rs
@@ -7,11 +7,14 @@
 use anvilgw_gateway::prefill_rate::PrefillRate;
 use anvilgw_gateway::region_constraints::RegionConstraints;
 use anvilgw_gateway::request::{Prompt, PromptPart};
-use anvilgw_gateway::select::{NoServer, PromptQuery, Query, Selected, StartQuery, select};
+use anvilgw_gateway::select::{
+    NoServer, PromptQuery, Query, Selected, StartQuery, ZoneQuery, select,
+};
 use anvilgw_gateway::server::{
     ServedModel, ServerEntry, ServerKey, ServerState, Servers, server_hash,
 };
 use anvilgw_gateway::weights::{OldPartTimes, PublishedWeights};
+use anvilgw_gateway::zone_choice::{ZoneChoice, ZoneCost, ZoneEstimate};
 use indexmap::IndexMap;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -82,6 +85,7 @@
     pub(crate) published_weights: Option<PublishedWeights>,
     pub(crate) oldest_version: Option<u64>,
     pub(crate) start: Option<StartQuery<'static>>,
+    pub(crate) zones: Option<ZoneChoice>,
 }
 
 impl Fixture {
@@ -101,6 +105,7 @@
             published_weights: None,
             oldest_version: None,
             start: None,
+            zones: None,
         }
     }
 
@@ -160,6 +165,11 @@
                 is_configuration_current: true,
                 are_switches_current: self.published_weights.is_some(),
                 links: None,
+                zones: self.zones.as_ref().map(|choice| ZoneQuery {
+                    own_zone: "a",
+                    choice,
+                    draw: 0.0,
+                }),
             }),
             ..Query::new(&service, constraints(&self.regions, &self.confined_to))
         };
@@ -172,6 +182,21 @@
     }
 }
 
+/// Returns the choice of zones that results from a start and a pressure in each of them, so that some
+/// requests of a busy zone leave.
+pub(crate) fn zone_choice(zones: &[(&str, f64, f64)]) -> ZoneChoice {
+    let estimates = zones.iter().map(|(zone, start_ms, pressure)| {
+        let estimate = ZoneEstimate {
+            start_ms: *start_ms,
+            pressure: *pressure,
+        };
+        ((*zone).to_owned(), estimate)
+    });
+    let mut choice = ZoneChoice::default();
+    choice.update(estimates.collect(), ZoneCost::default(), at(0));
+    choice
+}
+
 /// Returns constraints of a route, without any of a workspace.
 fn constraints<'a>(
     regions: &'a IndexMap<String, String>,
--- a/crates/gateway/tests/servers/main.rs
+++ b/crates/gateway/tests/servers/main.rs
@@ -6,3 +6,4 @@
 mod notices;
 mod pending_orders;
 mod placement;
+mod zones;
