--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -2,7 +2,7 @@
 
 use super::progress::Progress;
 use super::routed_request::RoutedRequest;
-use super::zones::{record_transfers, record_zone, update_zones};
+use super::zones::{record_transfers, record_zone, update_service_load};
 use crate::admission::MemoryRequest;
 use crate::caches::{CacheDirectory, fetch_time_limit};
 use crate::configuration::Service;
@@ -22,6 +22,7 @@
 use crate::server::{Server, ServerKey, Servers};
 use crate::server_ends::UsedServer;
 use crate::weights::oldest_allowed_version;
+use crate::workspace_shares::ClaimKey;
 use anvilgw_quarantine::ServerStart;
 use indexmap::IndexMap;
 use rand::RngExt;
@@ -132,8 +133,7 @@
     }
 }
 
-/// Selects a server. If no engine has free memory, waits for some: requests end all the time, and
-/// most clients prefer a late answer to none.
+/// Selects a server, and records what the request claims.
 pub(super) async fn select_target_with_wait(
     gateway: &Gateway,
     routed: &RoutedRequest,
@@ -142,6 +142,21 @@
     if routed.meta.prompt.is_some() {
         wait_for_stores(gateway, routed).await;
     }
+    let is_first_attempt = progress.borrow().tried_servers.is_empty();
+    let result = select_target_with_memory(gateway, routed, progress).await;
+    if is_first_attempt {
+        record_claim(gateway, routed);
+    }
+    result
+}
+
+/// Selects a server. If no engine has free memory, waits for some: requests end all the time, and
+/// most clients prefer a late answer to none.
+async fn select_target_with_memory(
+    gateway: &Gateway,
+    routed: &RoutedRequest,
+    progress: &RefCell<Progress>,
+) -> Result<Target, AttemptError> {
     let time = routed.end_at.saturating_sub(routed.arrived_at);
     let wait = time
         .mul_f64(MEMORY_WAIT_FRACTION)
@@ -252,7 +267,7 @@
     decide: impl FnOnce(&mut Servers, &Query<'_>, &mut SmallRng) -> T,
 ) -> T {
     let now = gateway.now();
-    update_zones(gateway, routed);
+    update_service_load(gateway, routed);
     let state = &mut *gateway.state.borrow_mut();
     let is_first_attempt = progress.borrow().tried_servers.is_empty();
     let load = state.loads.get(&routed.service.name);
@@ -263,8 +278,9 @@
         choice: &load.zones,
         draw: state.rng.random(),
     });
-    let free_fraction = start
-        .and_then(|start| start.admission)
+    let admission = start.and_then(|start| start.admission);
+    let free_fraction = admission
+        .filter(|admission| admission.overload.span.is_recent(now))
         .map_or(0.0, |admission| admission.demand.free_memory_fraction());
     let prompt = routed.meta.prompt.as_ref().map(|prompt| {
         let published_weights = state.weights.get(&prompt.model);
@@ -306,6 +322,7 @@
         share: state.share,
         may_ask_permits: options.may_ask_permits,
         zones,
+        rejects_if_full: gateway.is_start_controlled() && is_first_attempt,
     };
     decide(&mut state.servers, &query, &mut state.rng)
 }
@@ -340,11 +357,30 @@
         service: load.speed,
         admission: is_new.then(|| Admission {
             demand: demand(routed, now),
-            throttle: &load.overload.throttle,
+            overload: &load.overload,
+            claim_key: claim_key(routed),
         }),
     })
 }
 
+fn claim_key(routed: &RoutedRequest) -> Option<ClaimKey> {
+    let workspace = routed.workspace_name()?;
+    Some(ClaimKey::of(&routed.service.name, workspace))
+}
+
+/// Records what a request claims, after the decision on it, which must not depend on its size.
+fn record_claim(gateway: &Gateway, routed: &RoutedRequest) {
+    let (Some(prompt), Some(key)) = (&routed.meta.prompt, claim_key(routed)) else {
+        return;
+    };
+    let now = gateway.now();
+    let state = &mut *gateway.state.borrow_mut();
+    if let Some(load) = state.loads.get_mut(&routed.service.name) {
+        let shares = &mut load.overload.shares;
+        shares.on_request(key, prompt.footprint_tokens(), now);
+    }
+}
+
 /// Returns what decides on the admission of a request.
 fn demand(routed: &RoutedRequest, now: Duration) -> Demand {
     let routes = routed.configuration.routes().iter();
--- a/crates/gateway/src/dispatch/zones.rs
+++ b/crates/gateway/src/dispatch/zones.rs
@@ -3,15 +3,16 @@
 
 use super::routed_request::RoutedRequest;
 use super::target::engine_capacity;
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, ServiceLoad};
 use crate::log::Event;
 use crate::select::{Selected, ZONE_COST, ZoneInputs, zone_estimates};
+use crate::workspace_shares::ClaimKey;
 use crate::zone_choice::ZoneChange;
 use std::time::Duration;
 
-/// Brings the choice of zones for the request's service up to date. Does nothing unless load is
-/// controlled by the estimated start.
-pub(super) fn update_zones(gateway: &Gateway, routed: &RoutedRequest) {
+/// Brings the workspaces and the choice of zones of the request's service up to date. Does nothing
+/// unless load is controlled by the estimated start.
+pub(super) fn update_service_load(gateway: &Gateway, routed: &RoutedRequest) {
     let now = gateway.now();
     if !gateway.is_start_controlled() {
         return;
@@ -19,6 +20,9 @@
     let state = &mut *gateway.state.borrow_mut();
     let service = &routed.service;
     let load = state.loads.entry(service.name.clone()).or_default();
+    if engine_capacity(service) > 0 {
+        set_workspaces(load, routed);
+    }
     if load.zones.is_update_due(now) {
         let inputs = ZoneInputs {
             servers: &state.servers,
@@ -34,6 +38,14 @@
     }
 }
 
+/// Sets the workspaces among which the service is divided.
+fn set_workspaces(load: &mut ServiceLoad, routed: &RoutedRequest) {
+    let workspaces = routed.configuration.workspaces().iter();
+    let keys = workspaces.map(|workspace| ClaimKey::of(&routed.service.name, &workspace.name));
+    let shares = &mut load.overload.shares;
+    shares.set_workspaces(routed.configuration.version, keys);
+}
+
 fn log_zone_change(gateway: &Gateway, service: &str, change: &ZoneChange) {
     let zones = [change.home, change.other];
     gateway.log_notable(&Event::ZoneChoice {
--- a/crates/gateway/src/overload.rs
+++ b/crates/gateway/src/overload.rs
@@ -8,6 +8,7 @@
 
 use crate::server_speed::ServiceSpeed;
 use crate::start_estimate::{ServerWork, StartEstimate};
+use crate::workspace_shares::WorkspaceShares;
 use std::cell::Cell;
 use std::time::Duration;
 
@@ -40,14 +41,21 @@
 /// Fraction of its latency target for which a less urgent request waits for memory while servers
 /// are busy.
 const BUSY_MEMORY_WAIT: f64 = 0.08;
-/// Number of latency targets for which other requests wait for memory.
+/// Number of latency targets for which the most urgent requests wait for memory while servers are
+/// busy, and less urgent ones while they are not.
 const MEMORY_WAIT: f64 = 1.0;
+/// Number of latency targets for which the most urgent requests wait while servers are not busy.
+const IDLE_MEMORY_WAIT: f64 = 2.5;
 /// Fraction of an engine's memory that each more urgent level finds free in addition.
 const MEMORY_LEVEL_FRACTION: f64 = 0.04;
 /// Fraction of the time for which a request occupies an engine after which some memory is free.
 const FREED_AFTER_HOLDS: f64 = 0.25;
+/// Assumed time until a server without a queue takes a request again.
+const FULL_START: Duration = Duration::from_millis(150);
 /// Time without a rejection after which an overload is over.
 const OVERLOAD_GAP: Duration = Duration::from_secs(2);
+/// Time after a rejection for which daemons tell each other what workspaces claim.
+const RECENT_TIME: Duration = Duration::from_secs(10);
 /// Shortest range over which the times of retries are spread.
 const RETRY_SPREAD_MIN: Duration = Duration::from_millis(300);
 /// Shortest time after which a client is asked to retry.
@@ -133,10 +141,10 @@
     /// Returns the time for which the request waits for memory.
     #[must_use]
     pub fn memory_wait(&self, is_busy: bool) -> Duration {
-        let targets = if is_busy && self.more_urgent.is_some() {
-            BUSY_MEMORY_WAIT
-        } else {
-            MEMORY_WAIT
+        let targets = match (is_busy, self.more_urgent) {
+            (true, Some(_)) => BUSY_MEMORY_WAIT,
+            (true, None) | (false, Some(_)) => MEMORY_WAIT,
+            (false, None) => IDLE_MEMORY_WAIT,
         };
         self.latency_target.mul_f64(targets)
     }
@@ -152,7 +160,8 @@
         }
     }
 
-    /// Returns the fraction of an engine's memory that the request leaves free for more urgent ones.
+    /// Returns the fraction of an engine's memory that the request leaves free for more urgent ones
+    /// while requests are rejected.
     #[must_use]
     pub fn free_memory_fraction(&self) -> f64 {
         self.level() as f64 * MEMORY_LEVEL_FRACTION
@@ -181,10 +190,12 @@
             false => *starts.select_nth_unstable_by(middle, f64::total_cmp).1,
         };
         let slots: f64 = servers.iter().map(|(work, _)| f64::from(work.slots)).sum();
-        let requests: f64 = servers.iter().map(|(work, _)| work.requests).sum();
+        let taken = servers
+            .iter()
+            .map(|(work, _)| work.requests.min(f64::from(work.slots)));
         Self {
             start_ms,
-            slots_taken: requests / slots.max(1.0),
+            slots_taken: taken.sum::<f64>() / slots.max(1.0),
             is_waiting: servers.iter().any(|(work, _)| work.waiting > 0),
         }
     }
@@ -234,6 +245,16 @@
 }
 
 impl Rejection {
+    /// Returns the rejection of a request because all servers are full.
+    #[must_use]
+    pub fn all_full() -> Self {
+        Self {
+            reason: RejectReason::Full,
+            start: FULL_START,
+            limit: Duration::ZERO,
+        }
+    }
+
     /// Returns the time in which the backlog shrinks so far that a request is admitted again.
     #[must_use]
     pub fn drain_time(&self) -> Duration {
@@ -259,7 +280,8 @@
 
 impl Throttle {
     /// Returns the share of requests to reject, from 0 to 1.
-    fn rejected_share(&self, demand: &Demand, fleet: &FleetLoad, now: Duration) -> f64 {
+    #[must_use]
+    pub fn rejected_share(&self, demand: &Demand, fleet: &FleetLoad, now: Duration) -> f64 {
         let relative = fleet.start_ms / millis(demand.start_limit()).max(1.0);
         let excess = (relative - ADMITTED_FRACTION) / (REJECTED_FACTOR - ADMITTED_FRACTION);
         let mut shares = self.shares.get();
@@ -279,8 +301,9 @@
     }
 }
 
-/// Decides whether a request is admitted. `start_ms` is the estimated start at the server that was
-/// chosen for it, `draw` a random number from 0 to 1.
+/// Decides whether a request is admitted. `rejected_share` is the share of requests like it that is
+/// rejected because of the start, `start_ms` the estimated start at the server that was chosen for
+/// it, and `draw` a random number from 0 to 1.
 ///
 /// # Errors
 ///
@@ -288,12 +311,10 @@
 pub fn admit(
     demand: &Demand,
     fleet: &FleetLoad,
-    throttle: &Throttle,
+    rejected_share: f64,
     start_ms: f64,
     draw: f64,
-    now: Duration,
 ) -> Result<(), Rejection> {
-    let rejected_share = throttle.rejected_share(demand, fleet, now);
     if !fleet.is_busy() {
         return Ok(());
     }
@@ -320,6 +341,8 @@
     pub throttle: Throttle,
     /// Time since when requests are rejected.
     pub span: OverloadSpan,
+    /// What workspaces claim.
+    pub shares: WorkspaceShares,
 }
 
 /// Time since when a service rejects requests.
@@ -330,13 +353,20 @@
 }
 
 impl OverloadSpan {
-    /// Records a rejection.
-    pub fn on_rejected(&mut self, now: Duration) {
+    /// Records a rejection. Returns whether it is the first one of an overload.
+    pub fn on_rejected(&mut self, now: Duration) -> bool {
         let is_new = self.last_at.is_none_or(|last| now > last + OVERLOAD_GAP);
         if is_new {
             self.began_at = now;
         }
         self.last_at = Some(now);
+        is_new
+    }
+
+    /// Returns whether a request was rejected lately.
+    #[must_use]
+    pub fn is_recent(&self, now: Duration) -> bool {
+        self.last_at.is_some_and(|last| now < last + RECENT_TIME)
     }
 
     /// Returns the time after which a client should retry. It is at least the time in which the
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -5,7 +5,7 @@
 
 use crate::caches::{CacheDirectory, CachePlan, LinkAccount, link_hash};
 use crate::configuration::Service;
-use crate::overload::{Demand, RejectReason, Rejection, Throttle};
+use crate::overload::{Demand, RejectReason, Rejection, ServiceOverload};
 use crate::peers::PeerLoads;
 use crate::permits::PermitState;
 use crate::prefill_rate::PrefillRate;
@@ -16,6 +16,7 @@
 use crate::server_speed::ServiceSpeed;
 use crate::start_estimate::StartEstimate;
 use crate::weights::{OldPartTimes, PublishedWeights};
+use crate::workspace_shares::ClaimKey;
 use rand::{Rng, RngExt};
 use ranked::select_by_rank;
 use std::cmp::Ordering;
@@ -55,6 +56,8 @@
     pub may_ask_permits: bool,
     /// Inputs to the choice of a zone, for requests without a prompt. `None` if all zones are alike.
     pub zones: Option<ZoneQuery<'a>>,
+    /// Whether a request without a prompt is rejected at once if all servers are known to be full.
+    pub rejects_if_full: bool,
 }
 
 impl<'a> Query<'a> {
@@ -70,6 +73,7 @@
             share: 1.0,
             may_ask_permits: true,
             zones: None,
+            rejects_if_full: false,
         }
     }
 }
@@ -145,8 +149,10 @@
 pub struct Admission<'a> {
     /// The request.
     pub demand: Demand,
-    /// Shares of rejected requests of the service.
-    pub throttle: &'a Throttle,
+    /// Control of the service's overload.
+    pub overload: &'a ServiceOverload,
+    /// Key of the workspace's claims, if the client belongs to one.
+    pub claim_key: Option<ClaimKey>,
 }
 
 /// Estimated start at the selected server.
@@ -265,6 +271,9 @@
                 now,
             )
         }
+        None if query.rejects_if_full && all_full(servers, &preferred, now) => {
+            Err(NoServer::Overloaded(Rejection::all_full()))
+        }
         None => least_loaded(
             servers,
             &in_chosen_zone(servers, &preferred, query, now),
@@ -376,6 +385,11 @@
     reliable
 }
 
+fn all_full(servers: &Servers, keys: &[ServerKey], now: Duration) -> bool {
+    let mut known = keys.iter().filter_map(|key| servers.get(*key));
+    known.all(|server| server.is_full(now))
+}
+
 fn least_loaded(
     servers: &Servers,
     keys: &[ServerKey],
