Let prompts leave a zone whose engines hold much more than the others

Cause: a prompt that left its server was kept in the zone while its engines had any room, so zones could differ much in memory, and full engines preempt. Change: the zone is kept only while the memory there is even with that of all candidates. The new test, with 70,000 tokens on each engine of one zone, and the others of crates/gateway pass; it was not run without the change.

--- a/crates/gateway/src/start_estimate.rs
+++ b/crates/gateway/src/start_estimate.rs
@@ -127,10 +127,12 @@
     #[must_use]
     pub fn choose(&self, ranked: &[Candidate]) -> Option<usize> {
         self.choose_among(ranked, &|_| true)
+            .or_else(|| self.choose_within(ranked, self.memory_limit_tokens, &|_| true))
     }
 
     /// Returns the index of the selected server, as [`Self::choose`] does, among the candidates for
-    /// whose index `is_allowed` returns true.
+    /// whose index `is_allowed` returns true. Returns `None` if these have much more in memory than
+    /// all candidates have on average.
     #[must_use]
     pub fn choose_among(
         &self,
@@ -142,7 +144,6 @@
         let slack = self.capacity_tokens as f64 * MEMORY_SLACK_FRACTION;
         let even = (mean * MEMORY_FACTOR + slack).min(self.memory_limit_tokens);
         self.choose_within(ranked, even, is_allowed)
-            .or_else(|| self.choose_within(ranked, self.memory_limit_tokens, is_allowed))
     }
 
     fn choose_within(
--- a/crates/gateway/tests/servers/zones.rs
+++ b/crates/gateway/tests/servers/zones.rs
@@ -183,3 +183,24 @@
         assert_eq!(zone, expected, "pressure {pressure_of_b}");
     }
 }
+
+/// Guards against prompts that fill the memory of their zone's engines while those of another zone
+/// are empty.
+#[test]
+fn a_prompt_leaves_its_zone_when_the_engines_there_hold_much_more() {
+    let mut fixture = Fixture::new(&IDS);
+    move_to_zones(&mut fixture.servers);
+    fixture.start = Some(StartQuery {
+        latency_target: at(400),
+        service: ServiceSpeed::default(),
+        admission: None,
+    });
+    fixture.zones = Some(zone_choice(&[("a", 0.0, 0.7), ("b", 0.0, 0.1)]));
+    let loads = IDS[..3].iter().map(|id| (*id, 70_000));
+    fixture.on_peer_loads(1, &loads.collect::<Vec<_>>(), at(1));
+    for session in 100..120 {
+        let selected = fixture.place(&prompt(session), at(1)).expect("a server");
+        let zone = zone_of(&fixture.servers, &fixture.id_of(&selected));
+        assert_eq!(zone, "b", "session {session}");
+    }
+}
