--- a/crates/gateway/src/dispatch/zones.rs
+++ b/crates/gateway/src/dispatch/zones.rs
@@ -4,7 +4,7 @@
 use super::routed_request::RoutedRequest;
 use super::target::engine_capacity;
 use crate::gateway::{Gateway, ServiceLoad};
-use crate::log::Event;
+use crate::log::{Event, ZoneChoiceFields};
 use crate::select::{Selected, ZONE_COST, ZoneInputs, zone_estimates};
 use crate::workspace_shares::ClaimKey;
 use crate::zone_choice::ZoneChange;
@@ -48,14 +48,14 @@
 
 fn log_zone_change(gateway: &Gateway, service: &str, change: &ZoneChange) {
     let zones = [change.home, change.other];
-    gateway.log_notable(&Event::ZoneChoice {
+    gateway.log_notable(&Event::ZoneChoice(ZoneChoiceFields {
         service,
         from: &change.from,
         to: &change.to,
         leaves: change.leaves,
         start_ms: zones.map(|zone| zone.start_ms as u64),
         pressure_percent: zones.map(|zone| (zone.pressure * 100.0) as u64),
-    });
+    }));
 }
 
 /// Counts the transfers that a selection causes, for the plans of later requests.
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -6,7 +6,7 @@
 
 mod choice;
 
-pub use choice::{Choice, PromptChoice};
+pub use choice::{Choice, PromptChoice, ZoneChoiceFields};
 
 use anvilgw_quarantine::Suspect;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
@@ -219,20 +219,7 @@
         orders_ms: u64,
     },
     /// Requests begin to leave a failure domain for another one, or cease to.
-    ZoneChoice {
-        /// Name of the service.
-        service: &'a str,
-        /// Failure domain that requests leave.
-        from: &'a str,
-        /// Failure domain for which they leave.
-        to: &'a str,
-        /// Whether some leave from now on.
-        leaves: bool,
-        /// Estimated time until servers begin with a request in both, in milliseconds.
-        start_ms: [u64; 2],
-        /// Share of the capacity that is taken in both, in percent.
-        pressure_percent: [u64; 2],
-    },
+    ZoneChoice(ZoneChoiceFields<'a>),
     /// Replaced weights serve no new requests from now on.
     WeightsExpired {
         /// Name of the model.
--- a/crates/gateway/src/log/choice.rs
+++ b/crates/gateway/src/log/choice.rs
@@ -36,3 +36,20 @@
     /// Tokens that are cached nowhere, which the server computes.
     pub computed_tokens: u32,
 }
+
+/// Requests of a service that begin or cease to leave a failure domain.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct ZoneChoiceFields<'a> {
+    /// Name of the service.
+    pub service: &'a str,
+    /// Failure domain that requests leave.
+    pub from: &'a str,
+    /// Failure domain for which they leave.
+    pub to: &'a str,
+    /// Whether some leave from now on.
+    pub leaves: bool,
+    /// Estimated time until servers begin with a request in both, in milliseconds.
+    pub start_ms: [u64; 2],
+    /// Share of the capacity that is taken in both, in percent.
+    pub pressure_percent: [u64; 2],
+}
