--- a/crates/gateway/src/background_tasks/load_reports.rs
+++ b/crates/gateway/src/background_tasks/load_reports.rs
@@ -1,7 +1,7 @@
 //! Sends load reports to the other daemons.
 
 use super::peer_messages::send_message;
-use crate::caches::name_hash;
+use crate::caches::{CacheDirectory, LinkAccount, link_hash, name_hash};
 use crate::configuration::Configuration;
 use crate::gateway::{Gateway, ServiceLoad};
 use crate::groups::Role;
@@ -77,9 +77,12 @@
         let own = match self.gateway.settings.load_control {
             LoadControl::Memory => own_loads(servers, now),
             LoadControl::StartTime => {
+                state.links.expire(now);
                 let mut own = own_loads_with_work(servers, now);
                 own.extend(own_claims(&state.loads, now));
+                own.extend(store_links(&state.caches, &state.links, now));
                 engines += claim_keys_max(state.configuration.as_deref());
+                engines += state.caches.store_addresses().count();
                 own
             }
         };
@@ -131,6 +134,16 @@
         .collect()
 }
 
+/// Returns the tokens that wait on the links of cache stores. Each link is reported as an engine of
+/// its own.
+fn store_links(caches: &CacheDirectory, links: &LinkAccount, now: Duration) -> Vec<EngineLoad> {
+    caches
+        .store_addresses()
+        .map(|store| EngineLoad::new(link_hash(store), links.tokens_left(store, now) as u64))
+        .filter(|load| load.tokens() > 0)
+        .collect()
+}
+
 /// Returns what workspaces claim at busy services. Claims are reported like loads on engines.
 fn own_claims(loads: &IndexMap<String, ServiceLoad>, now: Duration) -> Vec<EngineLoad> {
     let mut claims = Vec::new();
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -3,8 +3,9 @@
 use super::progress::Progress;
 use super::rollouts::{choose_side, leave_target};
 use super::routed_request::RoutedRequest;
+use super::zones::{record_transfers, record_zone, update_service_load};
 use crate::admission::MemoryRequest;
-use crate::caches::CacheDirectory;
+use crate::caches::{CacheDirectory, fetch_time_limit};
 use crate::configuration::Service;
 use crate::gateway::{Gateway, ServiceLoad, State};
 use crate::log::{Choice, PromptChoice};
@@ -16,14 +17,16 @@
 use crate::region_constraints::RegionConstraints;
 use crate::retry::AttemptError;
 use crate::select::{
-    Admission, CacheUse, NoServer, PromptQuery, Query, Selected, SelectedStart, StartQuery, select,
+    Admission, CacheUse, LinkQuery, NoServer, PromptQuery, Query, Selected, SelectedStart,
+    StartQuery, ZoneQuery, select,
 };
 use crate::server::{Server, ServerKey, Servers};
 use crate::server_ends::UsedServer;
-use crate::weights::{FETCH_TIME_MAX, oldest_allowed_version};
+use crate::weights::oldest_allowed_version;
 use crate::workspace_shares::ClaimKey;
 use anvilgw_quarantine::ServerStart;
 use indexmap::IndexMap;
+use rand::RngExt;
 use rand::rngs::SmallRng;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -128,15 +131,6 @@
     }
 }
 
-/// Returns how long a server should wait for prompt parts from cache stores and other servers. This
-/// is several times what an engine takes to compute them, since computing also delays all other
-/// requests on the engine.
-fn fetch_time_limit(tokens: u32) -> Duration {
-    const BASE: Duration = Duration::from_millis(150);
-    const PER_TOKEN: Duration = Duration::from_micros(30);
-    (BASE + PER_TOKEN * tokens).min(FETCH_TIME_MAX)
-}
-
 async fn wait_for_stores(gateway: &Gateway, routed: &RoutedRequest) {
     let wait_until = routed.arrived_at + STORES_WAIT_MAX.min(routed.route.latency_target / 2);
     let is_known = || gateway.state.borrow().caches.knows_store_contents();
@@ -228,6 +222,8 @@
                 continue;
             }
         }
+        record_transfers(gateway, &selected, now);
+        record_zone(gateway, &selected);
         let state = gateway.state.borrow();
         let server = state.servers.get(selected.server);
         // The server may have left while the permit was requested.
@@ -287,9 +283,17 @@
     decide: impl FnOnce(&mut Servers, &Query<'_>, &mut SmallRng) -> T,
 ) -> T {
     let now = gateway.now();
+    update_service_load(gateway, routed);
     let state = &mut *gateway.state.borrow_mut();
     let is_first_attempt = progress.borrow().tried_servers.is_empty();
-    let start = start_query(gateway, &mut state.loads, routed, is_first_attempt);
+    let load = state.loads.get(&routed.service.name);
+    let load = load.filter(|_| gateway.is_start_controlled());
+    let start = load.and_then(|load| start_query(load, routed, is_first_attempt, now));
+    let zones = load.map(|load| ZoneQuery {
+        own_zone: &gateway.settings.failure_domain,
+        choice: &load.zones,
+        draw: state.rng.random(),
+    });
     let admission = start.and_then(|start| start.admission);
     let free_fraction = admission
         .filter(|admission| admission.overload.span.is_recent(now))
@@ -319,6 +323,11 @@
             old_part_times: gateway.old_part_times(),
             is_configuration_current: state.configuration_freshness.is_current(now),
             are_switches_current: now < state.switches_read_at + SWITCHES_AGE_MAX,
+            zones,
+            links: gateway.is_start_controlled().then(|| LinkQuery {
+                account: &state.links,
+                draw: state.rng.random(),
+            }),
         }
     });
     let side = progress.borrow().rollout_side;
@@ -326,48 +335,48 @@
     let excluded = state.rollouts.excluded(&state.servers, service, side);
     let query = Query {
         service: &routed.service,
-        region_constraints: RegionConstraints {
-            regions: &gateway.settings.regions,
-            route: &routed.route.allowed_regions,
-            workspace: routed
-                .workspace
-                .as_deref()
-                .map_or(&[], |workspace| workspace.allowed_regions.as_slice()),
-        },
+        region_constraints: region_constraints(gateway, routed),
         prompt,
         tried: &progress.borrow().tried_servers,
         excluded: &excluded,
         share: state.share,
         may_ask_permits: options.may_ask_permits,
+        zones,
         rejects_if_full: gateway.is_start_controlled() && is_first_attempt,
     };
     decide(&mut state.servers, &query, &mut state.rng)
 }
 
+fn region_constraints<'a>(
+    gateway: &'a Gateway,
+    routed: &'a RoutedRequest,
+) -> RegionConstraints<'a> {
+    let workspace = routed.workspace.as_deref();
+    RegionConstraints {
+        regions: &gateway.settings.regions,
+        route: &routed.route.allowed_regions,
+        workspace: workspace.map_or(&[], |workspace| workspace.allowed_regions.as_slice()),
+    }
+}
+
 /// Returns the inputs to the estimate of the start, if load is controlled by it and the memory of
 /// the service's engines is known.
 fn start_query<'a>(
-    gateway: &Gateway,
-    loads: &'a mut IndexMap<String, ServiceLoad>,
+    load: &'a ServiceLoad,
     routed: &RoutedRequest,
     is_first_attempt: bool,
+    now: Duration,
 ) -> Option<StartQuery<'a>> {
-    if !gateway.is_start_controlled() || engine_capacity(&routed.service) == 0 {
+    if engine_capacity(&routed.service) == 0 {
         return None;
     }
-    let load = loads.entry(routed.service.name.clone()).or_default();
-    let workspaces = routed.configuration.workspaces().iter();
-    let keys = workspaces.map(|workspace| ClaimKey::of(&routed.service.name, &workspace.name));
-    let shares = &mut load.overload.shares;
-    shares.set_workspaces(routed.configuration.version, keys);
-    let load = &*load;
     // A stream that the client resumes was admitted before.
     let is_new = is_first_attempt && routed.meta.resume_after.is_none();
     Some(StartQuery {
         latency_target: routed.route.latency_target,
         service: load.speed,
         admission: is_new.then(|| Admission {
-            demand: demand(routed, gateway.now()),
+            demand: demand(routed, now),
             overload: &load.overload,
             claim_key: claim_key(routed),
         }),
@@ -422,7 +431,7 @@
     }
 }
 
-fn engine_capacity(service: &Service) -> u64 {
+pub(super) fn engine_capacity(service: &Service) -> u64 {
     let engine = service.engine.as_ref();
     engine.map_or(0, |engine| engine.kv_capacity_tokens)
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use crate::admission::MemoryAdmission;
 use crate::body_memory::BodyMemory;
 use crate::budget::RetryBudget;
-use crate::caches::CacheDirectory;
+use crate::caches::{CacheDirectory, LinkAccount};
 use crate::configuration::{ClientLimits, Configuration, Service};
 use crate::connection_limit::client_connections_max;
 use crate::fleet_view::FleetView;
@@ -25,6 +25,7 @@
 use crate::settings::{GatewaySettings, LoadControl};
 use crate::topic_log::TopicLog;
 use crate::weights::{OldPartTimes, PublishedWeights};
+use crate::zone_choice::ZoneChoice;
 use anvilgw_core::Clock;
 use anvilgw_quarantine::{Quarantine, Times};
 use bytes::Bytes;
@@ -51,6 +52,8 @@
     pub(crate) configuration_freshness: ConfigurationFreshness,
     pub(crate) servers: Servers,
     pub(crate) caches: CacheDirectory,
+    /// Planned transfers of prompt parts. Empty unless load is controlled by the estimated start.
+    pub(crate) links: LinkAccount,
     /// Estimated prefill rate of the engines, by service.
     pub(crate) prefill_rates: IndexMap<String, PrefillRate>,
     /// Load of the services. Empty unless load is controlled by the estimated start.
@@ -98,6 +101,8 @@
     pub(crate) speed: ServiceSpeed,
     /// Control of its overload.
     pub(crate) overload: ServiceOverload,
+    /// Shares of its requests that leave each failure domain.
+    pub(crate) zones: ZoneChoice,
 }
 
 /// Implementations of the interfaces to the platform, and the clock.
@@ -166,6 +171,7 @@
             configuration_freshness: ConfigurationFreshness::new(configuration_age_max(&settings)),
             servers: Servers::default(),
             caches: CacheDirectory::default(),
+            links: LinkAccount::default(),
             prefill_rates: IndexMap::new(),
             loads: IndexMap::new(),
             admission: MemoryAdmission::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod topic_log;
 pub mod weights;
 pub mod workspace_shares;
+pub mod zone_choice;
 
 pub use daemon::{Daemon, DaemonError, Reload, run};
 pub use gateway::Ports;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -6,7 +6,9 @@
 
 mod fields;
 
-pub use fields::{AnswerFields, Choice, LoggedParts, PromptChoice, RequestLine, StreamPosition};
+pub use fields::{
+    AnswerFields, Choice, LoggedParts, PromptChoice, RequestLine, StreamPosition, ZoneChoiceFields,
+};
 
 use crate::rollout::RolloutState;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
@@ -218,6 +220,8 @@
         /// Time of the announcement and the orders, in milliseconds.
         orders_ms: u64,
     },
+    /// Requests begin to leave a failure domain for another one, or cease to.
+    ZoneChoice(ZoneChoiceFields<'a>),
     /// Replaced weights serve no new requests from now on.
     WeightsExpired {
         /// Name of the model.
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -1,8 +1,9 @@
 //! Selection of the backend server for a request.
 
 mod ranked;
+mod zones;
 
-use crate::caches::{CacheDirectory, CachePlan};
+use crate::caches::{CacheDirectory, CachePlan, LinkAccount, link_hash};
 use crate::configuration::Service;
 use crate::overload::{Demand, RejectReason, Rejection, ServiceOverload};
 use crate::peers::PeerLoads;
@@ -19,7 +20,11 @@
 use rand::{Rng, RngExt};
 use ranked::select_by_rank;
 use std::cmp::Ordering;
+use std::net::SocketAddr;
 use std::time::Duration;
+pub use zones::ZoneQuery;
+use zones::in_chosen_zone;
+pub(crate) use zones::{ZONE_COST, ZoneInputs, zone_estimates};
 
 /// Share of failed requests from which a server is avoided. Smaller shares are attributed to the
 /// requests rather than to the server.
@@ -51,6 +56,8 @@
     pub share: f64,
     /// Whether servers are candidates for which the issuer must be asked for a permit first.
     pub may_ask_permits: bool,
+    /// Inputs to the choice of a zone, for requests without a prompt. `None` if all zones are alike.
+    pub zones: Option<ZoneQuery<'a>>,
     /// Whether a request without a prompt is rejected at once if all servers are known to be full.
     pub rejects_if_full: bool,
 }
@@ -68,6 +75,7 @@
             excluded: &[],
             share: 1.0,
             may_ask_permits: true,
+            zones: None,
             rejects_if_full: false,
         }
     }
@@ -104,6 +112,28 @@
     pub is_configuration_current: bool,
     /// Whether this daemon knows all announced weight switches.
     pub are_switches_current: bool,
+    /// Account of planned transfers. `None` if reads are planned as if each link were idle.
+    pub links: Option<LinkQuery<'a>>,
+    /// Inputs to the choice of a zone. `None` if all zones are alike.
+    pub zones: Option<ZoneQuery<'a>>,
+}
+
+/// Inputs to the choice between reading a prompt part and computing it.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkQuery<'a> {
+    /// This daemon's planned transfers.
+    pub account: &'a LinkAccount,
+    /// Random number from 0 to 1, by which the request accepts a wait for a link.
+    pub draw: f64,
+}
+
+impl PromptQuery<'_> {
+    /// Returns the tokens that requests of all daemons transfer from a source.
+    fn waiting_tokens(&self, source: SocketAddr, now: Duration) -> f64 {
+        let others = self.peer_loads.tokens_on(link_hash(source)) as f64;
+        let own = |links: LinkQuery<'_>| links.account.tokens_left(source, now);
+        self.links.map_or(0.0, own) + others
+    }
 }
 
 /// Inputs to the estimate of the start at each server.
@@ -161,6 +191,10 @@
     pub scope: String,
     /// Where each shared part of the prompt is read from and written to.
     pub plan: CachePlan,
+    /// Whether the server is the one that ranks first for the prompt.
+    pub is_first_in_rank: bool,
+    /// Whether the server is in another failure domain than the one that ranks first.
+    pub has_left_zone: bool,
 }
 
 /// Reason why no server can take a request.
@@ -243,12 +277,17 @@
         None if query.rejects_if_full && all_full(servers, &preferred, now) => {
             Err(NoServer::Overloaded(Rejection::all_full()))
         }
-        None => least_loaded(servers, &preferred, now, rng)
-            .map(|server| Selected {
-                server,
-                ..Selected::default()
-            })
-            .ok_or(NoServer::NoMemory),
+        None => least_loaded(
+            servers,
+            &in_chosen_zone(servers, &preferred, query, now),
+            now,
+            rng,
+        )
+        .map(|server| Selected {
+            server,
+            ..Selected::default()
+        })
+        .ok_or(NoServer::NoMemory),
     }?;
     if let Some(server) = servers.get_mut(selected.server) {
         let allowed = server.allowed_rate(query.service.cold_requests_per_s, now);
--- a/crates/gateway/src/select/ranked.rs
+++ b/crates/gateway/src/select/ranked.rs
@@ -1,7 +1,8 @@
 //! Selection of the engine for a prompt, among servers in the order of their ranks.
 
+use super::zones::within_zone;
 use super::{Admission, CacheUse, NoServer, PromptQuery, Selected, SelectedStart, StartQuery};
-use crate::caches::{CachePlan, PlanDestination, TransferPolicy, name_hash};
+use crate::caches::{CachePlan, PlanDestination, TransferPolicy, WaitingTokens, name_hash};
 use crate::overload::{FleetLoad, ServiceOverload, admit};
 use crate::peers::PeerLoads;
 use crate::region_constraints::RegionConstraints;
@@ -57,7 +58,10 @@
         .filter(|(_, other, _)| *other != key)
         .map(|(_, _, other)| *other)
         .find(|other| is_readable_source(other, now));
-    let cache = plan_cache_use(server, likely_source, query, region_constraints, now);
+    let mut cache = plan_cache_use(server, likely_source, query, region_constraints, now);
+    cache.is_first_in_rank = index == 0;
+    let (_, _, first) = ranked[0];
+    cache.has_left_zone = server.entry.failure_domain != first.entry.failure_domain;
     let own_tokens = query.prompt.unshared_tokens() + cache.plan.computed_tokens;
     Ok(Selected {
         server: key,
@@ -114,13 +118,15 @@
         })
         .collect();
     let fleet = FleetLoad::of(&works);
-    let index = requirement(query, start).choose(&candidates);
+    let requirement = requirement(query, start);
+    let index = requirement.choose(&candidates);
     let Some(index) = index else {
         let rejection = start
             .admission
             .map(|admission| admission.demand.memory_rejection(&fleet, &start.service));
         return Err(rejection.map_or(NoServer::NoMemory, NoServer::Overloaded));
     };
+    let index = within_zone(ranked, &candidates, &requirement, query, index);
     let estimate = candidates[index].estimate;
     if let Some(admission) = &start.admission {
         let rejected_share = rejected_share(admission, &fleet, query.peer_loads, now);
@@ -163,7 +169,7 @@
 }
 
 /// Returns the work of all daemons' requests at a server.
-fn work_at(server: &Server, peer_loads: &PeerLoads, now: Duration) -> ServerWork {
+pub(super) fn work_at(server: &Server, peer_loads: &PeerLoads, now: Duration) -> ServerWork {
     let others = peer_loads.total_on(server.server_hash());
     let known_requests = f64::from(server.in_flight) + others.requests as f64;
     ServerWork {
@@ -176,7 +182,8 @@
 }
 
 /// Returns whether prompt parts may be read from an engine. A read from an engine that does not
-/// answer costs some hundred milliseconds, and a cold engine has nothing cached yet.
+/// answer costs some hundred milliseconds, and a cold engine has nothing cached yet. An engine that
+/// may still carry out an order to load weights could send parts of both weights.
 fn is_readable_source(server: &Server, now: Duration) -> bool {
     server.breaker.state(now) == BreakerState::Closed
         && !server.is_cold(now)
@@ -214,6 +221,8 @@
         && (is_newest || query.are_switches_current);
     let mut plan = CachePlan::default();
     if may_transfer {
+        let waiting_tokens = |source| query.waiting_tokens(source, now);
+        let waiting_tokens: &WaitingTokens<'_> = &waiting_tokens;
         let likely_engine = likely_source
             .filter(|source| source.version_of(model) == version)
             .map(|source| source.entry.address);
@@ -227,6 +236,8 @@
             },
             likely_engine,
             region_constraints,
+            waiting_tokens: query.links.map(|_| waiting_tokens),
+            draw: query.links.map_or(1.0, |links| links.draw),
         };
         let parts = query.prompt.shared_parts();
         let located = query.caches.locate(name_hash(&scope), parts);
@@ -240,6 +251,8 @@
         weight_version: version,
         scope,
         plan,
+        is_first_in_rank: false,
+        has_left_zone: false,
     }
 }
 
--- a/crates/gateway/tests/deployments/deployment.rs
+++ b/crates/gateway/tests/deployments/deployment.rs
@@ -180,6 +180,8 @@
             old_part_times: self.old_part_times(),
             is_configuration_current: true,
             are_switches_current: true,
+            links: None,
+            zones: None,
         });
         let constraints = RegionConstraints {
             regions: &regions,
