gateway: clearer names and comments in the rollout decisions

The test names what it is (CUSUM) and its outliers, constants say what happens without base answers, and the sums of windows are a function of their own. Renames are private to the modules; no behavior changes.

--- a/crates/gateway/src/rollout/comparison.rs
+++ b/crates/gateway/src/rollout/comparison.rs
@@ -5,19 +5,19 @@
 use super::fleet_evidence::FleetEvidence;
 use indexmap::{IndexMap, IndexSet};
 
-/// Number of answers of the whole time up to now with which the answers of one period are
-/// averaged. It keeps a period with few answers from being taken for exact.
+/// Largest weight, in answers, of the whole time up to now when it is averaged with the answers of
+/// the base in one period. A period with few answers alone would give inexact shares.
 const PRIOR_ANSWERS: f64 = 50.0;
-/// Number of base answers with a time from which times are compared.
+/// Number of timed base answers on a route from which times are compared.
 const TIMED_ANSWERS_MIN: f64 = 20.0;
-/// Number of base answers from which a period has a comparison of its own.
+/// Number of base answers in a period from which the target is compared with this period.
 const PERIOD_ANSWERS_MIN: f64 = 3.0;
 
 /// Share of failures above that of the base which a good version may have.
 const FAILURES_TOLERATED: f64 = 0.001;
-/// The same without a comparison in the period.
-const FAILURES_TOLERATED_ALONE: f64 = 0.01;
-/// Share of failures above the tolerated one that a bad version has.
+/// The same without enough answers of the base in the period.
+const FAILURES_TOLERATED_UNCOMPARED: f64 = 0.01;
+/// Share of failures above the tolerated one that the test assumes of a bad version.
 const FAILURES_BAD: f64 = 0.018;
 
 /// A test for answers that are several times slower.
@@ -29,7 +29,7 @@
     /// Share of the answers above the limit, besides those of the base, that a good version may
     /// have. Its caches are empty, and its servers are cold at first.
     tolerated: f64,
-    /// The same of a bad version.
+    /// The same share that the test assumes of a bad version.
     bad: f64,
 }
 
@@ -47,8 +47,8 @@
     tolerated: 0.05,
     bad: 0.15,
 };
-/// Buckets by which the limits rise without a comparison in the period.
-const ALONE_BUCKETS: u8 = 2;
+/// Number of buckets by which the limits rise without enough answers of the base in the period.
+const UNCOMPARED_BUCKETS: u8 = 2;
 
 /// Smallest and largest share that a test assumes. A share of zero or one would decide at once.
 const SHARE_MIN: f64 = 0.001;
@@ -60,16 +60,16 @@
 const BROKEN_FAILURES_MIN: u32 = 3;
 const BROKEN_FAILURE_SHARE: f64 = 0.5;
 
-/// Number of servers of which one may be broken without saying anything on the version.
+/// Number of servers of which one may be broken without evidence against the version.
 const SERVERS_PER_BROKEN: usize = 5;
 
-/// Returns whether so many failures among the answers make a server a broken one.
+/// Returns whether a server with so many failures among its answers counts as broken.
 pub(super) fn is_broken(answers: u32, failures: u32) -> bool {
     failures >= BROKEN_FAILURES_MIN
         && f64::from(failures) >= BROKEN_FAILURE_SHARE * f64::from(answers)
 }
 
-/// Returns how many of a version's servers may be broken without saying anything on the version.
+/// Returns how many of a version's servers may be broken without evidence against the version.
 pub(super) fn broken_max(servers: usize) -> usize {
     (servers / SERVERS_PER_BROKEN).max(1)
 }
@@ -84,7 +84,7 @@
     pub(super) failures: u32,
     pub(super) timed: u32,
     pub(super) slow: u32,
-    /// Whether the base answered in the same period.
+    /// Whether the base has enough answers in the same period.
     pub(super) is_compared: bool,
     pub(super) failures_llr: f64,
     pub(super) broad_llr: f64,
@@ -229,7 +229,7 @@
     let tolerated = if is_compared {
         FAILURES_TOLERATED
     } else {
-        FAILURES_TOLERATED_ALONE
+        FAILURES_TOLERATED_UNCOMPARED
     };
     let good_share = base.failure_share() + tolerated;
     let failures_llr = llr(
@@ -266,7 +266,7 @@
 }
 
 fn slow_limit(test: &SlowTest, base: &BaseSum, is_compared: bool) -> u8 {
-    let more = if is_compared { 0 } else { ALONE_BUCKETS };
+    let more = if is_compared { 0 } else { UNCOMPARED_BUCKETS };
     base.quantile(test.quantile) + test.buckets + more
 }
 
--- a/crates/gateway/src/rollout/decider.rs
+++ b/crates/gateway/src/rollout/decider.rs
@@ -10,13 +10,13 @@
 use indexmap::IndexMap;
 use std::time::Duration;
 
-/// Number of periods up to the deadline in which evidence is compared.
+/// Number of periods between the order and its deadline, in which evidence is compared separately.
 const PERIODS: f64 = 14.0;
-/// Age up to which the report of a daemon counts.
+/// Age up to which a report shows the present state of its daemon.
 const REPORT_AGE_MAX: Duration = Duration::from_millis(1500);
-/// Time within which a new decider has the reports of all daemons.
+/// Time after which a new decider no longer waits for the reports of more daemons.
 const FIRST_REPORTS_TIME: Duration = Duration::from_millis(500);
-/// Time between two records of the exposure and the answers.
+/// Time between two records of the exposure.
 const PROGRESS_PAUSE: Duration = Duration::from_millis(500);
 /// Time within which most requests have their first event or answer.
 const ANSWER_TIME_MAX: Duration = Duration::from_millis(2500);
@@ -303,9 +303,9 @@
         let is_held = may_hold && self.phase != Phase::Waiting && judgement.is_suspicious;
         let has_few_reports = !self.has_quorum(view, now);
         if self.phase == Phase::Full {
-            let is_blind = has_few_reports && age < self.schedule.decide_at();
+            let lacks_reports = has_few_reports && age < self.schedule.decide_at();
             let held = is_held.then_some(DecisionReason::Suspicion);
-            return is_blind.then_some(DecisionReason::FewReports).or(held);
+            return lacks_reports.then_some(DecisionReason::FewReports).or(held);
         }
         if view.target_servers == 0 {
             return Some(DecisionReason::NoTargetServers);
--- a/crates/gateway/src/rollout/exposure.rs
+++ b/crates/gateway/src/rollout/exposure.rs
@@ -68,8 +68,9 @@
     bounds: ExposureBounds,
     step: Duration,
     learned_at: Duration,
-    /// Random value in `[0, 1)`, by which this daemon's cap is rounded.
-    phase_offset: f64,
+    /// Random value in `[0, 1)`, by which this daemon's cap is rounded. It is also the initial balance.
+    rounding_offset: f64,
+    /// Sum of the shares of past requests, less the requests that went to the target.
     balance: f64,
     /// This daemon's part of the requests that a bad version may get besides its share.
     own_slack: f64,
@@ -77,22 +78,22 @@
 }
 
 impl ExposureBudget {
-    /// Creates the budget of a daemon that learned of an order at `learned_at`. `phase_offset` is a
+    /// Creates the budget of a daemon that learned of an order at `learned_at`. `rounding_offset` is a
     /// random value in `[0, 1)`.
     #[must_use]
     pub fn new(
         bounds: ExposureBounds,
         step: Duration,
         learned_at: Duration,
-        phase_offset: f64,
+        rounding_offset: f64,
     ) -> Self {
-        let phase_offset = phase_offset.clamp(0.0, 1.0 - f64::EPSILON);
+        let rounding_offset = rounding_offset.clamp(0.0, 1.0 - f64::EPSILON);
         Self {
             bounds,
             step,
             learned_at,
-            phase_offset,
-            balance: phase_offset,
+            rounding_offset,
+            balance: rounding_offset,
             own_slack: 0.0,
             counts: ExposureCounts::default(),
         }
@@ -113,8 +114,8 @@
             Phase::Waiting | Phase::RollingBack => return Side::Base,
             _ => {}
         }
-        // A larger balance would let a burst of requests pass after the cap has held them back.
-        self.balance = (self.balance + share.fraction()).min(1.0 + self.phase_offset);
+        // A larger balance would send a burst of requests to the target once the cap rises.
+        self.balance = (self.balance + share.fraction()).min(1.0 + self.rounding_offset);
         if self.balance < 1.0 || self.counts.target as f64 + 1.0 > self.cap(now) {
             return Side::Base;
         }
@@ -124,7 +125,7 @@
 
     /// Returns a chosen request to the balance, because no server of the target could take it.
     pub fn on_not_sent(&mut self) {
-        self.balance = (self.balance + 1.0).min(1.0 + self.phase_offset);
+        self.balance = (self.balance + 1.0).min(1.0 + self.rounding_offset);
     }
 
     /// Counts a request that is sent to a server of a side, whether chosen or retried.
@@ -149,6 +150,6 @@
         let rate = self.counts.requests as f64 / age.as_secs_f64();
         let requests = self.counts.requests as f64 + rate * rest;
         let share = requests * self.bounds.canary_share * USED_FRACTION;
-        share + self.own_slack + self.phase_offset
+        share + self.own_slack + self.rounding_offset
     }
 }
--- a/crates/gateway/src/rollout/fleet_evidence.rs
+++ b/crates/gateway/src/rollout/fleet_evidence.rs
@@ -18,6 +18,7 @@
 /// in the current period, so that answers of both versions are compared only within a period.
 #[derive(Clone, Debug, Default)]
 pub struct FleetEvidence {
+    /// Newest rows of each daemon, by the identifier of its start.
     known: IndexMap<u64, IndexMap<RowKey, EvidenceRow>>,
     periods: IndexMap<u32, Evidence>,
 }
--- a/crates/gateway/src/rollout/schedule.rs
+++ b/crates/gateway/src/rollout/schedule.rs
@@ -9,12 +9,12 @@
 /// Fraction of the allowed exposure that is planned for. The rest covers requests that are not
 /// reported yet, and the time until a bad version is noticed.
 const PLANNED_FRACTION: f64 = 0.9;
-/// Time that it takes to notice that a version has turned bad.
-const NOTICE_TIME: Duration = Duration::from_secs(1);
-/// Fraction of the present rate of requests that is expected until the deadline. Clients may send
-/// fewer requests later.
+/// Time from the moment a version turns bad until that is detected.
+const DETECTION_TIME: Duration = Duration::from_secs(1);
+/// Fraction of the present rate of requests that is expected until the deadline. The rest covers
+/// clients that send fewer requests later.
 const EXPECTED_RATE_FRACTION: f64 = 0.85;
-/// Number of requests from which the rate of requests is estimated.
+/// Number of requests from which their rate is estimated.
 const RATE_REQUESTS_MIN: u64 = 5;
 
 /// One phase, in fractions of the time until the deadline.
@@ -68,10 +68,10 @@
 /// The same for the end of all phases. The rest is for storing the final state.
 const DECIDE_AT: f64 = 0.94;
 
-/// Capacity of the target, relative to that of the base, with which all requests go to it.
-const CAPACITY: f64 = 0.8;
+/// Capacity of the target, relative to that of the base, from which all requests may go to it.
+const CAPACITY_MIN: f64 = 0.8;
 /// The same after the fraction [`CAPACITY_LATE_AT`] of the time until the deadline.
-const CAPACITY_LATE: f64 = 0.5;
+const CAPACITY_LATE_MIN: f64 = 0.5;
 const CAPACITY_LATE_AT: f64 = 0.72;
 
 /// Schedule of one order. All times are ages of the order.
@@ -136,7 +136,7 @@
 
     /// Returns the share of the target in a phase that began at the age `since`, given what the
     /// fleet has counted since the order. The exposure up to the end of the phase, and for the time
-    /// that it takes to notice a bad version, stays within the operators' bound.
+    /// that it takes to detect a bad version, stays within the operators' bound.
     #[must_use]
     pub fn share(
         &self,
@@ -158,14 +158,14 @@
         let rate = counts.requests as f64 / age.as_secs_f64();
         let rest = self.step.saturating_sub(age).as_secs_f64();
         let expected = counts.requests as f64 + rate * rest * EXPECTED_RATE_FRACTION;
-        let slack = f64::from(self.bounds.canary_slack) - rate * NOTICE_TIME.as_secs_f64() / 2.0;
+        let slack = f64::from(self.bounds.canary_slack) - rate * DETECTION_TIME.as_secs_f64() / 2.0;
         let allowed = expected * self.bounds.canary_share + slack.max(0.0);
         let end = self.end(phase, since);
-        let planned_time = end.saturating_sub(since).max(NOTICE_TIME).as_secs_f64();
+        let planned_time = end.saturating_sub(since).max(DETECTION_TIME).as_secs_f64();
         let planned = allowed * plan.exposure / (rate * planned_time);
-        let open_time = end.saturating_sub(age) + NOTICE_TIME;
-        let open = (allowed * PLANNED_FRACTION - counts.target as f64).max(0.0);
-        let affordable = open / (rate * open_time.as_secs_f64());
+        let remaining_phase = end.saturating_sub(age) + DETECTION_TIME;
+        let unused = (allowed * PLANNED_FRACTION - counts.target as f64).max(0.0);
+        let affordable = unused / (rate * remaining_phase.as_secs_f64());
         TargetShare::from_fraction(planned.min(affordable).min(plan.share_max))
     }
 
@@ -174,8 +174,12 @@
     #[must_use]
     pub fn has_capacity(&self, capacity: f64, age: Duration) -> bool {
         let is_late = age >= self.step.mul_f64(CAPACITY_LATE_AT);
-        let wanted = if is_late { CAPACITY_LATE } else { CAPACITY };
-        capacity >= wanted
+        let required = if is_late {
+            CAPACITY_LATE_MIN
+        } else {
+            CAPACITY_MIN
+        };
+        capacity >= required
     }
 
     /// Returns the age from which old requests are no longer awaited.
--- a/crates/gateway/src/rollout/verdict.rs
+++ b/crates/gateway/src/rollout/verdict.rs
@@ -1,8 +1,8 @@
 //! Sequential test of the target version against the version in force.
 //!
-//! The test adds up logarithms of likelihood ratios over the newest periods, for the number of
-//! periods that gives the largest sum, so that a version which turns bad later is found as fast as
-//! one that is bad at once. A good version reaches [`BAD_LLR`] in one window with a probability of
+//! As in Page's CUSUM test, logarithms of likelihood ratios are summed over the newest periods, for
+//! the number of periods that gives the largest sum, so that a version which turns bad later is
+//! found as fast as one that is bad at once. A good version reaches [`BAD_LLR`] in one window with a probability of
 //! at most 0.1% (Wald's bound), and with less if its failures are as rare as those of the base.
 
 use super::comparison::{Sample, broken_max, is_broken, samples};
@@ -14,7 +14,8 @@
 const BAD_LLR: f64 = 7.0;
 /// The same for a test of one route out of several, of which one may exceed the limit by chance.
 const BAD_ROUTE_LLR: f64 = 8.0;
-/// Evidence of the servers that are neither broken nor slow as a whole.
+
+/// Evidence from which a rule applies. Servers that are broken or slow as a whole are left out.
 #[derive(Clone, Copy)]
 struct Threshold {
     llr: f64,
@@ -23,17 +24,19 @@
 
 /// Thresholds of a test that apply before [`BAD_LLR`] is reached.
 struct EarlyThresholds {
-    /// From which the evidence raises a suspicion.
+    /// Evidence from which there is a suspicion.
     suspicion: Threshold,
-    /// From which a version is bad if there is no more time to decide.
+    /// Evidence from which a version is bad if there is no time to wait for more.
     late_bad: Threshold,
 }
 
-/// Further bad answers that it takes if one route out of several is tested.
+/// Number of bad answers that the thresholds require in addition if one route of several is tested.
 const ROUTE_BAD_ANSWERS: u32 = 1;
 /// Sum over all periods below which a version is not rejected for lack of time. A few failures in a
 /// short window do not outweigh all other answers.
 const LATE_BAD_WHOLE_LLR: f64 = -1.0;
+
+/// Thresholds of the test for failures.
 const FAILURES: EarlyThresholds = EarlyThresholds {
     suspicion: Threshold {
         llr: 0.5,
@@ -44,8 +47,8 @@
         bad_answers: 3,
     },
 };
-/// Slow answers are frequent among those of a good version as well, so a few of them in a short
-/// window say little.
+/// Thresholds of the tests for slow answers. They are higher, because slow answers are frequent among
+/// those of a good version as well, so a few of them in a short window say little.
 const SLOW: EarlyThresholds = EarlyThresholds {
     suspicion: Threshold {
         llr: 1.5,
@@ -56,20 +59,22 @@
         bad_answers: 5,
     },
 };
+
 /// Logarithm of the likelihood ratio that no window of a good version exceeds.
 const GOOD_LLR: f64 = 0.0;
 /// Number of answers from which a version can be good.
 const GOOD_ANSWERS_MIN: u64 = 30;
-/// Largest part of the limit that one of two servers contributes, and one of several.
+/// ScanResult contribution of one server to a sum, as a fraction of [`BAD_LLR`], if there are two
+/// servers, and if there are several. A single server must not reach the limit.
 const WEIGHT_OF_TWO: f64 = 0.6;
 const WEIGHT_OF_SEVERAL: f64 = 0.45;
-/// The same of all servers together that are broken or slow as a whole. With more, one of them and
-/// two chance failures of others would reach the limit.
-const WEIGHT_OF_SINGLES: f64 = 0.3;
-/// Fraction of the servers that may be broken without a comparison. A failure domain that is out of
+/// The same for all servers together that are broken or slow as a whole. With a larger contribution,
+/// one of them and two chance failures of others would reach the limit.
+const WEIGHT_OF_OUTLIERS: f64 = 0.3;
+/// Fraction of the servers that may be broken while the base has no answers to compare with. A failure domain that is out of
 /// service takes a third of them.
-const BROKEN_ALONE_MAX: f64 = 0.4;
-/// Share of slow answers from which a server counts as slow, and their number.
+const BROKEN_UNCOMPARED_MAX: f64 = 0.4;
+/// Share and number of slow answers from which a server counts as slow.
 const SLOW_SHARE: f64 = 0.7;
 const SLOW_ANSWERS_MIN: u32 = 3;
 /// Share of the base's failures up to which the base counts as sound.
@@ -180,7 +185,7 @@
     let (reason, llr) = judgement.strongest();
     judgement.verdict = if llr >= BAD_LLR {
         Verdict::Bad(reason)
-    } else if is_base_sound && do_most_servers_fail(&samples) {
+    } else if is_base_sound && most_servers_fail(&samples) {
         Verdict::Bad(BadReason::ServersFail)
     } else if target.answers >= GOOD_ANSWERS_MIN && llr < GOOD_LLR {
         Verdict::Good
@@ -200,7 +205,7 @@
     answers.into_keys().take(ROUTES_MAX).collect()
 }
 
-/// Sums of one server.
+/// Sums of one server over a window.
 #[derive(Clone, Copy, Debug, Default)]
 struct Tally {
     answers: u32,
@@ -238,47 +243,25 @@
     }
 }
 
-/// Largest sums over all windows.
+/// Result of the tests over all windows that end now.
 #[derive(Clone, Copy, Debug, Default)]
-struct Largest {
+struct ScanResult {
     failures: f64,
     slow: f64,
     is_suspicious: bool,
     is_late_bad: bool,
 }
 
-/// Servers that are broken or slow as a whole in any window.
+/// Servers that are broken or slow as a whole in at least one window.
 #[derive(Default)]
-struct Singles {
+struct Outliers {
     broken: IndexSet<u32>,
     slow: IndexSet<u32>,
 }
 
-/// Returns the largest sums over the windows that end now.
-fn scan(samples: &[Vec<Sample>], input: JudgeInput, route: Option<u16>) -> Largest {
-    let of_route = |sample: &&Sample| route.is_none_or(|route| sample.route == route);
-    let mut tallies: IndexMap<u32, Tally> = IndexMap::new();
-    let mut singles = Singles::default();
-    let mut windows = Vec::new();
-    for period in samples {
-        for sample in period.iter().filter(of_route) {
-            let tally = tallies.entry(sample.server).or_default();
-            tally.add(sample);
-            if tally.is_broken() {
-                singles.broken.insert(sample.server);
-            }
-            if tally.is_slow() {
-                singles.slow.insert(sample.server);
-            }
-        }
-        if period.iter().any(|sample| of_route(&sample)) {
-            windows.push(tallies.clone());
-        }
-    }
-    let sums: Vec<[ServerSum; 3]> = windows
-        .iter()
-        .map(|tallies| window(tallies, input, &singles))
-        .collect();
+/// Tests all windows that end now, on one route or on all (`None`).
+fn scan(samples: &[Vec<Sample>], input: JudgeInput, route: Option<u16>) -> ScanResult {
+    let sums = window_sums(samples, input, route);
     let largest = |sum: fn(&[ServerSum; 3]) -> f64| sums.iter().map(sum).reduce(f64::max);
     let thresholds = [&FAILURES, &SLOW, &SLOW];
     let mut tests = thresholds.iter().enumerate();
@@ -298,7 +281,7 @@
         let whole = sums.last().map_or(0.0, |sums| sums[test].others);
         whole > LATE_BAD_WHOLE_LLR && exceeds(test, thresholds.late_bad)
     });
-    Largest {
+    ScanResult {
         failures: largest(|sums| sums[0].all).unwrap_or(0.0),
         slow: largest(|sums| sums[1].all.max(sums[2].all)).unwrap_or(0.0),
         is_suspicious,
@@ -306,9 +289,44 @@
     }
 }
 
+/// Returns the sums of each window that ends now, from the shortest to the longest one.
+fn window_sums(
+    samples: &[Vec<Sample>],
+    input: JudgeInput,
+    route: Option<u16>,
+) -> Vec<[ServerSum; 3]> {
+    let of_route = |sample: &&Sample| route.is_none_or(|route| sample.route == route);
+    let mut tallies: IndexMap<u32, Tally> = IndexMap::new();
+    let mut outliers = Outliers::default();
+    let mut windows = Vec::new();
+    for period in samples {
+        for sample in period.iter().filter(of_route) {
+            let tally = tallies.entry(sample.server).or_default();
+            tally.add(sample);
+            if tally.is_broken() {
+                outliers.broken.insert(sample.server);
+            }
+            if tally.is_slow() {
+                outliers.slow.insert(sample.server);
+            }
+        }
+        if period.iter().any(|sample| of_route(&sample)) {
+            windows.push(tallies.clone());
+        }
+    }
+    windows
+        .iter()
+        .map(|tallies| window(tallies, input, &outliers))
+        .collect()
+}
+
 /// Returns the sums of one window: for failures, for answers that are slow in general, and for a
 /// portion of slow answers.
-fn window(tallies: &IndexMap<u32, Tally>, input: JudgeInput, singles: &Singles) -> [ServerSum; 3] {
+fn window(
+    tallies: &IndexMap<u32, Tally>,
+    input: JudgeInput,
+    outliers: &Outliers,
+) -> [ServerSum; 3] {
     let failures = ServerTest {
         llr: |tally| tally.failures_llr,
         bad_answers: |tally| tally.failures,
@@ -322,9 +340,9 @@
         ..broad
     };
     [
-        bounded_sum(tallies, input, failures, &singles.broken),
-        bounded_sum(tallies, input, broad, &singles.slow),
-        bounded_sum(tallies, input, tail, &singles.slow),
+        bounded_sum(tallies, input, failures, &outliers.broken),
+        bounded_sum(tallies, input, broad, &outliers.slow),
+        bounded_sum(tallies, input, tail, &outliers.slow),
     ]
 }
 
@@ -335,10 +353,11 @@
     bad_answers: fn(&Tally) -> u32,
 }
 
-/// Sum over the servers.
+/// Sum of a test over the servers.
 struct ServerSum {
+    /// Sum over all servers.
     all: f64,
-    /// Without servers that are broken or slow, unless there are too many of them.
+    /// Sum without the servers that are broken or slow as a whole, unless there are too many of them.
     others: f64,
     /// Bad answers of these others.
     other_events: u32,
@@ -351,13 +370,13 @@
 }
 
 /// Returns the sum over all servers, to which each one contributes a bounded part. Broken or slow
-/// servers together contribute the part of one unless there are too many of them. `singles` are
-/// those of any window.
+/// servers together contribute at most [`WEIGHT_OF_OUTLIERS`] unless there are too many of them.
+/// `outliers` are those of any window.
 fn bounded_sum(
     tallies: &IndexMap<u32, Tally>,
     input: JudgeInput,
     test: ServerTest,
-    singles: &IndexSet<u32>,
+    outliers: &IndexSet<u32>,
 ) -> ServerSum {
     let servers = tallies.len().max(input.target_servers);
     let weight_max = BAD_LLR
@@ -366,38 +385,38 @@
             2 => WEIGHT_OF_TWO,
             _ => WEIGHT_OF_SEVERAL,
         };
-    let singles_max = singles_max(tallies, servers);
-    let are_apart = servers > 1 && singles.len() <= singles_max;
-    let (mut singles_sum, mut others, mut other_events) = (0.0, 0.0, 0);
+    let outliers_max = outliers_max(tallies, servers);
+    let are_bounded = servers > 1 && outliers.len() <= outliers_max;
+    let (mut outliers_sum, mut others, mut other_events) = (0.0, 0.0, 0);
     for (server, tally) in tallies {
         let weight = (test.llr)(tally).min(weight_max);
-        if are_apart && singles.contains(server) {
-            singles_sum += weight;
+        if are_bounded && outliers.contains(server) {
+            outliers_sum += weight;
         } else {
             others += weight;
             other_events += (test.bad_answers)(tally);
         }
     }
     ServerSum {
-        all: others + f64::min(singles_sum, WEIGHT_OF_SINGLES * BAD_LLR),
+        all: others + f64::min(outliers_sum, WEIGHT_OF_OUTLIERS * BAD_LLR),
         others,
         other_events,
     }
 }
 
-/// Returns how many servers may be broken or slow without saying anything on the version.
-fn singles_max(tallies: &IndexMap<u32, Tally>, servers: usize) -> usize {
+/// Returns how many servers may be broken or slow without evidence against the version.
+fn outliers_max(tallies: &IndexMap<u32, Tally>, servers: usize) -> usize {
     let compared: u32 = tallies.values().map(|tally| tally.compared).sum();
     let answers: u32 = tallies.values().map(|tally| tally.answers).sum();
     if compared * 2 >= answers {
         broken_max(servers)
     } else {
-        broken_max(servers).max((servers as f64 * BROKEN_ALONE_MAX) as usize)
+        broken_max(servers).max((servers as f64 * BROKEN_UNCOMPARED_MAX) as usize)
     }
 }
 
 /// Returns whether more than half of several servers with answers are broken.
-fn do_most_servers_fail(samples: &[Vec<Sample>]) -> bool {
+fn most_servers_fail(samples: &[Vec<Sample>]) -> bool {
     let mut tallies: IndexMap<u32, Tally> = IndexMap::new();
     for sample in samples.iter().flatten() {
         tallies.entry(sample.server).or_default().add(sample);
