gateway: rollout tasks in the terms of the field

tell_ended becomes notify_ended and leave_target fall_back_to_base; the records of a read are applied in a function of their own. Comments say what a constant bounds and why. Private names only, no behavior changes.

--- a/crates/gateway/src/background_tasks/rollouts.rs
+++ b/crates/gateway/src/background_tasks/rollouts.rs
@@ -14,7 +14,7 @@
 };
 use crate::rollout_metrics::{phase_name, reason_name};
 use crate::service_rollouts::{OrderEffect, VersionServers};
-use crate::topic_reader::TopicReader;
+use crate::topic_reader::{TopicReader, TopicRecords};
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,7 +26,8 @@
 
 /// Pause between two reports of a daemon.
 const REPORT_PAUSE: Duration = Duration::from_millis(250);
-/// Number of decisions between two reports.
+/// Number of decisions between two reports. Replies to reports contain the last decision, so it has to
+/// be recent.
 const DECISIONS_PER_REPORT: u32 = 3;
 /// Pause between two reads of the log of statuses during a rollout.
 const STATUS_PAUSE: Duration = Duration::from_millis(500);
@@ -39,8 +40,8 @@
 const WITHDRAWAL_NOTICE: Duration = Duration::from_millis(1000);
 /// Time after which the member that is next in rank stores the end of a removed order.
 const WITHDRAWAL_PAUSE: Duration = Duration::from_secs(2);
-/// Age of the last read of statuses from which on the metadata store counts as unavailable.
-const STORE_SILENCE_MIN: Duration = Duration::from_millis(2500);
+/// Age of the last read of statuses from which the metadata store counts as unavailable.
+const STORE_UNAVAILABLE_AGE: Duration = Duration::from_millis(2500);
 
 /// Applies an order of operators.
 pub(super) fn on_rollout_ordered(gateway: &Gateway, request: RolloutRequest) {
@@ -67,13 +68,13 @@
         step_ms: step.as_millis() as u64,
         reason,
     });
-    tell_ended(gateway, &service);
+    notify_ended(gateway, &service);
     gateway.rollouts_changed.notify_waiters();
 }
 
-/// Tells the daemons that have reported to this one that the order before is over. They may learn
-/// of the removal, or of the new order, up to a second later.
-fn tell_ended(gateway: &Gateway, service: &str) {
+/// Sends the final directive of the previous order to the daemons that have reported to this one.
+/// They may learn of the removal, or of the new order, up to a second later.
+fn notify_ended(gateway: &Gateway, service: &str) {
     let now = gateway.now();
     let ended = {
         let rollouts = &gateway.state.borrow().rollouts;
@@ -82,9 +83,9 @@
             Some((directive, ended.recent_reporters(now)))
         })
     };
-    if let (Some((directive, told)), Some(socket)) = (ended, gateway.permit_client.socket()) {
+    if let (Some((directive, recipients)), Some(socket)) = (ended, gateway.permit_client.socket()) {
         let message = PeerMessage::RolloutDirective(directive);
-        send_message(gateway, &socket, &message, &told);
+        send_message(gateway, &socket, &message, &recipients);
     }
 }
 
@@ -98,7 +99,7 @@
         .on_withdrawn(service, now);
     if is_known {
         gateway.log_notable(&Event::RolloutWithdrawn { service });
-        tell_ended(gateway, service);
+        notify_ended(gateway, service);
     }
 }
 
@@ -140,15 +141,9 @@
             match reader.read(&gateway, from_offset, Duration::ZERO).await {
                 Ok(read) => {
                     dependency.on_answer(&gateway);
-                    let store = &gateway.ports.metadata_store;
-                    for (offset, record) in (from_offset..).zip(read.records) {
-                        if let Some(status) = store.decode_status(record) {
-                            apply_status(&gateway, &status, offset);
-                        }
-                    }
-                    from_offset = read.next_offset;
-                    let rollouts = &mut gateway.state.borrow_mut().rollouts;
-                    rollouts.on_statuses_verified(read.verified_at);
+                    let next_offset = read.next_offset;
+                    apply_read(&gateway, from_offset, read);
+                    from_offset = next_offset;
                 }
                 Err(StoreError::Expired(_)) => {
                     gateway.state.borrow_mut().rollouts.forget_offsets();
@@ -160,7 +155,19 @@
     }
 }
 
-/// Waits until there is an order without a final status.
+/// Applies the records that were read from an offset.
+fn apply_read(gateway: &Gateway, from_offset: u64, read: TopicRecords) {
+    let store = &gateway.ports.metadata_store;
+    for (offset, record) in (from_offset..).zip(read.records) {
+        if let Some(status) = store.decode_status(record) {
+            apply_status(gateway, &status, offset);
+        }
+    }
+    let rollouts = &mut gateway.state.borrow_mut().rollouts;
+    rollouts.on_statuses_verified(read.verified_at);
+}
+
+/// Waits until there is a rollout that is not over, or was removed a short time ago.
 async fn wait_for_rollout(gateway: &Gateway) {
     loop {
         let changed = gateway.rollouts_changed.notified();
@@ -190,8 +197,8 @@
 fn apply_status(gateway: &Gateway, status: &RolloutStatus, offset: u64) {
     let now = gateway.now();
     let rollouts = &mut gateway.state.borrow_mut().rollouts;
-    let is_news = rollouts.on_status(status, offset, now);
-    if is_news {
+    let is_changed = rollouts.on_status(status, offset, now);
+    if is_changed {
         gateway.log_notable(&Event::RolloutStatus {
             service: &status.service,
             target: &status.target,
@@ -301,7 +308,7 @@
     }
 }
 
-/// Takes in a report of another daemon, which takes this one for the decider, and replies.
+/// Takes in a report of another daemon, for which this one is the decider, and replies.
 pub(super) fn on_report(
     gateway: &Rc<Gateway>,
     socket: &UdpSocket,
@@ -358,13 +365,13 @@
     }
 }
 
-/// Decides, if this daemon is the decider of the service: obeys its own directive, and starts to
-/// write a status if necessary.
+/// Decides, if this daemon is the decider of the service: applies its own directive, sends that of a
+/// new phase to the other daemons, and starts to write a status if necessary.
 fn decide(gateway: &Rc<Gateway>, service: &str) -> Option<Decision> {
     let now = gateway.now();
     let members = members(gateway);
     let own = own_address(gateway);
-    let (decided, status, told) = {
+    let (decided, status, recipients) = {
         let state = &mut *gateway.state.borrow_mut();
         let view = fleet_view(state, service, members.len(), now)?;
         let active = state.rollouts.active_mut(service)?;
@@ -373,7 +380,7 @@
         if let Some(rank) = ranked.iter().position(|member| *member == own) {
             active.on_directive(decided.decision.directive, rank, now);
         }
-        let told = if decided.is_new_phase {
+        let recipients = if decided.is_new_phase {
             active.recent_reporters(now)
         } else {
             Vec::new()
@@ -382,14 +389,14 @@
         let status = decided.decision.write;
         let status = status.and_then(|state| versions.status_to_store(state));
         let status = status.filter(|_| state.rollouts.begin_writing(service));
-        (decided, status, told)
+        (decided, status, recipients)
     };
     let decision = decided.decision;
     if let Some(socket) = gateway.permit_client.socket() {
         let message = PeerMessage::RolloutDirective(decision.directive);
-        send_message(gateway, &socket, &message, &told);
+        send_message(gateway, &socket, &message, &recipients);
     }
-    if decided.is_news {
+    if decided.is_changed {
         log_decision(gateway, service, &decision);
     }
     if let Some(status) = status {
@@ -410,7 +417,7 @@
         target_warm_slots: servers.target_warm_slots,
         base_servers: servers.base_servers,
         base_slots: servers.base_slots,
-        is_store_available: now.saturating_sub(verified_at) < STORE_SILENCE_MIN,
+        is_store_available: now.saturating_sub(verified_at) < STORE_UNAVAILABLE_AGE,
         is_target_in_force: versions.in_force() == Some(order.target.as_str()),
     })
 }
@@ -431,7 +438,7 @@
     });
 }
 
-/// Writes a status, and allows the next write.
+/// Writes a status, and then allows the next write.
 async fn write(gateway: Rc<Gateway>, status: RolloutStatus) {
     let result = write_status(&gateway, &status).await;
     if let Err(error) = result {
--- a/crates/gateway/src/dispatch/rollouts.rs
+++ b/crates/gateway/src/dispatch/rollouts.rs
@@ -32,9 +32,10 @@
     };
 }
 
-/// Makes a request for which no server of the target can be used go to the version in force, and
-/// returns whether it may. While a rollout is being completed, it may not.
-pub(super) fn leave_target(
+/// Falls back to the version in force for a request to the target that no server of the target can
+/// take. Returns `false` if the request is not for the target, or if the rollout is being completed:
+/// no new request may then go to the version in force.
+pub(super) fn fall_back_to_base(
     gateway: &Gateway,
     routed: &RoutedRequest,
     progress: &RefCell<Progress>,
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -1,7 +1,7 @@
 //! Selects the backend server of an attempt.
 
 use super::progress::Progress;
-use super::rollouts::{choose_side, leave_target};
+use super::rollouts::{choose_side, fall_back_to_base};
 use super::routed_request::RoutedRequest;
 use super::zones::{record_transfers, record_zone, update_service_load};
 use crate::admission::MemoryRequest;
@@ -209,7 +209,7 @@
             match with_query(gateway, routed, progress, options, |servers, query, rng| {
                 select(servers, query, now, rng)
             }) {
-                Err(_) if leave_target(gateway, routed, progress) => {
+                Err(_) if fall_back_to_base(gateway, routed, progress) => {
                     asks = 0;
                     continue;
                 }
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -29,8 +29,9 @@
     members.iter().copied().max_by_key(rank)
 }
 
-/// Returns the members in the order in which they are responsible for something that is given by a
-/// hash. The first one is that of [`issuer_of`].
+/// Returns the members by descending rank in rendezvous hashing for the item with this hash. The
+/// first one is responsible for the item, as in [`issuer_of`]; the next ones take its place when it
+/// does not reply.
 #[must_use]
 pub fn members_by_rank(hash: u64, members: &[SocketAddr]) -> Vec<SocketAddr> {
     let mut ranked = members.to_vec();
--- a/crates/gateway/src/service_rollouts.rs
+++ b/crates/gateway/src/service_rollouts.rs
@@ -16,9 +16,10 @@
 use indexmap::IndexMap;
 use std::time::Duration;
 
-/// Time after which an order that is not known, but whose status is, counts as removed.
+/// Time after which a stored status without a known order means that the order was removed. The
+/// status may be read before the copy of the operators' table has the order.
 const UNKNOWN_ORDER_TIME: Duration = Duration::from_secs(6);
-/// Time within which an append that was not answered takes effect, if it does.
+/// Longest time after which an append without an answer may still take effect.
 const LATE_APPEND_MAX: Duration = Duration::from_secs(15);
 
 /// Rollouts of all services.
@@ -37,7 +38,8 @@
 struct ServiceRollout {
     versions: ServiceVersions,
     active: Option<ActiveRollout>,
-    /// The rollout before, for the metrics.
+    /// The rollout before the active one, for the metrics and for directives to daemons that still
+    /// report on it.
     ended: Option<ActiveRollout>,
     /// Why the newest order of the service is malformed, which is logged once.
     malformed: Option<String>,
@@ -47,7 +49,7 @@
     status_offset: u64,
     /// When the newest order was removed, if it was.
     withdrawn_at: Option<Duration>,
-    /// Whether a task writes the status.
+    /// Whether a task is writing the status.
     is_writing: bool,
 }
 
@@ -150,7 +152,8 @@
         self.statuses_verified_at
     }
 
-    /// Applies a listing after records of the log were deleted. The offsets may have changed.
+    /// Forgets the offsets of statuses, before they are listed anew because the reader has missed
+    /// deleted records of the log. Offsets may differ in the new listing.
     pub(crate) fn forget_offsets(&mut self) {
         for service in self.services.values_mut() {
             service.status_offset = 0;
@@ -226,15 +229,16 @@
         is_new
     }
 
-    /// Applies the status that is stored at an offset, and returns whether it is news.
+    /// Applies the status that is stored at an offset, and returns whether it differs from the known
+    /// one.
     pub(crate) fn on_status(&mut self, status: &RolloutStatus, offset: u64, now: Duration) -> bool {
         let service = self.service_mut(&status.service);
         if offset < service.status_offset {
             return false;
         }
         service.status_offset = offset;
-        let is_news = service.versions.status() != Some(status);
-        if is_news {
+        let is_changed = service.versions.status() != Some(status);
+        if is_changed {
             service.status_at = Some(now);
         }
         service.versions.on_status(status.clone());
@@ -246,7 +250,7 @@
                 service.ended = service.active.take();
             }
         }
-        is_news
+        is_changed
     }
 
     /// Records the versions of the listed servers.
@@ -296,7 +300,6 @@
         let status = service.withdrawn_to_store()?;
         let known_at = match (service.withdrawn_at, service.status_at) {
             (Some(at), _) => at,
-            // The order may be newer than the copy of the operators' table.
             (None, Some(at)) => at + UNKNOWN_ORDER_TIME,
             (None, None) => return None,
         };
@@ -314,12 +317,13 @@
         expected.as_ref() == Some(status) && versions.status() != Some(status)
     }
 
-    /// Begins to write a status of a service, unless one is being written.
+    /// Marks a service's status as being written. Returns `false` if it already is.
     pub(crate) fn begin_writing(&mut self, service: &str) -> bool {
         let service = self.service_mut(service);
         !std::mem::replace(&mut service.is_writing, true)
     }
 
+    /// Allows the next write of a service's status.
     pub(crate) fn end_writing(&mut self, service: &str) {
         self.service_mut(service).is_writing = false;
     }
@@ -353,6 +357,7 @@
         self.services.get(service)?.ended.as_ref()
     }
 
+    /// Returns the service with an active rollout by this order.
     pub(crate) fn service_of(&self, order: OrderId) -> Option<&str> {
         let found = self.services.iter().find(|(_, service)| {
             let active = service.active.as_ref();
@@ -431,7 +436,7 @@
         Some(active.in_force(is_fresh, now).0)
     }
 
-    /// Records that no server of the target could take a request that was chosen for it.
+    /// Records that no server of the target could take a request that was to go there.
     pub(crate) fn on_not_sent(&mut self, service: &str) {
         if let Some(active) = self.active_mut(service) {
             active.budget.on_not_sent();
--- a/crates/gateway/src/service_rollouts/active.rs
+++ b/crates/gateway/src/service_rollouts/active.rs
@@ -16,7 +16,8 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of members that are asked beside the first in rank.
 const OTHERS_ASKED_MAX: usize = 8;
-/// Time after which a member that has not replied is no longer the one to be obeyed.
+/// Time without a reply after which a member's directive no longer takes precedence over those of
+/// lower rank.
 const REPLY_AGE_MAX: Duration = Duration::from_millis(1000);
 /// Time without reports after which a daemon no longer is the decider.
 const REPORTED_AGE_MAX: Duration = Duration::from_millis(1500);
@@ -26,9 +27,9 @@
 /// That time as a fraction of the time until the deadline, which must not pass meanwhile.
 const COMPLETION_PAUSE_FRACTION: f64 = 0.02;
 
-/// Number of members for each of which one more report goes without evidence.
-const MEMBERS_PER_REPORT: usize = 100;
-/// Maximum number of reports from one with evidence to the next.
+/// Number of members for which one more of the reports between two with evidence has none.
+const MEMBERS_PER_SKIPPED_EVIDENCE: usize = 100;
+/// Evidence is in at least one of so many reports.
 const REPORTS_PER_EVIDENCE_MAX: usize = 3;
 
 /// An order without a final status.
@@ -42,10 +43,11 @@
     reports: usize,
     /// Number of members that are asked beside the first in rank.
     others_asked: usize,
+    /// When the number of members that are asked was last increased.
     asked_since: Duration,
     /// Set as soon as another daemon, or this one, reports to this daemon.
     pub(crate) decider: Option<Decider>,
-    /// When a daemon last took this one for the decider.
+    /// When a daemon, or this one, last reported to this daemon.
     reported_at: Duration,
     /// When the decider began to complete the rollout.
     completing_since: Option<Duration>,
@@ -181,7 +183,8 @@
                 .sum()
         };
         let age = now.saturating_sub(self.order.learned_at);
-        let reports_per_evidence = (1 + members / MEMBERS_PER_REPORT).min(REPORTS_PER_EVIDENCE_MAX);
+        let reports_per_evidence =
+            (1 + members / MEMBERS_PER_SKIPPED_EVIDENCE).min(REPORTS_PER_EVIDENCE_MAX);
         let has_evidence = self.reports.is_multiple_of(reports_per_evidence);
         self.reports = self.reports.wrapping_add(1);
         RolloutReport {
@@ -220,8 +223,8 @@
         decider.on_report(report, now);
     }
 
-    /// Decides if this daemon is the decider. One that no daemon asks any more has outdated
-    /// evidence, so it stops.
+    /// Decides if this daemon is the decider. Without recent reports its evidence is outdated, so it
+    /// stops to be the decider.
     pub(crate) fn decide(&mut self, view: FleetView, now: Duration) -> Option<Decided> {
         if now.saturating_sub(self.reported_at) > REPORTED_AGE_MAX {
             self.decider = None;
@@ -244,7 +247,7 @@
         Some(Decided {
             decision,
             is_new_phase: known.is_some_and(|known| known.directive.phase != phase),
-            is_news: known.is_none_or(|known| {
+            is_changed: known.is_none_or(|known| {
                 known.directive.phase != phase || known.reason != decision.reason
             }),
         })
@@ -257,7 +260,7 @@
     pub(crate) decision: Decision,
     pub(crate) is_new_phase: bool,
     /// Whether the phase or the reason is new.
-    pub(crate) is_news: bool,
+    pub(crate) is_changed: bool,
 }
 
 /// Servers of both versions, as the decider needs them.
