gateway: clearer comments on load, zones and client limits

Load spike, oscillation, starvation and max-min fairness replace private words; constants without a reason get the one that the code shows; all constants of connection_limit stand together. Private names only, no behavior changes.

--- a/crates/gateway/src/body_memory.rs
+++ b/crates/gateway/src/body_memory.rs
@@ -28,11 +28,12 @@
 const GROUP_DENOMINATOR: u64 = 4;
 /// Connections may take up the total divided by this, so that they leave room for bodies.
 const CONNECTIONS_DIVISOR: u64 = 2;
-/// Least bytes of a connection that is closed for its memory. Connections without a body hold less.
+/// Smallest memory of a connection that is closed for its memory. Connections without a body hold
+/// less, so closing them would free too little.
 const CLOSED_MIN_BYTES: u64 = 64 * 1024;
 /// Largest number of connections that are closed for one reservation.
 const CLOSED_MAX: usize = 4;
-/// Longest wait for the memory of a closed connection.
+/// Longest wait until a closed connection has released its memory.
 const RELEASE_MAX: Duration = Duration::from_millis(200);
 
 new_key_type! {
@@ -146,7 +147,7 @@
                 .filter_map(|usage| Some((usage, usage.waiting(now)?)))
         };
         let chosen = first_to_close(waiting()).or_else(|| {
-            let group = self.greedy_group(for_connection?.group())?;
+            let group = self.dominant_group(for_connection?.group())?;
             costliest(waiting().filter(|(usage, _)| usage.group() == group))
         });
         let Some(usage) = chosen else {
@@ -156,8 +157,8 @@
         true
     }
 
-    /// Returns another group than the given one that takes more than half of the memory for bodies.
-    fn greedy_group(&self, of: GroupKey) -> Option<GroupKey> {
+    /// Returns the group that takes more than half of the memory for bodies, if it is not `of`.
+    fn dominant_group(&self, of: GroupKey) -> Option<GroupKey> {
         let by_group = self.by_group.borrow();
         let (group, held) = by_group.iter().max_by_key(|(_, held)| **held)?;
         (*group != of && *held > self.bodies_max_bytes / 2).then_some(*group)
@@ -213,7 +214,8 @@
         }
     }
 
-    /// Closes a connection to make room for another one, of the same address if one is given.
+    /// Closes a connection to make room for another one. Considers only those of the address `of`, if
+    /// it is given.
     /// Returns `false` if all connections make progress or are being served.
     #[must_use]
     pub fn close_for_room(&self, of: Option<IpAddr>) -> bool {
--- a/crates/gateway/src/body_memory/connection.rs
+++ b/crates/gateway/src/body_memory/connection.rs
@@ -20,7 +20,7 @@
 pub enum CloseReason {
     /// Other requests needed its memory.
     Memory,
-    /// Other clients needed its place.
+    /// The bound on connections was reached, and another client needed one.
     Room,
     /// The client read nothing of its answer for too long.
     Unread,
@@ -198,7 +198,7 @@
     /// Records that the client has to read before more can be sent.
     pub fn on_write_blocked(&self) {
         let usage = &self.usage;
-        // A client that reads now and then must not appear new each time.
+        // The wait does not begin anew each time that a slow client has read something.
         if !usage.has_answer.replace(true) {
             self.begin_wait();
         } else if !usage.is_write_blocked.get() {
--- a/crates/gateway/src/caches/links.rs
+++ b/crates/gateway/src/caches/links.rs
@@ -87,7 +87,7 @@
         transfers.map_or(0.0, |transfers| transfers.iter().map(left).sum())
     }
 
-    /// Forgets the links without a transfer that is not over.
+    /// Removes the links whose transfers are all over.
     pub fn expire(&mut self, now: Duration) {
         self.links
             .retain(|_, transfers| transfers.iter().any(|transfer| now < transfer.ends_at));
--- a/crates/gateway/src/caches/plan.rs
+++ b/crates/gateway/src/caches/plan.rs
@@ -194,6 +194,7 @@
         policy: TransferPolicy<'_>,
         reads: &mut TimelyReads<'_>,
     ) -> Option<SocketAddr> {
+        // A read needs a deadline on the servers' clock, as in `best_source`.
         self.clock?;
         let compute_ms = destination.prefill_rate.prefill_ms(part.tokens) * PREFILL_WEIGHT;
         let from_store = reads.choose(part.tokens, compute_ms, stores.iter().copied());
--- a/crates/gateway/src/caches/timely_reads.rs
+++ b/crates/gateway/src/caches/timely_reads.rs
@@ -34,7 +34,7 @@
     pub link_tokens_per_ms: f64,
 }
 
-/// Returns the tokens that wait on the link of a source.
+/// A function that returns the tokens that wait on the link of a source.
 pub type WaitingTokens<'a> = dyn Fn(SocketAddr) -> f64 + 'a;
 
 /// Reads of one request, planned part by part.
--- a/crates/gateway/src/connection_limit.rs
+++ b/crates/gateway/src/connection_limit.rs
@@ -13,6 +13,14 @@
 const INTERNAL_DIVISOR: usize = 16;
 /// Least number of connections of either kind, for processes with few descriptors.
 const CONNECTIONS_MIN: usize = 16;
+/// Part of the bound from which on connections from one address are bounded, too. Below it, a load
+/// balancer with a single address may use all of it.
+const SCARCE_NUMERATOR: usize = 3;
+const SCARCE_DENOMINATOR: usize = 4;
+/// Connections from one address may then be the bound divided by this.
+const ADDRESS_DIVISOR: usize = 2;
+/// While others are being closed, the bound divided by this may be open beyond the bound.
+const CLOSING_DIVISOR: usize = 16;
 
 /// Returns how many connections of clients a process with so many descriptors may have.
 #[must_use]
@@ -29,15 +37,6 @@
     (free / INTERNAL_DIVISOR).max(CONNECTIONS_MIN)
 }
 
-/// Part of the bound from which on connections from one address are bounded, too. Below it, a load
-/// balancer with a single address may use all of it.
-const SCARCE_NUMERATOR: usize = 3;
-const SCARCE_DENOMINATOR: usize = 4;
-/// Connections from one address may then be the bound divided by this.
-const ADDRESS_DIVISOR: usize = 2;
-/// Connections beyond the bound while others are being closed, as a divisor of the bound.
-const CLOSING_DIVISOR: usize = 16;
-
 /// What has to happen before a connection is served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -98,7 +97,7 @@
         *self.by_address.entry(address).or_default() += 1;
     }
 
-    /// Counts a connection no longer.
+    /// Uncounts a connection that was closed.
     pub fn on_closed(&mut self, address: IpAddr) {
         self.open_count = self.open_count.saturating_sub(1);
         if let Some(count) = self.by_address.get_mut(&address) {
--- a/crates/gateway/src/overload.rs
+++ b/crates/gateway/src/overload.rs
@@ -12,9 +12,9 @@
 use std::cell::Cell;
 use std::time::Duration;
 
-/// Time for which clients wait at least for the first event of a stream.
+/// Shortest time after which clients are assumed to give up waiting for the first event of a stream.
 const GIVE_UP_MIN: Duration = Duration::from_millis(3200);
-/// Number of latency targets for which they wait, if that is longer.
+/// Number of latency targets after which they are assumed to give up, if that is longer.
 const GIVE_UP_TARGETS: u32 = 4;
 /// Limit of the most urgent requests, as a fraction of their latency target.
 const MOST_URGENT_FRACTION: f64 = 0.9;
@@ -29,19 +29,21 @@
 const REJECTED_FACTOR: f64 = 1.4;
 /// Number of levels of urgency that are distinguished.
 const LEVELS: usize = LESS_URGENT_FRACTIONS.len() + 1;
-/// Largest increase of the share of rejected requests of the most urgent level per second. A short
-/// backlog of a crowd is over before they are rejected.
+/// Largest increase of the share of rejected requests of the most urgent level per second, so
+/// that a short load spike ends before they are rejected.
 const MOST_URGENT_RISE_PER_S: f64 = 2.0;
-/// Longest time since the last request for which the share may rise, in seconds.
+/// Longest time since the last request that the rise is computed from, in seconds. Otherwise the share
+/// could rise to its maximum with the first request after a pause.
 const RISE_AGE_MAX_S: f64 = 0.1;
 /// Decrease of the share of rejected requests per second, by level. More urgent ones are admitted
 /// again first.
 const FALL_PER_S: [f64; LEVELS] = [5.0, 1.5, 0.7, 0.4];
-/// Fraction of the limit below which servers may soon be idle, so that the share falls faster.
+/// Fraction of the limit below which servers may soon be idle, so that the share of rejected requests
+/// falls faster.
 const DRAINED_FRACTION: f64 = 0.2;
-/// Decrease of the share per second in that case.
-const DRAINED_FALL_PER_S: f64 = 2.0;
-/// Largest share of rejected requests of a level, so that no kind of request is shut out.
+/// Smallest decrease of the share per second in that case.
+const DRAINED_FALL_MIN_PER_S: f64 = 2.0;
+/// Largest share of rejected requests of a level, so that no level is starved.
 const REJECTED_SHARE_MAX: f64 = 0.97;
 /// Fraction of the slots below which nothing is rejected unless requests wait.
 const SLOTS_TAKEN_MIN: f64 = 0.5;
@@ -53,21 +55,23 @@
 const MEMORY_WAIT: f64 = 1.0;
 /// Number of latency targets for which the most urgent requests wait while servers are not busy.
 const IDLE_MEMORY_WAIT: f64 = 2.5;
-/// Fraction of an engine's memory that each more urgent level finds free in addition.
+/// Fraction of an engine's memory that a request leaves free for each more urgent level.
 const MEMORY_LEVEL_FRACTION: f64 = 0.04;
-/// Fraction of the time for which a request occupies an engine after which some memory is free.
+/// Fraction of the mean time for which a request occupies an engine, after which some memory is
+/// expected to be free.
 const FREED_AFTER_HOLDS: f64 = 0.25;
-/// Assumed time until a server without a queue takes a request again.
+/// Assumed time until a service whose servers are all full can take a request again.
 const FULL_START: Duration = Duration::from_millis(150);
 /// Time without a rejection after which an overload is over.
 const OVERLOAD_GAP: Duration = Duration::from_secs(2);
-/// Time after a rejection for which daemons tell each other what workspaces claim.
+/// Time after a rejection for which daemons report what workspaces claim, and less urgent requests
+/// leave memory free.
 const RECENT_TIME: Duration = Duration::from_secs(10);
 /// Shortest range over which the times of retries are spread.
 const RETRY_SPREAD_MIN: Duration = Duration::from_millis(300);
 /// Shortest time after which a client is asked to retry.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
-/// Fraction of the remaining time up to which clients wait before a retry.
+/// Fraction of the time until the deadline for which clients wait at most before a retry.
 const RETRY_TIME_FRACTION: f64 = 0.32;
 
 fn millis(duration: Duration) -> f64 {
@@ -279,14 +283,15 @@
 
 /// Shares of rejected requests of one service, by level of urgency. They rise at once and fall
 /// slowly: the load is known with a delay, and shares that followed it at once would make the fleet
-/// alternate between admitting and rejecting all requests.
+/// oscillate between admitting and rejecting all requests.
 #[derive(Clone, Debug, Default)]
 pub struct Throttle {
     shares: Cell<[RejectedShare; LEVELS]>,
 }
 
 impl Throttle {
-    /// Returns the share of requests to reject, from 0 to 1.
+    /// Updates the share of the demand's level, and returns the share of requests to reject, from 0 to
+    /// 1.
     #[must_use]
     pub fn rejected_share(&self, demand: &Demand, fleet: &FleetLoad, now: Duration) -> f64 {
         let relative = fleet.start_ms / millis(demand.start_limit()).max(1.0);
@@ -295,7 +300,7 @@
         let level = demand.level();
         let held = &mut shares[level];
         let fall_per_s = if relative < DRAINED_FRACTION {
-            DRAINED_FALL_PER_S.max(FALL_PER_S[level])
+            DRAINED_FALL_MIN_PER_S.max(FALL_PER_S[level])
         } else {
             FALL_PER_S[level]
         };
@@ -351,13 +356,13 @@
 pub struct ServiceOverload {
     /// Shares of rejected requests.
     pub throttle: Throttle,
-    /// Time since when requests are rejected.
+    /// When requests were rejected.
     pub span: OverloadSpan,
     /// What workspaces claim.
     pub shares: WorkspaceShares,
 }
 
-/// Time since when a service rejects requests.
+/// Start and latest rejection of a service's newest overload.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OverloadSpan {
     began_at: Duration,
@@ -383,8 +388,8 @@
 
     /// Returns the time after which a client should retry. It is at least the time in which the
     /// backlog shrinks. It is spread over a range that grows with the length of the overload: the
-    /// longer it has lasted, the longer it is likely to last. A client that would not wait so long
-    /// is asked to retry as late as it does. `draw` is a random number from 0 to 1.
+    /// longer it has lasted, the longer it is likely to last. The range ends where clients would no
+    /// longer wait. `draw` is a random number from 0 to 1.
     #[must_use]
     pub fn retry_after(
         &self,
--- a/crates/gateway/src/select/zones.rs
+++ b/crates/gateway/src/select/zones.rs
@@ -137,16 +137,16 @@
     if zone_of(index) == home || zone_of(index) == zone {
         return index;
     }
-    let Some(near) = requirement.choose_among(candidates, &|one| zone_of(one) == zone) else {
+    let Some(in_zone) = requirement.choose_among(candidates, &|one| zone_of(one) == zone) else {
         return index;
     };
     let first_event_ms = |index: usize| requirement.first_event_ms(&candidates[index], index == 0);
     let target_ms = requirement.latency_target.as_secs_f64() * 1000.0;
-    let is_timely = first_event_ms(near) <= target_ms;
+    let is_timely = first_event_ms(in_zone) <= target_ms;
     let cost_ms = ZONE_COST.extra_ms + ZONE_COST.price_ms;
-    let is_near_equal = first_event_ms(near) <= first_event_ms(index) + cost_ms;
-    if is_timely || is_near_equal || zones.choice.is_full(zone_of(index)) {
-        near
+    let is_not_much_later = first_event_ms(in_zone) <= first_event_ms(index) + cost_ms;
+    if is_timely || is_not_much_later || zones.choice.is_full(zone_of(index)) {
+        in_zone
     } else {
         index
     }
--- a/crates/gateway/src/server_speed.rs
+++ b/crates/gateway/src/server_speed.rs
@@ -18,9 +18,9 @@
 const BASE_MS: f64 = 20.0;
 /// Smallest work for which an answer counts, in tokens. For less work, fixed times prevail.
 const SAMPLE_TOKENS_MIN: u64 = 500;
-/// Time for which a request occupies an engine that is assumed before the first end of one.
+/// Assumed time for which a request occupies an engine, before any request has ended.
 const INITIAL_HOLD: Duration = Duration::from_secs(2);
-/// Weight of the newest request in the moving average of these times.
+/// Weight of the newest request in the exponential moving average of these times.
 const HOLD_STEP: f64 = 0.05;
 
 /// Time in which the weight of an observation in a server's short window halves.
@@ -135,6 +135,8 @@
 }
 
 impl Times {
+    /// Returns actual to expected time, if `prior_ms` of expected time was observed at the ratio
+    /// `usual` besides.
     fn ratio(self, usual: f64, prior_ms: f64) -> f64 {
         (self.actual_ms + prior_ms * usual) / (self.expected_ms + prior_ms)
     }
@@ -143,11 +145,15 @@
 /// How much longer one server takes than usual for its service. 1 is the usual time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServerSpeed {
+    /// Slowness in the long window, a moving average over intervals.
     long: f64,
+    /// Sums of the current interval.
     interval: Times,
     interval_at: Duration,
+    /// Decaying sums of the short window.
     short: Times,
     short_at: Duration,
+    /// Factor that the server itself has reported, relative to `long`, and when.
     reported: Option<(f64, Duration)>,
 }
 
--- a/crates/gateway/src/start_estimate.rs
+++ b/crates/gateway/src/start_estimate.rs
@@ -3,16 +3,16 @@
 use crate::server_speed::ServiceSpeed;
 use std::time::Duration;
 
-/// Fraction of the latency target within which a start at the server that ranks first is soon
-/// enough. The rest is for the request's own prompt and for work that is not known yet.
-const REACH_FRACTION: f64 = 0.4;
-/// Factor by which a start may be later than the earliest one.
+/// Fraction of the latency target within which a start is early enough, whatever the other servers'
+/// starts. The rest is for the request's own prompt and for work that is not known yet.
+const EARLY_START_FRACTION: f64 = 0.4;
+/// Factor by which a first event may be later than the earliest one.
 const LATER_FACTOR: f64 = 1.3;
 /// Fraction of the latency target by which it may be later in addition.
 const LATER_FRACTION: f64 = 0.08;
 /// Fraction of the shared tokens that a server computes, or waits for, if it is not the one that
 /// ranks first for the prompt.
-const SHARED_TOKENS_FRACTION: f64 = 0.5;
+const SHARED_COMPUTED_FRACTION: f64 = 0.5;
 /// Factor by which the tokens in a server's memory may exceed the candidates' mean before a prompt
 /// goes to the server that ranks next.
 const MEMORY_FACTOR: f64 = 1.25;
@@ -108,12 +108,13 @@
 }
 
 impl Requirement {
-    /// Returns the time until the prompt itself is computed, in milliseconds.
+    /// Returns the time until the prompt itself is computed, and its first event is sent, in
+    /// milliseconds.
     pub(crate) fn first_event_ms(&self, candidate: &Candidate, is_first_in_rank: bool) -> f64 {
         let shared_fraction = if is_first_in_rank {
             0.0
         } else {
-            SHARED_TOKENS_FRACTION
+            SHARED_COMPUTED_FRACTION
         };
         let tokens =
             f64::from(self.prompt.unshared) + f64::from(self.prompt.shared) * shared_fraction;
@@ -142,8 +143,8 @@
         let total: f64 = ranked.iter().map(|candidate| candidate.memory_tokens).sum();
         let mean = total / ranked.len().max(1) as f64;
         let slack = self.capacity_tokens as f64 * MEMORY_SLACK_FRACTION;
-        let even = (mean * MEMORY_FACTOR + slack).min(self.memory_limit_tokens);
-        self.choose_within(ranked, even, is_allowed)
+        let memory_bound_tokens = (mean * MEMORY_FACTOR + slack).min(self.memory_limit_tokens);
+        self.choose_within(ranked, memory_bound_tokens, is_allowed)
     }
 
     fn choose_within(
@@ -163,10 +164,10 @@
             .min_by(f64::total_cmp)?;
         let target_ms = self.latency_target.as_secs_f64() * 1000.0;
         let later_ms = earliest_ms * LATER_FACTOR + target_ms * LATER_FRACTION;
-        let is_soon = |(index, candidate): &(usize, &Candidate)| {
-            candidate.estimate.start_ms() <= target_ms * REACH_FRACTION
+        let is_early_enough = |(index, candidate): &(usize, &Candidate)| {
+            candidate.estimate.start_ms() <= target_ms * EARLY_START_FRACTION
                 || self.first_event_ms(candidate, *index == 0) <= later_ms
         };
-        with_room().find(is_soon).map(|(index, _)| index)
+        with_room().find(is_early_enough).map(|(index, _)| index)
     }
 }
--- a/crates/gateway/src/workspace_shares.rs
+++ b/crates/gateway/src/workspace_shares.rs
@@ -1,7 +1,8 @@
 //! Shares of workspaces in what a busy service can serve.
 //!
 //! Workspaces are compared by the tokens that they claim, whether their requests are admitted or
-//! not. Each gets at most the same amount, and what one does not claim goes to the others. Within a
+//! not. Shares are max-min fair: each gets at most the same amount, and what one does not claim goes to
+//! the others. Within a
 //! workspace the share does not depend on the request, so large prompts are rejected no more often
 //! than small ones. Daemons report their claims to each other like the load on engines, so each
 //! daemon uses the sums of the fleet.
@@ -12,7 +13,7 @@
 
 /// Time in which the weight of a claim halves.
 const HALF_LIFE: Duration = Duration::from_secs(4);
-/// Claims below which a workspace does not matter, in tokens.
+/// Claims below which a workspace is left out of the division, in tokens.
 const CLAIM_MIN_TOKENS: f64 = 32.0;
 /// Smallest share of a workspace's requests that is admitted, as a fraction of the mean of all
 /// workspaces.
@@ -103,7 +104,7 @@
         if claims.is_empty() {
             return rejected_share;
         }
-        let equal = equal_amount(claims.clone(), 1.0 - rejected_share);
+        let equal = fair_limit(claims.clone(), 1.0 - rejected_share);
         let admitted_share = |tokens: f64| (equal / tokens.max(1.0)).min(1.0);
         let sum: f64 = claims.iter().map(|tokens| admitted_share(*tokens)).sum();
         let mean = sum / claims.len() as f64;
@@ -111,9 +112,9 @@
     }
 }
 
-/// Returns the amount up to which each claim is admitted, so that `fraction` of all claims is
-/// admitted in total.
-fn equal_amount(mut claims: Vec<f64>, fraction: f64) -> f64 {
+/// Returns the max-min fair limit: the amount up to which each claim is admitted, so that `fraction`
+/// of all claims is admitted in total.
+fn fair_limit(mut claims: Vec<f64>, fraction: f64) -> f64 {
     claims.sort_unstable_by(f64::total_cmp);
     let mut left: f64 = claims.iter().sum::<f64>() * fraction;
     for (index, tokens) in claims.iter().enumerate() {
--- a/crates/gateway/src/zone_choice.rs
+++ b/crates/gateway/src/zone_choice.rs
@@ -2,8 +2,8 @@
 //!
 //! Leaving costs time and money: messages and cached prompt parts cross the link between two zones.
 //! It pays off if callers save more time than that. The share that leaves grows and shrinks in small
-//! steps, in proportion to how uneven the zones are, and each request draws on its own, so that
-//! daemons with the same view do not all leave or return at once. Nothing moves to a zone that is
+//! steps, in proportion to how uneven the zones are, and each request draws its own random number, so
+//! that daemons with the same view do not all send their requests away or back at once. Nothing moves to a zone that is
 //! itself under pressure.
 
 use indexmap::IndexMap;
@@ -17,15 +17,16 @@
 /// Pressure of a zone from which requests may begin to leave it.
 const LEAVE_PRESSURE: f64 = 0.8;
 /// Pressure of a zone up to which more requests may move to it.
-const CALM_PRESSURE: f64 = 0.75;
+const ACCEPTING_PRESSURE_MAX: f64 = 0.75;
 /// Pressure of a zone from which none move to it.
 const FULL_PRESSURE: f64 = 0.9;
-/// Fraction of the difference between two zones by which the share grows in one update.
+/// Fraction of the relative difference in pressure by which the share grows in one update.
 const GROWTH: f64 = 0.025;
 /// Decrease of a share in one update once leaving no longer pays off.
 const DECREASE: f64 = 0.004;
-/// Factor of a share in one update while its target is neither calm nor full.
-const BACK_OFF: f64 = 0.9;
+/// Factor of a share in one update while the pressure of its target is between
+/// [`ACCEPTING_PRESSURE_MAX`] and [`FULL_PRESSURE`].
+const BACK_OFF_FACTOR: f64 = 0.9;
 /// Largest share of a zone's requests that leaves for one other zone.
 const SHARE_MAX: f64 = 0.5;
 /// Share below which nothing leaves.
@@ -95,7 +96,7 @@
     }
 
     /// Updates the shares with new estimates of all zones that have usable servers. Shares from and
-    /// to other zones are forgotten. Returns the pairs of these zones between which requests begin or
+    /// to other zones are dropped. Returns the pairs of these zones between which requests begin or
     /// cease to leave.
     pub fn update(
         &mut self,
@@ -175,8 +176,8 @@
     let unevenness = (home.pressure - other.pressure) / home.pressure.max(LEAVE_PRESSURE);
     let next = if other.pressure >= FULL_PRESSURE {
         0.0
-    } else if other.pressure >= CALM_PRESSURE {
-        share * BACK_OFF
+    } else if other.pressure >= ACCEPTING_PRESSURE_MAX {
+        share * BACK_OFF_FACTOR
     } else if pays_off {
         share + GROWTH * unevenness.max(0.0)
     } else {
