--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -294,10 +294,7 @@
         choice: &load.zones,
         draw: state.rng.random(),
     });
-    let admission = start.and_then(|start| start.admission);
-    let free_fraction = admission
-        .filter(|admission| admission.overload.span.is_recent(now))
-        .map_or(0.0, |admission| admission.demand.free_memory_fraction());
+    let memory_limit_tokens = memory_limit_tokens(state, routed, start, options, now);
     let prompt = routed.meta.prompt.as_ref().map(|prompt| {
         let published_weights = state.weights.get(&prompt.model);
         let switch_time = gateway.settings.bounds.weight_switch;
@@ -311,14 +308,7 @@
             oldest_version: published_weights
                 .and_then(|published| oldest_allowed_version(published, switch_time, now)),
             engine_capacity_tokens: engine_capacity(&routed.service),
-            memory_limit_tokens: state.admission.limit_tokens(
-                &MemoryRequest {
-                    route: &routed.route.name,
-                    urgency: routed.urgency(),
-                    is_waiting: options.is_waiting,
-                },
-                engine_capacity(&routed.service),
-            ) - engine_capacity(&routed.service) as f64 * free_fraction,
+            memory_limit_tokens,
             published_weights,
             old_part_times: gateway.old_part_times(),
             is_configuration_current: state.configuration_freshness.is_current(now),
@@ -347,6 +337,29 @@
     decide(&mut state.servers, &query, &mut state.rng)
 }
 
+/// Returns the largest load in tokens at which an engine is still given the request. After a
+/// rejection, less urgent requests leave some memory free.
+fn memory_limit_tokens(
+    state: &State,
+    routed: &RoutedRequest,
+    start: Option<StartQuery<'_>>,
+    options: QueryOptions,
+    now: Duration,
+) -> f64 {
+    let capacity_tokens = engine_capacity(&routed.service);
+    let free_fraction = start
+        .and_then(|start| start.admission)
+        .filter(|admission| admission.overload.span.is_recent(now))
+        .map_or(0.0, |admission| admission.demand.free_memory_fraction());
+    let request = MemoryRequest {
+        route: &routed.route.name,
+        urgency: routed.urgency(),
+        is_waiting: options.is_waiting,
+    };
+    let limit_tokens = state.admission.limit_tokens(&request, capacity_tokens);
+    limit_tokens - capacity_tokens as f64 * free_fraction
+}
+
 fn region_constraints<'a>(
     gateway: &'a Gateway,
     routed: &'a RoutedRequest,
--- a/crates/gateway/src/listeners/clients.rs
+++ b/crates/gateway/src/listeners/clients.rs
@@ -135,14 +135,6 @@
         });
         return;
     }
-    let limits = gateway
-        .state
-        .borrow()
-        .configuration
-        .as_ref()
-        .map(|configuration| configuration.limits)
-        .unwrap_or_default();
-    let header_buffer_bytes = limits.header_max_bytes.max(READ_BUFFER_MIN_BYTES) * 2;
     let end_of_answer = EndOfAnswer::default();
     let socket = ClientSocket::new(stream, end_of_answer.clone(), open.clone());
     let service_gateway = Rc::clone(&gateway);
@@ -160,7 +152,7 @@
         .timer(IdleTimer::new(gateway.client_idle_timeout.subscribe()))
         // Enables the timeout. `IdleTimer` knows how long it is.
         .header_read_timeout(Duration::ZERO)
-        .max_buf_size(header_buffer_bytes)
+        .max_buf_size(header_buffer_bytes(&gateway))
         .serve_connection(TokioIo::new(socket), service);
     let until_end = async {
         tokio::select! {
@@ -186,6 +178,17 @@
     socket.linger().await;
 }
 
+/// Returns the size of the buffer for the head of a request.
+fn header_buffer_bytes(gateway: &Gateway) -> usize {
+    let state = gateway.state.borrow();
+    let limits = state
+        .configuration
+        .as_ref()
+        .map(|configuration| configuration.limits)
+        .unwrap_or_default();
+    limits.header_max_bytes.max(READ_BUFFER_MIN_BYTES) * 2
+}
+
 fn report_broken(gateway: &Gateway, error: &hyper::Error) {
     gateway.metrics.count("client_connections_broken");
     if error.is_parse() {
