gateway: doc comments that disagreed with the code

A tick closes up to four connections, not one; total_max_bytes is the bound, not a peak; rollouts_changed also tells of statuses. The overload tests say load spike and least urgent kind instead of crowd; a test is renamed, its checks are the same.

--- a/crates/gateway/src/body_memory.rs
+++ b/crates/gateway/src/body_memory.rs
@@ -31,7 +31,7 @@
 /// Smallest memory of a connection that is closed for its memory. Connections without a body hold
 /// less, so closing them would free too little.
 const CLOSED_MIN_BYTES: u64 = 64 * 1024;
-/// Largest number of connections that are closed for one reservation.
+/// Largest number of connections that are closed for one reservation, or in one tick.
 const CLOSED_MAX: usize = 4;
 /// Longest wait until a closed connection has released its memory.
 const RELEASE_MAX: Duration = Duration::from_millis(200);
@@ -72,7 +72,7 @@
     pub bodies_bytes: u64,
     /// Bytes of bodies, buffers and connections.
     pub total_bytes: u64,
-    /// Largest value of `total_bytes`.
+    /// Bound on `total_bytes`.
     pub total_max_bytes: u64,
 }
 
@@ -235,7 +235,8 @@
     }
 
     /// Observes the progress of all connections, about once a second. Closes those that have read
-    /// nothing of an answer for `unread_max`, and one if the total is exceeded.
+    /// nothing of an answer for `unread_max`, and up to `CLOSED_MAX` slow ones if the total is
+    /// exceeded.
     pub fn tick(&self, now: Duration, unread_max: Duration) {
         self.shared.now.set(now);
         for usage in self.shared.connections.borrow().values() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -148,7 +148,7 @@
     pub(crate) evidence_news: Notify,
     /// Notified when the role of this daemon in the fleet has changed.
     pub(crate) role_changed: Notify,
-    /// Notified when a rollout begins.
+    /// Notified when an order or a status of a rollout changes.
     pub(crate) rollouts_changed: Notify,
     /// Random number that differs between starts of a daemon.
     pub(crate) start_id: u64,
--- a/crates/gateway/src/rollout/order.rs
+++ b/crates/gateway/src/rollout/order.rs
@@ -81,7 +81,7 @@
     Waiting,
     /// A small share of the requests goes to the target.
     Canary,
-    /// Larger shares of the requests go to the target, for a short time.
+    /// Larger shares than in the canary phase go to the target, for a short time.
     Ramp {
         /// Number of the step, from 0.
         step: u8,
--- a/crates/gateway/tests/overload/admission.rs
+++ b/crates/gateway/tests/overload/admission.rs
@@ -154,10 +154,10 @@
 }
 
 /// Load: the least urgent kind rises from 0.4 to 2.5 times the capacity for 8 s, beside 0.3 of more
-/// urgent kinds, with reports of different age. Guards against urgent prompts that wait behind the
-/// crowd, and against engines that are idle because too much is rejected.
+/// urgent kinds, with reports of different age. Guards against urgent prompts that wait behind
+/// less urgent ones, and against engines that are idle because too much is rejected.
 #[test]
-fn crowd_of_the_least_urgent_kind_leaves_urgent_requests_in_time() {
+fn load_spike_of_the_least_urgent_kind_leaves_urgent_requests_in_time() {
     struct Case {
         delay_ms: f64,
         urgent_served: f64,
@@ -181,7 +181,7 @@
             fleet.run(4_000.0, [0.15, 0.15, 0.4]);
             let before = fleet.computed();
             fleet.run(8_000.0, [0.15, 0.15, 2.5]);
-            let [urgent, middle, crowd] = fleet.by_urgency;
+            let [urgent, middle, least_urgent] = fleet.by_urgency;
             let label = format!("delay {} ms, seed {seed}", case.delay_ms);
             assert!(
                 urgent.served_share() > case.urgent_served,
@@ -192,7 +192,7 @@
                 "{label}: {urgent:?}"
             );
             assert!(
-                middle.served_share() > crowd.served_share(),
+                middle.served_share() > least_urgent.served_share(),
                 "{label}: {middle:?}"
             );
             let capacity = TOKENS_PER_MS * ENGINES as f64 * 8_000.0;
@@ -371,15 +371,18 @@
 }
 
 /// Load: a backlog of half a second that lasts for 150 ms. Guards against urgent requests that are
-/// rejected together with a crowd, and against kinds that are shut out.
+/// rejected together with a load spike, and against kinds that are starved.
 #[test]
 fn short_backlog_does_not_reject_urgent_requests_at_once() {
     let throttle = Throttle::default();
     let fleet = load(500.0, 0.9, true);
     for ms in [1_000.0, 1_050.0, 1_100.0, 1_150.0] {
         let share = |urgency| throttle.rejected_share(&demand(urgency), &fleet, at(ms));
-        let (urgent, middle, crowd) = (share(0), share(1), share(2));
+        let (urgent, middle, least_urgent) = (share(0), share(1), share(2));
         assert!(urgent < 0.8 && middle > 0.9, "{ms}: {urgent} {middle}");
-        assert!(crowd > 0.9 && crowd < 1.0, "{ms}: {crowd}");
+        assert!(
+            least_urgent > 0.9 && least_urgent < 1.0,
+            "{ms}: {least_urgent}"
+        );
     }
 }
