--- a/crates/gateway/src/log/fields.rs
+++ b/crates/gateway/src/log/fields.rs
@@ -144,8 +144,8 @@
     pub to: &'a str,
     /// Whether some leave from now on.
     pub leaves: bool,
-    /// Estimated time until servers begin with a request in both, in milliseconds.
+    /// Estimated time until servers begin with a request in `from` and in `to`, in milliseconds.
     pub start_ms: [u64; 2],
-    /// Share of the capacity that is taken in both, in percent.
+    /// Share of the capacity that is taken in `from` and in `to`, in percent.
     pub pressure_percent: [u64; 2],
 }
