--- a/crates/gateway/src/background_tasks/rollouts.rs
+++ b/crates/gateway/src/background_tasks/rollouts.rs
@@ -26,8 +26,8 @@
 
 /// Pause between two reports of a daemon.
 const REPORT_PAUSE: Duration = Duration::from_millis(250);
-/// Number of decisions between two reports. Replies to reports contain the last decision, so it has to
-/// be recent.
+/// Number of decisions between two reports. Replies to reports contain the last decision, so it has
+/// to be recent.
 const DECISIONS_PER_REPORT: u32 = 3;
 /// Pause between two reads of the log of statuses during a rollout.
 const STATUS_PAUSE: Duration = Duration::from_millis(500);
--- a/crates/gateway/src/body_memory.rs
+++ b/crates/gateway/src/body_memory.rs
@@ -214,9 +214,8 @@
         }
     }
 
-    /// Closes a connection to make room for another one. Considers only those of the address `of`, if
-    /// it is given.
-    /// Returns `false` if all connections make progress or are being served.
+    /// Closes a connection to make room for another one. Considers only those of the address `of`,
+    /// if it is given. Returns `false` if all connections make progress or are being served.
     #[must_use]
     pub fn close_for_room(&self, of: Option<IpAddr>) -> bool {
         let Some(address) = of else {
--- a/crates/gateway/src/overload.rs
+++ b/crates/gateway/src/overload.rs
@@ -32,14 +32,14 @@
 /// Largest increase of the share of rejected requests of the most urgent level per second, so
 /// that a short load spike ends before they are rejected.
 const MOST_URGENT_RISE_PER_S: f64 = 2.0;
-/// Longest time since the last request that the rise is computed from, in seconds. Otherwise the share
-/// could rise to its maximum with the first request after a pause.
+/// Longest time since the last request that the rise is computed from, in seconds. Otherwise the
+/// share could rise to its maximum with the first request after a pause.
 const RISE_AGE_MAX_S: f64 = 0.1;
 /// Decrease of the share of rejected requests per second, by level. More urgent ones are admitted
 /// again first.
 const FALL_PER_S: [f64; LEVELS] = [5.0, 1.5, 0.7, 0.4];
-/// Fraction of the limit below which servers may soon be idle, so that the share of rejected requests
-/// falls faster.
+/// Fraction of the limit below which servers may soon be idle, so that the share of rejected
+/// requests falls faster.
 const DRAINED_FRACTION: f64 = 0.2;
 /// Smallest decrease of the share per second in that case.
 const DRAINED_FALL_MIN_PER_S: f64 = 2.0;
@@ -290,8 +290,8 @@
 }
 
 impl Throttle {
-    /// Updates the share of the demand's level, and returns the share of requests to reject, from 0 to
-    /// 1.
+    /// Updates the share of the demand's level, and returns the share of requests to reject, from 0
+    /// to 1.
     #[must_use]
     pub fn rejected_share(&self, demand: &Demand, fleet: &FleetLoad, now: Duration) -> f64 {
         let relative = fleet.start_ms / millis(demand.start_limit()).max(1.0);
--- a/crates/gateway/src/rollout/exposure.rs
+++ b/crates/gateway/src/rollout/exposure.rs
@@ -68,7 +68,8 @@
     bounds: ExposureBounds,
     step: Duration,
     learned_at: Duration,
-    /// Random value in `[0, 1)`, by which this daemon's cap is rounded. It is also the initial balance.
+    /// Random value in `[0, 1)`, by which this daemon's cap is rounded. It is also the initial
+    /// balance.
     rounding_offset: f64,
     /// Sum of the shares of past requests, less the requests that went to the target.
     balance: f64,
@@ -78,8 +79,8 @@
 }
 
 impl ExposureBudget {
-    /// Creates the budget of a daemon that learned of an order at `learned_at`. `rounding_offset` is a
-    /// random value in `[0, 1)`.
+    /// Creates the budget of a daemon that learned of an order at `learned_at`. `rounding_offset`
+    /// is a random value in `[0, 1)`.
     #[must_use]
     pub fn new(
         bounds: ExposureBounds,
--- a/crates/gateway/src/rollout/verdict.rs
+++ b/crates/gateway/src/rollout/verdict.rs
@@ -2,8 +2,9 @@
 //!
 //! As in Page's CUSUM test, logarithms of likelihood ratios are summed over the newest periods, for
 //! the number of periods that gives the largest sum, so that a version which turns bad later is
-//! found as fast as one that is bad at once. A good version reaches [`BAD_LLR`] in one window with a probability of
-//! at most 0.1% (Wald's bound), and with less if its failures are as rare as those of the base.
+//! found as fast as one that is bad at once. A good version reaches [`BAD_LLR`] in one window with
+//! a probability of at most 0.1% (Wald's bound), and with less if its failures are as rare as those
+//! of the base.
 
 use super::comparison::{Sample, broken_max, is_broken, samples};
 use super::evidence::Side;
@@ -47,8 +48,8 @@
         bad_answers: 3,
     },
 };
-/// Thresholds of the tests for slow answers. They are higher, because slow answers are frequent among
-/// those of a good version as well, so a few of them in a short window say little.
+/// Thresholds of the tests for slow answers. They are higher, because slow answers are frequent
+/// among those of a good version as well, so a few of them in a short window say little.
 const SLOW: EarlyThresholds = EarlyThresholds {
     suspicion: Threshold {
         llr: 1.5,
@@ -64,15 +65,15 @@
 const GOOD_LLR: f64 = 0.0;
 /// Number of answers from which a version can be good.
 const GOOD_ANSWERS_MIN: u64 = 30;
-/// ScanResult contribution of one server to a sum, as a fraction of [`BAD_LLR`], if there are two
+/// Largest contribution of one server to a sum, as a fraction of [`BAD_LLR`], if there are two
 /// servers, and if there are several. A single server must not reach the limit.
 const WEIGHT_OF_TWO: f64 = 0.6;
 const WEIGHT_OF_SEVERAL: f64 = 0.45;
 /// The same for all servers together that are broken or slow as a whole. With a larger contribution,
 /// one of them and two chance failures of others would reach the limit.
 const WEIGHT_OF_OUTLIERS: f64 = 0.3;
-/// Fraction of the servers that may be broken while the base has no answers to compare with. A failure domain that is out of
-/// service takes a third of them.
+/// Fraction of the servers that may be broken while the base has no answers to compare with. A
+/// failure domain that is out of service takes a third of them.
 const BROKEN_UNCOMPARED_MAX: f64 = 0.4;
 /// Share and number of slow answers from which a server counts as slow.
 const SLOW_SHARE: f64 = 0.7;
@@ -357,7 +358,8 @@
 struct ServerSum {
     /// Sum over all servers.
     all: f64,
-    /// Sum without the servers that are broken or slow as a whole, unless there are too many of them.
+    /// Sum without the servers that are broken or slow as a whole, unless there are too many of
+    /// them.
     others: f64,
     /// Bad answers of these others.
     other_events: u32,
--- a/crates/gateway/src/start_estimate.rs
+++ b/crates/gateway/src/start_estimate.rs
@@ -123,8 +123,8 @@
 
     /// Returns the index of the selected server among candidates in the order of their ranks: the
     /// first one that begins early enough for the latency target, or whose first event is not much
-    /// later than the earliest one. Servers with much more in memory than the others come last. Returns `None` if
-    /// none has room.
+    /// later than the earliest one. Servers with much more in memory than the others come last.
+    /// Returns `None` if none has room.
     #[must_use]
     pub fn choose(&self, ranked: &[Candidate]) -> Option<usize> {
         self.choose_among(ranked, &|_| true)
--- a/crates/gateway/src/workspace_shares.rs
+++ b/crates/gateway/src/workspace_shares.rs
@@ -1,11 +1,10 @@
 //! Shares of workspaces in what a busy service can serve.
 //!
 //! Workspaces are compared by the tokens that they claim, whether their requests are admitted or
-//! not. Shares are max-min fair: each gets at most the same amount, and what one does not claim goes to
-//! the others. Within a
-//! workspace the share does not depend on the request, so large prompts are rejected no more often
-//! than small ones. Daemons report their claims to each other like the load on engines, so each
-//! daemon uses the sums of the fleet.
+//! not. Shares are max-min fair: each gets at most the same amount, and what one does not claim
+//! goes to the others. Within a workspace the share does not depend on the request, so large
+//! prompts are rejected no more often than small ones. Daemons report their claims to each other
+//! like the load on engines, so each daemon uses the sums of the fleet.
 
 use crate::cache_store::name_hash;
 use indexmap::IndexMap;
--- a/crates/gateway/src/zone_choice.rs
+++ b/crates/gateway/src/zone_choice.rs
@@ -1,10 +1,10 @@
 //! Decides which share of the requests leaves the zone (failure domain) in which their data is.
 //!
 //! Leaving costs time and money: messages and cached prompt parts cross the link between two zones.
-//! It pays off if callers save more time than that. The share that leaves grows and shrinks in small
-//! steps, in proportion to how uneven the zones are, and each request draws its own random number, so
-//! that daemons with the same view do not all send their requests away or back at once. Nothing moves to a zone that is
-//! itself under pressure.
+//! It pays off if callers save more time than that. The share that leaves grows and shrinks in
+//! small steps, in proportion to how uneven the zones are, and each request draws its own random
+//! number, so that daemons with the same view do not all send their requests away or back at once.
+//! Nothing moves to a zone that is itself under pressure.
 
 use indexmap::IndexMap;
 use std::time::Duration;
