--- a/crates/gateway/tests/overload/admission.rs
+++ b/crates/gateway/tests/overload/admission.rs
@@ -153,55 +153,79 @@
     }
 }
 
-/// Load: the least urgent kind rises from 0.4 to 2.5 times the capacity for 8 s, beside 0.3 of more
-/// urgent kinds, with reports of different age. Guards against urgent prompts that wait behind
-/// less urgent ones, and against engines that are idle because too much is rejected.
+/// What is expected under a load spike of the least urgent kind.
+struct SpikeCase {
+    /// Age of the load reports, in milliseconds.
+    delay_ms: f64,
+    urgent_served: f64,
+    urgent_in_time: f64,
+    utilization: f64,
+}
+
+/// Runs a load spike in which the least urgent kind rises from 0.4 to 2.5 times the capacity for
+/// 8 s, beside 0.3 of more urgent kinds.
+fn check_load_spike(case: &SpikeCase) {
+    for seed in 0..10 {
+        let mut fleet = Fleet::new(seed, case.delay_ms);
+        fleet.run(4_000.0, [0.15, 0.15, 0.4]);
+        let before = fleet.computed();
+        fleet.run(8_000.0, [0.15, 0.15, 2.5]);
+        let [urgent, middle, least_urgent] = fleet.by_urgency;
+        let label = format!("delay {} ms, seed {seed}", case.delay_ms);
+        assert!(
+            urgent.served_share() > case.urgent_served,
+            "{label}: {urgent:?}"
+        );
+        assert!(
+            urgent.in_time_share() > case.urgent_in_time,
+            "{label}: {urgent:?}"
+        );
+        assert!(
+            middle.served_share() > least_urgent.served_share(),
+            "{label}: {middle:?}"
+        );
+        let capacity = TOKENS_PER_MS * ENGINES as f64 * 8_000.0;
+        let utilization = (fleet.computed() - before) as f64 / capacity;
+        assert!(utilization > case.utilization, "{label}: {utilization}");
+    }
+}
+
+/// Load: a spike of the least urgent kind, with reports of different age. Guards against urgent
+/// prompts that wait behind less urgent ones, and against engines that are idle because too much is
+/// rejected.
 #[test]
 fn load_spike_of_the_least_urgent_kind_leaves_urgent_requests_in_time() {
-    struct Case {
-        delay_ms: f64,
-        urgent_served: f64,
-        urgent_in_time: f64,
-        utilization: f64,
-    }
-    let case = |delay_ms, urgent_served, urgent_in_time, utilization| Case {
-        delay_ms,
-        urgent_served,
-        urgent_in_time,
-        utilization,
-    };
     let cases = [
-        case(0.0, 0.97, 0.97, 0.93),
-        case(100.0, 0.93, 0.92, 0.85),
-        case(400.0, 0.55, 0.55, 0.65),
+        SpikeCase {
+            delay_ms: 0.0,
+            urgent_served: 0.97,
+            urgent_in_time: 0.97,
+            utilization: 0.93,
+        },
+        SpikeCase {
+            delay_ms: 100.0,
+            urgent_served: 0.93,
+            urgent_in_time: 0.92,
+            utilization: 0.85,
+        },
     ];
     for case in cases {
-        for seed in 0..10 {
-            let mut fleet = Fleet::new(seed, case.delay_ms);
-            fleet.run(4_000.0, [0.15, 0.15, 0.4]);
-            let before = fleet.computed();
-            fleet.run(8_000.0, [0.15, 0.15, 2.5]);
-            let [urgent, middle, least_urgent] = fleet.by_urgency;
-            let label = format!("delay {} ms, seed {seed}", case.delay_ms);
-            assert!(
-                urgent.served_share() > case.urgent_served,
-                "{label}: {urgent:?}"
-            );
-            assert!(
-                urgent.in_time_share() > case.urgent_in_time,
-                "{label}: {urgent:?}"
-            );
-            assert!(
-                middle.served_share() > least_urgent.served_share(),
-                "{label}: {middle:?}"
-            );
-            let capacity = TOKENS_PER_MS * ENGINES as f64 * 8_000.0;
-            let utilization = (fleet.computed() - before) as f64 / capacity;
-            assert!(utilization > case.utilization, "{label}: {utilization}");
-        }
+        check_load_spike(&case);
     }
 }
 
+/// Load: the same spike, with reports as old as in a fleet whose reports pass through leaders.
+/// Guards against the same faults there.
+#[test]
+fn load_spike_with_old_reports_leaves_urgent_requests_in_time() {
+    check_load_spike(&SpikeCase {
+        delay_ms: 400.0,
+        urgent_served: 0.85,
+        urgent_in_time: 0.85,
+        utilization: 0.75,
+    });
+}
+
 /// Load: all kinds together rise to 2.5 times the capacity for 7 s. Guards against a backlog that
 /// delays requests long after the burst, against kinds that are not served at all, and against large
 /// prompts that are rejected more often than small ones.
--- a/crates/gateway/tests/transfers.rs
+++ b/crates/gateway/tests/transfers.rs
@@ -310,9 +310,7 @@
         for (daemons, demand) in [(3, 0.7), (12, 1.8), (120, 1.8), (410, 1.8)] {
             let with = run(seed, daemons, demand, true);
             let without = run(seed, daemons, demand, false);
-            let reads = with.in_time + with.late;
             let name = format!("seed {seed}, {daemons} daemons: {with:?}, without {without:?}");
-            assert!(with.late * 4 < reads, "{name}");
             assert!(with.in_time * 100 >= without.in_time * 85, "{name}");
             if demand > 1.0 {
                 assert!(without.late > with.late * 5, "{name}");
@@ -321,3 +319,16 @@
         }
     }
 }
+
+/// Guards against reads that are planned although they cannot be in time: a tenth of them or more.
+#[test]
+fn few_planned_reads_are_late() {
+    for seed in 0..3 {
+        for daemons in [12, 120, 410] {
+            let with = run(seed, daemons, 1.8, true);
+            let reads = with.in_time + with.late;
+            let name = format!("seed {seed}, {daemons} daemons: {with:?}");
+            assert!(with.late * 10 < reads, "{name}");
+        }
+    }
+}
--- a/crates/gateway/tests/zones.rs
+++ b/crates/gateway/tests/zones.rs
@@ -278,7 +278,6 @@
             let name = format!("seed {seed}, {daemons} daemons: {outcome:?}");
             assert!(outcome.left[0] > 0.2 && outcome.left[0] < 0.6, "{name}");
             assert!(outcome.mean_start_ms[0] < 400.0, "{name}");
-            assert!(outcome.largest_change < 0.15, "{name}");
             assert!(outcome.highest_pressure[1] < 1.0, "{name}");
             assert!(outcome.highest_pressure[2] < 1.0, "{name}");
             assert!(outcome.left[1] + outcome.left[2] < 0.01, "{name}");
@@ -286,6 +285,19 @@
     }
 }
 
+/// Guards against daemons that begin or cease to leave a zone at the same time, so that a tenth of
+/// its requests or more moves within a second.
+#[test]
+fn the_share_that_leaves_a_zone_changes_slowly() {
+    for seed in 0..3 {
+        for daemons in [3, 12, 120, 410 / 3 * 3] {
+            let outcome = run(seed, daemons, [1.3, 0.4, 0.4]);
+            let name = format!("seed {seed}, {daemons} daemons: {outcome:?}");
+            assert!(outcome.largest_change < 0.1, "{name}");
+        }
+    }
+}
+
 /// Guards against traffic between zones that saves nothing: with equal loads of 0.6 and of 1.3 times
 /// what each zone serves; and against a zone with 0.9 that gets more from a busy one.
 #[test]
