Let unlisted daemons follow the cache stores themselves again

Cause: since a daemon that the platform does not list takes the role of a follower.

Change: such a daemon still reads the tables from the leader that it will have, which saves calls to the metadata store, but keeps the role of a daemon without peers, as before.

--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -127,8 +127,9 @@
 
 impl FleetAssignment {
     /// Returns the assignment of the daemon `own` among the members of the fleet. A daemon that the
-    /// list does not contain yet follows the leader that it will have, so that it neither reads the
-    /// metadata store itself nor goes without load reports.
+    /// list does not contain yet reads the copies of the leader that it will have, to save calls to
+    /// the metadata store. In a large fleet it has no part in the exchange of reports and follows the
+    /// cache stores itself, because its leader does not know it.
     #[must_use]
     pub fn of(own: &Member, members: &[Member]) -> Self {
         let is_listed = members.iter().any(|member| member.address == own.address);
@@ -137,7 +138,11 @@
         let own = own.address;
         let leader = groups.leader_of(own);
         Self {
-            role: role(own, leader, &groups),
+            role: if is_listed {
+                role(own, leader, &groups)
+            } else {
+                role(own, None, &Groups::new(members.iter()))
+            },
             store_reads: match leader {
                 // No member is known yet.
                 None => StoreReads::Direct,
