--- /dev/null
+++ b/review/standin-2/src/daemons.rs
@@ -0,0 +1,222 @@
+//! Starts the project's daemons as the deploy file does, and ends them.
+
+use crate::http::Connection;
+use crate::record::Record;
+use std::fs::File;
+use std::io::{Error, Result};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Number of ports of a daemon: clients, readiness, control, and those between daemons.
+const PORTS: u16 = 19;
+const FIRST_EPHEMERAL: u16 = 3;
+const START_MAX: Duration = Duration::from_secs(15);
+
+pub struct Daemon {
+    pub name: String,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    child: Child,
+    settings: PathBuf,
+    log: PathBuf,
+    record: Arc<Record>,
+}
+
+impl Daemon {
+    pub fn start(
+        record: &Arc<Record>,
+        folder: &Path,
+        name: &str,
+        store: SocketAddr,
+        memory_mb: u64,
+    ) -> Result<Self> {
+        let base = free_ports()?;
+        let address = |offset: u16| SocketAddr::from(([127, 0, 0, 1], base + offset));
+        let settings = folder.join(format!("{name}.conf"));
+        std::fs::write(&settings, settings_text(name, base, store, memory_mb))?;
+        let log = folder.join(format!("{name}.log"));
+        let child = spawn(&settings, &log)?;
+        let daemon = Self {
+            name: name.to_owned(),
+            front: address(0),
+            ready: address(1),
+            child,
+            settings,
+            log,
+            record: Arc::clone(record),
+        };
+        daemon.wait_until_ready()?;
+        record.line(&format!("daemon {name} is ready"));
+        Ok(daemon)
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Asks the daemon as the platform does.
+    pub fn is_ready(&self) -> bool {
+        let ask = || -> Result<u16> {
+            let mut connection = Connection::open(self.ready)?;
+            connection
+                .stream
+                .set_read_timeout(Some(Duration::from_secs(1)))?;
+            connection.write("GET /api/ready HTTP/1.1\r\nHost: ready\r\n\r\n")?;
+            Ok(connection.read()?.status())
+        };
+        ask().is_ok_and(|status| status == 200)
+    }
+
+    fn wait_until_ready(&self) -> Result<()> {
+        let until = Instant::now() + START_MAX;
+        while !self.is_ready() {
+            if Instant::now() > until {
+                return Err(Error::other(format!("daemon {} is not ready", self.name)));
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        Ok(())
+    }
+
+    /// Kills the process and starts it again, as the platform does with one that ends.
+    pub fn restart(&mut self) -> Result<()> {
+        self.kill();
+        self.child = spawn(&self.settings, &self.log)?;
+        self.record
+            .line(&format!("daemon {} was restarted", self.name));
+        Ok(())
+    }
+
+    /// Largest resident memory of the process so far, in kB.
+    pub fn peak_memory_kb(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
+    fn kill(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn spawn(settings: &Path, log: &Path) -> Result<Child> {
+    let output = File::options().create(true).append(true).open(log)?;
+    // The command of the role in deploy/system.toml.
+    Command::new("target/release/anvilgw")
+        .arg("gateway")
+        .env("ANVILGW_CONFIG", settings)
+        .stdin(Stdio::null())
+        .stdout(output.try_clone()?)
+        .stderr(output)
+        .spawn()
+}
+
+/// Returns the first of some consecutive ports that nothing listens on.
+fn free_ports() -> Result<u16> {
+    for _ in 0..200 {
+        let probe = TcpListener::bind("127.0.0.1:0")?;
+        let base = probe.local_addr()?.port();
+        drop(probe);
+        if base > 65_000 - PORTS {
+            continue;
+        }
+        let is_free = (base..base + PORTS).all(|port| {
+            TcpListener::bind(("127.0.0.1", port)).is_ok()
+                && UdpSocket::bind(("127.0.0.1", port)).is_ok()
+        });
+        if is_free {
+            return Ok(base);
+        }
+    }
+    Err(Error::other("no free ports"))
+}
+
+fn settings_text(name: &str, base: u16, store: SocketAddr, memory_mb: u64) -> String {
+    let ready = base + 1;
+    let control = base + 2;
+    let first = base + FIRST_EPHEMERAL;
+    let last = base + PORTS - 1;
+    format!(
+        "node={name}
+role=gateway
+machineClass=front
+serves=front
+ip=127.0.0.1
+zone=za
+region=ra
+zones.za=ra
+listen.front=127.0.0.1:{base}
+listen.ready=127.0.0.1:{ready}
+listen.control=127.0.0.1:{control}
+ephemeralPorts={first},{last}
+seeds=
+bootstrap=true
+countsAsLoss=false
+limits.cpuShare=0.17
+limits.cores=1
+limits.memoryMb={memory_mb}
+limits.maxFds=2870
+limits.linkMbps=700.0
+limits.diskMb=0
+discovery=platform
+entry=vip
+heartbeatMs=1200
+contracts=base,drain,config,cost,retry,recover,kvcache,stream,engine,tenants,places,platform
+faultTolerance.machines=1
+faultTolerance.zones=0
+faultTolerance.regions=0
+bounds.seedLagS=3
+bounds.addrReuseS=2
+bounds.contactMs=3000
+bounds.ackMs=4000
+bounds.catchUpS=4
+bounds.drainMs=2000
+bounds.graceS=8
+bounds.lossSlackMs=200
+bounds.configApplyMs=2000
+bounds.rollbackSlackMs=250
+bounds.skewMaxMs=5000
+bounds.strictRevoke=true
+bounds.revokeMs=5000
+bounds.retryBudgetRatio=0.2
+bounds.budgetWindowS=10
+bounds.budgetSlack=126
+bounds.coldOverage=1.5
+bounds.coldSlack=5
+bounds.evacuateMs=5000
+bounds.recoveryS=12
+bounds.transitMs=120
+bounds.retryAfterS=20
+bounds.requireFencing=true
+bounds.leaseMs=3000
+bounds.thawSlackMs=300
+bounds.versionMs=10000
+bounds.versionAllMs=14000
+platform.address={store}
+platform.form=log
+platform.writesPerS=400
+platform.readsPerS=2000
+platform.parts=12
+platform.appendMs=2.0
+platform.partMbS=20.0
+platform.readMbS=80.0
+platform.recordBytes=262144
+platform.callBytes=2097152
+platform.keep_s=300
+platform.partMb=200
+platform.ttlMinMs=1000
+"
+    )
+}
