--- a/review/standin-2/src/cache.rs
+++ b/review/standin-2/src/cache.rs
@@ -4,7 +4,8 @@
 use crate::json::Json;
 use crate::record::Record;
 use std::collections::BTreeMap;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -41,10 +42,6 @@
     next_fetch: u64,
     used_tokens: u64,
     frees: u64,
-    epoch: u64,
-    /// Whether the store's process is down.
-    is_down: bool,
-    connections: Vec<TcpStream>,
 }
 
 /// What a fetch brought.
@@ -65,11 +62,16 @@
     state: Mutex<State>,
     changed: Condvar,
     link_free_at: Mutex<Instant>,
+    /// Whether the store sends bytes without end in place of answers.
+    is_in_trouble: AtomicBool,
 }
 
-const FIRST_EPOCH: u64 = 77_120;
-/// Time that a fetch from a store that is down costs.
-const DEAD_SOURCE_TIME: Duration = Duration::from_millis(300);
+const BOOT_EPOCH: u64 = 77_120;
+/// Size of a chunk of a body without end, bytes that are sent fast, and the pause after each further
+/// 1,024 chunks.
+const CHUNK_BYTES: usize = 10;
+const FAST_BYTES: usize = 8_300_000;
+const SLOW_PAUSE: Duration = Duration::from_millis(300);
 /// Longest wait for the link after which a transfer is not started.
 const LINK_WAIT_MAX: Duration = Duration::from_secs(2);
 
@@ -87,12 +89,10 @@
             link_mbps,
             kv_bytes,
             record: Arc::clone(record),
-            state: Mutex::new(State {
-                epoch: FIRST_EPOCH,
-                ..State::default()
-            }),
+            state: Mutex::default(),
             changed: Condvar::new(),
             link_free_at: Mutex::new(Instant::now()),
+            is_in_trouble: AtomicBool::new(false),
         });
         let served = Arc::clone(&store);
         serve(listener, move |connection| served.serve(connection));
@@ -104,30 +104,6 @@
         self.state.lock().expect("cache").frees
     }
 
-    /// Ends the store's process for a time. It comes back empty, in another epoch.
-    pub fn restart(&self, down: Duration) {
-        {
-            let mut state = self.state.lock().expect("cache");
-            state.is_down = true;
-            state.parts.clear();
-            state.events.clear();
-            state.fetches.clear();
-            state.used_tokens = 0;
-            state.epoch += 1;
-            for connection in state.connections.drain(..) {
-                // The peer may have closed it.
-                let _ = connection.shutdown(Shutdown::Both);
-            }
-            self.changed.notify_all();
-        }
-        self.record.line(&format!("store {} is down", self.address));
-        thread::sleep(down);
-        *self.link_free_at.lock().expect("link") = Instant::now();
-        self.state.lock().expect("cache").is_down = false;
-        self.record
-            .line(&format!("store {} is back, empty", self.address));
-    }
-
     /// Takes the link for a transfer that begins after those before it. Returns its end, or `None`
     /// if it would wait too long.
     fn transfer(&self, tokens: u64) -> Option<Instant> {
@@ -148,11 +124,6 @@
     pub fn fetch(&self, key: &PartKey, request: &str, until_ms: Option<u64>) -> Fetched {
         let (id, part) = {
             let mut state = self.state.lock().expect("cache");
-            if state.is_down {
-                drop(state);
-                thread::sleep(DEAD_SOURCE_TIME);
-                return Fetched::Miss;
-            }
             let Some(part) = state.parts.get(key).cloned() else {
                 return Fetched::Miss;
             };
@@ -179,8 +150,7 @@
             thread::sleep(until.saturating_duration_since(Instant::now()));
         }
         let fetch = self.state.lock().expect("cache").fetches.remove(&id);
-        // A fetch that the end of the store's process has broken off brings nothing.
-        if !is_in_time || fetch.is_none() {
+        if !is_in_time {
             return Fetched::TooLate;
         }
         if fetch.is_some_and(|fetch| fetch.is_freed) {
@@ -205,7 +175,7 @@
         {
             let mut state = self.state.lock().expect("cache");
             let has_room = state.used_tokens + tokens <= self.capacity_tokens;
-            if state.is_down || state.parts.contains_key(&key) || !has_room {
+            if state.parts.contains_key(&key) || !has_room {
                 return;
             }
             let part = Part {
@@ -234,17 +204,11 @@
     }
 
     fn serve(&self, mut connection: Connection) {
-        let Ok(stream) = connection.stream.try_clone() else {
-            return;
-        };
-        {
-            let mut state = self.state.lock().expect("cache");
-            if state.is_down {
+        while let Ok(request) = connection.read() {
+            if self.is_in_trouble.load(Ordering::SeqCst) {
+                self.send_without_end(&mut connection, &request);
                 return;
             }
-            state.connections.push(stream);
-        }
-        while let Ok(request) = connection.read() {
             let (status, body) = self.call(&request);
             let headers = "Content-Type: application/json\r\n";
             if connection.answer(status, headers, body.as_bytes()).is_err() {
@@ -253,6 +217,33 @@
         }
     }
 
+    /// From now on answers every call with a body that does not end.
+    pub fn begin_trouble(&self) {
+        self.is_in_trouble.store(true, Ordering::SeqCst);
+    }
+
+    /// Sends a body in small chunks until the caller closes the connection: first fast, then slowly.
+    fn send_without_end(&self, connection: &mut Connection, request: &Message) {
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\
+                    Transfer-Encoding: chunked\r\n\r\n";
+        let chunk = format!("{CHUNK_BYTES:x}\r\n{}\r\n", "[".repeat(CHUNK_BYTES));
+        let chunks = chunk.repeat(1024);
+        let mut bytes = 0;
+        let mut result = connection.write(head);
+        while result.is_ok() {
+            result = connection.write(&chunks);
+            bytes += 1024 * CHUNK_BYTES;
+            if bytes > FAST_BYTES {
+                thread::sleep(SLOW_PAUSE);
+            }
+        }
+        self.record.line(&format!(
+            "store {}: {} answered without end, closed by the caller after {bytes} bytes",
+            self.address,
+            request.target()
+        ));
+    }
+
     fn call(&self, request: &Message) -> (u16, String) {
         match request.path() {
             "/api/kv-events" => (200, self.events(request)),
@@ -262,7 +253,7 @@
                 let state = self.state.lock().expect("cache");
                 let body = format!(
                     r#"{{"kvUsed":{},"kvTotal":{},"bootEpoch":{}}}"#,
-                    state.used_tokens, self.capacity_tokens, state.epoch
+                    state.used_tokens, self.capacity_tokens, BOOT_EPOCH
                 );
                 (200, body)
             }
@@ -291,7 +282,7 @@
             .collect();
         format!(
             r#"{{"bootEpoch":{},"clock_ms":{},"next":{},"lost":false,"events":[{}]}}"#,
-            state.epoch,
+            BOOT_EPOCH,
             self.record.now_ms(),
             state.events.len(),
             events.join(",")
@@ -308,7 +299,7 @@
             .collect();
         format!(
             r#"{{"bootEpoch":{},"next":{},"held":[{}],"partial":[]}}"#,
-            state.epoch,
+            BOOT_EPOCH,
             state.events.len(),
             held.join(",")
         )
--- a/review/standin-2/src/daemons.rs
+++ b/review/standin-2/src/daemons.rs
@@ -54,10 +54,6 @@
         Ok(daemon)
     }
 
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
     /// Asks the daemon as the platform does.
     pub fn is_ready(&self) -> bool {
         let ask = || -> Result<u16> {
@@ -82,19 +78,28 @@
         Ok(())
     }
 
-    /// Kills the process and starts it again, as the platform does with one that ends.
-    pub fn restart(&mut self) -> Result<()> {
+    /// Kills the process and starts it again if it uses more memory than it may, as the platform does.
+    /// Returns whether it did.
+    pub fn enforce_memory_limit(&mut self, memory_mb: u64) -> Result<bool> {
+        let Some(used_kb) = self.memory_kb() else {
+            return Ok(false);
+        };
+        if used_kb <= memory_mb * 1024 {
+            return Ok(false);
+        }
         self.kill();
+        self.record.line(&format!(
+            "daemon {} used {used_kb} kB of {memory_mb} MB and was killed",
+            self.name
+        ));
         self.child = spawn(&self.settings, &self.log)?;
-        self.record
-            .line(&format!("daemon {} was restarted", self.name));
-        Ok(())
+        Ok(true)
     }
 
-    /// Largest resident memory of the process so far, in kB.
-    pub fn peak_memory_kb(&self) -> Option<u64> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).ok()?;
-        let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+    /// Resident memory of the process, in kB.
+    fn memory_kb(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
         line.split_whitespace().nth(1)?.parse().ok()
     }
 
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -22,10 +22,6 @@
         found.map(|(_, value)| value.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.first_line.split(' ').next().unwrap_or_default()
-    }
-
     /// Request target with its query.
     pub fn target(&self) -> &str {
         self.first_line.split(' ').nth(1).unwrap_or_default()
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,6 +3,7 @@
 //! the case could not run.
 
 mod cache;
+mod case_endless_body;
 mod case_isolation;
 mod case_two_models;
 mod client;
@@ -50,6 +51,7 @@
     };
     record.line(&format!("case {case}, disruption {has_trouble}"));
     let result = match case.as_str() {
+        "endless-body" => case_endless_body::run(&context),
         "isolation" => case_isolation::run(&context),
         "two-models" => case_two_models::run(&context),
         _ => Err(std::io::Error::other("unknown case")),
