--- a/review/standin-2/src/case_endless_body.rs
+++ b/review/standin-2/src/case_endless_body.rs
@@ -1,11 +1,11 @@
-//! A store of kept KV cache answers with bodies that do not end. Daemons that read its events exceed
-//! their memory.
+//! Three of five stores of kept KV cache answer with bodies that do not end. The daemons, which read
+//! their events, exceed their memory.
 
 use crate::Context;
 use crate::cache::CacheStore;
 use crate::client::{HOST, Request, send};
 use crate::daemons::Daemon;
-use crate::engine::{Engine, World};
+use crate::plain::PlainServer;
 use crate::store::Store;
 use std::io::{Error, Result};
 use std::sync::Arc;
@@ -13,16 +13,20 @@
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
-const MODEL: &str = "model-a";
 const DAEMONS: usize = 4;
-/// Stores of one service, which are in trouble together, and those of another one.
+const STORES: usize = 5;
+/// The first ones, the copies of one service, are in trouble.
 const STORES_IN_TROUBLE: usize = 3;
-const OTHER_STORES: usize = 2;
 const MEMORY_MB: u64 = 96;
 const TROUBLE_AFTER: Duration = Duration::from_secs(5);
 const LENGTH: Duration = Duration::from_secs(40);
 const SAMPLE_PERIOD: Duration = Duration::from_millis(5);
-const REQUEST_PERIOD: Duration = Duration::from_millis(250);
+/// Size of the clients' bodies; `maxBodyBytes` allows 4 MiB.
+const BODY_BYTES: usize = 4_000_000;
+const CLIENTS_PER_DAEMON: usize = 5;
+/// Time that a server takes for a request.
+const WORK: Duration = Duration::from_millis(2500);
+const CLIENT_PAUSE: Duration = Duration::from_millis(500);
 /// Ends of a process by itself, and machines with so many, from which on the rule is broken.
 const ENDS: usize = 3;
 const MACHINES: usize = 2;
@@ -40,22 +44,20 @@
         .collect();
     let stores = stores.join(",");
     format!(
-        r#"{{"version":1,"routes":[{{"name":"r-draft","host":"{HOST}","pathPrefix":"/draft/","kind":"streaming","timeoutMs":12000,"targetLatencyMs":600,"priority":2,"service":"lm","maxAttempts":1,"public":false,"sticky":true,"resumable":false,"gapAimMs":400}}],"services":[{stores},{{"name":"lm","healthCheck":"/health","maxConnections":832,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":16.0,"engine":{{"slots":64,"kvCapacityTokens":131659,"kvBytes":35136,"linkMbps":1500000.0,"moves":true,"backups":true,"managed":true,"stride":7,"maxInflight":12,"pinMs":4000.0,"holdMs":2000.0,"handle_s":5.0,"models":[{{"name":"{MODEL}"}}]}}}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"club","apiKeys":["key-club"],"priority":2}}]}}"#
+        r#"{{"version":1,"routes":[{{"name":"r-import","host":"{HOST}","pathPrefix":"/import/","kind":"unsafe","timeoutMs":5000,"targetLatencyMs":3000,"priority":2,"service":"desk","maxAttempts":1,"public":false,"sticky":false,"resumable":false}}],"services":[{stores},{{"name":"desk","healthCheck":"/health","maxConnections":248,"protocol":"h1","tls":false,"coldStartS":0.0,"coldPerS":0.0}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"club","apiKeys":["key-club"],"priority":2}}]}}"#
     )
 }
 
 pub fn run(context: &Context) -> Result<()> {
     let record = &context.record;
     let (store, store_address) = Store::start()?;
-    let caches: Vec<Arc<CacheStore>> = (0..STORES_IN_TROUBLE + OTHER_STORES)
+    let caches: Vec<Arc<CacheStore>> = (0..STORES)
         .map(|_| CacheStore::start(record, 280_000.0, 35_136))
         .collect::<Result<_>>()?;
-    let world = World::new(Arc::clone(record), Arc::clone(&store), caches.clone());
     store.write("keyed.op", "config", &configuration(&caches));
-    let mut engines = Vec::new();
-    for index in 0..2 {
+    for index in 0..3 {
         let id = format!("i-{index}");
-        engines.push(Engine::start(&world, &id, "lm", &[MODEL], 131_659)?);
+        PlainServer::start(record, &store, &id, "desk", WORK)?;
     }
     let mut daemons: Vec<Daemon> = (1..=DAEMONS)
         .map(|number| {
@@ -66,33 +68,37 @@
     sleep(Duration::from_secs(2));
 
     let is_over = Arc::new(AtomicBool::new(false));
-    let counts = [0, 1].map(|_| Arc::new(AtomicUsize::new(0)));
-    let client = {
-        let fronts: Vec<_> = daemons.iter().map(|daemon| daemon.front).collect();
+    let sent = Arc::new(AtomicUsize::new(0));
+    let answered = Arc::new(AtomicUsize::new(0));
+    let body = Arc::new("x".repeat(BODY_BYTES));
+    let mut clients = Vec::new();
+    for client in 0..DAEMONS * CLIENTS_PER_DAEMON {
+        let front = daemons[client % DAEMONS].front;
         let (record, is_over) = (Arc::clone(record), Arc::clone(&is_over));
-        let [sent, answered] = counts.clone();
-        thread::spawn(move || {
-            while !is_over.load(Ordering::SeqCst) {
-                let count = sent.fetch_add(1, Ordering::SeqCst);
-                let attempt = format!("a-{count}");
-                let headers = format!(
-                    "Model: {MODEL}\r\nToken-Count: 700,8\r\nPrompt-Prefix: aa{:02x}:500,cc{count:04x}:200\r\n",
-                    count % 20
-                );
+        let (sent, answered) = (Arc::clone(&sent), Arc::clone(&answered));
+        let body = Arc::clone(&body);
+        clients.push(thread::spawn(move || {
+            for count in 0.. {
+                if is_over.load(Ordering::SeqCst) {
+                    return;
+                }
+                sent.fetch_add(1, Ordering::SeqCst);
                 let request = Request {
-                    path: "/draft/1",
-                    attempt: &attempt,
+                    path: "/import/1",
+                    attempt: &format!("c{client}-{count}"),
                     key: "key-club",
-                    deadline_ms: 3_000,
-                    headers: &headers,
-                    body: "",
+                    deadline_ms: 5_000,
+                    headers: "",
+                    body: &body,
                 };
-                let status = send(&record, fronts[count % fronts.len()], &request);
+                let status = send(&record, front, &request);
                 answered.fetch_add(usize::from(status == 200), Ordering::SeqCst);
-                sleep(REQUEST_PERIOD);
+                if status != 200 {
+                    sleep(CLIENT_PAUSE);
+                }
             }
-        })
-    };
+        }));
+    }
 
     let mut ends = [0; DAEMONS];
     let started_at = Instant::now();
@@ -102,8 +108,11 @@
             is_in_trouble = true;
             for cache in &caches[..STORES_IN_TROUBLE] {
                 cache.begin_trouble();
+                let address = cache.address;
+                record.line(&format!(
+                    "store {address} sends bodies without end from now on"
+                ));
             }
-            record.line("the stores of one service send bodies without end from now on");
         }
         for (daemon, ends) in daemons.iter_mut().zip(&mut ends) {
             *ends += usize::from(daemon.enforce_memory_limit(MEMORY_MB)?);
@@ -111,12 +120,16 @@
         sleep(SAMPLE_PERIOD);
     }
     is_over.store(true, Ordering::SeqCst);
-    // A client that fails leaves its line in the record.
-    let _ = client.join();
-    let [sent, answered] = counts.map(|count| count.load(Ordering::SeqCst));
+    for client in clients {
+        // A client that fails leaves its line in the record.
+        let _ = client.join();
+    }
+    let (sent, answered) = (sent.load(Ordering::SeqCst), answered.load(Ordering::SeqCst));
     record.line(&format!(
         "{answered} of {sent} requests answered with success; ends by machine: {ends:?}"
     ));
+    let peaks: Vec<u64> = daemons.iter().map(Daemon::peak_kb).collect();
+    record.line(&format!("largest memory by machine, kB: {peaks:?}"));
     if ends.iter().filter(|ends| **ends >= ENDS).count() >= MACHINES {
         record.broken(
             "Fault",
--- a/review/standin-2/src/daemons.rs
+++ b/review/standin-2/src/daemons.rs
@@ -14,6 +14,8 @@
 /// Number of ports of a daemon: clients, readiness, control, and those between daemons.
 const PORTS: u16 = 19;
 const FIRST_EPHEMERAL: u16 = 3;
+const PORTS_BEGIN: u16 = 20_000;
+const PORTS_END: u16 = 32_000;
 const START_MAX: Duration = Duration::from_secs(15);
 
 pub struct Daemon {
@@ -24,6 +26,8 @@
     settings: PathBuf,
     log: PathBuf,
     record: Arc<Record>,
+    /// Largest memory that was seen, in kB.
+    peak_kb: u64,
 }
 
 impl Daemon {
@@ -48,6 +52,7 @@
             settings,
             log,
             record: Arc::clone(record),
+            peak_kb: 0,
         };
         daemon.wait_until_ready()?;
         record.line(&format!("daemon {name} is ready"));
@@ -84,6 +89,7 @@
         let Some(used_kb) = self.memory_kb() else {
             return Ok(false);
         };
+        self.peak_kb = self.peak_kb.max(used_kb);
         if used_kb <= memory_mb * 1024 {
             return Ok(false);
         }
@@ -96,6 +102,11 @@
         Ok(true)
     }
 
+    /// Returns the largest memory that was seen, in kB.
+    pub fn peak_kb(&self) -> u64 {
+        self.peak_kb
+    }
+
     /// Resident memory of the process, in kB.
     fn memory_kb(&self) -> Option<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
@@ -128,15 +139,13 @@
         .spawn()
 }
 
-/// Returns the first of some consecutive ports that nothing listens on.
+/// Returns the first of some consecutive ports that nothing listens on. They are below those from which
+/// the kernel takes ports for outgoing connections.
 fn free_ports() -> Result<u16> {
-    for _ in 0..200 {
-        let probe = TcpListener::bind("127.0.0.1:0")?;
-        let base = probe.local_addr()?.port();
-        drop(probe);
-        if base > 65_000 - PORTS {
-            continue;
-        }
+    let blocks = (PORTS_END - PORTS_BEGIN) / PORTS;
+    let first = (std::process::id() % u32::from(blocks)) as u16;
+    for index in 0..blocks {
+        let base = PORTS_BEGIN + (first + index) % blocks * PORTS;
         let is_free = (base..base + PORTS).all(|port| {
             TcpListener::bind(("127.0.0.1", port)).is_ok()
                 && UdpSocket::bind(("127.0.0.1", port)).is_ok()
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -11,6 +11,7 @@
 mod engine;
 mod http;
 mod json;
+mod plain;
 mod record;
 mod store;
 
