--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -5,6 +5,7 @@
 mod cache;
 mod case_endless_body;
 mod case_isolation;
+mod case_last_tenant;
 mod case_two_models;
 mod client;
 mod daemons;
@@ -54,6 +55,7 @@
     let result = match case.as_str() {
         "endless-body" => case_endless_body::run(&context),
         "isolation" => case_isolation::run(&context),
+        "last-tenant" => case_last_tenant::run(&context),
         "two-models" => case_two_models::run(&context),
         _ => Err(std::io::Error::other("unknown case")),
     };
