--- a/review/standin-2/src/daemons.rs
+++ b/review/standin-2/src/daemons.rs
@@ -3,7 +3,7 @@
 use crate::http::Connection;
 use crate::record::Record;
 use std::fs::File;
-use std::io::{Error, Result};
+use std::io::{Error, Result, Write};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -130,13 +130,18 @@
 fn spawn(settings: &Path, log: &Path) -> Result<Child> {
     let output = File::options().create(true).append(true).open(log)?;
     // The command of the role in deploy/system.toml.
-    Command::new("target/release/anvilgw")
+    let child = Command::new("target/release/anvilgw")
         .arg("gateway")
         .env("ANVILGW_CONFIG", settings)
         .stdin(Stdio::null())
         .stdout(output.try_clone()?)
         .stderr(output)
-        .spawn()
+        .spawn()?;
+    // The script ends the daemons by this list if it is ended itself.
+    let pids = settings.with_file_name("pids");
+    let mut pids = File::options().create(true).append(true).open(pids)?;
+    writeln!(pids, "{}", child.id())?;
+    Ok(child)
 }
 
 /// Returns the first of some consecutive ports that nothing listens on. They are below those from which
