--- a/review/standin-2/src/daemons.rs
+++ b/review/standin-2/src/daemons.rs
@@ -16,6 +16,8 @@
 const FIRST_EPHEMERAL: u16 = 3;
 const PORTS_BEGIN: u16 = 20_000;
 const PORTS_END: u16 = 32_000;
+/// Time after which a process that was killed is started again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
 const START_MAX: Duration = Duration::from_secs(15);
 
 pub struct Daemon {
@@ -28,6 +30,8 @@
     record: Arc<Record>,
     /// Largest memory that was seen, in kB.
     peak_kb: u64,
+    /// When a process that was killed is started again.
+    restart_at: Option<Instant>,
 }
 
 impl Daemon {
@@ -53,6 +57,7 @@
             log,
             record: Arc::clone(record),
             peak_kb: 0,
+            restart_at: None,
         };
         daemon.wait_until_ready()?;
         record.line(&format!("daemon {name} is ready"));
@@ -86,6 +91,13 @@
     /// Kills the process and starts it again if it uses more memory than it may, as the platform does.
     /// Returns whether it did.
     pub fn enforce_memory_limit(&mut self, memory_mb: u64) -> Result<bool> {
+        if let Some(restart_at) = self.restart_at {
+            if Instant::now() >= restart_at {
+                self.child = spawn(&self.settings, &self.log)?;
+                self.restart_at = None;
+            }
+            return Ok(false);
+        }
         let Some(used_kb) = self.memory_kb() else {
             return Ok(false);
         };
@@ -98,7 +110,7 @@
             "daemon {} used {used_kb} kB of {memory_mb} MB and was killed",
             self.name
         ));
-        self.child = spawn(&self.settings, &self.log)?;
+        self.restart_at = Some(Instant::now() + RESTART_DELAY);
         Ok(true)
     }
 
