gateway: name the model in cache scopes, free parts by their own model

Cause: a scope named the version but not the model, and a part was freed once all models with a publication had replaced that version. A model at its first version has no publication, so its parts counted as replaced. Reads are decided by the request's own model and went on. A call to free parts names scope and identifier, so both models' parts went even where they share one identifier. The reverse held too: parts of a replaced version stayed for good while another model kept that number.

Change: the scope names the model (percent-encoded), its version and the isolated workspace; is_retired looks up the publications of that model. Parts of earlier releases (scopes without a model) are neither read nor freed.

--- a/crates/gateway/src/select/ranked.rs
+++ b/crates/gateway/src/select/ranked.rs
@@ -199,7 +199,7 @@
 
 /// Plans from where a server reads the shared parts of the prompt.
 ///
-/// The scope includes the version of the weights and the request requires that version, so
+/// The scope includes the model and the version of its weights, and the request requires both, so
 /// nothing computed with other weights is ever found under the scope. An engine that switches
 /// weights continues its running requests with the new weights, so parts are not read from
 /// engines that are ordered to switch.
@@ -212,7 +212,7 @@
 ) -> CacheUse {
     let model = &query.prompt.model;
     let version = server.version_of(model);
-    let scope = cache_scope(version, query.isolated_workspace);
+    let scope = cache_scope(model, version, query.isolated_workspace);
     let is_newest = query
         .published_weights
         .is_none_or(|published| Some(published.version) == version);
--- a/crates/gateway/src/weights/old_parts.rs
+++ b/crates/gateway/src/weights/old_parts.rs
@@ -1,7 +1,7 @@
 //! Decides how long cached parts of replaced weights are read, and when they are freed.
 
 use super::publications::{OLD_WEIGHTS_FRACTION, PublishedWeights};
-use super::scope_version;
+use super::scope::scope_weights;
 use indexmap::IndexMap;
 use std::time::Duration;
 
@@ -72,7 +72,8 @@
     published_after.is_some_and(|after| now < after + times.read_time(id_hash))
 }
 
-/// Returns whether no daemon reads a cached part any more, so that it can be freed.
+/// Returns whether no daemon reads a cached part any more, so that it can be freed: newer weights of
+/// the model that computed it were published long enough ago.
 #[must_use]
 pub fn is_retired(
     scope: &str,
@@ -81,15 +82,11 @@
     times: OldPartTimes,
     now: Duration,
 ) -> bool {
-    let Some(version) = scope_version(scope) else {
+    let Some(weights) = scope_weights(scope) else {
         return false;
     };
-    // A scope does not contain its model, so a version counts as replaced only if all models have
-    // replaced it.
-    let is_replaced = |published: &PublishedWeights| {
-        let publication = published.replaced_by(version);
-        publication
-            .is_some_and(|publication| now >= publication.learned_at + times.free_time(id_hash))
-    };
-    !published.is_empty() && published.values().all(is_replaced)
+    // The weights of a model are not replaced while no version of it is published.
+    let published = published.get(weights.model.as_ref());
+    let publication = published.and_then(|published| published.replaced_by(weights.version));
+    publication.is_some_and(|publication| now >= publication.learned_at + times.free_time(id_hash))
 }
