gateway: remember orders and announced switches of each model of a server

Callers: when new weights of two models are published at once, parts of two weights could be mixed (read from an engine that still carries an order out), and requests went to a server that loads weights and rejects them.

Cause: a daemon remembered one announced switch and one pending order a server, whatever the model. The announcement for one model replaced that of the other, so the end or the cancellation of one ended both.

Change: both are kept by model, also while a server's entry is away; a cancellation settles the orders of its own model.

Evidence: orders_for_two_models_of_a_server_end_one_by_one failed before ("the second is loaded": switching false, expected true) and passes.

--- a/crates/gateway/src/background_tasks/weight_switches/orders.rs
+++ b/crates/gateway/src/background_tasks/weight_switches/orders.rs
@@ -20,7 +20,7 @@
     entry: ServerEntry,
     /// Number of orders that the server has accepted since its start.
     orders_accepted: u64,
-    /// Time until which an earlier order may still take effect.
+    /// Time until which an earlier order for the model may still take effect.
     earlier_order_until: Option<Duration>,
 }
 
@@ -191,7 +191,7 @@
         let Some(server) = servers.get_mut(target.server) else {
             return;
         };
-        server.on_orders_settled();
+        server.on_orders_settled(&target.model);
         if let Some(until) = until {
             let expected = Some(ready.orders_accepted);
             server.on_order_pending(&target.model, target.version, until, expected);
@@ -239,8 +239,8 @@
         }
     }
 
-    /// Returns the time until which an earlier order to a server may take effect that loads nothing
-    /// and reports the number of orders that it has accepted.
+    /// Returns the time until which an earlier order for the model may take effect, at a server that
+    /// loads nothing and reports the number of orders that it has accepted.
     fn pending_after_report(
         &self,
         target: &OutdatedServer,
@@ -250,7 +250,7 @@
         let servers = &mut self.gateway.state.borrow_mut().servers;
         let server = servers.get_mut(target.server)?;
         server.on_orders_reported(orders_accepted);
-        server.order_pending_until(now)
+        server.model_order_pending_until(&target.model, now)
     }
 
     fn on_no_report(&self, target: &OutdatedServer, entry: &ServerEntry, error: &OrderError) {
--- a/crates/gateway/src/loaded_weights.rs
+++ b/crates/gateway/src/loaded_weights.rs
@@ -13,10 +13,9 @@
     is_confirmed: bool,
 }
 
-/// A switch of weights that was announced or ordered.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// A switch of a model's weights that was announced or ordered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Switch {
-    model: String,
     version: u64,
     /// Time after which the server counts as available even if it has not reported the version.
     until: Duration,
@@ -24,9 +23,8 @@
 
 /// An order to load weights that may take effect although the server loads nothing now: its answer
 /// is missing. The server rejects it once it has accepted another order.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct PendingOrder {
-    model: String,
     version: u64,
     /// Time after which the order no longer takes effect.
     until: Duration,
@@ -34,14 +32,18 @@
     expected_orders: Option<u64>,
 }
 
-/// What is known of a server's weights besides its entry. Callers pass in the version that the
-/// entry states.
+/// Orders that may still take effect, by model.
+pub(crate) type PendingOrders = IndexMap<String, PendingOrder>;
+
+/// What is known of a server's weights besides its entry, by model: a server carries out one order at
+/// a time, but orders for several models may be on their way to it. Callers pass in the version that
+/// the entry states.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LoadedWeights {
-    /// Versions that replace those of the entry, by model.
+    /// Versions that replace those of the entry.
     overrides: IndexMap<String, VersionOverride>,
-    switch: Option<Switch>,
-    pending_order: Option<PendingOrder>,
+    switches: IndexMap<String, Switch>,
+    pending_orders: PendingOrders,
 }
 
 impl PendingOrder {
@@ -49,10 +51,6 @@
         self.until
     }
 
-    pub(crate) fn model(&self) -> &str {
-        &self.model
-    }
-
     pub(crate) fn version(&self) -> u64 {
         self.version
     }
@@ -113,37 +111,33 @@
         if confirmed.is_some_and(|confirmed| confirmed >= version) {
             return;
         }
-        self.switch = Some(Switch {
-            model: model.to_owned(),
-            version,
-            until,
-        });
+        let switch = Switch { version, until };
+        self.switches.insert(model.to_owned(), switch);
     }
 
     /// Records that the server reported a version, which ends a switch to that version or an older
     /// one.
     pub(crate) fn on_switched(&mut self, model: &str, version: u64) {
-        let is_over = |switch: &Switch| switch.model == model && version >= switch.version;
-        if self.switch.as_ref().is_some_and(is_over) {
-            self.switch = None;
+        let switch = self.switches.get(model);
+        if switch.is_some_and(|switch| version >= switch.version) {
+            self.switches.shift_remove(model);
         }
-        let has_taken_effect =
-            |order: &PendingOrder| order.model == model && version >= order.version;
-        if self.pending_order.as_ref().is_some_and(has_taken_effect) {
-            self.pending_order = None;
+        let order = self.pending_orders.get(model);
+        if order.is_some_and(|order| version >= order.version) {
+            self.pending_orders.shift_remove(model);
         }
     }
 
     /// Records that an announced switch to `version` does not take place now.
     pub(crate) fn on_switch_cancelled(&mut self, model: &str, version: u64) {
-        let is_cancelled = |switch: &Switch| switch.model == model && switch.version == version;
-        if self.switch.as_ref().is_some_and(is_cancelled) {
-            self.switch = None;
+        let switch = self.switches.get(model);
+        if switch.is_some_and(|switch| switch.version == version) {
+            self.switches.shift_remove(model);
         }
     }
 
     /// Records until when an order to load `version` may take effect. It replaces what was known of
-    /// earlier orders.
+    /// earlier orders for the model.
     pub(crate) fn set_pending_order(
         &mut self,
         model: &str,
@@ -151,44 +145,45 @@
         until: Duration,
         expected_orders: Option<u64>,
     ) {
-        self.pending_order = Some(PendingOrder {
-            model: model.to_owned(),
+        let order = PendingOrder {
             version,
             until,
             expected_orders,
-        });
+        };
+        self.pending_orders.insert(model.to_owned(), order);
     }
 
-    /// Records that no order may take effect any more.
-    pub(crate) fn discard_pending_order(&mut self) {
-        self.pending_order = None;
+    /// Records that no order for the model may take effect any more.
+    pub(crate) fn discard_pending_order(&mut self, model: &str) {
+        self.pending_orders.shift_remove(model);
     }
 
     /// Records that the server loads nothing and has accepted `orders_accepted` orders. An order
     /// that requires another number is rejected by the server, or has ended.
     pub(crate) fn on_orders_reported(&mut self, orders_accepted: u64) {
-        let expected = |order: &PendingOrder| order.expected_orders;
-        let expected = self.pending_order.as_ref().and_then(expected);
-        if expected.is_some_and(|expected| expected != orders_accepted) {
-            self.pending_order = None;
-        }
+        self.pending_orders.retain(|_, order| {
+            let expected = order.expected_orders;
+            expected.is_none_or(|expected| expected == orders_accepted)
+        });
     }
 
-    /// Returns the order that may still take effect.
-    pub(crate) fn pending_order(&self, now: Duration) -> Option<&PendingOrder> {
-        self.pending_order
-            .as_ref()
-            .filter(|order| now < order.until)
+    /// Returns the orders that may still take effect, with their models.
+    pub(crate) fn pending_orders(
+        &self,
+        now: Duration,
+    ) -> impl Iterator<Item = (&String, &PendingOrder)> {
+        let orders = self.pending_orders.iter();
+        orders.filter(move |(_, order)| now < order.until)
     }
 
-    /// Restores the order that was known before the server's entry was removed.
-    pub(crate) fn restore_pending_order(&mut self, order: Option<PendingOrder>) {
-        self.pending_order = order;
+    /// Restores the orders that were known before the server's entry was removed.
+    pub(crate) fn restore_pending_orders(&mut self, orders: PendingOrders) {
+        self.pending_orders = orders;
     }
 
-    /// Returns whether the server is switching weights and accepts no requests.
+    /// Returns whether the server is switching weights of a model and accepts no requests.
     pub(crate) fn is_switching(&self, now: Duration) -> bool {
-        let switch = self.switch.as_ref();
-        switch.is_some_and(|switch| now < switch.until)
+        let mut switches = self.switches.values();
+        switches.any(|switch| now < switch.until)
     }
 }
--- a/crates/gateway/src/removed_servers.rs
+++ b/crates/gateway/src/removed_servers.rs
@@ -4,7 +4,7 @@
 //! or because a delayed heartbeat arrives. What the server said about further requests is then
 //! still valid.
 
-use crate::loaded_weights::PendingOrder;
+use crate::loaded_weights::PendingOrders;
 use crate::request_limit::RequestLimit;
 use crate::server::{Server, ServerState};
 use indexmap::IndexMap;
@@ -19,7 +19,7 @@
     is_draining: bool,
     backoff_until: Duration,
     request_limit: RequestLimit,
-    pending_order: Option<PendingOrder>,
+    pending_orders: PendingOrders,
     removed_at: Duration,
 }
 
@@ -40,11 +40,11 @@
             is_draining: server.entry.state == ServerState::Draining,
             backoff_until: server.backoff_until(),
             request_limit: server.request_limit,
-            pending_order: server.pending_order(now).cloned(),
+            pending_orders: server.unexpired_orders(now),
             removed_at: now,
         };
         let is_limited = removed.request_limit.in_force().is_some();
-        let may_switch = removed.pending_order.is_some();
+        let may_switch = !removed.pending_orders.is_empty();
         if removed.is_draining || is_limited || may_switch || now < removed.backoff_until {
             self.by_id.insert(server.entry.id.clone(), removed);
         }
@@ -65,6 +65,6 @@
         }
         server.back_off_until(removed.backoff_until);
         server.request_limit = removed.request_limit;
-        server.restore_pending_order(removed.pending_order.clone());
+        server.restore_pending_orders(removed.pending_orders.clone());
     }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -8,7 +8,7 @@
 pub use entry::{ServedModel, ServerEntry, ServerState};
 
 use crate::cache_store::name_hash;
-use crate::loaded_weights::{LoadedWeights, PendingOrder};
+use crate::loaded_weights::{LoadedWeights, PendingOrders};
 use crate::permits::{PermitHolder, PermitState};
 use crate::request::ReportedLoad;
 use crate::request_limit::{RequestLimit, RequestRate, StatementSource};
@@ -342,9 +342,9 @@
         }
     }
 
-    /// Records that no order may take effect any more.
-    pub fn on_orders_settled(&mut self) {
-        self.weights.discard_pending_order();
+    /// Records that no order to load weights of the model may take effect any more.
+    pub fn on_orders_settled(&mut self, model: &str) {
+        self.weights.discard_pending_order(model);
     }
 
     /// Records a report of the server by which it loads nothing and has accepted `orders_accepted`
@@ -357,18 +357,38 @@
     /// server may load nothing now.
     #[must_use]
     pub fn order_pending_until(&self, now: Duration) -> Option<Duration> {
-        let order = self.weights.pending_order(now)?;
-        let reported = self.reported_version_of(order.model());
-        let is_over = reported.is_some_and(|reported| reported >= order.version());
-        (!is_over).then_some(order.until())
+        self.pending_orders(now).map(|(_, until)| until).max()
     }
 
-    pub(crate) fn pending_order(&self, now: Duration) -> Option<&PendingOrder> {
-        self.weights.pending_order(now)
+    /// Returns the time until which an order to load weights of the model may still take effect.
+    #[must_use]
+    pub fn model_order_pending_until(&self, model: &str, now: Duration) -> Option<Duration> {
+        let mut orders = self.pending_orders(now);
+        orders.find_map(|(ordered, until)| (ordered == model).then_some(until))
+    }
+
+    /// Returns the models for which an order may still take effect, and until when.
+    fn pending_orders(&self, now: Duration) -> impl Iterator<Item = (&str, Duration)> {
+        let is_over = |model: &str, version| {
+            let reported = self.reported_version_of(model);
+            reported.is_some_and(|reported| reported >= version)
+        };
+        let orders = self.weights.pending_orders(now);
+        orders
+            .filter(move |(model, order)| !is_over(model, order.version()))
+            .map(|(model, order)| (model.as_str(), order.until()))
+    }
+
+    /// Returns the orders that are still to be known if the server's entry is removed and reappears.
+    pub(crate) fn unexpired_orders(&self, now: Duration) -> PendingOrders {
+        let orders = self.weights.pending_orders(now);
+        orders
+            .map(|(model, order)| (model.clone(), *order))
+            .collect()
     }
 
-    pub(crate) fn restore_pending_order(&mut self, order: Option<PendingOrder>) {
-        self.weights.restore_pending_order(order);
+    pub(crate) fn restore_pending_orders(&mut self, orders: PendingOrders) {
+        self.weights.restore_pending_orders(orders);
     }
 
     /// Returns whether the server is switching weights and therefore rejects requests.
--- a/crates/gateway/src/weights/announcements.rs
+++ b/crates/gateway/src/weights/announcements.rs
@@ -39,17 +39,22 @@
 pub fn apply_announcement(server: &mut Server, weights: &ServerWeights, now: Duration) {
     let ServerWeights { model, version, .. } = weights;
     let announced_until = now + ANNOUNCED_EFFECT_MAX;
-    let earlier = server.order_pending_until(now).unwrap_or_default();
+    let earlier = server.model_order_pending_until(model, now);
     server.on_switch_ordered(model, *version, now + SWITCH_TIME_MAX);
-    server.on_order_pending(model, *version, announced_until.max(earlier), None);
+    server.on_order_pending(
+        model,
+        *version,
+        announced_until.max(earlier.unwrap_or_default()),
+        None,
+    );
 }
 
 /// Applies the cancellation of an announced switch. The daemon that cancels it knows all orders
-/// before, so its time replaces that of earlier announcements.
+/// before, so its time replaces that of earlier announcements for the model.
 fn apply_cancellation(server: &mut Server, cancelled: &CancelledSwitch, now: Duration) {
     let ServerWeights { model, version, .. } = &cancelled.weights;
     server.on_switch_cancelled(model, *version);
-    server.on_orders_settled();
+    server.on_orders_settled(model);
     if cancelled.order_left_ms > 0 {
         let until = now + Duration::from_millis(cancelled.order_left_ms);
         server.on_order_pending(model, *version, until, None);
--- a/crates/gateway/tests/servers/pending_orders.rs
+++ b/crates/gateway/tests/servers/pending_orders.rs
@@ -2,7 +2,7 @@
 
 use crate::fixture::{Fixture, MODEL, at, entry, events, named_prompt, store};
 use anvilgw_gateway::lease::{CancelledSwitch, LeaseRecord, ServerWeights};
-use anvilgw_gateway::server::Server;
+use anvilgw_gateway::server::{ServedModel, Server};
 use anvilgw_gateway::weights::apply_records;
 
 /// Returns an engine other than the selected one, from which the prompt's long part is read.
@@ -248,3 +248,106 @@
     assert!(!server.is_switching(at(1)));
     assert_eq!(server.order_pending_until(at(1)), Some(at(12_000)));
 }
+
+/// A model that the engines hold beside [`MODEL`].
+const OTHER_MODEL: &str = "umbra";
+
+fn weights_of_other(server: &str) -> ServerWeights {
+    ServerWeights {
+        model: OTHER_MODEL.to_owned(),
+        ..weights(server, 2)
+    }
+}
+
+/// Returns the records of announcements of both models, the other one last.
+fn both_announced(server: &str) -> Vec<LeaseRecord> {
+    let other = LeaseRecord {
+        switching: vec![weights_of_other(server)],
+        ..record()
+    };
+    vec![announced(server, 2), other]
+}
+
+struct TwoModelsCase {
+    name: &'static str,
+    /// Records that follow the announcements.
+    records: fn(&str) -> Vec<LeaseRecord>,
+    is_switching: bool,
+    is_pending: bool,
+}
+
+fn two_models_cases() -> [TwoModelsCase; 4] {
+    [
+        TwoModelsCase {
+            name: "the second is loaded",
+            records: |id| {
+                vec![LeaseRecord {
+                    loaded: vec![weights_of_other(id)],
+                    ..record()
+                }]
+            },
+            is_switching: true,
+            is_pending: true,
+        },
+        TwoModelsCase {
+            name: "the second is cancelled",
+            records: |id| {
+                let cancelled = CancelledSwitch {
+                    weights: weights_of_other(id),
+                    order_left_ms: 0,
+                };
+                vec![LeaseRecord {
+                    cancelled: vec![cancelled],
+                    ..record()
+                }]
+            },
+            is_switching: true,
+            is_pending: true,
+        },
+        TwoModelsCase {
+            name: "the first is loaded",
+            records: |id| vec![loaded(id, 2)],
+            is_switching: true,
+            is_pending: true,
+        },
+        TwoModelsCase {
+            name: "both are loaded",
+            records: |id| {
+                vec![LeaseRecord {
+                    loaded: vec![weights(id, 2), weights_of_other(id)],
+                    ..record()
+                }]
+            },
+            is_switching: false,
+            is_pending: false,
+        },
+    ]
+}
+
+/// Guards against parts of two weights that are mixed, and requests to a server that loads weights,
+/// when new weights of two models are published at once: the announcement of one order hid that of the
+/// other, so that the end of one ended both.
+#[test]
+fn orders_for_two_models_of_a_server_end_one_by_one() {
+    for case in two_models_cases() {
+        let mut fixture = fixture();
+        let mut engine = entry("s2");
+        engine.models.push(ServedModel {
+            model: OTHER_MODEL.to_owned(),
+            version: 1,
+        });
+        let key = fixture.servers.on_entry_published(engine.clone(), at(0));
+        let records = [both_announced("s2"), (case.records)("s2")].concat();
+        apply_records(&mut fixture.servers, &records, at(0));
+        let server = fixture.servers.get(key).expect("known");
+        let is_switching = server.is_switching(at(1));
+        assert_eq!(is_switching, case.is_switching, "{}", case.name);
+        let is_pending = server.order_pending_until(at(1)).is_some();
+        assert_eq!(is_pending, case.is_pending, "{}", case.name);
+        fixture.servers.on_entry_removed("s2", at(0), at(1));
+        let key = fixture.servers.on_entry_published(engine, at(2));
+        let server = fixture.servers.get(key).expect("known");
+        let is_pending = server.order_pending_until(at(3)).is_some();
+        assert_eq!(is_pending, case.is_pending, "{}, entry expired", case.name);
+    }
+}
