gateway: track orders to load weights by model, and plan each model's switch

Callers: when new weights of two models are published at once, requests of the second model had no server once the time of its old weights was over: its switch had to wait for seconds at each server.

Cause: the tracker kept one order a server and compared its version only, so an order for version 2 of one model counted as one for version 2 of the other, for up to 6 s. The plan also selected one server for both models in one round, though a server rejects a second order while it loads, and took the number of servers of the first model as the limit for all.

Change: orders are tracked by server and model; a server gets one order at a time; each model has its own limit of concurrent switches.

Evidence: a_switch_of_two_models_reaches_all_servers_in_time (before: "two orders at once") and the_fleet_of_each_model_has_its_own_limit (before [1, 0], expected [1, 3]) failed and pass. One model: unchanged plan.

--- a/crates/gateway/src/weights/order_tracker.rs
+++ b/crates/gateway/src/weights/order_tracker.rs
@@ -60,10 +60,10 @@
     poll_at: Duration,
 }
 
-/// The last order to each server.
+/// The last order to each server for each model.
 #[derive(Clone, Debug, Default)]
 pub struct OrderTracker {
-    orders: IndexMap<ServerKey, LastOrder>,
+    orders: IndexMap<ServerKey, IndexMap<String, LastOrder>>,
 }
 
 impl OrderTracker {
@@ -75,7 +75,8 @@
             retry_at: now + outcome.pause(),
             poll_at: now + FIRST_POLL_DELAY,
         };
-        self.orders.insert(target.server, order);
+        let orders = self.orders.entry(target.server).or_default();
+        orders.insert(target.model.clone(), order);
     }
 
     /// Records that a server which was ordered still holds the old weights and loads none: it has
@@ -92,7 +93,8 @@
         } else {
             POLL_PAUSE_NO_ANSWER
         };
-        if let Some(order) = self.orders.get_mut(&target.server) {
+        let orders = self.orders.get_mut(&target.server);
+        if let Some(order) = orders.and_then(|orders| orders.get_mut(&target.model)) {
             order.poll_at = now + pause;
         }
     }
@@ -100,7 +102,7 @@
     /// Returns whether a server is to be asked for its progress.
     #[must_use]
     pub fn is_poll_due(&self, target: &OutdatedServer, now: Duration) -> bool {
-        let order = self.orders.get(&target.server);
+        let order = self.last_order(target);
         order.is_some_and(|order| order.outcome.may_be_loading() && now >= order.poll_at)
     }
 
@@ -108,7 +110,7 @@
     /// newest may be busy, which its report tells.
     #[must_use]
     pub fn may_order(&self, target: &OutdatedServer, now: Duration) -> bool {
-        self.orders.get(&target.server).is_none_or(|order| {
+        self.last_order(target).is_none_or(|order| {
             let is_other_version =
                 order.version != target.version && order.outcome != OrderOutcome::NoReport;
             is_other_version || now >= order.retry_at
@@ -118,7 +120,7 @@
     /// Returns whether a server may be loading the version that it has to load.
     #[must_use]
     pub fn may_be_loading(&self, target: &OutdatedServer, now: Duration) -> bool {
-        let order = self.orders.get(&target.server);
+        let order = self.last_order(target);
         order.is_some_and(|order| {
             order.version == target.version
                 && order.outcome.may_be_loading()
@@ -126,6 +128,10 @@
         })
     }
 
+    fn last_order(&self, target: &OutdatedServer) -> Option<&LastOrder> {
+        self.orders.get(&target.server)?.get(&target.model)
+    }
+
     /// Forgets all orders.
     pub fn clear(&mut self) {
         self.orders.clear();
--- a/crates/gateway/src/weights/switch_plan.rs
+++ b/crates/gateway/src/weights/switch_plan.rs
@@ -3,9 +3,11 @@
 use super::order_tracker::OrderTracker;
 use super::publications::PublishedWeights;
 use crate::server::{ServerKey, ServerState, Servers};
+use indexmap::{IndexMap, IndexSet};
+use std::ops::Range;
 use std::time::Duration;
 
-/// Fraction of the servers that switch at the same time. The others have to serve the requests
+/// Fraction of the servers with a model that switch to its new weights at the same time. The others have to serve the requests
 /// meanwhile.
 const SWITCHING_FRACTION: f64 = 0.17;
 /// Time from the order to a server until its switch is confirmed, as the plan assumes it.
@@ -53,12 +55,8 @@
     found
 }
 
-/// Selects the servers to order next. Servers that may be loading count towards the limit of
-/// concurrent switches.
-///
-/// Servers whose weights serve no longer come first, and then idle ones, because a switch there
-/// affects the fewest requests. If the others would then not all switch before their weights stop
-/// serving, those whose weights stop first come first.
+/// Selects the servers to order next. A server gets one order at a time, as it carries out one, and
+/// each model has its own limit of concurrent switches.
 #[must_use]
 pub fn next_orders(
     servers: &Servers,
@@ -66,26 +64,61 @@
     orders: &OrderTracker,
     now: Duration,
 ) -> Vec<OutdatedServer> {
-    let Some(first) = outdated.first() else {
-        return Vec::new();
-    };
-    let server_count = servers_with_model(servers, &first.model) as f64;
-    let switching_max = ((server_count * SWITCHING_FRACTION).round() as usize).max(1);
     let may_be_loading = |one: &&OutdatedServer| orders.may_be_loading(one, now);
-    let mut switching = outdated.iter().filter(may_be_loading).count();
-    let can_be_ordered =
-        |one: &&OutdatedServer| orders.may_order(one, now) && !is_backing_off(servers, one, now);
-    let mut waiting: Vec<&OutdatedServer> = outdated.iter().filter(can_be_ordered).collect();
+    let loading = outdated.iter().filter(may_be_loading);
+    let mut occupied: IndexSet<ServerKey> = loading.map(|one| one.server).collect();
+    let mut by_model: IndexMap<&str, Vec<&OutdatedServer>> = IndexMap::new();
+    for one in outdated {
+        by_model.entry(&one.model).or_default().push(one);
+    }
+    let mut selected = Vec::new();
+    for (model, outdated) in by_model {
+        let switching_max = switching_max(servers, model);
+        let switching = outdated.iter().copied().filter(may_be_loading).count();
+        let can_be_ordered = |one: &&OutdatedServer| {
+            !occupied.contains(&one.server)
+                && orders.may_order(one, now)
+                && !is_backing_off(servers, one, now)
+        };
+        let waiting = outdated.into_iter().filter(can_be_ordered).collect();
+        let next = next_of_model(servers, waiting, switching..switching_max, now);
+        occupied.extend(next.iter().map(|one| one.server));
+        selected.extend(next);
+    }
+    selected
+}
+
+/// Returns the number of servers with a model that may switch at the same time.
+fn switching_max(servers: &Servers, model: &str) -> usize {
+    let server_count = servers_with_model(servers, model) as f64;
+    ((server_count * SWITCHING_FRACTION).round() as usize).max(1)
+}
+
+/// Selects the servers of one model to order next, of those that can be ordered. `switching` ranges
+/// from the number of servers that may be loading to the limit.
+///
+/// Servers whose weights serve no longer come first, and then idle ones, because a switch there
+/// affects the fewest requests. If the others would then not all switch before their weights stop
+/// serving, those whose weights stop first come first.
+fn next_of_model(
+    servers: &Servers,
+    mut waiting: Vec<&OutdatedServer>,
+    switching: Range<usize>,
+    now: Duration,
+) -> Vec<OutdatedServer> {
     waiting.sort_by_key(|one| {
         let server = servers.get(one.server);
         // Loads are whole numbers of requests.
         let load = server.map_or(0, |server| server.load(now) as u64);
         (one.serves_until > now, load)
     });
+    let switching_max = switching.end;
     let mut selected = Vec::new();
-    while switching < switching_max && !waiting.is_empty() {
-        switching += 1;
-        let next = if are_in_time(&waiting[1..], switching, switching_max, now) {
+    for before in switching {
+        let Some(others) = waiting.get(1..) else {
+            break;
+        };
+        let next = if are_in_time(others, before + 1, switching_max, now) {
             0
         } else {
             most_urgent(&waiting)
--- a/crates/gateway/tests/weight_switches.rs
+++ b/crates/gateway/tests/weight_switches.rs
@@ -1,6 +1,6 @@
 //! Seeded runs of weight switches in virtual time: publications that overlap, daemons that restart
 //! or read the operators' table late, servers that answer nothing or carry orders out late, and
-//! requests that wait in queues.
+//! requests that wait in queues. Also switches of two models at once.
 
 use anvilgw_gateway::server::{ServedModel, ServerEntry, ServerKey, ServerState, Servers};
 use anvilgw_gateway::weights::{
@@ -379,3 +379,102 @@
         }
     }
 }
+
+/// Models that all servers of the runs with two models hold.
+const MODELS: [&str; 2] = ["lumen", "umbra"];
+
+/// A server that carries out one order at a time, and rejects others meanwhile.
+struct SharedEngine {
+    key: ServerKey,
+    load: Option<(&'static str, Duration)>,
+}
+
+/// Publishes version 2 of both models at once, and returns when the last server has loaded both.
+fn switch_of_two_models(engine_count: usize) -> Option<Duration> {
+    let mut servers = Servers::default();
+    let mut engines: Vec<SharedEngine> = (0..engine_count)
+        .map(|index| {
+            let mut entry = entry(index);
+            entry.models = MODELS.map(served).into();
+            let key = servers.on_entry_published(entry, Duration::ZERO);
+            SharedEngine { key, load: None }
+        })
+        .collect();
+    let publication = WeightPublication {
+        version: 2,
+        published_after: Some(Duration::ZERO),
+        learned_at: Duration::ZERO,
+    };
+    let published = MODELS.map(|model| (model.to_owned(), PublishedWeights::new(publication)));
+    let published = IndexMap::from(published);
+    let mut orders = OrderTracker::default();
+    let mut now = Duration::ZERO;
+    while now < TAIL {
+        for engine in &mut engines {
+            if let Some((model, _)) = engine.load.take_if(|(_, ends_at)| now >= *ends_at) {
+                let server = servers.get_mut(engine.key).expect("server");
+                server.on_weights_loaded(model, 2);
+                server.on_switched(model, 2);
+            }
+        }
+        let outdated = outdated_servers(&servers, published.iter(), SWITCH_TIME);
+        if outdated.is_empty() {
+            return Some(now);
+        }
+        let mut ordered = Vec::new();
+        for target in next_orders(&servers, &outdated, &orders, now) {
+            assert!(!ordered.contains(&target.server), "two orders at once");
+            ordered.push(target.server);
+            let model = MODELS.into_iter().find(|model| *model == target.model);
+            let mut of_target = engines.iter_mut().filter(|one| one.key == target.server);
+            let engine = of_target.next().expect("engine of the server");
+            assert!(engine.load.is_none(), "an order to a server that loads");
+            engine.load = model.map(|model| (model, now + LOAD_TIME));
+            orders.on_outcome(&target, OrderOutcome::Accepted, now);
+        }
+        now += STEP;
+    }
+    None
+}
+
+fn served(model: &str) -> ServedModel {
+    ServedModel {
+        model: model.to_owned(),
+        version: 1,
+    }
+}
+
+/// Guards against servers that get the weights of one model only seconds after those of the other,
+/// when both are published at once: an order for one model counted as one for the other.
+#[test]
+fn a_switch_of_two_models_reaches_all_servers_in_time() {
+    for engines in [1, 2, 6, 18, 60] {
+        let switched_at = switch_of_two_models(engines);
+        let is_in_time = switched_at.is_some_and(|at| at <= ALL_SWITCHED_AFTER);
+        assert!(is_in_time, "{engines} servers: {switched_at:?}");
+    }
+}
+
+/// Guards against a large fleet whose switch takes as long as that of a small one beside it, which
+/// is limited to one server at a time.
+#[test]
+fn the_fleet_of_each_model_has_its_own_limit() {
+    let mut servers = Servers::default();
+    for index in 0..20 {
+        let mut entry = entry(index);
+        let model = if index < 2 { MODELS[0] } else { MODELS[1] };
+        entry.models = vec![served(model)];
+        servers.on_entry_published(entry, Duration::ZERO);
+    }
+    let publication = WeightPublication {
+        version: 2,
+        published_after: Some(Duration::ZERO),
+        learned_at: Duration::ZERO,
+    };
+    let published = MODELS.map(|model| (model.to_owned(), PublishedWeights::new(publication)));
+    let published = IndexMap::from(published);
+    let outdated = outdated_servers(&servers, published.iter(), SWITCH_TIME);
+    let orders = next_orders(&servers, &outdated, &OrderTracker::default(), STEP);
+    let count = |model| orders.iter().filter(|one| one.model == model).count();
+    assert_eq!(MODELS.map(count), [1, 3]);
+}
