gateway: keep the reported weights of other models when an entry changes

Callers: requests that demand a version which the server no longer holds, answered 421 and tried again, after the server's entry stated new weights of another model.

Cause: an entry that states a new version of one model discarded what was known beside the entry of all models, also a newer version that the server itself had reported since.

Change: an entry replaces only the versions that changed in it.

Evidence: an_entry_with_new_weights_of_one_model_tells_nothing_of_others failed before (version 1, expected 2) and passes.

--- a/crates/gateway/src/loaded_weights.rs
+++ b/crates/gateway/src/loaded_weights.rs
@@ -93,9 +93,11 @@
         self.overrides.shift_remove(model);
     }
 
-    /// Discards all versions, because a newer entry states them.
-    pub(crate) fn on_entry(&mut self) {
-        self.overrides.clear();
+    /// Records that a newer entry states another version of a model, which replaces what was known
+    /// of it.
+    pub(crate) fn on_entry_version(&mut self, model: &str, version: u64) {
+        self.discard_version(model);
+        self.on_switched(model, version);
     }
 
     /// Records an announced switch to `version`. `confirmed` is the version that the server has
--- a/crates/gateway/src/server/collection.rs
+++ b/crates/gateway/src/server/collection.rs
@@ -71,10 +71,11 @@
         }
         let was_draining = server.entry.state == ServerState::Draining;
         server.set_cold_for(entry.cold_for, now);
-        if entry.models != server.entry.models {
-            server.weights.on_entry();
-            for served in &entry.models {
-                server.weights.on_switched(&served.model, served.version);
+        for served in &entry.models {
+            if server.entry.version_of(&served.model) != Some(served.version) {
+                server
+                    .weights
+                    .on_entry_version(&served.model, served.version);
             }
         }
         if entry.address != server.entry.address {
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -222,6 +222,29 @@
     }
 }
 
+/// Guards against a server that counts as outdated although it has reported its new weights, because
+/// its entry states new weights of another model.
+#[test]
+fn an_entry_with_new_weights_of_one_model_tells_nothing_of_others() {
+    const OTHER_MODEL: &str = "umbra";
+    let entry_with = |version| {
+        let mut entry = entry(1, version, ServerState::Ready);
+        entry.models.push(ServedModel {
+            model: OTHER_MODEL.to_owned(),
+            version: 1,
+        });
+        entry
+    };
+    let mut servers = Servers::default();
+    let key = servers.on_entry_published(entry_with(1), Duration::ZERO);
+    let server = servers.get_mut(key).expect("server");
+    server.on_weights_loaded(OTHER_MODEL, 2);
+    servers.on_entry_published(entry_with(2), SECOND);
+    let server = servers.get(key).expect("server");
+    assert_eq!(server.reported_version_of(MODEL), Some(2));
+    assert_eq!(server.reported_version_of(OTHER_MODEL), Some(2));
+}
+
 struct RolloutCase {
     name: &'static str,
     outdated_count: u32,
