Take answers with a status outside 200 to 599 for no answer

Callers: an answer with status 101 or 600 to 999 of a server in trouble reached the client as an answer (rule MIXED), from gateway on all routes and framings and from serve. Status 000 did not: the HTTP library refuses statuses below 100, and the client gets 502.

Cause: the library accepts three digits from 100 on, and nothing here asked whether the status is one of a final answer. serve took 101 of an engine for a refusal that has not run.

Change: both daemons close the connection and count the outcome as unknown: 502 to the client, no second attempt unless the request is idempotent.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,7 +1,7 @@
 //! Types shared by all anvilgw crates.
 //!
 //! These are identifiers, the clock interface, the error kinds with the answer that belongs to
-//! each, the execution stage of a request and the interface of the platform's log service. The
+//! each, the execution stage of a request, the status codes of answers and the interface of the platform's log service. The
 //! crate does no I/O apart from reading the clock.
 
 mod answer;
@@ -9,6 +9,7 @@
 mod ids;
 mod log;
 mod stage;
+mod status;
 
 pub use answer::{ErrorAnswer, ErrorKind, Failure, RetryHint};
 pub use clock::{Clock, ManualClock, SystemClock};
@@ -17,3 +18,4 @@
 };
 pub use log::{LogError, LogRecord, LogService, LogSlice};
 pub use stage::{Executed, Stage};
+pub use status::is_final_status;
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -2,6 +2,7 @@
 
 use crate::ack_timeout::{AckTimeout, PeerUnreachable, RequestSize};
 use crate::read_limit::{ReadAllowance, ReadLimited};
+use anvilgw_core::is_final_status;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -158,6 +159,11 @@
             Ok(response) => {
                 self.allowance.lift();
                 self.request_size.on_answer();
+                let status = response.status().as_u16();
+                if !is_final_status(status) {
+                    let reason = format!("status {status} is not that of a final answer");
+                    return Err(SendError::OutcomeUnknown(reason));
+                }
                 Ok(response)
             }
             Err(mut error) => {
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -23,6 +23,10 @@
         Closed(detail: String) {
             display("connection closed: {}", detail)
         }
+        /// The status of the answer is none of a final one.
+        InvalidStatus(status: u16) {
+            display("status {} is not that of a final answer", status)
+        }
         /// The body of the answer ended early, or the answer has neither `content-length` nor
         /// chunked encoding, so that its end cannot be verified.
         Truncated(detail: String) {
@@ -45,7 +49,7 @@
     pub fn kind(&self) -> ErrorKind {
         match self {
             Self::Invalid(_) => ErrorKind::BadRequest,
-            Self::Connect(_) | Self::Closed(_) => ErrorKind::BackendFailed,
+            Self::Connect(_) | Self::Closed(_) | Self::InvalidStatus(_) => ErrorKind::BackendFailed,
             Self::Silent(_) => ErrorKind::BackendSilent,
             Self::Truncated(_) | Self::TooLarge(_) => ErrorKind::AnswerBroken,
             Self::TimedOut => ErrorKind::DeadlineExceeded,
--- a/crates/platform/src/exchange.rs
+++ b/crates/platform/src/exchange.rs
@@ -4,7 +4,7 @@
 use crate::error::{TransportCause, TransportError};
 use crate::pool::Pool;
 use crate::silence::SilenceSignal;
-use anvilgw_core::Stage;
+use anvilgw_core::{Stage, is_final_status};
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
 use http::header::{HOST, HeaderName, HeaderValue, TRANSFER_ENCODING};
@@ -212,7 +212,7 @@
         match limits.run(self, &connection, sent).await {
             Ok(Ok(response)) => {
                 let (parts, incoming) = response.into_parts();
-                let answer = check_framing(self, connection, limits, parts, incoming).await;
+                let answer = check_head(self, connection, limits, parts, incoming).await;
                 answer.map_err(SendError::from)
             }
             Ok(Err(mut error)) => {
@@ -283,18 +283,24 @@
     TransportError::Failed(cause, stage)
 }
 
-/// Rejects an answer with neither `content-length` nor chunked encoding: its end could not be
-/// distinguished from a broken connection.
-async fn check_framing(
+/// Rejects an answer with a status that no final answer has, and one with neither `content-length` nor
+/// chunked encoding: its end could not be distinguished from a broken connection.
+async fn check_head(
     pool: &Arc<Pool>,
     connection: Connection,
     limits: Limits,
     parts: http::response::Parts,
     incoming: Incoming,
 ) -> Result<Answer, TransportError> {
+    let status = parts.status.as_u16();
+    if !is_final_status(status) {
+        connection.close().await;
+        let cause = TransportCause::InvalidStatus(status);
+        return Err(TransportError::Failed(cause, Stage::AnswerLost));
+    }
     // An error status may come from an intermediary that did not forward the request, so it does
     // not prove that the request was executed.
-    let stage = if parts.status.as_u16() < 400 {
+    let stage = if status < 400 {
         Stage::AnswerStarted
     } else {
         Stage::AnswerLost
--- a/crates/platform/tests/all/service.rs
+++ b/crates/platform/tests/all/service.rs
@@ -308,6 +308,27 @@
     },
 ];
 
+/// Guards against bytes with a status that no final answer has being taken for an answer.
+#[tokio::test]
+async fn answers_with_an_invalid_status_are_refused() {
+    for status in [
+        "000", "0", "42", "099", "101", "600", "700", "999", "1000", "2OO",
+    ] {
+        for framing in [
+            "content-length: 2\r\n\r\nok",
+            "transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        ] {
+            let addr = start_scripted(format!("HTTP/1.1 {status} x\r\n{framing}"));
+            let result = call(&client(addr), "key", CallOptions::default()).await;
+            let failure = result
+                .err()
+                .map(|failure| (failure.kind(), failure.stage()));
+            let expected = Some((ErrorKind::BackendFailed, Stage::AnswerLost));
+            assert_eq!(failure, expected, "{status}, {framing:?}");
+        }
+    }
+}
+
 /// Guards against a cut answer being taken for a complete one.
 #[tokio::test]
 async fn broken_answers_are_detected() {
