gateway: report the end of an answer only once its request was sent

Cause: an answer without a length ends with its connection. The HTTP library takes the end of the server's bytes for the end of the answer and gives up the rest of the upload, so that nobody sees the reset.

Change: a socket wrapper holds the end back while bytes of the request wait to be written, and for 50 ms more if the body is longer than 8 KiB, as it may still be in the kernel's buffer. A reset in that time breaks the answer. Before the answer has begun, and for answers with a length or chunks, nothing changes.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -2,6 +2,7 @@
 
 use crate::ack_timeout::{AckTimeout, PeerUnreachable, RequestSize};
 use crate::read_limit::{ReadAllowance, ReadLimited};
+use crate::upload_guard::{Upload, UploadGuard};
 use anvilgw_core::is_final_status;
 use bytes::Bytes;
 use http::{Request, Response};
@@ -62,6 +63,7 @@
     task: JoinHandle<()>,
     allowance: ReadAllowance,
     request_size: RequestSize,
+    upload: Upload,
     peer_unreachable: PeerUnreachable,
     _open: OpenCount,
 }
@@ -94,6 +96,8 @@
         set_options(&stream).map_err(|error| not_sent(format!("socket options: {error}")))?;
         let request_size = RequestSize::default();
         let peer_unreachable = PeerUnreachable::default();
+        let upload = Upload::default();
+        let stream = UploadGuard::new(stream, upload.clone());
         let stream = AckTimeout::new(stream, request_size.clone(), peer_unreachable.clone());
         let allowance = ReadAllowance::default();
         let stream = TokioIo::new(ReadLimited::new(stream, allowance.clone()));
@@ -113,6 +117,7 @@
             task,
             allowance,
             request_size,
+            upload,
             peer_unreachable,
             _open: open,
         })
@@ -143,6 +148,11 @@
         self.sender.is_closed()
     }
 
+    /// Records that the last answer was read to its end while the connection stays open.
+    pub(crate) fn on_answer_read(&self) {
+        self.upload.finish();
+    }
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
@@ -153,8 +163,9 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         self.allowance.limit_to(HEAD_MAX_BYTES);
-        let body_bytes = request.body().size_hint().exact();
-        self.request_size.set(body_bytes.unwrap_or(u64::MAX));
+        let body_bytes = request.body().size_hint().exact().unwrap_or(u64::MAX);
+        self.request_size.set(body_bytes);
+        self.upload.begin(body_bytes);
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.allowance.lift();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod server_notices;
 mod service_rollouts;
 mod topic_reader;
+mod upload_guard;
 
 pub mod admission;
 mod body_buffer;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -134,6 +134,7 @@
         if connection.is_closed() {
             return;
         }
+        connection.on_answer_read();
         let idle_timeout = peer_idle_timeout.unwrap_or(IDLE_TIMEOUT_DEFAULT);
         let use_until = now.saturating_add(idle_timeout.saturating_sub(IDLE_MARGIN));
         self.idle.borrow_mut().push(IdleConnection {
