serve: take only chunked as the last coding for a marked end

Callers: a part of an answer was delivered as a whole one, if the server stated a transfer coding other than chunked and broke the answer off, early during an upload or later.

Cause: any transfer-encoding counted as a framing with an end of its own. A body with another last coding than chunked ends with its connection.

--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -1,5 +1,6 @@
 //! How an HTTP/1.1 answer marks the end of its body.
 
+use anvilgw_core::is_chunked;
 use http::HeaderMap;
 use http::header::TRANSFER_ENCODING;
 use http_body::Body;
@@ -21,7 +22,7 @@
     pub(crate) fn of(headers: &HeaderMap, body: &impl Body) -> Self {
         if body.size_hint().exact().is_some() {
             Self::Length
-        } else if is_chunked(headers) {
+        } else if has_chunks(headers) {
             Self::Chunks
         } else {
             Self::ConnectionEnd
@@ -29,11 +30,8 @@
     }
 }
 
-/// Returns whether the last transfer coding is `chunked`. A body with another last coding ends with
-/// its connection.
-fn is_chunked(headers: &HeaderMap) -> bool {
+fn has_chunks(headers: &HeaderMap) -> bool {
     let last_value = headers.get_all(TRANSFER_ENCODING).iter().next_back();
     let codings = last_value.and_then(|value| value.to_str().ok());
-    let last_coding = codings.and_then(|codings| codings.rsplit(',').next());
-    last_coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+    codings.is_some_and(is_chunked)
 }
--- a/crates/platform/src/exchange.rs
+++ b/crates/platform/src/exchange.rs
@@ -4,7 +4,7 @@
 use crate::error::{TransportCause, TransportError};
 use crate::pool::Pool;
 use crate::silence::SilenceSignal;
-use anvilgw_core::{Stage, is_final_status};
+use anvilgw_core::{Stage, is_chunked, is_final_status};
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
 use http::header::{HOST, HeaderName, HeaderValue, TRANSFER_ENCODING};
@@ -305,8 +305,7 @@
     } else {
         Stage::AnswerLost
     };
-    let is_framed =
-        incoming.size_hint().exact().is_some() || parts.headers.contains_key(TRANSFER_ENCODING);
+    let is_framed = incoming.size_hint().exact().is_some() || has_chunks(&parts.headers);
     if !is_framed {
         connection.close().await;
         let cause =
@@ -326,6 +325,12 @@
     })
 }
 
+fn has_chunks(headers: &HeaderMap) -> bool {
+    let last_value = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let codings = last_value.and_then(|value| value.to_str().ok());
+    codings.is_some_and(is_chunked)
+}
+
 impl AnswerBody {
     /// Reads the next part of the body. Returns `None` once the body is complete according to its
     /// framing; the connection is then returned to the pool.
--- a/crates/platform/tests/all/scripted.rs
+++ b/crates/platform/tests/all/scripted.rs
@@ -30,6 +30,22 @@
     addr
 }
 
+/// Starts a server for one connection. It sends `answer` after the first bytes of a request, ends the
+/// answer and resets the connection.
+pub(crate) fn start_interrupted(answer: impl Into<Vec<u8>>) -> SocketAddr {
+    let listener = TcpListener::bind(loopback()).unwrap();
+    let addr = listener.local_addr().unwrap();
+    let answer = answer.into();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.read_exact(&mut [0; 64]).unwrap();
+        stream.write_all(&answer).unwrap();
+        stream.shutdown(Shutdown::Write).unwrap();
+        // Closing the socket with unread bytes resets the connection.
+    });
+    addr
+}
+
 /// Returns a complete HTTP answer with a body.
 pub(crate) fn http_answer(status: u16, body: &str) -> String {
     let length = body.len();
--- a/crates/platform/tests/all/service.rs
+++ b/crates/platform/tests/all/service.rs
@@ -1,6 +1,6 @@
 //! Tests of the service client against the stand-in of a plain service and against broken servers.
 
-use crate::scripted::start_scripted;
+use crate::scripted::{start_interrupted, start_scripted};
 use crate::{SILENCE_TIMEOUT, loopback, refusing_socket, settings, short_silence};
 use anvilgw_core::{ErrorKind, Executed, Failure, Stage};
 use anvilgw_platform::{CallOptions, ServiceAnswer, ServiceCall, ServiceClient, SilenceSignal};
@@ -270,7 +270,7 @@
     expected: Option<(ErrorKind, Stage)>,
 }
 
-const BROKEN_ANSWERS: [BrokenAnswer; 7] = [
+const BROKEN_ANSWERS: [BrokenAnswer; 9] = [
     BrokenAnswer {
         name: "complete",
         bytes: "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
@@ -301,6 +301,16 @@
         bytes: "HTTP/1.1 200 OK\r\n\r\nok",
         expected: Some((ErrorKind::AnswerBroken, Stage::AnswerStarted)),
     },
+    BrokenAnswer {
+        name: "a coding without an end of its own",
+        bytes: "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nok",
+        expected: Some((ErrorKind::AnswerBroken, Stage::AnswerStarted)),
+    },
+    BrokenAnswer {
+        name: "chunks within such a coding",
+        bytes: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked, gzip\r\n\r\nok",
+        expected: Some((ErrorKind::AnswerBroken, Stage::AnswerStarted)),
+    },
     BrokenAnswer {
         name: "refusal cut",
         bytes: "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 9\r\n\r\nno",
@@ -342,6 +352,30 @@
     }
 }
 
+/// Guards against a part of an answer being taken for the whole, and the call for one that was not
+/// executed, if the server answers before it has read the body and breaks the answer off.
+#[tokio::test]
+async fn early_answers_that_are_broken_off_are_detected() {
+    const FRAMINGS: [&str; 4] = [
+        "\r\nok",
+        "transfer-encoding: x-none\r\n\r\nok",
+        "transfer-encoding: chunked\r\n\r\n2\r\nok\r\n",
+        "content-length: 9\r\n\r\nok",
+    ];
+    for status in [200, 201, 404, 500] {
+        for framing in FRAMINGS {
+            for body_bytes in [128 * 1024, 6 * 1024 * 1024] {
+                let addr = start_interrupted(format!("HTTP/1.1 {status} x\r\n{framing}"));
+                let body = vec![b'x'; body_bytes].into();
+                let call = ServiceCall::new(Method::POST, "/", body);
+                let failure = client(addr).call(call).await.expect_err("broken off");
+                let case = format!("{status}, {framing:?}, {body_bytes}: {failure}");
+                assert_ne!(failure.executed(), Executed::No, "{case}");
+            }
+        }
+    }
+}
+
 /// Guards against wrong reports of whether a call was executed under many simultaneous faults, and
 /// against a call that is executed twice.
 #[tokio::test]
