serve: report only refusals of an engine as not executed

Callers: a request whose engine answered with a status from 201 to 399 was reported as not executed, though it may have run.

Cause: every status below 500 other than 200 counted as a refusal.

Evidence: only_refusals_are_reported_as_not_executed failed at 201 before and passes.

--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -133,7 +133,7 @@
         match self {
             Self::Transport(error) => error.stage(),
             // Engines answer with 4xx and 503 only before they start a request.
-            Self::Refused(status, _) if *status < 500 || *status == 503 => Stage::Connecting,
+            Self::Refused(400..500 | 503, _) => Stage::Connecting,
             Self::Refused(..) => Stage::AnswerLost,
             Self::MissingToken(..)
             | Self::TokenCountMismatch(..)
--- a/crates/platform/tests/all/engine.rs
+++ b/crates/platform/tests/all/engine.rs
@@ -1,5 +1,6 @@
 //! Tests of the engine client against the engine stand-in.
 
+use crate::scripted::{http_answer, start_scripted};
 use crate::{SILENCE_TIMEOUT, STEP_TIMEOUT_MS, loopback, settings, short_silence};
 use anvilgw_core::{AttemptId, RequestId, Stage};
 use anvilgw_platform::{
@@ -266,6 +267,28 @@
     }
 }
 
+/// Guards against a request being reported as not executed, because an engine in trouble answers with
+/// a status that is neither a success nor a refusal.
+#[tokio::test]
+async fn only_refusals_are_reported_as_not_executed() {
+    let cases = [
+        (201, Stage::AnswerLost),
+        (204, Stage::AnswerLost),
+        (302, Stage::AnswerLost),
+        (400, Stage::Connecting),
+        (499, Stage::Connecting),
+        (500, Stage::AnswerLost),
+        (503, Stage::Connecting),
+        (599, Stage::AnswerLost),
+        (600, Stage::AnswerLost),
+    ];
+    for (status, stage) in cases {
+        let addr = start_scripted(http_answer(status, ""));
+        let usage = run(&client(addr), &attempt(1)).await.usage;
+        assert_eq!(usage.unwrap_err().stage(), stage, "{status}");
+    }
+}
+
 /// Guards against reuse and import being reported for blocks that were computed.
 #[tokio::test]
 async fn usage_counts_reused_imported_and_recomputed_tokens() {
