gateway: read the answers to calls into one buffer

Cause: HttpClient limited the bytes of an answer, but collected them as a list of chunks. Each takes 32 bytes there and keeps its read buffer alive.

Change: chunks are copied into one buffer as they arrive; the limit of 8 MiB stays.

--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -1,12 +1,13 @@
 //! HTTP client for calls whose whole answer is read into memory, to the platform and to backend
 //! servers.
 
-use crate::connection::{Connection, SendError};
+use crate::connection::{Connection, SendError, describe};
 use crate::pool::{OpenLimits, Pool};
 use anvilgw_core::Clock;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body::Body;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use std::cell::RefCell;
@@ -90,15 +91,12 @@
         response: Response<Incoming>,
     ) -> Result<HttpAnswer, SendError> {
         let (head, body) = response.into_parts();
-        let collected = Limited::new(body, ANSWER_MAX_BYTES)
-            .collect()
-            .await
-            .map_err(|error| SendError::OutcomeUnknown(format!("the answer was cut: {error}")))?;
+        let body = read_body(body).await.map_err(SendError::OutcomeUnknown)?;
         self.pool.keep(connection, None, self.clock.uptime());
         Ok(HttpAnswer {
             status: head.status,
             headers: head.headers,
-            body: collected.to_bytes(),
+            body,
         })
     }
 
@@ -110,6 +108,26 @@
     }
 }
 
+/// Reads a body into one buffer. A list of its chunks would take many times their length if they are
+/// small, as each keeps the buffer in memory that it was read into.
+async fn read_body(mut body: Incoming) -> Result<Bytes, String> {
+    let length_bytes = body.size_hint().exact().unwrap_or_default();
+    let mut buffer = BytesMut::with_capacity(ANSWER_MAX_BYTES.min(length_bytes as usize));
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| format!("the answer was cut: {}", describe(&error)))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if buffer.len() + data.len() > ANSWER_MAX_BYTES {
+            return Err(format!(
+                "the answer is longer than {ANSWER_MAX_BYTES} bytes"
+            ));
+        }
+        buffer.extend_from_slice(&data);
+    }
+    Ok(buffer.freeze())
+}
+
 /// Clients by address, created on first use.
 pub struct HttpClients {
     by_address: RefCell<IndexMap<SocketAddr, Rc<HttpClient>>>,
