gateway: require keys if the configuration lists workspaces, even none

Cause: a configuration without a workspace counted as one whose clients need no keys; the decoder took an empty list for an absent one.

Change: keys are required if the record contains the list.

--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -169,19 +169,21 @@
     pub limits: ClientLimits,
     routes: Vec<Arc<Route>>,
     services: IndexMap<String, Arc<Service>>,
+    requires_keys: bool,
     workspaces: Vec<Arc<Workspace>>,
     routes_by_host: IndexMap<String, Vec<RouteIndex>>,
     workspaces_by_key: IndexMap<String, WorkspaceIndex>,
 }
 
 impl Configuration {
-    /// Creates a configuration and indexes its routes and keys.
+    /// Creates a configuration and indexes its routes and keys. Clients need no keys if `workspaces`
+    /// is `None`. An empty list has no valid key.
     #[must_use]
     pub fn new(
         version: u64,
         routes: Vec<Route>,
         services: Vec<Service>,
-        workspaces: Vec<Workspace>,
+        workspaces: Option<Vec<Workspace>>,
         limits: ClientLimits,
     ) -> Self {
         let mut routes_by_host: IndexMap<String, Vec<RouteIndex>> = IndexMap::new();
@@ -195,6 +197,8 @@
             // Sort by descending length, so that the first match is the longest.
             indexes.sort_by_key(|index| std::cmp::Reverse(routes[index.0].path_prefix.len()));
         }
+        let requires_keys = workspaces.is_some();
+        let workspaces = workspaces.unwrap_or_default();
         let workspaces_by_key = workspaces
             .iter()
             .enumerate()
@@ -211,6 +215,7 @@
                 .into_iter()
                 .map(|service| (service.name.clone(), Arc::new(service)))
                 .collect(),
+            requires_keys,
             workspaces: workspaces.into_iter().map(Arc::new).collect(),
             routes_by_host,
             workspaces_by_key,
@@ -246,10 +251,11 @@
         &self.workspaces
     }
 
-    /// Returns whether clients need keys, which is the case as soon as there is a workspace.
+    /// Returns whether clients need keys, which is the case if the configuration lists workspaces,
+    /// even none.
     #[must_use]
     pub fn requires_keys(&self) -> bool {
-        !self.workspaces.is_empty()
+        self.requires_keys
     }
 
     /// Returns the service with this name.
--- a/crates/gateway/tests/components.rs
+++ b/crates/gateway/tests/components.rs
@@ -68,8 +68,7 @@
         route("manual-part", "a.example", "/manual/part/"),
         route("other", "b.example", "/manual/"),
     ];
-    let configuration =
-        Configuration::new(1, routes, Vec::new(), Vec::new(), ClientLimits::default());
+    let configuration = Configuration::new(1, routes, Vec::new(), None, ClientLimits::default());
     let cases = [
         RouteCase {
             host: "a.example",
@@ -129,7 +128,7 @@
         1,
         Vec::new(),
         Vec::new(),
-        workspaces,
+        Some(workspaces),
         ClientLimits::default(),
     );
     let name = |key| configuration.workspace_for(key).map(|one| one.name.clone());
