gateway: check whether a server lives whose answer ended with its connection

Cause: such an end looks like the end of the server. It counted as a whole answer, so the crash was missed and the part counted as sound.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -53,7 +53,10 @@
     pub(crate) fn complete(self, gateway: &Gateway, is_success: bool) {
         self.in_flight.on_answer_read(is_success);
         if self.status.is_success() {
-            self.in_flight.on_answer_complete();
+            match self.framing {
+                Framing::Length | Framing::Chunks => self.in_flight.on_answer_complete(),
+                Framing::ConnectionEnd => self.in_flight.on_unmarked_end(),
+            }
         }
         self.pool
             .keep(self.connection, self.peer_idle_timeout, gateway.now());
--- a/crates/gateway/src/dispatch/in_flight.rs
+++ b/crates/gateway/src/dispatch/in_flight.rs
@@ -8,7 +8,7 @@
 use crate::request::{AnswerMeta, Prompt};
 use crate::select::SelectedStart;
 use crate::server::{Server, ServerKey};
-use crate::server_ends::{UsedServer, on_answer_broken};
+use crate::server_ends::{UsedServer, on_answer_broken, on_prompt_completed, on_unmarked_end};
 use crate::server_notices::on_server_notice;
 use crate::server_speed::StartSample;
 use anvilgw_quarantine::Suspect;
@@ -108,14 +108,19 @@
             server.on_request_outcome(false);
             server.breaker.on_failure(now);
         });
-        let is_underway = self
-            .body_began_at
-            .is_some_and(|began_at| now >= began_at + UNDERWAY_AFTER);
-        if !is_underway {
+        if !self.is_underway() {
             on_answer_broken(&self.gateway, self.server, &self.suspects);
         }
     }
 
+    /// Returns whether the server has been writing the answer for so long that its prompt is not what
+    /// ends the server.
+    fn is_underway(&self) -> bool {
+        let now = self.gateway.now();
+        self.body_began_at
+            .is_some_and(|began_at| now >= began_at + UNDERWAY_AFTER)
+    }
+
     /// Records that bytes of the answer's body arrived.
     pub(super) fn on_body_bytes(&mut self) {
         let now = self.gateway.now();
@@ -161,14 +166,15 @@
     /// Records that a whole answer was received with success, so that its prompt is sound.
     pub(super) fn on_answer_complete(&self) {
         self.on_request_held();
-        if self.suspects.is_empty() {
-            return;
-        }
-        let now = self.gateway.now();
-        let quarantine = &mut self.gateway.state.borrow_mut().quarantine;
-        if quarantine.on_completed(&self.suspects, now) {
-            self.gateway.evidence_changed.notify_one();
-        }
+        on_prompt_completed(&self.gateway, &self.suspects);
+    }
+
+    /// Records that a successful answer without a length and chunks has ended with its connection. It
+    /// looks the same if the server has ended, so the prompt is sound only if the server still listens.
+    pub(super) fn on_unmarked_end(&self) {
+        self.on_request_held();
+        let is_underway = self.is_underway();
+        on_unmarked_end(&self.gateway, self.server, &self.suspects, is_underway);
     }
 
     /// Records that no answer came in time. Counts as a failure for the circuit breaker only if the
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -149,6 +149,13 @@
         idle.retain(|idle| !idle.connection.is_closed() && now < idle.use_until);
     }
 
+    /// Returns whether an idle connection is open at the server, too.
+    #[must_use]
+    pub fn has_idle(&self) -> bool {
+        let idle = self.idle.borrow();
+        idle.iter().any(|idle| !idle.connection.is_closed())
+    }
+
     /// Returns the number of open connections, both idle and in use.
     #[must_use]
     pub fn open_count(&self) -> usize {
--- a/crates/gateway/src/server_ends.rs
+++ b/crates/gateway/src/server_ends.rs
@@ -51,15 +51,64 @@
     }
 }
 
-/// Checks whether a server still listens. If nothing can be told, its entry decides later.
-async fn check(gateway: Rc<Gateway>, used: UsedServer, address: SocketAddr) {
-    sleep(CHECK_DELAY).await;
+/// Records that a whole answer to a request with these prompt parts was received, so that they are
+/// sound.
+pub(crate) fn on_prompt_completed(gateway: &Gateway, suspects: &[Suspect]) {
+    if suspects.is_empty() {
+        return;
+    }
+    let now = gateway.now();
+    let quarantine = &mut gateway.state.borrow_mut().quarantine;
+    if quarantine.on_completed(suspects, now) {
+        gateway.evidence_changed.notify_one();
+    }
+}
+
+/// Records that an answer without a length and chunks ended at a server. If the server still listens,
+/// it was whole; otherwise it broke off. `is_underway` tells that its prompt is not what ended the
+/// server.
+pub(crate) fn on_unmarked_end(
+    gateway: &Rc<Gateway>,
+    used: UsedServer,
+    suspects: &Rc<[Suspect]>,
+    is_underway: bool,
+) {
+    let state = gateway.state.borrow();
+    let Some(server) = state.servers.get(used.key) else {
+        return;
+    };
+    if suspects.is_empty() {
+        return;
+    }
+    let address = server.entry.address;
+    let gateway = Rc::clone(gateway);
+    let suspects = Rc::clone(suspects);
+    spawn_local(async move {
+        sleep(CHECK_DELAY).await;
+        let has_open_connection = gateway.pool(used.key).has_idle();
+        let is_listening = has_open_connection || probe(&gateway, used, address).await.is_ok();
+        if is_listening {
+            on_prompt_completed(&gateway, &suspects);
+        } else if !is_underway {
+            on_answer_broken(&gateway, used, &suspects);
+        }
+    });
+}
+
+/// Opens a connection to find out whether a server listens.
+async fn probe(gateway: &Gateway, used: UsedServer, address: SocketAddr) -> Result<(), SendError> {
     let limits = OpenLimits {
         timeout: CHECK_TIMEOUT,
         open_max: usize::MAX,
     };
     let pool = gateway.pool(used.key);
-    match pool.probe(address, limits, gateway.now()).await {
+    pool.probe(address, limits, gateway.now()).await
+}
+
+/// Checks whether a server still listens. If nothing can be told, its entry decides later.
+async fn check(gateway: Rc<Gateway>, used: UsedServer, address: SocketAddr) {
+    sleep(CHECK_DELAY).await;
+    match probe(&gateway, used, address).await {
         Ok(()) => gateway.state.borrow_mut().pending_ends.discard(used.start),
         Err(SendError::Refused(_)) => {
             let confirmed = gateway.state.borrow_mut().pending_ends.take(used.start);
