gateway: wake the reader of a finished answer; tidy tests and docs

A connection whose server ends it right after a long upload stayed in the pool for up to 50 ms after its answer was read; it is now closed at once, as before the upload guard.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,8 +1,8 @@
 //! Types shared by all anvilgw crates.
 //!
 //! These are identifiers, the clock interface, the error kinds with the answer that belongs to
-//! each, the execution stage of a request, rules of HTTP and the interface of the platform's log service. The
-//! crate does no I/O apart from reading the clock.
+//! each, the execution stage of a request, rules of HTTP and the interface of the platform's log
+//! service. The crate does no I/O apart from reading the clock.
 
 mod answer;
 mod clock;
--- a/crates/gateway/src/server_ends.rs
+++ b/crates/gateway/src/server_ends.rs
@@ -73,14 +73,17 @@
     suspects: &Rc<[Suspect]>,
     is_underway: bool,
 ) {
-    let state = gateway.state.borrow();
-    let Some(server) = state.servers.get(used.key) else {
-        return;
-    };
     if suspects.is_empty() {
         return;
     }
-    let address = server.entry.address;
+    let server_address = |gateway: &Gateway| {
+        let state = gateway.state.borrow();
+        let server = state.servers.get(used.key);
+        server.map(|server| server.entry.address)
+    };
+    let Some(address) = server_address(gateway) else {
+        return;
+    };
     let gateway = Rc::clone(gateway);
     let suspects = Rc::clone(suspects);
     spawn_local(async move {
--- a/crates/gateway/src/upload_guard.rs
+++ b/crates/gateway/src/upload_guard.rs
@@ -6,7 +6,7 @@
 //! whole one.
 
 use socket2::SockRef;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{IoSlice, Result};
 use std::os::fd::{AsFd, BorrowedFd};
 use std::pin::Pin;
@@ -28,43 +28,51 @@
 /// changes it through a clone.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Upload {
-    state: Rc<Cell<UploadState>>,
+    state: Rc<UploadState>,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Debug, Default)]
 struct UploadState {
-    body_bytes: u64,
+    body_bytes: Cell<u64>,
     /// Whether bytes of the answer have arrived.
-    is_answer_begun: bool,
+    is_answer_begun: Cell<bool>,
+    /// Task that waits to read the end of the answer.
+    reader: RefCell<Option<Waker>>,
 }
 
 impl Upload {
     /// Records that a request with a body of this size is sent next.
     pub(crate) fn begin(&self, body_bytes: u64) {
-        self.state.set(UploadState {
-            body_bytes,
-            is_answer_begun: false,
-        });
+        self.state.body_bytes.set(body_bytes);
+        self.state.is_answer_begun.set(false);
     }
 
     /// Records that the answer was read to its end while the connection stays open.
     pub(crate) fn finish(&self) {
-        self.state.set(UploadState::default());
+        self.begin(0);
+        self.wake_reader();
     }
 
     fn on_answer_bytes(&self) {
-        self.state.set(UploadState {
-            is_answer_begun: true,
-            ..self.state.get()
-        });
+        self.state.is_answer_begun.set(true);
     }
 
     fn is_answer_begun(&self) -> bool {
-        self.state.get().is_answer_begun
+        self.state.is_answer_begun.get()
     }
 
     fn arrives_at_once(&self) -> bool {
-        self.state.get().body_bytes <= ARRIVES_AT_ONCE_BYTES
+        self.state.body_bytes.get() <= ARRIVES_AT_ONCE_BYTES
+    }
+
+    fn set_reader(&self, context: &Context<'_>) {
+        self.state.reader.replace(Some(context.waker().clone()));
+    }
+
+    fn wake_reader(&self) {
+        if let Some(reader) = self.state.reader.take() {
+            reader.wake();
+        }
     }
 }
 
@@ -78,8 +86,6 @@
     has_unsent: bool,
     is_ended_by_peer: bool,
     reset_wait: Option<Pin<Box<Sleep>>>,
-    /// Task that waits to read the end of the answer.
-    reader: Option<Waker>,
 }
 
 impl<S: AsFd> UploadGuard<S> {
@@ -90,7 +96,6 @@
             has_unsent: false,
             is_ended_by_peer: false,
             reset_wait: None,
-            reader: None,
         }
     }
 
@@ -100,12 +105,13 @@
             return Poll::Ready(Ok(()));
         }
         if self.has_unsent {
-            self.reader = Some(context.waker().clone());
+            self.upload.set_reader(context);
             return Poll::Pending;
         }
         if self.upload.arrives_at_once() {
             return Poll::Ready(Ok(()));
         }
+        self.upload.set_reader(context);
         let new_wait = || Box::pin(sleep(RESET_WAIT));
         let wait = self.reset_wait.get_or_insert_with(new_wait);
         ready!(wait.as_mut().poll(context));
@@ -166,9 +172,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
         ready!(Pin::new(&mut self.inner).poll_flush(context))?;
         self.has_unsent = false;
-        if let Some(reader) = self.reader.take() {
-            reader.wake();
-        }
+        self.upload.wake_reader();
         Poll::Ready(Ok(()))
     }
 
--- a/crates/gateway/tests/weight_switches.rs
+++ b/crates/gateway/tests/weight_switches.rs
@@ -400,13 +400,7 @@
             SharedEngine { key, load: None }
         })
         .collect();
-    let publication = WeightPublication {
-        version: 2,
-        published_after: Some(Duration::ZERO),
-        learned_at: Duration::ZERO,
-    };
-    let published = MODELS.map(|model| (model.to_owned(), PublishedWeights::new(publication)));
-    let published = IndexMap::from(published);
+    let published = both_published();
     let mut orders = OrderTracker::default();
     let mut now = Duration::ZERO;
     while now < TAIL {
@@ -437,6 +431,16 @@
     None
 }
 
+/// Returns publications of version 2 of both models at the start of the run.
+fn both_published() -> IndexMap<String, PublishedWeights> {
+    let publication = WeightPublication {
+        version: 2,
+        published_after: Some(Duration::ZERO),
+        learned_at: Duration::ZERO,
+    };
+    IndexMap::from(MODELS.map(|model| (model.to_owned(), PublishedWeights::new(publication))))
+}
+
 fn served(model: &str) -> ServedModel {
     ServedModel {
         model: model.to_owned(),
@@ -466,13 +470,7 @@
         entry.models = vec![served(model)];
         servers.on_entry_published(entry, Duration::ZERO);
     }
-    let publication = WeightPublication {
-        version: 2,
-        published_after: Some(Duration::ZERO),
-        learned_at: Duration::ZERO,
-    };
-    let published = MODELS.map(|model| (model.to_owned(), PublishedWeights::new(publication)));
-    let published = IndexMap::from(published);
+    let published = both_published();
     let outdated = outdated_servers(&servers, published.iter(), SWITCH_TIME);
     let orders = next_orders(&servers, &outdated, &OrderTracker::default(), STEP);
     let count = |model| orders.iter().filter(|one| one.model == model).count();
