gateway: change the scope of shared parts with the isolated workspaces

Cause: the scope of shared parts did not tell which workspaces are isolated, so it stayed the same.

Change: it contains the hash of the isolated ones, if there are any. Parts of the earlier scope stay in managed stores until new weights are published.

--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -1,6 +1,6 @@
 //! Operators' configuration in the form that the gateway uses.
 
-use crate::caches::CacheStoreSpec;
+use crate::caches::{CacheStoreSpec, name_hash};
 use indexmap::IndexMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -170,6 +170,7 @@
     routes: Vec<Arc<Route>>,
     services: IndexMap<String, Arc<Service>>,
     requires_keys: bool,
+    isolated_hash: Option<u64>,
     workspaces: Vec<Arc<Workspace>>,
     routes_by_host: IndexMap<String, Vec<RouteIndex>>,
     workspaces_by_key: IndexMap<String, WorkspaceIndex>,
@@ -216,6 +217,7 @@
                 .map(|service| (service.name.clone(), Arc::new(service)))
                 .collect(),
             requires_keys,
+            isolated_hash: isolated_hash(&workspaces),
             workspaces: workspaces.into_iter().map(Arc::new).collect(),
             routes_by_host,
             workspaces_by_key,
@@ -258,6 +260,13 @@
         self.requires_keys
     }
 
+    /// Returns the hash of the workspaces whose cached prompts are kept apart, or `None` if there are
+    /// none. All daemons derive the same one from a configuration.
+    #[must_use]
+    pub fn isolated_hash(&self) -> Option<u64> {
+        self.isolated_hash
+    }
+
     /// Returns the service with this name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
@@ -276,6 +285,15 @@
     }
 }
 
+fn isolated_hash(workspaces: &[Workspace]) -> Option<u64> {
+    let isolated = workspaces.iter().filter(|workspace| workspace.is_isolated);
+    let mut names: Vec<&str> = isolated.map(|workspace| workspace.name.as_str()).collect();
+    names.sort_unstable();
+    // Serialized names cannot run into each other.
+    let text = serde_json::to_string(&names).ok()?;
+    (!names.is_empty()).then(|| name_hash(&text))
+}
+
 fn without_port(host: &str) -> &str {
     match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
--- a/crates/gateway/src/dispatch/routed_request.rs
+++ b/crates/gateway/src/dispatch/routed_request.rs
@@ -3,6 +3,7 @@
 use crate::body_memory::BodyReservation;
 use crate::configuration::{Configuration, Route, Service, Workspace};
 use crate::request::RequestMeta;
+use crate::weights::CacheSharing;
 use anvilgw_quarantine::Suspect;
 use bytes::Bytes;
 use http::uri::PathAndQuery;
@@ -55,9 +56,14 @@
         own.unwrap_or(self.route.priority).min(URGENCY_MAX)
     }
 
-    /// Returns the name of the workspace if its cached prompts are kept apart from those of others.
-    pub(crate) fn isolated_workspace(&self) -> Option<&str> {
-        let workspace = self.workspace.as_deref()?;
-        workspace.is_isolated.then_some(workspace.name.as_str())
+    /// Returns whose requests share cached prompts with this one.
+    pub(crate) fn cache_sharing(&self) -> CacheSharing<'_> {
+        let workspace = self.workspace.as_deref();
+        match workspace.filter(|workspace| workspace.is_isolated) {
+            Some(workspace) => CacheSharing::Isolated(&workspace.name),
+            None => CacheSharing::Shared {
+                isolated_hash: self.configuration.isolated_hash(),
+            },
+        }
     }
 }
--- a/crates/gateway/src/dispatch/target.rs
+++ b/crates/gateway/src/dispatch/target.rs
@@ -305,7 +305,7 @@
             prefill_rate: prefill_rate(&state.prefill_rates, &routed.service),
             peer_loads: &state.peer_loads,
             start,
-            isolated_workspace: routed.isolated_workspace(),
+            cache_sharing: routed.cache_sharing(),
             oldest_version: published_weights
                 .and_then(|published| oldest_allowed_version(published, switch_time, now)),
             engine_capacity_tokens: engine_capacity(&routed.service),
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -15,7 +15,7 @@
 use crate::server::{Server, ServerKey, Servers};
 use crate::server_speed::ServiceSpeed;
 use crate::start_estimate::StartEstimate;
-use crate::weights::{OldPartTimes, PublishedWeights};
+use crate::weights::{CacheSharing, OldPartTimes, PublishedWeights};
 use crate::workspace_shares::ClaimKey;
 use rand::{Rng, RngExt};
 use ranked::select_by_rank;
@@ -95,8 +95,8 @@
     /// Inputs to the estimate of the start at each server. `None` if servers are selected by the
     /// tokens in their memory alone.
     pub start: Option<StartQuery<'a>>,
-    /// Workspace of the client, if its cached prompts are kept apart from those of others.
-    pub isolated_workspace: Option<&'a str>,
+    /// Whose requests share cached prompts with this one.
+    pub cache_sharing: CacheSharing<'a>,
     /// Oldest version of the weights that may serve the request. `None` allows all.
     pub oldest_version: Option<u64>,
     /// Memory capacity of an engine in tokens. Zero if it is not known.
--- a/crates/gateway/src/select/ranked.rs
+++ b/crates/gateway/src/select/ranked.rs
@@ -212,7 +212,7 @@
 ) -> CacheUse {
     let model = &query.prompt.model;
     let version = server.version_of(model);
-    let scope = cache_scope(model, version, query.isolated_workspace);
+    let scope = cache_scope(model, version, query.cache_sharing);
     let is_newest = query
         .published_weights
         .is_none_or(|published| Some(published.version) == version);
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -12,6 +12,6 @@
 pub use old_parts::{FETCH_TIME_MAX, OldPartTimes, is_retired, may_read_part};
 pub use order_tracker::{OrderOutcome, OrderTracker};
 pub use publications::{PublishedWeights, WeightPublication, oldest_allowed_version};
-pub use scope::{ScopeWeights, cache_scope, scope_weights};
+pub use scope::{CacheSharing, ScopeWeights, cache_scope, scope_weights};
 pub(crate) use switch_plan::is_backing_off;
 pub use switch_plan::{OutdatedServer, next_orders, outdated_servers};
--- a/crates/gateway/tests/cached_parts.rs
+++ b/crates/gateway/tests/cached_parts.rs
@@ -2,8 +2,8 @@
 //! are freed.
 
 use anvilgw_gateway::weights::{
-    FETCH_TIME_MAX, OldPartTimes, PublishedWeights, ScopeWeights, WeightPublication, cache_scope,
-    is_retired, may_read_part, scope_weights,
+    CacheSharing, FETCH_TIME_MAX, OldPartTimes, PublishedWeights, ScopeWeights, WeightPublication,
+    cache_scope, is_retired, may_read_part, scope_weights,
 };
 use indexmap::IndexMap;
 use std::time::Duration;
@@ -46,7 +46,7 @@
 
 /// Returns the scope of parts that a version of the model computed.
 fn scope(version: u64) -> String {
-    cache_scope(MODEL, Some(version), None)
+    cache_scope(MODEL, Some(version), CacheSharing::ALL)
 }
 
 /// Guards against cached prompts of one model, of one version, or of one isolated workspace, that are
@@ -61,18 +61,15 @@
         "lumen%2Fw1",
         "l\u{fc}men",
     ];
-    let workspaces = [
-        None,
-        Some(""),
-        Some("club"),
-        Some("w1/club"),
-        Some("w1%2Fclub"),
-    ];
+    let isolated = ["", "club", "w1/club", "w1%2Fclub", "s7"].map(CacheSharing::Isolated);
+    let shared =
+        [None, Some(0), Some(7)].map(|isolated_hash| CacheSharing::Shared { isolated_hash });
+    let sharings = [isolated.as_slice(), &shared].concat();
     let mut scopes = Vec::new();
     for model in models {
         for version in [None, Some(1), Some(11)] {
-            for workspace in workspaces {
-                let scope = cache_scope(model, version, workspace);
+            for sharing in &sharings {
+                let scope = cache_scope(model, version, *sharing);
                 let expected = version.map(|version| ScopeWeights {
                     model: model.into(),
                     version,
@@ -129,7 +126,7 @@
         learned_at,
     };
     let weights = IndexMap::from([(MODEL.to_owned(), PublishedWeights::new(publication))]);
-    let scope = cache_scope(MODEL, Some(1), None);
+    let scope = cache_scope(MODEL, Some(1), CacheSharing::ALL);
     (0..60_000)
         .map(|ms| PUBLISHED_AT + Duration::from_millis(ms))
         .find(|now| is_retired(&scope, id_hash, &weights, TIMES, *now))
@@ -276,9 +273,9 @@
             }
         }
         for (model, expected) in [(MODEL, case.freed), (OTHER_MODEL, case.freed_of_other)] {
-            for workspace in [None, Some("club")] {
+            for sharing in [CacheSharing::ALL, CacheSharing::Isolated("club")] {
                 let is_freed = |version: &u64| {
-                    let scope = cache_scope(model, Some(*version), workspace);
+                    let scope = cache_scope(model, Some(*version), sharing);
                     is_retired(&scope, ID_HASHES[1], &weights, TIMES, now)
                 };
                 let freed: Vec<u64> = (1..=3).filter(is_freed).collect();
--- a/crates/gateway/tests/deployments/deployment.rs
+++ b/crates/gateway/tests/deployments/deployment.rs
@@ -8,7 +8,7 @@
 use anvilgw_gateway::request::{Prompt, PromptPart};
 use anvilgw_gateway::select::{PromptQuery, Query, Selected, select};
 use anvilgw_gateway::server::{ServedModel, ServerEntry, ServerState, Servers};
-use anvilgw_gateway::weights::OldPartTimes;
+use anvilgw_gateway::weights::{CacheSharing, OldPartTimes};
 use indexmap::IndexMap;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -172,7 +172,7 @@
             caches,
             peer_loads: &peer_loads,
             start: None,
-            isolated_workspace: None,
+            cache_sharing: CacheSharing::ALL,
             oldest_version: None,
             engine_capacity_tokens: 100_000,
             memory_limit_tokens: 90_000.0,
--- a/crates/gateway/tests/deployments/servers.rs
+++ b/crates/gateway/tests/deployments/servers.rs
@@ -3,8 +3,8 @@
 use crate::deployment::{DEPLOYMENTS, Deployment, MODEL, NOW, prompt};
 use anvilgw_gateway::budget::{RetryBound, RetryBudget};
 use anvilgw_gateway::weights::{
-    FETCH_TIME_MAX, OrderTracker, PublishedWeights, WeightPublication, cache_scope, is_retired,
-    may_read_part, next_orders, outdated_servers,
+    CacheSharing, FETCH_TIME_MAX, OrderTracker, PublishedWeights, WeightPublication, cache_scope,
+    is_retired, may_read_part, next_orders, outdated_servers,
 };
 use indexmap::IndexMap;
 use std::time::Duration;
@@ -84,7 +84,7 @@
             learned_at: NOW,
         };
         let published = IndexMap::from([(MODEL.to_owned(), PublishedWeights::new(publication))]);
-        let scope = cache_scope(MODEL, Some(1), None);
+        let scope = cache_scope(MODEL, Some(1), CacheSharing::ALL);
         for id_hash in [0, u64::MAX / 2, u64::MAX] {
             let clock = (0..200_000).map(|ms| NOW + Duration::from_millis(ms));
             let last_read = clock
--- a/crates/gateway/tests/servers/fixture.rs
+++ b/crates/gateway/tests/servers/fixture.rs
@@ -13,7 +13,7 @@
 use anvilgw_gateway::server::{
     ServedModel, ServerEntry, ServerKey, ServerState, Servers, server_hash,
 };
-use anvilgw_gateway::weights::{OldPartTimes, PublishedWeights, cache_scope};
+use anvilgw_gateway::weights::{CacheSharing, OldPartTimes, PublishedWeights, cache_scope};
 use anvilgw_gateway::zone_choice::{ZoneChoice, ZoneCost, ZoneEstimate};
 use indexmap::IndexMap;
 use rand::SeedableRng;
@@ -169,7 +169,7 @@
                 prefill_rate: self.prefill_rate,
                 peer_loads: &self.peers,
                 start: self.start,
-                isolated_workspace: None,
+                cache_sharing: CacheSharing::ALL,
                 oldest_version: self.oldest_version,
                 engine_capacity_tokens: 100_000,
                 memory_limit_tokens,
@@ -262,7 +262,7 @@
         changes: parts
             .iter()
             .map(|(id, tokens)| CachedPart {
-                scope: cache_scope(MODEL, Some(1), None),
+                scope: cache_scope(MODEL, Some(1), CacheSharing::ALL),
                 id: (*id).to_owned(),
                 tokens: *tokens,
             })
