--- a/crates/gateway/src/weights/scope.rs
+++ b/crates/gateway/src/weights/scope.rs
@@ -10,7 +10,7 @@
 /// First character of a scope. Scopes of releases that did not name the model begin with another
 /// one, so they are never taken for scopes of this format.
 const PREFIX: char = 'm';
-/// Separates the fields of a scope: the model, the version and the workspace.
+/// Separates the fields of a scope: the model, the version, and whose requests share the parts.
 const SEPARATOR: char = '/';
 /// Precedes the version in its field, which contains nothing else if the version is not known.
 const VERSION_PREFIX: char = 'w';
--- a/crates/gateway/src/weights/switch_plan.rs
+++ b/crates/gateway/src/weights/switch_plan.rs
@@ -7,8 +7,8 @@
 use std::ops::Range;
 use std::time::Duration;
 
-/// Fraction of the servers with a model that switch to its new weights at the same time. The others have to serve the requests
-/// meanwhile.
+/// Fraction of the servers with a model that switch to its new weights at the same time. The others
+/// have to serve the requests meanwhile.
 const SWITCHING_FRACTION: f64 = 0.17;
 /// Time from the order to a server until its switch is confirmed, as the plan assumes it.
 const SWITCH_DURATION: Duration = Duration::from_millis(1200);
