gateway: name each store and scope once in pages of the cache directory

Cause: leaders repeat the scope of each part in the pages from which their followers copy the directory of the cache stores.

Change: a page names each store and each scope once, and its changes refer to them.

Evidence: a_page_names_a_scope_once fails on the encoding before.

--- a/crates/gateway/src/cache_store_log.rs
+++ b/crates/gateway/src/cache_store_log.rs
@@ -3,7 +3,8 @@
 //! A cache store allows only a few open reads of its events. In a large fleet, a few daemons
 //! therefore read the events, and the others read this log.
 
-use bincode::{Decode, Encode};
+mod encoding;
+
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
@@ -11,7 +12,7 @@
 const KEPT_CHANGES_MAX: usize = 4096;
 
 /// A change at one cache store.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CacheUpdate {
     /// The number of tokens that the store holds of a part has changed; zero if it no longer holds
     /// the part.
@@ -31,7 +32,7 @@
 }
 
 /// A change and the store at which it happened.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CacheStoreChange {
     /// Address of the store.
     pub store: SocketAddr,
@@ -49,7 +50,7 @@
 }
 
 /// Changes since a cursor, or a snapshot of everything that is known.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CacheStorePage {
     /// Identifier of the log that the page was read from.
     pub log_id: u64,
--- a/crates/gateway/tests/leader_copies.rs
+++ b/crates/gateway/tests/leader_copies.rs
@@ -1,7 +1,7 @@
 //! Copies of the metadata store's topics and of the cache directory that daemons read from the
 //! leader of their group.
 
-use anvilgw_gateway::cache_store_log::{CacheStorePage, Cursor};
+use anvilgw_gateway::cache_store_log::{CacheStoreChange, CacheStorePage, CacheUpdate, Cursor};
 use anvilgw_gateway::caches::{CacheDirectory, CacheEvents, CacheStoreSpec, CachedPart};
 use anvilgw_gateway::direct_reads::DirectReads;
 use anvilgw_gateway::page::{decode, encode};
@@ -301,3 +301,33 @@
     directory.on_events(key, extreme, at(1));
     assert_eq!(directory.server_clock_ms(at(1_000)), Some(u64::MAX));
 }
+
+/// Guards against pages that take up the link of a small daemon, because each part in them repeats its
+/// scope: they arrived late, and prompts were computed again although stores held them.
+#[test]
+fn a_page_names_a_scope_once() {
+    const PARTS: usize = 2_000;
+    let page_bytes = |scope: &str| {
+        let changes = (0..PARTS).map(|part| CacheStoreChange {
+            store: store(1 + part as u16 % 2),
+            update: CacheUpdate::Part {
+                scope: scope.to_owned(),
+                id: format!("{part:08x}"),
+                tokens: 650,
+            },
+        });
+        let page = CacheStorePage {
+            log_id: 1,
+            next: 9,
+            is_snapshot: true,
+            clock_ms: None,
+            changes: changes.collect(),
+        };
+        let bytes = encode(&page).expect("encodes");
+        assert_eq!(decode::<CacheStorePage>(&bytes).expect("decodes"), page);
+        bytes.len()
+    };
+    let long_scope = "m".repeat(200);
+    let added_bytes = page_bytes(&long_scope) - page_bytes("m");
+    assert!(added_bytes <= long_scope.len(), "{added_bytes} bytes");
+}
