gateway: log and meter epoch, offset, source and age of each log

The record of the incident can't tell whether a daemon had read an older copy of the store, a stale copy of its leader, or nothing: no line says where the configuration in force was read.

Positions in logs consist of epoch and offset, also in reads between daemons. A configuration that takes effect, a log that is listed as a whole, and a log that is read in another epoch are logged with epoch, offset, source and age; the metrics show the same for each log. Nothing is decided by it yet.

--- a/crates/gateway/src/background_tasks/evidence.rs
+++ b/crates/gateway/src/background_tasks/evidence.rs
@@ -6,8 +6,10 @@
 use crate::gateway::Gateway;
 use crate::groups::{Role, StoreReads};
 use crate::log::Event;
+use crate::log_position::{LogPosition, StoreEpoch};
 use crate::peer_message::PeerMessage;
 use crate::ports::{KeyedBytes, StoreError, Topic};
+use crate::read_origin::ReadOrigin;
 use crate::server_ends::report_replaced;
 use crate::topic_reader::TopicReader;
 use anvilgw_quarantine::attribution::Scope;
@@ -46,10 +48,12 @@
         reader: TopicReader::new(Topic::Evidence, clock),
         last_report_at: None,
         has_created_log: false,
+        epoch: StoreEpoch::default(),
         gateway,
     };
     loop {
-        load_listing(&follower.gateway, &mut follower.dependency).await;
+        let next = load_listing(&follower.gateway, &mut follower.dependency).await;
+        follower.epoch = next.epoch;
         while follower.read_once().await {}
     }
 }
@@ -60,6 +64,8 @@
     reader: TopicReader,
     last_report_at: Option<Duration>,
     has_created_log: bool,
+    /// Epoch in which the records were read.
+    epoch: StoreEpoch,
 }
 
 impl Follower {
@@ -67,13 +73,16 @@
     /// records have to be listed again.
     async fn read_once(&mut self) -> bool {
         let gateway = Rc::clone(&self.gateway);
-        let from_offset = gateway.state.borrow().quarantine.table().next_offset();
+        let from = LogPosition {
+            epoch: self.epoch,
+            offset: gateway.state.borrow().quarantine.table().next_offset(),
+        };
         let started_at = gateway.now();
         let wait = self.wait(started_at);
         let result = tokio::select! {
-            result = self.reader.read(&gateway, from_offset, wait) => result,
+            result = self.reader.read(&gateway, from, wait) => result,
             () = gateway.evidence_news.notified() => {
-                self.reader.read(&gateway, from_offset, Duration::ZERO).await
+                self.reader.read(&gateway, from, Duration::ZERO).await
             }
         };
         match result {
@@ -84,7 +93,7 @@
                     self.on_nothing_read(wait, elapsed).await;
                 } else {
                     self.last_report_at = Some(gateway.now());
-                    apply(&gateway, &read.records, from_offset);
+                    apply(&gateway, &read.records, from.offset);
                 }
             }
             Err(StoreError::Expired(_)) => return false,
@@ -128,25 +137,29 @@
 
 /// Reads all records, and retries until the metadata store answers. The daemon does not wait for
 /// the first answer to become ready: without the evidence it can still serve.
-async fn load_listing(gateway: &Gateway, dependency: &mut Dependency) {
+async fn load_listing(gateway: &Gateway, dependency: &mut Dependency) -> LogPosition {
     loop {
+        let started_at = gateway.now();
         let result = gateway.ports.metadata_store.list_evidence().await;
-        let is_read = result.is_ok();
+        let next = result.as_ref().map(|listing| listing.next).ok();
         match result {
             Ok(listing) => {
                 dependency.on_answer(gateway);
+                let origin = ReadOrigin::new(None, listing.next, started_at);
+                gateway.on_log_listed(Topic::Evidence, listing.records.len(), &origin);
                 let records = listing.records.iter();
                 let records = records
                     .filter_map(|(bytes, offset)| Some((decode_record(gateway, bytes)?, *offset)));
                 let records: Vec<(KeyedRecord, u64)> = records.collect();
                 let quarantine = &mut gateway.state.borrow_mut().quarantine;
-                quarantine.on_listing(records, listing.next_offset);
+                quarantine.on_listing(records, listing.next.offset);
             }
             Err(error) => dependency.on_failure(gateway, &error.to_string()),
         }
         gateway.state.borrow_mut().has_asked_for_evidence = true;
-        if is_read {
-            return log_changes(gateway);
+        if let Some(next) = next {
+            log_changes(gateway);
+            return next;
         }
         sleep(RETRY_PAUSE).await;
     }
--- a/crates/gateway/src/background_tasks/operators.rs
+++ b/crates/gateway/src/background_tasks/operators.rs
@@ -4,11 +4,13 @@
 use super::rollouts::{
     on_rollout_malformed, on_rollout_ordered, on_rollout_withdrawn, on_servers_changed,
 };
-use super::snapshot::read_snapshot;
+use super::snapshot::{Snapshot, read_snapshot};
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::log::Event;
+use crate::log_position::LogPosition;
 use crate::ports::{Change, Changes, StoreError, Table, Topic};
+use crate::read_origin::ReadOrigin;
 use crate::topic_reader::{TopicReader, decode_changes};
 use crate::weights::{PublishedWeights, WeightPublication};
 use indexmap::IndexSet;
@@ -37,19 +39,16 @@
     let clock = Arc::clone(&gateway.ports.clock);
     let mut reader = TopicReader::new(Topic::Table(Table::Operators), clock);
     loop {
-        let mut from_offset = load_snapshot(&gateway, &mut dependency).await;
+        let mut position = load_snapshot(&gateway, &mut dependency).await;
         let mut wait = Duration::ZERO;
         loop {
-            match reader.read(&gateway, from_offset, wait).await {
+            match reader.read(&gateway, position, wait).await {
                 Ok(read) => {
                     dependency.on_answer(&gateway);
-                    from_offset = read.next_offset;
-                    let verified_at = read.verified_at;
-                    apply(
-                        &gateway,
-                        decode_changes(&gateway, Table::Operators, read),
-                        verified_at,
-                    );
+                    let origin = read.origin.clone();
+                    position = origin.next;
+                    let changes = decode_changes(&gateway, Table::Operators, read);
+                    apply(&gateway, changes, &origin);
                     wait = follow_wait;
                 }
                 Err(StoreError::Expired(_)) => break,
@@ -64,19 +63,19 @@
     }
 }
 
-async fn load_snapshot(gateway: &Gateway, dependency: &mut Dependency) -> u64 {
+async fn load_snapshot(gateway: &Gateway, dependency: &mut Dependency) -> LogPosition {
     let snapshot = read_snapshot(gateway, dependency, Table::Operators, RETRY_PAUSE).await;
-    let next_offset = snapshot.changes.next_offset;
-    apply_snapshot(gateway, snapshot.changes, snapshot.started_at);
-    next_offset
+    let next = snapshot.changes.next;
+    apply_snapshot(gateway, snapshot);
+    next
 }
 
-fn apply_snapshot(gateway: &Gateway, changes: Changes, started_at: Duration) {
+fn apply_snapshot(gateway: &Gateway, snapshot: Snapshot) {
     // A snapshot contains no records of domains that were put back into service, so all domains
     // count as in service until its records say otherwise.
     gateway.state.borrow_mut().servers.enable_all_domains();
-    withdraw_unlisted(gateway, &changes);
-    apply(gateway, changes, started_at);
+    withdraw_unlisted(gateway, &snapshot.changes);
+    apply(gateway, snapshot.changes, &snapshot.origin);
 }
 
 /// Applies the removal of orders that a snapshot, which contains no removals, does not list.
@@ -98,19 +97,19 @@
     }
 }
 
-fn apply(gateway: &Gateway, changes: Changes, verified_at: Duration) {
+fn apply(gateway: &Gateway, changes: Changes, origin: &ReadOrigin) {
     for change in changes.changes {
-        apply_change(gateway, change);
+        apply_change(gateway, change, origin);
     }
     gateway
         .state
         .borrow_mut()
         .configuration_freshness
-        .on_verified(verified_at);
+        .on_verified(origin.verified_at);
     on_servers_changed(gateway);
 }
 
-fn apply_change(gateway: &Gateway, change: Change) {
+fn apply_change(gateway: &Gateway, change: Change, origin: &ReadOrigin) {
     match change {
         Change::Configuration(configuration) => {
             let state = &mut *gateway.state.borrow_mut();
@@ -125,6 +124,7 @@
                 version: configuration.version,
                 replaced,
                 routes: configuration.routes().len(),
+                origin: origin.fields(gateway.now()),
             });
             let close_idle_after = configuration.limits.close_idle_after();
             gateway.client_idle_timeout.send_replace(close_idle_after);
--- a/crates/gateway/src/background_tasks/rollouts.rs
+++ b/crates/gateway/src/background_tasks/rollouts.rs
@@ -6,9 +6,11 @@
 use crate::dependency::Dependency;
 use crate::gateway::{Gateway, State};
 use crate::log::Event;
+use crate::log_position::LogPosition;
 use crate::peer_message::PeerMessage;
 use crate::permits::members_by_rank;
 use crate::ports::{AppendOutcome, RolloutRequest, StoreError, Topic};
+use crate::read_origin::ReadOrigin;
 use crate::rollout::{
     Decision, FleetView, RolloutDirective, RolloutReport, RolloutState, RolloutStatus,
 };
@@ -126,9 +128,9 @@
     let clock = Arc::clone(&gateway.ports.clock);
     let mut reader = TopicReader::new(Topic::Statuses, clock);
     loop {
-        let mut from_offset = loop {
+        let mut position = loop {
             match list_statuses(&gateway).await {
-                Ok(next_offset) => break next_offset,
+                Ok(next) => break next,
                 Err(error) => dependency.on_failure(&gateway, &error.to_string()),
             }
             sleep(RETRY_PAUSE).await;
@@ -138,12 +140,12 @@
         loop {
             wait_for_rollout(&gateway).await;
             sleep(gateway.jittered(STATUS_PAUSE, JITTER)).await;
-            match reader.read(&gateway, from_offset, Duration::ZERO).await {
+            match reader.read(&gateway, position, Duration::ZERO).await {
                 Ok(read) => {
                     dependency.on_answer(&gateway);
-                    let next_offset = read.next_offset;
-                    apply_read(&gateway, from_offset, read);
-                    from_offset = next_offset;
+                    let next = read.origin.next;
+                    apply_read(&gateway, position.offset, read);
+                    position = next;
                 }
                 Err(StoreError::Expired(_)) => {
                     gateway.state.borrow_mut().rollouts.forget_offsets();
@@ -164,7 +166,7 @@
         }
     }
     let rollouts = &mut gateway.state.borrow_mut().rollouts;
-    rollouts.on_statuses_verified(read.verified_at);
+    rollouts.on_statuses_verified(read.origin.verified_at);
 }
 
 /// Waits until there is a rollout that is not over, or was removed a short time ago.
@@ -183,15 +185,17 @@
     gateway.state.borrow().rollouts.unfinished(now)
 }
 
-async fn list_statuses(gateway: &Gateway) -> Result<u64, StoreError> {
+async fn list_statuses(gateway: &Gateway) -> Result<LogPosition, StoreError> {
     let started_at = gateway.now();
     let listing = gateway.ports.metadata_store.list_statuses().await?;
+    let origin = ReadOrigin::new(None, listing.next, started_at);
+    gateway.on_log_listed(Topic::Statuses, listing.statuses.len(), &origin);
     for (status, offset) in &listing.statuses {
         apply_status(gateway, status, *offset);
     }
     let rollouts = &mut gateway.state.borrow_mut().rollouts;
     rollouts.on_statuses_verified(started_at);
-    Ok(listing.next_offset)
+    Ok(listing.next)
 }
 
 fn apply_status(gateway: &Gateway, status: &RolloutStatus, offset: u64) {
@@ -457,13 +461,13 @@
 /// Appends a status unless the stored one is final or the same. The stored statuses are read first,
 /// and the append takes effect only if there is no newer one, so only one final status is stored.
 async fn write_status(gateway: &Gateway, status: &RolloutStatus) -> Result<(), StoreError> {
-    let at = list_statuses(gateway).await?;
+    let at = list_statuses(gateway).await?.offset;
     if !gateway.state.borrow().rollouts.is_to_be_stored(status) {
         return Ok(());
     }
     let store = &gateway.ports.metadata_store;
-    if let AppendOutcome::Stored(offset) = store.append_status(at, status).await? {
-        apply_status(gateway, status, offset);
+    if let AppendOutcome::Stored(stored) = store.append_status(at, status).await? {
+        apply_status(gateway, status, stored.offset);
     }
     Ok(())
 }
--- a/crates/gateway/src/background_tasks/servers.rs
+++ b/crates/gateway/src/background_tasks/servers.rs
@@ -6,6 +6,7 @@
 use crate::gateway::Gateway;
 use crate::groups::StoreReads;
 use crate::log::Event;
+use crate::log_position::LogPosition;
 use crate::ports::{Change, Changes, StoreError, Table, Topic};
 use crate::server::{ServerEntry, ServerState};
 use crate::topic_reader::{TopicReader, decode_changes};
@@ -33,9 +34,9 @@
 /// How far the table was read.
 #[derive(Clone, Copy, Debug)]
 struct Progress {
-    /// Offset from which to read next.
-    next_offset: u64,
-    /// Time up to which the records before that offset contain all changes.
+    /// Position from which to read next.
+    next: LogPosition,
+    /// Time up to which the records before that position contain all changes.
     verified_at: Duration,
 }
 
@@ -48,15 +49,13 @@
         let mut progress = load_snapshot(&gateway, &mut dependency).await;
         loop {
             sleep(gateway.jittered(poll_pause(&gateway), JITTER)).await;
-            let result = reader
-                .read(&gateway, progress.next_offset, Duration::ZERO)
-                .await;
+            let result = reader.read(&gateway, progress.next, Duration::ZERO).await;
             match result {
                 Ok(read) => {
                     on_read(&gateway, &mut dependency, progress.verified_at);
                     progress = Progress {
-                        next_offset: read.next_offset,
-                        verified_at: progress.verified_at.max(read.verified_at),
+                        next: read.origin.next,
+                        verified_at: progress.verified_at.max(read.origin.verified_at),
                     };
                     let grace = expired_entry_grace(&gateway, &dependency);
                     let changes = decode_changes(&gateway, Table::Servers, read).changes;
@@ -92,8 +91,8 @@
 async fn load_snapshot(gateway: &Gateway, dependency: &mut Dependency) -> Progress {
     let snapshot = read_snapshot(gateway, dependency, Table::Servers, RETRY_PAUSE).await;
     let progress = Progress {
-        next_offset: snapshot.changes.next_offset,
-        verified_at: snapshot.started_at,
+        next: snapshot.changes.next,
+        verified_at: snapshot.origin.verified_at,
     };
     let grace = expired_entry_grace(gateway, dependency);
     apply_snapshot(gateway, snapshot.changes, grace);
--- a/crates/gateway/src/background_tasks/snapshot.rs
+++ b/crates/gateway/src/background_tasks/snapshot.rs
@@ -2,16 +2,17 @@
 
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
-use crate::ports::{Changes, Table};
+use crate::ports::{Changes, Table, Topic};
+use crate::read_origin::ReadOrigin;
 use std::time::Duration;
 use tokio::time::sleep;
 
 /// Newest record of each key of a table.
 pub(super) struct Snapshot {
     pub(super) changes: Changes,
-    /// Time at which the read started. The metadata store may have taken its answer at any time
-    /// from then on.
-    pub(super) started_at: Duration,
+    /// Where and when it was read. The start of the read counts, because the metadata store may have
+    /// taken its answer at any time from then on.
+    pub(super) origin: ReadOrigin,
 }
 
 /// Reads a table, and retries until the metadata store answers.
@@ -26,10 +27,9 @@
         match gateway.ports.metadata_store.snapshot(table).await {
             Ok(changes) => {
                 dependency.on_answer(gateway);
-                return Snapshot {
-                    changes,
-                    started_at,
-                };
+                let origin = ReadOrigin::new(None, changes.next, started_at);
+                gateway.on_log_listed(Topic::Table(table), changes.changes.len(), &origin);
+                return Snapshot { changes, origin };
             }
             Err(error) => {
                 dependency.on_failure(gateway, &error.to_string());
--- a/crates/gateway/src/background_tasks/weight_switches.rs
+++ b/crates/gateway/src/background_tasks/weight_switches.rs
@@ -12,6 +12,7 @@
     ANNOUNCED_EFFECT_MAX, CancelledSwitch, LeaseRecord, LeaseStep, LeaseView, ServerWeights,
 };
 use crate::log::Event;
+use crate::log_position::{LogPosition, StoreEpoch};
 use crate::ports::{AppendOutcome, StoreError, Topic};
 use crate::topic_reader::TopicReader;
 use crate::weights::{
@@ -50,6 +51,7 @@
     let mut switcher = WeightSwitcher {
         lease: LeaseView::new(gateway.settings.instance.clone(), incarnation, order_gap),
         incarnation,
+        epoch: StoreEpoch::default(),
         orders: OrderTracker::default(),
         retirement: PartRetirement::default(),
         loaded: Vec::new(),
@@ -87,6 +89,8 @@
     gateway: Rc<Gateway>,
     lease: LeaseView,
     incarnation: u64,
+    /// Epoch in which the log of leases was read.
+    epoch: StoreEpoch,
     orders: OrderTracker,
     retirement: PartRetirement,
     /// Weights that servers have loaded and that no lease record contains yet.
@@ -197,7 +201,10 @@
     /// Reads the lease log and returns whether the read succeeded. While the lease is free and this
     /// daemon may take it, the read does not wait for new records.
     async fn follow_lease(&mut self) -> bool {
-        let from_offset = self.lease.next_offset();
+        let from = LogPosition {
+            epoch: self.epoch,
+            offset: self.lease.next_offset(),
+        };
         let is_held = self.lease.acquisition(self.gateway.now()) == LeaseStep::Wait;
         let wait = match (
             is_held || !self.is_candidate(),
@@ -207,21 +214,23 @@
             (true, false) => FOLLOW_WAIT,
             (false, _) => Duration::ZERO,
         };
-        match self.reader.read(&self.gateway, from_offset, wait).await {
+        match self.reader.read(&self.gateway, from, wait).await {
             Ok(page) => {
                 let records = self.parse_records(&page.records);
                 let now = self.gateway.now();
                 self.lease_dependency.on_answer(&self.gateway);
-                self.lease.on_read(&records, page.next_offset, now);
+                self.epoch = page.origin.next.epoch;
+                self.lease.on_read(&records, page.origin.next.offset, now);
                 self.on_lease_records(&records);
-                self.on_log_verified(page.verified_at);
+                self.on_log_verified(page.origin.verified_at);
                 true
             }
-            Err(StoreError::Expired(first_offset)) => {
+            Err(StoreError::Expired(first)) => {
                 // Records that the metadata store no longer keeps are much older than any valid
                 // lease, unless the store has lost its history.
                 let now = self.gateway.now();
-                self.lease.on_read(&[], first_offset, now);
+                self.epoch = first.epoch;
+                self.lease.on_read(&[], first.offset, now);
                 self.complete_from = now + ANNOUNCED_EFFECT_MAX;
                 false
             }
@@ -317,12 +326,13 @@
             .append_lease(offset, payload.clone())
             .await
         {
-            Ok(AppendOutcome::Stored(offset)) => {
+            Ok(AppendOutcome::Stored(stored)) => {
                 self.on_log_verified(started_at);
                 let gateway = &self.gateway;
-                gateway.on_topic_read(Topic::Leases, offset, &[payload], started_at);
+                gateway.on_topic_read(Topic::Leases, stored, &[payload], started_at);
                 self.forget_updates();
-                self.lease.on_append_stored(record, offset, started_at);
+                self.lease
+                    .on_append_stored(record, stored.offset, started_at);
                 if !was_held {
                     self.log_lease_change("taken", fencing_token);
                 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use crate::freshness::ConfigurationFreshness;
 use crate::groups::{Role, StoreReads};
 use crate::log::{Event, EventLog, Importance};
+use crate::log_position::LogPosition;
 use crate::metrics::Metrics;
 use crate::overload::ServiceOverload;
 use crate::peers::PeerLoads;
@@ -19,6 +20,7 @@
 use crate::pool::Pool;
 use crate::ports::{CacheClient, Codec, MetadataStore, OrderClient, Topic};
 use crate::prefill_rate::PrefillRate;
+use crate::read_origin::ReadOrigin;
 use crate::server::{ServerKey, Servers};
 use crate::server_speed::ServiceSpeed;
 use crate::service_rollouts::ServiceRollouts;
@@ -73,6 +75,8 @@
     pub(crate) peer_loads: PeerLoads,
     /// Copies of the metadata store's topics that other daemons read from this one.
     pub(crate) topic_logs: IndexMap<Topic, TopicLog>,
+    /// Where each log of the metadata store was read last.
+    pub(crate) log_reads: IndexMap<Topic, ReadOrigin>,
     /// When the announced weight switches were last read.
     pub(crate) switches_read_at: Duration,
     /// Whether the list of backend servers was read at least once.
@@ -181,6 +185,7 @@
             store_reads: StoreReads::default(),
             peer_loads: PeerLoads::default(),
             topic_logs: IndexMap::new(),
+            log_reads: IndexMap::new(),
             switches_read_at: Duration::ZERO,
             has_servers: false,
             quarantine: Quarantine::new(rand::random()),
@@ -251,17 +256,33 @@
     pub(crate) fn on_topic_read(
         &self,
         topic: Topic,
-        from_offset: u64,
+        from: LogPosition,
         records: &[Bytes],
         started_at: Duration,
     ) {
         let state = &mut *self.state.borrow_mut();
         if state.store_reads.serves_copies() {
             let log = state.topic_logs.entry(topic).or_default();
-            log.on_read(from_offset, records, started_at);
+            log.on_read(from, records, started_at);
         }
     }
 
+    /// Records where a log was read last, for the metrics.
+    pub(crate) fn on_log_read(&self, topic: Topic, origin: &ReadOrigin) {
+        let log_reads = &mut self.state.borrow_mut().log_reads;
+        log_reads.insert(topic, origin.clone());
+    }
+
+    /// Logs that all records of a log were listed, and records where.
+    pub(crate) fn on_log_listed(&self, topic: Topic, records: usize, origin: &ReadOrigin) {
+        self.log_notable(&Event::LogListed {
+            log: topic.name(),
+            records,
+            origin: origin.fields(self.now()),
+        });
+        self.on_log_read(topic, origin);
+    }
+
     /// Returns the time since the start of the daemon.
     pub(crate) fn uptime(&self) -> Duration {
         self.now().saturating_sub(self.started_at)
--- a/crates/gateway/src/listeners/peer_reads.rs
+++ b/crates/gateway/src/listeners/peer_reads.rs
@@ -3,8 +3,9 @@
 
 use crate::cache_store_log::Cursor;
 use crate::gateway::Gateway;
+use crate::log_position::{LogPosition, StoreEpoch};
 use crate::page::encode;
-use crate::ports::{Table, Topic};
+use crate::ports::Topic;
 use bincode::Encode;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -52,36 +53,30 @@
     page_response(page.as_ref())
 }
 
-/// A read of another daemon's copy of a topic, from an offset on.
+/// A read of another daemon's copy of a topic, from a position on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct TopicRead {
     pub(crate) topic: Topic,
-    pub(crate) from_offset: u64,
+    pub(crate) from: LogPosition,
 }
 
-/// Names of topics in requests between daemons.
-const TOPIC_NAMES: [(&str, Topic); 5] = [
-    ("operators", Topic::Table(Table::Operators)),
-    ("servers", Topic::Table(Table::Servers)),
-    ("leases", Topic::Leases),
-    ("evidence", Topic::Evidence),
-    ("statuses", Topic::Statuses),
-];
-
 /// Returns the request target to read another daemon's copy of a topic.
 pub(crate) fn topic_log_target(read: TopicRead) -> String {
-    let mut names = TOPIC_NAMES.iter();
-    let name = names.find(|(_, topic)| *topic == read.topic);
-    let name = name.map_or("", |(name, _)| name);
-    format!("{TOPIC_LOG_PATH}?{name}.{}", read.from_offset)
+    let name = read.topic.name();
+    let LogPosition { epoch, offset } = read.from;
+    format!("{TOPIC_LOG_PATH}?{name}.{epoch}.{offset}")
 }
 
 fn parse_topic_read(query: &str) -> Option<TopicRead> {
-    let (name, from_offset) = query.split_once('.')?;
-    let (_, topic) = TOPIC_NAMES.iter().find(|(known, _)| *known == name)?;
+    let (name, position) = query.split_once('.')?;
+    let (epoch, offset) = position.split_once('.')?;
+    let topic = Topic::ALL.into_iter().find(|topic| topic.name() == name)?;
     Some(TopicRead {
-        topic: *topic,
-        from_offset: from_offset.parse().ok()?,
+        topic,
+        from: LogPosition {
+            epoch: StoreEpoch(epoch.parse().ok()?),
+            offset: offset.parse().ok()?,
+        },
     })
 }
 
@@ -90,7 +85,7 @@
     let state = gateway.state.borrow();
     let page = parse_topic_read(query).and_then(|read| {
         let log = state.topic_logs.get(&read.topic)?;
-        log.page(read.from_offset, now)
+        log.page(read.from, now)
     });
     page_response(page.as_ref())
 }
--- a/crates/gateway/src/listeners/status.rs
+++ b/crates/gateway/src/listeners/status.rs
@@ -1,7 +1,7 @@
 //! Serves readiness checks and metrics.
 
 use crate::gateway::Gateway;
-use crate::rollout_metrics;
+use crate::{log_metrics, rollout_metrics};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -17,8 +17,11 @@
     request: &Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     if request.uri().path() == METRICS_PATH {
-        let rollouts = rollout_metrics::render(&gateway.state.borrow().rollouts);
-        return Response::new(Full::new((gateway.metrics.render() + &rollouts).into()));
+        let state = gateway.state.borrow();
+        let rollouts = rollout_metrics::render(&state.rollouts);
+        let logs = log_metrics::render(&state, gateway.now());
+        let text = [gateway.metrics.render(), rollouts, logs].concat();
+        return Response::new(Full::new(text.into()));
     }
     let (ready, reason) = gateway.readiness();
     let mut response = Response::new(Full::new(Bytes::from_static(reason.as_bytes())));
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -7,7 +7,8 @@
 mod fields;
 
 pub use fields::{
-    AnswerFields, Choice, LoggedParts, PromptChoice, RequestLine, StreamPosition, ZoneChoiceFields,
+    AnswerFields, Choice, LoggedParts, OriginFields, PromptChoice, RequestLine, StreamPosition,
+    ZoneChoiceFields,
 };
 
 use crate::rollout::RolloutState;
@@ -91,6 +92,31 @@
         replaced: u64,
         /// Number of routes.
         routes: usize,
+        /// Where it was read.
+        #[serde(flatten)]
+        origin: OriginFields<'a>,
+    },
+    /// All records of a log of the metadata store were listed.
+    LogListed {
+        /// Name of the log.
+        log: &'a str,
+        /// Number of records.
+        records: usize,
+        /// Where they were read.
+        #[serde(flatten)]
+        origin: OriginFields<'a>,
+    },
+    /// A log was read in another epoch than before: the metadata store was restored from a copy.
+    EpochChanged {
+        /// Name of the log.
+        log: &'a str,
+        /// Epoch in which the log was read before.
+        known_epoch: u64,
+        /// Offset from which it was read on.
+        from_offset: u64,
+        /// Where it was read.
+        #[serde(flatten)]
+        origin: OriginFields<'a>,
     },
     /// A failure domain was taken out of service or returned.
     FailureDomain {
--- a/crates/gateway/src/log/fields.rs
+++ b/crates/gateway/src/log/fields.rs
@@ -149,3 +149,17 @@
     /// Share of the capacity that is taken in `from` and in `to`, in percent.
     pub pressure_percent: [u64; 2],
 }
+
+/// Where records of the metadata store were read.
+#[derive(Debug, Serialize)]
+pub struct OriginFields<'a> {
+    /// Epoch of the store.
+    pub epoch: u64,
+    /// Offset after the last record that was read.
+    pub offset: u64,
+    /// The daemon whose copy was read, or `store`.
+    pub source: &'a str,
+    /// Age of the read when it was logged. Absent if there were newer records.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub age_ms: Option<u64>,
+}
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -4,6 +4,7 @@
 use crate::caches::{CacheEvents, CachedPart};
 use crate::configuration::Configuration;
 use crate::groups::Member;
+use crate::log_position::{LogPosition, StoreEpoch};
 use crate::request::{AnswerMeta, ForwardMeta, RequestMeta, ServerNotice};
 use crate::request_limit::RequestRate;
 use crate::rollout::{OrderId, RolloutStatus};
@@ -58,6 +59,29 @@
     Statuses,
 }
 
+impl Topic {
+    /// All logs that daemons follow.
+    pub const ALL: [Self; 5] = [
+        Self::Table(Table::Operators),
+        Self::Table(Table::Servers),
+        Self::Leases,
+        Self::Evidence,
+        Self::Statuses,
+    ];
+
+    /// Returns the name in logs, metrics and requests between daemons.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Table(Table::Operators) => "operators",
+            Self::Table(Table::Servers) => "servers",
+            Self::Leases => "leases",
+            Self::Evidence => "evidence",
+            Self::Statuses => "statuses",
+        }
+    }
+}
+
 /// Order of operators to move the traffic of a service to servers of another software version.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RolloutRequest {
@@ -116,8 +140,8 @@
 pub struct Changes {
     /// Changes, oldest first.
     pub changes: Vec<Change>,
-    /// Offset after the last record, from which to read on.
-    pub next_offset: u64,
+    /// Position after the last record, from which to read on.
+    pub next: LogPosition,
 }
 
 /// A record of a keyed log that the daemons write themselves.
@@ -134,8 +158,8 @@
 pub struct KeyedListing {
     /// The newest record of each key that has one, with its offset.
     pub records: Vec<(KeyedBytes, u64)>,
-    /// Offset from which to read on.
-    pub next_offset: u64,
+    /// Position from which to read on.
+    pub next: LogPosition,
 }
 
 /// Newest statuses of all rollouts.
@@ -143,17 +167,17 @@
 pub struct StatusListing {
     /// Newest status of each service that has one, with its offset.
     pub statuses: Vec<(RolloutStatus, u64)>,
-    /// Offset from which to read on.
-    pub next_offset: u64,
+    /// Position from which to read on.
+    pub next: LogPosition,
 }
 
 /// Outcome of a conditional append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AppendOutcome {
-    /// The record was stored at this offset.
-    Stored(u64),
-    /// The record was not stored, because the log ends at this other offset.
-    Conflict(u64),
+    /// The record was stored at this position.
+    Stored(LogPosition),
+    /// The record was not stored, because the log ends at this other position.
+    Conflict(LogPosition),
 }
 
 /// Records of a topic after an offset.
@@ -161,8 +185,8 @@
 pub struct LogPage {
     /// Undecoded records, oldest first.
     pub records: Vec<Bytes>,
-    /// Offset after the last record, from which to read on.
-    pub next_offset: u64,
+    /// Position after the last record, from which to read on. Its epoch is that of the answer.
+    pub next: LogPosition,
     /// Whether the log ended after the last record. Otherwise there are newer ones.
     pub is_complete: bool,
 }
@@ -170,6 +194,8 @@
 /// This daemon's share of the fleet's budgets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FleetShare {
+    /// Epoch of the answer. Generations are comparable only within one epoch.
+    pub epoch: StoreEpoch,
     /// Generation of the membership, which changes when members join or leave.
     pub generation: u64,
     /// Fraction of the fleet's shared budgets that this daemon may use, 0 to 1.
@@ -180,10 +206,10 @@
     /// Why a call to the metadata store has no result.
     #[derive(Debug, Clone, PartialEq, Eq)]
     pub enum StoreError {
-        /// The records at the requested offset were deleted; the payload is the first offset that
+        /// The log has no records at the requested offset; the payload is the first position that
         /// is left.
-        Expired(first_offset: u64) {
-            display("records before offset {} were deleted", first_offset)
+        Expired(first: LogPosition) {
+            display("records before offset {} of epoch {} were deleted", first.offset, first.epoch)
         }
         /// The store rejected the call with this HTTP status. The call had no effect.
         Refused(status: u16) {
--- /dev/null
+++ b/crates/gateway/src/read_origin.rs
@@ -0,0 +1,50 @@
+//! Where and when the records of a log were read.
+
+use crate::log::OriginFields;
+use crate::log_position::LogPosition;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Source, position and time of a read of the metadata store or of a leader's copy.
+#[derive(Clone, Debug)]
+pub(crate) struct ReadOrigin {
+    /// Position after the last record, where the next read starts.
+    pub(crate) next: LogPosition,
+    /// Time at which the log was known to end after these records, or slightly before. Zero if
+    /// there are newer ones.
+    pub(crate) verified_at: Duration,
+    source: String,
+}
+
+impl ReadOrigin {
+    /// Creates the origin of records that were read from the metadata store, or from the copy of
+    /// `leader`.
+    pub(crate) fn new(
+        leader: Option<SocketAddr>,
+        next: LogPosition,
+        verified_at: Duration,
+    ) -> Self {
+        Self {
+            next,
+            verified_at,
+            source: leader.map_or_else(|| "store".to_owned(), |leader| leader.to_string()),
+        }
+    }
+
+    /// Returns the time since the log was known to end after these records, or `None` if there were
+    /// newer ones.
+    pub(crate) fn age(&self, now: Duration) -> Option<Duration> {
+        let is_complete = !self.verified_at.is_zero();
+        is_complete.then(|| now.saturating_sub(self.verified_at))
+    }
+
+    /// Returns the fields of log lines.
+    pub(crate) fn fields(&self, now: Duration) -> OriginFields<'_> {
+        OriginFields {
+            epoch: self.next.epoch.0,
+            offset: self.next.offset,
+            source: &self.source,
+            age_ms: self.age(now).map(|age| age.as_millis() as u64),
+        }
+    }
+}
--- a/crates/gateway/src/topic_log.rs
+++ b/crates/gateway/src/topic_log.rs
@@ -1,6 +1,7 @@
 //! Keeps the newest records of a metadata store topic for other daemons, which read them from this
 //! one instead of the metadata store.
 
+use crate::log_position::LogPosition;
 use bincode::{Decode, Encode};
 use bytes::Bytes;
 use std::collections::VecDeque;
@@ -14,8 +15,8 @@
 /// A page of consecutive records of a topic.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct TopicPage {
-    /// Offset after the last record of the page, where the next read starts.
-    pub next_offset: u64,
+    /// Position after the last record of the page, where the next read starts.
+    pub next: LogPosition,
     /// Age of the page in milliseconds: the time since the topic was last known to end with it.
     /// `None` if there are newer records than those of the page.
     pub age_ms: Option<u64>,
@@ -34,10 +35,11 @@
 }
 
 impl TopicLog {
-    /// Adds the records that a read from `from_offset` returned. If they do not continue the
+    /// Adds the records that a read from the position `from` returned. If they do not continue the
     /// records that are kept, they replace them. `started_at` is the start of the read: the
     /// metadata store may have taken its answer at any time from then on.
-    pub fn on_read(&mut self, from_offset: u64, records: &[Bytes], started_at: Duration) {
+    pub fn on_read(&mut self, from: LogPosition, records: &[Bytes], started_at: Duration) {
+        let from_offset = from.offset;
         if from_offset > self.end_offset() || from_offset < self.first_offset {
             self.records.clear();
             self.kept_bytes = 0;
@@ -58,13 +60,14 @@
         self.verified_at = self.verified_at.max(Some(started_at));
     }
 
-    /// Returns the records from `from_offset` on, or `None` if some of them are no longer kept or
+    /// Returns the records from the position `from` on, or `None` if some of them are no longer kept or
     /// the topic was not read yet.
     ///
     /// A reader that is ahead of this log gets an empty page, because its records are newer.
     #[must_use]
-    pub fn page(&self, from_offset: u64, now: Duration) -> Option<TopicPage> {
+    pub fn page(&self, from: LogPosition, now: Duration) -> Option<TopicPage> {
         let verified_at = self.verified_at?;
+        let from_offset = from.offset;
         if from_offset < self.first_offset {
             return None;
         }
@@ -78,11 +81,11 @@
             bytes += record.len();
             records.push(record.to_vec());
         }
-        let next_offset = from_offset + records.len() as u64;
-        let is_complete = next_offset >= self.end_offset();
+        let next = from.after(records.len());
+        let is_complete = next.offset >= self.end_offset();
         let age = now.saturating_sub(verified_at);
         Some(TopicPage {
-            next_offset,
+            next,
             age_ms: is_complete.then_some(age.as_millis() as u64 + 1),
             records,
         })
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -9,8 +9,11 @@
 use crate::gateway::Gateway;
 use crate::http_client::HttpClients;
 use crate::listeners::{TopicRead, topic_log_target};
+use crate::log::Event;
+use crate::log_position::LogPosition;
 use crate::page::fetch;
 use crate::ports::{Changes, StoreError, Table, Topic};
+use crate::read_origin::ReadOrigin;
 use crate::topic_log::TopicPage;
 use anvilgw_core::Clock;
 use bytes::Bytes;
@@ -41,11 +44,8 @@
 pub(crate) struct TopicRecords {
     /// Contents of the records, oldest first.
     pub(crate) records: Vec<Bytes>,
-    /// Offset after the last record, where the next read starts.
-    pub(crate) next_offset: u64,
-    /// Time at which the topic was known to end after these records, or slightly before. Zero if
-    /// there are newer ones.
-    pub(crate) verified_at: Duration,
+    /// Where and when they were read.
+    pub(crate) origin: ReadOrigin,
 }
 
 /// Reads one topic and chooses between the metadata store and the leader's copy.
@@ -72,13 +72,13 @@
         }
     }
 
-    /// Reads the records from `from_offset` on. The metadata store may hold the read back for up to
+    /// Reads the records from the position `from` on. The metadata store may hold the read back for up to
     /// `wait` until there are new records; before a read of a leader's copy, this daemon pauses for
     /// a fraction of `wait` instead.
     pub(crate) async fn read(
         &mut self,
         gateway: &Gateway,
-        from_offset: u64,
+        from: LogPosition,
         wait: Duration,
     ) -> Result<TopicRecords, StoreError> {
         let store_reads = gateway.state.borrow().store_reads;
@@ -91,7 +91,7 @@
                 LEADER_WAIT_FRACTION
             };
             sleep(gateway.jittered(wait.mul_f64(wait_fraction), JITTER)).await;
-            match self.read_leader_copy(gateway, leader, from_offset).await {
+            match self.read_leader_copy(gateway, leader, from).await {
                 Ok(read) => {
                     self.leader_dependency.on_answer(gateway);
                     return Ok(read);
@@ -106,7 +106,7 @@
                 }
             }
         }
-        let result = self.read_store(gateway, from_offset, wait).await;
+        let result = self.read_store(gateway, from, wait).await;
         match &result {
             Ok(_) | Err(StoreError::Expired(_)) => self.direct_reads.on_store_answer(),
             Err(_) => self.direct_reads.on_store_failure(gateway.now()),
@@ -117,7 +117,7 @@
     async fn read_store(
         &self,
         gateway: &Gateway,
-        from_offset: u64,
+        from: LogPosition,
         wait: Duration,
     ) -> Result<TopicRecords, StoreError> {
         let serves_copies = gateway.state.borrow().store_reads.serves_copies();
@@ -128,18 +128,18 @@
         };
         let started_at = gateway.now();
         let store = &gateway.ports.metadata_store;
-        let page = store.read(self.topic, from_offset, wait).await?;
+        let page = store.read(self.topic, from.offset, wait).await?;
         // A page that leaves records out does not show that the copy is current.
         let verified_at = if page.is_complete {
             started_at
         } else {
             Duration::ZERO
         };
-        gateway.on_topic_read(self.topic, from_offset, &page.records, verified_at);
+        let origin = ReadOrigin::new(None, page.next, verified_at);
+        self.on_read(gateway, from, &page.records, &origin);
         Ok(TopicRecords {
             records: page.records,
-            next_offset: page.next_offset,
-            verified_at,
+            origin,
         })
     }
 
@@ -147,12 +147,12 @@
         &self,
         gateway: &Gateway,
         leader: SocketAddr,
-        from_offset: u64,
+        from: LogPosition,
     ) -> Result<TopicRecords, String> {
         let started_at = gateway.now();
         let target = topic_log_target(TopicRead {
             topic: self.topic,
-            from_offset,
+            from,
         });
         let page: TopicPage = fetch(&self.clients, leader, &target, LEADER_TIMEOUT).await?;
         let age = page.age_ms.map(Duration::from_millis);
@@ -164,25 +164,42 @@
         if age.is_some_and(|age| age > age_max) {
             return Err("the leader's copy is too old".to_owned());
         }
-        let read = TopicRecords {
-            records: page.records.into_iter().map(Bytes::from).collect(),
-            next_offset: page.next_offset,
-            verified_at: verified_at.unwrap_or_default(),
-        };
-        gateway.on_topic_read(self.topic, from_offset, &read.records, read.verified_at);
-        Ok(read)
+        let records: Vec<Bytes> = page.records.into_iter().map(Bytes::from).collect();
+        let origin = ReadOrigin::new(Some(leader), page.next, verified_at.unwrap_or_default());
+        self.on_read(gateway, from, &records, &origin);
+        Ok(TopicRecords { records, origin })
+    }
+
+    /// Adds records to the copy for other daemons, and records where they were read.
+    fn on_read(
+        &self,
+        gateway: &Gateway,
+        from: LogPosition,
+        records: &[Bytes],
+        origin: &ReadOrigin,
+    ) {
+        if origin.next.epoch != from.epoch {
+            gateway.log_notable(&Event::EpochChanged {
+                log: self.topic.name(),
+                known_epoch: from.epoch.0,
+                from_offset: from.offset,
+                origin: origin.fields(gateway.now()),
+            });
+        }
+        gateway.on_topic_read(self.topic, from, records, origin.verified_at);
+        gateway.on_log_read(self.topic, origin);
     }
 }
 
 /// Decodes the records of a table. Records that do not concern the gateway are left out.
 pub(crate) fn decode_changes(gateway: &Gateway, table: Table, read: TopicRecords) -> Changes {
-    let first_offset = read.next_offset - read.records.len() as u64;
+    let first_offset = read.origin.next.offset - read.records.len() as u64;
     let records = (first_offset..).zip(read.records);
     let store = &gateway.ports.metadata_store;
     Changes {
         changes: records
             .filter_map(|(offset, record)| store.decode(table, offset, record))
             .collect(),
-        next_offset: read.next_offset,
+        next: read.origin.next,
     }
 }
--- a/crates/gateway/tests/leader_copies.rs
+++ b/crates/gateway/tests/leader_copies.rs
@@ -4,6 +4,7 @@
 use anvilgw_gateway::cache_store_log::{CacheStoreChange, CacheStorePage, CacheUpdate, Cursor};
 use anvilgw_gateway::caches::{CacheDirectory, CacheEvents, CacheStoreSpec, CachedPart};
 use anvilgw_gateway::direct_reads::DirectReads;
+use anvilgw_gateway::log_position::{LogPosition, StoreEpoch};
 use anvilgw_gateway::page::{decode, encode};
 use anvilgw_gateway::topic_log::{TopicLog, TopicPage};
 use bytes::Bytes;
@@ -14,6 +15,13 @@
     Duration::from_millis(ms)
 }
 
+fn position(offset: u64) -> LogPosition {
+    LogPosition {
+        epoch: StoreEpoch(1),
+        offset,
+    }
+}
+
 fn records(range: std::ops::Range<u64>) -> Vec<Bytes> {
     range.map(|index| Bytes::from(index.to_string())).collect()
 }
@@ -30,9 +38,12 @@
 #[test]
 fn topic_copy_returns_all_records_and_its_age() {
     let mut log = TopicLog::default();
-    assert!(log.page(0, at(0)).is_none(), "nothing was read yet");
-    log.on_read(10, &records(10..14), at(1_000));
-    log.on_read(14, &[], at(1_400));
+    assert!(
+        log.page(position(0), at(0)).is_none(),
+        "nothing was read yet"
+    );
+    log.on_read(position(10), &records(10..14), at(1_000));
+    log.on_read(position(14), &[], at(1_400));
     struct Case {
         name: &'static str,
         from: u64,
@@ -72,7 +83,7 @@
         },
     ];
     for case in cases {
-        let page = log.page(case.from, at(1_900));
+        let page = log.page(position(case.from), at(1_900));
         assert_eq!(page.is_some(), case.expected.is_some(), "{}", case.name);
         let Some(page) = page else { continue };
         let decoded = decode::<TopicPage>(&encode(&page).expect("encodes")).expect("decodes");
@@ -83,7 +94,7 @@
             "{}",
             case.name
         );
-        assert_eq!(page.next_offset, case.next, "{}", case.name);
+        assert_eq!(page.next, position(case.next), "{}", case.name);
         let age_ms = page.age_ms.expect("complete");
         assert!((500..=501).contains(&age_ms), "{}: {age_ms}", case.name);
     }
@@ -94,17 +105,23 @@
 #[test]
 fn topic_copy_has_no_gaps_or_duplicates() {
     let mut log = TopicLog::default();
-    log.on_read(0, &records(0..4), at(1));
-    log.on_read(2, &records(2..6), at(2));
-    let page = log.page(0, at(2)).expect("kept");
+    log.on_read(position(0), &records(0..4), at(1));
+    log.on_read(position(2), &records(2..6), at(2));
+    let page = log.page(position(0), at(2)).expect("kept");
     assert_eq!(
         record_texts(&page),
         ["0", "1", "2", "3", "4", "5"],
         "reads that overlap"
     );
-    log.on_read(9, &records(9..10), at(3));
-    assert!(log.page(5, at(3)).is_none(), "records 6 to 8 are not known");
-    assert_eq!(record_texts(&log.page(9, at(3)).expect("kept")), ["9"]);
+    log.on_read(position(9), &records(9..10), at(3));
+    assert!(
+        log.page(position(5), at(3)).is_none(),
+        "records 6 to 8 are not known"
+    );
+    assert_eq!(
+        record_texts(&log.page(position(9), at(3)).expect("kept")),
+        ["9"]
+    );
 }
 
 /// Guards against copies that grow without bound, and against partial pages that claim to be
@@ -115,10 +132,15 @@
     let large = Bytes::from(vec![b'x'; 16 * 1024]);
     let mut log = TopicLog::default();
     for offset in 0..RECORDS {
-        log.on_read(offset, std::slice::from_ref(&large), at(offset));
+        log.on_read(position(offset), std::slice::from_ref(&large), at(offset));
     }
-    assert!(log.page(0, at(RECORDS)).is_none(), "the oldest are gone");
-    let page = log.page(RECORDS - 100, at(RECORDS)).expect("kept");
+    assert!(
+        log.page(position(0), at(RECORDS)).is_none(),
+        "the oldest are gone"
+    );
+    let page = log
+        .page(position(RECORDS - 100), at(RECORDS))
+        .expect("kept");
     assert!(page.records.len() < 100, "a page is bounded");
     assert_eq!(page.age_ms, None, "there is more");
 }
