--- a/crates/gateway/tests/leader_copies.rs
+++ b/crates/gateway/tests/leader_copies.rs
@@ -88,12 +88,8 @@
         let Some(page) = page else { continue };
         let decoded = decode::<TopicPage>(&encode(&page).expect("encodes")).expect("decodes");
         assert_eq!(decoded, page, "{}", case.name);
-        assert_eq!(
-            record_texts(&page),
-            case.expected.unwrap_or_default(),
-            "{}",
-            case.name
-        );
+        let expected = case.expected.unwrap_or_default();
+        assert_eq!(record_texts(&page), expected, "{}", case.name);
         assert_eq!(page.next, position(case.next), "{}", case.name);
         let age_ms = page.age_ms.expect("complete");
         assert!((500..=501).contains(&age_ms), "{}: {age_ms}", case.name);
