gateway: list a log again after the store was restored from a copy

Callers were refused routes that had been added, or reached the old service of a moved one, until the daemon ended; servers that were leaving and failure domains out of service stayed in use.

Cause: a position in a log was an offset alone. A store that comes back from an older copy assigns offsets again, so a daemon that reads on at its offset never sees the records below it; the read is valid and proves the old copy current. A daemon that reads a leader's copy kept the old records even where the leader got 410 and started anew, because a reader ahead of the copy got an empty page with an age.

A position now counts in its epoch only. A leader that lags behind proves nothing, and the store itself is read instead.

--- a/crates/gateway/src/background_tasks/evidence.rs
+++ b/crates/gateway/src/background_tasks/evidence.rs
@@ -96,7 +96,7 @@
                     apply(&gateway, &read.records, from.offset);
                 }
             }
-            Err(StoreError::Expired(_)) => return false,
+            Err(StoreError::Expired(_) | StoreError::Restored(_)) => return false,
             Err(error) => {
                 self.dependency.on_failure(&gateway, &error.to_string());
                 sleep(RETRY_PAUSE).await;
--- a/crates/gateway/src/background_tasks/operators.rs
+++ b/crates/gateway/src/background_tasks/operators.rs
@@ -4,11 +4,10 @@
 use super::rollouts::{
     on_rollout_malformed, on_rollout_ordered, on_rollout_withdrawn, on_servers_changed,
 };
-use super::snapshot::{Snapshot, read_snapshot};
+use super::snapshot::{MissingKeys, Snapshot, SnapshotReader};
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::log::Event;
-use crate::log_position::LogPosition;
 use crate::ports::{Change, Changes, StoreError, Table, Topic};
 use crate::read_origin::ReadOrigin;
 use crate::topic_reader::{TopicReader, decode_changes};
@@ -24,6 +23,9 @@
 /// the copy is never older than two reads. Shorter reads leave more of the age limit when the store
 /// becomes unavailable.
 const FOLLOW_WAIT_FRACTION: f64 = 0.16;
+/// Time after a restore of the metadata store during which orders stay in force that the store does
+/// not contain. Operators write again what the store has lost.
+const RESTORED_ORDER_GRACE: Duration = Duration::from_secs(5);
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -38,10 +40,21 @@
         .mul_f64(FOLLOW_WAIT_FRACTION);
     let clock = Arc::clone(&gateway.ports.clock);
     let mut reader = TopicReader::new(Topic::Table(Table::Operators), clock);
+    let mut snapshots = SnapshotReader::new(Table::Operators, RETRY_PAUSE);
     loop {
-        let mut position = load_snapshot(&gateway, &mut dependency).await;
+        let snapshot = snapshots.read(&gateway, &mut dependency).await;
+        let mut position = snapshot.origin.next;
+        // After the grace, the table is listed again, and keys that are still missing are removed.
+        let relisting_due_at = match snapshot.missing_keys {
+            MissingKeys::Removed => None,
+            MissingKeys::MayBeLost => Some(gateway.now() + RESTORED_ORDER_GRACE),
+        };
+        apply_snapshot(&gateway, snapshot);
         let mut wait = Duration::ZERO;
         loop {
+            if relisting_due_at.is_some_and(|due_at| due_at <= gateway.now()) {
+                break;
+            }
             match reader.read(&gateway, position, wait).await {
                 Ok(read) => {
                     dependency.on_answer(&gateway);
@@ -51,7 +64,7 @@
                     apply(&gateway, changes, &origin);
                     wait = follow_wait;
                 }
-                Err(StoreError::Expired(_)) => break,
+                Err(StoreError::Expired(_) | StoreError::Restored(_)) => break,
                 Err(error) => {
                     dependency.on_failure(&gateway, &error.to_string());
                     // Request an immediate answer, which proves that the copy is current.
@@ -63,18 +76,13 @@
     }
 }
 
-async fn load_snapshot(gateway: &Gateway, dependency: &mut Dependency) -> LogPosition {
-    let snapshot = read_snapshot(gateway, dependency, Table::Operators, RETRY_PAUSE).await;
-    let next = snapshot.changes.next;
-    apply_snapshot(gateway, snapshot);
-    next
-}
-
 fn apply_snapshot(gateway: &Gateway, snapshot: Snapshot) {
-    // A snapshot contains no records of domains that were put back into service, so all domains
-    // count as in service until its records say otherwise.
-    gateway.state.borrow_mut().servers.enable_all_domains();
-    withdraw_unlisted(gateway, &snapshot.changes);
+    if snapshot.missing_keys == MissingKeys::Removed {
+        // A snapshot contains no records of domains that were put back into service, so all domains
+        // count as in service until its records say otherwise.
+        gateway.state.borrow_mut().servers.enable_all_domains();
+        withdraw_unlisted(gateway, &snapshot.changes);
+    }
     apply(gateway, snapshot.changes, &snapshot.origin);
 }
 
--- a/crates/gateway/src/background_tasks/rollouts.rs
+++ b/crates/gateway/src/background_tasks/rollouts.rs
@@ -147,7 +147,7 @@
                     apply_read(&gateway, position.offset, read);
                     position = next;
                 }
-                Err(StoreError::Expired(_)) => {
+                Err(StoreError::Expired(_) | StoreError::Restored(_)) => {
                     gateway.state.borrow_mut().rollouts.forget_offsets();
                     break;
                 }
--- a/crates/gateway/src/background_tasks/servers.rs
+++ b/crates/gateway/src/background_tasks/servers.rs
@@ -1,7 +1,7 @@
 //! Follows the table in which backend servers publish their entries.
 
 use super::rollouts::on_servers_changed;
-use super::snapshot::read_snapshot;
+use super::snapshot::{MissingKeys, SnapshotReader};
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::groups::StoreReads;
@@ -45,8 +45,19 @@
     let mut dependency = Dependency::new("metadata store, servers");
     let clock = Arc::clone(&gateway.ports.clock);
     let mut reader = TopicReader::new(Topic::Table(Table::Servers), clock);
+    let mut snapshots = SnapshotReader::new(Table::Servers, RETRY_PAUSE);
     loop {
-        let mut progress = load_snapshot(&gateway, &mut dependency).await;
+        let snapshot = snapshots.read(&gateway, &mut dependency).await;
+        let mut progress = Progress {
+            next: snapshot.origin.next,
+            verified_at: snapshot.origin.verified_at,
+        };
+        if snapshot.missing_keys == MissingKeys::MayBeLost {
+            // Entries that the store has lost are written again, like those that expired.
+            dependency.on_answer_after_silence(&gateway, gateway.now());
+        }
+        let grace = expired_entry_grace(&gateway, &dependency);
+        apply_snapshot(&gateway, snapshot.changes, grace);
         loop {
             sleep(gateway.jittered(poll_pause(&gateway), JITTER)).await;
             let result = reader.read(&gateway, progress.next, Duration::ZERO).await;
@@ -61,7 +72,7 @@
                     let changes = decode_changes(&gateway, Table::Servers, read).changes;
                     apply(&gateway, changes, grace);
                 }
-                Err(StoreError::Expired(_)) => break,
+                Err(StoreError::Expired(_) | StoreError::Restored(_)) => break,
                 Err(error) => dependency.on_failure(&gateway, &error.to_string()),
             }
         }
@@ -88,17 +99,6 @@
     }
 }
 
-async fn load_snapshot(gateway: &Gateway, dependency: &mut Dependency) -> Progress {
-    let snapshot = read_snapshot(gateway, dependency, Table::Servers, RETRY_PAUSE).await;
-    let progress = Progress {
-        next: snapshot.changes.next,
-        verified_at: snapshot.origin.verified_at,
-    };
-    let grace = expired_entry_grace(gateway, dependency);
-    apply_snapshot(gateway, snapshot.changes, grace);
-    progress
-}
-
 /// Returns the time for which servers without an entry are still used.
 fn expired_entry_grace(gateway: &Gateway, dependency: &Dependency) -> Duration {
     dependency.regained_at().map_or(Duration::ZERO, |at| {
--- a/crates/gateway/src/background_tasks/snapshot.rs
+++ b/crates/gateway/src/background_tasks/snapshot.rs
@@ -2,39 +2,82 @@
 
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
+use crate::log_position::StoreEpoch;
 use crate::ports::{Changes, Table, Topic};
 use crate::read_origin::ReadOrigin;
 use std::time::Duration;
 use tokio::time::sleep;
 
+/// What a snapshot tells about keys that it does not contain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum MissingKeys {
+    /// They have no value.
+    Removed,
+    /// The store was restored from an older copy since the table was read last. They may have had a
+    /// value that is about to be written again.
+    MayBeLost,
+}
+
 /// Newest record of each key of a table.
 pub(super) struct Snapshot {
     pub(super) changes: Changes,
     /// Where and when it was read. The start of the read counts, because the metadata store may have
     /// taken its answer at any time from then on.
     pub(super) origin: ReadOrigin,
+    pub(super) missing_keys: MissingKeys,
 }
 
-/// Reads a table, and retries until the metadata store answers.
-pub(super) async fn read_snapshot(
-    gateway: &Gateway,
-    dependency: &mut Dependency,
+/// Reads snapshots of one table, and notices if the store was restored between two of them.
+pub(super) struct SnapshotReader {
     table: Table,
     retry_pause: Duration,
-) -> Snapshot {
-    loop {
-        let started_at = gateway.now();
-        match gateway.ports.metadata_store.snapshot(table).await {
-            Ok(changes) => {
-                dependency.on_answer(gateway);
-                let origin = ReadOrigin::new(None, changes.next, started_at);
-                gateway.on_log_listed(Topic::Table(table), changes.changes.len(), &origin);
-                return Snapshot { changes, origin };
-            }
-            Err(error) => {
-                dependency.on_failure(gateway, &error.to_string());
-                sleep(retry_pause).await;
+    /// Epoch of the last snapshot.
+    known_epoch: Option<StoreEpoch>,
+}
+
+impl SnapshotReader {
+    pub(super) fn new(table: Table, retry_pause: Duration) -> Self {
+        Self {
+            table,
+            retry_pause,
+            known_epoch: None,
+        }
+    }
+
+    /// Reads the table, and retries until the metadata store answers.
+    pub(super) async fn read(
+        &mut self,
+        gateway: &Gateway,
+        dependency: &mut Dependency,
+    ) -> Snapshot {
+        loop {
+            let started_at = gateway.now();
+            match gateway.ports.metadata_store.snapshot(self.table).await {
+                Ok(changes) => {
+                    dependency.on_answer(gateway);
+                    return self.on_read(gateway, changes, started_at);
+                }
+                Err(error) => {
+                    dependency.on_failure(gateway, &error.to_string());
+                    sleep(self.retry_pause).await;
+                }
             }
         }
     }
+
+    fn on_read(&mut self, gateway: &Gateway, changes: Changes, started_at: Duration) -> Snapshot {
+        let epoch = changes.next.epoch;
+        let known_epoch = self.known_epoch.replace(epoch);
+        let origin = ReadOrigin::new(None, changes.next, started_at);
+        gateway.on_log_listed(Topic::Table(self.table), changes.changes.len(), &origin);
+        Snapshot {
+            changes,
+            origin,
+            missing_keys: if known_epoch.is_some_and(|known| known != epoch) {
+                MissingKeys::MayBeLost
+            } else {
+                MissingKeys::Removed
+            },
+        }
+    }
 }
--- a/crates/gateway/src/background_tasks/weight_switches.rs
+++ b/crates/gateway/src/background_tasks/weight_switches.rs
@@ -234,6 +234,13 @@
                 self.complete_from = now + ANNOUNCED_EFFECT_MAX;
                 false
             }
+            Err(StoreError::Restored(epoch)) => {
+                let now = self.gateway.now();
+                self.epoch = epoch;
+                self.lease.on_read(&[], 0, now);
+                self.complete_from = now + ANNOUNCED_EFFECT_MAX;
+                false
+            }
             Err(error) => {
                 self.lease_dependency
                     .on_failure(&self.gateway, &error.to_string());
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -110,13 +110,14 @@
     EpochChanged {
         /// Name of the log.
         log: &'a str,
+        /// Epoch of the answer.
+        epoch: u64,
         /// Epoch in which the log was read before.
         known_epoch: u64,
-        /// Offset from which it was read on.
+        /// Offset from which it was to be read on.
         from_offset: u64,
-        /// Where it was read.
-        #[serde(flatten)]
-        origin: OriginFields<'a>,
+        /// The daemon whose copy was read, or `store`.
+        source: &'a str,
     },
     /// A failure domain was taken out of service or returned.
     FailureDomain {
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -211,6 +211,11 @@
         Expired(first: LogPosition) {
             display("records before offset {} of epoch {} were deleted", first.offset, first.epoch)
         }
+        /// The store was restored from an older copy since the position was read, and has this epoch
+        /// now. The log has to be listed again.
+        Restored(epoch: StoreEpoch) {
+            display("the store was restored from a copy, epoch {}", epoch)
+        }
         /// The store rejected the call with this HTTP status. The call had no effect.
         Refused(status: u16) {
             display("the store answered status {}", status)
--- a/crates/gateway/src/topic_log.rs
+++ b/crates/gateway/src/topic_log.rs
@@ -1,7 +1,7 @@
 //! Keeps the newest records of a metadata store topic for other daemons, which read them from this
 //! one instead of the metadata store.
 
-use crate::log_position::LogPosition;
+use crate::log_position::{LogPosition, StoreEpoch};
 use bincode::{Decode, Encode};
 use bytes::Bytes;
 use std::collections::VecDeque;
@@ -28,6 +28,8 @@
 #[derive(Debug, Default)]
 pub struct TopicLog {
     records: VecDeque<Bytes>,
+    /// Epoch of the store in which the records were read.
+    epoch: StoreEpoch,
     /// Offset of the oldest record that is kept.
     first_offset: u64,
     kept_bytes: usize,
@@ -39,6 +41,13 @@
     /// records that are kept, they replace them. `started_at` is the start of the read: the
     /// metadata store may have taken its answer at any time from then on.
     pub fn on_read(&mut self, from: LogPosition, records: &[Bytes], started_at: Duration) {
+        if from.epoch != self.epoch {
+            *self = Self {
+                epoch: from.epoch,
+                first_offset: from.offset,
+                ..Self::default()
+            };
+        }
         let from_offset = from.offset;
         if from_offset > self.end_offset() || from_offset < self.first_offset {
             self.records.clear();
@@ -63,10 +72,18 @@
     /// Returns the records from the position `from` on, or `None` if some of them are no longer kept or
     /// the topic was not read yet.
     ///
-    /// A reader that is ahead of this log gets an empty page, because its records are newer.
+    /// A reader that is ahead of this log gets an empty page, because its records are newer. So does
+    /// a reader of another epoch; the page tells it the epoch of this log.
     #[must_use]
     pub fn page(&self, from: LogPosition, now: Duration) -> Option<TopicPage> {
         let verified_at = self.verified_at?;
+        if from.epoch != self.epoch {
+            return Some(TopicPage {
+                next: self.end(),
+                age_ms: None,
+                records: Vec::new(),
+            });
+        }
         let from_offset = from.offset;
         if from_offset < self.first_offset {
             return None;
@@ -91,6 +108,13 @@
         })
     }
 
+    fn end(&self) -> LogPosition {
+        LogPosition {
+            epoch: self.epoch,
+            offset: self.end_offset(),
+        }
+    }
+
     fn end_offset(&self) -> u64 {
         self.first_offset + self.records.len() as u64
     }
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -10,13 +10,14 @@
 use crate::http_client::HttpClients;
 use crate::listeners::{TopicRead, topic_log_target};
 use crate::log::Event;
-use crate::log_position::LogPosition;
+use crate::log_position::{LogPosition, StoreEpoch};
 use crate::page::fetch;
 use crate::ports::{Changes, StoreError, Table, Topic};
 use crate::read_origin::ReadOrigin;
 use crate::topic_log::TopicPage;
 use anvilgw_core::Clock;
 use bytes::Bytes;
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,6 +38,10 @@
 /// Fraction of the requested wait for which a leader pauses before it reads another leader's copy.
 /// It is smaller because its group's copies are delayed by both reads.
 const RELAY_WAIT_FRACTION: f64 = 0.25;
+/// Mean delay of a listing that follows when the leader's copy is of a newer epoch.
+const LISTING_DELAY: Duration = Duration::from_millis(150);
+/// Maximum random deviation of that delay, as a fraction of it.
+const LISTING_DELAY_JITTER: f64 = 1.0;
 /// Maximum random deviation of a pause, as a fraction of it.
 const JITTER: f64 = 0.15;
 
@@ -96,7 +101,14 @@
                     self.leader_dependency.on_answer(gateway);
                     return Ok(read);
                 }
-                Err(reason) => {
+                Err(LeaderReadError::Restored(epoch)) => {
+                    self.log_epoch(gateway, from, epoch, &leader.to_string());
+                    // The daemons that read this copy do not all list the log at the same time.
+                    let delay = gateway.jittered(LISTING_DELAY, LISTING_DELAY_JITTER);
+                    sleep(delay).await;
+                    return Err(StoreError::Restored(epoch));
+                }
+                Err(LeaderReadError::Unusable(reason)) => {
                     gateway.metrics.count("leader_reads_failed");
                     self.leader_dependency
                         .on_failure(gateway, &format!("{leader}: {reason}"));
@@ -108,7 +120,9 @@
         }
         let result = self.read_store(gateway, from, wait).await;
         match &result {
-            Ok(_) | Err(StoreError::Expired(_)) => self.direct_reads.on_store_answer(),
+            Ok(_) | Err(StoreError::Expired(_) | StoreError::Restored(_)) => {
+                self.direct_reads.on_store_answer();
+            }
             Err(_) => self.direct_reads.on_store_failure(gateway.now()),
         }
         result
@@ -128,7 +142,17 @@
         };
         let started_at = gateway.now();
         let store = &gateway.ports.metadata_store;
-        let page = store.read(self.topic, from.offset, wait).await?;
+        let result = store.read(self.topic, from.offset, wait).await;
+        let epoch = match &result {
+            Ok(page) => page.next.epoch,
+            Err(StoreError::Expired(first)) => first.epoch,
+            Err(_) => from.epoch,
+        };
+        if epoch != from.epoch {
+            self.log_epoch(gateway, from, epoch, "store");
+            return Err(StoreError::Restored(epoch));
+        }
+        let page = result?;
         // A page that leaves records out does not show that the copy is current.
         let verified_at = if page.is_complete {
             started_at
@@ -148,13 +172,15 @@
         gateway: &Gateway,
         leader: SocketAddr,
         from: LogPosition,
-    ) -> Result<TopicRecords, String> {
+    ) -> Result<TopicRecords, LeaderReadError> {
         let started_at = gateway.now();
         let target = topic_log_target(TopicRead {
             topic: self.topic,
             from,
         });
-        let page: TopicPage = fetch(&self.clients, leader, &target, LEADER_TIMEOUT).await?;
+        let fetched = fetch(&self.clients, leader, &target, LEADER_TIMEOUT).await;
+        let page: TopicPage = fetched.map_err(LeaderReadError::Unusable)?;
+        check_epoch(from, page.next)?;
         let age = page.age_ms.map(Duration::from_millis);
         let verified_at = age.map(|age| started_at.saturating_sub(age));
         let age_max = match self.topic {
@@ -162,7 +188,8 @@
             Topic::Table(_) | Topic::Leases | Topic::Statuses => LEADER_COPY_AGE_MAX,
         };
         if age.is_some_and(|age| age > age_max) {
-            return Err("the leader's copy is too old".to_owned());
+            let reason = "the leader's copy is too old".to_owned();
+            return Err(LeaderReadError::Unusable(reason));
         }
         let records: Vec<Bytes> = page.records.into_iter().map(Bytes::from).collect();
         let origin = ReadOrigin::new(Some(leader), page.next, verified_at.unwrap_or_default());
@@ -170,6 +197,17 @@
         Ok(TopicRecords { records, origin })
     }
 
+    fn log_epoch(&self, gateway: &Gateway, from: LogPosition, epoch: StoreEpoch, source: &str) {
+        gateway.metrics.count("log_epoch_changes");
+        gateway.log_notable(&Event::EpochChanged {
+            log: self.topic.name(),
+            epoch: epoch.0,
+            known_epoch: from.epoch.0,
+            from_offset: from.offset,
+            source,
+        });
+    }
+
     /// Adds records to the copy for other daemons, and records where they were read.
     fn on_read(
         &self,
@@ -178,19 +216,32 @@
         records: &[Bytes],
         origin: &ReadOrigin,
     ) {
-        if origin.next.epoch != from.epoch {
-            gateway.log_notable(&Event::EpochChanged {
-                log: self.topic.name(),
-                known_epoch: from.epoch.0,
-                from_offset: from.offset,
-                origin: origin.fields(gateway.now()),
-            });
-        }
         gateway.on_topic_read(self.topic, from, records, origin.verified_at);
         gateway.on_log_read(self.topic, origin);
     }
 }
 
+/// Why a read of a leader's copy has no records.
+enum LeaderReadError {
+    /// The leader reads a store that was restored since the position was read, in this epoch.
+    Restored(StoreEpoch),
+    /// The copy is missing or too old, or the leader did not answer.
+    Unusable(String),
+}
+
+/// Checks that a page continues the records before the position `from`. A leader that has not
+/// learned of a restore yet shows nothing about the newer epoch.
+fn check_epoch(from: LogPosition, next: LogPosition) -> Result<(), LeaderReadError> {
+    match next.epoch.cmp(&from.epoch) {
+        Ordering::Equal => Ok(()),
+        Ordering::Greater => Err(LeaderReadError::Restored(next.epoch)),
+        Ordering::Less => {
+            let reason = format!("the leader's copy is of epoch {}", next.epoch);
+            Err(LeaderReadError::Unusable(reason))
+        }
+    }
+}
+
 /// Decodes the records of a table. Records that do not concern the gateway are left out.
 pub(crate) fn decode_changes(gateway: &Gateway, table: Table, read: TopicRecords) -> Changes {
     let first_offset = read.origin.next.offset - read.records.len() as u64;
--- a/crates/gateway/tests/leader_copies.rs
+++ b/crates/gateway/tests/leader_copies.rs
@@ -120,6 +120,57 @@
     );
 }
 
+/// Guards against a daemon that takes its copy for current, or reads on at an offset that was
+/// assigned again, because the leader that it reads from knows another epoch of the store.
+#[test]
+fn a_page_states_the_epoch_of_the_copy() {
+    struct Case {
+        name: &'static str,
+        reader: LogPosition,
+        is_complete: bool,
+        expected: &'static [&'static str],
+    }
+    let in_epoch = |epoch, offset| LogPosition {
+        epoch: StoreEpoch(epoch),
+        offset,
+    };
+    let cases = [
+        Case {
+            name: "a reader of an older epoch at an offset that was assigned again",
+            reader: in_epoch(1, 12),
+            is_complete: false,
+            expected: &[],
+        },
+        Case {
+            name: "a reader of an older epoch beyond the end",
+            reader: in_epoch(1, 20),
+            is_complete: false,
+            expected: &[],
+        },
+        Case {
+            name: "a reader of a newer epoch",
+            reader: in_epoch(3, 12),
+            is_complete: false,
+            expected: &[],
+        },
+        Case {
+            name: "a reader of the same epoch",
+            reader: in_epoch(2, 11),
+            is_complete: true,
+            expected: &["11"],
+        },
+    ];
+    let mut log = TopicLog::default();
+    log.on_read(in_epoch(1, 10), &records(20..24), at(1_000));
+    log.on_read(in_epoch(2, 10), &records(10..12), at(1_200));
+    for case in cases {
+        let page = log.page(case.reader, at(1_300)).expect("page");
+        assert_eq!(page.next.epoch, StoreEpoch(2), "{}", case.name);
+        assert_eq!(page.age_ms.is_some(), case.is_complete, "{}", case.name);
+        assert_eq!(record_texts(&page), case.expected, "{}", case.name);
+    }
+}
+
 /// Guards against copies that grow without bound, and against partial pages that claim to be
 /// complete.
 #[test]
