gateway: read the members again after the store was restored from a copy

A daemon compares the generation of its list of members with the one that the store states with each join. A restored store assigns generations again, so the list, and with it the daemon's leader and its share of the budgets, could stay that of before the restore. The epoch now counts as part of the generation.

--- a/crates/gateway/src/background_tasks/membership.rs
+++ b/crates/gateway/src/background_tasks/membership.rs
@@ -26,7 +26,7 @@
 pub(crate) async fn run(gateway: Rc<Gateway>) {
     let mut dependency = Dependency::new("metadata store, fleet");
     let mut generation = 0;
-    let mut members_generation = 0;
+    let mut members_version = None;
     let mut is_listed = false;
     let mut members_read_due_at = Duration::ZERO;
     while !gateway.is_draining.get() {
@@ -34,13 +34,15 @@
             Ok(joined) => {
                 dependency.on_answer(&gateway);
                 let now = gateway.now();
-                let is_outdated = joined.generation != members_generation || !is_listed;
+                // A restored store assigns generations again.
+                let version = Some((joined.epoch, joined.generation));
+                let is_outdated = version != members_version || !is_listed;
                 if is_outdated && now >= members_read_due_at {
                     is_listed = read_members(&gateway).await;
-                    members_generation = joined.generation;
+                    members_version = version;
                     members_read_due_at = now + pause_for_uptime(&gateway, MEMBERS_PAUSE);
                 }
-                let is_current = is_listed && joined.generation == members_generation;
+                let is_current = is_listed && version == members_version;
                 confirm_members(&gateway, is_current);
                 if joined.generation != generation {
                     gateway.log_notable(&Event::FleetShare {
