gateway: use no server that a restored store lists again after it left

Callers' requests reached servers that had left: after the store came back from an older copy, its listing held entries that had been removed in the seconds that it lost, and the daemon used these servers until their entries lapsed. An entry of the copy could also set the weights of a server back to an older version.

Entries carry the number of their heartbeat. A server that is still there is used again with its next heartbeat. Listings and reads without a restore are handled as before.

--- a/crates/gateway/src/background_tasks/servers.rs
+++ b/crates/gateway/src/background_tasks/servers.rs
@@ -1,13 +1,13 @@
 //! Follows the table in which backend servers publish their entries.
 
 use super::rollouts::on_servers_changed;
-use super::snapshot::{MissingKeys, SnapshotReader};
+use super::snapshot::{MissingKeys, Snapshot, SnapshotReader};
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::groups::StoreReads;
 use crate::log::Event;
 use crate::log_position::LogPosition;
-use crate::ports::{Change, Changes, StoreError, Table, Topic};
+use crate::ports::{Change, StoreError, Table, Topic};
 use crate::server::{ServerEntry, ServerState};
 use crate::topic_reader::{TopicReader, decode_changes};
 use indexmap::IndexSet;
@@ -57,7 +57,7 @@
             dependency.on_answer_after_silence(&gateway, gateway.now());
         }
         let grace = expired_entry_grace(&gateway, &dependency);
-        apply_snapshot(&gateway, snapshot.changes, grace);
+        apply_snapshot(&gateway, snapshot, grace);
         loop {
             sleep(gateway.jittered(poll_pause(&gateway), JITTER)).await;
             let result = reader.read(&gateway, progress.next, Duration::ZERO).await;
@@ -106,9 +106,9 @@
     })
 }
 
-fn apply_snapshot(gateway: &Gateway, changes: Changes, grace: Duration) {
+fn apply_snapshot(gateway: &Gateway, snapshot: Snapshot, grace: Duration) {
+    let mut changes = snapshot.changes.changes;
     let listed: IndexSet<String> = changes
-        .changes
         .iter()
         .filter_map(|change| match change {
             Change::ServerUpdated(entry) => Some(entry.id.clone()),
@@ -121,13 +121,26 @@
         .borrow_mut()
         .servers
         .retain_listed(&listed, grace, now);
-    apply(gateway, changes.changes, grace);
+    if snapshot.missing_keys == MissingKeys::MayBeLost {
+        remove_outdated(gateway, &mut changes);
+    }
+    apply(gateway, changes, grace);
     let is_first_listing = !std::mem::replace(&mut gateway.state.borrow_mut().has_servers, true);
     if is_first_listing {
         gateway.cache_stores_changed.notify_one();
     }
 }
 
+/// Removes entries from a listing of a restored store that are older than what this daemon knows. A
+/// server that is still there publishes a newer one.
+fn remove_outdated(gateway: &Gateway, changes: &mut Vec<Change>) {
+    let servers = &gateway.state.borrow().servers;
+    changes.retain(|change| match change {
+        Change::ServerUpdated(entry) => !servers.is_outdated(entry),
+        _ => true,
+    });
+}
+
 fn apply(gateway: &Gateway, changes: Vec<Change>, grace: Duration) {
     for change in changes {
         match change {
--- a/crates/gateway/src/server/collection.rs
+++ b/crates/gateway/src/server/collection.rs
@@ -90,6 +90,18 @@
         key
     }
 
+    /// Returns whether a newer entry of the server, or the removal of its entry, is known.
+    #[must_use]
+    pub fn is_outdated(&self, entry: &ServerEntry) -> bool {
+        match self.key_of(&entry.id).and_then(|key| self.get(key)) {
+            Some(known) => {
+                entry.started_at_ms == known.entry.started_at_ms
+                    && entry.heartbeat < known.entry.heartbeat
+            }
+            None => self.removed.is_outdated(entry),
+        }
+    }
+
     fn insert(&mut self, entry: ServerEntry, now: Duration) -> ServerKey {
         let id = entry.id.clone();
         let mut server = Server::new(entry, now);
--- a/crates/gateway/src/server/entry.rs
+++ b/crates/gateway/src/server/entry.rs
@@ -45,6 +45,8 @@
     pub version: Option<String>,
     /// Start time of the server process in Unix milliseconds, if the server publishes it.
     pub started_at_ms: Option<u64>,
+    /// Number of the heartbeat, counted from the start of the server.
+    pub heartbeat: u64,
 }
 
 impl ServerEntry {
--- a/crates/gateway/tests/deployments/deployment.rs
+++ b/crates/gateway/tests/deployments/deployment.rs
@@ -133,6 +133,7 @@
             models: self.has_engines.then_some(model).into_iter().collect(),
             version: None,
             started_at_ms: Some(1),
+            heartbeat: 1,
         }
     }
 
--- a/crates/gateway/tests/limits/simulation/deployment.rs
+++ b/crates/gateway/tests/limits/simulation/deployment.rs
@@ -41,6 +41,7 @@
             models: Vec::new(),
             version: None,
             started_at_ms: Some(started_at_ms),
+            heartbeat: 1,
         };
         servers.on_entry_published(entry, Duration::ZERO);
     }
--- a/crates/gateway/tests/servers/fixture.rs
+++ b/crates/gateway/tests/servers/fixture.rs
@@ -51,6 +51,7 @@
         }],
         version: None,
         started_at_ms: Some(1),
+        heartbeat: 1,
     }
 }
 
--- a/crates/gateway/tests/weight_switches.rs
+++ b/crates/gateway/tests/weight_switches.rs
@@ -332,6 +332,7 @@
         }],
         version: None,
         started_at_ms: Some(1),
+        heartbeat: 1,
     }
 }
 
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -29,6 +29,7 @@
         }],
         version: None,
         started_at_ms: Some(1),
+        heartbeat: 1,
     }
 }
 
