gateway: follow the leader's copy while the operators' table cannot be listed again

Found by reading. Five seconds after a restore the table is listed once more. A daemon that could not reach the store at that time repeated the listing and read nothing else, so its configuration went stale although its leader's copy was current. The listing is now tried once a second beside the reads. The loop is a struct with short methods.

--- a/crates/gateway/src/background_tasks/operators.rs
+++ b/crates/gateway/src/background_tasks/operators.rs
@@ -8,6 +8,7 @@
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::log::Event;
+use crate::log_position::LogPosition;
 use crate::ports::{Change, Changes, StoreError, Table, Topic};
 use crate::read_origin::ReadOrigin;
 use crate::topic_reader::{TopicReader, decode_changes};
@@ -26,12 +27,13 @@
 /// Time after a restore of the metadata store during which orders stay in force that the store does
 /// not contain. Operators write again what the store has lost.
 const RESTORED_ORDER_GRACE: Duration = Duration::from_secs(5);
+/// Pause between attempts to list the table again after that time.
+const RELISTING_PAUSE: Duration = Duration::from_secs(1);
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
 /// Follows the operators' table until the daemon ends.
 pub(crate) async fn run(gateway: Rc<Gateway>) {
-    let mut dependency = Dependency::new("metadata store, operators");
     let follow_wait = gateway
         .state
         .borrow()
@@ -39,38 +41,86 @@
         .limit()
         .mul_f64(FOLLOW_WAIT_FRACTION);
     let clock = Arc::clone(&gateway.ports.clock);
-    let mut reader = TopicReader::new(Topic::Table(Table::Operators), clock);
-    let mut snapshots = SnapshotReader::new(Table::Operators, RETRY_PAUSE);
+    let mut follower = Follower {
+        dependency: Dependency::new("metadata store, operators"),
+        reader: TopicReader::new(Topic::Table(Table::Operators), clock),
+        snapshots: SnapshotReader::new(Table::Operators, RETRY_PAUSE),
+        next: LogPosition::default(),
+        relisting_due_at: None,
+        follow_wait,
+        gateway,
+    };
     loop {
-        let snapshot = snapshots.read(&gateway, &mut dependency).await;
-        let mut position = snapshot.origin.next;
-        // After the grace, the table is listed again, and keys that are still missing are removed.
-        let relisting_due_at = match snapshot.missing_keys {
+        follower.load_snapshot().await;
+        let mut wait = Duration::ZERO;
+        while let Some(next_wait) = follower.read_once(wait).await {
+            wait = next_wait;
+            follower.relist_if_due().await;
+        }
+    }
+}
+
+struct Follower {
+    gateway: Rc<Gateway>,
+    dependency: Dependency,
+    reader: TopicReader,
+    snapshots: SnapshotReader,
+    /// Position from which to read next.
+    next: LogPosition,
+    /// Time at which the table is listed again to remove keys that a restored store lacked and that
+    /// were not written again.
+    relisting_due_at: Option<Duration>,
+    follow_wait: Duration,
+}
+
+impl Follower {
+    async fn load_snapshot(&mut self) {
+        let gateway = Rc::clone(&self.gateway);
+        let snapshot = self.snapshots.read(&gateway, &mut self.dependency).await;
+        self.on_snapshot(snapshot);
+    }
+
+    /// Lists the table again if that is due. A store that cannot be read is asked again later;
+    /// meanwhile the copy of the leader is followed.
+    async fn relist_if_due(&mut self) {
+        let now = self.gateway.now();
+        if self.relisting_due_at.is_none_or(|due_at| now < due_at) {
+            return;
+        }
+        match self.snapshots.try_read(&self.gateway).await {
+            Ok(snapshot) => self.on_snapshot(snapshot),
+            Err(_) => self.relisting_due_at = Some(now + RELISTING_PAUSE),
+        }
+    }
+
+    fn on_snapshot(&mut self, snapshot: Snapshot) {
+        self.next = snapshot.origin.next;
+        self.relisting_due_at = match snapshot.missing_keys {
             MissingKeys::Removed => None,
-            MissingKeys::MayBeLost => Some(gateway.now() + RESTORED_ORDER_GRACE),
+            MissingKeys::MayBeLost => Some(self.gateway.now() + RESTORED_ORDER_GRACE),
         };
-        apply_snapshot(&gateway, snapshot);
-        let mut wait = Duration::ZERO;
-        loop {
-            if relisting_due_at.is_some_and(|due_at| due_at <= gateway.now()) {
-                break;
+        apply_snapshot(&self.gateway, snapshot);
+    }
+
+    /// Reads the records that follow and returns how long the next read may wait for some. Returns
+    /// `None` if the table has to be listed again.
+    async fn read_once(&mut self, wait: Duration) -> Option<Duration> {
+        let gateway = Rc::clone(&self.gateway);
+        match self.reader.read(&gateway, self.next, wait).await {
+            Ok(read) => {
+                self.dependency.on_answer(&gateway);
+                let origin = read.origin.clone();
+                self.next = origin.next;
+                let changes = decode_changes(&gateway, Table::Operators, read);
+                apply(&gateway, changes, &origin);
+                Some(self.follow_wait)
             }
-            match reader.read(&gateway, position, wait).await {
-                Ok(read) => {
-                    dependency.on_answer(&gateway);
-                    let origin = read.origin.clone();
-                    position = origin.next;
-                    let changes = decode_changes(&gateway, Table::Operators, read);
-                    apply(&gateway, changes, &origin);
-                    wait = follow_wait;
-                }
-                Err(StoreError::Expired(_) | StoreError::Restored(_)) => break,
-                Err(error) => {
-                    dependency.on_failure(&gateway, &error.to_string());
-                    // Request an immediate answer, which proves that the copy is current.
-                    wait = Duration::ZERO;
-                    sleep(RETRY_PAUSE).await;
-                }
+            Err(StoreError::Expired(_) | StoreError::Restored(_)) => None,
+            Err(error) => {
+                self.dependency.on_failure(&gateway, &error.to_string());
+                sleep(RETRY_PAUSE).await;
+                // Request an immediate answer, which proves that the copy is current.
+                Some(Duration::ZERO)
             }
         }
     }
--- a/crates/gateway/src/background_tasks/snapshot.rs
+++ b/crates/gateway/src/background_tasks/snapshot.rs
@@ -3,7 +3,7 @@
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::log_position::StoreEpoch;
-use crate::ports::{Changes, Table, Topic};
+use crate::ports::{Changes, StoreError, Table, Topic};
 use crate::read_origin::ReadOrigin;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -51,11 +51,10 @@
         dependency: &mut Dependency,
     ) -> Snapshot {
         loop {
-            let started_at = gateway.now();
-            match gateway.ports.metadata_store.snapshot(self.table).await {
-                Ok(changes) => {
+            match self.try_read(gateway).await {
+                Ok(snapshot) => {
                     dependency.on_answer(gateway);
-                    return self.on_read(gateway, changes, started_at);
+                    return snapshot;
                 }
                 Err(error) => {
                     dependency.on_failure(gateway, &error.to_string());
@@ -65,19 +64,23 @@
         }
     }
 
-    fn on_read(&mut self, gateway: &Gateway, changes: Changes, started_at: Duration) -> Snapshot {
+    /// Reads the table once.
+    pub(super) async fn try_read(&mut self, gateway: &Gateway) -> Result<Snapshot, StoreError> {
+        let started_at = gateway.now();
+        let changes = gateway.ports.metadata_store.snapshot(self.table).await?;
         let epoch = changes.next.epoch;
         let known_epoch = self.known_epoch.replace(epoch);
         let origin = ReadOrigin::new(None, changes.next, started_at);
         gateway.on_log_listed(Topic::Table(self.table), changes.changes.len(), &origin);
-        Snapshot {
+        let is_restored = known_epoch.is_some_and(|known| known != epoch);
+        Ok(Snapshot {
             changes,
             origin,
-            missing_keys: if known_epoch.is_some_and(|known| known != epoch) {
+            missing_keys: if is_restored {
                 MissingKeys::MayBeLost
             } else {
                 MissingKeys::Removed
             },
-        }
+        })
     }
 }
