gateway: read from a cache store only while its known contents are recent

Without a leader it used the last known contents without limit of age. The same held for a store that rejects reads of its events as busy or grants no permit, for a daemon or leader that was suspended, and for contents passed on by another daemon.

The directory now records for each store the start of the last read that the contents agree with, and directs no read to contents that are 2 s old or older. Pages of a leader's log state the age of each store's contents, so a follower counts from the leader's read and not from its own. In regular operation contents are at most 0.9 s old at a daemon that reads the events (pause 480 ms, two reads of 200 ms) and 1.4 s at a follower (another pause of 480 ms), which leaves 0.6 s for delays and for a change of leader. What is known is kept and used again once it is confirmed.

Followers whose leader runs an older release get no ages and read from no store until the leader is replaced.

--- a/crates/gateway/src/background_tasks/cache_events.rs
+++ b/crates/gateway/src/background_tasks/cache_events.rs
@@ -85,17 +85,15 @@
 async fn follow_store(gateway: Rc<Gateway>, key: CacheStoreKey) {
     let mut dependency = Dependency::new("cache events");
     loop {
-        let is_wanted = reads_events(&gateway);
-        let target = {
-            let state = gateway.state.borrow();
-            let store = state.caches.get(key).filter(|_| is_wanted);
-            store.map(|store| (store.address(), store.next_event()))
-        };
-        let Some((address, since)) = target else {
+        if !reads_events(&gateway) {
             gateway.state.borrow_mut().caches.on_store_unfollowed(key);
             return;
-        };
+        }
         wait_for_store_permit(&gateway, key).await;
+        let Some((address, since)) = begin_read(&gateway, key) else {
+            // The store is no longer configured.
+            return;
+        };
         let cache_client = &gateway.ports.cache_client;
         let answer = cache_client.events(address, since, EVENTS_WAIT).await;
         on_store_answer(&gateway, key, &answer);
@@ -132,8 +130,18 @@
     }
 }
 
+/// Records that a read of a store is started, and returns the address of the store and the position
+/// of the next event to read.
+fn begin_read(gateway: &Gateway, key: CacheStoreKey) -> Option<(SocketAddr, u64)> {
+    let now = gateway.now();
+    let caches = &mut gateway.state.borrow_mut().caches;
+    let store = caches.begin_read(key, now)?;
+    Some((store.address(), store.next_event()))
+}
+
 async fn reload_list(gateway: &Gateway, key: CacheStoreKey, address: SocketAddr) {
     wait_for_store_permit(gateway, key).await;
+    begin_read(gateway, key);
     let answer = gateway.ports.cache_client.list(address).await;
     on_store_answer(gateway, key, &answer);
     match answer.result {
--- a/crates/gateway/src/background_tasks/cache_store_log.rs
+++ b/crates/gateway/src/background_tasks/cache_store_log.rs
@@ -34,15 +34,16 @@
             continue;
         };
         let target = cache_store_log_target(cursor);
+        let read_started_at = gateway.now();
         match fetch(&clients, leader, &target, READ_TIMEOUT).await {
             Ok(page) => {
                 dependency.on_answer(&gateway);
                 let now = gateway.now();
-                cursor = gateway
-                    .state
-                    .borrow_mut()
-                    .caches
-                    .on_cache_store_log_page(page, now);
+                cursor = gateway.state.borrow_mut().caches.on_cache_store_log_page(
+                    page,
+                    read_started_at,
+                    now,
+                );
                 sleep(gateway.jittered(READ_PAUSE, JITTER)).await;
             }
             Err(reason) => {
--- a/crates/gateway/src/cache_store.rs
+++ b/crates/gateway/src/cache_store.rs
@@ -12,6 +12,11 @@
 const LIST_RETRY_PAUSE: Duration = Duration::from_secs(2);
 /// Longest time between two such attempts.
 const LIST_RETRY_PAUSE_MAX: Duration = Duration::from_secs(16);
+/// Age from which the known contents of a store are not read. A store that has restarted since may
+/// be writing a part again, and a read of an incomplete part mixes up prompts. How soon that may
+/// happen is not bounded. In regular operation the contents are at most 0.9 s old at a daemon that
+/// reads the store's events, and 1.4 s at a follower of it.
+const CONTENTS_AGE_MAX: Duration = Duration::from_secs(2);
 /// Factor by which data moves more slowly to another failure domain.
 const CROSS_DOMAIN_FACTOR: f64 = 2.0;
 
@@ -86,6 +91,11 @@
     pub(crate) was_queried: bool,
     pub(crate) epoch: u64,
     pub(crate) next_event: u64,
+    /// When the read of the store's events that is in progress was started.
+    pub(crate) read_started_at: Option<Duration>,
+    /// Start of the last read that the contents agree with, of this daemon or of the leader whose
+    /// log it reads. `None` if they were never read.
+    pub(crate) confirmed_at: Option<Duration>,
     /// Set while the store's contents are incomplete because a listing has failed.
     list_retry: Option<ListRetry>,
     /// Whether a task of this daemon reads the store's events.
@@ -106,6 +116,8 @@
             was_queried: false,
             epoch: 0,
             next_event: 0,
+            read_started_at: None,
+            confirmed_at: None,
             list_retry: None,
             is_followed: false,
             parts: IndexMap::new(),
@@ -183,8 +195,22 @@
         self.used_tokens = (self.used_tokens + tokens).saturating_sub(replaced_tokens);
     }
 
-    pub(crate) fn holds(&self, key: &PartKey, tokens: u32) -> bool {
+    /// Returns the age of what is known of the contents, or `None` if they were never read.
+    pub(crate) fn contents_age(&self, now: Duration) -> Option<Duration> {
+        Some(now.saturating_sub(self.confirmed_at?))
+    }
+
+    /// Returns whether parts may be read from the store: it answers, and its contents were confirmed
+    /// recently.
+    fn is_readable(&self, now: Duration) -> bool {
         self.is_reachable
+            && self
+                .contents_age(now)
+                .is_some_and(|age| age < CONTENTS_AGE_MAX)
+    }
+
+    pub(crate) fn holds(&self, key: &PartKey, tokens: u32, now: Duration) -> bool {
+        self.is_readable(now)
             && self
                 .parts
                 .get(key)
--- a/crates/gateway/src/cache_store_log.rs
+++ b/crates/gateway/src/cache_store_log.rs
@@ -5,6 +5,7 @@
 
 mod encoding;
 
+use bincode::{Decode, Encode};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
@@ -62,6 +63,18 @@
     pub clock_ms: Option<u64>,
     /// Changes, oldest first.
     pub changes: Vec<CacheStoreChange>,
+    /// Age of the contents of each store that the sending daemon has read.
+    pub ages: Vec<ContentsAge>,
+}
+
+/// Age of what a daemon knows of the contents of a store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ContentsAge {
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Time since the start of the last read that the contents agree with, in milliseconds, rounded
+    /// up.
+    pub age_ms: u64,
 }
 
 /// Newest changes at the cache stores.
--- a/crates/gateway/src/cache_store_log/encoding.rs
+++ b/crates/gateway/src/cache_store_log/encoding.rs
@@ -1,7 +1,7 @@
 //! Encoding of pages of the log. A page names each store and each scope once, as a snapshot contains
 //! thousands of parts of few scopes.
 
-use super::{CacheStoreChange, CacheStorePage, CacheUpdate};
+use super::{CacheStoreChange, CacheStorePage, CacheUpdate, ContentsAge};
 use bincode::de::Decoder;
 use bincode::enc::Encoder;
 use bincode::error::{DecodeError, EncodeError};
@@ -19,6 +19,7 @@
     stores: Vec<SocketAddr>,
     scopes: Vec<T>,
     changes: Vec<EncodedChange<T>>,
+    ages: Vec<ContentsAge>,
 }
 
 #[derive(Encode, Decode)]
@@ -65,6 +66,7 @@
             stores: stores.into_iter().collect(),
             scopes: scopes.into_iter().collect(),
             changes,
+            ages: page.ages.clone(),
         }
     }
 }
@@ -94,6 +96,7 @@
             is_snapshot: self.is_snapshot,
             clock_ms: self.clock_ms,
             changes: changes.collect::<Option<_>>()?,
+            ages: self.ages,
         })
     }
 }
--- a/crates/gateway/src/caches.rs
+++ b/crates/gateway/src/caches.rs
@@ -139,6 +139,14 @@
         self.by_address.get(&address).copied()
     }
 
+    /// Records that a read of a store's events or of its list of parts is started, and returns the
+    /// store. Its contents count as confirmed at this time once the read is answered.
+    pub fn begin_read(&mut self, key: CacheStoreKey, now: Duration) -> Option<&CacheStore> {
+        let store = self.stores.get_mut(key)?;
+        store.read_started_at = Some(now);
+        Some(store)
+    }
+
     /// Applies the events of a store. Returns whether the store must be listed because events
     /// are missing. If the store has restarted, [`CacheStore::next_event`] is zero afterwards, and
     /// its events are to be read from the first one on.
@@ -151,6 +159,8 @@
         };
         let has_restarted = store.epoch != events.epoch;
         let is_from_start = store.next_event == 0;
+        let read_started_at = store.read_started_at.take().unwrap_or(now);
+        store.confirmed_at = Some(read_started_at);
         let is_back = !std::mem::replace(&mut store.is_reachable, true) && store.epoch != 0;
         if has_restarted {
             store.on_full_read();
--- a/crates/gateway/src/caches/plan.rs
+++ b/crates/gateway/src/caches/plan.rs
@@ -10,6 +10,7 @@
 use crate::request::PromptPart;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Fraction of a store's capacity up to which it is filled. The rest covers writes that this
 /// daemon does not know of yet.
@@ -96,9 +97,10 @@
 }
 
 impl CacheDirectory {
-    /// Looks up which stores hold the shared parts of a prompt under a scope.
+    /// Looks up which stores hold the shared parts of a prompt under a scope. Stores whose contents
+    /// were not confirmed recently are left out.
     #[must_use]
-    pub fn locate(&self, scope_hash: u64, parts: &[PromptPart]) -> LocatedPrompt {
+    pub fn locate(&self, scope_hash: u64, parts: &[PromptPart], now: Duration) -> LocatedPrompt {
         let located = parts.iter().map(|part| {
             let key = PartKey {
                 scope_hash,
@@ -109,7 +111,7 @@
                 key,
                 tokens: part.tokens,
                 stores: stores
-                    .filter(|(_, store)| store.holds(&key, part.tokens))
+                    .filter(|(_, store)| store.holds(&key, part.tokens, now))
                     .map(|(store, _)| store)
                     .collect(),
             }
--- a/crates/gateway/src/caches/replication.rs
+++ b/crates/gateway/src/caches/replication.rs
@@ -3,7 +3,7 @@
 use super::{CacheDirectory, part_update};
 use crate::cache_store::{CacheStore, CachedPart};
 use crate::cache_store_log::{
-    CacheStoreChange, CacheStoreLog, CacheStorePage, CacheUpdate, Cursor,
+    CacheStoreChange, CacheStoreLog, CacheStorePage, CacheUpdate, ContentsAge, Cursor,
 };
 use std::time::Duration;
 
@@ -31,9 +31,23 @@
             is_snapshot: since.is_none(),
             clock_ms: self.server_clock_ms(now),
             changes: since.unwrap_or_else(|| self.store_contents()),
+            ages: self.contents_ages(now),
         })
     }
 
+    fn contents_ages(&self, now: Duration) -> Vec<ContentsAge> {
+        let stores = self.stores.values();
+        stores
+            .filter_map(|store| {
+                let age = store.contents_age(now)?;
+                Some(ContentsAge {
+                    store: store.address(),
+                    age_ms: age.as_micros().div_ceil(1000) as u64,
+                })
+            })
+            .collect()
+    }
+
     fn store_contents(&self) -> Vec<CacheStoreChange> {
         let mut changes = Vec::new();
         for store in self.stores.values().filter(|store| store.was_queried) {
@@ -55,8 +69,14 @@
         changes
     }
 
-    /// Applies a page of another daemon's log, and returns the cursor of the next page.
-    pub fn on_cache_store_log_page(&mut self, page: CacheStorePage, now: Duration) -> Cursor {
+    /// Applies a page of another daemon's log, the answer to a read started at `read_started_at`, and
+    /// returns the cursor of the next page.
+    pub fn on_cache_store_log_page(
+        &mut self,
+        page: CacheStorePage,
+        read_started_at: Duration,
+        now: Duration,
+    ) -> Cursor {
         if let Some(clock_ms) = page.clock_ms {
             self.on_clock_reading(clock_ms, now);
         }
@@ -66,6 +86,13 @@
         for change in page.changes {
             self.on_store_change(change);
         }
+        for age in page.ages {
+            let key = self.by_address.get(&age.store);
+            if let Some(store) = key.and_then(|key| self.stores.get_mut(*key)) {
+                let age = Duration::from_millis(age.age_ms);
+                store.confirmed_at = read_started_at.checked_sub(age);
+            }
+        }
         for store in self.stores.values_mut() {
             store.was_queried = true;
         }
@@ -93,8 +120,8 @@
         }
     }
 
-    /// Records that the leader's log cannot be read. The known contents are kept, and requests
-    /// no longer wait for the stores' contents.
+    /// Records that the leader's log cannot be read. The known contents are kept and are read until they
+    /// are too old, and requests no longer wait for the stores' contents.
     pub fn on_leader_unavailable(&mut self) {
         for store in self.stores.values_mut() {
             store.was_queried = true;
--- a/crates/gateway/src/select/ranked.rs
+++ b/crates/gateway/src/select/ranked.rs
@@ -240,7 +240,7 @@
             draw: query.links.map_or(1.0, |links| links.draw),
         };
         let parts = query.prompt.shared_parts();
-        let located = query.caches.locate(name_hash(&scope), parts);
+        let located = query.caches.locate(name_hash(&scope), parts, now);
         let plan_for = PlanDestination {
             failure_domain: &server.entry.failure_domain,
             prefill_rate: query.prefill_rate,
--- a/crates/gateway/tests/leader_copies.rs
+++ b/crates/gateway/tests/leader_copies.rs
@@ -198,7 +198,7 @@
     let bytes = encode(&page).expect("encodes");
     let decoded = decode::<CacheStorePage>(&bytes).expect("decodes");
     assert_eq!(decoded, page);
-    follower.on_cache_store_log_page(decoded, at(10))
+    follower.on_cache_store_log_page(decoded, at(10), at(10))
 }
 
 /// Guards against prompts that are computed again although a store holds them, because a daemon
@@ -340,6 +340,7 @@
             is_snapshot: true,
             clock_ms: None,
             changes: changes.collect(),
+            ages: Vec::new(),
         };
         let bytes = encode(&page).expect("encodes");
         assert_eq!(decode::<CacheStorePage>(&bytes).expect("decodes"), page);
--- a/crates/gateway/tests/servers/cache_sources.rs
+++ b/crates/gateway/tests/servers/cache_sources.rs
@@ -151,8 +151,9 @@
                 is_snapshot: false,
                 clock_ms: None,
                 changes: vec![reset],
+                ages: Vec::new(),
             };
-            caches.on_cache_store_log_page(page, at(2));
+            caches.on_cache_store_log_page(page, at(2), at(2));
         }),
     ];
     for (name, before) in cases {
--- a/crates/gateway/tests/transfers.rs
+++ b/crates/gateway/tests/transfers.rs
@@ -153,7 +153,7 @@
         id_hash: name_hash("history"),
         tokens: TOKENS,
     };
-    let located = caches.locate(name_hash("w1"), &[part]);
+    let located = caches.locate(name_hash("w1"), &[part], at(0));
     let destination = PlanDestination {
         failure_domain: "a",
         prefill_rate: PrefillRate::default(),
