gateway: lost events of a cache store no longer count as confirmed contents

Found by reading; no report of a caller is tied to it. When events of a store are lost and the store cannot be listed, the daemon went on using what it knew from before them, up to 16 s between two attempts to list the store. The lost events may say that a part was freed and is being written again, and a read of it is then answered from incomplete memory (MIXED).

Later events confirm the contents only once the store was listed, so reads stop after the same 2 s as for a store that does not answer.

The case "not listed for too long" failed before.

--- a/crates/gateway/src/cache_store.rs
+++ b/crates/gateway/src/cache_store.rs
@@ -96,6 +96,9 @@
     /// Start of the last read that the contents agree with, of this daemon or of the leader whose
     /// log it reads. `None` if they were never read.
     pub(crate) confirmed_at: Option<Duration>,
+    /// Whether events were lost since the contents were read in full, so that what is known from before
+    /// may be wrong.
+    pub(crate) has_lost_events: bool,
     /// Set while the store's contents are incomplete because a listing has failed.
     list_retry: Option<ListRetry>,
     /// Whether a task of this daemon reads the store's events.
@@ -118,6 +121,7 @@
             next_event: 0,
             read_started_at: None,
             confirmed_at: None,
+            has_lost_events: false,
             list_retry: None,
             is_followed: false,
             parts: IndexMap::new(),
@@ -145,6 +149,14 @@
         self.next_event
     }
 
+    /// Records that the answer to a read started at `read_started_at` was applied. It does not confirm
+    /// contents from before events that were lost.
+    pub(crate) fn on_read(&mut self, read_started_at: Duration) {
+        if !self.has_lost_events {
+            self.confirmed_at = Some(read_started_at);
+        }
+    }
+
     pub(crate) fn clear(&mut self) {
         self.parts.clear();
         self.used_tokens = 0;
@@ -154,6 +166,7 @@
     pub(crate) fn on_full_read(&mut self) {
         self.clear();
         self.next_event = 0;
+        self.has_lost_events = false;
         self.list_retry = None;
     }
 
--- a/crates/gateway/src/caches.rs
+++ b/crates/gateway/src/caches.rs
@@ -157,10 +157,9 @@
         let Some(store) = self.stores.get_mut(key) else {
             return false;
         };
+        let read_started_at = store.read_started_at.take().unwrap_or(now);
         let has_restarted = store.epoch != events.epoch;
         let is_from_start = store.next_event == 0;
-        let read_started_at = store.read_started_at.take().unwrap_or(now);
-        store.confirmed_at = Some(read_started_at);
         let is_back = !std::mem::replace(&mut store.is_reachable, true) && store.epoch != 0;
         if has_restarted {
             store.on_full_read();
@@ -177,6 +176,8 @@
             log_update(&mut self.log, store, || part_update(&part));
             store.apply(part);
         }
+        store.has_lost_events |= events.has_gap && !is_from_start && !has_restarted;
+        store.on_read(read_started_at);
         let has_gap = events.has_gap && (is_from_start || !has_restarted);
         let needs_list = has_gap || store.is_list_retry_due(now);
         store.was_queried |= !needs_list;
--- a/crates/gateway/tests/cache_contents_age.rs
+++ b/crates/gateway/tests/cache_contents_age.rs
@@ -20,6 +20,21 @@
     Duration::from_millis(ms)
 }
 
+fn events(clock_ms: u64, parts: &[&str]) -> CacheEvents {
+    let parts = parts.iter().map(|id| CachedPart {
+        scope: SCOPE.to_owned(),
+        id: (*id).to_owned(),
+        tokens: TOKENS,
+    });
+    CacheEvents {
+        epoch: 1,
+        clock_ms: Some(100_000 + clock_ms),
+        next: 1,
+        has_gap: false,
+        changes: parts.collect(),
+    }
+}
+
 /// A directory of one store, and the key of the store.
 struct Directory {
     caches: CacheDirectory,
@@ -58,18 +73,7 @@
     }
 
     fn read_events(&mut self, start_ms: u64, end_ms: u64, parts: &[&str]) {
-        let parts = parts.iter().map(|id| CachedPart {
-            scope: SCOPE.to_owned(),
-            id: (*id).to_owned(),
-            tokens: TOKENS,
-        });
-        let events = CacheEvents {
-            epoch: 1,
-            clock_ms: Some(100_000 + end_ms),
-            next: 1,
-            has_gap: false,
-            changes: parts.collect(),
-        };
+        let events = events(end_ms, parts);
         self.caches
             .begin_read(self.store, at(start_ms))
             .expect("configured");
@@ -232,6 +236,76 @@
     check(&READ_BY_THIS_DAEMON);
 }
 
+/// Returns the directory of a daemon that has lost events at 1.5 s, and could not list the store then.
+/// It goes on with the events after the lost ones.
+fn with_lost_events() -> Directory {
+    let mut directory = read_once();
+    let with_gap = CacheEvents {
+        has_gap: true,
+        ..events(1_500, &[])
+    };
+    let (caches, store) = (&mut directory.caches, directory.store);
+    assert!(
+        caches.on_events(store, with_gap, at(1_500)),
+        "must be listed"
+    );
+    caches.on_listing_failed(store, at(1_500));
+    directory.read_no_events(2_500, 2_500);
+    directory
+}
+
+const LOST_EVENTS: [Case; 4] = [
+    Case {
+        name: "not listed yet, but recent",
+        prepare: with_lost_events,
+        now_ms: 2_500,
+        is_read: true,
+    },
+    Case {
+        name: "not listed for too long",
+        prepare: with_lost_events,
+        now_ms: 3_000,
+        is_read: false,
+    },
+    Case {
+        name: "listed at last",
+        prepare: || {
+            let mut directory = with_lost_events();
+            let listed = events(6_000, &[PART]);
+            directory
+                .caches
+                .on_listing(directory.store, listed, at(6_000));
+            directory.read_no_events(7_000, 7_000);
+            directory
+        },
+        now_ms: 8_000,
+        is_read: true,
+    },
+    Case {
+        name: "the store has restarted",
+        prepare: || {
+            let mut directory = with_lost_events();
+            let restarted = CacheEvents {
+                epoch: 2,
+                ..events(6_000, &[PART])
+            };
+            directory
+                .caches
+                .on_events(directory.store, restarted, at(6_000));
+            directory
+        },
+        now_ms: 6_000,
+        is_read: true,
+    },
+];
+
+/// Guards against reads of a part that its store has freed and is writing again, where the events that
+/// tell so are lost and the store cannot be listed.
+#[test]
+fn contents_with_lost_events_are_not_confirmed_by_later_events() {
+    check(&LOST_EVENTS);
+}
+
 /// Returns the directory of a follower whose leader read the store at 1 s and that read its log
 /// then.
 fn read_from_leader() -> Directory {
