gateway: positions in a leader's earlier log are not used in its next one

Found by reading; no report of a caller is tied to it. A daemon that stopped leading its group and led it again began its log of the cache stores at position 0 under the same identifier. A follower that had not noticed the change read on from its position in the earlier log and missed changes between them, such as the restart of a store, and could direct reads to parts that the store no longer held whole.

--- a/crates/gateway/src/cache_store_log.rs
+++ b/crates/gateway/src/cache_store_log.rs
@@ -87,12 +87,13 @@
 }
 
 impl CacheStoreLog {
-    /// Creates an empty log with an identifier that differs for each start of a daemon.
+    /// Creates an empty log that begins at a position. Its identifier differs for each start of a
+    /// daemon, so later logs of one start must not contain positions of earlier ones.
     #[must_use]
-    pub fn new(log_id: u64) -> Self {
+    pub fn new(log_id: u64, first: u64) -> Self {
         Self {
             log_id,
-            first: 0,
+            first,
             changes: VecDeque::new(),
         }
     }
--- a/crates/gateway/src/caches.rs
+++ b/crates/gateway/src/caches.rs
@@ -65,6 +65,8 @@
     clock: Option<ServerClock>,
     /// Log of changes at the cache stores, kept only while other daemons read them from this one.
     log: Option<CacheStoreLog>,
+    /// Position at which the next log begins, after all positions of earlier ones.
+    next_log_first: u64,
 }
 
 impl CacheDirectory {
--- a/crates/gateway/src/caches/replication.rs
+++ b/crates/gateway/src/caches/replication.rs
@@ -12,8 +12,11 @@
     /// log.
     pub fn set_log_enabled(&mut self, is_logged: bool, log_id: u64) {
         match (is_logged, &self.log) {
-            (true, None) => self.log = Some(CacheStoreLog::new(log_id)),
-            (false, Some(_)) => self.log = None,
+            (true, None) => self.log = Some(CacheStoreLog::new(log_id, self.next_log_first)),
+            (false, Some(log)) => {
+                self.next_log_first = log.end().next + 1;
+                self.log = None;
+            }
             _ => {}
         }
     }
--- a/crates/gateway/tests/leader_copies.rs
+++ b/crates/gateway/tests/leader_copies.rs
@@ -280,6 +280,25 @@
     assert!(page.is_snapshot);
 }
 
+/// Guards against a follower that misses changes, such as a store that lost its contents, because its
+/// leader was not leader for a while: its position was taken for one in the leader's new log.
+#[test]
+fn log_of_a_daemon_that_leads_again_is_read_from_a_snapshot() {
+    let mut leader = directory();
+    let keys = leader.take_unfollowed();
+    leader.set_log_enabled(true, 77);
+    leader.on_events(keys[0], events(1, 3, &[("manual", 500)]), at(1));
+    let mut follower = directory();
+    let cursor = read_page(&leader, &mut follower, Cursor::default());
+    leader.set_log_enabled(false, 77);
+    leader.on_events(keys[0], events(2, 1, &[]), at(2));
+    leader.set_log_enabled(true, 77);
+    let more = [("report", 700), ("history", 8_000)];
+    leader.on_events(keys[0], events(2, 3, &more), at(3));
+    read_page(&leader, &mut follower, cursor);
+    assert_eq!(parts_of(&follower), parts_of(&leader));
+}
+
 /// Guards against several calls per second from every daemon to a metadata store that is
 /// unavailable, and against a daemon that depends on its leader alone.
 #[test]
