gateway: an answer without an identifier on a used connection is no answer

A server may answer a request a second time, when the answer to the next request on the connection is expected. Only the identifier tells the two apart, and an answer without one passed the check unless it was a success: the next caller got the earlier request's 404, 204 or 500, or a 503 that promises that nothing was executed although its request was running. An identifier that is not text counted as none.

On a connection that has carried a request before, an answer without an identifier is now treated as one that belongs to another request. On a new connection it can only belong to the request, so it is passed on as before.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -65,6 +65,8 @@
     request_size: RequestSize,
     upload: Upload,
     peer_unreachable: PeerUnreachable,
+    /// Number of requests that were sent, at least in part.
+    sent_requests: u64,
     _open: OpenCount,
 }
 
@@ -119,6 +121,7 @@
             request_size,
             upload,
             peer_unreachable,
+            sent_requests: 0,
             _open: open,
         })
     }
@@ -136,6 +139,12 @@
         self.peer_unreachable.get()
     }
 
+    /// Returns whether an answer may belong to an earlier request, because more than one was sent. A
+    /// server may answer a request a second time, when the answer to the next one is expected.
+    pub(crate) fn may_carry_earlier_answers(&self) -> bool {
+        self.sent_requests > 1
+    }
+
     /// Returns whether a request can be sent now.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -166,6 +175,7 @@
         let body_bytes = request.body().size_hint().exact().unwrap_or(u64::MAX);
         self.request_size.set(body_bytes);
         self.upload.begin(body_bytes);
+        self.sent_requests += 1;
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.allowance.lift();
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -257,8 +257,11 @@
             .ports
             .codec
             .parse_answer(head.status, &head.headers);
-        let answered_id = meta.request_id.as_deref();
-        if answered_id.is_some_and(|id| id != self.routed.meta.id) {
+        let is_own = match &meta.request_id {
+            Some(id) => *id == self.routed.meta.id,
+            None => !connection.may_carry_earlier_answers(),
+        };
+        if !is_own {
             in_flight.on_answer_broken();
             let reason = "the answer belongs to another request".to_owned();
             return Err(AttemptError::OutcomeUnknown(reason));
