--- a/crates/gateway/src/cache_store_log.rs
+++ b/crates/gateway/src/cache_store_log.rs
@@ -5,6 +5,7 @@
 
 mod encoding;
 
+use bincode::{Decode, Encode};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
@@ -62,6 +63,18 @@
     pub clock_ms: Option<u64>,
     /// Changes, oldest first.
     pub changes: Vec<CacheStoreChange>,
+    /// Age of the contents of each store that the sending daemon has read.
+    pub ages: Vec<ContentsAge>,
+}
+
+/// Age of what a daemon knows of the contents of a store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ContentsAge {
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Time since the start of the last read that the contents agree with, in milliseconds, rounded
+    /// up.
+    pub age_ms: u64,
 }
 
 /// Newest changes at the cache stores.
@@ -74,12 +87,13 @@
 }
 
 impl CacheStoreLog {
-    /// Creates an empty log with an identifier that differs for each start of a daemon.
+    /// Creates an empty log that begins at a position. Its identifier differs for each start of a
+    /// daemon, so later logs of one start must not contain positions of earlier ones.
     #[must_use]
-    pub fn new(log_id: u64) -> Self {
+    pub fn new(log_id: u64, first: u64) -> Self {
         Self {
             log_id,
-            first: 0,
+            first,
             changes: VecDeque::new(),
         }
     }
