--- a/crates/gateway/src/caches.rs
+++ b/crates/gateway/src/caches.rs
@@ -65,6 +65,8 @@
     clock: Option<ServerClock>,
     /// Log of changes at the cache stores, kept only while other daemons read them from this one.
     log: Option<CacheStoreLog>,
+    /// Position at which the next log begins, after all positions of earlier ones.
+    next_log_first: u64,
 }
 
 impl CacheDirectory {
@@ -139,6 +141,14 @@
         self.by_address.get(&address).copied()
     }
 
+    /// Records that a read of a store's events or of its list of parts is started, and returns the
+    /// store. Its contents count as confirmed at this time once the read is answered.
+    pub fn begin_read(&mut self, key: CacheStoreKey, now: Duration) -> Option<&CacheStore> {
+        let store = self.stores.get_mut(key)?;
+        store.read_started_at = Some(now);
+        Some(store)
+    }
+
     /// Applies the events of a store. Returns whether the store must be listed because events
     /// are missing. If the store has restarted, [`CacheStore::next_event`] is zero afterwards, and
     /// its events are to be read from the first one on.
@@ -149,6 +159,7 @@
         let Some(store) = self.stores.get_mut(key) else {
             return false;
         };
+        let read_started_at = store.read_started_at.take().unwrap_or(now);
         let has_restarted = store.epoch != events.epoch;
         let is_from_start = store.next_event == 0;
         let is_back = !std::mem::replace(&mut store.is_reachable, true) && store.epoch != 0;
@@ -167,6 +178,8 @@
             log_update(&mut self.log, store, || part_update(&part));
             store.apply(part);
         }
+        store.has_lost_events |= events.has_gap && !is_from_start && !has_restarted;
+        store.on_read(read_started_at);
         let has_gap = events.has_gap && (is_from_start || !has_restarted);
         let needs_list = has_gap || store.is_list_retry_due(now);
         store.was_queried |= !needs_list;
