gateway: missing entries after an outage of the own connection are removals

A daemon that could not read the metadata store for some seconds used servers without an entry for 2 s after it read again. That is meant for entries of running servers that expire while the store is unavailable, but here the store had served the servers all the time.

The heartbeats in the records that the daemon reads after the outage tell the two apart: if the median server misses at most one of the heartbeats that are expected in that time, by the interval seen before, the store was available, and missing entries are removals. What cannot be told (fewer than five heartbeats known, less than one and a half expected, a listing in place of records, a restored store) is treated as before.

--- a/crates/gateway/src/background_tasks/servers.rs
+++ b/crates/gateway/src/background_tasks/servers.rs
@@ -9,6 +9,7 @@
 use crate::log_position::LogPosition;
 use crate::ports::{Change, StoreError, Table, Topic};
 use crate::server::{ServerEntry, ServerState};
+use crate::store_outage::HeartbeatHistory;
 use crate::topic_reader::{TopicReader, decode_changes};
 use indexmap::IndexSet;
 use std::rc::Rc;
@@ -45,6 +46,7 @@
     let mut dependency = Dependency::new("metadata store, servers");
     let clock = Arc::clone(&gateway.ports.clock);
     let mut reader = TopicReader::new(Topic::Table(Table::Servers), clock);
+    let mut heartbeats = HeartbeatHistory::default();
     let mut snapshots = SnapshotReader::new(Table::Servers, RETRY_PAUSE);
     loop {
         let snapshot = snapshots.read(&gateway, &mut dependency).await;
@@ -56,6 +58,7 @@
             // Entries that the store has lost are written again, like those that expired.
             dependency.on_answer_after_silence(&gateway, gateway.now());
         }
+        heartbeats.on_changes(&snapshot.changes.changes, progress.verified_at);
         let grace = expired_entry_grace(&gateway, &dependency);
         apply_snapshot(&gateway, snapshot, grace);
         loop {
@@ -63,13 +66,25 @@
             let result = reader.read(&gateway, progress.next, Duration::ZERO).await;
             match result {
                 Ok(read) => {
-                    on_read(&gateway, &mut dependency, progress.verified_at);
+                    let is_outage_over = on_read(&gateway, &mut dependency, progress.verified_at);
+                    let known_until = progress.verified_at;
                     progress = Progress {
                         next: read.origin.next,
-                        verified_at: progress.verified_at.max(read.origin.verified_at),
+                        verified_at: known_until.max(read.origin.verified_at),
                     };
-                    let grace = expired_entry_grace(&gateway, &dependency);
                     let changes = decode_changes(&gateway, Table::Servers, read).changes;
+                    if is_outage_over {
+                        let window = progress.verified_at - known_until;
+                        on_outage_over(
+                            &gateway,
+                            &mut dependency,
+                            &mut heartbeats,
+                            &changes,
+                            window,
+                        );
+                    }
+                    heartbeats.on_changes(&changes, progress.verified_at);
+                    let grace = expired_entry_grace(&gateway, &dependency);
                     apply(&gateway, changes, grace);
                 }
                 Err(StoreError::Expired(_) | StoreError::Restored(_)) => break,
@@ -89,14 +104,33 @@
     }
 }
 
-/// Records that a read was answered. `verified_at` is the time up to which the table was known
-/// before.
-fn on_read(gateway: &Gateway, dependency: &mut Dependency, verified_at: Duration) {
+/// Records that a read was answered, and returns whether it ended an outage. `verified_at` is the time
+/// up to which the table was known before.
+fn on_read(gateway: &Gateway, dependency: &mut Dependency, verified_at: Duration) -> bool {
+    let regained_at = dependency.regained_at();
     if gateway.now().saturating_sub(verified_at) < SILENCE_MIN {
         dependency.on_answer(gateway);
     } else {
         dependency.on_answer_after_silence(gateway, verified_at);
     }
+    dependency.regained_at() != regained_at
+}
+
+/// Disregards an outage in which the store served the servers. `changes` are all changes in the time
+/// `window`, which contains the outage.
+fn on_outage_over(
+    gateway: &Gateway,
+    dependency: &mut Dependency,
+    heartbeats: &mut HeartbeatHistory,
+    changes: &[Change],
+    window: Duration,
+) {
+    if heartbeats.was_store_available(changes, window) {
+        gateway.metrics.count("own_store_outages");
+        dependency.disregard_outage();
+    } else {
+        heartbeats.clear();
+    }
 }
 
 /// Returns the time for which servers without an entry are still used.
--- a/crates/gateway/src/dependency.rs
+++ b/crates/gateway/src/dependency.rs
@@ -52,6 +52,11 @@
         });
     }
 
+    /// Records that the last outage was one of this daemon's connection only.
+    pub(crate) fn disregard_outage(&mut self) {
+        self.regained_at = None;
+    }
+
     /// Returns when the dependency answered again after its last outage, or `None` if there was
     /// none yet.
     pub(crate) fn regained_at(&self) -> Option<Duration> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod share_budget;
 pub mod sse;
 pub mod start_estimate;
+pub mod store_outage;
 pub mod topic_log;
 pub mod weights;
 pub mod workspace_shares;
