quarantine: the table of evidence owns the position in the log

The task that reads the evidence kept the epoch of the store, the table the offset, so a claim or a clearance saw an offset without its epoch. The table now holds both as a LogPosition, which moves to anvilgw-core because the quarantine crate needs it.

--- a/crates/entry/src/duties/quarantine.rs
+++ b/crates/entry/src/duties/quarantine.rs
@@ -135,7 +135,7 @@
             return false;
         };
         let is_claimed = match self.log.append(&self.stream, &payload) {
-            Ok(offset) => offset == Offset(at),
+            Ok(offset) => offset == Offset(at.offset),
             Err(_) => false,
         };
         if is_claimed {
@@ -203,7 +203,7 @@
             }
             self.state().quarantine.on_appended(&[record]);
         }
-        let from = Offset(self.state().quarantine.table().next_offset());
+        let from = Offset(self.state().quarantine.table().next().offset);
         match self.log.read(&self.stream, from, READ_MAX, Duration::ZERO) {
             Ok(slice) => {
                 for record in slice.records {
--- a/crates/gateway/src/background_tasks/evidence.rs
+++ b/crates/gateway/src/background_tasks/evidence.rs
@@ -6,7 +6,6 @@
 use crate::gateway::Gateway;
 use crate::groups::{Role, StoreReads};
 use crate::log::Event;
-use crate::log_position::{LogPosition, StoreEpoch};
 use crate::peer_message::PeerMessage;
 use crate::ports::{KeyedBytes, StoreError, Topic};
 use crate::read_origin::ReadOrigin;
@@ -48,12 +47,10 @@
         reader: TopicReader::new(Topic::Evidence, clock),
         last_report_at: None,
         has_created_log: false,
-        epoch: StoreEpoch::default(),
         gateway,
     };
     loop {
-        let next = load_listing(&follower.gateway, &mut follower.dependency).await;
-        follower.epoch = next.epoch;
+        load_listing(&follower.gateway, &mut follower.dependency).await;
         while follower.read_once().await {}
     }
 }
@@ -64,19 +61,14 @@
     reader: TopicReader,
     last_report_at: Option<Duration>,
     has_created_log: bool,
-    /// Epoch in which the records were read.
-    epoch: StoreEpoch,
 }
 
 impl Follower {
-    /// Reads the records that follow. Returns `false` if some of them were deleted, so that all
-    /// records have to be listed again.
+    /// Reads the records that follow. Returns `false` if some of them were deleted, or lost by the
+    /// metadata store, so that all records have to be listed again.
     async fn read_once(&mut self) -> bool {
         let gateway = Rc::clone(&self.gateway);
-        let from = LogPosition {
-            epoch: self.epoch,
-            offset: gateway.state.borrow().quarantine.table().next_offset(),
-        };
+        let from = gateway.state.borrow().quarantine.table().next();
         let started_at = gateway.now();
         let wait = self.wait(started_at);
         let result = tokio::select! {
@@ -117,9 +109,9 @@
         if elapsed >= pause {
             return;
         }
-        let table_offset = self.gateway.state.borrow().quarantine.table().next_offset();
+        let next = self.gateway.state.borrow().quarantine.table().next();
         let store_reads = self.gateway.state.borrow().store_reads;
-        if table_offset == 0 && store_reads == StoreReads::DirectForGroup && !self.has_created_log {
+        if next.offset == 0 && store_reads == StoreReads::DirectForGroup && !self.has_created_log {
             let removal = KeyedRecord {
                 key: RecordKey::Cleared(PartKey(0)),
                 record: None,
@@ -137,11 +129,11 @@
 
 /// Reads all records, and retries until the metadata store answers. The daemon does not wait for
 /// the first answer to become ready: without the evidence it can still serve.
-async fn load_listing(gateway: &Gateway, dependency: &mut Dependency) -> LogPosition {
+async fn load_listing(gateway: &Gateway, dependency: &mut Dependency) {
     loop {
         let started_at = gateway.now();
         let result = gateway.ports.metadata_store.list_evidence().await;
-        let next = result.as_ref().map(|listing| listing.next).ok();
+        let is_listed = result.is_ok();
         match result {
             Ok(listing) => {
                 dependency.on_answer(gateway);
@@ -152,14 +144,14 @@
                     .filter_map(|(bytes, offset)| Some((decode_record(gateway, bytes)?, *offset)));
                 let records: Vec<(KeyedRecord, u64)> = records.collect();
                 let quarantine = &mut gateway.state.borrow_mut().quarantine;
-                quarantine.on_listing(records, listing.next.offset);
+                quarantine.on_listing(records, listing.next);
             }
             Err(error) => dependency.on_failure(gateway, &error.to_string()),
         }
         gateway.state.borrow_mut().has_asked_for_evidence = true;
-        if let Some(next) = next {
+        if is_listed {
             log_changes(gateway);
-            return next;
+            return;
         }
         sleep(RETRY_PAUSE).await;
     }
--- a/crates/gateway/src/dispatch/quarantine.rs
+++ b/crates/gateway/src/dispatch/quarantine.rs
@@ -67,7 +67,7 @@
         return false;
     };
     let store = &gateway.ports.metadata_store;
-    let outcome = store.append_evidence(Some(at), vec![bytes]).await;
+    let outcome = store.append_evidence(Some(at.offset), vec![bytes]).await;
     let is_claimed = matches!(outcome, Ok(AppendOutcome::Stored(_)));
     if is_claimed {
         gateway.metrics.count("quarantine_trials");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,7 +47,6 @@
 pub mod http_client;
 pub mod lease;
 pub mod log;
-pub mod log_position;
 pub mod notice_reports;
 pub mod overload;
 pub mod page;
@@ -73,5 +72,6 @@
 pub mod workspace_shares;
 pub mod zone_choice;
 
+pub use anvilgw_core::log_position;
 pub use daemon::{Daemon, DaemonError, Reload, run};
 pub use gateway::Ports;
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -5,6 +5,7 @@
 use crate::record::{Clearance, EndReport, KeyedRecord, Record, RecordKey, SUSPECTS_MAX, Trial};
 use crate::table::EvidenceTable;
 use crate::{PartKey, ServerStart, Suspect, WorkspaceKey};
+use anvilgw_core::log_position::LogPosition;
 use indexmap::{IndexMap, IndexSet};
 use std::time::Duration;
 
@@ -139,26 +140,30 @@
     pub fn on_listing(
         &mut self,
         records: impl IntoIterator<Item = (KeyedRecord, u64)>,
-        next_offset: u64,
+        next: LogPosition,
     ) {
         self.table.clear_stored();
         for (record, offset) in records {
             self.table.apply(record, offset);
         }
-        self.table.set_next_offset(next_offset);
+        self.table.set_next(next);
         self.attributed_at = None;
     }
 
-    /// Applies a record that was read at `offset`.
+    /// Applies a record that was read at `offset`, in the epoch of the last listing.
     pub fn on_record(&mut self, record: KeyedRecord, offset: u64) {
         self.outbox.shift_remove(&record.key);
         self.table.apply(record, offset);
         self.attributed_at = None;
     }
 
-    /// Records that the log was read up to `next_offset`.
+    /// Records that the log was read up to `next_offset`, in the epoch of the last listing.
     pub fn on_read(&mut self, next_offset: u64) {
-        self.table.set_next_offset(next_offset);
+        let epoch = self.table.next().epoch;
+        self.table.set_next(LogPosition {
+            epoch,
+            offset: next_offset,
+        });
     }
 
     /// Records the end of a server at which prompts were in flight.
@@ -305,9 +310,9 @@
         Duration::from_millis(due_at_ms.saturating_sub(times.wall_ms)).min(COOLDOWN_MAX)
     }
 
-    /// Starts to claim the trial of a part. Returns the record with the offset at which the log has
-    /// to end for the claim to succeed.
-    pub fn claim_trial(&mut self, part: PartKey, times: Times) -> (KeyedRecord, u64) {
+    /// Starts to claim the trial of a part. Returns the record with the position at which the log
+    /// has to end for the claim to succeed.
+    pub fn claim_trial(&mut self, part: PartKey, times: Times) -> (KeyedRecord, LogPosition) {
         self.claimed_at = Some(times.uptime);
         let count = self.table.trial(part).map_or(0, |trial| trial.count);
         let trial = Trial {
@@ -318,7 +323,7 @@
             key: RecordKey::Trial(part),
             record: Some(Record::Trial(trial)),
         };
-        (record, self.table.next_offset())
+        (record, self.table.next())
     }
 
     /// Records that the claim of a trial was stored.
@@ -364,7 +369,7 @@
             record: Some(Record::End(report.clone())),
         });
         let mut records: Vec<KeyedRecord> = reports.collect();
-        let before_offset = self.table.next_offset();
+        let before_offset = self.table.next().offset;
         for part in self.due_clearances(times) {
             self.cleared_at.insert(part, times.uptime);
             records.push(KeyedRecord {
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -3,6 +3,7 @@
 use crate::attribution::Evidence;
 use crate::record::{Clearance, EndReport, KeyedRecord, Record, RecordKey, Trial};
 use crate::{PartKey, Suspect, WorkspaceKey};
+use anvilgw_core::log_position::LogPosition;
 use indexmap::{IndexMap, IndexSet};
 use std::time::Duration;
 
@@ -32,21 +33,22 @@
     suspect_counts: IndexMap<WorkspaceKey, usize>,
     cleared: IndexMap<PartKey, Clearance>,
     trials: IndexMap<PartKey, Trial>,
-    next_offset: u64,
+    /// Position from which to read the log next. Offsets of records are of the same epoch.
+    next: LogPosition,
     /// Keys that were dropped because there were too many, to be removed from the log.
     dropped: IndexSet<RecordKey>,
 }
 
 impl EvidenceTable {
-    /// Returns the offset from which to read the log next.
+    /// Returns the position from which to read the log next.
     #[must_use]
-    pub fn next_offset(&self) -> u64 {
-        self.next_offset
+    pub fn next(&self) -> LogPosition {
+        self.next
     }
 
-    /// Sets the offset from which to read the log next.
-    pub fn set_next_offset(&mut self, offset: u64) {
-        self.next_offset = offset;
+    /// Sets the position from which to read the log next.
+    pub fn set_next(&mut self, next: LogPosition) {
+        self.next = next;
     }
 
     /// Returns whether there are no reports.
--- a/crates/quarantine/tests/fleet.rs
+++ b/crates/quarantine/tests/fleet.rs
@@ -303,7 +303,7 @@
             if self.now >= daemon.next_read_at {
                 let delay = self.case.read_delay_max.mul_f64(self.rng.random());
                 daemon.next_read_at = self.now + delay;
-                let from = daemon.view.table().next_offset();
+                let from = daemon.view.table().next().offset;
                 let unread = self.log.iter().zip(0..).skip(from as usize);
                 for (stored, offset) in
                     unread.take_while(|(stored, _)| stored.readable_at <= self.now)
--- a/crates/quarantine/tests/view.rs
+++ b/crates/quarantine/tests/view.rs
@@ -212,7 +212,7 @@
     );
     let [first, second] = &mut views;
     first.on_trial_claimed(&claims[0].0);
-    second.on_record(claims[0].0.clone(), claims[0].1);
+    second.on_record(claims[0].0.clone(), claims[0].1.offset);
     for view in [first, second] {
         let admission = view.admit(&request, at(COOLDOWN * 3 - Duration::from_secs(1)));
         let retry_after = Duration::from_secs(1);
