quarantine: clearances name the epoch and time at which they were issued

A clearance of a sound part withdraws all reports before an offset. After the store was restored, offsets are assigned again: a clearance of the earlier epoch that was appended late, with a high offset, also withdrew reports that were written in the new epoch, so requests with a part that crashes servers went on reaching them.

A clearance now names its epoch and time. Within its epoch offsets decide as before; reports of another epoch are covered if they were seen before it was issued. Records of the previous release name neither and cover only what was stored before them; the previous release reads the new ones, whose first field is the old one.

--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -2,7 +2,9 @@
 
 use crate::attribution::{Attribution, ENDS_TO_CLEAR, QuarantinedParts, attribute, count_ends};
 use crate::completions::{AnswerCount, Completions};
-use crate::record::{Clearance, EndReport, KeyedRecord, Record, RecordKey, SUSPECTS_MAX, Trial};
+use crate::record::{
+    Clearance, EndReport, Issued, KeyedRecord, Record, RecordKey, SUSPECTS_MAX, Trial,
+};
 use crate::table::EvidenceTable;
 use crate::{PartKey, ServerStart, Suspect, WorkspaceKey};
 use anvilgw_core::log_position::LogPosition;
@@ -143,10 +145,10 @@
         next: LogPosition,
     ) {
         self.table.clear_stored();
+        self.table.set_next(next);
         for (record, offset) in records {
             self.table.apply(record, offset);
         }
-        self.table.set_next(next);
         self.attributed_at = None;
     }
 
@@ -369,12 +371,12 @@
             record: Some(Record::End(report.clone())),
         });
         let mut records: Vec<KeyedRecord> = reports.collect();
-        let before_offset = self.table.next().offset;
+        let clearance = self.clearance(times);
         for part in self.due_clearances(times) {
             self.cleared_at.insert(part, times.uptime);
             records.push(KeyedRecord {
                 key: RecordKey::Cleared(part),
-                record: Some(Record::Cleared(Clearance { before_offset })),
+                record: Some(Record::Cleared(clearance)),
             });
         }
         records.truncate(APPEND_RECORDS_MAX);
@@ -389,6 +391,19 @@
         records
     }
 
+    /// Returns a clearance that concerns all reports that this daemon has read.
+    fn clearance(&self, times: Times) -> Clearance {
+        let next = self.table.next();
+        let issued = Issued {
+            epoch: next.epoch,
+            at_ms: times.wall_ms,
+        };
+        Clearance {
+            before_offset: next.offset,
+            issued: Some(issued),
+        }
+    }
+
     /// Records that these records were stored.
     pub fn on_appended(&mut self, records: &[KeyedRecord]) {
         for record in records {
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -1,6 +1,7 @@
 //! Records of the evidence that the daemons of a fleet share, and their keys.
 
 use crate::{PartKey, ServerStart, Suspect};
+use anvilgw_core::log_position::{LogPosition, StoreEpoch};
 use bincode::{Decode, Encode};
 use quick_error::quick_error;
 use std::fmt;
@@ -55,8 +56,55 @@
 /// Statement that a part is sound: a request with it got a whole answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Clearance {
-    /// Offset before which reports do not count against the part.
+    /// Offset before which reports do not count against the part, in the epoch of `issued`.
     pub before_offset: u64,
+    /// When it was issued, or `None` if an earlier release did.
+    pub issued: Option<Issued>,
+}
+
+/// When a clearance was issued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Issued {
+    /// Epoch in which the daemon that issued it had read the log.
+    pub epoch: StoreEpoch,
+    /// Time in Unix milliseconds.
+    pub at_ms: u64,
+}
+
+/// A clearance as earlier releases write it.
+#[derive(Decode)]
+struct UndatedClearance {
+    before_offset: u64,
+}
+
+impl Clearance {
+    /// Returns whether a report no longer counts against the part. `stored` is the position of the
+    /// clearance, `report` that of the report, which was seen at `seen_at_ms`.
+    ///
+    /// Offsets decide within one epoch. A store that was restored may contain a clearance of an
+    /// earlier epoch, which was retained or appended late, so time decides between epochs.
+    #[must_use]
+    pub fn covers(&self, stored: LogPosition, report: LogPosition, seen_at_ms: u64) -> bool {
+        match self.issued {
+            Some(issued) if issued.epoch == report.epoch => report.offset < self.before_offset,
+            Some(issued) => seen_at_ms <= issued.at_ms,
+            // Its epoch is unknown, but it can only concern reports that were stored before it.
+            None => {
+                let before_offset = self.before_offset.min(stored.offset);
+                report.epoch <= stored.epoch && report.offset < before_offset
+            }
+        }
+    }
+
+    fn decode(value: &[u8]) -> Result<Self, RecordError> {
+        decode(value).or_else(|_| {
+            let UndatedClearance { before_offset } = decode(value)?;
+            Ok(Self {
+                before_offset,
+                issued: None,
+            })
+        })
+    }
 }
 
 /// The last trial of a quarantined part.
@@ -102,7 +150,7 @@
     pub fn decode(key: RecordKey, value: &[u8]) -> Result<Self, RecordError> {
         Ok(match key {
             RecordKey::End { .. } => Self::End(decode(value)?),
-            RecordKey::Cleared(_) => Self::Cleared(decode(value)?),
+            RecordKey::Cleared(_) => Self::Cleared(Clearance::decode(value)?),
             RecordKey::Trial(_) => Self::Trial(decode(value)?),
         })
     }
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -20,18 +20,24 @@
 
 #[derive(Clone, Debug)]
 struct KeptReport {
-    /// Offset of the record, or `None` until this daemon has read its own report.
-    offset: Option<u64>,
+    /// Position of the record, or `None` until this daemon has read its own report.
+    position: Option<LogPosition>,
     report: EndReport,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct KeptClearance {
+    position: LogPosition,
+    clearance: Clearance,
+}
+
 /// Evidence of a fleet, bounded in size.
 #[derive(Clone, Debug, Default)]
 pub struct EvidenceTable {
     reports: IndexMap<RecordKey, KeptReport>,
     /// Number of suspects in all reports, by workspace.
     suspect_counts: IndexMap<WorkspaceKey, usize>,
-    cleared: IndexMap<PartKey, Clearance>,
+    cleared: IndexMap<PartKey, KeptClearance>,
     trials: IndexMap<PartKey, Trial>,
     /// Position from which to read the log next. Offsets of records are of the same epoch.
     next: LogPosition,
@@ -69,7 +75,7 @@
         let stored = self
             .reports
             .iter()
-            .filter(|(_, kept)| kept.offset.is_some());
+            .filter(|(_, kept)| kept.position.is_some());
         let stored: Vec<RecordKey> = stored.map(|(key, _)| *key).collect();
         for key in stored {
             self.remove_report(key);
@@ -79,14 +85,20 @@
         self.dropped.clear();
     }
 
-    /// Applies the record at `offset`.
+    /// Applies the record at `offset`, in the epoch of the position from which the log is read next.
     pub fn apply(&mut self, keyed: KeyedRecord, offset: u64) {
+        let epoch = self.next.epoch;
+        let position = LogPosition { epoch, offset };
         match (keyed.key, keyed.record) {
             (key @ RecordKey::End { .. }, Some(Record::End(report))) => {
-                self.insert_report(key, Some(offset), report);
+                self.insert_report(key, Some(position), report);
             }
             (RecordKey::Cleared(part), Some(Record::Cleared(clearance))) => {
-                self.cleared.insert(part, clearance);
+                let kept = KeptClearance {
+                    position,
+                    clearance,
+                };
+                self.cleared.insert(part, kept);
             }
             (RecordKey::Trial(part), Some(Record::Trial(trial))) => {
                 self.trials.insert(part, trial);
@@ -115,12 +127,12 @@
         self.insert_report(key, None, report);
     }
 
-    fn insert_report(&mut self, key: RecordKey, offset: Option<u64>, report: EndReport) {
+    fn insert_report(&mut self, key: RecordKey, position: Option<LogPosition>, report: EndReport) {
         self.remove_report(key);
         for suspect in &report.suspects {
             *self.suspect_counts.entry(suspect.workspace).or_default() += 1;
         }
-        self.reports.insert(key, KeptReport { offset, report });
+        self.reports.insert(key, KeptReport { position, report });
         self.drop_excess();
     }
 
@@ -145,7 +157,7 @@
         let unstored = self
             .reports
             .values_mut()
-            .filter(|kept| kept.offset.is_none());
+            .filter(|kept| kept.position.is_none());
         let mut removed = Vec::new();
         for kept in unstored {
             let suspects = &mut kept.report.suspects;
@@ -187,8 +199,7 @@
         let suspects = kept.report.suspects.iter().copied();
         suspects.filter(move |suspect| {
             let cleared = self.cleared.get(&suspect.part);
-            let before = cleared.map_or(0, |cleared| cleared.before_offset);
-            kept.offset.is_none_or(|offset| offset >= before)
+            !cleared.is_some_and(|cleared| cleared.covers(kept))
         })
     }
 
@@ -198,7 +209,7 @@
         let stored = self
             .reports
             .iter()
-            .filter(|(_, kept)| kept.offset.is_some());
+            .filter(|(_, kept)| kept.position.is_some());
         let obsolete_reports = stored
             .filter(|(_, kept)| {
                 !is_current(kept, now_ms) || self.live_suspects(kept).next().is_none()
@@ -257,6 +268,15 @@
     }
 }
 
+impl KeptClearance {
+    /// Returns whether a report no longer counts. A report that is not stored yet still does.
+    fn covers(&self, kept: &KeptReport) -> bool {
+        let (clearance, seen_at_ms) = (self.clearance, kept.report.seen_at_ms);
+        let report = kept.position;
+        report.is_some_and(|report| clearance.covers(self.position, report, seen_at_ms))
+    }
+}
+
 /// Returns whether a report is recent enough to count. The clocks of daemons differ a little, so a
 /// report from the future counts too.
 fn is_current(kept: &KeptReport, now_ms: u64) -> bool {
