quarantine: evidence that a restored store has lost stays in force

After the store came back from an older copy, a daemon that listed the evidence forgot each report, clearance and trial that the copy lacked, and nobody wrote them again: requests with a part that had crashed five servers reached servers again, and parts that were known to be sound were suspected.

Each daemon appends its own lost reports at once, also those whose append was acknowledged in the earlier epoch. Records that were read earlier and are not listed were removed for good. Reports whose removal the daemon has read are not used if the copy contains them, and removed again.

--- a/crates/entry/src/duties/quarantine.rs
+++ b/crates/entry/src/duties/quarantine.rs
@@ -3,6 +3,7 @@
 //! The daemons of the fleet share what they see through a stream of the log service, which the
 //! worker thread reads and writes. Request handlers only lock the state for a moment.
 
+use anvilgw_core::log_position::StoreEpoch;
 use anvilgw_core::{Clock, ErrorKind, Failure, LogError, LogService, Offset, ServerId, Stage};
 use anvilgw_kernel::{EventKind, Journal, StopSignal, WorkerThread};
 use anvilgw_quarantine::pending_ends::PendingEnds;
@@ -139,7 +140,9 @@
             Err(_) => false,
         };
         if is_claimed {
-            self.state().quarantine.on_trial_claimed(&record);
+            let mut state = self.state();
+            state.quarantine.on_trial_claimed(&record, at, times.uptime);
+            drop(state);
             self.record("trial", &[part]);
         }
         is_claimed
@@ -201,7 +204,8 @@
             if self.log.append(&self.stream, &payload).is_err() {
                 break;
             }
-            self.state().quarantine.on_appended(&[record]);
+            let epoch = StoreEpoch::default();
+            self.state().quarantine.on_appended(&[record], epoch);
         }
         let from = Offset(self.state().quarantine.table().next().offset);
         match self.log.read(&self.stream, from, READ_MAX, Duration::ZERO) {
@@ -220,9 +224,10 @@
     }
 
     fn apply(&self, offset: Offset, payload: &[u8]) {
+        let now = self.clock.uptime();
         let mut state = self.state();
         match KeyedRecord::decode(payload) {
-            Ok(record) => state.quarantine.on_record(record, offset.0),
+            Ok(record) => state.quarantine.on_record(record, offset.0, now),
             Err(error) => self.journal.record(
                 self.clock.wall_ms(),
                 EventKind::InvariantViolated,
--- a/crates/gateway/src/background_tasks/evidence.rs
+++ b/crates/gateway/src/background_tasks/evidence.rs
@@ -7,7 +7,7 @@
 use crate::groups::{Role, StoreReads};
 use crate::log::Event;
 use crate::peer_message::PeerMessage;
-use crate::ports::{KeyedBytes, StoreError, Topic};
+use crate::ports::{AppendOutcome, KeyedBytes, StoreError, Topic};
 use crate::read_origin::ReadOrigin;
 use crate::server_ends::report_replaced;
 use crate::topic_reader::TopicReader;
@@ -51,6 +51,7 @@
     };
     loop {
         load_listing(&follower.gateway, &mut follower.dependency).await;
+        follower.has_created_log = false;
         while follower.read_once().await {}
     }
 }
@@ -144,13 +145,14 @@
                     .filter_map(|(bytes, offset)| Some((decode_record(gateway, bytes)?, *offset)));
                 let records: Vec<(KeyedRecord, u64)> = records.collect();
                 let quarantine = &mut gateway.state.borrow_mut().quarantine;
-                quarantine.on_listing(records, listing.next);
+                quarantine.on_listing(records, listing.next, started_at);
             }
             Err(error) => dependency.on_failure(gateway, &error.to_string()),
         }
         gateway.state.borrow_mut().has_asked_for_evidence = true;
         if is_listed {
             log_changes(gateway);
+            gateway.evidence_changed.notify_one();
             return;
         }
         sleep(RETRY_PAUSE).await;
@@ -159,12 +161,13 @@
 
 fn apply(gateway: &Gateway, records: &[bytes::Bytes], from_offset: u64) {
     let store = &gateway.ports.metadata_store;
+    let now = gateway.now();
     for (offset, record) in (from_offset..).zip(records) {
         let bytes = store.decode_evidence(record.clone());
         let decoded = bytes.and_then(|bytes| decode_record(gateway, &bytes));
         let quarantine = &mut gateway.state.borrow_mut().quarantine;
         if let Some(record) = decoded {
-            quarantine.on_record(record, offset);
+            quarantine.on_record(record, offset, now);
         }
         quarantine.on_read(offset + 1);
     }
@@ -251,7 +254,7 @@
 
 fn round_pause(gateway: &Gateway) -> Duration {
     let state = gateway.state.borrow();
-    if state.pending_ends.is_empty() && !state.quarantine.awaits_clearances() {
+    if state.pending_ends.is_empty() && !state.quarantine.awaits_records() {
         QUIET_ROUND_PAUSE
     } else {
         ACTIVE_ROUND_PAUSE
@@ -267,10 +270,14 @@
     }
     let store = &gateway.ports.metadata_store;
     match store.append_evidence(None, encoded).await {
-        Ok(_) => {
+        Ok(AppendOutcome::Stored(stored) | AppendOutcome::Conflict(stored)) => {
             dependency.on_answer(gateway);
             let quarantine = &mut gateway.state.borrow_mut().quarantine;
-            quarantine.on_appended(&outgoing);
+            quarantine.on_appended(&outgoing, stored.epoch);
+            if stored.epoch != quarantine.table().next().epoch {
+                // A read notices that the store was restored.
+                gateway.evidence_news.notify_one();
+            }
         }
         Err(error) => {
             dependency.on_failure(gateway, &error.to_string());
--- a/crates/gateway/src/dispatch/quarantine.rs
+++ b/crates/gateway/src/dispatch/quarantine.rs
@@ -68,8 +68,11 @@
     };
     let store = &gateway.ports.metadata_store;
     let outcome = store.append_evidence(Some(at.offset), vec![bytes]).await;
-    let is_claimed = matches!(outcome, Ok(AppendOutcome::Stored(_)));
-    if is_claimed {
+    let stored = match outcome {
+        Ok(AppendOutcome::Stored(stored)) => Some(stored),
+        Ok(AppendOutcome::Conflict(_)) | Err(_) => None,
+    };
+    if let Some(stored) = stored {
         gateway.metrics.count("quarantine_trials");
         gateway.log_notable(&Event::Quarantine {
             change: "trial",
@@ -78,9 +81,9 @@
             workspaces: None,
         });
         let quarantine = &mut gateway.state.borrow_mut().quarantine;
-        quarantine.on_trial_claimed(&record);
+        quarantine.on_trial_claimed(&record, stored, times.uptime);
     }
-    is_claimed
+    stored.is_some()
 }
 
 /// Encodes a record for the log, or returns `None` if it cannot be encoded.
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -13,6 +13,9 @@
 //! - After a cooldown one request with the part is sent as a trial ([`record::Trial`]). If it gets a
 //!   whole answer, the part is released.
 //!
+//! The store of the log may be restored from an older copy. Daemons then keep what they have read a
+//! short time ago, and store again what the copy lacks.
+//!
 //! Parts are named by callers. A workspace's requests alone can quarantine a part only for that
 //! workspace, and evidence is evicted from the workspace that has most of it.
 //!
@@ -26,6 +29,7 @@
 pub mod record;
 pub mod table;
 
+mod missing;
 mod quarantine;
 mod refusal;
 
@@ -65,3 +69,11 @@
     /// Workspace whose request contained it.
     pub workspace: WorkspaceKey,
 }
+
+/// Mixes the bits of a number, so that the order of the results is unrelated to that of the inputs.
+fn mixed(value: u64) -> u64 {
+    const MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+    (value ^ (value >> 32))
+        .wrapping_mul(MULTIPLIER)
+        .rotate_left(31)
+}
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -2,12 +2,13 @@
 
 use crate::attribution::{Attribution, ENDS_TO_CLEAR, QuarantinedParts, attribute, count_ends};
 use crate::completions::{AnswerCount, Completions};
+use crate::missing::MissingRecords;
 use crate::record::{
     Clearance, EndReport, Issued, KeyedRecord, Record, RecordKey, SUSPECTS_MAX, Trial,
 };
 use crate::table::EvidenceTable;
-use crate::{PartKey, ServerStart, Suspect, WorkspaceKey};
-use anvilgw_core::log_position::LogPosition;
+use crate::{PartKey, ServerStart, Suspect, WorkspaceKey, mixed};
+use anvilgw_core::log_position::{LogPosition, StoreEpoch};
 use indexmap::{IndexMap, IndexSet};
 use std::time::Duration;
 
@@ -101,6 +102,8 @@
     reports_made: u32,
     /// Own reports that are not stored yet.
     outbox: IndexMap<RecordKey, EndReport>,
+    /// Other records that the restored store does not contain.
+    missing: MissingRecords,
     cleared_at: IndexMap<PartKey, Duration>,
     /// Since when this daemon could clear parts that are not cleared yet.
     clearable_since: IndexMap<PartKey, Duration>,
@@ -125,6 +128,7 @@
             reporter,
             reports_made: 0,
             outbox: IndexMap::new(),
+            missing: MissingRecords::default(),
             cleared_at: IndexMap::new(),
             clearable_since: IndexMap::new(),
             fleet_size: 1,
@@ -139,23 +143,56 @@
     }
 
     /// Replaces all records that were read by a complete listing of key, record and offset.
+    ///
+    /// In a new epoch the store was restored from an older copy. What this daemon has read a short
+    /// time ago and the copy lacks stays in force, and is stored again.
     pub fn on_listing(
         &mut self,
         records: impl IntoIterator<Item = (KeyedRecord, u64)>,
         next: LogPosition,
+        now: Duration,
     ) {
-        self.table.clear_stored();
+        let is_restored = next.epoch != self.table.next().epoch;
+        if is_restored {
+            self.table.retain_newest(now);
+        } else {
+            let missing = &self.missing;
+            self.table.clear_stored(|key| missing.contains(&key));
+        }
         self.table.set_next(next);
         for (record, offset) in records {
-            self.table.apply(record, offset);
+            let key = record.key;
+            if self.table.apply_listed(record, offset, now) {
+                self.outbox.shift_remove(&key);
+                self.missing.remove(&key);
+            }
+        }
+        if is_restored {
+            self.store_unlisted(now);
         }
         self.attributed_at = None;
     }
 
+    /// Prepares to store again what the restored store lacks: own reports at once, other records
+    /// unless another daemon does.
+    fn store_unlisted(&mut self, now: Duration) {
+        let mut missing = Vec::new();
+        for key in self.table.unlisted_keys() {
+            let is_own =
+                matches!(key, RecordKey::End { reporter, .. } if reporter == self.reporter);
+            match self.table.report(key).filter(|_| is_own).cloned() {
+                Some(report) => self.queue(key, report),
+                None => missing.push(key),
+            }
+        }
+        self.missing.set(missing, now);
+    }
+
     /// Applies a record that was read at `offset`, in the epoch of the last listing.
-    pub fn on_record(&mut self, record: KeyedRecord, offset: u64) {
+    pub fn on_record(&mut self, record: KeyedRecord, offset: u64, now: Duration) {
         self.outbox.shift_remove(&record.key);
-        self.table.apply(record, offset);
+        self.missing.remove(&record.key);
+        self.table.apply(record, offset, now);
         self.attributed_at = None;
     }
 
@@ -188,12 +225,16 @@
             completed: self.answers.take(times.uptime),
             suspects: accused,
         };
+        self.queue(key, report.clone());
+        self.table.add_own(key, report, times.uptime);
+        self.attributed_at = None;
+    }
+
+    fn queue(&mut self, key: RecordKey, report: EndReport) {
         if self.outbox.len() >= OUTBOX_MAX {
             self.outbox.shift_remove_index(0);
         }
-        self.outbox.insert(key, report.clone());
-        self.table.add_own(key, report);
-        self.attributed_at = None;
+        self.outbox.insert(key, report);
     }
 
     /// Returns the suspects to report: all that are not known to be sound. If there are too many,
@@ -328,11 +369,11 @@
         (record, self.table.next())
     }
 
-    /// Records that the claim of a trial was stored.
-    pub fn on_trial_claimed(&mut self, claimed: &KeyedRecord) {
+    /// Records that the claim of a trial was stored at a position.
+    pub fn on_trial_claimed(&mut self, claimed: &KeyedRecord, stored: LogPosition, now: Duration) {
         if let (RecordKey::Trial(part), Some(Record::Trial(trial))) = (claimed.key, &claimed.record)
         {
-            self.table.set_trial(part, *trial);
+            self.table.set_trial(part, *trial, stored, now);
         }
     }
 
@@ -359,11 +400,13 @@
     /// Returns whether there is something to append.
     #[must_use]
     pub fn has_outgoing(&mut self, times: Times) -> bool {
-        !self.outbox.is_empty() || !self.due_clearances(times).is_empty()
+        !self.outbox.is_empty()
+            || !self.due_missing(times).is_empty()
+            || !self.due_clearances(times).is_empty()
     }
 
-    /// Returns the records to append: own reports, clearances of parts that are sound, and removals
-    /// of obsolete records. Reports are returned again until they were read, or
+    /// Returns the records to append: own reports, records that the restored store lacks, clearances of
+    /// parts that are sound, and removals of obsolete records. Reports are returned again until they were read, or
     /// [`Self::on_appended`] was called.
     pub fn outgoing(&mut self, times: Times) -> Vec<KeyedRecord> {
         let reports = self.outbox.iter().map(|(key, report)| KeyedRecord {
@@ -371,6 +414,7 @@
             record: Some(Record::End(report.clone())),
         });
         let mut records: Vec<KeyedRecord> = reports.collect();
+        records.extend(self.take_due_missing(times));
         let clearance = self.clearance(times);
         for part in self.due_clearances(times) {
             self.cleared_at.insert(part, times.uptime);
@@ -404,10 +448,36 @@
         }
     }
 
-    /// Records that these records were stored.
-    pub fn on_appended(&mut self, records: &[KeyedRecord]) {
+    /// Returns missing records of others that this daemon stores now. Those that no longer count are
+    /// forgotten.
+    fn take_due_missing(&mut self, times: Times) -> Vec<KeyedRecord> {
+        let mut records = Vec::new();
+        for key in self.due_missing(times) {
+            match self.table.record_to_store(key, times.wall_ms) {
+                Some(record) => records.push(record),
+                None => {
+                    self.missing.remove(&key);
+                    self.table.forget(key);
+                }
+            }
+        }
+        records
+    }
+
+    fn due_missing(&self, times: Times) -> Vec<RecordKey> {
+        let (reporter, now) = (self.reporter, times.uptime);
+        self.missing.due(reporter, self.fleet_size, now)
+    }
+
+    /// Records that these records were stored in an epoch. Those of an earlier epoch than that of the
+    /// last listing may be lost.
+    pub fn on_appended(&mut self, records: &[KeyedRecord], epoch: StoreEpoch) {
+        if epoch < self.table.next().epoch {
+            return;
+        }
         for record in records {
             self.outbox.shift_remove(&record.key);
+            self.missing.remove(&record.key);
         }
     }
 
@@ -444,10 +514,11 @@
         clearable.into_iter().filter(is_due).collect()
     }
 
-    /// Returns whether this daemon waits for other daemons to state that a part is sound.
+    /// Returns whether this daemon waits for other daemons to state that a part is sound, or to store
+    /// records that the restored store lacks.
     #[must_use]
-    pub fn awaits_clearances(&self) -> bool {
-        !self.clearable_since.is_empty()
+    pub fn awaits_records(&self) -> bool {
+        !self.clearable_since.is_empty() || !self.missing.is_empty()
     }
 
     /// Sets the number of daemons in the fleet.
@@ -491,11 +562,3 @@
         }
     }
 }
-
-/// Mixes the bits of a number, so that the order of the results is unrelated to that of the inputs.
-fn mixed(value: u64) -> u64 {
-    const MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
-    (value ^ (value >> 32))
-        .wrapping_mul(MULTIPLIER)
-        .rotate_left(31)
-}
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -63,7 +63,7 @@
 }
 
 /// When a clearance was issued.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub struct Issued {
     /// Epoch in which the daemon that issued it had read the log.
     pub epoch: StoreEpoch,
@@ -180,6 +180,23 @@
     Trial(PartKey),
 }
 
+impl RecordKey {
+    /// Returns a number that differs between most keys.
+    pub(crate) fn number(&self) -> u64 {
+        /// Tells the keys of clearances and trials of one part apart.
+        const TRIAL_BIT: u64 = 1 << 63;
+        match self {
+            Self::End {
+                server,
+                reporter,
+                number,
+            } => server.0 ^ reporter.rotate_left(u64::BITS / 2) ^ u64::from(*number),
+            Self::Cleared(part) => part.0,
+            Self::Trial(part) => part.0 ^ TRIAL_BIT,
+        }
+    }
+}
+
 impl fmt::Display for RecordKey {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -1,10 +1,15 @@
 //! The records of a fleet's evidence as one daemon has read them.
 
+mod retained;
+
+pub use retained::LOST_TIME_MAX;
+
 use crate::attribution::Evidence;
 use crate::record::{Clearance, EndReport, KeyedRecord, Record, RecordKey, Trial};
 use crate::{PartKey, Suspect, WorkspaceKey};
 use anvilgw_core::log_position::LogPosition;
 use indexmap::{IndexMap, IndexSet};
+use retained::RemovedReports;
 use std::time::Duration;
 
 /// Time for which a report counts. A part that stays quarantined is tried again within this time,
@@ -22,15 +27,27 @@
 struct KeptReport {
     /// Position of the record, or `None` until this daemon has read its own report.
     position: Option<LogPosition>,
+    /// Uptime of this daemon at which it read the record, or made its own report.
+    read_at: Duration,
     report: EndReport,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct KeptClearance {
     position: LogPosition,
+    /// Uptime of this daemon at which it read the record.
+    read_at: Duration,
     clearance: Clearance,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct KeptTrial {
+    position: LogPosition,
+    /// Uptime of this daemon at which it read the record.
+    read_at: Duration,
+    trial: Trial,
+}
+
 /// Evidence of a fleet, bounded in size.
 #[derive(Clone, Debug, Default)]
 pub struct EvidenceTable {
@@ -38,11 +55,12 @@
     /// Number of suspects in all reports, by workspace.
     suspect_counts: IndexMap<WorkspaceKey, usize>,
     cleared: IndexMap<PartKey, KeptClearance>,
-    trials: IndexMap<PartKey, Trial>,
+    trials: IndexMap<PartKey, KeptTrial>,
     /// Position from which to read the log next. Offsets of records are of the same epoch.
     next: LogPosition,
     /// Keys that were dropped because there were too many, to be removed from the log.
     dropped: IndexSet<RecordKey>,
+    removed: RemovedReports,
 }
 
 impl EvidenceTable {
@@ -69,70 +87,76 @@
         self.reports.len()
     }
 
-    /// Forgets all records but this daemon's own that it has not read yet. Called before a complete
-    /// listing is applied.
-    pub fn clear_stored(&mut self) {
+    /// Forgets all records but this daemon's own that it has not read yet, and those that are
+    /// missing in the log. Called before a complete listing is applied.
+    pub fn clear_stored(&mut self, is_missing: impl Fn(RecordKey) -> bool) {
         let stored = self
             .reports
             .iter()
-            .filter(|(_, kept)| kept.position.is_some());
+            .filter(|(key, kept)| kept.position.is_some() && !is_missing(**key));
         let stored: Vec<RecordKey> = stored.map(|(key, _)| *key).collect();
         for key in stored {
             self.remove_report(key);
         }
-        self.cleared.clear();
-        self.trials.clear();
+        self.cleared
+            .retain(|part, _| is_missing(RecordKey::Cleared(*part)));
+        self.trials
+            .retain(|part, _| is_missing(RecordKey::Trial(*part)));
         self.dropped.clear();
     }
 
     /// Applies the record at `offset`, in the epoch of the position from which the log is read next.
-    pub fn apply(&mut self, keyed: KeyedRecord, offset: u64) {
+    pub fn apply(&mut self, keyed: KeyedRecord, offset: u64, now: Duration) {
         let epoch = self.next.epoch;
         let position = LogPosition { epoch, offset };
         match (keyed.key, keyed.record) {
             (key @ RecordKey::End { .. }, Some(Record::End(report))) => {
-                self.insert_report(key, Some(position), report);
+                let kept = KeptReport {
+                    position: Some(position),
+                    read_at: now,
+                    report,
+                };
+                self.insert_report(key, kept);
             }
             (RecordKey::Cleared(part), Some(Record::Cleared(clearance))) => {
                 let kept = KeptClearance {
                     position,
+                    read_at: now,
                     clearance,
                 };
                 self.cleared.insert(part, kept);
             }
             (RecordKey::Trial(part), Some(Record::Trial(trial))) => {
-                self.trials.insert(part, trial);
+                self.set_trial(part, trial, position, now);
             }
-            (key, _) => self.remove(key),
+            (key, _) => self.remove(key, now),
         }
     }
 
-    fn remove(&mut self, key: RecordKey) {
+    fn remove(&mut self, key: RecordKey, now: Duration) {
         self.dropped.swap_remove(&key);
-        match key {
-            RecordKey::End { .. } => {
-                self.remove_report(key);
-            }
-            RecordKey::Cleared(part) => {
-                self.cleared.swap_remove(&part);
-            }
-            RecordKey::Trial(part) => {
-                self.trials.swap_remove(&part);
-            }
+        if let RecordKey::End { .. } = key {
+            self.removed.on_removed(key, now);
         }
+        self.forget(key);
     }
 
     /// Adds a report of this daemon that is not stored yet.
-    pub fn add_own(&mut self, key: RecordKey, report: EndReport) {
-        self.insert_report(key, None, report);
+    pub fn add_own(&mut self, key: RecordKey, report: EndReport, now: Duration) {
+        let kept = KeptReport {
+            position: None,
+            read_at: now,
+            report,
+        };
+        self.insert_report(key, kept);
     }
 
-    fn insert_report(&mut self, key: RecordKey, position: Option<LogPosition>, report: EndReport) {
+    fn insert_report(&mut self, key: RecordKey, kept: KeptReport) {
         self.remove_report(key);
-        for suspect in &report.suspects {
+        for suspect in &kept.report.suspects {
             *self.suspect_counts.entry(suspect.workspace).or_default() += 1;
         }
-        self.reports.insert(key, KeptReport { position, report });
+        self.reports.insert(key, kept);
         self.drop_excess();
     }
 
@@ -169,12 +193,17 @@
     /// Returns the last trial of a part.
     #[must_use]
     pub fn trial(&self, part: PartKey) -> Option<Trial> {
-        self.trials.get(&part).copied()
+        self.trials.get(&part).map(|kept| kept.trial)
     }
 
-    /// Records a trial.
-    pub fn set_trial(&mut self, part: PartKey, trial: Trial) {
-        self.trials.insert(part, trial);
+    /// Records the trial that is stored at a position.
+    pub fn set_trial(&mut self, part: PartKey, trial: Trial, position: LogPosition, now: Duration) {
+        let kept = KeptTrial {
+            position,
+            read_at: now,
+            trial,
+        };
+        self.trials.insert(part, kept);
     }
 
     /// Returns the reports with the suspects that were not cleared since.
--- a/crates/quarantine/tests/fleet.rs
+++ b/crates/quarantine/tests/fleet.rs
@@ -1,10 +1,12 @@
 //! A fleet of daemons in virtual time: servers end under a prompt part or by themselves, daemons
-//! read the shared log late, and are restarted.
+//! read the shared log late, and are restarted, and the log is restored from an older copy.
 
-use anvilgw_quarantine::record::KeyedRecord;
+use anvilgw_core::log_position::{LogPosition, StoreEpoch};
+use anvilgw_quarantine::record::{KeyedRecord, RecordKey};
 use anvilgw_quarantine::{
     Admission, LostRequests, PartKey, Quarantine, ServerStart, Suspect, Times, WorkspaceKey,
 };
+use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::time::Duration;
@@ -28,6 +30,10 @@
 const ATTEMPTS_MAX: u32 = 2;
 /// Time from an append until the record can be read.
 const APPEND_TIME: Duration = Duration::from_millis(100);
+/// Times at which the log is restored, if it is, in milliseconds.
+const RESTORES_AT_MS: [u128; 2] = [8_000, 10_000];
+/// Time before a restore whose records are lost.
+const LOST_TIME: Duration = Duration::from_secs(4);
 /// Wall-clock time at the start, in Unix milliseconds.
 const START_MS: u64 = 1_000_000;
 
@@ -57,6 +63,8 @@
     trouble: Trouble,
     /// Whether daemons are restarted all the time.
     restarts: bool,
+    /// Whether the log is restored from an older copy, twice.
+    restores: bool,
     seeds: u64,
 }
 
@@ -90,6 +98,7 @@
     servers: Vec<(Duration, u64)>,
     running: Vec<Running>,
     log: Vec<Stored>,
+    epoch: StoreEpoch,
     ends: Vec<Duration>,
     bad_arrivals: Vec<Duration>,
     sound_sent: usize,
@@ -112,6 +121,7 @@
             servers: vec![(Duration::ZERO, 0); case.servers],
             running: Vec::new(),
             log: Vec::new(),
+            epoch: StoreEpoch::default(),
             ends: Vec::new(),
             bad_arrivals: Vec::new(),
             sound_sent: 0,
@@ -276,6 +286,11 @@
             }
             _ => {}
         }
+        if self.case.restores && RESTORES_AT_MS.contains(&elapsed_ms) {
+            self.epoch.0 += 1;
+            let lost_from = self.now - LOST_TIME;
+            self.log.retain(|stored| stored.readable_at < lost_from);
+        }
         if self.case.restarts && elapsed_ms.is_multiple_of(1_000) {
             let index = self.rng.random_range(0..self.daemons.len());
             let view = Quarantine::new(self.rng.random());
@@ -294,7 +309,7 @@
             daemon.next_round_at = self.now + ROUND_TIME;
             daemon.view.set_fleet_size(self.case.daemons as u64);
             let outgoing = daemon.view.outgoing(times);
-            daemon.view.on_appended(&outgoing);
+            daemon.view.on_appended(&outgoing, self.epoch);
             let readable_at = self.now + APPEND_TIME;
             self.log.extend(outgoing.into_iter().map(|record| Stored {
                 record,
@@ -303,12 +318,18 @@
             if self.now >= daemon.next_read_at {
                 let delay = self.case.read_delay_max.mul_f64(self.rng.random());
                 daemon.next_read_at = self.now + delay;
+                let next = daemon.view.table().next();
+                if next.epoch != self.epoch {
+                    list(&self.log, self.epoch, &mut daemon.view, self.now);
+                }
                 let from = daemon.view.table().next().offset;
                 let unread = self.log.iter().zip(0..).skip(from as usize);
                 for (stored, offset) in
                     unread.take_while(|(stored, _)| stored.readable_at <= self.now)
                 {
-                    daemon.view.on_record(stored.record.clone(), offset);
+                    daemon
+                        .view
+                        .on_record(stored.record.clone(), offset, self.now);
                     daemon.view.on_read(offset + 1);
                 }
             }
@@ -328,6 +349,19 @@
     }
 }
 
+/// Lets a daemon read the newest record of each key.
+fn list(log: &[Stored], epoch: StoreEpoch, view: &mut Quarantine, now: Duration) {
+    let readable = log.iter().filter(|stored| stored.readable_at <= now);
+    let offset = readable.clone().count() as u64;
+    let newest: IndexMap<RecordKey, (KeyedRecord, u64)> = readable
+        .zip(0..)
+        .map(|(stored, offset)| (stored.record.key, (stored.record.clone(), offset)))
+        .collect();
+    let records = newest.into_values();
+    let records = records.filter(|(record, _)| record.record.is_some());
+    view.on_listing(records, LogPosition { epoch, offset }, now);
+}
+
 /// Environment variable with a factor of the number of seeds, for longer runs by hand.
 const SEEDS_FACTOR_VARIABLE: &str = "QUARANTINE_SEEDS_FACTOR";
 
@@ -340,6 +374,7 @@
     read_delay_max: Duration::from_millis(1_000),
     trouble: Trouble::BadPart,
     restarts: false,
+    restores: false,
     seeds: 3,
 };
 
@@ -397,6 +432,25 @@
             restarts: true,
             ..LARGE
         },
+        Case {
+            name: "3 daemons, bad part, restores",
+            restores: true,
+            ..SMALL
+        },
+        Case {
+            name: "12 daemons, servers end by themselves, restores",
+            daemons: 12,
+            servers: 18,
+            trouble: Trouble::OwnEnds,
+            restores: true,
+            ..SMALL
+        },
+        Case {
+            name: "295 daemons, bad part, restarts and restores",
+            restarts: true,
+            restores: true,
+            ..LARGE
+        },
         Case {
             name: "295 daemons, servers end by themselves",
             trouble: Trouble::OwnEnds,
--- a/crates/quarantine/tests/view.rs
+++ b/crates/quarantine/tests/view.rs
@@ -63,7 +63,7 @@
             seen_at_ms,
             vec![suspect(part, CLUB)],
         );
-        view.on_record(record, u64::from(number));
+        view.on_record(record, u64::from(number), Duration::ZERO);
         view.on_read(u64::from(number) + 1);
     }
     view
@@ -111,7 +111,7 @@
         Admission::Refused { .. }
     ));
     for statement in statements {
-        other.on_record(statement, 5);
+        other.on_record(statement, 5, now.uptime);
         other.on_read(6);
     }
     assert_eq!(other.admit(&request, now), Admission::Allowed);
@@ -128,7 +128,7 @@
     let mut witness = view_after_ends(BAD);
     witness.on_completed(&[suspect(BAD, CLUB)], now.uptime);
     for statement in witness.outgoing(now) {
-        view.on_record(statement, 5);
+        view.on_record(statement, 5, now.uptime);
     }
     let mut admissions = Vec::new();
     for number in 6..11 {
@@ -139,7 +139,7 @@
             seen_at_ms,
             vec![suspect(BAD, CLUB)],
         );
-        view.on_record(record, u64::from(number));
+        view.on_record(record, u64::from(number), Duration::ZERO);
         let later = at(Duration::from_secs(90 + u64::from(number)));
         let admission = view.admit(&[suspect(BAD, CLUB)], later);
         admissions.push(admission == Admission::Allowed);
@@ -211,8 +211,8 @@
         "only one append at this offset succeeds"
     );
     let [first, second] = &mut views;
-    first.on_trial_claimed(&claims[0].0);
-    second.on_record(claims[0].0.clone(), claims[0].1.offset);
+    first.on_trial_claimed(&claims[0].0, claims[0].1, due.uptime);
+    second.on_record(claims[0].0.clone(), claims[0].1.offset, due.uptime);
     for view in [first, second] {
         let admission = view.admit(&request, at(COOLDOWN * 3 - Duration::from_secs(1)));
         let retry_after = Duration::from_secs(1);
@@ -256,7 +256,7 @@
         let parts = (0..200).map(|part| PartKey(u64::from(number) * 1_000 + part));
         let suspects = parts.map(|part| suspect(part, SHOP)).collect();
         let record = report(number, u64::from(number), START_MS, suspects);
-        view.on_record(record, u64::from(number));
+        view.on_record(record, u64::from(number), Duration::ZERO);
     }
     let table = view.table();
     assert!(table.report_count() <= REPORTS_MAX);
