quarantine: a trial is claimed in one epoch of the store only

A trial of a quarantined part is claimed by an append on the condition that the log ends where the daemon has read it. After the store was restored, the log may end at the same offset of another epoch, with a claim of another daemon in it: both requests with the part reached servers. A claim that was accepted and lost counted too, although the daemon already read the new epoch.

The claim now counts only if it was stored at the position that was read, epoch included, and the daemon still reads that epoch. After each claim the daemon reads the log at once.

a_claim_of_a_trial_counts_in_one_epoch_only failed before (accepted in the new epoch).

--- a/crates/entry/src/duties/quarantine.rs
+++ b/crates/entry/src/duties/quarantine.rs
@@ -3,7 +3,7 @@
 //! The daemons of the fleet share what they see through a stream of the log service, which the
 //! worker thread reads and writes. Request handlers only lock the state for a moment.
 
-use anvilgw_core::log_position::StoreEpoch;
+use anvilgw_core::log_position::{LogPosition, StoreEpoch};
 use anvilgw_core::{Clock, ErrorKind, Failure, LogError, LogService, Offset, ServerId, Stage};
 use anvilgw_kernel::{EventKind, Journal, StopSignal, WorkerThread};
 use anvilgw_quarantine::pending_ends::PendingEnds;
@@ -136,13 +136,18 @@
             return false;
         };
         let is_claimed = match self.log.append(&self.stream, &payload) {
-            Ok(offset) => offset == Offset(at.offset),
+            Ok(offset) => {
+                let stored = LogPosition {
+                    offset: offset.0,
+                    ..at
+                };
+                let mut state = self.state();
+                let quarantine = &mut state.quarantine;
+                quarantine.on_claim_stored(&record, at, stored, times.uptime)
+            }
             Err(_) => false,
         };
         if is_claimed {
-            let mut state = self.state();
-            state.quarantine.on_trial_claimed(&record, at, times.uptime);
-            drop(state);
             self.record("trial", &[part]);
         }
         is_claimed
--- a/crates/gateway/src/dispatch/quarantine.rs
+++ b/crates/gateway/src/dispatch/quarantine.rs
@@ -68,11 +68,16 @@
     };
     let store = &gateway.ports.metadata_store;
     let outcome = store.append_evidence(Some(at.offset), vec![bytes]).await;
-    let stored = match outcome {
-        Ok(AppendOutcome::Stored(stored)) => Some(stored),
-        Ok(AppendOutcome::Conflict(_)) | Err(_) => None,
+    let is_claimed = match outcome {
+        Ok(AppendOutcome::Stored(stored)) => {
+            let quarantine = &mut gateway.state.borrow_mut().quarantine;
+            quarantine.on_claim_stored(&record, at, stored, times.uptime)
+        }
+        Ok(AppendOutcome::Conflict(_)) | Err(_) => false,
     };
-    if let Some(stored) = stored {
+    // The log has grown, or a read notices that the store was restored.
+    gateway.evidence_news.notify_one();
+    if is_claimed {
         gateway.metrics.count("quarantine_trials");
         gateway.log_notable(&Event::Quarantine {
             change: "trial",
@@ -80,10 +85,8 @@
             ends: None,
             workspaces: None,
         });
-        let quarantine = &mut gateway.state.borrow_mut().quarantine;
-        quarantine.on_trial_claimed(&record, stored, times.uptime);
     }
-    stored.is_some()
+    is_claimed
 }
 
 /// Encodes a record for the log, or returns `None` if it cannot be encoded.
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -369,12 +369,26 @@
         (record, self.table.next())
     }
 
-    /// Records that the claim of a trial was stored at a position.
-    pub fn on_trial_claimed(&mut self, claimed: &KeyedRecord, stored: LogPosition, now: Duration) {
+    /// Applies a claim of a trial that was stored at a position, and returns whether the trial may be
+    /// made. `at` is the position that [`Self::claim_trial`] returned.
+    ///
+    /// A store that was restored meanwhile may accept the claim at an offset of another epoch,
+    /// although it contains a claim of another daemon, or may have lost the claim already.
+    pub fn on_claim_stored(
+        &mut self,
+        claimed: &KeyedRecord,
+        at: LogPosition,
+        stored: LogPosition,
+        now: Duration,
+    ) -> bool {
+        if stored != at || at.epoch != self.table.next().epoch {
+            return false;
+        }
         if let (RecordKey::Trial(part), Some(Record::Trial(trial))) = (claimed.key, &claimed.record)
         {
             self.table.set_trial(part, *trial, stored, now);
         }
+        true
     }
 
     /// Returns whether a request whose server ended may be sent to another one. Not if another
--- a/crates/quarantine/tests/restored.rs
+++ b/crates/quarantine/tests/restored.rs
@@ -5,7 +5,8 @@
     Clearance, EndReport, Issued, KeyedRecord, Record, RecordKey, Trial,
 };
 use anvilgw_quarantine::{
-    Admission, LostRequests, PartKey, Quarantine, ServerStart, Suspect, Times, WorkspaceKey,
+    Admission, COOLDOWN, LostRequests, PartKey, Quarantine, ServerStart, Suspect, Times,
+    WorkspaceKey,
 };
 use std::time::Duration;
 
@@ -540,3 +541,62 @@
         assert_eq!(view.table().trial(BAD), Some(trial));
     }
 }
+
+struct ClaimCase {
+    name: &'static str,
+    /// Whether the daemon lists the log in the new epoch before it gets the answer.
+    is_listed: bool,
+    /// Where the claim was stored, compared with the position at which the log had to end.
+    stored: LogPosition,
+    is_claimed: bool,
+}
+
+/// Guards against two trials of one part: the restored store accepts a claim at an offset of the
+/// earlier epoch although it contains another daemon's claim, or loses an accepted one.
+#[test]
+fn a_claim_of_a_trial_counts_in_one_epoch_only() {
+    let cases = [
+        ClaimCase {
+            name: "no restore",
+            is_listed: false,
+            stored: position(0, ENDS),
+            is_claimed: true,
+        },
+        ClaimCase {
+            name: "accepted in the new epoch",
+            is_listed: false,
+            stored: position(1, ENDS),
+            is_claimed: false,
+        },
+        ClaimCase {
+            name: "accepted in the earlier epoch, listed in the new one",
+            is_listed: true,
+            stored: position(0, ENDS),
+            is_claimed: false,
+        },
+        ClaimCase {
+            name: "accepted in the new epoch, which is listed",
+            is_listed: true,
+            stored: position(1, ENDS),
+            is_claimed: false,
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::with_reports();
+        let now = fleet.now + COOLDOWN;
+        let view = &mut fleet.views[1];
+        let (claim, at_end) = view.claim_trial(BAD, at(now));
+        assert_eq!(at_end, position(0, ENDS), "{}", case.name);
+        if case.is_listed {
+            view.on_listing([], position(1, 0), now);
+        }
+        let is_claimed = view.on_claim_stored(&claim, at_end, case.stored, now);
+        assert_eq!(is_claimed, case.is_claimed, "{}", case.name);
+        assert_eq!(
+            view.table().trial(BAD).is_some(),
+            is_claimed,
+            "{}",
+            case.name
+        );
+    }
+}
--- a/crates/quarantine/tests/view.rs
+++ b/crates/quarantine/tests/view.rs
@@ -211,7 +211,8 @@
         "only one append at this offset succeeds"
     );
     let [first, second] = &mut views;
-    first.on_trial_claimed(&claims[0].0, claims[0].1, due.uptime);
+    let (claim, at_end) = &claims[0];
+    assert!(first.on_claim_stored(claim, *at_end, *at_end, due.uptime));
     second.on_record(claims[0].0.clone(), claims[0].1.offset, due.uptime);
     for view in [first, second] {
         let admission = view.admit(&request, at(COOLDOWN * 3 - Duration::from_secs(1)));
