rollouts: a status that a restored store has lost stays in force

After the store came back from an older copy, a final status that was decided in the lost seconds was gone, and nobody stored it again: daemons read the log of statuses only while a rollout runs, and took `running` or the status of an earlier order from the copy for newer than what they knew. Operators saw no final state any more, and a daemon that started on the copy used the version that had been rolled back, or servers that had stopped on `complete`.

A restore that the operators' table shows makes each daemon list the statuses again, also while no rollout runs. A status that it knows and the copy lacks stays in force until the store contains it, another final state of the order, or the status of a newer order. The first member in rank stores it again after 0.3 s, the next ones 0.7 s later each, on condition of the end of the log as before. A status that was accepted in another epoch than that of the listing is not taken as stored; the statuses are listed again. Records that were read in another epoch than the last listing are not applied, and do not count as proof that the copy is current.

a_lost_status_stays_in_force_until_it_is_stored_again failed without the new rule ("the copy holds the state before"), a_final_status_outlasts_a_restore on the code before, in each of its cases (nobody stored the status within the time of the test).

--- a/crates/gateway/src/background_tasks/operators.rs
+++ b/crates/gateway/src/background_tasks/operators.rs
@@ -2,7 +2,8 @@
 //! published weights.
 
 use super::rollouts::{
-    on_rollout_malformed, on_rollout_ordered, on_rollout_withdrawn, on_servers_changed,
+    on_orders_restored, on_rollout_malformed, on_rollout_ordered, on_rollout_withdrawn,
+    on_servers_changed,
 };
 use super::snapshot::{MissingKeys, Snapshot, SnapshotReader};
 use crate::dependency::Dependency;
@@ -132,6 +133,8 @@
         // count as in service until its records say otherwise.
         gateway.state.borrow_mut().servers.enable_all_domains();
         withdraw_unlisted(gateway, &snapshot.changes);
+    } else {
+        on_orders_restored(gateway);
     }
     apply(gateway, snapshot.changes, &snapshot.origin);
 }
--- a/crates/gateway/src/background_tasks/rollouts.rs
+++ b/crates/gateway/src/background_tasks/rollouts.rs
@@ -42,6 +42,11 @@
 const WITHDRAWAL_NOTICE: Duration = Duration::from_millis(1000);
 /// Time after which the member that is next in rank stores the end of a removed order.
 const WITHDRAWAL_PAUSE: Duration = Duration::from_secs(2);
+/// Time after a restore of the metadata store until the first member in rank stores a lost status
+/// again. Operators write again at this time what the store has lost.
+const LOST_STATUS_NOTICE: Duration = Duration::from_millis(300);
+/// Time after which the member that is next in rank stores a lost status.
+const LOST_STATUS_PAUSE: Duration = Duration::from_millis(700);
 /// Age of the last read of statuses from which the metadata store counts as unavailable.
 const STORE_UNAVAILABLE_AGE: Duration = Duration::from_millis(2500);
 
@@ -122,6 +127,13 @@
     }
 }
 
+/// Notes that the operators' table was read after a restore of the metadata store. It may lack orders
+/// that operators have not written again yet, and the store may lack statuses.
+pub(super) fn on_orders_restored(gateway: &Gateway) {
+    gateway.state.borrow_mut().rollouts.on_orders_restored();
+    gateway.rollouts_changed.notify_waiters();
+}
+
 /// Reads the statuses once, and follows them while there is a rollout, until the daemon ends.
 pub(crate) async fn follow_statuses(gateway: Rc<Gateway>) {
     let mut dependency = Dependency::new("metadata store, statuses");
@@ -139,41 +151,54 @@
         on_servers_changed(&gateway);
         loop {
             wait_for_rollout(&gateway).await;
+            if gateway.state.borrow().rollouts.needs_listing() {
+                break;
+            }
             sleep(gateway.jittered(STATUS_PAUSE, JITTER)).await;
             match reader.read(&gateway, position, Duration::ZERO).await {
                 Ok(read) => {
                     dependency.on_answer(&gateway);
                     let next = read.origin.next;
-                    apply_read(&gateway, position.offset, read);
+                    if !apply_read(&gateway, position, read) {
+                        break;
+                    }
                     position = next;
                 }
-                Err(StoreError::Expired(_) | StoreError::Restored(_)) => {
+                Err(StoreError::Expired(_)) => {
                     gateway.state.borrow_mut().rollouts.forget_offsets();
                     break;
                 }
+                Err(StoreError::Restored(_)) => break,
                 Err(error) => dependency.on_failure(&gateway, &error.to_string()),
             }
         }
     }
 }
 
-/// Applies the records that were read from an offset.
-fn apply_read(gateway: &Gateway, from_offset: u64, read: TopicRecords) {
+/// Applies the records that were read from a position. Returns `false` if the statuses were listed
+/// in another epoch meanwhile, in which the offsets mean nothing.
+fn apply_read(gateway: &Gateway, from: LogPosition, read: TopicRecords) -> bool {
+    if !gateway.state.borrow().rollouts.is_in_epoch(from.epoch) {
+        return false;
+    }
     let store = &gateway.ports.metadata_store;
-    for (offset, record) in (from_offset..).zip(read.records) {
+    for (offset, record) in (from.offset..).zip(read.records) {
         if let Some(status) = store.decode_status(record) {
             apply_status(gateway, &status, offset);
         }
     }
     let rollouts = &mut gateway.state.borrow_mut().rollouts;
     rollouts.on_statuses_verified(read.origin.verified_at);
+    true
 }
 
-/// Waits until there is a rollout that is not over, or was removed a short time ago.
+/// Waits until there is a rollout that is not over, or was removed a short time ago, or the statuses
+/// have to be listed again.
 async fn wait_for_rollout(gateway: &Gateway) {
     loop {
         let changed = gateway.rollouts_changed.notified();
-        if !unfinished_services(gateway).is_empty() {
+        let needs_listing = gateway.state.borrow().rollouts.needs_listing();
+        if needs_listing || !unfinished_services(gateway).is_empty() {
             return;
         }
         changed.await;
@@ -190,11 +215,19 @@
     let listing = gateway.ports.metadata_store.list_statuses().await?;
     let origin = ReadOrigin::new(None, listing.next, started_at);
     gateway.on_log_listed(Topic::Statuses, listing.statuses.len(), &origin);
+    let now = gateway.now();
+    let epoch = listing.next.epoch;
+    gateway.state.borrow_mut().rollouts.on_listing(epoch, now);
     for (status, offset) in &listing.statuses {
         apply_status(gateway, status, *offset);
     }
-    let rollouts = &mut gateway.state.borrow_mut().rollouts;
-    rollouts.on_statuses_verified(started_at);
+    gateway
+        .state
+        .borrow_mut()
+        .rollouts
+        .on_statuses_verified(started_at);
+    // Lost statuses are to be stored again.
+    gateway.rollouts_changed.notify_waiters();
     Ok(listing.next)
 }
 
@@ -220,6 +253,7 @@
         for service in &services {
             report(&gateway, service);
             store_withdrawal(&gateway, service);
+            store_lost(&gateway, service);
         }
         for _ in 0..DECISIONS_PER_REPORT {
             for service in &services {
@@ -247,6 +281,22 @@
     }
 }
 
+/// Writes a status that the restored store lacks, if that is up to this daemon: the first member in
+/// rank, or the next ones some time later.
+fn store_lost(gateway: &Rc<Gateway>, service: &str) {
+    let now = gateway.now();
+    let state = &mut *gateway.state.borrow_mut();
+    let Some((status, elapsed)) = state.rollouts.lost_to_store(service, now) else {
+        return;
+    };
+    let rank = rank_of(gateway, state.fleet.members(), service);
+    if elapsed >= LOST_STATUS_NOTICE + LOST_STATUS_PAUSE * rank as u32
+        && state.rollouts.begin_writing(service)
+    {
+        spawn_local(write(Rc::clone(gateway), status));
+    }
+}
+
 /// Returns the rank of this daemon for a service among the members of the fleet.
 fn rank_of(gateway: &Gateway, members: &[SocketAddr], service: &str) -> usize {
     let own = own_address(gateway);
@@ -461,13 +511,21 @@
 /// Appends a status unless the stored one is final or the same. The stored statuses are read first,
 /// and the append takes effect only if there is no newer one, so only one final status is stored.
 async fn write_status(gateway: &Gateway, status: &RolloutStatus) -> Result<(), StoreError> {
-    let at = list_statuses(gateway).await?.offset;
+    let at = list_statuses(gateway).await?;
     if !gateway.state.borrow().rollouts.is_to_be_stored(status) {
         return Ok(());
     }
     let store = &gateway.ports.metadata_store;
-    if let AppendOutcome::Stored(stored) = store.append_status(at, status).await? {
+    let AppendOutcome::Stored(stored) = store.append_status(at.offset, status).await? else {
+        return Ok(());
+    };
+    let is_listed = gateway.state.borrow().rollouts.is_in_epoch(stored.epoch);
+    if stored.epoch == at.epoch && is_listed {
         apply_status(gateway, status, stored.offset);
+    } else {
+        // The store was restored meanwhile: it may have accepted the offset of another epoch, or lost
+        // the status.
+        list_statuses(gateway).await?;
     }
     Ok(())
 }
--- a/crates/gateway/src/rollout/order.rs
+++ b/crates/gateway/src/rollout/order.rs
@@ -64,6 +64,17 @@
 }
 
 impl RolloutStatus {
+    /// Returns whether another status belongs to the same order. A status without an order's
+    /// identifier belongs to every order with its target.
+    #[must_use]
+    pub fn is_of_order_of(&self, other: &Self) -> bool {
+        let is_same_id = match (self.order, other.order) {
+            (Some(id), Some(other)) => id == other,
+            _ => true,
+        };
+        self.service == other.service && self.target == other.target && is_same_id
+    }
+
     /// Returns whether the status belongs to an order. A status without an order's identifier
     /// belongs to every order with its target.
     #[must_use]
--- a/crates/gateway/src/rollout/versions.rs
+++ b/crates/gateway/src/rollout/versions.rs
@@ -19,6 +19,8 @@
     in_force: Option<String>,
     order: Option<RolloutOrder>,
     status: Option<RolloutStatus>,
+    /// Whether the store, which was restored from an older copy, lacks the status.
+    is_status_lost: bool,
 }
 
 impl ServiceVersions {
@@ -34,8 +36,19 @@
         }
     }
 
-    /// Records the newest stored status.
+    /// Records that the store was restored from an older copy. It may lack the newest status, which
+    /// stays in force until the store contains it or a newer one.
+    pub fn on_restored(&mut self) {
+        self.is_status_lost = self.status.is_some();
+    }
+
+    /// Records the newest stored status. One that is older than the status that a restored store has
+    /// lost is ignored.
     pub fn on_status(&mut self, status: RolloutStatus) {
+        if self.is_status_lost && !self.is_newer_than_lost(&status) {
+            return;
+        }
+        self.is_status_lost = false;
         let in_force = match status.state {
             RolloutState::Complete => Some(&status.target),
             RolloutState::Running | RolloutState::RolledBack => status.base.as_ref(),
@@ -46,6 +59,37 @@
         self.status = Some(status);
     }
 
+    /// Returns whether a status that the restored store contains is the known one or a newer one.
+    fn is_newer_than_lost(&self, status: &RolloutStatus) -> bool {
+        let Some(known) = &self.status else {
+            return true;
+        };
+        if status.is_of_order_of(known) {
+            return status == known || status.state.is_final();
+        }
+        let is_current = |status: &RolloutStatus| {
+            let order = self.order.as_ref();
+            order.is_some_and(|order| status.is_of(order))
+        };
+        is_current(status) && !is_current(known)
+    }
+
+    /// Returns the newest status if the restored store lacks it.
+    #[must_use]
+    pub fn lost_status(&self) -> Option<&RolloutStatus> {
+        self.status.as_ref().filter(|_| self.is_status_lost)
+    }
+
+    /// Returns the lost status if it is to be stored again: unless the status of another order takes
+    /// its place.
+    #[must_use]
+    pub fn lost_to_store(&self) -> Option<&RolloutStatus> {
+        let lost = self.lost_status()?;
+        let is_replaced = self.running().is_some_and(|order| !lost.is_of(order));
+        let is_withdrawn = self.withdrawn_to_store().is_some();
+        (!is_replaced && !is_withdrawn).then_some(lost)
+    }
+
     /// Records the versions of the service's listed servers, each with its number of servers. The
     /// version in force is derived from them only while neither a status
     /// nor an earlier list has named it.
--- a/crates/gateway/src/service_rollouts.rs
+++ b/crates/gateway/src/service_rollouts.rs
@@ -1,11 +1,13 @@
 //! Rollouts of all services as this daemon sees them: orders, statuses, and what it has observed.
 
 mod active;
+mod restored;
 mod version_totals;
 
 pub(crate) use active::{ActiveRollout, VersionServers};
 pub(crate) use version_totals::VersionTotals;
 
+use crate::log_position::StoreEpoch;
 use crate::ports::RolloutRequest;
 use crate::rollout::{
     ExposureBounds, OrderId, Phase, RolloutDirective, RolloutOrder, RolloutState, RolloutStatus,
@@ -31,6 +33,10 @@
     pub(crate) version_totals: VersionTotals,
     /// Time up to which all statuses are known. `None` before the first listing.
     statuses_verified_at: Option<Duration>,
+    /// Epoch of the store in which the statuses were listed.
+    statuses_epoch: Option<StoreEpoch>,
+    /// Whether the store was restored, so that the statuses have to be listed again.
+    needs_listing: bool,
 }
 
 /// Rollout of one service.
@@ -49,6 +55,8 @@
     status_offset: u64,
     /// When the newest order was removed, if it was.
     withdrawn_at: Option<Duration>,
+    /// When this daemon learned that the restored store may lack the newest status.
+    lost_at: Option<Duration>,
     /// Whether a task is writing the status.
     is_writing: bool,
 }
@@ -97,6 +105,7 @@
             .is_some_and(|at| now.saturating_sub(at) < LATE_APPEND_MAX);
         let status = self.versions.status();
         self.active.is_some()
+            || self.versions.lost_to_store().is_some()
             || status.is_some_and(|status| !status.state.is_final())
             || is_withdrawn_lately
     }
@@ -237,11 +246,15 @@
             return false;
         }
         service.status_offset = offset;
-        let is_changed = service.versions.status() != Some(status);
+        let known = service.versions.status().cloned();
+        service.versions.on_status(status.clone());
+        if service.versions.lost_status().is_some() {
+            return false;
+        }
+        let is_changed = known.as_ref() != Some(status);
         if is_changed {
             service.status_at = Some(now);
         }
-        service.versions.on_status(status.clone());
         if let Some(active) = &mut service.active {
             if let Some(decider) = &mut active.decider {
                 decider.on_status(status);
@@ -314,6 +327,9 @@
         let versions = &service.versions;
         let expected = versions.status_to_store(status.state);
         let expected = expected.or_else(|| service.withdrawn_to_store());
+        if versions.lost_to_store() == Some(status) {
+            return true;
+        }
         expected.as_ref() == Some(status) && versions.status() != Some(status)
     }
 
--- a/crates/gateway/tests/rollouts/main.rs
+++ b/crates/gateway/tests/rollouts/main.rs
@@ -3,6 +3,7 @@
 mod decider;
 mod evidence;
 mod exposure;
+mod restored;
 mod seeded;
 mod simulation;
 mod verdict;
