rollouts: an order that operators write again goes on under its new identifier

The identifier of an order is made from the offset and content of its record, so that two orders with the same content differ. Operators write again what a restored store has lost, at another offset: the order started over.

Between a restore and the time by which operators have written again, an order with the target and time of the known one is that order: the rollout goes on with its counts, and its status is stored again under the new identifier. Orders that the known one had replaced are ignored meanwhile.

--- a/crates/gateway/src/background_tasks/operators.rs
+++ b/crates/gateway/src/background_tasks/operators.rs
@@ -2,8 +2,8 @@
 //! published weights.
 
 use super::rollouts::{
-    on_orders_restored, on_rollout_malformed, on_rollout_ordered, on_rollout_withdrawn,
-    on_servers_changed,
+    on_orders_complete, on_orders_restored, on_rollout_malformed, on_rollout_ordered,
+    on_rollout_withdrawn, on_servers_changed,
 };
 use super::snapshot::{MissingKeys, Snapshot, SnapshotReader};
 use crate::dependency::Dependency;
@@ -141,6 +141,7 @@
 
 /// Applies the removal of orders that a snapshot, which contains no removals, does not list.
 fn withdraw_unlisted(gateway: &Gateway, changes: &Changes) {
+    on_orders_complete(gateway);
     let listed: IndexSet<&str> = changes
         .changes
         .iter()
--- a/crates/gateway/src/background_tasks/rollouts.rs
+++ b/crates/gateway/src/background_tasks/rollouts.rs
@@ -68,6 +68,7 @@
         OrderEffect::Started => "",
         OrderEffect::AlreadyFinal(RolloutState::Complete) => "already complete",
         OrderEffect::AlreadyFinal(_) => "already rolled back",
+        OrderEffect::WrittenAgain => "written again after a restore of the store",
     };
     gateway.log_notable(&Event::RolloutOrdered {
         service: &service,
@@ -134,6 +135,11 @@
     gateway.rollouts_changed.notify_waiters();
 }
 
+/// Notes that operators have written again the orders that the restored store had lost.
+pub(super) fn on_orders_complete(gateway: &Gateway) {
+    gateway.state.borrow_mut().rollouts.on_orders_complete();
+}
+
 /// Reads the statuses once, and follows them while there is a rollout, until the daemon ends.
 pub(crate) async fn follow_statuses(gateway: Rc<Gateway>) {
     let mut dependency = Dependency::new("metadata store, statuses");
--- a/crates/gateway/src/rollout/decider.rs
+++ b/crates/gateway/src/rollout/decider.rs
@@ -4,7 +4,7 @@
 use super::exposure::{ExposureBounds, ExposureCounts, TargetShare};
 use super::fleet_evidence::FleetEvidence;
 use super::message::{RolloutDirective, RolloutReport};
-use super::order::{Phase, RolloutOrder, RolloutState, RolloutStatus};
+use super::order::{OrderId, Phase, RolloutOrder, RolloutState, RolloutStatus};
 use super::schedule::Schedule;
 use super::verdict::{BadReason, JudgeInput, Judgement, Verdict, judge};
 use indexmap::IndexMap;
@@ -92,6 +92,11 @@
         &self.order
     }
 
+    /// Changes the identifier of the order, which operators wrote again after the store had lost it.
+    pub fn set_order_id(&mut self, id: OrderId) {
+        self.order.id = id;
+    }
+
     /// Takes in a report, also this daemon's own. A report on another order, or one that a newer
     /// one has overtaken, is ignored.
     pub fn on_report(&mut self, report: RolloutReport, now: Duration) {
--- a/crates/gateway/src/rollout/versions.rs
+++ b/crates/gateway/src/rollout/versions.rs
@@ -1,6 +1,6 @@
 //! Which versions of a service may serve requests.
 
-use super::order::{RolloutOrder, RolloutState, RolloutStatus};
+use super::order::{OrderId, RolloutOrder, RolloutState, RolloutStatus};
 
 /// Whether servers of a version may get requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,6 +36,21 @@
         }
     }
 
+    /// Records that operators wrote the order again after the store had lost it. The order goes on
+    /// under this identifier, and a status of it has to be stored again under it.
+    pub fn on_order_written_again(&mut self, id: OrderId) {
+        let Some(order) = &mut self.order else {
+            return;
+        };
+        let known = std::mem::replace(&mut order.id, id);
+        if let Some(status) = &mut self.status
+            && status.order == Some(known)
+        {
+            status.order = Some(id);
+            self.is_status_lost = true;
+        }
+    }
+
     /// Records that the store was restored from an older copy. It may lack the newest status, which
     /// stays in force until the store contains it or a newer one.
     pub fn on_restored(&mut self) {
--- a/crates/gateway/src/service_rollouts.rs
+++ b/crates/gateway/src/service_rollouts.rs
@@ -4,6 +4,8 @@
 mod restored;
 mod version_totals;
 
+use restored::PastOrders;
+
 pub(crate) use active::{ActiveRollout, VersionServers};
 pub(crate) use version_totals::VersionTotals;
 
@@ -57,6 +59,10 @@
     withdrawn_at: Option<Duration>,
     /// When this daemon learned that the restored store may lack the newest status.
     lost_at: Option<Duration>,
+    /// Whether the restored store may lack the newest order.
+    may_order_be_lost: bool,
+    /// Orders before the newest one.
+    past_orders: PastOrders,
     /// Whether a task is writing the status.
     is_writing: bool,
 }
@@ -130,6 +136,8 @@
     Started,
     /// A status of the order is already final.
     AlreadyFinal(RolloutState),
+    /// The known order was written again after the restored store had lost it.
+    WrittenAgain,
 }
 
 impl ServiceRollouts {
@@ -191,8 +199,20 @@
         service.malformed = None;
         let known = service.versions.order().map(|order| order.id);
         if known == Some(request.id) {
+            service.may_order_be_lost = false;
             return OrderEffect::Unchanged;
         }
+        if service.may_order_be_lost {
+            if service.past_orders.contains(request.id) {
+                return OrderEffect::Unchanged;
+            }
+            if service.is_order_of(&request) {
+                service.on_order_written_again(request.id, now);
+                return OrderEffect::WrittenAgain;
+            }
+        }
+        service.may_order_be_lost = false;
+        service.past_orders.extend(known);
         let order = RolloutOrder {
             id: request.id,
             service: request.service,
@@ -221,6 +241,10 @@
         if service.versions.order().is_none() {
             return false;
         }
+        service
+            .past_orders
+            .extend(service.versions.order().map(|order| order.id));
+        service.may_order_be_lost = false;
         service.versions.on_order(None);
         service.ended = service.active.take().or(service.ended.take());
         service.withdrawn_at = Some(now);
--- a/crates/gateway/src/service_rollouts/active.rs
+++ b/crates/gateway/src/service_rollouts/active.rs
@@ -3,9 +3,9 @@
 
 use crate::permits::members_by_rank;
 use crate::rollout::{
-    Decider, Decision, Evidence, ExposureBounds, ExposureBudget, ExposureCounts, FleetView, Phase,
-    RolloutDirective, RolloutOrder, RolloutReport, RolloutStatus, ServiceVersions, TargetShare,
-    VersionUse,
+    Decider, Decision, Evidence, ExposureBounds, ExposureBudget, ExposureCounts, FleetView,
+    OrderId, Phase, RolloutDirective, RolloutOrder, RolloutReport, RolloutStatus, ServiceVersions,
+    TargetShare, VersionUse,
 };
 use crate::server::{ServerState, Servers};
 use indexmap::IndexMap;
@@ -85,6 +85,14 @@
         }
     }
 
+    /// Changes the identifier of the order, which operators wrote again after the store had lost it.
+    pub(super) fn set_order_id(&mut self, id: OrderId) {
+        self.order.id = id;
+        if let Some(decider) = &mut self.decider {
+            decider.set_order_id(id);
+        }
+    }
+
     /// Returns phase and share that apply now. Without a valid directive nothing goes to the target.
     pub(crate) fn in_force(&self, is_fresh: bool, now: Duration) -> (Phase, TargetShare) {
         let valid = self.directive.filter(|received| {
--- a/crates/gateway/tests/rollouts/restored.rs
+++ b/crates/gateway/tests/rollouts/restored.rs
@@ -147,3 +147,29 @@
         }
     }
 }
+
+/// Guards against an order that starts over because operators wrote it again, at another offset, so
+/// that a version that was found bad gets requests again.
+#[test]
+fn an_order_that_is_written_again_keeps_its_status() {
+    for state in [Running, Complete, RolledBack] {
+        let mut versions = ServiceVersions::default();
+        versions.on_order(Some(order(2, "v2")));
+        versions.on_status(status((2, state)));
+        versions.on_restored();
+        versions.on_order_written_again(OrderId(9));
+        assert_eq!(versions.order().map(|order| order.id), Some(OrderId(9)));
+        let is_running = versions.running().is_some();
+        assert_eq!(is_running, state == Running, "{state:?}");
+        let expected = RolloutStatus {
+            order: Some(OrderId(9)),
+            ..status((2, state))
+        };
+        assert_eq!(versions.lost_to_store(), Some(&expected), "{state:?}");
+        // A daemon that has not read of it yet stores the status under the earlier identifier.
+        versions.on_status(status((2, state)));
+        assert_eq!(versions.lost_to_store(), Some(&expected), "{state:?}");
+        versions.on_status(expected.clone());
+        assert_eq!(versions.lost_to_store(), None, "{state:?}");
+    }
+}
