--- a/crates/gateway/src/dispatch/quarantine.rs
+++ b/crates/gateway/src/dispatch/quarantine.rs
@@ -67,8 +67,16 @@
         return false;
     };
     let store = &gateway.ports.metadata_store;
-    let outcome = store.append_evidence(Some(at), vec![bytes]).await;
-    let is_claimed = matches!(outcome, Ok(AppendOutcome::Stored(_)));
+    let outcome = store.append_evidence(Some(at.offset), vec![bytes]).await;
+    let is_claimed = match outcome {
+        Ok(AppendOutcome::Stored(stored)) => {
+            let quarantine = &mut gateway.state.borrow_mut().quarantine;
+            quarantine.on_claim_stored(&record, at, stored, times.uptime)
+        }
+        Ok(AppendOutcome::Conflict(_)) | Err(_) => false,
+    };
+    // The log has grown, or a read notices that the store was restored.
+    gateway.evidence_news.notify_one();
     if is_claimed {
         gateway.metrics.count("quarantine_trials");
         gateway.log_notable(&Event::Quarantine {
@@ -77,8 +85,6 @@
             ends: None,
             workspaces: None,
         });
-        let quarantine = &mut gateway.state.borrow_mut().quarantine;
-        quarantine.on_trial_claimed(&record);
     }
     is_claimed
 }
--- a/crates/gateway/src/service_rollouts.rs
+++ b/crates/gateway/src/service_rollouts.rs
@@ -1,11 +1,15 @@
 //! Rollouts of all services as this daemon sees them: orders, statuses, and what it has observed.
 
 mod active;
+mod restored;
 mod version_totals;
 
+use restored::PastOrders;
+
 pub(crate) use active::{ActiveRollout, VersionServers};
 pub(crate) use version_totals::VersionTotals;
 
+use crate::log_position::StoreEpoch;
 use crate::ports::RolloutRequest;
 use crate::rollout::{
     ExposureBounds, OrderId, Phase, RolloutDirective, RolloutOrder, RolloutState, RolloutStatus,
@@ -31,6 +35,10 @@
     pub(crate) version_totals: VersionTotals,
     /// Time up to which all statuses are known. `None` before the first listing.
     statuses_verified_at: Option<Duration>,
+    /// Epoch of the store in which the statuses were listed.
+    statuses_epoch: Option<StoreEpoch>,
+    /// Whether the store was restored, so that the statuses have to be listed again.
+    needs_listing: bool,
 }
 
 /// Rollout of one service.
@@ -49,6 +57,12 @@
     status_offset: u64,
     /// When the newest order was removed, if it was.
     withdrawn_at: Option<Duration>,
+    /// When this daemon learned that the restored store may lack the newest status.
+    lost_at: Option<Duration>,
+    /// Whether the restored store may lack the newest order.
+    may_order_be_lost: bool,
+    /// Orders before the newest one.
+    past_orders: PastOrders,
     /// Whether a task is writing the status.
     is_writing: bool,
 }
@@ -97,6 +111,7 @@
             .is_some_and(|at| now.saturating_sub(at) < LATE_APPEND_MAX);
         let status = self.versions.status();
         self.active.is_some()
+            || self.versions.lost_to_store().is_some()
             || status.is_some_and(|status| !status.state.is_final())
             || is_withdrawn_lately
     }
@@ -121,6 +136,8 @@
     Started,
     /// A status of the order is already final.
     AlreadyFinal(RolloutState),
+    /// The known order was written again after the restored store had lost it.
+    WrittenAgain,
 }
 
 impl ServiceRollouts {
@@ -182,8 +199,20 @@
         service.malformed = None;
         let known = service.versions.order().map(|order| order.id);
         if known == Some(request.id) {
+            service.may_order_be_lost = false;
             return OrderEffect::Unchanged;
         }
+        if service.may_order_be_lost {
+            if service.past_orders.contains(request.id) {
+                return OrderEffect::Unchanged;
+            }
+            if service.is_order_of(&request) {
+                service.on_order_written_again(request.id, now);
+                return OrderEffect::WrittenAgain;
+            }
+        }
+        service.may_order_be_lost = false;
+        service.past_orders.extend(known);
         let order = RolloutOrder {
             id: request.id,
             service: request.service,
@@ -212,6 +241,10 @@
         if service.versions.order().is_none() {
             return false;
         }
+        service
+            .past_orders
+            .extend(service.versions.order().map(|order| order.id));
+        service.may_order_be_lost = false;
         service.versions.on_order(None);
         service.ended = service.active.take().or(service.ended.take());
         service.withdrawn_at = Some(now);
@@ -237,11 +270,15 @@
             return false;
         }
         service.status_offset = offset;
-        let is_changed = service.versions.status() != Some(status);
+        let known = service.versions.status().cloned();
+        service.versions.on_status(status.clone());
+        if service.versions.lost_status().is_some() {
+            return false;
+        }
+        let is_changed = known.as_ref() != Some(status);
         if is_changed {
             service.status_at = Some(now);
         }
-        service.versions.on_status(status.clone());
         if let Some(active) = &mut service.active {
             if let Some(decider) = &mut active.decider {
                 decider.on_status(status);
@@ -314,6 +351,9 @@
         let versions = &service.versions;
         let expected = versions.status_to_store(status.state);
         let expected = expected.or_else(|| service.withdrawn_to_store());
+        if versions.lost_to_store() == Some(status) {
+            return true;
+        }
         expected.as_ref() == Some(status) && versions.status() != Some(status)
     }
 
