gateway: free old parts later after the store was restored from a copy

A daemon that had not read a publication of weights before the store lost it lists the older copy, takes it for complete, and learns of the weights only when operators write them again. It may read parts of the replaced weights longer than the daemons that had read the publication wait before they free them; a prompt is then answered from a part that was freed and is being written again (MIXED).

After a restore, the time after which parts are freed counts from the end of the 5 s in which operators write again. Shown by a row of parts_are_freed_only_after_every_daemon_stopped_reading_them without the new call; parts_are_freed_later_after_the_store_was_restored guards it.

--- a/crates/gateway/src/background_tasks/operators.rs
+++ b/crates/gateway/src/background_tasks/operators.rs
@@ -135,10 +135,21 @@
         withdraw_unlisted(gateway, &snapshot.changes);
     } else {
         on_orders_restored(gateway);
+        prolong_publications(gateway);
     }
     apply(gateway, snapshot.changes, &snapshot.origin);
 }
 
+/// Counts the time of published weights from the end of the grace, because another daemon may read
+/// of them only when operators have written them again.
+fn prolong_publications(gateway: &Gateway) {
+    let repeated_at = gateway.now() + RESTORED_ORDER_GRACE;
+    let weights = &mut gateway.state.borrow_mut().weights;
+    for published in weights.values_mut() {
+        published.on_store_restored(repeated_at);
+    }
+}
+
 /// Applies the removal of orders that a snapshot, which contains no removals, does not list.
 fn withdraw_unlisted(gateway: &Gateway, changes: &Changes) {
     on_orders_complete(gateway);
--- a/crates/gateway/src/weights/publications.rs
+++ b/crates/gateway/src/weights/publications.rs
@@ -29,7 +29,8 @@
     /// was known to be complete and did not contain the version. `None` if the first copy that the
     /// daemon read contained it already.
     pub published_after: Option<Duration>,
-    /// End of the interval: the time at which this daemon read the version.
+    /// End of the interval: the time at which this daemon read the version. Later if the store was
+    /// restored since.
     pub learned_at: Duration,
 }
 
@@ -68,6 +69,15 @@
         }
     }
 
+    /// Records that the metadata store was restored from a copy that may lack the publications, until
+    /// operators write them again. Daemons that learn of them only then may count from a time shortly
+    /// before `repeated_at`.
+    pub fn on_store_restored(&mut self, repeated_at: Duration) {
+        for publication in &mut self.publications {
+            publication.learned_at = publication.learned_at.max(repeated_at);
+        }
+    }
+
     /// Returns the time at which weights of `version` stop serving new requests, or `None` if no
     /// newer ones are published. `switch_time` is the operators' time limit for a switch. If the
     /// time of the publication is not known, it counts as over.
--- a/crates/gateway/tests/cached_parts.rs
+++ b/crates/gateway/tests/cached_parts.rs
@@ -125,7 +125,12 @@
         published_after: None,
         learned_at,
     };
-    let weights = IndexMap::from([(MODEL.to_owned(), PublishedWeights::new(publication))]);
+    time_freed(id_hash, PublishedWeights::new(publication))
+}
+
+/// Returns the time at which a daemon with these publications frees a part of version 1.
+fn time_freed(id_hash: u64, weights: PublishedWeights) -> Duration {
+    let weights = IndexMap::from([(MODEL.to_owned(), weights)]);
     let scope = cache_scope(MODEL, Some(1), CacheSharing::ALL);
     (0..60_000)
         .map(|ms| PUBLISHED_AT + Duration::from_millis(ms))
@@ -186,6 +191,34 @@
     }
 }
 
+/// Guards against parts that are freed while another daemon still reads them, because the metadata
+/// store was restored from a copy without the publication: that daemon had not read it before, and
+/// takes its copy for complete until operators publish the weights again.
+#[test]
+fn parts_are_freed_later_after_the_store_was_restored() {
+    let restored_at = PUBLISHED_AT + Duration::from_millis(3500);
+    let repeated_at = restored_at + SECOND * 5;
+    let late_reader = ReaderCase {
+        name: "listed the older copy until operators wrote again",
+        copy_before: Some(repeated_at),
+        learns_at: repeated_at,
+    };
+    for id_hash in ID_HASHES {
+        let mut weights = PublishedWeights::new(WeightPublication {
+            version: 2,
+            published_after: None,
+            learned_at: PUBLISHED_AT,
+        });
+        weights.on_store_restored(repeated_at);
+        let last_read = (0..60_000)
+            .map(|ms| PUBLISHED_AT + Duration::from_millis(ms))
+            .rfind(|now| late_reader.reads(id_hash, *now))
+            .expect("parts are read");
+        let freed_at = time_freed(id_hash, weights);
+        assert!(last_read + FETCH_TIME_MAX < freed_at, "{id_hash}");
+    }
+}
+
 /// Guards against a daemon that takes the lease over and frees parts too early. It learned of the
 /// new weights from the first table that it read, so it does not know since when they have been
 /// published.
