--- a/crates/gateway/src/background_tasks/evidence.rs
+++ b/crates/gateway/src/background_tasks/evidence.rs
@@ -6,9 +6,8 @@
 use crate::gateway::Gateway;
 use crate::groups::{Role, StoreReads};
 use crate::log::Event;
-use crate::log_position::{LogPosition, StoreEpoch};
 use crate::peer_message::PeerMessage;
-use crate::ports::{KeyedBytes, StoreError, Topic};
+use crate::ports::{AppendOutcome, KeyedBytes, StoreError, Topic};
 use crate::read_origin::ReadOrigin;
 use crate::server_ends::report_replaced;
 use crate::topic_reader::TopicReader;
@@ -48,12 +47,11 @@
         reader: TopicReader::new(Topic::Evidence, clock),
         last_report_at: None,
         has_created_log: false,
-        epoch: StoreEpoch::default(),
         gateway,
     };
     loop {
-        let next = load_listing(&follower.gateway, &mut follower.dependency).await;
-        follower.epoch = next.epoch;
+        load_listing(&follower.gateway, &mut follower.dependency).await;
+        follower.has_created_log = false;
         while follower.read_once().await {}
     }
 }
@@ -64,19 +62,14 @@
     reader: TopicReader,
     last_report_at: Option<Duration>,
     has_created_log: bool,
-    /// Epoch in which the records were read.
-    epoch: StoreEpoch,
 }
 
 impl Follower {
-    /// Reads the records that follow. Returns `false` if some of them were deleted, so that all
-    /// records have to be listed again.
+    /// Reads the records that follow. Returns `false` if some of them were deleted, or lost by the
+    /// metadata store, so that all records have to be listed again.
     async fn read_once(&mut self) -> bool {
         let gateway = Rc::clone(&self.gateway);
-        let from = LogPosition {
-            epoch: self.epoch,
-            offset: gateway.state.borrow().quarantine.table().next_offset(),
-        };
+        let from = gateway.state.borrow().quarantine.table().next();
         let started_at = gateway.now();
         let wait = self.wait(started_at);
         let result = tokio::select! {
@@ -117,9 +110,9 @@
         if elapsed >= pause {
             return;
         }
-        let table_offset = self.gateway.state.borrow().quarantine.table().next_offset();
+        let next = self.gateway.state.borrow().quarantine.table().next();
         let store_reads = self.gateway.state.borrow().store_reads;
-        if table_offset == 0 && store_reads == StoreReads::DirectForGroup && !self.has_created_log {
+        if next.offset == 0 && store_reads == StoreReads::DirectForGroup && !self.has_created_log {
             let removal = KeyedRecord {
                 key: RecordKey::Cleared(PartKey(0)),
                 record: None,
@@ -137,11 +130,11 @@
 
 /// Reads all records, and retries until the metadata store answers. The daemon does not wait for
 /// the first answer to become ready: without the evidence it can still serve.
-async fn load_listing(gateway: &Gateway, dependency: &mut Dependency) -> LogPosition {
+async fn load_listing(gateway: &Gateway, dependency: &mut Dependency) {
     loop {
         let started_at = gateway.now();
         let result = gateway.ports.metadata_store.list_evidence().await;
-        let next = result.as_ref().map(|listing| listing.next).ok();
+        let is_listed = result.is_ok();
         match result {
             Ok(listing) => {
                 dependency.on_answer(gateway);
@@ -152,14 +145,15 @@
                     .filter_map(|(bytes, offset)| Some((decode_record(gateway, bytes)?, *offset)));
                 let records: Vec<(KeyedRecord, u64)> = records.collect();
                 let quarantine = &mut gateway.state.borrow_mut().quarantine;
-                quarantine.on_listing(records, listing.next.offset);
+                quarantine.on_listing(records, listing.next, started_at);
             }
             Err(error) => dependency.on_failure(gateway, &error.to_string()),
         }
         gateway.state.borrow_mut().has_asked_for_evidence = true;
-        if let Some(next) = next {
+        if is_listed {
             log_changes(gateway);
-            return next;
+            gateway.evidence_changed.notify_one();
+            return;
         }
         sleep(RETRY_PAUSE).await;
     }
@@ -167,12 +161,13 @@
 
 fn apply(gateway: &Gateway, records: &[bytes::Bytes], from_offset: u64) {
     let store = &gateway.ports.metadata_store;
+    let now = gateway.now();
     for (offset, record) in (from_offset..).zip(records) {
         let bytes = store.decode_evidence(record.clone());
         let decoded = bytes.and_then(|bytes| decode_record(gateway, &bytes));
         let quarantine = &mut gateway.state.borrow_mut().quarantine;
         if let Some(record) = decoded {
-            quarantine.on_record(record, offset);
+            quarantine.on_record(record, offset, now);
         }
         quarantine.on_read(offset + 1);
     }
@@ -259,7 +254,7 @@
 
 fn round_pause(gateway: &Gateway) -> Duration {
     let state = gateway.state.borrow();
-    if state.pending_ends.is_empty() && !state.quarantine.awaits_clearances() {
+    if state.pending_ends.is_empty() && !state.quarantine.awaits_records() {
         QUIET_ROUND_PAUSE
     } else {
         ACTIVE_ROUND_PAUSE
@@ -275,10 +270,14 @@
     }
     let store = &gateway.ports.metadata_store;
     match store.append_evidence(None, encoded).await {
-        Ok(_) => {
+        Ok(AppendOutcome::Stored(stored) | AppendOutcome::Conflict(stored)) => {
             dependency.on_answer(gateway);
             let quarantine = &mut gateway.state.borrow_mut().quarantine;
-            quarantine.on_appended(&outgoing);
+            quarantine.on_appended(&outgoing, stored.epoch);
+            if stored.epoch != quarantine.table().next().epoch {
+                // A read notices that the store was restored.
+                gateway.evidence_news.notify_one();
+            }
         }
         Err(error) => {
             dependency.on_failure(gateway, &error.to_string());
--- a/crates/gateway/src/background_tasks/operators.rs
+++ b/crates/gateway/src/background_tasks/operators.rs
@@ -2,7 +2,8 @@
 //! published weights.
 
 use super::rollouts::{
-    on_rollout_malformed, on_rollout_ordered, on_rollout_withdrawn, on_servers_changed,
+    on_orders_complete, on_orders_restored, on_rollout_malformed, on_rollout_ordered,
+    on_rollout_withdrawn, on_servers_changed,
 };
 use super::snapshot::{MissingKeys, Snapshot, SnapshotReader};
 use crate::dependency::Dependency;
@@ -132,12 +133,26 @@
         // count as in service until its records say otherwise.
         gateway.state.borrow_mut().servers.enable_all_domains();
         withdraw_unlisted(gateway, &snapshot.changes);
+    } else {
+        on_orders_restored(gateway);
+        prolong_publications(gateway);
     }
     apply(gateway, snapshot.changes, &snapshot.origin);
 }
 
+/// Counts the time of published weights from the end of the grace, because another daemon may read
+/// of them only when operators have written them again.
+fn prolong_publications(gateway: &Gateway) {
+    let repeated_at = gateway.now() + RESTORED_ORDER_GRACE;
+    let weights = &mut gateway.state.borrow_mut().weights;
+    for published in weights.values_mut() {
+        published.on_store_restored(repeated_at);
+    }
+}
+
 /// Applies the removal of orders that a snapshot, which contains no removals, does not list.
 fn withdraw_unlisted(gateway: &Gateway, changes: &Changes) {
+    on_orders_complete(gateway);
     let listed: IndexSet<&str> = changes
         .changes
         .iter()
