gateway: keep a server of which the restored store lists an unreadable entry

Found by the review. Entries that are older than what is known are now left out of every listing, not only of the first one after a restore, because a later one may be read from the same copy.

--- a/crates/gateway/src/background_tasks/servers.rs
+++ b/crates/gateway/src/background_tasks/servers.rs
@@ -155,9 +155,7 @@
         .borrow_mut()
         .servers
         .retain_listed(&listed, grace, now);
-    if snapshot.missing_keys == MissingKeys::MayBeLost {
-        remove_outdated(gateway, &mut changes);
-    }
+    remove_outdated(gateway, &mut changes, snapshot.missing_keys);
     apply(gateway, changes, grace);
     let is_first_listing = !std::mem::replace(&mut gateway.state.borrow_mut().has_servers, true);
     if is_first_listing {
@@ -165,12 +163,15 @@
     }
 }
 
-/// Removes entries from a listing of a restored store that are older than what this daemon knows. A
-/// server that is still there publishes a newer one.
-fn remove_outdated(gateway: &Gateway, changes: &mut Vec<Change>) {
+/// Removes entries from a listing that are older than what this daemon knows. A server that is still
+/// there publishes a newer one. What a restored store lists of a known server that cannot be read may
+/// be older, too.
+fn remove_outdated(gateway: &Gateway, changes: &mut Vec<Change>, missing_keys: MissingKeys) {
+    let is_restored = missing_keys == MissingKeys::MayBeLost;
     let servers = &gateway.state.borrow().servers;
     changes.retain(|change| match change {
         Change::ServerUpdated(entry) => !servers.is_outdated(entry),
+        Change::Malformed { key, .. } => !is_restored || servers.key_of(key).is_none(),
         _ => true,
     });
 }
