gateway: followers serve the log of the cache stores, too

Without this, the age limit on the contents of cache stores would cost prompts that are computed again at each change of leader: the members of a group learn of it up to 5.5 s apart (membership is renewed every 1.5 s and the list of members read every 4 s at most), and a daemon that does not lead yet, or no longer, answered 404, until what the reader knew was too old.

Each daemon of a large fleet now keeps the log and passes on what it reads, with the age of the contents, so that daemons which read from each other for a while confirm nothing. Small fleets keep none, as before.

a_follower_passes_on_what_it_reads failed before (changes that a follower had read were missing at its reader). One assertion message of follower_has_the_same_cache_directory_as_its_leader is reworded. The cost and the gain were not measured on a fleet.

--- a/crates/gateway/src/background_tasks/cache_events.rs
+++ b/crates/gateway/src/background_tasks/cache_events.rs
@@ -66,8 +66,8 @@
     }
 }
 
-/// Updates the set of cache stores from the configuration, and starts or stops the log for
-/// followers.
+/// Updates the set of cache stores from the configuration, and starts or stops the log for other
+/// daemons.
 fn update_stores(gateway: &Gateway) {
     let state = &mut *gateway.state.borrow_mut();
     let Some(configuration) = &state.configuration else {
@@ -78,8 +78,11 @@
         .filter_map(|service| service.cache_store.clone())
         .collect();
     state.caches.set_stores(&specs);
-    let is_leader = matches!(state.role, Some(Role::Leader { .. }));
-    state.caches.set_log_enabled(is_leader, gateway.start_id);
+    let is_logged = state
+        .role
+        .as_ref()
+        .is_some_and(Role::serves_cache_store_log);
+    state.caches.set_log_enabled(is_logged, gateway.start_id);
 }
 
 async fn follow_store(gateway: Rc<Gateway>, key: CacheStoreKey) {
--- a/crates/gateway/src/caches/replication.rs
+++ b/crates/gateway/src/caches/replication.rs
@@ -85,9 +85,10 @@
         }
         if page.is_snapshot {
             self.stores.values_mut().for_each(CacheStore::clear);
+            self.restart_log();
         }
         for change in page.changes {
-            self.on_store_change(change);
+            self.on_store_change(change, !page.is_snapshot);
         }
         for age in page.ages {
             let key = self.by_address.get(&age.store);
@@ -105,11 +106,22 @@
         }
     }
 
-    fn on_store_change(&mut self, change: CacheStoreChange) {
+    /// Makes the readers of this daemon's log read a snapshot next.
+    fn restart_log(&mut self) {
+        if let Some(log) = &mut self.log {
+            let end = log.end();
+            *log = CacheStoreLog::new(end.log_id, end.next + 1);
+        }
+    }
+
+    fn on_store_change(&mut self, change: CacheStoreChange, is_logged: bool) {
         let Some(key) = self.by_address.get(&change.store) else {
             // This daemon's configuration does not name the store, or not yet.
             return;
         };
+        if let Some(log) = self.log.as_mut().filter(|_| is_logged) {
+            log.push(change.clone());
+        }
         let store = &mut self.stores[*key];
         match change.update {
             CacheUpdate::Part { scope, id, tokens } => {
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -105,6 +105,14 @@
         }
     }
 
+    /// Returns whether the daemon serves what it knows of the cache stores to others. Followers do, too:
+    /// the members of a group learn of a new leader seconds apart, and may read from a daemon that does
+    /// not lead yet, or no longer.
+    #[must_use]
+    pub fn serves_cache_store_log(&self) -> bool {
+        matches!(self, Self::Leader { .. } | Self::Follower { .. })
+    }
+
     /// Returns the number of daemons that receive the daemon's reports in each period.
     #[must_use]
     pub fn recipient_count(&self) -> usize {
--- a/crates/gateway/src/listeners/peer_reads.rs
+++ b/crates/gateway/src/listeners/peer_reads.rs
@@ -40,8 +40,8 @@
     })
 }
 
-/// Answers with the changes at the cache stores. A daemon that keeps no log answers 404: it is not
-/// the leader that the reader takes it for.
+/// Answers with the changes at the cache stores. A daemon that keeps no log answers 404: its fleet is
+/// small, or it does not know its role yet.
 fn answer_cache_store_log(gateway: &Gateway, query: &str) -> Response<Full<Bytes>> {
     let cursor = parse_cursor(query).unwrap_or_default();
     let now = gateway.now();
--- a/crates/gateway/tests/leader_copies.rs
+++ b/crates/gateway/tests/leader_copies.rs
@@ -4,6 +4,7 @@
 use anvilgw_gateway::cache_store_log::{CacheStoreChange, CacheStorePage, CacheUpdate, Cursor};
 use anvilgw_gateway::caches::{CacheDirectory, CacheEvents, CacheStoreSpec, CachedPart};
 use anvilgw_gateway::direct_reads::DirectReads;
+use anvilgw_gateway::groups::Role;
 use anvilgw_gateway::log_position::{LogPosition, StoreEpoch};
 use anvilgw_gateway::page::{decode, encode};
 use anvilgw_gateway::topic_log::{TopicLog, TopicPage};
@@ -262,7 +263,7 @@
         leader
             .cache_store_log_page(Cursor::default(), at(1))
             .is_none(),
-        "only a leader keeps a log"
+        "a log is kept only for other daemons"
     );
     leader.set_log_enabled(true, 77);
     leader.on_events(
@@ -315,6 +316,60 @@
     }
 }
 
+/// Guards against a directory that is lost at each change of leader: the members of a group learn of it
+/// seconds apart, and ask a daemon that does not lead yet, or no longer.
+#[test]
+fn a_follower_passes_on_what_it_reads() {
+    let mut leader = directory();
+    let keys = leader.take_unfollowed();
+    leader.set_log_enabled(true, 77);
+    leader.on_events(keys[0], events(1, 3, &[("manual", 500)]), at(1));
+    let mut middle = directory();
+    middle.set_log_enabled(true, 78);
+    let mut follower = directory();
+    let mut read = Cursor::default();
+    let mut passed_on = Cursor::default();
+    type Step = fn(&mut CacheDirectory, &[anvilgw_gateway::caches::CacheStoreKey]);
+    let steps: [(&str, Step); 6] = [
+        ("everything at first", |_, _| {}),
+        ("a part was saved", |leader, keys| {
+            leader.on_events(keys[1], events(1, 5, &[("report", 700)]), at(2));
+        }),
+        ("a part was freed", |leader, keys| {
+            leader.on_events(keys[0], events(1, 6, &[("manual", 0)]), at(3));
+        }),
+        ("store lost", |leader, keys| leader.on_unreachable(keys[1])),
+        ("a store restarted empty", |leader, keys| {
+            leader.on_events(keys[1], events(2, 1, &[]), at(4));
+        }),
+        ("another leader took over", |leader, keys| {
+            leader.set_log_enabled(false, 77);
+            leader.on_events(keys[0], events(3, 1, &[("history", 900)]), at(5));
+            leader.set_log_enabled(true, 79);
+        }),
+    ];
+    for (name, step) in steps {
+        step(&mut leader, &keys);
+        read = read_page(&leader, &mut middle, read);
+        passed_on = read_page(&middle, &mut follower, passed_on);
+        assert_eq!(parts_of(&follower), parts_of(&leader), "{name}");
+    }
+}
+
+/// Guards against the same, and against a log that no daemon reads in a small fleet.
+#[test]
+fn daemons_of_a_large_fleet_serve_what_they_know_of_the_stores() {
+    let leader = Role::Leader {
+        followers: Vec::new(),
+        leaders: Vec::new(),
+    };
+    let follower = Role::Follower { leader: store(1) };
+    let cases = [(leader, true), (follower, true), (Role::default(), false)];
+    for (role, is_served) in cases {
+        assert_eq!(role.serves_cache_store_log(), is_served, "{}", role.name());
+    }
+}
+
 /// Guards against a daemon that applies its position in the previous leader's log to the log of
 /// a new leader.
 #[test]
