--- a/crates/gateway/src/caches/replication.rs
+++ b/crates/gateway/src/caches/replication.rs
@@ -5,6 +5,8 @@
 use crate::cache_store_log::{
     CacheStoreChange, CacheStoreLog, CacheStorePage, CacheUpdate, ContentsAge, Cursor,
 };
+use indexmap::IndexSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 impl CacheDirectory {
@@ -84,10 +86,11 @@
             self.on_clock_reading(clock_ms, now);
         }
         if page.is_snapshot {
-            self.stores.values_mut().for_each(CacheStore::clear);
+            self.clear_named(&page);
+            self.restart_log();
         }
         for change in page.changes {
-            self.on_store_change(change);
+            self.on_store_change(change, !page.is_snapshot);
         }
         for age in page.ages {
             let key = self.by_address.get(&age.store);
@@ -105,11 +108,34 @@
         }
     }
 
-    fn on_store_change(&mut self, change: CacheStoreChange) {
+    /// Clears the contents of all stores that a page names. Of the others, which its sender has not
+    /// read yet, this daemon may still know the contents from another one.
+    fn clear_named(&mut self, page: &CacheStorePage) {
+        let changed = page.changes.iter().map(|change| change.store);
+        let aged = page.ages.iter().map(|age| age.store);
+        let named: IndexSet<SocketAddr> = changed.chain(aged).collect();
+        let stores = self.stores.values_mut();
+        stores
+            .filter(|store| named.contains(&store.address()))
+            .for_each(CacheStore::clear);
+    }
+
+    /// Makes the readers of this daemon's log read a snapshot next.
+    fn restart_log(&mut self) {
+        if let Some(log) = &mut self.log {
+            let end = log.end();
+            *log = CacheStoreLog::new(end.log_id, end.next + 1);
+        }
+    }
+
+    fn on_store_change(&mut self, change: CacheStoreChange, is_logged: bool) {
         let Some(key) = self.by_address.get(&change.store) else {
             // This daemon's configuration does not name the store, or not yet.
             return;
         };
+        if let Some(log) = self.log.as_mut().filter(|_| is_logged) {
+            log.push(change.clone());
+        }
         let store = &mut self.stores[*key];
         match change.update {
             CacheUpdate::Part { scope, id, tokens } => {
