gateway: take the lease on weight switches by epoch and offset

After the metadata store was restored from an older copy, weights were never switched: backend servers answered all orders with 412, and callers were refused once the old weights had expired. Two daemons could hold one token.

Cause: a fencing token was the offset of the holder's first record plus one, and offsets are assigned again after a restore, so tokens fell. A daemon went on with its old token when a late append showed up as its own last record, and took a lease by an append that was answered in another epoch than the one in which it had read the log.

A token is now derived from epoch and offset (epoch times 2^36; as before in epoch 0). An append counts only in the epoch in which the log was read; in any other case the log is read anew. A record with a token of an earlier epoch neither takes nor releases the lease, and its token is not used again. The holder of a lost record gives orders until its lease ends, so no other daemon takes the lease until 1.7 s after it first saw the epoch, by any log, and it orders no server for the gap between holders after that, as announcements may be lost. A holder that learns of the epoch while its lease is valid takes it anew at once: nobody else can have held it. Lost announcements count as in effect for 13.7 s. Records that were read before the restore are not applied again, since older ones would replace newer ones that are lost. A daemon that has read only part of the log reads on before it appends.

Evidence: weights_are_switched_after_the_store_was_restored and orders_go_on_with_higher_tokens_after_restores_during_a_switch failed with the old lease (timeout after 30 s) and pass now.

The tests' store keeps logs without keys, with offsets and conditions.

--- a/crates/core/src/log_position.rs
+++ b/crates/core/src/log_position.rs
@@ -2,6 +2,7 @@
 
 use bincode::{Decode, Encode};
 use std::fmt;
+use std::time::Duration;
 
 /// Number of the store's current history.
 ///
@@ -36,3 +37,39 @@
         }
     }
 }
+
+/// Time at which a daemon first received an answer of the store's newest epoch, for any log.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EpochSighting {
+    epoch: StoreEpoch,
+    seen_at: Duration,
+}
+
+impl EpochSighting {
+    /// Records that an answer of an epoch was received.
+    pub fn on_answer(&mut self, epoch: StoreEpoch, now: Duration) {
+        if epoch > self.epoch {
+            *self = Self {
+                epoch,
+                seen_at: now,
+            };
+        }
+    }
+
+    /// Returns the newest epoch that was seen.
+    #[must_use]
+    pub fn epoch(&self) -> StoreEpoch {
+        self.epoch
+    }
+
+    /// Returns a time at which this daemon had received an answer of the epoch, the first one if no
+    /// later epoch was seen.
+    #[must_use]
+    pub fn seen_at(&self, epoch: StoreEpoch, now: Duration) -> Duration {
+        if epoch == self.epoch {
+            self.seen_at
+        } else {
+            now
+        }
+    }
+}
--- a/crates/gateway/src/background_tasks/weight_switches.rs
+++ b/crates/gateway/src/background_tasks/weight_switches.rs
@@ -1,22 +1,23 @@
 //! Orders backend servers to load the newest weights, and frees cached parts of older weights in
 //! the cache stores. One daemon at a time does this, under a lease.
 
+mod lease_log;
 mod orders;
 
+use self::lease_log::LeaseLogRead;
 use self::orders::ReadyServer;
 use super::retired_parts::{PartRetirement, retired_parts};
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::groups::Role;
 use crate::lease::{
-    ANNOUNCED_EFFECT_MAX, CancelledSwitch, LeaseRecord, LeaseStep, LeaseView, ServerWeights,
+    AppendResult, CancelledSwitch, LeaseRecord, LeaseStep, LeaseView, ServerWeights, StartedAppend,
 };
 use crate::log::Event;
-use crate::log_position::{LogPosition, StoreEpoch};
-use crate::ports::{AppendOutcome, StoreError, Topic};
+use crate::ports::Topic;
 use crate::topic_reader::TopicReader;
 use crate::weights::{
-    OrderTracker, OutdatedServer, apply_announcement, apply_records, next_orders, outdated_servers,
+    OrderTracker, OutdatedServer, apply_announcement, next_orders, outdated_servers,
 };
 use bytes::Bytes;
 use rand::RngExt;
@@ -29,11 +30,6 @@
 const IDLE_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two rounds of the lease holder.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
-/// Time for which the metadata store may hold a read of the lease log back until there is a record.
-const FOLLOW_WAIT: Duration = Duration::from_millis(250);
-/// The same while the only remaining work is to free cached parts of replaced weights, which does
-/// not affect requests.
-const FOLLOW_WAIT_FREEING: Duration = Duration::from_millis(1000);
 /// Maximum random delay before the lease is taken, in milliseconds, so that not all daemons try at
 /// once.
 const ACQUIRE_DELAY_MAX_MS: u64 = 120;
@@ -51,7 +47,6 @@
     let mut switcher = WeightSwitcher {
         lease: LeaseView::new(gateway.settings.instance.clone(), incarnation, order_gap),
         incarnation,
-        epoch: StoreEpoch::default(),
         orders: OrderTracker::default(),
         retirement: PartRetirement::default(),
         loaded: Vec::new(),
@@ -89,16 +84,14 @@
     gateway: Rc<Gateway>,
     lease: LeaseView,
     incarnation: u64,
-    /// Epoch in which the log of leases was read.
-    epoch: StoreEpoch,
     orders: OrderTracker,
     retirement: PartRetirement,
     /// Weights that servers have loaded and that no lease record contains yet.
     loaded: Vec<ServerWeights>,
     /// Announced switches that do not take place and that no lease record contains yet.
     cancelled: Vec<CancelledSwitch>,
-    /// Time from which on no announcement in records that were dropped before they were read can
-    /// still matter.
+    /// Time from which on no announcement can still matter whose record was dropped, or lost by a
+    /// restored store, before it was read.
     complete_from: Duration,
     lease_dependency: Dependency,
     reader: TopicReader,
@@ -129,6 +122,7 @@
     }
 
     async fn round(&mut self) {
+        self.enter_seen_epoch();
         let now = self.gateway.now();
         if self.lease.fencing_token(now).is_some() {
             self.holder_round().await;
@@ -137,9 +131,13 @@
         }
         // Only the holder may report on switches: its records are in order.
         self.forget_updates();
-        if !self.follow_lease().await {
-            sleep(IDLE_PAUSE).await;
-            return;
+        match self.follow_lease().await {
+            LeaseLogRead::Complete => {}
+            LeaseLogRead::Partial => return,
+            LeaseLogRead::Failed => {
+                sleep(IDLE_PAUSE).await;
+                return;
+            }
         }
         if self.is_candidate()
             && let LeaseStep::Append {
@@ -183,85 +181,6 @@
         )
     }
 
-    /// Decodes records of the lease log. Malformed records are logged and skipped.
-    fn parse_records(&self, payloads: &[Bytes]) -> Vec<LeaseRecord> {
-        let parse_one = |payload: &Bytes| match serde_json::from_slice(payload) {
-            Ok(record) => Some(record),
-            Err(error) => {
-                self.gateway.log_notable(&Event::RecordMalformed {
-                    key: "lease log",
-                    reason: &error.to_string(),
-                });
-                None
-            }
-        };
-        payloads.iter().filter_map(parse_one).collect()
-    }
-
-    /// Reads the lease log and returns whether the read succeeded. While the lease is free and this
-    /// daemon may take it, the read does not wait for new records.
-    async fn follow_lease(&mut self) -> bool {
-        let from = LogPosition {
-            epoch: self.epoch,
-            offset: self.lease.next_offset(),
-        };
-        let is_held = self.lease.acquisition(self.gateway.now()) == LeaseStep::Wait;
-        let wait = match (
-            is_held || !self.is_candidate(),
-            self.outdated_servers().is_empty(),
-        ) {
-            (true, true) => FOLLOW_WAIT_FREEING,
-            (true, false) => FOLLOW_WAIT,
-            (false, _) => Duration::ZERO,
-        };
-        match self.reader.read(&self.gateway, from, wait).await {
-            Ok(page) => {
-                let records = self.parse_records(&page.records);
-                let now = self.gateway.now();
-                self.lease_dependency.on_answer(&self.gateway);
-                self.epoch = page.origin.next.epoch;
-                self.lease.on_read(&records, page.origin.next.offset, now);
-                self.on_lease_records(&records);
-                self.on_log_verified(page.origin.verified_at);
-                true
-            }
-            Err(StoreError::Expired(first)) => {
-                // Records that the metadata store no longer keeps are much older than any valid
-                // lease, unless the store has lost its history.
-                let now = self.gateway.now();
-                self.epoch = first.epoch;
-                self.lease.on_read(&[], first.offset, now);
-                self.complete_from = now + ANNOUNCED_EFFECT_MAX;
-                false
-            }
-            Err(StoreError::Restored(epoch)) => {
-                let now = self.gateway.now();
-                self.epoch = epoch;
-                self.lease.on_read(&[], 0, now);
-                self.complete_from = now + ANNOUNCED_EFFECT_MAX;
-                false
-            }
-            Err(error) => {
-                self.lease_dependency
-                    .on_failure(&self.gateway, &error.to_string());
-                false
-            }
-        }
-    }
-
-    fn on_lease_records(&self, records: &[LeaseRecord]) {
-        let now = self.gateway.now();
-        apply_records(&mut self.gateway.state.borrow_mut().servers, records, now);
-    }
-
-    /// Records that this daemon knew all announcements at a time, unless some were dropped before
-    /// it read them.
-    fn on_log_verified(&self, verified_at: Duration) {
-        if verified_at >= self.complete_from {
-            self.gateway.state.borrow_mut().switches_read_at = verified_at;
-        }
-    }
-
     async fn holder_round(&mut self) {
         let started_at = self.gateway.now();
         self.poll_progress().await;
@@ -326,28 +245,20 @@
             }
         };
         let was_held = self.lease.fencing_token(started_at).is_some();
-        match self
-            .gateway
-            .ports
-            .metadata_store
-            .append_lease(offset, payload.clone())
-            .await
-        {
-            Ok(AppendOutcome::Stored(stored)) => {
-                self.on_log_verified(started_at);
-                let gateway = &self.gateway;
-                gateway.on_topic_read(Topic::Leases, stored, &[payload], started_at);
-                self.forget_updates();
-                self.lease
-                    .on_append_stored(record, stored.offset, started_at);
-                if !was_held {
-                    self.log_lease_change("taken", fencing_token);
-                }
-            }
-            Ok(AppendOutcome::Conflict(_)) => {
-                self.lease.on_append_unconfirmed();
-                if was_held {
-                    self.log_lease_change("lost to another daemon", fencing_token);
+        let store = &self.gateway.ports.metadata_store;
+        match store.append_lease(offset, payload.clone()).await {
+            Ok(outcome) => {
+                let append = StartedAppend { record, started_at };
+                let result = self.on_append_answer(append, outcome, payload);
+                match (was_held, result) {
+                    (false, AppendResult::Stored) => self.log_lease_change("taken", fencing_token),
+                    (true, AppendResult::Conflict) => {
+                        self.log_lease_change("lost to another daemon", fencing_token);
+                    }
+                    (_, AppendResult::Restored) => {
+                        self.log_lease_change("not held, the store was restored", fencing_token);
+                    }
+                    _ => {}
                 }
             }
             Err(error) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use crate::freshness::ConfigurationFreshness;
 use crate::groups::{Role, StoreReads};
 use crate::log::{Event, EventLog, Importance};
-use crate::log_position::LogPosition;
+use crate::log_position::{EpochSighting, LogPosition, StoreEpoch};
 use crate::metrics::Metrics;
 use crate::overload::ServiceOverload;
 use crate::peers::PeerLoads;
@@ -77,6 +77,8 @@
     pub(crate) topic_logs: IndexMap<Topic, TopicLog>,
     /// Where each log of the metadata store was read last.
     pub(crate) log_reads: IndexMap<Topic, ReadOrigin>,
+    /// When the metadata store's newest epoch was first seen.
+    pub(crate) epoch_sighting: EpochSighting,
     /// When the announced weight switches were last read.
     pub(crate) switches_read_at: Duration,
     /// Whether the list of backend servers was read at least once.
@@ -186,6 +188,7 @@
             peer_loads: PeerLoads::default(),
             topic_logs: IndexMap::new(),
             log_reads: IndexMap::new(),
+            epoch_sighting: EpochSighting::default(),
             switches_read_at: Duration::ZERO,
             has_servers: false,
             quarantine: Quarantine::new(rand::random()),
@@ -269,10 +272,20 @@
 
     /// Records where a log was read last, for the metrics.
     pub(crate) fn on_log_read(&self, topic: Topic, origin: &ReadOrigin) {
+        self.on_epoch_seen(origin.next.epoch);
         let log_reads = &mut self.state.borrow_mut().log_reads;
         log_reads.insert(topic, origin.clone());
     }
 
+    /// Records the epoch of an answer of the metadata store. Returns the time at which this daemon
+    /// first received one of that epoch.
+    pub(crate) fn on_epoch_seen(&self, epoch: StoreEpoch) -> Duration {
+        let now = self.now();
+        let sighting = &mut self.state.borrow_mut().epoch_sighting;
+        sighting.on_answer(epoch, now);
+        sighting.seen_at(epoch, now)
+    }
+
     /// Logs that all records of a log were listed, and records where.
     pub(crate) fn on_log_listed(&self, topic: Topic, records: usize, origin: &ReadOrigin) {
         self.log_notable(&Event::LogListed {
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -3,7 +3,11 @@
 //!
 //! A daemon appends a record at the end of the log that it has read. The append takes effect only
 //! if no other daemon has appended in the meantime, so the log orders the holders. The fencing
-//! token of a holder is one above the offset of its first record; tokens therefore increase.
+//! token of a holder is derived from the position of its first record; tokens therefore increase.
+//!
+//! A metadata store that is restored from an older copy loses the newest records and states a
+//! higher epoch. Their holder does not know it at first and may give orders until its lease ends,
+//! so other daemons wait for that time after they have first seen the epoch.
 //!
 //! A holder whose daemon stops gives the lease up with its last record, so that another daemon can
 //! take it immediately.
@@ -12,6 +16,9 @@
 //! over therefore knows which servers its predecessor may still be ordering, and can give orders to
 //! all others immediately.
 
+use crate::fencing_token::{epoch_of, fencing_token};
+use crate::log_position::{LogPosition, StoreEpoch};
+use crate::ports::AppendOutcome;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -84,6 +91,15 @@
     ORDER_EFFECT_MAX.as_millis() as u64
 }
 
+/// A record of the lease log with its offset.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredRecord {
+    /// Offset of the record.
+    pub offset: u64,
+    /// Content.
+    pub record: LeaseRecord,
+}
+
 /// Next action of a daemon on the lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaseStep {
@@ -98,6 +114,27 @@
     },
 }
 
+/// An append of a record that was sent to the metadata store.
+#[derive(Clone, Debug)]
+pub struct StartedAppend {
+    /// The record.
+    pub record: LeaseRecord,
+    /// When it was sent.
+    pub started_at: Duration,
+}
+
+/// What the answer to an append means for the lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AppendResult {
+    /// The record was stored at the end of the log that this daemon has read.
+    Stored,
+    /// Another daemon has appended in the meantime.
+    Conflict,
+    /// The answer is of another epoch than the one in which this daemon has read the log. If the
+    /// record was stored, it takes no lease.
+    Restored,
+}
+
 #[derive(Clone, Debug)]
 struct SeenRecord {
     record: LeaseRecord,
@@ -110,6 +147,40 @@
     seen_at: Duration,
 }
 
+/// What is uncertain about holders of earlier epochs, whose records the store may have lost.
+#[derive(Clone, Copy, Debug, Default)]
+struct EarlierHolders {
+    /// Time until which one of them may give orders.
+    orders_until: Duration,
+    /// Time until which this daemon orders no server, because an earlier holder may have done so.
+    reserved_until: Duration,
+    /// The same for restores since this daemon's last stored record. It does not apply if this
+    /// daemon was the only holder at the restore.
+    unresolved_until: Option<Duration>,
+}
+
+impl EarlierHolders {
+    fn on_restored(&mut self, orders_until: Duration, reserved_until: Duration) {
+        self.orders_until = orders_until;
+        self.unresolved_until = Some(reserved_until);
+    }
+
+    /// Records that this daemon's record was stored. `was_only_holder` tells whether no other
+    /// daemon can have held the lease since its record before.
+    fn on_append_stored(&mut self, was_only_holder: bool) {
+        if let Some(until) = self.unresolved_until.take()
+            && !was_only_holder
+        {
+            self.reserved_until = until;
+        }
+    }
+
+    fn reserve_servers(&self, now: Duration) -> bool {
+        let unresolved_until = self.unresolved_until.unwrap_or_default();
+        now < self.reserved_until.max(unresolved_until)
+    }
+}
+
 /// One daemon's view of the lease.
 #[derive(Clone, Debug)]
 pub struct LeaseView {
@@ -118,8 +189,15 @@
     order_gap: Duration,
     last: Option<SeenRecord>,
     switches_of_others: IndexMap<String, AnnouncedSwitch>,
-    next_offset: u64,
+    /// Position from which to read the log next.
+    position: LogPosition,
+    /// Position up to which the log was read in an earlier epoch.
+    known: LogPosition,
+    earlier_holders: EarlierHolders,
     valid_until: Duration,
+    /// Time before which no other daemon takes the lease, in any epoch: this daemon's last stored
+    /// record delays the others for longer, and so does a restore after it.
+    only_holder_until: Duration,
     renew_at: Duration,
 }
 
@@ -134,33 +212,67 @@
             order_gap,
             last: None,
             switches_of_others: IndexMap::new(),
-            next_offset: 0,
+            position: LogPosition::default(),
+            known: LogPosition::default(),
+            earlier_holders: EarlierHolders::default(),
             valid_until: Duration::ZERO,
+            only_holder_until: Duration::ZERO,
             renew_at: Duration::ZERO,
         }
     }
 
-    /// Returns the offset from which to read the log next.
+    /// Returns the position from which to read the log next.
+    #[must_use]
+    pub fn position(&self) -> LogPosition {
+        self.position
+    }
+
+    /// Records that the metadata store was restored from a copy and is now in a higher epoch, which
+    /// this daemon first saw at `seen_at`. The lease counts as lost, and the log has to be read from
+    /// its first offset. A lower epoch changes nothing.
+    pub fn on_epoch(&mut self, epoch: StoreEpoch, seen_at: Duration) {
+        if epoch <= self.position.epoch {
+            return;
+        }
+        // Otherwise the log was not read anew in the last epoch up to where it was known before.
+        if self.position.offset >= self.known.offset {
+            self.known = self.position;
+        }
+        self.position = LogPosition { epoch, offset: 0 };
+        self.last = None;
+        self.valid_until = Duration::ZERO;
+        self.earlier_holders.on_restored(
+            seen_at + VALIDITY + TRANSIT_MARGIN,
+            seen_at + self.announcement_time(),
+        );
+    }
+
+    /// Returns whether a record was read already in an earlier epoch, according to its offset and
+    /// the epoch of its token.
     #[must_use]
-    pub fn next_offset(&self) -> u64 {
-        self.next_offset
+    pub fn is_known(&self, stored: &StoredRecord) -> bool {
+        stored.offset < self.known.offset
+            && epoch_of(stored.record.fencing_token) <= self.known.epoch
+            && self.known.epoch < self.position.epoch
     }
 
-    /// Applies records that were read from the log. `next_offset` is the offset after the last of
-    /// them.
-    pub fn on_read(&mut self, records: &[LeaseRecord], next_offset: u64, now: Duration) {
+    /// Applies records that were read from the log, in the epoch of the view. `next_offset` is the
+    /// offset after the last of them.
+    pub fn on_read(&mut self, records: &[StoredRecord], next_offset: u64, now: Duration) {
         let announcement_time = self.announcement_time();
         self.switches_of_others
             .retain(|_, announced| now < announced.seen_at + announcement_time);
-        for record in records {
-            self.on_record(record, now);
+        for stored in records {
+            self.on_record(stored, now);
         }
-        self.next_offset = next_offset;
+        self.position.offset = next_offset;
     }
 
-    fn on_record(&mut self, record: &LeaseRecord, now: Duration) {
-        if !self.is_own(record) {
+    fn on_record(&mut self, stored: &StoredRecord, now: Duration) {
+        let record = &stored.record;
+        if !self.is_own(record) && !self.is_known(stored) {
             self.valid_until = Duration::ZERO;
+            self.only_holder_until = Duration::ZERO;
             for announced in &record.switching {
                 self.switches_of_others
                     .insert(announced.server.clone(), AnnouncedSwitch { seen_at: now });
@@ -176,22 +288,43 @@
     /// free, wait otherwise.
     #[must_use]
     pub fn acquisition(&self, now: Duration) -> LeaseStep {
-        match &self.last {
-            Some(last) if last.record.is_released => self.first_append(),
-            Some(last) if self.is_own(&last.record) => LeaseStep::Append {
-                offset: self.next_offset,
+        if self.can_retake(now) {
+            return self.first_append();
+        }
+        if now < self.earlier_holders.orders_until {
+            return LeaseStep::Wait;
+        }
+        let Some(last) = &self.last else {
+            return self.first_append();
+        };
+        // A record with a token of an earlier epoch may be a late append, which neither takes nor
+        // releases the lease: the holder is that of another record.
+        let is_of_epoch = self.is_of_epoch(&last.record);
+        if is_of_epoch && last.record.is_released {
+            self.first_append()
+        } else if is_of_epoch && self.is_own(&last.record) {
+            LeaseStep::Append {
+                offset: self.position.offset,
                 fencing_token: last.record.fencing_token,
-            },
-            Some(last) if now < last.seen_at + VALIDITY + TRANSIT_MARGIN => LeaseStep::Wait,
-            _ => self.first_append(),
+            }
+        } else if now < last.seen_at + VALIDITY + TRANSIT_MARGIN {
+            LeaseStep::Wait
+        } else {
+            self.first_append()
         }
     }
 
+    /// Returns whether the store was restored while this daemon was the holder, and no other daemon
+    /// can have taken the lease since.
+    fn can_retake(&self, now: Duration) -> bool {
+        self.earlier_holders.unresolved_until.is_some() && now < self.only_holder_until
+    }
+
     /// Returns the append of a new holder's first record.
     fn first_append(&self) -> LeaseStep {
         LeaseStep::Append {
-            offset: self.next_offset,
-            fencing_token: self.next_offset + 1,
+            offset: self.position.offset,
+            fencing_token: fencing_token(self.position),
         }
     }
 
@@ -201,18 +334,47 @@
     pub fn renewal(&self, now: Duration, has_updates: bool) -> LeaseStep {
         match (self.fencing_token(now), has_updates || now >= self.renew_at) {
             (Some(fencing_token), true) => LeaseStep::Append {
-                offset: self.next_offset,
+                offset: self.position.offset,
                 fencing_token,
             },
             _ => LeaseStep::Wait,
         }
     }
 
-    /// Records that the daemon's own record was stored at `offset` by an append that started at
-    /// `started_at`.
-    pub fn on_append_stored(&mut self, record: LeaseRecord, offset: u64, started_at: Duration) {
-        self.next_offset = offset + 1;
+    /// Applies the answer of the metadata store to an append. `seen_at` is the time at which this
+    /// daemon first received an answer of its epoch.
+    pub fn on_append_answer(
+        &mut self,
+        append: StartedAppend,
+        outcome: AppendOutcome,
+        seen_at: Duration,
+    ) -> AppendResult {
+        let (AppendOutcome::Stored(position) | AppendOutcome::Conflict(position)) = outcome;
+        if position.epoch != self.position.epoch {
+            // The records that precede the position were not read.
+            self.on_append_unconfirmed();
+            self.on_epoch(position.epoch, seen_at);
+            return AppendResult::Restored;
+        }
+        if let AppendOutcome::Conflict(_) = outcome {
+            self.on_append_unconfirmed();
+            return AppendResult::Conflict;
+        }
+        self.on_append_stored(append, position.offset);
+        AppendResult::Stored
+    }
+
+    fn on_append_stored(&mut self, append: StartedAppend, offset: u64) {
+        let StartedAppend { record, started_at } = append;
+        let was_only_holder = started_at < self.only_holder_until;
+        self.earlier_holders.on_append_stored(was_only_holder);
+        self.position.offset = offset + 1;
         self.valid_until = started_at + VALIDITY;
+        self.only_holder_until = if record.is_released {
+            Duration::ZERO
+        } else {
+            self.valid_until
+        };
         self.renew_at = started_at + RENEW_AFTER;
         self.last = Some(SeenRecord {
             record,
@@ -229,6 +391,7 @@
     /// Gives up the lease after a server has reported a higher fencing token.
     pub fn on_fenced(&mut self, now: Duration) {
         self.valid_until = Duration::ZERO;
+        self.only_holder_until = Duration::ZERO;
         if let Some(last) = &mut self.last {
             // Treat the daemon's own record as that of another daemon, so that the next acquisition
             // takes a new token.
@@ -251,9 +414,15 @@
     /// to wait.
     #[must_use]
     pub fn is_reserved_by_other(&self, server_id: &str, now: Duration) -> bool {
-        self.switches_of_others
-            .get(server_id)
-            .is_some_and(|announced| now < announced.seen_at + self.announcement_time())
+        self.earlier_holders.reserve_servers(now)
+            || self
+                .switches_of_others
+                .get(server_id)
+                .is_some_and(|announced| now < announced.seen_at + self.announcement_time())
+    }
+
+    fn is_of_epoch(&self, record: &LeaseRecord) -> bool {
+        epoch_of(record.fencing_token) == self.position.epoch
     }
 
     fn is_own(&self, record: &LeaseRecord) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod connection;
 pub mod connection_limit;
 pub mod direct_reads;
+pub mod fencing_token;
 pub mod fleet_view;
 pub mod freshness;
 pub mod groups;
--- a/crates/gateway/src/read_origin.rs
+++ b/crates/gateway/src/read_origin.rs
@@ -31,11 +31,16 @@
         }
     }
 
+    /// Returns whether the log ended after these records.
+    pub(crate) fn is_complete(&self) -> bool {
+        !self.verified_at.is_zero()
+    }
+
     /// Returns the time since the log was known to end after these records, or `None` if there were
     /// newer ones.
     pub(crate) fn age(&self, now: Duration) -> Option<Duration> {
-        let is_complete = !self.verified_at.is_zero();
-        is_complete.then(|| now.saturating_sub(self.verified_at))
+        self.is_complete()
+            .then(|| now.saturating_sub(self.verified_at))
     }
 
     /// Returns the fields of log lines.
--- a/crates/gateway/tests/leases.rs
+++ b/crates/gateway/tests/leases/main.rs
@@ -1,6 +1,13 @@
 //! Tests of the lease on weight switches.
 
-use anvilgw_gateway::lease::{LeaseRecord, LeaseStep, LeaseView, ServerWeights};
+mod log;
+mod restored;
+mod seeded_restores;
+
+use crate::log::Log;
+use anvilgw_gateway::lease::{
+    AppendResult, LeaseRecord, LeaseStep, LeaseView, ServerWeights, StartedAppend, StoredRecord,
+};
 use std::time::Duration;
 
 const ORDER_GAP: Duration = Duration::from_secs(3);
@@ -33,42 +40,19 @@
     }
 }
 
-/// A log with conditional appends, in memory.
-#[derive(Default)]
-struct Log {
-    records: Vec<LeaseRecord>,
+fn stored(offset: u64, record: LeaseRecord) -> StoredRecord {
+    StoredRecord { offset, record }
 }
 
-impl Log {
-    /// Appends a record as the daemon's view demands. Returns whether the record was stored.
-    fn append(
-        &mut self,
-        view: &mut LeaseView,
-        holder: &str,
-        switching: &[&str],
-        now: Duration,
-    ) -> bool {
-        let LeaseStep::Append {
-            offset,
-            fencing_token,
-        } = view.acquisition(now)
-        else {
-            return false;
-        };
-        if offset != self.records.len() as u64 {
-            view.on_append_unconfirmed();
-            return false;
-        }
-        let stored = record(holder, fencing_token, switching);
-        self.records.push(stored.clone());
-        view.on_append_stored(stored, offset, now);
-        true
-    }
-
-    fn read(&self, view: &mut LeaseView, now: Duration) {
-        let from = view.next_offset() as usize;
-        view.on_read(&self.records[from..], self.records.len() as u64, now);
-    }
+/// Appends a record as the daemon's view demands. Returns whether the record was stored.
+fn append(
+    log: &mut Log,
+    view: &mut LeaseView,
+    holder: &str,
+    switching: &[&str],
+    now: Duration,
+) -> bool {
+    log.append(view, |token| record(holder, token, switching), now)
 }
 
 /// Guards against two daemons that give orders at the same time because they started together.
@@ -76,8 +60,8 @@
 fn only_one_of_two_daemons_that_start_together_holds_the_lease() {
     let (mut first, mut second) = (view("a"), view("b"));
     let mut log = Log::default();
-    assert!(log.append(&mut first, "a", &[], at(0)));
-    assert!(!log.append(&mut second, "b", &[], at(0)));
+    assert!(append(&mut log, &mut first, "a", &[], at(0)));
+    assert!(!append(&mut log, &mut second, "b", &[], at(0)));
     assert!(first.fencing_token(at(10)).is_some());
     assert_eq!(second.fencing_token(at(10)), None);
     log.read(&mut second, at(20));
@@ -89,14 +73,14 @@
 fn holder_gives_no_orders_once_a_successor_can_take_over() {
     let (mut first, mut second) = (view("a"), view("b"));
     let mut log = Log::default();
-    assert!(log.append(&mut first, "a", &["s1"], at(0)));
+    assert!(append(&mut log, &mut first, "a", &["s1"], at(0)));
     log.read(&mut second, at(5));
     let taken_at = (0..10_000)
         .map(at)
         .find(|now| second.acquisition(*now) != LeaseStep::Wait)
         .expect("the lease of a vanished holder is taken over");
     assert_eq!(first.fencing_token(taken_at), None);
-    assert!(log.append(&mut second, "b", &["s2"], taken_at));
+    assert!(append(&mut log, &mut second, "b", &["s2"], taken_at));
     assert!(
         second.fencing_token(taken_at) > Some(1),
         "fencing tokens increase"
@@ -109,16 +93,23 @@
 fn a_released_lease_is_taken_at_once() {
     let (mut first, mut second) = (view("a"), view("b"));
     let mut log = Log::default();
-    assert!(log.append(&mut first, "a", &["s1"], at(0)));
+    assert!(append(&mut log, &mut first, "a", &["s1"], at(0)));
     let released = LeaseRecord {
         is_released: true,
         ..record("a", 1, &[])
     };
-    log.records.push(released.clone());
-    first.on_append_stored(released, 1, at(500));
+    let release = StartedAppend {
+        record: released.clone(),
+        started_at: at(500),
+    };
+    let outcome = log.append_at(1, released);
+    assert_eq!(
+        first.on_append_answer(release, outcome, at(500)),
+        AppendResult::Stored
+    );
     assert_eq!(first.fencing_token(at(500)), None);
     log.read(&mut second, at(510));
-    assert!(log.append(&mut second, "b", &["s2"], at(520)));
+    assert!(append(&mut log, &mut second, "b", &["s2"], at(520)));
     assert!(second.fencing_token(at(530)) > Some(1), "tokens increase");
     assert!(second.is_reserved_by_other("s1", at(530)));
     log.read(&mut first, at(540));
@@ -138,7 +129,7 @@
 fn successor_waits_before_it_orders_announced_servers() {
     let (mut first, mut second) = (view("a"), view("b"));
     let mut log = Log::default();
-    assert!(log.append(&mut first, "a", &["s1"], at(0)));
+    assert!(append(&mut log, &mut first, "a", &["s1"], at(0)));
     log.read(&mut second, at(100));
     let last_order = (0..10_000)
         .map(at)
@@ -168,13 +159,13 @@
         },
         LossCase {
             name: "another daemon's record was read",
-            lose: |view| view.on_read(&[record("b", 2, &[])], 2, at(100)),
+            lose: |view| view.on_read(&[stored(1, record("b", 2, &[]))], 2, at(100)),
         },
     ];
     for case in cases {
         let mut view = view("a");
         assert!(
-            Log::default().append(&mut view, "a", &[], at(0)),
+            append(&mut Log::default(), &mut view, "a", &[], at(0)),
             "{}",
             case.name
         );
