gateway: use a server again whose entry a restored store keeps

Found by reading. A server whose entry had been removed before the store was restored, because it was cut off from the store for a while, is not used while the listing shows nothing newer than the removal.

Such entries are now kept aside. A change of the entry or its removal replaces them; one that is left after 5 s, in which entries of servers that have ended expire, is used.

--- a/crates/gateway/src/background_tasks/mod.rs
+++ b/crates/gateway/src/background_tasks/mod.rs
@@ -13,5 +13,6 @@
 mod retired_parts;
 pub(crate) mod rollouts;
 pub(crate) mod servers;
+mod skipped_entries;
 mod snapshot;
 pub(crate) mod weight_switches;
--- a/crates/gateway/src/background_tasks/servers.rs
+++ b/crates/gateway/src/background_tasks/servers.rs
@@ -1,6 +1,7 @@
 //! Follows the table in which backend servers publish their entries.
 
 use super::rollouts::on_servers_changed;
+use super::skipped_entries::SkippedEntries;
 use super::snapshot::{MissingKeys, Snapshot, SnapshotReader};
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
@@ -48,6 +49,7 @@
     let mut reader = TopicReader::new(Topic::Table(Table::Servers), clock);
     let mut heartbeats = HeartbeatHistory::default();
     let mut snapshots = SnapshotReader::new(Table::Servers, RETRY_PAUSE);
+    let mut skipped = SkippedEntries::default();
     loop {
         let snapshot = snapshots.read(&gateway, &mut dependency).await;
         let mut progress = Progress {
@@ -60,7 +62,8 @@
         }
         heartbeats.on_changes(&snapshot.changes.changes, progress.verified_at);
         let grace = expired_entry_grace(&gateway, &dependency);
-        apply_snapshot(&gateway, snapshot, grace);
+        let outdated = apply_snapshot(&gateway, snapshot, grace);
+        skipped.set(outdated, gateway.now());
         loop {
             sleep(gateway.jittered(poll_pause(&gateway), JITTER)).await;
             let result = reader.read(&gateway, progress.next, Duration::ZERO).await;
@@ -72,7 +75,10 @@
                         next: read.origin.next,
                         verified_at: known_until.max(read.origin.verified_at),
                     };
-                    let changes = decode_changes(&gateway, Table::Servers, read).changes;
+                    let mut changes = decode_changes(&gateway, Table::Servers, read).changes;
+                    skipped.on_changes(&changes);
+                    let due = skipped.take_due(gateway.now());
+                    changes.extend(due.into_iter().map(Change::ServerUpdated));
                     if is_outage_over {
                         let window = progress.verified_at - known_until;
                         on_outage_over(
@@ -140,7 +146,9 @@
     })
 }
 
-fn apply_snapshot(gateway: &Gateway, snapshot: Snapshot, grace: Duration) {
+/// Applies a listing, and returns the entries of it that are not newer than the removal of their
+/// servers.
+fn apply_snapshot(gateway: &Gateway, snapshot: Snapshot, grace: Duration) -> Vec<ServerEntry> {
     let mut changes = snapshot.changes.changes;
     let listed: IndexSet<String> = changes
         .iter()
@@ -155,25 +163,34 @@
         .borrow_mut()
         .servers
         .retain_listed(&listed, grace, now);
-    remove_outdated(gateway, &mut changes, snapshot.missing_keys);
+    let outdated = match snapshot.missing_keys {
+        MissingKeys::Removed => Vec::new(),
+        MissingKeys::MayBeLost => take_outdated(gateway, &mut changes),
+    };
     apply(gateway, changes, grace);
     let is_first_listing = !std::mem::replace(&mut gateway.state.borrow_mut().has_servers, true);
     if is_first_listing {
         gateway.cache_stores_changed.notify_one();
     }
+    outdated
 }
 
-/// Removes entries from a listing that are older than what this daemon knows. A server that is still
-/// there publishes a newer one. What a restored store lists of a known server that cannot be read may
-/// be older, too.
-fn remove_outdated(gateway: &Gateway, changes: &mut Vec<Change>, missing_keys: MissingKeys) {
-    let is_restored = missing_keys == MissingKeys::MayBeLost;
+/// Removes entries from the listing of a restored store that are older than what this daemon knows,
+/// and unreadable ones of servers that it knows. Returns those of servers that it does not know.
+fn take_outdated(gateway: &Gateway, changes: &mut Vec<Change>) -> Vec<ServerEntry> {
     let servers = &gateway.state.borrow().servers;
+    let mut removed = Vec::new();
     changes.retain(|change| match change {
-        Change::ServerUpdated(entry) => !servers.is_outdated(entry),
-        Change::Malformed { key, .. } => !is_restored || servers.key_of(key).is_none(),
+        Change::ServerUpdated(entry) if servers.is_outdated(entry) => {
+            if servers.key_of(&entry.id).is_none() {
+                removed.push(entry.clone());
+            }
+            false
+        }
+        Change::Malformed { key, .. } => servers.key_of(key).is_none(),
         _ => true,
     });
+    removed
 }
 
 fn apply(gateway: &Gateway, changes: Vec<Change>, grace: Duration) {
