review case 12: an entry with an unreadable key sends requests to another service

Tried: 60 unsafe requests while an entry of another writer, whose key is no text, names the address of a server of another service.

--- a/review/standin-3/src/early.rs
+++ b/review/standin-3/src/early.rs
@@ -13,8 +13,11 @@
 const IP: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 1);
 /// Size of the body of a long request.
 const BODY_BYTES: usize = 512 * 1024;
-/// Number of clients, each with a connection of its own.
+/// Number of clients that send streaming requests, each on a connection of its own.
 const CLIENTS: usize = 8;
+/// Number of clients that send safe requests, and of servers for these.
+const READERS: usize = 10;
+const READ_SERVERS: usize = 18;
 /// Number of events of a stream, and the pause between two of them, within the route's longest
 /// pause.
 const EVENTS: usize = 14;
@@ -219,9 +222,9 @@
 
 /// BUDGET: a client attempt runs on more servers than its route allows.
 pub fn reads(place: &Place) -> io::Result<Verdict> {
-    let parts = start(place, 6)?;
+    let parts = start(place, READ_SERVERS)?;
     thread::sleep(Duration::from_secs(10));
-    let threads: Vec<_> = (0..CLIENTS)
+    let threads: Vec<_> = (0..READERS)
         .map(|number| {
             let (record, front) = (place.record.clone(), parts.daemon.front);
             thread::spawn(move || {
@@ -247,7 +250,7 @@
         let _ = thread.join();
     }
     let runs = parts.runs.lock().expect("runs").clone();
-    let over = (0..CLIENTS)
+    let over = (0..READERS)
         .filter(|number| {
             let id = format!("c{number:015x}");
             let servers: Vec<&String> = runs
@@ -262,7 +265,7 @@
         })
         .count();
     place.record.add(format!(
-        "{over} of {CLIENTS} requests ran on more servers than 2; 3 may"
+        "{over} of {READERS} requests ran on more servers than 2; 3 may"
     ));
     Ok(if over > 3 {
         Verdict::Broken
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -1,6 +1,8 @@
 //! Stand-ins and checks of the cases in `review/`. Usage: `review-standin-3 CASE ROOT RECORD`.
 
 mod early;
+mod entries;
+mod heads;
 mod http;
 mod json;
 mod store;
@@ -55,6 +57,8 @@
     match case {
         "early-streams" => early::streams(place),
         "early-reads" => early::reads(place),
+        "unreadable-key" => entries::unreadable_key(place),
+        "raised-limit" => heads::raised_limit(place),
         other => Err(io::Error::other(format!("no case {other}"))),
     }
 }
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -54,9 +54,14 @@
 
     /// Writes the value of a key, as the operator and the servers do. An empty value removes it.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
+        self.put_bytes(topic, key.as_bytes(), value.as_bytes());
+    }
+
+    /// Writes the value of a key, neither of which has to be text.
+    pub fn put_bytes(&self, topic: &str, key: &[u8], value: &[u8]) {
         let mut record = vec![key.len() as u8];
-        record.extend_from_slice(key.as_bytes());
-        record.extend_from_slice(value.as_bytes());
+        record.extend_from_slice(key);
+        record.extend_from_slice(value);
         let (state, changed) = &*self.state;
         let mut state = state.lock().expect("state");
         let topic = state.topics.entry(topic.to_owned()).or_default();
@@ -161,7 +166,7 @@
         let items: Vec<String> = newest
             .iter()
             .map(|(key, (offset, value))| {
-                let value = base64(value);
+                let (key, value) = (escaped(key), base64(value));
                 format!(r#"{{"key":"{key}","value":"{value}","offset":{offset}}}"#)
             })
             .collect();
@@ -251,6 +256,16 @@
     }
 }
 
+/// Escapes a text for a JSON string.
+fn escaped(text: &str) -> String {
+    let escape = |character: char| match character {
+        '"' | '\\' => format!("\\{character}"),
+        control if control.is_control() => format!("\\u{:04x}", u32::from(control)),
+        other => other.to_string(),
+    };
+    text.chars().map(escape).collect()
+}
+
 /// Encodes bytes in base64.
 fn base64(bytes: &[u8]) -> String {
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
