--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -5,6 +5,7 @@
 mod heads;
 mod http;
 mod json;
+mod poison;
 mod store;
 mod world;
 
@@ -58,6 +59,7 @@
         "early-streams" => early::streams(place),
         "early-reads" => early::reads(place),
         "unreadable-key" => entries::unreadable_key(place),
+        "bad-part" => poison::batches(place),
         "raised-limit" => heads::raised_limit(place),
         other => Err(io::Error::other(format!("no case {other}"))),
     }
--- a/review/standin-3/src/world.rs
+++ b/review/standin-3/src/world.rs
@@ -237,19 +237,22 @@
         let born = born.map_or(0, |time| time.as_millis());
         let entry = move |heartbeat: u64| {
             format!(
-                r#"{{"service":"{service}","address":"{address}","zone":"pt-norte-a","version":"v1","slots":64,"state":"ready","coldMs":0,"seq":{heartbeat},"born":{born}}}"#
+                r#"{{"service":"{service}","address":"{address}","zone":"pt-norte-a","version":"v1","slots":64,"state":"ready","coldMs":0,"stage":"colocated","models":[{{"name":"daka510000","version":1,"adapters":[]}}],"seq":{heartbeat},"born":{born}}}"#
             )
         };
         store.put("keyed.servers", &id, &entry(1));
-        let write = move |heartbeat| store.put("keyed.servers", &id, &entry(heartbeat));
+        let write = move |value: &str| store.put("keyed.servers", &id, value);
         let entries = AtomicU64::new(2);
         thread::spawn(move || {
             loop {
                 thread::sleep(HEARTBEAT);
                 if over.load(Ordering::Relaxed) {
+                    // The platform removes the entry after three intervals of silence.
+                    thread::sleep(HEARTBEAT * 2);
+                    write("");
                     return;
                 }
-                write(entries.fetch_add(1, Ordering::Relaxed));
+                write(&entry(entries.fetch_add(1, Ordering::Relaxed)));
             }
         });
         Self { is_over }
