--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -59,7 +59,7 @@
         "early-streams" => early::streams(place),
         "early-reads" => early::reads(place),
         "unreadable-key" => entries::unreadable_key(place),
-        "bad-part" => poison::batches(place),
+        "late-crash" => poison::late_crash(place),
         "raised-limit" => heads::raised_limit(place),
         other => Err(io::Error::other(format!("no case {other}"))),
     }
--- a/review/standin-3/src/poison.rs
+++ b/review/standin-3/src/poison.rs
@@ -6,7 +6,7 @@
 use std::io::{self, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Barrier, Mutex};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -16,11 +16,12 @@
 const BAD_PART: &str = "5c1e07a2";
 /// Time after which a server that crashed is back, under a new identifier.
 const BACK_AFTER: Duration = Duration::from_secs(3);
-/// Number of requests with the part that are sent at the same moment.
-const BATCH: usize = 8;
-/// Number of such batches, and the pause between two of them, which exceeds `contactMs`.
-const BATCHES: usize = 4;
-const BATCH_PAUSE: Duration = Duration::from_secs(4);
+/// Number of requests with the part, and the pause between two of them.
+const BAD_REQUESTS: usize = 14;
+const BAD_PAUSE: Duration = Duration::from_secs(2);
+/// Events that a server writes on the part before it crashes, and the pause after each.
+const LAST_EVENTS: usize = 5;
+const EVENT_PAUSE: Duration = Duration::from_millis(300);
 const CONTACT: Duration = Duration::from_secs(3);
 /// Crash from which the time counts, and the requests that may reach servers later.
 const COUNTED_CRASH: usize = 5;
@@ -132,9 +133,20 @@
                 )
                 .as_bytes(),
             )?;
-            if is_bad && self.crashes {
-                self.crash(running);
-                return Ok(());
+            if is_bad {
+                for number in 1..=LAST_EVENTS {
+                    write_chunk(
+                        &mut stream,
+                        format!("id: {number}\ndata: word\n\n").as_bytes(),
+                    )?;
+                    thread::sleep(EVENT_PAUSE);
+                }
+                if self.crashes {
+                    self.crash(running);
+                    return Ok(());
+                }
+                write_chunk(&mut stream, b"")?;
+                continue;
             }
             for number in 1..=4 {
                 write_chunk(
@@ -195,34 +207,8 @@
     }
 }
 
-/// Sends requests with the part at the same moment, and returns their identifiers and times.
-fn send_batch(front: SocketAddr, batch: usize, record: &Record) -> Vec<(String, Instant)> {
-    let barrier = Arc::new(Barrier::new(BATCH));
-    let threads: Vec<_> = (0..BATCH)
-        .map(|number| {
-            let (barrier, record) = (Arc::clone(&barrier), record.clone());
-            thread::spawn(move || {
-                let id = format!("f{batch:07x}{number:08x}");
-                let own = batch * BATCH + number;
-                let headers = prompt_headers(BAD_PART, own, own);
-                barrier.wait();
-                let sent_at = Instant::now();
-                let answer = ask(front, &id, &headers);
-                record.add(format!(
-                    "request {id} with the part, batch {batch}: {answer}"
-                ));
-                (id, sent_at)
-            })
-        })
-        .collect();
-    threads
-        .into_iter()
-        .filter_map(|thread| thread.join().ok())
-        .collect()
-}
-
 /// BUDGET: requests with the part go on to reach servers.
-pub fn batches(place: &Place) -> io::Result<Verdict> {
+pub fn late_crash(place: &Place) -> io::Result<Verdict> {
     let store = Store::start("127.0.0.1:0");
     let observed: Arc<Mutex<Observed>> = Arc::default();
     let servers = Arc::new(Servers {
@@ -251,13 +237,22 @@
     };
     thread::sleep(Duration::from_secs(6));
 
-    let mut sent = Vec::new();
-    for batch in 0..BATCHES {
-        if batch > 0 {
-            thread::sleep(BATCH_PAUSE);
-        }
-        sent.extend(send_batch(front, batch, &place.record));
+    let mut threads = Vec::new();
+    for number in 0..BAD_REQUESTS {
+        let record = place.record.clone();
+        threads.push(thread::spawn(move || {
+            let id = format!("f{number:015x}");
+            let sent_at = Instant::now();
+            let answer = ask(front, &id, &prompt_headers(BAD_PART, number, number));
+            record.add(format!("request {id} with the part: {answer}"));
+            (id, sent_at)
+        }));
+        thread::sleep(BAD_PAUSE);
     }
+    let sent: Vec<_> = threads
+        .into_iter()
+        .filter_map(|thread| thread.join().ok())
+        .collect();
     is_over.store(true, Ordering::Relaxed);
     let _ = sound.join();
 
