review case 14: a withdrawn key works at a daemon that starts on an older copy of the store

Tried: a key is withdrawn, the store comes back from a copy without that, a daemon is killed and starts again, and requests with the key are sent from 5.05 s after the acknowledgement on.

--- a/review/standin-3/src/early.rs
+++ b/review/standin-3/src/early.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{Reader, write_chunk};
 use crate::store::Store;
-use crate::world::{Client, Config, Daemon, Entry, Place, Record, Verdict, serve};
+use crate::world::{Client, Config, Daemon, Entry, KEY, Place, Record, Verdict, serve};
 use std::io::{self, Write};
 use std::net::{Ipv4Addr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -118,6 +118,7 @@
         routes: &format!("{STREAM_ROUTE},{READ_ROUTE}"),
         services: SERVICE,
         max_header_bytes: 16384,
+        keys: &[KEY],
     }
     .put(&store, &place.record);
     let daemon = Daemon::start(place, "front-pt-norte-a-1", IP, &store)?;
--- a/review/standin-3/src/entries.rs
+++ b/review/standin-3/src/entries.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{Reader, write_answer};
 use crate::store::Store;
-use crate::world::{Client, Config, Daemon, Entry, Place, Record, Verdict, serve};
+use crate::world::{Client, Config, Daemon, Entry, KEY, Place, Record, Verdict, serve};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -105,6 +105,7 @@
         routes: ROUTES,
         services: SERVICES,
         max_header_bytes: 16384,
+        keys: &[KEY],
     }
     .put(&store, &place.record);
     let daemon = Daemon::start(place, "front-pt-norte-a-1", IP, &store)?;
--- a/review/standin-3/src/heads.rs
+++ b/review/standin-3/src/heads.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{Reader, write_answer};
 use crate::store::Store;
-use crate::world::{Client, Config, Daemon, Entry, Place, Record, Verdict, serve};
+use crate::world::{Client, Config, Daemon, Entry, KEY, Place, Record, Verdict, serve};
 use std::io;
 use std::net::{Ipv4Addr, TcpStream};
 use std::thread;
@@ -54,6 +54,7 @@
             routes: ROUTE,
             services: SERVICE,
             max_header_bytes,
+            keys: &[KEY],
         }
         .put(&store, &place.record);
     };
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod json;
 mod poison;
+mod restored;
 mod store;
 mod world;
 
@@ -60,6 +61,7 @@
         "early-reads" => early::reads(place),
         "unreadable-key" => entries::unreadable_key(place),
         "late-crash" => poison::late_crash(place),
+        "withdrawn-key" => restored::withdrawn_key(place),
         "raised-limit" => heads::raised_limit(place),
         other => Err(io::Error::other(format!("no case {other}"))),
     }
--- a/review/standin-3/src/poison.rs
+++ b/review/standin-3/src/poison.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{Reader, write_answer, write_chunk};
 use crate::store::Store;
-use crate::world::{Client, Config, Daemon, Entry, Place, Record, Verdict};
+use crate::world::{Client, Config, Daemon, Entry, KEY, Place, Record, Verdict};
 use std::io::{self, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -225,6 +225,7 @@
         routes: ROUTE,
         services: SERVICE,
         max_header_bytes: 16384,
+        keys: &[KEY],
     }
     .put(&store, &place.record);
     let daemon = Daemon::start(place, "front-pt-norte-a-1", IP, &store)?;
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -11,7 +11,7 @@
 /// Number of partitions of each topic.
 const PARTS: usize = 12;
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Topic {
     records: Vec<Vec<u8>>,
 }
@@ -26,8 +26,13 @@
     topics: BTreeMap<String, Topic>,
     members: BTreeMap<String, MemberState>,
     generation: u64,
+    /// Rises when the store comes back from an older copy.
+    era: u64,
 }
 
+/// An older copy of the contents of a store.
+pub struct Copy(BTreeMap<String, Topic>);
+
 /// The store; clones share its contents.
 #[derive(Clone)]
 pub struct Store {
@@ -69,6 +74,20 @@
         changed.notify_all();
     }
 
+    /// Takes a copy of all records.
+    pub fn copy(&self) -> Copy {
+        Copy(self.state.0.lock().expect("state").topics.clone())
+    }
+
+    /// Comes back from an older copy: what was written since is lost, and offsets go back.
+    pub fn restore(&self, copy: Copy) {
+        let (state, changed) = &*self.state;
+        let mut state = state.lock().expect("state");
+        state.topics = copy.0;
+        state.era += 1;
+        changed.notify_all();
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut reader = Reader::new(stream.try_clone().expect("socket"));
@@ -77,14 +96,29 @@
                 return;
             };
             thread::sleep(Duration::from_millis(4));
+            let era = self.era();
             let (status, kind, answer) = self.answer(&head, &body);
-            let headers = format!("Content-Type: {kind}\r\nStore-Era: 0\r\n");
+            if self.era() != era {
+                // The store was away for a moment.
+                return;
+            }
+            let headers = format!("Content-Type: {kind}\r\nStore-Era: {era}\r\n");
             if write_answer(&mut stream, status, &headers, &answer).is_err() {
                 return;
             }
         }
     }
 
+    fn era(&self) -> u64 {
+        self.state.0.lock().expect("state").era
+    }
+
+    fn end(&self, topic: &str) -> usize {
+        let state = self.state.0.lock().expect("state");
+        let topic = state.topics.get(topic);
+        topic.map_or(0, |topic| topic.records.len())
+    }
+
     fn answer(&self, head: &Head, body: &[u8]) -> (&'static str, &'static str, Vec<u8>) {
         const JSON: &str = "application/json";
         let target = head.word(1);
@@ -103,6 +137,9 @@
                 let wait_ms = arg("waitMs")
                     .and_then(|text| text.parse().ok())
                     .unwrap_or(0);
+                if from > self.end(&topic) {
+                    return ("410 Gone", JSON, br#"{"first":0}"#.to_vec());
+                }
                 match self.read(&topic, from, wait_ms) {
                     Some(bytes) => ("200 OK", "application/octet-stream", bytes),
                     None => ("404 Not Found", JSON, b"{}".to_vec()),
--- a/review/standin-3/src/world.rs
+++ b/review/standin-3/src/world.rs
@@ -17,6 +17,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 /// Longest wait for a daemon to be ready.
 const READY_MAX: Duration = Duration::from_secs(20);
+/// Time after which a process that was killed is started again.
+const RESTART_DELAY: Duration = Duration::from_millis(300);
 /// Host name of all routes.
 pub const HOST: &str = "pule25.example";
 /// API key of the tenant.
@@ -71,6 +73,7 @@
 /// A process of `anvilgw gateway`, which is killed when this is dropped.
 pub struct Daemon {
     child: Child,
+    name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
 }
@@ -101,26 +104,29 @@
         let text = settings(name, front, ready, control, store.address)
             + &format!("ephemeralPorts={first_port},{last_port}\n");
         fs::write(&path, text)?;
-        let log = File::create(place.scratch.join(format!("{name}.log")))?;
-        let child = Command::new("target/release/anvilgw")
-            .arg("gateway")
-            .current_dir(&place.root)
-            .env_clear()
-            .env("ANVILGW_CONFIG", &path)
-            .stdin(Stdio::null())
-            .stderr(log.try_clone()?)
-            .stdout(log)
-            .spawn()?;
-        place
-            .record
-            .add(format!("daemon {name} started, process {}", child.id()));
         Ok(Self {
-            child,
+            child: start_process(place, name)?,
+            name: name.to_owned(),
             front,
             ready,
         })
     }
 
+    /// Kills the process and starts it again with the same settings, after a short delay.
+    pub fn restart(&mut self, place: &Place) -> io::Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        place.record.add(format!("daemon {} is killed", self.name));
+        thread::sleep(RESTART_DELAY);
+        self.child = start_process(place, &self.name)?;
+        Ok(())
+    }
+
+    /// Returns whether the daemon says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        is_ready(self.ready)
+    }
+
     /// Sends a signal to the process, by its name without `SIG`.
     pub fn signal(&self, name: &str) {
         let id = self.child.id();
@@ -138,6 +144,26 @@
     }
 }
 
+fn start_process(place: &Place, name: &str) -> io::Result<Child> {
+    let log = File::options()
+        .create(true)
+        .append(true)
+        .open(place.scratch.join(format!("{name}.log")))?;
+    let child = Command::new("target/release/anvilgw")
+        .arg("gateway")
+        .current_dir(&place.root)
+        .env_clear()
+        .env("ANVILGW_CONFIG", place.scratch.join(format!("{name}.conf")))
+        .stdin(Stdio::null())
+        .stderr(log.try_clone()?)
+        .stdout(log)
+        .spawn()?;
+    place
+        .record
+        .add(format!("daemon {name} started, process {}", child.id()));
+    Ok(child)
+}
+
 fn free_address(ip: Ipv4Addr) -> io::Result<SocketAddr> {
     TcpListener::bind((ip, 0))?.local_addr()
 }
@@ -208,15 +234,19 @@
     /// Services as JSON objects, separated by commas.
     pub services: &'a str,
     pub max_header_bytes: usize,
+    /// API keys of the tenant.
+    pub keys: &'a [&'a str],
 }
 
 impl Config<'_> {
     pub fn put(&self, store: &Store, record: &Record) {
+        let keys: Vec<String> = self.keys.iter().map(|key| format!("\"{key}\"")).collect();
+        let keys = keys.join(",");
         let mut text = String::new();
         let _ = write!(
             text,
-            r#"{{"version":{},"routes":[{}],"services":[{}],"limits":{{"maxHeaderBytes":{},"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"bozi300","apiKeys":["{KEY}"],"priority":1}}]}}"#,
-            self.version, self.routes, self.services, self.max_header_bytes
+            r#"{{"version":{},"routes":[{}],"services":[{}],"limits":{{"maxHeaderBytes":{},"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"bozi300","apiKeys":[{}],"priority":1}}]}}"#,
+            self.version, self.routes, self.services, self.max_header_bytes, keys
         );
         store.put("keyed.op", "config", &text);
         record.add(format!("configuration {} acknowledged", self.version));
@@ -286,15 +316,24 @@
 pub struct Client {
     pub stream: TcpStream,
     pub reader: Reader,
+    key: &'static str,
 }
 
 impl Client {
     pub fn connect(address: SocketAddr) -> io::Result<Self> {
+        Self::with_key(address, KEY)
+    }
+
+    pub fn with_key(address: SocketAddr, key: &'static str) -> io::Result<Self> {
         let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_secs(30)))?;
         let reader = Reader::new(stream.try_clone()?);
-        Ok(Self { stream, reader })
+        Ok(Self {
+            stream,
+            reader,
+            key,
+        })
     }
 
     /// Sends a request. `headers` are whole lines.
@@ -306,8 +345,9 @@
         headers: &str,
         body: &[u8],
     ) -> io::Result<()> {
+        let key = self.key;
         let mut head = format!(
-            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nX-Api-Key: {KEY}\r\n{headers}"
+            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nX-Api-Key: {key}\r\n{headers}"
         );
         if !body.is_empty() {
             let _ = write!(head, "Content-Length: {}\r\n", body.len());
