--- a/review/standin-3/src/early.rs
+++ b/review/standin-3/src/early.rs
@@ -17,6 +17,8 @@
 const CLIENTS: usize = 8;
 /// Number of clients that send safe requests, and of servers for these.
 const READERS: usize = 10;
+/// Number of pieces of an answer to a safe request.
+const READ_PIECES: usize = 20;
 const READ_SERVERS: usize = 18;
 /// Number of events of a stream, and the pause between two of them, within the route's longest
 /// pause.
@@ -35,6 +37,7 @@
     mut stream: TcpStream,
     id: &str,
     reads_late: bool,
+    events: usize,
     runs: &Mutex<Vec<(String, String)>>,
     record: &Record,
 ) -> io::Result<()> {
@@ -55,7 +58,7 @@
             .expect("runs")
             .push((attempt.clone(), id.to_owned()));
         record.add(format!("server {id} runs request {attempt}"));
-        let result = send_events(&mut stream, &attempt, length > 0);
+        let result = send_events(&mut stream, &attempt, if length > 0 { events } else { 1 });
         if let Err(error) = result {
             record.add(format!(
                 "server {id} cannot answer request {attempt} further: {error}"
@@ -74,7 +77,7 @@
     Ok(())
 }
 
-fn send_events(stream: &mut TcpStream, attempt: &str, is_long: bool) -> io::Result<()> {
+fn send_events(stream: &mut TcpStream, attempt: &str, events: usize) -> io::Result<()> {
     stream.write_all(
         format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Stamp: stamp-{attempt}\r\n\
@@ -82,10 +85,9 @@
         )
         .as_bytes(),
     )?;
-    let events = if is_long { EVENTS } else { 1 };
     for number in 1..=events {
         write_chunk(stream, format!("id: {number}\ndata: word\n\n").as_bytes())?;
-        if is_long {
+        if events > 1 {
             thread::sleep(EVENT_PAUSE);
         }
     }
@@ -98,7 +100,7 @@
     runs: Arc<Mutex<Vec<(String, String)>>>,
 }
 
-fn start(place: &Place, servers: usize) -> io::Result<Parts> {
+fn start(place: &Place, servers: usize, events: usize) -> io::Result<Parts> {
     let store = Store::start("127.0.0.1:0");
     let runs: Arc<Mutex<Vec<(String, String)>>> = Arc::default();
     let mut entries = Vec::new();
@@ -109,7 +111,7 @@
         let name = id.clone();
         let address = serve(IP, move |stream| {
             // The end of a connection is in the record.
-            let _ = answer_requests(stream, &name, reads_late, &runs, &record);
+            let _ = answer_requests(stream, &name, reads_late, events, &runs, &record);
         })?;
         entries.push(Entry::publish(&store, &id, "lm", address));
     }
@@ -119,6 +121,7 @@
         services: SERVICE,
         max_header_bytes: 16384,
         keys: &[KEY],
+        other_tenants: "",
     }
     .put(&store, &place.record);
     let daemon = Daemon::start(place, "front-pt-norte-a-1", IP, &store)?;
@@ -131,7 +134,7 @@
 
 /// LOST: streams that a sound server answers are cut.
 pub fn streams(place: &Place) -> io::Result<Verdict> {
-    let parts = start(place, 2)?;
+    let parts = start(place, 2, EVENTS)?;
     thread::sleep(Duration::from_secs(4));
     let cut = Arc::new(AtomicUsize::new(0));
     let mut clients = Vec::new();
@@ -223,7 +226,7 @@
 
 /// BUDGET: a client attempt runs on more servers than its route allows.
 pub fn reads(place: &Place) -> io::Result<Verdict> {
-    let parts = start(place, READ_SERVERS)?;
+    let parts = start(place, READ_SERVERS, READ_PIECES)?;
     thread::sleep(Duration::from_secs(10));
     let threads: Vec<_> = (0..READERS)
         .map(|number| {
--- a/review/standin-3/src/entries.rs
+++ b/review/standin-3/src/entries.rs
@@ -106,6 +106,7 @@
         services: SERVICES,
         max_header_bytes: 16384,
         keys: &[KEY],
+        other_tenants: "",
     }
     .put(&store, &place.record);
     let daemon = Daemon::start(place, "front-pt-norte-a-1", IP, &store)?;
--- a/review/standin-3/src/heads.rs
+++ b/review/standin-3/src/heads.rs
@@ -55,6 +55,7 @@
             services: SERVICE,
             max_header_bytes,
             keys: &[KEY],
+            other_tenants: "",
         }
         .put(&store, &place.record);
     };
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -60,6 +60,7 @@
         "early-streams" => early::streams(place),
         "early-reads" => early::reads(place),
         "unreadable-key" => entries::unreadable_key(place),
+        "second-tenant" => poison::second_tenant(place),
         "late-crash" => poison::late_crash(place),
         "withdrawn-key" => restored::withdrawn_key(place),
         "raised-limit" => heads::raised_limit(place),
--- a/review/standin-3/src/poison.rs
+++ b/review/standin-3/src/poison.rs
@@ -7,7 +7,7 @@
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 const IP: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 1);
@@ -26,6 +26,16 @@
 /// Crash from which the time counts, and the requests that may reach servers later.
 const COUNTED_CRASH: usize = 5;
 const LATE_MAX: usize = 3;
+/// Second tenant, with its key.
+const OTHER_TENANT: &str = r#",{"name":"kesu212","apiKeys":["r7m2w9t4q1z8x5c3v6b0"],"priority":1}"#;
+const OTHER_KEY: &str = "r7m2w9t4q1z8x5c3v6b0";
+/// Requests of the first tenant, and the pause between two of them.
+const FIRST_REQUESTS: usize = 6;
+const FIRST_PAUSE: Duration = Duration::from_secs(1);
+/// Requests of the second tenant, sent at the same moment, and the time before them, which exceeds
+/// `contactMs`.
+const SECOND_REQUESTS: usize = 8;
+const SECOND_AFTER: Duration = Duration::from_secs(5);
 /// Pause between two sound requests of a client.
 const SOUND_PAUSE: Duration = Duration::from_millis(200);
 
@@ -45,6 +55,8 @@
     record: Record,
     observed: Arc<Mutex<Observed>>,
     crashes: bool,
+    /// Events that a server writes on the part before it crashes.
+    last_events: usize,
 }
 
 /// A running server, until it crashes.
@@ -134,7 +146,7 @@
                 .as_bytes(),
             )?;
             if is_bad {
-                for number in 1..=LAST_EVENTS {
+                for number in 1..=self.last_events {
                     write_chunk(
                         &mut stream,
                         format!("id: {number}\ndata: word\n\n").as_bytes(),
@@ -194,9 +206,9 @@
 }
 
 /// Sends a request on a connection of its own, and returns what the client gets.
-fn ask(front: SocketAddr, id: &str, headers: &str) -> String {
+fn ask(front: SocketAddr, key: &'static str, id: &str, headers: &str) -> String {
     let exchange = || -> io::Result<Option<u16>> {
-        let mut client = Client::connect(front)?;
+        let mut client = Client::with_key(front, key)?;
         client.send("POST", "/query/2f", id, headers, b"{}")?;
         Ok(client.answer()?.map(|(head, _)| head.status()))
     };
@@ -207,8 +219,55 @@
     }
 }
 
-/// BUDGET: requests with the part go on to reach servers.
+/// BUDGET: a part that crashes servers over a second after they begin to answer.
 pub fn late_crash(place: &Place) -> io::Result<Verdict> {
+    play(place, LAST_EVENTS, |front, record| {
+        let mut threads = Vec::new();
+        for number in 0..BAD_REQUESTS {
+            threads.push(send_bad(front, KEY, number, record));
+            thread::sleep(BAD_PAUSE);
+        }
+        threads
+    })
+}
+
+/// BUDGET: a part that crashes servers under the requests of one tenant, and then of another.
+pub fn second_tenant(place: &Place) -> io::Result<Verdict> {
+    play(place, 0, |front, record| {
+        let mut threads = Vec::new();
+        for number in 0..FIRST_REQUESTS {
+            threads.push(send_bad(front, KEY, number, record));
+            thread::sleep(FIRST_PAUSE);
+        }
+        record.add("the second tenant sends its requests next");
+        thread::sleep(SECOND_AFTER);
+        for number in FIRST_REQUESTS..FIRST_REQUESTS + SECOND_REQUESTS {
+            threads.push(send_bad(front, OTHER_KEY, number, record));
+        }
+        threads
+    })
+}
+
+/// A request with the part that is being sent: its identifier, and when it was sent.
+type Sending = JoinHandle<(String, Instant)>;
+
+fn send_bad(front: SocketAddr, key: &'static str, number: usize, record: &Record) -> Sending {
+    let record = record.clone();
+    thread::spawn(move || {
+        let id = format!("f{number:015x}");
+        let sent_at = Instant::now();
+        let answer = ask(front, key, &id, &prompt_headers(BAD_PART, number, number));
+        record.add(format!("request {id} with the part: {answer}"));
+        (id, sent_at)
+    })
+}
+
+/// Plays requests with the part beside sound ones, and counts those that reach servers late.
+fn play(
+    place: &Place,
+    last_events: usize,
+    send: impl FnOnce(SocketAddr, &Record) -> Vec<Sending>,
+) -> io::Result<Verdict> {
     let store = Store::start("127.0.0.1:0");
     let observed: Arc<Mutex<Observed>> = Arc::default();
     let servers = Arc::new(Servers {
@@ -216,6 +275,7 @@
         record: place.record.clone(),
         observed: Arc::clone(&observed),
         crashes: place.has_trouble,
+        last_events,
     });
     for number in 1..=SERVERS {
         Arc::clone(&servers).keep_running(number)?;
@@ -226,6 +286,7 @@
         services: SERVICE,
         max_header_bytes: 16384,
         keys: &[KEY],
+        other_tenants: OTHER_TENANT,
     }
     .put(&store, &place.record);
     let daemon = Daemon::start(place, "front-pt-norte-a-1", IP, &store)?;
@@ -238,18 +299,7 @@
     };
     thread::sleep(Duration::from_secs(6));
 
-    let mut threads = Vec::new();
-    for number in 0..BAD_REQUESTS {
-        let record = place.record.clone();
-        threads.push(thread::spawn(move || {
-            let id = format!("f{number:015x}");
-            let sent_at = Instant::now();
-            let answer = ask(front, &id, &prompt_headers(BAD_PART, number, number));
-            record.add(format!("request {id} with the part: {answer}"));
-            (id, sent_at)
-        }));
-        thread::sleep(BAD_PAUSE);
-    }
+    let threads = send(front, &place.record);
     let sent: Vec<_> = threads
         .into_iter()
         .filter_map(|thread| thread.join().ok())
@@ -291,6 +341,7 @@
         let id = format!("5{sent:015x}");
         let answer = ask(
             front,
+            KEY,
             &id,
             &prompt_headers("77aa0001", sent % 40, 1000 + sent),
         );
--- a/review/standin-3/src/restored.rs
+++ b/review/standin-3/src/restored.rs
@@ -73,6 +73,7 @@
             services: SERVICE,
             max_header_bytes: 16384,
             keys,
+            other_tenants: "",
         }
         .put(&store, &place.record);
     };
--- a/review/standin-3/src/world.rs
+++ b/review/standin-3/src/world.rs
@@ -2,6 +2,7 @@
 
 use crate::http::{Head, Reader};
 use crate::store::Store;
+use std::env;
 use std::fmt::Write as _;
 use std::fs::{self, File};
 use std::io::{self, Write as _};
@@ -158,9 +159,15 @@
         .stderr(log.try_clone()?)
         .stdout(log)
         .spawn()?;
+    let id = child.id();
     place
         .record
-        .add(format!("daemon {name} started, process {}", child.id()));
+        .add(format!("daemon {name} started, process {id}"));
+    if let Some(path) = env::var_os("PROCESSES") {
+        // The script ends these if a signal ends it.
+        let mut list = File::options().create(true).append(true).open(path)?;
+        writeln!(list, "{id}")?;
+    }
     Ok(child)
 }
 
@@ -234,8 +241,10 @@
     /// Services as JSON objects, separated by commas.
     pub services: &'a str,
     pub max_header_bytes: usize,
-    /// API keys of the tenant.
+    /// API keys of the first tenant.
     pub keys: &'a [&'a str],
+    /// Other tenants as JSON objects, each after a comma.
+    pub other_tenants: &'a str,
 }
 
 impl Config<'_> {
@@ -245,8 +254,13 @@
         let mut text = String::new();
         let _ = write!(
             text,
-            r#"{{"version":{},"routes":[{}],"services":[{}],"limits":{{"maxHeaderBytes":{},"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"bozi300","apiKeys":[{}],"priority":1}}]}}"#,
-            self.version, self.routes, self.services, self.max_header_bytes, keys
+            r#"{{"version":{},"routes":[{}],"services":[{}],"limits":{{"maxHeaderBytes":{},"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"bozi300","apiKeys":[{}],"priority":1}}{}]}}"#,
+            self.version,
+            self.routes,
+            self.services,
+            self.max_header_bytes,
+            keys,
+            self.other_tenants
         );
         store.put("keyed.op", "config", &text);
         record.add(format!("configuration {} acknowledged", self.version));
