--- a/review/standin-3/src/early.rs
+++ b/review/standin-3/src/early.rs
@@ -169,6 +169,8 @@
     for thread in threads {
         let _ = thread.join();
     }
+    // The servers notice the end of a connection with their next events.
+    thread::sleep(Duration::from_secs(2));
     let cut = cut.load(Ordering::Relaxed);
     let ran = parts.runs.lock().expect("runs").len();
     place.record.add(format!(
