gateway: tell a server that does not read from one without power

Cause: TCP_USER_TIMEOUT counts the time of a closed receive window, although the peer's kernel answers each window probe, and such an end counted as that of a server without power, which takes no attempt.

TCP_INFO tells the two apart. While a request is on its way, missing acknowledgements of data or of window probes decide, and the kernel's limit stays one second ahead of a closed window, which also keeps the probes within a second of each other. The error says what was not acknowledged. A kernel without statistics keeps the former limits.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 connections to backend servers and to the platform.
 
-use crate::ack_timeout::{AckTimeout, PeerUnreachable, RequestSize};
+use crate::ack_timeout::{AckTimeout, SentRequest};
 use crate::read_limit::{ReadAllowance, ReadLimited};
 use crate::upload_guard::{Upload, UploadGuard};
 use anvilgw_core::is_final_status;
@@ -62,9 +62,8 @@
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     allowance: ReadAllowance,
-    request_size: RequestSize,
+    request: SentRequest,
     upload: Upload,
-    peer_unreachable: PeerUnreachable,
     /// Number of requests that were sent, at least in part.
     sent_requests: u64,
     _open: OpenCount,
@@ -95,12 +94,12 @@
             }
             Err(_) => return Err(not_sent(format!("connect {address}: timeout"))),
         };
-        set_options(&stream).map_err(|error| not_sent(format!("socket options: {error}")))?;
-        let request_size = RequestSize::default();
-        let peer_unreachable = PeerUnreachable::default();
+        let option_failed = |error| not_sent(format!("socket options: {error}"));
+        set_options(&stream).map_err(option_failed)?;
+        let request = SentRequest::default();
         let upload = Upload::default();
         let stream = UploadGuard::new(stream, upload.clone());
-        let stream = AckTimeout::new(stream, request_size.clone(), peer_unreachable.clone());
+        let (stream, peer_monitor) = AckTimeout::new(stream, &request).map_err(option_failed)?;
         let allowance = ReadAllowance::default();
         let stream = TokioIo::new(ReadLimited::new(stream, allowance.clone()));
         let (sender, connection) = http1::Builder::new()
@@ -109,18 +108,20 @@
             .await
             .map_err(|error| not_sent(error.to_string()))?;
         let task = tokio::task::spawn_local(async move {
-            // An error also reaches the request in progress. An idle connection has none, so it is
-            // ignored here.
-            let _ = connection.await;
+            tokio::select! {
+                // An error also reaches the request in progress. An idle connection has none, so it
+                // is ignored here.
+                _ = connection => {}
+                () = peer_monitor.run() => {}
+            }
         });
         Ok(Self {
             address,
             sender,
             task,
             allowance,
-            request_size,
+            request,
             upload,
-            peer_unreachable,
             sent_requests: 0,
             _open: open,
         })
@@ -136,7 +137,7 @@
     /// power, or is cut off.
     #[must_use]
     pub fn is_peer_unreachable(&self) -> bool {
-        self.peer_unreachable.get()
+        self.request.is_peer_unreachable()
     }
 
     /// Returns whether an answer may belong to an earlier request, because more than one was sent. A
@@ -173,13 +174,13 @@
     ) -> Result<Response<Incoming>, SendError> {
         self.allowance.limit_to(HEAD_MAX_BYTES);
         let body_bytes = request.body().size_hint().exact().unwrap_or(u64::MAX);
-        self.request_size.set(body_bytes);
+        self.request.begin(body_bytes);
         self.upload.begin(body_bytes);
         self.sent_requests += 1;
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.allowance.lift();
-                self.request_size.on_answer();
+                self.request.on_answer();
                 let status = response.status().as_u16();
                 if !is_final_status(status) {
                     let reason = format!("status {status} is not that of a final answer");
--- /dev/null
+++ b/crates/gateway/src/tcp_info.rs
@@ -0,0 +1,57 @@
+//! The kernel's view of a TCP connection: what was sent and what the peer has acknowledged.
+
+use nix::sys::socket::sockopt::GetStruct;
+use nix::{getsockopt_impl, sys::socket::getsockopt};
+use std::io::{ErrorKind, Result};
+use std::os::fd::AsFd;
+use std::time::Duration;
+
+/// Socket option that reads the kernel's statistics of a connection.
+#[derive(Clone, Copy, Debug)]
+struct TcpInfoOption;
+
+getsockopt_impl!(
+    TcpInfoOption,
+    libc::IPPROTO_TCP,
+    libc::TCP_INFO,
+    libc::tcp_info,
+    GetStruct<libc::tcp_info>
+);
+
+/// What the kernel knows of the data that was sent on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TcpInfo {
+    /// Packets that were sent and are not acknowledged.
+    pub unacked_packets: u32,
+    /// Retransmissions of the oldest of these packets that were not acknowledged.
+    pub retransmits: u8,
+    /// Window probes that were not acknowledged since the last acknowledgement.
+    pub unanswered_probes: u8,
+    /// How often the time between two retransmissions or window probes was doubled. Above zero
+    /// while data waits for the peer.
+    pub backoff: u8,
+    /// Time since the last acknowledgement. Each packet that the peer sends carries one.
+    pub last_ack_age: Duration,
+}
+
+impl TcpInfo {
+    /// Reads the statistics of a connected socket.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the kernel, or [`ErrorKind::Unsupported`] if it keeps no statistics.
+    pub fn read(socket: &impl AsFd) -> Result<Self> {
+        let info = getsockopt(socket, TcpInfoOption)?;
+        // No state has this number, so nothing was filled in.
+        if info.tcpi_state == 0 {
+            return Err(ErrorKind::Unsupported.into());
+        }
+        Ok(Self {
+            unacked_packets: info.tcpi_unacked,
+            retransmits: info.tcpi_retransmits,
+            unanswered_probes: info.tcpi_probes,
+            backoff: info.tcpi_backoff,
+            last_ack_age: Duration::from_millis(info.tcpi_last_ack_recv.into()),
+        })
+    }
+}
