gateway: ask other daemons whether the store was away for all

Cause: servers without an entry are used for 2 s after an outage, as entries expire while the store is away; nothing but heartbeats, which a store need not record, told the store's outage from the daemon's own. A daemon whose first listing failed at first granted the same.

Each daemon now keeps since when its reads have succeeded, and one that misses entries after an outage asks its leader and three others. If their times reach over its outage, the entries are gone at once; otherwise the 2 s count from the first read that succeeded anywhere. store_served logs who told it and since when.

--- a/crates/gateway/src/background_tasks/mod.rs
+++ b/crates/gateway/src/background_tasks/mod.rs
@@ -15,4 +15,5 @@
 pub(crate) mod servers;
 mod skipped_entries;
 mod snapshot;
+mod store_statements;
 pub(crate) mod weight_switches;
--- a/crates/gateway/src/background_tasks/servers.rs
+++ b/crates/gateway/src/background_tasks/servers.rs
@@ -3,6 +3,7 @@
 use super::rollouts::on_servers_changed;
 use super::skipped_entries::SkippedEntries;
 use super::snapshot::{MissingKeys, Snapshot, SnapshotReader};
+use super::store_statements::ask_others;
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::groups::StoreReads;
@@ -29,9 +30,6 @@
 const SILENCE_MIN: Duration = Duration::from_millis(2000);
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// Time after the metadata store became available again during which servers whose entries expired
-/// in the meantime are still used, until they publish again.
-const EXPIRED_ENTRY_GRACE: Duration = Duration::from_millis(2000);
 
 /// How far the table was read.
 #[derive(Clone, Copy, Debug)]
@@ -50,53 +48,53 @@
     let mut heartbeats = HeartbeatHistory::default();
     let mut snapshots = SnapshotReader::new(Table::Servers, RETRY_PAUSE);
     let mut skipped = SkippedEntries::default();
+    let mut table_known_until = None;
     loop {
         let snapshot = snapshots.read(&gateway, &mut dependency).await;
         let mut progress = Progress {
             next: snapshot.origin.next,
             verified_at: snapshot.origin.verified_at,
         };
-        if snapshot.missing_keys == MissingKeys::MayBeLost {
-            // Entries that the store has lost are written again, like those that expired.
-            dependency.on_answer_after_silence(&gateway, gateway.now());
-        }
+        on_listed(&gateway, &snapshot, table_known_until);
         heartbeats.on_changes(&snapshot.changes.changes, progress.verified_at);
-        let grace = expired_entry_grace(&gateway, &dependency);
-        let outdated = apply_snapshot(&gateway, snapshot, grace);
+        let outdated = apply_snapshot(&gateway, snapshot);
         skipped.set(outdated, gateway.now());
         loop {
             sleep(gateway.jittered(poll_pause(&gateway), JITTER)).await;
             let result = reader.read(&gateway, progress.next, Duration::ZERO).await;
             match result {
                 Ok(read) => {
-                    let is_outage_over = on_read(&gateway, &mut dependency, progress.verified_at);
                     let known_until = progress.verified_at;
                     progress = Progress {
                         next: read.origin.next,
                         verified_at: known_until.max(read.origin.verified_at),
                     };
+                    let is_complete = read.origin.is_complete();
+                    let is_outage_over = on_read(&gateway, &mut dependency, known_until);
+                    if is_complete {
+                        let availability = &mut gateway.state.borrow_mut().store_availability;
+                        availability.on_read(progress.verified_at);
+                    }
                     let mut changes = decode_changes(&gateway, Table::Servers, read).changes;
                     skipped.on_changes(&changes);
                     let due = skipped.take_due(gateway.now());
                     changes.extend(due.into_iter().map(Change::ServerUpdated));
                     if is_outage_over {
                         let window = progress.verified_at - known_until;
-                        on_outage_over(
-                            &gateway,
-                            &mut dependency,
-                            &mut heartbeats,
-                            &changes,
-                            window,
-                        );
+                        on_outage_over(&gateway, &mut heartbeats, &changes, known_until, window);
                     }
                     heartbeats.on_changes(&changes, progress.verified_at);
-                    let grace = expired_entry_grace(&gateway, &dependency);
-                    apply(&gateway, changes, grace);
+                    apply(&gateway, changes);
                 }
                 Err(StoreError::Expired(_) | StoreError::Restored(_)) => break,
-                Err(error) => dependency.on_failure(&gateway, &error.to_string()),
+                Err(error) => {
+                    dependency.on_failure(&gateway, &error.to_string());
+                    let state = &mut *gateway.state.borrow_mut();
+                    state.store_availability.on_failure();
+                }
             }
         }
+        table_known_until = Some(progress.verified_at);
     }
 }
 
@@ -110,45 +108,66 @@
     }
 }
 
-/// Records that a read was answered, and returns whether it ended an outage. `verified_at` is the time
+/// Records that the table was listed. It was known up to `known_until` before. A daemon that lists it
+/// for the first time knows no expired entries.
+fn on_listed(gateway: &Gateway, snapshot: &Snapshot, known_until: Option<Duration>) {
+    let now = gateway.now();
+    let availability = &mut gateway.state.borrow_mut().store_availability;
+    if snapshot.is_after_failure {
+        availability.on_failure();
+    }
+    availability.on_read(snapshot.origin.verified_at);
+    let Some(known_until) = known_until else {
+        return;
+    };
+    if snapshot.missing_keys == MissingKeys::MayBeLost {
+        // Entries that the store has lost are written again, like those that expired.
+        availability.on_restored(now);
+    } else if snapshot.is_after_failure || now.saturating_sub(known_until) >= SILENCE_MIN {
+        availability.on_regained(known_until, now);
+    }
+}
+
+/// Records that a read was answered, and returns whether it ended an outage. `known_until` is the time
 /// up to which the table was known before.
-fn on_read(gateway: &Gateway, dependency: &mut Dependency, verified_at: Duration) -> bool {
-    let regained_at = dependency.regained_at();
-    if gateway.now().saturating_sub(verified_at) < SILENCE_MIN {
-        dependency.on_answer(gateway);
+fn on_read(gateway: &Gateway, dependency: &mut Dependency, known_until: Duration) -> bool {
+    if gateway.now().saturating_sub(known_until) < SILENCE_MIN {
+        dependency.on_answer(gateway)
     } else {
-        dependency.on_answer_after_silence(gateway, verified_at);
+        dependency.on_answer_after_silence(gateway, known_until)
     }
-    dependency.regained_at() != regained_at
 }
 
-/// Disregards an outage in which the store served the servers. `changes` are all changes in the time
-/// `window`, which contains the outage.
+/// Records the end of an outage. `changes` are all changes in the time `window`, which contains it.
+/// The heartbeats among them may show that the store served the servers meanwhile.
 fn on_outage_over(
     gateway: &Gateway,
-    dependency: &mut Dependency,
     heartbeats: &mut HeartbeatHistory,
     changes: &[Change],
+    known_until: Duration,
     window: Duration,
 ) {
+    let now = gateway.now();
+    let availability = &mut gateway.state.borrow_mut().store_availability;
+    availability.on_regained(known_until, now);
     if heartbeats.was_store_available(changes, window) {
         gateway.metrics.count("own_store_outages");
-        dependency.disregard_outage();
+        availability.disregard_outage();
     } else {
         heartbeats.clear();
     }
 }
 
 /// Returns the time for which servers without an entry are still used.
-fn expired_entry_grace(gateway: &Gateway, dependency: &Dependency) -> Duration {
-    dependency.regained_at().map_or(Duration::ZERO, |at| {
-        (at + EXPIRED_ENTRY_GRACE).saturating_sub(gateway.now())
-    })
+fn expired_entry_grace(gateway: &Gateway) -> Duration {
+    let now = gateway.now();
+    gateway.state.borrow().store_availability.grace_left(now)
 }
 
 /// Applies a listing, and returns the entries of it that are not newer than the removal of their
 /// servers.
-fn apply_snapshot(gateway: &Gateway, snapshot: Snapshot, grace: Duration) -> Vec<ServerEntry> {
+fn apply_snapshot(gateway: &Rc<Gateway>, snapshot: Snapshot) -> Vec<ServerEntry> {
+    let grace = expired_entry_grace(gateway);
     let mut changes = snapshot.changes.changes;
     let listed: IndexSet<String> = changes
         .iter()
@@ -167,7 +186,7 @@
         MissingKeys::Removed => Vec::new(),
         MissingKeys::MayBeLost => take_outdated(gateway, &mut changes),
     };
-    apply(gateway, changes, grace);
+    apply(gateway, changes);
     let is_first_listing = !std::mem::replace(&mut gateway.state.borrow_mut().has_servers, true);
     if is_first_listing {
         gateway.cache_stores_changed.notify_one();
@@ -193,7 +212,8 @@
     removed
 }
 
-fn apply(gateway: &Gateway, changes: Vec<Change>, grace: Duration) {
+fn apply(gateway: &Rc<Gateway>, changes: Vec<Change>) {
+    let grace = expired_entry_grace(gateway);
     for change in changes {
         match change {
             Change::ServerUpdated(entry) => on_server_updated(gateway, entry),
@@ -209,12 +229,21 @@
             _ => {}
         }
     }
+    expire(gateway);
+    on_servers_changed(gateway);
+    let has_expired_entries = gateway.state.borrow().servers.has_expired_entries();
+    if has_expired_entries {
+        ask_others(gateway);
+    }
+}
+
+/// Removes the servers whose entries did not come back in time.
+pub(super) fn expire(gateway: &Gateway) {
     let now = gateway.now();
     let expired = gateway.state.borrow_mut().servers.expire(now);
     for id in expired {
         log_server(gateway, &id, "entry did not come back", "", "");
     }
-    on_servers_changed(gateway);
 }
 
 fn on_server_updated(gateway: &Gateway, entry: ServerEntry) {
--- a/crates/gateway/src/background_tasks/snapshot.rs
+++ b/crates/gateway/src/background_tasks/snapshot.rs
@@ -25,6 +25,8 @@
     /// taken its answer at any time from then on.
     pub(super) origin: ReadOrigin,
     pub(super) missing_keys: MissingKeys,
+    /// Whether reads of the table had failed before.
+    pub(super) is_after_failure: bool,
 }
 
 /// Reads snapshots of one table, and notices if the store was restored between two of them.
@@ -52,8 +54,8 @@
     ) -> Snapshot {
         loop {
             match self.try_read(gateway).await {
-                Ok(snapshot) => {
-                    dependency.on_answer(gateway);
+                Ok(mut snapshot) => {
+                    snapshot.is_after_failure = dependency.on_answer(gateway);
                     return snapshot;
                 }
                 Err(error) => {
@@ -81,6 +83,7 @@
             } else {
                 MissingKeys::Removed
             },
+            is_after_failure: false,
         })
     }
 }
--- a/crates/gateway/src/dependency.rs
+++ b/crates/gateway/src/dependency.rs
@@ -1,14 +1,13 @@
-//! Availability of a service that the daemon depends on.
+//! Availability of a service that the daemon depends on, for the log.
 
 use crate::gateway::Gateway;
 use crate::log::Event;
 use std::time::Duration;
 
-/// Logs when a dependency stops and resumes answering, and remembers when its last outage ended.
+/// Logs when a dependency stops and resumes answering.
 pub(crate) struct Dependency {
     name: &'static str,
     lost_at: Option<Duration>,
-    regained_at: Option<Duration>,
 }
 
 impl Dependency {
@@ -16,28 +15,32 @@
         Self {
             name,
             lost_at: None,
-            regained_at: None,
         }
     }
 
-    /// Records that the dependency answered, and logs the end of an outage.
-    pub(crate) fn on_answer(&mut self, gateway: &Gateway) {
+    /// Records that the dependency answered, and logs the end of an outage. Returns whether there was
+    /// one.
+    pub(crate) fn on_answer(&mut self, gateway: &Gateway) -> bool {
         let Some(lost_at) = self.lost_at.take() else {
-            return;
+            return false;
         };
         let now = gateway.now();
-        self.regained_at = Some(now);
         gateway.log_notable(&Event::DependencyRegained {
             dependency: self.name,
             away_ms: now.saturating_sub(lost_at).as_millis() as u64,
         });
+        true
     }
 
     /// Records that the dependency answered after a time in which nothing was heard of it although
     /// no call failed. This counts as an outage too.
-    pub(crate) fn on_answer_after_silence(&mut self, gateway: &Gateway, silent_since: Duration) {
+    pub(crate) fn on_answer_after_silence(
+        &mut self,
+        gateway: &Gateway,
+        silent_since: Duration,
+    ) -> bool {
         self.lost_at.get_or_insert(silent_since);
-        self.on_answer(gateway);
+        self.on_answer(gateway)
     }
 
     /// Records that the dependency failed, and logs the beginning of an outage.
@@ -51,15 +54,4 @@
             reason,
         });
     }
-
-    /// Records that the last outage was one of this daemon's connection only.
-    pub(crate) fn disregard_outage(&mut self) {
-        self.regained_at = None;
-    }
-
-    /// Returns when the dependency answered again after its last outage, or `None` if there was
-    /// none yet.
-    pub(crate) fn regained_at(&self) -> Option<Duration> {
-        self.regained_at
-    }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::server_speed::ServiceSpeed;
 use crate::service_rollouts::ServiceRollouts;
 use crate::settings::{GatewaySettings, LoadControl};
+use crate::store_availability::StoreAvailability;
 use crate::topic_log::TopicLog;
 use crate::weights::{OldPartTimes, PublishedWeights};
 use crate::zone_choice::ZoneChoice;
@@ -83,6 +84,10 @@
     pub(crate) switches_read_at: Duration,
     /// Whether the list of backend servers was read at least once.
     pub(crate) has_servers: bool,
+    /// Since when the metadata store has served that list.
+    pub(crate) store_availability: StoreAvailability,
+    /// Whether other daemons are being asked about that.
+    pub(crate) is_asking_others: bool,
     /// Prompt parts that are kept from backend servers.
     pub(crate) quarantine: Quarantine,
     /// Backend servers at which answers broke off, until it is known whether they ended.
@@ -191,6 +196,8 @@
             epoch_sighting: EpochSighting::default(),
             switches_read_at: Duration::ZERO,
             has_servers: false,
+            store_availability: StoreAvailability::default(),
+            is_asking_others: false,
             quarantine: Quarantine::new(rand::random()),
             pending_ends: PendingEnds::default(),
             has_asked_for_evidence: false,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod share_budget;
 pub mod sse;
 pub mod start_estimate;
+pub mod store_availability;
 pub mod store_outage;
 pub mod tcp_info;
 pub mod topic_log;
--- a/crates/gateway/src/listeners/peer_reads.rs
+++ b/crates/gateway/src/listeners/peer_reads.rs
@@ -17,12 +17,16 @@
 /// Path of the log of changes at the cache stores.
 const CACHE_STORE_LOG_PATH: &str = "/stores";
 
+/// Path of the statement since when the metadata store has served the servers' table.
+pub(crate) const STORE_SERVED_PATH: &str = "/store-served";
+
 /// Answers a read of another daemon. Unknown paths get 404.
 pub(crate) fn answer_peer(gateway: &Gateway, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     let query = request.uri().query().unwrap_or_default();
     match request.uri().path() {
         CACHE_STORE_LOG_PATH => answer_cache_store_log(gateway, query),
         TOPIC_LOG_PATH => answer_topic_log(gateway, query),
+        STORE_SERVED_PATH => answer_store_served(gateway),
         _ => page_response(None::<&()>),
     }
 }
@@ -90,6 +94,12 @@
     page_response(page.as_ref())
 }
 
+fn answer_store_served(gateway: &Gateway) -> Response<Full<Bytes>> {
+    let now = gateway.now();
+    let statement = gateway.state.borrow().store_availability.statement(now);
+    page_response(statement.as_ref())
+}
+
 fn page_response(page: Option<&impl Encode>) -> Response<Full<Bytes>> {
     let (status, body) = match page.map(encode) {
         Some(Ok(bytes)) => (StatusCode::OK, Bytes::from(bytes)),
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -119,6 +119,18 @@
         /// The daemon whose copy was read, or `store`.
         source: &'a str,
     },
+    /// Another daemon told whether the metadata store was available while this one could not read the
+    /// servers' table.
+    StoreServed {
+        /// Address of the other daemon.
+        source: &'a str,
+        /// Time since this daemon knew the table before, in milliseconds.
+        unknown_since_ms: u64,
+        /// Time for which the store has served reads, as far as the fleet knows, in milliseconds.
+        served_for_ms: u64,
+        /// Time for which servers without an entry are still used, in milliseconds.
+        grace_ms: u64,
+    },
     /// A failure domain was taken out of service or returned.
     FailureDomain {
         /// Name of the failure domain.
--- a/crates/gateway/src/server/collection.rs
+++ b/crates/gateway/src/server/collection.rs
@@ -137,6 +137,20 @@
             .collect()
     }
 
+    /// Ends the grace time of all servers without an entry at `end`, unless it ends before.
+    pub(crate) fn limit_grace(&mut self, end: Duration) {
+        for server in self.arena.values_mut() {
+            server.removal_due_at = server.removal_due_at.map(|due_at| due_at.min(end));
+        }
+    }
+
+    /// Returns whether there are servers without an entry that are still used.
+    pub(crate) fn has_expired_entries(&self) -> bool {
+        self.arena
+            .values()
+            .any(|server| server.removal_due_at.is_some())
+    }
+
     /// Removes every server that is missing in a complete listing, after the time `grace`.
     pub fn retain_listed(&mut self, listed: &IndexSet<String>, grace: Duration, now: Duration) {
         let missing: Vec<String> = self
