gateway: put late ends of servers down to prompts too

Cause: answers whose bodies had begun over a second before were left out of the evidence, as they may be under way when a server ends for another reason. The log showed no server_ended line, however many there were.

They count now, unless the machine acknowledges nothing any more, or the table of servers was not read for as long as a leaving server serves on; break_not_attributed logs which. Whole answers clear sound parts as before.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -83,10 +83,11 @@
     /// Closes the connection of an answer that was cut off or invalid, and records the failure for
     /// the server.
     pub(crate) fn close_broken(self) {
-        if self.connection.is_peer_unreachable() {
+        let is_peer_unreachable = self.connection.is_peer_unreachable();
+        if is_peer_unreachable {
             self.in_flight.state().on_server_unreachable();
         }
-        self.in_flight.on_answer_broken();
+        self.in_flight.on_answer_broken(is_peer_unreachable);
     }
 
     /// Closes the connection of an answer that did not continue in time, and records the timeout
@@ -213,10 +214,11 @@
         let response = match timeout(limit, connection.send(request)).await {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::OutcomeUnknown(reason))) => {
-                if connection.is_peer_unreachable() {
+                let is_peer_unreachable = connection.is_peer_unreachable();
+                if is_peer_unreachable {
                     self.state.on_server_unreachable();
                 }
-                in_flight.on_answer_broken();
+                in_flight.on_answer_broken(is_peer_unreachable);
                 return Err(AttemptError::OutcomeUnknown(reason));
             }
             Ok(Err(not_sent)) => {
@@ -262,7 +264,7 @@
             None => !connection.may_carry_earlier_answers(),
         };
         if !is_own {
-            in_flight.on_answer_broken();
+            in_flight.on_answer_broken(false);
             let reason = "the answer belongs to another request".to_owned();
             return Err(AttemptError::OutcomeUnknown(reason));
         }
--- a/crates/gateway/src/dispatch/in_flight.rs
+++ b/crates/gateway/src/dispatch/in_flight.rs
@@ -8,16 +8,18 @@
 use crate::request::{AnswerMeta, Prompt};
 use crate::select::SelectedStart;
 use crate::server::{Server, ServerKey};
-use crate::server_ends::{UsedServer, on_answer_broken, on_prompt_completed, on_unmarked_end};
+use crate::server_ends::{
+    BrokenAnswer, UsedServer, on_answer_broken, on_prompt_completed, on_unmarked_end,
+};
 use crate::server_notices::on_server_notice;
 use crate::server_speed::StartSample;
 use anvilgw_quarantine::Suspect;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Time from the first bytes of an answer's body after which the end of its server is not put down
-/// to the request.
-const UNDERWAY_AFTER: Duration = Duration::from_secs(1);
+/// Time from the first bytes of an answer's body after which the answer is a long one. It may well be
+/// under way when its server ends for a reason of its own.
+const LONG_ANSWER_AFTER: Duration = Duration::from_secs(1);
 
 /// Guard that counts one request at a server until it is dropped, and records the request's outcome
 /// there.
@@ -101,24 +103,27 @@
         });
     }
 
-    pub(super) fn on_answer_broken(&self) {
+    /// Records that the answer broke off. `is_peer_unreachable` tells that the server acknowledges
+    /// nothing any more, as opposed to a process that has ended.
+    pub(super) fn on_answer_broken(&self, is_peer_unreachable: bool) {
         self.rollout.on_broken();
         let now = self.gateway.now();
         self.with_server(|server| {
             server.on_request_outcome(false);
             server.breaker.on_failure(now);
         });
-        if !self.is_underway() {
-            on_answer_broken(&self.gateway, self.server, &self.suspects);
-        }
+        on_answer_broken(&self.gateway, &self.broken_answer(is_peer_unreachable));
     }
 
-    /// Returns whether the server has been writing the answer for so long that its prompt is not what
-    /// ends the server.
-    fn is_underway(&self) -> bool {
+    fn broken_answer(&self, is_peer_unreachable: bool) -> BrokenAnswer {
         let now = self.gateway.now();
-        self.body_began_at
-            .is_some_and(|began_at| now >= began_at + UNDERWAY_AFTER)
+        let is_long = |began_at| now >= began_at + LONG_ANSWER_AFTER;
+        BrokenAnswer {
+            server: self.server,
+            suspects: Rc::clone(&self.suspects),
+            is_long: self.body_began_at.is_some_and(is_long),
+            is_peer_unreachable,
+        }
     }
 
     /// Records that bytes of the answer's body arrived.
@@ -173,8 +178,7 @@
     /// looks the same if the server has ended, so the prompt is sound only if the server still listens.
     pub(super) fn on_unmarked_end(&self) {
         self.on_request_held();
-        let is_underway = self.is_underway();
-        on_unmarked_end(&self.gateway, self.server, &self.suspects, is_underway);
+        on_unmarked_end(&self.gateway, self.broken_answer(false));
     }
 
     /// Records that no answer came in time. Counts as a failure for the circuit breaker only if the
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -189,6 +189,19 @@
         confirmed_by: &'a str,
         /// Number of requests with prompts that this daemon lost there.
         lost: u32,
+        /// Number of these whose answers the server had been writing for long.
+        lost_long: u32,
+        /// Number of prompt parts that the end may be put down to.
+        suspects: usize,
+    },
+    /// A long answer broke off, which is not put down to its prompt.
+    BreakNotAttributed {
+        /// Identifier of the backend server.
+        server: &'a str,
+        /// What else may have been the cause.
+        reason: &'a str,
+        /// Shared parts of the request's prompt.
+        parts: LoggedParts<'a>,
     },
     /// Prompt parts under which servers ended were quarantined or released.
     Quarantine {
--- a/crates/gateway/src/pending_ends.rs
+++ b/crates/gateway/src/pending_ends.rs
@@ -2,6 +2,7 @@
 //! only the connection.
 
 use crate::server::{Server, ServerKey, Servers};
+use crate::server_ends::BrokenAnswer;
 use anvilgw_quarantine::{LostRequests, ServerStart, Suspect};
 use indexmap::IndexMap;
 use std::time::Duration;
@@ -23,9 +24,18 @@
     key: ServerKey,
     broken_at: Duration,
     lost: u32,
+    long_answers: u32,
     suspects: Vec<Suspect>,
 }
 
+/// The end of a server that is certain.
+#[derive(Debug)]
+pub(crate) struct ConfirmedEnd {
+    pub(crate) lost: LostRequests,
+    /// Number of the lost requests whose answers the server had been writing for long.
+    pub(crate) long_answers: u32,
+}
+
 /// Servers at which answers broke off.
 #[derive(Debug, Default)]
 pub(crate) struct PendingEnds {
@@ -33,15 +43,15 @@
 }
 
 impl PendingEnds {
-    /// Records that the answer to a request with these prompt parts of one workspace broke off. Returns whether it
-    /// is the first one at this start of the server.
+    /// Records that an answer broke off at a server. Returns whether it is the first one at this start
+    /// of the server.
     pub(crate) fn on_broken(
         &mut self,
-        key: ServerKey,
+        answer: &BrokenAnswer,
         server: &Server,
-        suspects: &[Suspect],
         now: Duration,
     ) -> bool {
+        let suspects = &answer.suspects;
         let start = start_of(server);
         let is_first = !self.by_start.contains_key(&start);
         if is_first && self.by_start.len() >= PENDING_MAX {
@@ -53,12 +63,14 @@
             .map(|pending| pending.suspects.len())
             .sum();
         let pending = self.by_start.entry(start).or_insert_with(|| PendingEnd {
-            key,
+            key: answer.server.key,
             broken_at: now,
             lost: 0,
+            long_answers: 0,
             suspects: Vec::new(),
         });
         pending.lost += 1;
+        pending.long_answers += u32::from(answer.is_long);
         let workspace = suspects.first().map(|suspect| suspect.workspace);
         let kept = pending.suspects.iter();
         let of_workspace = kept.filter(|kept| Some(kept.workspace) == workspace);
@@ -80,18 +92,21 @@
     }
 
     /// Takes a server that turned out to have ended.
-    pub(crate) fn take(&mut self, start: ServerStart) -> Option<LostRequests> {
+    pub(crate) fn take(&mut self, start: ServerStart) -> Option<ConfirmedEnd> {
         let pending = self.by_start.shift_remove(&start)?;
-        Some(LostRequests {
-            server: start,
-            count: pending.lost,
-            suspects: pending.suspects,
+        Some(ConfirmedEnd {
+            lost: LostRequests {
+                server: start,
+                count: pending.lost,
+                suspects: pending.suspects,
+            },
+            long_answers: pending.long_answers,
         })
     }
 
     /// Takes the servers whose entries show that they ended, and forgets those whose break was long
     /// ago.
-    pub(crate) fn take_replaced(&mut self, servers: &Servers, now: Duration) -> Vec<LostRequests> {
+    pub(crate) fn take_replaced(&mut self, servers: &Servers, now: Duration) -> Vec<ConfirmedEnd> {
         self.by_start
             .retain(|_, pending| now < pending.broken_at + PENDING_TIME);
         let is_replaced = |start: ServerStart, pending: &PendingEnd| {
--- a/crates/gateway/src/server_ends.rs
+++ b/crates/gateway/src/server_ends.rs
@@ -3,11 +3,11 @@
 
 use crate::connection::SendError;
 use crate::gateway::Gateway;
-use crate::log::Event;
-use crate::pending_ends::start_of;
+use crate::log::{Event, LoggedParts};
+use crate::pending_ends::{ConfirmedEnd, start_of};
 use crate::pool::OpenLimits;
 use crate::server::{ServerKey, ServerState};
-use anvilgw_quarantine::{LostRequests, ServerStart, Suspect};
+use anvilgw_quarantine::{ServerStart, Suspect};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,6 +17,8 @@
 /// Time after the first break at a server until the daemon checks whether the server still listens.
 /// The other requests there break in the meantime if it has ended.
 const CHECK_DELAY: Duration = Duration::from_millis(20);
+/// Time for which a server serves on at least after its entry tells that it leaves.
+const LEAVING_NOTICE_MIN: Duration = Duration::from_secs(2);
 /// Time limit to open the connection for that check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -27,28 +29,70 @@
     pub(crate) start: ServerStart,
 }
 
-/// Records that the answer to a request with these prompt parts broke off at a server. A server
-/// that is leaving ends by plan, which is not put down to its requests.
-pub(crate) fn on_answer_broken(gateway: &Rc<Gateway>, used: UsedServer, suspects: &[Suspect]) {
-    if suspects.is_empty() {
+/// An answer that broke off.
+#[derive(Clone, Debug)]
+pub(crate) struct BrokenAnswer {
+    pub(crate) server: UsedServer,
+    /// Shared parts of the request's prompt.
+    pub(crate) suspects: Rc<[Suspect]>,
+    /// Whether the server had been writing the answer for long.
+    pub(crate) is_long: bool,
+    /// Whether the server acknowledges nothing any more.
+    pub(crate) is_peer_unreachable: bool,
+}
+
+/// Records that an answer broke off at a server. A server that is leaving ends by plan, which is not
+/// put down to its requests.
+///
+/// A long answer is often under way when a server ends for a reason of its own, so the end of a machine,
+/// or one that may have been planned, is not put down to its prompt.
+pub(crate) fn on_answer_broken(gateway: &Rc<Gateway>, answer: &BrokenAnswer) {
+    if answer.suspects.is_empty() {
         return;
     }
     let now = gateway.now();
-    let state = &mut *gateway.state.borrow_mut();
-    let Some(server) = state.servers.get(used.key) else {
-        return;
+    let check_address = {
+        let state = &mut *gateway.state.borrow_mut();
+        let Some(server) = state.servers.get(answer.server.key) else {
+            return;
+        };
+        let is_leaving = server.entry.state == ServerState::Draining || server.is_entry_removed();
+        if start_of(server) != answer.server.start || is_leaving {
+            return;
+        }
+        let known_at = state.store_availability.last_read_at();
+        if let Some(reason) = other_cause(answer, known_at, now) {
+            gateway.metrics.count("breaks_not_attributed");
+            gateway.log_notable(&Event::BreakNotAttributed {
+                server: &server.entry.id,
+                reason,
+                parts: LoggedParts(&answer.suspects),
+            });
+            return;
+        }
+        let is_first = state.pending_ends.on_broken(answer, server, now);
+        is_first.then_some(server.entry.address)
     };
-    let is_leaving = server.entry.state == ServerState::Draining || server.is_entry_removed();
-    if start_of(server) != used.start || is_leaving {
-        return;
+    if let Some(address) = check_address {
+        spawn_local(check(Rc::clone(gateway), answer.server, address));
+    }
+}
+
+/// Returns what else may have broken off a long answer. `known_at` is the time up to which the table of
+/// servers was read.
+fn other_cause(
+    answer: &BrokenAnswer,
+    known_at: Option<Duration>,
+    now: Duration,
+) -> Option<&'static str> {
+    if !answer.is_long {
+        return None;
     }
-    let is_first = state
-        .pending_ends
-        .on_broken(used.key, server, suspects, now);
-    if is_first {
-        let address = server.entry.address;
-        spawn_local(check(Rc::clone(gateway), used, address));
+    if answer.is_peer_unreachable {
+        return Some("the machine acknowledges nothing");
     }
+    let is_known = known_at.is_some_and(|at| now.saturating_sub(at) < LEAVING_NOTICE_MIN);
+    (!is_known).then_some("the end may be planned: the table of servers was not read lately")
 }
 
 /// Records that a whole answer to a request with these prompt parts was received, so that they are
@@ -65,17 +109,12 @@
 }
 
 /// Records that an answer without a length and chunks ended at a server. If the server still listens,
-/// it was whole; otherwise it broke off. `is_underway` tells that its prompt is not what ended the
-/// server.
-pub(crate) fn on_unmarked_end(
-    gateway: &Rc<Gateway>,
-    used: UsedServer,
-    suspects: &Rc<[Suspect]>,
-    is_underway: bool,
-) {
-    if suspects.is_empty() {
+/// it was whole; otherwise it broke off.
+pub(crate) fn on_unmarked_end(gateway: &Rc<Gateway>, answer: BrokenAnswer) {
+    if answer.suspects.is_empty() {
         return;
     }
+    let used = answer.server;
     let server_address = |gateway: &Gateway| {
         let state = gateway.state.borrow();
         let server = state.servers.get(used.key);
@@ -85,15 +124,14 @@
         return;
     };
     let gateway = Rc::clone(gateway);
-    let suspects = Rc::clone(suspects);
     spawn_local(async move {
         sleep(CHECK_DELAY).await;
         let has_open_connection = gateway.pool(used.key).has_idle();
         let is_listening = has_open_connection || probe(&gateway, used, address).await.is_ok();
         if is_listening {
-            on_prompt_completed(&gateway, &suspects);
-        } else if !is_underway {
-            on_answer_broken(&gateway, used, &suspects);
+            on_prompt_completed(&gateway, &answer.suspects);
+        } else {
+            on_answer_broken(&gateway, &answer);
         }
     });
 }
@@ -135,7 +173,8 @@
     }
 }
 
-fn report(gateway: &Gateway, lost: &LostRequests, confirmed_by: &str) {
+fn report(gateway: &Gateway, end: &ConfirmedEnd, confirmed_by: &str) {
+    let lost = &end.lost;
     let times = gateway.times();
     let state = &mut *gateway.state.borrow_mut();
     let mut servers = state.servers.iter();
@@ -145,6 +184,8 @@
         server: server.map_or("", |(_, server)| server.entry.id.as_str()),
         confirmed_by,
         lost: lost.count,
+        lost_long: end.long_answers,
+        suspects: lost.suspects.len(),
     });
     state.quarantine.on_server_ended(lost, times);
     gateway.evidence_changed.notify_one();
--- a/crates/gateway/src/store_availability.rs
+++ b/crates/gateway/src/store_availability.rs
@@ -177,6 +177,12 @@
         self.outage.map(|outage| outage.known_until)
     }
 
+    /// Returns the time up to which this daemon has read the table.
+    #[must_use]
+    pub fn last_read_at(&self) -> Option<Duration> {
+        self.own.map(|own| own.until)
+    }
+
     /// Returns what this daemon states to others, or `None` if it has not read the table yet.
     #[must_use]
     pub fn statement(&self, now: Duration) -> Option<ServedStatement> {
--- a/crates/quarantine/tests/fleet.rs
+++ b/crates/quarantine/tests/fleet.rs
@@ -20,8 +20,6 @@
 const ENDS: usize = 5;
 /// Requests with the part that may still reach servers after that time.
 const ARRIVALS_ALLOWED: usize = 3;
-/// Time from the arrival of a request with the part until its server ends.
-const CRASH_AFTER: Duration = Duration::from_millis(100);
 /// Time until a server that ended is back.
 const DOWN_TIME: Duration = Duration::from_secs(3);
 const RUN_TIME: Duration = Duration::from_secs(18);
@@ -61,6 +59,10 @@
     /// Longest time until a daemon reads a record.
     read_delay_max: Duration,
     trouble: Trouble,
+    /// Time from the arrival of a request with the part until its server ends.
+    crash_after: Duration,
+    /// Longest time for which a server works on a sound request.
+    sound_time_max: Duration,
     /// Whether daemons are restarted all the time.
     restarts: bool,
     /// Whether the log is restored from an older copy, twice.
@@ -193,9 +195,10 @@
         let server = up[self.rng.random_range(0..up.len())];
         let duration = if is_bad {
             self.bad_arrivals.push(self.now);
-            CRASH_AFTER
+            self.case.crash_after
         } else {
-            Duration::from_millis(self.rng.random_range(100..1500))
+            let time_max_ms = self.case.sound_time_max.as_millis() as u64;
+            Duration::from_millis(self.rng.random_range(100..time_max_ms))
         };
         self.running.push(Running {
             daemon,
@@ -362,6 +365,15 @@
     view.on_listing(records, LogPosition { epoch, offset }, now);
 }
 
+/// Servers work on sound requests for longer than the time between two ends.
+const LONG_STREAMS: Case = Case {
+    daemons: 12,
+    servers: 18,
+    sound_per_s: 30.0,
+    sound_time_max: Duration::from_secs(8),
+    ..SMALL
+};
+
 /// Environment variable with a factor of the number of seeds, for longer runs by hand.
 const SEEDS_FACTOR_VARIABLE: &str = "QUARANTINE_SEEDS_FACTOR";
 
@@ -373,6 +385,8 @@
     bad_per_s: 5.0,
     read_delay_max: Duration::from_millis(1_000),
     trouble: Trouble::BadPart,
+    crash_after: Duration::from_millis(100),
+    sound_time_max: Duration::from_millis(1_500),
     restarts: false,
     restores: false,
     seeds: 3,
@@ -388,6 +402,63 @@
     ..SMALL
 };
 
+/// Plays cases, and checks that requests with the part stop reaching servers while no sound request is
+/// refused.
+fn check(cases: &[Case]) {
+    let seeds_factor = std::env::var(SEEDS_FACTOR_VARIABLE);
+    let seeds_factor: u64 = seeds_factor.map_or(1, |text| text.parse().expect("number"));
+    for case in cases {
+        for seed in 0..case.seeds * seeds_factor {
+            let mut simulation = Simulation::new(case, seed);
+            simulation.run();
+            let late = simulation.late_arrivals();
+            let (refused, sent) = (simulation.sound_refused, simulation.sound_sent);
+            assert!(
+                late <= ARRIVALS_ALLOWED,
+                "{}, seed {seed}: {late} late",
+                case.name
+            );
+            assert_eq!(refused, 0, "{}, seed {seed}: of {sent}", case.name);
+        }
+    }
+}
+
+/// Guards against a part that ends servers long after they began to answer, and against sound parts
+/// of long streams that are held responsible for ends of other causes.
+#[test]
+fn ends_long_after_the_beginning_of_an_answer_are_attributed_too() {
+    let crash_times = [1_100, 3_000, 6_000].map(|crash_after_ms| Case {
+        name: "servers end late under the part",
+        crash_after: Duration::from_millis(crash_after_ms),
+        ..LONG_STREAMS
+    });
+    check(&crash_times);
+    check(&[
+        Case {
+            name: "long streams, servers end by themselves",
+            trouble: Trouble::OwnEnds,
+            ..LONG_STREAMS
+        },
+        Case {
+            name: "long streams, a third of the servers ends at once",
+            trouble: Trouble::MassEnds,
+            ..LONG_STREAMS
+        },
+        Case {
+            name: "long streams, servers crash in a loop",
+            trouble: Trouble::CrashLoop,
+            ..LONG_STREAMS
+        },
+        Case {
+            name: "long streams, servers end by themselves, restarts and restores",
+            trouble: Trouble::OwnEnds,
+            restarts: true,
+            restores: true,
+            ..LONG_STREAMS
+        },
+    ]);
+}
+
 /// Guards, in small and large fleets, against requests with a part that goes on to end servers, and
 /// against sound requests that are refused because of ends that their parts do not explain.
 #[test]
@@ -462,20 +533,5 @@
             ..LARGE
         },
     ];
-    let seeds_factor = std::env::var(SEEDS_FACTOR_VARIABLE);
-    let seeds_factor: u64 = seeds_factor.map_or(1, |text| text.parse().expect("number"));
-    for case in cases {
-        for seed in 0..case.seeds * seeds_factor {
-            let mut simulation = Simulation::new(&case, seed);
-            simulation.run();
-            let late = simulation.late_arrivals();
-            let (refused, sent) = (simulation.sound_refused, simulation.sound_sent);
-            assert!(
-                late <= ARRIVALS_ALLOWED,
-                "{}, seed {seed}: {late} late",
-                case.name
-            );
-            assert_eq!(refused, 0, "{}, seed {seed}: of {sent}", case.name);
-        }
-    }
+    check(&cases);
 }
