--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -14,6 +14,7 @@
 use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::pool::{OpenLimits, Pool};
+use crate::ports::InvalidHeader;
 use crate::request::{AnswerMeta, ForwardMeta};
 use crate::retry::AttemptError;
 use crate::server_notices::on_limit_not_named;
@@ -193,7 +194,8 @@
     }
 
     async fn send(&self, mut connection: Connection) -> Result<Exchange, AttemptError> {
-        let request = build_request(self.gateway, self.routed, &self.target, self.resume_after);
+        let request = build_request(self.gateway, self.routed, &self.target, self.resume_after)
+            .map_err(|error| AttemptError::NotSent(error.to_string()))?;
         let in_flight = InFlight::new(
             self.gateway,
             &self.target,
@@ -385,7 +387,7 @@
     routed: &RoutedRequest,
     target: &Target,
     resume_after: Option<u64>,
-) -> Request<Full<bytes::Bytes>> {
+) -> Result<Request<Full<bytes::Bytes>>, InvalidHeader> {
     let forward = ForwardMeta {
         remaining: routed.remaining(gateway.now()),
         server_id: &target.id,
@@ -403,7 +405,7 @@
     let mut headers = gateway
         .ports
         .codec
-        .forward_headers(&routed.headers, &forward);
+        .forward_headers(&routed.headers, &forward)?;
     if !routed.body.is_empty() || routed.headers.contains_key(CONTENT_LENGTH) {
         headers.insert(CONTENT_LENGTH, HeaderValue::from(routed.body.len()));
     }
@@ -411,7 +413,7 @@
     *request.method_mut() = routed.method.clone();
     *request.uri_mut() = routed.target.clone().into();
     *request.headers_mut() = headers;
-    request
+    Ok(request)
 }
 
 /// Returns the idle timeout that the server states in `Keep-Alive`, if any.
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -11,12 +11,23 @@
 use crate::server::{ServedModel, ServerEntry};
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderName, StatusCode};
 use quick_error::quick_error;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// A value contains characters that a header cannot carry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InvalidHeader(pub HeaderName);
+
+impl fmt::Display for InvalidHeader {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "the value of the header {} is not valid", self.0)
+    }
+}
+
 /// Translates between the gateway's request metadata and the platform's HTTP headers.
 pub trait Codec {
     /// Parses the headers of a client's request. Headers that are missing or cannot be parsed count
@@ -25,7 +36,16 @@
 
     /// Returns the headers of the request to a backend server: the client's headers that are
     /// forwarded, and those that the gateway sets from `forward`.
-    fn forward_headers(&self, client: &HeaderMap, forward: &ForwardMeta<'_>) -> HeaderMap;
+    ///
+    /// # Errors
+    ///
+    /// Returns [`InvalidHeader`] if a value cannot be sent. The request would have another meaning
+    /// without it.
+    fn forward_headers(
+        &self,
+        client: &HeaderMap,
+        forward: &ForwardMeta<'_>,
+    ) -> Result<HeaderMap, InvalidHeader>;
 
     /// Parses the status and headers of a backend server's answer.
     fn parse_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerMeta;
