gateway: count a read that the store held back from its answer

A direct read that began 1.2 s after the last one was held back for 1.3 s. Its start counted as a time at which the store was available. Now the answer does; for a leader's copy, the time of the leader's read.

Test: a_read_that_was_held_back_does_not_show_that_the_store_was_available.

--- a/crates/gateway/src/background_tasks/evidence.rs
+++ b/crates/gateway/src/background_tasks/evidence.rs
@@ -138,7 +138,7 @@
         match result {
             Ok(listing) => {
                 dependency.on_answer(gateway);
-                let origin = ReadOrigin::new(None, listing.next, started_at);
+                let origin = ReadOrigin::store(listing.next, started_at, gateway.now());
                 gateway.on_log_listed(Topic::Evidence, listing.records.len(), &origin);
                 let records = listing.records.iter();
                 let records = records
--- a/crates/gateway/src/background_tasks/rollouts.rs
+++ b/crates/gateway/src/background_tasks/rollouts.rs
@@ -219,7 +219,7 @@
 async fn list_statuses(gateway: &Gateway) -> Result<LogPosition, StoreError> {
     let started_at = gateway.now();
     let listing = gateway.ports.metadata_store.list_statuses().await?;
-    let origin = ReadOrigin::new(None, listing.next, started_at);
+    let origin = ReadOrigin::store(listing.next, started_at, gateway.now());
     gateway.on_log_listed(Topic::Statuses, listing.statuses.len(), &origin);
     let now = gateway.now();
     let epoch = listing.next.epoch;
--- a/crates/gateway/src/background_tasks/servers.rs
+++ b/crates/gateway/src/background_tasks/servers.rs
@@ -70,10 +70,11 @@
                         verified_at: known_until.max(read.origin.verified_at),
                     };
                     let is_complete = read.origin.is_complete();
+                    let served_at = read.origin.served_at;
                     let is_outage_over = on_read(&gateway, &mut dependency, known_until);
                     if is_complete {
                         let availability = &mut gateway.state.borrow_mut().store_availability;
-                        availability.on_read(progress.verified_at);
+                        availability.on_read(served_at);
                     }
                     let mut changes = decode_changes(&gateway, Table::Servers, read).changes;
                     skipped.on_changes(&changes);
@@ -116,7 +117,7 @@
     if snapshot.is_after_failure {
         availability.on_failure();
     }
-    availability.on_read(snapshot.origin.verified_at);
+    availability.on_read(snapshot.origin.served_at);
     let Some(known_until) = known_until else {
         return;
     };
--- a/crates/gateway/src/background_tasks/snapshot.rs
+++ b/crates/gateway/src/background_tasks/snapshot.rs
@@ -25,6 +25,8 @@
     /// taken its answer at any time from then on.
     pub(super) origin: ReadOrigin,
     pub(super) missing_keys: MissingKeys,
+    /// Whether it is the first one of the table that this daemon has read.
+    pub(super) is_first: bool,
     /// Whether reads of the table had failed before.
     pub(super) is_after_failure: bool,
 }
@@ -72,7 +74,7 @@
         let changes = gateway.ports.metadata_store.snapshot(self.table).await?;
         let epoch = changes.next.epoch;
         let known_epoch = self.known_epoch.replace(epoch);
-        let origin = ReadOrigin::new(None, changes.next, started_at);
+        let origin = ReadOrigin::store(changes.next, started_at, gateway.now());
         gateway.on_log_listed(Topic::Table(self.table), changes.changes.len(), &origin);
         let is_restored = known_epoch.is_some_and(|known| known != epoch);
         Ok(Snapshot {
@@ -83,6 +85,7 @@
             } else {
                 MissingKeys::Removed
             },
+            is_first: known_epoch.is_none(),
             is_after_failure: false,
         })
     }
--- a/crates/gateway/src/read_origin.rs
+++ b/crates/gateway/src/read_origin.rs
@@ -13,21 +13,30 @@
     /// Time at which the log was known to end after these records, or slightly before. Zero if
     /// there are newer ones.
     pub(crate) verified_at: Duration,
+    /// Time at which the store is known to have served the read, or the one of the other daemon.
+    pub(crate) served_at: Duration,
     source: String,
 }
 
 impl ReadOrigin {
-    /// Creates the origin of records that were read from the metadata store, or from the copy of
-    /// `leader`.
-    pub(crate) fn new(
-        leader: Option<SocketAddr>,
-        next: LogPosition,
-        verified_at: Duration,
-    ) -> Self {
+    /// Creates the origin of records that were read from the metadata store, which answered at
+    /// `answered_at`.
+    pub(crate) fn store(next: LogPosition, verified_at: Duration, answered_at: Duration) -> Self {
         Self {
             next,
             verified_at,
-            source: leader.map_or_else(|| "store".to_owned(), |leader| leader.to_string()),
+            served_at: answered_at,
+            source: "store".to_owned(),
+        }
+    }
+
+    /// Creates the origin of records that were read from the copy of another daemon.
+    pub(crate) fn copy(daemon: SocketAddr, next: LogPosition, verified_at: Duration) -> Self {
+        Self {
+            next,
+            verified_at,
+            served_at: verified_at,
+            source: daemon.to_string(),
         }
     }
 
--- a/crates/gateway/src/store_availability.rs
+++ b/crates/gateway/src/store_availability.rs
@@ -66,15 +66,15 @@
 }
 
 impl StoreAvailability {
-    /// Records that the table was known up to its end at `verified_at`, by a read of the store or of
-    /// another daemon's copy.
-    pub fn on_read(&mut self, verified_at: Duration) {
+    /// Records that the store served a read of this daemon, or of the one whose copy it reads, at
+    /// `served_at`.
+    pub fn on_read(&mut self, served_at: Duration) {
         let is_continued =
-            |own: &ServedTime| !self.has_failed && verified_at <= own.until + READ_GAP_MAX;
+            |own: &ServedTime| !self.has_failed && served_at <= own.until + READ_GAP_MAX;
         let since = self.own.filter(is_continued).map(|own| own.since);
         self.own = Some(ServedTime {
-            since: since.unwrap_or(verified_at),
-            until: verified_at,
+            since: since.unwrap_or(served_at),
+            until: served_at,
         });
         self.has_failed = false;
     }
--- a/crates/gateway/src/topic_reader.rs
+++ b/crates/gateway/src/topic_reader.rs
@@ -159,7 +159,7 @@
         } else {
             Duration::ZERO
         };
-        let origin = ReadOrigin::new(None, page.next, verified_at);
+        let origin = ReadOrigin::store(page.next, verified_at, gateway.now());
         self.on_read(gateway, from, &page.records, &origin);
         Ok(TopicRecords {
             records: page.records,
@@ -192,7 +192,7 @@
             return Err(LeaderReadError::Unusable(reason));
         }
         let records: Vec<Bytes> = page.records.into_iter().map(Bytes::from).collect();
-        let origin = ReadOrigin::new(Some(leader), page.next, verified_at.unwrap_or_default());
+        let origin = ReadOrigin::copy(leader, page.next, verified_at.unwrap_or_default());
         self.on_read(gateway, from, &records, &origin);
         Ok(TopicRecords { records, origin })
     }
--- a/crates/gateway/tests/store_availability.rs
+++ b/crates/gateway/tests/store_availability.rs
@@ -184,3 +184,18 @@
         EXPIRED_ENTRY_GRACE
     );
 }
+
+/// Guards against a store that counts as available while it held a read back: only its answer shows
+/// that it is.
+#[test]
+fn a_read_that_was_held_back_does_not_show_that_the_store_was_available() {
+    const KNOWN_UNTIL_MS: u64 = 15_000;
+    const ANSWERED_MS: u64 = 17_500;
+    let mut availability = reader(&[], 0, KNOWN_UNTIL_MS);
+    availability.on_read(ms(ANSWERED_MS));
+    availability.on_regained(ms(KNOWN_UNTIL_MS), ms(ANSWERED_MS));
+    assert_eq!(
+        availability.grace_left(ms(ANSWERED_MS)),
+        EXPIRED_ENTRY_GRACE
+    );
+}
