gateway: ask other daemons what a restored store has lost

Cause: a first listing counted as complete, and nothing but a listing could follow a new epoch, although the other daemons knew the orders.

A daemon whose first listing is of a restored store asks three members for the configuration's record, domains out of service and weights, and treats them like what it had read before the restore. A follower takes them from its leader, with the position to follow.

--- a/crates/gateway/src/background_tasks/mod.rs
+++ b/crates/gateway/src/background_tasks/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod cache_store_log;
 pub(crate) mod client_limits;
 pub(crate) mod evidence;
+pub(crate) mod fleet_orders;
 pub(crate) mod load_reports;
 pub(crate) mod maintenance;
 pub(crate) mod membership;
--- a/crates/gateway/src/background_tasks/operators.rs
+++ b/crates/gateway/src/background_tasks/operators.rs
@@ -1,6 +1,7 @@
 //! Follows the operators' table: configuration, failure domains in and out of service, and
 //! published weights.
 
+use super::fleet_orders::{FleetOrders, ask_daemon, ask_fleet};
 use super::rollouts::{
     on_orders_complete, on_orders_restored, on_rollout_malformed, on_rollout_ordered,
     on_rollout_withdrawn, on_servers_changed,
@@ -9,11 +10,12 @@
 use crate::dependency::Dependency;
 use crate::gateway::Gateway;
 use crate::log::Event;
-use crate::log_position::LogPosition;
+use crate::log_position::{LogPosition, StoreEpoch};
 use crate::ports::{Change, Changes, StoreError, Table, Topic};
 use crate::read_origin::ReadOrigin;
 use crate::topic_reader::{TopicReader, decode_changes};
 use crate::weights::{PublishedWeights, WeightPublication};
+use bytes::Bytes;
 use indexmap::IndexSet;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -75,12 +77,65 @@
 }
 
 impl Follower {
+    /// Lists the table, and retries until the store answers. After a restore that the leader has read,
+    /// its copy is followed instead.
     async fn load_snapshot(&mut self) {
-        let gateway = Rc::clone(&self.gateway);
-        let snapshot = self.snapshots.read(&gateway, &mut self.dependency).await;
+        loop {
+            match self.snapshots.try_read(&self.gateway).await {
+                Ok(snapshot) => {
+                    self.dependency.on_answer(&self.gateway);
+                    return self.on_loaded(snapshot).await;
+                }
+                Err(error) => {
+                    self.dependency
+                        .on_failure(&self.gateway, &error.to_string());
+                    if self.take_leader_orders().await {
+                        return;
+                    }
+                    sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Applies a listing. If it is the first one, and the store was restored before, other daemons are
+    /// asked what it may lack.
+    async fn on_loaded(&mut self, mut snapshot: Snapshot) {
+        let is_restored_copy = snapshot.origin.next.epoch != StoreEpoch::default();
+        if snapshot.is_first && is_restored_copy {
+            let known = ask_fleet(&self.gateway).await;
+            if !known.is_empty() {
+                snapshot.missing_keys = MissingKeys::MayBeLost;
+            }
+            apply_fleet_orders(&self.gateway, known, &snapshot.origin);
+        }
         self.on_snapshot(snapshot);
     }
 
+    /// Applies what the leader has read of the restored store, so that its copy can be followed from
+    /// there. Returns `false` if there is nothing newer.
+    async fn take_leader_orders(&mut self) -> bool {
+        let (leader, is_started) = {
+            let state = self.gateway.state.borrow();
+            (state.store_reads.source(), state.configuration.is_some())
+        };
+        let Some(leader) = leader.filter(|_| is_started) else {
+            return false;
+        };
+        let Some(orders) = ask_daemon(&self.gateway, leader).await else {
+            return false;
+        };
+        if orders.next.epoch <= self.next.epoch {
+            return false;
+        }
+        self.next = orders.next;
+        self.relisting_due_at = Some(self.gateway.now() + RELISTING_PAUSE);
+        on_store_restored(&self.gateway);
+        let origin = ReadOrigin::copy(leader, orders.next, Duration::ZERO);
+        apply_fleet_orders(&self.gateway, vec![orders], &origin);
+        true
+    }
+
     /// Lists the table again if that is due. A store that cannot be read is asked again later;
     /// meanwhile the copy of the leader is followed.
     async fn relist_if_due(&mut self) {
@@ -134,12 +189,37 @@
         gateway.state.borrow_mut().servers.enable_all_domains();
         withdraw_unlisted(gateway, &snapshot.changes);
     } else {
-        on_orders_restored(gateway);
-        prolong_publications(gateway);
+        on_store_restored(gateway);
     }
     apply(gateway, snapshot.changes, &snapshot.origin);
 }
 
+/// Keeps orders in force that the restored store may lack.
+fn on_store_restored(gateway: &Gateway) {
+    on_orders_restored(gateway);
+    prolong_publications(gateway);
+}
+
+/// Applies what other daemons know, as if this daemon had read it before the store was restored.
+fn apply_fleet_orders(gateway: &Gateway, known: Vec<FleetOrders>, origin: &ReadOrigin) {
+    for orders in known {
+        let record = Bytes::from(orders.configuration_record);
+        let store = &gateway.ports.metadata_store;
+        let decoded = store.decode(Table::Operators, origin.next.offset, record);
+        if let Some(change @ Change::Configuration(_)) = decoded {
+            apply_change(gateway, change, origin);
+        }
+        let domains_out = orders.domains_out.into_iter().map(Change::DomainOut);
+        let weights = orders
+            .weights
+            .into_iter()
+            .map(|(model, version)| Change::Weights { model, version });
+        for change in domains_out.chain(weights) {
+            apply_change(gateway, change, origin);
+        }
+    }
+}
+
 /// Counts the time of published weights from the end of the grace, because another daemon may read
 /// of them only when operators have written them again.
 fn prolong_publications(gateway: &Gateway) {
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -1,6 +1,7 @@
 //! Operators' configuration in the form that the gateway uses.
 
 use crate::caches::{CacheStoreSpec, name_hash};
+use bytes::Bytes;
 use indexmap::IndexMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -167,6 +168,9 @@
     pub version: u64,
     /// Limits on requests and connections of clients.
     pub limits: ClientLimits,
+    /// Record of the metadata store that it was decoded from, for daemons that cannot read it any
+    /// more. Empty if there is none.
+    pub record: Bytes,
     routes: Vec<Arc<Route>>,
     services: IndexMap<String, Arc<Service>>,
     requires_keys: bool,
@@ -211,6 +215,7 @@
         Self {
             version,
             limits,
+            record: Bytes::new(),
             routes: routes.into_iter().map(Arc::new).collect(),
             services: services
                 .into_iter()
--- a/crates/gateway/src/listeners/mod.rs
+++ b/crates/gateway/src/listeners/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) use clients::ClientListener;
 pub(crate) use internal::{AnswerFn, InternalListener};
 pub(crate) use peer_reads::{
-    STORE_SERVED_PATH, TopicRead, answer_peer, cache_store_log_target, topic_log_target,
+    FLEET_ORDERS_PATH, STORE_SERVED_PATH, TopicRead, answer_peer, cache_store_log_target,
+    topic_log_target,
 };
 pub(crate) use status::answer_status;
--- a/crates/gateway/src/listeners/peer_reads.rs
+++ b/crates/gateway/src/listeners/peer_reads.rs
@@ -1,6 +1,7 @@
 //! Serves this daemon's copies of topics and of the log of the cache stores to other daemons. They
 //! contain the API keys of workspaces, so they are served only on the address for other daemons.
 
+use crate::background_tasks::fleet_orders::FleetOrders;
 use crate::cache_store_log::Cursor;
 use crate::gateway::Gateway;
 use crate::log_position::{LogPosition, StoreEpoch};
@@ -20,12 +21,16 @@
 /// Path of the statement since when the metadata store has served the servers' table.
 pub(crate) const STORE_SERVED_PATH: &str = "/store-served";
 
+/// Path of what this daemon knows of the operators' orders.
+pub(crate) const FLEET_ORDERS_PATH: &str = "/fleet-orders";
+
 /// Answers a read of another daemon. Unknown paths get 404.
 pub(crate) fn answer_peer(gateway: &Gateway, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     let query = request.uri().query().unwrap_or_default();
     match request.uri().path() {
         CACHE_STORE_LOG_PATH => answer_cache_store_log(gateway, query),
         TOPIC_LOG_PATH => answer_topic_log(gateway, query),
+        FLEET_ORDERS_PATH => page_response(FleetOrders::known_to(gateway).as_ref()),
         STORE_SERVED_PATH => answer_store_served(gateway),
         _ => page_response(None::<&()>),
     }
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -96,6 +96,15 @@
         #[serde(flatten)]
         origin: OriginFields<'a>,
     },
+    /// Another daemon stated the operators' orders that it knows, as the store was restored from a copy.
+    FleetOrders {
+        /// Address of the other daemon.
+        source: &'a str,
+        /// Version of its configuration.
+        configuration: u64,
+        /// Number of failure domains that are out of service.
+        domains_out: usize,
+    },
     /// All records of a log of the metadata store were listed.
     LogListed {
         /// Name of the log.
--- a/crates/gateway/src/server/collection.rs
+++ b/crates/gateway/src/server/collection.rs
@@ -188,6 +188,11 @@
         self.domains_out_of_service.insert(domain.to_owned());
     }
 
+    /// Returns the failure domains that are out of service.
+    pub(crate) fn domains_out_of_service(&self) -> impl Iterator<Item = &str> {
+        self.domains_out_of_service.iter().map(String::as_str)
+    }
+
     /// Returns a failure domain to service.
     pub fn enable_domain(&mut self, domain: &str) {
         self.domains_out_of_service.swap_remove(domain);
