gateway: close kept connections whose buffers are too small for new limits

Cause: the buffer for heads keeps the size that it had when the connection was accepted. The connection is now closed between two requests once the limit exceeds its buffer; a request in progress is answered first. client_connections_closed_for_limits counts them.

--- a/crates/gateway/src/background_tasks/operators.rs
+++ b/crates/gateway/src/background_tasks/operators.rs
@@ -281,6 +281,10 @@
             });
             let close_idle_after = configuration.limits.close_idle_after();
             gateway.client_idle_timeout.send_replace(close_idle_after);
+            let header_max_bytes = configuration.limits.header_max_bytes;
+            gateway
+                .client_header_max_bytes
+                .send_replace(header_max_bytes);
             state.configuration = Some(configuration);
             if replaced == 0 {
                 gateway.cache_stores_changed.notify_one();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -150,6 +150,8 @@
     pub(crate) requests_in_flight: Cell<usize>,
     /// Time after which idle connections of clients are closed.
     pub(crate) client_idle_timeout: watch::Sender<Duration>,
+    /// Limit on the heads of clients' requests.
+    pub(crate) client_header_max_bytes: watch::Sender<usize>,
     /// Notified when the set of cache stores to follow may have changed: after the first
     /// configuration or list of servers, and when the role has changed.
     pub(crate) cache_stores_changed: Notify,
@@ -220,6 +222,7 @@
             is_ending: watch::Sender::new(false),
             requests_in_flight: Cell::new(0),
             client_idle_timeout: watch::Sender::new(ClientLimits::default().close_idle_after()),
+            client_header_max_bytes: watch::Sender::new(ClientLimits::default().header_max_bytes),
             cache_stores_changed: Notify::new(),
             evidence_changed: Notify::new(),
             evidence_news: Notify::new(),
--- a/crates/gateway/src/listeners/clients.rs
+++ b/crates/gateway/src/listeners/clients.rs
@@ -148,11 +148,13 @@
             Ok::<_, Infallible>(serve_request(&gateway, request, &end_of_answer, memory).await)
         }
     });
+    let buffer_bytes = header_buffer_bytes(&gateway);
+    let mut header_max = gateway.client_header_max_bytes.subscribe();
     let mut connection = http1::Builder::new()
         .timer(IdleTimer::new(gateway.client_idle_timeout.subscribe()))
         // Enables the timeout. `IdleTimer` knows how long it is.
         .header_read_timeout(Duration::ZERO)
-        .max_buf_size(header_buffer_bytes(&gateway))
+        .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(socket), service);
     let until_end = async {
         tokio::select! {
@@ -161,6 +163,12 @@
                 Pin::new(&mut connection).graceful_shutdown();
                 (&mut connection).await
             }
+            // The buffer keeps its size, so the client has to connect again to send longer heads.
+            _ = header_max.wait_for(|max| buffer_bytes_for(*max) > buffer_bytes) => {
+                gateway.metrics.count("client_connections_closed_for_limits");
+                Pin::new(&mut connection).graceful_shutdown();
+                (&mut connection).await
+            }
         }
     };
     let result = tokio::select! {
@@ -186,7 +194,11 @@
         .as_ref()
         .map(|configuration| configuration.limits)
         .unwrap_or_default();
-    limits.header_max_bytes.max(READ_BUFFER_MIN_BYTES) * 2
+    buffer_bytes_for(limits.header_max_bytes)
+}
+
+fn buffer_bytes_for(header_max_bytes: usize) -> usize {
+    header_max_bytes.max(READ_BUFFER_MIN_BYTES) * 2
 }
 
 fn report_broken(gateway: &Gateway, error: &hyper::Error) {
