--- a/crates/gateway/src/ack_timeout.rs
+++ b/crates/gateway/src/ack_timeout.rs
@@ -32,11 +32,15 @@
 /// State of a connection that its owner, its socket and its monitor share.
 #[derive(Debug, Default)]
 struct SharedState {
+    /// Size of the body of the request that is being sent; zero once its answer has begun.
     body_bytes: Cell<u64>,
     /// Number of requests that were begun.
     requests: Cell<u64>,
     request_begun: Notify,
+    /// What the peer did not acknowledge, if the connection ends because of it.
     unreachable: Cell<Option<Unacknowledged>>,
+    /// Whether the connection has ended because the peer acknowledged nothing, also if the kernel has
+    /// ended it.
     is_unreachable: Cell<bool>,
     /// Task that reads from the socket.
     reader: RefCell<Option<Waker>>,
--- a/crates/gateway/src/background_tasks/servers.rs
+++ b/crates/gateway/src/background_tasks/servers.rs
@@ -12,7 +12,7 @@
 use crate::ports::{Change, StoreError, Table, Topic};
 use crate::server::{ServerEntry, ServerState};
 use crate::store_outage::HeartbeatHistory;
-use crate::topic_reader::{TopicReader, decode_changes};
+use crate::topic_reader::{TopicReader, TopicRecords, decode_changes};
 use indexmap::IndexSet;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -42,60 +42,97 @@
 
 /// Follows the table of backend servers until the daemon ends.
 pub(crate) async fn run(gateway: Rc<Gateway>) {
-    let mut dependency = Dependency::new("metadata store, servers");
     let clock = Arc::clone(&gateway.ports.clock);
-    let mut reader = TopicReader::new(Topic::Table(Table::Servers), clock);
-    let mut heartbeats = HeartbeatHistory::default();
-    let mut snapshots = SnapshotReader::new(Table::Servers, RETRY_PAUSE);
-    let mut skipped = SkippedEntries::default();
-    let mut table_known_until = None;
+    let mut follower = Follower {
+        dependency: Dependency::new("metadata store, servers"),
+        reader: TopicReader::new(Topic::Table(Table::Servers), clock),
+        snapshots: SnapshotReader::new(Table::Servers, RETRY_PAUSE),
+        heartbeats: HeartbeatHistory::default(),
+        skipped: SkippedEntries::default(),
+        gateway,
+    };
+    let mut known_until = None;
     loop {
-        let snapshot = snapshots.read(&gateway, &mut dependency).await;
-        let mut progress = Progress {
+        let mut progress = follower.load_snapshot(known_until).await;
+        while let Some(next) = follower.read_once(progress).await {
+            progress = next;
+        }
+        known_until = Some(progress.verified_at);
+    }
+}
+
+struct Follower {
+    gateway: Rc<Gateway>,
+    dependency: Dependency,
+    reader: TopicReader,
+    snapshots: SnapshotReader,
+    heartbeats: HeartbeatHistory,
+    skipped: SkippedEntries,
+}
+
+impl Follower {
+    /// Lists the table, which was known up to `known_until` before.
+    async fn load_snapshot(&mut self, known_until: Option<Duration>) -> Progress {
+        let gateway = Rc::clone(&self.gateway);
+        let snapshot = self.snapshots.read(&gateway, &mut self.dependency).await;
+        let progress = Progress {
             next: snapshot.origin.next,
             verified_at: snapshot.origin.verified_at,
         };
-        on_listed(&gateway, &snapshot, table_known_until);
-        heartbeats.on_changes(&snapshot.changes.changes, progress.verified_at);
+        on_listed(&gateway, &snapshot, known_until);
+        self.heartbeats
+            .on_changes(&snapshot.changes.changes, progress.verified_at);
         let outdated = apply_snapshot(&gateway, snapshot);
-        skipped.set(outdated, gateway.now());
-        loop {
-            sleep(gateway.jittered(poll_pause(&gateway), JITTER)).await;
-            let result = reader.read(&gateway, progress.next, Duration::ZERO).await;
-            match result {
-                Ok(read) => {
-                    let known_until = progress.verified_at;
-                    progress = Progress {
-                        next: read.origin.next,
-                        verified_at: known_until.max(read.origin.verified_at),
-                    };
-                    let is_complete = read.origin.is_complete();
-                    let served_at = read.origin.served_at;
-                    let is_outage_over = on_read(&gateway, &mut dependency, known_until);
-                    if is_complete {
-                        let availability = &mut gateway.state.borrow_mut().store_availability;
-                        availability.on_read(served_at);
-                    }
-                    let mut changes = decode_changes(&gateway, Table::Servers, read).changes;
-                    skipped.on_changes(&changes);
-                    let due = skipped.take_due(gateway.now());
-                    changes.extend(due.into_iter().map(Change::ServerUpdated));
-                    if is_outage_over {
-                        let window = progress.verified_at - known_until;
-                        on_outage_over(&gateway, &mut heartbeats, &changes, known_until, window);
-                    }
-                    heartbeats.on_changes(&changes, progress.verified_at);
-                    apply(&gateway, changes);
-                }
-                Err(StoreError::Expired(_) | StoreError::Restored(_)) => break,
-                Err(error) => {
-                    dependency.on_failure(&gateway, &error.to_string());
-                    let state = &mut *gateway.state.borrow_mut();
-                    state.store_availability.on_failure();
-                }
+        self.skipped.set(outdated, gateway.now());
+        progress
+    }
+
+    /// Reads the records that follow after a pause. Returns `None` if the table has to be listed again.
+    async fn read_once(&mut self, progress: Progress) -> Option<Progress> {
+        let gateway = Rc::clone(&self.gateway);
+        sleep(gateway.jittered(poll_pause(&gateway), JITTER)).await;
+        let read = self.reader.read(&gateway, progress.next, Duration::ZERO);
+        match read.await {
+            Ok(read) => Some(self.on_records(read, progress.verified_at)),
+            Err(StoreError::Expired(_) | StoreError::Restored(_)) => None,
+            Err(error) => {
+                self.dependency.on_failure(&gateway, &error.to_string());
+                let state = &mut *gateway.state.borrow_mut();
+                state.store_availability.on_failure();
+                Some(progress)
             }
         }
-        table_known_until = Some(progress.verified_at);
+    }
+
+    /// Applies records that were read. The table was known up to `known_until` before.
+    fn on_records(&mut self, read: TopicRecords, known_until: Duration) -> Progress {
+        let gateway = Rc::clone(&self.gateway);
+        let progress = Progress {
+            next: read.origin.next,
+            verified_at: known_until.max(read.origin.verified_at),
+        };
+        let is_outage_over = on_read(&gateway, &mut self.dependency, known_until);
+        if read.origin.is_complete() {
+            let state = &mut *gateway.state.borrow_mut();
+            state.store_availability.on_read(read.origin.served_at);
+        }
+        let mut changes = decode_changes(&gateway, Table::Servers, read).changes;
+        self.skipped.on_changes(&changes);
+        let due = self.skipped.take_due(gateway.now());
+        changes.extend(due.into_iter().map(Change::ServerUpdated));
+        if is_outage_over {
+            let window = progress.verified_at - known_until;
+            on_outage_over(
+                &gateway,
+                &mut self.heartbeats,
+                &changes,
+                known_until,
+                window,
+            );
+        }
+        self.heartbeats.on_changes(&changes, progress.verified_at);
+        apply(&gateway, changes);
+        progress
     }
 }
 
--- a/crates/gateway/src/peer_liveness.rs
+++ b/crates/gateway/src/peer_liveness.rs
@@ -15,7 +15,7 @@
 /// Time for which a window probe has to be unanswered before its peer counts as unreachable.
 const PROBE_ANSWER_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Longest time between two window probes or retransmissions. The kernel doubles the time between
-/// them, but sends one at the end of its limit on unacknowledged data.
+/// them, but sends the next one no later than at the end of its limit on unacknowledged data.
 const PROBE_INTERVAL_MAX: Duration = Duration::from_millis(1000);
 /// Time without outstanding data after which the whole request has arrived. A closed window shows
 /// with the first probe, which the kernel sends after a fifth of a second or a few round trips.
