quarantine: let other workspaces try a part one request at a time

Cause: the evidence of one workspace quarantines a part for that workspace only, and requests of all others went to servers without any limit until these had lost several, too.

One request of the others gets the trial at once, by the conditional append that trials use. Its whole answer releases the part for all; if its server ends, the next one follows, and two ends complete the evidence. The others wait for at most 5 s.

Tests: a_part_of_another_workspace_is_tried_by_one_request_at_a_time. a_part_is_refused_after_the_time_for_objections asserted that requests of another workspace are allowed without limit, which is this fault; it now expects the trial, and the new test the limit.

--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -20,6 +20,9 @@
 pub const COOLDOWN: Duration = Duration::from_secs(120);
 /// Longest time between two trials.
 pub const COOLDOWN_MAX: Duration = Duration::from_secs(4 * 3600);
+/// Time for which the outcome of a trial is awaited before a request of a workspace for which the
+/// part is not quarantined may be the next one.
+const TRIAL_TIME: Duration = Duration::from_secs(5);
 /// Time after an end during which a request that loses its server is not sent to another one if it
 /// has a part under which that other server ended.
 const NO_REPEAT_TIME: Duration = Duration::from_secs(30);
@@ -310,8 +313,15 @@
             .attribution
             .quarantined
             .iter()
-            .filter(|found| found.concerns(suspects) && self.is_in_force(found, times))
-            .filter_map(|found| Some((self.trial_due_in(found, times), *found.parts.first()?)))
+            .filter(|found| found.are_in(suspects) && self.is_in_force(found, times))
+            .filter_map(|found| {
+                let due_in = if found.concerns(suspects) {
+                    self.trial_due_in(found, times)
+                } else {
+                    self.first_trial_due_in(found, times)
+                };
+                Some((due_in, *found.parts.first()?))
+            })
             .max();
         match last_due {
             None => Admission::Allowed,
@@ -353,6 +363,18 @@
         Duration::from_millis(due_at_ms.saturating_sub(times.wall_ms)).min(COOLDOWN_MAX)
     }
 
+    /// Returns the time until the next trial by a workspace for which the parts are not quarantined.
+    /// It need not wait, as the parts may be sound in its requests, but only one request at a time may
+    /// end a server.
+    fn first_trial_due_in(&self, found: &QuarantinedParts, times: Times) -> Duration {
+        let trial = found.parts.first().and_then(|part| self.table.trial(*part));
+        let Some(trial) = trial.filter(|trial| trial.at_ms > found.last_end_ms) else {
+            return Duration::ZERO;
+        };
+        let due_at_ms = trial.at_ms + TRIAL_TIME.as_millis() as u64;
+        Duration::from_millis(due_at_ms.saturating_sub(times.wall_ms)).min(TRIAL_TIME)
+    }
+
     /// Starts to claim the trial of a part. Returns the record with the position at which the log
     /// has to end for the claim to succeed.
     pub fn claim_trial(&mut self, part: PartKey, times: Times) -> (KeyedRecord, LogPosition) {
--- a/crates/quarantine/tests/view.rs
+++ b/crates/quarantine/tests/view.rs
@@ -82,7 +82,41 @@
     assert_eq!(view.admit(&other, at(OBJECTION_TIME)), Admission::Allowed);
     let of_other_workspace = [suspect(BAD, SHOP)];
     let admission = view.admit(&of_other_workspace, at(OBJECTION_TIME));
-    assert_eq!(admission, Admission::Allowed, "another workspace");
+    assert_eq!(admission, Admission::TrialDue(BAD), "another workspace");
+}
+
+/// Guards against a part that ends servers under one workspace and then as many under the next, and
+/// against one workspace's evidence that holds up the requests of the others for long: one of them goes
+/// at once, and its answer releases the part.
+#[test]
+fn a_part_of_another_workspace_is_tried_by_one_request_at_a_time() {
+    const TRIAL_TIME: Duration = Duration::from_secs(5);
+    let mut view = view_after_ends(BAD);
+    view.admit(&[], at(Duration::ZERO));
+    let request = [suspect(BAD, SHOP)];
+    let now = at(OBJECTION_TIME);
+    assert_eq!(view.admit(&request, now), Admission::TrialDue(BAD));
+    let (claim, position) = view.claim_trial(BAD, now);
+    assert!(view.on_claim_stored(&claim, position, position, now.uptime));
+    let later = at(OBJECTION_TIME + Duration::from_secs(2));
+    let refused = view.admit(&request, later);
+    assert!(matches!(refused, Admission::Refused { retry_after } if retry_after < TRIAL_TIME));
+    let mut answered = view.clone();
+    answered.on_completed(&request, later.uptime);
+    assert_eq!(answered.admit(&request, later), Admission::Allowed);
+
+    for number in 0..2 {
+        let at_ms = START_MS + 1_000 + u64::from(number) * 500;
+        let end = report(20 + number, 20 + u64::from(number), at_ms, request.to_vec());
+        view.on_record(end, 10 + u64::from(number), later.uptime);
+    }
+    let much_later = at(Duration::from_secs(10));
+    let refused = view.admit(&request, much_later);
+    let is_for_long = |retry_after| retry_after > TRIAL_TIME;
+    assert!(
+        matches!(refused, Admission::Refused { retry_after } if is_for_long(retry_after)),
+        "{refused:?}"
+    );
 }
 
 /// Guards against a daemon that sends requests with a quarantined part just after it has started.
