gateway: keep connections with closed windows while this process is stopped

TCP_RTO_MAX_MS (Linux 6.15 or newer) limits the time between two probes by itself, so the kernel's limit is 60 s there while data waits. Older kernels keep the former limit.

--- a/crates/gateway/src/ack_timeout.rs
+++ b/crates/gateway/src/ack_timeout.rs
@@ -6,8 +6,8 @@
 //! sound machine. While a request is on its way, the statistics of the connection decide instead,
 //! and the kernel's limit is moved ahead of them.
 
-use crate::peer_liveness::{PeerLiveness, PeerState, Unacknowledged};
-use crate::tcp_info::TcpInfo;
+use crate::peer_liveness::{PROBE_INTERVAL_MAX, PeerLiveness, PeerState, Unacknowledged};
+use crate::tcp_info::{TcpInfo, limit_retransmission_interval};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io::{Error, ErrorKind, Result};
@@ -26,6 +26,9 @@
 const UPLOAD_TIMEOUT: Duration = Duration::from_millis(4000);
 /// Size of a body in bytes from which on a request is long.
 const LONG_BODY_BYTES: u64 = 32 * 1024;
+/// The kernel's limit while data waits for the peer, if the kernel sends probes often enough without
+/// it. It is so long that this process may be stopped meanwhile.
+const STALLED_LIMIT: Duration = Duration::from_secs(60);
 /// Time between two looks at the statistics of a connection while a request is on its way.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -104,9 +107,30 @@
 struct LimitedSocket<S> {
     inner: S,
     limit_in_force: Option<Duration>,
+    /// Whether the kernel sends window probes often enough, whatever the limit is.
+    has_frequent_probes: bool,
 }
 
 impl<S: AsFd> LimitedSocket<S> {
+    fn new(inner: S) -> Self {
+        let limited = limit_retransmission_interval(&inner, PROBE_INTERVAL_MAX);
+        Self {
+            inner,
+            limit_in_force: None,
+            has_frequent_probes: limited.is_ok(),
+        }
+    }
+
+    /// Returns the limit while data waits for the peer. Without frequent probes, it is `needed`, which
+    /// makes the kernel send the next one in time.
+    fn stalled_limit(&self, needed: Duration) -> Duration {
+        if self.has_frequent_probes {
+            STALLED_LIMIT
+        } else {
+            needed
+        }
+    }
+
     fn set_limit(&mut self, limit: Duration) -> Result<()> {
         if self.limit_in_force != Some(limit) {
             SockRef::from(&self.inner).set_tcp_user_timeout(Some(limit))?;
@@ -133,10 +157,7 @@
 impl<S: AsFd> AckTimeout<S> {
     /// Wraps a connected socket. Its monitor has to run as long as the socket is used.
     pub(crate) fn new(inner: S, request: &SentRequest) -> Result<(Self, PeerMonitor<S>)> {
-        let mut socket = LimitedSocket {
-            inner,
-            limit_in_force: None,
-        };
+        let mut socket = LimitedSocket::new(inner);
         socket.set_limit(UNACKNOWLEDGED_TIMEOUT)?;
         let socket = Rc::new(RefCell::new(socket));
         let monitor = PeerMonitor {
@@ -198,7 +219,7 @@
             limit = match liveness.observe(&info, timeout, started_at.elapsed()) {
                 PeerState::Settled => UNACKNOWLEDGED_TIMEOUT,
                 PeerState::Receiving => timeout,
-                PeerState::Stalled(limit) => limit,
+                PeerState::Stalled(needed) => self.socket.borrow().stalled_limit(needed),
                 PeerState::Unreachable(unacknowledged) => {
                     self.state.on_unreachable(unacknowledged);
                     return false;
--- a/crates/gateway/src/peer_liveness.rs
+++ b/crates/gateway/src/peer_liveness.rs
@@ -16,7 +16,7 @@
 const PROBE_ANSWER_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Longest time between two window probes or retransmissions. The kernel doubles the time between
 /// them, but sends the next one no later than at the end of its limit on unacknowledged data.
-const PROBE_INTERVAL_MAX: Duration = Duration::from_millis(1000);
+pub const PROBE_INTERVAL_MAX: Duration = Duration::from_millis(1000);
 /// Time without outstanding data after which the whole request has arrived. A closed window shows
 /// with the first probe, which the kernel sends after a fifth of a second or a few round trips.
 const SETTLED_AFTER: Duration = Duration::from_millis(500);
--- a/crates/gateway/src/tcp_info.rs
+++ b/crates/gateway/src/tcp_info.rs
@@ -1,7 +1,8 @@
 //! The kernel's view of a TCP connection: what was sent and what the peer has acknowledged.
 
-use nix::sys::socket::sockopt::GetStruct;
-use nix::{getsockopt_impl, sys::socket::getsockopt};
+use nix::sys::socket::sockopt::{GetStruct, SetStruct};
+use nix::sys::socket::{getsockopt, setsockopt};
+use nix::{getsockopt_impl, setsockopt_impl};
 use std::io::{ErrorKind, Result};
 use std::os::fd::AsFd;
 use std::time::Duration;
@@ -18,6 +19,32 @@
     GetStruct<libc::tcp_info>
 );
 
+/// Number of the socket option that limits the time between two retransmissions or window probes, in
+/// milliseconds. Linux 6.15 or newer has it.
+const TCP_RTO_MAX_MS: libc::c_int = 44;
+
+/// Socket option that sets this limit.
+#[derive(Clone, Copy, Debug)]
+struct RetransmissionInterval;
+
+setsockopt_impl!(
+    RetransmissionInterval,
+    libc::IPPROTO_TCP,
+    TCP_RTO_MAX_MS,
+    libc::c_int,
+    SetStruct<'_, libc::c_int>
+);
+
+/// Limits the time between two retransmissions or window probes on a connection.
+///
+/// # Errors
+///
+/// Returns the error of the kernel, for instance if it has no such limit.
+pub fn limit_retransmission_interval(socket: &impl AsFd, limit: Duration) -> Result<()> {
+    let limit_ms = limit.as_millis() as libc::c_int;
+    Ok(setsockopt(socket, RetransmissionInterval, &limit_ms)?)
+}
+
 /// What the kernel knows of the data that was sent on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TcpInfo {
--- a/crates/gateway/tests/connections.rs
+++ b/crates/gateway/tests/connections.rs
@@ -257,6 +257,29 @@
     });
 }
 
+/// Guards against answers that are cut because this process gets no processor time for more than a
+/// second while a server does not read: the kernel closed the connection before it was told to wait.
+#[test]
+fn a_process_that_is_stopped_keeps_connections_with_a_closed_window() {
+    const STOPPED_AFTER: Duration = Duration::from_millis(2500);
+    const STOPPED_FOR: Duration = Duration::from_millis(1800);
+    run(async {
+        let peer = LateReader {
+            early_answer: EarlyAnswer::Events,
+            reads_after: Duration::from_millis(6000),
+            stands_still_after: None,
+            loses_power_after: None,
+        };
+        spawn_local(async {
+            sleep(STOPPED_AFTER).await;
+            // Blocks the only thread of the runtime.
+            std::thread::sleep(STOPPED_FOR);
+        });
+        let answer = peer.exchange(512 * 1024).await;
+        assert!(answer.is_ok(), "{answer:?}");
+    });
+}
+
 /// Guards against answers that are cut because a machine stands still for a second while its
 /// process does not read: window probes are unanswered for longer than that.
 #[test]
